--- /dev/null
+++ b/demo/deployment.py
@@ -0,0 +1,278 @@
+"""Starts a deployment of real processes on loopback, and stops it."""
+
+import asyncio
+import hashlib
+import json
+import os
+import secrets
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from goldcrestyard.core import keys
+
+READY_SECONDS = 30.0
+STOP_SECONDS = 15.0
+POLL_SECONDS = 0.05
+
+OPERATOR = "ana"
+
+
+@dataclass
+class Instance:
+    """One daemon of the deployment."""
+
+    id: str
+    data_centre: str
+    region: str
+    control: bool
+    public: str = ""
+    admin: str = ""
+    peer: str = ""
+    process: asyncio.subprocess.Process | None = None
+
+
+@dataclass
+class Deployment:
+    """A set of instances and stand-ins in a temporary folder."""
+
+    instances: list[Instance]
+    folder: Path = field(
+        default_factory=lambda: Path(tempfile.mkdtemp(prefix="goldcrestyard-"))
+    )
+    operator_key: str = field(default_factory=lambda: secrets.token_urlsafe(32))
+    target_token: str = field(default_factory=lambda: secrets.token_urlsafe(32))
+    processes_by_name: dict[str, asyncio.subprocess.Process] = field(
+        default_factory=dict
+    )
+
+    def __post_init__(self) -> None:
+        for instance in self.instances:
+            instance.public = f"127.0.0.1:{free_port()}"
+            instance.admin = f"127.0.0.1:{free_port()}"
+            instance.peer = f"127.0.0.1:{free_port()}"
+
+    @property
+    def entries(self) -> list[str]:
+        """Public addresses of all instances."""
+        return [instance.public for instance in self.instances]
+
+    async def start(self) -> None:
+        """Start all instances and wait until each follows the leader."""
+        (self.folder / "secret").write_text(secrets.token_hex(32))
+        for instance in self.instances:
+            await self.start_instance(instance)
+        for instance in self.instances:
+            await self.wait_ready(instance)
+
+    async def start_instance(self, instance: Instance) -> None:
+        """Start one instance."""
+        path = self.folder / f"{instance.id}.toml"
+        path.write_text(self.settings_of(instance))
+        instance.process = await self.start_process(
+            instance.id, "goldcrestyard.daemon", str(path)
+        )
+
+    async def start_process(
+        self, name: str, module: str, *arguments: str
+    ) -> asyncio.subprocess.Process:
+        """Start a Python module as a process with its log in the folder."""
+        log = os.open(
+            self.folder / f"{name}.log", os.O_WRONLY | os.O_APPEND | os.O_CREAT
+        )
+        try:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdout=log,
+                stderr=log,
+                cwd=Path(__file__).parent.parent,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        finally:
+            os.close(log)
+        self.processes_by_name[name] = process
+        return process
+
+    def settings_of(self, instance: Instance) -> str:
+        """Return the settings file of an instance."""
+        members = "\n".join(
+            f'{member.id} = "{member.peer}"'
+            for member in self.instances
+            if member.control
+        )
+        control = (
+            f'[control]\ndata_folder = "{self.folder / instance.id}"\n'
+            if instance.control
+            else ""
+        )
+        return f"""\
+[instance]
+id = "{instance.id}"
+data_centre = "{instance.data_centre}"
+region = "{instance.region}"
+
+[cluster]
+name = "demo"
+secret_file = "{self.folder / "secret"}"
+peer_address = "{instance.peer}"
+
+[cluster.control_members]
+{members}
+
+[listeners]
+public = "{instance.public}"
+admin = "{instance.admin}"
+
+[targets]
+token_sha256 = "{sha256(self.target_token)}"
+
+[operators.key_sha256_by_name]
+{OPERATOR} = "{sha256(self.operator_key)}"
+
+{control}"""
+
+    async def wait_ready(self, instance: Instance) -> None:
+        """Wait until an instance is ready."""
+
+        async def ready(session: aiohttp.ClientSession) -> bool:
+            async with session.get(f"http://{instance.public}/addresses") as answer:
+                entries = (await answer.json())["addresses"]
+            return any(entry["instance"] == instance.id for entry in entries)
+
+        await wait_for(ready, f"{instance.id} to be ready")
+
+    async def start_engine(
+        self, name: str, model: str, instance: Instance, **options: Any
+    ) -> str:
+        """Start a stand-in engine near an instance; return its address."""
+        port = free_port()
+        arguments = [
+            f"--id={name}",
+            f"--port={port}",
+            f"--entries={','.join(self.entries)}",
+            f"--token={self.target_token}",
+            f"--model={model}",
+            f"--data-centre={instance.data_centre}",
+            f"--region={instance.region}",
+            *(f"--{key.replace('_', '-')}={value}" for key, value in options.items()),
+        ]
+        await self.start_process(name, "demo.fakes.engine", *arguments)
+        await self.wait_target(name)
+        return f"127.0.0.1:{port}"
+
+    async def wait_target(self, name: str, *, present: bool = True) -> None:
+        """Wait until every instance knows, or no longer knows, a target."""
+
+        async def settled(session: aiohttp.ClientSession) -> bool:
+            for instance in self.instances:
+                if instance.process is None or instance.process.returncode is not None:
+                    continue
+                url = f"http://{instance.admin}/operator/v1/targets"
+                async with session.get(url, headers=self._headers()) as answer:
+                    targets = (await answer.json())["targets"]
+                if any(t["target"]["id"] == name for t in targets) != present:
+                    return False
+            return True
+
+        await wait_for(settled, f"target {name}, present={present}")
+
+    async def operate(self, method: str, path: str, body: Any = None) -> Any:
+        """Call the operators' interface of the first instance."""
+        url = f"http://{self.instances[0].admin}/operator/v1{path}"
+        async with (
+            aiohttp.ClientSession(headers=self._headers()) as session,
+            session.request(method, url, json=body) as answer,
+        ):
+            data = await answer.json()
+            if answer.status != 200:
+                raise RuntimeError(f"{method} {path}: {json.dumps(data)}")
+            return data
+
+    async def add_organisation(self, name: str) -> str:
+        """Create an organisation and return a key for it."""
+        await self.operate("PUT", "/organisations", {"id": name})
+        return await self.grant_key(name)
+
+    async def grant_key(self, organisation: str) -> str:
+        """Return a new key of an organisation."""
+        text, parts = keys.generate()
+        body = {
+            "id": parts.id,
+            "organisation": organisation,
+            "secret_hash": parts.secret_hash,
+        }
+        await self.operate("POST", "/keys", body)
+        return text
+
+    async def withdraw_key(self, key: str) -> None:
+        """Withdraw a key."""
+        await self.operate("DELETE", f"/keys/{key.split('_')[1]}")
+
+    async def stop(self) -> None:
+        """Stop everything that was started, targets before instances."""
+        instance_names = {instance.id for instance in self.instances}
+        for of_instances in (False, True):
+            await stop_processes(
+                [
+                    process
+                    for name, process in self.processes_by_name.items()
+                    if (name in instance_names) == of_instances
+                ]
+            )
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _headers(self) -> dict[str, str]:
+        return {"authorization": f"Bearer {self.operator_key}"}
+
+
+async def stop_processes(processes: list[asyncio.subprocess.Process]) -> None:
+    """Ask processes to stop, and kill those that do not."""
+    running = [process for process in processes if process.returncode is None]
+    for process in running:
+        # A process that a test has suspended must go on to see SIGTERM.
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+    for process in running:
+        try:
+            async with asyncio.timeout(STOP_SECONDS):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
+
+async def wait_for(condition: Any, what: str, seconds: float = READY_SECONDS) -> None:
+    """Wait until an asynchronous condition holds."""
+    try:
+        async with asyncio.timeout(seconds), aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    if await condition(session):
+                        return
+                except (aiohttp.ClientError, TimeoutError):
+                    pass
+                await asyncio.sleep(POLL_SECONDS)
+    except TimeoutError:
+        raise TimeoutError(f"waited {seconds} s for {what}") from None
+
+
+def free_port() -> int:
+    """Return a port that is free on loopback."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def sha256(text: str) -> str:
+    """Return a SHA-256 in hexadecimal."""
+    return hashlib.sha256(text.encode()).hexdigest()
--- /dev/null
+++ b/demo/fakes/announcer.py
@@ -0,0 +1,78 @@
+"""The part of a target that announces itself, renews and leaves."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+
+@dataclass
+class Announcer:
+    """Keeps a target announced at one of several entries."""
+
+    entries: list[str]
+    token: str
+    announcement: dict[str, Any]
+
+    async def run(self) -> None:
+        """Announce and renew until cancelled; change the entry on failure."""
+        async with aiohttp.ClientSession(headers=self._headers()) as session:
+            turn = 0
+            while True:
+                entry = self.entries[turn % len(self.entries)]
+                turn += 1
+                try:
+                    await self._stay(session, entry)
+                except (aiohttp.ClientError, TimeoutError):
+                    pass
+                await asyncio.sleep(0.2)
+
+    async def leave(self) -> None:
+        """Leave at every entry that answers."""
+        async with aiohttp.ClientSession(headers=self._headers()) as session:
+            for entry in self.entries:
+                url = f"http://{entry}/targets/{self.announcement['id']}"
+                try:
+                    async with session.delete(url, json=self._renewal()) as answer:
+                        if answer.status == 200:
+                            return
+                except (aiohttp.ClientError, TimeoutError):
+                    continue
+
+    async def drain(self) -> None:
+        """Ask for no new work."""
+        async with aiohttp.ClientSession(headers=self._headers()) as session:
+            for entry in self.entries:
+                url = f"http://{entry}/targets/{self.announcement['id']}/drain"
+                try:
+                    async with session.post(url, json=self._renewal()) as answer:
+                        if answer.status == 200:
+                            return
+                except (aiohttp.ClientError, TimeoutError):
+                    continue
+
+    async def _stay(self, session: aiohttp.ClientSession, entry: str) -> None:
+        url = f"http://{entry}/targets"
+        timeout = aiohttp.ClientTimeout(total=8)
+        async with session.post(
+            f"{url}/announce", json=self.announcement, timeout=timeout
+        ) as answer:
+            if answer.status != 200:
+                return
+            interval = (await answer.json())["renew_seconds"]
+        while True:
+            await asyncio.sleep(interval)
+            async with session.post(
+                f"{url}/{self.announcement['id']}/renew",
+                json=self._renewal(),
+                timeout=timeout,
+            ) as answer:
+                if answer.status != 200:
+                    return
+
+    def _renewal(self) -> dict[str, str]:
+        return {"incarnation": self.announcement["incarnation"]}
+
+    def _headers(self) -> dict[str, str]:
+        return {"authorization": f"Bearer {self.token}"}
--- /dev/null
+++ b/demo/fakes/engine.py
@@ -0,0 +1,210 @@
+"""A stand-in for a model engine.
+
+It speaks the usual HTTP protocol of engines: request ids are given back in
+the header and in the id of each answer, and each piece of a stream names the
+weight version that produced it.  Text is made up from the prompt.
+"""
+
+import argparse
+import asyncio
+import json
+import signal
+import uuid
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from demo.fakes.announcer import Announcer
+
+WORDS = ("the", "liner", "holds", "at", "joint", "seven", "and", "the", "crack", "ends")
+
+
+@dataclass
+class Engine:
+    """State of the stand-in engine."""
+
+    name: str
+    token_seconds: float
+    version: int = 1
+    max_concurrency: int = 16
+    running: int = 0
+    runs_by_request: Counter[str] = field(default_factory=Counter)
+    headers_seen: list[dict[str, str]] = field(default_factory=list)
+    idle: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Serve a completion, streamed or whole."""
+        request_id = request.headers.get("x-request-id", uuid.uuid4().hex)
+        self.headers_seen.append(dict(request.headers))
+        del self.headers_seen[:-100]
+        body = await request.json()
+        if self.running >= self.max_concurrency:
+            return web.json_response(
+                {"error": {"message": "full"}},
+                status=503,
+                headers={"x-request-id": request_id, "x-not-run": "true"},
+            )
+        self.runs_by_request[request_id] += 1
+        self.running += 1
+        self.idle.clear()
+        try:
+            if body.get("stream"):
+                return await self._stream(request, request_id, body)
+            return await self._whole(request, request_id, body)
+        finally:
+            self.running -= 1
+            if not self.running:
+                self.idle.set()
+
+    async def _stream(
+        self, request: web.Request, request_id: str, body: dict[str, Any]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={"content-type": "text/event-stream", "x-request-id": request_id}
+        )
+        await response.prepare(request)
+        tokens = self._tokens(body)
+        for position, token in enumerate(tokens):
+            await asyncio.sleep(self.token_seconds)
+            last = position == len(tokens) - 1
+            piece = self._piece(request.path, request_id, body, token, last)
+            await response.write(b"data: " + json.dumps(piece).encode() + b"\n\n")
+        await response.write(b"data: [DONE]\n\n")
+        await response.write_eof()
+        return response
+
+    async def _whole(
+        self, request: web.Request, request_id: str, body: dict[str, Any]
+    ) -> web.StreamResponse:
+        tokens = self._tokens(body)
+        await asyncio.sleep(self.token_seconds * len(tokens))
+        text = "".join(tokens)
+        chat = "chat" in request.path
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+        if chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        answer = {
+            "id": f"{'chatcmpl' if chat else 'cmpl'}-{request_id}",
+            "object": "chat.completion" if chat else "text_completion",
+            "created": 0,
+            "model": body["model"],
+            "weight_version": self.version,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": len(str(body)) // 4,
+                "completion_tokens": len(tokens),
+                "total_tokens": len(str(body)) // 4 + len(tokens),
+            },
+        }
+        return web.json_response(answer, headers={"x-request-id": request_id})
+
+    def _piece(
+        self,
+        path: str,
+        request_id: str,
+        body: dict[str, Any],
+        token: str,
+        last: bool,
+    ) -> dict[str, Any]:
+        chat = "chat" in path
+        choice: dict[str, Any] = {
+            "index": 0,
+            "finish_reason": "stop" if last else None,
+        }
+        if chat:
+            choice["delta"] = {"role": "assistant", "content": token}
+        else:
+            choice["text"] = token
+        return {
+            "id": f"{'chatcmpl' if chat else 'cmpl'}-{request_id}",
+            "object": "chat.completion.chunk" if chat else "text_completion",
+            "created": 0,
+            "model": body["model"],
+            "weight_version": self.version,
+            "choices": [choice],
+        }
+
+    def _tokens(self, body: dict[str, Any]) -> list[str]:
+        count = int(body.get("max_tokens") or 12)
+        return [WORDS[n % len(WORDS)] + " " for n in range(count)]
+
+    async def load_weights(self, request: web.Request) -> web.StreamResponse:
+        """Carry out an order to serve another weight version."""
+        order = await request.json()
+        self.version = int(order["version"])
+        return web.json_response({"version": self.version})
+
+    async def state(self, _: web.Request) -> web.StreamResponse:
+        """Show what the stand-in has seen; for tests only."""
+        return web.json_response(
+            {
+                "version": self.version,
+                "running": self.running,
+                "runs_by_request": dict(self.runs_by_request),
+                "headers_seen": self.headers_seen,
+            }
+        )
+
+    async def healthz(self, _: web.Request) -> web.StreamResponse:
+        """Answer a probe."""
+        return web.json_response({"running": self.running})
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Run the stand-in until it is asked to stop."""
+    engine = Engine(options.id, options.token_seconds)
+    app = web.Application()
+    app.router.add_post("/v1/chat/completions", engine.complete)
+    app.router.add_post("/v1/completions", engine.complete)
+    app.router.add_post("/weights", engine.load_weights)
+    app.router.add_get("/healthz", engine.healthz)
+    app.router.add_get("/fake/state", engine.state)
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", options.port).start()
+    announcer = Announcer(
+        options.entries.split(","),
+        options.token,
+        {
+            "id": options.id,
+            "kind": "engine",
+            "address": f"127.0.0.1:{options.port}",
+            "data_centre": options.data_centre,
+            "region": options.region,
+            "serves": [options.model],
+            "incarnation": uuid.uuid4().hex,
+            "max_concurrency": engine.max_concurrency,
+        },
+    )
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    announcing = asyncio.create_task(announcer.run())
+    await stop.wait()
+    await announcer.drain()
+    if engine.running:
+        await engine.idle.wait()
+    announcing.cancel()
+    await announcer.leave()
+    await runner.cleanup()
+
+
+def main() -> None:
+    """Parse the command line and run the stand-in."""
+    parser = argparse.ArgumentParser(description="Stand-in for a model engine.")
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--entries", required=True, help="comma-separated host:port")
+    parser.add_argument("--token", required=True)
+    parser.add_argument("--model", required=True)
+    parser.add_argument("--data-centre", required=True)
+    parser.add_argument("--region", required=True)
+    parser.add_argument("--token-seconds", type=float, default=0.01)
+    asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/goldcrestyard/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/goldcrestyard/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the tool."""
--- /dev/null
+++ b/goldcrestyard/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: election, replication and the leader lease."""
--- /dev/null
+++ b/goldcrestyard/consensus/records.py
@@ -0,0 +1,29 @@
+"""Payload of a log entry."""
+
+from dataclasses import dataclass
+
+from goldcrestyard.core.ids import CorrelationId
+from goldcrestyard.state.commands import Envelope
+from goldcrestyard.wire.codec import Codec
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedCommand:
+    """An encoded command with who proposed it and the leader's wall time."""
+
+    command: bytes
+    author: str
+    correlation_id: CorrelationId
+    time: float
+
+
+def to_envelope(codec: Codec, payload: bytes) -> Envelope:
+    """Decode the payload of a log entry."""
+    logged = codec.decode(payload)
+    assert isinstance(logged, LoggedCommand)
+    return Envelope(
+        codec.decode(logged.command),
+        logged.author,
+        logged.correlation_id,
+        logged.time,
+    )
--- /dev/null
+++ b/goldcrestyard/core/attempts.py
@@ -0,0 +1,51 @@
+"""What came of sending a request to a target once."""
+
+from dataclasses import dataclass
+
+from goldcrestyard.core.verdicts import Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class Unreached:
+    """No byte of the request left the entry."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """The target answered that it has not run the request."""
+
+    status: int
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The request was sent, but no whole and matching answer came."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The target's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+AttemptFailure = Unreached | TurnedAway | Broken
+AttemptOutcome = AttemptFailure | Answered
+
+
+def verdict_on(outcome: AttemptOutcome) -> Verdict:
+    """Return whether the attempt may have run the request."""
+    match outcome:
+        case Unreached() | TurnedAway():
+            return Verdict.NOT_RUN
+        case Broken():
+            return Verdict.MAY_HAVE_RUN
+        case Answered():
+            return Verdict.RAN
--- /dev/null
+++ b/goldcrestyard/core/ids.py
@@ -0,0 +1,40 @@
+"""Identifiers.  Each is a distinct type, so that ids cannot be mixed up."""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+Region = NewType("Region", str)
+DataCentre = NewType("DataCentre", str)
+
+OrganisationId = NewType("OrganisationId", str)
+KeyId = NewType("KeyId", str)
+KeyHash = NewType("KeyHash", str)
+
+TargetId = NewType("TargetId", str)
+ModelName = NewType("ModelName", str)
+ServiceName = NewType("ServiceName", str)
+WeightVersion = NewType("WeightVersion", int)
+"""A number that rises with each publication of a model line."""
+
+RequestId = NewType("RequestId", str)
+"""Chosen by the caller, or by the entry when the caller sent none."""
+AttemptId = NewType("AttemptId", str)
+"""Chosen by the entry for each time a request is sent to a target."""
+CorrelationId = NewType("CorrelationId", str)
+
+TrainerId = NewType("TrainerId", str)
+StepNumber = NewType("StepNumber", int)
+GroupId = NewType("GroupId", str)
+SampleId = NewType("SampleId", str)
+BatchId = NewType("BatchId", str)
+
+OrderId = NewType("OrderId", str)
+PlanNumber = NewType("PlanNumber", int)
+
+Term = NewType("Term", int)
+LogIndex = NewType("LogIndex", int)
+Revision = NewType("Revision", int)
+"""The log index of the last committed change that entries must know."""
+
+BodyDigest = NewType("BodyDigest", str)
+"""SHA-256 of a stored body, in hexadecimal."""
--- /dev/null
+++ b/goldcrestyard/core/keys.py
@@ -0,0 +1,51 @@
+"""The form of callers' keys: ``gcy_<key id>_<secret>``."""
+
+import hashlib
+import hmac
+import re
+import secrets
+from dataclasses import dataclass
+
+from goldcrestyard.core.ids import KeyHash, KeyId
+
+_KEY = re.compile(r"gcy_([a-z0-9]{12})_([A-Za-z0-9_-]{32,64})")
+
+KEY_ID_BYTES = 6
+SECRET_BYTES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class PresentedKey:
+    """The two parts of a key that a caller presented."""
+
+    id: KeyId
+    secret_hash: KeyHash
+
+
+def generate() -> tuple[str, PresentedKey]:
+    """Return a new key as text, and its parts."""
+    secret = secrets.token_urlsafe(SECRET_BYTES)
+    key_id = KeyId(secrets.token_hex(KEY_ID_BYTES))
+    return f"gcy_{key_id}_{secret}", PresentedKey(key_id, hash_secret(secret))
+
+
+def parse(text: str) -> PresentedKey | None:
+    """Return the parts of a key, or None if the text is not a key."""
+    match = _KEY.fullmatch(text)
+    if match is None:
+        return None
+    return PresentedKey(KeyId(match[1]), hash_secret(match[2]))
+
+
+def hash_secret(secret: str) -> KeyHash:
+    """Hash a secret.
+
+    Secrets are 256 random bits, so a plain hash cannot be reversed by
+    guessing, and a slow one would only slow down each request.
+    """
+    return KeyHash(hashlib.sha256(secret.encode()).hexdigest())
+
+
+def same_hash(first: KeyHash, second: KeyHash) -> bool:
+    """Compare two hashes in constant time."""
+    return hmac.compare_digest(first, second)
--- /dev/null
+++ b/goldcrestyard/core/refusals.py
@@ -0,0 +1,41 @@
+"""Refusals: sentinel values with a reason, returned in place of a result."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from goldcrestyard.core.verdicts import Verdict
+
+
+class RefusalReason(Enum):
+    """Why a request was refused; the value is the code callers see."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    CAPACITY = "capacity"
+    CONFLICT = "conflict"
+    DEADLINE = "deadline_exceeded"
+    DRAINING = "draining"
+    ENTRY_LEASE = "entry_lease_expired"
+    FORBIDDEN = "forbidden"
+    INCOMPLETE_ANSWER = "incomplete_answer"
+    INVALID_KEY = "invalid_key"
+    KEY_WITHDRAWN = "key_withdrawn"
+    LIMIT = "limit_exceeded"
+    NO_LEADER = "no_leader"
+    NO_TARGET = "no_target"
+    NOT_FOUND = "not_found"
+    SAMPLES_TOO_OLD = "samples_too_old"
+    STALE_PLAN = "stale_plan"
+    TARGET_FAILED = "target_failed"
+    UNKNOWN_MODEL = "model_not_found"
+    UNKNOWN_OUTCOME = "unknown_outcome"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that was not served, with the verdict on its execution."""
+
+    reason: RefusalReason
+    detail: str
+    verdict: Verdict = Verdict.NOT_RUN
+    retry_after_seconds: float | None = None
--- /dev/null
+++ b/goldcrestyard/daemon.py
@@ -0,0 +1,97 @@
+"""The daemon: one instance of the system."""
+
+import argparse
+import asyncio
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import structlog
+
+from goldcrestyard.kernel import logs, registry
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.checks import Problem, has_errors, run_checks
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.settings import Settings, load
+
+logger = structlog.get_logger(__name__)
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+
+def section_classes(
+    plugin_classes: Sequence[type[PluginConfig]],
+) -> dict[str, type]:
+    """Return the settings classes by the name of their TOML table."""
+    classes: dict[str, type] = {"instance": InstanceSettings}
+    for plugin in plugin_classes:
+        if plugin.settings_class is not None:
+            classes[plugin.settings_section] = plugin.settings_class
+    return classes
+
+
+def load_settings(
+    path: Path, plugin_classes: Sequence[type[PluginConfig]]
+) -> tuple[Settings, list[Problem]]:
+    """Read a settings file and run all checks on it."""
+    settings, problems = load(path, section_classes(plugin_classes))
+    checks = [check for plugin in plugin_classes for check in plugin.checks]
+    return settings, problems + run_checks(settings, checks)
+
+
+async def run(settings: Settings, plugin_classes: list[type[PluginConfig]]) -> int:
+    """Run the daemon until it is asked to stop."""
+    app = Application(settings, plugin_classes)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, app.stop_requested.set)
+    app.ready()
+    await app.start()
+    logger.info("instance started")
+    await app.stop_requested.wait()
+    logger.info("instance stops; waiting for running requests")
+    drain_seconds = settings.section(InstanceSettings).drain_seconds
+    failed = app.failed
+    try:
+        async with asyncio.timeout(drain_seconds):
+            await app.drain()
+    except TimeoutError:
+        logger.warning("running requests were cut off", drain_seconds=drain_seconds)
+    await app.stop()
+    return EXIT_FAILED if failed else EXIT_OK
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Parse the command line and run the daemon."""
+    parser = argparse.ArgumentParser(
+        prog="goldcrestd",
+        description="Run one instance of goldcrestyard.",
+        epilog="Exit codes: 0 stopped as planned, 1 failed, 2 faulty settings.",
+    )
+    parser.add_argument("settings", type=Path, help="settings file (TOML)")
+    parser.add_argument(
+        "--check",
+        action="store_true",
+        help="show every fault in the settings file, then exit",
+    )
+    options = parser.parse_args(arguments)
+    plugin_classes = registry.discover()
+    settings, problems = load_settings(options.settings, plugin_classes)
+    for problem in problems:
+        print(f"{problem}\n    hint: {problem.hint}", file=sys.stderr)
+    if has_errors(problems):
+        return EXIT_BAD_SETTINGS
+    if options.check:
+        print(f"{options.settings}: settings are valid")
+        return EXIT_OK
+    instance = settings.section(InstanceSettings)
+    logs.configure(instance.id, instance.log_level)
+    return asyncio.run(run(settings, plugin_classes))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/goldcrestyard/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Application object, plug-in registry, settings, checks and clock."""
--- /dev/null
+++ b/goldcrestyard/kernel/default_settings.py
@@ -0,0 +1,19 @@
+"""Settings of the process itself; plug-ins add sections of their own."""
+
+from dataclasses import dataclass
+
+from goldcrestyard.core.ids import DataCentre, InstanceId, Region
+from goldcrestyard.kernel.settings import setting
+
+
+@dataclass(frozen=True)
+class InstanceSettings:
+    """The ``[instance]`` section: identity and place of this process."""
+
+    id: InstanceId = setting("Unique name of this instance.")
+    data_centre: DataCentre = setting("Data centre in which this instance runs.")
+    region: Region = setting("Region of the data centre.")
+    log_level: str = setting("Least severe level that is logged.", "info")
+    drain_seconds: float = setting(
+        "Longest time a planned stop waits for running requests, in seconds.", 600.0
+    )
--- /dev/null
+++ b/goldcrestyard/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Entry leases and the distribution of committed changes."""
--- /dev/null
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -0,0 +1,149 @@
+"""The leader's side of the entries: leases and the feed of changes."""
+
+import asyncio
+
+import structlog
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.core.ids import InstanceId, Revision
+from goldcrestyard.core.refusals import RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.change_feed import ChangeFeed
+from goldcrestyard.policy import leases
+from goldcrestyard.policy.leases import EntryLease
+from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.messages import (
+    ChangesPush,
+    Failure,
+    NotLeader,
+    Propose,
+    ProposeReply,
+    Renew,
+    RenewReply,
+    SnapshotPush,
+    Subscribe,
+    SubscribeReply,
+)
+
+logger = structlog.get_logger(__name__)
+
+IN_FORCE_POLL_SECONDS = 0.05
+
+
+class EntrySessions:
+    """Serves the entries while this member leads.
+
+    Leases are only granted while the leader's own lease holds, so that two
+    leaders never grant at the same time.
+    """
+
+    def __init__(
+        self,
+        member: ControlMember,
+        feed: ChangeFeed,
+        codec: Codec,
+        clock: Clock,
+        entry_lease_seconds: float,
+    ) -> None:
+        self._member = member
+        self._feed = feed
+        self._codec = codec
+        self._clock = clock
+        self._lease_seconds = entry_lease_seconds
+        self.leases_by_entry: dict[InstanceId, EntryLease] = {}
+
+    def register(self, handlers: Handlers) -> None:
+        """Serve the entries' messages."""
+        handlers.add(Subscribe, self._on_subscribe)
+        handlers.add(Renew, self._on_renew)
+        handlers.add(Propose, self._on_propose)
+
+    async def wait_in_force(
+        self, revision: Revision, timeout: float
+    ) -> list[InstanceId]:
+        """Wait until no entry can act on an older revision.
+
+        Returns the entries that still may after ``timeout`` seconds: an
+        empty list says that the revision is in force everywhere.
+        """
+        deadline = self._clock.monotonic() + timeout
+        while True:
+            now = self._clock.monotonic()
+            behind = leases.entries_behind(revision, self.leases_by_entry, now)
+            settled = leases.earlier_grants_expired(
+                now, self._member.leadership_started_at, self._lease_seconds
+            )
+            if settled and not behind:
+                return []
+            if now >= deadline:
+                return behind or [InstanceId("entries of the previous leader")]
+            await asyncio.sleep(IN_FORCE_POLL_SECONDS)
+
+    async def _on_subscribe(
+        self, message: Subscribe, connection: PeerConnection
+    ) -> object:
+        if not self._member.holds_lease():
+            return NotLeader(self._member.leader)
+        connection.spawn(self._follow(message.revision, connection))
+        return SubscribeReply(self._member.machine.revision)
+
+    async def _follow(self, revision: Revision, connection: PeerConnection) -> None:
+        """Push each change once, in order, until the connection closes."""
+        while not connection.closed:
+            changes = self._feed.since(revision)
+            if changes is None:
+                revision = self._member.machine.revision
+                sent = await connection.push(self._snapshot(revision))
+            elif changes:
+                revision = changes[-1].revision
+                sent = await connection.push(ChangesPush(changes))
+            else:
+                await self._feed.wait()
+                continue
+            if not sent:
+                return
+
+    def _snapshot(self, revision: Revision) -> SnapshotPush:
+        snapshots = self._member.machine.to_snapshots(fan_out_only=True)
+        return SnapshotPush(
+            revision,
+            {
+                name: self._codec.encode(snapshot)
+                for name, snapshot in snapshots.items()
+            },
+        )
+
+    async def _on_renew(self, message: Renew, connection: PeerConnection) -> object:
+        if not self._member.holds_lease():
+            return NotLeader(self._member.leader)
+        granted = leases.seconds_granted(
+            self._feed.lag_seconds(message.revision), self._lease_seconds
+        )
+        self._record(connection.peer, message.revision, granted)
+        return RenewReply(granted, self._member.machine.revision)
+
+    def _record(self, entry: InstanceId, applied: Revision, granted: float) -> None:
+        expires_at = leases.granted_until(self._clock.monotonic(), granted)
+        known = self.leases_by_entry.get(entry)
+        if known is not None:
+            expires_at = max(expires_at, known.expires_at)
+        self.leases_by_entry[entry] = EntryLease(applied, expires_at)
+
+    async def _on_propose(self, message: Propose, connection: PeerConnection) -> object:
+        if not self._member.is_leader:
+            return NotLeader(self._member.leader)
+        result = await self._member.propose(
+            self._codec.decode(message.command), message.author, message.correlation_id
+        )
+        match result:
+            case Applied(index=index, outcome=outcome):
+                return ProposeReply(index, self._codec.encode(outcome))
+            case NotProposed(detail=detail):
+                return Failure(RefusalReason.NO_LEADER, detail, Verdict.NOT_RUN)
+            case InDoubt(detail=detail):
+                return Failure(
+                    RefusalReason.UNKNOWN_OUTCOME, detail, Verdict.MAY_HAVE_RUN
+                )
--- /dev/null
+++ b/goldcrestyard/membership/subscription.py
@@ -0,0 +1,130 @@
+"""Keeps an entry subscribed to the leader's changes."""
+
+import asyncio
+import random
+from collections.abc import Mapping
+
+import structlog
+
+from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
+from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.messages import (
+    ChangesPush,
+    NotLeader,
+    Renew,
+    RenewReply,
+    SnapshotPush,
+    Subscribe,
+    SubscribeReply,
+)
+
+logger = structlog.get_logger(__name__)
+
+RENEW_INTERVAL_SECONDS = 1.0
+RENEW_TIMEOUT_SECONDS = 2.0
+RETRY_SECONDS = 0.2
+
+
+class Subscription:
+    """One task: find the leader, follow its changes, renew the lease."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        link: LeaderLink,
+        dialer: PeerDialer,
+        clock: Clock,
+        control_addresses_by_id: Mapping[InstanceId, PeerAddress],
+    ) -> None:
+        self._view = view
+        self._link = link
+        self._dialer = dialer
+        self._clock = clock
+        self._addresses_by_id = control_addresses_by_id
+        self._applied = asyncio.Event()
+        self.draining = False
+
+    def register(self, handlers: Handlers) -> None:
+        """Serve the leader's pushes."""
+        handlers.add(ChangesPush, self._on_changes)
+        handlers.add(SnapshotPush, self._on_snapshot)
+
+    async def run(self) -> None:
+        """Follow the leader for the life of the process."""
+        hint: InstanceId | None = None
+        while True:
+            for instance in self._candidates(hint):
+                hint = await self._try(instance)
+                if hint is not None:
+                    break
+            await asyncio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
+
+    def _candidates(self, hint: InstanceId | None) -> list[InstanceId]:
+        """Return the control members to ask, the likely leader first."""
+        others = [instance for instance in self._addresses_by_id if instance != hint]
+        random.shuffle(others)
+        if hint in self._addresses_by_id and hint is not None:
+            return [hint, *others]
+        return others
+
+    async def _try(self, instance: InstanceId) -> InstanceId | None:
+        """Follow a member while it leads; return its hint of the leader."""
+        try:
+            async with self._dialer.connect(
+                self._addresses_by_id[instance]
+            ) as connection:
+                reply = await connection.request(
+                    Subscribe(self._view.revision), RENEW_TIMEOUT_SECONDS
+                )
+                match reply:
+                    case SubscribeReply():
+                        return await self._follow(connection)
+                    case NotLeader(leader=leader):
+                        return leader if leader != instance else None
+                    case _:
+                        return None
+        except PeerUnavailableError as error:
+            logger.debug("control member unavailable", peer=instance, error=str(error))
+            return None
+
+    async def _follow(self, connection: PeerConnection) -> InstanceId | None:
+        logger.info("following the leader", leader=connection.peer)
+        self._link.attach(connection)
+        try:
+            while True:
+                sent_at = self._clock.monotonic()
+                reply = await connection.request(
+                    Renew(self._view.revision, self.draining), RENEW_TIMEOUT_SECONDS
+                )
+                match reply:
+                    case RenewReply(lease_seconds=lease_seconds):
+                        self._view.grant(sent_at, lease_seconds)
+                    case NotLeader(leader=leader):
+                        return leader
+                    case _:
+                        logger.warning("the leader did not answer", reply=str(reply))
+                        return None
+                await self._wait_for_next_renewal()
+        finally:
+            self._link.detach()
+
+    async def _wait_for_next_renewal(self) -> None:
+        """Wait for the interval, or less if changes are to be confirmed."""
+        self._applied.clear()
+        try:
+            async with asyncio.timeout(RENEW_INTERVAL_SECONDS):
+                await self._applied.wait()
+        except TimeoutError:
+            pass
+
+    async def _on_changes(self, push: ChangesPush, _: PeerConnection) -> None:
+        self._view.apply_changes(push.changes)
+        self._applied.set()
+
+    async def _on_snapshot(self, push: SnapshotPush, _: PeerConnection) -> None:
+        self._view.load(push)
+        self._applied.set()
--- /dev/null
+++ b/goldcrestyard/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Features; each sub-package registers itself with the kernel."""
--- /dev/null
+++ b/goldcrestyard/plugins/addresses/__init__.py
@@ -0,0 +1,1 @@
+"""The list of addresses that callers may use."""
--- /dev/null
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -0,0 +1,80 @@
+"""Plug-in: the list of addresses that callers may use."""
+
+from aiohttp import web
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.entry_sessions import EntrySessions
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.addresses.announcing import keep_announced, remove_lost
+from goldcrestyard.plugins.addresses.commands import EntriesSnapshot, Entry
+from goldcrestyard.plugins.addresses.slices import EntriesSlice
+from goldcrestyard.plugins.listeners.bodies import json_answer
+from goldcrestyard.plugins.listeners.routes import PublicRoutes
+from goldcrestyard.plugins.listeners.settings import ListenerSettings
+from goldcrestyard.policy.addresses import Place, order_for
+
+TIME_TO_LIVE_SECONDS = 15
+
+
+class AddressesConfig(PluginConfig):
+    """Serves ``/addresses`` and keeps this entry in the list."""
+
+    name = "addresses"
+    requires = ("control", "entry", "listeners")
+    slices = (EntriesSlice,)
+    messages = (*EntriesSlice.commands, Entry, EntriesSnapshot)
+
+    def ready(self, app: Application) -> None:
+        """Add the route."""
+        entries = app.get(EntryView).machine.get(EntriesSlice)
+
+        async def addresses(request: web.Request) -> web.StreamResponse:
+            by_id = {
+                entry.id: entry
+                for entry in entries.entries_by_id.values()
+                if not entry.draining
+            }
+            order = order_for(
+                [Place(e.id, e.data_centre, e.region) for e in by_id.values()],
+                request.query.get("asker", request.remote or ""),
+                request.query.get("data_centre", ""),
+                request.query.get("region", ""),
+            )
+            return json_answer(
+                {
+                    "ttl_seconds": TIME_TO_LIVE_SECONDS,
+                    "addresses": [
+                        {
+                            "instance": instance,
+                            "base_url": f"http://{by_id[instance].public_address}/v1",
+                            "data_centre": by_id[instance].data_centre,
+                            "region": by_id[instance].region,
+                        }
+                        for instance in order
+                    ],
+                }
+            )
+
+        app.get(PublicRoutes).add("GET", "/addresses", addresses)
+
+    async def serve(self, app: Application) -> None:
+        """Start to keep the list."""
+        instance = app.settings.section(InstanceSettings)
+        listeners = app.settings.section(ListenerSettings)
+        entry = Entry(
+            instance.id,
+            listeners.public,
+            listeners.admin,
+            instance.data_centre,
+            instance.region,
+        )
+        announcing = keep_announced(entry, app.get(EntryView), app.get(LeaderLink))
+        app.spawn(announcing, "announce this entry")
+        member = app.find(ControlMember)
+        if member is not None:
+            removing = remove_lost(member, app.get(EntrySessions), app.clock)
+            app.spawn(removing, "remove lost entries")
--- /dev/null
+++ b/goldcrestyard/plugins/addresses/slices.py
@@ -0,0 +1,41 @@
+"""Replicated state: the instances that accept callers."""
+
+from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.plugins.addresses.commands import (
+    EntriesSnapshot,
+    Entry,
+    PutEntry,
+    RemoveEntry,
+)
+from goldcrestyard.state.commands import Accepted, Command, CommandContext, Outcome
+from goldcrestyard.state.slices import Slice
+
+
+class EntriesSlice(Slice):
+    """Entries by id."""
+
+    name = "entries"
+    fan_out = True
+    commands = (PutEntry, RemoveEntry)
+
+    def __init__(self) -> None:
+        self.entries_by_id: dict[InstanceId, Entry] = {}
+
+    def apply(self, command: Command, context: CommandContext) -> Outcome:
+        """Apply one committed command."""
+        match command:
+            case PutEntry(entry=entry):
+                self.entries_by_id[entry.id] = entry
+                return Accepted()
+            case RemoveEntry(id=instance):
+                self.entries_by_id.pop(instance, None)
+                return Accepted()
+        raise TypeError(f"unexpected command {command!r}")
+
+    def to_snapshot(self) -> EntriesSnapshot:
+        """Return the whole slice."""
+        return EntriesSnapshot(tuple(self.entries_by_id.values()))
+
+    def load_snapshot(self, snapshot: EntriesSnapshot) -> None:
+        """Replace the slice."""
+        self.entries_by_id = {entry.id: entry for entry in snapshot.entries}
--- /dev/null
+++ b/goldcrestyard/plugins/control/__init__.py
@@ -0,0 +1,1 @@
+"""This instance's member of the replicated log."""
--- /dev/null
+++ b/goldcrestyard/plugins/engines/__init__.py
@@ -0,0 +1,1 @@
+"""The inference front end."""
--- /dev/null
+++ b/goldcrestyard/plugins/engines/views.py
@@ -0,0 +1,155 @@
+"""The inference front end: the usual HTTP protocol of model engines."""
+
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from goldcrestyard.core.attempts import Answered, Broken
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.states import TargetKind
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.engines.dispatch import Call, Dispatcher, OpenStream
+from goldcrestyard.plugins.engines.event_stream import Piece
+from goldcrestyard.plugins.engines.requests import InferenceRequest, parse
+from goldcrestyard.plugins.engines.upstream import Finished
+from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
+from goldcrestyard.plugins.listeners.errors import error_body, refuse
+from goldcrestyard.plugins.listeners.middleware import (
+    CORRELATION_HEADER,
+    correlation_id_of,
+)
+from goldcrestyard.plugins.organisations.authentication import (
+    Authenticator,
+    Principal,
+)
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+
+
+class InferenceViews:
+    """Serves ``/v1``."""
+
+    def __init__(
+        self, view: EntryView, authenticator: Authenticator, dispatcher: Dispatcher
+    ) -> None:
+        self._targets = view.machine.get(TargetsSlice)
+        self._authenticator = authenticator
+        self._dispatcher = dispatcher
+
+    async def models(self, request: web.Request) -> web.StreamResponse:
+        """List the models that have an engine."""
+        principal = self._authenticator.authenticate(request)
+        if isinstance(principal, Refusal):
+            return refuse(principal)
+        entries = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "goldcrestyard"}
+            for name in self._model_names()
+        ]
+        return json_answer({"object": "list", "data": entries})
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Serve ``/v1/chat/completions`` and ``/v1/completions``."""
+        principal = self._authenticator.authenticate(request)
+        if isinstance(principal, Refusal):
+            return refuse(principal)
+        body = await read_json(request, dict[str, Any])
+        if isinstance(body, Refusal):
+            return refuse(body)
+        parsed = parse(request.path, body)
+        if isinstance(parsed, Refusal):
+            return refuse(parsed)
+        if parsed.fields.model not in self._model_names():
+            detail = f"no model {parsed.fields.model!r}; see /v1/models"
+            return refuse(Refusal(RefusalReason.UNKNOWN_MODEL, detail))
+        if parsed.fields.stream:
+            return await self._stream(request, principal, parsed)
+        return await self._answer(request, principal, parsed)
+
+    async def _answer(
+        self, request: web.Request, principal: Principal, parsed: InferenceRequest
+    ) -> web.StreamResponse:
+        call = self._dispatcher.start(parsed, correlation_id_of(request))
+        outcome: Answered | Refusal | None = None
+        async with self._authenticator.guard(principal) as guard:
+            outcome = await self._dispatcher.answer(call)
+        match guard.refusal or outcome:
+            case Answered() as answered:
+                return _pass_on(answered)
+            case Refusal() as refusal:
+                return refuse(refusal)
+        raise AssertionError("neither an answer nor a refusal")
+
+    async def _stream(
+        self, request: web.Request, principal: Principal, parsed: InferenceRequest
+    ) -> web.StreamResponse:
+        call = self._dispatcher.start(parsed, correlation_id_of(request))
+        response = web.StreamResponse(
+            headers={
+                "content-type": "text/event-stream",
+                "cache-control": "no-store",
+                CORRELATION_HEADER: correlation_id_of(request),
+            }
+        )
+        ending: Answered | Refusal | None = None
+        async with self._authenticator.guard(principal) as guard:
+            ending = await self._relay(call, request, response)
+        ending = guard.refusal or ending
+        if response.prepared:
+            # Without the end mark the caller knows that the answer is cut.
+            if isinstance(ending, Refusal):
+                await response.write(b"data: " + error_body(ending) + b"\n\n")
+            await response.write_eof()
+            return response
+        match ending:
+            case Answered() as answered:
+                return _pass_on(answered)
+            case Refusal() as refusal:
+                return refuse(refusal)
+        raise AssertionError("neither a stream nor a refusal")
+
+    async def _relay(
+        self, call: Call, request: web.Request, response: web.StreamResponse
+    ) -> Answered | Refusal | None:
+        """Relay a stream; return what came instead of its end mark."""
+        async with self._dispatcher.stream(call) as opened:
+            if not isinstance(opened, OpenStream):
+                return opened
+            await response.prepare(request)
+            await response.write(_encode_event(opened.first))
+            async for step in opened.rest:
+                match step:
+                    case Piece():
+                        await response.write(_encode_event(step))
+                    case Finished():
+                        await response.write(b"data: [DONE]\n\n")
+                        return None
+                    case Broken(detail=detail):
+                        return Refusal(
+                            RefusalReason.INCOMPLETE_ANSWER,
+                            detail,
+                            Verdict.MAY_HAVE_RUN,
+                        )
+        raise AssertionError("a stream ends with a finish or a break")
+
+    def _model_names(self) -> list[str]:
+        names = {
+            name
+            for homed in self._targets.homed_by_id.values()
+            if homed.target.kind is TargetKind.ENGINE
+            for name in homed.target.serves
+        }
+        return sorted(names)
+
+
+def _pass_on(answered: Answered) -> web.Response:
+    return web.Response(
+        status=answered.status,
+        body=answered.body,
+        content_type=answered.content_type,
+        headers={"x-verdict": Verdict.RAN.value},
+    )
+
+
+def _encode_event(piece: Piece) -> bytes:
+    return b"data: " + msgspec.json.encode(piece.data) + b"\n\n"
--- /dev/null
+++ b/goldcrestyard/plugins/entry/apps.py
@@ -0,0 +1,53 @@
+"""Plug-in: this instance's copy of the state and its link to the leader."""
+
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.subscription import Subscription
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.entry import checks
+from goldcrestyard.plugins.entry.settings import EntrySettings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+from goldcrestyard.state.machine import StateMachine
+from goldcrestyard.wire.client import PeerAddress, PeerDialer
+from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers
+
+
+class EntryConfig(PluginConfig):
+    """Follows the leader and provides the view and the leader link."""
+
+    name = "entry"
+    requires = ("peers",)
+    settings_section = "entry"
+    settings_class = EntrySettings
+    checks = (checks.check_lease,)
+
+    def ready(self, app: Application) -> None:
+        """Create the view of the fanned-out slices and the subscription."""
+        codec = app.get(Codec)
+        machine = StateMachine(
+            slice_class() for slice_class in app.slice_classes if slice_class.fan_out
+        )
+        view = app.provide(EntryView, EntryView(machine, codec, app.clock))
+        instance = app.settings.section(InstanceSettings).id
+        link = app.provide(LeaderLink, LeaderLink(instance, codec))
+        members = app.settings.section(ClusterSettings).control_members
+        subscription = Subscription(
+            view,
+            link,
+            app.get(PeerDialer),
+            app.clock,
+            {member: PeerAddress.parse(address) for member, address in members.items()},
+        )
+        subscription.register(app.get(Handlers))
+        app.provide(Subscription, subscription)
+
+    async def serve(self, app: Application) -> None:
+        """Start to follow the leader."""
+        app.spawn(app.get(Subscription).run(), "subscription")
+
+    async def drain(self, app: Application) -> None:
+        """Tell the leader that this entry takes no new work."""
+        app.get(Subscription).draining = True
--- /dev/null
+++ b/goldcrestyard/plugins/listeners/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP listeners, their limits and the shape of errors."""
--- /dev/null
+++ b/goldcrestyard/plugins/listeners/checks.py
@@ -0,0 +1,32 @@
+"""Checks of the listener settings."""
+
+from collections.abc import Iterable
+
+from goldcrestyard.kernel.checks import Level, Problem
+from goldcrestyard.kernel.settings import Settings
+from goldcrestyard.plugins.listeners.settings import ListenerSettings
+from goldcrestyard.plugins.peers.checks import is_address
+
+
+def check_addresses(settings: Settings) -> Iterable[Problem]:
+    """Check the form of the listeners' addresses, and that they differ."""
+    listeners = settings.find(ListenerSettings)
+    if listeners is None:
+        return
+    for name, address in (("public", listeners.public), ("admin", listeners.admin)):
+        if not is_address(address):
+            yield Problem(
+                Level.ERROR,
+                "listeners.E001",
+                f"listeners.{name}",
+                f"{address!r} is not host:port",
+                "Write an IP address and a port, such as 10.0.1.7:8080.",
+            )
+    if listeners.public == listeners.admin:
+        yield Problem(
+            Level.ERROR,
+            "listeners.E002",
+            "listeners.admin",
+            "is the same address as listeners.public",
+            "Give operators a listener of their own.",
+        )
--- /dev/null
+++ b/goldcrestyard/plugins/listeners/middleware.py
@@ -0,0 +1,78 @@
+"""What happens to every HTTP request before and after its handler."""
+
+import re
+import uuid
+from collections.abc import Awaitable, Callable
+
+import structlog
+from aiohttp import web
+
+from goldcrestyard.core.ids import CorrelationId
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.plugins.listeners.errors import refuse
+
+logger = structlog.get_logger(__name__)
+
+CORRELATION_HEADER = "x-correlation-id"
+CORRELATION_KEY = web.RequestKey("correlation_id", CorrelationId)
+
+_SAFE_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+
+RequestHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def correlation_id_of(request: web.Request) -> CorrelationId:
+    """Return the correlation id of a request."""
+    return request[CORRELATION_KEY]
+
+
+def safe_id(text: str | None) -> str | None:
+    """Return a caller's id if it is safe to log and to forward."""
+    if text is not None and _SAFE_ID.fullmatch(text):
+        return text
+    return None
+
+
+@web.middleware
+async def correlate(
+    request: web.Request, handler: RequestHandler
+) -> web.StreamResponse:
+    """Bind a correlation id to the request, its log lines and its answer."""
+    sent = safe_id(request.headers.get(CORRELATION_HEADER))
+    correlation_id = CorrelationId(sent or uuid.uuid4().hex)
+    request[CORRELATION_KEY] = correlation_id
+    with structlog.contextvars.bound_contextvars(correlation_id=correlation_id):
+        response = await handler(request)
+    if not response.prepared:
+        response.headers[CORRELATION_HEADER] = correlation_id
+    return response
+
+
+@web.middleware
+async def answer_errors(
+    request: web.Request, handler: RequestHandler
+) -> web.StreamResponse:
+    """Give every error the shape that callers expect."""
+    try:
+        return await handler(request)
+    except web.HTTPRequestEntityTooLarge as error:
+        return refuse(
+            Refusal(RefusalReason.BODY_TOO_LARGE, error.text or "body is too large")
+        )
+    except web.HTTPNotFound:
+        return refuse(Refusal(RefusalReason.NOT_FOUND, f"no route {request.path}"))
+    except web.HTTPException as error:
+        reason = RefusalReason.BAD_REQUEST
+        return refuse(Refusal(reason, f"{error.status} {error.reason}"))
+    except (ConnectionError, TimeoutError) as error:
+        return refuse(Refusal(RefusalReason.BAD_REQUEST, f"request broke off: {error}"))
+    except Exception:
+        logger.exception("request handler failed", path=request.path)
+        return refuse(
+            Refusal(
+                RefusalReason.UNKNOWN_OUTCOME,
+                "internal error; the log has the details under the correlation id",
+                Verdict.MAY_HAVE_RUN,
+            )
+        )
--- /dev/null
+++ b/goldcrestyard/plugins/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface."""
--- /dev/null
+++ b/goldcrestyard/plugins/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations, their keys, and the check of a caller's key."""
--- /dev/null
+++ b/goldcrestyard/plugins/organisations/authentication.py
@@ -0,0 +1,153 @@
+"""The check of a caller's key, at the start of and during a request."""
+
+import asyncio
+from dataclasses import dataclass
+from types import TracebackType
+
+from aiohttp import web
+
+from goldcrestyard.core import keys
+from goldcrestyard.core.ids import KeyId, OrganisationId
+from goldcrestyard.core.records import Organisation
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
+
+
+@dataclass(frozen=True, slots=True)
+class Principal:
+    """On whose behalf a request runs."""
+
+    organisation: OrganisationId
+    key: KeyId
+
+
+class Authenticator:
+    """Checks keys against this entry's view while its lease holds."""
+
+    def __init__(self, view: EntryView) -> None:
+        self._view = view
+        self._slice = view.machine.get(OrganisationsSlice)
+        self._guards: set[KeyGuard] = set()
+        view.listen(self._recheck)
+
+    def authenticate(self, request: web.Request) -> Principal | Refusal:
+        """Return on whose behalf a request runs, or why it is refused."""
+        scheme, _, token = request.headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not token:
+            return Refusal(
+                RefusalReason.INVALID_KEY, "send 'Authorization: Bearer <key>'"
+            )
+        if not self._view.holds_lease():
+            return Refusal(
+                RefusalReason.ENTRY_LEASE,
+                "this entry has lost the leader and cannot check keys; "
+                "ask /addresses of another",
+                retry_after_seconds=1.0,
+            )
+        presented = keys.parse(token.strip())
+        if presented is None:
+            return Refusal(RefusalReason.INVALID_KEY, "unknown key")
+        if presented.id in self._slice.withdrawn:
+            return Refusal(RefusalReason.KEY_WITHDRAWN, "the key was withdrawn")
+        key = self._slice.keys_by_id.get(presented.id)
+        if key is None or not keys.same_hash(key.secret_hash, presented.secret_hash):
+            return Refusal(RefusalReason.INVALID_KEY, "unknown key")
+        return Principal(key.organisation, key.id)
+
+    def organisation(self, organisation_id: OrganisationId) -> Organisation:
+        """Return an organisation's terms."""
+        return self._slice.organisations_by_id.get(
+            organisation_id, Organisation(organisation_id)
+        )
+
+    def invalidity(self, principal: Principal) -> Refusal | None:
+        """Return why a principal's key no longer counts, or None."""
+        if principal.key not in self._slice.keys_by_id:
+            return Refusal(
+                RefusalReason.KEY_WITHDRAWN,
+                "the key was withdrawn during the request",
+                Verdict.MAY_HAVE_RUN,
+            )
+        if not self._view.holds_lease():
+            return Refusal(
+                RefusalReason.ENTRY_LEASE,
+                "this entry has lost the leader during the request",
+                Verdict.MAY_HAVE_RUN,
+            )
+        return None
+
+    def guard(self, principal: Principal) -> "KeyGuard":
+        """Return a context that ends the block when the key stops counting."""
+        return KeyGuard(self, principal)
+
+    def lease_remaining(self) -> float:
+        """Return the seconds until this entry's lease runs out."""
+        return self._view.lease_remaining()
+
+    def add_guard(self, guard: "KeyGuard") -> None:
+        """Check a running request after each change."""
+        self._guards.add(guard)
+
+    def remove_guard(self, guard: "KeyGuard") -> None:
+        """Stop checking a request."""
+        self._guards.discard(guard)
+
+    def _recheck(self) -> None:
+        for guard in list(self._guards):
+            guard.check()
+
+
+class KeyGuard:
+    """Cancels the block of a running request whose key stops counting.
+
+    That is so when the key is withdrawn or the entry's lease runs out;
+    ``refusal`` then says which.  The cancellation ends with the block, as
+    that of ``asyncio.timeout`` does.
+    """
+
+    def __init__(self, authenticator: Authenticator, principal: Principal) -> None:
+        self._authenticator = authenticator
+        self._principal = principal
+        self._task: asyncio.Task[object] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self.refusal: Refusal | None = None
+
+    async def __aenter__(self) -> "KeyGuard":
+        self._task = asyncio.current_task()
+        self._authenticator.add_guard(self)
+        self._look_again_when_lease_ends()
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> bool:
+        self._authenticator.remove_guard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.refusal is None or self._task is None:
+            return False
+        return self._task.uncancel() == 0 and exception_type is asyncio.CancelledError
+
+    def check(self) -> None:
+        """End the block if the key no longer counts."""
+        if self.refusal is not None or self._task is None:
+            return
+        self.refusal = self._authenticator.invalidity(self._principal)
+        if self.refusal is not None:
+            self._task.cancel()
+            return
+        self._look_again_when_lease_ends()
+
+    def _look_again_when_lease_ends(self) -> None:
+        # The lease is renewed many times during a long request, so the
+        # timer looks again instead of ending the block by itself.
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(
+            self._authenticator.lease_remaining() + 0.01, self.check
+        )
--- /dev/null
+++ b/goldcrestyard/plugins/organisations/commands.py
@@ -0,0 +1,43 @@
+"""Commands and snapshot of the organisations slice."""
+
+from dataclasses import dataclass
+
+from goldcrestyard.core.ids import KeyId, OrganisationId
+from goldcrestyard.core.records import Key, Organisation
+
+
+@dataclass(frozen=True, slots=True)
+class PutOrganisation:
+    """Creates an organisation or replaces its terms."""
+
+    organisation: Organisation
+
+
+@dataclass(frozen=True, slots=True)
+class RemoveOrganisation:
+    """Removes an organisation and all its keys."""
+
+    id: OrganisationId
+
+
+@dataclass(frozen=True, slots=True)
+class GrantKey:
+    """Makes a key valid."""
+
+    key: Key
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawKey:
+    """Makes a key invalid for good; its id is never granted again."""
+
+    id: KeyId
+
+
+@dataclass(frozen=True, slots=True)
+class OrganisationsSnapshot:
+    """The whole slice."""
+
+    organisations: tuple[Organisation, ...]
+    keys: tuple[Key, ...]
+    withdrawn: tuple[KeyId, ...]
--- /dev/null
+++ b/goldcrestyard/plugins/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between the system's own processes."""
--- /dev/null
+++ b/goldcrestyard/plugins/peers/apps.py
@@ -0,0 +1,50 @@
+"""Plug-in: connections between the system's own processes."""
+
+from pathlib import Path
+
+from goldcrestyard.consensus.records import LoggedCommand
+from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.plugins.peers import checks
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+from goldcrestyard.state.commands import Accepted, Rejected
+from goldcrestyard.wire.client import PeerAddress, PeerDialer
+from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers
+from goldcrestyard.wire.handshake import Identity
+from goldcrestyard.wire.messages import MESSAGES
+from goldcrestyard.wire.server import PeerServer
+
+
+class PeersConfig(PluginConfig):
+    """Provides the codec, the handlers, the dialer and the peer listener."""
+
+    name = "peers"
+    settings_section = "cluster"
+    settings_class = ClusterSettings
+    messages = (*MESSAGES, LoggedCommand, Accepted, Rejected)
+    checks = (checks.check_members, checks.check_secret)
+
+    def ready(self, app: Application) -> None:
+        """Create the codec, with the messages of all plug-ins."""
+        cluster = app.settings.section(ClusterSettings)
+        instance = app.settings.section(InstanceSettings)
+        secret = Path(cluster.secret_file).read_bytes().strip()
+        identity = Identity(cluster.name, InstanceId(instance.id), secret)
+        codec = app.provide(Codec, Codec())
+        codec.register(*app.message_classes)
+        handlers = app.provide(Handlers, Handlers())
+        app.provide(PeerDialer, PeerDialer(identity, codec, handlers))
+        app.provide(PeerServer, PeerServer(identity, codec, handlers))
+
+    async def serve(self, app: Application) -> None:
+        """Open the peer listener."""
+        cluster = app.settings.section(ClusterSettings)
+        address = PeerAddress.parse(cluster.peer_address)
+        await app.get(PeerServer).start(address.host, address.port)
+
+    async def stop(self, app: Application) -> None:
+        """Close the peer listener."""
+        await app.get(PeerServer).stop()
--- /dev/null
+++ b/goldcrestyard/plugins/peers/checks.py
@@ -0,0 +1,81 @@
+"""Checks of the cluster settings."""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from goldcrestyard.kernel.checks import Level, Problem
+from goldcrestyard.kernel.settings import Settings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+
+MEMBER_COUNTS = (1, 3, 5)
+MIN_SECRET_BYTES = 16
+
+
+def check_members(settings: Settings) -> Iterable[Problem]:
+    """Check the number and the addresses of the control members."""
+    cluster = settings.find(ClusterSettings)
+    if cluster is None:
+        return
+    if len(cluster.control_members) not in MEMBER_COUNTS:
+        yield Problem(
+            Level.ERROR,
+            "cluster.E001",
+            "cluster.control_members",
+            f"names {len(cluster.control_members)} members",
+            "Name 3 or 5 instances with disks (1 for a trial): an even number "
+            "survives no more failures than the next lower odd one.",
+        )
+    if len(cluster.control_members) == 1:
+        yield Problem(
+            Level.WARNING,
+            "cluster.W001",
+            "cluster.control_members",
+            "a single member has no replica",
+            "Use 3 or 5 members wherever state must survive the loss of a disk.",
+        )
+    addresses = {
+        f"cluster.control_members.{instance}": address
+        for instance, address in cluster.control_members.items()
+    }
+    addresses["cluster.peer_address"] = cluster.peer_address
+    for key, address in addresses.items():
+        if not is_address(address):
+            yield Problem(
+                Level.ERROR,
+                "cluster.E002",
+                key,
+                f"{address!r} is not host:port",
+                "Write an IP address and a port, such as 10.0.1.7:7400.",
+            )
+
+
+def check_secret(settings: Settings) -> Iterable[Problem]:
+    """Check that the cluster secret can be read and is long enough."""
+    cluster = settings.find(ClusterSettings)
+    if cluster is None:
+        return
+    try:
+        length = len(Path(cluster.secret_file).read_bytes().strip())
+    except OSError as error:
+        yield Problem(
+            Level.ERROR,
+            "cluster.E003",
+            "cluster.secret_file",
+            f"cannot be read: {error.strerror}",
+            "Create the file with the same random content on every instance.",
+        )
+        return
+    if length < MIN_SECRET_BYTES:
+        yield Problem(
+            Level.ERROR,
+            "cluster.E004",
+            "cluster.secret_file",
+            f"holds {length} bytes",
+            f"Use at least {MIN_SECRET_BYTES} random bytes.",
+        )
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text has the form ``host:port``."""
+    host, separator, port = text.rpartition(":")
+    return bool(host and separator and port.isdigit() and 0 < int(port) < 65536)
--- /dev/null
+++ b/goldcrestyard/plugins/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Announcement, renewal and departure of targets."""
--- /dev/null
+++ b/goldcrestyard/plugins/targets/apps.py
@@ -0,0 +1,45 @@
+"""Plug-in: targets announce themselves, renew and leave."""
+
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.listeners.routes import PublicRoutes
+from goldcrestyard.plugins.targets.commands import HomedTarget, TargetsSnapshot
+from goldcrestyard.plugins.targets.homes import TargetHome
+from goldcrestyard.plugins.targets.in_flight import InFlight
+from goldcrestyard.plugins.targets.settings import TargetSettings
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.plugins.targets.views import TargetViews
+
+
+class TargetsConfig(PluginConfig):
+    """Serves ``/targets`` and tracks the renewals of homed targets."""
+
+    name = "targets"
+    requires = ("entry", "listeners")
+    settings_section = "targets"
+    settings_class = TargetSettings
+    slices = (TargetsSlice,)
+    messages = (*TargetsSlice.commands, HomedTarget, TargetsSnapshot)
+
+    def ready(self, app: Application) -> None:
+        """Create the home and add the routes."""
+        settings = app.settings.section(TargetSettings)
+        link = app.get(LeaderLink)
+        home = app.provide(
+            TargetHome, TargetHome(link, app.clock, settings.lost_seconds)
+        )
+        app.provide(InFlight, InFlight())
+        instance = app.settings.section(InstanceSettings).id
+        views = TargetViews(instance, settings, app.get(EntryView), link, home)
+        routes = app.get(PublicRoutes)
+        routes.add("POST", "/targets/announce", views.announce)
+        routes.add("POST", "/targets/{target}/renew", views.renew)
+        routes.add("POST", "/targets/{target}/drain", views.drain)
+        routes.add("DELETE", "/targets/{target}", views.leave)
+
+    async def start(self, app: Application) -> None:
+        """Start to watch for targets that stop renewing."""
+        app.spawn(app.get(TargetHome).run(), "target renewals")
--- /dev/null
+++ b/goldcrestyard/plugins/targets/settings.py
@@ -0,0 +1,18 @@
+"""Settings of the targets' interface."""
+
+from dataclasses import dataclass
+
+from goldcrestyard.kernel.settings import setting
+
+
+@dataclass(frozen=True)
+class TargetSettings:
+    """The ``[targets]`` section."""
+
+    token_sha256: str = setting(
+        "SHA-256 in hexadecimal of the token with which targets announce themselves."
+    )
+    renew_seconds: float = setting("How often a target renews, in seconds.", 2.0)
+    lost_seconds: float = setting(
+        "A target that has not renewed for this long is lost, in seconds.", 6.0
+    )
--- /dev/null
+++ b/goldcrestyard/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine and its slices."""
--- /dev/null
+++ b/goldcrestyard/state/machine.py
@@ -0,0 +1,93 @@
+"""The replicated state machine: all slices, applied one entry at a time."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, TypeVar, cast
+
+from goldcrestyard.core.ids import LogIndex, Revision, Term
+from goldcrestyard.state.commands import (
+    AppliedEntry,
+    Command,
+    CommandContext,
+    Envelope,
+    Outcome,
+)
+from goldcrestyard.state.slices import Slice
+
+S = TypeVar("S", bound=Slice)
+
+Listener = Callable[[AppliedEntry], None]
+
+
+class StateMachine:
+    """Applies committed entries to the slices.
+
+    ``revision`` is the index of the last entry with a fanned-out command;
+    it only rises.
+    """
+
+    def __init__(self, slices: Iterable[Slice]) -> None:
+        self._slices_by_name = {slice_.name: slice_ for slice_ in slices}
+        self._slices_by_command = {
+            command: slice_
+            for slice_ in self._slices_by_name.values()
+            for command in slice_.commands
+        }
+        self._listeners: list[Listener] = []
+        self.applied_index = LogIndex(0)
+        self.revision = Revision(0)
+
+    def get(self, slice_class: type[S]) -> S:
+        """Return the slice of a given class."""
+        return cast(S, self._slices_by_name[slice_class.name])
+
+    def listen(self, listener: Listener) -> None:
+        """Call a function after each applied entry."""
+        self._listeners.append(listener)
+
+    def apply(self, index: LogIndex, term: Term, envelope: Envelope) -> AppliedEntry:
+        """Apply one committed entry; entries come in the order of the log."""
+        context = CommandContext(index, term, envelope)
+        outcome = self._apply_command(envelope.command, context)
+        applied = [envelope.command]
+        while context.emitted:
+            emitted = context.emitted.pop(0)
+            self._apply_command(emitted, context)
+            applied.append(emitted)
+        fanned_out = tuple(command for command in applied if self._fans_out(command))
+        self.applied_index = index
+        if fanned_out:
+            self.revision = Revision(index)
+        entry = AppliedEntry(index, envelope, outcome, fanned_out)
+        for listener in self._listeners:
+            listener(entry)
+        return entry
+
+    def to_snapshots(self, *, fan_out_only: bool = False) -> dict[str, Any]:
+        """Return each slice's snapshot by slice name."""
+        return {
+            name: slice_.to_snapshot()
+            for name, slice_ in self._slices_by_name.items()
+            if slice_.fan_out or not fan_out_only
+        }
+
+    def load_snapshots(
+        self,
+        snapshots_by_name: Mapping[str, Any],
+        applied_index: LogIndex,
+        revision: Revision,
+    ) -> None:
+        """Replace the state of the slices that the snapshots name."""
+        for name, snapshot in snapshots_by_name.items():
+            self._slices_by_name[name].load_snapshot(snapshot)
+        self.applied_index = applied_index
+        self.revision = revision
+
+    def _fans_out(self, command: Command) -> bool:
+        slice_ = self._slices_by_command.get(type(command))
+        return slice_ is not None and slice_.fan_out
+
+    def _apply_command(self, command: Command, context: CommandContext) -> Outcome:
+        outcome = self._slices_by_command[type(command)].apply(command, context)
+        for slice_ in self._slices_by_name.values():
+            slice_.observe(command, outcome, context)
+        return outcome
--- /dev/null
+++ b/goldcrestyard/state/slices.py
@@ -0,0 +1,38 @@
+"""Base class of the slices that make up the replicated state."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from typing import Any, ClassVar
+
+from goldcrestyard.state.commands import Command, CommandContext, Outcome
+
+
+class Slice(ABC):
+    """One plug-in's part of the replicated state.
+
+    A slice must be deterministic: it reads no clock, no random source and
+    no setting, only the command, the context and its own state.  A slice
+    with ``fan_out`` set is also kept on every entry, so it may not depend on
+    a slice without it.
+    """
+
+    name: ClassVar[str]
+    fan_out: ClassVar[bool] = False
+    commands: ClassVar[Sequence[type]] = ()
+
+    @abstractmethod
+    def apply(self, command: Command, context: CommandContext) -> Outcome:
+        """Apply one committed command and return its outcome."""
+
+    def observe(
+        self, command: Command, outcome: Outcome, context: CommandContext
+    ) -> None:
+        """Take note of a command that any slice has applied."""
+
+    @abstractmethod
+    def to_snapshot(self) -> Any:
+        """Return the state as a data class registered with the codec."""
+
+    @abstractmethod
+    def load_snapshot(self, snapshot: Any) -> None:
+        """Replace the state by that of a snapshot."""
--- /dev/null
+++ b/goldcrestyard/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files of the replicated log and of sample bodies."""
--- /dev/null
+++ b/goldcrestyard/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes: CBOR over websockets."""
--- /dev/null
+++ b/goldcrestyard/wire/codec.py
@@ -0,0 +1,50 @@
+"""Encoding of data classes as CBOR, for the wire and for files."""
+
+from typing import Any
+
+import cbor2
+import msgspec
+
+
+class CodecError(Exception):
+    """Bytes that cannot be decoded; the sender runs another release."""
+
+
+class Codec:
+    """Encodes registered data classes as ``[class name, fields by name]``.
+
+    Fields go by name, so that processes of two releases understand each
+    other while one replaces the other: unknown fields are ignored and
+    missing ones take their default.
+    """
+
+    def __init__(self) -> None:
+        self._classes_by_tag: dict[str, type] = {}
+
+    def register(self, *message_classes: type) -> None:
+        """Make data classes known under their class names."""
+        for message_class in message_classes:
+            known = self._classes_by_tag.setdefault(
+                message_class.__name__, message_class
+            )
+            if known is not message_class:
+                raise ValueError(f"Two message classes named {known.__name__}.")
+
+    def encode(self, message: object) -> bytes:
+        """Return the encoded message; its class must be registered."""
+        tag = type(message).__name__
+        if self._classes_by_tag.get(tag) is not type(message):
+            raise ValueError(f"{tag} is not registered with the codec.")
+        fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+        return cbor2.dumps([tag, fields])
+
+    def decode(self, data: bytes) -> Any:
+        """Return the message, or raise ``CodecError``."""
+        try:
+            tag, fields = cbor2.loads(data)
+            message_class = self._classes_by_tag[tag]
+            return msgspec.convert(fields, message_class, builtin_types=(bytes,))
+        except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+            raise CodecError(f"Message cannot be decoded: {error}") from error
+        except (KeyError, TypeError, ValueError) as error:
+            raise CodecError(f"Unknown or malformed message: {error}") from error
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of goldcrestyard; folders mirror the package."""
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers and stand-ins shared by the tests."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Integration tests with real processes."""
