Share token use between entries on lease renewals

Cause: each entry counted only its own use, so an organisation that calls through all entries got a full share at each of them.

Digests ride on renewals: an entry tells its decayed use by organisation and the leader answers with the total of the others. The leader keeps totals as they change, so that a renewal costs one digest and not all of them. The channel is open to other soft facts, such as load.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -145,6 +145,9 @@
         """Wait until an instance is ready."""
 
         async def ready(session: aiohttp.ClientSession) -> bool:
+            if instance.process is not None and instance.process.returncode is not None:
+                log = (self.folder / f"{instance.id}.log").read_text()
+                raise RuntimeError(f"{instance.id} ended at start:\n{log[-2000:]}")
             async with session.get(f"http://{instance.public}/addresses") as answer:
                 entries = (await answer.json())["addresses"]
             return any(entry["instance"] == instance.id for entry in entries)
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -11,6 +11,7 @@
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.change_feed import ChangeFeed
+from goldcrestyard.membership.digests import LeaderDigests
 from goldcrestyard.policy import leases
 from goldcrestyard.policy.leases import EntryLease
 from goldcrestyard.wire.codec import Codec
@@ -47,12 +48,14 @@
         codec: Codec,
         clock: Clock,
         entry_lease_seconds: float,
+        digests: LeaderDigests,
     ) -> None:
         self._member = member
         self._feed = feed
         self._codec = codec
         self._clock = clock
         self._lease_seconds = entry_lease_seconds
+        self._digests = digests
         self.leases_by_entry: dict[InstanceId, EntryLease] = {}
 
     def register(self, handlers: Handlers) -> None:
@@ -123,7 +126,8 @@
             self._feed.lag_seconds(message.revision), self._lease_seconds
         )
         self._record(connection.peer, message.revision, granted)
-        return RenewReply(granted, self._member.machine.revision)
+        summaries = self._digests.exchange(connection.peer, message.digests_by_name)
+        return RenewReply(granted, self._member.machine.revision, summaries)
 
     def _record(self, entry: InstanceId, applied: Revision, granted: float) -> None:
         expires_at = leases.granted_until(self._clock.monotonic(), granted)
--- a/goldcrestyard/membership/subscription.py
+++ b/goldcrestyard/membership/subscription.py
@@ -8,6 +8,7 @@
 
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.digests import EntryDigests
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
@@ -39,12 +40,14 @@
         dialer: PeerDialer,
         clock: Clock,
         control_addresses_by_id: Mapping[InstanceId, PeerAddress],
+        digests: EntryDigests,
     ) -> None:
         self._view = view
         self._link = link
         self._dialer = dialer
         self._clock = clock
         self._addresses_by_id = control_addresses_by_id
+        self._digests = digests
         self._applied = asyncio.Event()
         self.draining = False
 
@@ -97,12 +100,14 @@
         try:
             while True:
                 sent_at = self._clock.monotonic()
-                reply = await connection.request(
-                    Renew(self._view.revision, self.draining), RENEW_TIMEOUT_SECONDS
+                renew = Renew(
+                    self._view.revision, self.draining, self._digests.collect()
                 )
+                reply = await connection.request(renew, RENEW_TIMEOUT_SECONDS)
                 match reply:
                     case RenewReply(lease_seconds=lease_seconds):
                         self._view.grant(sent_at, lease_seconds)
+                        self._digests.receive(reply.summaries_by_name)
                     case NotLeader(leader=leader):
                         return leader
                     case _:
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -7,6 +7,7 @@
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.change_feed import ChangeFeed
+from goldcrestyard.membership.digests import LeaderDigests
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.plugins.control.settings import ControlSettings
 from goldcrestyard.plugins.entry.settings import EntrySettings
@@ -43,7 +44,8 @@
         feed = app.provide(ChangeFeed, ChangeFeed(codec, app.clock))
         machine.listen(feed.add)
         lease_seconds = app.settings.section(EntrySettings).lease_seconds
-        sessions = EntrySessions(member, feed, codec, app.clock, lease_seconds)
+        digests = app.provide(LeaderDigests, LeaderDigests())
+        sessions = EntrySessions(member, feed, codec, app.clock, lease_seconds, digests)
         sessions.register(app.get(Handlers))
         app.provide(EntrySessions, sessions)
 
--- a/goldcrestyard/plugins/entry/apps.py
+++ b/goldcrestyard/plugins/entry/apps.py
@@ -3,6 +3,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.digests import EntryDigests
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.subscription import Subscription
 from goldcrestyard.membership.view import EntryView
@@ -40,7 +41,9 @@
             app.get(PeerDialer),
             app.clock,
             {member: PeerAddress.parse(address) for member, address in members.items()},
+            app.provide(EntryDigests, EntryDigests()),
         )
+
         subscription.register(app.get(Handlers))
         app.provide(Subscription, subscription)
 
--- a/goldcrestyard/wire/messages.py
+++ b/goldcrestyard/wire/messages.py
@@ -1,6 +1,6 @@
 """Messages between the system's own processes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from goldcrestyard.core.ids import CorrelationId, InstanceId, LogIndex, Revision
 from goldcrestyard.core.refusals import RefusalReason
@@ -101,6 +101,7 @@
 
     revision: Revision
     draining: bool = False
+    digests_by_name: dict[str, bytes] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,7 @@
 
     lease_seconds: float
     revision: Revision
+    summaries_by_name: dict[str, bytes] = field(default_factory=dict)
 
 
 MESSAGES = (
