--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -1,19 +1,118 @@
 """Runs a control member: storage, replication and the state machine."""
 
+import asyncio
+import random
+import secrets
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
+from typing import Any, get_args
 
-from goldcrestyard.consensus.records import LoggedCommand, to_envelope
-from goldcrestyard.consensus.results import Applied, ProposalResult
-from goldcrestyard.core.ids import CorrelationId, InstanceId, LogIndex, Term
+import structlog
+
+from goldcrestyard.consensus.configuration import (
+    Configuration,
+    MemberId,
+    MemberRecord,
+)
+from goldcrestyard.consensus.disk import FIRST_INDEX, MemberDisk
+from goldcrestyard.consensus.events import (
+    AddLearner,
+    Appended,
+    Apply,
+    Effect,
+    Event,
+    LoadSnapshot,
+    Promote,
+    Propose,
+    Receive,
+    Refused,
+    Remove,
+    Send,
+    SnapshotTaken,
+    Tick,
+)
+from goldcrestyard.consensus.link import (
+    MemberBatch,
+    MemberIdentity,
+    MemberLink,
+    Received,
+)
+from goldcrestyard.consensus.member import Member, SavedState, Timing, saves
+from goldcrestyard.consensus.messages import (
+    Entry,
+    EntryKind,
+    MemberMessage,
+    Snapshot,
+)
+from goldcrestyard.consensus.records import (
+    LoggedCommand,
+    MachineSnapshot,
+    to_envelope,
+)
+from goldcrestyard.consensus.results import (
+    Applied,
+    InDoubt,
+    NotProposed,
+    ProposalResult,
+)
+from goldcrestyard.consensus.roles import Role
+from goldcrestyard.core.ids import (
+    CorrelationId,
+    InstanceId,
+    LogIndex,
+    Revision,
+    Term,
+)
+from goldcrestyard.core.refusals import RefusalReason
+from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.clock import Clock
-from goldcrestyard.state.commands import Command
+from goldcrestyard.state.commands import Accepted, Command
 from goldcrestyard.state.machine import StateMachine
-from goldcrestyard.storage.log_segments import LogFile, LogRecord
+from goldcrestyard.storage.exceptions import DiskError
+from goldcrestyard.storage.files import DiskFiles, Files
+from goldcrestyard.storage.folder_lock import FolderLock
+from goldcrestyard.wire.client import PeerAddress, PeerDialer
 from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.messages import Failure
+
+logger = structlog.get_logger(__name__)
+
+MAX_WAITING_PROPOSALS = 10_000
+"""More than two seconds of claims at 4,100 requests a second."""
+
+REPLACE_POLL_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class MemberStatus:
+    """What operators see of a member; the last two only on the leader."""
+
+    id: MemberId
+    instance: InstanceId
+    address: str
+    role: Role
+    matched_index: LogIndex | None
+    last_contact_seconds: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Joined:
+    """A cluster's member has addressed this one, which has none yet."""
+
+    cluster: str
+
+
+@dataclass(frozen=True, slots=True)
+class _IdentityLearned:
+    """Another named member has said who it is."""
 
 
 class ControlMember:
-    """This instance's member of the replicated log (a single voter)."""
+    """This instance's member of the replicated log."""
 
     def __init__(
         self,
@@ -22,60 +121,587 @@
         machine: StateMachine,
         codec: Codec,
         clock: Clock,
+        dialer: PeerDialer,
+        addresses_by_instance: Mapping[InstanceId, str],
+        *,
+        own_address: str = "",
+        timing: Timing = Timing(),  # noqa: B008 - immutable
+        snapshot_entries: int = 10_000,
+        files: Files | None = None,
+        source: random.Random | None = None,
     ) -> None:
         self.instance = instance
         self.machine = machine
-        self.term = Term(1)
-        self.leader: InstanceId | None = None
-        self.leadership_started_at = 0.0
-        self._path = data_folder / "log"
+        self._folder = data_folder
         self._codec = codec
         self._clock = clock
-        self._log: LogFile | None = None
-        self._last_index = LogIndex(0)
+        self._dialer = dialer
+        self._named = dict(addresses_by_instance)
+        self._own_address = self._named.get(instance, own_address)
+        self._timing = timing
+        self._snapshot_entries = snapshot_entries
+        self._random = source or random.Random(secrets.randbits(64))
+        self._disk = MemberDisk(data_folder, files or DiskFiles(), codec)
+        self._lock: FolderLock | None = None
+        self._core: Member | None = None
+        self._failure = ""
+        self._queue: asyncio.Queue[Any] = asyncio.Queue()
+        self._writer = ThreadPoolExecutor(1, "control-log")
+        self._links_by_instance: dict[InstanceId, MemberLink] = {}
+        self._instances_by_member: dict[MemberId, InstanceId] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._ended: asyncio.Future[None] | None = None
+        self._next_number = 0
+        self._queued: dict[int, asyncio.Future[ProposalResult]] = {}
+        self._appended: dict[LogIndex, asyncio.Future[ProposalResult]] = {}
         self._last_time = 0.0
+        self._applied_index = LogIndex(0)
+        self._snapshot_index = LogIndex(0)
+        self._snapshot_running = False
+        self._seen: tuple[object, ...] = ()
+        self._leadership_changed = asyncio.Event()
+        self._restore_listeners: list[Callable[[Revision], None]] = []
+
+    # Leadership.
 
     @property
     def is_leader(self) -> bool:
-        """Whether this member believes that it leads."""
-        return self.leader == self.instance
+        """Whether this member leads, as far as it can know.
+
+        After a pause of the process this is false at once, before the
+        member has run again.
+        """
+        core = self._core
+        return (
+            core is not None
+            and core.role is Role.LEADER
+            and self._clock.monotonic() < core.leads_until
+        )
 
     def holds_lease(self) -> bool:
         """Return whether no other member can lead at this moment."""
-        return self.is_leader
+        core = self._core
+        return core is not None and self._clock.monotonic() < core.lease_expires_at
+
+    @property
+    def leader(self) -> InstanceId | None:
+        """The instance that leads, if it is known."""
+        core = self._core
+        if core is None or core.leader is None:
+            return None
+        return self._instance_of(core.leader)
+
+    @property
+    def term(self) -> Term:
+        """The latest term that this member knows."""
+        return self._core.term if self._core is not None else Term(0)
+
+    @property
+    def leadership_started_at(self) -> float:
+        """When this member last began to lead, on the monotonic clock."""
+        if self._core is None:
+            return float("-inf")
+        return self._core.leadership_started_at
+
+    async def wait_leadership_change(self) -> None:
+        """Wait until the leader, the term or its readiness changes."""
+        await self._leadership_changed.wait()
+
+    def listen_restore(self, listener: Callable[[Revision], None]) -> None:
+        """Call a function when a snapshot has replaced the state."""
+        self._restore_listeners.append(listener)
+
+    # Life cycle.
+
+    def register(self, handlers: Handlers) -> None:
+        """Serve the messages of other members."""
+        handlers.add(MemberIdentity, self._on_identity_request)
+        handlers.add(MemberBatch, self._on_batch)
 
     async def start(self) -> None:
         """Load the log and start to take part."""
-        self._path.parent.mkdir(parents=True, exist_ok=True)
-        for record in LogFile.read(self._path):
-            self._apply(record)
-            self._last_index = record.index
-        self._log = LogFile(self._path)
-        self.leader = self.instance
-        self.leadership_started_at = self._clock.monotonic()
+        loop = asyncio.get_running_loop()
+        self._ended = loop.create_future()
+        saved = await loop.run_in_executor(self._writer, self._load)
+        self._begin(saved)
+        for instance, address in self._named.items():
+            self._ensure_link(instance, address)
+        await self._form_if_complete()
+        self._spawn("control member", self._run())
+
+    async def wait_ended(self) -> None:
+        """Raise the error of a task that failed; otherwise never return."""
+        assert self._ended is not None
+        await self._ended
 
     async def stop(self) -> None:
         """Stop taking part and close the files."""
-        if self._log is not None:
-            self._log.close()
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._end("the member has stopped")
+        self._writer.shutdown(wait=True)
+        self._disk.close()
+        if self._lock is not None:
+            self._lock.close()
+            self._lock = None
+
+    def _load(self) -> SavedState:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        self._lock = FolderLock(self._folder)
+        return self._disk.load(self.instance)
+
+    def _begin(self, saved: SavedState) -> None:
+        if saved.snapshot is not None:
+            self._restore(saved.snapshot)
+        self._core = Member(
+            self._disk.member_id,
+            saved,
+            self._timing,
+            self._random,
+            self._clock.monotonic(),
+        )
+
+    def _spawn(self, name: str, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine, name=name)
+        self._tasks[name] = task
+        task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.pop(task.get_name(), None)
+        if task.cancelled() or task.exception() is None:
+            return
+        self._end("the member has failed; see its log")
+        if self._ended is not None and not self._ended.done():
+            error = task.exception()
+            assert error is not None
+            self._ended.set_exception(error)
+
+    def _end(self, detail: str) -> None:
+        """Step down and answer nothing from now on."""
+        self._failure = detail
+        self._core = None
+        for future in self._queued.values():
+            _resolve(future, NotProposed(detail))
+        for future in self._appended.values():
+            _resolve(future, InDoubt(detail))
+        self._queued.clear()
+        self._appended.clear()
+        self._notice_change()
+
+    # Proposals.
 
     async def propose(
         self, command: Command, author: str, correlation_id: CorrelationId
     ) -> ProposalResult:
         """Commit a command and return its outcome."""
-        assert self._log is not None
+        if not self.is_leader:
+            return NotProposed("this member does not lead", self.leader)
+        if len(self._queued) >= MAX_WAITING_PROPOSALS:
+            return NotProposed("too many proposals are waiting", self.instance)
         self._last_time = max(self._last_time, self._clock.wall())
         logged = LoggedCommand(
             self._codec.encode(command), author, correlation_id, self._last_time
         )
-        index = LogIndex(self._last_index + 1)
-        record = LogRecord(self.term, index, self._codec.encode(logged))
-        self._log.append([record])
-        self._last_index = index
-        return self._apply(record)
-
-    def _apply(self, record: LogRecord) -> Applied:
-        envelope = to_envelope(self._codec, record.payload)
-        self._last_time = max(self._last_time, envelope.time)
-        entry = self.machine.apply(record.index, record.term, envelope)
-        return Applied(record.index, entry.outcome)
+        payload = self._codec.encode(logged)
+        return await self._submit(lambda number: Propose(((number, payload),)))
+
+    async def _submit(self, make_event: Callable[[int], Event]) -> ProposalResult:
+        if self._core is None:
+            return NotProposed(self._failure or "the member has not started")
+        self._next_number += 1
+        number = self._next_number
+        future: asyncio.Future[ProposalResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._queued[number] = future
+        self._queue.put_nowait(make_event(number))
+        return await future
+
+    # Members.
+
+    def members(self) -> list[MemberStatus]:
+        """Return the members as this one knows them."""
+        core = self._core
+        if core is None:
+            return []
+        return [self._status(core, member) for member in core.configuration.members]
+
+    async def add_learner(
+        self, instance: InstanceId, address: str, timeout: float = 10.0
+    ) -> ProposalResult:
+        """Add an instance that receives the log but does not vote yet."""
+        link = self._ensure_link(instance, address)
+        deadline = self._clock.monotonic() + timeout
+        while self._core is not None and self._clock.monotonic() < deadline:
+            identity = link.identity if link is not None else None
+            if identity is not None and self._may_join(self._core, identity):
+                record = MemberRecord(identity.member, instance, address, False)
+                return await self._submit(partial(AddLearner, member=record))
+            await asyncio.sleep(REPLACE_POLL_SECONDS)
+        return NotProposed(f"no new member answers at {address}")
+
+    def _may_join(self, core: Member, identity: MemberIdentity) -> bool:
+        return (
+            identity.cluster in ("", self._disk.cluster)
+            and core.configuration.find(identity.member) is None
+        )
+
+    async def promote(self, instance: InstanceId) -> ProposalResult:
+        """Make a learner that has caught up a voter."""
+        member = self._find_record(instance, voter=False)
+        if member is None:
+            return NotProposed(f"{instance} is not a learner")
+        return await self._submit(lambda number: Promote(number, member.id))
+
+    async def remove(self, member_id: MemberId) -> ProposalResult:
+        """Remove a member."""
+        return await self._submit(lambda number: Remove(number, member_id))
+
+    async def replace_member(
+        self,
+        old: InstanceId,
+        new_id: InstanceId,
+        new_address: str,
+        timeout: float = 60.0,
+    ) -> ProposalResult:
+        """Replace a voter by a new member, which may be the same instance.
+
+        The new member first catches up as a learner.  A call that was cut
+        off is repeated with the same arguments and continues where it was.
+        """
+        deadline = self._clock.monotonic() + timeout
+        old_record = self._find_record(old, voter=True)
+        learner = self._find_record(new_id, voter=False)
+        if learner is None and (
+            new_id == old or self._find_record(new_id, voter=True) is None
+        ):
+            result = await self.add_learner(new_id, new_address)
+            if not isinstance(result, Applied):
+                return result
+            learner = self._find_record(new_id, voter=False)
+        if learner is not None:
+            caught_up = await self._wait_caught_up(learner.id, deadline)
+            if not caught_up:
+                return InDoubt(f"{new_id} has been added but has not caught up")
+        if old_record is not None and not self._answers(old_record.id):
+            # A lost voter counts against the quorum, so it goes first.
+            result = await self.remove(old_record.id)
+            if not isinstance(result, Applied):
+                return result
+            old_record = None
+        result = Applied(self._applied_index, Accepted())
+        if learner is not None:
+            result = await self.promote(new_id)
+        if old_record is not None and isinstance(result, Applied):
+            result = await self.remove(old_record.id)
+        return result
+
+    async def _wait_caught_up(self, member_id: MemberId, deadline: float) -> bool:
+        while self.is_leader and self._core is not None:
+            now = self._clock.monotonic()
+            if self._core.has_caught_up(now, member_id):
+                return True
+            if now >= deadline:
+                return False
+            await asyncio.sleep(REPLACE_POLL_SECONDS)
+        return False
+
+    def _answers(self, member_id: MemberId) -> bool:
+        core = self._core
+        if core is None or member_id == core.id:
+            return core is not None
+        progress = core.progress_by_id.get(member_id)
+        if progress is None:
+            return False
+        silent = self._clock.monotonic() - progress.contacted_at
+        return silent < self._timing.election_min
+
+    def _find_record(self, instance: InstanceId, *, voter: bool) -> MemberRecord | None:
+        core = self._core
+        if core is None:
+            return None
+        for member in core.configuration.members:
+            if member.instance == instance and member.voter == voter:
+                return member
+        return None
+
+    def _status(self, core: Member, member: MemberRecord) -> MemberStatus:
+        role = Role.FOLLOWER if member.voter else Role.LEARNER
+        if member.id == core.leader:
+            role = Role.LEADER
+        matched: LogIndex | None = None
+        contact: float | None = None
+        progress = core.progress_by_id.get(member.id)
+        if member.id == core.id:
+            matched, contact = core.log.last_index, 0.0
+        elif progress is not None:
+            matched = progress.match_index
+            contact = self._clock.monotonic() - progress.contacted_at
+        return MemberStatus(
+            member.id, member.instance, member.address, role, matched, contact
+        )
+
+    # The task that owns the core.
+
+    async def _run(self) -> None:
+        while self._core is not None:
+            try:
+                events = await self._next_events(self._core)
+                effects: list[Effect] = []
+                for event in events:
+                    effects += self._core.step(self._clock.monotonic(), event)
+                await self._perform(effects)
+            except DiskError as error:
+                logger.error("the disk failed; the member stops", error=str(error))
+                self._end(f"the disk failed: {error}")
+
+    async def _next_events(self, core: Member) -> list[Event]:
+        """Wait for events or the next tick; join all waiting proposals."""
+        items: list[Any] = []
+        try:
+            async with asyncio.timeout_at(core.wake_at):
+                items.append(await self._queue.get())
+        except TimeoutError:
+            pass
+        while not self._queue.empty():
+            items.append(self._queue.get_nowait())
+        events: list[Event] = []
+        proposals: list[tuple[int, bytes]] = []
+        for item in items:
+            match item:
+                case Propose(payloads_by_number=payloads):
+                    proposals.extend(payloads)
+                case _Joined(cluster=cluster):
+                    await self._join(cluster)
+                case _IdentityLearned():
+                    await self._form_if_complete()
+                case _:
+                    events.append(item)
+        if proposals:
+            events.append(Propose(tuple(proposals)))
+        events.append(Tick())
+        return events
+
+    async def _perform(self, effects: list[Effect]) -> None:
+        # Proposals in the log may commit even if the disk fails now.
+        for effect in effects:
+            if isinstance(effect, Appended):
+                self._appended[effect.index] = self._queued.pop(effect.number)
+        saved = saves(effects)
+        if saved:
+            loop = asyncio.get_running_loop()
+            await loop.run_in_executor(self._writer, self._disk.save, saved)
+        for effect in effects:
+            match effect:
+                case Send(receiver=receiver, message=message):
+                    self._send(receiver, message)
+                case Apply(entries=entries):
+                    for entry in entries:
+                        self._apply(entry)
+                case LoadSnapshot(snapshot=snapshot):
+                    self._restore(snapshot)
+                case Refused(number=number, detail=detail):
+                    _resolve(self._queued.pop(number), NotProposed(detail, self.leader))
+        self._notice_change()
+        self._take_snapshot_if_due()
+
+    def _apply(self, entry: Entry) -> None:
+        future = self._appended.pop(entry.index, None)
+        outcome: object = Accepted()
+        if entry.kind is EntryKind.COMMAND:
+            envelope = to_envelope(self._codec, entry.payload)
+            self._last_time = max(self._last_time, envelope.time)
+            applied = self.machine.apply(entry.index, entry.term, envelope)
+            outcome = applied.outcome
+        self.machine.applied_index = entry.index
+        self._applied_index = entry.index
+        if future is not None:
+            _resolve(future, Applied(entry.index, outcome))
+
+    def _notice_change(self) -> None:
+        core = self._core
+        seen: tuple[object, ...] = ()
+        if core is not None:
+            leads = core.role is Role.LEADER
+            seen = (core.term, core.leader, leads, core.ready)
+            if not leads or (self._seen and self._seen[0] != core.term):
+                for future in self._appended.values():
+                    _resolve(future, InDoubt("this member has lost the lead"))
+                self._appended.clear()
+            for member in core.configuration.members:
+                self._ensure_link(member.instance, member.address)
+        if seen == self._seen:
+            return
+        self._seen = seen
+        if core is not None:
+            logger.info(
+                "leadership changed",
+                term=core.term,
+                leader=self.leader,
+                role=core.role.value,
+                ready=core.ready,
+            )
+        self._leadership_changed.set()
+        self._leadership_changed = asyncio.Event()
+
+    # Snapshots.
+
+    def _take_snapshot_if_due(self) -> None:
+        due = self._applied_index - self._snapshot_index >= self._snapshot_entries
+        if not due or self._snapshot_running or self._core is None:
+            return
+        self._snapshot_running = True
+        self._spawn("control snapshot", self._take_snapshot(self._applied_index))
+
+    async def _take_snapshot(self, index: LogIndex) -> None:
+        """Encode the present state in a thread; the slices are copied now."""
+        snapshots = self.machine.to_snapshots()
+        revision, last_time = self.machine.revision, self._last_time
+
+        def encode() -> bytes:
+            by_name = {name: self._codec.encode(s) for name, s in snapshots.items()}
+            snapshot = MachineSnapshot(revision, last_time, by_name)
+            return self._codec.encode(snapshot)
+
+        data = await asyncio.get_running_loop().run_in_executor(None, encode)
+        self._snapshot_index = index
+        self._snapshot_running = False
+        self._queue.put_nowait(SnapshotTaken(index, data))
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        state = self._codec.decode(snapshot.data)
+        assert isinstance(state, MachineSnapshot)
+        snapshots = {
+            name: self._codec.decode(data)
+            for name, data in state.snapshots_by_name.items()
+        }
+        self.machine.load_snapshots(snapshots, snapshot.index, state.revision)
+        self._last_time = max(self._last_time, state.last_time)
+        self._applied_index = snapshot.index
+        self._snapshot_index = snapshot.index
+        for listener in self._restore_listeners:
+            listener(state.revision)
+
+    # Other members.
+
+    def _identity(self) -> MemberIdentity:
+        return MemberIdentity(
+            self._disk.member_id,
+            self._disk.cluster,
+            self._own_address,
+            tuple(sorted(self._named)),
+        )
+
+    def _instance_of(self, member_id: MemberId) -> InstanceId | None:
+        if self._core is not None:
+            record = self._core.configuration.find(member_id)
+            if record is not None:
+                return record.instance
+        return self._instances_by_member.get(member_id)
+
+    def _ensure_link(self, instance: InstanceId, address: str) -> MemberLink | None:
+        """Return the link to an instance; the settings' address goes first."""
+        if instance == self.instance:
+            return None
+        link = self._links_by_instance.get(instance)
+        if link is None:
+            link = MemberLink(
+                instance,
+                PeerAddress.parse(self._named.get(instance, address)),
+                self._dialer,
+                self._identity,
+                self._on_identity,
+            )
+            self._links_by_instance[instance] = link
+            self._spawn(f"link to {instance}", link.run())
+        return link
+
+    def _send(self, receiver: MemberId, message: MemberMessage) -> None:
+        instance = self._instance_of(receiver)
+        link = self._links_by_instance.get(instance) if instance is not None else None
+        if link is not None:
+            link.send(receiver, self._codec.encode(message))
+
+    def _on_identity(self, instance: InstanceId, identity: MemberIdentity) -> None:
+        self._instances_by_member[identity.member] = instance
+        if not self._disk.cluster:
+            self._queue.put_nowait(_IdentityLearned())
+
+    async def _on_identity_request(
+        self, message: MemberIdentity, connection: PeerConnection
+    ) -> object:
+        if self._core is None:
+            return _stopped(self._failure)
+        self._instances_by_member[message.member] = connection.peer
+        self._ensure_link(connection.peer, message.address)
+        return self._identity()
+
+    async def _on_batch(self, batch: MemberBatch, connection: PeerConnection) -> object:
+        if self._core is None:
+            return _stopped(self._failure)
+        own = self._disk.member_id
+        if batch.receiver == own:
+            self._instances_by_member[batch.sender] = connection.peer
+            if not self._disk.cluster:
+                self._queue.put_nowait(_Joined(batch.cluster))
+            elif batch.cluster == self._disk.cluster:
+                for data in batch.messages:
+                    message = self._codec.decode(data)
+                    if isinstance(message, get_args(MemberMessage)):
+                        self._queue.put_nowait(Receive(batch.sender, message))
+        return Received(own)
+
+    # Formation of a new cluster.
+
+    async def _form_if_complete(self) -> None:
+        """Found the cluster if every named member's disk is empty.
+
+        Only the first of them by name does, and only once all others have
+        said that they belong to no cluster and name the same members.  A
+        member that lost its disk finds the others in a cluster, and waits
+        to be readmitted.
+        """
+        first = min(self._named, default=None)
+        if self._disk.cluster or first != self.instance or self._core is None:
+            return
+        named = tuple(sorted(self._named))
+        records = []
+        for instance in named:
+            identity: MemberIdentity | None = self._identity()
+            if instance != self.instance:
+                identity = self._links_by_instance[instance].identity
+            if identity is None or identity.cluster or identity.named != named:
+                return
+            address = self._named[instance]
+            records.append(MemberRecord(identity.member, instance, address, True))
+        entry = Entry(
+            Term(1),
+            FIRST_INDEX,
+            EntryKind.CONFIGURATION,
+            b"",
+            Configuration(tuple(records)),
+        )
+        logger.info("founding the cluster", members=named)
+        loop = asyncio.get_running_loop()
+        cluster = secrets.token_hex(8)
+        self._begin(
+            await loop.run_in_executor(self._writer, self._disk.form, cluster, entry)
+        )
+
+    async def _join(self, cluster: str) -> None:
+        """Belong to the cluster whose member has addressed this one."""
+        if self._disk.cluster or not cluster:
+            return
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._writer, self._disk.join, cluster)
+
+
+def _resolve(future: asyncio.Future[ProposalResult], result: ProposalResult) -> None:
+    if not future.done():
+        future.set_result(result)
+
+
+def _stopped(detail: str) -> Failure:
+    return Failure(RefusalReason.NO_LEADER, detail, Verdict.NOT_RUN)
--- /dev/null
+++ b/goldcrestyard/consensus/link.py
@@ -0,0 +1,154 @@
+"""The connection from this member to one other."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from goldcrestyard.consensus.configuration import MemberId
+from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
+from goldcrestyard.wire.connection import PeerConnection
+
+logger = structlog.get_logger(__name__)
+
+ANSWER_SECONDS = 1.0
+"""A connection that confirms nothing for this long is replaced: it may have
+gone silent for good while a new one works."""
+
+RECONNECT_SECONDS = 0.2
+CHECK_SECONDS = 1.0
+FORMING_CHECK_SECONDS = 0.25
+BATCH_BYTES = 1024 * 1024
+"""Bound on a frame, so that at 225 Mbit/s it is confirmed in time."""
+
+QUEUED_MESSAGES = 64
+"""Older messages are dropped; the protocol repeats what is still needed."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberIdentity:
+    """Who a process is in the replicated log.
+
+    ``named`` are the members in its settings: a cluster is only formed by
+    members that agree on them.
+    """
+
+    member: MemberId
+    cluster: str
+    address: str
+    named: tuple[InstanceId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MemberBatch:
+    """Encoded messages from one member to another."""
+
+    sender: MemberId
+    receiver: MemberId
+    cluster: str
+    messages: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A batch has arrived; ``member`` is who received it."""
+
+    member: MemberId
+
+
+class MemberLink:
+    """One task: connect, learn who answers there, send what is queued."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        address: PeerAddress,
+        dialer: PeerDialer,
+        own_identity: Callable[[], MemberIdentity],
+        on_identity: Callable[[InstanceId, MemberIdentity], None],
+    ) -> None:
+        self.instance = instance
+        self.address = address
+        self.identity: MemberIdentity | None = None
+        """Who answered last at the address."""
+        self._dialer = dialer
+        self._own_identity = own_identity
+        self._on_identity = on_identity
+        self._queue: deque[tuple[MemberId, bytes]] = deque(maxlen=QUEUED_MESSAGES)
+        self._filled = asyncio.Event()
+
+    def send(self, receiver: MemberId, message: bytes) -> None:
+        """Queue a message; it may be lost."""
+        self._queue.append((receiver, message))
+        self._filled.set()
+
+    async def run(self) -> None:
+        """Keep a connection for the life of the member."""
+        while True:
+            try:
+                async with self._dialer.connect(self.address) as connection:
+                    await self._converse(connection)
+            except PeerUnavailableError as error:
+                logger.debug("member unavailable", peer=self.instance, error=str(error))
+            self._queue.clear()
+            await asyncio.sleep(RECONNECT_SECONDS * random.uniform(0.5, 1.5))
+
+    async def _converse(self, connection: PeerConnection) -> None:
+        while not connection.closed:
+            formed = self.identity is not None and self.identity.cluster
+            known = formed and self._queue
+            if not known and not await self._identify(connection):
+                return
+            await self._wait_for_messages()
+            while self._queue:
+                if not await self._send_batch(connection):
+                    return
+
+    async def _identify(self, connection: PeerConnection) -> bool:
+        reply = await connection.request(self._own_identity(), ANSWER_SECONDS)
+        if not isinstance(reply, MemberIdentity):
+            return False
+        self.identity = reply
+        self._on_identity(self.instance, reply)
+        return True
+
+    async def _wait_for_messages(self) -> None:
+        self._filled.clear()
+        if self._queue:
+            return
+        formed = self.identity is not None and self.identity.cluster
+        seconds = CHECK_SECONDS if formed else FORMING_CHECK_SECONDS
+        try:
+            async with asyncio.timeout(seconds):
+                await self._filled.wait()
+        except TimeoutError:
+            pass
+
+    async def _send_batch(self, connection: PeerConnection) -> bool:
+        """Send the queued messages for one receiver in one frame."""
+        receiver = self._queue[0][0]
+        messages: list[bytes] = []
+        size = 0
+        while self._queue and self._queue[0][0] == receiver and size < BATCH_BYTES:
+            messages.append(self._queue.popleft()[1])
+            size += len(messages[-1])
+        own = self._own_identity()
+        batch = MemberBatch(own.member, receiver, own.cluster, tuple(messages))
+        reply = await connection.request(batch, ANSWER_SECONDS)
+        if not isinstance(reply, Received):
+            return False
+        if reply.member != receiver:
+            if self.identity is None or self.identity.member != reply.member:
+                logger.warning(
+                    "another member answers at this address; if the instance lost "
+                    "its disk, replace the member",
+                    expected=receiver,
+                    answering=reply.member,
+                )
+            self._queue.clear()
+            return await self._identify(connection)
+        return True
--- a/goldcrestyard/consensus/records.py
+++ b/goldcrestyard/consensus/records.py
@@ -1,8 +1,8 @@
-"""Payload of a log entry."""
+"""Payloads of log entries and snapshots."""
 
 from dataclasses import dataclass
 
-from goldcrestyard.core.ids import CorrelationId
+from goldcrestyard.core.ids import CorrelationId, Revision
 from goldcrestyard.state.commands import Envelope
 from goldcrestyard.wire.codec import Codec
 
@@ -27,3 +27,12 @@
         logged.correlation_id,
         logged.time,
     )
+
+
+@dataclass(frozen=True, slots=True)
+class MachineSnapshot:
+    """The state machine's state, each slice encoded."""
+
+    revision: Revision
+    last_time: float
+    snapshots_by_name: dict[str, bytes]
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -76,10 +76,12 @@
             settled = leases.earlier_grants_expired(
                 now, self._member.leadership_started_at, self._lease_seconds
             )
-            if settled and not behind:
+            # Without the lease, another leader may grant leases that this
+            # one does not know of.
+            if settled and not behind and self._member.holds_lease():
                 return []
             if now >= deadline:
-                return behind or [InstanceId("entries of the previous leader")]
+                return behind or [InstanceId("entries of another leader")]
             await asyncio.sleep(IN_FORCE_POLL_SECONDS)
 
     async def _on_subscribe(
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -2,15 +2,33 @@
 
 from pathlib import Path
 
+from goldcrestyard.consensus.configuration import Configuration
 from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.link import MemberBatch, MemberIdentity, Received
+from goldcrestyard.consensus.member import Timing
+from goldcrestyard.consensus.messages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    PreVote,
+    PreVoteReply,
+    SnapshotReply,
+    Vote,
+    VoteReply,
+)
+from goldcrestyard.consensus.records import MachineSnapshot
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.change_feed import ChangeFeed
 from goldcrestyard.membership.entry_sessions import EntrySessions
+from goldcrestyard.plugins.control import checks
 from goldcrestyard.plugins.control.settings import ControlSettings
 from goldcrestyard.plugins.entry.settings import EntrySettings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+from goldcrestyard.policy.leases import CLOCK_DRIFT
 from goldcrestyard.state.machine import StateMachine
+from goldcrestyard.wire.client import PeerDialer
 from goldcrestyard.wire.codec import Codec
 from goldcrestyard.wire.connection import Handlers
 
@@ -22,6 +40,22 @@
     requires = ("peers", "entry")
     settings_section = "control"
     settings_class = ControlSettings
+    messages = (
+        Configuration,
+        MachineSnapshot,
+        MemberIdentity,
+        MemberBatch,
+        Received,
+        PreVote,
+        PreVoteReply,
+        Vote,
+        VoteReply,
+        Append,
+        AppendReply,
+        InstallSnapshot,
+        SnapshotReply,
+    )
+    checks = (checks.check_timing, checks.check_snapshots, checks.check_member)
 
     def ready(self, app: Application) -> None:
         """Create the member, the change feed and the entry sessions."""
@@ -29,6 +63,8 @@
         if control is None:
             return
         codec = app.get(Codec)
+        handlers = app.get(Handlers)
+        cluster = app.settings.section(ClusterSettings)
         machine = StateMachine(slice_class() for slice_class in app.slice_classes)
         member = app.provide(
             ControlMember,
@@ -38,13 +74,20 @@
                 machine,
                 codec,
                 app.clock,
+                app.get(PeerDialer),
+                cluster.control_members,
+                own_address=cluster.peer_address,
+                timing=_timing(control),
+                snapshot_entries=control.snapshot_entries,
             ),
         )
+        member.register(handlers)
         feed = app.provide(ChangeFeed, ChangeFeed(codec, app.clock))
         machine.listen(feed.add)
+        member.listen_restore(feed.reset)
         lease_seconds = app.settings.section(EntrySettings).lease_seconds
         sessions = EntrySessions(member, feed, codec, app.clock, lease_seconds)
-        sessions.register(app.get(Handlers))
+        sessions.register(handlers)
         app.provide(EntrySessions, sessions)
 
     async def start(self, app: Application) -> None:
@@ -52,9 +95,20 @@
         member = app.find(ControlMember)
         if member is not None:
             await member.start()
+            app.spawn(member.wait_ended(), "control member")
 
     async def stop(self, app: Application) -> None:
         """Close the log."""
         member = app.find(ControlMember)
         if member is not None:
             await member.stop()
+
+
+def _timing(control: ControlSettings) -> Timing:
+    return Timing(
+        control.heartbeat_seconds,
+        control.lease_seconds,
+        control.election_timeout_seconds,
+        control.election_timeout_max_seconds,
+        CLOCK_DRIFT,
+    )
--- /dev/null
+++ b/goldcrestyard/plugins/control/checks.py
@@ -0,0 +1,89 @@
+"""Checks of the control settings."""
+
+from collections.abc import Iterable
+
+from goldcrestyard.kernel.checks import Level, Problem
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.settings import Settings
+from goldcrestyard.plugins.control.settings import ControlSettings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+from goldcrestyard.policy.leases import CLOCK_DRIFT
+
+MIN_HEARTBEAT_SECONDS = 0.02
+MAX_HEARTBEATS_PER_LEASE = 3
+MIN_SNAPSHOT_ENTRIES = 10
+
+
+def check_timing(settings: Settings) -> Iterable[Problem]:
+    """Check the intervals that the leader's lease rests on."""
+    control = settings.find(ControlSettings)
+    if control is None:
+        return
+    if control.heartbeat_seconds < MIN_HEARTBEAT_SECONDS:
+        yield Problem(
+            Level.ERROR,
+            "control.E001",
+            "control.heartbeat_seconds",
+            f"{control.heartbeat_seconds} is less than {MIN_HEARTBEAT_SECONDS}",
+            "Shorter intervals cost processor time and detect nothing sooner.",
+        )
+    if control.lease_seconds < MAX_HEARTBEATS_PER_LEASE * control.heartbeat_seconds:
+        yield Problem(
+            Level.ERROR,
+            "control.E002",
+            "control.lease_seconds",
+            f"is shorter than {MAX_HEARTBEATS_PER_LEASE} heartbeats",
+            "The lease must outlast the loss of a heartbeat or two.",
+        )
+    # The leader's clock may run slow while a voter's runs fast.
+    longest_lease = control.election_timeout_seconds * (1 - 2 * CLOCK_DRIFT)
+    if control.lease_seconds > longest_lease:
+        yield Problem(
+            Level.ERROR,
+            "control.E003",
+            "control.lease_seconds",
+            f"is longer than {longest_lease:.2f}, the election timeout less the "
+            "drift of two clocks",
+            "A longer lease would let two members act as the leader.",
+        )
+    spread = control.election_timeout_max_seconds - control.election_timeout_seconds
+    if spread < control.heartbeat_seconds:
+        yield Problem(
+            Level.ERROR,
+            "control.E004",
+            "control.election_timeout_max_seconds",
+            "leaves less than a heartbeat to draw from",
+            "Members that stand at the same time split the votes.",
+        )
+
+
+def check_snapshots(settings: Settings) -> Iterable[Problem]:
+    """Check the number of entries between snapshots."""
+    control = settings.find(ControlSettings)
+    if control is not None and control.snapshot_entries < MIN_SNAPSHOT_ENTRIES:
+        yield Problem(
+            Level.ERROR,
+            "control.E005",
+            "control.snapshot_entries",
+            f"{control.snapshot_entries} is less than {MIN_SNAPSHOT_ENTRIES}",
+            "Each snapshot writes the whole state.",
+        )
+
+
+def check_member(settings: Settings) -> Iterable[Problem]:
+    """Check that the role and the list of members agree."""
+    cluster = settings.find(ClusterSettings)
+    instance = settings.find(InstanceSettings)
+    if cluster is None or instance is None:
+        return
+    if (
+        settings.find(ControlSettings) is None
+        and instance.id in cluster.control_members
+    ):
+        yield Problem(
+            Level.ERROR,
+            "control.E006",
+            "control",
+            f"is missing, but cluster.control_members names {instance.id}",
+            "Add the section with its data_folder, or take the instance off the list.",
+        )
--- /dev/null
+++ b/goldcrestyard/storage/snapshots.py
@@ -0,0 +1,45 @@
+"""The latest snapshot of the replicated state."""
+
+import struct
+from dataclasses import dataclass
+from pathlib import Path
+
+from goldcrestyard.core.ids import LogIndex, Term
+from goldcrestyard.storage.atomic_file import AtomicFile
+from goldcrestyard.storage.files import Files
+
+_HEADER = struct.Struct("<QQI")
+"""Index, term, length of the configuration; the data follows it."""
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRecord:
+    """A snapshot as stored."""
+
+    index: LogIndex
+    term: Term
+    configuration: bytes
+    data: bytes
+
+
+class SnapshotFile:
+    """Reads and replaces the latest snapshot."""
+
+    def __init__(self, folder: Path, files: Files) -> None:
+        self._file = AtomicFile(folder / "snapshot", files)
+
+    def read(self) -> SnapshotRecord | None:
+        """Return the snapshot, or None if none was taken."""
+        content = self._file.read()
+        if content is None:
+            return None
+        index, term, length = _HEADER.unpack_from(content)
+        split = _HEADER.size + length
+        return SnapshotRecord(
+            LogIndex(index), Term(term), content[_HEADER.size : split], content[split:]
+        )
+
+    def write(self, record: SnapshotRecord) -> None:
+        """Replace the snapshot; it is durable on return."""
+        header = _HEADER.pack(record.index, record.term, len(record.configuration))
+        self._file.write(header + record.configuration + record.data)
