--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -52,6 +52,8 @@
     processes_by_name: dict[str, asyncio.subprocess.Process] = field(
         default_factory=dict
     )
+    overrides_by_section: dict[str, dict[str, Any]] = field(default_factory=dict)
+    """Settings in addition to those of ``settings_of``, on every instance."""
 
     def __post_init__(self) -> None:
         for instance in self.instances:
@@ -75,7 +77,7 @@
     async def start_instance(self, instance: Instance) -> None:
         """Start one instance."""
         path = self.folder / f"{instance.id}.toml"
-        path.write_text(self.settings_of(instance))
+        path.write_text(self._with_overrides(self.settings_of(instance)))
         instance.process = await self.start_process(
             instance.id, "goldcrestyard.daemon", str(path)
         )
@@ -141,6 +143,18 @@
 
 {control}"""
 
+    def _with_overrides(self, text: str) -> str:
+        for section, values in self.overrides_by_section.items():
+            lines = "".join(
+                f"{key} = {json.dumps(value)}\n" for key, value in values.items()
+            )
+            head = f"[{section}]\n"
+            if head in text:
+                text = text.replace(head, head + lines)
+            else:
+                text += f"\n{head}{lines}"
+        return text
+
     async def wait_ready(self, instance: Instance) -> None:
         """Wait until an instance is ready."""
 
@@ -170,6 +184,32 @@
         await self.wait_target(name)
         return f"127.0.0.1:{port}"
 
+    async def start_service(
+        self, name: str, service: str, instance: Instance, **options: Any
+    ) -> str:
+        """Start a stand-in service near an instance; return its address."""
+        port = free_port()
+        arguments = [
+            f"--id={name}",
+            f"--port={port}",
+            f"--entries={','.join(self.entries)}",
+            f"--token={self.target_token}",
+            f"--service={service}",
+            f"--data-centre={instance.data_centre}",
+            f"--region={instance.region}",
+            *(f"--{key.replace('_', '-')}={value}" for key, value in options.items()),
+        ]
+        await self.start_process(name, "demo.fakes.service", *arguments)
+        await self.wait_target(name)
+        return f"127.0.0.1:{port}"
+
+    async def put_service(
+        self, name: str, routes: list[dict[str, Any]], organisations: Any = ()
+    ) -> None:
+        """Create a plain service or replace its terms."""
+        body = {"name": name, "routes": routes, "organisations": organisations}
+        await self.operate("PUT", "/services", body)
+
     async def wait_target(self, name: str, *, present: bool = True) -> None:
         """Wait until every instance knows, or no longer knows, a target."""
 
--- /dev/null
+++ b/goldcrestyard/plugins/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that keep non-idempotent calls from running twice."""
--- /dev/null
+++ b/goldcrestyard/plugins/claims/apps.py
@@ -0,0 +1,50 @@
+"""Plug-in: claims that keep non-idempotent calls from running twice."""
+
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.claims.commands import ClaimsSnapshot
+from goldcrestyard.plugins.claims.keeper import ClaimKeeper
+from goldcrestyard.plugins.claims.slices import ClaimsSlice
+from goldcrestyard.policy.claims import (
+    AlreadyAnswered,
+    DifferentCall,
+    Granted,
+    HeldByOther,
+    OutcomeUnknown,
+)
+
+
+class ClaimsConfig(PluginConfig):
+    """Provides the claim keeper."""
+
+    name = "claims"
+    requires = ("addresses", "entry")
+    slices = (ClaimsSlice,)
+    messages = (
+        *ClaimsSlice.commands,
+        ClaimsSnapshot,
+        Granted,
+        HeldByOther,
+        AlreadyAnswered,
+        OutcomeUnknown,
+        DifferentCall,
+    )
+
+    def ready(self, app: Application) -> None:
+        """Create the claim keeper."""
+        instance = app.settings.section(InstanceSettings).id
+        keeper = ClaimKeeper(
+            instance, app.get(EntryView), app.get(LeaderLink), app.clock
+        )
+        app.provide(ClaimKeeper, keeper)
+
+    async def drain(self, app: Application) -> None:
+        """Wait until the outcomes of running calls are committed."""
+        await app.get(ClaimKeeper).drain()
+
+    async def stop(self, app: Application) -> None:
+        """Cancel the calls that still run."""
+        await app.get(ClaimKeeper).stop()
--- /dev/null
+++ b/goldcrestyard/plugins/claims/keeper.py
@@ -0,0 +1,197 @@
+"""Runs a non-idempotent call under a claim, at most once."""
+
+import asyncio
+import hashlib
+import uuid
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.core.ids import (
+    AttemptId,
+    CorrelationId,
+    InstanceId,
+    OrganisationId,
+    RequestId,
+)
+from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.addresses.slices import EntriesSlice
+from goldcrestyard.plugins.claims.commands import (
+    ClaimCall,
+    ReleaseClaim,
+    SettleClaim,
+)
+from goldcrestyard.policy import claims
+from goldcrestyard.policy.claims import StoredOutcome
+
+logger = structlog.get_logger(__name__)
+
+SETTLE_WAIT_SECONDS = 2.0
+"""How long an answer waits until its outcome is committed.  Without a leader
+the answer goes out first and the outcome is committed when there is one."""
+
+SETTLE_RETRY_SECONDS = 0.5
+SETTLE_GIVE_UP_SECONDS = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimedCall:
+    """A call to be made at most once."""
+
+    organisation: OrganisationId
+    request: RequestId
+    id_is_new: bool
+    """Whether the entry made the request id up."""
+    route: str
+    fingerprint: str
+    correlation_id: CorrelationId
+    call_seconds: float
+    """Longest time that sending the call takes."""
+
+
+CallResult = StoredOutcome | Refusal
+
+
+class ClaimKeeper:
+    """Claims calls, runs them and settles their claims.
+
+    Each call runs in a task of its own, so that it ends and its outcome is
+    kept when the caller's connection breaks.
+    """
+
+    def __init__(
+        self, instance: InstanceId, view: EntryView, link: LeaderLink, clock: Clock
+    ) -> None:
+        self._entries = view.machine.get(EntriesSlice)
+        self._instance = instance
+        self._link = link
+        self._clock = clock
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def run(
+        self, call: ClaimedCall, send: Callable[[], Awaitable[CallResult]]
+    ) -> CallResult:
+        """Return the outcome of the call, sending it if it was not yet."""
+        return await asyncio.shield(self._spawn(self._run(call, send)))
+
+    async def drain(self) -> None:
+        """Wait until the running calls are settled."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def stop(self) -> None:
+        """Cancel what still runs; its claims stay "may have run"."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(
+        self, coroutine: Coroutine[Any, Any, CallResult | None]
+    ) -> asyncio.Task[Any]:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _run(
+        self, call: ClaimedCall, send: Callable[[], Awaitable[CallResult]]
+    ) -> CallResult:
+        attempt = AttemptId(uuid.uuid4().hex)
+        step = await self._claim(call, attempt)
+        match step:
+            case claims.Send():
+                result = await send()
+                ending = self._spawn(self._end(call, attempt, result))
+                await asyncio.wait([ending], timeout=SETTLE_WAIT_SECONDS)
+                return result
+            case claims.AnswerStored(outcome=outcome):
+                return outcome
+            case claims.Refuse(refusal=refusal, in_doubt=in_doubt):
+                if in_doubt:
+                    # The claim may be committed, but nothing was sent.
+                    self._spawn(
+                        self._end(
+                            call,
+                            attempt,
+                            Refusal(refusal.reason, refusal.detail, Verdict.NOT_RUN),
+                        )
+                    )
+                return refusal
+
+    async def _claim(
+        self, call: ClaimedCall, attempt: AttemptId
+    ) -> claims.Send | claims.AnswerStored | claims.Refuse:
+        """Ask the log until it says whether the call may be sent."""
+        command = ClaimCall(
+            call.organisation,
+            call.request,
+            call.route,
+            call.fingerprint,
+            self._instance,
+            attempt,
+        )
+        deadline = self._clock.monotonic() + call.call_seconds
+        asked_before = 0
+        was_in_doubt = False
+        while True:
+            seconds_left = deadline - self._clock.monotonic()
+            result = await self._link.propose(
+                command,
+                correlation_id=call.correlation_id,
+                timeout=max(claims.COMMIT_MARGIN_SECONDS, min(5.0, seconds_left)),
+            )
+            if isinstance(result, InDoubt):
+                was_in_doubt = True
+            elif isinstance(result, NotProposed) and was_in_doubt:
+                # An earlier proposal of this claim may still be committed.
+                result = InDoubt(result.detail)
+            step = claims.next_step(
+                result,
+                asked_before=asked_before,
+                seconds_left=deadline - self._clock.monotonic(),
+                call_seconds=call.call_seconds,
+                id_is_new=call.id_is_new,
+                entries=self._entries.entries_by_id.keys(),
+            )
+            if not isinstance(step, claims.AskAgain):
+                return step
+            asked_before += 1
+            await asyncio.sleep(step.delay_seconds)
+
+    async def _end(
+        self, call: ClaimedCall, attempt: AttemptId, result: CallResult
+    ) -> None:
+        """Settle or release the claim, again until that is committed."""
+        command: SettleClaim | ReleaseClaim
+        match result:
+            case Refusal(verdict=Verdict.NOT_RUN):
+                command = ReleaseClaim(call.organisation, call.request, attempt)
+            case Refusal():
+                command = SettleClaim(call.organisation, call.request, attempt, None)
+            case StoredOutcome():
+                kept = claims.to_keep(result)
+                command = SettleClaim(call.organisation, call.request, attempt, kept)
+        give_up_at = self._clock.monotonic() + SETTLE_GIVE_UP_SECONDS
+        while self._clock.monotonic() < give_up_at:
+            ended = await self._link.propose(
+                command, correlation_id=call.correlation_id
+            )
+            if isinstance(ended, Applied):
+                return
+            await asyncio.sleep(SETTLE_RETRY_SECONDS)
+        logger.warning("outcome of a call was not kept", request=call.request)
+
+
+def fingerprint(*parts: bytes) -> str:
+    """Return a digest of the parts of a call's content."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
--- /dev/null
+++ b/goldcrestyard/plugins/services/apps.py
@@ -0,0 +1,77 @@
+"""Plug-in: the front end of plain services."""
+
+import aiohttp
+
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.claims.keeper import ClaimKeeper
+from goldcrestyard.plugins.listeners.routes import AdminRoutes, PublicRoutes
+from goldcrestyard.plugins.operators.settings import OperatorSettings
+from goldcrestyard.plugins.organisations.authentication import Authenticator
+from goldcrestyard.plugins.services.commands import ServicesSnapshot
+from goldcrestyard.plugins.services.dispatch import ServiceDispatcher
+from goldcrestyard.plugins.services.operator_views import ServiceOperatorViews
+from goldcrestyard.plugins.services.settings import ServiceSettings
+from goldcrestyard.plugins.services.slices import ServicesSlice
+from goldcrestyard.plugins.services.upstream import ServiceClient
+from goldcrestyard.plugins.services.views import ServiceViews
+from goldcrestyard.plugins.targets.in_flight import InFlight
+
+
+class ServicesConfig(PluginConfig):
+    """Serves ``/services``."""
+
+    name = "services"
+    requires = (
+        "claims",
+        "entry",
+        "listeners",
+        "operators",
+        "organisations",
+        "targets",
+    )
+    settings_section = "services"
+    settings_class = ServiceSettings
+    slices = (ServicesSlice,)
+    messages = (*ServicesSlice.commands, ServicesSnapshot)
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self, app: Application) -> None:
+        """Open the client session and add the routes."""
+        settings = app.settings.section(ServiceSettings)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+        view = app.get(EntryView)
+        dispatcher = ServiceDispatcher(
+            view,
+            ServiceClient(self._session, settings),
+            app.get(InFlight),
+            app.clock,
+            app.settings.section(InstanceSettings).region,
+            settings,
+        )
+        views = ServiceViews(
+            view, app.get(Authenticator), dispatcher, app.get(ClaimKeeper), settings
+        )
+        routes = app.get(PublicRoutes)
+        routes.add("*", "/services/{service}", views.pass_on)
+        routes.add("*", "/services/{service}/{path:.*}", views.pass_on)
+        operators = ServiceOperatorViews(
+            app.settings.section(OperatorSettings), app.get(LeaderLink)
+        )
+        admin = app.get(AdminRoutes)
+        admin.add("PUT", "/operator/v1/services", operators.put)
+        admin.add("DELETE", "/operator/v1/services/{service}", operators.remove)
+
+    async def stop(self, app: Application) -> None:
+        """Close the client session."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/goldcrestyard/plugins/services/upstream.py
@@ -0,0 +1,138 @@
+"""One attempt: sending a request to a service's target."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import aiohttp
+from yarl import URL
+
+from goldcrestyard.core.attempts import (
+    AttemptFailure,
+    Broken,
+    TurnedAway,
+    Unreached,
+)
+from goldcrestyard.core.ids import AttemptId, CorrelationId, OrganisationId
+from goldcrestyard.core.records import Target
+from goldcrestyard.plugins.services.requests import (
+    ANSWERED_HEADERS,
+    ServiceRequest,
+    pick,
+)
+from goldcrestyard.plugins.services.settings import ServiceSettings
+
+REQUEST_ID_HEADER = "x-request-id"
+NOT_RUN_HEADER = "x-not-run"
+NOT_RUN_STATUSES = frozenset({429, 503})
+ORGANISATION_HEADER = "x-organisation"
+CORRELATION_HEADER = "x-correlation-id"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """A target's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class ConnectionBrokenError(aiohttp.ClientError):
+    """The connection failed while the request was sent or answered."""
+
+
+async def send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the client library from sending a request a second time.
+
+    It repeats GET, PUT and DELETE after these errors by itself, whatever
+    the service says of its route.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionBrokenError(str(error) or type(error).__name__) from error
+
+
+class ServiceClient:
+    """Sends attempts to targets of plain services.
+
+    Each attempt has a connection of its own: nothing that arrives late on
+    an older one can be taken for its answer, and a connection that cannot be
+    opened proves that nothing was sent.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, settings: ServiceSettings):
+        self._session = session
+        self._settings = settings
+
+    async def send(
+        self,
+        target: Target,
+        request: ServiceRequest,
+        organisation: OrganisationId | None,
+        attempt: AttemptId,
+        correlation_id: CorrelationId,
+        seconds_left: float,
+    ) -> ServiceAnswer | AttemptFailure:
+        """Send a request and return the whole answer, or why there is none."""
+        headers = [
+            *request.headers,
+            (REQUEST_ID_HEADER, attempt),
+            (CORRELATION_HEADER, correlation_id),
+        ]
+        if organisation is not None:
+            headers.append((ORGANISATION_HEADER, organisation))
+        timeout = aiohttp.ClientTimeout(
+            total=seconds_left, connect=self._settings.connect_seconds
+        )
+        url = URL(f"http://{target.address}{request.path_and_query}", encoded=True)
+        try:
+            async with self._session.request(
+                request.method,
+                url,
+                data=request.body or None,
+                headers=headers,
+                skip_auto_headers=("accept-encoding", "user-agent", "content-type"),
+                timeout=timeout,
+                allow_redirects=False,
+                middlewares=(send_once,),
+            ) as response:
+                return await self._read(response, attempt)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Unreached(_describe(error))
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return Broken(f"answer broke off: {_describe(error)}")
+
+    async def _read(
+        self, response: aiohttp.ClientResponse, attempt: AttemptId
+    ) -> ServiceAnswer | AttemptFailure:
+        # Plain services need not send the id back, but a wrong one says
+        # that the answer is that of another request.
+        if response.headers.get(REQUEST_ID_HEADER, attempt) != attempt:
+            return Broken("answer of another request")
+        if _is_not_run(response.status, response.headers):
+            return TurnedAway(
+                response.status, f"target answered {response.status}, not run"
+            )
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > self._settings.max_answer_bytes:
+                return Broken("answer is too long")
+        return ServiceAnswer(
+            response.status,
+            pick(response.headers.items(), ANSWERED_HEADERS),
+            bytes(body),
+        )
+
+
+def _is_not_run(status: int, headers: Mapping[str, str]) -> bool:
+    return status in NOT_RUN_STATUSES and headers.get(NOT_RUN_HEADER) == "true"
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/goldcrestyard/plugins/services/views.py
@@ -0,0 +1,206 @@
+"""The front end of plain services."""
+
+import uuid
+from dataclasses import replace
+
+from aiohttp import web
+
+from goldcrestyard.core.ids import OrganisationId, RequestId, ServiceName
+from goldcrestyard.core.records import Service, ServiceRoute
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.claims.keeper import (
+    ClaimedCall,
+    ClaimKeeper,
+    fingerprint,
+)
+from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, refuse
+from goldcrestyard.plugins.listeners.middleware import correlation_id_of
+from goldcrestyard.plugins.organisations.authentication import (
+    Authenticator,
+    Principal,
+)
+from goldcrestyard.plugins.services.dispatch import ServiceCall, ServiceDispatcher
+from goldcrestyard.plugins.services.requests import (
+    FORWARDED_HEADERS,
+    ServiceRequest,
+    check_path,
+    contains_key,
+    pick,
+    request_id_of,
+    route_for,
+    without_key,
+)
+from goldcrestyard.plugins.services.settings import ServiceSettings
+from goldcrestyard.plugins.services.slices import ServicesSlice
+from goldcrestyard.plugins.services.upstream import REQUEST_ID_HEADER, ServiceAnswer
+from goldcrestyard.policy.claims import StoredOutcome, refusal_without_body
+
+CONTENT_TYPE_HEADER = "content-type"
+
+UNPROVEN_REASONS = frozenset({RefusalReason.ENTRY_LEASE, RefusalReason.KEY_WITHDRAWN})
+"""Refusals that a resend may meet although its first sending has run."""
+
+
+class ServiceViews:
+    """Serves ``/services``."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        authenticator: Authenticator,
+        dispatcher: ServiceDispatcher,
+        keeper: ClaimKeeper,
+        settings: ServiceSettings,
+    ) -> None:
+        self._services = view.machine.get(ServicesSlice)
+        self._authenticator = authenticator
+        self._dispatcher = dispatcher
+        self._keeper = keeper
+        self._settings = settings
+
+    async def pass_on(self, request: web.Request) -> web.StreamResponse:
+        """Pass a request on to a target of its service."""
+        name = ServiceName(request.match_info["service"])
+        path = "/" + request.match_info.get("path", "")
+        if (refusal := check_path(request.rel_url.raw_path)) is not None:
+            return refuse(refusal)
+        service = self._services.services_by_name.get(name)
+        route = route_for(service, path) if service is not None else None
+        if service is not None and route is not None and route.open:
+            return await self._open(request, name, route)
+        principal = self._authenticator.authenticate(request)
+        if isinstance(principal, Refusal):
+            return refuse(_for_resend(request, principal))
+        if service is None or route is None:
+            return refuse(Refusal(RefusalReason.NOT_FOUND, f"no service {name!r}"))
+        if not _may_call(service, principal.organisation):
+            return refuse(
+                Refusal(RefusalReason.FORBIDDEN, f"service {name!r} is not yours")
+            )
+        return await self._keyed(request, name, route, principal)
+
+    async def _open(
+        self, request: web.Request, name: ServiceName, route: ServiceRoute
+    ) -> web.StreamResponse:
+        # Without an organisation there is no claim: the call is sent once
+        # for each request that arrives.
+        prepared = await _prepare(request, name)
+        if isinstance(prepared, Refusal):
+            return refuse(prepared)
+        call = ServiceCall(prepared, None, route.idempotent, correlation_id_of(request))
+        return _respond(await self._dispatcher.answer(call))
+
+    async def _keyed(
+        self,
+        request: web.Request,
+        name: ServiceName,
+        route: ServiceRoute,
+        principal: Principal,
+    ) -> web.StreamResponse:
+        prepared = await _prepare(request, name)
+        if isinstance(prepared, Refusal):
+            return refuse(prepared)
+        request_id = request_id_of(request.headers)
+        if isinstance(request_id, Refusal):
+            return refuse(request_id)
+        call = ServiceCall(
+            prepared,
+            principal.organisation,
+            route.idempotent,
+            correlation_id_of(request),
+        )
+        result: ServiceAnswer | StoredOutcome | Refusal | None = None
+        claimed = self._claimed(call, request_id)
+        async with self._authenticator.guard(principal) as guard:
+            if route.idempotent:
+                result = await self._dispatcher.answer(call)
+            else:
+                result = await self._keeper.run(
+                    claimed, lambda: self._answer_once(call)
+                )
+        response = _respond(guard.refusal or result)
+        if not route.idempotent:
+            response.headers[REQUEST_ID_HEADER] = claimed.request
+        return response
+
+    def _claimed(self, call: ServiceCall, request_id: RequestId | None) -> ClaimedCall:
+        assert call.organisation is not None
+        prepared = call.request
+        content_type = dict(prepared.headers).get(CONTENT_TYPE_HEADER, "")
+        return ClaimedCall(
+            call.organisation,
+            request_id or RequestId(uuid.uuid4().hex),
+            request_id is None,
+            f"{prepared.method} {prepared.service}",
+            fingerprint(
+                prepared.path_and_query.encode(),
+                content_type.encode(),
+                prepared.body,
+            ),
+            call.correlation_id,
+            self._settings.request_seconds,
+        )
+
+    async def _answer_once(self, call: ServiceCall) -> StoredOutcome | Refusal:
+        answer = await self._dispatcher.answer(call)
+        if isinstance(answer, Refusal):
+            return answer
+        return StoredOutcome(
+            answer.status, answer.headers, answer.body, len(answer.body)
+        )
+
+
+async def _prepare(request: web.Request, name: ServiceName) -> ServiceRequest | Refusal:
+    """Return the request as it goes to a target."""
+    _, _, key = request.headers.get("authorization", "").partition(" ")
+    key = key.strip()
+    raw_path = request.rel_url.raw_path.split("/", 3)
+    path = "/" + (raw_path[3] if len(raw_path) > 3 else "")
+    query = without_key(request.rel_url.raw_query_string, key)
+    prepared = ServiceRequest(
+        name,
+        request.method,
+        f"{path}?{query}" if query else path,
+        pick(request.headers.items(), FORWARDED_HEADERS),
+        await request.read(),
+    )
+    if contains_key(prepared, key):
+        return Refusal(
+            RefusalReason.BAD_REQUEST,
+            "the key belongs in the header 'authorization' only",
+        )
+    return prepared
+
+
+def _may_call(service: Service, organisation: OrganisationId) -> bool:
+    return not service.organisations or organisation in service.organisations
+
+
+def _for_resend(request: web.Request, refusal: Refusal) -> Refusal:
+    """Return the refusal with a verdict that also holds for a resend."""
+    if refusal.reason in UNPROVEN_REASONS and request_id_of(request.headers):
+        return replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
+    return refusal
+
+
+def _respond(result: ServiceAnswer | StoredOutcome | Refusal | None) -> web.Response:
+    match result:
+        case Refusal():
+            return refuse(result)
+        case StoredOutcome(body=None):
+            return refuse(refusal_without_body(result))
+        case (
+            ServiceAnswer(status=status, headers=headers, body=body)
+            | StoredOutcome(status=status, headers=headers, body=body)
+        ):
+            response = web.Response(status=status, body=body)
+            # Headers of the target replace those that the library adds.
+            response.headers.pop(CONTENT_TYPE_HEADER, None)
+            for name, value in headers:
+                response.headers.add(name, value)
+            response.headers[VERDICT_HEADER] = Verdict.RAN.value
+            return response
+        case None:
+            raise AssertionError("neither an answer nor a refusal")
--- /dev/null
+++ b/tests/plugins/claims/test_slices.py
@@ -0,0 +1,153 @@
+"""Tests of the claims slice.
+
+They guard against claims that are ended by another than their holder, against
+outcomes that are lost over a snapshot, and against state that grows without a
+bound.
+"""
+
+import unittest
+
+from goldcrestyard.core.ids import (
+    AttemptId,
+    CorrelationId,
+    InstanceId,
+    LogIndex,
+    OrganisationId,
+    RequestId,
+    Term,
+)
+from goldcrestyard.plugins.claims.apps import ClaimsConfig
+from goldcrestyard.plugins.claims.commands import (
+    ClaimCall,
+    ReleaseClaim,
+    SettleClaim,
+)
+from goldcrestyard.plugins.claims.slices import MAX_BODY_BYTES, ClaimsSlice
+from goldcrestyard.policy.claims import (
+    KEEP_SECONDS,
+    MAX_INLINE_BODY_BYTES,
+    AlreadyAnswered,
+    Granted,
+    HeldByOther,
+    OutcomeUnknown,
+    StoredOutcome,
+)
+from goldcrestyard.state.commands import Command, Envelope, Outcome, Rejected
+from goldcrestyard.state.machine import StateMachine
+from goldcrestyard.wire.codec import Codec
+
+TEJO = OrganisationId("tejo")
+
+
+def claim(request: str, attempt: str = "a1", body: str = "f") -> ClaimCall:
+    """Return a claim of a request."""
+    return ClaimCall(
+        TEJO,
+        RequestId(request),
+        "POST desk",
+        body,
+        InstanceId("lisboa-a-1"),
+        AttemptId(attempt),
+    )
+
+
+def settle(request: str, attempt: str = "a1", size: int = 4) -> SettleClaim:
+    """Return the settlement of a request with an answer of some size."""
+    outcome = StoredOutcome(200, (), b"x" * size, size)
+    return SettleClaim(TEJO, RequestId(request), AttemptId(attempt), outcome)
+
+
+def release(request: str, attempt: str = "a1") -> ReleaseClaim:
+    """Return the release of a request."""
+    return ReleaseClaim(TEJO, RequestId(request), AttemptId(attempt))
+
+
+class ClaimsSliceTests(unittest.TestCase):
+    """Claims, outcomes, expiry and snapshots."""
+
+    def setUp(self) -> None:
+        self.slice = ClaimsSlice()
+        self.machine = StateMachine([self.slice])
+        self.index = 0
+
+    def apply(self, command: Command, time: float = 0.0) -> Outcome:
+        self.index += 1
+        envelope = Envelope(command, "lisboa-a-1", CorrelationId(""), time)
+        return self.machine.apply(LogIndex(self.index), Term(1), envelope).outcome
+
+    def test_resend_gets_the_outcome(self) -> None:
+        self.assertEqual(self.apply(claim("r1")), Granted())
+        self.assertIsInstance(self.apply(claim("r1", "a2")), HeldByOther)
+        self.apply(settle("r1"))
+        answered = self.apply(claim("r1", "a3"))
+        assert isinstance(answered, AlreadyAnswered)
+        self.assertEqual(answered.outcome.body, b"xxxx")
+
+    def test_other_attempt_ends_no_claim(self) -> None:
+        self.apply(claim("r1"))
+        self.assertIsInstance(self.apply(settle("r1", "a2")), Rejected)
+        self.assertIsInstance(self.apply(release("r1", "a2")), Rejected)
+        self.assertEqual(self.apply(claim("r1", "a1")), Granted())
+
+    def test_released_claim_goes_to_the_next(self) -> None:
+        self.apply(claim("r1"))
+        self.apply(release("r1"))
+        self.assertEqual(self.apply(claim("r1", "a2")), Granted())
+        # The former holder can no longer end it.
+        self.assertIsInstance(self.apply(release("r1", "a1")), Rejected)
+
+    def test_unknown_outcome_is_kept(self) -> None:
+        self.apply(claim("r1"))
+        self.apply(SettleClaim(TEJO, RequestId("r1"), AttemptId("a1"), None))
+        self.assertEqual(self.apply(claim("r1", "a2")), OutcomeUnknown())
+
+    def test_expiry_is_exact_and_its_work_bounded(self) -> None:
+        for number in range(100):
+            self.apply(claim(f"r{number}"))
+        later = KEEP_SECONDS + 1.0
+        self.apply(claim("late"), later)
+        self.assertGreater(len(self.slice.claims_by_key), 80)
+        # A claim that expired but is still there counts as gone.
+        self.assertEqual(self.apply(claim("r99", "a2", "other"), later), Granted())
+        for number in range(20):
+            self.apply(release(f"no-{number}"), later)
+        self.assertEqual(
+            {key.request for key in self.slice.claims_by_key}, {"late", "r99"}
+        )
+
+    def test_settling_prolongs_a_claim(self) -> None:
+        self.apply(claim("r1"))
+        self.apply(settle("r1"), 1000.0)
+        outcome = self.apply(claim("r1", "a2"), KEEP_SECONDS + 500.0)
+        self.assertIsInstance(outcome, AlreadyAnswered)
+
+    def test_large_body_is_not_kept(self) -> None:
+        self.apply(claim("r1"))
+        self.apply(settle("r1", size=MAX_INLINE_BODY_BYTES + 1))
+        answered = self.apply(claim("r1", "a2"))
+        assert isinstance(answered, AlreadyAnswered)
+        self.assertIsNone(answered.outcome.body)
+        self.assertEqual(answered.outcome.body_bytes, MAX_INLINE_BODY_BYTES + 1)
+
+    def test_bodies_together_are_bounded(self) -> None:
+        count = MAX_BODY_BYTES // MAX_INLINE_BODY_BYTES + 10
+        for number in range(count):
+            self.apply(claim(f"r{number}"))
+            self.apply(settle(f"r{number}", size=MAX_INLINE_BODY_BYTES))
+        oldest = self.apply(claim("r0", "a2"))
+        newest = self.apply(claim(f"r{count - 1}", "a2"))
+        assert isinstance(oldest, AlreadyAnswered)
+        assert isinstance(newest, AlreadyAnswered)
+        self.assertIsNone(oldest.outcome.body)
+        self.assertIsNotNone(newest.outcome.body)
+
+    def test_snapshot_round_trip(self) -> None:
+        codec = Codec()
+        codec.register(*ClaimsConfig.messages)
+        self.apply(claim("r1"))
+        self.apply(settle("r1"))
+        self.apply(claim("r2"))
+        copy = ClaimsSlice()
+        copy.load_snapshot(codec.decode(codec.encode(self.slice.to_snapshot())))
+        self.assertEqual(copy.claims_by_key, self.slice.claims_by_key)
+        self.assertEqual(list(copy.claims_by_key), list(self.slice.claims_by_key))
--- /dev/null
+++ b/tests/policy/test_claims.py
@@ -0,0 +1,226 @@
+"""Tests of the decisions about claims.
+
+They guard against sending a non-idempotent call twice, against a refusal that
+says "not run" without proof, and against waiting for a holder that is gone.
+"""
+
+import unittest
+from dataclasses import dataclass, replace
+
+from parameterized import parameterized
+
+from goldcrestyard.consensus.results import (
+    Applied,
+    InDoubt,
+    NotProposed,
+    ProposalResult,
+)
+from goldcrestyard.core.ids import (
+    AttemptId,
+    InstanceId,
+    LogIndex,
+    OrganisationId,
+    RequestId,
+)
+from goldcrestyard.core.refusals import RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.policy.claims import (
+    KEEP_SECONDS,
+    RUNNING_MARGIN_SECONDS,
+    AlreadyAnswered,
+    AnswerStored,
+    AskAgain,
+    Claim,
+    ClaimKey,
+    ClaimState,
+    DifferentCall,
+    Granted,
+    HeldByOther,
+    OutcomeUnknown,
+    Refuse,
+    Send,
+    Standing,
+    StoredOutcome,
+    judge,
+    may_end,
+    next_step,
+)
+
+OUTCOME = StoredOutcome(200, (), b"done", 4)
+RUNNING = Claim(
+    ClaimKey(OrganisationId("tejo"), RequestId("r1")),
+    "POST desk",
+    "f1",
+    InstanceId("lisboa-a-1"),
+    AttemptId("a1"),
+    100.0,
+    100.0 + KEEP_SECONDS,
+)
+SETTLED = replace(RUNNING, state=ClaimState.SETTLED, outcome=OUTCOME)
+UNKNOWN = replace(RUNNING, state=ClaimState.UNKNOWN)
+RESEND = replace(RUNNING, attempt=AttemptId("a2"), claimed_at=110.0)
+HELD = HeldByOther(RUNNING.entry, 10.0)
+
+
+@dataclass(frozen=True)
+class JudgeCase:
+    """A known claim, one that is asked for, and how that one stands."""
+
+    name: str
+    known: Claim | None
+    asked: Claim
+    expected: Standing
+
+
+JUDGE_CASES = [
+    JudgeCase("new", None, RESEND, Granted()),
+    JudgeCase("same_attempt_asks_again", RUNNING, RUNNING, Granted()),
+    JudgeCase("running", RUNNING, RESEND, HELD),
+    JudgeCase("settled", SETTLED, RESEND, AlreadyAnswered(OUTCOME)),
+    JudgeCase("holder_after_settling", SETTLED, RUNNING, AlreadyAnswered(OUTCOME)),
+    JudgeCase("unknown", UNKNOWN, RESEND, OutcomeUnknown()),
+    JudgeCase("holder_after_unknown", UNKNOWN, RUNNING, OutcomeUnknown()),
+    JudgeCase(
+        "other_body", SETTLED, replace(RESEND, fingerprint="f2"), DifferentCall()
+    ),
+    JudgeCase("other_route", RUNNING, replace(RESEND, route="PUT x"), DifferentCall()),
+    JudgeCase(
+        "expired",
+        SETTLED,
+        replace(RESEND, claimed_at=SETTLED.expires_at),
+        Granted(),
+    ),
+]
+
+
+@dataclass(frozen=True)
+class StepCase:
+    """What the log said, and what the entry must do."""
+
+    name: str
+    result: ProposalResult
+    expected: type
+    verdict: Verdict | None = None
+    reason: RefusalReason | None = None
+    seconds_left: float = 60.0
+    id_is_new: bool = False
+    entries: tuple[InstanceId, ...] = (RUNNING.entry,)
+
+
+def applied(standing: Standing) -> Applied:
+    """Return the result of a committed claim."""
+    return Applied(LogIndex(1), standing)
+
+
+STEP_CASES = [
+    StepCase("granted", applied(Granted()), Send),
+    StepCase("answered", applied(AlreadyAnswered(OUTCOME)), AnswerStored),
+    StepCase(
+        "different_call",
+        applied(DifferentCall()),
+        Refuse,
+        Verdict.NOT_RUN,
+        RefusalReason.CONFLICT,
+    ),
+    StepCase("running", applied(HELD), AskAgain),
+    StepCase(
+        "running_past_the_deadline",
+        applied(HELD),
+        Refuse,
+        Verdict.MAY_HAVE_RUN,
+        seconds_left=0.1,
+    ),
+    StepCase(
+        "holder_is_gone",
+        applied(HeldByOther(RUNNING.entry, 60.0 + RUNNING_MARGIN_SECONDS)),
+        Refuse,
+        Verdict.MAY_HAVE_RUN,
+    ),
+    StepCase(
+        "holder_is_not_listed",
+        applied(HELD),
+        Refuse,
+        Verdict.MAY_HAVE_RUN,
+        entries=(),
+    ),
+    StepCase("unknown", applied(OutcomeUnknown()), Refuse, Verdict.MAY_HAVE_RUN),
+    StepCase("no_leader", NotProposed("none"), AskAgain),
+    StepCase("in_doubt", InDoubt("lost"), AskAgain),
+    StepCase(
+        "no_leader_until_the_deadline",
+        NotProposed("none"),
+        Refuse,
+        Verdict.MAY_HAVE_RUN,
+        RefusalReason.NO_LEADER,
+        seconds_left=0.1,
+    ),
+    StepCase(
+        "no_leader_with_a_new_id",
+        NotProposed("none"),
+        Refuse,
+        Verdict.NOT_RUN,
+        seconds_left=0.1,
+        id_is_new=True,
+    ),
+    StepCase(
+        "in_doubt_until_the_deadline",
+        InDoubt("lost"),
+        Refuse,
+        Verdict.MAY_HAVE_RUN,
+        seconds_left=0.1,
+    ),
+]
+
+
+class ClaimPolicyTests(unittest.TestCase):
+    """Judgement of claims, and what the entry does next."""
+
+    @parameterized.expand([(case.name, case) for case in JUDGE_CASES])
+    def test_judge(self, _: str, case: JudgeCase) -> None:
+        self.assertEqual(judge(case.known, case.asked), case.expected)
+
+    @parameterized.expand([(case.name, case) for case in STEP_CASES])
+    def test_next_step(self, _: str, case: StepCase) -> None:
+        step = next_step(
+            case.result,
+            asked_before=0,
+            seconds_left=case.seconds_left,
+            call_seconds=60.0,
+            id_is_new=case.id_is_new,
+            entries=set(case.entries),
+        )
+        self.assertIsInstance(step, case.expected)
+        if isinstance(step, Refuse):
+            self.assertIs(step.refusal.verdict, case.verdict)
+            if case.reason is not None:
+                self.assertIs(step.refusal.reason, case.reason)
+
+    def test_delay_grows_to_a_bound(self) -> None:
+        delays = []
+        for asked_before in range(10):
+            step = next_step(
+                applied(HELD),
+                asked_before=asked_before,
+                seconds_left=60.0,
+                call_seconds=60.0,
+                id_is_new=False,
+                entries={RUNNING.entry},
+            )
+            assert isinstance(step, AskAgain)
+            delays.append(step.delay_seconds)
+        self.assertEqual(delays, sorted(delays))
+        self.assertLess(delays[0], delays[3])
+        self.assertEqual(delays[-1], delays[-2])
+
+    @parameterized.expand(
+        [
+            ("holder", RUNNING, "a1", True),
+            ("other_attempt", RUNNING, "a2", False),
+            ("settled", SETTLED, "a1", False),
+            ("none", None, "a1", False),
+        ]
+    )
+    def test_only_the_holder_ends_a_claim(
+        self, _: str, known: Claim | None, attempt: str, expected: bool
+    ) -> None:
+        self.assertEqual(may_end(known, AttemptId(attempt)), expected)
