--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -19,6 +19,7 @@
 from demo.fakes.announcer import Announcer
 
 WORDS = ("the", "liner", "holds", "at", "joint", "seven", "and", "the", "crack", "ends")
+UNPUBLISHED_VERSION = 999_999
 
 
 @dataclass
@@ -29,6 +30,8 @@
     token_seconds: float
     version: int = 1
     max_concurrency: int = 16
+    label: str = "honest"
+    """How pieces name the version: honest, omitted, or unpublished."""
     running: int = 0
     runs_by_request: Counter[str] = field(default_factory=Counter)
     headers_seen: list[dict[str, str]] = field(default_factory=list)
@@ -119,7 +122,7 @@
             choice["delta"] = {"role": "assistant", "content": token}
         else:
             choice["text"] = token
-        return {
+        piece = {
             "id": f"{'chatcmpl' if chat else 'cmpl'}-{request_id}",
             "object": "chat.completion.chunk" if chat else "text_completion",
             "created": 0,
@@ -127,10 +130,18 @@
             "weight_version": self.version,
             "choices": [choice],
         }
+        if self.label == "omitted":
+            del piece["weight_version"]
+        elif self.label == "unpublished":
+            piece["weight_version"] = UNPUBLISHED_VERSION
+        return piece
 
     def _tokens(self, body: dict[str, Any]) -> list[str]:
+        first = 0
+        if body.get("continue_final_message"):
+            first = len(body["messages"][-1]["content"].split())
         count = int(body.get("max_tokens") or 12)
-        return [WORDS[n % len(WORDS)] + " " for n in range(count)]
+        return [WORDS[n % len(WORDS)] + " " for n in range(first, first + count)]
 
     async def load_weights(self, request: web.Request) -> web.StreamResponse:
         """Carry out an order to serve another weight version."""
@@ -156,7 +167,12 @@
 
 async def serve(options: argparse.Namespace) -> None:
     """Run the stand-in until it is asked to stop."""
-    engine = Engine(options.id, options.token_seconds)
+    engine = Engine(
+        options.id,
+        options.token_seconds,
+        version=options.version,
+        label=options.label,
+    )
     app = web.Application()
     app.router.add_post("/v1/chat/completions", engine.complete)
     app.router.add_post("/v1/completions", engine.complete)
@@ -203,6 +219,10 @@
     parser.add_argument("--data-centre", required=True)
     parser.add_argument("--region", required=True)
     parser.add_argument("--token-seconds", type=float, default=0.01)
+    parser.add_argument("--version", type=int, default=1)
+    parser.add_argument(
+        "--label", choices=("honest", "omitted", "unpublished"), default="honest"
+    )
     asyncio.run(serve(parser.parse_args()))
 
 
--- /dev/null
+++ b/goldcrestyard/plugins/trainers/__init__.py
@@ -0,0 +1,1 @@
+"""Steps, samples and batches of the trainers."""
--- /dev/null
+++ b/goldcrestyard/plugins/trainers/commits.py
@@ -0,0 +1,55 @@
+"""Committing the steps' commands, which may all be sent again."""
+
+import asyncio
+import random
+
+from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.core.ids import CorrelationId
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.state.commands import Command, Outcome, Rejected
+
+RETRY_SECONDS = 0.5
+
+
+class Committer:
+    """Proposes idempotent commands until one is applied."""
+
+    def __init__(self, link: LeaderLink, clock: Clock) -> None:
+        self._link = link
+        self._clock = clock
+
+    async def commit(
+        self,
+        command: Command,
+        author: str,
+        correlation_id: CorrelationId,
+        timeout: float,
+    ) -> Outcome | Refusal:
+        """Return the command's outcome, a rejection as a refusal.
+
+        A proposal in doubt is sent again: every command here has the same
+        effect when it is applied twice.
+        """
+        deadline = self._clock.monotonic() + timeout
+        verdict = Verdict.NOT_RUN
+        while True:
+            result = await self._link.propose(command, author, correlation_id)
+            match result:
+                case Applied(outcome=Rejected(reason=reason, detail=detail)):
+                    return Refusal(reason, detail)
+                case Applied(outcome=outcome):
+                    return outcome
+                case NotProposed(detail=detail):
+                    reason = RefusalReason.NO_LEADER
+                case InDoubt(detail=detail):
+                    # An earlier proposal in doubt may yet be applied, so a
+                    # later one that was not proposed does not change this.
+                    reason = RefusalReason.UNKNOWN_OUTCOME
+                    verdict = Verdict.MAY_HAVE_RUN
+            pause = RETRY_SECONDS * random.uniform(0.5, 1.5)
+            if self._clock.monotonic() + pause >= deadline:
+                return Refusal(reason, detail, verdict, retry_after_seconds=1.0)
+            await asyncio.sleep(pause)
--- /dev/null
+++ b/goldcrestyard/plugins/trainers/hand_out.py
@@ -0,0 +1,83 @@
+"""Sending a fixed batch to its trainer."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.membership.body_client import BodyClient
+from goldcrestyard.plugins.trainers.commands import Batch, StepKey
+from goldcrestyard.plugins.trainers.manifests import Manifest, decode_manifest
+
+_END = b"]}"
+
+
+class BatchAnswer:
+    """The JSON answer with a batch, read from the body store in parts.
+
+    It depends on nothing but the batch, so that every entry answers a
+    repeated request with the same bytes.
+    """
+
+    def __init__(
+        self, head: bytes, batch: Batch, manifest: Manifest, bodies: BodyClient
+    ) -> None:
+        self._head = head
+        self._batch = batch
+        self._manifest = manifest
+        self._bodies = bodies
+
+    @property
+    def length(self) -> int:
+        """The number of bytes of the whole answer."""
+        samples = self._manifest.samples
+        commas = max(0, len(samples) - 1)
+        content = sum(sample.length for sample in samples)
+        return len(self._head) + content + commas + len(_END)
+
+    async def parts(self) -> AsyncIterator[bytes | Refusal]:
+        """Yield the answer in parts; a refusal ends it early."""
+        yield self._head
+        chunk_digest, chunk = None, b""
+        for position, sample in enumerate(self._manifest.samples):
+            if sample.chunk != chunk_digest:
+                body = await self._bodies.get(sample.chunk)
+                if body is None:
+                    yield missing(f"chunk {sample.chunk}")
+                    return
+                chunk_digest, chunk = sample.chunk, body
+            separator = b"," if position else b""
+            yield separator + chunk[sample.offset : sample.offset + sample.length]
+        yield _END
+
+
+async def open_answer(
+    key: StepKey, attempt: int, batch: Batch, bodies: BodyClient
+) -> BatchAnswer | Refusal:
+    """Read a batch's manifest and return the answer to send."""
+    body = await bodies.get(batch.manifest)
+    if body is None:
+        return missing(f"manifest {batch.manifest}")
+    head = msgspec.json.encode(
+        {
+            "batch": batch.id,
+            "model": key.model,
+            "step": key.number,
+            "attempt": attempt,
+            "count": batch.count,
+            "versions": batch.versions,
+            "samples": [],
+        }
+    )
+    return BatchAnswer(head.removesuffix(_END), batch, decode_manifest(body), bodies)
+
+
+def missing(what: str) -> Refusal:
+    """Return the refusal for a body that no control member gave."""
+    return Refusal(
+        RefusalReason.UNKNOWN_OUTCOME,
+        f"{what} cannot be read from the body store at the moment; ask again",
+        Verdict.MAY_HAVE_RUN,
+        retry_after_seconds=1.0,
+    )
--- /dev/null
+++ b/goldcrestyard/plugins/trainers/views.py
@@ -0,0 +1,217 @@
+"""The trainers' HTTP interface."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+from aiohttp import web
+
+from goldcrestyard.core.ids import BatchId, ModelName, StepNumber, WeightVersion
+from goldcrestyard.core.records import ModelLine
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.membership.body_client import BodyClient
+from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
+from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.listeners.middleware import (
+    CORRELATION_HEADER,
+    correlation_id_of,
+)
+from goldcrestyard.plugins.organisations.authentication import (
+    Authenticator,
+    Principal,
+)
+from goldcrestyard.plugins.trainers.commands import AcknowledgeBatch, Batch, StepKey
+from goldcrestyard.plugins.trainers.commits import Committer
+from goldcrestyard.plugins.trainers.hand_out import BatchAnswer, open_answer
+from goldcrestyard.plugins.trainers.questions import (
+    MAX_STEP_NUMBER,
+    Question,
+    parse_question,
+)
+from goldcrestyard.plugins.trainers.steps import InProgress, Steps
+from goldcrestyard.plugins.weights.commands import PublishWeights
+from goldcrestyard.plugins.weights.slices import WeightsSlice
+
+logger = structlog.get_logger(__name__)
+
+POLL_SECONDS = 1
+PUBLISH_SECONDS = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Publication:
+    """The body of a request that publishes weights."""
+
+    model: ModelName
+    version: WeightVersion
+    location: str
+    digest: str
+
+
+class TrainerViews:
+    """Serves ``/trainer/v1``."""
+
+    def __init__(
+        self,
+        authenticator: Authenticator,
+        steps: Steps,
+        committer: Committer,
+        bodies: BodyClient,
+        weights: WeightsSlice,
+        max_wait_seconds: float,
+    ) -> None:
+        self._authenticator = authenticator
+        self._steps = steps
+        self._committer = committer
+        self._bodies = bodies
+        self._weights = weights
+        self._max_wait_seconds = max_wait_seconds
+
+    async def samples(self, request: web.Request) -> web.StreamResponse:
+        """Answer with the batch of a step, or with the progress so far."""
+        principal = self._authenticator.authenticate(request)
+        if isinstance(principal, Refusal):
+            return refuse(principal)
+        number = _step_number(request.match_info["step"])
+        if isinstance(number, Refusal):
+            return refuse(number)
+        body = await read_json(request, dict[str, Any])
+        if isinstance(body, Refusal):
+            return refuse(body)
+        question = parse_question(body)
+        if isinstance(question, Refusal):
+            return refuse(question)
+        if question.wait_seconds > self._max_wait_seconds:
+            detail = f"'wait_seconds' may be {self._max_wait_seconds} at most"
+            return refuse(Refusal(RefusalReason.BAD_REQUEST, detail))
+        line = self._trained_line(question.model, principal)
+        if isinstance(line, Refusal):
+            return refuse(line)
+        key = StepKey(principal.organisation, question.model, number)
+        return await self._answer(request, key, question, principal)
+
+    async def _answer(
+        self,
+        request: web.Request,
+        key: StepKey,
+        question: Question,
+        principal: Principal,
+    ) -> web.StreamResponse:
+        response: web.StreamResponse | None = None
+        outcome: Batch | InProgress | Refusal | BatchAnswer | None = None
+        async with self._authenticator.guard(principal) as guard:
+            outcome = await self._steps.ask(
+                key, question, principal, correlation_id_of(request)
+            )
+            if isinstance(outcome, Batch):
+                outcome = await open_answer(
+                    key, question.attempt, outcome, self._bodies
+                )
+            if isinstance(outcome, BatchAnswer):
+                response = _prepare(request, outcome)
+                await _send(request, response, outcome)
+                return response
+        if response is not None and response.prepared:
+            return _cut(request, response)
+        match guard.refusal or outcome:
+            case Refusal() as refusal:
+                return refuse(refusal)
+            case InProgress(done=done, total=total):
+                progress = {"state": "generating", "done": done, "total": total}
+                answer = json_answer(progress, 202)
+                answer.headers["retry-after"] = str(POLL_SECONDS)
+                return answer
+        raise AssertionError("neither a batch nor a refusal")
+
+    async def acknowledge(self, request: web.Request) -> web.StreamResponse:
+        """Note that the trainer has received a whole batch."""
+        principal = self._authenticator.authenticate(request)
+        if isinstance(principal, Refusal):
+            return refuse(principal)
+        batch = BatchId(request.match_info["batch"])
+        outcome = await self._steps.acknowledge(
+            AcknowledgeBatch(batch, principal.organisation),
+            principal,
+            correlation_id_of(request),
+        )
+        if isinstance(outcome, Refusal):
+            return refuse(outcome)
+        return json_answer({"batch": batch, "state": "acknowledged"})
+
+    async def publish(self, request: web.Request) -> web.StreamResponse:
+        """Publish a weight version of a model line."""
+        principal = self._authenticator.authenticate(request)
+        if isinstance(principal, Refusal):
+            return refuse(principal)
+        body = await read_json(request, Publication)
+        if isinstance(body, Refusal):
+            return refuse(body)
+        if not 0 <= body.version <= MAX_STEP_NUMBER:
+            detail = f"'version' must be from 0 to {MAX_STEP_NUMBER}"
+            return refuse(Refusal(RefusalReason.BAD_REQUEST, detail))
+        line = self._trained_line(body.model, principal)
+        if isinstance(line, Refusal):
+            return refuse(line)
+        outcome = await self._committer.commit(
+            PublishWeights(body.model, body.version, body.location, body.digest),
+            principal.organisation,
+            correlation_id_of(request),
+            PUBLISH_SECONDS,
+        )
+        if isinstance(outcome, Refusal):
+            return refuse(outcome)
+        return json_answer({"model": body.model, "version": body.version})
+
+    def _trained_line(
+        self, model: ModelName, principal: Principal
+    ) -> ModelLine | Refusal:
+        """Return a model line if the principal's organisation trains it."""
+        line = self._weights.lines_by_name.get(model)
+        if line is None:
+            return Refusal(RefusalReason.NOT_FOUND, f"no model line {model!r}")
+        if line.trainer != principal.organisation:
+            return Refusal(
+                RefusalReason.FORBIDDEN,
+                f"{principal.organisation} does not train {model!r}",
+            )
+        return line
+
+
+def _step_number(text: str) -> StepNumber | Refusal:
+    if text.isascii() and text.isdigit() and len(text) <= 16:
+        number = int(text)
+        if number <= MAX_STEP_NUMBER:
+            return StepNumber(number)
+    return Refusal(RefusalReason.BAD_REQUEST, "the step is not a number")
+
+
+def _prepare(request: web.Request, answer: BatchAnswer) -> web.StreamResponse:
+    response = web.StreamResponse(
+        headers={
+            "content-type": "application/json",
+            CORRELATION_HEADER: correlation_id_of(request),
+        }
+    )
+    # The trainer sees by the length whether it has the whole batch.
+    response.content_length = answer.length
+    return response
+
+
+async def _send(
+    request: web.Request, response: web.StreamResponse, answer: BatchAnswer
+) -> None:
+    await response.prepare(request)
+    async for part in answer.parts():
+        if isinstance(part, Refusal):
+            logger.error("batch was cut off", detail=part.detail)
+            _cut(request, response)
+            return
+        await response.write(part)
+    await response.write_eof()
+
+
+def _cut(request: web.Request, response: web.StreamResponse) -> web.StreamResponse:
+    """Close the connection, so that the answer is seen to be incomplete."""
+    if request.transport is not None:
+        request.transport.abort()
+    return response
--- /dev/null
+++ b/goldcrestyard/plugins/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Model lines and the weight versions that their trainers published."""
--- a/goldcrestyard/state/machine.py
+++ b/goldcrestyard/state/machine.py
@@ -35,6 +35,8 @@
         self._listeners: list[Listener] = []
         self.applied_index = LogIndex(0)
         self.revision = Revision(0)
+        for slice_ in self._slices_by_name.values():
+            slice_.attach(self)
 
     def get(self, slice_class: type[S]) -> S:
         """Return the slice of a given class."""
--- a/goldcrestyard/state/slices.py
+++ b/goldcrestyard/state/slices.py
@@ -2,10 +2,20 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from typing import Any, ClassVar
+from typing import Any, ClassVar, Protocol, TypeVar
 
 from goldcrestyard.state.commands import Command, CommandContext, Outcome
 
+S = TypeVar("S", bound="Slice")
+
+
+class SliceLookup(Protocol):
+    """Gives a slice access to the others of the same state machine."""
+
+    def get(self, slice_class: type[S]) -> S:
+        """Return the slice of a given class."""
+        ...
+
 
 class Slice(ABC):
     """One plug-in's part of the replicated state.
@@ -20,6 +30,9 @@
     fan_out: ClassVar[bool] = False
     commands: ClassVar[Sequence[type]] = ()
 
+    def attach(self, slices: SliceLookup) -> None:
+        """Keep references to the slices that this one reads; no more."""
+
     @abstractmethod
     def apply(self, command: Command, context: CommandContext) -> Outcome:
         """Apply one committed command and return its outcome."""
