--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -149,6 +149,11 @@
         self.version = int(order["version"])
         return web.json_response({"version": self.version})
 
+    async def set_version(self, request: web.Request) -> web.StreamResponse:
+        """Serve another version from the next token on; for tests only."""
+        self.version = int((await request.json())["version"])
+        return web.json_response({"version": self.version})
+
     async def state(self, _: web.Request) -> web.StreamResponse:
         """Show what the stand-in has seen; for tests only."""
         return web.json_response(
@@ -179,6 +184,7 @@
     app.router.add_post("/weights", engine.load_weights)
     app.router.add_get("/healthz", engine.healthz)
     app.router.add_get("/fake/state", engine.state)
+    app.router.add_post("/fake/version", engine.set_version)
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", options.port).start()
--- a/goldcrestyard/membership/body_client.py
+++ b/goldcrestyard/membership/body_client.py
@@ -1,6 +1,7 @@
 """An entry's client of the body store on the control members."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable, Mapping
 
@@ -17,7 +18,7 @@
 )
 from goldcrestyard.storage.bodies import digest_of
 from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
-from goldcrestyard.wire.connection import NotSent, PeerConnection
+from goldcrestyard.wire.connection import NoAnswer, NotSent, PeerConnection
 
 logger = structlog.get_logger(__name__)
 
@@ -26,6 +27,16 @@
 
 PUT_SECONDS = 30.0
 GET_SECONDS = 15.0
+GET_CONNECT_SECONDS = 2.0
+"""A member that cannot be reached within this time is passed over."""
+
+DEFAULT_KEEP_SECONDS = 48 * 3600.0
+"""Outcomes of calls must stay readable for 24 h."""
+
+MAX_FINISHING = 8
+"""Transfers that may go on after a quorum has the body; each holds a body in
+memory."""
+
 CONCURRENT_TRANSFERS = 4
 """Bodies in transfer to or from one member at a time; bounds the memory."""
 
@@ -66,19 +77,33 @@
                 self._connection = None
                 self._connected.clear()
 
-    async def request(self, message: object, timeout: float) -> object:
-        """Send a request; return the reply, ``NotSent`` or ``NoAnswer``."""
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is open."""
+        return self._connected.is_set()
+
+    async def request(
+        self, message: object, timeout: float, connect_timeout: float
+    ) -> object:
+        """Send an idempotent request until it is answered.
+
+        Returns the reply, or ``NoAnswer`` when the time is over.
+        """
         self._in_use += 1
         self._wanted.set()
         try:
             async with asyncio.timeout(timeout), self._slots:
-                await self._connected.wait()
-                connection = self._connection
-                if connection is None:
-                    return NotSent("connection has just been lost")
-                return await connection.request(message, timeout)
+                while True:
+                    async with asyncio.timeout(connect_timeout):
+                        await self._connected.wait()
+                    connection = self._connection
+                    if connection is not None:
+                        reply = await connection.request(message, timeout)
+                        if not isinstance(reply, NotSent | NoAnswer):
+                            return reply
+                    await asyncio.sleep(RETRY_SECONDS)
         except TimeoutError:
-            return NotSent(f"{self.member} was not reached within {timeout} s")
+            return NoAnswer(f"{self.member} did not answer in time")
         finally:
             self._in_use -= 1
 
@@ -117,22 +142,25 @@
         """The number of members that must have synced a body."""
         return len(self.links) // 2 + 1
 
-    async def put(self, body: bytes) -> BodyDigest | Refusal:
+    async def put(
+        self, body: bytes, keep_seconds: float = DEFAULT_KEEP_SECONDS
+    ) -> BodyDigest | Refusal:
         """Store a body; on success a quorum has synced it to disk.
 
-        The remaining members get the body too, as long as they answer
-        within the deadline, but nothing waits for them.
+        The remaining members get the body too if they are connected, but
+        nothing waits for them.
         """
         if len(body) > MAX_BODY_BYTES:
             return Refusal(
                 RefusalReason.BODY_TOO_LARGE, f"body is over {MAX_BODY_BYTES} bytes"
             )
         digest = digest_of(body)
-        message = PutBody(digest, body)
-        pending = {
-            asyncio.create_task(link.request(message, PUT_SECONDS))
+        message = PutBody(digest, body, keep_seconds)
+        links_by_task = {
+            asyncio.create_task(link.request(message, PUT_SECONDS, PUT_SECONDS)): link
             for link in self.links
         }
+        pending = set(links_by_task)
         stored = 0
         failures: list[str] = []
         try:
@@ -147,8 +175,9 @@
                         case other:
                             failures.append(str(other))
                 if stored >= self.quorum:
-                    self._let_finish(pending)
-                    pending = set()
+                    pending -= self._let_finish(
+                        {t for t in pending if links_by_task[t].is_connected}
+                    )
                     return digest
         finally:
             for task in pending:
@@ -169,7 +198,9 @@
         links = random.sample(self.links, len(self.links))
         links.sort(key=lambda link: not self._is_near(link.member))
         for link in links:
-            reply = await link.request(GetBody(digest), GET_SECONDS)
+            reply = await link.request(
+                GetBody(digest), GET_SECONDS, GET_CONNECT_SECONDS
+            )
             match reply:
                 case BodyFound(body=bytes() as body) if digest_of(body) == digest:
                     return body
@@ -183,7 +214,13 @@
             task.cancel()
         await asyncio.gather(*self._finishing, return_exceptions=True)
 
-    def _let_finish(self, tasks: set[asyncio.Task[object]]) -> None:
-        for task in tasks:
+    def _let_finish(
+        self, tasks: set[asyncio.Task[object]]
+    ) -> set[asyncio.Task[object]]:
+        """Hold as many of the tasks as may go on, and return them."""
+        room = max(0, MAX_FINISHING - len(self._finishing))
+        held = set(itertools.islice(tasks, room))
+        for task in held:
             self._finishing.add(task)
             task.add_done_callback(self._finishing.discard)
+        return held
--- a/goldcrestyard/membership/body_messages.py
+++ b/goldcrestyard/membership/body_messages.py
@@ -7,10 +7,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PutBody:
-    """Asks a control member to store a body."""
+    """Asks a control member to store a body for a time."""
 
     digest: BodyDigest
     body: bytes
+    keep_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/plugins/bodies/apps.py
+++ b/goldcrestyard/plugins/bodies/apps.py
@@ -43,7 +43,9 @@
         app.provide(BodyClient, client)
         control = app.settings.find(ControlSettings)
         if control is not None:
-            server = BodyServer(BodyFiles(Path(control.data_folder) / "bodies"))
+            server = BodyServer(
+                BodyFiles(Path(control.data_folder) / "bodies"), client, app.clock
+            )
             server.register(app.get(Handlers))
             app.provide(BodyServer, server)
 
--- a/goldcrestyard/plugins/trainers/generation.py
+++ b/goldcrestyard/plugins/trainers/generation.py
@@ -41,6 +41,10 @@
 """Longest wait for a commit at the end of a step; the samples are stored, and
 giving them up costs the whole step."""
 
+SAMPLE_KEEP_SECONDS = 2 * 3600.0
+"""Longer than any step takes.  Bodies of a fixed batch stay until it is
+acknowledged, whatever this time."""
+
 
 @dataclass(frozen=True, slots=True)
 class Tools:
@@ -142,7 +146,7 @@
     async def _store_chunk(self) -> Refusal | None:
         if not self._chunk.samples:
             return None
-        digest = await self._tools.bodies.put(bytes(self._chunk.body))
+        digest = await self._store(bytes(self._chunk.body))
         if isinstance(digest, Refusal):
             return digest
         for placed in self._chunk.place(digest):
@@ -150,10 +154,13 @@
         self._chunk = Chunk.empty()
         return None
 
+    async def _store(self, body: bytes) -> BodyDigest | Refusal:
+        return await self._tools.bodies.put(body, SAMPLE_KEEP_SECONDS)
+
     async def _fix(self) -> Batch | VersionsBarred | Refusal:
         placed = list(self._placed_by_id.values())
         manifest = Manifest(tuple(item.stored for item in placed))
-        digest = await self._tools.bodies.put(encode_manifest(manifest))
+        digest = await self._store(encode_manifest(manifest))
         if isinstance(digest, Refusal):
             return digest
         versions = {version for item in placed for version in item.versions}
--- a/goldcrestyard/storage/bodies.py
+++ b/goldcrestyard/storage/bodies.py
@@ -2,10 +2,11 @@
 
 import contextlib
 import hashlib
+import itertools
 import os
 import re
 import tempfile
-from collections.abc import Container, Iterator
+from collections.abc import Container, Iterable
 from pathlib import Path
 
 from goldcrestyard.core.ids import BodyDigest
@@ -14,6 +15,8 @@
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _TEMPORARY_PREFIX = "tmp-"
 
+FOLDERS = 256
+
 
 def digest_of(body: bytes) -> BodyDigest:
     """Return the digest under which a body is stored."""
@@ -28,22 +31,24 @@
 class BodyFiles:
     """Bodies as files in folders named by the first byte of their digest.
 
-    The methods block on the disk; callers run them in a worker thread.
+    A file's modification time is set to the time until which the body is
+    kept.  The methods block on the disk; callers run them in a worker
+    thread.
     """
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
+        self._next_folder = 0
 
-    def put(self, body: bytes) -> BodyDigest:
-        """Store a body; it is durable on return."""
+    def put(self, body: bytes, keep_until: float) -> BodyDigest:
+        """Store a body at least until a time; it is durable on return."""
         digest = digest_of(body)
         path = self._path(digest)
         try:
-            if self._verify(path, digest) is not None:
-                # The age of a body counts from when it was last stored.
-                os.utime(path)
-                return digest
-            self._write(path, body)
+            if self._verify(path, digest) is None:
+                self._write(path, body, keep_until)
+            elif path.stat().st_mtime < keep_until:
+                os.utime(path, (keep_until, keep_until))
         except OSError as error:
             raise DiskError(f"{path}: {error}") from error
         return digest
@@ -52,31 +57,33 @@
         """Return a body, or None if it is absent or its file is damaged."""
         return self._verify(self._path(digest), digest)
 
+    def missing(self, digests: Iterable[BodyDigest], limit: int) -> list[BodyDigest]:
+        """Return those of the digests that have no file, up to a limit."""
+        absent = (digest for digest in digests if not self._path(digest).exists())
+        return list(itertools.islice(absent, limit))
+
     def sweep(
-        self, older_than: float, keep: Container[BodyDigest], limit: int
+        self, now: float, keep: Container[BodyDigest], folders: int
     ) -> list[BodyDigest]:
-        """Delete bodies last stored before a time, except those to keep.
+        """Delete bodies whose time is over, except those to keep.
 
-        Deletes at most ``limit`` files, so that a sweep after a long outage
-        does not occupy the disk; the next sweep goes on.  Returns the
-        digests of the deleted bodies.
+        Looks at a few of the 256 folders, so that the work is bounded; the
+        next sweep goes on from there.  Returns what was deleted.
         """
         deleted: list[BodyDigest] = []
-        for path in self._files():
-            if len(deleted) >= limit:
-                break
-            if path.stat().st_mtime >= older_than or path.name in keep:
+        for _ in range(folders):
+            folder = self._folder / f"{self._next_folder:02x}"
+            self._next_folder = (self._next_folder + 1) % FOLDERS
+            if not folder.is_dir():
                 continue
-            path.unlink(missing_ok=True)
-            deleted.append(BodyDigest(path.name))
+            for path in list(folder.iterdir()):
+                # A temporary file may have been renamed in the meantime.
+                with contextlib.suppress(FileNotFoundError):
+                    if path.stat().st_mtime < now and path.name not in keep:
+                        path.unlink()
+                        deleted.append(BodyDigest(path.name))
         return deleted
 
-    def _files(self) -> Iterator[Path]:
-        if not self._folder.exists():
-            return
-        for folder in sorted(self._folder.iterdir()):
-            yield from sorted(folder.iterdir())
-
     def _path(self, digest: BodyDigest) -> Path:
         return self._folder / digest[:2] / digest
 
@@ -88,7 +95,7 @@
             return None
         return body if digest_of(body) == digest else None
 
-    def _write(self, path: Path, body: bytes) -> None:
+    def _write(self, path: Path, body: bytes, keep_until: float) -> None:
         is_new_folder = not path.parent.exists()
         path.parent.mkdir(parents=True, exist_ok=True)
         if is_new_folder:
@@ -100,6 +107,7 @@
             with open(descriptor, "wb") as file:
                 file.write(body)
                 file.flush()
+                os.utime(file.fileno(), (keep_until, keep_until))
                 os.fsync(file.fileno())
             os.rename(temporary, path)
         except OSError:
