--- /dev/null
+++ b/goldcrestyard/storage/bodies.py
@@ -0,0 +1,126 @@
+"""Content-addressed files: bodies under their SHA-256."""
+
+import contextlib
+import hashlib
+import itertools
+import os
+import re
+import tempfile
+from collections.abc import Container, Iterable
+from pathlib import Path
+
+from goldcrestyard.core.ids import BodyDigest
+from goldcrestyard.storage.exceptions import DiskError
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_TEMPORARY_PREFIX = "tmp-"
+
+FOLDERS = 256
+
+
+def digest_of(body: bytes) -> BodyDigest:
+    """Return the digest under which a body is stored."""
+    return BodyDigest(hashlib.sha256(body).hexdigest())
+
+
+def is_digest(text: str) -> bool:
+    """Return whether a text has the form of a digest."""
+    return _DIGEST.fullmatch(text) is not None
+
+
+class BodyFiles:
+    """Bodies as files in folders named by the first byte of their digest.
+
+    A file's modification time is set to the time until which the body is
+    kept.  The methods block on the disk; callers run them in a worker
+    thread.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._next_folder = 0
+
+    def put(self, body: bytes, keep_until: float) -> BodyDigest:
+        """Store a body at least until a time; it is durable on return."""
+        digest = digest_of(body)
+        path = self._path(digest)
+        try:
+            if self._verify(path, digest) is None:
+                self._write(path, body, keep_until)
+            elif path.stat().st_mtime < keep_until:
+                os.utime(path, (keep_until, keep_until))
+        except OSError as error:
+            raise DiskError(f"{path}: {error}") from error
+        return digest
+
+    def get(self, digest: BodyDigest) -> bytes | None:
+        """Return a body, or None if it is absent or its file is damaged."""
+        return self._verify(self._path(digest), digest)
+
+    def missing(self, digests: Iterable[BodyDigest], limit: int) -> list[BodyDigest]:
+        """Return those of the digests that have no file, up to a limit."""
+        absent = (digest for digest in digests if not self._path(digest).exists())
+        return list(itertools.islice(absent, limit))
+
+    def sweep(
+        self, now: float, keep: Container[BodyDigest], folders: int
+    ) -> list[BodyDigest]:
+        """Delete bodies whose time is over, except those to keep.
+
+        Looks at a few of the 256 folders, so that the work is bounded; the
+        next sweep goes on from there.  Returns what was deleted.
+        """
+        deleted: list[BodyDigest] = []
+        for _ in range(folders):
+            folder = self._folder / f"{self._next_folder:02x}"
+            self._next_folder = (self._next_folder + 1) % FOLDERS
+            if not folder.is_dir():
+                continue
+            for path in list(folder.iterdir()):
+                # A temporary file may have been renamed in the meantime.
+                with contextlib.suppress(FileNotFoundError):
+                    if path.stat().st_mtime < now and path.name not in keep:
+                        path.unlink()
+                        deleted.append(BodyDigest(path.name))
+        return deleted
+
+    def _path(self, digest: BodyDigest) -> Path:
+        return self._folder / digest[:2] / digest
+
+    @staticmethod
+    def _verify(path: Path, digest: BodyDigest) -> bytes | None:
+        try:
+            body = path.read_bytes()
+        except FileNotFoundError:
+            return None
+        return body if digest_of(body) == digest else None
+
+    def _write(self, path: Path, body: bytes, keep_until: float) -> None:
+        is_new_folder = not path.parent.exists()
+        path.parent.mkdir(parents=True, exist_ok=True)
+        if is_new_folder:
+            _sync_folder(self._folder)
+        descriptor, temporary = tempfile.mkstemp(
+            prefix=_TEMPORARY_PREFIX, dir=path.parent
+        )
+        try:
+            with open(descriptor, "wb") as file:
+                file.write(body)
+                file.flush()
+                os.utime(file.fileno(), (keep_until, keep_until))
+                os.fsync(file.fileno())
+            os.rename(temporary, path)
+        except OSError:
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(temporary)
+            raise
+        _sync_folder(path.parent)
+
+
+def _sync_folder(folder: Path) -> None:
+    """Make the names in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
