Let plain services and samples go through the scheduler

Both called the routing functions on their own, so that their work took no part in the fair order. Open routes share one place in the queue.

Not yet green: six cases of tests.processes.test_services expect the target that is first by id, while the scheduler prefers the one it has learned to be faster.

--- a/goldcrestyard/plugins/engines/apps.py
+++ b/goldcrestyard/plugins/engines/apps.py
@@ -40,7 +40,13 @@
         )
         client = app.provide(EngineClient, EngineClient(self._session, settings))
         view = app.get(EntryView)
-        dispatcher = Dispatcher(client, app.get(Scheduler), app.clock, settings)
+        dispatcher = Dispatcher(
+            client,
+            app.get(Scheduler),
+            app.get(Authenticator).organisation,
+            app.clock,
+            settings,
+        )
         app.provide(Dispatcher, dispatcher)
         views = InferenceViews(view, app.get(Authenticator), dispatcher)
         routes = app.get(PublicRoutes)
--- a/goldcrestyard/plugins/engines/dispatch.py
+++ b/goldcrestyard/plugins/engines/dispatch.py
@@ -3,13 +3,13 @@
 import asyncio
 import random
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
 
 from goldcrestyard.core.attempts import Answered, AttemptFailure, Broken
-from goldcrestyard.core.ids import AttemptId, CorrelationId, TargetId
-from goldcrestyard.core.records import Organisation
+from goldcrestyard.core.ids import AttemptId, CorrelationId, OrganisationId, TargetId
+from goldcrestyard.core.records import Organisation, Target
 from goldcrestyard.core.refusals import Refusal
 from goldcrestyard.core.states import Priority
 from goldcrestyard.kernel.clock import Clock
@@ -47,6 +47,11 @@
     first: Piece
     rest: AsyncIterator[StreamStep]
 
+    @property
+    def target(self) -> Target:
+        """The engine that the stream comes from."""
+        return self.grant.target
+
 
 class Dispatcher:
     """Gets a target for each attempt and repeats as the policy allows."""
@@ -55,11 +60,13 @@
         self,
         client: EngineClient,
         scheduler: Scheduler,
+        organisation_of: Callable[[OrganisationId], Organisation],
         clock: Clock,
         settings: EngineSettings,
     ) -> None:
         self._client = client
         self._scheduler = scheduler
+        self._organisation_of = organisation_of
         self._clock = clock
         self._settings = settings
         self._budget = retries.RetryBudget()
@@ -67,14 +74,15 @@
     def start(
         self,
         request: InferenceRequest,
-        organisation: Organisation,
+        organisation: OrganisationId,
         priority: Priority,
         correlation_id: CorrelationId,
     ) -> Call:
         """Return a new call with its deadline."""
         self._budget.deposit()
         deadline = self._clock.monotonic() + self._settings.request_seconds
-        return Call(request, organisation, priority, correlation_id, deadline)
+        terms = self._organisation_of(organisation)
+        return Call(request, terms, priority, correlation_id, deadline)
 
     async def answer(self, call: Call) -> Answered | Refusal:
         """Return an engine's whole answer, or why there is none."""
--- a/goldcrestyard/plugins/engines/views.py
+++ b/goldcrestyard/plugins/engines/views.py
@@ -113,7 +113,7 @@
     ) -> Call:
         return self._dispatcher.start(
             parsed,
-            self._authenticator.organisation(principal.organisation),
+            principal.organisation,
             Priority.INTERACTIVE,
             correlation_id_of(request),
         )
--- a/goldcrestyard/plugins/services/apps.py
+++ b/goldcrestyard/plugins/services/apps.py
@@ -4,13 +4,13 @@
 
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
-from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.claims.keeper import ClaimKeeper
 from goldcrestyard.plugins.listeners.routes import AdminRoutes, PublicRoutes
 from goldcrestyard.plugins.operators.settings import OperatorSettings
 from goldcrestyard.plugins.organisations.authentication import Authenticator
+from goldcrestyard.plugins.scheduling.scheduler import Scheduler
 from goldcrestyard.plugins.services.commands import ServicesSnapshot
 from goldcrestyard.plugins.services.dispatch import ServiceDispatcher
 from goldcrestyard.plugins.services.operator_views import ServiceOperatorViews
@@ -18,7 +18,6 @@
 from goldcrestyard.plugins.services.slices import ServicesSlice
 from goldcrestyard.plugins.services.upstream import ServiceClient
 from goldcrestyard.plugins.services.views import ServiceViews
-from goldcrestyard.plugins.targets.in_flight import InFlight
 
 
 class ServicesConfig(PluginConfig):
@@ -31,6 +30,7 @@
         "listeners",
         "operators",
         "organisations",
+        "scheduling",
         "targets",
     )
     settings_section = "services"
@@ -51,11 +51,10 @@
         )
         view = app.get(EntryView)
         dispatcher = ServiceDispatcher(
-            view,
             ServiceClient(self._session, settings),
-            app.get(InFlight),
+            app.get(Scheduler),
+            app.get(Authenticator).organisation,
             app.clock,
-            app.settings.section(InstanceSettings).region,
             settings,
         )
         views = ServiceViews(
--- a/goldcrestyard/plugins/services/dispatch.py
+++ b/goldcrestyard/plugins/services/dispatch.py
@@ -3,27 +3,32 @@
 import asyncio
 import random
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from goldcrestyard.core.attempts import AttemptFailure
+from goldcrestyard.core.attempts import Answered, AttemptFailure
 from goldcrestyard.core.ids import (
     AttemptId,
     CorrelationId,
     OrganisationId,
-    Region,
     TargetId,
 )
-from goldcrestyard.core.records import Target
+from goldcrestyard.core.records import Organisation
 from goldcrestyard.core.refusals import Refusal
-from goldcrestyard.core.states import Rental, TargetKind
+from goldcrestyard.core.states import Priority
 from goldcrestyard.kernel.clock import Clock
-from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.scheduling.scheduler import Scheduler, WorkRequest
 from goldcrestyard.plugins.services.requests import ServiceRequest
 from goldcrestyard.plugins.services.settings import ServiceSettings
 from goldcrestyard.plugins.services.upstream import ServiceAnswer, ServiceClient
-from goldcrestyard.plugins.targets.in_flight import InFlight
-from goldcrestyard.plugins.targets.slices import TargetsSlice
-from goldcrestyard.policy import retries, routing
+from goldcrestyard.policy import retries
+from goldcrestyard.policy.routing import Needs
+
+CALL_TOKENS = 100.0
+"""What a call counts in an organisation's share, next to generated tokens."""
+
+OPEN_CALLERS = Organisation(OrganisationId("(open)"))
+"""Callers of open routes share one place in the queue."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,22 +42,20 @@
 
 
 class ServiceDispatcher:
-    """Chooses targets and repeats attempts as the retry policy allows."""
+    """Gets a target for each attempt and repeats as the policy allows."""
 
     def __init__(
         self,
-        view: EntryView,
         client: ServiceClient,
-        in_flight: InFlight,
+        scheduler: Scheduler,
+        organisation_of: Callable[[OrganisationId], Organisation],
         clock: Clock,
-        region: Region,
         settings: ServiceSettings,
     ) -> None:
-        self._targets = view.machine.get(TargetsSlice)
         self._client = client
-        self._in_flight = in_flight
+        self._scheduler = scheduler
+        self._organisation_of = organisation_of
         self._clock = clock
-        self._region = region
         self._settings = settings
         self._budget = retries.RetryBudget()
 
@@ -63,21 +66,23 @@
         failures: list[AttemptFailure] = []
         tried: set[TargetId] = set()
         while True:
-            target = self._choose(call, tried)
-            if target is None:
-                return retries.refusal_for(failures)
-            tried.add(target.id)
-            with self._in_flight.hold(target.id):
+            work = self._work(call, frozenset(tried), deadline)
+            async with self._scheduler.acquire(work) as granted:
+                if isinstance(granted, Refusal):
+                    return retries.refusal_for(failures) if failures else granted
+                tried.add(granted.target.id)
                 outcome = await self._client.send(
-                    target,
+                    granted.target,
                     call.request,
                     call.organisation,
                     AttemptId(uuid.uuid4().hex),
                     call.correlation_id,
                     deadline - self._clock.monotonic(),
                 )
-            if isinstance(outcome, ServiceAnswer):
-                return outcome
+                if isinstance(outcome, ServiceAnswer):
+                    granted.finish(Answered(outcome.status, "", b""), CALL_TOKENS)
+                    return outcome
+                granted.finish(outcome)
             failures.append(outcome)
             decision = retries.decide(
                 failures,
@@ -93,15 +98,17 @@
                 case retries.GiveUp(refusal=refusal):
                     return refusal
 
-    def _choose(self, call: ServiceCall, tried: set[TargetId]) -> Target | None:
+    def _work(
+        self, call: ServiceCall, tried: frozenset[TargetId], deadline: float
+    ) -> WorkRequest:
+        organisation = (
+            self._organisation_of(call.organisation)
+            if call.organisation is not None
+            else OPEN_CALLERS
+        )
         # A target that can be reclaimed may vanish during a call that must
         # not be sent again.
-        candidates = [
-            target
-            for target in self._targets.serving(call.request.service)
-            if target.kind is TargetKind.SERVICE
-            and (call.idempotent or target.rental is Rental.ON_DEMAND)
-        ]
-        return routing.choose_target(
-            candidates, self._in_flight.by_target, self._region, tried
+        needs = Needs(
+            CALL_TOKENS, Priority.INTERACTIVE, survives_reclaim=call.idempotent
         )
+        return WorkRequest(call.request.service, organisation, needs, tried, deadline)
--- a/goldcrestyard/plugins/trainers/generation.py
+++ b/goldcrestyard/plugins/trainers/generation.py
@@ -114,6 +114,7 @@
                 self._question,
                 self._tools.dispatcher,
                 self._barred,
+                self._key.organisation,
                 self._correlation_id,
             )
             finished.put_nowait(await run.run())
--- a/goldcrestyard/plugins/trainers/samples.py
+++ b/goldcrestyard/plugins/trainers/samples.py
@@ -10,11 +10,13 @@
 from goldcrestyard.core.ids import (
     CorrelationId,
     GroupId,
+    OrganisationId,
     SampleId,
     TargetId,
     WeightVersion,
 )
 from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.states import Priority
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.plugins.engines.dispatch import Dispatcher, OpenStream
 from goldcrestyard.plugins.engines.event_stream import Piece
@@ -97,6 +99,7 @@
         question: Question,
         dispatcher: Dispatcher,
         barred: BarredVersions,
+        organisation: OrganisationId,
         correlation_id: CorrelationId,
     ) -> None:
         self.task = task
@@ -104,6 +107,7 @@
         self._question = question
         self._dispatcher = dispatcher
         self._barred = barred
+        self._organisation = organisation
         self._correlation_id = correlation_id
         self._avoided: set[TargetId] = set()
 
@@ -135,7 +139,9 @@
 
     async def _attempt(self) -> Finished | Discard | Refusal:
         request = inference_request(self._question, self.task.prompt, "", 0)
-        call = self._dispatcher.start(request, self._correlation_id)
+        call = self._dispatcher.start(
+            request, self._organisation, Priority.ROLLOUT, self._correlation_id
+        )
         call.tried |= self._avoided
         async with self._dispatcher.stream(call) as opened:
             match opened:
