--- a/goldcrestyard/consensus/configuration.py
+++ b/goldcrestyard/consensus/configuration.py
@@ -45,10 +45,6 @@
                 return member
         return None
 
-    def has_quorum(self, member_ids: Iterable[MemberId]) -> bool:
-        """Return whether the given members include a majority of voters."""
-        return len(set(member_ids) & set(self.voters)) >= self.quorum
-
     def with_learner(self, member: MemberRecord) -> "Configuration":
         """Return the configuration with one more member that cannot vote."""
         return Configuration((*self.members, replace(member, voter=False)))
--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -139,9 +139,14 @@
         return SavedState()
 
     def _set_aside(self) -> None:
-        found = [
-            *(self._folder / "log" / n for n in self._files.names(self._folder / "log"))
-        ]
+        log_folder = self._folder / "log"
+        found: list[Path] = []
+        for path in [log_folder / name for name in self._files.names(log_folder)]:
+            if self._files.read(path):
+                found.append(path)
+            else:
+                # Left by a crash while the empty disk was set up.
+                self._files.remove(path)
         if "snapshot" in self._files.names(self._folder):
             found.append(self._folder / "snapshot")
         if not found:
@@ -152,7 +157,7 @@
         for path in found:
             self._files.replace(path, aside / path.name)
         self._files.sync_folder(aside)
-        self._files.sync_folder(self._folder / "log")
+        self._files.sync_folder(log_folder)
         self._files.sync_folder(self._folder)
 
     def _write_vote(self, vote: VoteRecord) -> None:
--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 from collections.abc import Callable, Mapping
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Executor, ThreadPoolExecutor
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -35,6 +35,7 @@
     Tick,
 )
 from goldcrestyard.consensus.link import (
+    Dialer,
     MemberBatch,
     MemberIdentity,
     MemberLink,
@@ -74,7 +75,7 @@
 from goldcrestyard.storage.exceptions import DiskError
 from goldcrestyard.storage.files import DiskFiles, Files
 from goldcrestyard.storage.folder_lock import FolderLock
-from goldcrestyard.wire.client import PeerAddress, PeerDialer
+from goldcrestyard.wire.client import PeerAddress
 from goldcrestyard.wire.codec import Codec
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import Failure
@@ -121,13 +122,14 @@
         machine: StateMachine,
         codec: Codec,
         clock: Clock,
-        dialer: PeerDialer,
+        dialer: Dialer,
         addresses_by_instance: Mapping[InstanceId, str],
         *,
         own_address: str = "",
         timing: Timing = Timing(),  # noqa: B008 - immutable
         snapshot_entries: int = 10_000,
         files: Files | None = None,
+        make_executor: Callable[[], Executor] = partial(ThreadPoolExecutor, 1),
         source: random.Random | None = None,
     ) -> None:
         self.instance = instance
@@ -146,7 +148,9 @@
         self._core: Member | None = None
         self._failure = ""
         self._queue: asyncio.Queue[Any] = asyncio.Queue()
-        self._writer = ThreadPoolExecutor(1, "control-log")
+        # Two threads, so that encoding a snapshot does not delay a sync.
+        self._writer = make_executor()
+        self._encoder = make_executor()
         self._links_by_instance: dict[InstanceId, MemberLink] = {}
         self._instances_by_member: dict[MemberId, InstanceId] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -242,6 +246,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         self._end("the member has stopped")
         self._writer.shutdown(wait=True)
+        self._encoder.shutdown(wait=True)
         self._disk.close()
         if self._lock is not None:
             self._lock.close()
@@ -565,7 +570,7 @@
             snapshot = MachineSnapshot(revision, last_time, by_name)
             return self._codec.encode(snapshot)
 
-        data = await asyncio.get_running_loop().run_in_executor(None, encode)
+        data = await asyncio.get_running_loop().run_in_executor(self._encoder, encode)
         self._snapshot_index = index
         self._snapshot_running = False
         self._queue.put_nowait(SnapshotTaken(index, data))
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -4,13 +4,15 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
+from typing import Protocol
 
 import structlog
 
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.core.ids import InstanceId
-from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
+from goldcrestyard.wire.client import PeerAddress, PeerUnavailableError
 from goldcrestyard.wire.connection import PeerConnection
 
 logger = structlog.get_logger(__name__)
@@ -60,6 +62,15 @@
     member: MemberId
 
 
+class Dialer(Protocol):
+    """Opens connections to other processes; ``PeerDialer`` is one."""
+
+    def connect(
+        self, address: PeerAddress
+    ) -> AbstractAsyncContextManager[PeerConnection]:
+        """Connect, or raise ``PeerUnavailableError``."""
+
+
 class MemberLink:
     """One task: connect, learn who answers there, send what is queued."""
 
@@ -67,7 +78,7 @@
         self,
         instance: InstanceId,
         address: PeerAddress,
-        dialer: PeerDialer,
+        dialer: Dialer,
         own_identity: Callable[[], MemberIdentity],
         on_identity: Callable[[InstanceId, MemberIdentity], None],
     ) -> None:
--- a/goldcrestyard/consensus/log.py
+++ b/goldcrestyard/consensus/log.py
@@ -23,6 +23,7 @@
         self._base_configuration = self.snapshot.configuration
         self._entries: list[Entry] = []
         self._configurations: list[tuple[LogIndex, Configuration]] = []
+        self._use_configuration()
         self.append([entry for entry in entries if entry.index > self.base_index])
 
     @property
@@ -35,13 +36,6 @@
         """Term of the last entry."""
         return self._entries[-1].term if self._entries else self.base_term
 
-    @property
-    def configuration(self) -> Configuration:
-        """The latest configuration, committed or not."""
-        if self._configurations:
-            return self._configurations[-1][1]
-        return self._base_configuration
-
     @property
     def configuration_index(self) -> LogIndex:
         """Index of the latest configuration; 0 if a snapshot holds it."""
@@ -83,12 +77,14 @@
             self._entries.append(entry)
             if entry.configuration is not None:
                 self._configurations.append((entry.index, entry.configuration))
+                self._use_configuration()
 
     def truncate(self, first_removed: LogIndex) -> None:
         """Remove the entries from an index on."""
         del self._entries[first_removed - self.base_index - 1 :]
         while self._configurations and self._configurations[-1][0] >= first_removed:
             self._configurations.pop()
+            self._use_configuration()
 
     def configuration_at(self, index: LogIndex) -> Configuration:
         """Return the configuration in force after an entry."""
@@ -118,3 +114,17 @@
         self._base_configuration = snapshot.configuration
         self._entries.clear()
         self._configurations.clear()
+        self._use_configuration()
+
+    def _use_configuration(self) -> None:
+        """Take the latest configuration, committed or not.
+
+        The voters are kept apart, since every step of a leader needs them.
+        """
+        self.configuration = (
+            self._configurations[-1][1]
+            if self._configurations
+            else self._base_configuration
+        )
+        self.voters = self.configuration.voters
+        self.quorum = self.configuration.quorum
--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -250,7 +250,7 @@
         self._ask_votes_with_quorum(now)
 
     def _ask_votes_with_quorum(self, now: float) -> None:
-        if not self.configuration.has_quorum(self._granted):
+        if not self._granted_by_quorum():
             return
         self._roles.fire("ask_votes")
         self.term = Term(self.term + 1)
@@ -260,8 +260,11 @@
         self._send_to_voters(Vote(self.term, self.log.last_index, self.log.last_term))
         self._lead_with_quorum(now)
 
+    def _granted_by_quorum(self) -> bool:
+        return len(self._granted.intersection(self.log.voters)) >= self.log.quorum
+
     def _lead_with_quorum(self, now: float) -> None:
-        if not self.configuration.has_quorum(self._granted):
+        if not self._granted_by_quorum():
             return
         self._roles.fire("win")
         self.leader = self.id
@@ -536,14 +539,13 @@
                 progress.snapshot_offset = reply.received
 
     def _advance_commit(self, now: float) -> None:
-        voters = self.configuration.voters
         matched = [
             self.log.last_index
             if voter == self.id
             else self.progress_by_id[voter].match_index
-            for voter in voters
+            for voter in self.log.voters
         ]
-        reached = LogIndex(int(quorum_value(matched, self.configuration.quorum)))
+        reached = LogIndex(int(quorum_value(matched, self.log.quorum)))
         # An entry of an earlier term may still be replaced even if a
         # majority holds it; it commits with the next one of this term.
         if reached > self.commit_index and self.log.term_at(reached) == self.term:
@@ -564,9 +566,9 @@
             float("inf")
             if voter == self.id
             else self.progress_by_id[voter].acknowledged_sent_at
-            for voter in self.configuration.voters
+            for voter in self.log.voters
         ]
-        return quorum_value(sent_at, self.configuration.quorum)
+        return quorum_value(sent_at, self.log.quorum)
 
     # Replication, follower side.
 
@@ -753,7 +755,7 @@
 
     def _follow_configuration(self) -> None:
         """Be a learner exactly while the configuration says so."""
-        votes = self.id in self.configuration.voters
+        votes = self.id in self.log.voters
         if votes and self.role is Role.LEARNER:
             self._roles.fire("become_voter")
         elif not votes and self.role is Role.FOLLOWER:
@@ -761,7 +763,7 @@
 
     @property
     def _alone(self) -> bool:
-        return self.configuration.voters == (self.id,)
+        return self.log.voters == (self.id,)
 
     # Sending.
 
@@ -769,7 +771,7 @@
         self._effects.append(Send(receiver, message))
 
     def _send_to_voters(self, message: MemberMessage) -> None:
-        for voter in self.configuration.voters:
+        for voter in self.log.voters:
             if voter != self.id:
                 self._send(voter, message)
 
--- /dev/null
+++ b/tests/fakes/files.py
@@ -0,0 +1,132 @@
+"""Files in memory that distinguish what is written from what is synced."""
+
+import errno
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+
+
+class Crash(BaseException):
+    """The process ends here; not an ``Exception``, so nothing handles it."""
+
+
+@dataclass
+class _Inode:
+    content: bytearray = field(default_factory=bytearray)
+    durable: bytes = b""
+
+
+@dataclass(frozen=True)
+class Fault:
+    """What happens at the n-th operation that changes a file."""
+
+    operation: int
+    crash_before: bool = False
+    crash_after: bool = False
+    error: int = 0
+
+
+class MemoryFiles:
+    """Implements ``goldcrestyard.storage.files.Files``."""
+
+    def __init__(self, fault: Fault | None = None) -> None:
+        self.fault = fault
+        self.operations: list[str] = []
+        self._inodes_by_path: dict[Path, _Inode] = {}
+        self._durable_by_path: dict[Path, _Inode] = {}
+
+    # Faults.
+
+    def crash(self, source: random.Random) -> None:
+        """Lose what is not synced; part of it may have reached the disk."""
+        self._inodes_by_path = dict(self._durable_by_path)
+        for inode in self._inodes_by_path.values():
+            unsynced = inode.content[len(inode.durable) :]
+            kept = source.randrange(len(unsynced) + 1)
+            if inode.content.startswith(inode.durable):
+                inode.durable += bytes(unsynced[:kept])
+            inode.content = bytearray(inode.durable)
+        self.fault = None
+
+    def flip(self, path: Path, position: int) -> None:
+        """Damage one bit of a file."""
+        inode = self._inodes_by_path[path]
+        inode.content[position] ^= 0x10
+        inode.durable = bytes(inode.content)
+
+    def cut(self, path: Path, size: int) -> None:
+        """Shorten a file, as a torn write does."""
+        inode = self._inodes_by_path[path]
+        del inode.content[size:]
+        inode.durable = bytes(inode.content)
+
+    def size(self, path: Path) -> int:
+        return len(self._inodes_by_path[path].content)
+
+    def paths(self) -> list[Path]:
+        return sorted(self._inodes_by_path)
+
+    # Operations.
+
+    def make_folder(self, folder: Path) -> None:
+        pass
+
+    def names(self, folder: Path) -> list[str]:
+        return sorted(p.name for p in self._inodes_by_path if p.parent == folder)
+
+    def read(self, path: Path) -> bytes | None:
+        inode = self._inodes_by_path.get(path)
+        return None if inode is None else bytes(inode.content)
+
+    def append(self, path: Path, data: bytes) -> None:
+        self._before("append")
+        self._inodes_by_path.setdefault(path, _Inode()).content.extend(data)
+        self._after()
+
+    def truncate(self, path: Path, size: int) -> None:
+        self._before("truncate")
+        del self._inodes_by_path[path].content[size:]
+        self._after()
+
+    def sync(self, path: Path) -> None:
+        self._before("sync")
+        inode = self._inodes_by_path[path]
+        inode.durable = bytes(inode.content)
+        self._after()
+
+    def replace(self, source: Path, destination: Path) -> None:
+        self._before("replace")
+        self._inodes_by_path[destination] = self._inodes_by_path.pop(source)
+        self._after()
+
+    def remove(self, path: Path) -> None:
+        self._before("remove")
+        self._inodes_by_path.pop(path, None)
+        self._after()
+
+    def sync_folder(self, folder: Path) -> None:
+        self._before("sync_folder")
+        for path in [p for p in self._durable_by_path if p.parent == folder]:
+            del self._durable_by_path[path]
+        for path, inode in self._inodes_by_path.items():
+            if path.parent == folder:
+                self._durable_by_path[path] = inode
+        self._after()
+
+    def close(self) -> None:
+        pass
+
+    def _before(self, operation: str) -> None:
+        self.operations.append(operation)
+        fault = self.fault
+        if fault is None or fault.operation != len(self.operations):
+            return
+        if fault.crash_before:
+            raise Crash
+        if fault.error:
+            raise OSError(fault.error, errno.errorcode[fault.error])
+
+    def _after(self) -> None:
+        fault = self.fault
+        if fault and fault.crash_after and fault.operation == len(self.operations):
+            raise Crash
