--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -36,6 +36,9 @@
     public: str = ""
     admin: str = ""
     peer: str = ""
+    peer_addresses: dict[str, str] = field(default_factory=dict)
+    """Other addresses by which this instance reaches control members."""
+    control_settings: dict[str, float] = field(default_factory=dict)
     process: asyncio.subprocess.Process | None = None
 
 
@@ -106,15 +109,15 @@
     def settings_of(self, instance: Instance) -> str:
         """Return the settings file of an instance."""
         members = "\n".join(
-            f'{member.id} = "{member.peer}"'
+            f'{member.id} = "{instance.peer_addresses.get(member.id, member.peer)}"'
             for member in self.instances
             if member.control
         )
-        control = (
-            f'[control]\ndata_folder = "{self.folder / instance.id}"\n'
-            if instance.control
-            else ""
-        )
+        control = ""
+        if instance.control:
+            control = f'[control]\ndata_folder = "{self.folder / instance.id}"\n'
+            for key, value in instance.control_settings.items():
+                control += f"{key} = {value}\n"
         return f"""\
 [instance]
 id = "{instance.id}"
--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -112,6 +112,10 @@
     """Another named member has said who it is."""
 
 
+def _one_thread() -> Executor:
+    return ThreadPoolExecutor(1, "control")
+
+
 class ControlMember:
     """This instance's member of the replicated log."""
 
@@ -129,7 +133,7 @@
         timing: Timing = Timing(),  # noqa: B008 - immutable
         snapshot_entries: int = 10_000,
         files: Files | None = None,
-        make_executor: Callable[[], Executor] = partial(ThreadPoolExecutor, 1),
+        make_executor: Callable[[], Executor] = _one_thread,
         source: random.Random | None = None,
     ) -> None:
         self.instance = instance
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -152,14 +152,14 @@
         reply = await connection.request(batch, ANSWER_SECONDS)
         if not isinstance(reply, Received):
             return False
-        if reply.member != receiver:
-            if self.identity is None or self.identity.member != reply.member:
-                logger.warning(
-                    "another member answers at this address; if the instance lost "
-                    "its disk, replace the member",
-                    expected=receiver,
-                    answering=reply.member,
-                )
-            self._queue.clear()
-            return await self._identify(connection)
-        return True
+        if reply.member == receiver:
+            return True
+        if self.identity is not None and self.identity.member == reply.member:
+            return True
+        logger.warning(
+            "another member answers at this address; if the instance lost its disk, "
+            "replace the member",
+            expected=receiver,
+            answering=reply.member,
+        )
+        return await self._identify(connection)
--- /dev/null
+++ b/tests/consensus/test_driver.py
@@ -0,0 +1,314 @@
+"""Control members on a network in memory, on a paused clock.
+
+They guard against wrong answers to proposals, against a member that goes on
+after its disk failed or was lost, and against a repair that loses the log.
+"""
+
+import asyncio
+import errno
+from dataclasses import replace
+
+from parameterized import parameterized
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.consensus.roles import Role
+from goldcrestyard.core.ids import InstanceId, Revision
+from goldcrestyard.kernel.clock import Clock
+from tests.fakes.files import Fault
+from tests.fakes.member_network import MemberNetwork, organisations, put
+from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+
+NAMES = ["a", "b", "c"]
+
+
+class NetworkTestCase(PausedClockTestCase):
+    """Starts three members and waits for the leader."""
+
+    snapshot_entries = 1000
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        self.wall = EPOCH
+        self.network = MemberNetwork(
+            NAMES,
+            Clock(lambda: self.wall + asyncio.get_running_loop().time()),
+            snapshot_entries=self.snapshot_entries,
+        )
+        self.addAsyncCleanup(self.network.close)
+        await self.network.start_all()
+        self.leader = await self.network.leader()
+
+    @property
+    def followers(self) -> list[ControlMember]:
+        running = self.network.running.values()
+        return [member for member in running if member is not self.leader]
+
+    async def settle(self, seconds: float = 5.0) -> None:
+        await asyncio.sleep(seconds)
+
+
+class ProposalTests(NetworkTestCase):
+    """Answers to proposals."""
+
+    async def test_applied_everywhere(self) -> None:
+        self.assertIsInstance(await put(self.leader, "tejo"), Applied)
+        await self.network.wait_same()
+        self.assertEqual(organisations(self.followers[0]), ("tejo",))
+
+    async def test_follower_names_the_leader(self) -> None:
+        self.assertEqual(
+            await put(self.followers[0], "tejo"),
+            NotProposed("this member does not lead", self.leader.instance),
+        )
+
+    async def test_waiting_proposals_share_a_sync(self) -> None:
+        files = self.network.files_by_instance[self.leader.instance]
+        before = files.operations.count("sync")
+        results = await asyncio.gather(
+            *(put(self.leader, f"o{number}") for number in range(200))
+        )
+        self.assertTrue(all(isinstance(result, Applied) for result in results))
+        self.assertLess(files.operations.count("sync") - before, 5)
+
+    async def test_lost_lead_leaves_waiting_proposals_in_doubt(self) -> None:
+        self.network.isolate(self.leader.instance)
+        waiting = asyncio.create_task(put(self.leader, "doubtful"))
+        other = await self.network.leader(but=self.leader)
+        self.assertIsInstance(await waiting, InDoubt)
+        self.assertFalse(self.leader.is_leader)
+        self.assertIsInstance(await put(self.leader, "late"), NotProposed)
+        self.assertIsInstance(await put(other, "kept"), Applied)
+        self.network.heal()
+        await self.network.wait_same()
+        self.assertEqual(organisations(self.leader), ("kept",))
+
+    async def test_time_never_decreases(self) -> None:
+        times: list[float] = []
+        for member in self.network.running.values():
+            member.machine.listen(lambda entry: times.append(entry.envelope.time))
+            await self._take_over(member)
+            await put(member, f"o-{member.instance}")
+            self.wall -= 1000.0
+        await self.network.wait_same()
+        own = times[-3:]
+        self.assertEqual(own, sorted(own))
+
+    async def _take_over(self, member: ControlMember) -> None:
+        """Make a member the leader by isolating the present one."""
+        while not member.holds_lease():
+            leader = await self.network.leader()
+            if leader is member:
+                break
+            self.network.isolate(leader.instance)
+            await self.network.leader(but=leader)
+            self.network.heal()
+            await self.settle(3.0)
+
+    async def test_waiting_for_a_change_of_leadership(self) -> None:
+        changed = asyncio.create_task(self.followers[0].wait_leadership_change())
+        await self.settle()
+        self.assertFalse(changed.done())
+        await self.network.stop(self.leader.instance)
+        await asyncio.wait_for(changed, 30.0)
+
+    @parameterized.expand([("full", errno.ENOSPC), ("failed", errno.EIO)])
+    async def test_disk_failure_ends_the_member(self, _: str, number: int) -> None:
+        files = self.network.files_by_instance[self.leader.instance]
+        files.fault = Fault(len(files.operations) + 2, error=number)
+        self.assertIsInstance(await put(self.leader, "doubtful"), InDoubt)
+        operations = len(files.operations)
+        self.assertFalse(self.leader.is_leader)
+        self.assertFalse(self.leader.holds_lease())
+        self.assertIsInstance(await put(self.leader, "late"), NotProposed)
+        other = await self.network.leader(but=self.leader)
+        self.assertIsInstance(await put(other, "kept"), Applied)
+        await self.settle()
+        self.assertEqual(len(files.operations), operations)
+        self.assertNotIn("kept", organisations(self.leader))
+
+
+class RestartTests(NetworkTestCase):
+    """What members find after a restart."""
+
+    snapshot_entries = 50
+
+    async def test_state_and_floor_of_the_feed_are_restored(self) -> None:
+        for number in range(230):
+            await put(self.leader, f"o{number}")
+        await self.network.wait_same()
+        expected = organisations(self.leader)
+        for name in NAMES:
+            await self.network.stop(name)
+        await self.network.start_all()
+        leader = await self.network.leader()
+        await self.network.wait_same()
+        self.assertEqual(organisations(leader), expected)
+        feed = self.network.feeds_by_instance[leader.instance]
+        self.assertIsNone(feed.since(Revision(1)))
+        self.assertIsInstance(await put(leader, "after"), Applied)
+
+    async def test_member_far_behind_gets_a_snapshot(self) -> None:
+        behind = self.followers[0]
+        self.network.isolate(behind.instance)
+        for number in range(300):
+            await put(self.leader, f"o{number}")
+        self.network.heal()
+        await self.network.wait_same()
+        self.assertEqual(len(organisations(behind)), 300)
+        feed = self.network.feeds_by_instance[behind.instance]
+        self.assertIsNone(feed.since(Revision(1)))
+
+    async def test_member_back_after_a_long_cut_does_not_disturb(self) -> None:
+        away = self.followers[0]
+        self.network.isolate(away.instance)
+        await self.settle(60.0)
+        term = self.leader.term
+        self.network.heal()
+        await self.settle()
+        self.assertEqual(self.leader.term, term)
+        self.assertTrue(self.leader.holds_lease())
+        self.assertEqual(away.leader, self.leader.instance)
+
+
+class FormationTests(PausedClockTestCase):
+    """The first start of a cluster."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        self.network = MemberNetwork(NAMES, self.clock())
+        self.addAsyncCleanup(self.network.close)
+
+    async def test_waits_for_every_named_member(self) -> None:
+        await self.network.start("a")
+        await self.network.start("b")
+        await asyncio.sleep(20.0)
+        self.assertEqual(self.network.leaders, [])
+        await self.network.start("c")
+        await self.network.leader()
+
+    async def test_members_that_disagree_form_no_cluster(self) -> None:
+        await self.network.start("a")
+        await self.network.start("b")
+        await self.network.start("c", named=["b", "c", "d"])
+        await asyncio.sleep(20.0)
+        self.assertEqual(self.network.leaders, [])
+
+    async def test_single_member_leads_at_once(self) -> None:
+        member = await self.network.start("a", named=["a"])
+        await asyncio.sleep(0.1)
+        self.assertTrue(member.holds_lease())
+        self.assertIsInstance(await put(member, "tejo"), Applied)
+
+
+class RepairTests(NetworkTestCase):
+    """Lost disks and replaced members."""
+
+    snapshot_entries = 20
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for number in range(50):
+            await put(self.leader, f"o{number}")
+
+    async def _lose_disk(self, member: ControlMember) -> ControlMember:
+        await self.network.stop(member.instance, lose_disk=True)
+        return await self.network.start(member.instance)
+
+    def _voters(self) -> set[str]:
+        return {
+            status.instance
+            for status in self.leader.members()
+            if status.role is not Role.LEARNER
+        }
+
+    async def test_member_without_its_disk_does_not_vote(self) -> None:
+        emptied, other = self.followers
+        await self._lose_disk(emptied)
+        await self.settle()
+        await self.network.stop(other.instance)
+        await self.settle(20.0)
+        self.assertEqual(self.network.leaders, [])
+        await self.network.start(other.instance)
+        await self.network.leader()
+
+    async def test_majority_without_disks_forms_no_second_cluster(self) -> None:
+        for member in self.followers:
+            await self._lose_disk(member)
+        await self.settle(20.0)
+        self.assertEqual(self.network.leaders, [])
+
+    async def test_first_member_without_its_disk_founds_no_cluster(self) -> None:
+        await self._lose_disk(self.network.running["a"])
+        await self.settle(20.0)
+        self.assertEqual(organisations(self.network.running["a"]), ())
+        self.assertEqual(len(self.network.leaders), 1)
+
+    async def test_emptied_member_is_readmitted(self) -> None:
+        emptied = await self._lose_disk(self.followers[0])
+        name = emptied.instance
+        result = await self.leader.replace_member(name, name, f"{name}:1")
+        self.assertIsInstance(result, Applied)
+        await self.network.wait_same()
+        self.assertEqual(len(self.leader.members()), 3)
+        self.assertEqual(self._voters(), set(NAMES))
+
+    @parameterized.expand([("running", False), ("lost", True)])
+    async def test_second_loss_right_after_a_repair(self, _: str, lost: bool) -> None:
+        old, other = self.followers
+        if lost:
+            await self.network.stop(old.instance)
+            await self.settle(5.0)
+        await self.network.start("d", named=["d", *NAMES])
+        result = await self.leader.replace_member(old.instance, InstanceId("d"), "d:1")
+        self.assertIsInstance(result, Applied)
+        await self.network.stop(other.instance)
+        if not lost:
+            await self.network.stop(old.instance)
+        leader = await self.network.leader()
+        self.assertIsInstance(await put(leader, "after"), Applied)
+        await self.network.wait_same()
+        self.assertEqual(len(organisations(self.network.running["d"])), 51)
+
+    async def test_replacement_cut_off_half_way_is_resumed(self) -> None:
+        old = self.followers[0].instance
+        new = await self.network.start("d", named=["d", *NAMES])
+        replacing = asyncio.create_task(
+            self.leader.replace_member(old, new.instance, "d:1", timeout=5.0)
+        )
+        await self.network.wait(lambda: len(self.leader.members()) == 4, "the learner")
+        self.network.isolate("d")
+        self.assertIsInstance(await replacing, InDoubt)
+        self.assertEqual(self._voters(), set(NAMES))
+        self.assertIsInstance(await put(self.leader, "meanwhile"), Applied)
+        self.network.heal()
+        result = await self.leader.replace_member(old, new.instance, "d:1")
+        self.assertIsInstance(result, Applied)
+        self.assertEqual(self._voters(), {"d", *NAMES} - {old})
+
+    async def test_removed_member_does_not_disturb(self) -> None:
+        old = self.followers[0]
+        await self.network.start("d", named=["d", *NAMES])
+        await self.leader.replace_member(old.instance, InstanceId("d"), "d:1")
+        term = self.leader.term
+        await self.settle(30.0)
+        self.assertEqual(self.leader.term, term)
+        self.assertTrue(self.leader.holds_lease())
+
+    async def test_status_of_members(self) -> None:
+        await self.settle(1.0)
+        statuses = {status.instance: status for status in self.leader.members()}
+        leader = statuses[self.leader.instance]
+        self.assertIs(leader.role, Role.LEADER)
+        for follower in self.followers:
+            status = statuses[follower.instance]
+            self.assertEqual(
+                replace(status, last_contact_seconds=0.0),
+                replace(
+                    status,
+                    role=Role.FOLLOWER,
+                    matched_index=leader.matched_index,
+                    last_contact_seconds=0.0,
+                ),
+            )
--- /dev/null
+++ b/tests/fakes/member_network.py
@@ -0,0 +1,200 @@
+"""Control members in one process, on a network in memory."""
+
+import asyncio
+import random
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from concurrent.futures import Executor, Future
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.records import LoggedCommand
+from goldcrestyard.consensus.results import ProposalResult
+from goldcrestyard.core.ids import CorrelationId, InstanceId, OrganisationId
+from goldcrestyard.core.records import Organisation
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.change_feed import ChangeFeed
+from goldcrestyard.plugins.control.apps import ControlConfig
+from goldcrestyard.plugins.organisations.apps import OrganisationsConfig
+from goldcrestyard.plugins.organisations.commands import PutOrganisation
+from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
+from goldcrestyard.state.machine import StateMachine
+from goldcrestyard.wire.client import PeerAddress, PeerUnavailableError
+from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers, NoAnswer
+from goldcrestyard.wire.messages import MESSAGES
+from tests.fakes.files import MemoryFiles
+
+LATENCY_SECONDS = 0.005
+
+
+class InlineExecutor(Executor):
+    """Runs work at once: a paused clock would run on during a thread."""
+
+    def submit(self, fn: Callable[..., Any], /, *args: Any, **kwargs: Any) -> Any:
+        future: Future[Any] = Future()
+        try:
+            future.set_result(fn(*args, **kwargs))
+        except Exception as error:
+            future.set_exception(error)
+        return future
+
+
+class _Connection:
+    """One side of a connection in memory."""
+
+    def __init__(self, network: "MemberNetwork", near: str, far: str) -> None:
+        self.peer = InstanceId(near)
+        self.closed = False
+        self._network = network
+        self._far = far
+
+    async def request(self, message: object, timeout: float) -> object:
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._request(message)
+        except TimeoutError:
+            return NoAnswer("timeout")
+
+    async def _request(self, message: object) -> object:
+        network, near, far = self._network, str(self.peer), self._far
+        await network.carry(near, far)
+        served = network.handlers_by_instance[far]
+        decoded = network.codec.decode(network.codec.encode(message))
+        handler = served.find(decoded)
+        assert handler is not None
+        answer = await handler(decoded, self)  # type: ignore[arg-type]
+        await network.carry(far, near)
+        return network.codec.decode(network.codec.encode(answer))
+
+
+class _Dialer:
+    def __init__(self, network: "MemberNetwork", near: str) -> None:
+        self._network = network
+        self._near = near
+
+    @asynccontextmanager
+    async def connect(self, address: PeerAddress) -> AsyncIterator[_Connection]:
+        far = address.host
+        if far not in self._network.running:
+            raise PeerUnavailableError(f"{far} does not run")
+        yield _Connection(self._network, self._near, far)
+
+
+class MemberNetwork:
+    """Starts, stops and disconnects members; keeps their disks."""
+
+    def __init__(self, names: list[str], clock: Clock, **options: Any) -> None:
+        self.names = names
+        self.clock = clock
+        self.options = options
+        self.codec = Codec()
+        self.codec.register(
+            *MESSAGES,
+            LoggedCommand,
+            *ControlConfig.messages,
+            *OrganisationsConfig.messages,
+        )
+        self.cut: set[tuple[str, str]] = set()
+        self.running: dict[str, ControlMember] = {}
+        self.feeds_by_instance: dict[str, ChangeFeed] = {}
+        self.handlers_by_instance: dict[str, Handlers] = {}
+        self.files_by_instance: dict[str, MemoryFiles] = {}
+        self._folder = tempfile.TemporaryDirectory(prefix="goldcrestyard-")
+
+    async def carry(self, near: str, far: str) -> None:
+        """Take a message across, or lose it and wait for ever."""
+        await asyncio.sleep(LATENCY_SECONDS)
+        if (near, far) in self.cut or far not in self.running:
+            await asyncio.get_running_loop().create_future()
+
+    def isolate(self, name: str) -> None:
+        everyone = [*self.names, *self.running]
+        self.cut |= {(name, other) for other in everyone if other != name}
+        self.cut |= {(other, name) for other in everyone if other != name}
+
+    def heal(self) -> None:
+        self.cut.clear()
+
+    async def start(self, name: str, named: list[str] | None = None) -> ControlMember:
+        codec = self.codec
+        machine = StateMachine([OrganisationsSlice()])
+        feed = ChangeFeed(codec, self.clock)
+        member = ControlMember(
+            InstanceId(name),
+            Path(self._folder.name) / name,
+            machine,
+            codec,
+            self.clock,
+            _Dialer(self, name),  # type: ignore[arg-type]
+            {InstanceId(n): f"{n}:1" for n in named or self.names},
+            own_address=f"{name}:1",
+            files=self.files_by_instance.setdefault(name, MemoryFiles()),
+            make_executor=InlineExecutor,
+            source=random.Random(name),
+            **self.options,
+        )
+        machine.listen(feed.add)
+        member.listen_restore(feed.reset)
+        self.feeds_by_instance[name] = feed
+        handlers = self.handlers_by_instance[name] = Handlers()
+        member.register(handlers)
+        self.running[name] = member
+        await member.start()
+        return member
+
+    async def start_all(self) -> None:
+        for name in self.names:
+            await self.start(name)
+
+    async def stop(self, name: str, *, lose_disk: bool = False) -> None:
+        """End a member as a crash does: what is not synced is lost."""
+        member = self.running.pop(name)
+        await member.stop()
+        self.files_by_instance[name].crash(random.Random(name))
+        if lose_disk:
+            del self.files_by_instance[name]
+
+    async def close(self) -> None:
+        for name in list(self.running):
+            await self.stop(name)
+        self._folder.cleanup()
+
+    @property
+    def leaders(self) -> list[ControlMember]:
+        return [m for m in self.running.values() if m.holds_lease()]
+
+    async def leader(self, *, but: ControlMember | None = None) -> ControlMember:
+        """Wait for a member that holds the lease."""
+        await self.wait(lambda: any(m is not but for m in self.leaders), "a leader")
+        return next(m for m in self.leaders if m is not but)
+
+    async def wait(
+        self, condition: Callable[[], bool], what: str, seconds: float = 60.0
+    ) -> None:
+        deadline = self.clock.monotonic() + seconds
+        while not condition():
+            if self.clock.monotonic() > deadline:
+                raise TimeoutError(f"waited for {what}")
+            await asyncio.sleep(0.05)
+
+    async def wait_same(self) -> None:
+        """Wait until all running members have applied the same changes."""
+
+        def same() -> bool:
+            return len({organisations(m) for m in self.running.values()}) == 1
+
+        await self.wait(same, "the same state everywhere")
+
+
+def organisations(member: ControlMember) -> tuple[str, ...]:
+    """Return the ids of the organisations that a member knows."""
+    return tuple(sorted(member.machine.get(OrganisationsSlice).organisations_by_id))
+
+
+async def put(member: ControlMember, name: str) -> ProposalResult:
+    """Propose an organisation."""
+    command = PutOrganisation(Organisation(OrganisationId(name)))
+    return await member.propose(command, "test", CorrelationId(""))
--- /dev/null
+++ b/tests/processes/test_control_members.py
@@ -0,0 +1,217 @@
+"""Three control members as real processes: kills, pauses, restarts, cuts.
+
+They guard against the loss of an acknowledged change, against a woken or
+isolated leader that still acts, and against a cluster that does not recover.
+"""
+
+import asyncio
+import itertools
+import signal
+from typing import Any
+
+import aiohttp
+
+from demo.deployment import Deployment, Instance, wait_for
+from goldcrestyard.wire.messages import NotLeader
+from tests.fakes.control_probe import ControlProbe
+from tests.fakes.deployments import DeploymentTestCase, two_regions
+from tests.fakes.proxy import FaultProxy
+
+SNAPSHOT_ENTRIES = 50
+REQUEST_SECONDS = 10.0
+
+
+class ControlTestCase(DeploymentTestCase):
+    """Starts three control members."""
+
+    control_members = 3
+
+    async def asyncSetUp(self) -> None:
+        self.deployment = Deployment(two_regions(self.control_members))
+        for instance in self.deployment.instances:
+            instance.control_settings = {"snapshot_entries": SNAPSHOT_ENTRIES}
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.prepare()
+        await self.deployment.start()
+        self.probe = ControlProbe(self.deployment)
+        self.leader = await self.probe.leader()
+        self.names = (f"o{number}" for number in itertools.count())
+        self.accepted: set[str] = set()
+
+    async def prepare(self) -> None:
+        """Change the deployment before its start."""
+
+    @property
+    def followers(self) -> list[Instance]:
+        return [i for i in self.deployment.instances if i is not self.leader]
+
+    async def put(self, instance: Instance, name: str) -> int:
+        """Create an organisation through an instance; return the status."""
+        status, _ = await self._operate(instance, "PUT", "/organisations", {"id": name})
+        if status == 200:
+            self.accepted.add(name)
+        return status
+
+    async def organisations(self, instance: Instance) -> set[str]:
+        status, answer = await self._operate(instance, "GET", "/organisations")
+        self.assertEqual(status, 200)
+        return {organisation["id"] for organisation in answer["organisations"]}
+
+    async def _operate(
+        self, instance: Instance, method: str, path: str, body: Any = None
+    ) -> tuple[int, Any]:
+        url = f"http://{instance.admin}/operator/v1{path}"
+        headers = {"authorization": f"Bearer {self.deployment.operator_key}"}
+        timeout = aiohttp.ClientTimeout(total=REQUEST_SECONDS)
+        async with (
+            aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
+            session.request(method, url, json=body) as answer,
+        ):
+            return answer.status, await answer.json()
+
+    async def keep_putting(self, instance: Instance) -> None:
+        """Create organisations one after the other until cancelled."""
+        while True:
+            try:
+                await self.put(instance, next(self.names))
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+
+    async def wait_accepted(self, more: int) -> None:
+        """Wait until some more changes have been accepted."""
+        enough = len(self.accepted) + more
+
+        async def accepted(_: object) -> bool:
+            return len(self.accepted) >= enough
+
+        await wait_for(accepted, f"{more} more changes")
+
+    async def wait_agreed(self) -> None:
+        """Wait until every instance has the same organisations."""
+
+        async def agreed(_: object) -> bool:
+            found = [
+                await self.organisations(instance)
+                for instance in self.deployment.instances
+            ]
+            return all(one == found[0] for one in found) and self.accepted <= found[0]
+
+        await wait_for(agreed, "all accepted changes on every instance")
+
+    async def kill(self, instance: Instance) -> None:
+        assert instance.process is not None
+        instance.process.kill()
+        await instance.process.wait()
+
+
+class LeaderLossTests(ControlTestCase):
+    """The leader dies, or stops for longer than its lease."""
+
+    async def test_killed_leader_loses_no_accepted_change(self) -> None:
+        putting = [
+            asyncio.create_task(self.keep_putting(instance))
+            for instance in self.followers
+        ]
+        await self.wait_accepted(30)
+        old = self.leader
+        await self.kill(old)
+        self.leader = await self.probe.leader(but=old)
+        await self.wait_accepted(30)
+        await self.deployment.start_instance(old)
+        await self.deployment.wait_ready(old)
+        await self.wait_accepted(30)
+        for task in putting:
+            task.cancel()
+        await asyncio.gather(*putting, return_exceptions=True)
+        await self.wait_agreed()
+
+    async def test_woken_leader_does_not_act(self) -> None:
+        old = self.leader
+        assert old.process is not None
+        async with self.probe.connect(old) as connection:
+            old.process.send_signal(signal.SIGSTOP)
+            await self.probe.leader(but=old)
+            # These wait in the process's buffers and are the first that it
+            # handles when it wakes.
+            asked = [
+                asyncio.create_task(self.probe.ask(connection, 30.0)) for _ in range(5)
+            ]
+            putting = asyncio.create_task(self.put(old, "late"))
+            await asyncio.sleep(0)
+            old.process.send_signal(signal.SIGCONT)
+            for answer in await asyncio.gather(*asked):
+                self.assertIsInstance(answer, NotLeader)
+        await asyncio.gather(putting, return_exceptions=True)
+        self.assertNotIn(old, await self.probe.leaders())
+        await self.wait_agreed()
+
+    async def test_restart_of_all_after_hundreds_of_changes(self) -> None:
+        for _ in range(10):
+            await asyncio.gather(
+                *(self.put(self.followers[0], next(self.names)) for _ in range(30))
+            )
+        self.assertEqual(len(self.accepted), 300)
+        for instance in self.deployment.instances:
+            await self.kill(instance)
+        for instance in self.deployment.instances:
+            await self.deployment.start_instance(instance)
+        for instance in self.deployment.instances:
+            await self.deployment.wait_ready(instance)
+        await self.wait_agreed()
+        self.leader = await self.probe.leader()
+        self.assertEqual(await self.put(self.followers[0], "after"), 200)
+        await self.wait_agreed()
+
+
+class PartitionTests(ControlTestCase):
+    """Connections between members go silent without being closed."""
+
+    async def prepare(self) -> None:
+        self.proxies: dict[tuple[str, str], FaultProxy] = {}
+        instances = self.deployment.instances
+        for near, far in itertools.permutations(instances, 2):
+            proxy = FaultProxy(far.peer)
+            await proxy.start()
+            self.addAsyncCleanup(proxy.stop)
+            near.peer_addresses[far.id] = proxy.address
+            self.proxies[near.id, far.id] = proxy
+
+    def around(self, instance: Instance) -> list[FaultProxy]:
+        return [proxy for pair, proxy in self.proxies.items() if instance.id in pair]
+
+    async def test_isolated_leader_gives_way_and_comes_back(self) -> None:
+        old = self.leader
+        for proxy in self.around(old):
+            proxy.silence()
+        self.leader = await self.probe.leader(but=old)
+        self.assertEqual(await self.probe.leaders(), [self.leader])
+        self.assertNotEqual(await self.put(old, "minority"), 200)
+
+        async def accepted(_: object) -> bool:
+            other = next(i for i in self.followers if i is not old)
+            return await self.put(other, "majority") == 200
+
+        await wait_for(accepted, "a change on the majority's side")
+        for proxy in self.around(old):
+            proxy.heal()
+        await self.wait_agreed()
+
+    async def test_silent_connection_is_replaced(self) -> None:
+        """Guards against a member that waits on one dead connection."""
+        follower = self.followers[0]
+        proxy = self.proxies[self.leader.id, follower.id]
+        proxy.silence()
+        await asyncio.sleep(0)
+        proxy.heal()
+        self.assertEqual(await self.put(self.leader, "after"), 200)
+        await self.wait_agreed()
+        self.assertEqual(await self.probe.leaders(), [self.leader])
+
+    async def test_slow_link_keeps_its_leader(self) -> None:
+        """Guards against elections because a region is far away."""
+        for proxy in self.proxies.values():
+            proxy.delay(0.05)
+        for _ in range(10):
+            self.assertEqual(await self.put(self.leader, next(self.names)), 200)
+        await self.wait_agreed()
+        self.assertEqual(await self.probe.leaders(), [self.leader])
--- a/tests/storage/test_crashes.py
+++ b/tests/storage/test_crashes.py
@@ -36,6 +36,7 @@
 )
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.files import Crash, Fault, MemoryFiles
+from tests.fakes.quiet_logs import quiet_logs
 
 FOLDER = Path("/data")
 INSTANCE = InstanceId("n0")
@@ -123,6 +124,9 @@
 class CrashTests(unittest.TestCase):
     """What a restart finds after the process ended at any operation."""
 
+    def setUp(self) -> None:
+        quiet_logs(self)
+
     @parameterized.expand(
         [(f"before_{n}", Fault(n, crash_before=True)) for n in OPERATIONS]
         + [(f"after_{n}", Fault(n, crash_after=True)) for n in OPERATIONS]
@@ -173,6 +177,7 @@
     """Starting on a damaged or incomplete folder."""
 
     def setUp(self) -> None:
+        quiet_logs(self)
         self.files = MemoryFiles()
         for _ in work(self.files):
             pass
