Enforce the limits on request heads and bodies, and shape every error

Slow heads and bodies, over-long bodies and what the HTTP parser rejects are answered in the shape that client libraries expect, with a verdict. An error after the start of an answer cuts the connection. The planned stop gets a 'leave' step before 'drain'; the listener waits for its requests while the subscription still renews the lease.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import os
+import random
 import secrets
 import shutil
 import signal
@@ -307,10 +308,18 @@
 
 
 def free_port() -> int:
-    """Return a port that is free on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free on loopback.
+
+    It lies below the range from which the system takes the ports of outgoing
+    connections, so that none of those takes it before its process starts.
+    """
+    while True:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", random.randrange(10_000, 32_000)))
+            except OSError:
+                continue
+            return int(probe.getsockname()[1])
 
 
 def sha256(text: str) -> str:
--- a/goldcrestyard/daemon.py
+++ b/goldcrestyard/daemon.py
@@ -56,6 +56,9 @@
     logger.info("instance stops; waiting for running requests")
     drain_seconds = settings.section(InstanceSettings).drain_seconds
     failed = app.failed
+    # The subscription runs on meanwhile: without its lease the entry would
+    # have to cut off the keyed requests that it waits for.
+    await app.leave()
     try:
         async with asyncio.timeout(drain_seconds):
             await app.drain()
--- a/goldcrestyard/kernel/application.py
+++ b/goldcrestyard/kernel/application.py
@@ -102,10 +102,15 @@
             raise
         self.state = InstanceState.READY
 
-    async def drain(self) -> None:
-        """Run the ``drain`` hooks, last started first."""
+    async def leave(self) -> None:
+        """Run the ``leave`` hooks, last started first."""
         self.state = InstanceState.DRAINING
         for plugin in reversed(self._started):
+            await plugin.leave(self)
+
+    async def drain(self) -> None:
+        """Run the ``drain`` hooks, first started first."""
+        for plugin in self._started:
             await plugin.drain(self)
 
     async def stop(self) -> None:
--- a/goldcrestyard/kernel/apps.py
+++ b/goldcrestyard/kernel/apps.py
@@ -16,7 +16,10 @@
 
     A subclass in ``plugins/<name>/apps.py`` registers itself when that
     module is imported.  A plug-in's hooks run after those of the plug-ins that
-    it requires; ``drain`` and ``stop`` run in the opposite order.
+    it requires; ``leave`` and ``stop`` run in the opposite order.  So a
+    planned stop first takes this process off the list that callers follow,
+    then closes the listeners, and then drains along the way that work takes:
+    callers' requests first, then what they leave behind.
     """
 
     name: ClassVar[str]
@@ -40,8 +43,11 @@
     async def serve(self, app: "Application") -> None:
         """Open listeners; every plug-in has started."""
 
+    async def leave(self, app: "Application") -> None:
+        """Stop attracting and accepting work."""
+
     async def drain(self, app: "Application") -> None:
-        """Stop accepting work and wait for the work in progress."""
+        """Wait for the work in progress."""
 
     async def stop(self, app: "Application") -> None:
         """Release what ``start`` opened."""
--- a/goldcrestyard/plugins/engines/requests.py
+++ b/goldcrestyard/plugins/engines/requests.py
@@ -14,7 +14,7 @@
     """Fields of a request body that the entry must understand."""
 
     model: ModelName
-    stream: bool = False
+    stream: bool | None = False
     messages: list[dict[str, Any]] | None = None
     prompt: str | list[Any] | None = None
     max_tokens: int | None = None
--- a/goldcrestyard/plugins/entry/apps.py
+++ b/goldcrestyard/plugins/entry/apps.py
@@ -48,6 +48,6 @@
         """Start to follow the leader."""
         app.spawn(app.get(Subscription).run(), "subscription")
 
-    async def drain(self, app: Application) -> None:
+    async def leave(self, app: Application) -> None:
         """Tell the leader that this entry takes no new work."""
         app.get(Subscription).draining = True
--- a/goldcrestyard/plugins/listeners/apps.py
+++ b/goldcrestyard/plugins/listeners/apps.py
@@ -5,14 +5,12 @@
 from goldcrestyard.core.states import InstanceState
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
-from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.plugins.listeners import checks
-from goldcrestyard.plugins.listeners.bodies import json_answer
-from goldcrestyard.plugins.listeners.routes import AdminRoutes, PublicRoutes, Routes
+from goldcrestyard.plugins.listeners.bodies import BodyLimits, json_answer
+from goldcrestyard.plugins.listeners.connections import ConnectionLimits
+from goldcrestyard.plugins.listeners.routes import AdminRoutes, PublicRoutes
+from goldcrestyard.plugins.listeners.server import HttpListener
 from goldcrestyard.plugins.listeners.settings import ListenerSettings
-from goldcrestyard.wire.client import PeerAddress
-
-SHUTDOWN_SECONDS = 5.0
 
 
 class ListenersConfig(PluginConfig):
@@ -24,15 +22,15 @@
     checks = (checks.check_addresses,)
 
     def __init__(self) -> None:
-        self._runners: list[web.AppRunner] = []
-        self._public_site: web.TCPSite | None = None
-        self._public_runner: web.AppRunner | None = None
+        self._admin: HttpListener | None = None
+        self._public: HttpListener | None = None
 
     def ready(self, app: Application) -> None:
         """Create the routes, with those for health checks."""
-        limit = app.settings.section(ListenerSettings).max_body_bytes
-        app.provide(PublicRoutes, PublicRoutes(limit))
-        admin = app.provide(AdminRoutes, AdminRoutes(limit))
+        settings = app.settings.section(ListenerSettings)
+        limits = BodyLimits(settings.max_body_bytes, settings.body_seconds)
+        app.provide(PublicRoutes, PublicRoutes(limits))
+        admin = app.provide(AdminRoutes, AdminRoutes(limits))
 
         async def healthz(_: web.Request) -> web.StreamResponse:
             return json_answer({"state": app.state.value})
@@ -48,25 +46,24 @@
     async def serve(self, app: Application) -> None:
         """Open both listeners."""
         settings = app.settings.section(ListenerSettings)
-        drain_seconds = app.settings.section(InstanceSettings).drain_seconds
-        await self._open(app.get(AdminRoutes), settings.admin, SHUTDOWN_SECONDS)
-        await self._open(app.get(PublicRoutes), settings.public, drain_seconds)
+        limits = ConnectionLimits(settings.header_seconds)
+        self._admin = HttpListener(app.get(AdminRoutes), limits)
+        await self._admin.open(settings.admin)
+        self._public = HttpListener(app.get(PublicRoutes), limits)
+        await self._public.open(settings.public)
+
+    async def leave(self, app: Application) -> None:
+        """Accept no further caller; the admin listener stays open."""
+        if self._public is not None:
+            self._public.close()
+
+    async def drain(self, app: Application) -> None:
+        """Wait for the callers' requests."""
+        if self._public is not None:
+            await self._public.wait_idle()
 
     async def stop(self, app: Application) -> None:
         """Close the listeners."""
-        for runner in self._runners:
-            await runner.cleanup()
-
-    async def _open(
-        self, routes: Routes, address: str, shutdown_seconds: float
-    ) -> None:
-        runner = web.AppRunner(
-            routes.web_application,
-            access_log=None,
-            shutdown_timeout=shutdown_seconds,
-            handler_cancellation=True,
-        )
-        self._runners.append(runner)
-        await runner.setup()
-        parsed = PeerAddress.parse(address)
-        await web.TCPSite(runner, parsed.host, parsed.port).start()
+        for listener in (self._public, self._admin):
+            if listener is not None:
+                await listener.stop()
--- a/goldcrestyard/plugins/listeners/bodies.py
+++ b/goldcrestyard/plugins/listeners/bodies.py
@@ -1,5 +1,7 @@
-"""Reading and checking JSON request bodies."""
+"""Reading and checking request bodies."""
 
+import asyncio
+from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -10,14 +12,53 @@
 T = TypeVar("T")
 
 
+@dataclass(frozen=True, slots=True)
+class BodyLimits:
+    """Bounds on a request's body."""
+
+    max_bytes: int
+    seconds: float
+
+
+BODY_LIMITS = web.AppKey("body_limits", BodyLimits)
+
+
+async def read_body(request: web.Request) -> bytes | Refusal:
+    """Read a body, or say why it cannot be read.
+
+    Nothing of a request runs before its body is whole, so these refusals
+    are truly "not run".
+    """
+    limits = request.app[BODY_LIMITS]
+    too_large = Refusal(
+        RefusalReason.BODY_TOO_LARGE, f"the body exceeds {limits.max_bytes} bytes"
+    )
+    if (request.content_length or 0) > limits.max_bytes:
+        return too_large
+    try:
+        async with asyncio.timeout(limits.seconds):
+            return await request.read()
+    except TimeoutError:
+        return Refusal(
+            RefusalReason.BAD_REQUEST,
+            f"the body did not arrive within {limits.seconds} s",
+        )
+    except web.HTTPRequestEntityTooLarge:
+        return too_large
+    except (web.RequestPayloadError, ConnectionError) as error:
+        return Refusal(RefusalReason.BAD_REQUEST, f"the body broke off: {error}")
+
+
 async def read_json(request: web.Request, expected: type[T]) -> T | Refusal:
     """Read a body as JSON of an expected type, or say what is wrong."""
-    body = await request.read()
+    body = await read_body(request)
+    if isinstance(body, Refusal):
+        return body
     try:
         return msgspec.json.decode(body, type=expected)
     except msgspec.ValidationError as error:
         return Refusal(RefusalReason.BAD_REQUEST, f"unexpected body: {error}")
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Refusal(RefusalReason.BAD_REQUEST, f"body is not valid JSON: {error}")
 
 
--- /dev/null
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -0,0 +1,150 @@
+"""One caller's connection: limits on request heads, and low-level errors."""
+
+import asyncio
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, cast
+
+import structlog
+from aiohttp import web
+
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, error_body, refuse
+
+logger = structlog.get_logger(__name__)
+
+MAX_HEADERS = 100
+MAX_HEADER_BYTES = 8190
+
+LINGERING_SECONDS = 1.0
+"""How long the rest of a refused body is read and dropped, so that the caller
+sees the answer and not a reset."""
+
+IDLE_SECONDS = 75.0
+"""Idle connections are closed after this time, which is longer than the usual
+client libraries keep theirs, so that neither closes while the other sends."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Bounds on what a caller may do before its request is handled."""
+
+    header_seconds: float
+
+
+class CallerConnection(web.RequestHandler):
+    """Closes a connection whose request head takes too long.
+
+    Without the bound, a caller that sends a byte now and then would hold a
+    connection and its buffers for as long as it likes.
+    """
+
+    def __init__(self, manager: web.Server, limits: ConnectionLimits) -> None:
+        super().__init__(
+            manager,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=IDLE_SECONDS,
+            access_log=cast(Any, None),
+            lingering_time=LINGERING_SECONDS,
+            max_headers=MAX_HEADERS,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        self._limits = limits
+        self._timer: asyncio.TimerHandle | None = None
+        self._timed_out = False
+        self.active = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for the first request."""
+        super().connection_made(transport)
+        self._expect_head()
+
+    def data_received(self, data: bytes) -> None:
+        """Start to wait for the rest of a request that begins."""
+        super().data_received(data)
+        if not self.active and self._timer is None:
+            self._expect_head()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop waiting."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def begin(self) -> bool:
+        """Note that a head is complete; return False if it came too late."""
+        self._stop_timer()
+        self.active = not self._timed_out
+        return self.active
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send an answer, which ends the request."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self.active = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is handled or part of an answer is unsent."""
+        transport = self.transport
+        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        return self.active or unsent
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer errors of the HTTP parser in the shape callers expect."""
+        self._stop_timer()
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer has begun; it can only be cut off")
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            logger.error("request failed", exc_info=exc)
+        first_line = (message or "malformed request").strip().partition("\n")[0]
+        response = refuse(Refusal(RefusalReason.BAD_REQUEST, first_line))
+        response.force_close()
+        return response
+
+    def _expect_head(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(
+            self._limits.header_seconds, self._head_is_late
+        )
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _head_is_late(self) -> None:
+        self._timer = None
+        if self.active:
+            return
+        # From here on ``begin`` refuses, so the answer's verdict is true.
+        self._timed_out = True
+        if self.transport is not None:
+            body = error_body(
+                Refusal(
+                    RefusalReason.BAD_REQUEST,
+                    "the request's head did not arrive within "
+                    f"{self._limits.header_seconds} s",
+                )
+            )
+            head = (
+                "HTTP/1.1 408 Request Timeout\r\n"
+                "content-type: application/json\r\n"
+                f"content-length: {len(body)}\r\n"
+                f"{VERDICT_HEADER}: not_run\r\n"
+                "x-should-retry: false\r\n"
+                "connection: close\r\n\r\n"
+            )
+            self.transport.write(head.encode() + body)
+        self.force_close()
--- a/goldcrestyard/plugins/listeners/middleware.py
+++ b/goldcrestyard/plugins/listeners/middleware.py
@@ -10,6 +10,7 @@
 from goldcrestyard.core.ids import CorrelationId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.plugins.listeners.connections import CallerConnection
 from goldcrestyard.plugins.listeners.errors import refuse
 
 logger = structlog.get_logger(__name__)
@@ -34,6 +35,15 @@
     return None
 
 
+@web.middleware
+async def track(request: web.Request, handler: RequestHandler) -> web.StreamResponse:
+    """Tell the connection that a request is being handled."""
+    connection = request.protocol
+    if isinstance(connection, CallerConnection) and not connection.begin():
+        raise ConnectionResetError("the request's head came too late")
+    return await handler(request)
+
+
 @web.middleware
 async def correlate(
     request: web.Request, handler: RequestHandler
@@ -56,19 +66,25 @@
     """Give every error the shape that callers expect."""
     try:
         return await handler(request)
-    except web.HTTPRequestEntityTooLarge as error:
-        return refuse(
-            Refusal(RefusalReason.BODY_TOO_LARGE, error.text or "body is too large")
-        )
     except web.HTTPNotFound:
         return refuse(Refusal(RefusalReason.NOT_FOUND, f"no route {request.path}"))
+    except web.HTTPMethodNotAllowed as error:
+        allowed = ", ".join(sorted(error.allowed_methods))
+        response = refuse(
+            Refusal(RefusalReason.BAD_REQUEST, f"{request.path} allows {allowed}")
+        )
+        response.set_status(error.status)
+        response.headers["allow"] = allowed
+        return response
     except web.HTTPException as error:
         reason = RefusalReason.BAD_REQUEST
         return refuse(Refusal(reason, f"{error.status} {error.reason}"))
-    except (ConnectionError, TimeoutError) as error:
-        return refuse(Refusal(RefusalReason.BAD_REQUEST, f"request broke off: {error}"))
     except Exception:
         logger.exception("request handler failed", path=request.path)
+        if request.writer.output_size > 0:
+            # An answer has begun: cutting it off is the only error that the
+            # caller can still see.
+            raise
         return refuse(
             Refusal(
                 RefusalReason.UNKNOWN_OUTCOME,
--- a/goldcrestyard/plugins/listeners/routes.py
+++ b/goldcrestyard/plugins/listeners/routes.py
@@ -1,26 +1,41 @@
 """The routes that plug-ins add to the two HTTP listeners."""
 
-from aiohttp import web
+from aiohttp import hdrs, web
 
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.plugins.listeners.bodies import BODY_LIMITS, BodyLimits
+from goldcrestyard.plugins.listeners.errors import refuse
 from goldcrestyard.plugins.listeners.middleware import (
     RequestHandler,
     answer_errors,
     correlate,
+    track,
 )
 
 
 class Routes:
     """The routes of one listener."""
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(self, limits: BodyLimits) -> None:
+        self.closing = False
+        """Whether each answer ends its connection."""
         self.web_application = web.Application(
-            client_max_size=max_body_bytes,
-            middlewares=[correlate, answer_errors],
+            client_max_size=limits.max_bytes,
+            middlewares=[track, correlate, answer_errors],
         )
+        self.web_application[BODY_LIMITS] = limits
+        self.web_application.on_response_prepare.append(self._on_prepare)
 
     def add(self, method: str, path: str, handler: RequestHandler) -> None:
         """Serve a path with a handler; method ``*`` stands for any."""
-        self.web_application.router.add_route(method, path, handler)
+        self.web_application.router.add_route(
+            method, path, handler, expect_handler=_answer_expectation
+        )
+
+    async def _on_prepare(self, _: web.Request, response: web.StreamResponse) -> None:
+        if self.closing:
+            response.force_close()
+            response.headers[hdrs.CONNECTION] = "close"
 
 
 class PublicRoutes(Routes):
@@ -29,3 +44,14 @@
 
 class AdminRoutes(Routes):
     """Routes for operators, health checks and metrics."""
+
+
+async def _answer_expectation(request: web.Request) -> web.StreamResponse | None:
+    if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        # An interim answer is none: an error may still be answered.
+        request.writer.output_size = 0
+        return None
+    return refuse(
+        Refusal(RefusalReason.BAD_REQUEST, "only 'expect: 100-continue' is known")
+    )
--- a/goldcrestyard/plugins/services/views.py
+++ b/goldcrestyard/plugins/services/views.py
@@ -15,6 +15,7 @@
     ClaimKeeper,
     fingerprint,
 )
+from goldcrestyard.plugins.listeners.bodies import read_body
 from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, refuse
 from goldcrestyard.plugins.listeners.middleware import correlation_id_of
 from goldcrestyard.plugins.organisations.authentication import (
@@ -159,12 +160,15 @@
     raw_path = request.rel_url.raw_path.split("/", 3)
     path = "/" + (raw_path[3] if len(raw_path) > 3 else "")
     query = without_key(request.rel_url.raw_query_string, key)
+    body = await read_body(request)
+    if isinstance(body, Refusal):
+        return body
     prepared = ServiceRequest(
         name,
         request.method,
         f"{path}?{query}" if query else path,
         pick(request.headers.items(), FORWARDED_HEADERS),
-        await request.read(),
+        body,
     )
     if contains_key(prepared, key):
         return Refusal(
