--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -260,16 +260,20 @@
         await self.operate("DELETE", f"/keys/{key.split('_')[1]}")
 
     async def stop(self) -> None:
-        """Stop everything that was started, targets before instances."""
+        """Stop everything that was started, targets before instances.
+
+        The instances are killed: their planned stop waits for callers of
+        the address list, of which there are none any more.
+        """
         instance_names = {instance.id for instance in self.instances}
-        for of_instances in (False, True):
-            await stop_processes(
-                [
-                    process
-                    for name, process in self.processes_by_name.items()
-                    if (name in instance_names) == of_instances
-                ]
-            )
+        targets, instances = [], []
+        for name, process in self.processes_by_name.items():
+            (instances if name in instance_names else targets).append(process)
+        await stop_processes(targets)
+        for process in instances:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def _headers(self) -> dict[str, str]:
--- a/goldcrestyard/plugins/addresses/announcing.py
+++ b/goldcrestyard/plugins/addresses/announcing.py
@@ -1,10 +1,12 @@
 """Keeps this entry in the replicated list, and removes lost ones."""
 
 import asyncio
+from dataclasses import replace
 
 import structlog
 
 from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.ids import CorrelationId, InstanceId
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.entry_sessions import EntrySessions
@@ -16,18 +18,52 @@
 logger = structlog.get_logger(__name__)
 
 CHECK_SECONDS = 0.5
+WITHDRAW_SECONDS = 10.0
+REMOVE_SECONDS = 2.0
 LOST_SECONDS = 10.0
 """An entry without a lease for this long leaves the list; a restart or an
 election takes less."""
 
 
-async def keep_announced(entry: Entry, view: EntryView, link: LeaderLink) -> None:
-    """Propose this entry whenever the replicated list lacks it."""
-    entries = view.machine.get(EntriesSlice)
-    while True:
-        if view.holds_lease() and entries.entries_by_id.get(entry.id) != entry:
-            await link.propose(PutEntry(entry))
-        await asyncio.sleep(CHECK_SECONDS)
+class EntryAnnouncer:
+    """Keeps this entry in the replicated list, as it is at the moment."""
+
+    def __init__(self, entry: Entry, view: EntryView, link: LeaderLink) -> None:
+        self._entry = entry
+        self._view = view
+        self._link = link
+        self._entries = view.machine.get(EntriesSlice)
+        self._removed = False
+
+    async def run(self) -> None:
+        """Propose this entry whenever the replicated list lacks it."""
+        while not self._removed:
+            known = self._entries.entries_by_id.get(self._entry.id)
+            if self._view.holds_lease() and known != self._entry:
+                await self._link.propose(PutEntry(self._entry))
+            await asyncio.sleep(CHECK_SECONDS)
+
+    async def mark_draining(self) -> None:
+        """Take this entry off the list that callers get.
+
+        Gives up without a leader: an entry without a lease serves only open
+        routes, and must not be kept from stopping.
+        """
+        self._entry = replace(self._entry, draining=True)
+        try:
+            async with asyncio.timeout(WITHDRAW_SECONDS):
+                while True:
+                    result = await self._link.propose(PutEntry(self._entry))
+                    if isinstance(result, Applied):
+                        return
+                    await asyncio.sleep(CHECK_SECONDS)
+        except TimeoutError:
+            logger.warning("this entry could not be taken off the address list")
+
+    async def remove(self) -> None:
+        """Remove this entry, which has finished its requests."""
+        self._removed = True
+        await self._link.propose(RemoveEntry(self._entry.id), timeout=REMOVE_SECONDS)
 
 
 async def remove_lost(
--- a/goldcrestyard/plugins/addresses/apps.py
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -1,5 +1,7 @@
 """Plug-in: the list of addresses that callers may use."""
 
+import asyncio
+
 from aiohttp import web
 
 from goldcrestyard.consensus.driver import ControlMember
@@ -9,15 +11,15 @@
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
-from goldcrestyard.plugins.addresses.announcing import keep_announced, remove_lost
+from goldcrestyard.plugins.addresses.announcing import EntryAnnouncer, remove_lost
 from goldcrestyard.plugins.addresses.commands import EntriesSnapshot, Entry
+from goldcrestyard.plugins.addresses.settings import AddressSettings
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.listeners.bodies import json_answer
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
 from goldcrestyard.plugins.listeners.settings import ListenerSettings
 from goldcrestyard.policy.addresses import Place, order_for
-
-TIME_TO_LIVE_SECONDS = 15
+from goldcrestyard.policy.leases import MAX_LAG_SECONDS
 
 
 class AddressesConfig(PluginConfig):
@@ -25,12 +27,15 @@
 
     name = "addresses"
     requires = ("control", "entry", "listeners")
+    settings_section = "addresses"
+    settings_class = AddressSettings
     slices = (EntriesSlice,)
     messages = (*EntriesSlice.commands, Entry, EntriesSnapshot)
 
     def ready(self, app: Application) -> None:
         """Add the route."""
         entries = app.get(EntryView).machine.get(EntriesSlice)
+        ttl_seconds = app.settings.section(AddressSettings).ttl_seconds
 
         async def addresses(request: web.Request) -> web.StreamResponse:
             by_id = {
@@ -46,7 +51,7 @@
             )
             return json_answer(
                 {
-                    "ttl_seconds": TIME_TO_LIVE_SECONDS,
+                    "ttl_seconds": ttl_seconds,
                     "addresses": [
                         {
                             "instance": instance,
@@ -72,9 +77,31 @@
             instance.data_centre,
             instance.region,
         )
-        announcing = keep_announced(entry, app.get(EntryView), app.get(LeaderLink))
-        app.spawn(announcing, "announce this entry")
+        announcer = EntryAnnouncer(entry, app.get(EntryView), app.get(LeaderLink))
+        app.provide(EntryAnnouncer, announcer)
+        app.spawn(announcer.run(), "announce this entry")
         member = app.find(ControlMember)
         if member is not None:
             removing = remove_lost(member, app.get(EntrySessions), app.clock)
             app.spawn(removing, "remove lost entries")
+
+    async def leave(self, app: Application) -> None:
+        """Leave the list, and wait until callers have a newer one.
+
+        Callers that got the list from an entry that is behind keep it for
+        the same time from then on.
+        """
+        announcer = app.find(EntryAnnouncer)
+        if announcer is None:
+            return
+        # Callers with an open connection look for another address, too.
+        app.get(PublicRoutes).closing = True
+        await announcer.mark_draining()
+        ttl_seconds = app.settings.section(AddressSettings).ttl_seconds
+        await asyncio.sleep(ttl_seconds + MAX_LAG_SECONDS)
+
+    async def drain(self, app: Application) -> None:
+        """Remove the entry, once the listeners have no more requests."""
+        announcer = app.find(EntryAnnouncer)
+        if announcer is not None:
+            await announcer.remove()
--- /dev/null
+++ b/goldcrestyard/plugins/addresses/settings.py
@@ -0,0 +1,16 @@
+"""Settings of the address list."""
+
+from dataclasses import dataclass
+
+from goldcrestyard.kernel.settings import setting
+
+
+@dataclass(frozen=True)
+class AddressSettings:
+    """The ``[addresses]`` section."""
+
+    ttl_seconds: float = setting(
+        "How long callers may keep the list of addresses, in seconds; an entry "
+        "that stops goes on accepting callers for this long.",
+        15.0,
+    )
--- a/goldcrestyard/plugins/targets/apps.py
+++ b/goldcrestyard/plugins/targets/apps.py
@@ -42,4 +42,6 @@
 
     async def start(self, app: Application) -> None:
         """Start to watch for targets that stop renewing."""
-        app.spawn(app.get(TargetHome).run(), "target renewals")
+        instance = app.settings.section(InstanceSettings).id
+        targets = app.get(EntryView).machine.get(TargetsSlice)
+        app.spawn(app.get(TargetHome).run(instance, targets), "target renewals")
--- a/goldcrestyard/plugins/targets/homes.py
+++ b/goldcrestyard/plugins/targets/homes.py
@@ -6,11 +6,12 @@
 import structlog
 
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.ids import TargetId
+from goldcrestyard.core.ids import InstanceId, TargetId
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.plugins.targets.commands import RemoveTarget
+from goldcrestyard.plugins.targets.slices import TargetsSlice
 
 logger = structlog.get_logger(__name__)
 
@@ -50,14 +51,21 @@
         """Stop tracking a target that has left."""
         self._renewals_by_id.pop(target_id, None)
 
-    async def run(self) -> None:
-        """Report each target that has not renewed for too long."""
+    async def run(self, instance: InstanceId, targets: TargetsSlice) -> None:
+        """Report each target of this home that no longer renews."""
         while True:
             await asyncio.sleep(SCAN_SECONDS)
             silent_since = self._clock.monotonic() - self._lost_seconds
             for target_id, renewal in list(self._renewals_by_id.items()):
-                if renewal.at < silent_since:
-                    await self._report_lost(target_id, renewal)
+                if renewal.at >= silent_since:
+                    continue
+                homed = targets.homed_by_id.get(target_id)
+                if homed is not None and homed.home != instance:
+                    # It renews at another home, for instance since this one
+                    # accepts no more connections.
+                    self.forget(target_id)
+                    continue
+                await self._report_lost(target_id, renewal)
 
     async def _report_lost(self, target_id: TargetId, renewal: Renewal) -> None:
         logger.warning("target is lost", target=target_id)
--- a/goldcrestyard/plugins/targets/views.py
+++ b/goldcrestyard/plugins/targets/views.py
@@ -114,8 +114,10 @@
         if not self._home.renew(target_id, renewal.incarnation):
             return refuse(Refusal(RefusalReason.NOT_FOUND, "announce again"))
         target = self._slice.find(target_id)
-        state = target.state if target is not None else TargetState.LOST
-        return json_answer({"state": state.value})
+        if target is None:
+            # Reported lost meanwhile, although it still renews.
+            return refuse(Refusal(RefusalReason.NOT_FOUND, "announce again"))
+        return json_answer({"state": target.state.value})
 
     async def drain(self, request: web.Request) -> web.StreamResponse:
         """Stop giving new work to a target."""
