Judge each answer's completeness by choice, and give up silent connections

A silent connection is given up after a probe on a new one; answers in one piece get the time that their tokens take.

--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -7,7 +7,6 @@
 
 import argparse
 import asyncio
-import json
 import signal
 import uuid
 from collections import Counter
@@ -16,7 +15,9 @@
 
 from aiohttp import web
 
+from demo.fakes import engine_faults
 from demo.fakes.announcer import Announcer
+from demo.fakes.engine_faults import Fault, Faults
 
 WORDS = ("the", "liner", "holds", "at", "joint", "seven", "and", "the", "crack", "ends")
 
@@ -31,8 +32,11 @@
     max_concurrency: int = 16
     running: int = 0
     runs_by_request: Counter[str] = field(default_factory=Counter)
+    runs_by_call: Counter[str] = field(default_factory=Counter)
+    """Runs by the name that the caller gave in the body field ``user``."""
     headers_seen: list[dict[str, str]] = field(default_factory=list)
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    faults: Faults = field(default_factory=Faults)
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Serve a completion, streamed or whole."""
@@ -46,37 +50,59 @@
                 status=503,
                 headers={"x-request-id": request_id, "x-not-run": "true"},
             )
+        fault = self.faults.take(body)
+        if (
+            failed := await engine_faults.before_run(fault, request, request_id)
+        ) is not None:
+            return failed
         self.runs_by_request[request_id] += 1
+        self.runs_by_call[str(body.get("user"))] += 1
         self.running += 1
         self.idle.clear()
         try:
+            failed = await engine_faults.before_answer(fault, request, request_id)
+            if failed is not None:
+                return failed
             if body.get("stream"):
-                return await self._stream(request, request_id, body)
-            return await self._whole(request, request_id, body)
+                return await self._stream(request, request_id, body, fault)
+            return await self._whole(request, request_id, body, fault)
         finally:
             self.running -= 1
             if not self.running:
                 self.idle.set()
 
     async def _stream(
-        self, request: web.Request, request_id: str, body: dict[str, Any]
+        self,
+        request: web.Request,
+        request_id: str,
+        body: dict[str, Any],
+        fault: Fault,
     ) -> web.StreamResponse:
         response = web.StreamResponse(
-            headers={"content-type": "text/event-stream", "x-request-id": request_id}
+            headers={
+                "content-type": "text/event-stream",
+                "x-request-id": engine_faults.header_id(fault, request_id),
+            }
         )
         await response.prepare(request)
         tokens = self._tokens(body)
-        for position, token in enumerate(tokens):
-            await asyncio.sleep(self.token_seconds)
-            last = position == len(tokens) - 1
-            piece = self._piece(request.path, request_id, body, token, last)
-            await response.write(b"data: " + json.dumps(piece).encode() + b"\n\n")
-        await response.write(b"data: [DONE]\n\n")
-        await response.write_eof()
-        return response
+        last = len(tokens) - 1
+
+        def piece_at(position: int) -> dict[str, Any]:
+            return self._piece(
+                request.path, request_id, body, tokens[position], position == last
+            )
+
+        return await engine_faults.write_stream(
+            fault, request, response, piece_at, len(tokens), self.token_seconds
+        )
 
     async def _whole(
-        self, request: web.Request, request_id: str, body: dict[str, Any]
+        self,
+        request: web.Request,
+        request_id: str,
+        body: dict[str, Any],
+        fault: Fault,
     ) -> web.StreamResponse:
         tokens = self._tokens(body)
         await asyncio.sleep(self.token_seconds * len(tokens))
@@ -100,7 +126,8 @@
                 "total_tokens": len(str(body)) // 4 + len(tokens),
             },
         }
-        return web.json_response(answer, headers={"x-request-id": request_id})
+        headers = {"x-request-id": engine_faults.header_id(fault, request_id)}
+        return await engine_faults.write_whole(fault, request, answer, headers)
 
     def _piece(
         self,
@@ -145,6 +172,7 @@
                 "version": self.version,
                 "running": self.running,
                 "runs_by_request": dict(self.runs_by_request),
+                "runs_by_call": dict(self.runs_by_call),
                 "headers_seen": self.headers_seen,
             }
         )
@@ -163,6 +191,7 @@
     app.router.add_post("/weights", engine.load_weights)
     app.router.add_get("/healthz", engine.healthz)
     app.router.add_get("/fake/state", engine.state)
+    app.router.add_post("/fake/faults", engine.faults.set)
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", options.port).start()
--- /dev/null
+++ b/demo/fakes/engine_faults.py
@@ -0,0 +1,221 @@
+"""Misbehaviours of the stand-in engine.
+
+A request chooses one by the body field ``fault``, or ``POST /fake/faults``
+sets them for the next requests.  With the field ``fault_ticket``, the path of
+a file, only the engine that manages to remove the file misbehaves: so just
+one attempt of a request meets the fault.
+"""
+
+import asyncio
+import json
+import os
+import uuid
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from aiohttp import web
+
+
+class Fault(Enum):
+    """How an engine misbehaves."""
+
+    NONE = "none"
+    CRASH_BEFORE = "crash_before"
+    """Closes the connection before the request runs."""
+    CRASH_AFTER_RUN = "crash_after_run"
+    """Runs the request and closes the connection without an answer."""
+    CRASH_DURING = "crash_during"
+    """Closes the connection abruptly in the middle of the answer."""
+    CRASH_AFTER = "crash_after"
+    """Closes the connection abruptly after the whole answer."""
+    TRUNCATED = "truncated"
+    """Ends the answer in its middle as if that were all of it."""
+    NO_END_MARK = "no_end_mark"
+    """Leaves out ``[DONE]``."""
+    NO_FINISH_REASON = "no_finish_reason"
+    """Leaves out the finish reason."""
+    ONE_CHOICE_OPEN = "one_choice_open"
+    """Begins a second choice and never finishes it."""
+    WRONG_ID = "wrong_id"
+    """Answers with another id in the header."""
+    OTHER_ANSWER = "other_answer"
+    """Answers, from the third piece on, with those of another request."""
+    DUPLICATE = "duplicate"
+    """Sends a piece twice, with the same event id."""
+    PIECE_AFTER_FINISH = "piece_after_finish"
+    """Goes on after the finish reason."""
+    MALFORMED = "malformed"
+    """Sends an event, or a body, that is not JSON."""
+    STALL = "stall"
+    """Falls silent in the middle of the answer, connection open."""
+    NEVER = "never"
+    """Never answers, connection open."""
+    REFUSED_NOT_RUN = "refused_not_run"
+    """Answers 503 with ``x-not-run``."""
+    REFUSED = "refused"
+    """Answers 503 without saying that the request has not run."""
+
+
+@dataclass
+class Faults:
+    """The faults of the next requests."""
+
+    waiting: deque[Fault] = field(default_factory=deque)
+
+    def take(self, body: dict[str, Any]) -> Fault:
+        """Return the fault for a request."""
+        if self.waiting:
+            return self.waiting.popleft()
+        ticket = body.get("fault_ticket")
+        if ticket is not None:
+            try:
+                os.unlink(ticket)
+            except FileNotFoundError:
+                return Fault.NONE
+        return Fault(body.get("fault", "none"))
+
+    async def set(self, request: web.Request) -> web.StreamResponse:
+        """Set the faults of the next requests, one each."""
+        self.waiting = deque(Fault(name) for name in await request.json())
+        return web.json_response({})
+
+
+async def before_run(
+    fault: Fault, request: web.Request, request_id: str
+) -> web.StreamResponse | None:
+    """Misbehave before the request runs; None lets it run."""
+    match fault:
+        case Fault.CRASH_BEFORE:
+            return abort(request)
+        case Fault.REFUSED_NOT_RUN:
+            return web.json_response(
+                {"error": {"message": "full"}},
+                status=503,
+                headers={"x-request-id": request_id, "x-not-run": "true"},
+            )
+    return None
+
+
+async def before_answer(
+    fault: Fault, request: web.Request, request_id: str
+) -> web.StreamResponse | None:
+    """Misbehave after the start of the run; None lets it answer."""
+    match fault:
+        case Fault.CRASH_AFTER_RUN:
+            return abort(request)
+        case Fault.NEVER:
+            await asyncio.Event().wait()
+        case Fault.REFUSED:
+            return web.json_response(
+                {"error": {"message": "trouble"}},
+                status=503,
+                headers={"x-request-id": request_id},
+            )
+    return None
+
+
+def header_id(fault: Fault, request_id: str) -> str:
+    """Return the id that the answer's header carries."""
+    return uuid.uuid4().hex if fault is Fault.WRONG_ID else request_id
+
+
+async def write_stream(
+    fault: Fault,
+    request: web.Request,
+    response: web.StreamResponse,
+    piece_at: Callable[[int], dict[str, Any]],
+    count: int,
+    token_seconds: float,
+) -> web.StreamResponse:
+    """Write the pieces of a stream, with the fault among them."""
+    last = count - 1
+    for position in range(count):
+        await asyncio.sleep(token_seconds)
+        piece = piece_at(position)
+        if position == 2:
+            match fault:
+                case Fault.CRASH_DURING:
+                    return abort(request, response)
+                case Fault.TRUNCATED:
+                    await response.write_eof()
+                    return response
+                case Fault.STALL:
+                    await asyncio.Event().wait()
+                case Fault.MALFORMED:
+                    await response.write(b'data: {"choices": [\n\n')
+                case Fault.ONE_CHOICE_OPEN:
+                    choice = {**piece["choices"][0], "index": 1}
+                    await _write(response, {**piece, "choices": [choice]}, position)
+        await _write(response, _altered(fault, piece, position, last), position)
+        if position == 2 and fault is Fault.DUPLICATE:
+            await _write(response, piece, position)
+    if fault is Fault.PIECE_AFTER_FINISH:
+        await _write(response, piece_at(0), last + 1)
+    if fault is not Fault.NO_END_MARK:
+        await response.write(b"data: [DONE]\n\n")
+    await response.write_eof()
+    return abort(request, response) if fault is Fault.CRASH_AFTER else response
+
+
+def _altered(
+    fault: Fault, piece: dict[str, Any], position: int, last: int
+) -> dict[str, Any]:
+    match fault:
+        case Fault.OTHER_ANSWER if position >= 2:
+            return {**piece, "id": f"chatcmpl-{uuid.uuid4().hex}"}
+        case Fault.NO_FINISH_REASON if position == last:
+            choice = {**piece["choices"][0], "finish_reason": None}
+            return {**piece, "choices": [choice]}
+    return piece
+
+
+async def write_whole(
+    fault: Fault,
+    request: web.Request,
+    answer: dict[str, Any],
+    headers: dict[str, str],
+) -> web.StreamResponse:
+    """Write an answer that is one JSON object, with the fault in it."""
+    match fault:
+        case Fault.NO_FINISH_REASON:
+            answer["choices"][0]["finish_reason"] = None
+        case Fault.ONE_CHOICE_OPEN:
+            choice = {**answer["choices"][0], "index": 1, "finish_reason": None}
+            answer["choices"].append(choice)
+        case Fault.OTHER_ANSWER:
+            answer["id"] = f"chatcmpl-{uuid.uuid4().hex}"
+    data = json.dumps(answer).encode()
+    if fault in (Fault.TRUNCATED, Fault.MALFORMED):
+        data = data[: len(data) // 2]
+    response = web.StreamResponse(
+        headers={**headers, "content-type": "application/json"}
+    )
+    response.content_length = len(data)
+    await response.prepare(request)
+    if fault in (Fault.CRASH_DURING, Fault.STALL):
+        await response.write(data[: len(data) // 2])
+        if fault is Fault.STALL:
+            await asyncio.Event().wait()
+        return abort(request, response)
+    await response.write(data)
+    await response.write_eof()
+    return abort(request, response) if fault is Fault.CRASH_AFTER else response
+
+
+async def _write(
+    response: web.StreamResponse, piece: dict[str, Any], event_id: int
+) -> None:
+    event = f"id: {event_id}\ndata: {json.dumps(piece)}\n\n"
+    await response.write(event.encode())
+
+
+def abort(
+    request: web.Request, response: web.StreamResponse | None = None
+) -> web.StreamResponse:
+    """Close the connection as a crash does, after what was written."""
+    if request.transport is not None:
+        request.transport.close()
+    return response or web.Response(status=500)
--- a/goldcrestyard/core/attempts.py
+++ b/goldcrestyard/core/attempts.py
@@ -22,9 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """The request was sent, but no whole and matching answer came."""
+    """The request was sent, but no whole and matching answer came.
+
+    ``target_answers`` says that the target answered a probe on a new
+    connection afterwards, so the request may be sent to it again.
+    """
 
     detail: str
+    target_answers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/plugins/engines/dispatch.py
+++ b/goldcrestyard/plugins/engines/dispatch.py
@@ -140,6 +140,9 @@
     ) -> Refusal | None:
         """Wait before the next attempt, or return the refusal."""
         call.failures.append(failure)
+        if isinstance(failure, Broken) and failure.target_answers:
+            # Only its connection was dead.
+            call.tried.clear()
         decision = retries.decide(
             call.failures,
             idempotent=True,
--- a/goldcrestyard/plugins/engines/event_stream.py
+++ b/goldcrestyard/plugins/engines/event_stream.py
@@ -13,9 +13,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Piece:
-    """One event with a JSON object."""
+    """One event with a JSON object, and its id if the engine gave one."""
 
     data: dict[str, Any]
+    event_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,32 +38,37 @@
     """Yield the events; a stream that breaks off ends without its mark."""
     pending = bytearray()
     async for chunk in reader.iter_any():
-        pending += chunk
+        # Lines may end in either way; an event never holds a bare return.
+        pending += chunk.replace(b"\r", b"")
         while (end := pending.find(b"\n\n")) >= 0:
             block = bytes(pending[:end])
             del pending[: end + 2]
-            data = _data_of(block)
+            data, event_id = _fields_of(block)
             if data is not None:
-                yield parse_event(data)
+                yield parse_event(data, event_id)
         if len(pending) > MAX_EVENT_BYTES:
             yield Malformed("event is too long")
             return
 
 
-def parse_event(data: bytes) -> Event:
+def parse_event(data: bytes, event_id: str | None = None) -> Event:
     """Parse the data of one event."""
     if data == END_MARK:
         return EndOfStream()
     try:
-        return Piece(msgspec.json.decode(data, type=dict[str, Any]))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Piece(msgspec.json.decode(data, type=dict[str, Any]), event_id)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Malformed(str(error))
 
 
-def _data_of(block: bytes) -> bytes | None:
-    lines = [
-        line[5:].strip()
-        for line in block.replace(b"\r\n", b"\n").split(b"\n")
-        if line.startswith(b"data:")
-    ]
-    return b"\n".join(lines) if lines else None
+def _fields_of(block: bytes) -> tuple[bytes | None, str | None]:
+    data: list[bytes] = []
+    event_id: str | None = None
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        match name:
+            case b"data":
+                data.append(value.strip())
+            case b"id":
+                event_id = value.strip().decode("utf-8", "replace")
+    return (b"\n".join(data) if data else None), event_id
--- a/goldcrestyard/plugins/engines/requests.py
+++ b/goldcrestyard/plugins/engines/requests.py
@@ -18,6 +18,7 @@
     messages: list[dict[str, Any]] | None = None
     prompt: str | list[Any] | None = None
     max_tokens: int | None = None
+    n: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,4 +42,6 @@
         return Refusal(RefusalReason.BAD_REQUEST, "'prompt' is missing")
     if fields.max_tokens is not None and fields.max_tokens < 1:
         return Refusal(RefusalReason.BAD_REQUEST, "'max_tokens' must be positive")
+    if fields.n is not None and fields.n < 1:
+        return Refusal(RefusalReason.BAD_REQUEST, "'n' must be positive")
     return InferenceRequest(path, fields, body)
--- a/goldcrestyard/plugins/engines/upstream.py
+++ b/goldcrestyard/plugins/engines/upstream.py
@@ -18,6 +18,7 @@
 )
 from goldcrestyard.core.ids import AttemptId, CorrelationId
 from goldcrestyard.core.records import Target
+from goldcrestyard.plugins.engines.completeness import ChoiceTracker
 from goldcrestyard.plugins.engines.event_stream import (
     EndOfStream,
     Malformed,
@@ -62,15 +63,12 @@
         async with self._open(target, request, attempt, correlation_id) as opened:
             if not isinstance(opened, aiohttp.ClientResponse):
                 return opened
-            try:
-                body = await _read_whole(opened.content)
-            except (aiohttp.ClientError, TimeoutError) as error:
-                return Broken(f"answer broke off: {describe(error)}")
-            if body is None:
-                return Broken("answer is too long")
+            body = await self._read_body(target, opened)
+            if isinstance(body, Broken):
+                return body
             if opened.status >= 400:
                 return Answered(opened.status, opened.content_type, body)
-            return _check_answer(opened, body, attempt)
+            return _check_answer(opened, body, request, attempt)
 
     @asynccontextmanager
     async def stream(
@@ -89,13 +87,15 @@
             if not isinstance(opened, aiohttp.ClientResponse):
                 yield opened
             elif opened.content_type != "text/event-stream":
-                body = await opened.read()
-                if opened.status >= 400:
+                body = await self._read_body(target, opened)
+                if isinstance(body, Broken):
+                    yield body
+                elif opened.status >= 400:
                     yield Answered(opened.status, opened.content_type, body)
                 else:
                     yield Broken(f"unexpected content type {opened.content_type}")
             else:
-                yield self._steps(opened, attempt)
+                yield self._steps(target, request, opened, attempt)
 
     @asynccontextmanager
     async def _open(
@@ -108,7 +108,7 @@
         timeout = aiohttp.ClientTimeout(
             total=self._settings.request_seconds,
             connect=self._settings.connect_seconds,
-            sock_read=self._settings.stall_seconds,
+            sock_read=silence_seconds(request, self._settings),
         )
         try:
             response = await self._session.post(
@@ -119,12 +119,16 @@
                     REQUEST_ID_HEADER: attempt,
                     "x-correlation-id": correlation_id,
                 },
+                skip_auto_headers=("accept-encoding", "user-agent"),
                 timeout=timeout,
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             yield Unreached(describe(error))
             return
+        except aiohttp.SocketTimeoutError:
+            yield await self._silent(target)
+            return
         except (aiohttp.ClientError, TimeoutError) as error:
             yield Broken(describe(error))
             return
@@ -135,36 +139,100 @@
             # so that the rest of it cannot reach another request.
             response.release() if response.content.at_eof() else response.close()
 
+    async def _read_body(
+        self, target: Target, response: aiohttp.ClientResponse
+    ) -> bytes | Broken:
+        body = bytearray()
+        try:
+            async for chunk in response.content.iter_any():
+                body += chunk
+                if len(body) > MAX_ANSWER_BYTES:
+                    return Broken("answer is too long")
+        except aiohttp.SocketTimeoutError:
+            return await self._silent(target)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return Broken(f"answer broke off: {describe(error)}")
+        return bytes(body)
+
     async def _steps(
-        self, response: aiohttp.ClientResponse, attempt: AttemptId
+        self,
+        target: Target,
+        request: InferenceRequest,
+        response: aiohttp.ClientResponse,
+        attempt: AttemptId,
     ) -> AsyncIterator[StreamStep]:
-        finish_reason_seen = False
+        choices = ChoiceTracker(request.fields.n or 1)
         try:
             async for event in read_events(response.content):
                 match event:
-                    case EndOfStream() if finish_reason_seen:
-                        yield Finished()
-                        return
                     case EndOfStream():
-                        yield Broken("stream ended without a finish reason")
+                        missing = choices.missing()
+                        yield Broken(missing) if missing is not None else Finished()
                         return
                     case Malformed(detail=detail):
                         yield Broken(f"malformed event: {detail}")
                         return
-                    case Piece(data=data):
-                        if "error" in data:
-                            yield Broken(f"engine error: {data['error']}")
+                    case Piece():
+                        fault = _fault_of(event, attempt, choices)
+                        if fault is not None:
+                            yield Broken(fault)
                             return
-                        if not belongs_to(data.get("id"), attempt):
-                            yield Broken("event of another request")
-                            return
-                        finish_reason_seen |= has_finish_reason(data)
                         yield event
+        except aiohttp.SocketTimeoutError:
+            yield await self._silent(target)
+            return
         except (aiohttp.ClientError, TimeoutError, asyncio.IncompleteReadError) as e:
             yield Broken(f"stream broke off: {describe(e)}")
             return
         yield Broken("stream ended without its end mark")
 
+    async def _silent(self, target: Target) -> Broken:
+        """Give up a silent connection, and ask whether the engine lives.
+
+        The question goes over a new connection: the old one may be dead
+        while new ones work.
+        """
+        alive = await self._probe(target)
+        state = "answers" if alive else "does not answer"
+        return Broken(
+            f"connection fell silent; the engine {state} on a new one",
+            target_answers=alive,
+        )
+
+    async def _probe(self, target: Target) -> bool:
+        timeout = aiohttp.ClientTimeout(total=self._settings.probe_seconds)
+        connector = aiohttp.TCPConnector(force_close=True)
+        try:
+            async with (
+                aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
+                session.get(f"http://{target.address}/healthz") as answer,
+            ):
+                return answer.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+
+def silence_seconds(request: InferenceRequest, settings: EngineSettings) -> float:
+    """Return for how long a connection may be silent.
+
+    An answer in one piece is silent while it is generated, so it is given
+    the time that a slow engine needs for it.
+    """
+    if request.fields.stream:
+        return settings.stall_seconds
+    if request.fields.max_tokens is None:
+        return settings.request_seconds
+    generating = request.fields.max_tokens * settings.seconds_per_token
+    return min(settings.request_seconds, settings.stall_seconds + generating)
+
+
+def _fault_of(piece: Piece, attempt: AttemptId, choices: ChoiceTracker) -> str | None:
+    if "error" in piece.data:
+        return f"engine error: {piece.data['error']}"
+    if not belongs_to(piece.data.get("id"), attempt):
+        return "event of another request"
+    return choices.add(piece.data, piece.event_id)
+
 
 def belongs_to(answer_id: object, attempt: AttemptId) -> bool:
     """Return whether an answer's id carries the id of an attempt.
@@ -174,29 +242,11 @@
     return isinstance(answer_id, str) and answer_id.endswith(attempt)
 
 
-def has_finish_reason(data: dict[str, object]) -> bool:
-    """Return whether a piece says why its choices have ended."""
-    choices = data.get("choices")
-    return isinstance(choices, list) and any(
-        isinstance(choice, dict) and choice.get("finish_reason") for choice in choices
-    )
-
-
 def describe(error: Exception) -> str:
     """Return a text for an error that may have none of its own."""
     return str(error) or type(error).__name__
 
 
-async def _read_whole(content: aiohttp.StreamReader) -> bytes | None:
-    """Return a whole body, or None if it is too long."""
-    body = bytearray()
-    async for chunk in content.iter_any():
-        body += chunk
-        if len(body) > MAX_ANSWER_BYTES:
-            return None
-    return bytes(body)
-
-
 def _check_head(
     response: aiohttp.ClientResponse, attempt: AttemptId
 ) -> aiohttp.ClientResponse | AttemptFailure:
@@ -210,14 +260,19 @@
 
 
 def _check_answer(
-    response: aiohttp.ClientResponse, body: bytes, attempt: AttemptId
+    response: aiohttp.ClientResponse,
+    body: bytes,
+    request: InferenceRequest,
+    attempt: AttemptId,
 ) -> AttemptOutcome:
     try:
         data = msgspec.json.decode(body, type=dict[str, object])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Broken(f"answer is not whole JSON: {error}")
     if not belongs_to(data.get("id"), attempt):
         return Broken("answer of another request")
-    if not has_finish_reason(data):
-        return Broken("answer has no finish reason")
+    choices = ChoiceTracker(request.fields.n or 1)
+    fault = choices.add(data) or choices.missing()
+    if fault is not None:
+        return Broken(f"answer is not whole: {fault}")
     return Answered(response.status, response.content_type, body)
