--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import os
+import random
 import secrets
 import shutil
 import signal
@@ -265,16 +266,20 @@
         await self.operate("DELETE", f"/keys/{key.split('_')[1]}")
 
     async def stop(self) -> None:
-        """Stop everything that was started, targets before instances."""
+        """Stop everything that was started, targets before instances.
+
+        The instances are killed: their planned stop waits for callers of
+        the address list, of which there are none any more.
+        """
         instance_names = {instance.id for instance in self.instances}
-        for of_instances in (False, True):
-            await stop_processes(
-                [
-                    process
-                    for name, process in self.processes_by_name.items()
-                    if (name in instance_names) == of_instances
-                ]
-            )
+        targets, instances = [], []
+        for name, process in self.processes_by_name.items():
+            (instances if name in instance_names else targets).append(process)
+        await stop_processes(targets)
+        for process in instances:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def _headers(self) -> dict[str, str]:
@@ -313,10 +318,18 @@
 
 
 def free_port() -> int:
-    """Return a port that is free on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free on loopback.
+
+    It lies below the range from which the system takes the ports of outgoing
+    connections, so that none of those takes it before its process starts.
+    """
+    while True:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", random.randrange(10_000, 32_000)))
+            except OSError:
+                continue
+            return int(probe.getsockname()[1])
 
 
 def sha256(text: str) -> str:
