--- a/goldcrestyard/plugins/trainers/generation.py
+++ b/goldcrestyard/plugins/trainers/generation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import structlog
@@ -28,12 +29,17 @@
 )
 from goldcrestyard.plugins.trainers.questions import (
     Question,
-    SampleTask,
     sample_tasks,
 )
-from goldcrestyard.plugins.trainers.samples import Sample, SampleRun
+from goldcrestyard.plugins.trainers.running import RunningSamples
+from goldcrestyard.plugins.trainers.samples import (
+    AvoidedEngines,
+    Maker,
+    Sample,
+    VersionChecks,
+)
 from goldcrestyard.plugins.weights.slices import WeightsSlice
-from goldcrestyard.policy.hand_out import barred_versions
+from goldcrestyard.policy import hand_out
 
 logger = structlog.get_logger(__name__)
 
@@ -74,6 +80,15 @@
         self._tools = tools
         self._author = author
         self._correlation_id = correlation_id
+        self._concurrency = tools.concurrent_samples
+        self._maker = Maker(
+            question,
+            tools.dispatcher,
+            VersionChecks(self._too_old, self._barred),
+            AvoidedEngines(tools.clock),
+            tools.clock,
+            correlation_id,
+        )
         self._tasks_by_id = {task.id: task for task in sample_tasks(key, question)}
         self._pending = deque(self._tasks_by_id.values())
         self._placed_by_id: dict[SampleId, PlacedSample] = {}
@@ -106,36 +121,21 @@
 
     async def _generate(self) -> Refusal | None:
         """Generate what is pending; return why it cannot be generated."""
-        finished: asyncio.Queue[Sample | Refusal] = asyncio.Queue()
-
-        async def generate(task: SampleTask) -> None:
-            run = SampleRun(
-                task,
-                self._question,
-                self._tools.dispatcher,
-                self._barred,
-                self._correlation_id,
-            )
-            finished.put_nowait(await run.run())
-
-        refusal: Refusal | None = None
-        running = 0
         async with asyncio.TaskGroup() as group:
-            tasks: set[asyncio.Task[None]] = set()
-            while refusal is None and (self._pending or running):
-                while self._pending and running < self._tools.concurrent_samples:
-                    running += 1
-                    task = group.create_task(generate(self._pending.popleft()))
-                    tasks.add(task)
-                    task.add_done_callback(tasks.discard)
-                match await finished.get():
-                    case Sample() as sample:
-                        running -= 1
-                        refusal = await self._accept(sample)
-                    case Refusal() as refusal:
-                        pass
-            for task in tasks:
-                task.cancel()
+            running = RunningSamples(group, self._maker)
+            refusal = None
+            while refusal is None and (self._pending or running.samples):
+                while self._pending and running.samples < self._concurrency:
+                    running.start(self._pending.popleft())
+                result = await running.next_result()
+                match result:
+                    case Sample():
+                        refusal = await self._accept(result)
+                    case Refusal():
+                        refusal = result
+                    case None if not self._pending:
+                        running.hedge_stragglers(self.done, self.total)
+            running.cancel()
         return refusal
 
     async def _accept(self, sample: Sample) -> Refusal | None:
@@ -210,20 +210,20 @@
             step=self._key.number,
         )
 
-    def _barred(
-        self, versions: tuple[WeightVersion, ...] | set[WeightVersion]
-    ) -> tuple[WeightVersion, ...]:
+    def _barred(self, versions: Iterable[WeightVersion]) -> tuple[WeightVersion, ...]:
         """Return the versions that this entry's view bars.
 
         The view may lag behind the log, so ``FixBatch`` checks them again.
         """
+        return hand_out.barred_versions(versions, self._behind, self._bound())
+
+    def _too_old(self, versions: Iterable[WeightVersion]) -> tuple[WeightVersion, ...]:
+        return hand_out.too_old_versions(versions, self._behind, self._bound())
+
+    def _behind(self, version: WeightVersion) -> int | None:
+        return self._tools.weights.versions_behind(self._key.model, version)
+
+    def _bound(self) -> int:
         line = self._tools.weights.lines_by_name.get(self._key.model)
-        if line is None:
-            return tuple(versions)
-        return barred_versions(
-            versions,
-            lambda version: self._tools.weights.versions_behind(
-                self._key.model, version
-            ),
-            line.max_versions_behind,
-        )
+        # Without its line, the step is refused when its batch is to be fixed.
+        return line.max_versions_behind if line is not None else 0
--- a/goldcrestyard/plugins/trainers/questions.py
+++ b/goldcrestyard/plugins/trainers/questions.py
@@ -52,6 +52,15 @@
         """The number of samples asked for."""
         return len(self.prompts) * self.samples_per_prompt
 
+    @property
+    def can_be_continued(self) -> bool:
+        """Whether another engine may continue a sample from its text.
+
+        Penalties count the tokens that one request has generated, so they
+        would act otherwise on the rest of a sample.
+        """
+        return not self.presence_penalty and not self.frequency_penalty
+
     @property
     def digest(self) -> BodyDigest:
         """Digest of what is asked, whatever the attempt and the wait."""
--- a/goldcrestyard/plugins/trainers/samples.py
+++ b/goldcrestyard/plugins/trainers/samples.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,6 +16,7 @@
 )
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.engines.dispatch import Dispatcher, OpenStream
 from goldcrestyard.plugins.engines.event_stream import Piece
 from goldcrestyard.plugins.engines.upstream import Finished
@@ -31,11 +32,43 @@
 """How often a sample is begun anew before its step fails.  Weights that are
 being swapped and a few faulty engines stay far below it."""
 
+MAX_RESUMES = 4
+
 MIN_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 2.0
 
-BarredVersions = Callable[[tuple[WeightVersion, ...]], tuple[WeightVersion, ...]]
-"""Returns those of the versions with which a sample may not be handed out."""
+AVOID_SECONDS = 3.0
+"""How long the samples of a step avoid an engine that yielded an unusable one;
+a swap of weights takes up to about 9 s."""
+
+CheckVersions = Callable[[Iterable[WeightVersion]], tuple[WeightVersion, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionChecks:
+    """Return those of the versions with which a sample is not usable."""
+
+    too_old: CheckVersions
+    """Those that are too old for certain; asked during a stream."""
+    barred: CheckVersions
+    """Those too old or not known to be published; asked at its end."""
+
+
+class AvoidedEngines:
+    """Engines that no sample of a step uses for a while."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._until_by_id: dict[TargetId, float] = {}
+
+    def add(self, target: TargetId) -> None:
+        """Avoid an engine from now on."""
+        self._until_by_id[target] = self._clock.monotonic() + AVOID_SECONDS
+
+    def current(self) -> set[TargetId]:
+        """Return the engines to avoid now."""
+        now = self._clock.monotonic()
+        return {target for target, until in self._until_by_id.items() if now < until}
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +95,13 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Interrupted:
+    """The stream broke off; what was generated so far can be continued."""
+
+    detail: str
+
+
 @dataclass(slots=True)
 class Progress:
     """What was generated of a sample so far."""
@@ -70,11 +110,25 @@
     spans: tuple[Span, ...] = ()
     finish_reason: str = ""
 
+    @property
+    def text(self) -> str:
+        """The text so far."""
+        return "".join(self.pieces)
+
     @property
     def tokens(self) -> int:
         """The number of tokens so far."""
         return sum(span.tokens for span in self.spans)
 
+    @property
+    def versions(self) -> tuple[WeightVersion, ...]:
+        """The versions of all spans."""
+        return tuple(span.version for span in self.spans)
+
+    def copy(self) -> "Progress":
+        """Return a copy that grows on its own."""
+        return Progress(list(self.pieces), self.spans, self.finish_reason)
+
     def add(self, data: dict[str, Any]) -> Discard | None:
         """Add a piece of the stream, or say why the sample is unusable."""
         version = hand_out.version_of(data.get("weight_version"))
@@ -88,56 +142,113 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class Maker:
+    """What all samples of a generation have in common."""
+
+    question: Question
+    dispatcher: Dispatcher
+    checks: VersionChecks
+    avoided: AvoidedEngines
+    clock: Clock
+    correlation_id: CorrelationId
+
+
 class SampleRun:
     """Generates one sample, on as many engines as it takes."""
 
     def __init__(
         self,
         task: SampleTask,
-        question: Question,
-        dispatcher: Dispatcher,
-        barred: BarredVersions,
-        correlation_id: CorrelationId,
+        maker: Maker,
+        progress: Progress | None = None,
+        avoid: frozenset[TargetId] = frozenset(),
     ) -> None:
         self.task = task
-        self.progress = Progress()
-        self._question = question
-        self._dispatcher = dispatcher
-        self._barred = barred
-        self._correlation_id = correlation_id
-        self._avoided: set[TargetId] = set()
+        self.progress = progress or Progress()
+        self.engine: TargetId | None = None
+        self._maker = maker
+        self._avoid = avoid
+        self._stream_opened_at: float | None = None
+        self._tokens_at_opening = 0
+        self._discards: list[Discard] = []
+        self._resumes = 0
+
+    @property
+    def stream_seconds(self) -> float:
+        """For how long the current stream has run."""
+        if self._stream_opened_at is None:
+            return 0.0
+        return self._maker.clock.monotonic() - self._stream_opened_at
+
+    @property
+    def stream_tokens(self) -> int:
+        """How many tokens came in the current stream."""
+        return self.progress.tokens - self._tokens_at_opening
+
+    def hedge(self) -> "SampleRun":
+        """Return a run that continues this sample on another engine."""
+        avoid = self._avoid if self.engine is None else self._avoid | {self.engine}
+        progress = self.progress.copy() if self._can_resume() else None
+        return SampleRun(self.task, self._maker, progress, avoid)
 
     async def run(self) -> Sample | Refusal:
         """Return the whole sample, or why it cannot be generated."""
-        discards: list[Discard] = []
         pauses = 0
-        while len(discards) < MAX_DISCARDS:
+        while len(self._discards) < MAX_DISCARDS:
             ending = await self._attempt()
             match ending:
                 case Finished():
                     return self._sample()
+                case Interrupted(detail=detail):
+                    self._resumes += 1
+                    if not self._can_resume():
+                        self._discard(Discard(detail))
                 case Discard():
-                    discards.append(ending)
-                    self.progress = Progress()
+                    self._discard(ending)
                 case Refusal(reason=RefusalReason.BAD_REQUEST):
-                    return ending
+                    if not self.progress.pieces:
+                        return ending
+                    self._discard(Discard(f"not continued: {ending.detail}"))
                 case Refusal():
                     # No engine has room or all have failed: engines come
                     # back, and the step has a deadline of its own.
-                    self._avoided.clear()
+                    self._avoid = frozenset()
             pauses += 1
             await asyncio.sleep(_pause_seconds(pauses))
         return Refusal(
             RefusalReason.TARGET_FAILED,
-            f"sample was discarded {len(discards)} times, last: {discards[-1].detail}",
+            f"sample was discarded {len(self._discards)} times, "
+            f"last: {self._discards[-1].detail}",
             Verdict.MAY_HAVE_RUN,
         )
 
-    async def _attempt(self) -> Finished | Discard | Refusal:
-        request = inference_request(self._question, self.task.prompt, "", 0)
-        call = self._dispatcher.start(request, self._correlation_id)
-        call.tried |= self._avoided
-        async with self._dispatcher.stream(call) as opened:
+    def _discard(self, discard: Discard) -> None:
+        self._discards.append(discard)
+        self._resumes = 0
+        self.progress = Progress()
+
+    def _can_resume(self) -> bool:
+        """Return whether what was generated may be continued."""
+        return (
+            self.progress.tokens > 0
+            and not self.progress.finish_reason
+            and self.progress.tokens < self._maker.question.max_tokens
+            and self._resumes <= MAX_RESUMES
+            and self._maker.question.can_be_continued
+            and not self._maker.checks.too_old(self.progress.versions)
+        )
+
+    async def _attempt(self) -> Finished | Discard | Interrupted | Refusal:
+        request = inference_request(
+            self._maker.question,
+            self.task.prompt,
+            self.progress.text,
+            self.progress.tokens,
+        )
+        call = self._maker.dispatcher.start(request, self._maker.correlation_id)
+        call.tried |= self._avoid | self._maker.avoided.current()
+        async with self._maker.dispatcher.stream(call) as opened:
             match opened:
                 case Refusal():
                     return opened
@@ -147,12 +258,17 @@
                         f"engine answered {status}: {body[:200]!r}",
                     )
                 case OpenStream():
+                    self.engine = opened.target.id
+                    self._stream_opened_at = self._maker.clock.monotonic()
+                    self._tokens_at_opening = self.progress.tokens
                     ending = await self._read(opened)
-                    if isinstance(ending, Discard):
-                        self._avoided.add(opened.target.id)
+                    if isinstance(ending, Finished):
+                        return ending
+                    self._stream_opened_at = None
+                    self._maker.avoided.add(opened.target.id)
                     return ending
 
-    async def _read(self, stream: OpenStream) -> Finished | Discard:
+    async def _read(self, stream: OpenStream) -> Finished | Discard | Interrupted:
         unusable = self._add(stream.first)
         if unusable is not None:
             return unusable
@@ -163,9 +279,10 @@
                     if unusable is not None:
                         return unusable
                 case Broken(detail=detail):
-                    return Discard(detail)
+                    return Interrupted(detail)
                 case Finished():
-                    return self._check_versions() or step
+                    barred = self._maker.checks.barred(self.progress.versions)
+                    return _unusable(barred) or step
         raise AssertionError("a stream ends with a finish or a break")
 
     def _add(self, piece: Piece) -> Discard | None:
@@ -174,28 +291,27 @@
         if unusable is None and len(self.progress.spans) > known:
             # Checked at each new span, so that an engine with old weights is
             # left before it has generated a whole sample for nothing.
-            return self._check_versions()
+            return _unusable(self._maker.checks.too_old(self.progress.versions))
         return unusable
 
-    def _check_versions(self) -> Discard | None:
-        versions = tuple(span.version for span in self.progress.spans)
-        barred = self._barred(versions)
-        if barred:
-            return Discard(f"versions {list(barred)} are too old or not published")
-        return None
-
     def _sample(self) -> Sample:
         progress = self.progress
         return Sample(
             self.task.id,
             self.task.prompt.group,
             self.task.number,
-            "".join(progress.pieces),
+            progress.text,
             progress.finish_reason,
             progress.spans,
         )
 
 
+def _unusable(versions: tuple[WeightVersion, ...]) -> Discard | None:
+    if not versions:
+        return None
+    return Discard(f"versions {list(versions)} are too old or were not published")
+
+
 def _text_of(choice: dict[str, Any]) -> str:
     if "delta" in choice:
         return str(choice["delta"].get("content") or "")
--- a/goldcrestyard/policy/hand_out.py
+++ b/goldcrestyard/policy/hand_out.py
@@ -59,3 +59,20 @@
         if behind is None or behind > max_versions_behind:
             barred.append(version)
     return tuple(barred)
+
+
+def too_old_versions(
+    versions: Iterable[WeightVersion],
+    versions_behind: VersionsBehind,
+    max_versions_behind: int,
+) -> tuple[WeightVersion, ...]:
+    """Return the versions that are past the bound for certain.
+
+    A version that is not known yet may have been published a moment ago.
+    """
+    return tuple(
+        version
+        for version in sorted(set(versions))
+        if (behind := versions_behind(version)) is not None
+        and behind > max_versions_behind
+    )
--- /dev/null
+++ b/tests/fakes/engines.py
@@ -0,0 +1,110 @@
+"""A dispatcher whose engines follow a script."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from goldcrestyard.core.attempts import Answered, Broken
+from goldcrestyard.core.ids import CorrelationId, DataCentre, Region, TargetId
+from goldcrestyard.core.records import Target
+from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.states import TargetKind
+from goldcrestyard.plugins.engines.dispatch import Call, OpenStream
+from goldcrestyard.plugins.engines.event_stream import Piece
+from goldcrestyard.plugins.engines.requests import InferenceRequest
+from goldcrestyard.plugins.engines.upstream import Finished, StreamStep
+
+
+@dataclass(frozen=True)
+class Token:
+    """A piece of a stream."""
+
+    text: str
+    version: object = 1
+    seconds: float = 0.1
+    """The time that passes before the piece."""
+    finish: bool = False
+
+
+Script = list[Token | Broken | Finished] | Answered | Refusal
+
+
+def whole(text: str, version: object = 1, seconds: float = 0.1) -> Script:
+    """Return the script of a whole stream, a token for each letter."""
+    tokens = [Token(letter, version, seconds) for letter in text[:-1]]
+    return [*tokens, Token(text[-1], version, seconds, finish=True), Finished()]
+
+
+@dataclass
+class ScriptedDispatcher:
+    """Answers each request with the next script, on a new engine each time."""
+
+    scripts: Iterable[Script]
+    bodies: list[dict[str, Any]] = field(default_factory=list)
+    tried: list[set[TargetId]] = field(default_factory=list)
+    cancelled: int = 0
+
+    def __post_init__(self) -> None:
+        self._scripts = iter(self.scripts)
+
+    def start(self, request: InferenceRequest, correlation_id: CorrelationId) -> Call:
+        """Return a call."""
+        return Call(request, correlation_id, float("inf"))
+
+    @asynccontextmanager
+    async def stream(
+        self, call: Call
+    ) -> AsyncIterator[OpenStream | Answered | Refusal]:
+        """Yield the next scripted stream."""
+        self.bodies.append(call.request.body)
+        self.tried.append(set(call.tried))
+        script = next(self._scripts)
+        if not isinstance(script, list):
+            yield script
+            return
+        engine = f"engine-{len(self.bodies)}"
+        steps = _steps(script)
+        first = await anext(steps)
+        assert isinstance(first, Piece)
+        try:
+            yield OpenStream(_target(engine), first, steps)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+async def _steps(script: list[Token | Broken | Finished]) -> AsyncIterator[StreamStep]:
+    for step in script:
+        match step:
+            case Token():
+                await asyncio.sleep(step.seconds)
+                yield Piece(_data(step))
+            case Broken() | Finished():
+                yield step
+
+
+def _data(token: Token) -> dict[str, Any]:
+    data: dict[str, Any] = {
+        "choices": [
+            {
+                "delta": {"content": token.text},
+                "finish_reason": "stop" if token.finish else None,
+            }
+        ]
+    }
+    if token.version is not None:
+        data["weight_version"] = token.version
+    return data
+
+
+def _target(name: str) -> Target:
+    return Target(
+        TargetId(name),
+        TargetKind.ENGINE,
+        "127.0.0.1:1",
+        DataCentre("lisboa-a"),
+        Region("lisboa"),
+        ("inspect-lm",),
+    )
--- /dev/null
+++ b/tests/plugins/trainers/test_samples.py
@@ -0,0 +1,166 @@
+"""Tests of generating one sample from engines' streams.
+
+They guard against a label that differs from what the streams said, against
+handing out a cut sample, and against generating for ever.
+"""
+
+from dataclasses import dataclass
+from typing import Any, cast
+
+from parameterized import parameterized
+
+from goldcrestyard.core.attempts import Answered, Broken
+from goldcrestyard.core.ids import (
+    CorrelationId,
+    GroupId,
+    ModelName,
+    SampleId,
+    WeightVersion,
+)
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.plugins.engines.dispatch import Dispatcher
+from goldcrestyard.plugins.trainers.questions import Prompt, Question, SampleTask
+from goldcrestyard.plugins.trainers.samples import (
+    MAX_DISCARDS,
+    AvoidedEngines,
+    Maker,
+    Sample,
+    SampleRun,
+    VersionChecks,
+)
+from goldcrestyard.policy.hand_out import barred_versions, too_old_versions
+from tests.fakes.engines import Script, ScriptedDispatcher, Token, whole
+from tests.fakes.paused_clock import PausedClockTestCase
+
+BEHIND = {WeightVersion(1): 1, WeightVersion(2): 0, WeightVersion(0): 2}
+BROKEN = Broken("connection reset")
+NOT_CONTINUED = Answered(400, "application/json", b"{}")
+NO_ROOM = Refusal(RefusalReason.NO_TARGET, "no target has room")
+
+
+@dataclass(frozen=True)
+class Case:
+    """Scripts of the engines, and the spans and the text of the sample."""
+
+    name: str
+    scripts: tuple[Script, ...]
+    spans: list[tuple[int, int]]
+    text: str = "abcd"
+    penalty: float | None = None
+
+
+CASES = [
+    Case("whole", (whole("abcd"),), [(1, 4)]),
+    Case(
+        "swap_in_mid_stream",
+        ([Token("a"), Token("b", 2), *whole("cd", 2)],),
+        [(1, 1), (2, 3)],
+    ),
+    Case("no_version", (whole("xxxx", None), whole("abcd")), [(1, 4)]),
+    Case(
+        "one_piece_without_version",
+        ([Token("x"), Token("x", None), *whole("x")], whole("abcd")),
+        [(1, 4)],
+    ),
+    Case("unpublished_version", (whole("xxxx", 9), whole("abcd")), [(1, 4)]),
+    Case("too_old_version", (whole("xxxx", 0), whole("abcd")), [(1, 4)]),
+    Case(
+        "swap_to_a_version_that_is_too_old",
+        ([Token("x"), *whole("xx", 0)], whole("abcd")),
+        [(1, 4)],
+    ),
+    Case(
+        "engine_dies_and_another_continues",
+        ([Token("a"), Token("b"), BROKEN], whole("cd", 2)),
+        [(1, 2), (2, 2)],
+    ),
+    Case(
+        "two_engines_die",
+        ([Token("a"), BROKEN], [Token("b"), BROKEN], whole("cd")),
+        [(1, 4)],
+    ),
+    Case(
+        "rest_without_version_discards_the_whole_sample",
+        ([Token("x"), BROKEN], whole("xx", None), whole("abcd")),
+        [(1, 4)],
+    ),
+    Case(
+        "engine_does_not_continue",
+        ([Token("x"), BROKEN], NOT_CONTINUED, whole("abcd")),
+        [(1, 4)],
+    ),
+    Case(
+        "not_continued_with_a_penalty",
+        ([Token("x"), BROKEN], whole("abcd")),
+        [(1, 4)],
+        penalty=0.5,
+    ),
+    Case(
+        "cut_after_the_finish_reason",
+        ([*whole("xx")[:-1], BROKEN], whole("abcd")),  # type: ignore[index]
+        [(1, 4)],
+    ),
+    Case("no_engine_has_room_at_first", (NO_ROOM, whole("abcd")), [(1, 4)]),
+]
+
+
+class SampleRunTests(PausedClockTestCase):
+    """Runs of one sample on scripted engines."""
+
+    def run_of(
+        self, dispatcher: ScriptedDispatcher, penalty: float | None = None
+    ) -> SampleRun:
+        """Return a run with a bound of one version."""
+        prompt = Prompt(GroupId("g"), messages=[{"role": "user", "content": "q"}])
+        question = Question(
+            ModelName("m"), [prompt], 1, max_tokens=16, frequency_penalty=penalty
+        )
+        maker = Maker(
+            question,
+            cast(Dispatcher, dispatcher),
+            VersionChecks(
+                lambda versions: too_old_versions(versions, BEHIND.get, 1),
+                lambda versions: barred_versions(versions, BEHIND.get, 1),
+            ),
+            AvoidedEngines(self.clock()),
+            self.clock(),
+            CorrelationId("c"),
+        )
+        return SampleRun(SampleTask(SampleId("s"), prompt, 0), maker)
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    async def test_sample(self, _: str, case: Case) -> None:
+        dispatcher = ScriptedDispatcher(case.scripts)
+        sample = await self.run_of(dispatcher, case.penalty).run()
+        assert isinstance(sample, Sample)
+        self.assertEqual([(s.version, s.tokens) for s in sample.spans], case.spans)
+        self.assertEqual(sample.text, case.text)
+        self.assertEqual(len(dispatcher.bodies), len(case.scripts))
+
+    async def test_rest_is_asked_for_from_the_text_so_far(self) -> None:
+        scripts: list[Script] = [[Token("a"), Token("b"), BROKEN], whole("cd")]
+        dispatcher = ScriptedDispatcher(scripts)
+        await self.run_of(dispatcher).run()
+        first, second = cast(list[dict[str, Any]], dispatcher.bodies)
+        self.assertEqual(
+            second["messages"],
+            [*first["messages"], {"role": "assistant", "content": "ab"}],
+        )
+        self.assertTrue(second["continue_final_message"])
+        self.assertEqual((first["max_tokens"], second["max_tokens"]), (16, 14))
+        self.assertIn("engine-1", dispatcher.tried[1])
+
+    @parameterized.expand(
+        [
+            ("no_version", whole("xx", None), RefusalReason.TARGET_FAILED),
+            ("too_old", whole("xx", 0), RefusalReason.TARGET_FAILED),
+            ("refused_question", NOT_CONTINUED, RefusalReason.BAD_REQUEST),
+        ]
+    )
+    async def test_generation_ends(
+        self, _: str, script: Script, reason: RefusalReason
+    ) -> None:
+        dispatcher = ScriptedDispatcher([script] * (MAX_DISCARDS + 1))
+        result = await self.run_of(dispatcher).run()
+        assert isinstance(result, Refusal)
+        self.assertIs(result.reason, reason)
