--- a/goldcrestyard/plugins/weights/apps.py
+++ b/goldcrestyard/plugins/weights/apps.py
@@ -1,13 +1,81 @@
-"""Plug-in: model lines and their published weight versions."""
+"""Plug-in: model lines, their weight versions, and the way to the engines."""
 
+from pathlib import Path
+
+import aiohttp
+
+from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.addresses.slices import EntriesSlice
+from goldcrestyard.plugins.listeners.routes import PublicRoutes
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+from goldcrestyard.plugins.targets.settings import TargetSettings
+from goldcrestyard.plugins.weights.cache import WeightCache
 from goldcrestyard.plugins.weights.commands import WeightsSnapshot
+from goldcrestyard.plugins.weights.fetching import WeightFetcher
+from goldcrestyard.plugins.weights.settings import WeightSettings
 from goldcrestyard.plugins.weights.slices import WeightsSlice
+from goldcrestyard.plugins.weights.views import WeightViews
 
 
 class WeightsConfig(PluginConfig):
-    """Adds the weights slice to the replicated state."""
+    """Adds the weights slice and serves ``/weights`` to engines."""
 
     name = "weights"
+    requires = ("addresses", "entry", "listeners", "peers", "targets")
+    settings_section = "weights"
+    settings_class = WeightSettings
     slices = (WeightsSlice,)
     messages = (*WeightsSlice.commands, WeightsSnapshot)
+
+    def __init__(self) -> None:
+        self._secret = b""
+        self._cache: WeightCache | None = None
+        self._fetcher: WeightFetcher | None = None
+        self._session: aiohttp.ClientSession | None = None
+
+    def ready(self, app: Application) -> None:
+        """Read the secret by which entries know each other."""
+        cluster = app.settings.section(ClusterSettings)
+        self._secret = Path(cluster.secret_file).read_bytes().strip()
+
+    async def start(self, app: Application) -> None:
+        """Create the cache and add the route."""
+        instance = app.settings.section(InstanceSettings)
+        settings = app.settings.section(WeightSettings)
+        machine = app.get(EntryView).machine
+        self._cache = WeightCache(settings.cache_folder, settings.cache_bytes)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+        self._fetcher = WeightFetcher(
+            instance.id,
+            instance.region,
+            machine.get(EntriesSlice),
+            self._cache,
+            self._session,
+            settings,
+            self._secret,
+            app.clock,
+        )
+        views = WeightViews(
+            machine.get(WeightsSlice),
+            self._cache,
+            self._fetcher,
+            app.settings.section(TargetSettings).token_sha256,
+        )
+        routes = app.get(PublicRoutes)
+        routes.add("GET", "/weights/{model}/{version}", views.weights)
+
+    async def stop(self, app: Application) -> None:
+        """Cancel the fetches and delete the cache."""
+        if self._fetcher is not None:
+            await self._fetcher.stop()
+        if self._session is not None:
+            await self._session.close()
+        if self._cache is not None:
+            self._cache.close()
