--- a/goldcrestyard/plugins/addresses/apps.py
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -15,6 +15,7 @@
 from goldcrestyard.plugins.listeners.bodies import json_answer
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
 from goldcrestyard.plugins.listeners.settings import ListenerSettings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
 from goldcrestyard.policy.addresses import Place, order_for
 
 TIME_TO_LIVE_SECONDS = 15
@@ -71,6 +72,7 @@
             listeners.admin,
             instance.data_centre,
             instance.region,
+            peer_address=app.settings.section(ClusterSettings).peer_address,
         )
         announcing = keep_announced(entry, app.get(EntryView), app.get(LeaderLink))
         app.spawn(announcing, "announce this entry")
--- a/goldcrestyard/plugins/addresses/commands.py
+++ b/goldcrestyard/plugins/addresses/commands.py
@@ -15,6 +15,7 @@
     data_centre: DataCentre
     region: Region
     draining: bool = False
+    peer_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/plugins/trainers/apps.py
+++ b/goldcrestyard/plugins/trainers/apps.py
@@ -1,11 +1,15 @@
 """Plug-in: steps, samples and batches of the trainers."""
 
+import asyncio
+
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.body_client import BodyClient
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.bodies.serving import BodyServer
 from goldcrestyard.plugins.engines.dispatch import Dispatcher
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
@@ -21,13 +25,16 @@
     VersionsBarred,
 )
 from goldcrestyard.plugins.trainers.commits import Committer
-from goldcrestyard.plugins.trainers.generation import Tools
+from goldcrestyard.plugins.trainers.parts import PART_MESSAGES, PartServer
 from goldcrestyard.plugins.trainers.references import referenced_bodies
 from goldcrestyard.plugins.trainers.settings import TrainerSettings
 from goldcrestyard.plugins.trainers.slices import StepsSlice
 from goldcrestyard.plugins.trainers.steps import Steps
+from goldcrestyard.plugins.trainers.tools import Tools
 from goldcrestyard.plugins.trainers.views import TrainerViews
 from goldcrestyard.plugins.weights.slices import WeightsSlice
+from goldcrestyard.wire.client import PeerDialer
+from goldcrestyard.wire.connection import Handlers
 
 
 class TrainersConfig(PluginConfig):
@@ -35,12 +42,14 @@
 
     name = "trainers"
     requires = (
+        "addresses",
         "bodies",
         "control",
         "engines",
         "entry",
         "listeners",
         "organisations",
+        "peers",
         "weights",
     )
     settings_section = "trainers"
@@ -56,6 +65,7 @@
         VersionsBarred,
         StepFloor,
         StepsSnapshot,
+        *PART_MESSAGES,
     )
 
     async def start(self, app: Application) -> None:
@@ -66,14 +76,20 @@
         authenticator = app.get(Authenticator)
         committer = Committer(app.get(LeaderLink), app.clock)
         tools = Tools(
+            app.settings.section(InstanceSettings).id,
             app.get(Dispatcher),
             bodies,
             committer,
             weights,
+            app.get(EntryView).machine.get(EntriesSlice),
+            app.get(PeerDialer),
             app.clock,
             settings.concurrent_samples,
+            settings.step_seconds,
         )
-        steps = app.provide(Steps, Steps(tools, authenticator, settings.step_seconds))
+        parts = app.provide(PartServer, PartServer(tools))
+        parts.register(app.get(Handlers))
+        steps = app.provide(Steps, Steps(tools, authenticator))
         views = TrainerViews(
             authenticator, steps, committer, bodies, weights, settings.max_wait_seconds
         )
@@ -88,7 +104,7 @@
 
     async def drain(self, app: Application) -> None:
         """Wait for the steps that are being generated."""
-        await app.get(Steps).drain()
+        await asyncio.gather(app.get(Steps).drain(), app.get(PartServer).drain())
 
     async def stop(self, app: Application) -> None:
         """Cancel the steps that are being generated."""
--- a/goldcrestyard/plugins/trainers/generation.py
+++ b/goldcrestyard/plugins/trainers/generation.py
@@ -1,18 +1,16 @@
 """Generating the samples of a step and fixing them as its batch."""
 
 import asyncio
+import math
 from collections import deque
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable
 
 import structlog
 
-from goldcrestyard.core.ids import BodyDigest, CorrelationId, SampleId, WeightVersion
+from goldcrestyard.core.ids import BodyDigest, CorrelationId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
-from goldcrestyard.kernel.clock import Clock
-from goldcrestyard.membership.body_client import BodyClient
-from goldcrestyard.plugins.engines.dispatch import Dispatcher
+from goldcrestyard.plugins.trainers.chunks import ChunkWriter
 from goldcrestyard.plugins.trainers.commands import (
     Batch,
     BatchReady,
@@ -20,26 +18,11 @@
     StepKey,
     VersionsBarred,
 )
-from goldcrestyard.plugins.trainers.commits import Committer
-from goldcrestyard.plugins.trainers.manifests import (
-    Chunk,
-    Manifest,
-    PlacedSample,
-    encode_manifest,
-)
-from goldcrestyard.plugins.trainers.questions import (
-    Question,
-    sample_tasks,
-)
-from goldcrestyard.plugins.trainers.running import RunningSamples
-from goldcrestyard.plugins.trainers.samples import (
-    AvoidedEngines,
-    Maker,
-    Sample,
-    VersionChecks,
-)
-from goldcrestyard.plugins.weights.slices import WeightsSlice
-from goldcrestyard.policy import hand_out
+from goldcrestyard.plugins.trainers.manifests import Manifest, encode_manifest
+from goldcrestyard.plugins.trainers.parts import Helpers, helper_addresses, part_of
+from goldcrestyard.plugins.trainers.questions import Question, sample_tasks
+from goldcrestyard.plugins.trainers.running import Elsewhere, generate_all
+from goldcrestyard.plugins.trainers.tools import Tools, maker_for
 
 logger = structlog.get_logger(__name__)
 
@@ -47,22 +30,6 @@
 """Longest wait for a commit at the end of a step; the samples are stored, and
 giving them up costs the whole step."""
 
-SAMPLE_KEEP_SECONDS = 2 * 3600.0
-"""Longer than any step takes.  Bodies of a fixed batch stay until it is
-acknowledged, whatever this time."""
-
-
-@dataclass(frozen=True, slots=True)
-class Tools:
-    """What every generation on this entry uses."""
-
-    dispatcher: Dispatcher
-    bodies: BodyClient
-    committer: Committer
-    weights: WeightsSlice
-    clock: Clock
-    concurrent_samples: int
-
 
 class Generation:
     """One attempt at a step, generated on this entry."""
@@ -80,20 +47,15 @@
         self._tools = tools
         self._author = author
         self._correlation_id = correlation_id
-        self._concurrency = tools.concurrent_samples
-        self._maker = Maker(
-            question,
-            tools.dispatcher,
-            VersionChecks(self._too_old, self._barred),
-            AvoidedEngines(tools.clock),
-            tools.clock,
-            correlation_id,
-        )
+        self._maker = maker_for(key, question, tools, correlation_id)
         self._tasks_by_id = {task.id: task for task in sample_tasks(key, question)}
         self._pending = deque(self._tasks_by_id.values())
-        self._placed_by_id: dict[SampleId, PlacedSample] = {}
-        self._chunk = Chunk.empty()
-        self.done = 0
+        self._writer = ChunkWriter(tools.bodies)
+
+    @property
+    def done(self) -> int:
+        """The number of samples generated so far."""
+        return self._writer.count
 
     @property
     def total(self) -> int:
@@ -106,11 +68,18 @@
         That is the batch of another entry if it was fixed first.
         """
         while True:
-            refusal = await self._generate() or await self._store_chunk()
+            refusal = await generate_all(
+                self._pending,
+                self._maker,
+                self._writer,
+                self._tools.concurrent_samples,
+                self._get_help,
+            )
             if refusal is not None:
                 return refusal
-            barred = self._barred(
-                {v for placed in self._placed_by_id.values() for v in placed.versions}
+            placed = self._writer.placed_by_id.values()
+            barred = self._maker.checks.barred(
+                {version for sample in placed for version in sample.versions}
             )
             if not barred:
                 outcome = await self._fix()
@@ -119,48 +88,31 @@
                 barred = outcome.versions
             self._drop(barred)
 
-    async def _generate(self) -> Refusal | None:
-        """Generate what is pending; return why it cannot be generated."""
-        async with asyncio.TaskGroup() as group:
-            running = RunningSamples(group, self._maker)
-            refusal = None
-            while refusal is None and (self._pending or running.samples):
-                while self._pending and running.samples < self._concurrency:
-                    running.start(self._pending.popleft())
-                result = await running.next_result()
-                match result:
-                    case Sample():
-                        refusal = await self._accept(result)
-                    case Refusal():
-                        refusal = result
-                    case None if not self._pending:
-                        running.hedge_stragglers(self.done, self.total)
-            running.cancel()
-        return refusal
-
-    async def _accept(self, sample: Sample) -> Refusal | None:
-        self.done += 1
-        self._chunk.add(sample)
-        return await self._store_chunk() if self._chunk.is_full else None
-
-    async def _store_chunk(self) -> Refusal | None:
-        if not self._chunk.samples:
-            return None
-        digest = await self._store(bytes(self._chunk.body))
-        if isinstance(digest, Refusal):
-            return digest
-        for placed in self._chunk.place(digest):
-            self._placed_by_id[placed.stored.id] = placed
-        self._chunk = Chunk.empty()
-        return None
-
-    async def _store(self, body: bytes) -> BodyDigest | Refusal:
-        return await self._tools.bodies.put(body, SAMPLE_KEEP_SECONDS)
+    def _get_help(
+        self, group: asyncio.TaskGroup, wake: Callable[[], None]
+    ) -> Elsewhere:
+        """Let other entries generate what this one cannot do at a time."""
+        tools = self._tools
+        count = math.ceil(len(self._pending) / tools.concurrent_samples) - 1
+        helpers = Helpers(
+            tools,
+            self._pending,
+            self._writer,
+            lambda tasks: part_of(
+                self._key, self._question, tasks, self._correlation_id
+            ),
+            wake,
+        )
+        asker = f"{self._key.model}/{self._key.number}"
+        helpers.start(
+            group, helper_addresses(tools.instance, tools.entries, asker, count)
+        )
+        return helpers
 
     async def _fix(self) -> Batch | VersionsBarred | Refusal:
-        placed = list(self._placed_by_id.values())
+        placed = list(self._writer.placed_by_id.values())
         manifest = Manifest(tuple(item.stored for item in placed))
-        digest = await self._store(encode_manifest(manifest))
+        digest = await self._writer.store(encode_manifest(manifest))
         if isinstance(digest, Refusal):
             return digest
         versions = {version for item in placed for version in item.versions}
@@ -196,34 +148,15 @@
         """Put the samples of versions that are too old back to pending."""
         dropped = [
             sample_id
-            for sample_id, placed in self._placed_by_id.items()
+            for sample_id, placed in self._writer.placed_by_id.items()
             if not set(barred).isdisjoint(placed.versions)
         ]
         for sample_id in dropped:
-            del self._placed_by_id[sample_id]
+            del self._writer.placed_by_id[sample_id]
             self._pending.append(self._tasks_by_id[sample_id])
-        self.done -= len(dropped)
         logger.info(
             "samples dropped before the batch was fixed",
             count=len(dropped),
             versions=list(barred),
             step=self._key.number,
         )
-
-    def _barred(self, versions: Iterable[WeightVersion]) -> tuple[WeightVersion, ...]:
-        """Return the versions that this entry's view bars.
-
-        The view may lag behind the log, so ``FixBatch`` checks them again.
-        """
-        return hand_out.barred_versions(versions, self._behind, self._bound())
-
-    def _too_old(self, versions: Iterable[WeightVersion]) -> tuple[WeightVersion, ...]:
-        return hand_out.too_old_versions(versions, self._behind, self._bound())
-
-    def _behind(self, version: WeightVersion) -> int | None:
-        return self._tools.weights.versions_behind(self._key.model, version)
-
-    def _bound(self) -> int:
-        line = self._tools.weights.lines_by_name.get(self._key.model)
-        # Without its line, the step is refused when its batch is to be fixed.
-        return line.max_versions_behind if line is not None else 0
--- a/goldcrestyard/plugins/trainers/steps.py
+++ b/goldcrestyard/plugins/trainers/steps.py
@@ -20,8 +20,9 @@
     StepKey,
     StepOpen,
 )
-from goldcrestyard.plugins.trainers.generation import Generation, Tools
+from goldcrestyard.plugins.trainers.generation import Generation
 from goldcrestyard.plugins.trainers.questions import Question
+from goldcrestyard.plugins.trainers.tools import Tools
 from goldcrestyard.state.commands import Accepted, Command, Outcome
 
 logger = structlog.get_logger(__name__)
@@ -49,12 +50,9 @@
 class Steps:
     """Opens steps and runs at most one generation for each attempt."""
 
-    def __init__(
-        self, tools: Tools, authenticator: Authenticator, step_seconds: float
-    ) -> None:
+    def __init__(self, tools: Tools, authenticator: Authenticator) -> None:
         self._tools = tools
         self._authenticator = authenticator
-        self._step_seconds = step_seconds
         self._running_by_attempt: dict[tuple[StepKey, int], RunningGeneration] = {}
         self._draining = False
 
@@ -149,12 +147,12 @@
         """Generate within the deadline and while the trainer's key counts."""
         result: Batch | Refusal = Refusal(
             RefusalReason.DEADLINE,
-            f"the samples were not complete within {self._step_seconds} s",
+            f"the samples were not complete within {self._tools.step_seconds} s",
             Verdict.MAY_HAVE_RUN,
         )
         async with self._authenticator.guard(principal) as guard:
             try:
-                async with asyncio.timeout(self._step_seconds):
+                async with asyncio.timeout(self._tools.step_seconds):
                     result = await generation.run()
             except TimeoutError:
                 pass
--- a/goldcrestyard/policy/stragglers.py
+++ b/goldcrestyard/policy/stragglers.py
@@ -28,6 +28,9 @@
 MIN_OBSERVED = 4
 REMEMBERED = 64
 
+MIN_IDLE_SECONDS = 10.0
+"""A helper that has died is noticed within this time by its connection."""
+
 
 @dataclass(frozen=True, slots=True)
 class RunningSample:
@@ -84,3 +87,12 @@
     slow = [entry for entry in paced if entry[0] >= SLOW_FACTOR * typical]
     slow.sort(reverse=True)
     return [sample_id for _, sample_id in slow[:budget]]
+
+
+def helpers_are_late(busy_seconds: float, idle_seconds: float) -> bool:
+    """Return whether an entry that waits for helpers does their work itself.
+
+    ``busy_seconds`` is how long its own share took.  Shares differ, so it
+    waits for as long again by half before it generates samples twice.
+    """
+    return idle_seconds >= max(MIN_IDLE_SECONDS, busy_seconds / 2)
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -45,6 +45,9 @@
     bodies: list[dict[str, Any]] = field(default_factory=list)
     tried: list[set[TargetId]] = field(default_factory=list)
     cancelled: int = 0
+    running: int = 0
+    pieces: int = 0
+    """How many pieces were read from all streams."""
 
     def __post_init__(self) -> None:
         self._scripts = iter(self.scripts)
@@ -65,24 +68,29 @@
             yield script
             return
         engine = f"engine-{len(self.bodies)}"
-        steps = _steps(script)
-        first = await anext(steps)
-        assert isinstance(first, Piece)
+        steps = self._steps(script)
+        self.running += 1
         try:
+            first = await anext(steps)
+            assert isinstance(first, Piece)
             yield OpenStream(_target(engine), first, steps)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-
-
-async def _steps(script: list[Token | Broken | Finished]) -> AsyncIterator[StreamStep]:
-    for step in script:
-        match step:
-            case Token():
-                await asyncio.sleep(step.seconds)
-                yield Piece(_data(step))
-            case Broken() | Finished():
-                yield step
+        finally:
+            self.running -= 1
+
+    async def _steps(
+        self, script: list[Token | Broken | Finished]
+    ) -> AsyncIterator[StreamStep]:
+        for step in script:
+            match step:
+                case Token():
+                    await asyncio.sleep(step.seconds)
+                    self.pieces += 1
+                    yield Piece(_data(step))
+                case Broken() | Finished():
+                    yield step
 
 
 def _data(token: Token) -> dict[str, Any]:
--- a/tests/plugins/trainers/test_generation.py
+++ b/tests/plugins/trainers/test_generation.py
@@ -13,6 +13,7 @@
     BodyDigest,
     CorrelationId,
     GroupId,
+    InstanceId,
     ModelName,
     OrganisationId,
     StepNumber,
@@ -21,19 +22,22 @@
 from goldcrestyard.core.records import ModelLine
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.membership.body_client import BodyClient
+from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.engines.dispatch import Dispatcher
 from goldcrestyard.plugins.trainers import manifests
 from goldcrestyard.plugins.trainers.commands import Batch, FixBatch, OpenStep, StepKey
 from goldcrestyard.plugins.trainers.commits import Committer
-from goldcrestyard.plugins.trainers.generation import Generation, Tools
+from goldcrestyard.plugins.trainers.generation import Generation
 from goldcrestyard.plugins.trainers.hand_out import open_answer
 from goldcrestyard.plugins.trainers.questions import Prompt, Question
 from goldcrestyard.plugins.trainers.slices import StepsSlice
+from goldcrestyard.plugins.trainers.tools import Tools
 from goldcrestyard.plugins.weights.commands import PublishWeights, PutModelLine
 from goldcrestyard.plugins.weights.slices import WeightsSlice
 from goldcrestyard.state.commands import Command, Outcome, Rejected
 from goldcrestyard.state.machine import StateMachine
 from goldcrestyard.storage.bodies import digest_of
+from goldcrestyard.wire.client import PeerDialer
 from tests.fakes.engines import Script, ScriptedDispatcher, whole
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.state import apply
@@ -112,12 +116,16 @@
         question = Question(MODEL, [prompt], samples, max_tokens=16)
         apply(self.log.machine, OpenStep(KEY, 0, question.digest))
         tools = Tools(
+            InstanceId("entry"),
             cast(Dispatcher, dispatcher),
             cast(BodyClient, self.bodies),
             cast(Committer, self.log),
             self.view.get(WeightsSlice),
+            EntriesSlice(),
+            cast(PeerDialer, None),
             self.clock(),
             concurrent,
+            step_seconds=1800.0,
         )
         return Generation(KEY, question, tools, "tejo", CorrelationId("c"))
 
--- /dev/null
+++ b/tests/plugins/trainers/test_parts.py
@@ -0,0 +1,240 @@
+"""Tests of spreading a step over entries, over real peer connections.
+
+They guard against a sample that is missing or twice when helpers die, refuse
+or hang, and against a step that waits for a helper for ever.
+"""
+
+import asyncio
+import unittest
+import unittest.mock
+from collections import Counter, deque
+from dataclasses import dataclass, replace
+from itertools import repeat
+from typing import cast
+
+from parameterized import parameterized
+
+from demo.deployment import free_port, wait_for
+from goldcrestyard.core.ids import (
+    CorrelationId,
+    DataCentre,
+    GroupId,
+    InstanceId,
+    ModelName,
+    OrganisationId,
+    Region,
+    StepNumber,
+)
+from goldcrestyard.core.records import ModelLine
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.body_client import BodyClient
+from goldcrestyard.plugins.addresses.commands import Entry, PutEntry
+from goldcrestyard.plugins.addresses.slices import EntriesSlice
+from goldcrestyard.plugins.engines.dispatch import Dispatcher
+from goldcrestyard.plugins.trainers import parts
+from goldcrestyard.plugins.trainers.commands import Batch, OpenStep, StepKey
+from goldcrestyard.plugins.trainers.commits import Committer
+from goldcrestyard.plugins.trainers.generation import Generation
+from goldcrestyard.plugins.trainers.manifests import decode_manifest
+from goldcrestyard.plugins.trainers.parts import (
+    PART_MESSAGES,
+    GeneratePart,
+    PartServer,
+    helper_addresses,
+    part_of,
+    tasks_of,
+)
+from goldcrestyard.plugins.trainers.questions import Prompt, Question, sample_tasks
+from goldcrestyard.plugins.trainers.slices import StepsSlice
+from goldcrestyard.plugins.trainers.tools import Tools
+from goldcrestyard.plugins.weights.commands import PutModelLine
+from goldcrestyard.plugins.weights.slices import WeightsSlice
+from goldcrestyard.policy import stragglers
+from goldcrestyard.state.machine import StateMachine
+from goldcrestyard.wire.client import PeerDialer
+from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers, NoAnswer, PeerConnection
+from goldcrestyard.wire.handshake import Identity
+from goldcrestyard.wire.messages import MESSAGES
+from goldcrestyard.wire.server import PeerServer
+from tests.fakes.engines import ScriptedDispatcher, whole
+from tests.fakes.state import apply
+from tests.plugins.trainers.test_generation import Bodies, Log, publish
+
+MODEL = ModelName("inspect-lm")
+TEJO = OrganisationId("tejo")
+KEY = StepKey(TEJO, MODEL, StepNumber(1))
+SAMPLES = 40
+
+
+@dataclass(frozen=True)
+class Case:
+    """What each of two helpers does."""
+
+    name: str
+    helpers: tuple[str, str]
+    by_helpers: bool = True
+
+
+CASES = [
+    Case("both_work", ("works", "works")),
+    Case("one_is_down", ("down", "works")),
+    Case("one_dies", ("dies", "works")),
+    Case("one_stops", ("stops", "works")),
+    Case("one_hangs", ("hangs", "works")),
+    Case("none_works", ("dies", "down"), by_helpers=False),
+    Case("all_hang", ("hangs", "hangs"), by_helpers=False),
+]
+
+
+class PartTests(unittest.IsolatedAsyncioTestCase):
+    """A step of 40 samples on an entry that generates 16 at a time."""
+
+    def setUp(self) -> None:
+        self.bodies = Bodies()
+        self.machine = StateMachine([WeightsSlice(), StepsSlice(), EntriesSlice()])
+        line = PutModelLine(ModelLine(MODEL, TEJO))
+        for command in (line, publish(1)):
+            apply(self.machine, command)
+        for module, name, value in (
+            (parts, "PART_SAMPLES", 4),
+            (stragglers, "MIN_IDLE_SECONDS", 0.5),
+        ):
+            self.enterContext(unittest.mock.patch.object(module, name, value))
+
+    def tools(self, instance: str, text: str) -> Tools:
+        """Return the tools of an entry whose engines generate a text."""
+        dispatcher = ScriptedDispatcher(repeat(whole(text, seconds=0.01)))
+        codec = Codec()
+        codec.register(*MESSAGES, *PART_MESSAGES)
+        identity = Identity("test", InstanceId(instance), b"s" * 16)
+        return Tools(
+            InstanceId(instance),
+            cast(Dispatcher, dispatcher),
+            cast(BodyClient, self.bodies),
+            cast(Committer, Log(self.machine)),
+            self.machine.get(WeightsSlice),
+            self.machine.get(EntriesSlice),
+            PeerDialer(identity, codec, Handlers()),
+            Clock(),
+            concurrent_samples=16,
+            step_seconds=60.0,
+        )
+
+    async def start_helper(self, name: str, behaviour: str) -> None:
+        """Start an entry that behaves in some way and list it."""
+        port = free_port()
+        entry = Entry(
+            InstanceId(name),
+            "",
+            "",
+            DataCentre("lisboa-a"),
+            Region("lisboa"),
+            peer_address=f"127.0.0.1:{port}",
+        )
+        apply(self.machine, PutEntry(entry))
+        if behaviour == "down":
+            return
+        handlers = Handlers()
+        part_server = PartServer(self.tools(name, "helped"))
+        part_server.register(handlers)
+        if behaviour == "stops":
+            await part_server.drain()
+
+        async def die(_: GeneratePart, connection: PeerConnection) -> object:
+            await connection.close()
+            return None
+
+        async def hang(_: GeneratePart, __: PeerConnection) -> object:
+            await asyncio.Event().wait()
+            return None
+
+        if behaviour == "dies":
+            handlers.add(GeneratePart, die)
+        if behaviour == "hangs":
+            handlers.add(GeneratePart, hang)
+        codec = Codec()
+        codec.register(*MESSAGES, *PART_MESSAGES)
+        identity = Identity("test", InstanceId(name), b"s" * 16)
+        server = PeerServer(identity, codec, handlers)
+        await server.start("127.0.0.1", port)
+        self.addAsyncCleanup(server.stop)
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    async def test_step_is_whole(self, _: str, case: Case) -> None:
+        for number, behaviour in enumerate(case.helpers):
+            await self.start_helper(f"helper-{number}", behaviour)
+        prompt = Prompt(GroupId("g"), prompt="q")
+        question = Question(MODEL, [prompt], SAMPLES, max_tokens=16)
+        apply(self.machine, OpenStep(KEY, 0, question.digest))
+        tools = self.tools("entry", "own")
+        generation = Generation(KEY, question, tools, "tejo", CorrelationId("c"))
+        batch = await generation.run()
+        assert isinstance(batch, Batch)
+        manifest = decode_manifest(self.bodies.bodies_by_digest[batch.manifest])
+        expected = {task.id for task in sample_tasks(KEY, question)}
+        self.assertEqual({sample.id for sample in manifest.samples}, expected)
+        self.assertEqual(len(manifest.samples), SAMPLES)
+        texts = Counter(
+            b"helped" in self.bodies.bodies_by_digest[sample.chunk]
+            for sample in manifest.samples
+        )
+        self.assertEqual(texts[True] > 0, case.by_helpers)
+
+    async def test_part_ends_with_the_connection_of_its_asker(self) -> None:
+        helper = self.tools("helper-0", "x")
+        endless = ScriptedDispatcher(repeat(whole("x" * 10_000, seconds=0.1)))
+        helper = replace(helper, dispatcher=cast(Dispatcher, endless))
+        with unittest.mock.patch.object(self, "tools", lambda *_: helper):
+            await self.start_helper("helper-0", "works")
+        prompt = Prompt(GroupId("g"), prompt="q")
+        question = Question(MODEL, [prompt], 4, max_tokens=16)
+        part = part_of(
+            KEY, question, list(sample_tasks(KEY, question)), CorrelationId("c")
+        )
+        tools = self.tools("entry", "own")
+        (address,) = helper_addresses(
+            InstanceId("entry"), self.machine.get(EntriesSlice), "", 1
+        ).values()
+
+        async def all_run(_: object) -> bool:
+            return endless.running == 4
+
+        async def none_runs(_: object) -> bool:
+            return endless.running == 0
+
+        async with tools.dialer.connect(address) as connection:
+            asking = asyncio.create_task(connection.request(part, 60.0))
+            await wait_for(all_run, "the helper to generate")
+        self.assertIsInstance(await asking, NoAnswer)
+        await wait_for(none_runs, "the helper to stop")
+
+    def test_part_names_the_same_samples_as_the_step(self) -> None:
+        prompts = [Prompt(GroupId(f"g{n}"), prompt=f"q{n}") for n in range(5)]
+        question = Question(MODEL, prompts, 3, max_tokens=16, attempt=2)
+        tasks = deque(sample_tasks(KEY, question))
+        chosen = [tasks[0], tasks[7], tasks[8]]
+        part = part_of(KEY, question, chosen, CorrelationId("c"))
+        self.assertEqual(tasks_of(part), chosen)
+        self.assertEqual(len(part.question.prompts), 2)
+
+    def test_helpers_are_few_and_differ_between_steps(self) -> None:
+        for number in range(200):
+            entry = Entry(
+                InstanceId(f"entry-{number}"),
+                "",
+                "",
+                DataCentre("lisboa-a"),
+                Region("lisboa"),
+                draining=number == 7,
+                peer_address=f"10.0.0.{number}:1",
+            )
+            apply(self.machine, PutEntry(entry))
+        entries = self.machine.get(EntriesSlice)
+        own = InstanceId("entry-0")
+        chosen = [set(helper_addresses(own, entries, str(n), 99)) for n in range(50)]
+        self.assertEqual({len(helpers) for helpers in chosen}, {parts.MAX_HELPERS})
+        everyone = set().union(*chosen)
+        self.assertNotIn(own, everyone)
+        self.assertNotIn(InstanceId("entry-7"), everyone)
+        self.assertGreater(len(everyone), 150)
--- a/tests/plugins/trainers/test_samples.py
+++ b/tests/plugins/trainers/test_samples.py
@@ -150,6 +150,20 @@
         self.assertEqual((first["max_tokens"], second["max_tokens"]), (16, 14))
         self.assertIn("engine-1", dispatcher.tried[1])
 
+    @parameterized.expand(
+        [
+            ("too_old_at_once", whole("xxxxxxxx", 0), 1),
+            ("too_old_after_a_swap", [Token("x"), *whole("xxxxxxx", 0)], 2),
+            ("no_version", whole("xxxxxxxx", None), 1),
+        ]
+    )
+    async def test_unusable_stream_is_left_early(
+        self, _: str, script: Script, pieces: int
+    ) -> None:
+        dispatcher = ScriptedDispatcher([script, whole("abcd")])
+        await self.run_of(dispatcher).run()
+        self.assertEqual(dispatcher.pieces, pieces + len("abcd"))
+
     @parameterized.expand(
         [
             ("no_version", whole("xx", None), RefusalReason.TARGET_FAILED),
--- a/tests/processes/test_trainers.py
+++ b/tests/processes/test_trainers.py
@@ -6,7 +6,8 @@
 from parameterized import parameterized
 
 from demo.deployment import wait_for
-from tests.fakes.trainers import TrainerTestCase, question
+from demo.fakes.trainer import TrainerClient
+from tests.fakes.trainers import MODEL, TrainerTestCase, question
 
 
 class SampleTests(TrainerTestCase):
@@ -40,6 +41,22 @@
         self.assertEqual(other.status, 409, other.body)
         self.assertEqual(other.body["error"]["code"], "conflict")
 
+    async def test_other_organisation_neither_asks_nor_publishes(self) -> None:
+        key = await self.deployment.add_organisation("other")
+        other = await self.enterAsyncContext(
+            TrainerClient(self.deployment.entries, key)
+        )
+
+        async def refused(_: object) -> bool:
+            answer = await other.ask(1, question())
+            self.assertIn(answer.status, (401, 403), answer.body)
+            return answer.status == 403
+
+        await wait_for(refused, "the key to be known")
+        published = await other.publish(MODEL, 2)
+        self.assertEqual(published.status, 403, published.body)
+        self.assertEqual((await self.client.publish(MODEL, 2)).status, 200)
+
 
 class LabelTests(TrainerTestCase):
     """Guards labels against anything but what the engine's stream says."""
@@ -118,6 +135,26 @@
         self.assertEqual([elsewhere.status, joined.status], [200, 200])
         self.assertEqual(elsewhere.raw, joined.raw)
 
+    async def test_generation_goes_on_without_its_asker(self) -> None:
+        engine = await self.start_engine(token_seconds=0.02)
+        asking = self.asking(max_tokens=50)
+        await self.wait_running(engine, count=4)
+        asking.cancel()
+
+        async def runs(session: aiohttp.ClientSession) -> tuple[int, int]:
+            async with session.get(f"http://{engine}/fake/state") as answer:
+                state = await answer.json()
+            return state["running"], len(state["runs_by_request"])
+
+        async def idle(session: aiohttp.ClientSession) -> bool:
+            return await runs(session) == (0, 4)
+
+        await wait_for(idle, "the samples to be generated")
+        answer = await self.asking(max_tokens=50)
+        self.assertEqual(answer.status, 200, answer.body)
+        async with aiohttp.ClientSession() as session:
+            self.assertEqual(await runs(session), (0, 4))
+
     async def test_killed_entry_costs_only_time(self) -> None:
         engine = await self.start_engine(token_seconds=0.02)
         asking = self.asking(entry=1, max_tokens=50)
