--- a/goldcrestyard/plugins/engines/dispatch.py
+++ b/goldcrestyard/plugins/engines/dispatch.py
@@ -8,9 +8,16 @@
 from dataclasses import dataclass, field
 
 from goldcrestyard.core.attempts import Answered, AttemptFailure, Broken
-from goldcrestyard.core.ids import AttemptId, CorrelationId, Region, TargetId
+from goldcrestyard.core.ids import (
+    AttemptId,
+    CorrelationId,
+    OrganisationId,
+    Region,
+    TargetId,
+)
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.states import Priority
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.engines.event_stream import Piece
@@ -27,6 +34,8 @@
     """A caller's request on its way through the attempts."""
 
     request: InferenceRequest
+    organisation: OrganisationId
+    priority: Priority
     correlation_id: CorrelationId
     deadline: float
     failures: list[AttemptFailure] = field(default_factory=list)
@@ -62,11 +71,17 @@
         self._settings = settings
         self._budget = retries.RetryBudget()
 
-    def start(self, request: InferenceRequest, correlation_id: CorrelationId) -> Call:
+    def start(
+        self,
+        request: InferenceRequest,
+        organisation: OrganisationId,
+        priority: Priority,
+        correlation_id: CorrelationId,
+    ) -> Call:
         """Return a new call with its deadline."""
         self._budget.deposit()
         deadline = self._clock.monotonic() + self._settings.request_seconds
-        return Call(request, correlation_id, deadline)
+        return Call(request, organisation, priority, correlation_id, deadline)
 
     async def answer(self, call: Call) -> Answered | Refusal:
         """Return an engine's whole answer, or why there is none."""
--- a/goldcrestyard/plugins/engines/views.py
+++ b/goldcrestyard/plugins/engines/views.py
@@ -7,7 +7,7 @@
 
 from goldcrestyard.core.attempts import Answered, Broken
 from goldcrestyard.core.refusals import Refusal, RefusalReason
-from goldcrestyard.core.states import TargetKind
+from goldcrestyard.core.states import Priority, TargetKind
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.engines.dispatch import Call, Dispatcher, OpenStream
@@ -69,7 +69,7 @@
     async def _answer(
         self, request: web.Request, principal: Principal, parsed: InferenceRequest
     ) -> web.StreamResponse:
-        call = self._dispatcher.start(parsed, correlation_id_of(request))
+        call = self._start(request, principal, parsed)
         outcome: Answered | Refusal | None = None
         async with self._authenticator.guard(principal) as guard:
             outcome = await self._dispatcher.answer(call)
@@ -83,7 +83,7 @@
     async def _stream(
         self, request: web.Request, principal: Principal, parsed: InferenceRequest
     ) -> web.StreamResponse:
-        call = self._dispatcher.start(parsed, correlation_id_of(request))
+        call = self._start(request, principal, parsed)
         response = web.StreamResponse(
             headers={
                 "content-type": "text/event-stream",
@@ -108,6 +108,16 @@
                 return refuse(refusal)
         raise AssertionError("neither a stream nor a refusal")
 
+    def _start(
+        self, request: web.Request, principal: Principal, parsed: InferenceRequest
+    ) -> Call:
+        return self._dispatcher.start(
+            parsed,
+            principal.organisation,
+            Priority.INTERACTIVE,
+            correlation_id_of(request),
+        )
+
     async def _relay(
         self, call: Call, request: web.Request, response: web.StreamResponse
     ) -> Answered | Refusal | None:
--- a/goldcrestyard/plugins/trainers/samples.py
+++ b/goldcrestyard/plugins/trainers/samples.py
@@ -10,11 +10,13 @@
 from goldcrestyard.core.ids import (
     CorrelationId,
     GroupId,
+    OrganisationId,
     SampleId,
     TargetId,
     WeightVersion,
 )
 from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.states import Priority
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.engines.dispatch import Dispatcher, OpenStream
@@ -147,6 +149,7 @@
     """What all samples of a generation have in common."""
 
     question: Question
+    organisation: OrganisationId
     dispatcher: Dispatcher
     checks: VersionChecks
     avoided: AvoidedEngines
@@ -246,7 +249,12 @@
             self.progress.text,
             self.progress.tokens,
         )
-        call = self._maker.dispatcher.start(request, self._maker.correlation_id)
+        call = self._maker.dispatcher.start(
+            request,
+            self._maker.organisation,
+            Priority.ROLLOUT,
+            self._maker.correlation_id,
+        )
         call.tried |= self._avoid | self._maker.avoided.current()
         async with self._maker.dispatcher.stream(call) as opened:
             match opened:
--- a/goldcrestyard/plugins/trainers/tools.py
+++ b/goldcrestyard/plugins/trainers/tools.py
@@ -66,6 +66,7 @@
     """Return what the samples of a generation have in common."""
     return Maker(
         question,
+        key.organisation,
         tools.dispatcher,
         checks_for(key.model, tools.weights),
         AvoidedEngines(tools.clock),
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -4,13 +4,12 @@
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 
 from goldcrestyard.core.attempts import Answered, Broken
-from goldcrestyard.core.ids import CorrelationId, DataCentre, Region, TargetId
-from goldcrestyard.core.records import Target
+from goldcrestyard.core.ids import CorrelationId, OrganisationId, TargetId
 from goldcrestyard.core.refusals import Refusal
-from goldcrestyard.core.states import TargetKind
+from goldcrestyard.core.states import Priority
 from goldcrestyard.plugins.engines.dispatch import Call, OpenStream
 from goldcrestyard.plugins.engines.event_stream import Piece
 from goldcrestyard.plugins.engines.requests import InferenceRequest
@@ -28,6 +27,26 @@
     finish: bool = False
 
 
+@dataclass(frozen=True)
+class ScriptedEngine:
+    """An engine, and the grant to use it."""
+
+    id: TargetId
+
+    @property
+    def target(self) -> "ScriptedEngine":
+        """The engine that was granted."""
+        return self
+
+
+@dataclass
+class ScriptedCall:
+    """The part of a call that is used here."""
+
+    request: InferenceRequest
+    tried: set[TargetId] = field(default_factory=set)
+
+
 Script = list[Token | Broken | Finished] | Answered | Refusal
 
 
@@ -52,9 +71,16 @@
     def __post_init__(self) -> None:
         self._scripts = iter(self.scripts)
 
-    def start(self, request: InferenceRequest, correlation_id: CorrelationId) -> Call:
-        """Return a call."""
-        return Call(request, correlation_id, float("inf"))
+    def start(
+        self,
+        request: InferenceRequest,
+        organisation: OrganisationId,
+        priority: Priority,
+        correlation_id: CorrelationId,
+    ) -> Call:
+        """Return a call; samples must never be run as interactive work."""
+        assert priority is Priority.ROLLOUT
+        return cast(Call, ScriptedCall(request))
 
     @asynccontextmanager
     async def stream(
@@ -67,13 +93,13 @@
         if not isinstance(script, list):
             yield script
             return
-        engine = f"engine-{len(self.bodies)}"
+        engine = ScriptedEngine(TargetId(f"engine-{len(self.bodies)}"))
         steps = self._steps(script)
         self.running += 1
         try:
             first = await anext(steps)
             assert isinstance(first, Piece)
-            yield OpenStream(_target(engine), first, steps)
+            yield OpenStream(cast(Any, engine), first, steps)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -105,14 +131,3 @@
     if token.version is not None:
         data["weight_version"] = token.version
     return data
-
-
-def _target(name: str) -> Target:
-    return Target(
-        TargetId(name),
-        TargetKind.ENGINE,
-        "127.0.0.1:1",
-        DataCentre("lisboa-a"),
-        Region("lisboa"),
-        ("inspect-lm",),
-    )
--- a/tests/plugins/trainers/test_samples.py
+++ b/tests/plugins/trainers/test_samples.py
@@ -14,6 +14,7 @@
     CorrelationId,
     GroupId,
     ModelName,
+    OrganisationId,
     SampleId,
     WeightVersion,
 )
@@ -117,6 +118,7 @@
         )
         maker = Maker(
             question,
+            OrganisationId("tejo"),
             cast(Dispatcher, dispatcher),
             VersionChecks(
                 lambda versions: too_old_versions(versions, BEHIND.get, 1),
