--- a/goldcrestyard/plugins/addresses/apps.py
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -18,6 +18,7 @@
 from goldcrestyard.plugins.listeners.bodies import json_answer
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
 from goldcrestyard.plugins.listeners.settings import ListenerSettings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
 from goldcrestyard.policy.addresses import Place, order_for
 from goldcrestyard.policy.leases import MAX_LAG_SECONDS
 
@@ -76,6 +77,7 @@
             listeners.admin,
             instance.data_centre,
             instance.region,
+            peer_address=app.settings.section(ClusterSettings).peer_address,
         )
         announcer = EntryAnnouncer(entry, app.get(EntryView), app.get(LeaderLink))
         app.provide(EntryAnnouncer, announcer)
