Let the stand-in that sees a call first misbehave in the service tests

Cause: the fault table set its fault on the target that is first by id. The scheduler prefers the target that it has learned to be faster, so the fault met another call than the one under test. The expectations stay as they were.

The scheduler also forgets what it learned of a target that starts again, so that a restarted target is not held to be ejected.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -202,6 +202,7 @@
             f"--entries={','.join(self.entries)}",
             f"--token={self.target_token}",
             f"--service={service}",
+            f"--folder={self.folder}",
             f"--data-centre={instance.data_centre}",
             f"--region={instance.region}",
             *(f"--{key.replace('_', '-')}={value}" for key, value in options.items()),
--- a/demo/fakes/service.py
+++ b/demo/fakes/service.py
@@ -12,6 +12,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from enum import Enum
+from pathlib import Path
 from typing import Any
 
 from aiohttp import web
@@ -44,6 +45,8 @@
     """State of the stand-in."""
 
     name: str
+    folder: Path
+    """Shared with other stand-ins, so that just one misbehaves."""
     runs_by_call: Counter[str] = field(default_factory=Counter)
     runs_by_attempt: Counter[str] = field(default_factory=Counter)
     requests_by_call: Counter[str] = field(default_factory=Counter)
@@ -59,6 +62,9 @@
         attempt = request.headers.get("x-request-id", "")
         fault = self.faults.popleft() if self.faults else Fault.NONE
         fault = Fault(request.query.get("fault", fault.value))
+        first_fault = request.query.get("first_fault")
+        if first_fault is not None and self._is_first_to_see(request.query["call"]):
+            fault = Fault(first_fault)
         self.requests_by_call[call] += 1
         self.seen.append(
             {
@@ -116,6 +122,14 @@
         request.transport.close()
         return response
 
+    def _is_first_to_see(self, call: str) -> bool:
+        """Return whether no stand-in of this folder has seen a call before."""
+        try:
+            (self.folder / f"call-{call}").touch(exist_ok=False)
+        except FileExistsError:
+            return False
+        return True
+
     async def set_faults(self, request: web.Request) -> web.StreamResponse:
         """Set how the next calls misbehave, one fault for each call."""
         self.faults = deque(Fault(name) for name in await request.json())
@@ -150,7 +164,7 @@
 
 async def serve(options: argparse.Namespace) -> None:
     """Run the stand-in until it is asked to stop."""
-    service = PlainService(options.id)
+    service = PlainService(options.id, Path(options.folder))
     app = web.Application()
     app.router.add_get("/healthz", service.healthz)
     app.router.add_get("/fake/state", service.state)
@@ -195,6 +209,7 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--data-centre", required=True)
     parser.add_argument("--region", required=True)
+    parser.add_argument("--folder", required=True)
     parser.add_argument("--rental", default="on_demand")
     asyncio.run(serve(parser.parse_args()))
 
--- a/goldcrestyard/plugins/scheduling/scheduler.py
+++ b/goldcrestyard/plugins/scheduling/scheduler.py
@@ -49,6 +49,7 @@
     """A target that a request may use, until the grant is released."""
 
     target: Target
+    facts: TargetFacts
     work: WorkRequest
     granted_at: float
     outcome: AttemptOutcome | None = None
@@ -195,15 +196,20 @@
         queue = self._queues_by_name[name]
         candidates = self._targets.serving(name)
         for target in candidates:
-            if target.id not in self.facts_by_id:
-                facts = TargetFacts(float(target.max_concurrency))
-                self.facts_by_id[target.id] = facts
+            self._know(target)
         placed = True
         while placed and queue.length:
             placed = self._grant_next(queue, candidates)
         if not queue.length and name in self._queues_by_name:
             self._forget_lost_targets()
 
+    def _know(self, target: Target) -> None:
+        """Begin to learn about a target that is new or has started again."""
+        known = self.facts_by_id.get(target.id)
+        if known is None or known.incarnation != target.incarnation:
+            limit = float(target.max_concurrency)
+            self.facts_by_id[target.id] = TargetFacts(limit, target.incarnation)
+
     def _grant_next(self, queue: FairQueue[_Waiting], candidates: list[Target]) -> bool:
         """Grant a target to the first request in order that can have one."""
         now = self._clock.monotonic()
@@ -222,17 +228,15 @@
             queue.grant(waiter, now)
             facts = self.facts_by_id[target.id]
             facts.begin(work.needs.tokens, work.needs.prefix)
-            waiter.payload.granted.set_result(Grant(target, work, now))
+            waiter.payload.granted.set_result(Grant(target, facts, work, now))
             return True
         return False
 
     def _release(self, grant: Grant) -> None:
         now = self._clock.monotonic()
         work = grant.work
-        facts = self.facts_by_id.get(grant.target.id)
-        if facts is not None:
-            self._learn(facts, grant, now)
-            facts.end(work.needs.tokens)
+        self._learn(grant, now)
+        grant.facts.end(work.needs.tokens)
         if grant.tokens is not None:
             surplus = grant.tokens - work.needs.tokens
             self.use.charge(work.organisation.id, surplus, now)
@@ -241,7 +245,9 @@
             queue.rate.observe(grant.tokens or work.needs.tokens, now)
             self._pump_queue(work.name)
 
-    def _learn(self, facts: TargetFacts, grant: Grant, now: float) -> None:
+    @staticmethod
+    def _learn(grant: Grant, now: float) -> None:
+        facts = grant.facts
         match grant.outcome:
             case Answered(status=status) if status < 500:
                 tokens = grant.tokens or 0.0
--- a/goldcrestyard/policy/routing.py
+++ b/goldcrestyard/policy/routing.py
@@ -48,6 +48,7 @@
     """What this entry has learned about one target."""
 
     concurrency_limit: float
+    incarnation: str = ""
     in_flight: int = 0
     in_flight_tokens: float = 0.0
     tokens_per_second: float = INITIAL_TOKENS_PER_SECOND
--- a/tests/processes/test_services.py
+++ b/tests/processes/test_services.py
@@ -116,7 +116,7 @@
 
 @dataclass(frozen=True)
 class FaultCase:
-    """A fault of the first target, and what the caller must see."""
+    """A fault of the target that sees a call first, and what comes of it."""
 
     name: str
     path: str
@@ -171,16 +171,6 @@
         states = [await state_of(target) for target in self.targets]
         return sum(state[field].get(call, 0) for state in states)
 
-    async def set_fault(self, fault: str) -> None:
-        """Make the next call to whichever target comes first fail.
-
-        With nothing in flight the first in order of id is chosen.
-        """
-        async with aiohttp.ClientSession() as session:
-            url = f"http://{self.targets[0]}/fake/faults"
-            async with session.post(url, json=[fault]):
-                pass
-
     @parameterized.expand([(case.name, case) for case in ACCESS_CASES])
     async def test_access(self, _: str, case: AccessCase) -> None:
         call = uuid.uuid4().hex
@@ -200,9 +190,10 @@
     @parameterized.expand([(case.name, case) for case in FAULT_CASES])
     async def test_fault(self, _: str, case: FaultCase) -> None:
         call = uuid.uuid4().hex
-        await self.set_fault(case.fault)
         reply = await ask(
-            self.deployment, f"{case.path}?call={call}", key=self.keys["tejo"]
+            self.deployment,
+            f"{case.path}?call={call}&first_fault={case.fault}",
+            key=self.keys["tejo"],
         )
         self.assertEqual(
             (reply.status, reply.headers["x-verdict"]), (case.status, case.verdict)
