Run test modules in parallel processes

Cause: the tests with real processes wait most of their time; one after the other the suite took seven minutes. unittest-parallel was tried and cannot pickle IsolatedAsyncioTestCase, so a small runner starts one unittest process for each module.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	@exec $(BIN)/python -m demo.serve
 
 test: install
-	@$(BIN)/python -m unittest discover --start-directory tests --top-level-directory .
+	@$(BIN)/python -m tests
 
 lint: install
 	@$(BIN)/ruff format --check .
