--- /dev/null
+++ b/goldcrestyard/plugins/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to outside systems: committed, sent by one sender, settled."""
--- /dev/null
+++ b/goldcrestyard/plugins/orders/connection.py
@@ -0,0 +1,156 @@
+"""An HTTP connection on which the end of a request can be held back."""
+
+import asyncio
+import socket
+import struct
+from typing import Protocol
+
+from goldcrestyard.policy.orders import OrderAnswer
+from goldcrestyard.wire.client import PeerAddress
+
+MAX_ANSWER_BYTES = 64 * 1024
+MAX_CHUNK_LINE_BYTES = 64
+
+
+class MalformedAnswerError(Exception):
+    """The receiver's answer is not whole HTTP."""
+
+
+class OrderConnection(Protocol):
+    """A connection for one order."""
+
+    async def send(self, data: bytes) -> None:
+        """Send data and wait until the kernel has taken all of it."""
+
+    def send_last(self, data: bytes) -> bool:
+        """Hand the end of the request to the kernel at once.
+
+        Returns False if the kernel did not take it; the connection is then
+        aborted.
+        """
+
+    async def read_answer(self) -> OrderAnswer:
+        """Return the receiver's whole answer."""
+
+    def abort(self) -> None:
+        """Close the connection and drop what has not been delivered."""
+
+
+class Connector(Protocol):
+    """Opens connections to receivers."""
+
+    async def open(self, address: str) -> OrderConnection:
+        """Connect to a receiver, or raise ``OSError``."""
+
+
+class TcpConnector:
+    """Opens TCP connections whose bytes are not delivered late."""
+
+    def __init__(self, undelivered_seconds: float) -> None:
+        self._undelivered_seconds = undelivered_seconds
+
+    async def open(self, address: str) -> OrderConnection:
+        """Connect to a receiver."""
+        parsed = PeerAddress.parse(address)
+        reader, writer = await asyncio.open_connection(
+            parsed.host, parsed.port, limit=MAX_ANSWER_BYTES
+        )
+        # With a limit of 0, ``drain`` waits until the buffer is empty, so the
+        # end of the request never queues behind the rest of it.
+        writer.transport.set_write_buffer_limits(high=0)
+        if hasattr(socket, "TCP_USER_TIMEOUT"):
+            writer.get_extra_info("socket").setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                int(self._undelivered_seconds * 1000),
+            )
+        return TcpConnection(reader, writer)
+
+
+class TcpConnection:
+    """One TCP connection to a receiver."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, data: bytes) -> None:
+        """Send data and wait until the kernel has taken all of it."""
+        self._writer.write(data)
+        await self._writer.drain()
+
+    def send_last(self, data: bytes) -> bool:
+        """Hand the end of the request to the kernel at once."""
+        if self._writer.transport.is_closing():
+            return False
+        self._writer.write(data)
+        if self._writer.transport.get_write_buffer_size() == 0:
+            return True
+        self.abort()
+        return False
+
+    async def read_answer(self) -> OrderAnswer:
+        """Return the receiver's whole answer."""
+        try:
+            return await read_answer(self._reader)
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            ValueError,
+        ) as error:
+            raise MalformedAnswerError(str(error)) from error
+
+    def abort(self) -> None:
+        """Close the connection and drop what has not been delivered."""
+        if not self._writer.transport.is_closing():
+            # A linger time of 0 discards unsent bytes in the kernel.
+            self._writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        self._writer.transport.abort()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> OrderAnswer:
+    """Read one HTTP/1.1 answer."""
+    while True:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        status_line, *lines = head.split("\r\n")
+        protocol, status_text, *_ = status_line.split(" ")
+        if not protocol.startswith("HTTP/1."):
+            raise ValueError(f"unexpected protocol {protocol}")
+        status = int(status_text)
+        if status >= 200:
+            break
+    headers_by_name = {
+        name.strip().lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines)
+    }
+    if headers_by_name.get("transfer-encoding", "").lower() == "chunked":
+        return OrderAnswer(status, await _read_chunks(reader))
+    if "content-length" in headers_by_name:
+        length = int(headers_by_name["content-length"])
+        if not 0 <= length <= MAX_ANSWER_BYTES:
+            raise ValueError("answer is too long")
+        return OrderAnswer(status, await reader.readexactly(length))
+    if status == 204:
+        return OrderAnswer(status, b"")
+    raise ValueError("answer has no length")
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    body = bytearray()
+    while True:
+        line = await reader.readuntil(b"\r\n")
+        if len(line) > MAX_CHUNK_LINE_BYTES:
+            raise ValueError("chunk header is too long")
+        size = int(line.split(b";")[0], 16)
+        if size < 0 or len(body) + size > MAX_ANSWER_BYTES:
+            raise ValueError("answer is too long")
+        if size == 0:
+            while await reader.readuntil(b"\r\n") != b"\r\n":
+                pass
+            return bytes(body)
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
