--- a/goldcrestyard/plugins/orders/sender.py
+++ b/goldcrestyard/plugins/orders/sender.py
@@ -200,8 +200,8 @@
                 case _ if self._seconds_left(attempt) <= 0:
                     return policy.at_deadline(attempt.maybe_sent)
                 case StandDown():
-                    # The lease may have lapsed only for a moment.
                     await self._pause(attempt)
+                    await self._wait_for_lease(leadership)
                     guards = record.order.receiver.guards
                     step = policy.first_step(guards, attempt.maybe_sent)
                 case Send(renumber=renumber):
@@ -215,6 +215,13 @@
                     step = await self._look_up(attempt)
         return None
 
+    async def _wait_for_lease(self, leadership: Leadership) -> None:
+        """Wait while the lease has lapsed, perhaps only for a moment."""
+        while self._leads(leadership):
+            if self._member.holds_lease():
+                return
+            await asyncio.sleep(LEADERSHIP_POLL_SECONDS)
+
     async def _send(self, attempt: Attempt) -> NextStep:
         async with self._slots:
             outcome = await self._client.send(attempt.record)
--- /dev/null
+++ b/goldcrestyard/plugins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Rents targets from the platform and gives them back."""
--- /dev/null
+++ b/goldcrestyard/plugins/platform/client.py
@@ -0,0 +1,84 @@
+"""Reads the platform's lists; orders go through the order sender."""
+
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from goldcrestyard.core.ids import DataCentre, TargetId
+from goldcrestyard.core.states import Rental
+
+READ_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """A target that the platform rents to us."""
+
+    id: TargetId
+    data_centre: DataCentre
+    rental: Rental
+
+
+@dataclass(frozen=True, slots=True)
+class ReclaimNotice:
+    """The platform takes back its reclaimable targets of a data centre."""
+
+    data_centre: DataCentre
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The platform did not answer with a list."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Targets:
+    targets: tuple[ListedTarget, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Notices:
+    notices: tuple[ReclaimNotice, ...]
+
+
+class PlatformClient:
+    """Fetches lists over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._address = address
+
+    async def targets(self) -> tuple[ListedTarget, ...] | Unavailable:
+        """Return the rented targets."""
+        body = await self._get("/targets")
+        if isinstance(body, Unavailable):
+            return body
+        try:
+            return msgspec.json.decode(body, type=_Targets).targets
+        except msgspec.DecodeError as error:
+            return Unavailable(str(error))
+
+    async def notices(self) -> tuple[ReclaimNotice, ...] | Unavailable:
+        """Return the announced reclaims."""
+        body = await self._get("/notices")
+        if isinstance(body, Unavailable):
+            return body
+        try:
+            return msgspec.json.decode(body, type=_Notices).notices
+        except msgspec.DecodeError as error:
+            return Unavailable(str(error))
+
+    async def _get(self, path: str) -> bytes | Unavailable:
+        timeout = aiohttp.ClientTimeout(total=READ_SECONDS)
+        try:
+            async with self._session.get(
+                f"http://{self._address}{path}", timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    return Unavailable(f"{path} answered {response.status}")
+                return await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return Unavailable(str(error) or "timeout")
--- /dev/null
+++ b/tests/plugins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform plug-in."""
--- /dev/null
+++ b/tests/policy/test_demand.py
@@ -0,0 +1,204 @@
+"""Tests of the plan of targets.
+
+They guard against spending beyond the bound, work on targets that it cannot
+survive losing, and targets that are started and stopped in turn.
+"""
+
+import unittest
+from dataclasses import dataclass, field
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import DataCentre, TargetId
+from goldcrestyard.core.states import Rental
+from goldcrestyard.policy.demand import (
+    Bounds,
+    Demand,
+    Memory,
+    RentedTarget,
+    StartTargets,
+    StopTarget,
+    TargetOrder,
+    Terms,
+    plan,
+)
+
+A, B = DataCentre("a"), DataCentre("b")
+ON_DEMAND, RECLAIMABLE = Rental.ON_DEMAND, Rental.RECLAIMABLE
+TERMS = (Terms(A, 3.0, 1.0, 0.1), Terms(B, 3.0, 1.0, 0.1))
+RISKY = (Terms(A, 3.0, 1.0, 0.9), Terms(B, 3.0, 1.0, 0.9))
+
+
+def held(
+    data_centre: DataCentre,
+    rental: Rental,
+    count: int,
+    *,
+    pending: bool = False,
+    leaving: bool = False,
+) -> tuple[RentedTarget, ...]:
+    return tuple(
+        RentedTarget(
+            TargetId(f"{data_centre}-{rental.value}-{n}"),
+            data_centre,
+            rental,
+            pending,
+            leaving,
+        )
+        for n in range(count)
+    )
+
+
+@dataclass(frozen=True)
+class Case:
+    """Demand and targets, and the orders that must follow."""
+
+    name: str
+    demand: Demand
+    targets: tuple[RentedTarget, ...]
+    orders: tuple[TargetOrder, ...]
+    terms: tuple[Terms, ...] = TERMS
+    bounds: Bounds = Bounds(min_on_demand=2, requests_per_target=10.0)
+    unavailable: frozenset = frozenset()
+    memory: Memory = field(default_factory=Memory)
+    denied: int = 0
+
+
+MINIMUM = held(A, ON_DEMAND, 1) + held(B, ON_DEMAND, 1)
+LONG_SURPLUS = Memory(surplus_since=-1000.0)
+
+CASES = [
+    Case(
+        "minimum_is_spread",
+        Demand(),
+        (),
+        (StartTargets(A, ON_DEMAND, 1), StartTargets(B, ON_DEMAND, 1)),
+    ),
+    Case("minimum_is_enough", Demand(5.0), MINIMUM, ()),
+    Case(
+        "pending_starts_count",
+        Demand(),
+        held(A, ON_DEMAND, 2, pending=True),
+        (),
+    ),
+    Case(
+        "leaving_targets_do_not_count",
+        Demand(),
+        held(A, ON_DEMAND, 2, leaving=True),
+        (StartTargets(A, ON_DEMAND, 1), StartTargets(B, ON_DEMAND, 1)),
+    ),
+    Case(
+        "firm_work_never_on_reclaimable",
+        Demand(firm=35.0),
+        MINIMUM + held(A, RECLAIMABLE, 5),
+        (StartTargets(A, ON_DEMAND, 1), StartTargets(B, ON_DEMAND, 1)),
+    ),
+    Case(
+        "resumable_work_on_reclaimable",
+        Demand(firm=20.0, resumable=20.0),
+        MINIMUM,
+        (StartTargets(A, RECLAIMABLE, 1), StartTargets(B, RECLAIMABLE, 1)),
+    ),
+    Case(
+        "risk_of_reclaim_moves_work_to_on_demand",
+        Demand(firm=20.0, resumable=20.0),
+        MINIMUM,
+        (StartTargets(A, ON_DEMAND, 1), StartTargets(B, ON_DEMAND, 1)),
+        terms=RISKY,
+    ),
+    Case(
+        "none_to_be_had_in_one_place",
+        Demand(firm=20.0, resumable=20.0),
+        MINIMUM,
+        (StartTargets(B, RECLAIMABLE, 2),),
+        unavailable=frozenset({(A, RECLAIMABLE)}),
+    ),
+    Case(
+        "none_to_be_had_falls_back_within_the_bound",
+        Demand(firm=20.0, resumable=40.0),
+        MINIMUM,
+        (StartTargets(A, ON_DEMAND, 1),),
+        bounds=Bounds(2, spend_per_hour=9.5, requests_per_target=10.0),
+        unavailable=frozenset({(A, RECLAIMABLE), (B, RECLAIMABLE)}),
+        denied=3,
+    ),
+    Case(
+        "bound_holds_for_firm_work_too",
+        Demand(firm=100.0),
+        MINIMUM,
+        (StartTargets(A, ON_DEMAND, 1),),
+        bounds=Bounds(2, spend_per_hour=9.0, requests_per_target=10.0),
+        denied=7,
+    ),
+    Case(
+        "one_plan_starts_a_bounded_number",
+        Demand(firm=1000.0),
+        MINIMUM,
+        (StartTargets(A, ON_DEMAND, 2), StartTargets(B, ON_DEMAND, 2)),
+        bounds=Bounds(2, requests_per_target=10.0, max_starts=4),
+        denied=94,
+    ),
+    Case(
+        "surplus_is_kept_at_first",
+        Demand(5.0),
+        MINIMUM + held(A, RECLAIMABLE, 1),
+        (),
+    ),
+    Case(
+        "lasting_surplus_is_stopped_one_at_a_time",
+        Demand(5.0),
+        MINIMUM + held(A, RECLAIMABLE, 3),
+        (StopTarget(TargetId("a-reclaimable-0"), A),),
+        memory=LONG_SURPLUS,
+    ),
+    Case(
+        "no_stop_without_margin",
+        Demand(firm=10.0, resumable=9.0),
+        MINIMUM + held(A, RECLAIMABLE, 1),
+        (),
+        memory=LONG_SURPLUS,
+    ),
+    Case(
+        "no_stop_below_the_minimum",
+        Demand(),
+        MINIMUM,
+        (),
+        memory=LONG_SURPLUS,
+    ),
+    Case(
+        "no_stop_while_a_start_is_pending",
+        Demand(),
+        MINIMUM + held(A, RECLAIMABLE, 3, pending=True),
+        (),
+        memory=LONG_SURPLUS,
+    ),
+]
+
+
+class DemandTests(unittest.TestCase):
+    """What a plan orders."""
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    def test_plan(self, _: str, case: Case) -> None:
+        made = plan(
+            case.demand,
+            case.targets,
+            case.terms,
+            case.bounds,
+            case.unavailable,
+            case.memory,
+            now=0.0,
+        )
+        self.assertEqual(made.orders, case.orders)
+        self.assertEqual(made.denied, case.denied)
+
+    def test_swinging_demand_stops_nothing(self) -> None:
+        """Guards against targets that are started and stopped in turn."""
+        targets = MINIMUM + held(A, RECLAIMABLE, 2)
+        memory = Memory()
+        for tick in range(200):
+            demand = Demand(firm=20.0, resumable=20.0 if tick % 20 == 0 else 0.0)
+            bounds = Bounds(2, requests_per_target=10.0, stop_after_seconds=300.0)
+            made = plan(demand, targets, TERMS, bounds, set(), memory, tick * 10.0)
+            memory = made.memory
+            self.assertEqual(made.orders, ())
