--- a/demo/fakes/platform.py
+++ b/demo/fakes/platform.py
@@ -77,6 +77,8 @@
             self.none_to_be_had = {tuple(pair) for pair in state["none_to_be_had"]}
         if "notices" in state:
             self.notices = state["notices"]
+        for name in state.get("lost_targets", ()):
+            self.targets_by_id.pop(name, None)
         return web.json_response({})
 
     async def shown(self, _: web.Request) -> web.StreamResponse:
--- a/tests/processes/ordering.py
+++ b/tests/processes/ordering.py
@@ -31,6 +31,44 @@
         return address
 
 
+async def operator_orders(deployment: Deployment, instance: Instance) -> Any:
+    """Return the orders that a control member shows, or None."""
+    headers = {"authorization": f"Bearer {deployment.operator_key}"}
+    timeout = aiohttp.ClientTimeout(total=1.0)
+    url = f"http://{instance.admin}/operator/v1/orders"
+    try:
+        async with (
+            aiohttp.ClientSession(headers=headers, timeout=timeout) as session,
+            session.get(url) as answer,
+        ):
+            return await answer.json()
+    except (aiohttp.ClientError, TimeoutError):
+        return None
+
+
+async def wait_settled(
+    deployment: Deployment, *, not_by: str = "", at_least: int = 0
+) -> Any:
+    """Wait until a leader shows no open order; return what it shows."""
+    found: list[Any] = []
+
+    async def settled(_: object) -> bool:
+        for instance in deployment.instances:
+            if not instance.control or instance.id == not_by:
+                continue
+            orders = await operator_orders(deployment, instance)
+            if orders is None or not orders["leads"] or orders["open"]:
+                continue
+            done = len(orders["settled"]) + len(orders["in_doubt"])
+            if orders["sender"] == instance.id and done >= at_least:
+                found.append(orders)
+                return True
+        return False
+
+    await wait_for(settled, "a leader without open orders", 60.0)
+    return found[-1]
+
+
 def platform_settings(address: str, **settings: Any) -> str:
     """Return the section of a platform with two data centres."""
     values = {
