--- /dev/null
+++ b/goldcrestyard/plugins/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Meters usage, closes it in windows and reports each window once."""
--- /dev/null
+++ b/goldcrestyard/plugins/usage/apps.py
@@ -0,0 +1,74 @@
+"""Plug-in: usage is metered, closed in windows and reported."""
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.plugins.listeners.routes import AdminRoutes
+from goldcrestyard.plugins.operators.settings import OperatorSettings
+from goldcrestyard.plugins.orders.commands import Receiver, ReceiverId
+from goldcrestyard.plugins.usage import checks
+from goldcrestyard.plugins.usage.closing import WindowCloser
+from goldcrestyard.plugins.usage.commands import UsageSnapshot
+from goldcrestyard.plugins.usage.meter import UsageMeter
+from goldcrestyard.plugins.usage.settings import UsageSettings
+from goldcrestyard.plugins.usage.slices import UsageSlice
+from goldcrestyard.plugins.usage.views import UsageViews
+from goldcrestyard.policy.orders import Guards
+
+
+class UsageConfig(PluginConfig):
+    """Provides the meter and closes windows where ``[usage]`` is set.
+
+    Without the section no ``UsageMeter`` is provided.
+    """
+
+    name = "usage"
+    requires = ("control", "entry", "listeners", "operators", "orders")
+    settings_section = "usage"
+    settings_class = UsageSettings
+    slices = (UsageSlice,)
+    messages = (*UsageSlice.commands, UsageSnapshot)
+    checks = (checks.check_usage,)
+
+    def ready(self, app: Application) -> None:
+        """Provide the meter and add the operators' route."""
+        settings = app.settings.find(UsageSettings)
+        if settings is None:
+            return
+        app.provide(
+            UsageMeter,
+            UsageMeter(
+                app.settings.section(InstanceSettings).id,
+                app.get(LeaderLink),
+                app.clock,
+                settings.window_seconds,
+                settings.flush_seconds,
+            ),
+        )
+        member = app.find(ControlMember)
+        if member is not None:
+            views = UsageViews(member, app.settings.section(OperatorSettings))
+            app.get(AdminRoutes).add("GET", "/operator/v1/usage", views.usage)
+
+    async def start(self, app: Application) -> None:
+        """Start to send totals, and on control members to close windows."""
+        settings = app.settings.find(UsageSettings)
+        if settings is None:
+            return
+        app.spawn(app.get(UsageMeter).run(), "usage totals")
+        member = app.find(ControlMember)
+        if member is not None:
+            guards = Guards(
+                settings.checks_fencing, settings.honours_keys, settings.can_look_up
+            )
+            receiver = Receiver(ReceiverId("usage"), settings.address, guards)
+            closer = WindowCloser(member, app.clock, settings, receiver)
+            app.spawn(closer.run(), "usage windows")
+
+    async def drain(self, app: Application) -> None:
+        """Send what is left of this entry's totals."""
+        meter = app.find(UsageMeter)
+        if meter is not None:
+            await meter.flush_before_stop()
--- /dev/null
+++ b/goldcrestyard/plugins/usage/checks.py
@@ -0,0 +1,41 @@
+"""Checks of the usage settings."""
+
+from collections.abc import Iterable
+
+from goldcrestyard.kernel.checks import Level, Problem
+from goldcrestyard.kernel.settings import Settings
+from goldcrestyard.plugins.usage.settings import UsageSettings
+from goldcrestyard.wire.client import PeerAddress
+
+
+def check_usage(settings: Settings) -> Iterable[Problem]:
+    """Check the address and the times."""
+    usage = settings.find(UsageSettings)
+    if usage is None:
+        return
+    try:
+        PeerAddress.parse(usage.address)
+    except ValueError:
+        yield Problem(
+            Level.ERROR,
+            "usage.E001",
+            "usage.address",
+            f"{usage.address!r} is not host:port",
+            "Give the address as host:port.",
+        )
+    if usage.window_seconds < 1:
+        yield Problem(
+            Level.ERROR,
+            "usage.E002",
+            "usage.window_seconds",
+            "must be at least 1",
+            "Windows are commonly an hour, 3600 s.",
+        )
+    if usage.grace_seconds < 2 * usage.flush_seconds:
+        yield Problem(
+            Level.WARNING,
+            "usage.W001",
+            "usage.grace_seconds",
+            f"{usage.grace_seconds} is less than two flushes",
+            "Records of the window's end will come late and be marked so.",
+        )
--- /dev/null
+++ b/goldcrestyard/plugins/usage/views.py
@@ -0,0 +1,34 @@
+"""Shows operators the windows, on control members."""
+
+from aiohttp import web
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.plugins.listeners.bodies import json_answer
+from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.operators.settings import OperatorSettings
+from goldcrestyard.plugins.orders.views import is_operator
+from goldcrestyard.plugins.usage.slices import UsageSlice
+
+
+class UsageViews:
+    """Serves ``/operator/v1/usage``."""
+
+    def __init__(self, member: ControlMember, operators: OperatorSettings) -> None:
+        self._usage = member.machine.get(UsageSlice)
+        self._operators = operators
+
+    async def usage(self, request: web.Request) -> web.StreamResponse:
+        """List the closed windows with what became of their reports."""
+        if not is_operator(request, self._operators):
+            return refuse(Refusal(RefusalReason.INVALID_KEY, "unknown operator key"))
+        return json_answer(
+            {
+                "last_closed": self._usage.last_closed,
+                "open": {
+                    str(window): list(totals.values())
+                    for window, totals in self._usage.open_by_window.items()
+                },
+                "closed": list(self._usage.closed_by_order.values()),
+            }
+        )
--- /dev/null
+++ b/tests/plugins/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the usage plug-in."""
