--- a/tests/processes/ordering.py
+++ b/tests/processes/ordering.py
@@ -1,11 +1,19 @@
 """Deployments with stand-ins for the platform and the usage interface."""
 
+import asyncio
 from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
 
 from demo.deployment import Deployment, Instance, free_port, wait_for
+from goldcrestyard.core.ids import CorrelationId, InstanceId
+from goldcrestyard.kernel import registry
+from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
+from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers
+from goldcrestyard.wire.handshake import Identity
+from goldcrestyard.wire.messages import Propose, ProposeReply
 
 
 @dataclass
@@ -69,6 +77,49 @@
     return found[-1]
 
 
+def usage_settings(address: str, **settings: Any) -> str:
+    """Return the section of a usage interface with windows of a second."""
+    values = {
+        "window_seconds": 1,
+        "grace_seconds": 0.5,
+        "flush_seconds": 0.2,
+        **settings,
+    }
+    lines = "\n".join(f"{name} = {toml(value)}" for name, value in values.items())
+    return f"""
+[usage]
+address = "{address}"
+{lines}
+"""
+
+
+async def commit(deployment: Deployment, command: object) -> None:
+    """Commit a command as an entry does, through whichever member leads."""
+    codec = Codec()
+    plugins = registry.discover()
+    codec.register(*(message for plugin in plugins for message in plugin.messages))
+    secret = (deployment.folder / "secret").read_bytes().strip()
+    identity = Identity("demo", InstanceId("test-entry"), secret)
+    dialer = PeerDialer(identity, codec, Handlers())
+    message = Propose(codec.encode(command), "test-entry", CorrelationId("test"))
+
+    async def committed(_: object) -> bool:
+        for instance in deployment.instances:
+            if not instance.control:
+                continue
+            try:
+                address = PeerAddress.parse(instance.peer)
+                async with asyncio.timeout(3), dialer.connect(address) as connection:
+                    reply = await connection.request(message, 2.0)
+            except (PeerUnavailableError, TimeoutError):
+                continue
+            if isinstance(reply, ProposeReply):
+                return True
+        return False
+
+    await wait_for(committed, "a command to be committed")
+
+
 def platform_settings(address: str, **settings: Any) -> str:
     """Return the section of a platform with two data centres."""
     values = {
