--- a/goldcrestyard/plugins/targets/apps.py
+++ b/goldcrestyard/plugins/targets/apps.py
@@ -1,12 +1,16 @@
 """Plug-in: targets announce themselves, renew and leave."""
 
+from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.entry.settings import EntrySettings
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
 from goldcrestyard.plugins.targets.commands import HomedTarget, TargetsSnapshot
+from goldcrestyard.plugins.targets.home_watch import HomeWatch
 from goldcrestyard.plugins.targets.homes import TargetHome
 from goldcrestyard.plugins.targets.in_flight import InFlight
 from goldcrestyard.plugins.targets.settings import TargetSettings
@@ -18,7 +22,7 @@
     """Serves ``/targets`` and tracks the renewals of homed targets."""
 
     name = "targets"
-    requires = ("entry", "listeners")
+    requires = ("control", "entry", "listeners")
     settings_section = "targets"
     settings_class = TargetSettings
     slices = (TargetsSlice,)
@@ -27,19 +31,32 @@
     def ready(self, app: Application) -> None:
         """Create the home and add the routes."""
         settings = app.settings.section(TargetSettings)
+        instance = app.settings.section(InstanceSettings).id
         link = app.get(LeaderLink)
         home = app.provide(
-            TargetHome, TargetHome(link, app.clock, settings.lost_seconds)
+            TargetHome, TargetHome(instance, link, app.clock, settings.lost_seconds)
         )
         app.provide(InFlight, InFlight())
-        instance = app.settings.section(InstanceSettings).id
-        views = TargetViews(instance, settings, app.get(EntryView), link, home)
+        views = TargetViews(
+            instance, settings, app.get(EntryView), link, home, app.clock
+        )
         routes = app.get(PublicRoutes)
         routes.add("POST", "/targets/announce", views.announce)
         routes.add("POST", "/targets/{target}/renew", views.renew)
         routes.add("POST", "/targets/{target}/drain", views.drain)
+        routes.add("POST", "/targets/{target}/reclaim", views.reclaim)
         routes.add("DELETE", "/targets/{target}", views.leave)
 
     async def start(self, app: Application) -> None:
-        """Start to watch for targets that stop renewing."""
+        """Start to watch for targets and homes that stop renewing."""
         app.spawn(app.get(TargetHome).run(), "target renewals")
+        member = app.find(ControlMember)
+        if member is not None:
+            watch = HomeWatch(
+                member,
+                app.get(EntrySessions),
+                app.clock,
+                app.settings.section(EntrySettings).lease_seconds,
+                app.settings.section(TargetSettings).lost_home_seconds,
+            )
+            app.spawn(watch.run(), "target homes")
--- a/goldcrestyard/plugins/targets/commands.py
+++ b/goldcrestyard/plugins/targets/commands.py
@@ -28,12 +28,14 @@
     """A target has left or is lost.
 
     The incarnation keeps a late removal from hitting a target that has
-    started again under the same id.
+    started again under the same id.  The home, if given, keeps the report of
+    an earlier home from hitting a target that has announced itself elsewhere.
     """
 
     id: TargetId
     incarnation: str
     state: TargetState
+    home: InstanceId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,8 +46,19 @@
     home: InstanceId
 
 
+@dataclass(frozen=True, slots=True)
+class RemovedTarget:
+    """A run of a target that has left or is lost."""
+
+    id: TargetId
+    incarnation: str
+    state: TargetState
+    draining: bool
+
+
 @dataclass(frozen=True, slots=True)
 class TargetsSnapshot:
     """The whole slice."""
 
     targets: tuple[HomedTarget, ...]
+    removed: tuple[RemovedTarget, ...] = ()
--- a/goldcrestyard/plugins/targets/homes.py
+++ b/goldcrestyard/plugins/targets/homes.py
@@ -6,7 +6,7 @@
 import structlog
 
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.ids import TargetId
+from goldcrestyard.core.ids import InstanceId, TargetId
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.leader_link import LeaderLink
@@ -17,18 +17,37 @@
 SCAN_SECONDS = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a target says of its load, and when it measured that."""
+
+    queue_length: int
+    running_tokens: int
+    cache_use: float
+    measured_at: float
+    """On this entry's clock."""
+
+
 @dataclass(slots=True)
 class Renewal:
-    """When a target of this home last renewed."""
+    """When a target of this home last renewed, and its last load."""
 
     incarnation: str
     at: float
+    load: Load | None = None
 
 
 class TargetHome:
     """Tracks renewals and reports targets that stop renewing."""
 
-    def __init__(self, link: LeaderLink, clock: Clock, lost_seconds: float) -> None:
+    def __init__(
+        self,
+        instance: InstanceId,
+        link: LeaderLink,
+        clock: Clock,
+        lost_seconds: float,
+    ) -> None:
+        self._instance = instance
         self._link = link
         self._clock = clock
         self._lost_seconds = lost_seconds
@@ -38,14 +57,27 @@
         """Start to track a target that has announced itself here."""
         self._renewals_by_id[target_id] = Renewal(incarnation, self._clock.monotonic())
 
-    def renew(self, target_id: TargetId, incarnation: str) -> bool:
+    def renew(
+        self, target_id: TargetId, incarnation: str, load: Load | None = None
+    ) -> bool:
         """Note a renewal; return False if the target must announce again."""
         renewal = self._renewals_by_id.get(target_id)
         if renewal is None or renewal.incarnation != incarnation:
             return False
         renewal.at = self._clock.monotonic()
+        if load is not None and (
+            renewal.load is None or load.measured_at >= renewal.load.measured_at
+        ):
+            renewal.load = load
         return True
 
+    def load_of(self, target_id: TargetId) -> tuple[Load, float] | None:
+        """Return a target's last load and its age in seconds, if known."""
+        renewal = self._renewals_by_id.get(target_id)
+        if renewal is None or renewal.load is None:
+            return None
+        return renewal.load, self._clock.monotonic() - renewal.load.measured_at
+
     def forget(self, target_id: TargetId) -> None:
         """Stop tracking a target that has left."""
         self._renewals_by_id.pop(target_id, None)
@@ -62,9 +94,15 @@
     async def _report_lost(self, target_id: TargetId, renewal: Renewal) -> None:
         logger.warning("target is lost", target=target_id)
         result = await self._link.propose(
-            RemoveTarget(target_id, renewal.incarnation, TargetState.LOST)
+            RemoveTarget(
+                target_id, renewal.incarnation, TargetState.LOST, self._instance
+            )
         )
         # Anything but a commit is reported again at the next scan; the
-        # incarnation makes a second removal harmless.
-        if isinstance(result, Applied):
-            self._renewals_by_id.pop(target_id, None)
+        # incarnation makes a second removal harmless.  A target that has
+        # announced itself again in the meantime is kept.
+        if (
+            isinstance(result, Applied)
+            and self._renewals_by_id.get(target_id) is renewal
+        ):
+            del self._renewals_by_id[target_id]
--- a/goldcrestyard/plugins/targets/settings.py
+++ b/goldcrestyard/plugins/targets/settings.py
@@ -16,3 +16,8 @@
     lost_seconds: float = setting(
         "A target that has not renewed for this long is lost, in seconds.", 6.0
     )
+    lost_home_seconds: float = setting(
+        "A target whose home entry has been without a lease for this long, and "
+        "which has not announced itself elsewhere, is lost, in seconds.",
+        10.0,
+    )
--- a/goldcrestyard/plugins/targets/slices.py
+++ b/goldcrestyard/plugins/targets/slices.py
@@ -1,5 +1,6 @@
 """Replicated state: the targets that have announced themselves."""
 
+from collections import OrderedDict
 from dataclasses import replace
 
 from goldcrestyard.core.ids import InstanceId, TargetId
@@ -10,9 +11,11 @@
     AnnounceTarget,
     DrainTarget,
     HomedTarget,
+    RemovedTarget,
     RemoveTarget,
     TargetsSnapshot,
 )
+from goldcrestyard.policy.target_states import TargetEvent, move
 from goldcrestyard.state.commands import (
     Accepted,
     Command,
@@ -22,6 +25,9 @@
 )
 from goldcrestyard.state.slices import Slice
 
+KEPT_REMOVED = 2048
+"""Four ordinary days of 510 restarts; messages are late by minutes."""
+
 
 class TargetsSlice(Slice):
     """Targets by id, with the entry that tracks each one's renewals."""
@@ -32,6 +38,10 @@
 
     def __init__(self) -> None:
         self.homed_by_id: dict[TargetId, HomedTarget] = {}
+        self.ids_by_home: dict[InstanceId, set[TargetId]] = {}
+        self._removed_by_run: OrderedDict[tuple[TargetId, str], RemovedTarget] = (
+            OrderedDict()
+        )
 
     def find(self, target_id: TargetId) -> Target | None:
         """Return a target, or None if it is not known."""
@@ -53,42 +63,108 @@
                 return self._announce(target, home)
             case DrainTarget(id=target_id, incarnation=incarnation):
                 return self._drain(target_id, incarnation)
-            case RemoveTarget(id=target_id, incarnation=incarnation):
-                return self._remove(target_id, incarnation)
+            case RemoveTarget():
+                return self._remove(command)
         raise TypeError(f"unexpected command {command!r}")
 
     def _announce(self, target: Target, home: InstanceId) -> Outcome:
         known = self.homed_by_id.get(target.id)
-        if (
-            known is not None
-            and known.target.incarnation == target.incarnation
-            and known.target.state is TargetState.DRAINING
-        ):
-            # A target that drains may move to another home, but it must not
-            # get new work because of that.
-            target = replace(target, state=TargetState.DRAINING)
-        self.homed_by_id[target.id] = HomedTarget(target, home)
+        removed = self._removed_by_run.get((target.id, target.incarnation))
+        state: TargetState | None = TargetState.READY
+        if known is not None and known.target.incarnation == target.incarnation:
+            state = move(known.target.state, TargetEvent.ANNOUNCE)
+        elif removed is not None:
+            state = move(removed.state, TargetEvent.ANNOUNCE)
+            if state is TargetState.READY and removed.draining:
+                state = move(state, TargetEvent.DRAIN)
+        if state is None:
+            detail = f"this run of target {target.id} has left"
+            return Rejected(RefusalReason.CONFLICT, detail)
+        self._removed_by_run.pop((target.id, target.incarnation), None)
+        self._put(HomedTarget(replace(target, state=state), home))
         return Accepted()
 
     def _drain(self, target_id: TargetId, incarnation: str) -> Outcome:
-        known = self.homed_by_id.get(target_id)
-        if known is None or known.target.incarnation != incarnation:
+        known = self._find_run(target_id, incarnation)
+        state = move(known.target.state, TargetEvent.DRAIN) if known else None
+        if known is None or state is None:
             return Rejected(RefusalReason.NOT_FOUND, f"no target {target_id}")
-        draining = replace(known.target, state=TargetState.DRAINING)
-        self.homed_by_id[target_id] = HomedTarget(draining, known.home)
+        self._put(HomedTarget(replace(known.target, state=state), known.home))
+        return Accepted()
+
+    def _remove(self, command: RemoveTarget) -> Outcome:
+        known = self._find_run(command.id, command.incarnation)
+        if known is None:
+            return self._remove_lost(command)
+        if command.home is not None and command.home != known.home:
+            detail = f"target {command.id} has moved to {known.home}"
+            return Rejected(RefusalReason.CONFLICT, detail)
+        state = move(known.target.state, _event_of(command.state))
+        if state is None:
+            return Rejected(RefusalReason.NOT_FOUND, f"no target {command.id}")
+        del self.homed_by_id[command.id]
+        self._leave_home(known)
+        draining = known.target.state is TargetState.DRAINING
+        self._keep_removed(
+            RemovedTarget(command.id, command.incarnation, state, draining)
+        )
+        return Accepted()
+
+    def _remove_lost(self, command: RemoveTarget) -> Outcome:
+        """Note that a lost target has left after all."""
+        removed = self._removed_by_run.get((command.id, command.incarnation))
+        state = move(removed.state, _event_of(command.state)) if removed else None
+        if removed is None or state is None:
+            return Rejected(RefusalReason.NOT_FOUND, f"no target {command.id}")
+        self._keep_removed(replace(removed, state=state))
         return Accepted()
 
-    def _remove(self, target_id: TargetId, incarnation: str) -> Outcome:
+    def _find_run(self, target_id: TargetId, incarnation: str) -> HomedTarget | None:
         known = self.homed_by_id.get(target_id)
         if known is None or known.target.incarnation != incarnation:
-            return Rejected(RefusalReason.NOT_FOUND, f"no target {target_id}")
-        del self.homed_by_id[target_id]
-        return Accepted()
+            return None
+        return known
+
+    def _put(self, homed: HomedTarget) -> None:
+        known = self.homed_by_id.get(homed.target.id)
+        if known is not None:
+            self._leave_home(known)
+            if known.target.incarnation != homed.target.incarnation:
+                # The target has started again, so its earlier run has ended.
+                run = known.target
+                self._keep_removed(
+                    RemovedTarget(run.id, run.incarnation, TargetState.LEFT, True)
+                )
+        self.homed_by_id[homed.target.id] = homed
+        self.ids_by_home.setdefault(homed.home, set()).add(homed.target.id)
+
+    def _leave_home(self, homed: HomedTarget) -> None:
+        ids = self.ids_by_home[homed.home]
+        ids.discard(homed.target.id)
+        if not ids:
+            del self.ids_by_home[homed.home]
+
+    def _keep_removed(self, removed: RemovedTarget) -> None:
+        self._removed_by_run[removed.id, removed.incarnation] = removed
+        if len(self._removed_by_run) > KEPT_REMOVED:
+            self._removed_by_run.popitem(last=False)
 
     def to_snapshot(self) -> TargetsSnapshot:
         """Return the whole slice."""
-        return TargetsSnapshot(tuple(self.homed_by_id.values()))
+        return TargetsSnapshot(
+            tuple(self.homed_by_id.values()), tuple(self._removed_by_run.values())
+        )
 
     def load_snapshot(self, snapshot: TargetsSnapshot) -> None:
         """Replace the slice."""
-        self.homed_by_id = {homed.target.id: homed for homed in snapshot.targets}
+        self.homed_by_id = {}
+        self.ids_by_home = {}
+        for homed in snapshot.targets:
+            self._put(homed)
+        self._removed_by_run = OrderedDict(
+            ((removed.id, removed.incarnation), removed) for removed in snapshot.removed
+        )
+
+
+def _event_of(state: TargetState) -> TargetEvent:
+    return TargetEvent.LOSE if state is TargetState.LOST else TargetEvent.LEAVE
--- a/goldcrestyard/plugins/targets/views.py
+++ b/goldcrestyard/plugins/targets/views.py
@@ -12,6 +12,7 @@
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Rental, TargetKind, TargetState
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
@@ -22,7 +23,7 @@
     DrainTarget,
     RemoveTarget,
 )
-from goldcrestyard.plugins.targets.homes import TargetHome
+from goldcrestyard.plugins.targets.homes import Load, TargetHome
 from goldcrestyard.plugins.targets.settings import TargetSettings
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.state.commands import Command, Rejected
@@ -60,11 +61,38 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """A target's load; clocks differ, so the moment is given as an age."""
+
+    queue_length: int = 0
+    running_tokens: int = 0
+    cache_use: float = 0.0
+    age_seconds: float = 0.0
+
+    def to_load(self, now: float) -> Load:
+        """Return the load on this entry's clock."""
+        return Load(
+            self.queue_length,
+            self.running_tokens,
+            self.cache_use,
+            now - max(0.0, self.age_seconds),
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class Renewal:
     """A target's sign of life."""
 
     incarnation: str
+    load: ReportedLoad | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ReclaimNotice:
+    """The platform takes a target back; the present run if none is named."""
+
+    incarnation: str = ""
 
 
 class TargetViews:
@@ -77,12 +105,14 @@
         view: EntryView,
         link: LeaderLink,
         home: TargetHome,
+        clock: Clock,
     ) -> None:
         self._instance = instance
         self._settings = settings
         self._slice = view.machine.get(TargetsSlice)
         self._link = link
         self._home = home
+        self._clock = clock
 
     async def announce(self, request: web.Request) -> web.StreamResponse:
         """Record a target and start to track its renewals."""
@@ -111,11 +141,27 @@
         if isinstance(renewal, Refusal):
             return refuse(renewal)
         target_id = TargetId(request.match_info["target"])
-        if not self._home.renew(target_id, renewal.incarnation):
+        load = renewal.load.to_load(self._clock.monotonic()) if renewal.load else None
+        known = self._home.renew(target_id, renewal.incarnation, load)
+        target = self._slice.find(target_id)
+        if not known or target is None or target.incarnation != renewal.incarnation:
             return refuse(Refusal(RefusalReason.NOT_FOUND, "announce again"))
+        return json_answer({"state": target.state.value})
+
+    async def reclaim(self, request: web.Request) -> web.StreamResponse:
+        """Drain a target at once that the platform takes back."""
+        if (refusal := self._check_token(request)) is not None:
+            return refuse(refusal)
+        notice = await read_json(request, ReclaimNotice)
+        if isinstance(notice, Refusal):
+            return refuse(notice)
+        target_id = TargetId(request.match_info["target"])
         target = self._slice.find(target_id)
-        state = target.state if target is not None else TargetState.LOST
-        return json_answer({"state": state.value})
+        if target is None:
+            return refuse(Refusal(RefusalReason.NOT_FOUND, f"no target {target_id}"))
+        command = DrainTarget(target_id, notice.incarnation or target.incarnation)
+        refusal = await self._propose(command, request)
+        return refuse(refusal) if refusal is not None else json_answer({})
 
     async def drain(self, request: web.Request) -> web.StreamResponse:
         """Stop giving new work to a target."""
--- /dev/null
+++ b/tests/plugins/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the targets plug-in."""
--- /dev/null
+++ b/tests/policy/test_target_states.py
@@ -0,0 +1,48 @@
+"""Tests of the life cycle of targets.
+
+They guard against new work for a target that drains, and against a removed
+target that a late message brings back.
+"""
+
+import unittest
+
+from parameterized import parameterized
+
+from goldcrestyard.core.states import TargetState
+from goldcrestyard.policy.target_states import TargetEvent, move
+
+READY, DRAINING = TargetState.READY, TargetState.DRAINING
+LEFT, LOST = TargetState.LEFT, TargetState.LOST
+
+MOVES = {
+    (READY, TargetEvent.ANNOUNCE): READY,
+    (READY, TargetEvent.DRAIN): DRAINING,
+    (READY, TargetEvent.LEAVE): LEFT,
+    (READY, TargetEvent.LOSE): LOST,
+    (DRAINING, TargetEvent.ANNOUNCE): DRAINING,
+    (DRAINING, TargetEvent.DRAIN): DRAINING,
+    (DRAINING, TargetEvent.LEAVE): LEFT,
+    (DRAINING, TargetEvent.LOSE): LOST,
+    (LOST, TargetEvent.ANNOUNCE): READY,
+    (LOST, TargetEvent.LEAVE): LEFT,
+}
+
+CASES = [
+    (f"{state.value}_{event.value}", state, event, MOVES.get((state, event)))
+    for state in TargetState
+    for event in TargetEvent
+]
+
+
+class TargetStateTests(unittest.TestCase):
+    """Every event in every state; what is not listed is not allowed."""
+
+    @parameterized.expand(CASES)
+    def test_move(
+        self,
+        _: str,
+        state: TargetState,
+        event: TargetEvent,
+        expected: TargetState | None,
+    ) -> None:
+        self.assertIs(move(state, event), expected)
