--- a/goldcrestyard/plugins/platform/apps.py
+++ b/goldcrestyard/plugins/platform/apps.py
@@ -5,31 +5,50 @@
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.plugins.orders.placing import OrderDesk
 from goldcrestyard.plugins.platform import checks
 from goldcrestyard.plugins.platform.client import PlatformClient
+from goldcrestyard.plugins.platform.demand_reports import (
+    DemandReporter,
+    DemandReports,
+)
+from goldcrestyard.plugins.platform.messages import ReportDemand
 from goldcrestyard.plugins.platform.planner import Planner
 from goldcrestyard.plugins.platform.settings import PlatformSettings
-from goldcrestyard.policy.demand import Demand
+from goldcrestyard.plugins.targets.homes import TargetHome
+from goldcrestyard.wire.connection import Handlers
 
 
 class PlatformConfig(PluginConfig):
-    """Plans targets on control members with ``[platform]`` settings."""
+    """Reports demand and plans targets where ``[platform]`` is set."""
 
     name = "platform"
-    requires = ("control", "orders", "targets")
+    requires = ("control", "entry", "orders", "peers", "targets")
     settings_section = "platform"
     settings_class = PlatformSettings
+    messages = (ReportDemand,)
     checks = (checks.check_address, checks.check_guards)
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
 
+    def ready(self, app: Application) -> None:
+        """Take the entries' reports on control members."""
+        member = app.find(ControlMember)
+        if member is not None:
+            reports = app.provide(DemandReports, DemandReports(member, app.clock))
+            reports.register(app.get(Handlers))
+
     async def start(self, app: Application) -> None:
-        """Start to plan."""
+        """Start to report demand, and on control members to plan."""
         settings = app.settings.find(PlatformSettings)
+        if settings is None:
+            return
+        reporter = DemandReporter(app.get(TargetHome), app.get(LeaderLink))
+        app.spawn(reporter.run(), "demand reports")
         member = app.find(ControlMember)
-        if settings is None or member is None:
+        if member is None:
             return
         self._session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
         planner = Planner(
@@ -38,7 +57,7 @@
             PlatformClient(self._session, settings.address),
             app.clock,
             settings,
-            Demand,
+            app.get(DemandReports).total,
         )
         app.spawn(planner.run(), "target plans")
         app.spawn(planner.watch_notices(), "reclaim notices")
--- a/goldcrestyard/plugins/platform/planner.py
+++ b/goldcrestyard/plugins/platform/planner.py
@@ -103,12 +103,10 @@
         if isinstance(listed, Unavailable):
             logger.warning("platform did not list its targets", detail=listed.detail)
             return
-        if demand is None:
-            return
         self._note_refusals()
         now = self._clock.monotonic()
         plan = policy.plan(
-            demand,
+            demand or Demand(),
             self._rented(listed),
             self._terms(now),
             self._bounds(),
@@ -116,14 +114,16 @@
             self._memory,
             now,
         )
-        self._memory = plan.memory
+        # While the demand is not known the minimum is kept, and nothing counts
+        # as unneeded.
+        self._memory = plan.memory if demand is not None else policy.Memory()
         if plan.denied:
             logger.warning("bounds or the platform deny targets", count=plan.denied)
         for order in plan.orders:
             match order:
                 case StartTargets():
                     await self._place(order)
-                case StopTarget(target=target):
+                case StopTarget(target=target) if demand is not None:
                     self._draining_since_by_id[target] = now
         await self._stop_drained(listed, now)
 
--- a/goldcrestyard/plugins/targets/homes.py
+++ b/goldcrestyard/plugins/targets/homes.py
@@ -1,6 +1,7 @@
 """The targets whose renewals this entry tracks."""
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import structlog
@@ -26,6 +27,9 @@
     cache_use: float
     measured_at: float
     """On this entry's clock."""
+    running_requests: int = 0
+    resumable_requests: int = 0
+    """Of those that run or wait, how many survive the loss of the target."""
 
 
 @dataclass(slots=True)
@@ -78,6 +82,13 @@
             return None
         return renewal.load, self._clock.monotonic() - renewal.load.measured_at
 
+    def loads(self) -> Iterator[tuple[Load, float]]:
+        """Yield the last loads of the targets of this home with their age."""
+        now = self._clock.monotonic()
+        for renewal in self._renewals_by_id.values():
+            if renewal.load is not None:
+                yield renewal.load, now - renewal.load.measured_at
+
     def forget(self, target_id: TargetId) -> None:
         """Stop tracking a target that has left."""
         self._renewals_by_id.pop(target_id, None)
--- a/goldcrestyard/plugins/targets/views.py
+++ b/goldcrestyard/plugins/targets/views.py
@@ -69,6 +69,8 @@
     running_tokens: int = 0
     cache_use: float = 0.0
     age_seconds: float = 0.0
+    running_requests: int = 0
+    resumable_requests: int = 0
 
     def to_load(self, now: float) -> Load:
         """Return the load on this entry's clock."""
@@ -77,6 +79,8 @@
             self.running_tokens,
             self.cache_use,
             now - max(0.0, self.age_seconds),
+            self.running_requests,
+            self.resumable_requests,
         )
 
 
