--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from demo.fakes.announcer import Announcer
+from demo.fakes.receiver import OrderBook
 
 WORDS = ("the", "liner", "holds", "at", "joint", "seven", "and", "the", "crack", "ends")
 
@@ -33,6 +34,10 @@
     runs_by_request: Counter[str] = field(default_factory=Counter)
     headers_seen: list[dict[str, str]] = field(default_factory=list)
     idle: asyncio.Event = field(default_factory=asyncio.Event)
+    book: OrderBook = field(default_factory=OrderBook)
+    staged: list[int] = field(default_factory=list)
+    weights_fault: str = ""
+    """How orders for weights go wrong: ``fail``, ``lie`` or not at all."""
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Serve a completion, streamed or whole."""
@@ -138,6 +143,34 @@
         self.version = int(order["version"])
         return web.json_response({"version": self.version})
 
+    async def stage(self, request: web.Request) -> web.StreamResponse:
+        """Load a version beside the one that is served."""
+        order, result = await self.book.take(request)
+        if self.weights_fault == "fail":
+            return web.json_response({"error": "out of memory"}, status=500)
+        if result != "stale" and self.weights_fault != "lie":
+            self.staged = [int(order["version"])]
+        order_id = request.headers.get("idempotency-key", "")
+        return await self.book.answer(order_id, result, {})
+
+    async def activate(self, request: web.Request) -> web.StreamResponse:
+        """Serve a version that is staged."""
+        order, result = await self.book.take(request)
+        version = int(order["version"])
+        if result != "stale" and version in self.staged:
+            self.version = version
+        order_id = request.headers.get("idempotency-key", "")
+        return await self.book.answer(order_id, result, {})
+
+    async def weights(self, _: web.Request) -> web.StreamResponse:
+        """Say what is served and staged."""
+        return web.json_response({"active": self.version, "staged": self.staged})
+
+    async def set_weights_fault(self, request: web.Request) -> web.StreamResponse:
+        """Fail at orders, or answer them without effect; for tests only."""
+        self.weights_fault = (await request.json())["fault"]
+        return web.json_response({})
+
     async def state(self, _: web.Request) -> web.StreamResponse:
         """Show what the stand-in has seen; for tests only."""
         return web.json_response(
@@ -146,6 +179,7 @@
                 "running": self.running,
                 "runs_by_request": dict(self.runs_by_request),
                 "headers_seen": self.headers_seen,
+                "orders": self.book.shown()["arrivals"],
             }
         )
 
@@ -161,6 +195,10 @@
     app.router.add_post("/v1/chat/completions", engine.complete)
     app.router.add_post("/v1/completions", engine.complete)
     app.router.add_post("/weights", engine.load_weights)
+    app.router.add_get("/weights", engine.weights)
+    app.router.add_post("/weights/stage", engine.stage)
+    app.router.add_post("/weights/activate", engine.activate)
+    app.router.add_post("/fake/weights", engine.set_weights_fault)
     app.router.add_get("/healthz", engine.healthz)
     app.router.add_get("/fake/state", engine.state)
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
@@ -178,6 +216,7 @@
             "serves": [options.model],
             "incarnation": uuid.uuid4().hex,
             "max_concurrency": engine.max_concurrency,
+            "checks_fencing": True,
         },
     )
     stop = asyncio.Event()
--- a/goldcrestyard/plugins/orders/sender.py
+++ b/goldcrestyard/plugins/orders/sender.py
@@ -155,7 +155,9 @@
             pass
 
     def _on_applied(self, entry: AppliedEntry) -> None:
-        self._changed.set()
+        # Most entries are claims of calls, thousands a second at peak.
+        if self._orders.open_by_id:
+            self._changed.set()
 
     async def _serve(self, receiver: ReceiverId, leadership: Leadership) -> None:
         """Carry out the open orders of a receiver, oldest first."""
--- /dev/null
+++ b/goldcrestyard/plugins/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Brings published weights to the engines: staged first, then activated."""
--- /dev/null
+++ b/goldcrestyard/plugins/rollout/apps.py
@@ -0,0 +1,57 @@
+"""Plug-in: published weights are brought to the engines."""
+
+import aiohttp
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.plugins.listeners.routes import AdminRoutes
+from goldcrestyard.plugins.operators.settings import OperatorSettings
+from goldcrestyard.plugins.orders.placing import OrderDesk
+from goldcrestyard.plugins.rollout.engines import HttpEngines
+from goldcrestyard.plugins.rollout.publications import find_publications
+from goldcrestyard.plugins.rollout.rollout import Rollouts
+from goldcrestyard.plugins.rollout.settings import RolloutSettings
+from goldcrestyard.plugins.rollout.views import RolloutViews
+
+
+class RolloutConfig(PluginConfig):
+    """Runs rollouts on control members."""
+
+    name = "rollout"
+    requires = ("control", "listeners", "operators", "orders", "targets")
+    settings_section = "rollout"
+    settings_class = RolloutSettings
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self, app: Application) -> None:
+        """Start to follow the publications."""
+        member = app.find(ControlMember)
+        if member is None:
+            return
+        publications = find_publications(app, member.machine)
+        if publications is None:
+            return
+        settings = app.settings.section(RolloutSettings)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        rollouts = Rollouts(
+            member,
+            publications,
+            app.get(OrderDesk),
+            HttpEngines(self._session, settings.ask_seconds, settings.ask_concurrency),
+            app.clock,
+            settings,
+        )
+        views = RolloutViews(member, rollouts, app.settings.section(OperatorSettings))
+        app.get(AdminRoutes).add("GET", "/operator/v1/rollouts", views.rollouts)
+        app.spawn(rollouts.run(), "rollouts")
+
+    async def stop(self, app: Application) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/tests/plugins/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the rollout plug-in."""
