--- a/goldcrestyard/plugins/rollout/engines.py
+++ b/goldcrestyard/plugins/rollout/engines.py
@@ -31,7 +31,9 @@
 class _Body(msgspec.Struct, omit_defaults=True):
     model: str
     version: int
-    location: str = ""
+    path: str = ""
+    """Where the engine's home entry serves the weights: from the store each
+    engine would fetch them over the link between the regions."""
     digest: str = ""
 
 
@@ -78,9 +80,8 @@
     match step:
         case Stage():
             kind, seconds = "stage", STAGE_SECONDS
-            body = _Body(
-                weights.model, weights.version, weights.location, weights.digest
-            )
+            path = f"/weights/{weights.model}/{weights.version}"
+            body = _Body(weights.model, weights.version, path, weights.digest)
         case Activate():
             kind, seconds = "activate", ACTIVATE_SECONDS
             body = _Body(weights.model, weights.version)
