--- a/tests/processes/test_rollout.py
+++ b/tests/processes/test_rollout.py
@@ -4,7 +4,6 @@
 activations from two members that both believe they lead.
 """
 
-import importlib.util
 import signal
 import unittest
 from typing import Any
@@ -13,11 +12,12 @@
 
 from demo.deployment import wait_for
 from goldcrestyard.core.records import ModelLine
+from goldcrestyard.kernel import registry
 from tests.fakes.deployments import DeploymentTestCase
 from tests.processes.ordering import change, commit
 
 MODEL = "inspect-lm"
-HAS_WEIGHTS = importlib.util.find_spec("goldcrestyard.plugins.weights") is not None
+HAS_WEIGHTS = "weights" in {plugin.name for plugin in registry.discover()}
 
 
 @unittest.skipUnless(HAS_WEIGHTS, "the weights plug-in is not in this branch yet")
