--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -18,6 +18,7 @@
 from demo.fakes import engine_faults
 from demo.fakes.announcer import Announcer
 from demo.fakes.engine_faults import Fault, Faults
+from demo.fakes.receiver import OrderBook
 
 WORDS = ("the", "liner", "holds", "at", "joint", "seven", "and", "the", "crack", "ends")
 UNPUBLISHED_VERSION = 999_999
@@ -40,6 +41,10 @@
     headers_seen: list[dict[str, str]] = field(default_factory=list)
     idle: asyncio.Event = field(default_factory=asyncio.Event)
     faults: Faults = field(default_factory=Faults)
+    book: OrderBook = field(default_factory=OrderBook)
+    staged: list[int] = field(default_factory=list)
+    weights_fault: str = ""
+    """How orders for weights go wrong: ``fail``, ``lie`` or not at all."""
 
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Serve a completion, streamed or whole."""
@@ -181,6 +186,34 @@
         self.version = int((await request.json())["version"])
         return web.json_response({"version": self.version})
 
+    async def stage(self, request: web.Request) -> web.StreamResponse:
+        """Load a version beside the one that is served."""
+        order, result = await self.book.take(request)
+        if self.weights_fault == "fail":
+            return web.json_response({"error": "out of memory"}, status=500)
+        if result != "stale" and self.weights_fault != "lie":
+            self.staged = [int(order["version"])]
+        order_id = request.headers.get("idempotency-key", "")
+        return await self.book.answer(order_id, result, {})
+
+    async def activate(self, request: web.Request) -> web.StreamResponse:
+        """Serve a version that is staged."""
+        order, result = await self.book.take(request)
+        version = int(order["version"])
+        if result != "stale" and version in self.staged:
+            self.version = version
+        order_id = request.headers.get("idempotency-key", "")
+        return await self.book.answer(order_id, result, {})
+
+    async def weights(self, _: web.Request) -> web.StreamResponse:
+        """Say what is served and staged."""
+        return web.json_response({"active": self.version, "staged": self.staged})
+
+    async def set_weights_fault(self, request: web.Request) -> web.StreamResponse:
+        """Fail at orders, or answer them without effect; for tests only."""
+        self.weights_fault = (await request.json())["fault"]
+        return web.json_response({})
+
     async def state(self, _: web.Request) -> web.StreamResponse:
         """Show what the stand-in has seen; for tests only."""
         return web.json_response(
@@ -190,6 +223,7 @@
                 "runs_by_request": dict(self.runs_by_request),
                 "runs_by_call": dict(self.runs_by_call),
                 "headers_seen": self.headers_seen,
+                "orders": self.book.shown()["arrivals"],
             }
         )
 
@@ -210,6 +244,10 @@
     app.router.add_post("/v1/chat/completions", engine.complete)
     app.router.add_post("/v1/completions", engine.complete)
     app.router.add_post("/weights", engine.load_weights)
+    app.router.add_get("/weights", engine.weights)
+    app.router.add_post("/weights/stage", engine.stage)
+    app.router.add_post("/weights/activate", engine.activate)
+    app.router.add_post("/fake/weights", engine.set_weights_fault)
     app.router.add_get("/healthz", engine.healthz)
     app.router.add_get("/fake/state", engine.state)
     app.router.add_post("/fake/version", engine.set_version)
@@ -229,6 +267,7 @@
             "serves": [options.model],
             "incarnation": uuid.uuid4().hex,
             "max_concurrency": engine.max_concurrency,
+            "checks_fencing": True,
         },
     )
     stop = asyncio.Event()
