--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -166,6 +166,8 @@
         self._applied_index = LogIndex(0)
         self._snapshot_index = LogIndex(0)
         self._snapshot_running = False
+        self._serving = False
+        """Whether this leader has applied all entries of earlier terms."""
         self._seen: tuple[object, ...] = ()
         self._leadership_changed = asyncio.Event()
         self._restore_listeners: list[Callable[[Revision], None]] = []
@@ -189,7 +191,11 @@
     def holds_lease(self) -> bool:
         """Return whether no other member can lead at this moment."""
         core = self._core
-        return core is not None and self._clock.monotonic() < core.lease_expires_at
+        return (
+            core is not None
+            and self._serving
+            and self._clock.monotonic() < core.lease_expires_at
+        )
 
     @property
     def leader(self) -> InstanceId | None:
@@ -307,6 +313,8 @@
         """Commit a command and return its outcome."""
         if not self.is_leader:
             return NotProposed("this member does not lead", self.leader)
+        if not self._serving:
+            return NotProposed("this leader has not applied the log yet", self.leader)
         if len(self._queued) >= MAX_WAITING_PROPOSALS:
             return NotProposed("too many proposals are waiting", self.instance)
         self._last_time = max(self._last_time, self._clock.wall())
@@ -531,6 +539,7 @@
 
     def _notice_change(self) -> None:
         core = self._core
+        self._serving = core is not None and core.ready
         seen: tuple[object, ...] = ()
         if core is not None:
             leads = core.role is Role.LEADER
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -22,6 +22,7 @@
 gone silent for good while a new one works."""
 
 RECONNECT_SECONDS = 0.2
+MAX_RECONNECT_SECONDS = 1.0
 CHECK_SECONDS = 1.0
 FORMING_CHECK_SECONDS = 0.25
 BATCH_BYTES = 1024 * 1024
@@ -99,14 +100,17 @@
 
     async def run(self) -> None:
         """Keep a connection for the life of the member."""
+        backoff = RECONNECT_SECONDS
         while True:
             try:
                 async with self._dialer.connect(self.address) as connection:
+                    backoff = RECONNECT_SECONDS
                     await self._converse(connection)
             except PeerUnavailableError as error:
                 logger.debug("member unavailable", peer=self.instance, error=str(error))
             self._queue.clear()
-            await asyncio.sleep(RECONNECT_SECONDS * random.uniform(0.5, 1.5))
+            await asyncio.sleep(backoff * random.uniform(0.5, 1.5))
+            backoff = min(2 * backoff, MAX_RECONNECT_SECONDS)
 
     async def _converse(self, connection: PeerConnection) -> None:
         while not connection.closed:
--- /dev/null
+++ b/tests/consensus/test_settings_checks.py
@@ -0,0 +1,50 @@
+"""Tests of the checks of the control settings.
+
+They guard against intervals under which two members could act as leader.
+"""
+
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import DataCentre, InstanceId, Region
+from goldcrestyard.kernel.checks import run_checks
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.settings import Settings
+from goldcrestyard.plugins.control.apps import ControlConfig
+from goldcrestyard.plugins.control.settings import ControlSettings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+
+CASES: list[tuple[str, dict[str, Any], list[str]]] = [
+    ("defaults", {}, []),
+    ("busy_heartbeat", {"heartbeat_seconds": 0.001}, ["control.E001"]),
+    ("lease_of_one_heartbeat", {"heartbeat_seconds": 0.9}, ["control.E002"]),
+    ("lease_outlasts_support", {"lease_seconds": 1.9}, ["control.E003"]),
+    ("no_spread", {"election_timeout_max_seconds": 2.1}, ["control.E004"]),
+    ("constant_snapshots", {"snapshot_entries": 1}, ["control.E005"]),
+]
+
+
+def settings(control: ControlSettings | None) -> Settings:
+    instance = InstanceSettings(InstanceId("a"), DataCentre("x"), Region("r"))
+    members = {InstanceId("a"): "127.0.0.1:1"}
+    cluster = ClusterSettings("demo", "secret", members, "127.0.0.1:1")
+    sections: dict[str, object] = {"instance": instance, "cluster": cluster}
+    if control is not None:
+        sections["control"] = control
+    return Settings(sections)
+
+
+class CheckTests(unittest.TestCase):
+    """The faults that are found."""
+
+    @parameterized.expand(CASES)
+    def test_checks(self, _: str, values: dict[str, Any], ids: list[str]) -> None:
+        found = settings(ControlSettings("folder", **values))
+        problems = run_checks(found, ControlConfig.checks)
+        self.assertEqual([problem.id for problem in problems], ids)
+
+    def test_named_member_without_the_section(self) -> None:
+        problems = run_checks(settings(None), ControlConfig.checks)
+        self.assertEqual([problem.id for problem in problems], ["control.E006"])
--- /dev/null
+++ b/tests/processes/test_control_storage.py
@@ -0,0 +1,34 @@
+"""A control member's data folder, damaged under a real process."""
+
+import asyncio
+
+from demo.deployment import Instance
+from tests.fakes.deployments import DeploymentTestCase
+
+EXIT_SECONDS = 30.0
+
+
+class DamagedFolderTests(DeploymentTestCase):
+    """Guards against a member that runs on a damaged log."""
+
+    async def test_damaged_log_keeps_the_daemon_from_starting(self) -> None:
+        instance = self.deployment.instances[0]
+        for number in range(5):
+            await self.deployment.add_organisation(f"o{number}")
+        await self._kill(instance)
+        folder = self.deployment.folder / instance.id / "log"
+        (segment,) = folder.glob("*.log")
+        data = bytearray(segment.read_bytes())
+        data[len(data) // 2] ^= 0x10
+        segment.write_bytes(data)
+        await self.deployment.start_instance(instance)
+        assert instance.process is not None
+        async with asyncio.timeout(EXIT_SECONDS):
+            self.assertNotEqual(await instance.process.wait(), 0)
+        log = (self.deployment.folder / f"{instance.id}.log").read_text()
+        self.assertIn("Replace this member from the others", log)
+
+    async def _kill(self, instance: Instance) -> None:
+        assert instance.process is not None
+        instance.process.kill()
+        await instance.process.wait()
