--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -23,6 +23,12 @@
 NAMES = ["a", "b", "c"]
 
 
+def skip_time(seconds: float) -> None:
+    """Advance the clock as during a pause: nothing runs meanwhile."""
+    loop = asyncio.get_running_loop()
+    loop._advancing.now += seconds  # type: ignore[attr-defined]
+
+
 class NetworkTestCase(PausedClockTestCase):
     """Starts three members and waits for the leader."""
 
@@ -84,6 +90,16 @@
         await self.network.wait_same()
         self.assertEqual(organisations(self.leader), ("kept",))
 
+    async def test_paused_leader_neither_leads_nor_holds_the_lease(self) -> None:
+        """Guards the moment after a pause, before the member has run."""
+        self.assertTrue(self.leader.holds_lease())
+        skip_time(1.5)
+        self.assertFalse(self.leader.holds_lease())
+        self.assertTrue(self.leader.is_leader)
+        skip_time(1.0)
+        self.assertFalse(self.leader.is_leader)
+        self.assertIsInstance(await put(self.leader, "late"), NotProposed)
+
     async def test_time_never_decreases(self) -> None:
         times: list[float] = []
         for member in self.network.running.values():
--- a/tests/fakes/control_probe.py
+++ b/tests/fakes/control_probe.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from unittest import mock
 
 from demo.deployment import Deployment, Instance, wait_for
 from goldcrestyard.core.ids import InstanceId, Revision
+from goldcrestyard.wire import client
 from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
 from goldcrestyard.wire.codec import Codec
 from goldcrestyard.wire.connection import Handlers, PeerConnection
@@ -28,8 +30,15 @@
 
     @asynccontextmanager
     async def connect(self, instance: Instance) -> AsyncIterator[PeerConnection]:
-        async with self._dialer.connect(PeerAddress.parse(instance.peer)) as connection:
+        """Connect without pings, which a paused process would not answer."""
+        address = PeerAddress.parse(instance.peer)
+        with mock.patch.object(client, "PING_INTERVAL_SECONDS", None):
+            connecting = self._dialer.connect(address)
+            connection = await connecting.__aenter__()
+        try:
             yield connection
+        finally:
+            await connecting.__aexit__(None, None, None)
 
     async def ask(
         self, connection: PeerConnection, timeout: float = ANSWER_SECONDS
