--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -35,6 +35,8 @@
     Tick,
 )
 from goldcrestyard.consensus.link import (
+    CHECK_SECONDS,
+    RELAXED_CHECK_SECONDS,
     Dialer,
     MemberBatch,
     MemberIdentity,
@@ -631,6 +633,7 @@
                 self._dialer,
                 self._identity,
                 self._on_identity,
+                self._check_seconds,
             )
             self._links_by_instance[instance] = link
             self._spawn(f"link to {instance}", link.run())
@@ -642,6 +645,10 @@
         if link is not None:
             link.send(receiver, self._codec.encode(message))
 
+    def _check_seconds(self, instance: InstanceId) -> float:
+        between_followers = self.leader not in (None, instance, self.instance)
+        return RELAXED_CHECK_SECONDS if between_followers else CHECK_SECONDS
+
     def _on_identity(self, instance: InstanceId, identity: MemberIdentity) -> None:
         self._instances_by_member[identity.member] = instance
         if not self._disk.cluster:
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -25,8 +25,10 @@
 RECONNECT_SECONDS = 0.1
 MAX_RECONNECT_SECONDS = 1.0
 CHECK_SECONDS = 0.25
-"""An idle connection is checked this often: the first message after a silence
-must not be the one that finds out."""
+"""An idle connection to or from the leader is checked this often: the first
+message after a silence must not be the one that finds out."""
+RELAXED_CHECK_SECONDS = 1.0
+"""Connections between two followers carry nothing but elections."""
 
 BATCH_BYTES = 1024 * 1024
 """Bound on a frame, so that at 225 Mbit/s it is confirmed in time."""
@@ -85,6 +87,7 @@
         dialer: Dialer,
         own_identity: Callable[[], MemberIdentity],
         on_identity: Callable[[InstanceId, MemberIdentity], None],
+        check_seconds: Callable[[InstanceId], float],
     ) -> None:
         self.instance = instance
         self.address = address
@@ -93,6 +96,7 @@
         self._dialer = dialer
         self._own_identity = own_identity
         self._on_identity = on_identity
+        self._check_seconds = check_seconds
         self._queue: deque[tuple[MemberId, bytes]] = deque(maxlen=QUEUED_MESSAGES)
         self._filled = asyncio.Event()
 
@@ -153,7 +157,7 @@
         if self._queue:
             return
         try:
-            async with asyncio.timeout(CHECK_SECONDS):
+            async with asyncio.timeout(self._check_seconds(self.instance)):
                 await self._filled.wait()
         except TimeoutError:
             pass
