--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -35,8 +35,7 @@
     Tick,
 )
 from goldcrestyard.consensus.link import (
-    CHECK_SECONDS,
-    RELAXED_CHECK_SECONDS,
+    ANSWER_SECONDS,
     Dialer,
     MemberBatch,
     MemberIdentity,
@@ -109,6 +108,13 @@
     cluster: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Marker:
+    """Everything that was queued before it has been performed."""
+
+    performed: asyncio.Event
+
+
 @dataclass(frozen=True, slots=True)
 class _IdentityLearned:
     """Another named member has said who it is."""
@@ -157,6 +163,8 @@
         # Two threads, so that encoding a snapshot does not delay a sync.
         self._writer = make_executor()
         self._encoder = make_executor()
+        self._markers: list[_Marker] = []
+        self._answers_by_member: dict[MemberId, list[bytes]] = {}
         self._links_by_instance: dict[InstanceId, MemberLink] = {}
         self._instances_by_member: dict[MemberId, InstanceId] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -472,6 +480,9 @@
                 for event in events:
                     effects += self._core.step(self._clock.monotonic(), event)
                 await self._perform(effects)
+                for marker in self._markers:
+                    marker.performed.set()
+                self._markers.clear()
             except DiskError as error:
                 logger.error("the disk failed; the member stops", error=str(error))
                 self._end(f"the disk failed: {error}")
@@ -492,6 +503,8 @@
             match item:
                 case Propose(payloads_by_number=payloads):
                     proposals.extend(payloads)
+                case _Marker():
+                    self._markers.append(item)
                 case _Joined(cluster=cluster):
                     await self._join(cluster)
                 case _IdentityLearned():
@@ -633,22 +646,22 @@
                 self._dialer,
                 self._identity,
                 self._on_identity,
-                self._check_seconds,
+                self._on_messages,
             )
             self._links_by_instance[instance] = link
             self._spawn(f"link to {instance}", link.run())
         return link
 
     def _send(self, receiver: MemberId, message: MemberMessage) -> None:
+        answers = self._answers_by_member.get(receiver)
+        if answers is not None:
+            answers.append(self._codec.encode(message))
+            return
         instance = self._instance_of(receiver)
         link = self._links_by_instance.get(instance) if instance is not None else None
         if link is not None:
             link.send(receiver, self._codec.encode(message))
 
-    def _check_seconds(self, instance: InstanceId) -> float:
-        between_followers = self.leader not in (None, instance, self.instance)
-        return RELAXED_CHECK_SECONDS if between_followers else CHECK_SECONDS
-
     def _on_identity(self, instance: InstanceId, identity: MemberIdentity) -> None:
         self._instances_by_member[identity.member] = instance
         if not self._disk.cluster:
@@ -672,12 +685,35 @@
             if not self._disk.cluster:
                 self._queue.put_nowait(_Joined(batch.cluster))
             elif batch.cluster == self._disk.cluster:
-                for data in batch.messages:
-                    message = self._codec.decode(data)
-                    if isinstance(message, get_args(MemberMessage)):
-                        self._queue.put_nowait(Receive(batch.sender, message))
+                return Received(own, await self._answers_to(batch))
         return Received(own)
 
+    async def _answers_to(self, batch: MemberBatch) -> tuple[bytes, ...]:
+        """Take a batch and return what the core sends back at once.
+
+        If the disk is slow, the answers follow over the own link.
+        """
+        answers: list[bytes] = []
+        self._answers_by_member[batch.sender] = answers
+        performed = asyncio.Event()
+        self._on_messages(batch.sender, batch.messages)
+        self._queue.put_nowait(_Marker(performed))
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS / 2):
+                await performed.wait()
+        except TimeoutError:
+            pass
+        finally:
+            if self._answers_by_member.get(batch.sender) is answers:
+                del self._answers_by_member[batch.sender]
+        return tuple(answers)
+
+    def _on_messages(self, sender: MemberId, messages: tuple[bytes, ...]) -> None:
+        for data in messages:
+            message = self._codec.decode(data)
+            if isinstance(message, get_args(MemberMessage)):
+                self._queue.put_nowait(Receive(sender, message))
+
     # Formation of a new cluster.
 
     async def _form_if_complete(self) -> None:
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -24,11 +24,10 @@
 
 RECONNECT_SECONDS = 0.1
 MAX_RECONNECT_SECONDS = 1.0
-CHECK_SECONDS = 0.25
-"""An idle connection to or from the leader is checked this often: the first
-message after a silence must not be the one that finds out."""
-RELAXED_CHECK_SECONDS = 1.0
-"""Connections between two followers carry nothing but elections."""
+CHECK_SECONDS = 1.0
+FORMING_CHECK_SECONDS = 0.25
+"""Intervals at which an idle connection is checked; that from the leader is
+never idle."""
 
 BATCH_BYTES = 1024 * 1024
 """Bound on a frame, so that at 225 Mbit/s it is confirmed in time."""
@@ -63,9 +62,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Received:
-    """A batch has arrived; ``member`` is who received it."""
+    """A batch has arrived at a member; ``messages`` are its answers.
+
+    Most answers come this way, which halves the frames of a heartbeat.
+    """
 
     member: MemberId
+    messages: tuple[bytes, ...] = ()
 
 
 class Dialer(Protocol):
@@ -87,7 +90,7 @@
         dialer: Dialer,
         own_identity: Callable[[], MemberIdentity],
         on_identity: Callable[[InstanceId, MemberIdentity], None],
-        check_seconds: Callable[[InstanceId], float],
+        on_messages: Callable[[MemberId, tuple[bytes, ...]], None],
     ) -> None:
         self.instance = instance
         self.address = address
@@ -96,7 +99,7 @@
         self._dialer = dialer
         self._own_identity = own_identity
         self._on_identity = on_identity
-        self._check_seconds = check_seconds
+        self._on_messages = on_messages
         self._queue: deque[tuple[MemberId, bytes]] = deque(maxlen=QUEUED_MESSAGES)
         self._filled = asyncio.Event()
 
@@ -156,8 +159,10 @@
         self._filled.clear()
         if self._queue:
             return
+        formed = self.identity is not None and self.identity.cluster
+        seconds = CHECK_SECONDS if formed else FORMING_CHECK_SECONDS
         try:
-            async with asyncio.timeout(self._check_seconds(self.instance)):
+            async with asyncio.timeout(seconds):
                 await self._filled.wait()
         except TimeoutError:
             pass
@@ -176,6 +181,7 @@
         if not isinstance(reply, Received):
             return False
         if reply.member == receiver:
+            self._on_messages(receiver, reply.messages)
             return True
         if self.identity is not None and self.identity.member == reply.member:
             return True
