--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -201,7 +201,7 @@
         {
             "id": options.id,
             "kind": "engine",
-            "address": f"127.0.0.1:{options.port}",
+            "address": options.advertise or f"127.0.0.1:{options.port}",
             "data_centre": options.data_centre,
             "region": options.region,
             "serves": [options.model],
@@ -227,6 +227,7 @@
     parser.add_argument("--id", required=True)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--entries", required=True, help="comma-separated host:port")
+    parser.add_argument("--advertise", help="address to announce, if not its own")
     parser.add_argument("--token", required=True)
     parser.add_argument("--model", required=True)
     parser.add_argument("--data-centre", required=True)
--- a/tests/fakes/blackhole.py
+++ b/tests/fakes/blackhole.py
@@ -10,13 +10,13 @@
 class BlackholeProxy:
     """Forwards connections to an address until they are silenced."""
 
-    def __init__(self, upstream: str) -> None:
-        host, _, port = upstream.rpartition(":")
-        self._upstream = (host, int(port))
+    def __init__(self) -> None:
+        self._upstream = ("", 0)
         self._server: asyncio.Server | None = None
         self._silenced: set[int] = set()
         self._open: dict[int, asyncio.Task[None]] = {}
         self._count = 0
+        self._silences_new = False
         self.address = ""
         self.bytes_back: dict[int, int] = {}
         """Bytes that each connection has carried back, by its number."""
@@ -46,6 +46,16 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def forward_to(self, upstream: str) -> None:
+        """Set the address to which connections go."""
+        host, _, port = upstream.rpartition(":")
+        self._upstream = (host, int(port))
+
+    def silence_all(self) -> None:
+        """Make open and new connections carry nothing more."""
+        self.silence_open()
+        self._silences_new = True
+
     def silence_open(self) -> None:
         """Make the connections that are open now carry nothing more."""
         self._silenced.update(self._open)
@@ -57,6 +67,8 @@
         number = self._count
         self._open[number] = asyncio.current_task()  # type: ignore[assignment]
         self.bytes_back[number] = 0
+        if self._silences_new:
+            self._silenced.add(number)
         try:
             up_reader, up_writer = await asyncio.open_connection(*self._upstream)
             forth = asyncio.create_task(self._pump(number, reader, up_writer, False))
@@ -73,6 +85,9 @@
                 up_writer.close()
         except OSError:
             pass
+        except asyncio.CancelledError:
+            # Python 3.11 logs the cancellation of such a task as a failure.
+            pass
         finally:
             writer.close()
             del self._open[number]
