--- a/goldcrestyard/plugins/claims/keeper.py
+++ b/goldcrestyard/plugins/claims/keeper.py
@@ -4,7 +4,7 @@
 import hashlib
 import uuid
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import structlog
@@ -76,10 +76,17 @@
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def run(
-        self, call: ClaimedCall, send: Callable[[], Awaitable[CallResult]]
+        self,
+        call: ClaimedCall,
+        send: Callable[[], Awaitable[CallResult]],
+        objection: Callable[[], Refusal | None],
     ) -> CallResult:
-        """Return the outcome of the call, sending it if it was not yet."""
-        return await asyncio.shield(self._spawn(self._run(call, send)))
+        """Return the outcome of the call, sending it if it was not yet.
+
+        ``objection`` is asked once the claim is confirmed, which may be long
+        after the request came: a refusal releases the claim.
+        """
+        return await asyncio.shield(self._spawn(self._run(call, send, objection)))
 
     async def drain(self) -> None:
         """Wait until the running calls are settled."""
@@ -101,13 +108,17 @@
         return task
 
     async def _run(
-        self, call: ClaimedCall, send: Callable[[], Awaitable[CallResult]]
+        self,
+        call: ClaimedCall,
+        send: Callable[[], Awaitable[CallResult]],
+        objection: Callable[[], Refusal | None],
     ) -> CallResult:
         attempt = AttemptId(uuid.uuid4().hex)
         step = await self._claim(call, attempt)
         match step:
             case claims.Send():
-                result = await send()
+                refusal = objection()
+                result = await send() if refusal is None else _not_run(refusal)
                 ending = self._spawn(self._end(call, attempt, result))
                 await asyncio.wait([ending], timeout=SETTLE_WAIT_SECONDS)
                 return result
@@ -116,13 +127,7 @@
             case claims.Refuse(refusal=refusal, in_doubt=in_doubt):
                 if in_doubt:
                     # The claim may be committed, but nothing was sent.
-                    self._spawn(
-                        self._end(
-                            call,
-                            attempt,
-                            Refusal(refusal.reason, refusal.detail, Verdict.NOT_RUN),
-                        )
-                    )
+                    self._spawn(self._end(call, attempt, _not_run(refusal)))
                 return refusal
 
     async def _claim(
@@ -189,6 +194,11 @@
         logger.warning("outcome of a call was not kept", request=call.request)
 
 
+def _not_run(refusal: Refusal) -> Refusal:
+    """Return a refusal for a call that this attempt has not sent."""
+    return replace(refusal, verdict=Verdict.NOT_RUN)
+
+
 def fingerprint(*parts: bytes) -> str:
     """Return a digest of the parts of a call's content."""
     digest = hashlib.sha256()
--- a/goldcrestyard/plugins/engines/requests.py
+++ b/goldcrestyard/plugins/engines/requests.py
@@ -45,3 +45,11 @@
     if fields.n is not None and fields.n < 1:
         return Refusal(RefusalReason.BAD_REQUEST, "'n' must be positive")
     return InferenceRequest(path, fields, body)
+
+
+def shows_key(body: dict[str, Any], key: str) -> bool:
+    """Return whether a body would show the caller's key to an engine.
+
+    The body is encoded again, so that escapes cannot hide the key.
+    """
+    return key.encode() in msgspec.json.encode(body)
--- a/goldcrestyard/plugins/engines/views.py
+++ b/goldcrestyard/plugins/engines/views.py
@@ -12,7 +12,11 @@
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.engines.dispatch import Call, Dispatcher, OpenStream
 from goldcrestyard.plugins.engines.event_stream import Piece
-from goldcrestyard.plugins.engines.requests import InferenceRequest, parse
+from goldcrestyard.plugins.engines.requests import (
+    InferenceRequest,
+    parse,
+    shows_key,
+)
 from goldcrestyard.plugins.engines.upstream import Finished
 from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
 from goldcrestyard.plugins.listeners.errors import error_body, refuse
@@ -23,6 +27,7 @@
 from goldcrestyard.plugins.organisations.authentication import (
     Authenticator,
     Principal,
+    presented_key,
 )
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 
@@ -59,6 +64,9 @@
         parsed = parse(request.path, body)
         if isinstance(parsed, Refusal):
             return refuse(parsed)
+        if shows_key(body, presented_key(request)):
+            detail = "the key belongs in the header 'authorization' only"
+            return refuse(Refusal(RefusalReason.BAD_REQUEST, detail))
         if parsed.fields.model not in self._model_names():
             detail = f"no model {parsed.fields.model!r}; see /v1/models"
             return refuse(Refusal(RefusalReason.UNKNOWN_MODEL, detail))
--- a/goldcrestyard/plugins/organisations/authentication.py
+++ b/goldcrestyard/plugins/organisations/authentication.py
@@ -23,6 +23,12 @@
     key: KeyId
 
 
+def presented_key(request: web.Request) -> str:
+    """Return the key that a request carries; empty if it has none."""
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
+
+
 class Authenticator:
     """Checks keys against this entry's view while its lease holds."""
 
@@ -34,8 +40,8 @@
 
     def authenticate(self, request: web.Request) -> Principal | Refusal:
         """Return on whose behalf a request runs, or why it is refused."""
-        scheme, _, token = request.headers.get("authorization", "").partition(" ")
-        if scheme.lower() != "bearer" or not token:
+        token = presented_key(request)
+        if not token:
             return Refusal(
                 RefusalReason.INVALID_KEY, "send 'Authorization: Bearer <key>'"
             )
@@ -46,7 +52,7 @@
                 "ask /addresses of another",
                 retry_after_seconds=1.0,
             )
-        presented = keys.parse(token.strip())
+        presented = keys.parse(token)
         if presented is None:
             return Refusal(RefusalReason.INVALID_KEY, "unknown key")
         if presented.id in self._slice.withdrawn:
--- a/goldcrestyard/plugins/services/views.py
+++ b/goldcrestyard/plugins/services/views.py
@@ -21,6 +21,7 @@
 from goldcrestyard.plugins.organisations.authentication import (
     Authenticator,
     Principal,
+    presented_key,
 )
 from goldcrestyard.plugins.services.dispatch import ServiceCall, ServiceDispatcher
 from goldcrestyard.plugins.services.requests import (
@@ -118,8 +119,12 @@
             if route.idempotent:
                 result = await self._dispatcher.answer(call)
             else:
+                # The call outlives this handler, but a key that stops
+                # counting before the call is sent stops the call as well.
                 result = await self._keeper.run(
-                    claimed, lambda: self._answer_once(call)
+                    claimed,
+                    lambda: self._answer_once(call),
+                    lambda: guard.refusal or self._authenticator.invalidity(principal),
                 )
         response = _respond(guard.refusal or result)
         if not route.idempotent:
@@ -155,8 +160,7 @@
 
 async def _prepare(request: web.Request, name: ServiceName) -> ServiceRequest | Refusal:
     """Return the request as it goes to a target."""
-    _, _, key = request.headers.get("authorization", "").partition(" ")
-    key = key.strip()
+    key = presented_key(request)
     raw_path = request.rel_url.raw_path.split("/", 3)
     path = "/" + (raw_path[3] if len(raw_path) > 3 else "")
     query = without_key(request.rel_url.raw_query_string, key)
--- a/tests/plugins/claims/test_keeper.py
+++ b/tests/plugins/claims/test_keeper.py
@@ -112,6 +112,12 @@
         self.link = FakeLink(StateMachine([self.slice]), clock.wall)
         self.keeper = ClaimKeeper(ENTRY, view, self.link, clock)  # type: ignore[arg-type]
         self.sent = 0
+        self.objection: Refusal | None = None
+
+    async def run_call(self, call: ClaimedCall | None = None) -> CallResult:
+        return await self.keeper.run(
+            call or call_of(), self.send, lambda: self.objection
+        )
 
     async def send(self) -> CallResult:
         self.sent += 1
@@ -133,7 +139,7 @@
         self, _: str, faults: list[ProposalResult | None], lost_replies: int
     ) -> None:
         self.link.faults, self.link.lost_replies = faults, lost_replies
-        self.assertEqual(await self.keeper.run(call_of(), self.send), OUTCOME)
+        self.assertEqual(await self.run_call(), OUTCOME)
         self.assertEqual(self.sent, 1)
         self.assertEqual(len(self.attempts()), 1)
 
@@ -149,7 +155,7 @@
         self, _: str, fault: ProposalResult, id_is_new: bool, verdict: Verdict
     ) -> None:
         self.link.faults = [fault] * 1000
-        result = await self.keeper.run(call_of(id_is_new=id_is_new), self.send)
+        result = await self.run_call(call_of(id_is_new=id_is_new))
         assert isinstance(result, Refusal)
         self.assertIs(result.verdict, verdict)
         self.assertEqual(self.sent, 0)
@@ -159,16 +165,14 @@
         # for a day although nothing was sent.
         self.link.faults = [InDoubt("lost")] * 30
         self.link.lost_replies = 30
-        await self.keeper.run(call_of(), self.send)
+        await self.run_call()
         self.link.faults = []
         await self.keeper.drain()
         self.assertEqual(self.slice.claims_by_key, {})
         self.assertEqual(self.sent, 0)
 
     async def test_resend_waits_for_the_running_call(self) -> None:
-        results = await asyncio.gather(
-            *(self.keeper.run(call_of(), self.send) for _ in range(5))
-        )
+        results = await asyncio.gather(*(self.run_call() for _ in range(5)))
         self.assertEqual(results, [OUTCOME] * 5)
         self.assertEqual(self.sent, 1)
 
@@ -178,21 +182,21 @@
             await asyncio.sleep(CALL_SECONDS - 1.0)
             return OUTCOME
 
-        first = asyncio.create_task(self.keeper.run(call_of(), slow))
+        first = asyncio.create_task(self.keeper.run(call_of(), slow, lambda: None))
         await asyncio.sleep(0.1)
         asked_before = len(self.link.proposed)
-        self.assertEqual(await self.keeper.run(call_of(), self.send), OUTCOME)
+        self.assertEqual(await self.run_call(), OUTCOME)
         await first
         self.assertLess(len(self.link.proposed) - asked_before, 20)
         self.assertEqual(self.sent, 1)
 
     async def test_call_and_outcome_survive_the_caller(self) -> None:
-        caller = asyncio.create_task(self.keeper.run(call_of(), self.send))
+        caller = asyncio.create_task(self.run_call())
         await asyncio.sleep(0.5)
         caller.cancel()
         await asyncio.gather(caller, return_exceptions=True)
         await self.keeper.drain()
-        self.assertEqual(await self.keeper.run(call_of(), self.send), OUTCOME)
+        self.assertEqual(await self.run_call(), OUTCOME)
         self.assertEqual(self.sent, 1)
 
     @parameterized.expand(
@@ -209,10 +213,10 @@
         async def fail() -> CallResult:
             return refusal
 
-        self.assertEqual(await self.keeper.run(call_of(), fail), refusal)
+        self.assertEqual(await self.keeper.run(call_of(), fail, lambda: None), refusal)
         await self.keeper.drain()
         self.assertIsInstance(self.link.proposed[-1], ending)
-        resent = await self.keeper.run(call_of(), self.send)
+        resent = await self.run_call()
         if verdict is Verdict.NOT_RUN:
             self.assertEqual(resent, OUTCOME)
         else:
@@ -222,7 +226,21 @@
 
     async def test_settlement_is_repeated_until_it_is_committed(self) -> None:
         self.link.faults = [None, *[NotProposed("none")] * 20]
-        self.assertEqual(await self.keeper.run(call_of(), self.send), OUTCOME)
+        self.assertEqual(await self.run_call(), OUTCOME)
         await self.keeper.drain()
         [claim] = self.slice.claims_by_key.values()
         self.assertEqual(claim.outcome, OUTCOME)
+
+    async def test_objection_after_a_long_wait_stops_the_call(self) -> None:
+        # The key was withdrawn while there was no leader to claim at.
+        self.link.faults = [NotProposed("none")] * 4
+        refusal = Refusal(RefusalReason.KEY_WITHDRAWN, "", Verdict.MAY_HAVE_RUN)
+        caller = asyncio.create_task(self.run_call())
+        await asyncio.sleep(0.05)
+        self.objection = refusal
+        result = await caller
+        assert isinstance(result, Refusal)
+        self.assertIs(result.reason, RefusalReason.KEY_WITHDRAWN)
+        self.assertIs(result.verdict, Verdict.NOT_RUN)
+        await self.keeper.drain()
+        self.assertEqual((self.sent, self.slice.claims_by_key), (0, {}))
--- a/tests/plugins/listeners/test_bad_requests.py
+++ b/tests/plugins/listeners/test_bad_requests.py
@@ -86,6 +86,12 @@
     Case("wrong_type_of_max_tokens", chat(max_tokens="many")),
     Case("negative_max_tokens", chat(max_tokens=-1)),
     Case("no_messages", chat(messages=[])),
+    Case("no_choices", chat(n=0)),
+    Case("key_in_the_body", b'{"model": "inspect-lm", "messages": [{"k": "{key}"}]}'),
+    Case(
+        "key_in_the_body_with_escapes",
+        b'{"model": "inspect-lm", "messages": [{"k": "\\u0067{key_rest}"}]}',
+    ),
     Case("prompt_missing", chat(), line="POST /v1/completions HTTP/1.1"),
     Case(
         "too_long_by_its_length",
@@ -174,7 +180,9 @@
         """Send a case's bytes and return all that comes back."""
         host, _, port = self.entry.public.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        length = len(case.body) if case.length is None else case.length
+        body = case.body.replace(b"{key}", self.key.encode())
+        body = body.replace(b"{key_rest}", self.key[1:].encode())
+        length = len(body) if case.length is None else case.length
         head = case.head.format(key=self.key, withdrawn=self.withdrawn)
         lines = [case.line, "host: entry", head]
         if length >= 0:
@@ -183,7 +191,7 @@
         if length == -2:
             text = text.rstrip() if case.line else ""
         try:
-            writer.write(text.encode("latin-1") + case.body)
+            writer.write(text.encode("latin-1") + body)
             await writer.drain()
             if case.half_close:
                 writer.write_eof()
