--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -46,6 +46,14 @@
             backlog=512,
         )
 
+    @property
+    def socket_address(self) -> tuple[str, int] | None:
+        """Where this listens, with the port that the system chose."""
+        if self._server is None or not self._server.sockets:
+            return None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
+
     def close(self) -> None:
         """Accept no further connection; those that are open go on."""
         if self._server is not None:
--- /dev/null
+++ b/tests/plugins/listeners/test_server.py
@@ -0,0 +1,99 @@
+"""Tests of a listener with handlers that fail or take long.
+
+They guard against an answer that is cut off but looks whole, against a "not
+run" for a handler that failed half-way, and against a stop that closes
+connections with requests on them.
+"""
+
+import asyncio
+import json
+import unittest
+
+import aiohttp
+import structlog.testing
+from aiohttp import web
+
+from goldcrestyard.plugins.listeners.bodies import BodyLimits
+from goldcrestyard.plugins.listeners.connections import ConnectionLimits
+from goldcrestyard.plugins.listeners.routes import PublicRoutes
+from goldcrestyard.plugins.listeners.server import HttpListener
+
+
+class ListenerTests(unittest.IsolatedAsyncioTestCase):
+    """A listener on loopback with a few handlers."""
+
+    async def asyncSetUp(self) -> None:
+        # The failing handlers log their tracebacks.
+        self.enterContext(structlog.testing.capture_logs())
+        self.going_on = asyncio.Event()
+        self.reached = asyncio.Event()
+        self.routes = PublicRoutes(BodyLimits(1024, 5.0))
+        self.routes.add("GET", "/fail", self.fail_at_once)
+        self.routes.add("GET", "/fail-late", self.fail_late)
+        self.routes.add("GET", "/slow", self.answer_slowly)
+        self.routes.add("GET", "/stream", self.stream)
+        self.listener = HttpListener(self.routes, ConnectionLimits(5.0))
+        await self.listener.open("127.0.0.1:0")
+        assert self.listener.socket_address is not None
+        host, port = self.listener.socket_address
+        self.base = f"http://{host}:{port}"
+        self.addAsyncCleanup(self.listener.stop)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def fail_at_once(self, _: web.Request) -> web.StreamResponse:
+        raise ValueError("a fault in the handler")
+
+    async def fail_late(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b"first half")
+        raise ValueError("a fault in the handler")
+
+    async def answer_slowly(self, _: web.Request) -> web.StreamResponse:
+        self.reached.set()
+        await self.going_on.wait()
+        return web.Response(text="x" * 1_000_000)
+
+    async def stream(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write_eof(b"all")
+        return response
+
+    async def test_failed_handler_is_not_told_as_not_run(self) -> None:
+        async with self.session.get(f"{self.base}/fail") as answer:
+            error = json.loads(await answer.read())["error"]
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(error["verdict"], "may_have_run")
+
+    async def test_answer_that_fails_half_way_is_cut_off(self) -> None:
+        async with self.session.get(f"{self.base}/fail-late") as answer:
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await answer.read()
+
+    async def test_answers_end_their_connections_while_closing(self) -> None:
+        for path in ("/stream", "/fail", "/none"):
+            self.routes.closing = False
+            async with self.session.get(f"{self.base}{path}") as answer:
+                self.assertNotEqual(answer.headers.get("connection"), "close")
+            self.routes.closing = True
+            async with self.session.get(f"{self.base}{path}") as answer:
+                self.assertEqual(answer.headers["connection"], "close")
+
+    async def test_closed_listener_finishes_its_requests(self) -> None:
+        asking = asyncio.create_task(self.session.get(f"{self.base}/slow"))
+        await self.reached.wait()
+        self.listener.close()
+        idle = asyncio.create_task(self.listener.wait_idle())
+        async with aiohttp.ClientSession() as other:
+            with self.assertRaises(aiohttp.ClientConnectorError):
+                await other.get(f"{self.base}/stream")
+        self.assertFalse(idle.done())
+        self.going_on.set()
+        answer = await asking
+        # A caller that reads slowly is waited for, too.
+        await asyncio.sleep(0)
+        self.assertFalse(idle.done())
+        self.assertEqual(len(await answer.read()), 1_000_000)
+        await idle
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -195,3 +195,14 @@
             self.assertEqual(await entry.process.wait(), 0)
         await running
         self.assertEqual(len(caller.failures), 1)
+
+    async def test_entry_without_a_leader_stops_all_the_same(self) -> None:
+        # It cannot leave the address list, which must not keep it from
+        # stopping.
+        leader, entry = self.deployment.instances[0], self.deployment.instances[STOPPED]
+        assert leader.process is not None and entry.process is not None
+        leader.process.kill()
+        await leader.process.wait()
+        entry.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(60):
+            self.assertEqual(await entry.process.wait(), 0)
