--- a/tests/fakes/following_callers.py
+++ b/tests/fakes/following_callers.py
@@ -23,6 +23,8 @@
     max_tokens: int
     served_by: dict[str, int] = field(default_factory=dict)
     failures: list[str] = field(default_factory=list)
+    told_to_leave: set[str] = field(default_factory=set)
+    """Addresses whose answers have ended the connection."""
     stopping: bool = False
 
     async def run(self) -> None:
@@ -62,6 +64,8 @@
         }
         async with session.post(f"{address}/chat/completions", json=body) as answer:
             text = await answer.text()
+            if answer.headers.get("connection", "").lower() == "close":
+                self.told_to_leave.add(address)
         assert answer.status == 200, text
         if self.stream:
             assert text.endswith("data: [DONE]\n\n"), text[-200:]
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -94,6 +94,8 @@
         await load
         self.assertEqual([f for caller in callers for f in caller.failures], [])
         self.assertEqual(code, 0)
+        told = set[str]().union(*(caller.told_to_leave for caller in callers))
+        self.assertEqual(told, {base_url})
 
     async def test_stream_longer_than_the_entry_lease_is_not_cut(self) -> None:
         # The lease (5 s) must be renewed while the entry drains.
@@ -122,13 +124,23 @@
         caller.stopping = True
         process = self.entry.process
         assert process is not None
-        lost = await self.announce_at_stopped_entry()
+        engine = await self.announce_at_stopped_entry()
+        watching = asyncio.create_task(self.watch(engine))
         process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(90):
             await process.wait()
         await running
         self.assertEqual(caller.failures, [])
-        await self.deployment.wait_target(lost)
+        self.assertFalse(watching.done(), "the engine was reported lost")
+        watching.cancel()
+
+    async def watch(self, engine: str) -> None:
+        """Return when the leader no longer knows the engine."""
+        while True:
+            targets = (await self.deployment.operate("GET", "/targets"))["targets"]
+            if engine not in [target["target"]["id"] for target in targets]:
+                return
+            await asyncio.sleep(0.05)
 
     async def announce_at_stopped_entry(self) -> str:
         """Start an engine whose first home is the entry to be stopped."""
