--- a/tests/plugins/listeners/test_server.py
+++ b/tests/plugins/listeners/test_server.py
@@ -8,16 +8,21 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 import aiohttp
 import structlog.testing
 from aiohttp import web
 
+from goldcrestyard.plugins.listeners import server
 from goldcrestyard.plugins.listeners.bodies import BodyLimits
 from goldcrestyard.plugins.listeners.connections import ConnectionLimits
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
 from goldcrestyard.plugins.listeners.server import HttpListener
 
+ANSWER_BYTES = 32 * 1024 * 1024
+"""More than the buffers on the way of an unread answer hold."""
+
 
 class ListenerTests(unittest.IsolatedAsyncioTestCase):
     """A listener on loopback with a few handlers."""
@@ -53,7 +58,7 @@
     async def answer_slowly(self, _: web.Request) -> web.StreamResponse:
         self.reached.set()
         await self.going_on.wait()
-        return web.Response(text="x" * 1_000_000)
+        return web.Response(text="x" * ANSWER_BYTES)
 
     async def stream(self, request: web.Request) -> web.StreamResponse:
         response = web.StreamResponse()
@@ -82,18 +87,29 @@
                 self.assertEqual(answer.headers["connection"], "close")
 
     async def test_closed_listener_finishes_its_requests(self) -> None:
-        asking = asyncio.create_task(self.session.get(f"{self.base}/slow"))
+        # Without the settling time the listener is idle at the first moment
+        # at which it takes no request for running.
+        self.enterContext(mock.patch.object(server, "SETTLE_SECONDS", 0.0))
+        assert self.listener.socket_address is not None
+        reader, writer = await asyncio.open_connection(
+            *self.listener.socket_address, limit=1024
+        )
+        writer.write(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
         await self.reached.wait()
         self.listener.close()
         idle = asyncio.create_task(self.listener.wait_idle())
-        async with aiohttp.ClientSession() as other:
-            with self.assertRaises(aiohttp.ClientConnectorError):
-                await other.get(f"{self.base}/stream")
-        self.assertFalse(idle.done())
+        with self.assertRaises(aiohttp.ClientConnectorError):
+            await self.session.get(f"{self.base}/stream")
+        await self._pass_rounds()
+        self.assertFalse(idle.done(), "the handler still runs")
         self.going_on.set()
-        answer = await asking
-        # A caller that reads slowly is waited for, too.
-        await asyncio.sleep(0)
-        self.assertFalse(idle.done())
-        self.assertEqual(len(await answer.read()), 1_000_000)
+        await reader.readuntil(b"\r\n\r\n")
+        await self._pass_rounds()
+        self.assertFalse(idle.done(), "the caller reads slowly")
+        self.assertEqual(len(await reader.readexactly(ANSWER_BYTES)), ANSWER_BYTES)
         await idle
+        writer.close()
+
+    async def _pass_rounds(self) -> None:
+        for _ in range(100):
+            await asyncio.sleep(0)
