--- a/tests/plugins/listeners/test_server.py
+++ b/tests/plugins/listeners/test_server.py
@@ -13,10 +13,14 @@
 import aiohttp
 import structlog.testing
 from aiohttp import web
+from parameterized import parameterized
 
 from goldcrestyard.plugins.listeners import server
 from goldcrestyard.plugins.listeners.bodies import BodyLimits
-from goldcrestyard.plugins.listeners.connections import ConnectionLimits
+from goldcrestyard.plugins.listeners.connections import (
+    CallerConnection,
+    ConnectionLimits,
+)
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
 from goldcrestyard.plugins.listeners.server import HttpListener
 
@@ -110,6 +114,25 @@
         await idle
         writer.close()
 
+    @parameterized.expand(
+        [
+            ("idle", False, 0, False),
+            ("running", True, 0, True),
+            ("unsent", False, 7, True),
+        ]
+    )
+    async def test_busy(self, _: str, active: bool, unsent: int, busy: bool) -> None:
+        # The last bytes of an answer are in the transport's buffer when the
+        # request has ended.
+        connection = CallerConnection(
+            web.Server(self.fail_at_once),  # type: ignore[arg-type]
+            ConnectionLimits(5.0),
+        )
+        connection.transport = mock.Mock(spec=asyncio.Transport)
+        connection.transport.get_write_buffer_size.return_value = unsent
+        connection.active = active
+        self.assertIs(connection.busy, busy)
+
     async def _pass_rounds(self) -> None:
         for _ in range(100):
             await asyncio.sleep(0)
