--- a/goldcrestyard/plugins/engines/requests.py
+++ b/goldcrestyard/plugins/engines/requests.py
@@ -73,3 +73,11 @@
     if fields.messages is not None:
         return "\n".join(str(message.get("content")) for message in fields.messages)
     return str(fields.prompt or "")
+
+
+def shows_key(body: dict[str, Any], key: str) -> bool:
+    """Return whether a body would show the caller's key to an engine.
+
+    The body is encoded again, so that escapes cannot hide the key.
+    """
+    return key.encode() in msgspec.json.encode(body)
