--- a/tests/plugins/trainers/test_parts.py
+++ b/tests/plugins/trainers/test_parts.py
@@ -8,6 +8,7 @@
 import unittest
 import unittest.mock
 from collections import Counter, deque
+from collections.abc import Awaitable
 from dataclasses import dataclass, replace
 from itertools import repeat
 from typing import cast
@@ -16,6 +17,7 @@
 
 from demo.deployment import free_port, wait_for
 from goldcrestyard.core.ids import (
+    BodyDigest,
     CorrelationId,
     DataCentre,
     GroupId,
@@ -23,22 +25,31 @@
     ModelName,
     OrganisationId,
     Region,
+    SampleId,
     StepNumber,
+    WeightVersion,
 )
 from goldcrestyard.core.records import ModelLine
+from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.body_client import BodyClient
 from goldcrestyard.plugins.addresses.commands import Entry, PutEntry
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.engines.dispatch import Dispatcher
 from goldcrestyard.plugins.trainers import parts
+from goldcrestyard.plugins.trainers.chunks import ChunkWriter
 from goldcrestyard.plugins.trainers.commands import Batch, OpenStep, StepKey
 from goldcrestyard.plugins.trainers.commits import Committer
 from goldcrestyard.plugins.trainers.generation import Generation
-from goldcrestyard.plugins.trainers.manifests import decode_manifest
+from goldcrestyard.plugins.trainers.manifests import (
+    PlacedSample,
+    StoredSample,
+    decode_manifest,
+)
 from goldcrestyard.plugins.trainers.parts import (
     PART_MESSAGES,
     GeneratePart,
+    PartGenerated,
     PartServer,
     helper_addresses,
     part_of,
@@ -55,7 +66,7 @@
 from goldcrestyard.wire.codec import Codec
 from goldcrestyard.wire.connection import Handlers, NoAnswer, PeerConnection
 from goldcrestyard.wire.handshake import Identity
-from goldcrestyard.wire.messages import MESSAGES
+from goldcrestyard.wire.messages import MESSAGES, Failure
 from goldcrestyard.wire.server import PeerServer
 from tests.fakes.engines import ScriptedDispatcher, whole
 from tests.fakes.state import apply
@@ -87,6 +98,10 @@
 ]
 
 
+async def _result(answer: Awaitable[object]) -> object:
+    return await answer
+
+
 class PartTests(unittest.IsolatedAsyncioTestCase):
     """A step of 40 samples on an entry that generates 16 at a time."""
 
@@ -169,7 +184,8 @@
         apply(self.machine, OpenStep(KEY, 0, question.digest))
         tools = self.tools("entry", "own")
         generation = Generation(KEY, question, tools, "tejo", CorrelationId("c"))
-        batch = await generation.run()
+        async with asyncio.timeout(30):
+            batch = await generation.run()
         assert isinstance(batch, Batch)
         manifest = decode_manifest(self.bodies.bodies_by_digest[batch.manifest])
         expected = {task.id for task in sample_tasks(KEY, question)}
@@ -209,6 +225,42 @@
         self.assertIsInstance(await asking, NoAnswer)
         await wait_for(none_runs, "the helper to stop")
 
+    async def test_draining_entry_refuses_parts_and_waits_for_running_ones(
+        self,
+    ) -> None:
+        helper = self.tools("helper-0", "x")
+        server, handlers = PartServer(helper), Handlers()
+        server.register(handlers)
+        question = Question(MODEL, [Prompt(GroupId("g"), prompt="q")], 2, 16)
+        tasks = list(sample_tasks(KEY, question))
+        part = part_of(KEY, question, tasks, CorrelationId("c"))
+        handler = handlers.find(part)
+        assert handler is not None
+        connection = cast(PeerConnection, None)
+        running = asyncio.create_task(_result(handler(part, connection)))
+        await asyncio.sleep(0)
+        draining = asyncio.create_task(server.drain())
+        await asyncio.sleep(0)
+        refused = await handler(part, connection)
+        self.assertFalse(draining.done())
+        assert isinstance(refused, Failure)
+        self.assertIs(refused.reason, RefusalReason.DRAINING)
+        self.assertIsInstance(await running, PartGenerated)
+        await draining
+
+    def test_sample_of_two_parts_counts_once(self) -> None:
+        writer = ChunkWriter(cast(BodyClient, self.bodies))
+        first, second = (
+            PlacedSample(
+                StoredSample(SampleId("s"), BodyDigest(chunk), 0, 1),
+                (WeightVersion(1),),
+            )
+            for chunk in ("first", "second")
+        )
+        writer.note([first])
+        writer.note([second])
+        self.assertEqual(list(writer.placed_by_id.values()), [first])
+
     def test_part_names_the_same_samples_as_the_step(self) -> None:
         prompts = [Prompt(GroupId(f"g{n}"), prompt=f"q{n}") for n in range(5)]
         question = Question(MODEL, prompts, 3, max_tokens=16, attempt=2)
