--- a/goldcrestyard/plugins/trainers/apps.py
+++ b/goldcrestyard/plugins/trainers/apps.py
@@ -14,6 +14,7 @@
 from goldcrestyard.plugins.engines.dispatch import Dispatcher
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
 from goldcrestyard.plugins.organisations.authentication import Authenticator
+from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.plugins.trainers.commands import (
     Batch,
     BatchReady,
@@ -50,6 +51,7 @@
         "listeners",
         "organisations",
         "peers",
+        "targets",
         "weights",
     )
     settings_section = "trainers"
@@ -82,6 +84,7 @@
             committer,
             weights,
             app.get(EntryView).machine.get(EntriesSlice),
+            app.get(EntryView).machine.get(TargetsSlice),
             app.get(PeerDialer),
             app.clock,
             settings.concurrent_samples,
--- a/goldcrestyard/plugins/trainers/samples.py
+++ b/goldcrestyard/plugins/trainers/samples.py
@@ -151,6 +151,8 @@
     question: Question
     organisation: OrganisationId
     dispatcher: Dispatcher
+    serving: Callable[[], set[TargetId]]
+    """Returns the engines that serve the model."""
     checks: VersionChecks
     avoided: AvoidedEngines
     clock: Clock
@@ -243,6 +245,10 @@
         )
 
     async def _attempt(self) -> Finished | Discard | Interrupted | Refusal:
+        avoid = self._avoid | self._maker.avoided.current()
+        if self._maker.serving() <= avoid:
+            # The dispatcher would wait for an engine that it may not use.
+            return Refusal(RefusalReason.NO_TARGET, "every engine is avoided")
         request = inference_request(
             self._maker.question,
             self.task.prompt,
@@ -255,7 +261,7 @@
             Priority.ROLLOUT,
             self._maker.correlation_id,
         )
-        call.tried |= self._avoid | self._maker.avoided.current()
+        call.tried |= avoid
         async with self._maker.dispatcher.stream(call) as opened:
             match opened:
                 case Refusal():
--- a/goldcrestyard/plugins/trainers/tools.py
+++ b/goldcrestyard/plugins/trainers/tools.py
@@ -8,6 +8,7 @@
 from goldcrestyard.membership.body_client import BodyClient
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.engines.dispatch import Dispatcher
+from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.plugins.trainers.commands import StepKey
 from goldcrestyard.plugins.trainers.commits import Committer
 from goldcrestyard.plugins.trainers.questions import Question
@@ -31,6 +32,7 @@
     committer: Committer
     weights: WeightsSlice
     entries: EntriesSlice
+    targets: TargetsSlice
     dialer: PeerDialer
     clock: Clock
     concurrent_samples: int
@@ -68,6 +70,7 @@
         question,
         key.organisation,
         tools.dispatcher,
+        lambda: {target.id for target in tools.targets.serving(key.model)},
         checks_for(key.model, tools.weights),
         AvoidedEngines(tools.clock),
         tools.clock,
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -7,13 +7,24 @@
 from typing import Any, cast
 
 from goldcrestyard.core.attempts import Answered, Broken
-from goldcrestyard.core.ids import CorrelationId, OrganisationId, TargetId
+from goldcrestyard.core.ids import (
+    CorrelationId,
+    DataCentre,
+    InstanceId,
+    ModelName,
+    OrganisationId,
+    Region,
+    TargetId,
+)
+from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal
-from goldcrestyard.core.states import Priority
+from goldcrestyard.core.states import Priority, TargetKind
 from goldcrestyard.plugins.engines.dispatch import Call, OpenStream
 from goldcrestyard.plugins.engines.event_stream import Piece
 from goldcrestyard.plugins.engines.requests import InferenceRequest
 from goldcrestyard.plugins.engines.upstream import Finished, StreamStep
+from goldcrestyard.plugins.targets.commands import HomedTarget
+from goldcrestyard.plugins.targets.slices import TargetsSlice
 
 
 @dataclass(frozen=True)
@@ -131,3 +142,18 @@
     if token.version is not None:
         data["weight_version"] = token.version
     return data
+
+
+def targets_with_an_engine(model: ModelName) -> TargetsSlice:
+    """Return the targets with an engine that no script uses."""
+    targets = TargetsSlice()
+    target = Target(
+        TargetId("another"),
+        TargetKind.ENGINE,
+        "127.0.0.1:1",
+        DataCentre("lisboa-a"),
+        Region("lisboa"),
+        (model,),
+    )
+    targets.homed_by_id[target.id] = HomedTarget(target, InstanceId("entry"))
+    return targets
--- a/tests/plugins/trainers/test_generation.py
+++ b/tests/plugins/trainers/test_generation.py
@@ -38,7 +38,12 @@
 from goldcrestyard.state.machine import StateMachine
 from goldcrestyard.storage.bodies import digest_of
 from goldcrestyard.wire.client import PeerDialer
-from tests.fakes.engines import Script, ScriptedDispatcher, whole
+from tests.fakes.engines import (
+    Script,
+    ScriptedDispatcher,
+    targets_with_an_engine,
+    whole,
+)
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.state import apply
 
@@ -122,6 +127,7 @@
             cast(Committer, self.log),
             self.view.get(WeightsSlice),
             EntriesSlice(),
+            targets_with_an_engine(MODEL),
             cast(PeerDialer, None),
             self.clock(),
             concurrent,
--- a/tests/plugins/trainers/test_parts.py
+++ b/tests/plugins/trainers/test_parts.py
@@ -68,7 +68,7 @@
 from goldcrestyard.wire.handshake import Identity
 from goldcrestyard.wire.messages import MESSAGES, Failure
 from goldcrestyard.wire.server import PeerServer
-from tests.fakes.engines import ScriptedDispatcher, whole
+from tests.fakes.engines import ScriptedDispatcher, targets_with_an_engine, whole
 from tests.fakes.state import apply
 from tests.plugins.trainers.test_generation import Bodies, Log, publish
 
@@ -130,6 +130,7 @@
             cast(Committer, Log(self.machine)),
             self.machine.get(WeightsSlice),
             self.machine.get(EntriesSlice),
+            targets_with_an_engine(MODEL),
             PeerDialer(identity, codec, Handlers()),
             Clock(),
             concurrent_samples=16,
--- a/tests/plugins/trainers/test_samples.py
+++ b/tests/plugins/trainers/test_samples.py
@@ -16,6 +16,7 @@
     ModelName,
     OrganisationId,
     SampleId,
+    TargetId,
     WeightVersion,
 )
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -109,7 +110,10 @@
     """Runs of one sample on scripted engines."""
 
     def run_of(
-        self, dispatcher: ScriptedDispatcher, penalty: float | None = None
+        self,
+        dispatcher: ScriptedDispatcher,
+        penalty: float | None = None,
+        engines: frozenset[str] = frozenset(["another"]),
     ) -> SampleRun:
         """Return a run with a bound of one version."""
         prompt = Prompt(GroupId("g"), messages=[{"role": "user", "content": "q"}])
@@ -120,6 +124,7 @@
             question,
             OrganisationId("tejo"),
             cast(Dispatcher, dispatcher),
+            lambda: {TargetId(engine) for engine in engines},
             VersionChecks(
                 lambda versions: too_old_versions(versions, BEHIND.get, 1),
                 lambda versions: barred_versions(versions, BEHIND.get, 1),
@@ -166,6 +171,13 @@
         await self.run_of(dispatcher).run()
         self.assertEqual(dispatcher.pieces, pieces + len("abcd"))
 
+    async def test_only_engine_is_used_again_after_a_while(self) -> None:
+        dispatcher = ScriptedDispatcher([whole("x", None), whole("abcd")])
+        run = self.run_of(dispatcher, engines=frozenset(["engine-1"]))
+        self.assertIsInstance(await run.run(), Sample)
+        # The dispatcher is never asked for an engine that it may not use.
+        self.assertEqual(dispatcher.tried, [set(), set()])
+
     @parameterized.expand(
         [
             ("no_version", whole("xx", None), RefusalReason.TARGET_FAILED),
