--- a/goldcrestyard/plugins/weights/cache.py
+++ b/goldcrestyard/plugins/weights/cache.py
@@ -1,8 +1,10 @@
 """Fetched weights in a bounded temporary folder."""
 
 import asyncio
+import fcntl
 import hashlib
 import os
+import shutil
 import tempfile
 from collections import Counter, OrderedDict
 from collections.abc import AsyncIterable, Iterator
@@ -12,6 +14,9 @@
 
 BLOCK_BYTES = 1024 * 1024
 
+FOLDER_PREFIX = "goldcrestyard-weights-"
+LOCK_SUFFIX = ".lock"
+
 
 @dataclass(frozen=True, slots=True)
 class Cached:
@@ -47,10 +52,8 @@
 
     def __init__(self, parent: str, max_bytes: int) -> None:
         self._max_bytes = max_bytes
-        self._temporary = tempfile.TemporaryDirectory(
-            prefix="goldcrestyard-weights-", dir=parent or None
-        )
-        self._folder = Path(self._temporary.name)
+        self._temporary = LockedFolder(Path(parent or tempfile.gettempdir()))
+        self._folder = self._temporary.path
         self._sizes_by_digest: OrderedDict[str, int] = OrderedDict()
         self._writing_bytes = 0
         self._pins: Counter[str] = Counter()
@@ -96,7 +99,7 @@
 
     def close(self) -> None:
         """Delete the folder."""
-        self._temporary.cleanup()
+        self._temporary.remove()
 
     def _make_room(self) -> bool:
         """Delete files until the bound holds; return whether it does."""
@@ -112,6 +115,57 @@
         return excess <= 0
 
 
+class LockedFolder:
+    """A temporary folder that the next process removes if this one dies.
+
+    A process that is killed cannot remove its folder, but the system drops
+    its lock on the file beside it.
+    """
+
+    def __init__(self, parent: Path) -> None:
+        for lock_path in parent.glob(f"{FOLDER_PREFIX}*{LOCK_SUFFIX}"):
+            _remove_abandoned(lock_path)
+        while True:
+            self._lock, name = tempfile.mkstemp(LOCK_SUFFIX, FOLDER_PREFIX, parent)
+            self._lock_path = Path(name)
+            # Another process that starts may take the file for an abandoned
+            # one before it is locked.
+            if _lock(self._lock) and self._lock_path.exists():
+                break
+            os.close(self._lock)
+        self.path = self._lock_path.with_suffix("")
+        self.path.mkdir(mode=0o700)
+
+    def remove(self) -> None:
+        """Remove the folder and drop the lock."""
+        if self._lock >= 0:
+            shutil.rmtree(self.path, ignore_errors=True)
+            self._lock_path.unlink(missing_ok=True)
+            os.close(self._lock)
+            self._lock = -1
+
+
+def _lock(descriptor: int) -> bool:
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        return False
+    return True
+
+
+def _remove_abandoned(lock_path: Path) -> None:
+    try:
+        descriptor = os.open(lock_path, os.O_RDWR)
+    except OSError:
+        return
+    try:
+        if _lock(descriptor):
+            shutil.rmtree(lock_path.with_suffix(""), ignore_errors=True)
+            lock_path.unlink(missing_ok=True)
+    finally:
+        os.close(descriptor)
+
+
 class _PartFile:
     """A file that is being written; removed unless it is renamed."""
 
--- a/tests/plugins/weights/test_cache.py
+++ b/tests/plugins/weights/test_cache.py
@@ -4,14 +4,18 @@
 filling the disk.
 """
 
+import asyncio
 import hashlib
 import os
+import signal
+import sys
 import tempfile
 import unittest
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 from goldcrestyard.plugins.weights.cache import (
+    LOCK_SUFFIX,
     Cached,
     DiskFailed,
     Mismatch,
@@ -53,7 +57,11 @@
 
     def files(self) -> set[str]:
         """Return the names of all files below the folder."""
-        return {path.name for path in Path(self.folder).rglob("*") if path.is_file()}
+        return {
+            path.name
+            for path in Path(self.folder).rglob("*")
+            if path.is_file() and path.suffix != LOCK_SUFFIX
+        }
 
     async def test_matching_content_is_kept(self) -> None:
         result = await self.write(1)
@@ -104,3 +112,24 @@
         await self.write(1)
         self.cache.close()
         self.assertEqual(os.listdir(self.folder), [])
+
+    async def test_folder_of_a_killed_process_is_removed(self) -> None:
+        await self.write(1)
+        kept = self.files()
+        code = (
+            "import os, sys\n"
+            "from goldcrestyard.plugins.weights.cache import WeightCache\n"
+            "cache = WeightCache(sys.argv[1], 100)\n"
+            "os.kill(os.getpid(), 9)\n"
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, self.folder
+        )
+        self.assertEqual(await process.wait(), -signal.SIGKILL)
+        self.assertEqual(len(os.listdir(self.folder)), 4)
+        other = WeightCache(self.folder, SIZE)
+        self.addCleanup(other.close)
+        # The folder of the dead process went, that of the live one stayed.
+        self.assertEqual(len(os.listdir(self.folder)), 4)
+        self.assertEqual(self.files(), kept)
+        self.assertIsInstance(await self.write(2), Cached)
