--- a/goldcrestyard/plugins/trainers/apps.py
+++ b/goldcrestyard/plugins/trainers/apps.py
@@ -30,7 +30,7 @@
 from goldcrestyard.plugins.trainers.references import referenced_bodies
 from goldcrestyard.plugins.trainers.settings import TrainerSettings
 from goldcrestyard.plugins.trainers.slices import StepsSlice
-from goldcrestyard.plugins.trainers.steps import Steps
+from goldcrestyard.plugins.trainers.steps import JOIN_MESSAGES, Steps
 from goldcrestyard.plugins.trainers.tools import Tools
 from goldcrestyard.plugins.trainers.views import TrainerViews
 from goldcrestyard.plugins.weights.slices import WeightsSlice
@@ -68,6 +68,7 @@
         StepFloor,
         StepsSnapshot,
         *PART_MESSAGES,
+        *JOIN_MESSAGES,
     )
 
     async def start(self, app: Application) -> None:
@@ -93,6 +94,7 @@
         parts = app.provide(PartServer, PartServer(tools))
         parts.register(app.get(Handlers))
         steps = app.provide(Steps, Steps(tools, authenticator))
+        steps.register(app.get(Handlers))
         views = TrainerViews(
             authenticator, steps, committer, bodies, weights, settings.max_wait_seconds
         )
--- a/goldcrestyard/plugins/trainers/parts.py
+++ b/goldcrestyard/plugins/trainers/parts.py
@@ -1,9 +1,9 @@
 """Spreading a step over several entries.
 
-One entry reads some ten thousand pieces a second, far fewer than the engines
-send for a large step.  The entry that was asked therefore gives parts of the
-step to helpers, which store the samples themselves and answer with their
-places.
+Reading a piece takes an entry about 50 microseconds of processor time, so one
+entry reads far fewer than the engines send for a large step.  The entry that
+was asked therefore gives parts of the step to helpers, which store the samples
+themselves and answer with their places.
 """
 
 import asyncio
--- a/goldcrestyard/plugins/trainers/settings.py
+++ b/goldcrestyard/plugins/trainers/settings.py
@@ -10,7 +10,9 @@
     """The ``[trainers]`` section."""
 
     concurrent_samples: int = setting(
-        "Samples of one step that an entry generates at a time.", 256
+        "Samples of one step that an entry generates at a time; larger steps are "
+        "spread over further entries.",
+        128,
     )
     step_seconds: float = setting(
         "Longest time an entry generates samples for a step, in seconds.", 1800.0
--- a/goldcrestyard/plugins/trainers/slices.py
+++ b/goldcrestyard/plugins/trainers/slices.py
@@ -92,13 +92,16 @@
                 f"attempt {step.attempt} of this step was already asked for",
             )
         if command.attempt > step.attempt:
-            self._replace(step, Step(command.key, command.attempt, command.question))
-            return StepOpen()
+            self._replace(step, _new_step(command))
+            return StepOpen(command.entry)
         if command.question != step.question:
             return Rejected(
                 RefusalReason.CONFLICT,
                 "another question was asked under the same step and attempt",
             )
+        if step.batch is None and command.instead_of == step.entry:
+            step = replace(step, entry=command.entry)
+            self._replace(step, step)
         return self._hand_out(step)
 
     def _open_first(self, command: OpenStep) -> Outcome:
@@ -114,10 +117,10 @@
                 f"steps up to {floor} are no longer remembered",
             )
         numbers.add(key.number)
-        self.steps_by_key[key] = Step(key, command.attempt, command.question)
+        self.steps_by_key[key] = _new_step(command)
         if len(numbers) > KEPT_STEPS:
             self._forget(StepKey(key.organisation, key.model, min(numbers)))
-        return StepOpen()
+        return StepOpen(command.entry)
 
     def _fix(self, command: FixBatch) -> Outcome:
         refused = self._refuse_trainer(command.key)
@@ -150,7 +153,7 @@
         """Return the step's batch, unless it may not be handed out again."""
         batch = step.batch
         if batch is None:
-            return StepOpen()
+            return StepOpen(step.entry)
         if batch.state is BatchState.ACKNOWLEDGED:
             return Rejected(
                 RefusalReason.CONFLICT,
@@ -238,6 +241,10 @@
         }
 
 
+def _new_step(command: OpenStep) -> Step:
+    return Step(command.key, command.attempt, command.question, entry=command.entry)
+
+
 def _too_old(batch: Batch, step: Step) -> Rejected:
     return Rejected(
         RefusalReason.SAMPLES_TOO_OLD,
--- a/goldcrestyard/plugins/trainers/steps.py
+++ b/goldcrestyard/plugins/trainers/steps.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from goldcrestyard.core.ids import CorrelationId
+from goldcrestyard.core.ids import BodyDigest, CorrelationId, InstanceId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.plugins.organisations.authentication import (
@@ -24,12 +24,32 @@
 from goldcrestyard.plugins.trainers.questions import Question
 from goldcrestyard.plugins.trainers.tools import Tools
 from goldcrestyard.state.commands import Accepted, Command, Outcome
+from goldcrestyard.wire.client import PeerAddress, PeerUnavailableError
+from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.messages import Failure
 
 logger = structlog.get_logger(__name__)
 
 OPEN_SECONDS = 10.0
 """Longest wait for the commit that opens a step; an election fits in."""
 
+JOIN_SECONDS = 5.0
+"""How much longer than asked an entry may take to answer that it waits."""
+
+MAX_ENTRIES_TRIED = 3
+"""Entries that were to generate a step and do not, before this one does."""
+
+ENTRY_REASONS = frozenset(
+    {
+        RefusalReason.DRAINING,
+        RefusalReason.ENTRY_LEASE,
+        RefusalReason.KEY_WITHDRAWN,
+        RefusalReason.NO_LEADER,
+    }
+)
+"""Refusals that concern the generating entry, or the key by which it was
+asked, and not the question."""
+
 
 @dataclass(frozen=True, slots=True)
 class InProgress:
@@ -44,11 +64,42 @@
     """A generation and the task that runs it."""
 
     generation: Generation
+    question: BodyDigest
     task: asyncio.Task[Batch | Refusal]
 
 
+@dataclass(frozen=True, slots=True)
+class JoinStep:
+    """Asks the entry that generates a step to wait for its end."""
+
+    key: StepKey
+    attempt: int
+    question: BodyDigest
+    wait_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class StepProgress:
+    """The samples are still being generated."""
+
+    done: int
+    total: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotGenerating:
+    """No such generation runs here; it may have ended."""
+
+
+JOIN_MESSAGES = (JoinStep, StepProgress, NotGenerating)
+
+
 class Steps:
-    """Opens steps and runs at most one generation for each attempt."""
+    """Opens steps and runs at most one generation for each attempt.
+
+    The log names the entry that generates an attempt, and the others join
+    it, so that a trainer that asks again elsewhere does not start anew.
+    """
 
     def __init__(self, tools: Tools, authenticator: Authenticator) -> None:
         self._tools = tools
@@ -64,18 +115,45 @@
         correlation_id: CorrelationId,
     ) -> Batch | InProgress | Refusal:
         """Return a step's batch, once its samples are there."""
-        opening = OpenStep(key, question.attempt, question.digest)
-        outcome = await self._commit(opening, principal, correlation_id)
-        match outcome:
-            case BatchReady(batch=batch):
-                return batch
-            case Refusal():
-                return outcome
-            case StepOpen():
-                pass
-            case _:
-                return _unexpected(outcome)
-        running = self._running_by_attempt.get((key, question.attempt))
+        running = self._find(key, question)
+        if running is not None:
+            # Joined without a log entry, however often the trainer asks.
+            return await self._wait(running, question.wait_seconds)
+        instead_of: InstanceId | None = None
+        for _ in range(MAX_ENTRIES_TRIED):
+            opening = OpenStep(
+                key,
+                question.attempt,
+                question.digest,
+                self._tools.instance,
+                instead_of,
+            )
+            outcome = await self._commit(opening, principal, correlation_id)
+            match outcome:
+                case BatchReady(batch=batch):
+                    return batch
+                case Refusal():
+                    return outcome
+                case StepOpen(entry=self._tools.instance):
+                    break
+                case StepOpen(entry=entry):
+                    joined = await self._join(entry, key, question)
+                    if joined is not None:
+                        return joined
+                    instead_of = entry
+                case _:
+                    return _unexpected(outcome)
+        return await self._generate(key, question, principal, correlation_id)
+
+    async def _generate(
+        self,
+        key: StepKey,
+        question: Question,
+        principal: Principal,
+        correlation_id: CorrelationId,
+    ) -> Batch | InProgress | Refusal:
+        """Generate on this entry, or join the generation that runs here."""
+        running = self._find(key, question)
         if running is None:
             if self._draining:
                 return Refusal(
@@ -85,6 +163,63 @@
             running = self._start(key, question, principal, correlation_id)
         return await self._wait(running, question.wait_seconds)
 
+    def _find(self, key: StepKey, question: Question) -> RunningGeneration | None:
+        running = self._running_by_attempt.get((key, question.attempt))
+        if running is None or running.question != question.digest:
+            return None
+        return running
+
+    async def _join(
+        self, entry: InstanceId, key: StepKey, question: Question
+    ) -> Batch | InProgress | Refusal | None:
+        """Wait for the generation on another entry.
+
+        Returns None if the entry is not generating or cannot be reached.
+        """
+        known = self._tools.entries.entries_by_id.get(entry)
+        if known is None or not known.peer_address:
+            return None
+        message = JoinStep(
+            key, question.attempt, question.digest, question.wait_seconds
+        )
+        try:
+            async with self._tools.dialer.connect(
+                PeerAddress.parse(known.peer_address)
+            ) as connection:
+                reply = await connection.request(
+                    message, question.wait_seconds + JOIN_SECONDS
+                )
+        except PeerUnavailableError as error:
+            logger.info("generating entry unavailable", entry=entry, error=str(error))
+            return None
+        match reply:
+            case BatchReady(batch=batch):
+                return batch
+            case StepProgress(done=done, total=total):
+                return InProgress(done, total)
+            case Failure(reason=reason, detail=detail, verdict=verdict) if (
+                reason not in ENTRY_REASONS
+            ):
+                return Refusal(reason, detail, verdict)
+            case _:
+                return None
+
+    def register(self, handlers: Handlers) -> None:
+        """Let other entries join the generations that run here."""
+        handlers.add(JoinStep, self._on_join)
+
+    async def _on_join(self, message: JoinStep, _: PeerConnection) -> object:
+        running = self._running_by_attempt.get((message.key, message.attempt))
+        if running is None or running.question != message.question:
+            return NotGenerating()
+        match await self._wait(running, message.wait_seconds):
+            case Refusal(reason=reason, detail=detail, verdict=verdict):
+                return Failure(reason, detail, verdict)
+            case InProgress(done=done, total=total):
+                return StepProgress(done, total)
+            case Batch() as batch:
+                return BatchReady(batch)
+
     async def acknowledge(
         self,
         command: AcknowledgeBatch,
@@ -135,7 +270,7 @@
             self._run(generation, principal),
             name=f"generate step {key.number} of {key.model}",
         )
-        running = RunningGeneration(generation, task)
+        running = RunningGeneration(generation, question.digest, task)
         attempt = (key, question.attempt)
         self._running_by_attempt[attempt] = running
         task.add_done_callback(lambda _: self._running_by_attempt.pop(attempt, None))
--- a/tests/plugins/trainers/test_generation.py
+++ b/tests/plugins/trainers/test_generation.py
@@ -119,7 +119,7 @@
         """Return a generation whose step is open."""
         prompt = Prompt(GroupId("g"), prompt="q")
         question = Question(MODEL, [prompt], samples, max_tokens=16)
-        apply(self.log.machine, OpenStep(KEY, 0, question.digest))
+        apply(self.log.machine, OpenStep(KEY, 0, question.digest, InstanceId("entry")))
         tools = Tools(
             InstanceId("entry"),
             cast(Dispatcher, dispatcher),
--- a/tests/plugins/trainers/test_parts.py
+++ b/tests/plugins/trainers/test_parts.py
@@ -182,7 +182,7 @@
             await self.start_helper(f"helper-{number}", behaviour)
         prompt = Prompt(GroupId("g"), prompt="q")
         question = Question(MODEL, [prompt], SAMPLES, max_tokens=16)
-        apply(self.machine, OpenStep(KEY, 0, question.digest))
+        apply(self.machine, OpenStep(KEY, 0, question.digest, InstanceId("entry")))
         tools = self.tools("entry", "own")
         generation = Generation(KEY, question, tools, "tejo", CorrelationId("c"))
         async with asyncio.timeout(30):
--- a/tests/plugins/trainers/test_slices.py
+++ b/tests/plugins/trainers/test_slices.py
@@ -12,6 +12,7 @@
 
 from goldcrestyard.core.ids import (
     BodyDigest,
+    InstanceId,
     ModelName,
     OrganisationId,
     StepNumber,
@@ -63,9 +64,21 @@
     return StepKey(TEJO, MODEL, StepNumber(number))
 
 
-def opening(attempt: int = 0, question: str = "q", number: int = 1) -> OpenStep:
+def opening(
+    attempt: int = 0,
+    question: str = "q",
+    number: int = 1,
+    entry: str = "one",
+    instead_of: str | None = None,
+) -> OpenStep:
     """Return a question for samples."""
-    return OpenStep(key(number), attempt, BodyDigest(question))
+    return OpenStep(
+        key(number),
+        attempt,
+        BodyDigest(question),
+        InstanceId(entry),
+        InstanceId(instead_of) if instead_of is not None else None,
+    )
 
 
 def fixing(
@@ -96,21 +109,44 @@
 class Case:
     """Commands after the first version, and what the last one yields.
 
-    ``expected`` is an outcome class, the manifest of the batch that is ready,
-    the barred versions, or the reason of the rejection.
+    ``expected`` is an outcome class, the outcome that names the generating
+    entry, the manifest of the batch that is ready, the barred versions, or
+    the reason of the rejection.
     """
 
     name: str
     commands: tuple[Command, ...]
-    expected: type | str | tuple[int, ...] | RefusalReason
+    expected: type | str | tuple[int, ...] | RefusalReason | StepOpen
+
 
+ONE, TWO = InstanceId("one"), InstanceId("two")
 
 CONFLICT = RefusalReason.CONFLICT
 TOO_OLD = RefusalReason.SAMPLES_TOO_OLD
 
 CASES = [
-    Case("first_question", (opening(),), StepOpen),
-    Case("same_question_while_generating", (opening(), opening()), StepOpen),
+    Case("first_question", (opening(),), StepOpen(ONE)),
+    Case("same_question_while_generating", (opening(), opening()), StepOpen(ONE)),
+    Case("question_elsewhere", (opening(), opening(entry="two")), StepOpen(ONE)),
+    Case(
+        "entry_takes_over",
+        (opening(), opening(entry="two", instead_of="one")),
+        StepOpen(TWO),
+    ),
+    Case(
+        "only_one_entry_takes_over",
+        (
+            opening(),
+            opening(entry="two", instead_of="one"),
+            opening(entry="three", instead_of="one"),
+        ),
+        StepOpen(TWO),
+    ),
+    Case(
+        "take_over_after_fix_gets_the_batch",
+        (opening(), fixing(), opening(entry="two", instead_of="one")),
+        "m",
+    ),
     Case("other_question", (opening(), opening(question="r")), CONFLICT),
     Case("same_question_after_fix", (opening(), fixing(), opening()), "m"),
     Case(
@@ -169,7 +205,7 @@
     Case(
         "next_attempt_after_closing",
         (opening(), fixing(), publish(2), publish(3), opening(), opening(1)),
-        StepOpen,
+        StepOpen(ONE),
     ),
     Case("acknowledged", (opening(), fixing(), acknowledgement()), Accepted),
     Case(
@@ -266,5 +302,7 @@
             return versions
         case Rejected(reason=reason):
             return reason
+        case StepOpen():
+            return outcome
         case _:
             return type(outcome)
--- a/tests/processes/test_trainers.py
+++ b/tests/processes/test_trainers.py
@@ -134,6 +134,12 @@
         )
         self.assertEqual([elsewhere.status, joined.status], [200, 200])
         self.assertEqual(elsewhere.raw, joined.raw)
+        # Both have joined the generation that was already running.
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{engine}/fake/state") as state,
+        ):
+            self.assertEqual(len((await state.json())["runs_by_request"]), 4)
 
     async def test_generation_goes_on_without_its_asker(self) -> None:
         engine = await self.start_engine(token_seconds=0.02)
@@ -168,6 +174,22 @@
         self.assertEqual(answer.status, 200, answer.body)
         self.assertEqual(len(answer.body["samples"]), 4)
 
+    async def test_joined_entry_that_dies_is_replaced(self) -> None:
+        engine = await self.start_engine(token_seconds=0.02)
+        first = self.asking(entry=1, max_tokens=50)
+        await self.wait_running(engine, count=4)
+        joined = await self.asking(entry=2, max_tokens=50, wait_seconds=0)
+        self.assertEqual(joined.status, 202, joined.body)
+        waiting = self.asking(entry=2, max_tokens=50)
+        entry = self.deployment.instances[1].process
+        assert entry is not None
+        entry.kill()
+        answer = await waiting
+        self.assertEqual(answer.status, 200, answer.body)
+        self.assertEqual(len(answer.body["samples"]), 4)
+        with self.assertRaises(aiohttp.ClientError):
+            await first
+
     async def test_killed_engine_leaves_no_short_sample(self) -> None:
         first = await self.start_engine("engine-1", token_seconds=0.03)
         second = await self.start_engine("engine-2", token_seconds=0.03)
