--- a/tests/plugins/rollout/test_rollout.py
+++ b/tests/plugins/rollout/test_rollout.py
@@ -38,9 +38,15 @@
 
 @dataclass
 class FakeEngine:
-    """An engine whose ``fault`` is ``fail``, ``lie``, ``hang`` or none."""
+    """An engine whose ``fault`` is one of these, or none.
+
+    ``fail`` refuses orders, ``lie`` answers them without effect, ``stuck``
+    does not answer them, and ``hang`` does not answer anything.
+    """
 
     fault: str = ""
+    swap_seconds: float = 0.0
+    """How long an activation takes, during which the old version is served."""
     active: int | None = 1
     staged: tuple[int, ...] = ()
     orders: list[tuple[str, int]] = field(default_factory=list)
@@ -55,14 +61,18 @@
         match self.fault:
             case "fail":
                 return OrderAnswer(400, b"{}")
-            case "hang":
+            case "hang" | "stuck":
                 return None
             case "" if step == "stage":
                 self.staged = (version,)
             case "" if version in self.staged:
-                self.active = version
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.swap_seconds, self._activate, version)
         return OrderAnswer(200, b"{}")
 
+    def _activate(self, version: int) -> None:
+        self.active = version
+
 
 @dataclass
 class FakeEngines:
@@ -107,7 +117,7 @@
         return True
 
     async def read_answer(self) -> OrderAnswer:
-        await asyncio.sleep(SWAP_SECONDS)
+        await asyncio.sleep(SWAP_SECONDS + self._engine.swap_seconds)
         if self._answer is None:
             await asyncio.sleep(3600.0)
             raise AssertionError("the wait for the answer has no end")
@@ -202,7 +212,7 @@
         steps = {tuple(engine.orders) for engine in engines}
         self.assertEqual(steps, {(("stage", 2), ("activate", 2))})
 
-    @parameterized.expand([("fail",), ("lie",), ("hang",)])
+    @parameterized.expand([("fail",), ("lie",), ("stuck",), ("hang",)])
     async def test_faulty_engine_is_behind_and_holds_up_no_other(
         self, fault: str
     ) -> None:
@@ -274,13 +284,13 @@
 
     async def test_new_leader_orders_nothing_a_second_time(self) -> None:
         """Guards against a second swap after a change of leader."""
-        engines = [FakeEngine() for _ in range(10)]
+        engines = [FakeEngine(swap_seconds=2.0) for _ in range(10)]
         for number, engine in enumerate(engines):
             self.announce(f"t{number}", engine)
         old = self.start("old")
         await asyncio.sleep(5.0)
         self.publish(2)
-        await self._until(lambda: all(engine.staged for engine in engines))
+        await self._until(lambda: all(len(e.orders) == 2 for e in engines))
         old.is_leader = False
         self.start("new", 2)
         await asyncio.sleep(20.0)
