--- /dev/null
+++ b/goldcrestyard/cli/application.py
@@ -0,0 +1,64 @@
+"""The tool ``goldcrest``: a command for each module of ``cli.commands``."""
+
+import importlib
+import pkgutil
+import sys
+from collections.abc import Sequence
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
+from cleo.io.outputs.output import Output
+
+from goldcrestyard import __version__, cli
+from goldcrestyard.cli.base import BaseCommand
+from goldcrestyard.cli.exit_codes import ExitCode
+
+COMMANDS_PACKAGE = f"{cli.__name__}.commands"
+
+
+def discover_commands() -> list[BaseCommand]:
+    """Import every module of the commands package.
+
+    Each holds a class ``Command``; ``key_grant`` becomes ``key grant``.
+    """
+    package = importlib.import_module(COMMANDS_PACKAGE)
+    commands = []
+    for module_info in sorted(
+        pkgutil.iter_modules(package.__path__), key=lambda info: info.name
+    ):
+        module = importlib.import_module(f"{COMMANDS_PACKAGE}.{module_info.name}")
+        module.Command.name = module_info.name.replace("_", " ")
+        commands.append(module.Command())
+    return commands
+
+
+def create_application() -> Application:
+    """Return the tool with all its commands."""
+    application = Application("goldcrest", __version__)
+    # Errors are shown by ``main``, which gives them an exit code.
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    for command in discover_commands():
+        application.add(command)
+    return application
+
+
+def main(
+    arguments: Sequence[str] | None = None,
+    output: Output | None = None,
+    error_output: Output | None = None,
+) -> int:
+    """Run the tool and return its exit code."""
+    given = sys.argv[1:] if arguments is None else arguments
+    try:
+        return create_application().run(
+            ArgvInput(["goldcrest", *given]), output, error_output
+        )
+    except CleoError as error:
+        text = f"goldcrest: {error}\n  see 'goldcrest list' or add --help"
+        if error_output is None:
+            print(text, file=sys.stderr)
+        else:
+            error_output.write_line(text)
+        return ExitCode.USAGE
--- /dev/null
+++ b/goldcrestyard/cli/commands/entries_list.py
@@ -0,0 +1,21 @@
+"""``goldcrest entries list``."""
+
+from goldcrestyard.cli.base import SERVER_OPTIONS, ListCommand
+
+
+class Command(ListCommand):
+    """Lists the entries."""
+
+    description = "List the instances that accept callers."
+    options = SERVER_OPTIONS
+    examples = ("entries list", "entries list --json")
+    path = "/entries"
+    noun = "entries"
+    columns = (
+        "id",
+        "data_centre",
+        "region",
+        "public_address",
+        "admin_address",
+        "draining",
+    )
--- /dev/null
+++ b/goldcrestyard/cli/commands/key_list.py
@@ -0,0 +1,14 @@
+"""``goldcrest key list``."""
+
+from goldcrestyard.cli.base import SERVER_OPTIONS, ListCommand
+
+
+class Command(ListCommand):
+    """Lists the valid keys."""
+
+    description = "List the ids of the valid keys with their organisations."
+    options = SERVER_OPTIONS
+    examples = ("key list", "key list --json")
+    path = "/keys"
+    noun = "keys"
+    columns = ("id", "organisation")
--- /dev/null
+++ b/goldcrestyard/cli/commands/plans_list.py
@@ -0,0 +1,27 @@
+"""``goldcrest plans list``."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from goldcrestyard.cli.base import SERVER_OPTIONS, ListCommand, cell
+
+
+class Command(ListCommand):
+    """Lists the latest plans."""
+
+    description = "List the latest plans."
+    options = SERVER_OPTIONS
+    examples = ("plans list", "plans list --json")
+    path = "/plans"
+    noun = "plans"
+    columns = ("number", "author", "base", "changes", "warnings", "confirmed_by", "at")
+
+    def row(self, record: Mapping[str, Any]) -> list[str]:
+        """Return the cells of one plan."""
+        confirmation = record["confirmation"] or {}
+        fields = {
+            **record,
+            "confirmed_by": confirmation.get("author"),
+            "at": confirmation.get("revision"),
+        }
+        return [cell(fields.get(column)) for column in self.columns]
--- /dev/null
+++ b/goldcrestyard/cli/profile.py
@@ -0,0 +1,71 @@
+"""Where the instances are and which key to use: options or a profile file.
+
+The environment is not read: it is inherited by other programs and shown by
+process listings.
+"""
+
+import tomllib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+DEFAULT_PROFILE = Path("goldcrest.toml")
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """Admin addresses (host:port) of instances, and the operator's key."""
+
+    servers: tuple[str, ...]
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProfileFault:
+    """Why there is no usable profile."""
+
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class _ProfileFile:
+    servers: tuple[str, ...] = ()
+    key_file: str = ""
+
+
+def read_profile(
+    profile_path: Path | None, servers: Sequence[str], key_path: Path | None
+) -> Profile | ProfileFault:
+    """Combine a profile file with the options, which take precedence."""
+    path = profile_path or DEFAULT_PROFILE
+    found = _ProfileFile()
+    if profile_path is not None or path.exists():
+        try:
+            found = msgspec.convert(
+                tomllib.loads(path.read_text(encoding="utf-8")), _ProfileFile
+            )
+        except OSError as error:
+            return ProfileFault(f"profile {path} cannot be read: {error.strerror}")
+        except (ValueError, msgspec.ValidationError) as error:
+            return ProfileFault(f"profile {path} is faulty: {error}")
+    if key_path is None and found.key_file:
+        # A path in the profile is relative to the profile.
+        key_path = path.parent / found.key_file
+    addresses = tuple(servers) or found.servers
+    if not addresses:
+        return ProfileFault(
+            "no server is given; use --server host:port or write "
+            f"'servers = [\"host:port\"]' into {path}"
+        )
+    if key_path is None:
+        return ProfileFault(
+            "no operator key is given; use --key-file PATH or write "
+            f"'key_file = \"PATH\"' into {path}"
+        )
+    try:
+        key = key_path.read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        return ProfileFault(f"key file {key_path} cannot be read: {error}")
+    return Profile(addresses, key)
--- a/goldcrestyard/kernel/apps.py
+++ b/goldcrestyard/kernel/apps.py
@@ -1,6 +1,6 @@
 """Base class of the plug-ins' configuration objects."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, ClassVar
 
 from goldcrestyard.kernel import registry
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from goldcrestyard.kernel.application import Application
+    from goldcrestyard.state.declarations import DeclaredKind, Subject
     from goldcrestyard.state.slices import Slice
 
 
@@ -26,6 +27,9 @@
     messages: ClassVar[Sequence[type]] = ()
     slices: ClassVar[Sequence[type["Slice"]]] = ()
     checks: ClassVar[Sequence[Check]] = ()
+    declared_kinds: ClassVar[Sequence["DeclaredKind"]] = ()
+    audited: ClassVar[Mapping[type, "Subject"]] = {}
+    """What each command that goes into the audit trail is about."""
 
     def __init_subclass__(cls) -> None:
         """Register the plug-in with the kernel."""
--- a/goldcrestyard/kernel/registry.py
+++ b/goldcrestyard/kernel/registry.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from goldcrestyard.kernel.apps import PluginConfig
+    from goldcrestyard.state.declarations import DeclaredKind, Subject
 
 PLUGINS_PACKAGE = "goldcrestyard.plugins"
 
@@ -28,6 +29,25 @@
     return in_start_order([_plugin_classes_by_name[name] for name in names])
 
 
+def declared_kinds() -> list["DeclaredKind"]:
+    """Return the kinds of records that operators declare, by table name."""
+    kinds = [
+        kind
+        for plugin in _plugin_classes_by_name.values()
+        for kind in plugin.declared_kinds
+    ]
+    return sorted(kinds, key=lambda kind: kind.table)
+
+
+def audited_commands() -> dict[type, "Subject"]:
+    """Return what each audited command is about, by command class."""
+    return {
+        command_class: subject
+        for plugin in _plugin_classes_by_name.values()
+        for command_class, subject in plugin.audited.items()
+    }
+
+
 def in_start_order(
     plugin_classes: list[type["PluginConfig"]],
 ) -> list[type["PluginConfig"]]:
--- a/goldcrestyard/plugins/addresses/apps.py
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -10,7 +10,12 @@
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.addresses.announcing import keep_announced, remove_lost
-from goldcrestyard.plugins.addresses.commands import EntriesSnapshot, Entry
+from goldcrestyard.plugins.addresses.commands import (
+    EntriesSnapshot,
+    Entry,
+    PutEntry,
+    RemoveEntry,
+)
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.listeners.bodies import json_answer
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
@@ -27,6 +32,10 @@
     requires = ("control", "entry", "listeners")
     slices = (EntriesSlice,)
     messages = (*EntriesSlice.commands, Entry, EntriesSnapshot)
+    audited = {
+        PutEntry: lambda command: f"entry/{command.entry.id}",
+        RemoveEntry: lambda command: f"entry/{command.id}",
+    }
 
     def ready(self, app: Application) -> None:
         """Add the route."""
--- /dev/null
+++ b/goldcrestyard/plugins/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The audit trail of changes."""
--- /dev/null
+++ b/goldcrestyard/plugins/audit/slices.py
@@ -0,0 +1,101 @@
+"""Replicated state: the latest records of the audit trail."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import replace
+from itertools import islice
+
+from goldcrestyard.core.ids import LogIndex
+from goldcrestyard.kernel import registry
+from goldcrestyard.plugins.audit.records import (
+    CHAIN_START,
+    AuditQuery,
+    AuditRecord,
+    AuditSnapshot,
+    chain_of,
+    matches,
+)
+from goldcrestyard.state.commands import Command, CommandContext, Outcome, Rejected
+from goldcrestyard.state.declarations import Subject
+from goldcrestyard.state.slices import Slice
+
+KEPT_RECORDS = 20_000
+"""About two days at the design size: 3,700 changes, and some 1,000 arrivals
+and departures of targets and entries, each with a few records."""
+
+MAX_DETAIL = 300
+"""A refusal may quote a long list; the trail keeps its beginning."""
+
+
+class AuditSlice(Slice):
+    """Records every audited command that any slice has applied."""
+
+    name = "audit"
+    commands = ()
+
+    def __init__(
+        self,
+        subjects_by_command: Mapping[type, Subject] | None = None,
+        kept: int = KEPT_RECORDS,
+    ) -> None:
+        if subjects_by_command is None:
+            subjects_by_command = registry.audited_commands()
+        self._subjects_by_command = subjects_by_command
+        self.records: deque[AuditRecord] = deque(maxlen=kept)
+        self._last_number = 0
+        self._last_index = LogIndex(0)
+        self.chain = CHAIN_START
+
+    def apply(self, command: Command, context: CommandContext) -> Outcome:
+        """Fail: the slice has no commands of its own."""
+        raise TypeError(f"unexpected command {command!r}")
+
+    def observe(
+        self, command: Command, outcome: Outcome, context: CommandContext
+    ) -> None:
+        """Record a command if its plug-in names it for the trail."""
+        describe = self._subjects_by_command.get(type(command))
+        if describe is None:
+            return
+        match outcome:
+            case Rejected(reason=reason, detail=detail):
+                result, explained = reason.value, detail[:MAX_DETAIL]
+            case _:
+                result, explained = "accepted", ""
+        self._last_number += 1
+        record = AuditRecord(
+            self._last_number,
+            context.index,
+            self._last_index,
+            context.time,
+            context.envelope.author,
+            type(command).__name__,
+            describe(command),
+            result,
+            explained,
+            context.envelope.correlation_id,
+        )
+        self.chain = chain_of(self.chain, record)
+        self.records.append(replace(record, chain=self.chain))
+        self._last_index = context.index
+
+    def find(self, query: AuditQuery) -> tuple[AuditRecord, ...]:
+        """Return the newest records that a query asks for, oldest first."""
+        found = islice(
+            (record for record in reversed(self.records) if matches(record, query)),
+            max(1, query.limit),
+        )
+        return tuple(reversed(list(found)))
+
+    def to_snapshot(self) -> AuditSnapshot:
+        """Return the whole slice."""
+        return AuditSnapshot(
+            tuple(self.records), self._last_number, self._last_index, self.chain
+        )
+
+    def load_snapshot(self, snapshot: AuditSnapshot) -> None:
+        """Replace the slice."""
+        self.records = deque(snapshot.records, maxlen=self.records.maxlen)
+        self._last_number = snapshot.last_number
+        self._last_index = snapshot.last_index
+        self.chain = snapshot.chain
--- /dev/null
+++ b/goldcrestyard/plugins/audit/views.py
@@ -0,0 +1,63 @@
+"""The audit trail on the admin listener, answered by the leader."""
+
+from aiohttp import web
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.core.ids import LogIndex
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.plugins.audit.records import AuditQuery, AuditReply
+from goldcrestyard.plugins.audit.slices import AuditSlice
+from goldcrestyard.plugins.listeners.bodies import json_answer
+from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.operators.planning import QUERY_SECONDS, Author, no_leader
+from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.messages import NotLeader
+
+MAX_RECORDS = 2000
+"""Keeps an answer well below the largest frame."""
+
+
+class AuditAtLeader:
+    """Serves the trail to other instances."""
+
+    def __init__(self, member: ControlMember) -> None:
+        self._member = member
+
+    def register(self, handlers: Handlers) -> None:
+        """Serve the queries of other instances."""
+        handlers.add(AuditQuery, self._on_query)
+
+    async def _on_query(self, message: AuditQuery, _: PeerConnection) -> object:
+        if not self._member.holds_lease():
+            return NotLeader(self._member.leader)
+        trail = self._member.machine.get(AuditSlice)
+        return AuditReply(trail.find(message), trail.chain)
+
+
+class AuditViews:
+    """Serves ``/operator/v1/audit``."""
+
+    def __init__(self, link: LeaderLink) -> None:
+        self._link = link
+
+    async def audit(self, request: web.Request, _: Author) -> web.StreamResponse:
+        """List records; the query says from which index, by whom, of what."""
+        since = request.query.get("since", "0")
+        limit = request.query.get("limit", "100")
+        if not (since.isascii() and since.isdigit()) or not (
+            limit.isascii() and limit.isdigit()
+        ):
+            return refuse(
+                Refusal(RefusalReason.BAD_REQUEST, "'since' and 'limit' are numbers")
+            )
+        query = AuditQuery(
+            LogIndex(int(since)),
+            request.query.get("author", ""),
+            request.query.get("subject", ""),
+            min(int(limit), MAX_RECORDS),
+        )
+        reply = await self._link.request(query, QUERY_SECONDS)
+        if not isinstance(reply, AuditReply):
+            return refuse(no_leader(reply))
+        return json_answer({"records": reply.records, "chain": reply.chain})
--- a/goldcrestyard/plugins/operators/apps.py
+++ b/goldcrestyard/plugins/operators/apps.py
@@ -1,32 +1,93 @@
 """Plug-in: the operators' interface."""
 
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.kernel import registry
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.listeners.routes import AdminRoutes
+from goldcrestyard.plugins.operators.authorisation import OperatorAuthorisation
+from goldcrestyard.plugins.operators.commands import (
+    MESSAGES,
+    ConfirmPlan,
+    StorePlan,
+)
+from goldcrestyard.plugins.operators.leader_side import PlansAtLeader
+from goldcrestyard.plugins.operators.members import Members, MemberViews
+from goldcrestyard.plugins.operators.planning import Planner
 from goldcrestyard.plugins.operators.settings import OperatorSettings
-from goldcrestyard.plugins.operators.views import OperatorViews
+from goldcrestyard.plugins.operators.slices import PlansSlice
+from goldcrestyard.plugins.operators.views import (
+    OperatorHandler,
+    OperatorViews,
+    for_operators,
+)
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+from goldcrestyard.wire.connection import Handlers
 
 
 class OperatorsConfig(PluginConfig):
     """Serves ``/operator/v1`` on the admin listener."""
 
     name = "operators"
-    requires = ("entry", "listeners", "organisations", "targets")
+    requires = (
+        "addresses",
+        "control",
+        "entry",
+        "listeners",
+        "organisations",
+        "targets",
+    )
     settings_section = "operators"
     settings_class = OperatorSettings
+    slices = (PlansSlice,)
+    messages = (*PlansSlice.commands, *MESSAGES)
+    audited = {
+        StorePlan: lambda command: f"plan/{command.number or 'new'}",
+        ConfirmPlan: lambda command: f"plan/{command.number}",
+    }
 
     def ready(self, app: Application) -> None:
-        """Add the routes."""
-        views = OperatorViews(
-            app.settings.section(OperatorSettings),
-            app.get(EntryView),
-            app.get(LeaderLink),
+        """Create the planner and add the routes."""
+        authorisation = app.provide(
+            OperatorAuthorisation,
+            OperatorAuthorisation(app.settings.section(OperatorSettings)),
         )
+        view = app.get(EntryView)
+        link = app.get(LeaderLink)
+        kinds = registry.declared_kinds()
+        planner = app.provide(Planner, Planner(view, link, app.clock, kinds))
+        views = OperatorViews(view, planner)
+        cluster = app.settings.section(ClusterSettings)
+        members = app.provide(Members, Members(cluster.control_members, link))
+        member_views = MemberViews(app, members, view, link)
         routes = app.get(AdminRoutes)
-        routes.add("GET", "/operator/v1/organisations", views.organisations)
-        routes.add("PUT", "/operator/v1/organisations", views.put_organisation)
-        routes.add("POST", "/operator/v1/keys", views.grant_key)
-        routes.add("DELETE", "/operator/v1/keys/{key}", views.withdraw_key)
-        routes.add("GET", "/operator/v1/targets", views.targets)
+
+        def add(method: str, path: str, handler: OperatorHandler) -> None:
+            checked = for_operators(authorisation, handler)
+            routes.add(method, f"/operator/v1{path}", checked)
+
+        add("POST", "/plans", views.plan)
+        add("GET", "/plans", views.plans)
+        add("GET", "/plans/{number}", views.plan_of_number)
+        add("POST", "/plans/{number}/confirm", views.confirm)
+        add("PUT", "/organisations", views.put_organisation)
+        for kind in kinds:
+            add("GET", f"/{kind.table}", views.records_of(kind))
+        add("POST", "/keys", views.grant_key)
+        add("GET", "/keys", views.keys)
+        add("DELETE", "/keys/{key}", views.withdraw_key)
+        add("GET", "/targets", views.targets)
+        add("POST", "/targets/{target}/drain", views.drain_target)
+        add("GET", "/entries", views.entries)
+        add("GET", "/members", member_views.members)
+        add("POST", "/members/{member}/replace", member_views.replace)
+        add("GET", "/status", member_views.status)
+
+    async def start(self, app: Application) -> None:
+        """Serve other instances if this one is a control member."""
+        member = app.find(ControlMember)
+        if member is not None:
+            PlansAtLeader(member, app.get(EntrySessions)).register(app.get(Handlers))
--- a/goldcrestyard/plugins/operators/views.py
+++ b/goldcrestyard/plugins/operators/views.py
@@ -1,101 +1,214 @@
 """The operators' HTTP interface on the admin listener."""
 
-import hashlib
-import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from aiohttp import web
 
-from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
-from goldcrestyard.core.ids import KeyId
+from goldcrestyard.consensus.results import Applied
+from goldcrestyard.core.ids import KeyId, PlanNumber, Revision, TargetId
 from goldcrestyard.core.records import Key, Organisation
 from goldcrestyard.core.refusals import Refusal, RefusalReason
-from goldcrestyard.core.verdicts import Verdict
-from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
 from goldcrestyard.plugins.listeners.errors import refuse
-from goldcrestyard.plugins.listeners.middleware import correlation_id_of
-from goldcrestyard.plugins.operators.settings import OperatorSettings
+from goldcrestyard.plugins.listeners.middleware import RequestHandler
+from goldcrestyard.plugins.operators.authorisation import OperatorAuthorisation
+from goldcrestyard.plugins.operators.planning import Author, Behind, InForce, Planner
 from goldcrestyard.plugins.organisations.commands import (
     GrantKey,
     PutOrganisation,
     WithdrawKey,
 )
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
+from goldcrestyard.plugins.targets.commands import DrainTarget
 from goldcrestyard.plugins.targets.slices import TargetsSlice
-from goldcrestyard.state.commands import Command, Rejected
+from goldcrestyard.policy.plans import Plan
+from goldcrestyard.state.commands import Command
+from goldcrestyard.state.declarations import DeclaredKind
+
+OperatorHandler = Callable[[web.Request, Author], Awaitable[web.StreamResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class PlanBody:
+    """Body of a request for a plan; ``declaration`` is TOML text."""
+
+    declaration: str
+    number: PlanNumber | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmBody:
+    """Body of a confirmation."""
+
+    digest: str
+
+
+def for_operators(
+    authorisation: OperatorAuthorisation, handler: OperatorHandler
+) -> RequestHandler:
+    """Return a handler that refuses requests without an operator's key."""
+
+    async def checked(request: web.Request) -> web.StreamResponse:
+        author = authorisation.author(request)
+        if isinstance(author, Refusal):
+            return refuse(author)
+        return await handler(request, author)
+
+    return checked
 
 
 class OperatorViews:
     """Serves ``/operator/v1``."""
 
-    def __init__(
-        self, settings: OperatorSettings, view: EntryView, link: LeaderLink
-    ) -> None:
-        self._settings = settings
+    def __init__(self, view: EntryView, planner: Planner) -> None:
         self._view = view
-        self._link = link
+        self._planner = planner
+
+    async def plan(self, request: web.Request, author: Author) -> web.StreamResponse:
+        """Store a plan and return it."""
+        body = await read_json(request, PlanBody)
+        if isinstance(body, Refusal):
+            return refuse(body)
+        plan = await self._planner.plan(body.declaration, body.number, author)
+        if isinstance(plan, Refusal):
+            return refuse(plan)
+        return json_answer({"plan": plan})
+
+    async def confirm(self, request: web.Request, author: Author) -> web.StreamResponse:
+        """Make a plan effective; answer once it is in force everywhere."""
+        number = _plan_number(request)
+        if isinstance(number, Refusal):
+            return refuse(number)
+        body = await read_json(request, ConfirmBody)
+        if isinstance(body, Refusal):
+            return refuse(body)
+        confirmation = await self._planner.confirm(number, body.digest, author)
+        if isinstance(confirmation, Refusal):
+            return refuse(confirmation)
+        return await self._answer_effect(
+            confirmation.revision, {"number": number, "confirmation": confirmation}
+        )
+
+    async def plans(self, request: web.Request, _: Author) -> web.StreamResponse:
+        """List the latest plans, without their changes."""
+        plans = await self._planner.plans()
+        if isinstance(plans, Refusal):
+            return refuse(plans)
+        return json_answer({"plans": [_summary(plan) for plan in plans]})
+
+    async def plan_of_number(
+        self, request: web.Request, _: Author
+    ) -> web.StreamResponse:
+        """Return one plan."""
+        number = _plan_number(request)
+        if isinstance(number, Refusal):
+            return refuse(number)
+        plans = await self._planner.plans(number)
+        if isinstance(plans, Refusal):
+            return refuse(plans)
+        if not plans:
+            return refuse(Refusal(RefusalReason.NOT_FOUND, f"no plan {number}"))
+        return json_answer({"plan": plans[0]})
 
-    async def put_organisation(self, request: web.Request) -> web.StreamResponse:
+    async def put_organisation(
+        self, request: web.Request, author: Author
+    ) -> web.StreamResponse:
         """Create an organisation or replace its terms."""
         organisation = await read_json(request, Organisation)
         if isinstance(organisation, Refusal):
             return refuse(organisation)
-        return await self._change(request, PutOrganisation(organisation))
+        return await self._change(PutOrganisation(organisation), author)
 
-    async def grant_key(self, request: web.Request) -> web.StreamResponse:
+    async def grant_key(
+        self, request: web.Request, author: Author
+    ) -> web.StreamResponse:
         """Make a key valid; the body carries only the hash of its secret."""
         key = await read_json(request, Key)
         if isinstance(key, Refusal):
             return refuse(key)
-        return await self._change(request, GrantKey(key))
+        return await self._change(GrantKey(key), author)
 
-    async def withdraw_key(self, request: web.Request) -> web.StreamResponse:
+    async def withdraw_key(
+        self, request: web.Request, author: Author
+    ) -> web.StreamResponse:
         """Make a key invalid for good."""
-        key_id = KeyId(request.match_info["key"])
-        return await self._change(request, WithdrawKey(key_id))
+        return await self._change(WithdrawKey(KeyId(request.match_info["key"])), author)
 
-    async def organisations(self, request: web.Request) -> web.StreamResponse:
-        """List the organisations."""
-        if isinstance(operator := self._operator(request), Refusal):
-            return refuse(operator)
-        organisations = self._view.machine.get(OrganisationsSlice).organisations_by_id
-        return json_answer({"organisations": list(organisations.values())})
+    async def keys(self, request: web.Request, _: Author) -> web.StreamResponse:
+        """List the valid keys, without the hashes of their secrets."""
+        keys = self._view.machine.get(OrganisationsSlice).keys_by_id.values()
+        listed = [{"id": key.id, "organisation": key.organisation} for key in keys]
+        return json_answer({"keys": listed, "revision": self._view.revision})
 
-    async def targets(self, request: web.Request) -> web.StreamResponse:
+    async def targets(self, request: web.Request, _: Author) -> web.StreamResponse:
         """List the targets."""
-        if isinstance(operator := self._operator(request), Refusal):
-            return refuse(operator)
         homed = self._view.machine.get(TargetsSlice).homed_by_id.values()
-        return json_answer({"targets": list(homed)})
+        return json_answer({"targets": list(homed), "revision": self._view.revision})
 
-    async def _change(
-        self, request: web.Request, command: Command
+    async def drain_target(
+        self, request: web.Request, author: Author
     ) -> web.StreamResponse:
-        operator = self._operator(request)
-        if isinstance(operator, Refusal):
-            return refuse(operator)
-        result = await self._link.propose(command, operator, correlation_id_of(request))
-        match result:
-            case Applied(outcome=Rejected(reason=reason, detail=detail)):
-                return refuse(Refusal(reason, detail))
+        """Stop giving new work to a target."""
+        target_id = TargetId(request.match_info["target"])
+        target = self._view.machine.get(TargetsSlice).find(target_id)
+        if target is None:
+            return refuse(Refusal(RefusalReason.NOT_FOUND, f"no target {target_id}"))
+        return await self._change(DrainTarget(target_id, target.incarnation), author)
+
+    async def entries(self, request: web.Request, _: Author) -> web.StreamResponse:
+        """List the entries."""
+        entries = self._view.machine.get(EntriesSlice).entries_by_id.values()
+        return json_answer({"entries": list(entries), "revision": self._view.revision})
+
+    def records_of(self, kind: DeclaredKind) -> OperatorHandler:
+        """Return a handler that lists the records of a declared kind."""
+
+        async def records(_: web.Request, __: Author) -> web.StreamResponse:
+            current = list(kind.current(self._view.machine).values())
+            return json_answer({kind.table: current, "revision": self._view.revision})
+
+        return records
+
+    async def _change(self, command: Command, author: Author) -> web.StreamResponse:
+        outcome = await self._planner.change(command, author)
+        match outcome:
+            case Refusal():
+                return refuse(outcome)
             case Applied(index=index):
-                return json_answer({"revision": index})
-            case NotProposed(detail=detail):
-                return refuse(Refusal(RefusalReason.NO_LEADER, detail))
-            case InDoubt(detail=detail):
-                return refuse(
-                    Refusal(RefusalReason.UNKNOWN_OUTCOME, detail, Verdict.MAY_HAVE_RUN)
-                )
-
-    def _operator(self, request: web.Request) -> str | Refusal:
-        _, _, token = request.headers.get("authorization", "").partition(" ")
-        digest = hashlib.sha256(token.strip().encode()).hexdigest()
-        found = [
-            name
-            for name, known in self._settings.key_sha256_by_name.items()
-            if hmac.compare_digest(digest, known.lower())
-        ]
-        if found:
-            return found[0]
-        return Refusal(RefusalReason.INVALID_KEY, "unknown operator key")
+                return await self._answer_effect(Revision(index), {})
+
+    async def _answer_effect(
+        self, revision: Revision, fields: dict[str, object]
+    ) -> web.StreamResponse:
+        """Answer a committed change, saying whether it is in force."""
+        effect = await self._planner.wait_in_force(revision)
+        answer: dict[str, object] = {"revision": revision, **fields}
+        match effect:
+            case InForce():
+                answer |= {"in_force": True}
+            case Behind(entries=entries, detail=detail):
+                answer |= {"in_force": False, "behind": entries, "detail": detail}
+        return json_answer(answer)
+
+
+def _plan_number(request: web.Request) -> PlanNumber | Refusal:
+    text = request.match_info["number"]
+    if text.isascii() and text.isdigit() and len(text) < 20:
+        return PlanNumber(int(text))
+    return Refusal(RefusalReason.BAD_REQUEST, f"{text!r} is not a plan number")
+
+
+def _summary(plan: Plan) -> dict[str, object]:
+    return {
+        "number": plan.number,
+        "digest": plan.digest,
+        "base": plan.base,
+        "author": plan.author,
+        "time": plan.time,
+        "changes": len(plan.changes),
+        "warnings": len(plan.warnings),
+        "confirmation": plan.confirmation,
+    }
--- a/goldcrestyard/plugins/organisations/apps.py
+++ b/goldcrestyard/plugins/organisations/apps.py
@@ -4,7 +4,14 @@
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.organisations.authentication import Authenticator
-from goldcrestyard.plugins.organisations.commands import OrganisationsSnapshot
+from goldcrestyard.plugins.organisations.commands import (
+    GrantKey,
+    OrganisationsSnapshot,
+    PutOrganisation,
+    RemoveOrganisation,
+    WithdrawKey,
+)
+from goldcrestyard.plugins.organisations.declarations import ORGANISATIONS
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
 
 
@@ -15,6 +22,13 @@
     requires = ("entry",)
     slices = (OrganisationsSlice,)
     messages = (*OrganisationsSlice.commands, OrganisationsSnapshot)
+    declared_kinds = (ORGANISATIONS,)
+    audited = {
+        PutOrganisation: lambda command: f"organisation/{command.organisation.id}",
+        RemoveOrganisation: lambda command: f"organisation/{command.id}",
+        GrantKey: lambda command: f"key/{command.key.id}",
+        WithdrawKey: lambda command: f"key/{command.id}",
+    }
 
     def ready(self, app: Application) -> None:
         """Create the authenticator on this entry's view."""
--- a/goldcrestyard/plugins/targets/apps.py
+++ b/goldcrestyard/plugins/targets/apps.py
@@ -6,7 +6,13 @@
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
-from goldcrestyard.plugins.targets.commands import HomedTarget, TargetsSnapshot
+from goldcrestyard.plugins.targets.commands import (
+    AnnounceTarget,
+    DrainTarget,
+    HomedTarget,
+    RemoveTarget,
+    TargetsSnapshot,
+)
 from goldcrestyard.plugins.targets.homes import TargetHome
 from goldcrestyard.plugins.targets.in_flight import InFlight
 from goldcrestyard.plugins.targets.settings import TargetSettings
@@ -23,6 +29,11 @@
     settings_class = TargetSettings
     slices = (TargetsSlice,)
     messages = (*TargetsSlice.commands, HomedTarget, TargetsSnapshot)
+    audited = {
+        AnnounceTarget: lambda command: f"target/{command.target.id}",
+        DrainTarget: lambda command: f"target/{command.id}",
+        RemoveTarget: lambda command: f"target/{command.id}",
+    }
 
     def ready(self, app: Application) -> None:
         """Create the home and add the routes."""
