--- /dev/null
+++ b/tests/plugins/test_planning.py
@@ -0,0 +1,147 @@
+"""Tests of the operators' interface on an instance, with a scripted leader.
+
+They guard against an answer "in force" that the leader did not give, and
+against a wait that ends with the leader that was asked first.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from parameterized import parameterized
+
+from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.core.ids import (
+    CorrelationId,
+    InstanceId,
+    LogIndex,
+    PlanNumber,
+    RequestId,
+    Revision,
+)
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.operators.commands import InForceReply
+from goldcrestyard.plugins.operators.planning import (
+    Author,
+    Behind,
+    Effect,
+    InForce,
+    Planner,
+)
+from goldcrestyard.state.commands import Rejected
+from goldcrestyard.state.machine import StateMachine
+from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import NoAnswer, NotSent
+from goldcrestyard.wire.messages import NotLeader
+from tests.fakes.paused_clock import PausedClockTestCase
+
+ANA = Author("ana", RequestId("r-1"), CorrelationId("c-1"))
+REVISION = Revision(12)
+BEHIND = (InstanceId("porto-a-1"),)
+
+
+class ScriptedLink:
+    """Gives prepared answers in place of the leader."""
+
+    def __init__(self, *answers: object) -> None:
+        self._answers = list(answers)
+        self.asked = 0
+
+    async def request(self, message: object, timeout: float) -> object:
+        """Return the next answer; the last one is repeated."""
+        self.asked += 1
+        await asyncio.sleep(0.1)
+        return self._answers.pop(0) if len(self._answers) > 1 else self._answers[0]
+
+    async def propose(self, *_: object) -> object:
+        """Return the next answer."""
+        return await self.request(None, 0.0)
+
+
+@dataclass(frozen=True)
+class Wait:
+    """What the leader answers, and what the operator is told."""
+
+    name: str
+    answers: tuple[object, ...]
+    expected: Effect
+
+
+WAITS = [
+    Wait("in_force", (InForceReply(()),), InForce(REVISION)),
+    Wait(
+        "behind",
+        (InForceReply(BEHIND),),
+        Behind(REVISION, BEHIND, "entries are behind"),
+    ),
+    Wait(
+        "leader_changes",
+        (NoAnswer("connection closed"), NotLeader(None), InForceReply(())),
+        InForce(REVISION),
+    ),
+    Wait("no_leader", (NotSent("no leader"),), Behind(REVISION, (), "no leader")),
+]
+
+
+@dataclass(frozen=True)
+class Proposal:
+    """What becomes of a proposal, and the refusal that follows."""
+
+    name: str
+    result: object
+    reason: RefusalReason
+    verdict: Verdict
+
+
+PROPOSALS = [
+    Proposal(
+        "rejected",
+        Applied(LogIndex(3), Rejected(RefusalReason.STALE_PLAN, "moved on")),
+        RefusalReason.STALE_PLAN,
+        Verdict.NOT_RUN,
+    ),
+    Proposal(
+        "not_proposed",
+        NotProposed("no leader"),
+        RefusalReason.NO_LEADER,
+        Verdict.NOT_RUN,
+    ),
+    Proposal(
+        "in_doubt",
+        InDoubt("no answer"),
+        RefusalReason.UNKNOWN_OUTCOME,
+        Verdict.MAY_HAVE_RUN,
+    ),
+]
+
+
+class PlannerTests(PausedClockTestCase):
+    """What an operator is told of a change."""
+
+    def planner(self, link: Any) -> Planner:
+        clock = self.clock()
+        view = EntryView(StateMachine([]), Codec(), clock)
+        return Planner(view, link, clock, ())
+
+    @parameterized.expand([(case.name, case) for case in WAITS])
+    async def test_wait_in_force(self, _: str, case: Wait) -> None:
+        planner = self.planner(ScriptedLink(*case.answers))
+        self.assertEqual(await planner.wait_in_force(REVISION), case.expected)
+
+    @parameterized.expand([(case.name, case) for case in PROPOSALS])
+    async def test_confirmation_that_fails(self, _: str, case: Proposal) -> None:
+        planner = self.planner(ScriptedLink(case.result))
+        refusal = await planner.confirm(PlanNumber(7), "0" * 64, ANA)
+        assert isinstance(refusal, Refusal)
+        self.assertEqual((refusal.reason, refusal.verdict), (case.reason, case.verdict))
+
+    async def test_plan_is_asked_for_again_while_the_view_is_behind(self) -> None:
+        stale = Applied(LogIndex(3), Rejected(RefusalReason.STALE_PLAN, "behind"))
+        full = Applied(LogIndex(4), Rejected(RefusalReason.CONFLICT, "taken"))
+        link = ScriptedLink(stale, stale, full)
+        refusal = await self.planner(link).plan("", None, ANA)
+        assert isinstance(refusal, Refusal)
+        self.assertIs(refusal.reason, RefusalReason.CONFLICT)
+        self.assertEqual(link.asked, 3)
