--- a/goldcrestyard/cli/commands/members_replace.py
+++ b/goldcrestyard/cli/commands/members_replace.py
@@ -2,7 +2,7 @@
 
 from urllib.parse import quote
 
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
 from goldcrestyard.cli.base import SERVER_OPTIONS, OperatorCommand
 from goldcrestyard.cli.client import Answer, OperatorClient
@@ -14,14 +14,22 @@
 
     description = "Replace a control member that lost its disk."
     arguments = [argument("member", "Instance id of the control member.")]
-    options = SERVER_OPTIONS
-    examples = ("members replace lisboa-b-1",)
+    options = [
+        option("by", None, "Instance in its place (default: itself).", flag=False),
+        option("address", None, "Peer address of that instance.", flag=False),
+        *SERVER_OPTIONS,
+    ]
+    examples = (
+        "members replace lisboa-b-1",
+        "members replace lisboa-b-1 --by lisboa-b-3 --address 10.1.2.3:7400",
+    )
 
     async def run_on(self, client: OperatorClient) -> int:
         """Replace the member."""
         member = self.argument("member")
         path = f"/members/{quote(member, safe='')}/replace"
-        reply = await client.send("POST", path)
+        body = {"instance": self.option("by"), "address": self.option("address")}
+        reply = await client.send("POST", path, body)
         if not isinstance(reply, Answer):
             return self.fail_on(reply)
         self.show({"member": member, **reply.data}, [f"member {member} is replaced"])
--- a/goldcrestyard/plugins/audit/apps.py
+++ b/goldcrestyard/plugins/audit/apps.py
@@ -23,7 +23,7 @@
     name = "audit"
     requires = ("control", "entry", "listeners", "operators")
     slices = (AuditSlice,)
-    messages = (AuditSnapshot, AuditQuery, AuditReply)
+    messages = (*AuditSlice.commands, AuditSnapshot, AuditQuery, AuditReply)
 
     def ready(self, app: Application) -> None:
         """Add the route, and the handler on a control member."""
--- a/goldcrestyard/plugins/audit/records.py
+++ b/goldcrestyard/plugins/audit/records.py
@@ -35,6 +35,16 @@
     chain: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class NoteOperation:
+    """Records an operation that changes no slice, such as on the members."""
+
+    action: str
+    subject: str
+    result: str
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class AuditSnapshot:
     """The whole slice."""
--- a/goldcrestyard/plugins/audit/slices.py
+++ b/goldcrestyard/plugins/audit/slices.py
@@ -12,10 +12,17 @@
     AuditQuery,
     AuditRecord,
     AuditSnapshot,
+    NoteOperation,
     chain_of,
     matches,
 )
-from goldcrestyard.state.commands import Command, CommandContext, Outcome, Rejected
+from goldcrestyard.state.commands import (
+    Accepted,
+    Command,
+    CommandContext,
+    Outcome,
+    Rejected,
+)
 from goldcrestyard.state.declarations import Subject
 from goldcrestyard.state.slices import Slice
 
@@ -31,7 +38,7 @@
     """Records every audited command that any slice has applied."""
 
     name = "audit"
-    commands = ()
+    commands = (NoteOperation,)
 
     def __init__(
         self,
@@ -47,7 +54,13 @@
         self.chain = CHAIN_START
 
     def apply(self, command: Command, context: CommandContext) -> Outcome:
-        """Fail: the slice has no commands of its own."""
+        """Record an operation that changes no slice."""
+        match command:
+            case NoteOperation(
+                action=action, subject=subject, result=result, detail=detail
+            ):
+                self._add(action, subject, result, detail, context)
+                return Accepted()
         raise TypeError(f"unexpected command {command!r}")
 
     def observe(
@@ -59,9 +72,20 @@
             return
         match outcome:
             case Rejected(reason=reason, detail=detail):
-                result, explained = reason.value, detail[:MAX_DETAIL]
+                result, explained = reason.value, detail
             case _:
                 result, explained = "accepted", ""
+        action = type(command).__name__
+        self._add(action, describe(command), result, explained, context)
+
+    def _add(
+        self,
+        action: str,
+        subject: str,
+        result: str,
+        detail: str,
+        context: CommandContext,
+    ) -> None:
         self._last_number += 1
         record = AuditRecord(
             self._last_number,
@@ -69,10 +93,10 @@
             self._last_index,
             context.time,
             context.envelope.author,
-            type(command).__name__,
-            describe(command),
+            action,
+            subject,
             result,
-            explained,
+            detail[:MAX_DETAIL],
             context.envelope.correlation_id,
         )
         self.chain = chain_of(self.chain, record)
--- /dev/null
+++ b/goldcrestyard/plugins/members/__init__.py
@@ -0,0 +1,1 @@
+"""Control members, as operators see and replace them."""
--- /dev/null
+++ b/goldcrestyard/plugins/members/leader_side.py
@@ -0,0 +1,119 @@
+"""What the leader does about control members for operators."""
+
+import asyncio
+from collections import OrderedDict
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.results import (
+    Applied,
+    InDoubt,
+    NotProposed,
+    ProposalResult,
+)
+from goldcrestyard.core.ids import RequestId
+from goldcrestyard.core.refusals import RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.plugins.audit.records import NoteOperation
+from goldcrestyard.plugins.members.messages import (
+    MemberLine,
+    MembersQuery,
+    MembersReply,
+    ReplaceMember,
+    ReplaceMemberReply,
+)
+from goldcrestyard.state.commands import Rejected
+from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.messages import NotLeader
+
+REPLACE_SECONDS = 60.0
+KEPT_ANSWERS = 64
+
+
+class MembersAtLeader:
+    """Lists and replaces members while this member leads.
+
+    A replacement goes on when the connection of the asking instance closes;
+    the same request joins it, or gets its answer again.
+    """
+
+    def __init__(self, app: Application, member: ControlMember) -> None:
+        self._app = app
+        self._member = member
+        self._answers_by_request: OrderedDict[
+            RequestId, asyncio.Future[ReplaceMemberReply]
+        ] = OrderedDict()
+        self._replacing = asyncio.Lock()
+
+    def register(self, handlers: Handlers) -> None:
+        """Serve the messages of other instances."""
+        handlers.add(MembersQuery, self._on_query)
+        handlers.add(ReplaceMember, self._on_replace)
+
+    async def _on_query(self, _: MembersQuery, __: PeerConnection) -> object:
+        if not self._member.holds_lease():
+            return NotLeader(self._member.leader)
+        return MembersReply(
+            tuple(
+                MemberLine(
+                    status.id,
+                    status.instance,
+                    status.address,
+                    status.role.value,
+                    status.matched_index,
+                    status.last_contact_seconds,
+                )
+                for status in self._member.members()
+            )
+        )
+
+    async def _on_replace(self, message: ReplaceMember, _: PeerConnection) -> object:
+        if not self._member.holds_lease():
+            return NotLeader(self._member.leader)
+        answer = self._answers_by_request.get(message.request_id)
+        if answer is None:
+            answer = asyncio.get_running_loop().create_future()
+            self._answers_by_request[message.request_id] = answer
+            if len(self._answers_by_request) > KEPT_ANSWERS:
+                self._answers_by_request.popitem(last=False)
+            self._app.spawn(
+                self._replace(message, answer), f"replace member {message.old}"
+            )
+        return await asyncio.shield(answer)
+
+    async def _replace(
+        self, message: ReplaceMember, answer: asyncio.Future[ReplaceMemberReply]
+    ) -> None:
+        async with self._replacing:
+            await self._note(message, "started", "")
+            result = await self._member.replace_member(
+                message.old, message.new, message.address, REPLACE_SECONDS
+            )
+            reply = _reply_of(result)
+            outcome = reply.reason.value if reply.reason is not None else "accepted"
+            await self._note(message, outcome, reply.detail)
+        if reply.reason is RefusalReason.UNKNOWN_OUTCOME:
+            # The same request then continues where this one stopped.
+            self._answers_by_request.pop(message.request_id, None)
+        answer.set_result(reply)
+
+    async def _note(self, message: ReplaceMember, result: str, detail: str) -> None:
+        note = NoteOperation("ReplaceMember", f"member/{message.old}", result, detail)
+        await self._member.propose(note, message.author, message.correlation_id)
+
+
+def _reply_of(result: ProposalResult) -> ReplaceMemberReply:
+    match result:
+        case Applied(outcome=Rejected(reason=reason, detail=detail)):
+            return ReplaceMemberReply(reason, detail, Verdict.NOT_RUN)
+        case Applied():
+            return ReplaceMemberReply()
+        case NotProposed(detail=detail):
+            # The learner may have been added before the step that failed.
+            return ReplaceMemberReply(
+                RefusalReason.CONFLICT, detail, Verdict.MAY_HAVE_RUN
+            )
+        case InDoubt(detail=detail):
+            return ReplaceMemberReply(
+                RefusalReason.UNKNOWN_OUTCOME, detail, Verdict.MAY_HAVE_RUN
+            )
--- /dev/null
+++ b/goldcrestyard/plugins/members/views.py
@@ -0,0 +1,103 @@
+"""Control members and the state of this instance on the admin listener."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
+from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.members.messages import (
+    MembersQuery,
+    MembersReply,
+    ReplaceMember,
+    ReplaceMemberReply,
+)
+from goldcrestyard.plugins.operators.planning import QUERY_SECONDS, Author, no_leader
+from goldcrestyard.wire.connection import NoAnswer
+
+REPLACE_ANSWER_SECONDS = 15.0
+"""Less than the tool waits, so that it hears that the outcome is open."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceBody:
+    """Body of a replacement; nothing given means the same instance."""
+
+    instance: InstanceId | None = None
+    address: str | None = None
+
+
+class MemberViews:
+    """Serves ``/operator/v1/members`` and ``/operator/v1/status``."""
+
+    def __init__(
+        self,
+        app: Application,
+        link: LeaderLink,
+        addresses_by_id: Mapping[InstanceId, str],
+    ) -> None:
+        self._app = app
+        self._link = link
+        self._addresses_by_id = addresses_by_id
+
+    async def members(self, request: web.Request, _: Author) -> web.StreamResponse:
+        """List the control members."""
+        reply = await self._link.request(MembersQuery(), QUERY_SECONDS)
+        if not isinstance(reply, MembersReply):
+            return refuse(no_leader(reply))
+        return json_answer({"members": reply.members})
+
+    async def replace(self, request: web.Request, author: Author) -> web.StreamResponse:
+        """Replace a control member that lost its disk."""
+        body = await read_json(request, ReplaceBody)
+        if isinstance(body, Refusal):
+            return refuse(body)
+        old = InstanceId(request.match_info["member"])
+        new = body.instance or old
+        address = body.address or self._addresses_by_id.get(new)
+        if address is None:
+            detail = f"no address of {new} is known; give one with --address"
+            return refuse(Refusal(RefusalReason.BAD_REQUEST, detail))
+        message = ReplaceMember(
+            old, new, address, author.name, author.request_id, author.correlation_id
+        )
+        reply = await self._link.request(message, REPLACE_ANSWER_SECONDS)
+        match reply:
+            case ReplaceMemberReply(reason=None):
+                return json_answer({"member": old, "by": new, "address": address})
+            case ReplaceMemberReply(reason=RefusalReason() as reason):
+                return refuse(Refusal(reason, reply.detail, reply.verdict))
+            case NoAnswer(detail=detail):
+                return refuse(
+                    Refusal(
+                        RefusalReason.UNKNOWN_OUTCOME,
+                        f"{detail}; the replacement goes on",
+                        Verdict.MAY_HAVE_RUN,
+                    )
+                )
+            case _:
+                return refuse(no_leader(reply))
+
+    async def status(self, request: web.Request, _: Author) -> web.StreamResponse:
+        """Return the state of this instance."""
+        instance = self._app.settings.section(InstanceSettings)
+        view = self._app.get(EntryView)
+        return json_answer(
+            {
+                "instance": instance.id,
+                "data_centre": instance.data_centre,
+                "region": instance.region,
+                "state": self._app.state.value,
+                "leader": self._link.leader,
+                "revision": view.revision,
+                "lease_seconds": round(view.lease_remaining(), 3),
+            }
+        )
--- a/goldcrestyard/plugins/operators/apps.py
+++ b/goldcrestyard/plugins/operators/apps.py
@@ -15,7 +15,6 @@
     StorePlan,
 )
 from goldcrestyard.plugins.operators.leader_side import PlansAtLeader
-from goldcrestyard.plugins.operators.members import Members, MemberViews
 from goldcrestyard.plugins.operators.planning import Planner
 from goldcrestyard.plugins.operators.settings import OperatorSettings
 from goldcrestyard.plugins.operators.slices import PlansSlice
@@ -24,7 +23,6 @@
     OperatorViews,
     for_operators,
 )
-from goldcrestyard.plugins.peers.settings import ClusterSettings
 from goldcrestyard.wire.connection import Handlers
 
 
@@ -60,9 +58,6 @@
         kinds = registry.declared_kinds()
         planner = app.provide(Planner, Planner(view, link, app.clock, kinds))
         views = OperatorViews(view, planner)
-        cluster = app.settings.section(ClusterSettings)
-        members = app.provide(Members, Members(cluster.control_members, link))
-        member_views = MemberViews(app, members, view, link)
         routes = app.get(AdminRoutes)
 
         def add(method: str, path: str, handler: OperatorHandler) -> None:
@@ -82,9 +77,6 @@
         add("GET", "/targets", views.targets)
         add("POST", "/targets/{target}/drain", views.drain_target)
         add("GET", "/entries", views.entries)
-        add("GET", "/members", member_views.members)
-        add("POST", "/members/{member}/replace", member_views.replace)
-        add("GET", "/status", member_views.status)
 
     async def start(self, app: Application) -> None:
         """Serve other instances if this one is a control member."""
--- a/goldcrestyard/plugins/operators/declarations.py
+++ b/goldcrestyard/plugins/operators/declarations.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy import plans
 from goldcrestyard.policy.plans import PlannedChange
 from goldcrestyard.state.declarations import DeclaredKind
@@ -65,9 +66,22 @@
         changes.extend(found)
         for change in found:
             warnings.extend(kind.warn(machine, change.name, declared.get(change.name)))
+            if kind.served_by_targets and change.verb is plans.Verb.REMOVE:
+                warnings.extend(_stranded(machine, kind.table, change.name))
     return tuple(changes), tuple(warnings)
 
 
+def _stranded(machine: StateMachine, table: str, name: str) -> Iterable[str]:
+    """Warn of targets whose running work would be stranded."""
+    targets = machine.get(TargetsSlice).serving(name)
+    if targets:
+        listed = ", ".join(sorted(target.id for target in targets))
+        yield (
+            f"{table}.{name}: running work is stranded on the targets that serve "
+            f"it: {listed}; drain them first"
+        )
+
+
 def _read_table(table: object, kind: DeclaredKind) -> tuple[dict[str, Any], list[str]]:
     if not isinstance(table, Mapping):
         return {}, [f"{kind.table}: must be a table of records by name"]
@@ -88,6 +102,7 @@
             faults.append(f"{key}: {error}")
             continue
         faults.extend(_unknown_keys(key, given, msgspec.to_builtins(record)))
+        faults.extend(f"{key}: {fault}" for fault in kind.check(record))
         records[name] = record
     return records, faults
 
--- a/goldcrestyard/plugins/organisations/declarations.py
+++ b/goldcrestyard/plugins/organisations/declarations.py
@@ -39,6 +39,14 @@
         )
 
 
+def faults(record: Organisation) -> Iterable[str]:
+    """Return what is wrong with an organisation's terms."""
+    if not 0 < record.share < float("inf"):
+        yield "share must be a number above 0"
+    if record.tokens_per_minute is not None and record.tokens_per_minute <= 0:
+        yield "tokens_per_minute must be above 0; leave it out for no bound"
+
+
 ORGANISATIONS = DeclaredKind(
     table="organisations",
     record_class=Organisation,
@@ -48,4 +56,5 @@
     remove=RemoveOrganisation,
     command_classes=(PutOrganisation, RemoveOrganisation),
     warn=warnings,
+    check=faults,
 )
--- a/goldcrestyard/state/declarations.py
+++ b/goldcrestyard/state/declarations.py
@@ -23,6 +23,11 @@
     return ()
 
 
+def no_faults(record: Any) -> Iterable[str]:
+    """Return no faults."""
+    return ()
+
+
 @dataclass(frozen=True)
 class DeclaredKind:
     """One table of a declaration and the commands that bring it about.
@@ -40,3 +45,8 @@
     command_classes: tuple[type, ...]
     """Every command that changes records of this kind."""
     warn: Callable[[StateMachine, str, Any], Iterable[str]] = no_warnings
+    check: Callable[[Any], Iterable[str]] = no_faults
+    """Returns what is wrong with a record.  It must find all that the slice
+    would reject, since a plan is confirmed as a whole."""
+    served_by_targets: bool = False
+    """Whether targets serve records of this kind under their names."""
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import shutil
 import sys
 from pathlib import Path
 from typing import Any
@@ -70,6 +71,37 @@
         return await self.goldcrest("confirm", f"{plan['number']}@{plan['digest']}")
 
 
+class MembersTests(OperatorsTestCase):
+    """Guards the way back of a control member that lost its disk."""
+
+    control_members = 3
+
+    async def test_member_with_a_new_disk_is_replaced_once(self) -> None:
+        listed = await self.goldcrest("members", "list")
+        lost = next(
+            member for member in listed["members"] if member["role"] == "follower"
+        )
+        instance = next(
+            item for item in self.deployment.instances if item.id == lost["instance"]
+        )
+        assert instance.process is not None
+        instance.process.kill()
+        await instance.process.wait()
+        shutil.rmtree(self.folder / instance.id)
+        await self.deployment.start_instance(instance)
+        await self.goldcrest("members", "replace", instance.id)
+        listed = await self.goldcrest("members", "list")
+        self.assertEqual(
+            sorted(member["role"] for member in listed["members"]),
+            ["follower", "follower", "leader"],
+        )
+        self.assertNotIn(lost["id"], [member["id"] for member in listed["members"]])
+        trail = await self.goldcrest("audit", "--subject", f"member/{instance.id}")
+        self.assertEqual(
+            [record["result"] for record in trail["records"]], ["started", "accepted"]
+        )
+
+
 class PlanAndConfirmTests(OperatorsTestCase):
     """Guards the way of a change from a declaration to every entry."""
 
