--- a/goldcrestyard/membership/leader_link.py
+++ b/goldcrestyard/membership/leader_link.py
@@ -1,6 +1,7 @@
 """An entry's connection to the leader, used for proposals."""
 
 import asyncio
+from collections.abc import Callable
 
 from goldcrestyard.consensus.results import (
     Applied,
@@ -27,6 +28,11 @@
         self._codec = codec
         self._connection: PeerConnection | None = None
         self._connected = asyncio.Event()
+        self._observers: list[Callable[[ProposalResult], None]] = []
+
+    def observe_proposals(self, observer: Callable[[ProposalResult], None]) -> None:
+        """Call a function with the result of each proposal."""
+        self._observers.append(observer)
 
     def attach(self, connection: PeerConnection) -> None:
         """Use a connection to the current leader."""
@@ -68,7 +74,12 @@
         message = Propose(
             self._codec.encode(command), author or self._instance, correlation_id
         )
-        reply = await self.request(message, timeout)
+        result = self._result_of(await self.request(message, timeout))
+        for observer in self._observers:
+            observer(result)
+        return result
+
+    def _result_of(self, reply: object) -> ProposalResult:
         match reply:
             case ProposeReply(index=index, outcome=outcome):
                 return Applied(index, self._codec.decode(outcome))
--- a/goldcrestyard/plugins/listeners/middleware.py
+++ b/goldcrestyard/plugins/listeners/middleware.py
@@ -1,16 +1,20 @@
 """What happens to every HTTP request before and after its handler."""
 
+import asyncio
+import logging
 import re
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
 
 import structlog
 from aiohttp import web
+from aiohttp.typedefs import Middleware
 
 from goldcrestyard.core.ids import CorrelationId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
-from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, refuse
 
 logger = structlog.get_logger(__name__)
 
@@ -49,6 +53,52 @@
     return response
 
 
+@dataclass(frozen=True, slots=True)
+class ServedRequest:
+    """A request whose answer has ended; ``route`` is the path's pattern."""
+
+    route: str
+    status: int
+    verdict: str
+    seconds: float
+
+
+RequestObserver = Callable[[ServedRequest], None]
+
+
+def observing(observers: Sequence[RequestObserver]) -> Middleware:
+    """Return a middleware that tells observers of each served request."""
+
+    @web.middleware
+    async def observe(
+        request: web.Request, handler: RequestHandler
+    ) -> web.StreamResponse:
+        clock = asyncio.get_running_loop().time
+        started_at = clock()
+        response = await handler(request)
+        resource = request.match_info.route.resource
+        served = ServedRequest(
+            resource.canonical if resource is not None else "",
+            response.status,
+            response.headers.get(VERDICT_HEADER, "none"),
+            clock() - started_at,
+        )
+        level = logging.INFO if response.status >= 400 else logging.DEBUG
+        logger.log(
+            level,
+            "request answered",
+            route=served.route,
+            status=served.status,
+            verdict=served.verdict,
+            seconds=round(served.seconds, 3),
+        )
+        for observer in observers:
+            observer(served)
+        return response
+
+    return observe
+
+
 @web.middleware
 async def answer_errors(
     request: web.Request, handler: RequestHandler
--- a/goldcrestyard/plugins/listeners/routes.py
+++ b/goldcrestyard/plugins/listeners/routes.py
@@ -4,8 +4,10 @@
 
 from goldcrestyard.plugins.listeners.middleware import (
     RequestHandler,
+    RequestObserver,
     answer_errors,
     correlate,
+    observing,
 )
 
 
@@ -13,9 +15,10 @@
     """The routes of one listener."""
 
     def __init__(self, max_body_bytes: int) -> None:
+        self.observers: list[RequestObserver] = []
         self.web_application = web.Application(
             client_max_size=max_body_bytes,
-            middlewares=[correlate, answer_errors],
+            middlewares=[correlate, observing(self.observers), answer_errors],
         )
 
     def add(self, method: str, path: str, handler: RequestHandler) -> None:
--- /dev/null
+++ b/goldcrestyard/plugins/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of this instance."""
