--- a/goldcrestyard/daemon.py
+++ b/goldcrestyard/daemon.py
@@ -4,15 +4,16 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
+import msgspec
 import structlog
 
 from goldcrestyard.kernel import logs, registry
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
-from goldcrestyard.kernel.checks import Problem, has_errors, run_checks
+from goldcrestyard.kernel.checks import Level, Problem, has_errors, run_checks
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.kernel.settings import Settings, load
 
@@ -65,6 +66,26 @@
     return EXIT_FAILED if failed else EXIT_OK
 
 
+def report_lines(path: Path, problems: Sequence[Problem]) -> Iterator[str]:
+    """Return all problems as text, errors first."""
+    errors = sum(problem.level is Level.ERROR for problem in problems)
+    for problem in sorted(problems, key=lambda problem: problem.level is Level.WARNING):
+        yield str(problem)
+        yield f"    hint: {problem.hint}"
+    if problems:
+        yield f"{path}: {errors} errors, {len(problems) - errors} warnings"
+
+
+def report_as_json(path: Path, problems: Sequence[Problem]) -> str:
+    """Return all problems as one JSON object."""
+    report = {
+        "file": str(path),
+        "valid": not has_errors(problems),
+        "problems": problems,
+    }
+    return msgspec.json.encode(report).decode()
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Parse the command line and run the daemon."""
     parser = argparse.ArgumentParser(
@@ -78,15 +99,24 @@
         action="store_true",
         help="show every fault in the settings file, then exit",
     )
+    parser.add_argument(
+        "--json", action="store_true", help="with --check: print one JSON object"
+    )
     options = parser.parse_args(arguments)
+    if options.json and not options.check:
+        parser.error("--json is used with --check")
     plugin_classes = registry.discover()
     settings, problems = load_settings(options.settings, plugin_classes)
-    for problem in problems:
-        print(f"{problem}\n    hint: {problem.hint}", file=sys.stderr)
+    if options.json:
+        print(report_as_json(options.settings, problems))
+    else:
+        for line in report_lines(options.settings, problems):
+            print(line, file=sys.stderr)
     if has_errors(problems):
         return EXIT_BAD_SETTINGS
     if options.check:
-        print(f"{options.settings}: settings are valid")
+        if not options.json:
+            print(f"{options.settings}: settings are valid")
         return EXIT_OK
     instance = settings.section(InstanceSettings)
     logs.configure(instance.id, instance.log_level)
