--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import os
+import random
 import secrets
 import shutil
 import signal
@@ -52,6 +53,8 @@
     processes_by_name: dict[str, asyncio.subprocess.Process] = field(
         default_factory=dict
     )
+    overrides_by_section: dict[str, dict[str, Any]] = field(default_factory=dict)
+    """Settings in addition to those of ``settings_of``, on every instance."""
 
     def __post_init__(self) -> None:
         for instance in self.instances:
@@ -75,7 +78,7 @@
     async def start_instance(self, instance: Instance) -> None:
         """Start one instance."""
         path = self.folder / f"{instance.id}.toml"
-        path.write_text(self.settings_of(instance))
+        path.write_text(self._with_overrides(self.settings_of(instance)))
         instance.process = await self.start_process(
             instance.id, "goldcrestyard.daemon", str(path)
         )
@@ -141,6 +144,18 @@
 
 {control}"""
 
+    def _with_overrides(self, text: str) -> str:
+        for section, values in self.overrides_by_section.items():
+            lines = "".join(
+                f"{key} = {json.dumps(value)}\n" for key, value in values.items()
+            )
+            head = f"[{section}]\n"
+            if head in text:
+                text = text.replace(head, head + lines)
+            else:
+                text += f"\n{head}{lines}"
+        return text
+
     async def wait_ready(self, instance: Instance) -> None:
         """Wait until an instance is ready."""
 
@@ -170,6 +185,32 @@
         await self.wait_target(name)
         return f"127.0.0.1:{port}"
 
+    async def start_service(
+        self, name: str, service: str, instance: Instance, **options: Any
+    ) -> str:
+        """Start a stand-in service near an instance; return its address."""
+        port = free_port()
+        arguments = [
+            f"--id={name}",
+            f"--port={port}",
+            f"--entries={','.join(self.entries)}",
+            f"--token={self.target_token}",
+            f"--service={service}",
+            f"--data-centre={instance.data_centre}",
+            f"--region={instance.region}",
+            *(f"--{key.replace('_', '-')}={value}" for key, value in options.items()),
+        ]
+        await self.start_process(name, "demo.fakes.service", *arguments)
+        await self.wait_target(name)
+        return f"127.0.0.1:{port}"
+
+    async def put_service(
+        self, name: str, routes: list[dict[str, Any]], organisations: Any = ()
+    ) -> None:
+        """Create a plain service or replace its terms."""
+        body = {"name": name, "routes": routes, "organisations": organisations}
+        await self.operate("PUT", "/services", body)
+
     async def wait_target(self, name: str, *, present: bool = True) -> None:
         """Wait until every instance knows, or no longer knows, a target."""
 
@@ -219,16 +260,20 @@
         await self.operate("DELETE", f"/keys/{key.split('_')[1]}")
 
     async def stop(self) -> None:
-        """Stop everything that was started, targets before instances."""
+        """Stop everything that was started, targets before instances.
+
+        The instances are killed: their planned stop waits for callers of
+        the address list, of which there are none any more.
+        """
         instance_names = {instance.id for instance in self.instances}
-        for of_instances in (False, True):
-            await stop_processes(
-                [
-                    process
-                    for name, process in self.processes_by_name.items()
-                    if (name in instance_names) == of_instances
-                ]
-            )
+        targets, instances = [], []
+        for name, process in self.processes_by_name.items():
+            (instances if name in instance_names else targets).append(process)
+        await stop_processes(targets)
+        for process in instances:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def _headers(self) -> dict[str, str]:
@@ -267,10 +312,18 @@
 
 
 def free_port() -> int:
-    """Return a port that is free on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port that is free on loopback.
+
+    It lies below the range from which the system takes the ports of outgoing
+    connections, so that none of those takes it before its process starts.
+    """
+    while True:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", random.randrange(10_000, 32_000)))
+            except OSError:
+                continue
+            return int(probe.getsockname()[1])
 
 
 def sha256(text: str) -> str:
