--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -4,13 +4,15 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
+from typing import Protocol
 
 import structlog
 
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.core.ids import InstanceId
-from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
+from goldcrestyard.wire.client import PeerAddress, PeerUnavailableError
 from goldcrestyard.wire.connection import PeerConnection
 
 logger = structlog.get_logger(__name__)
@@ -60,6 +62,15 @@
     member: MemberId
 
 
+class Dialer(Protocol):
+    """Opens connections to other processes; ``PeerDialer`` is one."""
+
+    def connect(
+        self, address: PeerAddress
+    ) -> AbstractAsyncContextManager[PeerConnection]:
+        """Connect, or raise ``PeerUnavailableError``."""
+
+
 class MemberLink:
     """One task: connect, learn who answers there, send what is queued."""
 
@@ -67,7 +78,7 @@
         self,
         instance: InstanceId,
         address: PeerAddress,
-        dialer: PeerDialer,
+        dialer: Dialer,
         own_identity: Callable[[], MemberIdentity],
         on_identity: Callable[[InstanceId, MemberIdentity], None],
     ) -> None:
@@ -141,14 +152,14 @@
         reply = await connection.request(batch, ANSWER_SECONDS)
         if not isinstance(reply, Received):
             return False
-        if reply.member != receiver:
-            if self.identity is None or self.identity.member != reply.member:
-                logger.warning(
-                    "another member answers at this address; if the instance lost "
-                    "its disk, replace the member",
-                    expected=receiver,
-                    answering=reply.member,
-                )
-            self._queue.clear()
-            return await self._identify(connection)
-        return True
+        if reply.member == receiver:
+            return True
+        if self.identity is not None and self.identity.member == reply.member:
+            return True
+        logger.warning(
+            "another member answers at this address; if the instance lost its disk, "
+            "replace the member",
+            expected=receiver,
+            answering=reply.member,
+        )
+        return await self._identify(connection)
