Change the configuration only by plan and confirmation

Removes the direct PUT and DELETE routes for organisations and services. The tests' deployment declares its records; the tests of control members make their many small changes by granting keys.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -56,6 +56,9 @@
     processes_by_name: dict[str, asyncio.subprocess.Process] = field(
         default_factory=dict
     )
+    declared_by_table: dict[str, dict[str, dict[str, Any]]] = field(
+        default_factory=dict
+    )
     overrides_by_section: dict[str, dict[str, Any]] = field(default_factory=dict)
     """Settings in addition to those of ``settings_of``, on every instance."""
 
@@ -211,8 +214,8 @@
         self, name: str, routes: list[dict[str, Any]], organisations: Any = ()
     ) -> None:
         """Create a plain service or replace its terms."""
-        body = {"name": name, "routes": routes, "organisations": organisations}
-        await self.operate("PUT", "/services", body)
+        fields = {"routes": routes, "organisations": list(organisations)}
+        await self.declare("services", name, fields)
 
     async def wait_target(self, name: str, *, present: bool = True) -> None:
         """Wait until every instance knows, or no longer knows, a target."""
@@ -242,9 +245,25 @@
                 raise RuntimeError(f"{method} {path}: {json.dumps(data)}")
             return data
 
+    async def declare(self, table: str, name: str, fields: dict[str, Any]) -> None:
+        """Declare one more record, by plan and confirmation."""
+        self.declared_by_table.setdefault(table, {})[name] = fields
+        records = self.declared_by_table[table].items()
+        declaration = "".join(
+            f"[{table}.{json.dumps(known)}]\n"
+            + "".join(f"{key} = {to_toml(value)}\n" for key, value in given.items())
+            for known, given in records
+        )
+        body = {"declaration": declaration}
+        plan = (await self.operate("POST", "/plans", body))["plan"]
+        # Tests wait for the state that they need; that it is in force
+        # everywhere takes longer just after an election.
+        path = f"/plans/{plan['number']}/confirm?wait=no"
+        await self.operate("POST", path, {"digest": plan["digest"]})
+
     async def add_organisation(self, name: str) -> str:
         """Create an organisation and return a key for it."""
-        await self.operate("PUT", "/organisations", {"id": name})
+        await self.declare("organisations", name, {})
         return await self.grant_key(name)
 
     async def grant_key(self, organisation: str) -> str:
@@ -255,12 +274,12 @@
             "organisation": organisation,
             "secret_hash": parts.secret_hash,
         }
-        await self.operate("POST", "/keys", body)
+        await self.operate("POST", "/keys?wait=no", body)
         return text
 
     async def withdraw_key(self, key: str) -> None:
         """Withdraw a key."""
-        await self.operate("DELETE", f"/keys/{key.split('_')[1]}")
+        await self.operate("DELETE", f"/keys/{key.split('_')[1]}?wait=no")
 
     async def stop(self) -> None:
         """Stop everything that was started, targets before instances.
@@ -329,6 +348,20 @@
             return int(probe.getsockname()[1])
 
 
+def to_toml(value: Any) -> str:
+    """Return a value as inline TOML."""
+    match value:
+        case dict():
+            fields = ", ".join(
+                f"{key} = {to_toml(item)}" for key, item in value.items()
+            )
+            return f"{{{fields}}}"
+        case list():
+            return f"[{', '.join(to_toml(item) for item in value)}]"
+        case _:
+            return json.dumps(value)
+
+
 def sha256(text: str) -> str:
     """Return a SHA-256 in hexadecimal."""
     return hashlib.sha256(text.encode()).hexdigest()
--- a/goldcrestyard/plugins/operators/apps.py
+++ b/goldcrestyard/plugins/operators/apps.py
@@ -68,7 +68,6 @@
         add("GET", "/plans", views.plans)
         add("GET", "/plans/{number}", views.plan_of_number)
         add("POST", "/plans/{number}/confirm", views.confirm)
-        add("PUT", "/organisations", views.put_organisation)
         for kind in kinds:
             add("GET", f"/{kind.table}", views.records_of(kind))
         add("POST", "/keys", views.grant_key)
--- a/goldcrestyard/plugins/operators/planning.py
+++ b/goldcrestyard/plugins/operators/planning.py
@@ -151,14 +151,16 @@
             return reply.plans
         return no_leader(reply)
 
-    async def wait_in_force(self, revision: Revision) -> Effect:
+    async def wait_in_force(
+        self, revision: Revision, seconds: float = IN_FORCE_SECONDS
+    ) -> Effect:
         """Wait until no entry can act on an older revision.
 
         The leader is asked again after a change of leader, until the time is
         up.
         """
-        deadline = self._clock.monotonic() + IN_FORCE_SECONDS
-        detail = "the leader could not be asked"
+        deadline = self._clock.monotonic() + seconds
+        detail = "not waited for"
         while (left := deadline - self._clock.monotonic()) > 0:
             reply = await self._link.request(WaitInForce(revision, left), left + 1.0)
             match reply:
--- a/goldcrestyard/plugins/operators/views.py
+++ b/goldcrestyard/plugins/operators/views.py
@@ -7,7 +7,7 @@
 
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.ids import KeyId, PlanNumber, Revision, TargetId
-from goldcrestyard.core.records import Key, Organisation
+from goldcrestyard.core.records import Key
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
@@ -15,12 +15,14 @@
 from goldcrestyard.plugins.listeners.errors import refuse
 from goldcrestyard.plugins.listeners.middleware import RequestHandler
 from goldcrestyard.plugins.operators.authorisation import OperatorAuthorisation
-from goldcrestyard.plugins.operators.planning import Author, Behind, InForce, Planner
-from goldcrestyard.plugins.organisations.commands import (
-    GrantKey,
-    PutOrganisation,
-    WithdrawKey,
+from goldcrestyard.plugins.operators.planning import (
+    IN_FORCE_SECONDS,
+    Author,
+    Behind,
+    InForce,
+    Planner,
 )
+from goldcrestyard.plugins.organisations.commands import GrantKey, WithdrawKey
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
 from goldcrestyard.plugins.targets.commands import DrainTarget
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -89,7 +91,9 @@
         if isinstance(confirmation, Refusal):
             return refuse(confirmation)
         return await self._answer_effect(
-            confirmation.revision, {"number": number, "confirmation": confirmation}
+            request,
+            confirmation.revision,
+            {"number": number, "confirmation": confirmation},
         )
 
     async def plans(self, request: web.Request, _: Author) -> web.StreamResponse:
@@ -113,15 +117,6 @@
             return refuse(Refusal(RefusalReason.NOT_FOUND, f"no plan {number}"))
         return json_answer({"plan": plans[0]})
 
-    async def put_organisation(
-        self, request: web.Request, author: Author
-    ) -> web.StreamResponse:
-        """Create an organisation or replace its terms."""
-        organisation = await read_json(request, Organisation)
-        if isinstance(organisation, Refusal):
-            return refuse(organisation)
-        return await self._change(PutOrganisation(organisation), author)
-
     async def grant_key(
         self, request: web.Request, author: Author
     ) -> web.StreamResponse:
@@ -129,13 +124,14 @@
         key = await read_json(request, Key)
         if isinstance(key, Refusal):
             return refuse(key)
-        return await self._change(GrantKey(key), author)
+        return await self._change(request, GrantKey(key), author)
 
     async def withdraw_key(
         self, request: web.Request, author: Author
     ) -> web.StreamResponse:
         """Make a key invalid for good."""
-        return await self._change(WithdrawKey(KeyId(request.match_info["key"])), author)
+        key_id = KeyId(request.match_info["key"])
+        return await self._change(request, WithdrawKey(key_id), author)
 
     async def keys(self, request: web.Request, _: Author) -> web.StreamResponse:
         """List the valid keys, without the hashes of their secrets."""
@@ -156,7 +152,8 @@
         target = self._view.machine.get(TargetsSlice).find(target_id)
         if target is None:
             return refuse(Refusal(RefusalReason.NOT_FOUND, f"no target {target_id}"))
-        return await self._change(DrainTarget(target_id, target.incarnation), author)
+        command = DrainTarget(target_id, target.incarnation)
+        return await self._change(request, command, author)
 
     async def entries(self, request: web.Request, _: Author) -> web.StreamResponse:
         """List the entries."""
@@ -172,19 +169,25 @@
 
         return records
 
-    async def _change(self, command: Command, author: Author) -> web.StreamResponse:
+    async def _change(
+        self, request: web.Request, command: Command, author: Author
+    ) -> web.StreamResponse:
         outcome = await self._planner.change(command, author)
         match outcome:
             case Refusal():
                 return refuse(outcome)
             case Applied(index=index):
-                return await self._answer_effect(Revision(index), {})
+                return await self._answer_effect(request, Revision(index), {})
 
     async def _answer_effect(
-        self, revision: Revision, fields: dict[str, object]
+        self, request: web.Request, revision: Revision, fields: dict[str, object]
     ) -> web.StreamResponse:
-        """Answer a committed change, saying whether it is in force."""
-        effect = await self._planner.wait_in_force(revision)
+        """Answer a committed change, saying whether it is in force.
+
+        ``?wait=no`` asks for the answer at once.
+        """
+        seconds = 0.0 if request.query.get("wait") == "no" else IN_FORCE_SECONDS
+        effect = await self._planner.wait_in_force(revision, seconds)
         answer: dict[str, object] = {"revision": revision, **fields}
         match effect:
             case InForce():
--- a/goldcrestyard/plugins/services/apps.py
+++ b/goldcrestyard/plugins/services/apps.py
@@ -5,15 +5,17 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
-from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.claims.keeper import ClaimKeeper
-from goldcrestyard.plugins.listeners.routes import AdminRoutes, PublicRoutes
-from goldcrestyard.plugins.operators.settings import OperatorSettings
+from goldcrestyard.plugins.listeners.routes import PublicRoutes
 from goldcrestyard.plugins.organisations.authentication import Authenticator
-from goldcrestyard.plugins.services.commands import ServicesSnapshot
+from goldcrestyard.plugins.services.commands import (
+    PutService,
+    RemoveService,
+    ServicesSnapshot,
+)
+from goldcrestyard.plugins.services.declarations import SERVICES
 from goldcrestyard.plugins.services.dispatch import ServiceDispatcher
-from goldcrestyard.plugins.services.operator_views import ServiceOperatorViews
 from goldcrestyard.plugins.services.settings import ServiceSettings
 from goldcrestyard.plugins.services.slices import ServicesSlice
 from goldcrestyard.plugins.services.upstream import ServiceClient
@@ -29,7 +31,6 @@
         "claims",
         "entry",
         "listeners",
-        "operators",
         "organisations",
         "targets",
     )
@@ -37,6 +38,11 @@
     settings_class = ServiceSettings
     slices = (ServicesSlice,)
     messages = (*ServicesSlice.commands, ServicesSnapshot)
+    declared_kinds = (SERVICES,)
+    audited = {
+        PutService: lambda command: f"service/{command.service.name}",
+        RemoveService: lambda command: f"service/{command.name}",
+    }
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
@@ -64,12 +70,6 @@
         routes = app.get(PublicRoutes)
         routes.add("*", "/services/{service}", views.pass_on)
         routes.add("*", "/services/{service}/{path:.*}", views.pass_on)
-        operators = ServiceOperatorViews(
-            app.settings.section(OperatorSettings), app.get(LeaderLink)
-        )
-        admin = app.get(AdminRoutes)
-        admin.add("PUT", "/operator/v1/services", operators.put)
-        admin.add("DELETE", "/operator/v1/services/{service}", operators.remove)
 
     async def stop(self, app: Application) -> None:
         """Close the client session."""
--- a/tests/processes/test_control_members.py
+++ b/tests/processes/test_control_members.py
@@ -35,6 +35,7 @@
         await self.deployment.start()
         self.probe = ControlProbe(self.deployment)
         self.leader = await self.probe.leader()
+        await self.deployment.add_organisation("tejo")
         self.names = (f"o{number}" for number in itertools.count())
         self.accepted: set[str] = set()
 
@@ -46,16 +47,17 @@
         return [i for i in self.deployment.instances if i is not self.leader]
 
     async def put(self, instance: Instance, name: str) -> int:
-        """Create an organisation through an instance; return the status."""
-        status, _ = await self._operate(instance, "PUT", "/organisations", {"id": name})
+        """Grant a key through an instance; return the status."""
+        body = {"id": name, "organisation": "tejo", "secret_hash": ""}
+        status, _ = await self._operate(instance, "POST", "/keys?wait=no", body)
         if status == 200:
             self.accepted.add(name)
         return status
 
-    async def organisations(self, instance: Instance) -> set[str]:
-        status, answer = await self._operate(instance, "GET", "/organisations")
+    async def keys(self, instance: Instance) -> set[str]:
+        status, answer = await self._operate(instance, "GET", "/keys")
         self.assertEqual(status, 200)
-        return {organisation["id"] for organisation in answer["organisations"]}
+        return {key["id"] for key in answer["keys"]}
 
     async def _operate(
         self, instance: Instance, method: str, path: str, body: Any = None
@@ -70,7 +72,7 @@
             return answer.status, await answer.json()
 
     async def keep_putting(self, instance: Instance) -> None:
-        """Create organisations one after the other until cancelled."""
+        """Grant keys one after the other until cancelled."""
         while True:
             try:
                 await self.put(instance, next(self.names))
@@ -87,12 +89,11 @@
         await wait_for(accepted, f"{more} more changes")
 
     async def wait_agreed(self) -> None:
-        """Wait until every instance has the same organisations."""
+        """Wait until every instance has the same keys."""
 
         async def agreed(_: object) -> bool:
             found = [
-                await self.organisations(instance)
-                for instance in self.deployment.instances
+                await self.keys(instance) for instance in self.deployment.instances
             ]
             return all(one == found[0] for one in found) and self.accepted <= found[0]
 
