--- a/goldcrestyard/plugins/audit/slices.py
+++ b/goldcrestyard/plugins/audit/slices.py
@@ -68,7 +68,8 @@
     ) -> None:
         """Record a command if its plug-in names it for the trail."""
         describe = self._subjects_by_command.get(type(command))
-        if describe is None:
+        subject = describe(command) if describe is not None else ""
+        if not subject:
             return
         match outcome:
             case Rejected(reason=reason, detail=detail):
@@ -76,7 +77,7 @@
             case _:
                 result, explained = "accepted", ""
         action = type(command).__name__
-        self._add(action, describe(command), result, explained, context)
+        self._add(action, subject, result, explained, context)
 
     def _add(
         self,
--- a/goldcrestyard/plugins/engines/dispatch.py
+++ b/goldcrestyard/plugins/engines/dispatch.py
@@ -150,6 +150,7 @@
         )
         match decision:
             case retries.RetryAfter(delay_seconds=delay_seconds):
+                self._in_flight.note_retry()
                 await asyncio.sleep(delay_seconds)
                 return None
             case retries.GiveUp(refusal=refusal):
--- a/goldcrestyard/plugins/metrics/observers.py
+++ b/goldcrestyard/plugins/metrics/observers.py
@@ -41,8 +41,9 @@
     view = app.get(EntryView)
     metrics.entry_lease.set_function(view.lease_remaining)
     metrics.revision.set_function(lambda: view.revision)
-    in_flight = app.get(InFlight).by_target
-    metrics.in_flight.set_function(in_flight.total)
+    in_flight = app.get(InFlight)
+    metrics.in_flight.set_function(in_flight.by_target.total)
+    in_flight.observe_retries(metrics.retries.inc)
     app.get(LeaderLink).observe_proposals(
         lambda result: metrics.proposals.labels(type(result).__name__).inc()
     )
--- a/goldcrestyard/plugins/orders/apps.py
+++ b/goldcrestyard/plugins/orders/apps.py
@@ -9,6 +9,7 @@
 from goldcrestyard.plugins.listeners.routes import AdminRoutes
 from goldcrestyard.plugins.operators.settings import OperatorSettings
 from goldcrestyard.plugins.orders import checks
+from goldcrestyard.plugins.orders.auditing import AUDITED
 from goldcrestyard.plugins.orders.client import HttpLookUps, OrderClient
 from goldcrestyard.plugins.orders.commands import OrdersSnapshot
 from goldcrestyard.plugins.orders.connection import TcpConnector
@@ -29,6 +30,7 @@
     settings_class = OrderSettings
     slices = (OrdersSlice,)
     messages = (*OrdersSlice.commands, OrdersSnapshot)
+    audited = AUDITED
     checks = (checks.check_quiet, checks.check_concurrency)
 
     def __init__(self) -> None:
--- /dev/null
+++ b/goldcrestyard/plugins/orders/auditing.py
@@ -0,0 +1,51 @@
+"""What the audit trail says of orders.
+
+Orders that were carried out are left out: weights for 930 engines every 9
+minutes would push everything else out of the trail.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from goldcrestyard.core.ids import OrderId
+from goldcrestyard.plugins.orders.commands import (
+    IntendOrders,
+    SettleOrders,
+    TakeOverOrders,
+)
+from goldcrestyard.policy.orders import OrderState
+
+
+def intended(command: IntendOrders) -> str:
+    """Name the orders that are to be sent."""
+    return _named([order.id for order in command.orders])
+
+
+def settled(command: SettleOrders) -> str:
+    """Name the orders that were not certainly carried out."""
+    return _named(
+        [
+            settlement.id
+            for settlement in command.settlements
+            if settlement.state is not OrderState.DONE
+        ]
+    )
+
+
+def taken_over(command: TakeOverOrders) -> str:
+    """Name the leader that sends from now on."""
+    return f"sender/{command.sender}"
+
+
+AUDITED: Mapping[type, Callable[[Any], str]] = {
+    IntendOrders: intended,
+    SettleOrders: settled,
+    TakeOverOrders: taken_over,
+}
+
+
+def _named(ids: Sequence[OrderId]) -> str:
+    if not ids:
+        return ""
+    more = f" and {len(ids) - 1} more" if len(ids) > 1 else ""
+    return f"order/{ids[0]}{more}"
--- a/goldcrestyard/plugins/services/dispatch.py
+++ b/goldcrestyard/plugins/services/dispatch.py
@@ -89,6 +89,7 @@
             )
             match decision:
                 case retries.RetryAfter(delay_seconds=delay_seconds):
+                    self._in_flight.note_retry()
                     await asyncio.sleep(delay_seconds)
                 case retries.GiveUp(refusal=refusal):
                     return refusal
--- a/goldcrestyard/plugins/targets/in_flight.py
+++ b/goldcrestyard/plugins/targets/in_flight.py
@@ -1,7 +1,7 @@
 """How many requests of this entry each target is serving."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from goldcrestyard.core.ids import TargetId
@@ -12,6 +12,16 @@
 
     def __init__(self) -> None:
         self.by_target: Counter[TargetId] = Counter()
+        self._retry_observers: list[Callable[[], None]] = []
+
+    def observe_retries(self, observer: Callable[[], None]) -> None:
+        """Call a function whenever a request is sent to a further target."""
+        self._retry_observers.append(observer)
+
+    def note_retry(self) -> None:
+        """Tell the observers that a request is sent to a further target."""
+        for observer in self._retry_observers:
+            observer()
 
     @contextmanager
     def hold(self, target_id: TargetId) -> Iterator[None]:
--- a/goldcrestyard/state/declarations.py
+++ b/goldcrestyard/state/declarations.py
@@ -14,7 +14,8 @@
 Subject = Callable[[Any], str]
 """Returns what a command is about, such as ``organisation/tejo-rail``.
 
-The text goes into the audit trail, so it must not contain secrets.
+The text goes into the audit trail, so it must not contain secrets.  An empty
+text keeps the command out of the trail.
 """
 
 
