--- /dev/null
+++ b/tests/plugins/members/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of goldcrestyard.plugins.members."""
--- a/tests/plugins/test_planning.py
+++ b/tests/plugins/test_planning.py
@@ -22,7 +22,8 @@
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.membership.view import EntryView
-from goldcrestyard.plugins.operators.commands import InForceReply
+from goldcrestyard.plugins.operators.commands import InForceReply, WaitInForce
+from goldcrestyard.plugins.operators.leader_side import PlansAtLeader
 from goldcrestyard.plugins.operators.planning import (
     Author,
     Behind,
@@ -33,7 +34,7 @@
 from goldcrestyard.state.commands import Rejected
 from goldcrestyard.state.machine import StateMachine
 from goldcrestyard.wire.codec import Codec
-from goldcrestyard.wire.connection import NoAnswer, NotSent
+from goldcrestyard.wire.connection import Handlers, NoAnswer, NotSent
 from goldcrestyard.wire.messages import NotLeader
 from tests.fakes.paused_clock import PausedClockTestCase
 
@@ -117,6 +118,66 @@
 ]
 
 
+class ScriptedMember:
+    """A control member whose lease ends after some questions."""
+
+    leader = InstanceId("lisboa-b-1")
+
+    def __init__(self, *leases: bool) -> None:
+        self._leases = list(leases)
+
+    def holds_lease(self) -> bool:
+        """Return the next prepared answer."""
+        return self._leases.pop(0)
+
+
+class ScriptedSessions:
+    """Returns prepared entries in place of the leases of real ones."""
+
+    def __init__(self, behind: tuple[InstanceId, ...]) -> None:
+        self._behind = behind
+        self.waited_for: list[tuple[Revision, float]] = []
+
+    async def wait_in_force(
+        self, revision: Revision, timeout: float
+    ) -> list[InstanceId]:
+        """Return the prepared entries."""
+        self.waited_for.append((revision, timeout))
+        return list(self._behind)
+
+
+LEADERS = [
+    ("in_force", (True, True), (), InForceReply(())),
+    ("behind", (True, True), BEHIND, InForceReply(BEHIND)),
+    ("not_the_leader", (False,), (), NotLeader(ScriptedMember.leader)),
+    ("lease_lost_meanwhile", (True, False), (), NotLeader(ScriptedMember.leader)),
+]
+
+
+class LeaderSideTests(PausedClockTestCase):
+    """Guards against "in force" from a leader that cannot know it."""
+
+    @parameterized.expand(LEADERS)
+    async def test_answer_to_a_wait(
+        self,
+        _: str,
+        leases: tuple[bool, ...],
+        behind: tuple[InstanceId, ...],
+        expected: object,
+    ) -> None:
+        member: Any = ScriptedMember(*leases)
+        sessions: Any = ScriptedSessions(behind)
+        handlers = Handlers()
+        PlansAtLeader(member, sessions).register(handlers)
+        message = WaitInForce(REVISION, 8.0)
+        handler = handlers.find(message)
+        assert handler is not None
+        connection: Any = None
+        self.assertEqual(await handler(message, connection), expected)
+        if leases[0]:
+            self.assertEqual(sessions.waited_for, [(REVISION, 8.0)])
+
+
 class PlannerTests(PausedClockTestCase):
     """What an operator is told of a change."""
 
--- a/tests/plugins/test_plans.py
+++ b/tests/plugins/test_plans.py
@@ -25,7 +25,7 @@
 from goldcrestyard.core.records import Key, Organisation
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.kernel import registry
-from goldcrestyard.plugins.audit.records import AuditQuery, first_break
+from goldcrestyard.plugins.audit.records import AuditQuery, chain_of, first_break
 from goldcrestyard.plugins.audit.slices import AuditSlice
 from goldcrestyard.plugins.operators.commands import (
     MESSAGES,
@@ -387,8 +387,12 @@
         self.cluster.plan(PORT)
         records = list(self.cluster.machine.get(AuditSlice).records)
         self.assertIsNone(first_break(records))
-        records[2] = replace(records[2], author="eve")
-        self.assertEqual(first_break(records), records[2])
+        changed = replace(records[2], author="eve")
+        self.assertEqual(first_break([*records[:2], changed, *records[3:]]), changed)
+        # A record that is hashed anew no longer fits the one after it.
+        hashed = replace(changed, chain=chain_of(records[1].chain, changed))
+        self.assertEqual(first_break([*records[:2], hashed, *records[3:]]), records[3])
+        self.assertEqual(first_break([*records[:2], *records[3:]]), records[3])
 
     def test_trail_is_bounded(self) -> None:
         trail = AuditSlice(self.trail._subjects_by_command, kept=3)
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -3,10 +3,13 @@
 import asyncio
 import json
 import shutil
+import signal
 import sys
 from pathlib import Path
 from typing import Any
 
+import aiohttp
+
 from demo.deployment import OPERATOR, wait_for
 from goldcrestyard.cli.exit_codes import ExitCode
 from tests.fakes.deployments import DeploymentTestCase
@@ -195,6 +198,26 @@
 
             await wait_for(refused, "the answer")
 
+    async def test_suspended_entry_refuses_a_key_withdrawn_meanwhile(self) -> None:
+        # "In force" must hold for an entry that could not be told.
+        await self.apply(ONE)
+        granted = await self.goldcrest("key", "grant", "tejo-rail")
+        leader, *_, suspended = self.deployment.instances
+        assert suspended.process is not None
+        suspended.process.send_signal(signal.SIGSTOP)
+        answer = await self.goldcrest(
+            "key", "withdraw", granted["id"], servers=[leader.admin]
+        )
+        self.assertTrue(answer["in_force"])
+        suspended.process.send_signal(signal.SIGCONT)
+        url = f"http://{suspended.public}/v1/models"
+        headers = {"authorization": f"Bearer {granted['key']}"}
+        async with (
+            aiohttp.ClientSession(headers=headers) as session,
+            session.get(url) as response,
+        ):
+            self.assertIn(response.status, (401, 503))
+
     async def test_target_is_drained(self) -> None:
         await self.deployment.start_engine(
             "engine-1", "inspect-lm", self.deployment.instances[0]
