--- a/goldcrestyard/cli/base.py
+++ b/goldcrestyard/cli/base.py
@@ -45,7 +45,6 @@
     "invalid_key": "check the operator key; settings list the hashes of valid ones",
     "stale_plan": "run 'goldcrest plan' again and confirm the new plan",
     "not_found": "check the name with the matching 'list' command",
-    "conflict": "see docs/errors.md",
 }
 
 
@@ -109,10 +108,9 @@
         """Show why there is no answer, with what to do, in one place."""
         match reply:
             case Refused(code=code, message=message):
-                hint = _HINTS_BY_CODE.get(code)
-                text = f"refused ({code}): {message}"
+                hint = _HINTS_BY_CODE.get(code, f"see {code} in docs/errors.md")
                 return self.fail(
-                    ExitCode.REFUSED, f"{text}\n  {hint}" if hint else text
+                    ExitCode.REFUSED, f"refused ({code}): {message}\n  {hint}"
                 )
             case Unanswered(message=message):
                 return self.fail(
--- a/goldcrestyard/plugins/operators/commands.py
+++ b/goldcrestyard/plugins/operators/commands.py
@@ -58,18 +58,45 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlansQuery:
-    """Asks the leader for one plan, or for the latest."""
+class PlanQuery:
+    """Asks the leader for one plan."""
+
+    number: PlanNumber
+
+
+@dataclass(frozen=True, slots=True)
+class PlanReply:
+    """The plan asked for, or None if there is none."""
+
+    plan: Plan | None
+
+
+@dataclass(frozen=True, slots=True)
+class PlanSummary:
+    """A plan without its changes, of which there may be many."""
+
+    number: PlanNumber
+    digest: str
+    base: Revision
+    author: str
+    time: float
+    changes: int
+    warnings: int
+    confirmation: Confirmation | None
+
+
+@dataclass(frozen=True, slots=True)
+class PlansListQuery:
+    """Asks the leader for the latest plans."""
 
-    number: PlanNumber | None
     limit: int = 100
 
 
 @dataclass(frozen=True, slots=True)
-class PlansReply:
-    """The plans asked for, oldest first."""
+class PlansListReply:
+    """The latest plans, oldest first."""
 
-    plans: tuple[Plan, ...]
+    plans: tuple[PlanSummary, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,8 +118,10 @@
     PlanStored,
     PlanConfirmed,
     PlansSnapshot,
-    PlansQuery,
-    PlansReply,
+    PlanQuery,
+    PlanReply,
+    PlansListQuery,
+    PlansListReply,
     WaitInForce,
     InForceReply,
 )
--- a/goldcrestyard/plugins/operators/leader_side.py
+++ b/goldcrestyard/plugins/operators/leader_side.py
@@ -4,11 +4,15 @@
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.plugins.operators.commands import (
     InForceReply,
-    PlansQuery,
-    PlansReply,
+    PlanQuery,
+    PlanReply,
+    PlansListQuery,
+    PlansListReply,
+    PlanSummary,
     WaitInForce,
 )
 from goldcrestyard.plugins.operators.slices import PlansSlice
+from goldcrestyard.policy.plans import Plan
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import NotLeader
 
@@ -25,18 +29,25 @@
 
     def register(self, handlers: Handlers) -> None:
         """Serve the messages of other instances."""
-        handlers.add(PlansQuery, self._on_query)
+        handlers.add(PlanQuery, self._on_query)
+        handlers.add(PlansListQuery, self._on_list_query)
         handlers.add(WaitInForce, self._on_wait)
 
-    async def _on_query(self, message: PlansQuery, _: PeerConnection) -> object:
+    async def _on_query(self, message: PlanQuery, _: PeerConnection) -> object:
+        if not self._member.holds_lease():
+            return NotLeader(self._member.leader)
+        plans_by_number = self._member.machine.get(PlansSlice).plans_by_number
+        return PlanReply(plans_by_number.get(message.number))
+
+    async def _on_list_query(
+        self, message: PlansListQuery, _: PeerConnection
+    ) -> object:
         if not self._member.holds_lease():
             return NotLeader(self._member.leader)
         plans_by_number = self._member.machine.get(PlansSlice).plans_by_number
-        if message.number is not None:
-            plan = plans_by_number.get(message.number)
-            return PlansReply((plan,) if plan is not None else ())
         limit = max(1, min(message.limit, MAX_PLANS))
-        return PlansReply(tuple(plans_by_number.values())[-limit:])
+        latest = list(plans_by_number.values())[-limit:]
+        return PlansListReply(tuple(_summary(plan) for plan in latest))
 
     async def _on_wait(self, message: WaitInForce, _: PeerConnection) -> object:
         if not self._member.holds_lease():
@@ -48,3 +59,16 @@
         if not self._member.holds_lease():
             return NotLeader(self._member.leader)
         return InForceReply(tuple(behind))
+
+
+def _summary(plan: Plan) -> PlanSummary:
+    return PlanSummary(
+        plan.number,
+        plan.digest,
+        plan.base,
+        plan.author,
+        plan.time,
+        len(plan.changes),
+        len(plan.warnings),
+        plan.confirmation,
+    )
--- a/goldcrestyard/plugins/operators/planning.py
+++ b/goldcrestyard/plugins/operators/planning.py
@@ -28,9 +28,12 @@
     ConfirmPlan,
     InForceReply,
     PlanConfirmed,
-    PlansQuery,
-    PlansReply,
+    PlanQuery,
+    PlanReply,
+    PlansListQuery,
+    PlansListReply,
     PlanStored,
+    PlanSummary,
     StorePlan,
     WaitInForce,
 )
@@ -47,6 +50,9 @@
 
 RETRY_SECONDS = 0.2
 
+MAX_DECLARATION = 1024 * 1024
+"""Plans are kept in the replicated log and in memory on control members."""
+
 
 @dataclass(frozen=True, slots=True)
 class Author:
@@ -98,6 +104,12 @@
         self, text: str, number: PlanNumber | None, author: Author
     ) -> Plan | Refusal:
         """Store what a declaration changes, and return it."""
+        if len(text) > MAX_DECLARATION:
+            return Refusal(
+                RefusalReason.BODY_TOO_LARGE,
+                f"the declaration is longer than {MAX_DECLARATION} characters; "
+                "split it by tables",
+            )
         declaration = declarations.read(text, self._kinds)
         if isinstance(declaration, declarations.Faults):
             return Refusal(RefusalReason.BAD_REQUEST, "\n".join(declaration.messages))
@@ -142,12 +154,21 @@
         result = await self._link.propose(command, author.name, author.correlation_id)
         return refusal_of(result) or _applied(result)
 
-    async def plans(
-        self, number: PlanNumber | None = None, limit: int = 100
-    ) -> tuple[Plan, ...] | Refusal:
-        """Return one plan or the latest ones, as the leader knows them."""
-        reply = await self._link.request(PlansQuery(number, limit), QUERY_SECONDS)
-        if isinstance(reply, PlansReply):
+    async def find(self, number: PlanNumber) -> Plan | Refusal:
+        """Return a plan as the leader knows it."""
+        reply = await self._link.request(PlanQuery(number), QUERY_SECONDS)
+        match reply:
+            case PlanReply(plan=None):
+                return Refusal(RefusalReason.NOT_FOUND, f"no plan {number}")
+            case PlanReply(plan=Plan() as plan):
+                return plan
+            case _:
+                return no_leader(reply)
+
+    async def latest(self) -> tuple[PlanSummary, ...] | Refusal:
+        """Return the latest plans without their changes."""
+        reply = await self._link.request(PlansListQuery(), QUERY_SECONDS)
+        if isinstance(reply, PlansListReply):
             return reply.plans
         return no_leader(reply)
 
--- a/goldcrestyard/plugins/operators/views.py
+++ b/goldcrestyard/plugins/operators/views.py
@@ -26,7 +26,6 @@
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
 from goldcrestyard.plugins.targets.commands import DrainTarget
 from goldcrestyard.plugins.targets.slices import TargetsSlice
-from goldcrestyard.policy.plans import Plan
 from goldcrestyard.state.commands import Command
 from goldcrestyard.state.declarations import DeclaredKind
 
@@ -98,10 +97,10 @@
 
     async def plans(self, request: web.Request, _: Author) -> web.StreamResponse:
         """List the latest plans, without their changes."""
-        plans = await self._planner.plans()
+        plans = await self._planner.latest()
         if isinstance(plans, Refusal):
             return refuse(plans)
-        return json_answer({"plans": [_summary(plan) for plan in plans]})
+        return json_answer({"plans": plans})
 
     async def plan_of_number(
         self, request: web.Request, _: Author
@@ -110,12 +109,10 @@
         number = _plan_number(request)
         if isinstance(number, Refusal):
             return refuse(number)
-        plans = await self._planner.plans(number)
-        if isinstance(plans, Refusal):
-            return refuse(plans)
-        if not plans:
-            return refuse(Refusal(RefusalReason.NOT_FOUND, f"no plan {number}"))
-        return json_answer({"plan": plans[0]})
+        plan = await self._planner.find(number)
+        if isinstance(plan, Refusal):
+            return refuse(plan)
+        return json_answer({"plan": plan})
 
     async def grant_key(
         self, request: web.Request, author: Author
@@ -202,16 +199,3 @@
     if text.isascii() and text.isdigit() and len(text) < 20:
         return PlanNumber(int(text))
     return Refusal(RefusalReason.BAD_REQUEST, f"{text!r} is not a plan number")
-
-
-def _summary(plan: Plan) -> dict[str, object]:
-    return {
-        "number": plan.number,
-        "digest": plan.digest,
-        "base": plan.base,
-        "author": plan.author,
-        "time": plan.time,
-        "changes": len(plan.changes),
-        "warnings": len(plan.warnings),
-        "confirmation": plan.confirmation,
-    }
