--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -75,10 +75,29 @@
 
 
 class MembersTests(OperatorsTestCase):
-    """Guards the way back of a control member that lost its disk."""
+    """Guards operators' work while control members die and come back."""
 
     control_members = 3
 
+    async def test_resends_after_the_leader_died_get_the_first_answer(self) -> None:
+        plan = await self.plan(TWO, "--number", "7")
+        named = f"7@{plan['digest']}"
+        answer = await self.goldcrest("confirm", named)
+        old = (await self.goldcrest("status"))["leader"]
+        leader = next(item for item in self.deployment.instances if item.id == old)
+        assert leader.process is not None
+        leader.process.kill()
+        await leader.process.wait()
+        # The dead instance is still among the servers that the tool asks.
+        again = await self.plan(TWO, "--number", "7")
+        self.assertEqual(again["digest"], plan["digest"])
+        resent = await self.goldcrest("confirm", named)
+        self.assertEqual(resent["confirmation"], answer["confirmation"])
+        self.assertTrue(resent["in_force"])
+        self.assertNotEqual((await self.goldcrest("status"))["leader"], old)
+        trail = await self.goldcrest("audit", "--subject", "organisation/")
+        self.assertEqual(len(trail["records"]), 2)
+
     async def test_member_with_a_new_disk_is_replaced_once(self) -> None:
         listed = await self.goldcrest("members", "list")
         lost = next(
