--- a/tests/membership/test_entry_sessions.py
+++ b/tests/membership/test_entry_sessions.py
@@ -10,6 +10,7 @@
 
 from goldcrestyard.core.ids import InstanceId, Revision
 from goldcrestyard.membership.change_feed import ChangeFeed
+from goldcrestyard.membership.digests import LeaderDigests
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.policy.leases import EntryLease
 from goldcrestyard.wire.codec import Codec
@@ -68,6 +69,7 @@
             codec,
             clock,
             LEASE_SECONDS,
+            LeaderDigests(),
         )
         sessions.leases_by_entry[ENTRY] = EntryLease(
             Revision(case.applied), now + case.expires_in
