Let both targets refuse every attempt in the test of released claims

A target that turns a request away may be asked again, so one refusal of each no longer makes the whole call fail. What is asserted is the same.

--- a/tests/processes/test_services.py
+++ b/tests/processes/test_services.py
@@ -336,22 +336,28 @@
         self.assertEqual(await self.runs("runs_by_call", call), 1)
 
     async def test_claim_is_released_when_provably_not_run(self) -> None:
-        # Both targets refuse, so the caller may resend under the same id.
+        # Both targets refuse each attempt, so the caller may resend under
+        # the same id.
         call, key = uuid.uuid4().hex, self.keys["tejo"]
         headers = {"idempotency-key": call}
-        async with aiohttp.ClientSession() as session:
-            for target in self.targets:
-                url = f"http://{target}/fake/faults"
-                async with session.post(url, json=["not_run"]):
-                    pass
         path = f"/quote/book?call={call}"
+        await self.set_faults_of_all(["not_run"] * 100)
         refused = await ask(self.deployment, path, key=key, headers=headers)
+        await self.set_faults_of_all([])
         self.assertEqual(refused.error["verdict"], "not_run")
         self.assertEqual(await self.runs("runs_by_call", call), 0)
         served = await ask(self.deployment, path, entry=1, key=key, headers=headers)
         self.assertEqual(served.status, 200)
         self.assertEqual(await self.runs("runs_by_call", call), 1)
 
+    async def set_faults_of_all(self, faults: list[str]) -> None:
+        """Set the faults of the next calls at each target."""
+        async with aiohttp.ClientSession() as session:
+            for target in self.targets:
+                url = f"http://{target}/fake/faults"
+                async with session.post(url, json=faults):
+                    pass
+
     async def test_large_outcome_is_known_without_its_body(self) -> None:
         call, key = uuid.uuid4().hex, self.keys["tejo"]
         headers = {"idempotency-key": call}
