Meter every attempt that ran, and show the whole path in a demo

Cause: nothing called the usage meter, so reports were empty. The scheduler sees each attempt end, so it reports the runs; the usage plug-in listens and requires the plug-ins that send attempts, so that it drains after them. The tokens are the engine's own figures, which the entry asks for on each stream and hides from callers that did not ask; a broken stream counts its pieces.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -158,7 +158,7 @@
     def _with_overrides(self, text: str) -> str:
         for section, values in self.overrides_by_section.items():
             lines = "".join(
-                f"{key} = {json.dumps(value)}\n" for key, value in values.items()
+                f"{key} = {to_toml(value)}\n" for key, value in values.items()
             )
             head = f"[{section}]\n"
             if head in text:
--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -101,8 +101,21 @@
                 request.path, request_id, body, tokens[position], position == last
             )
 
+        usage_piece = None
+        if (body.get("stream_options") or {}).get("include_usage"):
+            usage_piece = {
+                **self._piece(request.path, request_id, body, "", last=False),
+                "choices": [],
+                "usage": _usage(body, tokens),
+            }
         return await engine_faults.write_stream(
-            fault, request, response, piece_at, len(tokens), self.token_seconds
+            fault,
+            request,
+            response,
+            piece_at,
+            len(tokens),
+            self.token_seconds,
+            usage_piece,
         )
 
     async def _whole(
@@ -128,11 +141,7 @@
             "model": body["model"],
             "weight_version": self.version,
             "choices": [choice],
-            "usage": {
-                "prompt_tokens": len(str(body)) // 4,
-                "completion_tokens": len(tokens),
-                "total_tokens": len(str(body)) // 4 + len(tokens),
-            },
+            "usage": _usage(body, tokens),
         }
         headers = {"x-request-id": engine_faults.header_id(fault, request_id)}
         return await engine_faults.write_whole(fault, request, answer, headers)
@@ -232,6 +241,15 @@
         return web.json_response({"running": self.running})
 
 
+def _usage(body: dict[str, Any], tokens: list[str]) -> dict[str, int]:
+    prompt = len(str(body.get("messages") or body.get("prompt"))) // 4
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": len(tokens),
+        "total_tokens": prompt + len(tokens),
+    }
+
+
 async def serve(options: argparse.Namespace) -> None:
     """Run the stand-in until it is asked to stop."""
     engine = Engine(
--- a/demo/fakes/engine_faults.py
+++ b/demo/fakes/engine_faults.py
@@ -129,6 +129,7 @@
     piece_at: Callable[[int], dict[str, Any]],
     count: int,
     token_seconds: float,
+    usage_piece: dict[str, Any] | None = None,
 ) -> web.StreamResponse:
     """Write the pieces of a stream, with the fault among them."""
     last = count - 1
@@ -154,6 +155,8 @@
             await _write(response, piece, position)
     if fault is Fault.PIECE_AFTER_FINISH:
         await _write(response, piece_at(0), last + 1)
+    if usage_piece is not None:
+        await _write(response, usage_piece, last + 2)
     if fault is not Fault.NO_END_MARK:
         await response.write(b"data: [DONE]\n\n")
     await response.write_eof()
--- a/goldcrestyard/core/attempts.py
+++ b/goldcrestyard/core/attempts.py
@@ -41,6 +41,14 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class TokenCount:
+    """Tokens that an attempt took in and generated."""
+
+    prompt: int
+    generated: int
+
+
 AttemptFailure = Unreached | TurnedAway | Broken
 AttemptOutcome = AttemptFailure | Answered
 
--- a/goldcrestyard/core/ids.py
+++ b/goldcrestyard/core/ids.py
@@ -1,5 +1,6 @@
 """Identifiers.  Each is a distinct type, so that ids cannot be mixed up."""
 
+import uuid
 from typing import NewType
 
 InstanceId = NewType("InstanceId", str)
@@ -20,6 +21,13 @@
 """Chosen by the caller, or by the entry when the caller sent none."""
 AttemptId = NewType("AttemptId", str)
 """Chosen by the entry for each time a request is sent to a target."""
+
+
+def new_attempt_id() -> AttemptId:
+    """Return a new attempt id."""
+    return AttemptId(uuid.uuid4().hex)
+
+
 CorrelationId = NewType("CorrelationId", str)
 
 TrainerId = NewType("TrainerId", str)
--- a/goldcrestyard/plugins/engines/dispatch.py
+++ b/goldcrestyard/plugins/engines/dispatch.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import uuid
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -14,7 +13,7 @@
     Broken,
     TurnedAway,
 )
-from goldcrestyard.core.ids import AttemptId, CorrelationId, OrganisationId, TargetId
+from goldcrestyard.core.ids import CorrelationId, OrganisationId, TargetId
 from goldcrestyard.core.records import Organisation, Target
 from goldcrestyard.core.refusals import Refusal
 from goldcrestyard.core.states import Priority
@@ -22,11 +21,14 @@
 from goldcrestyard.plugins.engines.event_stream import Piece
 from goldcrestyard.plugins.engines.requests import InferenceRequest, needs_of
 from goldcrestyard.plugins.engines.settings import EngineSettings
+from goldcrestyard.plugins.engines.token_counts import (
+    StreamCounter,
+    count_of_answer,
+)
 from goldcrestyard.plugins.engines.upstream import (
     EngineClient,
     Finished,
     StreamStep,
-    generated_tokens,
 )
 from goldcrestyard.plugins.scheduling.scheduler import Grant, Scheduler, WorkRequest
 from goldcrestyard.policy import retries
@@ -97,9 +99,9 @@
                 if isinstance(granted, Refusal):
                     return self._without_target(call, granted)
                 outcome = await self._client.call(
-                    granted.target, call.request, new_attempt_id(), call.correlation_id
+                    granted.target, call.request, granted.attempt, call.correlation_id
                 )
-                granted.finish(outcome, generated_tokens(outcome))
+                granted.finish(outcome, count_of_answer(outcome))
                 _note_tried(call, granted, outcome)
             if isinstance(outcome, Answered):
                 return outcome
@@ -123,12 +125,12 @@
                 opened = await stack.enter_async_context(
                     self._client.stream(
                         granted.target,
-                        call.request,
-                        new_attempt_id(),
+                        call.request.with_usage(),
+                        granted.attempt,
                         call.correlation_id,
                     )
                 )
-                outcome = await self._begin(granted, opened)
+                outcome = await self._begin(granted, call.request, opened)
                 if isinstance(outcome, OpenStream):
                     yield outcome
                     return
@@ -145,13 +147,17 @@
     async def _begin(
         self,
         grant: Grant,
+        request: InferenceRequest,
         opened: AsyncIterator[StreamStep] | Answered | AttemptFailure,
     ) -> OpenStream | Answered | AttemptFailure:
         if not isinstance(opened, AsyncIterator):
             return opened
         first = await anext(opened)
         if isinstance(first, Piece):
-            return OpenStream(grant, first, _observed(grant, opened))
+            counter = StreamCounter(request)
+            counter.add(first.data)
+            grant.used = counter.count
+            return OpenStream(grant, first, _observed(grant, counter, opened))
         if isinstance(first, Broken):
             return first
         return Broken("stream ended before its first piece")
@@ -206,21 +212,18 @@
 
 
 async def _observed(
-    grant: Grant, steps: AsyncIterator[StreamStep]
+    grant: Grant, counter: StreamCounter, steps: AsyncIterator[StreamStep]
 ) -> AsyncIterator[StreamStep]:
     """Pass on the steps of a stream and tell the scheduler of its end."""
-    tokens = 1
     async for step in steps:
         match step:
-            case Piece():
-                tokens += 1
+            case Piece(data=data):
+                counter.add(data)
+                grant.used = counter.count
+                if counter.hides(data):
+                    continue
             case Finished():
-                grant.finish(Answered(200, "text/event-stream", b""), float(tokens))
+                grant.finish(Answered(200, "text/event-stream", b""))
             case Broken():
-                grant.finish(step, float(tokens))
+                grant.finish(step)
         yield step
-
-
-def new_attempt_id() -> AttemptId:
-    """Return a new attempt id."""
-    return AttemptId(uuid.uuid4().hex)
--- a/goldcrestyard/plugins/engines/requests.py
+++ b/goldcrestyard/plugins/engines/requests.py
@@ -37,6 +37,22 @@
     fields: InferenceFields
     body: dict[str, Any]
 
+    @property
+    def asks_for_usage(self) -> bool:
+        """Whether the caller wants the token figures of a stream."""
+        options = self.body.get("stream_options")
+        return isinstance(options, dict) and bool(options.get("include_usage"))
+
+    def with_usage(self) -> "InferenceRequest":
+        """Return a request whose stream ends with the token figures.
+
+        They are needed for correct bills: a piece may hold several tokens.
+        """
+        options = self.body.get("stream_options")
+        known = options if isinstance(options, dict) else {}
+        body = {**self.body, "stream_options": {**known, "include_usage": True}}
+        return InferenceRequest(self.path, self.fields, body)
+
 
 def parse(path: str, body: dict[str, Any]) -> InferenceRequest | Refusal:
     """Check a request body; unknown fields are forwarded as they are."""
@@ -58,10 +74,10 @@
 def needs_of(request: InferenceRequest, priority: Priority) -> Needs:
     """Return what a request needs from an engine, as an estimate."""
     text = _prompt_text(request.fields)
-    prompt_tokens = len(text) / CHARACTERS_PER_TOKEN
+    prompt = len(text) / CHARACTERS_PER_TOKEN
     tokens = request.fields.max_tokens or DEFAULT_MAX_TOKENS
     return Needs(
-        tokens + PREFILL_WEIGHT * prompt_tokens,
+        tokens + PREFILL_WEIGHT * prompt,
         priority,
         prefix_blocks(text),
         # An interactive caller would see its stream break off.
@@ -69,6 +85,11 @@
     )
 
 
+def prompt_tokens(request: InferenceRequest) -> int:
+    """Return the tokens of a prompt, estimated from its length."""
+    return len(_prompt_text(request.fields)) // CHARACTERS_PER_TOKEN
+
+
 def _prompt_text(fields: InferenceFields) -> str:
     if fields.messages is not None:
         return "\n".join(str(message.get("content")) for message in fields.messages)
--- /dev/null
+++ b/goldcrestyard/plugins/engines/token_counts.py
@@ -0,0 +1,68 @@
+"""How many tokens an attempt took, by the engine's word where it gives it."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from goldcrestyard.core.attempts import Answered, AttemptOutcome, TokenCount
+from goldcrestyard.plugins.engines.requests import InferenceRequest, prompt_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class _Usage:
+    prompt_tokens: int
+    completion_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class _AnswerWithUsage:
+    usage: _Usage | None = None
+
+
+def count_of_answer(outcome: AttemptOutcome) -> TokenCount | None:
+    """Return what a whole answer says that it used, if it does."""
+    if not isinstance(outcome, Answered) or outcome.status >= 400:
+        return None
+    try:
+        answer = msgspec.json.decode(outcome.body, type=_AnswerWithUsage)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    return _to_count(answer.usage)
+
+
+class StreamCounter:
+    """Counts a stream's tokens.
+
+    Until the engine's own figures come, at the end of a whole stream, each
+    piece counts as one token and the prompt by its length.
+    """
+
+    def __init__(self, request: InferenceRequest) -> None:
+        self.count = TokenCount(prompt_tokens(request), 0)
+        self._asked_for_usage = request.asks_for_usage
+
+    def add(self, data: dict[str, Any]) -> None:
+        """Take a piece of the stream into account."""
+        reported = data.get("usage")
+        if isinstance(reported, dict):
+            try:
+                self.count = _to_count(msgspec.convert(reported, _Usage)) or self.count
+            except msgspec.ValidationError:
+                pass
+        elif data.get("choices"):
+            self.count = TokenCount(self.count.prompt, self.count.generated + 1)
+
+    def hides(self, data: dict[str, Any]) -> bool:
+        """Return whether a piece has only figures nobody asked for."""
+        return (
+            not self._asked_for_usage
+            and not data.get("choices")
+            and data.get("usage") is not None
+        )
+
+
+def _to_count(usage: _Usage | None) -> TokenCount | None:
+    if usage is None:
+        return None
+    return TokenCount(usage.prompt_tokens, usage.completion_tokens)
--- a/goldcrestyard/plugins/engines/upstream.py
+++ b/goldcrestyard/plugins/engines/upstream.py
@@ -242,27 +242,6 @@
     return isinstance(answer_id, str) and answer_id.endswith(attempt)
 
 
-def generated_tokens(outcome: AttemptOutcome) -> float | None:
-    """Return the tokens that an answer says it generated, if it does."""
-    if not isinstance(outcome, Answered):
-        return None
-    try:
-        answer = msgspec.json.decode(outcome.body, type=_AnswerWithUsage)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    return answer.usage.completion_tokens if answer.usage is not None else None
-
-
-@dataclass(frozen=True, slots=True)
-class _Usage:
-    completion_tokens: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class _AnswerWithUsage:
-    usage: _Usage | None = None
-
-
 def describe(error: Exception) -> str:
     """Return a text for an error that may have none of its own."""
     return str(error) or type(error).__name__
--- a/goldcrestyard/plugins/scheduling/scheduler.py
+++ b/goldcrestyard/plugins/scheduling/scheduler.py
@@ -10,10 +10,17 @@
     Answered,
     AttemptOutcome,
     Broken,
+    TokenCount,
     TurnedAway,
     Unreached,
 )
-from goldcrestyard.core.ids import Region, TargetId
+from goldcrestyard.core.ids import (
+    AttemptId,
+    OrganisationId,
+    Region,
+    TargetId,
+    new_attempt_id,
+)
 from goldcrestyard.core.records import Organisation, Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Priority
@@ -44,22 +51,40 @@
     deadline: float = float("inf")
 
 
+@dataclass(frozen=True, slots=True)
+class Run:
+    """What one attempt that ran on a target has used."""
+
+    attempt: AttemptId
+    organisation: OrganisationId
+    name: str
+    tokens: TokenCount
+
+
 @dataclass(slots=True)
 class Grant:
-    """A target that a request may use, until the grant is released."""
+    """A target that one attempt may use, until the grant is released."""
 
     target: Target
     facts: TargetFacts
     work: WorkRequest
     granted_at: float
+    attempt: AttemptId = field(default_factory=new_attempt_id)
     outcome: AttemptOutcome | None = None
-    tokens: float | None = None
-    """Tokens that the request really took, if known."""
+    used: TokenCount | None = None
+    """What the attempt has used so far, as far as it is known."""
 
-    def finish(self, outcome: AttemptOutcome, tokens: float | None = None) -> None:
+    def finish(self, outcome: AttemptOutcome, used: TokenCount | None = None) -> None:
         """Say how the attempt ended, for the scheduler to learn from."""
         self.outcome = outcome
-        self.tokens = tokens
+        self.used = used or self.used
+
+    @property
+    def tokens(self) -> float | None:
+        """The generated tokens; None if unknown or not what counts."""
+        if self.used is None or self.used.generated == 0:
+            return None
+        return float(self.used.generated)
 
 
 @dataclass(slots=True)
@@ -86,6 +111,7 @@
         self._settings = settings
         self._queues_by_name: dict[str, FairQueue[_Waiting]] = {}
         self._retry_observers: list[Callable[[], None]] = []
+        self._run_observers: list[Callable[[Run], None]] = []
         self.use = TokenUse()
         self.facts_by_id: dict[TargetId, TargetFacts] = {}
 
@@ -103,6 +129,10 @@
         """Call a function at each retry."""
         self._retry_observers.append(observer)
 
+    def observe_runs(self, observer: Callable[[Run], None]) -> None:
+        """Call a function once for each attempt that ran."""
+        self._run_observers.append(observer)
+
     def note_retry(self) -> None:
         """Note that a request is sent again."""
         for observer in self._retry_observers:
@@ -251,6 +281,7 @@
         now = self._clock.monotonic()
         work = grant.work
         self._learn(grant, now)
+        self._report_run(grant)
         grant.facts.end(work.needs.tokens)
         if grant.tokens is not None:
             surplus = grant.tokens - work.needs.tokens
@@ -260,6 +291,15 @@
             queue.rate.observe(grant.tokens or work.needs.tokens, now)
             self._pump_queue(work.name)
 
+    def _report_run(self, grant: Grant) -> None:
+        """Report an attempt that ran, whole or not."""
+        if grant.used is None:
+            return
+        organisation = grant.work.organisation.id
+        run = Run(grant.attempt, organisation, grant.work.name, grant.used)
+        for observer in self._run_observers:
+            observer(run)
+
     @staticmethod
     def _learn(grant: Grant, now: float) -> None:
         facts = grant.facts
--- a/goldcrestyard/plugins/services/dispatch.py
+++ b/goldcrestyard/plugins/services/dispatch.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import random
-import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from goldcrestyard.core.attempts import Answered, AttemptFailure, TurnedAway
+from goldcrestyard.core.attempts import Answered, AttemptFailure, TokenCount, TurnedAway
 from goldcrestyard.core.ids import (
-    AttemptId,
     CorrelationId,
     OrganisationId,
     TargetId,
@@ -24,6 +22,9 @@
 from goldcrestyard.policy import retries
 from goldcrestyard.policy.routing import Needs
 
+NO_TOKENS = TokenCount(0, 0)
+"""Calls of plain services are metered by their number."""
+
 CALL_TOKENS = 100.0
 """What a call counts in an organisation's share, next to generated tokens."""
 
@@ -74,12 +75,12 @@
                     granted.target,
                     call.request,
                     call.organisation,
-                    AttemptId(uuid.uuid4().hex),
+                    granted.attempt,
                     call.correlation_id,
                     deadline - self._clock.monotonic(),
                 )
                 if isinstance(outcome, ServiceAnswer):
-                    granted.finish(Answered(outcome.status, "", b""), CALL_TOKENS)
+                    granted.finish(Answered(outcome.status, "", b""), NO_TOKENS)
                     return outcome
                 granted.finish(outcome)
                 if not isinstance(outcome, TurnedAway):
--- a/goldcrestyard/plugins/usage/apps.py
+++ b/goldcrestyard/plugins/usage/apps.py
@@ -1,5 +1,7 @@
 """Plug-in: usage is metered, closed in windows and reported."""
 
+from functools import partial
+
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -8,6 +10,7 @@
 from goldcrestyard.plugins.listeners.routes import AdminRoutes
 from goldcrestyard.plugins.operators.settings import OperatorSettings
 from goldcrestyard.plugins.orders.commands import Receiver, ReceiverId
+from goldcrestyard.plugins.scheduling.scheduler import Run, Scheduler
 from goldcrestyard.plugins.usage import checks
 from goldcrestyard.plugins.usage.closing import WindowCloser
 from goldcrestyard.plugins.usage.commands import UsageSnapshot
@@ -18,6 +21,17 @@
 from goldcrestyard.policy.orders import Guards
 
 
+def record_run(meter: UsageMeter, run: Run) -> None:
+    """Meter an attempt that the scheduler reports."""
+    meter.record(
+        run.organisation,
+        run.name,
+        run.tokens.prompt,
+        run.tokens.generated,
+        run.attempt,
+    )
+
+
 class UsageConfig(PluginConfig):
     """Provides the meter and closes windows where ``[usage]`` is set.
 
@@ -25,7 +39,19 @@
     """
 
     name = "usage"
-    requires = ("control", "entry", "listeners", "operators", "orders")
+    # The plug-ins that send attempts are required so that a planned stop
+    # sends their last usage: this plug-in then drains after them.
+    requires = (
+        "control",
+        "engines",
+        "entry",
+        "listeners",
+        "operators",
+        "orders",
+        "scheduling",
+        "services",
+        "trainers",
+    )
     settings_section = "usage"
     settings_class = UsageSettings
     slices = (UsageSlice,)
@@ -37,16 +63,15 @@
         settings = app.settings.find(UsageSettings)
         if settings is None:
             return
-        app.provide(
-            UsageMeter,
-            UsageMeter(
-                app.settings.section(InstanceSettings).id,
-                app.get(LeaderLink),
-                app.clock,
-                settings.window_seconds,
-                settings.flush_seconds,
-            ),
+        meter = UsageMeter(
+            app.settings.section(InstanceSettings).id,
+            app.get(LeaderLink),
+            app.clock,
+            settings.window_seconds,
+            settings.flush_seconds,
         )
+        app.provide(UsageMeter, meter)
+        app.get(Scheduler).observe_runs(partial(record_run, meter))
         member = app.find(ControlMember)
         if member is not None:
             views = UsageViews(member, app.settings.section(OperatorSettings))
--- a/tests/plugins/scheduling/test_scheduler.py
+++ b/tests/plugins/scheduling/test_scheduler.py
@@ -7,7 +7,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 
-from goldcrestyard.core.attempts import Answered, Broken
+from goldcrestyard.core.attempts import Answered, Broken, TokenCount, TurnedAway
 from goldcrestyard.core.ids import (
     DataCentre,
     InstanceId,
@@ -19,7 +19,12 @@
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Priority, TargetKind
 from goldcrestyard.core.verdicts import Verdict
-from goldcrestyard.plugins.scheduling.scheduler import Grant, Scheduler, WorkRequest
+from goldcrestyard.plugins.scheduling.scheduler import (
+    Grant,
+    Run,
+    Scheduler,
+    WorkRequest,
+)
 from goldcrestyard.plugins.scheduling.settings import SchedulingSettings
 from goldcrestyard.plugins.targets.commands import HomedTarget
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -65,7 +70,9 @@
         async with self.scheduler.acquire(work or self.work()) as granted:
             if isinstance(granted, Grant):
                 await asyncio.sleep(seconds)
-                granted.finish(Answered(200, "application/json", b""), 10.0)
+                granted.finish(
+                    Answered(200, "application/json", b""), TokenCount(3, 10)
+                )
             return granted
 
     async def test_no_more_requests_than_the_target_takes(self) -> None:
@@ -141,3 +148,21 @@
         assert isinstance(granted, Refusal)
         self.assertIs(granted.reason, RefusalReason.LIMIT)
         self.assertIsInstance(await self.hold(0.0), Grant)
+
+    async def test_each_attempt_that_ran_is_reported_once(self) -> None:
+        """Guards against runs that are not billed, and runs billed twice."""
+        runs: list[Run] = []
+        self.scheduler.observe_runs(runs.append)
+        await self.hold(0.0)
+        async with self.scheduler.acquire(self.work()) as granted:
+            assert isinstance(granted, Grant)
+            granted.finish(TurnedAway(503, "full"))
+        async with self.scheduler.acquire(self.work("bien")) as granted:
+            assert isinstance(granted, Grant)
+            granted.used = TokenCount(3, 4)
+            granted.finish(Broken("reset"))
+        self.assertEqual(
+            [(run.organisation, run.tokens) for run in runs],
+            [("tejo", TokenCount(3, 10)), ("bien", TokenCount(3, 4))],
+        )
+        self.assertEqual(len({run.attempt for run in runs}), 2)
