Let targets' load reports reach the routing of every entry

Cause: homes kept the loads that renewals tell, and the routing read a load that nobody set. Loads now ride on lease renewals with their age; an entry is sent only what has come since its last renewal.

Both front ends also judge in one place whether an answer proves that nothing ran: the header counts only with 429 or 503, while the engines' front end took it with any status.

--- a/demo/fakes/announcer.py
+++ b/demo/fakes/announcer.py
@@ -1,6 +1,7 @@
 """The part of a target that announces itself, renews and leaves."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +15,8 @@
     entries: list[str]
     token: str
     announcement: dict[str, Any]
+    load: Callable[[], dict[str, Any]] | None = None
+    """Returns the load that each renewal tells."""
 
     async def run(self) -> None:
         """Announce and renew until cancelled; change the entry on failure."""
@@ -65,12 +68,16 @@
             await asyncio.sleep(interval)
             async with session.post(
                 f"{url}/{self.announcement['id']}/renew",
-                json=self._renewal(),
+                json=self._renewal_with_load(),
                 timeout=timeout,
             ) as answer:
                 if answer.status != 200:
                     return
 
+    def _renewal_with_load(self) -> dict[str, Any]:
+        load = self.load() if self.load is not None else None
+        return {**self._renewal(), "load": load}
+
     def _renewal(self) -> dict[str, str]:
         return {"incarnation": self.announcement["incarnation"]}
 
--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -22,6 +22,7 @@
 
 WORDS = ("the", "liner", "holds", "at", "joint", "seven", "and", "the", "crack", "ends")
 UNPUBLISHED_VERSION = 999_999
+TOKENS_OF_A_REQUEST = 12
 
 
 @dataclass
@@ -236,6 +237,13 @@
             }
         )
 
+    def load(self) -> dict[str, Any]:
+        """Return the load for a renewal."""
+        return {
+            "running_requests": self.running,
+            "running_tokens": self.running * TOKENS_OF_A_REQUEST,
+        }
+
     async def healthz(self, _: web.Request) -> web.StreamResponse:
         """Answer a probe."""
         return web.json_response({"running": self.running})
@@ -287,6 +295,7 @@
             "max_concurrency": engine.max_concurrency,
             "checks_fencing": True,
         },
+        engine.load,
     )
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
--- a/goldcrestyard/core/attempts.py
+++ b/goldcrestyard/core/attempts.py
@@ -1,5 +1,6 @@
 """What came of sending a request to a target once."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from goldcrestyard.core.verdicts import Verdict
@@ -53,6 +54,19 @@
 AttemptOutcome = AttemptFailure | Answered
 
 
+NOT_RUN_HEADER = "x-not-run"
+NOT_RUN_STATUSES = frozenset({429, 503})
+
+
+def says_not_run(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether a target's answer proves that it has not run a request.
+
+    The header counts only with a status that refuses the request, since a
+    proxy or a faulty target might send it with any.
+    """
+    return status in NOT_RUN_STATUSES and headers.get(NOT_RUN_HEADER) == "true"
+
+
 def verdict_on(outcome: AttemptOutcome) -> Verdict:
     """Return whether the attempt may have run the request."""
     match outcome:
--- a/goldcrestyard/plugins/engines/upstream.py
+++ b/goldcrestyard/plugins/engines/upstream.py
@@ -15,6 +15,7 @@
     Broken,
     TurnedAway,
     Unreached,
+    says_not_run,
 )
 from goldcrestyard.core.ids import AttemptId, CorrelationId
 from goldcrestyard.core.records import Target
@@ -29,7 +30,6 @@
 from goldcrestyard.plugins.engines.settings import EngineSettings
 
 REQUEST_ID_HEADER = "x-request-id"
-NOT_RUN_HEADER = "x-not-run"
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -252,7 +252,7 @@
 ) -> aiohttp.ClientResponse | AttemptFailure:
     if response.headers.get(REQUEST_ID_HEADER) != attempt:
         return Broken("answer of another request")
-    if response.headers.get(NOT_RUN_HEADER) == "true":
+    if says_not_run(response.status, response.headers):
         return TurnedAway(response.status, f"engine answered {response.status}")
     if response.status >= 500:
         return Broken(f"engine answered {response.status}")
--- a/goldcrestyard/plugins/scheduling/apps.py
+++ b/goldcrestyard/plugins/scheduling/apps.py
@@ -1,10 +1,19 @@
 """Plug-in: fair shares and the choice of targets."""
 
+from collections.abc import Iterator
+from functools import partial
+
+from goldcrestyard.core.ids import TargetId
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.digests import EntryDigests, LeaderDigests
 from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.scheduling.load_digests import (
+    TargetLoadChannel,
+    TargetLoadDigest,
+    TargetLoadMerger,
+)
 from goldcrestyard.plugins.scheduling.scheduler import Scheduler
 from goldcrestyard.plugins.scheduling.settings import SchedulingSettings
 from goldcrestyard.plugins.scheduling.use_digests import (
@@ -12,9 +21,20 @@
     TokenUseDigest,
     TokenUseMerger,
 )
+from goldcrestyard.plugins.targets.homes import TargetHome
 from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.routing import LoadReport
 from goldcrestyard.wire.codec import Codec
 
+TOKENS_OF_A_WAITING_REQUEST = 256
+
+
+def load_reports(home: TargetHome) -> Iterator[tuple[TargetId, LoadReport]]:
+    """Yield the loads of a home's targets as the routing reads them."""
+    for target_id, load in home.loads_by_id().items():
+        waiting = load.running_tokens + load.queue_length * TOKENS_OF_A_WAITING_REQUEST
+        yield target_id, LoadReport(float(waiting), load.measured_at)
+
 
 class SchedulingConfig(PluginConfig):
     """Provides the scheduler."""
@@ -23,7 +43,7 @@
     requires = ("control", "entry", "targets")
     settings_section = "scheduling"
     settings_class = SchedulingSettings
-    messages = (TokenUseDigest,)
+    messages = (TokenUseDigest, TargetLoadDigest)
 
     def ready(self, app: Application) -> None:
         """Create the scheduler on this entry's view."""
@@ -38,10 +58,18 @@
         app.provide(Scheduler, scheduler)
         codec = app.get(Codec)
         channel = TokenUseChannel(scheduler.use, codec, app.clock)
-        app.get(EntryDigests).add(channel)
+        home = app.get(TargetHome)
+        digests = app.get(EntryDigests)
+        digests.add(channel)
+        digests.add(
+            TargetLoadChannel(
+                partial(load_reports, home), scheduler.learn_load, codec, app.clock
+            )
+        )
         leader_digests = app.find(LeaderDigests)
         if leader_digests is not None:
             leader_digests.add(TokenUseMerger(codec, app.clock))
+            leader_digests.add(TargetLoadMerger(codec, app.clock))
 
     async def start(self, app: Application) -> None:
         """Start to look for targets that return from ejection."""
--- a/goldcrestyard/plugins/scheduling/scheduler.py
+++ b/goldcrestyard/plugins/scheduling/scheduler.py
@@ -33,7 +33,12 @@
     TokenUse,
     Waiter,
 )
-from goldcrestyard.policy.routing import Needs, TargetFacts, choose_target
+from goldcrestyard.policy.routing import (
+    LoadReport,
+    Needs,
+    TargetFacts,
+    choose_target,
+)
 
 MINUTE_SECONDS = 60.0
 EJECTED_POLL_SECONDS = 0.25
@@ -125,6 +130,16 @@
         """The number of requests that this entry has sent to targets."""
         return sum(facts.in_flight for facts in self.facts_by_id.values())
 
+    def learn_load(self, target_id: TargetId, report: LoadReport) -> None:
+        """Take note of a target's own word on its load."""
+        target = self._targets.find(target_id)
+        if target is None:
+            return
+        self._know(target)
+        facts = self.facts_by_id[target_id]
+        if facts.load is None or report.measured_at > facts.load.measured_at:
+            facts.load = report
+
     def observe_retries(self, observer: Callable[[], None]) -> None:
         """Call a function at each retry."""
         self._retry_observers.append(observer)
--- a/goldcrestyard/plugins/services/upstream.py
+++ b/goldcrestyard/plugins/services/upstream.py
@@ -1,6 +1,5 @@
 """One attempt: sending a request to a service's target."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 import aiohttp
@@ -11,6 +10,7 @@
     Broken,
     TurnedAway,
     Unreached,
+    says_not_run,
 )
 from goldcrestyard.core.ids import AttemptId, CorrelationId, OrganisationId
 from goldcrestyard.core.records import Target
@@ -22,8 +22,6 @@
 from goldcrestyard.plugins.services.settings import ServiceSettings
 
 REQUEST_ID_HEADER = "x-request-id"
-NOT_RUN_HEADER = "x-not-run"
-NOT_RUN_STATUSES = frozenset({429, 503})
 ORGANISATION_HEADER = "x-organisation"
 CORRELATION_HEADER = "x-correlation-id"
 
@@ -114,7 +112,7 @@
         # that the answer is that of another request.
         if response.headers.get(REQUEST_ID_HEADER, attempt) != attempt:
             return Broken("answer of another request")
-        if _is_not_run(response.status, response.headers):
+        if says_not_run(response.status, response.headers):
             return TurnedAway(
                 response.status, f"target answered {response.status}, not run"
             )
@@ -130,9 +128,5 @@
         )
 
 
-def _is_not_run(status: int, headers: Mapping[str, str]) -> bool:
-    return status in NOT_RUN_STATUSES and headers.get(NOT_RUN_HEADER) == "true"
-
-
 def _describe(error: Exception) -> str:
     return str(error) or type(error).__name__
--- a/goldcrestyard/plugins/targets/homes.py
+++ b/goldcrestyard/plugins/targets/homes.py
@@ -76,12 +76,13 @@
             renewal.load = load
         return True
 
-    def load_of(self, target_id: TargetId) -> tuple[Load, float] | None:
-        """Return a target's last load and its age in seconds, if known."""
-        renewal = self._renewals_by_id.get(target_id)
-        if renewal is None or renewal.load is None:
-            return None
-        return renewal.load, self._clock.monotonic() - renewal.load.measured_at
+    def loads_by_id(self) -> dict[TargetId, Load]:
+        """Return the last load of each target of this home that told one."""
+        return {
+            target_id: renewal.load
+            for target_id, renewal in self._renewals_by_id.items()
+            if renewal.load is not None
+        }
 
     def loads(self) -> Iterator[tuple[Load, float]]:
         """Yield the last loads of the targets of this home with their age."""
--- /dev/null
+++ b/tests/core/test_attempts.py
@@ -0,0 +1,29 @@
+"""Tests of the verdict on attempts.
+
+They guard against an answer that is taken as proof that nothing has run.
+"""
+
+import unittest
+
+from parameterized import parameterized
+
+from goldcrestyard.core.attempts import says_not_run
+
+
+class NotRunTests(unittest.TestCase):
+    """Which answers prove that a target has not run a request."""
+
+    @parameterized.expand(
+        [
+            ("refused_with_header", 503, {"x-not-run": "true"}, True),
+            ("limited_with_header", 429, {"x-not-run": "true"}, True),
+            ("no_header", 503, {}, False),
+            ("other_value", 503, {"x-not-run": "false"}, False),
+            ("header_with_an_answer", 200, {"x-not-run": "true"}, False),
+            ("header_with_a_failure", 500, {"x-not-run": "true"}, False),
+        ]
+    )
+    def test_proof(
+        self, _: str, status: int, headers: dict[str, str], proves: bool
+    ) -> None:
+        self.assertIs(says_not_run(status, headers), proves)
--- /dev/null
+++ b/tests/plugins/scheduling/test_load_digests.py
@@ -0,0 +1,75 @@
+"""Tests of the way of load reports from a home entry to another entry.
+
+They guard against an old report that passes for a new one, and against
+traffic that grows with the number of renewals.
+"""
+
+import asyncio
+
+from goldcrestyard.core.ids import InstanceId, TargetId
+from goldcrestyard.plugins.scheduling.load_digests import (
+    STALE_SECONDS,
+    TargetLoadChannel,
+    TargetLoadDigest,
+    TargetLoadMerger,
+)
+from goldcrestyard.policy.routing import LoadReport
+from goldcrestyard.wire.codec import Codec
+from tests.fakes.paused_clock import PausedClockTestCase
+
+ENGINE = TargetId("engine-1")
+HOME = InstanceId("home")
+OTHER = InstanceId("other")
+
+
+class TargetLoadTests(PausedClockTestCase):
+    """What another entry learns of a target's load."""
+
+    async def asyncSetUp(self) -> None:
+        self.codec = Codec()
+        self.codec.register(TargetLoadDigest)
+        self.reports: dict[TargetId, LoadReport] = {}
+        self.learned: dict[TargetId, LoadReport] = {}
+        clock = self.clock()
+        self.home = TargetLoadChannel(
+            lambda: iter(self.reports.items()), lambda *_: None, self.codec, clock
+        )
+        self.other = TargetLoadChannel(
+            lambda: iter(()), self.learned.__setitem__, self.codec, clock
+        )
+        self.merger = TargetLoadMerger(self.codec, clock)
+
+    def exchange(self) -> bytes:
+        """Let both entries renew; return what the other one was sent."""
+        self.merger.merge(HOME, self.home.collect())
+        self.merger.merge(OTHER, self.other.collect())
+        summary = self.merger.summary(OTHER)
+        self.other.receive(summary)
+        return summary
+
+    async def test_report_arrives_with_its_age(self) -> None:
+        await asyncio.sleep(10.0)
+        self.reports[ENGINE] = LoadReport(700.0, 8.0)
+        self.exchange()
+        self.assertEqual(self.learned, {ENGINE: LoadReport(700.0, 8.0)})
+
+    async def test_unchanged_report_is_sent_once(self) -> None:
+        self.reports[ENGINE] = LoadReport(700.0, 0.0)
+        self.exchange()
+        await asyncio.sleep(1.07)
+        sent = self.codec.decode(self.exchange())
+        self.assertEqual(sent.loads_by_target, {})
+
+    async def test_newer_report_replaces_the_last(self) -> None:
+        self.reports[ENGINE] = LoadReport(700.0, 0.0)
+        self.exchange()
+        await asyncio.sleep(2.0)
+        self.reports[ENGINE] = LoadReport(50.0, 2.0)
+        self.exchange()
+        self.assertEqual(self.learned, {ENGINE: LoadReport(50.0, 2.0)})
+
+    async def test_stale_report_is_not_passed_on(self) -> None:
+        self.reports[ENGINE] = LoadReport(700.0, 0.0)
+        await asyncio.sleep(STALE_SECONDS + 1.0)
+        self.exchange()
+        self.assertEqual(self.learned, {})
--- a/tests/plugins/targets/test_homes.py
+++ b/tests/plugins/targets/test_homes.py
@@ -76,7 +76,8 @@
         self.home.renew(T, "i1", newer)
         self.home.renew(T, "i1", older)
         await asyncio.sleep(3.0)
-        self.assertEqual(self.home.load_of(T), (newer, 4.0))
+        self.assertEqual(self.home.loads_by_id(), {T: newer})
+        self.assertEqual(list(self.home.loads()), [(newer, 4.0)])
         self.assertFalse(self.home.renew(T, "i2", newer))
 
 
