Refuse at once what no target can have

Cause: a retry whose targets had all been tried waited its whole queue time, 30 s for interactive and 300 s for rollout work, before the caller got the error of its last attempt. Interactive work for which there are only reclaimable targets waited as well.

--- a/goldcrestyard/plugins/scheduling/scheduler.py
+++ b/goldcrestyard/plugins/scheduling/scheduler.py
@@ -38,6 +38,7 @@
     Needs,
     TargetFacts,
     choose_target,
+    usable_targets,
 )
 
 MINUTE_SECONDS = 60.0
@@ -191,10 +192,11 @@
 
     async def _wait(self, work: WorkRequest) -> Grant | Refusal:
         now = self._clock.monotonic()
-        if not self._targets.serving(work.name):
+        serving = self._targets.serving(work.name)
+        if not usable_targets(serving, work.needs, work.tried):
             return Refusal(
                 RefusalReason.NO_TARGET,
-                f"no target serves {work.name}",
+                f"no target is left that serves {work.name}",
                 retry_after_seconds=5.0,
             )
         if self.over_limit(work.organisation):
--- a/tests/plugins/scheduling/test_scheduler.py
+++ b/tests/plugins/scheduling/test_scheduler.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 from goldcrestyard.core.attempts import Answered, Broken, TokenCount, TurnedAway
 from goldcrestyard.core.ids import (
@@ -141,6 +142,15 @@
         await asyncio.gather(self.hold(0.1), self.hold(0.1))
         self.assertAlmostEqual(self.clock().monotonic() - started, 0.1, delta=0.11)
 
+    async def test_request_that_no_target_can_have_does_not_wait(self) -> None:
+        """Guards against waiting for targets that have all been tried."""
+        started = self.clock().monotonic()
+        tried = replace(self.work(), tried=frozenset({TargetId("a")}))
+        refused = await self.hold(0.0, tried)
+        assert isinstance(refused, Refusal)
+        self.assertIs(refused.reason, RefusalReason.NO_TARGET)
+        self.assertEqual(self.clock().monotonic(), started)
+
     async def test_limit_of_tokens_holds_for_one_organisation(self) -> None:
         limited = self.work("bien", tokens_per_minute=60)
         for _ in range(10):
