--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of costs against sizes, on one machine."""
--- /dev/null
+++ b/bench/data_path.py
@@ -0,0 +1,168 @@
+"""Real processes: relayed requests and tokens, target renewals, idle cost."""
+
+import asyncio
+import uuid
+from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
+from itertools import cycle
+from typing import Any
+
+import aiohttp
+
+from bench.control import free_port
+from bench.measure import RUNS, Spread, cpu_of, report, resident_of
+from bench.stand_ins import MODEL
+from demo.deployment import Deployment, Instance
+
+TOKENS = (16, 64, 256, 1024)
+TOKENS_IN_A_RUN = 12_000
+REQUESTS = 400
+CONCURRENT = 8
+IDLE_SECONDS = 10.0
+RENEWALS = 1000
+
+
+async def _in_parallel(count: int, work: Callable[[], Awaitable[Any]]) -> None:
+    remaining = iter(range(count))
+
+    async def worker() -> None:
+        for _ in remaining:
+            await work()
+
+    await asyncio.gather(*(worker() for _ in range(CONCURRENT)))
+
+
+async def _complete(
+    session: aiohttp.ClientSession, address: str, tokens: int, stream: bool
+) -> None:
+    body = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": "Describe joint 7."}],
+        "max_tokens": tokens,
+        "stream": stream,
+    }
+    url = f"http://{address}/v1/chat/completions"
+    async with session.post(url, json=body) as answer:
+        text = await answer.read()
+        assert answer.status == 200, text
+        assert not stream or text.rstrip().endswith(b"[DONE]"), text[-200:]
+
+
+async def _cpu_of_work(pid: int, count: int, work: Callable[[], Awaitable[Any]]) -> Any:
+    await _in_parallel(CONCURRENT, work)
+    before = cpu_of(pid)
+    await _in_parallel(count, work)
+    return cpu_of(pid) - before
+
+
+async def _relay(deployment: Deployment) -> None:
+    entry = deployment.instances[1]
+    key = await deployment.add_organisation("tejo")
+    engine = await deployment.start_engine("engine-1", MODEL, entry, token_seconds=0.0)
+    port = free_port()
+    bare = f"127.0.0.1:{port}"
+    process = await deployment.start_process(
+        "bare", "bench.bare_relay", str(port), engine
+    )
+    assert entry.process is not None
+    pids = {"entry": entry.process.pid, "bare relay": process.pid}
+    addresses = {"entry": entry.public, "bare relay": bare}
+    await asyncio.sleep(2.0)
+    headers = {"authorization": f"Bearer {key}"}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        for name, pid in pids.items():
+            address = addresses[name]
+            spreads = []
+            for tokens in TOKENS:
+                count = max(CONCURRENT, TOKENS_IN_A_RUN // tokens)
+                figures = []
+                for _ in range(RUNS):
+                    used = await _cpu_of_work(
+                        pid,
+                        count,
+                        partial(_complete, session, address, tokens, True),
+                    )
+                    figures.append(used / count * 1e3)
+                spreads.append(Spread(tokens, tuple(figures)))
+            report(f"{name}: processor time of a stream by tokens", "ms", spreads)
+            plain = []
+            for _ in range(RUNS):
+                used = await _cpu_of_work(
+                    pid, REQUESTS, partial(_complete, session, address, 16, False)
+                )
+                plain.append(used / REQUESTS * 1e3)
+            report(f"{name}: whole answer", "ms", [Spread(16, tuple(plain))])
+
+
+async def _renewals(deployment: Deployment) -> None:
+    entry = deployment.instances[1]
+    assert entry.process is not None
+    token = {"authorization": f"Bearer {deployment.target_token}"}
+    url = f"http://{entry.public}/targets"
+    async with aiohttp.ClientSession(headers=token) as session:
+        spreads = []
+        for count in (1, 3, 10, 30):
+            ids = [f"stand-in-{count}-{number}" for number in range(count)]
+            incarnation = uuid.uuid4().hex
+            for name in ids:
+                body = {
+                    "id": name,
+                    "kind": "engine",
+                    "address": "127.0.0.1:9",
+                    "data_centre": entry.data_centre,
+                    "region": entry.region,
+                    "serves": ["unused"],
+                    "incarnation": incarnation,
+                }
+                async with session.post(f"{url}/announce", json=body) as answer:
+                    assert answer.status == 200, await answer.text()
+            renew = partial(_renew, session, url, cycle(ids), incarnation)
+            figures = []
+            for _ in range(RUNS):
+                used = await _cpu_of_work(entry.process.pid, RENEWALS, renew)
+                figures.append(used / RENEWALS * 1e3)
+            spreads.append(Spread(count, tuple(figures)))
+        report("target renewal at its home, by targets", "ms", spreads)
+
+
+async def _renew(
+    session: aiohttp.ClientSession, url: str, names: Iterator[str], incarnation: str
+) -> None:
+    body = {"incarnation": incarnation}
+    async with session.post(f"{url}/{next(names)}/renew", json=body) as answer:
+        assert answer.status == 200, await answer.text()
+
+
+async def _idle(deployment: Deployment) -> None:
+    for instance in deployment.instances:
+        assert instance.process is not None
+        pid, figures = instance.process.pid, []
+        for _ in range(RUNS):
+            before = cpu_of(pid)
+            await asyncio.sleep(IDLE_SECONDS / RUNS)
+            figures.append((cpu_of(pid) - before) / IDLE_SECONDS * RUNS * 100)
+        role = "control member and entry" if instance.control else "entry"
+        report(f"{role}, idle", "% of a core", [Spread(1, tuple(figures))])
+        resident = resident_of(pid) / 1e6
+        report(f"{role}, resident memory", "MB", [Spread(1, (resident,))])
+
+
+async def _run() -> None:
+    deployment = Deployment(
+        [
+            Instance("control-1", "dc-1", "region-1", True),
+            Instance("entry-1", "dc-1", "region-1", False),
+        ]
+    )
+    try:
+        await deployment.start()
+        await _idle(deployment)
+        await _relay(deployment)
+        await _renewals(deployment)
+    finally:
+        await deployment.stop()
+
+
+def run_relay() -> None:
+    """Print the cost of the data path and of target renewals."""
+    asyncio.run(_run())
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,89 @@
+"""Runs, spreads, slopes and the printing of tables."""
+
+import gc
+import os
+import statistics
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+SEED = 20261204
+RUNS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """The figures of several runs at one size."""
+
+    size: int
+    values: tuple[float, ...]
+
+    @property
+    def median(self) -> float:
+        """The middle figure."""
+        return statistics.median(self.values)
+
+    def __str__(self) -> str:
+        low, high = min(self.values), max(self.values)
+        return f"{low:.4g} / {self.median:.4g} / {high:.4g}"
+
+
+def slope(spreads: Sequence[Spread]) -> tuple[float, float]:
+    """Return the slope and intercept of the medians by least squares."""
+    sizes = [float(spread.size) for spread in spreads]
+    fitted = statistics.linear_regression(sizes, [s.median for s in spreads])
+    return fitted.slope, fitted.intercept
+
+
+def report(title: str, unit: str, spreads: Sequence[Spread]) -> None:
+    """Print the figures of each size as min / median / max, and the slope."""
+    print(f"  {title} [{unit}], min / median / max of {len(spreads[0].values)} runs")
+    for spread in spreads:
+        print(f"    {spread.size:>6}: {spread}")
+    if len(spreads) > 1:
+        rise, start = slope(spreads)
+        print(f"    slope {rise:.4g} per unit of size, intercept {start:.4g}")
+
+
+def report_columns(
+    sizes: Sequence[int], run: Callable[[int], dict[str, float]], runs: int = RUNS
+) -> None:
+    """Run at each size and print a table for each figure that a run gives."""
+    by_size = {size: [run(size) for _ in range(runs)] for size in sizes}
+    for name in by_size[sizes[0]][0]:
+        title, _, unit = name.partition("|")
+        report(
+            title,
+            unit,
+            [
+                Spread(size, tuple(result[name] for result in results))
+                for size, results in by_size.items()
+            ],
+        )
+
+
+def memory_of(make: Callable[[], object]) -> int:
+    """Return the bytes that an object holds, as Python allocated them."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        held = make()
+        gc.collect()
+        current, _ = tracemalloc.get_traced_memory()
+        del held
+    finally:
+        tracemalloc.stop()
+    return current
+
+
+def cpu_of(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_of(pid: int) -> int:
+    """Return the resident bytes of a process."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
--- /dev/null
+++ b/bench/policies_cost.py
@@ -0,0 +1,202 @@
+"""Scheduling, target homes, manifests and the rollout of weights."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+from typing import Any, cast
+
+from bench.measure import memory_of, report_columns
+from bench.stand_ins import MODEL, fill_targets, full_codec, machine, target
+from goldcrestyard.core.ids import (
+    BodyDigest,
+    InstanceId,
+    OrganisationId,
+    Region,
+    SampleId,
+    WeightVersion,
+)
+from goldcrestyard.core.records import Organisation, PublishedWeights
+from goldcrestyard.core.states import Priority
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.plugins.orders.client import OrderClient
+from goldcrestyard.plugins.orders.placing import OrderDesk
+from goldcrestyard.plugins.orders.sender import OrderSender
+from goldcrestyard.plugins.orders.settings import OrderSettings
+from goldcrestyard.plugins.orders.settling import Settler
+from goldcrestyard.plugins.rollout.rollout import Rollouts
+from goldcrestyard.plugins.rollout.settings import RolloutSettings
+from goldcrestyard.plugins.scheduling.scheduler import Grant, Scheduler, WorkRequest
+from goldcrestyard.plugins.scheduling.settings import SchedulingSettings
+from goldcrestyard.plugins.targets.homes import Load, TargetHome
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.plugins.trainers.commands import FixBatch, StepKey
+from goldcrestyard.plugins.trainers.manifests import (
+    Manifest,
+    StoredSample,
+    decode_manifest,
+    encode_manifest,
+)
+from goldcrestyard.policy.routing import Needs, TargetFacts, choose_target
+from tests.fakes.member import FakeMember
+from tests.plugins.rollout.test_rollout import FakeEngine, FakeEngines
+
+GRANTS = 200
+RENEWALS = 20_000
+SWAP_POLL_SECONDS = 0.02
+
+
+def scheduling(count: int) -> dict[str, float]:
+    """Measure a choice and a whole grant with its release."""
+    state = machine(fan_out_only=True)
+    fill_targets(state, count)
+    slice_ = state.get(TargetsSlice)
+    needs = Needs(400.0, Priority.INTERACTIVE)
+    candidates = slice_.serving(MODEL)
+    facts = {t.id: TargetFacts(float(t.max_concurrency)) for t in candidates}
+    started = time.process_time()
+    for _ in range(GRANTS):
+        choose_target(candidates, facts, needs, Region("region-0"), frozenset(), 0.0)
+    chosen = time.process_time() - started
+
+    async def grant_all() -> float:
+        scheduler = Scheduler(slice_, Clock(), Region("region-0"), SchedulingSettings())
+        work = WorkRequest(MODEL, Organisation(OrganisationId("o")), needs)
+        started = time.process_time()
+        for _ in range(GRANTS):
+            async with scheduler.acquire(work) as granted:
+                assert isinstance(granted, Grant)
+        return time.process_time() - started
+
+    granted = asyncio.run(grant_all())
+    return {
+        "choose_target|us a choice": chosen / GRANTS * 1e6,
+        "scheduler, grant and release|us a grant": granted / GRANTS * 1e6,
+    }
+
+
+def homes(count: int) -> dict[str, float]:
+    """Measure renewals of targets without their HTTP."""
+    return asyncio.run(_renew(count))
+
+
+async def _renew(count: int) -> dict[str, float]:
+    home = TargetHome(
+        InstanceId("entry-1"), cast(LeaderLink, None), Clock(), lost_seconds=6.0
+    )
+    targets = [target(number) for number in range(count)]
+    for known in targets:
+        home.adopt(known.id, known.incarnation)
+    load = Load(1, 1000, 0.5, 0.0)
+    started = time.process_time()
+    for number in range(RENEWALS):
+        known = targets[number % count]
+        assert home.renew(known.id, known.incarnation, load)
+    return {"renewal|us": (time.process_time() - started) / RENEWALS * 1e6}
+
+
+def manifests(count: int) -> dict[str, float]:
+    """Measure the manifest of a step and the command that fixes it."""
+    samples = tuple(
+        StoredSample(
+            SampleId(f"step-1/group-{n // 8}/{n % 8}"),
+            BodyDigest(f"{n // 64:064x}"),
+            n % 64 * 16_000,
+            16_000,
+        )
+        for n in range(count)
+    )
+    codec = full_codec()
+    digest = BodyDigest("f" * 64)
+    started = time.process_time()
+    body = encode_manifest(Manifest(samples))
+    encoded = time.process_time()
+    assert len(decode_manifest(body).samples) == count
+    decoded = time.process_time()
+    key = StepKey(OrganisationId("o"), cast(Any, MODEL), cast(Any, 1))
+    fix = FixBatch(key, 1, digest, digest, count, (WeightVersion(1),))
+    return {
+        "encode the manifest|ms": (encoded - started) * 1e3,
+        "decode the manifest|ms": (decoded - encoded) * 1e3,
+        "manifest|KB": len(body) / 1e3,
+        "FixBatch in the log|B": float(len(codec.encode(fix))),
+        "memory of the manifest|KB": (memory_of(lambda: decode_manifest(body)) / 1e3),
+    }
+
+
+def rollout(count: int) -> dict[str, float]:
+    """Measure a rollout to stand-ins that answer a swap in 0.3 s."""
+    return asyncio.run(_roll_out(count))
+
+
+async def _roll_out(count: int) -> dict[str, float]:
+    state = machine(fan_out_only=False)
+    fill_targets(state, count)
+    engines = FakeEngines({target(n).address: FakeEngine() for n in range(count)})
+    published: dict[str, list[PublishedWeights]] = {MODEL: []}
+    clock = Clock()
+    member = FakeMember(state, clock)
+    member.lead(1)
+    options = OrderSettings()
+    fake: Any = member
+    client = OrderClient(
+        cast(Any, engines), options, member.holds_lease, member.instance
+    )
+    sender = OrderSender(
+        fake, client, cast(Any, engines), Settler(fake), clock, options
+    )
+    rollouts = Rollouts(
+        fake,
+        cast(Any, SimpleNamespace(published_by_model=published)),
+        OrderDesk(fake),
+        engines,
+        clock,
+        RolloutSettings(),
+    )
+    tasks = [asyncio.create_task(sender.run()), asyncio.create_task(rollouts.run())]
+    # A new leader sends no order before its quiet period is over.
+    await asyncio.sleep(options.order_quiet_seconds + 0.5)
+    before, started = time.process_time(), time.monotonic()
+    published[MODEL].append(
+        PublishedWeights(cast(Any, MODEL), WeightVersion(2), "store/2", "digest")
+    )
+    running = engines.by_address.values()
+    while not all(engine.staged for engine in running):  # noqa: ASYNC110
+        await asyncio.sleep(SWAP_POLL_SECONDS)
+    staged = time.monotonic()
+    while not any(engine.active == 2 for engine in running):  # noqa: ASYNC110
+        await asyncio.sleep(SWAP_POLL_SECONDS)
+    first = time.monotonic()
+    while not all(engine.active == 2 for engine in running):  # noqa: ASYNC110
+        await asyncio.sleep(SWAP_POLL_SECONDS)
+    ended = time.monotonic()
+    used = time.process_time() - before
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return {
+        "publication until all have staged|s": staged - started,
+        "first activation until all are active|s": ended - first,
+        "publication until all are active|s": ended - started,
+        "processor time at the leader with the stand-ins|s": used,
+    }
+
+
+def run_scheduling() -> None:
+    """Print the cost of a grant against the number of targets."""
+    report_columns((8, 64, 256, 1024), scheduling)
+
+
+def run_homes() -> None:
+    """Print the cost of a renewal against the targets of the home."""
+    report_columns((3, 30, 300, 930), homes)
+
+
+def run_manifests() -> None:
+    """Print the cost of a step's record against its samples."""
+    report_columns((512, 1024, 2048, 4096), manifests)
+
+
+def run_rollout() -> None:
+    """Print the time of a rollout against the number of engines."""
+    report_columns((100, 300, 600, 930), rollout)
