--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -20,6 +20,11 @@
 CONCURRENT = 8
 IDLE_SECONDS = 10.0
 RENEWALS = 1000
+PACED_SECONDS = 0.005
+PACED_TOKENS = (16, 64, 256, 512)
+KNOWN_TARGETS = (0, 100, 300, 930)
+SILENT_SECONDS = 600.0
+"""Stand-ins that do not renew must not be lost during a run."""
 
 
 async def _in_parallel(count: int, work: Callable[[], Awaitable[Any]]) -> None:
@@ -33,10 +38,14 @@
 
 
 async def _complete(
-    session: aiohttp.ClientSession, address: str, tokens: int, stream: bool
+    session: aiohttp.ClientSession,
+    address: str,
+    tokens: int,
+    stream: bool,
+    model: str = MODEL,
 ) -> None:
     body = {
-        "model": MODEL,
+        "model": model,
         "messages": [{"role": "user", "content": "Describe joint 7."}],
         "max_tokens": tokens,
         "stream": stream,
@@ -94,6 +103,83 @@
             report(f"{name}: whole answer", "ms", [Spread(16, tuple(plain))])
 
 
+async def _paced(deployment: Deployment) -> None:
+    """Measure streams whose tokens arrive one by one, as from an engine."""
+    entry = deployment.instances[1]
+    assert entry.process is not None
+    key = await deployment.add_organisation("bien")
+    await deployment.start_engine(
+        "engine-2", "paced", entry, token_seconds=PACED_SECONDS
+    )
+    await asyncio.sleep(2.0)
+    headers = {"authorization": f"Bearer {key}"}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        spreads = []
+        for tokens in PACED_TOKENS:
+            work = partial(_complete, session, entry.public, tokens, True, "paced")
+            figures = []
+            for _ in range(RUNS):
+                used = await _cpu_of_work(entry.process.pid, 2 * CONCURRENT, work)
+                figures.append(used / 2 / CONCURRENT * 1e3)
+            spreads.append(Spread(tokens, tuple(figures)))
+        report("entry: processor time of a paced stream by tokens", "ms", spreads)
+
+
+async def _known_targets(deployment: Deployment) -> None:
+    """Measure requests against targets of other models that an entry knows."""
+    entry = deployment.instances[1]
+    assert entry.process is not None
+    key = await deployment.add_organisation("sol")
+    await asyncio.sleep(2.0)
+    token = {"authorization": f"Bearer {deployment.target_token}"}
+    caller = {"authorization": f"Bearer {key}"}
+    spreads, idle, known = [], [], 0
+    async with (
+        aiohttp.ClientSession(headers=token) as targets,
+        aiohttp.ClientSession(headers=caller) as session,
+    ):
+        work = partial(_complete, session, entry.public, 16, False)
+        for count in KNOWN_TARGETS:
+            for number in range(known, count):
+                await _announce(targets, entry, f"known-{number}")
+            known = count
+            await asyncio.sleep(2.0)
+            used = []
+            for _ in range(RUNS):
+                before = cpu_of(entry.process.pid)
+                await asyncio.sleep(IDLE_SECONDS / RUNS)
+                used.append(
+                    (cpu_of(entry.process.pid) - before) / IDLE_SECONDS * RUNS * 100
+                )
+            idle.append(Spread(count, tuple(used)))
+            figures = []
+            for _ in range(RUNS):
+                cpu = await _cpu_of_work(entry.process.pid, REQUESTS, work)
+                figures.append(cpu / REQUESTS * 1e3)
+            spreads.append(Spread(count, tuple(figures)))
+    report("entry: whole answer by known targets", "ms", spreads)
+    report("entry: idle after requests, by known targets", "% of a core", idle)
+    resident = resident_of(entry.process.pid) / 1e6
+    report("entry: resident memory at the end", "MB", [Spread(known, (resident,))])
+
+
+async def _announce(
+    session: aiohttp.ClientSession, entry: Instance, name: str, incarnation: str = "1"
+) -> None:
+    body = {
+        "id": name,
+        "kind": "engine",
+        "address": "127.0.0.1:9",
+        "data_centre": entry.data_centre,
+        "region": entry.region,
+        "serves": ["unused"],
+        "incarnation": incarnation,
+    }
+    url = f"http://{entry.public}/targets/announce"
+    async with session.post(url, json=body) as answer:
+        assert answer.status == 200, await answer.text()
+
+
 async def _renewals(deployment: Deployment) -> None:
     entry = deployment.instances[1]
     assert entry.process is not None
@@ -105,17 +191,7 @@
             ids = [f"stand-in-{count}-{number}" for number in range(count)]
             incarnation = uuid.uuid4().hex
             for name in ids:
-                body = {
-                    "id": name,
-                    "kind": "engine",
-                    "address": "127.0.0.1:9",
-                    "data_centre": entry.data_centre,
-                    "region": entry.region,
-                    "serves": ["unused"],
-                    "incarnation": incarnation,
-                }
-                async with session.post(f"{url}/announce", json=body) as answer:
-                    assert answer.status == 200, await answer.text()
+                await _announce(session, entry, name, incarnation)
             renew = partial(_renew, session, url, cycle(ids), incarnation)
             figures = []
             for _ in range(RUNS):
@@ -152,13 +228,16 @@
         [
             Instance("control-1", "dc-1", "region-1", True),
             Instance("entry-1", "dc-1", "region-1", False),
-        ]
+        ],
+        overrides_by_section={"targets": {"lost_seconds": SILENT_SECONDS}},
     )
     try:
         await deployment.start()
         await _idle(deployment)
         await _relay(deployment)
+        await _paced(deployment)
         await _renewals(deployment)
+        await _known_targets(deployment)
     finally:
         await deployment.stop()
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -78,9 +78,13 @@
 
 
 def cpu_of(pid: int) -> float:
-    """Return the processor seconds that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    """Return the processor seconds of all threads of a process.
+
+    The scheduler's counters are in nanoseconds; those of ``stat`` are in
+    hundredths of a second, too coarse for an idle process.
+    """
+    counters = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(path.read_text().split()[0]) for path in counters) / 1e9
 
 
 def resident_of(pid: int) -> int:
