--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -108,21 +108,30 @@
     entry = deployment.instances[1]
     assert entry.process is not None
     key = await deployment.add_organisation("bien")
-    await deployment.start_engine(
+    engine = await deployment.start_engine(
         "engine-2", "paced", entry, token_seconds=PACED_SECONDS
     )
+    port = free_port()
+    process = await deployment.start_process(
+        "bare-paced", "bench.bare_relay", str(port), engine
+    )
+    relays = {
+        "entry": (entry.process.pid, entry.public),
+        "bare relay": (process.pid, f"127.0.0.1:{port}"),
+    }
     await asyncio.sleep(2.0)
     headers = {"authorization": f"Bearer {key}"}
     async with aiohttp.ClientSession(headers=headers) as session:
-        spreads = []
-        for tokens in PACED_TOKENS:
-            work = partial(_complete, session, entry.public, tokens, True, "paced")
-            figures = []
-            for _ in range(RUNS):
-                used = await _cpu_of_work(entry.process.pid, 2 * CONCURRENT, work)
-                figures.append(used / 2 / CONCURRENT * 1e3)
-            spreads.append(Spread(tokens, tuple(figures)))
-        report("entry: processor time of a paced stream by tokens", "ms", spreads)
+        for name, (pid, address) in relays.items():
+            spreads = []
+            for tokens in PACED_TOKENS:
+                work = partial(_complete, session, address, tokens, True, "paced")
+                figures = []
+                for _ in range(RUNS):
+                    used = await _cpu_of_work(pid, 2 * CONCURRENT, work)
+                    figures.append(used / 2 / CONCURRENT * 1e3)
+                spreads.append(Spread(tokens, tuple(figures)))
+            report(f"{name}: processor time of a paced stream by tokens", "ms", spreads)
 
 
 async def _known_targets(deployment: Deployment) -> None:
@@ -130,6 +139,7 @@
     entry = deployment.instances[1]
     assert entry.process is not None
     key = await deployment.add_organisation("sol")
+    await deployment.start_engine("engine-3", MODEL, entry, token_seconds=0.0)
     await asyncio.sleep(2.0)
     token = {"authorization": f"Bearer {deployment.target_token}"}
     caller = {"authorization": f"Bearer {key}"}
@@ -223,7 +233,7 @@
         report(f"{role}, resident memory", "MB", [Spread(1, (resident,))])
 
 
-async def _run() -> None:
+async def _run(*parts: Callable[[Deployment], Awaitable[None]]) -> None:
     deployment = Deployment(
         [
             Instance("control-1", "dc-1", "region-1", True),
@@ -233,15 +243,22 @@
     )
     try:
         await deployment.start()
-        await _idle(deployment)
-        await _relay(deployment)
-        await _paced(deployment)
-        await _renewals(deployment)
-        await _known_targets(deployment)
+        for part in parts:
+            await part(deployment)
     finally:
         await deployment.stop()
 
 
 def run_relay() -> None:
-    """Print the cost of the data path and of target renewals."""
-    asyncio.run(_run())
+    """Print the cost of idle processes, requests and target renewals."""
+    asyncio.run(_run(_idle, _relay, _renewals))
+
+
+def run_paced() -> None:
+    """Print the cost of streams whose tokens arrive one by one."""
+    asyncio.run(_run(_paced))
+
+
+def run_known_targets() -> None:
+    """Print the cost of requests against the targets that an entry knows."""
+    asyncio.run(_run(_known_targets))
--- a/bench/run.py
+++ b/bench/run.py
@@ -24,6 +24,8 @@
     "manifests": policies_cost.run_manifests,
     "rollout": policies_cost.run_rollout,
     "relay": data_path.run_relay,
+    "paced": data_path.run_paced,
+    "known-targets": data_path.run_known_targets,
 }
 
 
