--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -1,8 +1,10 @@
 """Real processes: relayed requests and tokens, target renewals, idle cost."""
 
 import asyncio
+import time
 import uuid
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from dataclasses import replace
 from functools import partial
 from itertools import cycle
 from typing import Any
@@ -11,8 +13,14 @@
 
 from bench.control import free_port
 from bench.measure import RUNS, Spread, cpu_of, report, resident_of
-from bench.stand_ins import MODEL
+from bench.stand_ins import MODEL, target
 from demo.deployment import Deployment, Instance
+from goldcrestyard.core.ids import CorrelationId
+from goldcrestyard.core.records import Target
+from goldcrestyard.plugins.engines.dispatch import new_attempt_id
+from goldcrestyard.plugins.engines.requests import InferenceRequest, parse
+from goldcrestyard.plugins.engines.settings import EngineSettings
+from goldcrestyard.plugins.engines.upstream import EngineClient, Finished
 
 TOKENS = (16, 64, 256, 1024)
 TOKENS_IN_A_RUN = 12_000
@@ -134,6 +142,46 @@
             report(f"{name}: processor time of a paced stream by tokens", "ms", spreads)
 
 
+async def _reading(deployment: Deployment) -> None:
+    """Measure the reading of paced streams alone, as for samples."""
+    entry = deployment.instances[1]
+    address = await deployment.start_engine(
+        "engine-4", "read", entry, token_seconds=PACED_SECONDS
+    )
+    engine = replace(target(0), address=address)
+    spreads = []
+    async with aiohttp.ClientSession() as session:
+        client = EngineClient(session, EngineSettings())
+        for tokens in PACED_TOKENS:
+            body = {
+                "model": "read",
+                "messages": [{"role": "user", "content": "Describe joint 7."}],
+                "max_tokens": tokens,
+                "stream": True,
+            }
+            request = parse("/v1/chat/completions", body)
+            assert isinstance(request, InferenceRequest)
+            work = partial(_read, client, engine, request)
+            figures = []
+            for _ in range(RUNS):
+                before = time.thread_time()
+                await _in_parallel(2 * CONCURRENT, work)
+                used = time.thread_time() - before
+                figures.append(used / 2 / CONCURRENT * 1e3)
+            spreads.append(Spread(tokens, tuple(figures)))
+    report("reading alone: processor time of a paced stream by tokens", "ms", spreads)
+
+
+async def _read(
+    client: EngineClient, engine: Target, request: InferenceRequest
+) -> None:
+    attempt = new_attempt_id()
+    async with client.stream(engine, request, attempt, CorrelationId("")) as opened:
+        assert isinstance(opened, AsyncIterator), opened
+        steps = [step async for step in opened]
+    assert isinstance(steps[-1], Finished), steps[-1]
+
+
 async def _known_targets(deployment: Deployment) -> None:
     """Measure requests against targets of other models that an entry knows."""
     entry = deployment.instances[1]
@@ -256,7 +304,7 @@
 
 def run_paced() -> None:
     """Print the cost of streams whose tokens arrive one by one."""
-    asyncio.run(_run(_paced))
+    asyncio.run(_run(_paced, _reading))
 
 
 def run_known_targets() -> None:
