--- /dev/null
+++ b/bench/policies_priorities.py
@@ -0,0 +1,98 @@
+"""Measure 5: interactive requests next to rollouts that fill the engines."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from bench.policies_simulation import (
+    ArrivalOrderScheduler,
+    SimulatedClient,
+    World,
+    arrivals,
+    now,
+    percentile,
+    request_of,
+    run_paused,
+    tokens_of_a_request,
+)
+from goldcrestyard.core.states import Priority
+
+SECONDS = 180.0
+WARM_UP_SECONDS = 30.0
+MAX_TOKENS = 512
+ROLLOUTS = 200
+"""Rollout requests that are open at any time, for 80 places."""
+
+ROLLOUT_MEAN_TOKENS = 400.0
+ROLLOUT_MAX_TOKENS = 2048
+
+
+@dataclass(frozen=True)
+class Variant:
+    """Which scheduler, and how many interactive requests a second."""
+
+    product: bool
+    interactive_rate: float = 3.0
+    rollouts: int = ROLLOUTS
+
+
+VARIANTS = {
+    "product, no rollouts": Variant(True, rollouts=0),
+    "arrival order, least in flight": Variant(False),
+    "product": Variant(True),
+}
+
+
+def measure(name: str, seed: int) -> dict[str, float]:
+    """Run one variant; return its figures."""
+    return run_paused(lambda: _run(VARIANTS[name], seed), seed)
+
+
+async def _run(variant: Variant, seed: int) -> dict[str, float]:
+    world = World(SimulatedClient())
+    for number in range(5):
+        world.add_engine(f"engine-{number}", 800.0, 16)
+    scheduler = (
+        world.scheduler() if variant.product else ArrivalOrderScheduler(world.targets)
+    )
+    dispatcher = world.dispatcher(scheduler)
+
+    def sender(
+        name: str, priority: Priority, mean: float, most: int
+    ) -> Callable[[], Awaitable[None]]:
+        rng = random.Random(f"{seed}/{name}")
+
+        async def send() -> None:
+            length = min(most, tokens_of_a_request(rng, mean))
+            await world.send(dispatcher, name, request_of(length, most), priority)
+
+        return send
+
+    rollout = sender(
+        "trainer", Priority.ROLLOUT, ROLLOUT_MEAN_TOKENS, ROLLOUT_MAX_TOKENS
+    )
+
+    async def repeat_rollout() -> None:
+        while now() < SECONDS:
+            await rollout()
+
+    interactive = sender("tejo", Priority.INTERACTIVE, 150.0, MAX_TOKENS)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(variant.rollouts):
+            group.create_task(repeat_rollout())
+        rng = random.Random(seed)
+        rate = variant.interactive_rate
+        group.create_task(arrivals(rng, rate, SECONDS, interactive, group))
+    world.stop()
+    timed = [r for r in world.results if WARM_UP_SECONDS <= r.arrived]
+    asked = [r for r in timed if r.priority is Priority.INTERACTIVE]
+    seconds = [r.seconds if r.answered else 60.0 for r in asked]
+    done = [r for r in world.results if r.arrived + r.seconds <= SECONDS]
+    rollouts = sum(r.answered for r in done if r.priority is Priority.ROLLOUT)
+    return {
+        "interactive p50 s": percentile(seconds, 0.5),
+        "interactive p95 s": percentile(seconds, 0.95),
+        "interactive refused share": sum(not r.answered for r in asked) / len(asked),
+        "rollouts/s": rollouts / SECONDS,
+    }
