--- a/bench/policies_priorities.py
+++ b/bench/policies_priorities.py
@@ -75,7 +75,11 @@
 
     async def repeat_rollout() -> None:
         while now() < SECONDS:
+            before = now()
             await rollout()
+            if now() == before:
+                # Refused at once; the product's samples pause as well.
+                await asyncio.sleep(1.0)
 
     interactive = sender("tejo", Priority.INTERACTIVE, 150.0, MAX_TOKENS)
     async with asyncio.TaskGroup() as group:
@@ -95,4 +99,7 @@
         "interactive p95 s": percentile(seconds, 0.95),
         "interactive refused share": sum(not r.answered for r in asked) / len(asked),
         "rollouts/s": rollouts / SECONDS,
+        "rollouts refused": float(
+            sum(not r.answered for r in done if r.priority is Priority.ROLLOUT)
+        ),
     }
