--- a/goldcrestyard/policy/routing.py
+++ b/goldcrestyard/policy/routing.py
@@ -20,6 +20,11 @@
 SPEED_WEIGHT = 0.2
 """Weight of the latest request in a target's learned speed."""
 
+BUSY_SHARE = 0.5
+"""Share of its concurrency at which a target is taken to run at full speed.
+The throughput of a target with fewer requests is scaled up to it; otherwise
+the target with the most requests looks fastest and gets still more."""
+
 EJECT_AFTER_FAILURES = 3
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 30.0
@@ -93,7 +98,8 @@
         raised = self.concurrency_limit + 1 / self.concurrency_limit
         self.concurrency_limit = min(float(maximum), raised)
         if seconds > 0 and tokens > 0:
-            speed = tokens * max(1, self.in_flight) / seconds
+            sharing = max(1.0, self.in_flight, maximum * BUSY_SHARE)
+            speed = tokens * sharing / seconds
             self.tokens_per_second += SPEED_WEIGHT * (speed - self.tokens_per_second)
 
     def turned_away(self) -> None:
