Learn the service rate only while requests wait

The rate was also learned while no request waited, when it shows the demand and not what the targets can do. A burst after a quiet time was then refused although its turn would have come within seconds. python -m bench.policies goodput, variant 'burst, product', seeds 1 to 5: refused share 0.527 (0.461..0.535) before, 0.019 (0.013..0.056) after, with 0 (0..0) in the baseline without early refusal; answers a second 2.06 (1.98..2.51) before, 4.2 (3.97..4.57) after, baseline 4.28 (4.2..4.66).

--- a/goldcrestyard/plugins/scheduling/scheduler.py
+++ b/goldcrestyard/plugins/scheduling/scheduler.py
@@ -163,6 +163,8 @@
         refusal = queue.refusal(waiter, now)
         if refusal is not None:
             return refusal
+        if not queue.length:
+            queue.rate.begin(now)
         queue.push(waiter)
         self._pump_queue(work.name)
         taken: Grant | None = None
@@ -257,7 +259,8 @@
             self.use.charge(work.organisation.id, surplus, now)
         queue = self._queues_by_name.get(work.name)
         if queue is not None:
-            queue.rate.observe(grant.tokens or work.needs.tokens, now)
+            if queue.length:
+                queue.rate.observe(grant.tokens or work.needs.tokens, now)
             self._pump_queue(work.name)
 
     @staticmethod
--- a/goldcrestyard/policy/fairness.py
+++ b/goldcrestyard/policy/fairness.py
@@ -90,12 +90,21 @@
 
 @dataclass(slots=True)
 class ServiceRate:
-    """Tokens a second that requests of one queue are given, as learned."""
+    """Tokens a second that requests of one queue are given, as learned.
+
+    It is learned only while requests wait; at other times the rate shows the
+    demand, and a burst after a quiet time would be refused for nothing.
+    """
 
     tokens_per_second: float | None = None
     _tokens: float = field(default=0.0)
     _since: float = field(default=0.0)
 
+    def begin(self, now: float) -> None:
+        """Begin to count, as requests begin to wait."""
+        self._tokens = 0.0
+        self._since = now
+
     def observe(self, tokens: float, now: float) -> None:
         """Count tokens of a finished request."""
         self._tokens += tokens
