--- a/bench/policies_simulation.py
+++ b/bench/policies_simulation.py
@@ -317,10 +317,11 @@
             yield grant
         finally:
             grant.facts.end(work.needs.tokens)
-            if isinstance(grant.outcome, TurnedAway):
-                grant.facts.turned_away()
-            elif isinstance(grant.outcome, Answered):
-                grant.facts.succeeded(0.0, 0.0, grant.target.max_concurrency)
+            match grant.outcome:
+                case TurnedAway():
+                    grant.facts.turned_away()
+                case Answered():
+                    grant.facts.succeeded(0.0, 0.0, grant.target.max_concurrency)
             self._pump()
 
     def _pump(self) -> None:
