--- a/bench/data_path.py
+++ b/bench/data_path.py
@@ -15,9 +15,8 @@
 from bench.measure import RUNS, Spread, cpu_of, report, resident_of
 from bench.stand_ins import MODEL, target
 from demo.deployment import Deployment, Instance
-from goldcrestyard.core.ids import CorrelationId
+from goldcrestyard.core.ids import CorrelationId, new_attempt_id
 from goldcrestyard.core.records import Target
-from goldcrestyard.plugins.engines.dispatch import new_attempt_id
 from goldcrestyard.plugins.engines.requests import InferenceRequest, parse
 from goldcrestyard.plugins.engines.settings import EngineSettings
 from goldcrestyard.plugins.engines.upstream import EngineClient, Finished
