Find the targets of a name once for each change

Cause: each grant, each release and each request listed all targets anew, and the scheduler did so four times a second for every name ever asked for, also when nothing waited.

Tests for two faults that the policy measures found: a burst after a quiet time was refused, and the busiest target was taken for the fastest.

test_engine_that_has_left_is_not_listed failed now and then: it looked at a fixed moment, and an engine under a retry, whose delay is random, counts as staging. It waits for the listing now; what it asserts is unchanged.

--- a/goldcrestyard/plugins/engines/views.py
+++ b/goldcrestyard/plugins/engines/views.py
@@ -7,7 +7,7 @@
 
 from goldcrestyard.core.attempts import Answered, Broken
 from goldcrestyard.core.refusals import Refusal, RefusalReason
-from goldcrestyard.core.states import Priority, TargetKind
+from goldcrestyard.core.states import Priority
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.engines.dispatch import Call, Dispatcher, OpenStream
@@ -49,7 +49,7 @@
             return refuse(principal)
         entries = [
             {"id": name, "object": "model", "created": 0, "owned_by": "goldcrestyard"}
-            for name in self._model_names()
+            for name in self._targets.model_names()
         ]
         return json_answer({"object": "list", "data": entries})
 
@@ -67,7 +67,7 @@
         if shows_key(body, presented_key(request)):
             detail = "the key belongs in the header 'authorization' only"
             return refuse(Refusal(RefusalReason.BAD_REQUEST, detail))
-        if parsed.fields.model not in self._model_names():
+        if parsed.fields.model not in self._targets.model_names():
             detail = f"no model {parsed.fields.model!r}; see /v1/models"
             return refuse(Refusal(RefusalReason.UNKNOWN_MODEL, detail))
         if parsed.fields.stream:
@@ -150,15 +150,6 @@
                         )
         raise AssertionError("a stream ends with a finish or a break")
 
-    def _model_names(self) -> list[str]:
-        names = {
-            name
-            for homed in self._targets.homed_by_id.values()
-            if homed.target.kind is TargetKind.ENGINE
-            for name in homed.target.serves
-        }
-        return sorted(names)
-
 
 def _pass_on(answered: Answered) -> web.Response:
     return web.Response(
--- a/goldcrestyard/plugins/scheduling/apps.py
+++ b/goldcrestyard/plugins/scheduling/apps.py
@@ -54,7 +54,7 @@
             app.settings.section(InstanceSettings).region,
             app.settings.section(SchedulingSettings),
         )
-        view.listen(scheduler.pump)
+        view.listen(scheduler.targets_changed)
         app.provide(Scheduler, scheduler)
         codec = app.get(Codec)
         channel = TokenUseChannel(scheduler.use, codec, app.clock)
--- a/goldcrestyard/plugins/scheduling/scheduler.py
+++ b/goldcrestyard/plugins/scheduling/scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -170,6 +170,11 @@
         finally:
             self._release(granted)
 
+    def targets_changed(self) -> None:
+        """Take note of targets that have come or gone."""
+        self._forget_lost_targets()
+        self.pump()
+
     def pump(self) -> None:
         """Grant targets while there are requests and room."""
         for name in list(self._queues_by_name):
@@ -258,14 +263,14 @@
 
     def _pump_queue(self, name: str) -> None:
         queue = self._queues_by_name[name]
+        if not queue.length:
+            return
         candidates = self._targets.serving(name)
         for target in candidates:
             self._know(target)
         placed = True
         while placed and queue.length:
             placed = self._grant_next(queue, candidates)
-        if not queue.length and name in self._queues_by_name:
-            self._forget_lost_targets()
 
     def _know(self, target: Target) -> None:
         """Begin to learn about a target that is new or has started again."""
@@ -274,7 +279,9 @@
             limit = float(target.max_concurrency)
             self.facts_by_id[target.id] = TargetFacts(limit, target.incarnation)
 
-    def _grant_next(self, queue: FairQueue[_Waiting], candidates: list[Target]) -> bool:
+    def _grant_next(
+        self, queue: FairQueue[_Waiting], candidates: Sequence[Target]
+    ) -> bool:
         """Grant a target to the first request in order that can have one."""
         now = self._clock.monotonic()
         for waiter in queue.in_order(now):
--- a/goldcrestyard/plugins/targets/slices.py
+++ b/goldcrestyard/plugins/targets/slices.py
@@ -6,7 +6,7 @@
 from goldcrestyard.core.ids import InstanceId, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import RefusalReason
-from goldcrestyard.core.states import TargetState
+from goldcrestyard.core.states import TargetKind, TargetState
 from goldcrestyard.plugins.targets.commands import (
     AnnounceTarget,
     DrainTarget,
@@ -39,6 +39,8 @@
     def __init__(self) -> None:
         self.homed_by_id: dict[TargetId, HomedTarget] = {}
         self.ids_by_home: dict[InstanceId, set[TargetId]] = {}
+        self._serving_by_name: dict[str, tuple[Target, ...]] = {}
+        self._model_names: tuple[str, ...] | None = None
         self._removed_by_run: OrderedDict[tuple[TargetId, str], RemovedTarget] = (
             OrderedDict()
         )
@@ -48,13 +50,35 @@
         homed = self.homed_by_id.get(target_id)
         return homed.target if homed is not None else None
 
-    def serving(self, name: str) -> list[Target]:
-        """Return the targets that take new work for a model or a service."""
-        return [
-            homed.target
-            for homed in self.homed_by_id.values()
-            if homed.target.state is TargetState.READY and name in homed.target.serves
-        ]
+    def serving(self, name: str) -> tuple[Target, ...]:
+        """Return the targets that take new work for a model or a service.
+
+        It is asked for each request, so it is found once for each change.
+        """
+        known = self._serving_by_name.get(name)
+        if known is None:
+            known = tuple(
+                homed.target
+                for homed in self.homed_by_id.values()
+                if homed.target.state is TargetState.READY
+                and name in homed.target.serves
+            )
+            # Names come from callers, so only those that are served are kept.
+            if known:
+                self._serving_by_name[name] = known
+        return known
+
+    def model_names(self) -> tuple[str, ...]:
+        """Return the models that have an engine, in order."""
+        if self._model_names is None:
+            names = {
+                name
+                for homed in self.homed_by_id.values()
+                if homed.target.kind is TargetKind.ENGINE
+                for name in homed.target.serves
+            }
+            self._model_names = tuple(sorted(names))
+        return self._model_names
 
     def apply(self, command: Command, context: CommandContext) -> Outcome:
         """Apply one committed command."""
@@ -103,6 +127,7 @@
         if state is None:
             return Rejected(RefusalReason.NOT_FOUND, f"no target {command.id}")
         del self.homed_by_id[command.id]
+        self._forget_found()
         self._leave_home(known)
         draining = known.target.state is TargetState.DRAINING
         self._keep_removed(
@@ -136,8 +161,13 @@
                     RemovedTarget(run.id, run.incarnation, TargetState.LEFT, True)
                 )
         self.homed_by_id[homed.target.id] = homed
+        self._forget_found()
         self.ids_by_home.setdefault(homed.home, set()).add(homed.target.id)
 
+    def _forget_found(self) -> None:
+        self._serving_by_name.clear()
+        self._model_names = None
+
     def _leave_home(self, homed: HomedTarget) -> None:
         ids = self.ids_by_home[homed.home]
         ids.discard(homed.target.id)
@@ -159,6 +189,7 @@
         """Replace the slice."""
         self.homed_by_id = {}
         self.ids_by_home = {}
+        self._forget_found()
         for homed in snapshot.targets:
             self._put(homed)
         self._removed_by_run = OrderedDict(
--- /dev/null
+++ b/tests/fakes/announcements.py
@@ -0,0 +1,14 @@
+"""Announcing targets to a slice without a log."""
+
+from goldcrestyard.core.ids import CorrelationId, InstanceId, LogIndex, Term
+from goldcrestyard.core.records import Target
+from goldcrestyard.plugins.targets.commands import AnnounceTarget
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.state.commands import CommandContext, Envelope
+
+
+def announce(targets: TargetsSlice, target: Target) -> None:
+    """Apply a target's announcement."""
+    command = AnnounceTarget(target, InstanceId("entry"))
+    envelope = Envelope(command, "entry", CorrelationId(""), 0.0)
+    targets.apply(command, CommandContext(LogIndex(1), Term(1), envelope))
--- a/tests/plugins/rollout/test_rollout.py
+++ b/tests/plugins/rollout/test_rollout.py
@@ -315,8 +315,9 @@
         self.announce("t1", FakeEngine("lie"))
         self.start()
         self.publish(2)
-        await asyncio.sleep(15.0)
-        self.assertEqual(list(self.progress()["behind"]), ["t1"])
+        await asyncio.sleep(5.0)
+        # While it is tried again, an engine counts as staging.
+        await self._until(lambda: list(self.progress()["behind"]) == ["t1"])
         apply(self.machine, RemoveTarget(TargetId("t1"), "i1", TargetState.LEFT))
         await asyncio.sleep(5.0)
         self.assertEqual(self.progress()["behind"], {})
--- a/tests/plugins/scheduling/test_scheduler.py
+++ b/tests/plugins/scheduling/test_scheduler.py
@@ -11,7 +11,6 @@
 from goldcrestyard.core.attempts import Answered, Broken, TokenCount, TurnedAway
 from goldcrestyard.core.ids import (
     DataCentre,
-    InstanceId,
     OrganisationId,
     Region,
     TargetId,
@@ -27,9 +26,10 @@
     WorkRequest,
 )
 from goldcrestyard.plugins.scheduling.settings import SchedulingSettings
-from goldcrestyard.plugins.targets.commands import HomedTarget
+from goldcrestyard.plugins.targets.commands import TargetsSnapshot
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.routing import Needs
+from tests.fakes.announcements import announce
 from tests.fakes.paused_clock import PausedClockTestCase
 
 MODEL = "inspect-lm"
@@ -56,7 +56,7 @@
             (MODEL,),
             max_concurrency=concurrency,
         )
-        self.targets.homed_by_id[record.id] = HomedTarget(record, InstanceId("e"))
+        announce(self.targets, record)
 
     def work(self, organisation: str = "tejo", **terms: object) -> WorkRequest:
         """Return a request of an organisation."""
@@ -176,3 +176,18 @@
             [("tejo", TokenCount(3, 10)), ("bien", TokenCount(3, 4))],
         )
         self.assertEqual(len({run.attempt for run in runs}), 2)
+
+    async def test_burst_after_a_quiet_time_is_not_refused(self) -> None:
+        """Guards against a rate of demand that is taken for capacity."""
+        for _ in range(5):
+            await self.hold(0.01)
+            await asyncio.sleep(10.0)
+        results = await asyncio.gather(*(self.hold(0.1) for _ in range(100)))
+        self.assertEqual([r for r in results if isinstance(r, Refusal)], [])
+
+    async def test_lost_target_is_forgotten(self) -> None:
+        """Guards against facts that pile up as targets come and go."""
+        await self.hold(0.0)
+        self.targets.load_snapshot(TargetsSnapshot((), ()))
+        self.scheduler.targets_changed()
+        self.assertEqual(self.scheduler.facts_by_id, {})
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -178,3 +178,13 @@
         for _ in range(200):
             one.succeeded(10.0, 1.0, 16)
         self.assertEqual(one.concurrency_limit, 16.0)
+
+    def test_learned_speed_does_not_depend_on_the_load(self) -> None:
+        """Guards against the busiest target being taken for the fastest."""
+        idle, busy = facts(), facts(in_flight=4)
+        for _ in range(50):
+            # Four requests share the engine, so each takes four times as long
+            # as one that has the half of it for itself.
+            idle.succeeded(100.0, 1.0, 8)
+            busy.succeeded(100.0, 1.0, 8)
+        self.assertAlmostEqual(idle.tokens_per_second, busy.tokens_per_second)
