--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,8 @@
 # The stamp makes a second run skip the installation.
 $(VENV)/.installed: requirements.lock pyproject.toml
 	@test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) >&2
-	@$(BIN)/pip install --quiet --requirement requirements.lock >&2
-	@$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable . >&2
+	@$(BIN)/pip install -qq --requirement requirements.lock >&2
+	@$(BIN)/pip install -qq --no-deps --no-build-isolation --editable . >&2
 	@touch $@
 
 install: $(VENV)/.installed
--- a/tests/plugins/rollout/test_rollout.py
+++ b/tests/plugins/rollout/test_rollout.py
@@ -185,10 +185,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _until(self, condition: Callable[[], bool]) -> None:
-        while True:
-            if condition():
-                return
-            await asyncio.sleep(0.05)
+        async with asyncio.timeout(600.0):
+            while not condition():
+                await asyncio.sleep(0.05)
 
     def progress(self) -> dict[str, object]:
         return shown(self.rollouts.rollouts_by_model[MODEL])
