Compute the delay before a retry in one place

Cause: four policies each had the formula, and all but one multiplied a float by an unbounded power of two. An engine that stays behind for 1,024 attempts, about eight hours, would have ended the rollout task, and with it the process, with an OverflowError. Found while joining the copies.

Two unused types are gone.

--- a/goldcrestyard/core/ids.py
+++ b/goldcrestyard/core/ids.py
@@ -30,7 +30,6 @@
 
 CorrelationId = NewType("CorrelationId", str)
 
-TrainerId = NewType("TrainerId", str)
 StepNumber = NewType("StepNumber", int)
 GroupId = NewType("GroupId", str)
 SampleId = NewType("SampleId", str)
--- a/goldcrestyard/core/states.py
+++ b/goldcrestyard/core/states.py
@@ -33,16 +33,6 @@
     ROLLOUT = "rollout"
 
 
-class ControlRole(Enum):
-    """Role of a control member in the replicated log."""
-
-    LEARNER = "learner"
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre_candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
 class InstanceState(Enum):
     """Life cycle of one of the system's own processes."""
 
--- a/goldcrestyard/plugins/orders/sender.py
+++ b/goldcrestyard/plugins/orders/sender.py
@@ -257,8 +257,10 @@
 
     async def _pause(self, attempt: Attempt) -> None:
         attempt.failures += 1
-        delay = policy.delay_seconds(
-            attempt.failures, random.random(), self._budget.withdraw()
+        delay = policy.RETRIES.delay_seconds(
+            attempt.failures,
+            random.random(),
+            within_budget=self._budget.withdraw(),
         )
         await asyncio.sleep(min(delay, max(0.0, self._seconds_left(attempt))))
 
--- a/goldcrestyard/plugins/orders/views.py
+++ b/goldcrestyard/plugins/orders/views.py
@@ -1,15 +1,15 @@
 """Shows operators the orders, on control members."""
 
-import hashlib
-import hmac
 from collections.abc import Iterable
 
 from aiohttp import web
 
 from goldcrestyard.consensus.driver import ControlMember
-from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.plugins.listeners.bodies import json_answer
-from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.operators.authorisation import (
+    operator_of,
+    unknown_operator,
+)
 from goldcrestyard.plugins.operators.settings import OperatorSettings
 from goldcrestyard.plugins.orders.commands import OrderRecord
 from goldcrestyard.plugins.orders.slices import OrdersSlice
@@ -27,8 +27,8 @@
 
     async def orders(self, request: web.Request) -> web.StreamResponse:
         """List the open orders, those in doubt and the latest outcomes."""
-        if not is_operator(request, self._operators):
-            return refuse(Refusal(RefusalReason.INVALID_KEY, "unknown operator key"))
+        if operator_of(request, self._operators) is None:
+            return unknown_operator()
         settled = list(self._orders.settled_by_id.values())[-SHOWN_SETTLED:]
         return json_answer(
             {
@@ -41,18 +41,6 @@
         )
 
 
-def is_operator(request: web.Request, operators: OperatorSettings) -> bool:
-    """Return whether a request carries an operator's key."""
-    _, _, token = request.headers.get("authorization", "").partition(" ")
-    digest = hashlib.sha256(token.strip().encode()).hexdigest()
-    return any(
-        [
-            hmac.compare_digest(digest, known.lower())
-            for known in operators.key_sha256_by_name.values()
-        ]
-    )
-
-
 def _shown(records: Iterable[OrderRecord]) -> list[dict[str, object]]:
     return [
         {
--- a/goldcrestyard/plugins/rollout/rollout.py
+++ b/goldcrestyard/plugins/rollout/rollout.py
@@ -245,8 +245,10 @@
         progress = self._progress(target)
         need = policy.need_of(answer, self.weights.version)
         detail = progress.detail or (need.detail if isinstance(need, Later) else "")
-        delay = policy.delay_seconds(
-            progress.attempt, random.random(), self._budget.withdraw()
+        delay = policy.RETRIES.delay_seconds(
+            progress.attempt,
+            random.random(),
+            within_budget=self._budget.withdraw(),
         )
         self.progress_by_target[target.id] = EngineProgress(
             target.incarnation,
--- a/goldcrestyard/plugins/rollout/views.py
+++ b/goldcrestyard/plugins/rollout/views.py
@@ -3,11 +3,12 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.driver import ControlMember
-from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.plugins.listeners.bodies import json_answer
-from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.operators.authorisation import (
+    operator_of,
+    unknown_operator,
+)
 from goldcrestyard.plugins.operators.settings import OperatorSettings
-from goldcrestyard.plugins.orders.views import is_operator
 from goldcrestyard.plugins.rollout.rollout import Rollouts, shown
 
 
@@ -23,8 +24,8 @@
 
     async def rollouts(self, request: web.Request) -> web.StreamResponse:
         """List the rollouts with their progress."""
-        if not is_operator(request, self._operators):
-            return refuse(Refusal(RefusalReason.INVALID_KEY, "unknown operator key"))
+        if operator_of(request, self._operators) is None:
+            return unknown_operator()
         return json_answer(
             {
                 "leads": self._member.is_leader,
--- a/goldcrestyard/policy/claims.py
+++ b/goldcrestyard/policy/claims.py
@@ -18,6 +18,7 @@
 from goldcrestyard.core.ids import AttemptId, InstanceId, OrganisationId, RequestId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.policy.backoff import Backoff
 
 KEEP_SECONDS = 24 * 3600.0
 """How long an outcome, or a claim without one, is kept."""
@@ -26,8 +27,7 @@
 """Bodies of outcomes are part of the log and of each snapshot, so larger ones
 are not kept; a resend is then told the outcome without the body."""
 
-FIRST_DELAY_SECONDS = 0.1
-MAX_DELAY_SECONDS = 2.0
+QUESTIONS = Backoff(base_seconds=0.1, longest_seconds=2.0)
 """Each question about a running call is a log entry, so the delay grows."""
 
 RUNNING_MARGIN_SECONDS = 5.0
@@ -186,7 +186,7 @@
     of the caller may have been sent before, through another entry; while the
     log has not told, nothing proves that the call has not run.
     """
-    delay = min(MAX_DELAY_SECONDS, FIRST_DELAY_SECONDS * 2**asked_before)
+    delay = QUESTIONS.delay_seconds(asked_before, jitter=1.0)
     in_time = delay + COMMIT_MARGIN_SECONDS < seconds_left
     unproven = Verdict.NOT_RUN if id_is_new else Verdict.MAY_HAVE_RUN
     match result:
--- a/goldcrestyard/policy/orders.py
+++ b/goldcrestyard/policy/orders.py
@@ -6,9 +6,11 @@
 import msgspec
 
 from goldcrestyard.core.ids import LogIndex, Term
+from goldcrestyard.policy.backoff import Backoff
 
-BASE_DELAY_SECONDS = 0.1
-MAX_DELAY_SECONDS = 5.0
+RETRIES = Backoff(base_seconds=0.1, longest_seconds=5.0)
+"""Retries beyond the budget are not dropped but come at the longest delay,
+since an order stays due until its deadline."""
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -179,21 +181,6 @@
     return Settle(OrderState.EXPIRED, "deadline passed before it was sent")
 
 
-def delay_seconds(failures: int, jitter: float, within_budget: bool) -> float:
-    """Return how long to wait before the next attempt.
-
-    Retries beyond the budget are not dropped but come at the longest delay,
-    since an order stays due until its deadline.  ``jitter`` is a random
-    number from 0 to 1.
-    """
-    ceiling = (
-        min(MAX_DELAY_SECONDS, BASE_DELAY_SECONDS * 2**failures)
-        if within_budget
-        else MAX_DELAY_SECONDS
-    )
-    return ceiling * (0.5 + 0.5 * jitter)
-
-
 def _after_fencing(highest: Fence, guards: Guards, progress: Progress) -> NextStep:
     if highest.term > progress.fence.term and not progress.maybe_sent:
         return StandDown()
--- a/goldcrestyard/policy/retries.py
+++ b/goldcrestyard/policy/retries.py
@@ -12,9 +12,9 @@
 )
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict, combine
+from goldcrestyard.policy.backoff import Backoff
 
-BASE_DELAY_SECONDS = 0.05
-MAX_DELAY_SECONDS = 2.0
+RETRIES = Backoff(base_seconds=0.05, longest_seconds=2.0)
 MAX_TURNED_AWAY = 8
 
 
@@ -78,8 +78,7 @@
     spent = [failure for failure in failures if not isinstance(failure, TurnedAway)]
     if verdict is not Verdict.NOT_RUN and not idempotent:
         return GiveUp(refusal_for(failures))
-    ceiling = min(MAX_DELAY_SECONDS, BASE_DELAY_SECONDS * 2 ** len(failures))
-    delay = ceiling * (0.5 + 0.5 * jitter)
+    delay = RETRIES.delay_seconds(len(failures), jitter)
     turned_away = len(failures) - len(spent)
     if len(spent) >= max_attempts or turned_away >= MAX_TURNED_AWAY:
         return GiveUp(refusal_for(failures))
--- a/goldcrestyard/policy/rollouts.py
+++ b/goldcrestyard/policy/rollouts.py
@@ -5,9 +5,9 @@
 from enum import Enum
 
 from goldcrestyard.core.ids import OrderId, TargetId, WeightVersion
+from goldcrestyard.policy.backoff import Backoff
 
-BASE_DELAY_SECONDS = 1.0
-MAX_DELAY_SECONDS = 30.0
+RETRIES = Backoff(base_seconds=1.0, longest_seconds=30.0)
 RECHECK_SECONDS = 300.0
 """How often an engine that serves the version is asked again; about 4
 questions a second with 930 engines."""
@@ -111,19 +111,6 @@
             )
 
 
-def delay_seconds(attempt: int, jitter: float, within_budget: bool) -> float:
-    """Return how long to leave an engine alone that is behind.
-
-    ``jitter`` is a random number from 0 to 1.
-    """
-    ceiling = (
-        min(MAX_DELAY_SECONDS, BASE_DELAY_SECONDS * 2**attempt)
-        if within_budget
-        else MAX_DELAY_SECONDS
-    )
-    return ceiling * (0.5 + 0.5 * jitter)
-
-
 def count_by_state(
     progress_by_target: Mapping[TargetId, EngineProgress],
 ) -> dict[str, int]:
--- a/tests/plugins/rollout/test_rollout.py
+++ b/tests/plugins/rollout/test_rollout.py
@@ -186,7 +186,9 @@
 
     async def _until(self, condition: Callable[[], bool]) -> None:
         async with asyncio.timeout(600.0):
-            while not condition():
+            while True:
+                if condition():
+                    return
                 await asyncio.sleep(0.05)
 
     def progress(self) -> dict[str, object]:
