Gather new loads for the entries of a region, and join the attempt loops

Cause: the first form encoded a summary of loads for each renewing entry. At 930 targets that took 662 us at the leader for each renewal, a quarter of a core for 370 entries, and crossed the link between regions.

The two front ends' attempt loops had the same rules twice; Attempts of the scheduling plug-in has them once.

Result: tests of the scheduling, services, claims and trainers plug-ins pass.

--- a/bench/policies_cost.py
+++ b/bench/policies_cost.py
@@ -13,6 +13,7 @@
     OrganisationId,
     Region,
     SampleId,
+    TargetId,
     WeightVersion,
 )
 from goldcrestyard.core.records import Organisation, PublishedWeights
@@ -26,6 +27,11 @@
 from goldcrestyard.plugins.orders.settling import Settler
 from goldcrestyard.plugins.rollout.rollout import Rollouts
 from goldcrestyard.plugins.rollout.settings import RolloutSettings
+from goldcrestyard.plugins.scheduling.load_digests import (
+    GATHER_SECONDS,
+    TargetLoadChannel,
+    TargetLoadMerger,
+)
 from goldcrestyard.plugins.scheduling.scheduler import Grant, Scheduler, WorkRequest
 from goldcrestyard.plugins.scheduling.settings import SchedulingSettings
 from goldcrestyard.plugins.targets.homes import Load, TargetHome
@@ -37,12 +43,13 @@
     decode_manifest,
     encode_manifest,
 )
-from goldcrestyard.policy.routing import Needs, TargetFacts, choose_target
+from goldcrestyard.policy.routing import LoadReport, Needs, TargetFacts, choose_target
 from tests.fakes.member import FakeMember
 from tests.plugins.rollout.test_rollout import FakeEngine, FakeEngines
 
 GRANTS = 200
 RENEWALS = 20_000
+LOAD_ROUNDS = 4
 SWAP_POLL_SECONDS = 0.02
 
 
@@ -95,6 +102,53 @@
     return {"renewal|us": (time.process_time() - started) / RENEWALS * 1e6}
 
 
+def loads(count: int) -> dict[str, float]:
+    """Measure one summary of loads, with those of half of the targets.
+
+    Each target renews every 2 s and each entry every second, so that half of
+    the targets have told a new load since an entry's last renewal.
+    """
+    return asyncio.run(_tell_loads(count))
+
+
+async def _tell_loads(count: int) -> dict[str, float]:
+    codec, clock = full_codec(), Clock()
+    here = Region("region-0")
+    merger = TargetLoadMerger(codec, clock, lambda _: here, lambda _: here)
+    learned: dict[TargetId, LoadReport] = {}
+    reports: dict[TargetId, LoadReport] = {}
+    entry = TargetLoadChannel(
+        lambda: iter(reports.items()), learned.__setitem__, codec, clock
+    )
+    size = merging = summing = learning = 0.0
+    for round_number in range(LOAD_ROUNDS):
+        # A report must be newer by more than the rounding of its age.
+        at = clock.monotonic() - 10.0 + round_number
+        for number in range(round_number % 2, count, 2):
+            report = LoadReport(float(1000 + number), at)
+            reports = {target(number).id: report}
+            digest = entry.collect()
+            started = time.process_time()
+            merger.merge(InstanceId("home"), digest)
+            merging += time.process_time() - started
+        # Cuts the batch, which is done once for all entries.
+        await asyncio.sleep(GATHER_SECONDS)
+        merger.summary(InstanceId("entry-0"))
+        started = time.process_time()
+        summary = merger.summary(InstanceId("entry-1"))
+        summed = time.process_time()
+        entry.receive(summary)
+        summing += summed - started
+        learning += time.process_time() - summed
+        size += len(summary)
+    return {
+        "summary|KB": size / LOAD_ROUNDS / 1e3,
+        "summary at the leader|us": summing / LOAD_ROUNDS * 1e6,
+        "summary at the entry|us": learning / LOAD_ROUNDS * 1e6,
+        "merge of one report|us": merging / (LOAD_ROUNDS * count / 2) * 1e6,
+    }
+
+
 def manifests(count: int) -> dict[str, float]:
     """Measure the manifest of a step and the command that fixes it."""
     samples = tuple(
@@ -187,6 +241,11 @@
     report_columns((8, 64, 256, 1024), scheduling)
 
 
+def run_loads() -> None:
+    """Print the cost of sharing load reports."""
+    report_columns((100, 300, 930, 2000), loads)
+
+
 def run_homes() -> None:
     """Print the cost of a renewal against the targets of the home."""
     report_columns((3, 30, 300, 930), homes)
--- a/bench/policies_simulation.py
+++ b/bench/policies_simulation.py
@@ -424,16 +424,14 @@
         self, scheduler: Scheduler | ArrivalOrderScheduler, budget: bool = True
     ) -> Dispatcher:
         """Return the product's dispatcher on a scheduler."""
-        made = Dispatcher(
+        return Dispatcher(
             cast(EngineClient, self.client),
             cast(Scheduler, scheduler),
             lambda name: self.terms_by_id.setdefault(name, Organisation(name)),
             Clock(lambda: EPOCH + now()),
             EngineSettings(),
+            None if budget else RetryBudget(share=1e9, reserve=1e9),
         )
-        if not budget:
-            made._budget = RetryBudget(share=1e9, reserve=1e9)
-        return made
 
     async def send(
         self,
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,6 +20,7 @@
     "restarts": control.run_restarts,
     "memory": state.run_memory,
     "scheduling": policies_cost.run_scheduling,
+    "loads": policies_cost.run_loads,
     "homes": policies_cost.run_homes,
     "manifests": policies_cost.run_manifests,
     "rollout": policies_cost.run_rollout,
--- a/goldcrestyard/plugins/engines/dispatch.py
+++ b/goldcrestyard/plugins/engines/dispatch.py
@@ -1,17 +1,13 @@
 """Sends a request to engines until one has answered or none is left."""
 
-import asyncio
-import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 
 from goldcrestyard.core.attempts import (
     Answered,
     AttemptFailure,
-    AttemptOutcome,
     Broken,
-    TurnedAway,
 )
 from goldcrestyard.core.ids import CorrelationId, OrganisationId, TargetId
 from goldcrestyard.core.records import Organisation, Target
@@ -30,11 +26,12 @@
     Finished,
     StreamStep,
 )
+from goldcrestyard.plugins.scheduling.attempts import AttemptRules, Attempts
 from goldcrestyard.plugins.scheduling.scheduler import Grant, Scheduler, WorkRequest
-from goldcrestyard.policy import retries
+from goldcrestyard.policy.retries import RetryBudget
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Call:
     """A caller's request on its way through the attempts."""
 
@@ -42,9 +39,12 @@
     organisation: Organisation
     priority: Priority
     correlation_id: CorrelationId
-    deadline: float
-    failures: list[AttemptFailure] = field(default_factory=list)
-    tried: set[TargetId] = field(default_factory=set)
+    attempts: Attempts
+
+    @property
+    def tried(self) -> set[TargetId]:
+        """The targets that the next attempt leaves out."""
+        return self.attempts.tried
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,13 +71,15 @@
         organisation_of: Callable[[OrganisationId], Organisation],
         clock: Clock,
         settings: EngineSettings,
+        budget: RetryBudget | None = None,
     ) -> None:
         self._client = client
         self._scheduler = scheduler
         self._organisation_of = organisation_of
-        self._clock = clock
         self._settings = settings
-        self._budget = retries.RetryBudget()
+        self._rules = AttemptRules(
+            clock, scheduler, settings.max_attempts, budget or RetryBudget()
+        )
 
     def start(
         self,
@@ -87,25 +89,25 @@
         correlation_id: CorrelationId,
     ) -> Call:
         """Return a new call with its deadline."""
-        self._budget.deposit()
-        deadline = self._clock.monotonic() + self._settings.request_seconds
+        attempts = Attempts.begin(
+            self._rules, self._settings.request_seconds, idempotent=True
+        )
         terms = self._organisation_of(organisation)
-        return Call(request, terms, priority, correlation_id, deadline)
+        return Call(request, terms, priority, correlation_id, attempts)
 
     async def answer(self, call: Call) -> Answered | Refusal:
         """Return an engine's whole answer, or why there is none."""
         while True:
             async with self._scheduler.acquire(self._work(call)) as granted:
                 if isinstance(granted, Refusal):
-                    return self._without_target(call, granted)
+                    return call.attempts.without_target(granted)
                 outcome = await self._client.call(
                     granted.target, call.request, granted.attempt, call.correlation_id
                 )
                 granted.finish(outcome, count_of_answer(outcome))
-                _note_tried(call, granted, outcome)
             if isinstance(outcome, Answered):
                 return outcome
-            refusal = await self._after_failure(call, outcome)
+            refusal = await call.attempts.after_failure(granted, outcome)
             if refusal is not None:
                 return refusal
 
@@ -120,7 +122,7 @@
                     self._scheduler.acquire(self._work(call))
                 )
                 if isinstance(granted, Refusal):
-                    yield self._without_target(call, granted)
+                    yield call.attempts.without_target(granted)
                     return
                 opened = await stack.enter_async_context(
                     self._client.stream(
@@ -135,11 +137,10 @@
                     yield outcome
                     return
                 granted.finish(outcome)
-                _note_tried(call, granted, outcome)
                 if isinstance(outcome, Answered):
                     yield outcome
                     return
-            refusal = await self._after_failure(call, outcome)
+            refusal = await call.attempts.after_failure(granted, outcome)
             if refusal is not None:
                 yield refusal
                 return
@@ -168,48 +169,9 @@
             call.organisation,
             needs_of(call.request, call.priority),
             frozenset(call.tried),
-            call.deadline,
+            call.attempts.deadline,
         )
 
-    def _without_target(self, call: Call, refusal: Refusal) -> Refusal:
-        """Return the refusal of a call that gets no further target.
-
-        The verdict covers the attempts before.
-        """
-        if call.failures:
-            return retries.refusal_for(call.failures)
-        return replace(refusal, verdict=retries.overall_verdict(call.failures))
-
-    async def _after_failure(
-        self, call: Call, failure: AttemptFailure
-    ) -> Refusal | None:
-        """Wait before the next attempt, or return the refusal."""
-        call.failures.append(failure)
-        if isinstance(failure, Broken) and failure.target_answers:
-            # Only its connection was dead.
-            call.tried.clear()
-        decision = retries.decide(
-            call.failures,
-            idempotent=True,
-            max_attempts=self._settings.max_attempts,
-            seconds_left=call.deadline - self._clock.monotonic(),
-            budget=self._budget,
-            jitter=random.random(),
-        )
-        match decision:
-            case retries.RetryAfter(delay_seconds=delay_seconds):
-                self._scheduler.note_retry()
-                await asyncio.sleep(delay_seconds)
-                return None
-            case retries.GiveUp(refusal=refusal):
-                return refusal
-
-
-def _note_tried(call: Call, grant: Grant, outcome: AttemptOutcome) -> None:
-    """Leave out a target that failed; one that was full may have room soon."""
-    if not isinstance(outcome, TurnedAway):
-        call.tried.add(grant.target.id)
-
 
 async def _observed(
     grant: Grant, counter: StreamCounter, steps: AsyncIterator[StreamStep]
--- a/goldcrestyard/plugins/scheduling/apps.py
+++ b/goldcrestyard/plugins/scheduling/apps.py
@@ -3,16 +3,19 @@
 from collections.abc import Iterator
 from functools import partial
 
-from goldcrestyard.core.ids import TargetId
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.core.ids import InstanceId, Region, TargetId
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.digests import EntryDigests, LeaderDigests
 from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.scheduling.load_digests import (
     TargetLoadChannel,
     TargetLoadDigest,
     TargetLoadMerger,
+    TargetLoadSummary,
 )
 from goldcrestyard.plugins.scheduling.scheduler import Scheduler
 from goldcrestyard.plugins.scheduling.settings import SchedulingSettings
@@ -36,14 +39,26 @@
         yield target_id, LoadReport(float(waiting), load.measured_at)
 
 
+def region_of_target(targets: TargetsSlice, target_id: TargetId) -> Region | None:
+    """Return the region of a target, or None if it is not known."""
+    target = targets.find(target_id)
+    return target.region if target is not None else None
+
+
+def region_of_entry(entries: EntriesSlice, instance: InstanceId) -> Region | None:
+    """Return the region of an entry, or None if it is not known."""
+    entry = entries.entries_by_id.get(instance)
+    return entry.region if entry is not None else None
+
+
 class SchedulingConfig(PluginConfig):
     """Provides the scheduler."""
 
     name = "scheduling"
-    requires = ("control", "entry", "targets")
+    requires = ("addresses", "control", "entry", "targets")
     settings_section = "scheduling"
     settings_class = SchedulingSettings
-    messages = (TokenUseDigest, TargetLoadDigest)
+    messages = (TokenUseDigest, TargetLoadDigest, TargetLoadSummary)
 
     def ready(self, app: Application) -> None:
         """Create the scheduler on this entry's view."""
@@ -69,7 +84,15 @@
         leader_digests = app.find(LeaderDigests)
         if leader_digests is not None:
             leader_digests.add(TokenUseMerger(codec, app.clock))
-            leader_digests.add(TargetLoadMerger(codec, app.clock))
+            machine = app.get(ControlMember).machine
+            leader_digests.add(
+                TargetLoadMerger(
+                    codec,
+                    app.clock,
+                    partial(region_of_target, machine.get(TargetsSlice)),
+                    partial(region_of_entry, machine.get(EntriesSlice)),
+                )
+            )
 
     async def start(self, app: Application) -> None:
         """Start to look for targets that return from ejection."""
--- a/goldcrestyard/plugins/scheduling/load_digests.py
+++ b/goldcrestyard/plugins/scheduling/load_digests.py
@@ -4,11 +4,11 @@
 since the clocks of two instances have nothing in common.
 """
 
-from collections import OrderedDict
+from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from goldcrestyard.core.ids import InstanceId, TargetId
+from goldcrestyard.core.ids import InstanceId, Region, TargetId
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.digests import DigestChannel, DigestMerger
 from goldcrestyard.policy.routing import LoadReport
@@ -20,6 +20,11 @@
 STALE_SECONDS = 30.0
 """Age at which a report says too little to be passed on."""
 
+GATHER_SECONDS = 0.5
+KEPT_SECONDS = 5.0
+"""An entry that has not renewed for as long has lost its lease as well."""
+BATCHES_BETWEEN_SWEEPS = 64
+
 
 @dataclass(frozen=True, slots=True)
 class TargetLoadDigest:
@@ -32,6 +37,22 @@
     loads_by_target: dict[TargetId, tuple[int, int]]
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLoadSummary:
+    """Encoded digests, each with its age in tenths of a second."""
+
+    batches: tuple[tuple[int, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """The new loads of a region's targets, encoded for its entries."""
+
+    number: int
+    cut_at: float
+    digest: bytes
+
+
 HomeLoads = Callable[[], Iterator[tuple[TargetId, LoadReport]]]
 Learn = Callable[[TargetId, LoadReport], None]
 
@@ -84,58 +105,92 @@
 
     def receive(self, summary: bytes) -> None:
         """Learn the loads that other homes have told."""
-        reports = decode_loads(self._codec, summary, self._clock.monotonic())
-        for target, report in reports.items():
-            self._learn(target, report)
+        decoded = self._codec.decode(summary)
+        if not isinstance(decoded, TargetLoadSummary):
+            return
+        now = self._clock.monotonic()
+        for age, digest in decoded.batches:
+            cut_at = now - age / TENTHS_OF_A_SECOND
+            for target, report in decode_loads(self._codec, digest, cut_at).items():
+                self._learn(target, report)
 
 
 class TargetLoadMerger(DigestMerger):
-    """Keeps the latest load of each target.
+    """Keeps the latest loads and hands each on once to the target's region.
 
-    An entry is sent only what has come since its last renewal, so that the
-    traffic follows the targets' reports and not the entries' renewals.
+    New loads are gathered for a while and encoded once for all entries of a
+    region: at full size hundreds of entries renew in that time.  Entries of
+    another region hear nothing of a target, since they seldom use it and the
+    link between regions is paid for by volume.
     """
 
     name = CHANNEL
 
-    def __init__(self, codec: Codec, clock: Clock) -> None:
+    def __init__(
+        self,
+        codec: Codec,
+        clock: Clock,
+        region_of_target: Callable[[TargetId], Region | None],
+        region_of_entry: Callable[[InstanceId], Region | None],
+    ) -> None:
         self._codec = codec
         self._clock = clock
-        # In the order of arrival; the number says what an entry has seen.
-        self._numbered: OrderedDict[TargetId, tuple[int, LoadReport]] = OrderedDict()
-        self._number = 0
+        self._region_of_target = region_of_target
+        self._region_of_entry = region_of_entry
+        self._latest_by_target: dict[TargetId, LoadReport] = {}
+        self._gathering: dict[Region, dict[TargetId, LoadReport]] = {}
+        self._batches_by_region: dict[Region, deque[Batch]] = {}
+        self._batch_number = 0
+        self._cut_at = float("-inf")
         self._seen_by_entry: dict[InstanceId, int] = {}
 
     def merge(self, entry: InstanceId, digest: bytes) -> None:
         """Take in the loads of an entry's targets."""
         now = self._clock.monotonic()
         for target, report in decode_loads(self._codec, digest, now).items():
-            known = self._numbered.get(target)
-            if known is not None and not _is_newer(report, known[1]):
+            known = self._latest_by_target.get(target)
+            region = self._region_of_target(target)
+            if region is None or (known is not None and not _is_newer(report, known)):
                 continue
-            self._number += 1
-            self._numbered[target] = (self._number, report)
-            self._numbered.move_to_end(target)
-        self._forget_stale(now)
+            self._latest_by_target[target] = report
+            self._gathering.setdefault(region, {})[target] = report
 
     def summary(self, entry: InstanceId) -> bytes:
-        """Return the loads that have come since the entry's last renewal."""
+        """Return the batches that have come since the entry's last renewal."""
+        now = self._clock.monotonic()
+        if now - self._cut_at >= GATHER_SECONDS:
+            self._cut(now)
         seen = self._seen_by_entry.get(entry, 0)
-        newer: dict[TargetId, LoadReport] = {}
-        for target in reversed(self._numbered):
-            number, report = self._numbered[target]
-            if number <= seen:
-                break
-            newer[target] = report
-        self._seen_by_entry[entry] = self._number
-        return encode_loads(self._codec, newer, self._clock.monotonic())
-
-    def _forget_stale(self, now: float) -> None:
-        while self._numbered:
-            target, (_, report) = next(iter(self._numbered.items()))
-            if now - report.measured_at < STALE_SECONDS:
-                return
-            del self._numbered[target]
+        self._seen_by_entry[entry] = self._batch_number
+        region = self._region_of_entry(entry)
+        batches = self._batches_by_region.get(region, ()) if region is not None else ()
+        return self._codec.encode(
+            TargetLoadSummary(
+                tuple(
+                    (round((now - batch.cut_at) * TENTHS_OF_A_SECOND), batch.digest)
+                    for batch in batches
+                    if batch.number > seen
+                )
+            )
+        )
+
+    def _cut(self, now: float) -> None:
+        """Close the batch of each region, and forget what is too old."""
+        self._cut_at = now
+        self._batch_number += 1
+        for region, reports in self._gathering.items():
+            batches = self._batches_by_region.setdefault(region, deque())
+            digest = encode_loads(self._codec, reports, now)
+            batches.append(Batch(self._batch_number, now, digest))
+            while now - batches[0].cut_at > KEPT_SECONDS:
+                batches.popleft()
+        self._gathering = {}
+        if self._batch_number % BATCHES_BETWEEN_SWEEPS == 0:
+            self._latest_by_target = {
+                target: report
+                for target, report in self._latest_by_target.items()
+                if now - report.measured_at < STALE_SECONDS
+            }
 
 
 def _is_newer(report: LoadReport, known: LoadReport) -> bool:
--- a/goldcrestyard/plugins/trainers/samples.py
+++ b/goldcrestyard/plugins/trainers/samples.py
@@ -261,7 +261,7 @@
             Priority.ROLLOUT,
             self._maker.correlation_id,
         )
-        call.tried |= avoid
+        call.tried.update(avoid)
         async with self._maker.dispatcher.stream(call) as opened:
             match opened:
                 case Refusal():
