--- a/goldcrestyard/cli/application.py
+++ b/goldcrestyard/cli/application.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from cleo.application import Application
+from cleo.commands.completions_command import CompletionsCommand
 from cleo.exceptions import CleoError
 from cleo.io.inputs.argv_input import ArgvInput
 from cleo.io.outputs.output import Output
@@ -41,6 +42,7 @@
     application.catch_exceptions(False)
     for command in discover_commands():
         application.add(command)
+    application.add(CompletionsCommand())
     return application
 
 
@@ -50,7 +52,10 @@
     error_output: Output | None = None,
 ) -> int:
     """Run the tool and return its exit code."""
-    given = sys.argv[1:] if arguments is None else arguments
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    if given in (["--help"], ["-h"]):
+        # The library would explain its own command that lists the others.
+        given = ["list"]
     try:
         return create_application().run(
             ArgvInput(["goldcrest", *given]), output, error_output
--- a/tests/cli/test_goldcrest.py
+++ b/tests/cli/test_goldcrest.py
@@ -56,6 +56,14 @@
         names = {command.name for command in discover_commands()}
         self.assertLessEqual(NAMES, names)
 
+    @parameterized.expand(["--help", "-h", "list"])
+    def test_help_without_a_command_lists_the_commands(self, argument: str) -> None:
+        """Guards against the help of the library's own command."""
+        code, output, _ = run(argument)
+        self.assertEqual(code, ExitCode.DONE)
+        for name in ("key grant", "members replace", "status"):
+            self.assertIn(name, output)
+
     @parameterized.expand([(command.name,) for command in discover_commands()])
     def test_help_has_examples_exit_codes_and_json(self, name: str) -> None:
         code, output, _ = run(*name.split(), "--help")
