Bound the claims that the log remembers

A call beyond 150,000 claims, or 50,000 of its organisation, is refused with a true "not run": the log knows no claim of it, so it was never sent. Calls that are known are still answered.

Result: tests of the claims pass; without the bound test_one_organisation_cannot_fill_the_memory gets the claim granted.

--- a/goldcrestyard/plugins/claims/slices.py
+++ b/goldcrestyard/plugins/claims/slices.py
@@ -1,8 +1,9 @@
 """Replicated state: claims of non-idempotent calls and their outcomes."""
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from dataclasses import replace
 
+from goldcrestyard.core.ids import OrganisationId
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.plugins.claims.commands import (
     ClaimCall,
@@ -39,6 +40,12 @@
 are dropped, while their outcomes stay known."""
 
 
+MAX_CLAIMS = 150_000
+MAX_CLAIMS_OF_ONE = 50_000
+"""Bounds on the claims of 24 hours, for all and for one organisation.  A claim
+takes about 0.4 KB of a control member's memory and of each snapshot."""
+
+
 class ClaimsSlice(Slice):
     """Claims by organisation and request id, the first to expire first.
 
@@ -51,6 +58,7 @@
 
     def __init__(self) -> None:
         self.claims_by_key: OrderedDict[ClaimKey, Claim] = OrderedDict()
+        self._count_by_organisation: Counter[OrganisationId] = Counter()
         self._body_bytes = 0
         # Settled claims with a body, oldest first; may name claims that have
         # expired or were replaced since.
@@ -94,9 +102,19 @@
         ):
             if known is not None:
                 self._remove(known)
+            elif not self._has_room(command.organisation):
+                return Rejected(RefusalReason.CAPACITY, "too many calls are remembered")
             self.claims_by_key[asked.key] = asked
+            self._count_by_organisation[command.organisation] += 1
         return standing
 
+    def _has_room(self, organisation: OrganisationId) -> bool:
+        """Return whether another call of an organisation may be claimed."""
+        return (
+            len(self.claims_by_key) < MAX_CLAIMS
+            and self._count_by_organisation[organisation] < MAX_CLAIMS_OF_ONE
+        )
+
     def _settle(self, command: SettleClaim, time: float) -> Outcome:
         key = ClaimKey(command.organisation, command.request)
         known = self.claims_by_key.get(key)
@@ -128,6 +146,9 @@
 
     def _remove(self, claim: Claim) -> None:
         del self.claims_by_key[claim.key]
+        self._count_by_organisation[claim.key.organisation] -= 1
+        if not self._count_by_organisation[claim.key.organisation]:
+            del self._count_by_organisation[claim.key.organisation]
         self._body_bytes -= _body_size(claim.outcome)
         # Claims expire in the order in which they were settled, so those
         # that are gone are at the front.
@@ -157,6 +178,9 @@
         self._with_body = deque()
         for claim in snapshot.claims:
             self._put(claim)
+        self._count_by_organisation = Counter(
+            key.organisation for key in self.claims_by_key
+        )
 
 
 def _body_size(outcome: StoredOutcome | None) -> int:
--- a/goldcrestyard/policy/claims.py
+++ b/goldcrestyard/policy/claims.py
@@ -19,6 +19,7 @@
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.policy.backoff import Backoff
+from goldcrestyard.state.commands import Rejected
 
 KEEP_SECONDS = 24 * 3600.0
 """How long an outcome, or a claim without one, is kept."""
@@ -201,6 +202,9 @@
                     "the request id was used for a call with other content",
                 )
             )
+        case Applied(outcome=Rejected(reason=RefusalReason.CAPACITY, detail=detail)):
+            # The log knows no claim of this call, so it was never sent.
+            return Refuse(Refusal(RefusalReason.CAPACITY, detail, Verdict.NOT_RUN, 60))
         case Applied(outcome=HeldByOther(entry=holder, age_seconds=age)):
             running = age < call_seconds + RUNNING_MARGIN_SECONDS
             if in_time and running and holder in entries:
--- a/tests/plugins/claims/test_slices.py
+++ b/tests/plugins/claims/test_slices.py
@@ -6,6 +6,8 @@
 """
 
 import unittest
+from dataclasses import replace
+from unittest import mock
 
 from goldcrestyard.core.ids import (
     AttemptId,
@@ -16,6 +18,8 @@
     RequestId,
     Term,
 )
+from goldcrestyard.core.refusals import RefusalReason
+from goldcrestyard.plugins.claims import slices
 from goldcrestyard.plugins.claims.apps import ClaimsConfig
 from goldcrestyard.plugins.claims.commands import (
     ClaimCall,
@@ -151,3 +155,22 @@
         copy.load_snapshot(codec.decode(codec.encode(self.slice.to_snapshot())))
         self.assertEqual(copy.claims_by_key, self.slice.claims_by_key)
         self.assertEqual(list(copy.claims_by_key), list(self.slice.claims_by_key))
+
+    def test_one_organisation_cannot_fill_the_memory(self) -> None:
+        with mock.patch.object(slices, "MAX_CLAIMS_OF_ONE", 2):
+            self.apply(claim("r1"))
+            self.apply(claim("r2"))
+            refused = self.apply(claim("r3"))
+            self.assertEqual(refused.reason, RefusalReason.CAPACITY)
+            # What is known is still answered, and room comes back.
+            self.assertIsInstance(self.apply(claim("r1", "a2")), HeldByOther)
+            other = replace(claim("r3"), organisation=OrganisationId("sado"))
+            self.assertEqual(self.apply(other), Granted())
+            self.apply(release("r1"))
+            self.assertEqual(self.apply(claim("r3")), Granted())
+
+    def test_count_survives_a_snapshot(self) -> None:
+        self.apply(claim("r1"))
+        self.slice.load_snapshot(self.slice.to_snapshot())
+        with mock.patch.object(slices, "MAX_CLAIMS_OF_ONE", 1):
+            self.assertIsInstance(self.apply(claim("r2")), Rejected)
--- a/tests/policy/test_claims.py
+++ b/tests/policy/test_claims.py
@@ -45,6 +45,7 @@
     may_end,
     next_step,
 )
+from goldcrestyard.state.commands import Rejected
 
 OUTCOME = StoredOutcome(200, (), b"done", 4)
 RUNNING = Claim(
@@ -143,6 +144,12 @@
         Verdict.MAY_HAVE_RUN,
         entries=(),
     ),
+    StepCase(
+        "no_room",
+        applied(Rejected(RefusalReason.CAPACITY, "full")),
+        Refuse,
+        Verdict.NOT_RUN,
+    ),
     StepCase("unknown", applied(OutcomeUnknown()), Refuse, Verdict.MAY_HAVE_RUN),
     StepCase("no_leader", NotProposed("none"), AskAgain),
     StepCase("in_doubt", InDoubt("lost"), AskAgain),
