Give the scheduler's tests back the power to fail

Switching off the reset of the service rate showed it: the test of the burst still passed. No other test class replaces a method of unittest.

--- a/tests/plugins/scheduling/test_scheduler.py
+++ b/tests/plugins/scheduling/test_scheduler.py
@@ -45,7 +45,7 @@
             self.targets, self.clock(), Region("lisboa"), SchedulingSettings()
         )
 
-    def add_target(self, name: str, concurrency: int) -> None:
+    def add_target(self, name: str, concurrency: int, incarnation: str = "") -> None:
         """Announce a target."""
         record = Target(
             TargetId(name),
@@ -55,6 +55,7 @@
             Region("lisboa"),
             (MODEL,),
             max_concurrency=concurrency,
+            incarnation=incarnation,
         )
         announce(self.targets, record)
 
@@ -113,7 +114,7 @@
         await asyncio.gather(waiting, return_exceptions=True)
         self.assertEqual(self.scheduler.facts_by_id[TargetId("a")].in_flight, 0)
 
-    async def fail(self, times: int) -> None:
+    async def fail_requests(self, times: int) -> None:
         """Let requests to the first target fail."""
         for _ in range(times):
             async with self.scheduler.acquire(self.work()) as granted:
@@ -122,7 +123,7 @@
                 granted.finish(Broken("reset"))
 
     async def test_failing_target_is_ejected_and_comes_back(self) -> None:
-        await self.fail(3)
+        await self.fail_requests(3)
         self.add_target("b", 1)
         ticking = asyncio.create_task(self.scheduler.run())
         self.addCleanup(ticking.cancel)
@@ -137,7 +138,7 @@
 
     async def test_only_target_is_used_one_request_at_a_time(self) -> None:
         """Guards against a wait that cannot help when all are ejected."""
-        await self.fail(3)
+        await self.fail_requests(3)
         started = self.clock().monotonic()
         await asyncio.gather(self.hold(0.1), self.hold(0.1))
         self.assertAlmostEqual(self.clock().monotonic() - started, 0.1, delta=0.11)
@@ -182,9 +183,20 @@
         for _ in range(5):
             await self.hold(0.01)
             await asyncio.sleep(10.0)
-        results = await asyncio.gather(*(self.hold(0.1) for _ in range(100)))
+        first = [asyncio.create_task(self.hold(0.1)) for _ in range(50)]
+        # The first answers of the burst have come by now.
+        await asyncio.sleep(0.35)
+        second = [asyncio.create_task(self.hold(0.1)) for _ in range(50)]
+        results = await asyncio.gather(*first, *second)
         self.assertEqual([r for r in results if isinstance(r, Refusal)], [])
 
+    async def test_target_that_starts_again_is_not_held_to_be_ejected(self) -> None:
+        await self.fail_requests(3)
+        self.add_target("a", 2, incarnation="second")
+        started = self.clock().monotonic()
+        await asyncio.gather(self.hold(0.1), self.hold(0.1))
+        self.assertAlmostEqual(self.clock().monotonic() - started, 0.1)
+
     async def test_lost_target_is_forgotten(self) -> None:
         """Guards against facts that pile up as targets come and go."""
         await self.hold(0.0)
