Send callers away from a region that is cut off

Cause: an entry without its lease refuses keyed callers, but its address list still named itself and its region first, so that callers near it kept coming back for as long as the cut lasted.

It now names the entries of other regions first. The order of the list had no test; a table covers it.

--- a/goldcrestyard/plugins/addresses/apps.py
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -44,7 +44,9 @@
 
     def ready(self, app: Application) -> None:
         """Add the route."""
-        entries = app.get(EntryView).machine.get(EntriesSlice)
+        view = app.get(EntryView)
+        entries = view.machine.get(EntriesSlice)
+        own_region = app.settings.section(InstanceSettings).region
         ttl_seconds = app.settings.section(AddressSettings).ttl_seconds
 
         async def addresses(request: web.Request) -> web.StreamResponse:
@@ -58,6 +60,9 @@
                 request.query.get("asker", request.remote or ""),
                 request.query.get("data_centre", ""),
                 request.query.get("region", ""),
+                # Without its lease this entry, and most likely its region,
+                # has lost the leader.
+                None if view.holds_lease() else own_region,
             )
             return json_answer(
                 {
--- /dev/null
+++ b/tests/policy/test_addresses.py
@@ -0,0 +1,69 @@
+"""Tests of the order in which callers try the entries.
+
+They guard against callers that cross the link between regions for nothing,
+that all choose one entry, or that are sent to a region that is cut off.
+"""
+
+import unittest
+from collections import Counter
+from dataclasses import dataclass
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import DataCentre, InstanceId, Region
+from goldcrestyard.policy.addresses import Place, order_for
+
+LISBOA, PORTO = Region("lisboa"), Region("porto")
+PLACES = [
+    Place(InstanceId("a1"), DataCentre("lisboa-a"), LISBOA),
+    Place(InstanceId("b1"), DataCentre("lisboa-b"), LISBOA),
+    Place(InstanceId("p1"), DataCentre("porto-a"), PORTO),
+]
+
+
+@dataclass(frozen=True)
+class Case:
+    """Where the asker is, and which entries must come first and last."""
+
+    name: str
+    data_centre: str
+    region: str
+    first: str
+    last: str
+    cut_off: Region | None = None
+
+
+CASES = [
+    Case("same_data_centre", "lisboa-b", "lisboa", "b1", "p1"),
+    Case("other_region", "porto-a", "porto", "p1", ""),
+    Case("only_the_region_is_known", "", "porto", "p1", ""),
+    Case("own_region_is_cut_off", "porto-a", "porto", "", "p1", PORTO),
+    Case("other_region_is_cut_off", "porto-a", "porto", "p1", "", LISBOA),
+]
+
+
+class OrderTests(unittest.TestCase):
+    """Orders for askers at several places."""
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    def test_order(self, _: str, case: Case) -> None:
+        order = order_for(PLACES, "asker", case.data_centre, case.region, case.cut_off)
+        self.assertEqual(len(order), len(PLACES))
+        if case.first:
+            self.assertEqual(order[0], case.first)
+        if case.last:
+            self.assertEqual(order[-1], case.last)
+
+    def test_askers_spread_over_entries(self) -> None:
+        first = Counter(
+            order_for(PLACES, f"asker-{number}", "", "")[0] for number in range(300)
+        )
+        self.assertEqual(len(first), 3)
+        self.assertGreater(min(first.values()), 50)
+
+    def test_asker_keeps_its_choice_when_another_entry_goes(self) -> None:
+        for number in range(50):
+            asker = f"asker-{number}"
+            order = order_for(PLACES, asker, "", "")
+            without = [place for place in PLACES if place.id != order[-1]]
+            self.assertEqual(order_for(without, asker, "", ""), order[:-1])
