--- a/bench/run.py
+++ b/bench/run.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from bench import control, data_path, entries, policies_cost, state
+from bench import control, data_path, entries, failover, policies_cost, state
 from bench.measure import SEED
 
 MEASUREMENTS: dict[str, Callable[[], None]] = {
@@ -18,6 +18,7 @@
     "commits": control.run_commits,
     "idle": control.run_idle,
     "restarts": control.run_restarts,
+    "failover": failover.run_failover,
     "memory": state.run_memory,
     "scheduling": policies_cost.run_scheduling,
     "loads": policies_cost.run_loads,
