--- a/tests/processes/test_cut_off_entry.py
+++ b/tests/processes/test_cut_off_entry.py
@@ -60,8 +60,9 @@
             await self.client.models.list()
         self.assertEqual(refused.exception.code, "entry_lease_expired")
         self.assertEqual(refused.exception.body["verdict"], "not_run")
-        with self.assertRaises(openai.APIError):
-            await running
+        async with asyncio.timeout(WITHDRAWAL_SECONDS):
+            with self.assertRaises(openai.APIError):
+                await running
 
         async def open_route_goes_on(session: aiohttp.ClientSession) -> bool:
             url = f"http://{self.entry.public}/services/desk/public/hours"
