--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -184,38 +184,35 @@
         self, name: str, model: str, instance: Instance, **options: Any
     ) -> str:
         """Start a stand-in engine near an instance; return its address."""
-        port = free_port()
-        arguments = [
-            f"--id={name}",
-            f"--port={port}",
-            f"--entries={','.join(self.entries)}",
-            f"--token={self.target_token}",
-            f"--model={model}",
-            f"--data-centre={instance.data_centre}",
-            f"--region={instance.region}",
-            *(f"--{key.replace('_', '-')}={value}" for key, value in options.items()),
-        ]
-        await self.start_process(name, "demo.fakes.engine", *arguments)
-        await self.wait_target(name)
-        return f"127.0.0.1:{port}"
+        return await self._start_target(
+            name, "demo.fakes.engine", instance, {"model": model, **options}
+        )
 
     async def start_service(
         self, name: str, service: str, instance: Instance, **options: Any
     ) -> str:
         """Start a stand-in service near an instance; return its address."""
+        named = {"service": service, "folder": self.folder}
+        return await self._start_target(
+            name, "demo.fakes.service", instance, {**named, **options}
+        )
+
+    async def _start_target(
+        self, name: str, module: str, instance: Instance, options: dict[str, Any]
+    ) -> str:
         port = free_port()
-        arguments = [
-            f"--id={name}",
-            f"--port={port}",
-            f"--entries={','.join(self.entries)}",
-            f"--token={self.target_token}",
-            f"--service={service}",
-            f"--folder={self.folder}",
-            f"--data-centre={instance.data_centre}",
-            f"--region={instance.region}",
-            *(f"--{key.replace('_', '-')}={value}" for key, value in options.items()),
-        ]
-        await self.start_process(name, "demo.fakes.service", *arguments)
+        arguments = {
+            "id": name,
+            "port": port,
+            "entries": ",".join(self.entries),
+            "token": self.target_token,
+            "data-centre": instance.data_centre,
+            "region": instance.region,
+            **{key.replace("_", "-"): value for key, value in options.items()},
+        }
+        await self.start_process(
+            name, module, *(f"--{key}={value}" for key, value in arguments.items())
+        )
         await self.wait_target(name)
         return f"127.0.0.1:{port}"
 
