Hand out each port once, and show the logs when a deployment hangs

A deployment of three members waited 30 s for its first one. Nine ports a deployment are drawn at random from 22,000 and were released before use, so that two listeners could get the same one, about once in 600 deployments; the instance that then ends keeps the others from forming a cluster. Logs are part of the error now.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -31,6 +31,10 @@
 process, can take a port of these instances."""
 
 
+_given_ports: set[int] = set()
+"""Ports that were handed out but may not be in use yet."""
+
+
 @dataclass
 class Instance:
     """One daemon of the deployment."""
@@ -178,7 +182,17 @@
                 entries = (await answer.json())["addresses"]
             return any(entry["instance"] == instance.id for entry in entries)
 
-        await wait_for(ready, f"{instance.id} to be ready")
+        try:
+            await wait_for(ready, f"{instance.id} to be ready")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}\n{self.logs()}") from None
+
+    def logs(self) -> str:
+        """Return the ends of all instances' logs, to tell why one waits."""
+        return "\n".join(
+            f"{instance.id}: {(self.folder / f'{instance.id}.log').read_text()[-1500:]}"
+            for instance in self.instances
+        )
 
     async def start_engine(
         self, name: str, model: str, instance: Instance, **options: Any
@@ -346,12 +360,16 @@
     connections, so that none of those takes it before its process starts.
     """
     while True:
+        port = random.randrange(10_000, 32_000)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
-                probe.bind((host, random.randrange(10_000, 32_000)))
+                probe.bind((host, port))
             except OSError:
                 continue
-            return int(probe.getsockname()[1])
+        _given_ports.add(port)
+        return port
 
 
 def to_toml(value: Any) -> str:
