Name shared headers and the text of errors once

Found in a read of the whole change.

The check whether any target may still have a request built the whole list of them for each request; it asks one target after the other now and stops at the first. The rule itself, may_serve, serves both places as before.

Behaviour is unchanged, and no test was touched.

--- a/goldcrestyard/cli/client.py
+++ b/goldcrestyard/cli/client.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from goldcrestyard.cli.profile import Profile
+from goldcrestyard.core.attempts import describe_error
+from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
 
 CONNECT_SECONDS = 2.0
 ANSWER_SECONDS = 20.0
@@ -70,8 +72,8 @@
         request_id = uuid.uuid4().hex
         headers = {
             "authorization": f"Bearer {self._profile.key}",
-            "x-request-id": request_id,
-            "x-correlation-id": request_id,
+            REQUEST_ID_HEADER: request_id,
+            CORRELATION_HEADER: request_id,
             "content-type": "application/json",
         }
         timeout = aiohttp.ClientTimeout(total=ANSWER_SECONDS, connect=CONNECT_SECONDS)
@@ -107,7 +109,7 @@
             content = await answer.read()
             status = answer.status
     except (aiohttp.ClientError, TimeoutError) as error:
-        return Unanswered(str(error) or type(error).__name__)
+        return Unanswered(describe_error(error))
     try:
         data = msgspec.json.decode(content, type=dict[str, Any])
     except msgspec.DecodeError:
--- a/goldcrestyard/core/attempts.py
+++ b/goldcrestyard/core/attempts.py
@@ -67,6 +67,11 @@
     return status in NOT_RUN_STATUSES and headers.get(NOT_RUN_HEADER) == "true"
 
 
+def describe_error(error: Exception) -> str:
+    """Return a text for an error that may have none of its own."""
+    return str(error) or type(error).__name__
+
+
 def verdict_on(outcome: AttemptOutcome) -> Verdict:
     """Return whether the attempt may have run the request."""
     match outcome:
--- a/goldcrestyard/plugins/engines/upstream.py
+++ b/goldcrestyard/plugins/engines/upstream.py
@@ -15,8 +15,10 @@
     Broken,
     TurnedAway,
     Unreached,
+    describe_error,
     says_not_run,
 )
+from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
 from goldcrestyard.core.ids import AttemptId, CorrelationId
 from goldcrestyard.core.records import Target
 from goldcrestyard.plugins.engines.completeness import ChoiceTracker
@@ -29,7 +31,6 @@
 from goldcrestyard.plugins.engines.requests import InferenceRequest
 from goldcrestyard.plugins.engines.settings import EngineSettings
 
-REQUEST_ID_HEADER = "x-request-id"
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -117,20 +118,20 @@
                 headers={
                     "content-type": "application/json",
                     REQUEST_ID_HEADER: attempt,
-                    "x-correlation-id": correlation_id,
+                    CORRELATION_HEADER: correlation_id,
                 },
                 skip_auto_headers=("accept-encoding", "user-agent"),
                 timeout=timeout,
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            yield Unreached(describe(error))
+            yield Unreached(describe_error(error))
             return
         except aiohttp.SocketTimeoutError:
             yield await self._silent(target)
             return
         except (aiohttp.ClientError, TimeoutError) as error:
-            yield Broken(describe(error))
+            yield Broken(describe_error(error))
             return
         try:
             yield _check_head(response, attempt)
@@ -151,7 +152,7 @@
         except aiohttp.SocketTimeoutError:
             return await self._silent(target)
         except (aiohttp.ClientError, TimeoutError) as error:
-            return Broken(f"answer broke off: {describe(error)}")
+            return Broken(f"answer broke off: {describe_error(error)}")
         return bytes(body)
 
     async def _steps(
@@ -182,7 +183,7 @@
             yield await self._silent(target)
             return
         except (aiohttp.ClientError, TimeoutError, asyncio.IncompleteReadError) as e:
-            yield Broken(f"stream broke off: {describe(e)}")
+            yield Broken(f"stream broke off: {describe_error(e)}")
             return
         yield Broken("stream ended without its end mark")
 
@@ -242,11 +243,6 @@
     return isinstance(answer_id, str) and answer_id.endswith(attempt)
 
 
-def describe(error: Exception) -> str:
-    """Return a text for an error that may have none of its own."""
-    return str(error) or type(error).__name__
-
-
 def _check_head(
     response: aiohttp.ClientResponse, attempt: AttemptId
 ) -> aiohttp.ClientResponse | AttemptFailure:
--- a/goldcrestyard/plugins/engines/views.py
+++ b/goldcrestyard/plugins/engines/views.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from goldcrestyard.core.attempts import Answered, Broken
+from goldcrestyard.core.headers import CORRELATION_HEADER
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Priority
 from goldcrestyard.core.verdicts import Verdict
@@ -21,7 +22,6 @@
 from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
 from goldcrestyard.plugins.listeners.errors import error_body, refuse
 from goldcrestyard.plugins.listeners.middleware import (
-    CORRELATION_HEADER,
     correlation_id_of,
 )
 from goldcrestyard.plugins.organisations.authentication import (
--- a/goldcrestyard/plugins/listeners/middleware.py
+++ b/goldcrestyard/plugins/listeners/middleware.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from aiohttp.typedefs import Middleware
 
+from goldcrestyard.core.headers import CORRELATION_HEADER
 from goldcrestyard.core.ids import CorrelationId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
@@ -19,7 +20,6 @@
 
 logger = structlog.get_logger(__name__)
 
-CORRELATION_HEADER = "x-correlation-id"
 CORRELATION_KEY = web.RequestKey("correlation_id", CorrelationId)
 
 _SAFE_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
--- a/goldcrestyard/plugins/operators/authorisation.py
+++ b/goldcrestyard/plugins/operators/authorisation.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from goldcrestyard.core.headers import REQUEST_ID_HEADER
 from goldcrestyard.core.ids import RequestId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.plugins.listeners.errors import refuse
@@ -13,8 +14,6 @@
 from goldcrestyard.plugins.operators.planning import Author
 from goldcrestyard.plugins.operators.settings import OperatorSettings
 
-REQUEST_ID_HEADER = "x-request-id"
-
 
 def operator_of(request: web.Request, settings: OperatorSettings) -> str | None:
     """Return the operator whose key a request carries, or None."""
--- a/goldcrestyard/plugins/scheduling/scheduler.py
+++ b/goldcrestyard/plugins/scheduling/scheduler.py
@@ -38,7 +38,7 @@
     Needs,
     TargetFacts,
     choose_target,
-    usable_targets,
+    may_serve,
 )
 
 MINUTE_SECONDS = 60.0
@@ -198,7 +198,7 @@
     async def _wait(self, work: WorkRequest) -> Grant | Refusal:
         now = self._clock.monotonic()
         serving = self._targets.serving(work.name)
-        if not usable_targets(serving, work.needs, work.tried):
+        if not any(may_serve(target, work.needs, work.tried) for target in serving):
             return Refusal(
                 RefusalReason.NO_TARGET,
                 f"no target is left that serves {work.name}",
--- a/goldcrestyard/plugins/services/requests.py
+++ b/goldcrestyard/plugins/services/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from urllib.parse import unquote_plus, unquote_to_bytes
 
+from goldcrestyard.core.headers import REQUEST_ID_HEADER
 from goldcrestyard.core.ids import RequestId, ServiceName
 from goldcrestyard.core.records import Service, ServiceRoute
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -129,7 +130,7 @@
     An id that cannot be kept is refused: a made-up id in its place would let
     a resend run a second time.
     """
-    text = headers.get("idempotency-key") or headers.get("x-request-id")
+    text = headers.get("idempotency-key") or headers.get(REQUEST_ID_HEADER)
     if not text:
         return None
     if len(text) > 128 or not text.isprintable() or not text.isascii():
--- a/goldcrestyard/plugins/services/upstream.py
+++ b/goldcrestyard/plugins/services/upstream.py
@@ -10,8 +10,10 @@
     Broken,
     TurnedAway,
     Unreached,
+    describe_error,
     says_not_run,
 )
+from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
 from goldcrestyard.core.ids import AttemptId, CorrelationId, OrganisationId
 from goldcrestyard.core.records import Target
 from goldcrestyard.plugins.services.requests import (
@@ -21,9 +23,7 @@
 )
 from goldcrestyard.plugins.services.settings import ServiceSettings
 
-REQUEST_ID_HEADER = "x-request-id"
 ORGANISATION_HEADER = "x-organisation"
-CORRELATION_HEADER = "x-correlation-id"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +52,7 @@
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ConnectionBrokenError(str(error) or type(error).__name__) from error
+        raise ConnectionBrokenError(describe_error(error)) from error
 
 
 class ServiceClient:
@@ -101,9 +101,9 @@
             ) as response:
                 return await self._read(response, attempt)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return Unreached(_describe(error))
+            return Unreached(describe_error(error))
         except (aiohttp.ClientError, TimeoutError) as error:
-            return Broken(f"answer broke off: {_describe(error)}")
+            return Broken(f"answer broke off: {describe_error(error)}")
 
     async def _read(
         self, response: aiohttp.ClientResponse, attempt: AttemptId
@@ -126,7 +126,3 @@
             pick(response.headers.items(), ANSWERED_HEADERS),
             bytes(body),
         )
-
-
-def _describe(error: Exception) -> str:
-    return str(error) or type(error).__name__
--- a/goldcrestyard/plugins/services/views.py
+++ b/goldcrestyard/plugins/services/views.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from goldcrestyard.core.headers import REQUEST_ID_HEADER
 from goldcrestyard.core.ids import OrganisationId, RequestId, ServiceName
 from goldcrestyard.core.records import Service, ServiceRoute
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -36,7 +37,7 @@
 )
 from goldcrestyard.plugins.services.settings import ServiceSettings
 from goldcrestyard.plugins.services.slices import ServicesSlice
-from goldcrestyard.plugins.services.upstream import REQUEST_ID_HEADER, ServiceAnswer
+from goldcrestyard.plugins.services.upstream import ServiceAnswer
 from goldcrestyard.policy.claims import StoredOutcome, refusal_without_body
 
 CONTENT_TYPE_HEADER = "content-type"
--- a/goldcrestyard/plugins/trainers/views.py
+++ b/goldcrestyard/plugins/trainers/views.py
@@ -6,6 +6,7 @@
 import structlog
 from aiohttp import web
 
+from goldcrestyard.core.headers import CORRELATION_HEADER
 from goldcrestyard.core.ids import BatchId, ModelName, StepNumber, WeightVersion
 from goldcrestyard.core.records import ModelLine
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -13,7 +14,6 @@
 from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
 from goldcrestyard.plugins.listeners.errors import refuse
 from goldcrestyard.plugins.listeners.middleware import (
-    CORRELATION_HEADER,
     correlation_id_of,
 )
 from goldcrestyard.plugins.organisations.authentication import (
--- a/goldcrestyard/policy/routing.py
+++ b/goldcrestyard/policy/routing.py
@@ -129,16 +129,11 @@
     """Whether the work can be resumed or repeated when its target is lost."""
 
 
-def usable_targets(
-    candidates: Iterable[Target], needs: Needs, tried: AbstractSet[TargetId]
-) -> list[Target]:
-    """Return the targets that may have a request once they have room."""
-    return [
-        target
-        for target in candidates
-        if target.id not in tried
-        and (needs.survives_reclaim or target.rental is not Rental.RECLAIMABLE)
-    ]
+def may_serve(target: Target, needs: Needs, tried: AbstractSet[TargetId]) -> bool:
+    """Return whether a target may have a request once it has room."""
+    return target.id not in tried and (
+        needs.survives_reclaim or target.rental is not Rental.RECLAIMABLE
+    )
 
 
 def choose_target(
@@ -150,7 +145,7 @@
     now: float,
 ) -> Target | None:
     """Return the target with the least expected time, or None."""
-    usable = usable_targets(candidates, needs, tried)
+    usable = [target for target in candidates if may_serve(target, needs, tried)]
     # When all are ejected, waiting gains nothing: the fault may lie in the
     # requests or on the way.  Each then gets one request at a time.
     all_ejected = all(now < facts_by_id[t.id].ejected_until for t in usable)
