--- a/bench/stand_ins.py
+++ b/bench/stand_ins.py
@@ -28,6 +28,7 @@
 from goldcrestyard.kernel import registry
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.change_feed import ChangeFeed
+from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.membership.digests import EntryDigests, LeaderDigests
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
@@ -225,7 +226,7 @@
                 LeaderLink(name, leader.codec),
                 dialer,
                 clock,
-                {LEADER: leader.address},
+                ControlAddresses({LEADER: str(leader.address)}),
                 digests,
             )
             subscription.register(handlers)
--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -79,7 +79,7 @@
 from goldcrestyard.wire.client import PeerAddress
 from goldcrestyard.wire.codec import Codec
 from goldcrestyard.wire.connection import Handlers, PeerConnection
-from goldcrestyard.wire.messages import Failure
+from goldcrestyard.wire.messages import Failure, NotLeader
 
 logger = structlog.get_logger(__name__)
 
@@ -215,6 +215,35 @@
             return None
         return self._instance_of(core.leader)
 
+    @property
+    def leader_address(self) -> str:
+        """The leader's peer address; empty if it is not known."""
+        core = self._core
+        if core is None or core.leader is None:
+            return ""
+        record = core.configuration.find(core.leader)
+        return record.address if record is not None else ""
+
+    def not_leader(self) -> NotLeader:
+        """Return the answer for who takes this member for the leader."""
+        return NotLeader(self.leader, self.leader_address)
+
+    @property
+    def member_id(self) -> MemberId:
+        """The identity that this member's disk gives it."""
+        return self._disk.member_id
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this member is in the configuration that it knows."""
+        core = self._core
+        return core is not None and core.configuration.find(core.id) is not None
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether this member has stopped for good, as after a disk fault."""
+        return self._core is None and bool(self._failure)
+
     @property
     def term(self) -> Term:
         """The latest term that this member knows."""
@@ -435,6 +464,13 @@
             await asyncio.sleep(REPLACE_POLL_SECONDS)
         return False
 
+    def has_caught_up(self, member_id: MemberId) -> bool:
+        """Return whether a member lacks few entries, as the leader sees it."""
+        core = self._core
+        if core is None:
+            return False
+        return core.has_caught_up(self._clock.monotonic(), member_id)
+
     def _answers(self, member_id: MemberId) -> bool:
         core = self._core
         if core is None or member_id == core.id:
--- a/goldcrestyard/core/ids.py
+++ b/goldcrestyard/core/ids.py
@@ -35,6 +35,15 @@
 SampleId = NewType("SampleId", str)
 BatchId = NewType("BatchId", str)
 
+RouteName = NewType("RouteName", str)
+JobId = NewType("JobId", str)
+"""A batch of items that a trainer submits at once."""
+ItemId = NewType("ItemId", str)
+ConfigVersion = NewType("ConfigVersion", int)
+"""Chosen by the operator; a higher version replaces a lower one."""
+EventNumber = NewType("EventNumber", int)
+"""Position of an event in the stream of one request, counted from 1."""
+
 OrderId = NewType("OrderId", str)
 PlanNumber = NewType("PlanNumber", int)
 
--- /dev/null
+++ b/goldcrestyard/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins of a deployment that assembles and steers itself."""
--- /dev/null
+++ b/goldcrestyard/fleet/assembly/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of machines that find each other."""
--- /dev/null
+++ b/goldcrestyard/fleet/assembly/apps.py
@@ -0,0 +1,90 @@
+"""Plug-in: the control member of a deployment that assembles itself."""
+
+import structlog
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.fleet.assembly.commands import (
+    JoinCluster,
+    JoinNoted,
+    MachinesSnapshot,
+    NameMachine,
+    RetireMachine,
+)
+from goldcrestyard.fleet.assembly.joining import ClusterJoiner
+from goldcrestyard.fleet.assembly.keeper import MembershipKeeper
+from goldcrestyard.fleet.assembly.settings import AssemblySettings
+from goldcrestyard.fleet.assembly.slices import MachinesSlice
+from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.membership.control_addresses import ControlAddresses
+from goldcrestyard.plugins.control.apps import ControlConfig, provide_member
+from goldcrestyard.plugins.control.settings import ControlSettings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
+from goldcrestyard.wire.client import PeerDialer
+from goldcrestyard.wire.connection import Handlers
+
+logger = structlog.get_logger(__name__)
+
+
+class AssemblyConfig(ControlConfig):
+    """Founds, joins and repairs the cluster without an operator."""
+
+    name = "assembly"
+    requires = ("peers",)
+    slices = (MachinesSlice,)
+    messages = (
+        *ControlConfig.messages,
+        NameMachine,
+        RetireMachine,
+        MachinesSnapshot,
+        JoinCluster,
+        JoinNoted,
+    )
+    checks = ()
+
+    def ready(self, app: Application) -> None:
+        """Create the member and what keeps the members."""
+        settings = app.settings.section(AssemblySettings)
+        cluster = app.settings.section(ClusterSettings)
+        control = app.settings.section(ControlSettings)
+        member = provide_member(app, control, settings.founders)
+        keeper = MembershipKeeper(member, settings.wanted_voters, app.clock)
+        keeper.register(app.get(Handlers))
+        app.provide(MembershipKeeper, keeper)
+        addresses = app.provide(
+            ControlAddresses, ControlAddresses(cluster.control_members)
+        )
+        app.provide(
+            ClusterJoiner,
+            ClusterJoiner(
+                member,
+                cluster.peer_address,
+                settings.machine_name,
+                addresses,
+                app.get(PeerDialer),
+            ),
+        )
+
+    async def start(self, app: Application) -> None:
+        """Load the log, take part, and end the process if the disk fails."""
+        await super().start(app)
+        member = app.get(ControlMember)
+        app.spawn(_stop_with_member(app, member), "watch the member")
+
+    async def serve(self, app: Application) -> None:
+        """Ask to join, and keep the members while this process leads."""
+        member = app.get(ControlMember)
+        app.spawn(app.get(ClusterJoiner).run(), "join the cluster")
+        app.spawn(
+            while_leading(member, "keep the members", app.get(MembershipKeeper).run),
+            "membership keeper",
+        )
+
+
+async def _stop_with_member(app: Application, member: ControlMember) -> None:
+    """Stop the process when its disk has failed: a restart reads it anew."""
+    while not member.has_failed:
+        await member.wait_leadership_change()
+    logger.error("the control member has ended; the process stops")
+    app.failed = True
+    app.stop_requested.set()
--- /dev/null
+++ b/goldcrestyard/fleet/assembly/slices.py
@@ -0,0 +1,58 @@
+"""Replicated state: names of the control machines, and which ones retire."""
+
+from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.fleet.assembly.commands import (
+    MachinesSnapshot,
+    NameMachine,
+    RetireMachine,
+)
+from goldcrestyard.state.commands import Accepted, Command, CommandContext, Outcome
+from goldcrestyard.state.slices import Slice
+
+
+class MachinesSlice(Slice):
+    """Machine names by instance."""
+
+    name = "machines"
+    commands = (NameMachine, RetireMachine)
+
+    def __init__(self) -> None:
+        self.names_by_instance: dict[InstanceId, str] = {}
+        self.retiring: set[str] = set()
+
+    def instance_of(self, machine: str) -> InstanceId | None:
+        """Return the instance that runs on a machine, or None."""
+        for instance, name in self.names_by_instance.items():
+            if name == machine:
+                return instance
+        return None
+
+    def retiring_instances(self) -> frozenset[InstanceId]:
+        """Return the instances whose machines are to be emptied."""
+        return frozenset(
+            instance
+            for instance, name in self.names_by_instance.items()
+            if name in self.retiring
+        )
+
+    def apply(self, command: Command, context: CommandContext) -> Outcome:
+        """Apply one committed command."""
+        match command:
+            case NameMachine(instance=instance, machine=machine):
+                self.names_by_instance[instance] = machine
+                return Accepted()
+            case RetireMachine(machine=machine):
+                self.retiring.add(machine)
+                return Accepted()
+        raise TypeError(f"unexpected command {command!r}")
+
+    def to_snapshot(self) -> MachinesSnapshot:
+        """Return the whole slice."""
+        return MachinesSnapshot(
+            dict(self.names_by_instance), tuple(sorted(self.retiring))
+        )
+
+    def load_snapshot(self, snapshot: MachinesSnapshot) -> None:
+        """Replace the slice."""
+        self.names_by_instance = dict(snapshot.names_by_instance)
+        self.retiring = set(snapshot.retiring)
--- /dev/null
+++ b/goldcrestyard/fleet/directory/__init__.py
@@ -0,0 +1,1 @@
+"""The entries that callers may use."""
--- /dev/null
+++ b/goldcrestyard/fleet/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Live requests: from a caller to a target and back."""
--- /dev/null
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -0,0 +1,41 @@
+"""Plug-in: live requests on entries."""
+
+from goldcrestyard.core.calls import TargetClient
+from goldcrestyard.fleet.gateway.admission import Admission
+from goldcrestyard.fleet.gateway.calls import CallRunner
+from goldcrestyard.fleet.gateway.router import CallRouter
+from goldcrestyard.fleet.gateway.streams import StreamRunner
+from goldcrestyard.fleet.metering.meter import UsageMeter
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.call_routing import Place
+
+
+class GatewayConfig(PluginConfig):
+    """Provides what answers callers; a front end decodes their requests."""
+
+    name = "gateway"
+    requires = ("entry", "metering", "serving", "target_client", "tracking")
+
+    def ready(self, app: Application) -> None:
+        """Create the runners of calls and of streams."""
+        view = app.get(EntryView)
+        instance = app.settings.section(InstanceSettings)
+        admission = app.provide(Admission, Admission(view, app.clock))
+        router = app.provide(
+            CallRouter,
+            CallRouter(
+                view.machine.get(TargetsSlice),
+                Place(instance.data_centre, instance.region),
+                app.clock,
+            ),
+        )
+        client = app.get(TargetClient)  # type: ignore[type-abstract]
+        meter = app.get(UsageMeter)
+        app.provide(CallRunner, CallRunner(admission, router, client, meter, app.clock))
+        app.provide(
+            StreamRunner, StreamRunner(admission, router, client, meter, app.clock)
+        )
--- /dev/null
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -0,0 +1,78 @@
+"""What a process has learned about targets, and its choice among them."""
+
+import random
+from collections.abc import Iterator
+from collections.abc import Set as AbstractSet
+from contextlib import contextmanager
+
+from goldcrestyard.core.attempts import AttemptFailure, Broken, TurnedAway, Unreached
+from goldcrestyard.core.ids import ServiceName, TargetId
+from goldcrestyard.core.records import Target
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.call_routing import CallFacts, Place, choose_target
+
+
+class CallRouter:
+    """Chooses targets for calls and learns from what becomes of them."""
+
+    def __init__(
+        self,
+        targets: TargetsSlice,
+        place: Place,
+        clock: Clock,
+        source: random.Random | None = None,
+    ) -> None:
+        self._targets = targets
+        self._place = place
+        self._clock = clock
+        self._random = source or random.Random()
+        self.facts_by_id: dict[TargetId, CallFacts] = {}
+
+    def choose(
+        self, service: ServiceName, tried: AbstractSet[TargetId]
+    ) -> Target | None:
+        """Return the target for the next attempt, or None if none is left."""
+        return choose_target(
+            self._targets.serving(service),
+            self.facts_by_id,
+            self._place,
+            tried,
+            self._clock.monotonic(),
+            self._random,
+        )
+
+    def is_ready(self, target: Target) -> bool:
+        """Return whether a target still takes new work."""
+        known = self._targets.find(target.id)
+        return known is not None and known == target
+
+    @contextmanager
+    def sending(self, target: Target) -> Iterator[CallFacts]:
+        """Count a call while it is at a target."""
+        facts = self._facts(target)
+        facts.in_flight += 1
+        try:
+            yield facts
+        finally:
+            facts.in_flight -= 1
+
+    def note_failure(self, target: Target, failure: AttemptFailure) -> None:
+        """Avoid a target that failed; one that is full is not at fault."""
+        match failure:
+            case Unreached() | Broken():
+                self._facts(target).failed(self._clock.monotonic())
+            case TurnedAway():
+                pass
+
+    def _facts(self, target: Target) -> CallFacts:
+        facts = self.facts_by_id.get(target.id)
+        if facts is None or facts.incarnation != target.incarnation:
+            self._forget_gone()
+            facts = self.facts_by_id[target.id] = CallFacts(target.incarnation)
+        return facts
+
+    def _forget_gone(self) -> None:
+        for target_id in self.facts_by_id.keys() - self._targets.homed_by_id.keys():
+            if self.facts_by_id[target_id].in_flight == 0:
+                del self.facts_by_id[target_id]
--- /dev/null
+++ b/goldcrestyard/fleet/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of trainers: kept, run and read."""
--- /dev/null
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -0,0 +1,80 @@
+"""Plug-in: jobs of trainers."""
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.core.calls import TargetClient
+from goldcrestyard.core.jobs import ItemResult, Job, JobItem
+from goldcrestyard.fleet.gateway.router import CallRouter
+from goldcrestyard.fleet.jobs.commands import (
+    ItemBody,
+    JobRecord,
+    JobsSnapshot,
+    NoSuchJob,
+    ReadItem,
+    ReadResults,
+    ResultsPage,
+)
+from goldcrestyard.fleet.jobs.reading import JobReader
+from goldcrestyard.fleet.jobs.rewards import RewardCaller
+from goldcrestyard.fleet.jobs.runner import JobRunner
+from goldcrestyard.fleet.jobs.slices import JobsSlice
+from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.fleet.versions.loading import LoadingModels
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.call_routing import Place
+from goldcrestyard.wire.connection import Handlers
+
+
+class JobsConfig(PluginConfig):
+    """Keeps jobs; runs and reads them where this member leads."""
+
+    name = "jobs"
+    after = ("assembly", "tracking", "versions")
+    requires = ("serving",)
+    slices = (JobsSlice,)
+    messages = (
+        *JobsSlice.commands,
+        Job,
+        JobItem,
+        ItemResult,
+        JobRecord,
+        JobsSnapshot,
+        ReadResults,
+        ResultsPage,
+        ReadItem,
+        ItemBody,
+        NoSuchJob,
+    )
+
+    def ready(self, app: Application) -> None:
+        """Serve the entries' questions on control members."""
+        member = app.find(ControlMember)
+        if member is not None:
+            JobReader(member, app.clock).register(app.get(Handlers))
+
+    async def serve(self, app: Application) -> None:
+        """Run items while this member leads."""
+        member = app.find(ControlMember)
+        if member is None:
+            return
+        instance = app.settings.section(InstanceSettings)
+        place = Place(instance.data_centre, instance.region)
+        client = app.get(TargetClient)  # type: ignore[type-abstract]
+        router = CallRouter(member.machine.get(TargetsSlice), place, app.clock)
+        rewards = RewardCaller(
+            member.machine.get(ServingSlice), router, client, app.clock
+        )
+        runner = JobRunner(
+            member,
+            app.get(TargetTracker),
+            app.get(LoadingModels),
+            client,
+            rewards,
+            place,
+            app.clock,
+        )
+        app.spawn(while_leading(member, "run jobs", runner.run), "run jobs")
--- /dev/null
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -0,0 +1,124 @@
+"""One run of one item at one engine."""
+
+import asyncio
+from dataclasses import dataclass
+
+from goldcrestyard.core.attempts import (
+    AttemptFailure,
+    Broken,
+    TurnedAway,
+    Unreached,
+)
+from goldcrestyard.core.calls import TargetCall, TargetClient, TargetReply
+from goldcrestyard.core.ids import RequestId, WeightVersion
+from goldcrestyard.core.jobs import Job, JobItem
+from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.jobs.transcripts import Transcript
+
+FIRST_EVENT_SECONDS = 4.0
+"""A full engine reads prompts between the tokens of others."""
+
+NEXT_EVENT_SECONDS = 2.5
+"""An engine that loads weights stands still for about a second, longer while
+others load too."""
+
+
+@dataclass(frozen=True, slots=True)
+class Generated:
+    """The item's text is whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The engine has not begun; the item waits for another."""
+
+    detail: str
+    unreached: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenOff:
+    """The run ended early; what it generated is kept."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The engine reports that the run failed."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Impossible:
+    """The engine reports that the item can never be done."""
+
+
+RunOutcome = Generated | NotRun | BrokenOff | Failed | Impossible
+
+IMPOSSIBLE_STATUS = 422
+
+
+async def run_item(
+    client: TargetClient,
+    target: Target,
+    job: Job,
+    item: JobItem,
+    transcript: Transcript,
+    seconds_left: float,
+) -> RunOutcome:
+    """Run an item, going on after what its transcript already has."""
+    call = TargetCall(
+        RequestId(item.id),
+        "POST",
+        job.host,
+        item.path,
+        item.headers,
+        item.body,
+        job.organisation,
+        transcript.last,
+    )
+    async with client.open(target, call, seconds_left) as reply:
+        if isinstance(reply, AttemptFailure):
+            return _failure(reply)
+        if reply.status == IMPOSSIBLE_STATUS:
+            return Impossible()
+        if not 200 <= reply.status < 300:
+            return Failed(reply.status)
+        return await _read(reply, transcript, job.oldest_version)
+
+
+def _failure(failure: AttemptFailure) -> RunOutcome:
+    match failure:
+        case Unreached(detail=detail):
+            return NotRun(detail, True)
+        case TurnedAway(detail=detail):
+            return NotRun(detail, False)
+        case Broken(detail=detail):
+            return BrokenOff(detail)
+
+
+async def _read(
+    reply: TargetReply, transcript: Transcript, oldest: WeightVersion
+) -> RunOutcome:
+    transcript.begin_run(reply.version)
+    events = reply.events()
+    wait_seconds = FIRST_EVENT_SECONDS
+    while True:
+        try:
+            async with asyncio.timeout(wait_seconds):
+                event = await anext(events, None)
+        except TimeoutError:
+            return BrokenOff(f"no event for {wait_seconds} s")
+        if event is None:
+            return Generated() if transcript.events else BrokenOff("no event at all")
+        if isinstance(event, Broken):
+            return BrokenOff(event.detail)
+        version = event.version or transcript.current_version
+        if version is not None and version < oldest:
+            return BrokenOff(f"version {version} is older than {oldest}")
+        wrong = transcript.add(event)
+        if wrong is not None:
+            return BrokenOff(wrong)
+        wait_seconds = NEXT_EVENT_SECONDS
--- /dev/null
+++ b/goldcrestyard/fleet/jobs/reading.py
@@ -0,0 +1,80 @@
+"""The leader answers who reads jobs."""
+
+import asyncio
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.core.jobs import ItemResult
+from goldcrestyard.fleet.jobs.commands import (
+    EndJob,
+    ItemBody,
+    ListResults,
+    NoSuchJob,
+    ReadItem,
+    ReadResults,
+    ResultsPage,
+)
+from goldcrestyard.fleet.jobs.slices import JobsSlice
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.state.commands import AppliedEntry
+from goldcrestyard.wire.connection import Handlers, PeerConnection
+
+MAX_PAGE_BYTES = 900_000
+"""Text in one page; with the frame around it a page stays under 1 MB."""
+
+
+class JobReader:
+    """Reads only while the leader's lease holds: what it shows is newest."""
+
+    def __init__(self, member: ControlMember, clock: Clock) -> None:
+        self._member = member
+        self._jobs = member.machine.get(JobsSlice)
+        self._clock = clock
+        self._changed = asyncio.Event()
+        member.machine.listen(self._on_applied)
+
+    def register(self, handlers: Handlers) -> None:
+        """Serve the entries' questions."""
+        handlers.add(ReadResults, self._on_read_results)
+        handlers.add(ReadItem, self._on_read_item)
+
+    def _on_applied(self, entry: AppliedEntry) -> None:
+        if isinstance(entry.envelope.command, ListResults | EndJob):
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def _on_read_results(self, read: ReadResults, _: PeerConnection) -> object:
+        deadline = self._clock.monotonic() + read.wait_seconds
+        while self._member.holds_lease():
+            state = self._jobs.find(read.job, read.organisation)
+            if state is None:
+                return NoSuchJob()
+            waits = read.position >= len(state.results) and not state.ended
+            if not waits or self._clock.monotonic() >= deadline:
+                results = _page(state.results, read.position)
+                following = read.position + len(results)
+                return ResultsPage(state.size, results, following)
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        return self._member.not_leader()
+
+    async def _on_read_item(self, read: ReadItem, _: PeerConnection) -> object:
+        if not self._member.holds_lease():
+            return self._member.not_leader()
+        state = self._jobs.find(read.job, read.organisation)
+        item = state.item(read.item) if state is not None else None
+        return NoSuchJob() if item is None else ItemBody(item.body)
+
+
+def _page(results: list[ItemResult], position: int) -> tuple[ItemResult, ...]:
+    """Return results from a position on: at least one if there is one."""
+    page: list[ItemResult] = []
+    size = 0
+    for result in results[position:]:
+        size += len(result.text)
+        if page and size > MAX_PAGE_BYTES:
+            break
+        page.append(result)
+    return tuple(page)
--- /dev/null
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -0,0 +1,397 @@
+"""The leader runs the items of all open jobs."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import structlog
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.results import Applied
+from goldcrestyard.core.calls import TargetClient
+from goldcrestyard.core.ids import (
+    CorrelationId,
+    GroupId,
+    ServiceName,
+    TargetId,
+    WeightVersion,
+)
+from goldcrestyard.core.jobs import ItemOutcome, ItemResult, Job, JobItem
+from goldcrestyard.core.records import Target
+from goldcrestyard.core.serving import ServingRoute
+from goldcrestyard.core.states import TargetState
+from goldcrestyard.fleet.jobs.commands import EndJob, ListResults, SubmitJob
+from goldcrestyard.fleet.jobs.item_runs import (
+    BrokenOff,
+    Failed,
+    Generated,
+    Impossible,
+    NotRun,
+    RunOutcome,
+    run_item,
+)
+from goldcrestyard.fleet.jobs.rewards import NoScore, RewardCaller, Scored
+from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
+from goldcrestyard.fleet.jobs.transcripts import Transcript
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.fleet.versions.loading import LoadingModels
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.plugins.targets.commands import (
+    AnnounceTarget,
+    DrainTarget,
+    RemoveTarget,
+)
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.backoff import Backoff
+from goldcrestyard.policy.call_routing import Place, distance_seconds
+from goldcrestyard.policy.job_schedule import (
+    EngineRoom,
+    ItemKey,
+    WaitingItem,
+    assign,
+)
+from goldcrestyard.state.commands import AppliedEntry
+
+logger = structlog.get_logger(__name__)
+
+WAKE_SECONDS = 0.2
+"""Rooms and versions of engines change without an event here."""
+
+REQUEUE = Backoff(base_seconds=0.03, longest_seconds=0.5)
+
+AVOID_SECONDS = 2.0
+"""How long an engine that broke a run off, or could not be reached, gets no
+further item while others can take it."""
+
+LISTING_PAUSE_SECONDS = 0.2
+EXPIRY_MARGIN_SECONDS = 0.5
+"""An item's time counts from its trainer's first attempt to submit it, on a
+clock that may differ from the leader's."""
+
+DEFAULT_ITEM_SECONDS = 600.0
+GROUPS_REMEMBERED = 4096
+
+
+@dataclass(slots=True)
+class ItemRun:
+    """An item that this leader has taken up and not yet listed."""
+
+    key: ItemKey
+    item: JobItem
+    expires_at: float
+    """On the wall clock, in seconds."""
+    transcript: Transcript = field(default_factory=Transcript)
+    failures: int = 0
+    interruptions: int = 0
+    not_before: float = 0.0
+    avoided_until_by_target: dict[TargetId, float] = field(default_factory=dict)
+    task: asyncio.Task[None] | None = None
+
+
+class JobRunner:
+    """Starts items on engines, scores their texts and lists their results.
+
+    The replicated state has the jobs and what is listed; everything else is
+    lost with the leader, and its successor runs unlisted items again.
+    """
+
+    def __init__(
+        self,
+        member: ControlMember,
+        tracker: TargetTracker,
+        loading: LoadingModels,
+        client: TargetClient,
+        rewards: RewardCaller,
+        place: Place,
+        clock: Clock,
+        source: random.Random | None = None,
+    ) -> None:
+        self._member = member
+        self._jobs = member.machine.get(JobsSlice)
+        self._serving = member.machine.get(ServingSlice)
+        self._targets = member.machine.get(TargetsSlice)
+        self._tracker = tracker
+        self._loading = loading
+        self._client = client
+        self._rewards = rewards
+        self._place = place
+        self._clock = clock
+        self._random = source or random.Random()
+        self._wake = asyncio.Event()
+        self._runs_by_key: dict[ItemKey, ItemRun] = {}
+        self._in_use: Counter[TargetId] = Counter()
+        self._groups_by_target: dict[TargetId, dict[GroupId, None]] = {}
+        member.machine.listen(self._on_applied)
+
+    def _on_applied(self, entry: AppliedEntry) -> None:
+        match entry.envelope.command:
+            case SubmitJob() | AnnounceTarget() | DrainTarget() | RemoveTarget():
+                self._wake.set()
+            case EndJob(job=job_id):
+                for run in list(self._runs_by_key.values()):
+                    if run.key.job == job_id:
+                        self._drop(run)
+                self._wake.set()
+
+    async def run(self) -> None:
+        """Run items for one time of leading."""
+        self._runs_by_key.clear()
+        self._in_use.clear()
+        try:
+            while True:
+                self._wake.clear()
+                self._take_up()
+                self._expire()
+                self._start()
+                try:
+                    async with asyncio.timeout(WAKE_SECONDS):
+                        await self._wake.wait()
+                except TimeoutError:
+                    pass
+        finally:
+            for run in list(self._runs_by_key.values()):
+                self._drop(run)
+
+    # Taking up and giving up items.
+
+    def _take_up(self) -> None:
+        for state in self._jobs.open_jobs():
+            for item in state.job.items:
+                key = ItemKey(state.job.id, item.id)
+                if item.id in state.listed or key in self._runs_by_key:
+                    continue
+                route = self._route(state.job, item)
+                seconds = route.item_seconds if route is not None else None
+                expires_at = (
+                    state.submitted_at
+                    + (seconds or DEFAULT_ITEM_SECONDS)
+                    + EXPIRY_MARGIN_SECONDS
+                )
+                self._runs_by_key[key] = ItemRun(key, item, expires_at)
+
+    def _expire(self) -> None:
+        now = self._clock.wall()
+        for run in list(self._runs_by_key.values()):
+            if now >= run.expires_at and run.task is None:
+                logger.info("item given up", job=run.key.job, item=run.key.item)
+                self._spawn(run, self._list(run, _errored(run)))
+
+    def _drop(self, run: ItemRun) -> None:
+        self._runs_by_key.pop(run.key, None)
+        if run.task is not None:
+            run.task.cancel()
+
+    # Starting runs.
+
+    def _start(self) -> None:
+        waiting = self._waiting()
+        if not waiting:
+            return
+        for key, target_id in assign(waiting, self._rooms()):
+            run = self._runs_by_key[key]
+            target = self._targets.find(target_id)
+            state = self._jobs.jobs_by_id.get(key.job)
+            if target is not None and state is not None:
+                self._spawn(run, self._generate(run, state.job, target))
+
+    def _waiting(self) -> list[WaitingItem]:
+        now = self._clock.monotonic()
+        waiting: list[WaitingItem] = []
+        for state in self._jobs.open_jobs():
+            for item in state.job.items:
+                run = self._runs_by_key.get(ItemKey(state.job.id, item.id))
+                if run is None or run.task is not None or now < run.not_before:
+                    continue
+                described = self._describe(state, run, now)
+                if described is not None:
+                    waiting.append(described)
+        return waiting
+
+    def _describe(
+        self, state: JobState, run: ItemRun, now: float
+    ) -> WaitingItem | None:
+        route = self._route(state.job, run.item)
+        if route is None:
+            return None
+        needs: WeightVersion | None = None
+        if route.single_version and run.transcript.last is not None:
+            needs = run.transcript.current_version
+        return WaitingItem(
+            run.key,
+            route.services[0].name,
+            run.item.model,
+            state.job.oldest_version,
+            run.item.group,
+            needs,
+            frozenset(
+                target
+                for target, until in run.avoided_until_by_target.items()
+                if now < until
+            ),
+        )
+
+    def _rooms(self) -> list[EngineRoom]:
+        rooms: list[EngineRoom] = []
+        for homed in self._targets.homed_by_id.values():
+            target = homed.target
+            versions = self._tracker.versions(target)
+            if target.state is not TargetState.READY or not versions:
+                continue
+            rooms.append(
+                EngineRoom(
+                    target.id,
+                    ServiceName(target.serves[0]),
+                    target.max_concurrency,
+                    self._in_use[target.id],
+                    distance_seconds(self._place, target),
+                    versions,
+                    self._loading.of(target.id),
+                    set(self._groups_by_target.get(target.id, ())),
+                )
+            )
+        return rooms
+
+    def _spawn(self, run: ItemRun, work: Coroutine[Any, Any, None]) -> None:
+        run.task = asyncio.create_task(work, name=f"item {run.key.item}")
+        run.task.add_done_callback(lambda task: self._ended(run, task))
+
+    def _ended(self, run: ItemRun, task: asyncio.Task[None]) -> None:
+        run.task = None
+        self._wake.set()
+        if not task.cancelled() and task.exception() is not None:
+            run.not_before = self._clock.monotonic() + REQUEUE.longest_seconds
+            logger.error(
+                "item run failed", item=run.key.item, exc_info=task.exception()
+            )
+
+    # One item.
+
+    async def _generate(self, run: ItemRun, job: Job, target: Target) -> None:
+        """Run an item at an engine, then score and list it."""
+        self._in_use[target.id] += 1
+        self._remember_group(target.id, run.item.group)
+        began = self._clock.monotonic()
+        seconds_left = max(0.1, run.expires_at - self._clock.wall())
+        first = run.transcript.last
+        try:
+            outcome = await run_item(
+                self._client, target, job, run.item, run.transcript, seconds_left
+            )
+        finally:
+            self._in_use[target.id] -= 1
+            self._wake.set()
+        if run.transcript.current_version is not None:
+            self._tracker.learn_version(
+                target, run.item.model, run.transcript.current_version
+            )
+        logger.info(
+            "item run ended",
+            job=job.id,
+            item=run.item.id,
+            target=target.id,
+            incarnation=target.incarnation,
+            resumed_after=first,
+            last_event=run.transcript.last,
+            versions=sorted(run.transcript.versions),
+            outcome=str(outcome),
+            seconds=round(self._clock.monotonic() - began, 3),
+        )
+        await self._follow_up(run, job, target, outcome)
+
+    async def _follow_up(
+        self, run: ItemRun, job: Job, target: Target, outcome: RunOutcome
+    ) -> None:
+        now = self._clock.monotonic()
+        match outcome:
+            case Generated():
+                await self._score(run, job)
+            case Impossible():
+                await self._list(run, _errored(run))
+            case Failed():
+                run.failures += 1
+                run.transcript.discard()
+                route = self._route(job, run.item)
+                if route is not None and run.failures >= route.max_attempts:
+                    await self._list(run, _errored(run))
+                run.avoided_until_by_target[target.id] = now + AVOID_SECONDS
+            case NotRun(unreached=unreached):
+                self._requeue(run, now)
+                if unreached:
+                    run.avoided_until_by_target[target.id] = now + AVOID_SECONDS
+            case BrokenOff():
+                self._requeue(run, now)
+                run.avoided_until_by_target[target.id] = now + AVOID_SECONDS
+                if self._must_restart(run, job):
+                    run.transcript.discard()
+
+    def _requeue(self, run: ItemRun, now: float) -> None:
+        run.interruptions += 1
+        delay = REQUEUE.delay_seconds(run.interruptions, self._random.random())
+        run.not_before = now + delay
+
+    def _must_restart(self, run: ItemRun, job: Job) -> bool:
+        """Return whether what an item has cannot be gone on with."""
+        route = self._route(job, run.item)
+        single = route is not None and route.single_version
+        return single and len(run.transcript.versions) > 1
+
+    async def _score(self, run: ItemRun, job: Job) -> None:
+        if self._must_restart(run, job):
+            logger.info("item has two versions; it runs again", item=run.key.item)
+            run.transcript.discard()
+            return
+        score = ""
+        if run.item.reward is not None:
+            deadline = self._clock.monotonic() + run.expires_at - self._clock.wall()
+            match await self._rewards.score(run.item.reward, deadline):
+                case Scored(score=text):
+                    score = text
+                case NoScore():
+                    logger.info("item has no score", item=run.key.item)
+                    await self._list(run, _errored(run))
+                    return
+        result = ItemResult(
+            run.item.id,
+            ItemOutcome.COMPLETE,
+            run.transcript.text,
+            tuple(sorted(run.transcript.versions)),
+            score,
+        )
+        await self._list(run, result)
+
+    async def _list(self, run: ItemRun, result: ItemResult) -> None:
+        """Commit a result, for as long as this member leads."""
+        command = ListResults(run.key.job, (result,))
+        while True:
+            outcome = await self._member.propose(
+                command, self._member.instance, CorrelationId(run.key.item)
+            )
+            if isinstance(outcome, Applied):
+                break
+            await asyncio.sleep(LISTING_PAUSE_SECONDS)
+        logger.info(
+            "item listed",
+            job=run.key.job,
+            item=run.key.item,
+            outcome=result.outcome.value,
+            versions=result.versions,
+        )
+        self._runs_by_key.pop(run.key, None)
+
+    def _route(self, job: Job, item: JobItem) -> ServingRoute | None:
+        table = self._serving.table
+        return table.route(job.host, item.path) if table is not None else None
+
+    def _remember_group(self, target_id: TargetId, group: GroupId) -> None:
+        groups = self._groups_by_target.setdefault(target_id, {})
+        groups[group] = None
+        if len(groups) > GROUPS_REMEMBERED:
+            del groups[next(iter(groups))]
+
+
+def _errored(run: ItemRun) -> ItemResult:
+    return ItemResult(run.item.id, ItemOutcome.ERRORED)
--- /dev/null
+++ b/goldcrestyard/fleet/member_lists/__init__.py
@@ -0,0 +1,1 @@
+"""The control members, as entries learn of them."""
--- /dev/null
+++ b/goldcrestyard/fleet/member_lists/apps.py
@@ -0,0 +1,33 @@
+"""Plug-in: entries learn which control members there are."""
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.fleet.member_lists.channel import (
+    MemberList,
+    MemberListChannel,
+    MemberListMerger,
+)
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.membership.control_addresses import ControlAddresses
+from goldcrestyard.membership.digests import EntryDigests, LeaderDigests
+from goldcrestyard.wire.codec import Codec
+
+
+class MemberListsConfig(PluginConfig):
+    """Sends the members' addresses with each renewal of an entry."""
+
+    name = "member_lists"
+    requires = ("peers",)
+    after = ("assembly", "entry")
+    messages = (MemberList,)
+
+    def ready(self, app: Application) -> None:
+        """Join the renewals on whichever side this process is."""
+        codec = app.get(Codec)
+        digests = app.find(EntryDigests)
+        if digests is not None:
+            digests.add(MemberListChannel(app.get(ControlAddresses), codec))
+        leader_digests = app.find(LeaderDigests)
+        member = app.find(ControlMember)
+        if leader_digests is not None and member is not None:
+            leader_digests.add(MemberListMerger(member, codec))
--- /dev/null
+++ b/goldcrestyard/fleet/metering/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that have begun to run, by window and organisation."""
--- /dev/null
+++ b/goldcrestyard/fleet/metering/meter.py
@@ -0,0 +1,119 @@
+"""An entry's counts, and how they come to the leader."""
+
+from collections import Counter, OrderedDict
+
+from goldcrestyard.core.ids import InstanceId, OrganisationId, RequestId
+from goldcrestyard.fleet.metering.commands import NoReply, UsageCounts, WindowCounts
+from goldcrestyard.membership.digests import DigestChannel, DigestMerger
+from goldcrestyard.policy.usage_numbers import WindowNumber, number_of
+from goldcrestyard.wire.codec import Codec
+
+CHANNEL = "usage_counts"
+
+KEPT_WINDOWS = 6
+"""A new leader gets the counts of all windows that may still be open."""
+
+REMEMBERED_REQUESTS = 4096
+"""A hedged request may begin twice within a second; it counts once."""
+
+
+class UsageMeter:
+    """Counts requests in the window in which they began."""
+
+    def __init__(self, window_seconds: float) -> None:
+        self._window_seconds = window_seconds
+        self._counts_by_window: OrderedDict[WindowNumber, Counter[OrganisationId]] = (
+            OrderedDict()
+        )
+        self._counted: OrderedDict[RequestId, None] = OrderedDict()
+
+    def count(
+        self, organisation: OrganisationId | None, request: RequestId, began_at: float
+    ) -> None:
+        """Count a request; ``began_at`` is in seconds since the Unix epoch."""
+        if organisation is None or request in self._counted:
+            return
+        self._counted[request] = None
+        if len(self._counted) > REMEMBERED_REQUESTS:
+            self._counted.popitem(last=False)
+        window = number_of(began_at, self._window_seconds)
+        self._counts_by_window.setdefault(window, Counter())[organisation] += 1
+        while len(self._counts_by_window) > KEPT_WINDOWS:
+            del self._counts_by_window[min(self._counts_by_window)]
+
+    def counts(self) -> UsageCounts:
+        """Return the counts of the latest windows."""
+        return UsageCounts(
+            tuple(
+                WindowCounts(window, dict(counts))
+                for window, counts in self._counts_by_window.items()
+            )
+        )
+
+
+class UsageChannel(DigestChannel):
+    """Sends an entry's counts with each renewal."""
+
+    name = CHANNEL
+
+    def __init__(self, meter: UsageMeter, codec: Codec) -> None:
+        self._meter = meter
+        self._codec = codec
+
+    def collect(self) -> bytes:
+        """Return the counts, which replace those sent before."""
+        return self._codec.encode(self._meter.counts())
+
+    def receive(self, summary: bytes) -> None:
+        """Ignore the leader's reply, which is empty."""
+
+
+class UsageMerger(DigestMerger):
+    """Adds up the counts of all entries.
+
+    Counts of an entry that has ended are kept, so that they are not lost
+    with it; one that starts again counts anew, under a new run.
+    """
+
+    name = CHANNEL
+
+    def __init__(self, codec: Codec) -> None:
+        self._codec = codec
+        self._no_reply = codec.encode(NoReply())
+        self._counts_by_window: dict[
+            WindowNumber, dict[tuple[InstanceId, int], dict[OrganisationId, int]]
+        ] = {}
+        self._run_by_entry: dict[InstanceId, int] = {}
+
+    def merge(self, entry: InstanceId, digest: bytes) -> None:
+        """Take in an entry's counts."""
+        counts = self._codec.decode(digest)
+        assert isinstance(counts, UsageCounts)
+        run = self._run_by_entry.get(entry, 0)
+        if any(self._has_fallen(entry, run, window) for window in counts.windows):
+            run += 1
+            self._run_by_entry[entry] = run
+        for window in counts.windows:
+            by_run = self._counts_by_window.setdefault(window.window, {})
+            by_run[entry, run] = window.counts_by_organisation
+
+    def summary(self, entry: InstanceId) -> bytes:
+        """Return an empty reply."""
+        return self._no_reply
+
+    def total(self, window: WindowNumber) -> WindowCounts:
+        """Return the counts of a window, and forget those before it."""
+        total: Counter[OrganisationId] = Counter()
+        for counts in self._counts_by_window.get(window, {}).values():
+            total.update(counts)
+        for old in [known for known in self._counts_by_window if known < window]:
+            del self._counts_by_window[old]
+        return WindowCounts(window, dict(total))
+
+    def _has_fallen(self, entry: InstanceId, run: int, counts: WindowCounts) -> bool:
+        """Return whether an entry counts less than before: it is a new run."""
+        before = self._counts_by_window.get(counts.window, {}).get((entry, run), {})
+        return any(
+            counts.counts_by_organisation.get(organisation, 0) < count
+            for organisation, count in before.items()
+        )
--- /dev/null
+++ b/goldcrestyard/fleet/metering/reporting.py
@@ -0,0 +1,111 @@
+"""The leader closes usage windows and reports each of them."""
+
+import asyncio
+from enum import Enum
+from typing import Protocol
+
+import structlog
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.results import Applied
+from goldcrestyard.core.ids import CorrelationId, Term
+from goldcrestyard.fleet.metering.commands import (
+    CloseUsage,
+    UsageReported,
+    WindowCounts,
+)
+from goldcrestyard.fleet.metering.meter import UsageMerger
+from goldcrestyard.fleet.metering.slices import MeteringSlice
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.policy.usage_numbers import next_to_close
+
+logger = structlog.get_logger(__name__)
+
+CHECK_SECONDS = 0.25
+RETRY_SECONDS = 0.5
+
+
+class ReportOutcome(Enum):
+    """What became of a report."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    """It is not repeated."""
+    UNKNOWN = "unknown"
+    """It may have arrived; the same counts are sent again."""
+
+
+class UsageApi(Protocol):
+    """Takes usage reports; the adapter of a platform provides it."""
+
+    async def report(self, counts: WindowCounts, fence: Term) -> ReportOutcome:
+        """Send a window's counts once."""
+        ...
+
+
+class UsageReporter:
+    """Closes one window after another while this member leads."""
+
+    def __init__(
+        self,
+        member: ControlMember,
+        merger: UsageMerger,
+        api: UsageApi,
+        window_seconds: float,
+        quiet_seconds: float,
+        clock: Clock,
+    ) -> None:
+        self._member = member
+        self._slice = member.machine.get(MeteringSlice)
+        self._merger = merger
+        self._api = api
+        self._window_seconds = window_seconds
+        self._quiet_seconds = quiet_seconds
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Close and report, for one time of leading."""
+        # The holder before this one must have stopped acting for long enough
+        # that it could not act again in between.
+        await asyncio.sleep(self._quiet_seconds)
+        while True:
+            await self._close_due()
+            for counts in list(self._slice.unreported_by_window.values()):
+                if not await self._report(counts):
+                    break
+            await asyncio.sleep(CHECK_SECONDS)
+
+    async def _close_due(self) -> None:
+        while True:
+            window = next_to_close(
+                self._slice.last_closed, self._clock.wall(), self._window_seconds
+            )
+            if window is None:
+                return
+            result = await self._propose(CloseUsage(self._merger.total(window)))
+            if not isinstance(result, Applied):
+                logger.warning("usage window not closed", window=window)
+                return
+
+    async def _report(self, counts: WindowCounts) -> bool:
+        """Send a report; return whether the next one may follow."""
+        if not self._member.holds_lease():
+            return False
+        outcome = await self._api.report(counts, self._member.term)
+        logger.info(
+            "usage report sent",
+            window=counts.window,
+            requests=sum(counts.counts_by_organisation.values()),
+            fence=self._member.term,
+            outcome=outcome.value,
+        )
+        if outcome is ReportOutcome.UNKNOWN:
+            await asyncio.sleep(RETRY_SECONDS)
+            return False
+        await self._propose(UsageReported(counts.window))
+        return True
+
+    async def _propose(self, command: object) -> object:
+        return await self._member.propose(
+            command, self._member.instance, CorrelationId("")
+        )
--- /dev/null
+++ b/goldcrestyard/fleet/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration of what is served, as operators put it."""
--- /dev/null
+++ b/goldcrestyard/fleet/serving/slices.py
@@ -0,0 +1,45 @@
+"""Replicated state: the newest configuration."""
+
+from goldcrestyard.core.serving import ServingConfig
+from goldcrestyard.fleet.serving.commands import PutServing, ServingSnapshot
+from goldcrestyard.policy.serving import ServingTable
+from goldcrestyard.state.commands import Accepted, Command, CommandContext, Outcome
+from goldcrestyard.state.slices import Slice
+
+
+class ServingSlice(Slice):
+    """The configuration with the highest version."""
+
+    name = "serving"
+    fan_out = True
+    commands = (PutServing,)
+
+    def __init__(self) -> None:
+        self.table: ServingTable | None = None
+        """None until a first configuration has been put."""
+        self.source = b""
+
+    def apply(self, command: Command, context: CommandContext) -> Outcome:
+        """Apply one committed command."""
+        match command:
+            case PutServing(config=config, source=source):
+                if self.table is None or config.version > self.table.config.version:
+                    self._use(config, source)
+                return Accepted()
+        raise TypeError(f"unexpected command {command!r}")
+
+    def to_snapshot(self) -> ServingSnapshot:
+        """Return the whole slice."""
+        config = self.table.config if self.table is not None else None
+        return ServingSnapshot(config, self.source)
+
+    def load_snapshot(self, snapshot: ServingSnapshot) -> None:
+        """Replace the slice."""
+        if snapshot.config is None:
+            self.table, self.source = None, b""
+        else:
+            self._use(snapshot.config, snapshot.source)
+
+    def _use(self, config: ServingConfig, source: bytes) -> None:
+        self.table = ServingTable(config)
+        self.source = source
--- /dev/null
+++ b/goldcrestyard/fleet/tracking/__init__.py
@@ -0,0 +1,1 @@
+"""Targets, as their heartbeats tell."""
--- /dev/null
+++ b/goldcrestyard/fleet/tracking/apps.py
@@ -0,0 +1,44 @@
+"""Plug-in: targets, as their heartbeats tell."""
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.tracking.settings import TrackingSettings
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.plugins.targets.commands import HomedTarget, TargetsSnapshot
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+
+
+class TrackingConfig(PluginConfig):
+    """Keeps the targets, and follows their heartbeats where it leads."""
+
+    name = "tracking"
+    after = ("assembly", "entry")
+    slices = (TargetsSlice,)
+    messages = (*TargetsSlice.commands, HomedTarget, TargetsSnapshot)
+
+    def ready(self, app: Application) -> None:
+        """Create the tracker on control members."""
+        member = app.find(ControlMember)
+        if member is None:
+            return
+        settings = app.settings.section(TrackingSettings)
+        app.provide(
+            TargetTracker,
+            TargetTracker(
+                member,
+                settings.regions_by_data_centre,
+                settings.heartbeat_seconds,
+                app.clock,
+            ),
+        )
+
+    async def serve(self, app: Application) -> None:
+        """Watch for silent targets while this member leads."""
+        tracker = app.find(TargetTracker)
+        if tracker is not None:
+            member = app.get(ControlMember)
+            app.spawn(
+                while_leading(member, "watch targets", tracker.run), "watch targets"
+            )
--- /dev/null
+++ b/goldcrestyard/fleet/tracking/settings.py
@@ -0,0 +1,16 @@
+"""Settings of the tracking of targets."""
+
+from dataclasses import dataclass
+
+from goldcrestyard.core.ids import DataCentre, Region
+from goldcrestyard.kernel.settings import setting
+
+
+@dataclass(frozen=True)
+class TrackingSettings:
+    """How targets are told from their heartbeats."""
+
+    heartbeat_seconds: float = setting("Interval of the targets' heartbeats.")
+    regions_by_data_centre: dict[DataCentre, Region] = setting(
+        "Region of each data centre."
+    )
--- /dev/null
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -0,0 +1,227 @@
+"""The leader's knowledge of the targets, from their heartbeats."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import structlog
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.results import Applied
+from goldcrestyard.core.ids import (
+    CorrelationId,
+    DataCentre,
+    InstanceId,
+    ModelName,
+    Region,
+    ServiceName,
+    TargetId,
+    WeightVersion,
+)
+from goldcrestyard.core.records import Target
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.states import TargetKind, TargetState
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.plugins.targets.commands import (
+    AnnounceTarget,
+    DrainTarget,
+    RemoveTarget,
+)
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.heartbeats import (
+    MISSED_BEATS,
+    Arrived,
+    Heartbeat,
+    Known,
+    Leaving,
+    Renewed,
+    Stale,
+    interpret,
+)
+from goldcrestyard.state.commands import Command
+
+logger = structlog.get_logger(__name__)
+
+HOME = InstanceId("leader")
+"""The leader tracks all targets, whichever instance leads."""
+
+CHECK_SECONDS = 0.25
+
+
+@dataclass(slots=True)
+class Tracked:
+    """What a leader has heard of one run of a target."""
+
+    incarnation: str
+    sequence: int
+    heard_at: float
+    leaves_at: float | None = None
+    versions_by_model: dict[ModelName, WeightVersion] = field(default_factory=dict)
+
+
+class TargetTracker:
+    """Turns heartbeats into committed changes, and removes silent targets.
+
+    What changes with every heartbeat is not replicated: a new leader hears
+    it within one interval.
+    """
+
+    def __init__(
+        self,
+        member: ControlMember,
+        regions_by_data_centre: dict[DataCentre, Region],
+        heartbeat_seconds: float,
+        clock: Clock,
+    ) -> None:
+        self._member = member
+        self._targets = member.machine.get(TargetsSlice)
+        self._regions = regions_by_data_centre
+        self._lost_seconds = MISSED_BEATS * heartbeat_seconds
+        self._clock = clock
+        self.tracked_by_id: dict[TargetId, Tracked] = {}
+
+    async def heartbeat(self, beat: Heartbeat) -> Refusal | None:
+        """Take in a heartbeat; None acknowledges it."""
+        meaning = interpret(beat, self._known(beat.id), self._at(beat.address))
+        match meaning:
+            case Stale(reason=reason):
+                logger.info(
+                    "stale heartbeat ignored",
+                    target=beat.id,
+                    incarnation=beat.started_at_ms,
+                    reason=reason,
+                )
+                return None
+            case Renewed():
+                self._note(beat)
+                return None
+            case Leaving():
+                drain = DrainTarget(beat.id, str(beat.started_at_ms))
+                return await self._commit_for(beat, [drain])
+            case Arrived(ended=ended):
+                return await self._commit_for(beat, self._arrival(beat, ended))
+
+    async def leave(self, target_id: TargetId) -> Refusal | None:
+        """Note that a target has left; None acknowledges it."""
+        target = self._targets.find(target_id)
+        if target is None:
+            return None
+        logger.info("target leaves", target=target_id, address=target.address)
+        return await self._commit(
+            [RemoveTarget(target_id, target.incarnation, TargetState.LEFT)]
+        )
+
+    def versions(self, target: Target) -> dict[ModelName, WeightVersion]:
+        """Return the weight versions that a target is known to have."""
+        tracked = self.tracked_by_id.get(target.id)
+        if tracked is None or tracked.incarnation != target.incarnation:
+            return {}
+        return tracked.versions_by_model
+
+    def learn_version(
+        self, target: Target, model: ModelName, version: WeightVersion
+    ) -> None:
+        """Note a version that an answer or a report of a target names."""
+        tracked = self.tracked_by_id.get(target.id)
+        if tracked is not None and tracked.incarnation == target.incarnation:
+            known = tracked.versions_by_model.get(model, WeightVersion(0))
+            tracked.versions_by_model[model] = max(known, version)
+
+    async def run(self) -> None:
+        """Remove targets that have fallen silent, for one time of leading."""
+        leading_since = self._clock.monotonic()
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            now = self._clock.monotonic()
+            for homed in list(self._targets.homed_by_id.values()):
+                target = homed.target
+                tracked = self.tracked_by_id.get(target.id)
+                heard_at = leading_since
+                if tracked is not None and tracked.incarnation == target.incarnation:
+                    heard_at = max(heard_at, tracked.heard_at)
+                if now - heard_at > self._lost_seconds:
+                    logger.warning(
+                        "target is silent",
+                        target=target.id,
+                        silent_seconds=round(now - heard_at, 2),
+                    )
+                    await self._commit(
+                        [RemoveTarget(target.id, target.incarnation, TargetState.LOST)]
+                    )
+
+    def _known(self, target_id: TargetId) -> Known | None:
+        target = self._targets.find(target_id)
+        if target is None:
+            return None
+        tracked = self.tracked_by_id.get(target_id)
+        sequence = -1
+        if tracked is not None and tracked.incarnation == target.incarnation:
+            sequence = tracked.sequence
+        return Known(target, sequence)
+
+    def _at(self, address: str) -> list[Target]:
+        return [
+            homed.target
+            for homed in self._targets.homed_by_id.values()
+            if homed.target.address == address
+        ]
+
+    def _arrival(self, beat: Heartbeat, ended: tuple[Target, ...]) -> list[Command]:
+        target = Target(
+            beat.id,
+            TargetKind.ENGINE if beat.versions_by_model else TargetKind.SERVICE,
+            beat.address,
+            beat.data_centre,
+            self._regions.get(beat.data_centre, Region("")),
+            (ServiceName(beat.service),),
+            beat.rental,
+            max_concurrency=beat.slots,
+            incarnation=str(beat.started_at_ms),
+        )
+        commands: list[Command] = [
+            RemoveTarget(other.id, other.incarnation, TargetState.LOST)
+            for other in ended
+        ]
+        commands.append(AnnounceTarget(target, HOME))
+        if beat.state is TargetState.DRAINING:
+            commands.append(DrainTarget(beat.id, target.incarnation))
+        logger.info(
+            "target arrives",
+            target=beat.id,
+            service=beat.service,
+            address=beat.address,
+            data_centre=beat.data_centre,
+            rental=beat.rental.value,
+            incarnation=beat.started_at_ms,
+            state=beat.state.value,
+        )
+        return commands
+
+    def _note(self, beat: Heartbeat) -> None:
+        leaves_at = None
+        now = self._clock.monotonic()
+        if beat.leaves_in_seconds is not None:
+            leaves_at = now + beat.leaves_in_seconds
+        self.tracked_by_id[beat.id] = Tracked(
+            str(beat.started_at_ms),
+            beat.sequence,
+            now,
+            leaves_at,
+            dict(beat.versions_by_model),
+        )
+
+    async def _commit_for(
+        self, beat: Heartbeat, commands: list[Command]
+    ) -> Refusal | None:
+        refusal = await self._commit(commands)
+        if refusal is None:
+            self._note(beat)
+        return refusal
+
+    async def _commit(self, commands: list[Command]) -> Refusal | None:
+        for command in commands:
+            result = await self._member.propose(
+                command, self._member.instance, CorrelationId("")
+            )
+            if not isinstance(result, Applied):
+                return Refusal(RefusalReason.NO_LEADER, result.detail)
+        return None
--- /dev/null
+++ b/goldcrestyard/fleet/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Weight versions: recorded as named, and loaded onto engines."""
--- /dev/null
+++ b/goldcrestyard/fleet/versions/apps.py
@@ -0,0 +1,39 @@
+"""Plug-in: weight versions."""
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.fleet.duties import DutySettings
+from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.fleet.versions.commands import NameVersion, VersionsSnapshot
+from goldcrestyard.fleet.versions.loading import LoadingModels, VersionLoader
+from goldcrestyard.fleet.versions.orders import EngineControl
+from goldcrestyard.fleet.versions.slices import VersionsSlice
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+
+
+class VersionsConfig(PluginConfig):
+    """Keeps the versions that trainers name, and loads them where it leads."""
+
+    name = "versions"
+    after = ("assembly", "tracking")
+    slices = (VersionsSlice,)
+    messages = (NameVersion, VersionsSnapshot)
+
+    def ready(self, app: Application) -> None:
+        """Share with the running of jobs which engines load."""
+        app.provide(LoadingModels, LoadingModels())
+
+    async def serve(self, app: Application) -> None:
+        """Load versions while this member leads."""
+        member = app.find(ControlMember)
+        if member is None:
+            return
+        loader = VersionLoader(
+            member,
+            app.get(TargetTracker),
+            app.get(EngineControl),  # type: ignore[type-abstract]
+            app.get(LoadingModels),
+            app.settings.section(DutySettings).quiet_seconds,
+        )
+        app.spawn(while_leading(member, "load versions", loader.run), "load versions")
--- /dev/null
+++ b/goldcrestyard/fleet/versions/slices.py
@@ -0,0 +1,33 @@
+"""Replicated state: the newest weight version of each model."""
+
+from goldcrestyard.core.ids import ModelName, WeightVersion
+from goldcrestyard.fleet.versions.commands import NameVersion, VersionsSnapshot
+from goldcrestyard.state.commands import Accepted, Command, CommandContext, Outcome
+from goldcrestyard.state.slices import Slice
+
+
+class VersionsSlice(Slice):
+    """Newest versions by model; a version never falls."""
+
+    name = "versions"
+    commands = (NameVersion,)
+
+    def __init__(self) -> None:
+        self.newest_by_model: dict[ModelName, WeightVersion] = {}
+
+    def apply(self, command: Command, context: CommandContext) -> Outcome:
+        """Apply one committed command."""
+        match command:
+            case NameVersion(model=model, version=version):
+                known = self.newest_by_model.get(model, WeightVersion(0))
+                self.newest_by_model[model] = max(known, version)
+                return Accepted()
+        raise TypeError(f"unexpected command {command!r}")
+
+    def to_snapshot(self) -> VersionsSnapshot:
+        """Return the whole slice."""
+        return VersionsSnapshot(dict(self.newest_by_model))
+
+    def load_snapshot(self, snapshot: VersionsSnapshot) -> None:
+        """Replace the slice."""
+        self.newest_by_model = dict(snapshot.newest_by_model)
--- a/goldcrestyard/kernel/apps.py
+++ b/goldcrestyard/kernel/apps.py
@@ -25,6 +25,8 @@
 
     name: ClassVar[str]
     requires: ClassVar[Sequence[str]] = ()
+    after: ClassVar[Sequence[str]] = ()
+    """Plug-ins whose hooks run first in processes that load them."""
     settings_section: ClassVar[str] = ""
     settings_class: ClassVar[type | None] = None
     messages: ClassVar[Sequence[type]] = ()
--- a/goldcrestyard/kernel/clock.py
+++ b/goldcrestyard/kernel/clock.py
@@ -5,6 +5,18 @@
 from collections.abc import Callable
 
 
+class SuspendAwareEventLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time goes on while the machine is suspended.
+
+    The usual monotonic clock stands still during a suspension, so a lease
+    judged on it would outlive the moment at which a successor may act.
+    """
+
+    def time(self) -> float:
+        """Return the seconds since boot, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Clock:
     """Reads the event loop's monotonic time and the wall time.
 
--- a/goldcrestyard/kernel/logs.py
+++ b/goldcrestyard/kernel/logs.py
@@ -1,16 +1,39 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line."""
 
 import logging
 import sys
+from typing import TextIO
 
 import structlog
 
+from goldcrestyard.kernel.log_output import BoundedOutput, LineLimiter
+
 
 def configure(instance: str, level: str = "info") -> None:
-    """Configure the log output of this process."""
+    """Write the logs of this process to standard error."""
+    _configure(instance, level, sys.stderr, [])
+
+
+def configure_bounded(instance: str, level: str = "info") -> BoundedOutput:
+    """Write the logs to standard output, bounded in volume and never blocking.
+
+    Returns the output, which is to be closed when the process stops.
+    """
+    output = BoundedOutput(sys.stdout.fileno())
+    _configure(instance, level, output, [LineLimiter()])
+    return output
+
+
+def _configure(
+    instance: str,
+    level: str,
+    file: TextIO | BoundedOutput,
+    limits: list[structlog.typing.Processor],
+) -> None:
     structlog.contextvars.bind_contextvars(instance=instance)
     structlog.configure(
         processors=[
+            *limits,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -20,6 +43,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(file),  # type: ignore[arg-type]
         cache_logger_on_first_use=True,
     )
--- a/goldcrestyard/kernel/registry.py
+++ b/goldcrestyard/kernel/registry.py
@@ -2,6 +2,7 @@
 
 import importlib
 import pkgutil
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from goldcrestyard.kernel.exceptions import PluginOrderError
@@ -24,9 +25,25 @@
     """Import every plug-in package and return the classes in start order."""
     package = importlib.import_module(PLUGINS_PACKAGE)
     names = sorted(module.name for module in pkgutil.iter_modules(package.__path__))
-    for name in names:
-        importlib.import_module(f"{PLUGINS_PACKAGE}.{name}.apps")
-    return in_start_order([_plugin_classes_by_name[name] for name in names])
+    return load([f"{PLUGINS_PACKAGE}.{name}" for name in names])
+
+
+def load(packages: Sequence[str]) -> list[type["PluginConfig"]]:
+    """Import plug-in packages and return their classes in start order.
+
+    A process that needs few plug-ins names them, since each imported module
+    costs memory and start-up time.
+    """
+    modules = {f"{package}.apps" for package in packages}
+    for module in sorted(modules):
+        importlib.import_module(module)
+    return in_start_order(
+        [
+            plugin
+            for plugin in _plugin_classes_by_name.values()
+            if plugin.__module__ in modules
+        ]
+    )
 
 
 def declared_kinds() -> list["DeclaredKind"]:
@@ -60,6 +77,7 @@
             name
             for name, plugin in remaining.items()
             if all(required in placed for required in plugin.requires)
+            and not any(name in remaining for name in plugin.after)
         )
         if not free:
             raise PluginOrderError(
--- /dev/null
+++ b/goldcrestyard/membership/control_addresses.py
@@ -0,0 +1,40 @@
+"""The control members that an entry knows."""
+
+from collections.abc import Iterator, Mapping
+
+import structlog
+
+from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.wire.client import PeerAddress
+
+logger = structlog.get_logger(__name__)
+
+
+class ControlAddresses(Mapping[InstanceId, PeerAddress]):
+    """Peer addresses by instance; it grows while the process runs.
+
+    What was learned is kept beside the addresses of the settings: those may
+    be of members that have long been replaced.
+    """
+
+    def __init__(self, addresses_by_id: Mapping[InstanceId, str]) -> None:
+        self._addresses_by_id = {
+            instance: PeerAddress.parse(address)
+            for instance, address in addresses_by_id.items()
+        }
+
+    def __getitem__(self, instance: InstanceId) -> PeerAddress:
+        return self._addresses_by_id[instance]
+
+    def __iter__(self) -> Iterator[InstanceId]:
+        return iter(tuple(self._addresses_by_id))
+
+    def __len__(self) -> int:
+        return len(self._addresses_by_id)
+
+    def learn(self, instance: InstanceId, address: str) -> None:
+        """Keep the address of a further member."""
+        parsed = PeerAddress.parse(address)
+        if self._addresses_by_id.get(instance) != parsed:
+            logger.info("control member learned", member=instance, address=address)
+            self._addresses_by_id[instance] = parsed
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -19,7 +19,6 @@
 from goldcrestyard.wire.messages import (
     ChangesPush,
     Failure,
-    NotLeader,
     Propose,
     ProposeReply,
     Renew,
@@ -91,7 +90,7 @@
         self, message: Subscribe, connection: PeerConnection
     ) -> object:
         if not self._member.holds_lease():
-            return NotLeader(self._member.leader)
+            return self._member.not_leader()
         connection.spawn(self._follow(message.revision, connection))
         return SubscribeReply(self._member.machine.revision)
 
@@ -123,7 +122,7 @@
 
     async def _on_renew(self, message: Renew, connection: PeerConnection) -> object:
         if not self._member.holds_lease():
-            return NotLeader(self._member.leader)
+            return self._member.not_leader()
         granted = leases.seconds_granted(
             self._feed.lag_seconds(message.revision), self._lease_seconds
         )
@@ -140,7 +139,7 @@
 
     async def _on_propose(self, message: Propose, connection: PeerConnection) -> object:
         if not self._member.is_leader:
-            return NotLeader(self._member.leader)
+            return self._member.not_leader()
         result = await self._member.propose(
             self._codec.decode(message.command), message.author, message.correlation_id
         )
--- a/goldcrestyard/membership/subscription.py
+++ b/goldcrestyard/membership/subscription.py
@@ -2,16 +2,16 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
 
 import structlog
 
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.membership.digests import EntryDigests
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
-from goldcrestyard.wire.client import PeerAddress, PeerDialer, PeerUnavailableError
+from goldcrestyard.wire.client import PeerDialer, PeerUnavailableError
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import (
     ChangesPush,
@@ -39,14 +39,14 @@
         link: LeaderLink,
         dialer: PeerDialer,
         clock: Clock,
-        control_addresses_by_id: Mapping[InstanceId, PeerAddress],
+        control_addresses: ControlAddresses,
         digests: EntryDigests,
     ) -> None:
         self._view = view
         self._link = link
         self._dialer = dialer
         self._clock = clock
-        self._addresses_by_id = control_addresses_by_id
+        self._addresses = control_addresses
         self._digests = digests
         self._applied = asyncio.Event()
         self.draining = False
@@ -68,26 +68,24 @@
 
     def _candidates(self, hint: InstanceId | None) -> list[InstanceId]:
         """Return the control members to ask, the likely leader first."""
-        others = [instance for instance in self._addresses_by_id if instance != hint]
+        others = [instance for instance in self._addresses if instance != hint]
         random.shuffle(others)
-        if hint in self._addresses_by_id and hint is not None:
+        if hint in self._addresses and hint is not None:
             return [hint, *others]
         return others
 
     async def _try(self, instance: InstanceId) -> InstanceId | None:
         """Follow a member while it leads; return its hint of the leader."""
         try:
-            async with self._dialer.connect(
-                self._addresses_by_id[instance]
-            ) as connection:
+            async with self._dialer.connect(self._addresses[instance]) as connection:
                 reply = await connection.request(
                     Subscribe(self._view.revision), RENEW_TIMEOUT_SECONDS
                 )
                 match reply:
                     case SubscribeReply():
                         return await self._follow(connection)
-                    case NotLeader(leader=leader):
-                        return leader if leader != instance else None
+                    case NotLeader():
+                        return self._hint(reply) if reply.leader != instance else None
                     case _:
                         return None
         except PeerUnavailableError as error:
@@ -108,8 +106,8 @@
                     case RenewReply(lease_seconds=lease_seconds):
                         self._view.grant(sent_at, lease_seconds)
                         self._digests.receive(reply.summaries_by_name)
-                    case NotLeader(leader=leader):
-                        return leader
+                    case NotLeader():
+                        return self._hint(reply)
                     case _:
                         logger.warning("the leader did not answer", reply=str(reply))
                         return None
@@ -117,6 +115,12 @@
         finally:
             self._link.detach()
 
+    def _hint(self, reply: NotLeader) -> InstanceId | None:
+        """Return who leads, and keep its address."""
+        if reply.leader is not None and reply.address:
+            self._addresses.learn(reply.leader, reply.address)
+        return reply.leader
+
     async def _wait_for_next_renewal(self) -> None:
         """Wait for the interval, or less if changes are to be confirmed."""
         self._applied.clear()
--- /dev/null
+++ b/goldcrestyard/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing else."""
--- /dev/null
+++ b/goldcrestyard/platform/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers and trainers, on entries."""
--- /dev/null
+++ b/goldcrestyard/platform/callers/apps.py
@@ -0,0 +1,104 @@
+"""Plug-in: the front end for callers, and readiness."""
+
+import asyncio
+from http import HTTPStatus
+
+from aiohttp import web
+
+from goldcrestyard.core.serving import CallerLimits
+from goldcrestyard.core.states import InstanceState
+from goldcrestyard.fleet.gateway.admission import Admission
+from goldcrestyard.fleet.gateway.calls import CallRunner
+from goldcrestyard.fleet.gateway.streams import StreamRunner
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.leader_link import LeaderLink
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.platform.callers.front import CallerFront
+from goldcrestyard.platform.callers.jobs import JobCalls
+from goldcrestyard.platform.listening import ListeningSettings
+from goldcrestyard.platform.names import READY_PATH
+from goldcrestyard.plugins.listeners.connections import ConnectionLimits
+from goldcrestyard.plugins.listeners.server import HandlerListener
+
+STILL_CHOSEN_SHARE = 0.8
+"""Share of the time for a stop during which new connections are accepted:
+some callers keep an address for three times as long as they were told to."""
+
+
+class CallersConfig(PluginConfig):
+    """Serves callers and trainers on an entry."""
+
+    name = "platform_callers"
+    requires = ("entry", "gateway", "jobs", "directory")
+
+    def __init__(self) -> None:
+        self._front: CallerFront | None = None
+        self._callers: HandlerListener | None = None
+        self._ready: HandlerListener | None = None
+
+    def ready(self, app: Application) -> None:
+        """Create the front end."""
+        admission = app.get(Admission)
+        serving = app.get(EntryView).machine.get(ServingSlice)
+
+        def limits() -> CallerLimits:
+            table = serving.table
+            return table.config.limits if table is not None else CallerLimits()
+
+        def connection_limits() -> ConnectionLimits:
+            now = limits()
+            return ConnectionLimits(
+                now.header_seconds, now.idle_seconds, now.header_bytes, False
+            )
+
+        self._front = CallerFront(
+            admission,
+            app.get(CallRunner),
+            app.get(StreamRunner),
+            JobCalls(admission, app.get(LeaderLink)),
+            limits,
+            app.clock,
+        )
+        self._callers = HandlerListener(self._front.handle, connection_limits)
+
+        async def readiness(request: web.BaseRequest) -> web.StreamResponse:
+            ready = (
+                request.path == READY_PATH
+                and app.state is InstanceState.READY
+                and serving.table is not None
+                and app.get(EntryView).holds_lease()
+            )
+            status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+            return web.Response(status=status)
+
+        self._ready = HandlerListener(readiness, connection_limits)
+
+    async def serve(self, app: Application) -> None:
+        """Open the listeners."""
+        addresses = app.settings.section(ListeningSettings).addresses_by_name
+        assert self._callers is not None
+        assert self._ready is not None
+        await self._callers.open(addresses["front"])
+        await self._ready.open(addresses["ready"])
+
+    async def leave(self, app: Application) -> None:
+        """Have callers look for another entry."""
+        assert self._front is not None
+        self._front.closing = True
+
+    async def drain(self, app: Application) -> None:
+        """Serve those who still come, then finish what has begun."""
+        assert self._callers is not None
+        seconds = app.settings.section(InstanceSettings).drain_seconds
+        await asyncio.sleep(seconds * STILL_CHOSEN_SHARE)
+        self._callers.close()
+        await self._callers.wait_idle()
+
+    async def stop(self, app: Application) -> None:
+        """Close the listeners."""
+        for listener in (self._callers, self._ready):
+            if listener is not None:
+                await listener.stop()
--- /dev/null
+++ b/goldcrestyard/platform/callers/front.py
@@ -0,0 +1,135 @@
+"""The front end for callers."""
+
+from collections.abc import Callable
+
+import structlog
+from aiohttp import hdrs, web
+from multidict import CIMultiDict
+
+from goldcrestyard.core.calls import Headers
+from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.serving import CallerLimits, RouteKind, ServingRoute
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.fleet.gateway.admission import Admission, CallerRequest
+from goldcrestyard.fleet.gateway.calls import CallRunner
+from goldcrestyard.fleet.gateway.streams import StreamEnd, StreamRunner
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.platform.answers import pass_on, refuse
+from goldcrestyard.platform.bodies import read_body
+from goldcrestyard.platform.callers import requests
+from goldcrestyard.platform.callers.jobs import JobCalls
+from goldcrestyard.platform.names import ITEM_PATH, RESULTS_PATH
+
+logger = structlog.get_logger(__name__)
+
+
+class CallerFront:
+    """Decodes each request, has it decided, and encodes the answer."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        calls: CallRunner,
+        streams: StreamRunner,
+        jobs: JobCalls,
+        limits: Callable[[], CallerLimits],
+        clock: Clock,
+    ) -> None:
+        self._admission = admission
+        self._calls = calls
+        self._streams = streams
+        self._jobs = jobs
+        self._limits = limits
+        self._clock = clock
+        self.closing = False
+        """Whether each answer ends its connection."""
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer any request."""
+        response = await self._answer(request)
+        if self.closing and not response.prepared:
+            response.force_close()
+            response.headers[hdrs.CONNECTION] = "close"
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived_at = self._clock.monotonic()
+        body = await read_body(request, self._limits().body_bytes)
+        if isinstance(body, Refusal):
+            return refuse(body)
+        path = requests.path_of(request)
+        if path.startswith(RESULTS_PATH):
+            return await self._jobs.results(request)
+        if path.startswith(ITEM_PATH):
+            return await self._jobs.item(request)
+        route = self._admission.find_route(requests.host_of(request), path)
+        if isinstance(route, ServingRoute) and route.kind is RouteKind.ROLLOUT:
+            return await self._jobs.submit(request, body)
+        decoded = requests.decode(request, body)
+        admitted = self._admission.admit(decoded, arrived_at)
+        if isinstance(admitted, Refusal):
+            self._log(decoded, "", admitted, arrived_at)
+            return refuse(admitted)
+        if admitted.route.kind is RouteKind.STREAMING:
+            sink = _ResponseSink(request, closing=self.closing)
+            end = await self._streams.run(admitted, sink)
+            self._log(decoded, admitted.route.name, end, arrived_at)
+            if isinstance(end, Refusal):
+                return refuse(end)
+            return await sink.finish(end)
+        answer = await self._calls.answer(admitted)
+        self._log(decoded, admitted.route.name, answer, arrived_at)
+        return refuse(answer) if isinstance(answer, Refusal) else pass_on(answer)
+
+    def _log(
+        self, request: CallerRequest, route: str, outcome: object, arrived_at: float
+    ) -> None:
+        verdict = Verdict.RAN
+        described = "answered"
+        if isinstance(outcome, Refusal):
+            verdict = outcome.verdict
+            described = f"{outcome.reason.value}: {outcome.detail}"
+        elif isinstance(outcome, StreamEnd):
+            described = outcome.value
+        logger.info(
+            "caller answered",
+            request=request.id,
+            route=route,
+            outcome=described,
+            verdict=verdict.value,
+            seconds=round(self._clock.monotonic() - arrived_at, 4),
+        )
+
+
+class _ResponseSink:
+    """Sends a stream to the caller as it comes."""
+
+    def __init__(self, request: web.BaseRequest, *, closing: bool) -> None:
+        self._request = request
+        self._closing = closing
+        self._response: web.StreamResponse | None = None
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer."""
+        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        if self._closing:
+            response.force_close()
+        response.enable_chunked_encoding()
+        await response.prepare(self._request)
+        self._response = response
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        assert self._response is not None
+        await self._response.write(data)
+
+    async def finish(self, end: StreamEnd) -> web.StreamResponse:
+        """End the answer, visibly cut off if it is not whole."""
+        assert self._response is not None
+        if end is StreamEnd.CUT:
+            transport = self._request.transport
+            if transport is not None:
+                transport.abort()
+            raise ConnectionResetError("the stream was cut off")
+        await self._response.write_eof()
+        return self._response
--- /dev/null
+++ b/goldcrestyard/platform/control/__init__.py
@@ -0,0 +1,1 @@
+"""Operators, trainers, targets and the directory, on control members."""
--- /dev/null
+++ b/goldcrestyard/platform/control/apps.py
@@ -0,0 +1,53 @@
+"""Plug-in: the front ends on control members."""
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.core.serving import CallerLimits
+from goldcrestyard.fleet.assembly.keeper import MembershipKeeper
+from goldcrestyard.fleet.directory.directory import Directory
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.platform.control.front import ControlFront, DirectoryFront
+from goldcrestyard.platform.listening import ListeningSettings
+from goldcrestyard.plugins.listeners.connections import ConnectionLimits
+from goldcrestyard.plugins.listeners.server import HandlerListener
+
+
+class ControlFrontConfig(PluginConfig):
+    """Serves operators, trainers, targets and who asks for entries."""
+
+    name = "platform_control"
+    requires = ("assembly", "directory", "serving", "tracking", "versions")
+
+    def __init__(self) -> None:
+        self._listeners: list[HandlerListener] = []
+
+    async def serve(self, app: Application) -> None:
+        """Open the listeners."""
+        addresses = app.settings.section(ListeningSettings).addresses_by_name
+        control = ControlFront(
+            app.get(ControlMember),
+            app.get(MembershipKeeper),
+            app.get(TargetTracker),
+            addresses["ctl"],
+        )
+        directory = DirectoryFront(app.get(Directory))
+        for handler, address in (
+            (control.handle, addresses["ctl"]),
+            (directory.handle, addresses["dir"]),
+        ):
+            listener = HandlerListener(handler, _limits)
+            self._listeners.append(listener)
+            await listener.open(address)
+
+    async def stop(self, app: Application) -> None:
+        """Close the listeners."""
+        for listener in self._listeners:
+            await listener.stop()
+
+
+def _limits() -> ConnectionLimits:
+    limits = CallerLimits()
+    return ConnectionLimits(
+        limits.header_seconds, limits.idle_seconds, limits.header_bytes
+    )
--- /dev/null
+++ b/goldcrestyard/platform/documents.py
@@ -0,0 +1,193 @@
+"""The operator's configuration document."""
+
+import zlib
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from goldcrestyard.core.ids import (
+    ConfigVersion,
+    DataCentre,
+    ModelName,
+    OrganisationId,
+    RouteName,
+    ServiceName,
+)
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.serving import (
+    CallerLimits,
+    EngineShape,
+    RentalBounds,
+    RouteKind,
+    ServedOrganisation,
+    ServedService,
+    ServingConfig,
+    ServingRoute,
+    WeightedService,
+)
+from goldcrestyard.policy.serving import faults
+
+Count = Annotated[int, Meta(ge=0)]
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    type: str
+    timeout_ms: float = 10_000.0
+    service: str | None = None
+    split: list[_Share] | None = None
+    attempts: Count = 1
+    """Most targets that may run one request."""
+    slo_ms: float | None = None
+    """When an answer earns its full worth."""
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+    single_version: bool = False
+    due_ms: float | None = None
+    item_ttl_s: float | None = None
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    models: list[_Model] = []
+
+
+class _Autoscale(msgspec.Struct):
+    min: int
+    max: int
+    boot_s: float = 0.0
+    spot_price: float | None = None
+    zone_prices: dict[str, float] = {}
+
+
+class _Service(msgspec.Struct):
+    name: str
+    engine: _Engine | None = None
+    autoscale: _Autoscale | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 32 * 1024 * 1024
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+def decode(body: bytes) -> ServingConfig | Refusal:
+    """Return the configuration, or why the document is invalid."""
+    try:
+        document = msgspec.json.decode(body, type=_Document)
+        config = _config(document)
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+        return Refusal(RefusalReason.BAD_REQUEST, f"unreadable document: {error}")
+    found = list(faults(config))
+    if found:
+        return Refusal(RefusalReason.BAD_REQUEST, "; ".join(found[:5]))
+    return config
+
+
+def pack(body: bytes) -> bytes:
+    """Compress a document, to be read back as it came."""
+    return zlib.compress(body)
+
+
+def unpack(source: bytes) -> bytes:
+    """Return a document as it came."""
+    return zlib.decompress(source)
+
+
+def _config(document: _Document) -> ServingConfig:
+    limits = document.limits
+    return ServingConfig(
+        ConfigVersion(document.version),
+        tuple(_route(route) for route in document.routes),
+        tuple(_service(service) for service in document.services),
+        CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+        tuple(
+            ServedOrganisation(
+                OrganisationId(tenant.name), tuple(tenant.api_keys), tenant.priority
+            )
+            for tenant in document.tenants
+        ),
+    )
+
+
+def _route(route: _Route) -> ServingRoute:
+    if route.split is not None:
+        services = tuple(
+            WeightedService(ServiceName(share.service), share.weight)
+            for share in route.split
+        )
+    elif route.service is not None:
+        services = (WeightedService(ServiceName(route.service), 1.0),)
+    else:
+        raise ValueError(f"route {route.name} names no service")
+    return ServingRoute(
+        RouteName(route.name),
+        route.host,
+        route.path_prefix,
+        RouteKind(route.type),
+        services,
+        route.timeout_ms / 1000,
+        max(1, route.attempts),
+        _seconds(route.slo_ms),
+        route.priority,
+        route.public,
+        route.resumable,
+        route.single_version,
+        _seconds(route.due_ms),
+        route.item_ttl_s,
+    )
+
+
+def _service(service: _Service) -> ServedService:
+    engine = rental = None
+    if service.engine is not None:
+        models = tuple(ModelName(model.name) for model in service.engine.models)
+        engine = EngineShape(service.engine.slots, models)
+    if service.autoscale is not None:
+        bounds = service.autoscale
+        rental = RentalBounds(
+            bounds.min,
+            bounds.max,
+            bounds.boot_s,
+            bounds.spot_price,
+            {DataCentre(zone): price for zone, price in bounds.zone_prices.items()},
+        )
+    return ServedService(ServiceName(service.name), engine, rental)
+
+
+def _seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / 1000
--- /dev/null
+++ b/goldcrestyard/platform/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that one holder at a time may make."""
--- /dev/null
+++ b/goldcrestyard/platform/duties/apps.py
@@ -0,0 +1,25 @@
+"""Plug-in: duties towards the platform."""
+
+from goldcrestyard.fleet.duties import DutySettings
+from goldcrestyard.fleet.metering.reporting import UsageApi
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.platform.duties.client import DutiesClient
+from goldcrestyard.platform.listening import ListeningSettings
+from goldcrestyard.platform.targets.client import HttpTargetClient
+
+
+class DutiesConfig(PluginConfig):
+    """Provides the client of the platform's duties."""
+
+    name = "platform_duties"
+    requires = ("target_client",)
+
+    def ready(self, app: Application) -> None:
+        """Create the client where the platform names an address."""
+        address = app.settings.section(ListeningSettings).duties_address
+        if not address:
+            return
+        holder = app.settings.section(DutySettings).holder_name
+        client = DutiesClient(app.get(HttpTargetClient), address, holder)
+        app.provide(UsageApi, client)  # type: ignore[type-abstract]
--- /dev/null
+++ b/goldcrestyard/platform/duties/client.py
@@ -0,0 +1,56 @@
+"""Usage reports and rentals."""
+
+import aiohttp
+import structlog
+
+from goldcrestyard.core.attempts import describe_error
+from goldcrestyard.core.ids import InstanceId, Term
+from goldcrestyard.fleet.metering.commands import WindowCounts
+from goldcrestyard.fleet.metering.reporting import ReportOutcome
+from goldcrestyard.platform.names import DUTY_HOLDER, FENCE, USAGE_PATH
+from goldcrestyard.platform.targets.client import HttpTargetClient
+
+logger = structlog.get_logger(__name__)
+
+ANSWER_SECONDS = 1.5
+
+RETRIED_STATUSES = frozenset({408, 429})
+
+
+class DutiesClient:
+    """Speaks to the platform in the name of the leader."""
+
+    def __init__(
+        self, client: HttpTargetClient, address: str, holder: InstanceId
+    ) -> None:
+        self._client = client
+        self._address = address
+        self._holder = holder
+        self._timeout = aiohttp.ClientTimeout(total=ANSWER_SECONDS)
+
+    async def report(self, counts: WindowCounts, fence: Term) -> ReportOutcome:
+        """Send a window's counts once."""
+        body = {
+            "window_id": counts.window,
+            "counts": counts.counts_by_organisation,
+        }
+        status = await self._post(USAGE_PATH, body, fence)
+        if status is None or status >= 500 or status in RETRIED_STATUSES:
+            return ReportOutcome.UNKNOWN
+        return ReportOutcome.ACCEPTED if status < 300 else ReportOutcome.REFUSED
+
+    async def _post(self, path: str, body: object, fence: Term) -> int | None:
+        """Send a call once; return its status, or None without an answer."""
+        try:
+            async with self._client.session.post(
+                f"http://{self._address}{path}",
+                json=body,
+                headers={DUTY_HOLDER: self._holder, FENCE: str(fence)},
+                timeout=self._timeout,
+            ) as response:
+                return response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            logger.info(
+                "platform did not answer", path=path, error=describe_error(error)
+            )
+            return None
--- /dev/null
+++ b/goldcrestyard/platform/event_stream.py
@@ -0,0 +1,72 @@
+"""Events in a target's stream."""
+
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+
+from goldcrestyard.core.attempts import Broken, describe_error
+from goldcrestyard.core.calls import StreamEvent
+from goldcrestyard.core.ids import EventNumber, WeightVersion
+from goldcrestyard.platform.names import VERSION
+
+MAX_EVENT_BYTES = 4 * 1024 * 1024
+
+_VERSION_FIELD = VERSION.lower().encode()
+
+
+async def read_events(
+    read: Callable[[], AsyncIterator[bytes]],
+) -> AsyncIterator[StreamEvent | Broken]:
+    """Yield the events; a stream that breaks off ends with ``Broken``."""
+    pending = bytearray()
+    try:
+        async for chunk in read():
+            pending += chunk
+            while (end := pending.find(b"\n\n")) >= 0:
+                raw = bytes(pending[: end + 2])
+                del pending[: end + 2]
+                event = _parse(raw)
+                if event is not None:
+                    yield event
+                if isinstance(event, Broken):
+                    return
+            if len(pending) > MAX_EVENT_BYTES:
+                yield Broken("event is too long")
+                return
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        yield Broken(f"stream broke off: {describe_error(error)}")
+        return
+    if pending.strip():
+        yield Broken("stream ended within an event")
+
+
+def _parse(raw: bytes) -> StreamEvent | Broken | None:
+    """Return an event; None for a block without one, such as a comment."""
+    number: int | None = None
+    version: int | None = None
+    data: list[bytes] = []
+    try:
+        for line in raw.rstrip(b"\n").split(b"\n"):
+            name, _, value = line.rstrip(b"\r").partition(b":")
+            value = value.removeprefix(b" ")
+            match name.lower():
+                case b"id":
+                    number = int(value)
+                case b"data":
+                    data.append(value)
+                case name if name == _VERSION_FIELD:
+                    version = int(value)
+                case b"" | b"event" | b"retry":
+                    pass
+                case _:
+                    return Broken("a line is no field of an event")
+    except ValueError:
+        return Broken("an event's number cannot be read")
+    if number is None:
+        return Broken("an event has no number") if data else None
+    return StreamEvent(
+        EventNumber(number),
+        b"\n".join(data),
+        raw,
+        None if version is None else WeightVersion(version),
+    )
--- /dev/null
+++ b/goldcrestyard/platform/heartbeats.py
@@ -0,0 +1,56 @@
+"""What targets say of themselves."""
+
+from typing import Literal
+
+import msgspec
+
+from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.states import Rental, TargetState
+from goldcrestyard.policy.heartbeats import Heartbeat
+
+
+class _Model(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _Beat(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
+    seq: int
+    """Rises with each heartbeat; an engine's report uses the name for the
+    number of its orders."""
+    born: int = 0
+    """Start of this run of the target, as Unix milliseconds."""
+    models: list[_Model] = []
+    spot: bool = False
+    """Whether the target may be reclaimed."""
+    leaves_ms: float | None = None
+
+
+def decode(target_id: str, body: bytes) -> Heartbeat | Refusal:
+    """Return the heartbeat, or why it cannot be read."""
+    try:
+        beat = msgspec.json.decode(body, type=_Beat)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Refusal(RefusalReason.BAD_REQUEST, f"unreadable heartbeat: {error}")
+    host, _, port = beat.addr.rpartition(":")
+    if not host or not port.isdigit():
+        return Refusal(RefusalReason.BAD_REQUEST, f"{beat.addr!r} is no address")
+    return Heartbeat(
+        TargetId(target_id),
+        beat.born,
+        beat.seq,
+        beat.service,
+        beat.addr,
+        DataCentre(beat.zone),
+        max(1, beat.slots),
+        TargetState(beat.state),
+        Rental.RECLAIMABLE if beat.spot else Rental.ON_DEMAND,
+        {ModelName(m.name): WeightVersion(m.version) for m in beat.models},
+        None if beat.leaves_ms is None else beat.leaves_ms / 1000,
+    )
--- /dev/null
+++ b/goldcrestyard/platform/names.py
@@ -0,0 +1,38 @@
+"""Names on the platform's wire."""
+
+SETTINGS_VARIABLE = "GOLDCRESTYARD_SETTINGS"
+
+_PREFIX = "X-Goldcrestyard-"
+
+REQUEST_ID = _PREFIX + "Attempt-Id"
+"""Chosen by the caller for each of its attempts."""
+DEADLINE = _PREFIX + "Deadline-Ms"
+TARGET_ID = _PREFIX + "Expect-Instance"
+"""Any other target turns the request away."""
+ORGANISATION = _PREFIX + "Tenant"
+SIGNATURE = _PREFIX + "Server-Stamp"
+NOT_RUN = _PREFIX + "Not-Run"
+WAIT = _PREFIX + "Wait-Ms"
+MODEL = _PREFIX + "Model"
+VERSION = _PREFIX + "Weight-Versions"
+"""One number in spite of its name; also the first line of an event."""
+DUTY_HOLDER = _PREFIX + "Duty-Holder"
+FENCE = _PREFIX + "Fence-Token"
+LAST_EVENT = "Last-Event-Id"
+
+DIRECTORY_PATH = "/v1/resolve"
+READY_PATH = "/v1/readyz"
+CONFIG_PATH = "/v1/config"
+HEARTBEAT_PATH = "/v1/instances/"
+RETIRE_PATH = "/v1/retire/"
+VERSION_PATH = "/v1/version-put"
+RESULTS_PATH = "/v1/lots/"
+ITEM_PATH = "/v1/items/"
+REPORT_PATH = "/v1/report"
+ORDER_PATH = "/v1/order"
+USAGE_PATH = "/usage"
+RENTAL_PATH = "/scale"
+
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+"""As deploy/system.toml names them."""
--- /dev/null
+++ b/goldcrestyard/platform/submissions.py
@@ -0,0 +1,113 @@
+"""Jobs as trainers submit and read them."""
+
+import base64
+import binascii
+
+import msgspec
+
+from goldcrestyard.core.ids import (
+    GroupId,
+    ItemId,
+    JobId,
+    ModelName,
+    OrganisationId,
+    RequestId,
+    StepNumber,
+    WeightVersion,
+)
+from goldcrestyard.core.jobs import Job, JobItem, RewardCall
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.fleet.jobs.commands import ResultsPage
+from goldcrestyard.platform.names import MODEL
+
+
+class _Scorer(msgspec.Struct):
+    id: str
+    host: str
+    path: str
+    body: str = ""
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    headers: dict[str, str] = {}
+    body: str = ""
+    group: str = ""
+    scorer: _Scorer | None = None
+
+
+class _Lot(msgspec.Struct):
+    requests: list[_Item]
+    """The job's items."""
+    model: str = ""
+    step: int = 0
+    least_required: int = 0
+    """The oldest weight version that may generate its tokens."""
+    group_count: int = 0
+    """How many whole groups the trainer waits for."""
+
+
+def decode(
+    job_id: str, organisation: OrganisationId | None, host: str, path: str, body: bytes
+) -> Job | Refusal:
+    """Return the job, or why it cannot be read."""
+    try:
+        lot = msgspec.json.decode(body, type=_Lot)
+        items = tuple(_item(item, lot.model) for item in lot.requests)
+    except (msgspec.DecodeError, UnicodeDecodeError, binascii.Error) as error:
+        return Refusal(RefusalReason.BAD_REQUEST, f"unreadable job: {error}")
+    if not job_id or len({item.id for item in items}) < len(items):
+        return Refusal(RefusalReason.BAD_REQUEST, "the job or an item has no own id")
+    return Job(
+        JobId(job_id),
+        organisation,
+        host,
+        path,
+        ModelName(lot.model),
+        StepNumber(lot.step),
+        WeightVersion(lot.least_required),
+        lot.group_count,
+        items,
+    )
+
+
+def encode(page: ResultsPage) -> bytes:
+    """Return a page of results as trainers read it."""
+    return msgspec.json.encode(
+        {
+            "total": page.size,
+            "next": page.next_position,
+            "results": [
+                {
+                    "id": result.item,
+                    "state": result.outcome.value,
+                    "text": result.text.decode("utf-8", "replace"),
+                    "versions": result.versions,
+                    "score": result.score,
+                }
+                for result in page.results
+            ],
+        }
+    )
+
+
+def _item(item: _Item, model: str) -> JobItem:
+    reward = None
+    if item.scorer is not None:
+        reward = RewardCall(
+            RequestId(item.scorer.id),
+            item.scorer.host,
+            item.scorer.path,
+            base64.b64decode(item.scorer.body, validate=True),
+        )
+    named = {name.lower(): value for name, value in item.headers.items()}
+    return JobItem(
+        ItemId(item.id),
+        item.path,
+        tuple(item.headers.items()),
+        base64.b64decode(item.body, validate=True),
+        ModelName(named.get(MODEL.lower(), model)),
+        GroupId(item.group),
+        reward,
+    )
--- /dev/null
+++ b/goldcrestyard/platform/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to targets."""
--- /dev/null
+++ b/goldcrestyard/platform/targets/client.py
@@ -0,0 +1,159 @@
+"""Requests to targets over HTTP."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from aiohttp import hdrs
+from multidict import CIMultiDict
+from yarl import URL
+
+from goldcrestyard.core.attempts import (
+    AttemptFailure,
+    Broken,
+    TurnedAway,
+    Unreached,
+    describe_error,
+)
+from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
+from goldcrestyard.core.ids import WeightVersion
+from goldcrestyard.core.records import Target
+from goldcrestyard.kernel.http_client import send_once
+from goldcrestyard.platform.event_stream import read_events
+from goldcrestyard.platform.hop_headers import end_to_end
+from goldcrestyard.platform.names import (
+    DEADLINE,
+    LAST_EVENT,
+    NOT_RUN,
+    ORGANISATION,
+    REQUEST_ID,
+    SIGNATURE,
+    TARGET_ID,
+    VERSION,
+)
+
+CONNECT_SECONDS = 0.4
+"""Several round trips between regions; a lost opening packet is sent again
+only after a second, when another target serves the caller sooner."""
+
+HEAD_MARGIN_SECONDS = 0.25
+"""A target that keeps its deadline answers within this time after it."""
+
+NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
+OTHER_TARGET_STATUS = 421
+
+SKIPPED_HEADERS = ("accept", "accept-encoding", "user-agent", "content-type")
+"""Headers that the library would add to those of the caller."""
+
+
+class HttpReply(TargetReply):
+    """An answer whose head has arrived."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+        self.status = response.status
+        self.headers = end_to_end(response.headers.items())
+        self.signature = response.headers.get(SIGNATURE, "")
+        version = response.headers.get(VERSION, "")
+        self.version = WeightVersion(int(version)) if version.isdigit() else None
+
+    async def read(self) -> bytes | Broken:
+        """Return the whole body, or why it is not whole."""
+        try:
+            return await self._response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Broken(f"answer broke off: {describe_error(error)}")
+
+    def events(self) -> AsyncIterator[StreamEvent | Broken]:
+        """Yield the events; one that breaks off ends with ``Broken``."""
+        return read_events(self._response.content.iter_any)
+
+
+class HttpTargetClient:
+    """Sends each request on a connection of its own.
+
+    Nothing that comes late on an older connection can be taken for its
+    answer, and a connection that cannot be opened proves that nothing was
+    sent.
+    """
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Create the session; needs a running event loop."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """The session, for calls to the targets' own interfaces."""
+        assert self._session is not None
+        return self._session
+
+    @asynccontextmanager
+    async def open(
+        self, target: Target, call: TargetCall, seconds_left: float
+    ) -> AsyncIterator[TargetReply | AttemptFailure]:
+        """Send a request once; leaving the block ends the target's work."""
+        try:
+            response = await self.session.request(
+                call.method,
+                URL(f"http://{target.address}{call.path_and_query}", encoded=True),
+                data=call.body or None,
+                headers=_headers(target, call, seconds_left),
+                skip_auto_headers=SKIPPED_HEADERS,
+                timeout=aiohttp.ClientTimeout(
+                    total=seconds_left + HEAD_MARGIN_SECONDS,
+                    sock_connect=CONNECT_SECONDS,
+                ),
+                allow_redirects=False,
+                middlewares=(send_once,),
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            yield Unreached(describe_error(error))
+            return
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            yield Broken(f"no answer: {describe_error(error)}")
+            return
+        try:
+            yield _judge(response, call) or HttpReply(response)
+        finally:
+            response.close()
+
+
+def _headers(target: Target, call: TargetCall, seconds_left: float) -> CIMultiDict[str]:
+    headers: CIMultiDict[str] = CIMultiDict(call.headers)
+    headers[hdrs.HOST] = call.host
+    headers[REQUEST_ID] = call.request
+    headers[TARGET_ID] = target.id
+    headers[DEADLINE] = str(max(1, int(seconds_left * 1000)))
+    headers.popall(ORGANISATION, None)
+    if call.organisation is not None:
+        headers[ORGANISATION] = call.organisation
+    if call.resume_after is not None:
+        headers[LAST_EVENT] = str(call.resume_after)
+    return headers
+
+
+def _judge(response: aiohttp.ClientResponse, call: TargetCall) -> AttemptFailure | None:
+    """Return why a response is no answer to the call, or None if it is one."""
+    echoed = response.headers.get(REQUEST_ID)
+    if echoed is not None and echoed != call.request:
+        return Broken("answer of another request")
+    not_run = NOT_RUN in response.headers and response.status in NOT_RUN_STATUSES
+    if not_run or response.status == OTHER_TARGET_STATUS:
+        return TurnedAway(response.status, f"target answered {response.status}")
+    if 200 <= response.status < 300 and (
+        echoed is None or SIGNATURE not in response.headers
+    ):
+        return Broken("an answer without its id or signature")
+    return None
--- /dev/null
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -0,0 +1,99 @@
+"""Orders to engines, and their reports."""
+
+import aiohttp
+import msgspec
+import structlog
+
+from goldcrestyard.core.attempts import describe_error
+from goldcrestyard.core.ids import InstanceId, ModelName, WeightVersion
+from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.versions.orders import (
+    EngineReport,
+    LoadOrder,
+    OrderOutcome,
+)
+from goldcrestyard.platform.names import ORDER_PATH, REPORT_PATH, TARGET_ID
+from goldcrestyard.platform.targets.client import HttpTargetClient
+
+logger = structlog.get_logger(__name__)
+
+ANSWER_SECONDS = 1.0
+LOAD_MODE = "retain"
+"""Runs go on under the new version; the other modes end or delay them."""
+
+_OUTCOMES_BY_STATUS = {
+    200: OrderOutcome.HOLDS,
+    202: OrderOutcome.ACCEPTED,
+    409: OrderOutcome.CONFLICT,
+}
+
+
+class _Model(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct):
+    seq: int = 0
+    """The number of orders accepted; a heartbeat uses the name for itself."""
+    in_flight: bool = False
+    """Whether an order is in progress; it has nothing to do with requests."""
+    models: list[_Model] = []
+
+
+class HttpEngineControl:
+    """Speaks to engines about themselves."""
+
+    def __init__(self, client: HttpTargetClient, holder: InstanceId) -> None:
+        self._client = client
+        self._holder = holder
+        self._timeout = aiohttp.ClientTimeout(total=ANSWER_SECONDS)
+
+    async def report(self, target: Target) -> EngineReport | None:
+        """Ask an engine for its state; None if it does not answer."""
+        try:
+            async with self._client.session.get(
+                f"http://{target.address}{REPORT_PATH}",
+                headers={TARGET_ID: target.id},
+                timeout=self._timeout,
+            ) as response:
+                if response.status != 200:
+                    return None
+                report = msgspec.json.decode(await response.read(), type=_Report)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._log_silence(target, describe_error(error))
+            return None
+        except msgspec.DecodeError as error:
+            self._log_silence(target, str(error))
+            return None
+        return EngineReport(
+            report.seq,
+            report.in_flight,
+            {ModelName(m.name): WeightVersion(m.version) for m in report.models},
+        )
+
+    async def load(self, target: Target, order: LoadOrder) -> OrderOutcome:
+        """Send an order once."""
+        body = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "mode": LOAD_MODE,
+            "owner": self._holder,
+            "fence": order.fence,
+            "expect": order.expected_orders,
+        }
+        try:
+            async with self._client.session.post(
+                f"http://{target.address}{ORDER_PATH}",
+                json=body,
+                headers={TARGET_ID: target.id},
+                timeout=self._timeout,
+            ) as response:
+                return _OUTCOMES_BY_STATUS.get(response.status, OrderOutcome.REFUSED)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._log_silence(target, describe_error(error))
+            return OrderOutcome.UNKNOWN
+
+    def _log_silence(self, target: Target, error: str) -> None:
+        logger.info("engine did not answer", target=target.id, error=error)
--- a/goldcrestyard/plugins/addresses/announcing.py
+++ b/goldcrestyard/plugins/addresses/announcing.py
@@ -67,7 +67,10 @@
 
 
 async def remove_lost(
-    member: ControlMember, sessions: EntrySessions, clock: Clock
+    member: ControlMember,
+    sessions: EntrySessions,
+    clock: Clock,
+    lost_seconds: float = LOST_SECONDS,
 ) -> None:
     """Remove entries without a lease from the list, while this leads."""
     entries = member.machine.get(EntriesSlice)
@@ -84,7 +87,7 @@
                 missing_since_by_id.pop(instance, None)
                 continue
             missing_since = missing_since_by_id.setdefault(instance, now)
-            if now - missing_since > LOST_SECONDS:
+            if now - missing_since > lost_seconds:
                 logger.warning("entry is lost", entry=instance)
                 await member.propose(
                     RemoveEntry(instance), member.instance, CorrelationId("")
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -1,6 +1,8 @@
 """Plug-in: this instance's member of the replicated log."""
 
+from collections.abc import Mapping, Sequence
 from pathlib import Path
+from typing import ClassVar
 
 from goldcrestyard.consensus.configuration import Configuration
 from goldcrestyard.consensus.driver import ControlMember
@@ -17,8 +19,10 @@
     VoteReply,
 )
 from goldcrestyard.consensus.records import MachineSnapshot
+from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.checks import Check
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.change_feed import ChangeFeed
 from goldcrestyard.membership.digests import LeaderDigests
@@ -38,10 +42,10 @@
     """Runs the control member where the settings have ``[control]``."""
 
     name = "control"
-    requires = ("peers", "entry")
+    requires: ClassVar[Sequence[str]] = ("peers", "entry")
     settings_section = "control"
     settings_class = ControlSettings
-    messages = (
+    messages: ClassVar[Sequence[type]] = (
         Configuration,
         MachineSnapshot,
         MemberIdentity,
@@ -56,41 +60,19 @@
         InstallSnapshot,
         SnapshotReply,
     )
-    checks = (checks.check_timing, checks.check_snapshots, checks.check_member)
+    checks: ClassVar[Sequence[Check]] = (
+        checks.check_timing,
+        checks.check_snapshots,
+        checks.check_member,
+    )
 
     def ready(self, app: Application) -> None:
         """Create the member, the change feed and the entry sessions."""
         control = app.settings.find(ControlSettings)
         if control is None:
             return
-        codec = app.get(Codec)
-        handlers = app.get(Handlers)
         cluster = app.settings.section(ClusterSettings)
-        machine = StateMachine(slice_class() for slice_class in app.slice_classes)
-        member = app.provide(
-            ControlMember,
-            ControlMember(
-                app.settings.section(InstanceSettings).id,
-                Path(control.data_folder),
-                machine,
-                codec,
-                app.clock,
-                app.get(PeerDialer),
-                cluster.control_members,
-                own_address=cluster.peer_address,
-                timing=_timing(control),
-                snapshot_entries=control.snapshot_entries,
-            ),
-        )
-        member.register(handlers)
-        feed = app.provide(ChangeFeed, ChangeFeed(codec, app.clock))
-        machine.listen(feed.add)
-        member.listen_restore(feed.reset)
-        lease_seconds = app.settings.section(EntrySettings).lease_seconds
-        digests = app.provide(LeaderDigests, LeaderDigests())
-        sessions = EntrySessions(member, feed, codec, app.clock, lease_seconds, digests)
-        sessions.register(handlers)
-        app.provide(EntrySessions, sessions)
+        provide_member(app, control, cluster.control_members)
 
     async def start(self, app: Application) -> None:
         """Load the log and take part in the cluster."""
@@ -106,6 +88,43 @@
             await member.stop()
 
 
+def provide_member(
+    app: Application, control: ControlSettings, named: Mapping[InstanceId, str]
+) -> ControlMember:
+    """Create this instance's member, its change feed and the entry sessions.
+
+    ``named`` are the peer addresses of the members that found the cluster.
+    """
+    codec = app.get(Codec)
+    handlers = app.get(Handlers)
+    machine = StateMachine(slice_class() for slice_class in app.slice_classes)
+    member = app.provide(
+        ControlMember,
+        ControlMember(
+            app.settings.section(InstanceSettings).id,
+            Path(control.data_folder),
+            machine,
+            codec,
+            app.clock,
+            app.get(PeerDialer),
+            named,
+            own_address=app.settings.section(ClusterSettings).peer_address,
+            timing=_timing(control),
+            snapshot_entries=control.snapshot_entries,
+        ),
+    )
+    member.register(handlers)
+    feed = app.provide(ChangeFeed, ChangeFeed(codec, app.clock))
+    machine.listen(feed.add)
+    member.listen_restore(feed.reset)
+    lease_seconds = app.settings.section(EntrySettings).lease_seconds
+    digests = app.provide(LeaderDigests, LeaderDigests())
+    sessions = EntrySessions(member, feed, codec, app.clock, lease_seconds, digests)
+    sessions.register(handlers)
+    app.provide(EntrySessions, sessions)
+    return member
+
+
 def _timing(control: ControlSettings) -> Timing:
     return Timing(
         control.heartbeat_seconds,
--- a/goldcrestyard/plugins/entry/apps.py
+++ b/goldcrestyard/plugins/entry/apps.py
@@ -3,6 +3,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.membership.digests import EntryDigests
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.subscription import Subscription
@@ -11,7 +12,7 @@
 from goldcrestyard.plugins.entry.settings import EntrySettings
 from goldcrestyard.plugins.peers.settings import ClusterSettings
 from goldcrestyard.state.machine import StateMachine
-from goldcrestyard.wire.client import PeerAddress, PeerDialer
+from goldcrestyard.wire.client import PeerDialer
 from goldcrestyard.wire.codec import Codec
 from goldcrestyard.wire.connection import Handlers
 
@@ -40,7 +41,7 @@
             link,
             app.get(PeerDialer),
             app.clock,
-            {member: PeerAddress.parse(address) for member, address in members.items()},
+            app.provide(ControlAddresses, ControlAddresses(members)),
             app.provide(EntryDigests, EntryDigests()),
         )
 
--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -30,6 +30,10 @@
     """Bounds on what a caller may do before its request is handled."""
 
     header_seconds: float
+    idle_seconds: float = IDLE_SECONDS
+    header_bytes: int = MAX_HEADER_BYTES
+    decompress: bool = True
+    """Whether encoded bodies are decoded, rather than passed on as sent."""
 
 
 class CallerConnection(web.RequestHandler):
@@ -43,12 +47,13 @@
         super().__init__(
             manager,
             loop=asyncio.get_running_loop(),
-            keepalive_timeout=IDLE_SECONDS,
+            keepalive_timeout=limits.idle_seconds,
             access_log=cast(Any, None),
             lingering_time=LINGERING_SECONDS,
             max_headers=MAX_HEADERS,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=limits.decompress,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
         )
         self._limits = limits
         self._timer: asyncio.TimerHandle | None = None
--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -1,6 +1,7 @@
 """An HTTP listener that can stop listening while its requests go on."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -19,18 +20,17 @@
 """How long a handler that is cut off may take to end."""
 
 
-class HttpListener:
-    """Serves routes on an address."""
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
-    def __init__(self, routes: Routes, limits: ConnectionLimits) -> None:
-        self._routes = routes
+
+class Listener:
+    """Accepts callers' connections on an address."""
+
+    def __init__(
+        self, runner: web.BaseRunner, limits: Callable[[], ConnectionLimits]
+    ) -> None:
+        self._runner = runner
         self._limits = limits
-        self._runner = web.AppRunner(
-            routes.web_application,
-            access_log=None,
-            shutdown_timeout=FORCED_SECONDS,
-            handler_cancellation=True,
-        )
         self._server: asyncio.Server | None = None
 
     async def open(self, address: str) -> None:
@@ -40,7 +40,7 @@
         assert manager is not None
         parsed = PeerAddress.parse(address)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(manager, self._limits),
+            lambda: CallerConnection(manager, self._limits()),
             parsed.host,
             parsed.port,
             backlog=512,
@@ -77,3 +77,33 @@
             isinstance(connection, CallerConnection) and connection.busy
             for connection in manager.connections
         )
+
+
+class HttpListener(Listener):
+    """Serves routes on an address."""
+
+    def __init__(self, routes: Routes, limits: ConnectionLimits) -> None:
+        runner = web.AppRunner(
+            routes.web_application,
+            access_log=None,
+            shutdown_timeout=FORCED_SECONDS,
+            handler_cancellation=True,
+        )
+        super().__init__(runner, lambda: limits)
+
+
+class HandlerListener(Listener):
+    """Serves all requests with one handler, which finds their route itself."""
+
+    def __init__(
+        self, handler: Handler, limits: Callable[[], ConnectionLimits]
+    ) -> None:
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            connection = request.protocol
+            if isinstance(connection, CallerConnection) and not connection.begin():
+                raise ConnectionResetError("the request's head came too late")
+            return await handler(request)
+
+        server = web.Server(handle, handler_cancellation=True)
+        runner = web.ServerRunner(server, shutdown_timeout=FORCED_SECONDS)
+        super().__init__(runner, limits)
--- a/goldcrestyard/plugins/peers/apps.py
+++ b/goldcrestyard/plugins/peers/apps.py
@@ -1,7 +1,5 @@
 """Plug-in: connections between the system's own processes."""
 
-from pathlib import Path
-
 from goldcrestyard.consensus.records import LoggedCommand
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.application import Application
@@ -31,8 +29,9 @@
         """Create the codec, with the messages of all plug-ins."""
         cluster = app.settings.section(ClusterSettings)
         instance = app.settings.section(InstanceSettings)
-        secret = Path(cluster.secret_file).read_bytes().strip()
-        identity = Identity(cluster.name, InstanceId(instance.id), secret)
+        identity = Identity(
+            cluster.name, InstanceId(instance.id), cluster.read_secret()
+        )
         codec = app.provide(Codec, Codec())
         codec.register(*app.message_classes)
         handlers = app.provide(Handlers, Handlers())
--- a/goldcrestyard/plugins/peers/settings.py
+++ b/goldcrestyard/plugins/peers/settings.py
@@ -1,6 +1,7 @@
 """Settings of the connections between the system's own processes."""
 
 from dataclasses import dataclass
+from pathlib import Path
 
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.settings import setting
@@ -18,3 +19,9 @@
         "Peer address (host:port) of each control member, by instance id."
     )
     peer_address: str = setting("Address (host:port) of this instance's peer listener.")
+
+    def read_secret(self) -> bytes:
+        """Return the secret; empty where the deployment has none."""
+        if not self.secret_file:
+            return b""
+        return Path(self.secret_file).read_bytes().strip()
--- a/goldcrestyard/plugins/services/upstream.py
+++ b/goldcrestyard/plugins/services/upstream.py
@@ -16,6 +16,7 @@
 from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
 from goldcrestyard.core.ids import AttemptId, CorrelationId, OrganisationId
 from goldcrestyard.core.records import Target
+from goldcrestyard.kernel.http_client import send_once
 from goldcrestyard.plugins.services.requests import (
     ANSWERED_HEADERS,
     ServiceRequest,
@@ -35,26 +36,6 @@
     body: bytes
 
 
-class ConnectionBrokenError(aiohttp.ClientError):
-    """The connection failed while the request was sent or answered."""
-
-
-async def send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keep the client library from sending a request a second time.
-
-    It repeats GET, PUT and DELETE after these errors by itself, whatever
-    the service says of its route.
-    """
-    try:
-        return await handler(request)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ConnectionBrokenError(describe_error(error)) from error
-
-
 class ServiceClient:
     """Sends attempts to targets of plain services.
 
--- a/goldcrestyard/wire/messages.py
+++ b/goldcrestyard/wire/messages.py
@@ -44,9 +44,10 @@
 
 @dataclass(frozen=True, slots=True)
 class NotLeader:
-    """The asked member is not the leader; it may know who is."""
+    """The asked member is not the leader; it may know who is, and where."""
 
     leader: InstanceId | None
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
