--- a/goldcrestyard/core/calls.py
+++ b/goldcrestyard/core/calls.py
@@ -31,6 +31,8 @@
     organisation: OrganisationId | None = None
     resume_after: EventNumber | None = None
     """The last event that an earlier attempt has delivered."""
+    repeatable: bool = False
+    """Whether a fault of a kept connection may cost a second run."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/core/jobs.py
+++ b/goldcrestyard/core/jobs.py
@@ -5,6 +5,7 @@
 
 from goldcrestyard.core.calls import Headers
 from goldcrestyard.core.ids import (
+    EventNumber,
     GroupId,
     ItemId,
     JobId,
@@ -63,6 +64,30 @@
     ERRORED = "errored"
 
 
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """What an item has: ``kept`` events that are known, and those after.
+
+    Applying the same progress twice changes nothing.
+    """
+
+    kept: int
+    events: tuple[bytes, ...]
+    last: EventNumber | None
+    versions: tuple[WeightVersion, ...]
+    current_version: WeightVersion | None
+
+
+@dataclass(frozen=True, slots=True)
+class EndedItem:
+    """An item that ends, with what of its text is not known yet."""
+
+    item: ItemId
+    outcome: ItemOutcome
+    progress: Progress | None = None
+    score: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class ItemResult:
     """An item that has ended; its place in the list never changes."""
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -165,6 +165,7 @@
             request.headers,
             request.body,
             admitted.organisation,
+            repeatable=admitted.route.repeatable,
         )
         began = self._clock.monotonic()
         began_wall = self._clock.wall()
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -122,6 +122,7 @@
             request.body,
             admitted.organisation,
             stream.last,
+            admitted.route.repeatable,
         )
         began = self._clock.monotonic()
         seconds_left = admitted.deadline - began
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -2,7 +2,7 @@
 
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.core.calls import TargetClient
-from goldcrestyard.core.jobs import ItemResult, Job, JobItem
+from goldcrestyard.core.jobs import EndedItem, ItemResult, Job, JobItem, Progress
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.jobs.commands import (
     ItemBody,
@@ -41,6 +41,8 @@
         Job,
         JobItem,
         ItemResult,
+        EndedItem,
+        Progress,
         JobRecord,
         JobsSnapshot,
         ReadResults,
--- a/goldcrestyard/fleet/jobs/commands.py
+++ b/goldcrestyard/fleet/jobs/commands.py
@@ -1,9 +1,9 @@
 """Commands, messages and snapshot of the jobs slice."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from goldcrestyard.core.ids import ItemId, JobId, OrganisationId
-from goldcrestyard.core.jobs import ItemResult, Job
+from goldcrestyard.core.jobs import EndedItem, ItemResult, Job, Progress
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,7 +18,15 @@
     """Items of a job have ended; each is listed once, in this order."""
 
     job: JobId
-    results: tuple[ItemResult, ...]
+    ended: tuple[EndedItem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KeepProgress:
+    """Items have come further; a new leader goes on from here."""
+
+    job: JobId
+    progress_by_item: dict[ItemId, Progress]
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +47,7 @@
     results: tuple[ItemResult, ...]
     ended: bool
     size: int
+    progress_by_item: dict[ItemId, Progress] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -78,6 +78,7 @@
         item.body,
         job.organisation,
         transcript.last,
+        repeatable=True,
     )
     async with client.open(target, call, seconds_left) as reply:
         if isinstance(reply, AttemptFailure):
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -89,7 +89,15 @@
         self, call: RewardCall, route: ServingRoute, target: Target
     ) -> Scored | int | None:
         """Return the score, a failure's status, or None without an answer."""
-        request = TargetCall(call.request, "POST", call.host, call.path, (), call.body)
+        request = TargetCall(
+            call.request,
+            "POST",
+            call.host,
+            call.path,
+            (),
+            call.body,
+            repeatable=True,
+        )
         began = self._clock.monotonic()
         with self._router.sending(target) as facts:
             async with self._client.open(
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -15,15 +15,21 @@
 from goldcrestyard.core.ids import (
     CorrelationId,
     GroupId,
+    JobId,
     ServiceName,
     TargetId,
     WeightVersion,
 )
-from goldcrestyard.core.jobs import ItemOutcome, ItemResult, Job, JobItem
+from goldcrestyard.core.jobs import EndedItem, ItemOutcome, Job, JobItem
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.core.states import TargetState
-from goldcrestyard.fleet.jobs.commands import EndJob, ListResults, SubmitJob
+from goldcrestyard.fleet.jobs.commands import (
+    EndJob,
+    KeepProgress,
+    ListResults,
+    SubmitJob,
+)
 from goldcrestyard.fleet.jobs.item_runs import (
     BrokenOff,
     Failed,
@@ -61,6 +67,11 @@
 WAKE_SECONDS = 0.2
 """Rooms and versions of engines change without an event here."""
 
+SAVE_SECONDS = 0.4
+SAVED_EVENTS = 6
+"""A long item gets so far between two savings; short ones end before they are
+worth one."""
+
 REQUEUE = Backoff(base_seconds=0.03, longest_seconds=0.5)
 
 AVOID_SECONDS = 2.0
@@ -141,6 +152,7 @@
         """Run items for one time of leading."""
         self._runs_by_key.clear()
         self._in_use.clear()
+        saving = asyncio.create_task(self._save_regularly(), name="save progress")
         try:
             while True:
                 self._wake.clear()
@@ -153,9 +165,49 @@
                 except TimeoutError:
                     pass
         finally:
+            saving.cancel()
             for run in list(self._runs_by_key.values()):
                 self._drop(run)
 
+    async def _save_regularly(self) -> None:
+        """Commit what running items have generated.
+
+        Each event goes into the log once, whether here or with the result.
+        """
+        while True:
+            await asyncio.sleep(SAVE_SECONDS)
+            for state in self._jobs.open_jobs():
+                await self._save(state.job.id)
+
+    async def _save(self, job_id: JobId) -> None:
+        progress_by_run = {
+            run.key: (run, len(run.transcript.events), run.transcript.unsaved())
+            for run in self._runs_by_key.values()
+            if run.key.job == job_id
+            and len(run.transcript.events) >= run.transcript.saved + SAVED_EVENTS
+        }
+        if not progress_by_run:
+            return
+        result = await self._member.propose(
+            KeepProgress(
+                job_id,
+                {key.item: saved for key, (_, _, saved) in progress_by_run.items()},
+            ),
+            self._member.instance,
+            CorrelationId(job_id),
+        )
+        if not isinstance(result, Applied):
+            return
+        for run, count, saved in progress_by_run.values():
+            # The transcript may have been discarded in the meantime.
+            if (
+                run.transcript.saved
+                == saved.kept
+                <= count
+                <= len(run.transcript.events)
+            ):
+                run.transcript.saved = count
+
     # Taking up and giving up items.
 
     def _take_up(self) -> None:
@@ -171,7 +223,8 @@
                     + (seconds or DEFAULT_ITEM_SECONDS)
                     + EXPIRY_MARGIN_SECONDS
                 )
-                self._runs_by_key[key] = ItemRun(key, item, expires_at)
+                transcript = Transcript.restore(state.progress_by_item.get(item.id))
+                self._runs_by_key[key] = ItemRun(key, item, expires_at, transcript)
 
     def _expire(self) -> None:
         now = self._clock.wall()
@@ -354,18 +407,16 @@
                     logger.info("item has no score", item=run.key.item)
                     await self._list(run, _errored(run))
                     return
-        result = ItemResult(
-            run.item.id,
-            ItemOutcome.COMPLETE,
-            run.transcript.text,
-            tuple(sorted(run.transcript.versions)),
-            score,
+        await self._list(
+            run,
+            EndedItem(
+                run.item.id, ItemOutcome.COMPLETE, run.transcript.unsaved(), score
+            ),
         )
-        await self._list(run, result)
 
-    async def _list(self, run: ItemRun, result: ItemResult) -> None:
+    async def _list(self, run: ItemRun, ended: EndedItem) -> None:
         """Commit a result, for as long as this member leads."""
-        command = ListResults(run.key.job, (result,))
+        command = ListResults(run.key.job, (ended,))
         while True:
             outcome = await self._member.propose(
                 command, self._member.instance, CorrelationId(run.key.item)
@@ -377,8 +428,8 @@
             "item listed",
             job=run.key.job,
             item=run.key.item,
-            outcome=result.outcome.value,
-            versions=result.versions,
+            outcome=ended.outcome.value,
+            versions=sorted(run.transcript.versions),
         )
         self._runs_by_key.pop(run.key, None)
 
@@ -393,5 +444,5 @@
             del groups[next(iter(groups))]
 
 
-def _errored(run: ItemRun) -> ItemResult:
-    return ItemResult(run.item.id, ItemOutcome.ERRORED)
+def _errored(run: ItemRun) -> EndedItem:
+    return EndedItem(run.item.id, ItemOutcome.ERRORED)
--- a/goldcrestyard/fleet/jobs/slices.py
+++ b/goldcrestyard/fleet/jobs/slices.py
@@ -3,13 +3,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
-from goldcrestyard.core.ids import ItemId, JobId, OrganisationId
-from goldcrestyard.core.jobs import ItemResult, Job, JobItem
+from goldcrestyard.core.ids import ItemId, JobId, OrganisationId, WeightVersion
+from goldcrestyard.core.jobs import EndedItem, ItemResult, Job, JobItem, Progress
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.fleet.jobs.commands import (
     EndJob,
     JobRecord,
     JobsSnapshot,
+    KeepProgress,
     ListResults,
     SubmitJob,
 )
@@ -39,8 +40,18 @@
     size: int
     results: list[ItemResult] = field(default_factory=list)
     listed: set[ItemId] = field(default_factory=set)
+    progress_by_item: dict[ItemId, Progress] = field(default_factory=dict)
+    """What items have that are not listed yet."""
     ended: bool = False
 
+    def advance(self, item_id: ItemId, progress: Progress) -> Progress:
+        """Join further progress of an item to what is known of it."""
+        known = self.progress_by_item.get(item_id)
+        kept = known.events[: progress.kept] if known is not None else ()
+        whole = replace(progress, kept=0, events=(*kept, *progress.events))
+        self.progress_by_item[item_id] = whole
+        return whole
+
     def item(self, item_id: ItemId) -> JobItem | None:
         """Return an item that is not listed yet, or None."""
         if item_id in self.listed:
@@ -52,7 +63,7 @@
     """Jobs by id."""
 
     name = "jobs"
-    commands = (SubmitJob, ListResults, EndJob)
+    commands = (SubmitJob, ListResults, KeepProgress, EndJob)
 
     def __init__(self) -> None:
         self.jobs_by_id: dict[JobId, JobState] = {}
@@ -75,8 +86,11 @@
         match command:
             case SubmitJob(job=job):
                 return self._submit(job, context.time)
-            case ListResults(job=job_id, results=results):
-                self._list(job_id, results)
+            case ListResults(job=job_id, ended=ended):
+                self._list(job_id, ended)
+                return Accepted()
+            case KeepProgress(job=job_id, progress_by_item=progress_by_item):
+                self._advance(job_id, progress_by_item)
                 return Accepted()
             case EndJob(job=job_id, organisation=organisation):
                 return self._end(job_id, organisation)
@@ -92,14 +106,31 @@
         self.jobs_by_id[job.id] = JobState(job, time, len(job.items))
         return Accepted()
 
-    def _list(self, job_id: JobId, results: tuple[ItemResult, ...]) -> None:
+    def _list(self, job_id: JobId, ended: tuple[EndedItem, ...]) -> None:
+        state = self.jobs_by_id.get(job_id)
+        if state is None or state.ended:
+            return
+        for item in ended:
+            if item.item in state.listed:
+                continue
+            state.listed.add(item.item)
+            text = b""
+            versions: tuple[WeightVersion, ...] = ()
+            if item.progress is not None:
+                whole = state.advance(item.item, item.progress)
+                text, versions = b"\n".join(whole.events), whole.versions
+            state.progress_by_item.pop(item.item, None)
+            state.results.append(
+                ItemResult(item.item, item.outcome, text, versions, item.score)
+            )
+
+    def _advance(self, job_id: JobId, progress_by_item: dict[ItemId, Progress]) -> None:
         state = self.jobs_by_id.get(job_id)
         if state is None or state.ended:
             return
-        for result in results:
-            if result.item not in state.listed:
-                state.listed.add(result.item)
-                state.results.append(result)
+        for item_id, progress in progress_by_item.items():
+            if item_id not in state.listed:
+                state.advance(item_id, progress)
 
     def _end(self, job_id: JobId, organisation: OrganisationId | None) -> Outcome:
         state = self.find(job_id, organisation)
@@ -108,6 +139,7 @@
         state.ended = True
         # Bodies are no longer asked for; they are most of a job's size.
         state.job = replace(state.job, items=())
+        state.progress_by_item.clear()
         return Accepted()
 
     def _forget_old(self, time: float) -> None:
@@ -126,6 +158,7 @@
                     tuple(state.results),
                     state.ended,
                     state.size,
+                    dict(state.progress_by_item),
                 )
                 for state in self.jobs_by_id.values()
             )
@@ -140,6 +173,7 @@
                 record.size,
                 list(record.results),
                 {result.item for result in record.results},
+                dict(record.progress_by_item),
                 record.ended,
             )
             for record in snapshot.records
--- a/goldcrestyard/fleet/jobs/transcripts.py
+++ b/goldcrestyard/fleet/jobs/transcripts.py
@@ -4,6 +4,7 @@
 
 from goldcrestyard.core.calls import StreamEvent
 from goldcrestyard.core.ids import EventNumber, WeightVersion
+from goldcrestyard.core.jobs import Progress
 
 
 @dataclass(slots=True)
@@ -14,6 +15,21 @@
     last: EventNumber | None = None
     versions: set[WeightVersion] = field(default_factory=set)
     current_version: WeightVersion | None = None
+    saved: int = 0
+    """Number of events that the replicated state has."""
+
+    @classmethod
+    def restore(cls, progress: Progress | None) -> "Transcript":
+        """Return what the replicated state has of an item."""
+        if progress is None:
+            return cls()
+        return cls(
+            list(progress.events),
+            progress.last,
+            set(progress.versions),
+            progress.current_version,
+            len(progress.events),
+        )
 
     def begin_run(self, version: WeightVersion | None) -> None:
         """Note the version with which a run begins."""
@@ -39,8 +55,14 @@
         self.versions.clear()
         self.last = None
         self.current_version = None
+        self.saved = 0
 
-    @property
-    def text(self) -> bytes:
-        """The data of all events."""
-        return b"\n".join(self.events)
+    def unsaved(self) -> Progress:
+        """Return what the replicated state lacks."""
+        return Progress(
+            self.saved,
+            tuple(self.events[self.saved :]),
+            self.last,
+            tuple(sorted(self.versions)),
+            self.current_version,
+        )
--- /dev/null
+++ b/goldcrestyard/fleet/rentals/__init__.py
@@ -0,0 +1,1 @@
+"""Targets rented as trainers need them."""
--- a/goldcrestyard/platform/__main__.py
+++ b/goldcrestyard/platform/__main__.py
@@ -45,6 +45,7 @@
         "goldcrestyard.fleet.metering",
         "goldcrestyard.fleet.versions",
         "goldcrestyard.fleet.jobs",
+        "goldcrestyard.fleet.rentals",
         "goldcrestyard.platform.targets",
         "goldcrestyard.platform.duties",
         "goldcrestyard.platform.control",
--- a/goldcrestyard/platform/duties/apps.py
+++ b/goldcrestyard/platform/duties/apps.py
@@ -2,6 +2,7 @@
 
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.metering.reporting import UsageApi
+from goldcrestyard.fleet.rentals.keeper import RentalApi
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.platform.duties.client import DutiesClient
@@ -23,3 +24,4 @@
         holder = app.settings.section(DutySettings).holder_name
         client = DutiesClient(app.get(HttpTargetClient), address, holder)
         app.provide(UsageApi, client)  # type: ignore[type-abstract]
+        app.provide(RentalApi, client)  # type: ignore[type-abstract]
--- a/goldcrestyard/platform/duties/client.py
+++ b/goldcrestyard/platform/duties/client.py
@@ -7,13 +7,15 @@
 from goldcrestyard.core.ids import InstanceId, Term
 from goldcrestyard.fleet.metering.commands import WindowCounts
 from goldcrestyard.fleet.metering.reporting import ReportOutcome
-from goldcrestyard.platform.names import DUTY_HOLDER, FENCE, USAGE_PATH
+from goldcrestyard.fleet.rentals.keeper import RentalOrder, RentalOutcome
+from goldcrestyard.platform.names import DUTY_HOLDER, FENCE, RENTAL_PATH, USAGE_PATH
 from goldcrestyard.platform.targets.client import HttpTargetClient
 
 logger = structlog.get_logger(__name__)
 
 ANSWER_SECONDS = 1.5
 
+NONE_LEFT_STATUS = 409
 RETRIED_STATUSES = frozenset({408, 429})
 
 
@@ -39,6 +41,21 @@
             return ReportOutcome.UNKNOWN
         return ReportOutcome.ACCEPTED if status < 300 else ReportOutcome.REFUSED
 
+    async def rent(self, order: RentalOrder, fence: Term) -> RentalOutcome:
+        """Send an order once."""
+        body = {
+            "service": order.service,
+            "zone": order.data_centre,
+            # In all, although the name is also that of a job's groups.
+            "group_count": order.count,
+        }
+        status = await self._post(RENTAL_PATH, body, fence)
+        if status == NONE_LEFT_STATUS:
+            return RentalOutcome.EXHAUSTED
+        if status is not None and status < 300:
+            return RentalOutcome.ACCEPTED
+        return RentalOutcome.UNKNOWN
+
     async def _post(self, path: str, body: object, fence: Term) -> int | None:
         """Send a call once; return its status, or None without an answer."""
         try:
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -21,17 +21,17 @@
 """Share of the time within which a removed key must be dead for which an
 entry trusts the keys it knows; the rest is for requests on their way."""
 
-QUIET_SHARE = 1 / 3
+QUIET_SHARE = 0.35
 """Share of the platform's bound on turns between holders of a duty for which
-a new leader waits; an election takes another third at least."""
+a new leader waits; the election takes another quarter at least."""
 
 DRAIN_SHARE = 0.9
 """Share of the time before a process is killed that it may use to stop."""
 
-HEARTBEAT_SECONDS = 0.15
-LEASE_SECONDS = 0.8
-ELECTION_SECONDS = 1.0
-LONGEST_ELECTION_SECONDS = 1.6
+HEARTBEAT_SECONDS = 0.12
+LEASE_SECONDS = 0.65
+ELECTION_SECONDS = 0.8
+LONGEST_ELECTION_SECONDS = 1.25
 """Timing of the replicated log: short, since jobs and orders stand still for
 an election, and above the half second in which a silent connection between
 two members is replaced."""
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -36,6 +36,10 @@
 """Several round trips between regions; a lost opening packet is sent again
 only after a second, when another target serves the caller sooner."""
 
+KEEP_SECONDS = 3.0
+"""Shorter than targets keep idle connections, so that one is seldom closed
+just as a request is sent on it."""
+
 HEAD_MARGIN_SECONDS = 0.25
 """A target that keeps its deadline answers within this time after it."""
 
@@ -70,42 +74,47 @@
 
 
 class HttpTargetClient:
-    """Sends each request on a connection of its own.
+    """Sends requests, each on a connection of its own where it must be.
 
-    Nothing that comes late on an older connection can be taken for its
-    answer, and a connection that cannot be opened proves that nothing was
-    sent.
+    A request that may run once only has a new connection: one that cannot be
+    opened proves that nothing was sent.  Others share kept connections, where
+    an answer is told from a late one by the id that it echoes.
     """
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._single_session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        """Create the session; needs a running event loop."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
+        """Create the sessions; needs a running event loop."""
+        self._session = _new_session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_SECONDS)
+        )
+        self._single_session = _new_session(
+            aiohttp.TCPConnector(limit=0, force_close=True)
         )
 
     async def stop(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._single_session):
+            if session is not None:
+                await session.close()
 
     @property
     def session(self) -> aiohttp.ClientSession:
-        """The session, for calls to the targets' own interfaces."""
-        assert self._session is not None
-        return self._session
+        """A session whose connections are closed after each request."""
+        assert self._single_session is not None
+        return self._single_session
 
     @asynccontextmanager
     async def open(
         self, target: Target, call: TargetCall, seconds_left: float
     ) -> AsyncIterator[TargetReply | AttemptFailure]:
         """Send a request once; leaving the block ends the target's work."""
+        session = self._session if call.repeatable else self._single_session
+        assert session is not None
         try:
-            response = await self.session.request(
+            response = await session.request(
                 call.method,
                 URL(f"http://{target.address}{call.path_and_query}", encoded=True),
                 data=call.body or None,
@@ -130,6 +139,14 @@
             response.close()
 
 
+def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
 def _headers(target: Target, call: TargetCall, seconds_left: float) -> CIMultiDict[str]:
     headers: CIMultiDict[str] = CIMultiDict(call.headers)
     headers[hdrs.HOST] = call.host
