--- a/goldcrestyard/fleet/assembly/joining.py
+++ b/goldcrestyard/fleet/assembly/joining.py
@@ -20,6 +20,8 @@
 class ClusterJoiner:
     """Asks for membership while this process has none, or is not heard.
 
+    It asks once in any case, so that the leader learns the machine's name.
+
     A member that was removed during a long absence still finds itself in the
     configuration that it knows, but no leader calls on it any more.
     """
@@ -37,6 +39,7 @@
         self._machine = machine
         self._addresses = addresses
         self._dialer = dialer
+        self._announced = False
 
     async def run(self) -> None:
         """Ask until a leader counts this process in, for its whole life."""
@@ -46,7 +49,11 @@
             await asyncio.sleep(CHECK_SECONDS * random.uniform(0.5, 1.5))
 
     def _is_counted_in(self) -> bool:
-        return self._member.is_member and self._member.leader is not None
+        return (
+            self._announced
+            and self._member.is_member
+            and self._member.leader is not None
+        )
 
     async def _ask(self) -> None:
         candidates = [
@@ -63,6 +70,7 @@
                 self._addresses.learn(reply.leader, reply.address)
                 reply = await self._request(PeerAddress.parse(reply.address))
             if isinstance(reply, JoinNoted):
+                self._announced = True
                 logger.info("asked to join the cluster", leader=instance)
                 return
 
--- a/goldcrestyard/plugins/control/checks.py
+++ b/goldcrestyard/plugins/control/checks.py
@@ -46,6 +46,14 @@
             "drift of two clocks",
             "A longer lease would let two members act as the leader.",
         )
+    if control.start_quiet_seconds < control.lease_seconds * (1 + CLOCK_DRIFT):
+        yield Problem(
+            Level.ERROR,
+            "control.E007",
+            "control.start_quiet_seconds",
+            "is shorter than the lease and the drift of the clocks",
+            "A member may have confirmed a lease just before it was started again.",
+        )
     spread = control.election_timeout_max_seconds - control.election_timeout_seconds
     if spread < control.heartbeat_seconds:
         yield Problem(
--- a/tests/consensus/test_settings_checks.py
+++ b/tests/consensus/test_settings_checks.py
@@ -21,6 +21,7 @@
     ("busy_heartbeat", {"heartbeat_seconds": 0.001}, ["control.E001"]),
     ("lease_of_one_heartbeat", {"heartbeat_seconds": 0.9}, ["control.E002"]),
     ("lease_outlasts_support", {"lease_seconds": 1.9}, ["control.E003"]),
+    ("quiet_time_within_the_lease", {"start_quiet_seconds": 1.5}, ["control.E007"]),
     ("no_spread", {"election_timeout_max_seconds": 2.1}, ["control.E004"]),
     ("constant_snapshots", {"snapshot_entries": 1}, ["control.E005"]),
 ]
--- a/tests/fakes/member_network.py
+++ b/tests/fakes/member_network.py
@@ -21,6 +21,7 @@
 from goldcrestyard.plugins.organisations.commands import PutOrganisation
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
 from goldcrestyard.state.machine import StateMachine
+from goldcrestyard.state.slices import Slice
 from goldcrestyard.wire.client import PeerAddress, PeerUnavailableError
 from goldcrestyard.wire.codec import Codec
 from goldcrestyard.wire.connection import Handlers, NoAnswer
@@ -94,14 +95,18 @@
     def __init__(self, names: list[str], clock: Clock, **options: Any) -> None:
         self.names = names
         self.clock = clock
-        self.options = options
+        self.slices: tuple[type[Slice], ...] = options.pop(
+            "slices", (OrganisationsSlice,)
+        )
         self.codec = Codec()
         self.codec.register(
+            *options.pop("messages", ()),
             *MESSAGES,
             LoggedCommand,
             *ControlConfig.messages,
             *OrganisationsConfig.messages,
         )
+        self.options = options
         self.cut: set[tuple[str, str]] = set()
         self.connections = 0
         self.silent_up_to = 0
@@ -131,7 +136,7 @@
 
     async def start(self, name: str, named: list[str] | None = None) -> ControlMember:
         codec = self.codec
-        machine = StateMachine([OrganisationsSlice()])
+        machine = StateMachine([slice_class() for slice_class in self.slices])
         feed = ChangeFeed(codec, self.clock)
         member = ControlMember(
             InstanceId(name),
@@ -140,7 +145,7 @@
             codec,
             self.clock,
             _Dialer(self, name),  # type: ignore[arg-type]
-            {InstanceId(n): f"{n}:1" for n in named or self.names},
+            {InstanceId(n): f"{n}:1" for n in (self.names if named is None else named)},
             own_address=f"{name}:1",
             files=self.files_by_instance.setdefault(name, MemoryFiles()),
             make_executor=InlineExecutor,
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the plug-ins of self-assembling deployments."""
--- /dev/null
+++ b/tests/fleet/test_assembly.py
@@ -0,0 +1,268 @@
+"""Tests of members that find each other, on the paused clock.
+
+Guards against a cluster that is founded twice, a vote from a lost disk, and a
+lost majority after a second loss.
+"""
+
+import asyncio
+
+from parameterized import parameterized
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.consensus.results import Applied
+from goldcrestyard.consensus.roles import Role
+from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.core.refusals import RefusalReason
+from goldcrestyard.fleet.assembly.commands import (
+    JoinCluster,
+    JoinNoted,
+    MachinesSnapshot,
+    NameMachine,
+    RetireMachine,
+)
+from goldcrestyard.fleet.assembly.joining import ClusterJoiner
+from goldcrestyard.fleet.assembly.keeper import MembershipKeeper
+from goldcrestyard.fleet.assembly.slices import MachinesSlice
+from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.membership.control_addresses import ControlAddresses
+from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
+from tests.fakes.member_network import MemberNetwork, _Dialer, organisations, put
+from tests.fakes.paused_clock import PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+
+FOUNDERS = ["a", "b", "c"]
+
+
+class Assembly:
+    """Members with their keepers and joiners; all know the founders' names."""
+
+    def __init__(self, network: MemberNetwork) -> None:
+        self.network = network
+        self.keepers: dict[str, MembershipKeeper] = {}
+        self._tasks: dict[str, list[asyncio.Task[None]]] = {}
+
+    async def start(self, name: str, *, first_start: bool = False) -> ControlMember:
+        network = self.network
+        member = await network.start(name, FOUNDERS if first_start else [])
+        keeper = MembershipKeeper(member, 3, network.clock)
+        keeper.register(network.handlers_by_instance[name])
+        self.keepers[name] = keeper
+        joiner = ClusterJoiner(
+            member,
+            f"{name}:1",
+            f"machine-{name}",
+            ControlAddresses({InstanceId(n): f"{n}:1" for n in FOUNDERS}),
+            _Dialer(network, name),  # type: ignore[arg-type]
+        )
+        self._tasks[name] = [
+            asyncio.create_task(while_leading(member, "keep", keeper.run)),
+            asyncio.create_task(joiner.run()),
+        ]
+        return member
+
+    async def stop(self, name: str, *, lose_disk: bool = False) -> None:
+        for task in self._tasks.pop(name):
+            task.cancel()
+        await self.network.stop(name, lose_disk=lose_disk)
+
+    async def close(self) -> None:
+        for tasks in self._tasks.values():
+            for task in tasks:
+                task.cancel()
+        await self.network.close()
+
+    def voters(self) -> set[str]:
+        leaders = self.network.leaders
+        if not leaders:
+            return set()
+        return {
+            status.instance
+            for status in leaders[0].members()
+            if status.role is not Role.LEARNER
+        }
+
+    async def wait_voters(self, *names: str) -> None:
+        await self.network.wait(
+            lambda: self.voters() == set(names), f"the voters {names}"
+        )
+
+
+class AssemblyTestCase(PausedClockTestCase):
+    """Starts the founders."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        network = MemberNetwork(
+            FOUNDERS,
+            self.clock(),
+            slices=(OrganisationsSlice, MachinesSlice),
+            messages=(
+                JoinCluster,
+                JoinNoted,
+                NameMachine,
+                RetireMachine,
+                MachinesSnapshot,
+            ),
+        )
+        self.network = network
+        self.assembly = Assembly(network)
+        self.addAsyncCleanup(self.assembly.close)
+
+
+class FoundingTests(AssemblyTestCase):
+    """The first start."""
+
+    async def test_founders_find_each_other(self) -> None:
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        await self.assembly.wait_voters(*FOUNDERS)
+
+    async def test_others_join_without_a_vote(self) -> None:
+        for name in [*FOUNDERS, "d"]:
+            await self.assembly.start(name, first_start=True)
+        await self.assembly.wait_voters(*FOUNDERS)
+        leader = await self.network.leader()
+        await self.network.wait(lambda: len(leader.members()) == 4, "the learner")
+        self.assertEqual(self.assembly.voters(), set(FOUNDERS))
+
+    @parameterized.expand([(0.0,), (0.02,), (0.1,), (0.3,), (1.0,), (2.5,)])
+    async def test_founded_once_whatever_restarts(self, after: float) -> None:
+        """Restarts each founder in turn while the cluster is being founded."""
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        await asyncio.sleep(after)
+        for name in FOUNDERS:
+            await self.assembly.stop(name)
+            await self.assembly.start(name, first_start=True)
+        leader = await self.network.leader()
+        self.assertIsInstance(await put(leader, "kept"), Applied)
+        await self.network.wait_same()
+        self.assertEqual(
+            {m._disk.cluster for m in self.network.running.values()},
+            {leader._disk.cluster},
+        )
+
+    async def test_late_founder_is_waited_for(self) -> None:
+        await self.assembly.start("a", first_start=True)
+        await self.assembly.start("b", first_start=True)
+        await asyncio.sleep(10.0)
+        self.assertEqual(self.network.leaders, [])
+        await self.assembly.start("c", first_start=True)
+        await self.network.leader()
+
+
+class RepairTests(AssemblyTestCase):
+    """Losses without an operator."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        self.leader = await self.network.leader()
+        await put(self.leader, "first")
+
+    def _follower(self) -> str:
+        return next(n for n in FOUNDERS if n != self.leader.instance)
+
+    async def _is_kept(self) -> None:
+        leader = await self.network.leader()
+        self.assertIsInstance(await put(leader, "second"), Applied)
+        await self.network.wait_same()
+        self.assertEqual(organisations(leader), ("first", "second"))
+
+    @parameterized.expand([("follower", False), ("leader", True)])
+    async def test_wiped_disk_at_its_old_address(self, _: str, leads: bool) -> None:
+        lost = str(self.leader.instance) if leads else self._follower()
+        await self.assembly.stop(lost, lose_disk=True)
+        await self.assembly.start(lost)
+        await self.network.leader()
+        await self.network.wait(
+            lambda: (
+                len(self.network.leaders) == 1
+                and len(self.network.leaders[0].members()) == 3
+                and self.assembly.voters() == set(FOUNDERS)
+            ),
+            "three members",
+        )
+        await self._is_kept()
+
+    @parameterized.expand([("follower", False), ("leader", True)])
+    async def test_new_machine_in_place_of_a_lost_one(
+        self, _: str, leads: bool
+    ) -> None:
+        lost = str(self.leader.instance) if leads else self._follower()
+        await self.assembly.stop(lost, lose_disk=True)
+        await asyncio.sleep(1.0)
+        await self.assembly.start("d")
+        await self.assembly.wait_voters(*({*FOUNDERS, "d"} - {lost}))
+        await self._is_kept()
+
+    async def test_second_loss_right_after_a_repair(self) -> None:
+        first = self._follower()
+        await self.assembly.stop(first, lose_disk=True)
+        await self.assembly.start("d")
+        await self.assembly.wait_voters(*({*FOUNDERS, "d"} - {first}))
+        second = str(self.leader.instance)
+        await self.assembly.stop(second, lose_disk=True)
+        await self.assembly.start("e")
+        await self.assembly.wait_voters(*({*FOUNDERS, "d", "e"} - {first, second}))
+        await self._is_kept()
+
+    async def test_seeds_that_are_gone_but_one(self) -> None:
+        """A new machine finds the cluster through the only seed left."""
+        followers = [n for n in FOUNDERS if n != self.leader.instance]
+        for lost, new in zip(followers, ("d", "e"), strict=True):
+            await self.assembly.stop(lost, lose_disk=True)
+            await self.assembly.start(new)
+            await self.network.wait(lambda n=new: n in self.assembly.voters(), new)
+        await self.assembly.wait_voters(str(self.leader.instance), "d", "e")
+        await self._is_kept()
+
+    async def test_cut_off_leader_is_replaced_and_comes_back(self) -> None:
+        cut = str(self.leader.instance)
+        self.network.isolate(cut)
+        await self.network.leader(but=self.leader)
+        await self.assembly.start("d")
+        await self.network.wait(
+            lambda: any("d" in self._voters_of(m) for m in self.network.leaders),
+            "the new voter",
+        )
+        self.network.heal()
+        await self.network.wait(
+            lambda: (
+                all(
+                    cut in {s.instance for s in m.members()}
+                    for m in self.network.leaders
+                )
+                and bool(self.network.leaders)
+            ),
+            "the old leader as a member again",
+        )
+        await self._is_kept()
+
+    async def test_retirement_needs_a_machine_in_its_place(self) -> None:
+        retiring = self._follower()
+        machine = f"machine-{retiring}"
+        keeper = self.assembly.keepers[self.leader.instance]
+        names = self.leader.machine.get(MachinesSlice).names_by_instance
+        await self.network.wait(lambda: len(names) == 3, "the founders' names")
+        refusal = await keeper.retire(machine)
+        assert refusal is not None
+        self.assertIs(refusal.reason, RefusalReason.CONFLICT)
+        await self.assembly.start("d")
+        await self.network.wait(lambda: len(self.leader.members()) == 4, "the learner")
+        unknown = await keeper.retire("machine-nobody")
+        assert unknown is not None
+        self.assertIs(unknown.reason, RefusalReason.NOT_FOUND)
+        self.assertIsNone(await keeper.retire(machine))
+        self.assertIs(keeper.is_retired(machine), False)
+        await self.network.wait(lambda: bool(keeper.is_retired(machine)), "empty")
+        self.assertEqual(self.assembly.voters(), {*FOUNDERS, "d"} - {retiring})
+        self.assertIsNone(await keeper.retire(machine), "a repeated order")
+
+    def _voters_of(self, member: ControlMember) -> set[str]:
+        return {
+            status.instance
+            for status in member.members()
+            if status.role is not Role.LEARNER
+        }
--- /dev/null
+++ b/tests/fleet/test_calls.py
@@ -0,0 +1,209 @@
+"""Tests of plain requests: how often they run, and what callers are told."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from parameterized import parameterized
+
+from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.fleet.gateway.admission import Admission, Admitted
+from goldcrestyard.fleet.gateway.calls import CallAnswer, CallRunner
+from goldcrestyard.fleet.gateway.router import CallRouter
+from goldcrestyard.fleet.metering.meter import UsageMeter
+from goldcrestyard.membership.view import EntryView
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.call_routing import Place
+from tests.fakes.paused_clock import PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+from tests.fakes.serving import entry_view, request
+from tests.fakes.targets import (
+    CUT,
+    DOWN,
+    FULL,
+    Answers,
+    Behaviour,
+    FakeTargetClient,
+    Hangs,
+    target,
+)
+
+SLOW = Answers(b"slow", seconds=1.0)
+FAILED = Answers(b"fault", 500)
+
+
+@dataclass(frozen=True)
+class Case:
+    """What targets do in turn, how often they are asked, and the outcome."""
+
+    name: str
+    prefix: str
+    behaviours: tuple[Behaviour, ...]
+    asked: int
+    status: int | None = None
+    reason: RefusalReason | None = None
+    verdict: Verdict | None = None
+
+
+REFUSED = RefusalReason.CAPACITY
+NOT_RUN, MAYBE = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN
+
+CASES = [
+    Case("answered", "/once/", (Answers(),), 1, 200),
+    Case("fault_is_passed_on", "/once/", (FAILED,), 1, 500),
+    Case("full_then_answered", "/once/", (FULL, Answers()), 2, 200),
+    Case("down_then_answered", "/once/", (DOWN, Answers()), 2, 200),
+    Case(
+        "cut_is_never_sent_again",
+        "/once/",
+        (CUT, Answers()),
+        1,
+        None,
+        RefusalReason.TARGET_FAILED,
+        MAYBE,
+    ),
+    Case("all_full", "/once/", (FULL, FULL, FULL), 3, None, REFUSED, NOT_RUN),
+    Case("all_down", "/once/", (DOWN,), 4, None, REFUSED, NOT_RUN),
+    Case(
+        "hangs_once",
+        "/once/",
+        (Hangs(),),
+        1,
+        None,
+        RefusalReason.DEADLINE,
+        MAYBE,
+    ),
+    Case("cut_then_answered", "/again/", (CUT, Answers()), 2, 200),
+    Case("fault_then_answered", "/again/", (FAILED, Answers()), 2, 200),
+    Case("slow_one_is_hedged", "/again/", (SLOW, Answers(b"fast")), 2, 200),
+    Case("hanging_one_is_hedged", "/again/", (Hangs(), Answers()), 2, 200),
+    Case("attempts_are_bounded", "/again/", (FAILED, FAILED, FAILED), 3, 500),
+    Case(
+        "one_may_have_run",
+        "/again/",
+        (FULL, CUT, FULL),
+        3,
+        None,
+        RefusalReason.TARGET_FAILED,
+        MAYBE,
+    ),
+]
+
+
+class CallTests(PausedClockTestCase):
+    """Guards against a second run, a false refusal and a forgotten one."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        self.view = entry_view(self.clock(), ("a", "b", "c", "d"))
+        self.meter = UsageMeter(5.0)
+
+    def _runner(self, behaviours: tuple[Behaviour, ...]) -> CallRunner:
+        """Return a runner whose targets share one list of behaviours."""
+        shared = list(behaviours)
+        self.client = FakeTargetClient(dict.fromkeys("abcd", shared))
+        clock = self.clock()
+        self.admission = Admission(self.view, clock)
+        place = Place(target("a").data_centre, target("a").region)
+        router = CallRouter(
+            self.view.machine.get(TargetsSlice), place, clock, random.Random(1)
+        )
+        return CallRunner(
+            self.admission, router, self.client, self.meter, clock, random.Random(1)
+        )
+
+    def _admit(self, prefix: str) -> Admitted:
+        now = self.clock().monotonic()
+        admitted = self.admission.admit(request(prefix), now)
+        assert isinstance(admitted, Admitted)
+        return admitted
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    async def test_outcome(self, _: str, case: Case) -> None:
+        runner = self._runner(case.behaviours)
+        answer = await runner.answer(self._admit(case.prefix))
+        self.assertEqual(len(self.client.calls), case.asked)
+        self.assertEqual(len(set(self.client.asked)), case.asked)
+        if isinstance(answer, CallAnswer):
+            self.assertEqual(answer.status, case.status)
+        else:
+            self.assertEqual(
+                (answer.reason, answer.verdict), (case.reason, case.verdict)
+            )
+        self.assertEqual(self.client.open_now, 0)
+
+    async def test_first_answer_wins_and_ends_the_other(self) -> None:
+        answer = await self._runner((SLOW, Answers(b"fast"))).answer(
+            self._admit("/again/")
+        )
+        assert isinstance(answer, CallAnswer)
+        self.assertEqual(answer.body, b"fast")
+        self.assertLess(self.clock().monotonic(), 1.0)
+
+    async def test_caller_that_leaves_ends_the_work(self) -> None:
+        runner = self._runner((Hangs(),))
+        waiting = asyncio.create_task(runner.answer(self._admit("/again/")))
+        await asyncio.sleep(0.5)
+        self.assertGreater(self.client.open_now, 0)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual(self.client.open_now, 0)
+
+    async def test_deadline_is_passed_on_as_it_shrinks(self) -> None:
+        runner = self._runner((Answers(seconds=5.0),))
+        began = self.clock().monotonic()
+        answer = await runner.answer(self._admit("/once/"))
+        assert isinstance(answer, Refusal)
+        self.assertAlmostEqual(self.clock().monotonic() - began, 2.0, delta=0.05)
+
+    async def test_hedged_request_is_counted_once(self) -> None:
+        both = Answers(seconds=0.15)
+        await self._runner((both, both)).answer(self._admit("/again/"))
+        (window,) = self.meter.counts().windows
+        self.assertEqual(window.counts_by_organisation, {"tejo": 1})
+
+
+ADMISSIONS = [
+    ("known_key", "/again/", "key", 1.0, None),
+    ("unknown_key", "/again/", "other", 1.0, RefusalReason.INVALID_KEY),
+    ("no_key", "/again/", None, 1.0, RefusalReason.INVALID_KEY),
+    ("open_route", "/open/", None, 1.0, None),
+    ("no_route", "/nowhere/", "key", 1.0, RefusalReason.NOT_FOUND),
+    ("lease_has_run_out", "/again/", "key", -1.0, RefusalReason.ENTRY_LEASE),
+    ("open_route_without_lease", "/open/", None, -1.0, None),
+]
+
+
+class AdmissionTests(PausedClockTestCase):
+    """Guards against a key that works after it was withdrawn."""
+
+    @parameterized.expand(ADMISSIONS)
+    async def test_admission(
+        self,
+        _: str,
+        prefix: str,
+        key: str | None,
+        lease: float,
+        expected: RefusalReason | None,
+    ) -> None:
+        clock = self.clock()
+        full = entry_view(clock, ())
+        view = EntryView(full.machine, None, clock)  # type: ignore[arg-type]
+        view.grant(clock.monotonic(), lease)
+        admitted = Admission(view, clock).admit(request(prefix, key), 0.0)
+        if isinstance(admitted, Refusal):
+            self.assertIs(admitted.reason, expected)
+            self.assertIs(admitted.verdict, Verdict.NOT_RUN)
+        else:
+            self.assertIsNone(expected)
+
+    async def test_lease_that_ends_while_a_request_waits(self) -> None:
+        clock = self.clock()
+        view = entry_view(clock, ())
+        admission = Admission(view, clock)
+        admitted = admission.admit(request("/again/"), 0.0)
+        assert isinstance(admitted, Admitted)
+        self.assertTrue(admission.may_still_run(admitted))
+        await asyncio.sleep(1001.0)
+        self.assertFalse(admission.may_still_run(admitted))
--- /dev/null
+++ b/tests/fleet/test_jobs_slice.py
@@ -0,0 +1,133 @@
+"""Tests of jobs in the replicated state."""
+
+import unittest
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import (
+    EventNumber,
+    GroupId,
+    JobId,
+    ModelName,
+    OrganisationId,
+    StepNumber,
+    WeightVersion,
+)
+from goldcrestyard.core.jobs import EndedItem, ItemOutcome, Job, JobItem, Progress
+from goldcrestyard.fleet.jobs.commands import (
+    EndJob,
+    KeepProgress,
+    ListResults,
+    SubmitJob,
+)
+from goldcrestyard.fleet.jobs.slices import KEPT_SECONDS, JobsSlice
+from goldcrestyard.state.commands import Accepted, Rejected
+from tests.fakes.member import apply, machine_of
+from tests.fakes.serving import item_id
+
+JOB = JobId("job")
+OWNER, STRANGER = OrganisationId("tejo"), OrganisationId("other")
+
+
+def job(name: str = "job", owner: OrganisationId = OWNER, items: int = 3) -> Job:
+    return Job(
+        JobId(name),
+        owner,
+        "h.example",
+        "/jobs/",
+        ModelName("m"),
+        StepNumber(1),
+        WeightVersion(1),
+        1,
+        tuple(
+            JobItem(item_id(n), f"/jobs/{n}", (), b"body", ModelName("m"), GroupId("g"))
+            for n in range(items)
+        ),
+    )
+
+
+def progress(kept: int, *events: bytes) -> Progress:
+    last = EventNumber(kept + len(events))
+    return Progress(kept, events, last, (WeightVersion(2),), WeightVersion(2))
+
+
+def complete(number: int, kept: int, *events: bytes) -> EndedItem:
+    return EndedItem(
+        item_id(number), ItemOutcome.COMPLETE, progress(kept, *events), "score"
+    )
+
+
+class JobsSliceTests(unittest.TestCase):
+    """Guards against results that are lost, doubled, or change their place."""
+
+    def setUp(self) -> None:
+        self.machine = machine_of(JobsSlice)
+        self.slice = self.machine.get(JobsSlice)
+        apply(self.machine, SubmitJob(job()))
+
+    def _texts(self) -> list[tuple[str, bytes]]:
+        return [(r.item, r.text) for r in self.slice.jobs_by_id[JOB].results]
+
+    def test_resubmission_changes_nothing(self) -> None:
+        apply(self.machine, ListResults(JOB, (complete(0, 0, b"a"),)))
+        outcome = apply(self.machine, SubmitJob(job())).outcome
+        self.assertEqual(outcome, Accepted())
+        self.assertEqual(self._texts(), [("item-0", b"a")])
+
+    def test_id_of_another_organisation_is_refused(self) -> None:
+        outcome = apply(self.machine, SubmitJob(job(owner=STRANGER))).outcome
+        self.assertIsInstance(outcome, Rejected)
+
+    def test_item_is_listed_once(self) -> None:
+        apply(self.machine, ListResults(JOB, (complete(1, 0, b"a"),)))
+        apply(
+            self.machine, ListResults(JOB, (complete(1, 0, b"b"), complete(0, 0, b"c")))
+        )
+        self.assertEqual(self._texts(), [("item-1", b"a"), ("item-0", b"c")])
+
+    @parameterized.expand(
+        [
+            ("one_after_another", [(0, b"a"), (1, b"b")], b"a\nb\nc"),
+            ("the_same_twice", [(0, b"a"), (1, b"b"), (1, b"b")], b"a\nb\nc"),
+            ("started_again", [(0, b"x"), (1, b"y"), (0, b"a"), (1, b"b")], b"a\nb\nc"),
+        ]
+    )
+    def test_text_of_kept_progress(
+        self, _: str, kept: list[tuple[int, bytes]], expected: bytes
+    ) -> None:
+        for position, event in kept:
+            by_item = {item_id(0): progress(position, event)}
+            apply(self.machine, KeepProgress(JOB, by_item))
+        apply(self.machine, ListResults(JOB, (complete(0, 2, b"c"),)))
+        self.assertEqual(self._texts(), [("item-0", expected)])
+        self.assertEqual(self.slice.jobs_by_id[JOB].progress_by_item, {})
+
+    def test_ended_job_keeps_its_list_and_takes_no_more(self) -> None:
+        apply(self.machine, ListResults(JOB, (complete(0, 0, b"a"),)))
+        apply(self.machine, EndJob(JOB, OWNER))
+        apply(self.machine, ListResults(JOB, (complete(1, 0, b"b"),)))
+        self.assertEqual(self._texts(), [("item-0", b"a")])
+        self.assertEqual(self.slice.open_jobs(), [])
+        self.assertEqual(apply(self.machine, EndJob(JOB, OWNER)).outcome, Accepted())
+
+    def test_stranger_neither_finds_nor_ends_a_job(self) -> None:
+        self.assertIsNone(self.slice.find(JOB, STRANGER))
+        outcome = apply(self.machine, EndJob(JOB, STRANGER)).outcome
+        self.assertIsInstance(outcome, Rejected)
+
+    @parameterized.expand(
+        [("kept", KEPT_SECONDS - 1, 2), ("gone", KEPT_SECONDS + 1, 1)]
+    )
+    def test_results_are_kept_for_their_time(
+        self, _: str, age: float, expected: int
+    ) -> None:
+        apply(self.machine, EndJob(JOB, OWNER))
+        apply(self.machine, SubmitJob(job("next")), time=age)
+        self.assertEqual(len(self.slice.jobs_by_id), expected)
+
+    def test_snapshot_holds_all(self) -> None:
+        apply(self.machine, ListResults(JOB, (complete(0, 0, b"a"),)))
+        apply(self.machine, KeepProgress(JOB, {item_id(1): progress(0, b"b")}))
+        copy = JobsSlice()
+        copy.load_snapshot(self.slice.to_snapshot())
+        self.assertEqual(copy.jobs_by_id, self.slice.jobs_by_id)
--- /dev/null
+++ b/tests/fleet/test_runner.py
@@ -0,0 +1,245 @@
+"""Tests of the running of items, at engines that misbehave."""
+
+import asyncio
+import random
+from dataclasses import dataclass, replace
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import (
+    DataCentre,
+    JobId,
+    Region,
+    RequestId,
+    WeightVersion,
+)
+from goldcrestyard.core.jobs import ItemOutcome, Job, RewardCall
+from goldcrestyard.core.states import TargetKind
+from goldcrestyard.fleet.gateway.router import CallRouter
+from goldcrestyard.fleet.jobs.commands import EndJob, SubmitJob
+from goldcrestyard.fleet.jobs.rewards import RewardCaller
+from goldcrestyard.fleet.jobs.runner import JobRunner
+from goldcrestyard.fleet.jobs.slices import JobsSlice
+from goldcrestyard.fleet.serving.commands import PutServing
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.fleet.versions.loading import LoadingModels
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.call_routing import Place
+from tests.fakes.announcements import announce
+from tests.fakes.member import FakeMember, apply, machine_of
+from tests.fakes.paused_clock import PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+from tests.fakes.serving import CONFIG, HOST, MODEL
+from tests.fakes.targets import (
+    CUT,
+    DOWN,
+    FULL,
+    Answers,
+    Behaviour,
+    FakeTargetClient,
+    Streams,
+    target,
+)
+from tests.fleet.test_jobs_slice import job
+
+WAIT_SECONDS = 30.0
+SCORED = (Answers(signature="score"),)
+REWARD = RewardCall(RequestId("reward"), HOST, "/score/1", b"")
+
+
+@dataclass(frozen=True)
+class Case:
+    """What engines and the scorer do in turn, and how the item ends."""
+
+    name: str
+    engines: tuple[Behaviour, ...]
+    outcome: ItemOutcome = ItemOutcome.COMPLETE
+    runs: int = 1
+    versions: tuple[int, ...] = (1,)
+    scorers: tuple[Behaviour, ...] = SCORED
+    prefix: str = "/jobs/"
+    events: int = 3
+
+
+ERRORED = ItemOutcome.ERRORED
+FAULT = Answers(status=500)
+
+CASES = [
+    Case("whole", (Streams(3),)),
+    Case("full_then_whole", (FULL, Streams(3)), runs=2),
+    Case("down_then_whole", (DOWN, Streams(3)), runs=2),
+    Case("no_answer_then_whole", (CUT, Streams(3)), runs=2),
+    Case("resumed", (Streams(3, breaks_after=2), Streams(3)), runs=2),
+    Case("silent_then_resumed", (Streams(3, silent_after=1), Streams(3)), runs=2),
+    Case("fault_then_whole", (FAULT, Streams(3)), runs=2),
+    Case("always_fails", (FAULT,), ERRORED, 3, ()),
+    Case("impossible", (Answers(status=422),), ERRORED, 1, ()),
+    Case("new_version_on_the_way", (Streams(3, changes_at=2),), versions=(1, 2)),
+    Case(
+        "resumed_under_another_version",
+        (Streams(3, breaks_after=1), Streams(3, version=2)),
+        runs=2,
+        versions=(1, 2),
+    ),
+    Case(
+        "single_version_starts_again",
+        (Streams(3, changes_at=2), Streams(3, version=2)),
+        runs=2,
+        versions=(2,),
+        prefix="/single/",
+    ),
+    Case("scorer_fails_once", (Streams(3),), scorers=(FAULT, *SCORED)),
+    Case("scorer_is_cut_off", (Streams(3),), scorers=(CUT, FULL, *SCORED)),
+    Case("scorer_always_fails", (Streams(3),), ERRORED, 1, (), (FAULT,)),
+]
+
+
+def scored_job(prefix: str, items: int = 1) -> Job:
+    plain = job(items=items)
+    return replace(
+        plain,
+        items=tuple(
+            replace(item, path=f"{prefix}{item.id}", model=MODEL, reward=REWARD)
+            for item in plain.items
+        ),
+        model=MODEL,
+        host=HOST,
+    )
+
+
+class RunnerTests(PausedClockTestCase):
+    """Guards against wrong labels, lost text and items left behind."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        self.machine = machine_of(JobsSlice, ServingSlice, TargetsSlice)
+        self.member = FakeMember(self.machine, self.clock())
+        apply(self.machine, PutServing(CONFIG, b""))
+        self.jobs = self.machine.get(JobsSlice)
+
+    def _start(
+        self,
+        engines: tuple[Behaviour, ...],
+        scorers: tuple[Behaviour, ...] = SCORED,
+        count: int = 2,
+    ) -> "asyncio.Task[None]":
+        clock = self.clock()
+        targets = self.machine.get(TargetsSlice)
+        tracker = TargetTracker(self.member, {}, 1.0, clock)  # type: ignore[arg-type]
+        shared = list(engines)
+        behaviours: dict[str, list[Behaviour]] = {"scorer": list(scorers)}
+        announce(targets, target("scorer"))
+        for number in range(count):
+            name = f"e{number}"
+            engine = target(name, "engines", TargetKind.ENGINE)
+            announce(targets, engine)
+            tracker.learn_version(engine, MODEL, WeightVersion(1))
+            behaviours[name] = shared
+        self.client = FakeTargetClient(behaviours)
+        place = Place(DataCentre("dc"), Region("r"))
+        rewards = RewardCaller(
+            self.machine.get(ServingSlice),
+            CallRouter(targets, place, clock, random.Random(1)),
+            self.client,
+            clock,
+        )
+        runner = JobRunner(
+            self.member,  # type: ignore[arg-type]
+            tracker,
+            LoadingModels(),
+            self.client,
+            rewards,
+            place,
+            clock,
+            random.Random(1),
+        )
+        task = asyncio.create_task(runner.run())
+        self.addAsyncCleanup(self._stop, task)
+        return task
+
+    async def _stop(self, task: "asyncio.Task[None]") -> None:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def _listed(self, count: int = 1) -> None:
+        state = self.jobs.jobs_by_id[JobId("job")]
+        async with asyncio.timeout(WAIT_SECONDS):
+            while len(state.results) < count:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    def _runs(self) -> list[str]:
+        return [name for name in self.client.asked if name != "scorer"]
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    async def test_item(self, _: str, case: Case) -> None:
+        self._start(case.engines, case.scorers)
+        submit = SubmitJob(scored_job(case.prefix))
+        apply(self.machine, submit, time=self.clock().wall())
+        await self._listed()
+        (result,) = self.jobs.jobs_by_id[JobId("job")].results
+        self.assertIs(result.outcome, case.outcome)
+        self.assertEqual(len(self._runs()), case.runs)
+        self.assertEqual(result.versions, case.versions)
+        if case.outcome is ItemOutcome.COMPLETE:
+            self.assertEqual(result.text, b"1\n2\n3")
+            self.assertEqual(result.score, "score")
+
+    async def test_score_is_asked_for_after_the_last_event(self) -> None:
+        self._start((Streams(3, breaks_after=2), Streams(3)))
+        apply(self.machine, SubmitJob(scored_job("/jobs/")), time=self.clock().wall())
+        await self._listed()
+        self.assertEqual(self.client.asked[-1], "scorer")
+        self.assertEqual(self.client.asked.count("scorer"), 1)
+
+    async def test_ended_job_ends_its_runs(self) -> None:
+        self._start((Streams(1000),))
+        submitted = scored_job("/jobs/", 4)
+        apply(self.machine, SubmitJob(submitted), time=self.clock().wall())
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.client.open_now, 4)
+        apply(self.machine, EndJob(submitted.id, submitted.organisation))
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.client.open_now, 0)
+
+    async def test_new_leader_goes_on_where_the_last_one_was(self) -> None:
+        first = self._start((Streams(100),))
+        apply(self.machine, SubmitJob(scored_job("/jobs/")), time=self.clock().wall())
+        await asyncio.sleep(2.0)
+        await self._stop(first)
+        self._start((Streams(100),))
+        await self._listed()
+        _, call = next(c for c in self.client.calls if c[0] != "scorer")
+        assert call.resume_after is not None
+        self.assertGreater(call.resume_after, 30)
+        (result,) = self.jobs.jobs_by_id[JobId("job")].results
+        expected = [b"%d" % number for number in range(1, 101)]
+        self.assertEqual(result.text.split(b"\n"), expected)
+
+    async def test_item_leaves_a_slow_engine(self) -> None:
+        task = self._start((Streams(1),), count=3)
+        fast, slow = Streams(60), Streams(60, event_seconds=0.2)
+        self.client.behaviours_by_target.update(e0=[fast], e1=[fast], e2=[slow])
+        apply(
+            self.machine, SubmitJob(scored_job("/jobs/", 9)), time=self.clock().wall()
+        )
+        await self._listed(9)
+        # At the pace of the slow engine alone, 60 events take 12 seconds.
+        self.assertLess(self.clock().monotonic(), 8.0)
+        self.assertFalse(task.done())
+
+    async def test_item_is_given_up_at_its_time(self) -> None:
+        self._start((FULL,))
+        apply(self.machine, SubmitJob(scored_job("/jobs/")), time=self.clock().wall())
+        await asyncio.sleep(59.0)
+        self.assertEqual(self.jobs.jobs_by_id[JobId("job")].results, [])
+        await self._listed()
+        (result,) = self.jobs.jobs_by_id[JobId("job")].results
+        self.assertIs(result.outcome, ERRORED)
+
+    async def test_too_old_engine_gets_no_item(self) -> None:
+        self._start((Streams(3),))
+        strict = replace(scored_job("/jobs/"), oldest_version=WeightVersion(2))
+        apply(self.machine, SubmitJob(strict), time=self.clock().wall())
+        await asyncio.sleep(5.0)
+        self.assertEqual(self.client.calls, [])
--- /dev/null
+++ b/tests/fleet/test_streams.py
@@ -0,0 +1,107 @@
+"""Tests of streams: whole, resumed, or visibly cut."""
+
+import random
+from dataclasses import dataclass
+
+from parameterized import parameterized
+
+from goldcrestyard.core.calls import Headers
+from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.fleet.gateway.admission import Admission, Admitted
+from goldcrestyard.fleet.gateway.router import CallRouter
+from goldcrestyard.fleet.gateway.streams import StreamEnd, StreamRunner
+from goldcrestyard.fleet.metering.meter import UsageMeter
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.call_routing import Place
+from tests.fakes.paused_clock import PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+from tests.fakes.serving import entry_view, request
+from tests.fakes.targets import (
+    CUT,
+    FULL,
+    Behaviour,
+    FakeTargetClient,
+    Streams,
+    target,
+)
+
+
+class Sink:
+    """Keeps what a caller receives."""
+
+    def __init__(self) -> None:
+        self.heads = 0
+        self.body = b""
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        self.heads += 1
+
+    async def write(self, data: bytes) -> None:
+        self.body += data
+
+
+@dataclass(frozen=True)
+class Case:
+    """What targets do in turn, and what the caller receives."""
+
+    name: str
+    prefix: str
+    behaviours: tuple[Behaviour, ...]
+    expected: object
+    events: int
+    asked: int
+
+
+WHOLE, STREAM_CUT = StreamEnd.WHOLE, StreamEnd.CUT
+
+CASES = [
+    Case("whole", "/stream/", (Streams(3),), WHOLE, 3, 1),
+    Case("full_then_whole", "/stream/", (FULL, Streams(3)), WHOLE, 3, 2),
+    Case("cut", "/stream/", (Streams(3, breaks_after=2), Streams(3)), STREAM_CUT, 2, 1),
+    Case("never_begun", "/stream/", (CUT, Streams(3)), Verdict.MAY_HAVE_RUN, 0, 1),
+    Case("all_full", "/stream/", (FULL, FULL, FULL), Verdict.NOT_RUN, 0, 3),
+    Case("resumed", "/resumed/", (Streams(4, breaks_after=2), Streams(4)), WHOLE, 4, 2),
+    Case("silent", "/resumed/", (Streams(4, silent_after=1), Streams(4)), WHOLE, 4, 2),
+    Case(
+        "resumed_in_vain",
+        "/resumed/",
+        (Streams(4, breaks_after=1), CUT, CUT),
+        STREAM_CUT,
+        1,
+        3,
+    ),
+]
+
+
+class StreamTests(PausedClockTestCase):
+    """Guards against events that are lost, doubled, or out of order."""
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    async def test_stream(self, _: str, case: Case) -> None:
+        quiet_logs(self)
+        clock = self.clock()
+        view = entry_view(clock, ("a", "b", "c", "d"))
+        shared = list(case.behaviours)
+        client = FakeTargetClient(dict.fromkeys("abcd", shared))
+        admission = Admission(view, clock)
+        place = Place(target("a").data_centre, target("a").region)
+        router = CallRouter(
+            view.machine.get(TargetsSlice), place, clock, random.Random(1)
+        )
+        runner = StreamRunner(admission, router, client, UsageMeter(5.0), clock)
+        admitted = admission.admit(request(case.prefix), clock.monotonic())
+        assert isinstance(admitted, Admitted)
+        sink = Sink()
+        end = await runner.run(admitted, sink)
+        if isinstance(end, Refusal):
+            self.assertEqual(end.verdict, case.expected)
+        else:
+            self.assertEqual(end, case.expected)
+        numbers = range(1, case.events + 1)
+        self.assertEqual(
+            sink.body, b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in numbers)
+        )
+        self.assertEqual(sink.heads, int(case.events > 0))
+        self.assertEqual(len(client.calls), case.asked)
+        self.assertEqual(client.open_now, 0)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_submissions.py
@@ -0,0 +1,99 @@
+"""Tests of jobs as trainers submit and read them."""
+
+import base64
+import json
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import ItemId, OrganisationId, WeightVersion
+from goldcrestyard.core.jobs import ItemOutcome, ItemResult, Job
+from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.fleet.jobs.commands import ResultsPage
+from goldcrestyard.platform import submissions
+
+ITEM: dict[str, Any] = {
+    "id": "i1",
+    "path": "/jobs/3/91",
+    "headers": {"X-Goldcrestyard-Model": "m2", "X-Other": "kept"},
+    "body": base64.b64encode(b"prompt").decode(),
+    "tokens": 900,
+    "group": "g1",
+    "scorer": {
+        "id": "r1",
+        "host": "h.example",
+        "path": "/score/1",
+        "body": base64.b64encode(b"rubric").decode(),
+    },
+}
+LOT: dict[str, Any] = {
+    "step": 7,
+    "model": "m1",
+    "least_required": 6,
+    "group_count": 1,
+    "requests": [ITEM, {"id": "i2", "path": "/jobs/4"}],
+}
+
+
+def decode(document: object, job: str = "j") -> Job | Refusal:
+    body = json.dumps(document).encode()
+    return submissions.decode(job, OrganisationId("o"), "h.example", "/jobs/", body)
+
+
+class DecodeTests(unittest.TestCase):
+    """Guards against running an item other than it was submitted."""
+
+    def test_fields_say_what_they_hold(self) -> None:
+        job = decode(LOT)
+        assert isinstance(job, Job)
+        self.assertEqual((job.step, job.oldest_version, job.wanted_groups), (7, 6, 1))
+        first, second = job.items
+        self.assertEqual(
+            (first.body, first.model, first.group), (b"prompt", "m2", "g1")
+        )
+        self.assertIn(("X-Other", "kept"), first.headers)
+        assert first.reward is not None
+        self.assertEqual((first.reward.request, first.reward.body), ("r1", b"rubric"))
+        self.assertEqual((second.model, second.reward), ("m1", None))
+
+    @parameterized.expand(
+        [
+            ("not_an_object", [], "j"),
+            ("no_items", {"model": "m"}, "j"),
+            ("item_without_id", {"requests": [{"path": "/x"}]}, "j"),
+            ("same_id_twice", {"requests": [ITEM, ITEM]}, "j"),
+            ("body_not_base64", {"requests": [{**ITEM, "body": "%%"}]}, "j"),
+            ("version_of_another_type", {**LOT, "least_required": "6"}, "j"),
+            ("job_without_id", LOT, ""),
+        ]
+    )
+    def test_refused(self, _: str, document: object, job: str) -> None:
+        self.assertIsInstance(decode(document, job), Refusal)
+
+
+class EncodeTests(unittest.TestCase):
+    """What a trainer reads."""
+
+    def test_page(self) -> None:
+        result = ItemResult(
+            ItemId("i1"),
+            ItemOutcome.COMPLETE,
+            b"one\ntwo",
+            (WeightVersion(6), WeightVersion(7)),
+            "stamp",
+        )
+        failed = ItemResult(ItemId("i2"), ItemOutcome.ERRORED)
+        page = json.loads(submissions.encode(ResultsPage(40, (result, failed), 14)))
+        self.assertEqual((page["total"], page["next"]), (40, 14))
+        self.assertEqual(
+            page["results"][0],
+            {
+                "id": "i1",
+                "state": "complete",
+                "text": "one\ntwo",
+                "versions": [6, 7],
+                "score": "stamp",
+            },
+        )
+        self.assertEqual(page["results"][1]["state"], "errored")
--- /dev/null
+++ b/tests/policy/test_call_routing.py
@@ -0,0 +1,100 @@
+"""Tests of the choice of a target for a call."""
+
+import random
+import unittest
+from collections import Counter
+from dataclasses import dataclass, field
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import DataCentre, Region, TargetId
+from goldcrestyard.core.records import Target
+from goldcrestyard.core.states import TargetKind
+from goldcrestyard.policy.call_routing import CallFacts, Place, choose_target
+
+PLACE = Place(DataCentre("near"), Region("here"))
+
+
+def target(name: str, data_centre: str = "near", region: str = "here") -> Target:
+    return Target(
+        TargetId(name),
+        TargetKind.SERVICE,
+        f"{name}:1",
+        DataCentre(data_centre),
+        Region(region),
+        ("s",),
+        max_concurrency=6,
+    )
+
+
+NEAR, NEXT = target("near"), target("next", "next")
+FAR = target("far", "far", "there")
+
+
+def facts(
+    *, in_flight: int = 0, mean: float | None = 0.05, avoided_until: float = -1.0
+) -> CallFacts:
+    return CallFacts("", in_flight, mean, 0, avoided_until)
+
+
+@dataclass(frozen=True)
+class Case:
+    """Facts, and the target that is chosen."""
+
+    name: str
+    facts_by_id: dict[str, CallFacts]
+    expected: str | None
+    tried: frozenset[str] = field(default_factory=frozenset)
+
+
+CASES = [
+    Case("nearest", {"near": facts(), "next": facts(), "far": facts()}, "near"),
+    Case(
+        "full_one_is_passed_by", {"near": facts(in_flight=6), "next": facts()}, "next"
+    ),
+    Case("slow_one_is_passed_by", {"near": facts(mean=0.5), "next": facts()}, "next"),
+    Case("untried_one_is_tried", {"near": facts(mean=0.2)}, "next"),
+    Case("failed_one_is_avoided", {"near": facts(avoided_until=9.0)}, "next"),
+    Case("tried_one_is_left_out", {}, "next", frozenset({"near"})),
+    Case(
+        "all_avoided_are_used_all_the_same",
+        {name: facts(avoided_until=9.0) for name in ("near", "next", "far")},
+        "near",
+    ),
+    Case("none_left", {}, None, frozenset({"near", "next", "far"})),
+]
+
+
+class ChooseTests(unittest.TestCase):
+    """Guards against slow answers and bytes over the paid link."""
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    def test_choice(self, _: str, case: Case) -> None:
+        chosen = choose_target(
+            (FAR, NEXT, NEAR),
+            {TargetId(name): known for name, known in case.facts_by_id.items()},
+            PLACE,
+            {TargetId(name) for name in case.tried},
+            5.0,
+            random.Random(3),
+        )
+        self.assertEqual(chosen.id if chosen is not None else None, case.expected)
+
+    def test_equal_targets_share_the_calls(self) -> None:
+        source = random.Random(5)
+        twins = (target("a"), target("b"))
+        chosen = Counter(
+            choose_target(twins, {}, PLACE, frozenset(), 0.0, source)
+            for _ in range(100)
+        )
+        self.assertGreater(min(chosen[twin] for twin in twins), 20)
+
+    def test_ejection_doubles_and_ends_with_an_answer(self) -> None:
+        known = facts()
+        pauses = []
+        for _ in range(8):
+            known.failed(10.0)
+            pauses.append(known.avoided_until - 10.0)
+        self.assertEqual(pauses, [0.5, 1.0, 2.0, 4.0, 8.0, 8.0, 8.0, 8.0])
+        known.succeeded(0.1)
+        self.assertLess(known.avoided_until, 10.0)
--- /dev/null
+++ b/tests/policy/test_engine_paces.py
@@ -0,0 +1,36 @@
+"""Tests of telling slow engines from the others."""
+
+import unittest
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import TargetId
+from goldcrestyard.policy.engine_paces import REMEMBERED_SECONDS, EnginePaces
+
+A, B, C = TargetId("a"), TargetId("b"), TargetId("c")
+
+
+class PaceTests(unittest.TestCase):
+    """Guards against steps that wait for the items of a slow engine."""
+
+    def setUp(self) -> None:
+        self.paces = EnginePaces()
+        for target, seconds in ((A, 0.035), (B, 0.036), (C, 0.14)):
+            self.paces.note(target, seconds, 0.0)
+
+    @parameterized.expand([("usual", 0.04, False), ("slow", 0.14, True)])
+    def test_slow(self, _: str, seconds: float, expected: bool) -> None:
+        self.assertEqual(self.paces.is_slow(seconds, 1.0), expected)
+
+    def test_unknown_engine_is_taken_as_usual(self) -> None:
+        self.assertEqual(self.paces.pace(TargetId("new"), 1.0), 0.036)
+
+    def test_slow_engine_gets_work_again_after_a_while(self) -> None:
+        later = REMEMBERED_SECONDS + 0.1
+        self.paces.note(A, 0.035, later)
+        self.assertEqual(self.paces.pace(C, later), 0.035)
+
+    def test_a_single_engine_is_never_slow(self) -> None:
+        alone = EnginePaces()
+        alone.note(A, 0.1, 0.0)
+        self.assertFalse(alone.is_slow(9.0, 0.0))
--- /dev/null
+++ b/tests/policy/test_serving.py
@@ -0,0 +1,138 @@
+"""Tests of configurations and of finding what a request belongs to."""
+
+import random
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import (
+    ConfigVersion,
+    OrganisationId,
+    RouteName,
+    ServiceName,
+)
+from goldcrestyard.core.serving import (
+    RouteKind,
+    ServedOrganisation,
+    ServedService,
+    ServingConfig,
+    ServingRoute,
+    WeightedService,
+)
+from goldcrestyard.policy.serving import ServingTable, faults, pick_service
+
+
+def route(name: str, prefix: str, host: str = "h.example") -> ServingRoute:
+    return ServingRoute(
+        RouteName(name),
+        host,
+        prefix,
+        RouteKind.IDEMPOTENT,
+        (WeightedService(ServiceName("s"), 1.0),),
+        1.0,
+        2,
+    )
+
+
+CONFIG = ServingConfig(
+    ConfigVersion(1),
+    (route("root", "/a/"), route("deep", "/a/b/"), route("other", "/a/", "o.example")),
+    (ServedService(ServiceName("s")), ServedService(ServiceName("z"))),
+    organisations=(
+        ServedOrganisation(OrganisationId("x"), ("key-x", "key-y")),
+        ServedOrganisation(OrganisationId("z"), ("key-z",)),
+    ),
+)
+
+SPLIT = (WeightedService(ServiceName("s"), 90), WeightedService(ServiceName("z"), 10))
+
+
+def with_route(changed: ServingRoute) -> ServingConfig:
+    return replace(CONFIG, routes=(*CONFIG.routes, changed))
+
+
+NEW = route("new", "/new/")
+
+FAULTS = [
+    ("valid", CONFIG, None),
+    (
+        "unknown_service",
+        with_route(replace(NEW, services=(WeightedService(ServiceName("?"), 1.0),))),
+        "unknown service",
+    ),
+    ("same_place", with_route(route("twin", "/a/b/", "H.example")), "share host"),
+    (
+        "no_weight",
+        with_route(replace(NEW, services=(WeightedService(ServiceName("s"), 0.0),))),
+        "add up to 0",
+    ),
+    ("no_timeout", with_route(replace(NEW, timeout_seconds=0.0)), "no timeout"),
+    ("no_slash", with_route(route("bad", "/new")), "slashes"),
+    (
+        "shared_key",
+        replace(
+            CONFIG,
+            organisations=(
+                *CONFIG.organisations,
+                ServedOrganisation(OrganisationId("q"), ("key-x",)),
+            ),
+        ),
+        "share a key",
+    ),
+]
+
+
+class FaultTests(unittest.TestCase):
+    """Guards against acknowledging what cannot be obeyed."""
+
+    @parameterized.expand(FAULTS)
+    def test_fault(self, _: str, config: ServingConfig, expected: str | None) -> None:
+        found = list(faults(config))
+        if expected is None:
+            self.assertEqual(found, [])
+        else:
+            self.assertEqual(len(found), 1)
+            self.assertIn(expected, found[0])
+
+    def test_no_key_stands_in_a_fault(self) -> None:
+        (found,) = faults(FAULTS[-1][1])
+        self.assertNotIn("key-x", found)
+
+
+class TableTests(unittest.TestCase):
+    """Guards against requests on the wrong route or for the wrong customer."""
+
+    table = ServingTable(CONFIG)
+
+    @parameterized.expand(
+        [
+            ("longest_prefix", "h.example", "/a/b/c", "deep"),
+            ("prefix_itself", "h.example", "/a/b/", "deep"),
+            ("shorter_prefix", "h.example", "/a/bc", "root"),
+            ("host_with_port_and_case", "H.Example:80", "/a/x", "root"),
+            ("other_host", "o.example", "/a/b/c", "other"),
+            ("no_prefix", "h.example", "/b", None),
+            ("prefix_without_its_slash", "h.example", "/a", None),
+            ("no_host", "x.example", "/a/", None),
+        ]
+    )
+    def test_route(self, _: str, host: str, path: str, expected: str | None) -> None:
+        found = self.table.route(host, path)
+        self.assertEqual(found.name if found is not None else None, expected)
+
+    @parameterized.expand([("first", "key-x", "x"), ("second", "key-y", "x")])
+    def test_key(self, _: str, key: str, expected: str) -> None:
+        holder = self.table.organisation(key)
+        assert holder is not None
+        self.assertEqual(holder.id, expected)
+
+    def test_unknown_key_has_no_holder(self) -> None:
+        self.assertIsNone(self.table.organisation("key"))
+
+    def test_services_are_drawn_by_weight(self) -> None:
+        split = replace(NEW, services=SPLIT)
+        source = random.Random(1)
+        drawn = Counter(pick_service(split, source) for _ in range(1000))
+        self.assertAlmostEqual(drawn[ServiceName("z")], 100, delta=40)
