Tell a reset from the end of an answer without a length; count runs apart

The HTTP library takes every end of an answer without a length for its whole end, a reset too, so that a part could have been passed on as whole. The usage counts of a process that was started again were joined to those of the run before it as if they were the same, so that requests were billed twice or not at all; counts carry the run of their process now.

--- a/goldcrestyard/fleet/metering/commands.py
+++ b/goldcrestyard/fleet/metering/commands.py
@@ -16,8 +16,12 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageCounts:
-    """What one entry has counted in the latest windows."""
+    """What one entry has counted in the latest windows.
 
+    ``run`` tells the counts of a process from those of the one before it.
+    """
+
+    run: str
     windows: tuple[WindowCounts, ...]
 
 
--- a/goldcrestyard/fleet/metering/meter.py
+++ b/goldcrestyard/fleet/metering/meter.py
@@ -1,5 +1,6 @@
 """An entry's counts, and how they come to the leader."""
 
+import secrets
 from collections import Counter, OrderedDict
 
 from goldcrestyard.core.ids import InstanceId, OrganisationId, RequestId
@@ -22,6 +23,7 @@
 
     def __init__(self, window_seconds: float) -> None:
         self._window_seconds = window_seconds
+        self._run = secrets.token_hex(4)
         self._counts_by_window: OrderedDict[WindowNumber, Counter[OrganisationId]] = (
             OrderedDict()
         )
@@ -44,10 +46,11 @@
     def counts(self) -> UsageCounts:
         """Return the counts of the latest windows."""
         return UsageCounts(
+            self._run,
             tuple(
                 WindowCounts(window, dict(counts))
                 for window, counts in self._counts_by_window.items()
-            )
+            ),
         )
 
 
@@ -72,7 +75,7 @@
     """Adds up the counts of all entries.
 
     Counts of an entry that has ended are kept, so that they are not lost
-    with it; one that starts again counts anew, under a new run.
+    with it, and added to those of the process that follows.
     """
 
     name = CHANNEL
@@ -81,21 +84,16 @@
         self._codec = codec
         self._no_reply = codec.encode(NoReply())
         self._counts_by_window: dict[
-            WindowNumber, dict[tuple[InstanceId, int], dict[OrganisationId, int]]
+            WindowNumber, dict[tuple[InstanceId, str], dict[OrganisationId, int]]
         ] = {}
-        self._run_by_entry: dict[InstanceId, int] = {}
 
     def merge(self, entry: InstanceId, digest: bytes) -> None:
         """Take in an entry's counts."""
         counts = self._codec.decode(digest)
         assert isinstance(counts, UsageCounts)
-        run = self._run_by_entry.get(entry, 0)
-        if any(self._has_fallen(entry, run, window) for window in counts.windows):
-            run += 1
-            self._run_by_entry[entry] = run
         for window in counts.windows:
             by_run = self._counts_by_window.setdefault(window.window, {})
-            by_run[entry, run] = window.counts_by_organisation
+            by_run[entry, counts.run] = window.counts_by_organisation
 
     def summary(self, entry: InstanceId) -> bytes:
         """Return an empty reply."""
@@ -109,11 +107,3 @@
         for old in [known for known in self._counts_by_window if known < window]:
             del self._counts_by_window[old]
         return WindowCounts(window, dict(total))
-
-    def _has_fallen(self, entry: InstanceId, run: int, counts: WindowCounts) -> bool:
-        """Return whether an entry counts less than before: it is a new run."""
-        before = self._counts_by_window.get(counts.window, {}).get((entry, run), {})
-        return any(
-            counts.counts_by_organisation.get(organisation, 0) < count
-            for organisation, count in before.items()
-        )
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -44,6 +44,7 @@
 """A target that keeps its deadline answers within this time after it."""
 
 NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
+BODILESS_STATUSES = frozenset({204, 304})
 OTHER_TARGET_STATUS = 421
 
 SKIPPED_HEADERS = ("accept", "accept-encoding", "user-agent", "content-type")
@@ -55,6 +56,13 @@
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self._response = response
+        # Kept, since the response lets go of its connection at its end.
+        connection = response.connection
+        self._protocol = connection.protocol if connection is not None else None
+        self._has_length = (
+            response.content_length is not None
+            or "chunked" in response.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
+        )
         self.status = response.status
         self.headers = end_to_end(response.headers.items())
         self.signature = response.headers.get(SIGNATURE, "")
@@ -64,13 +72,33 @@
     async def read(self) -> bytes | Broken:
         """Return the whole body, or why it is not whole."""
         try:
-            return await self._response.read()
+            body = await self._response.read()
+            self._check_end()
+            return body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Broken(f"answer broke off: {describe_error(error)}")
 
     def events(self) -> AsyncIterator[StreamEvent | Broken]:
         """Yield the events; one that breaks off ends with ``Broken``."""
-        return read_events(self._response.content.iter_any)
+        return read_events(self._chunks)
+
+    async def _chunks(self) -> AsyncIterator[bytes]:
+        async for chunk in self._response.content.iter_any():
+            yield chunk
+        self._check_end()
+
+    def _check_end(self) -> None:
+        """Raise if an answer without a length ended with a reset.
+
+        The library takes every end of such an answer for its whole end.
+        """
+        if self._has_length or self.status in BODILESS_STATUSES:
+            return
+        if self._protocol is None:
+            raise aiohttp.ClientPayloadError("it cannot be told how the answer ended")
+        error = self._protocol.exception()
+        if isinstance(error, OSError):
+            raise error
 
 
 class HttpTargetClient:
--- /dev/null
+++ b/tests/fleet/test_loading.py
@@ -0,0 +1,180 @@
+"""Tests of the orders that bring versions to engines."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import Term, WeightVersion
+from goldcrestyard.core.records import Target
+from goldcrestyard.core.states import TargetKind
+from goldcrestyard.fleet.jobs.slices import JobsSlice
+from goldcrestyard.fleet.serving.commands import PutServing
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.fleet.versions.commands import NameVersion
+from goldcrestyard.fleet.versions.loading import LoadingModels, VersionLoader
+from goldcrestyard.fleet.versions.orders import (
+    EngineReport,
+    LoadOrder,
+    OrderOutcome,
+)
+from goldcrestyard.fleet.versions.slices import VersionsSlice
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from tests.fakes.announcements import announce
+from tests.fakes.member import FakeMember, apply, machine_of
+from tests.fakes.paused_clock import PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+from tests.fakes.serving import CONFIG, MODEL
+from tests.fakes.targets import target
+
+LOAD_SECONDS = 0.9
+QUIET_SECONDS = 1.0
+
+
+@dataclass
+class Engine:
+    """An engine that carries orders out, checked against their number."""
+
+    version: int = 1
+    accepted: int = 0
+    orders: list[LoadOrder] = field(default_factory=list)
+    answers: list[OrderOutcome] = field(default_factory=list)
+    """Answers to give in place of the true one."""
+    late_seconds: float = 0.0
+    """After this long an unanswered order is carried out."""
+
+    async def carry_out(self, order: LoadOrder, wait_seconds: float) -> None:
+        await asyncio.sleep(wait_seconds)
+        if order.expected_orders == self.accepted:
+            self.accepted += 1
+            await asyncio.sleep(LOAD_SECONDS)
+            self.version = order.version
+
+
+class FakeControl:
+    """Engines by target id."""
+
+    def __init__(self, count: int) -> None:
+        self.engines = {f"e{number}": Engine() for number in range(count)}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def report(self, target: Target) -> EngineReport | None:
+        engine = self.engines[target.id]
+        versions = {MODEL: WeightVersion(engine.version)}
+        return EngineReport(engine.accepted, False, versions)
+
+    async def load(self, target: Target, order: LoadOrder) -> OrderOutcome:
+        engine = self.engines[target.id]
+        engine.orders.append(order)
+        answer = engine.answers.pop(0) if engine.answers else OrderOutcome.ACCEPTED
+        if answer in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
+            late = engine.late_seconds if answer is OrderOutcome.UNKNOWN else 0.0
+            self.tasks.append(asyncio.create_task(engine.carry_out(order, late)))
+        return answer
+
+
+class LoadingTests(PausedClockTestCase):
+    """Guards against two holders' orders in turn, and loads in vain."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        self.machine = machine_of(JobsSlice, ServingSlice, TargetsSlice, VersionsSlice)
+        apply(self.machine, PutServing(CONFIG, b""))
+        self.member = FakeMember(self.machine, self.clock())
+
+    def _start(self, count: int) -> FakeControl:
+        control = FakeControl(count)
+        tracker = TargetTracker(self.member, {}, 1.0, self.clock())  # type: ignore[arg-type]
+        for name in control.engines:
+            engine = target(name, "engines", TargetKind.ENGINE)
+            announce(self.machine.get(TargetsSlice), engine)
+        loader = VersionLoader(
+            self.member,  # type: ignore[arg-type]
+            tracker,
+            control,
+            LoadingModels(),
+            QUIET_SECONDS,
+        )
+        task = asyncio.create_task(loader.run())
+        self.addCleanup(task.cancel)
+        return control
+
+    def _name(self, version: int) -> None:
+        apply(self.machine, NameVersion(MODEL, WeightVersion(version)))
+
+    async def test_each_engine_loads_once(self) -> None:
+        control = self._start(5)
+        self._name(2)
+        await asyncio.sleep(8.0)
+        for engine in control.engines.values():
+            self.assertEqual((engine.version, len(engine.orders)), (2, 1))
+
+    async def test_no_more_than_two_load_at_once(self) -> None:
+        control = self._start(5)
+        self._name(2)
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            loading = sum(
+                engine.accepted > engine.version - 1
+                for engine in control.engines.values()
+            )
+            self.assertLessEqual(loading, 2)
+
+    async def test_new_leader_is_quiet_at_first(self) -> None:
+        control = self._start(1)
+        self._name(2)
+        await asyncio.sleep(QUIET_SECONDS - 0.1)
+        self.assertEqual(control.engines["e0"].orders, [])
+
+    async def test_nothing_is_ordered_without_the_lease(self) -> None:
+        self.member.lease = False
+        control = self._start(1)
+        self._name(2)
+        await asyncio.sleep(5.0)
+        self.assertEqual(control.engines["e0"].orders, [])
+
+    async def test_versions_that_were_passed_over_are_not_loaded(self) -> None:
+        control = self._start(1)
+        self._name(2)
+        self._name(5)
+        await asyncio.sleep(5.0)
+        engine = control.engines["e0"]
+        self.assertEqual([order.version for order in engine.orders], [5])
+
+    async def test_orders_carry_the_term(self) -> None:
+        self.member.lead(7)
+        control = self._start(1)
+        self._name(2)
+        await asyncio.sleep(5.0)
+        self.assertEqual(control.engines["e0"].orders[0].fence, Term(7))
+
+    @parameterized.expand(
+        [
+            ("conflict", OrderOutcome.CONFLICT),
+            ("refused", OrderOutcome.REFUSED),
+            ("lost", OrderOutcome.UNKNOWN),
+        ]
+    )
+    async def test_order_that_failed_is_repeated(
+        self, _: str, answer: OrderOutcome
+    ) -> None:
+        control = self._start(1)
+        engine = control.engines["e0"]
+        engine.answers = [answer]
+        engine.late_seconds = 1000.0
+        self._name(2)
+        await asyncio.sleep(15.0)
+        self.assertEqual((engine.version, len(engine.orders)), (2, 2))
+
+    async def test_order_carried_out_late_is_void(self) -> None:
+        """An order without answer comes to effect after newer ones."""
+        control = self._start(1)
+        engine = control.engines["e0"]
+        engine.answers = [OrderOutcome.UNKNOWN]
+        engine.late_seconds = 12.0
+        self._name(2)
+        await asyncio.sleep(3.0)
+        self._name(3)
+        await asyncio.sleep(30.0)
+        self.assertEqual(engine.version, 3)
--- /dev/null
+++ b/tests/fleet/test_tracker.py
@@ -0,0 +1,115 @@
+"""Tests of the leader's knowledge of the targets."""
+
+import asyncio
+from dataclasses import replace
+
+from goldcrestyard.core.ids import (
+    DataCentre,
+    ModelName,
+    Region,
+    TargetId,
+    WeightVersion,
+)
+from goldcrestyard.core.states import TargetState
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.heartbeats import Heartbeat
+from tests.fakes.member import FakeMember, machine_of
+from tests.fakes.paused_clock import PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+from tests.policy.test_heartbeats import BEAT
+
+MODEL = ModelName("m")
+T = TargetId("t")
+
+
+class TrackerTests(PausedClockTestCase):
+    """Guards against work for targets that are gone, and against lost ones."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        self.machine = machine_of(TargetsSlice)
+        self.targets = self.machine.get(TargetsSlice)
+        self.member = FakeMember(self.machine, self.clock())
+        self.tracker = self._tracker()
+
+    def _tracker(self) -> TargetTracker:
+        regions = {DataCentre("dc"): Region("r")}
+        return TargetTracker(self.member, regions, 1.0, self.clock())  # type: ignore[arg-type]
+
+    async def _beat(self, **changes: object) -> None:
+        beat: Heartbeat = replace(BEAT, **changes)  # type: ignore[arg-type]
+        self.assertIsNone(await self.tracker.heartbeat(beat))
+
+    def _serving(self) -> list[str]:
+        return [target.id for target in self.targets.serving("quotes")]
+
+    async def test_arrival_is_committed_before_it_is_acknowledged(self) -> None:
+        self.member.is_leader = False
+        self.assertIsNotNone(await self.tracker.heartbeat(BEAT))
+        self.member.is_leader = True
+        await self._beat()
+        self.assertEqual(self._serving(), ["t"])
+
+    async def test_leaving_target_gets_no_new_work(self) -> None:
+        await self._beat()
+        await self._beat(sequence=6, state=TargetState.DRAINING)
+        self.assertEqual(self._serving(), [])
+
+    async def test_late_heartbeat_does_not_bring_a_leaving_target_back(self) -> None:
+        await self._beat(sequence=6)
+        await self._beat(sequence=7, state=TargetState.DRAINING)
+        await self._beat(sequence=5)
+        self.assertEqual(self._serving(), [])
+
+    async def test_target_that_has_left_does_not_come_back(self) -> None:
+        await self._beat()
+        self.assertIsNone(await self.tracker.leave(T))
+        await self._beat(sequence=6)
+        self.assertEqual(self._serving(), [])
+
+    async def test_target_starts_again_under_its_id(self) -> None:
+        await self._beat()
+        await self.tracker.leave(T)
+        await self._beat(started_at_ms=2000, sequence=1)
+        self.assertEqual(self._serving(), ["t"])
+
+    async def test_address_used_again_by_another_service(self) -> None:
+        await self._beat()
+        await self._beat(
+            id=TargetId("u"), service="engines", started_at_ms=2000, sequence=1
+        )
+        self.assertEqual(self._serving(), [])
+        # Delayed by a partition, from a target that has crashed since.
+        await self._beat(sequence=9)
+        self.assertEqual(self._serving(), [])
+
+    async def test_silent_target_is_left_out_until_it_is_heard(self) -> None:
+        await self._beat()
+        watching = asyncio.create_task(self.tracker.run())
+        await asyncio.sleep(2.9)
+        self.assertEqual(self._serving(), ["t"])
+        await asyncio.sleep(0.5)
+        self.assertEqual(self._serving(), [])
+        await self._beat(sequence=6)
+        self.assertEqual(self._serving(), ["t"])
+        watching.cancel()
+
+    async def test_new_leader_waits_before_it_takes_targets_for_lost(self) -> None:
+        await self._beat()
+        await asyncio.sleep(100.0)
+        self.tracker = self._tracker()
+        watching = asyncio.create_task(self.tracker.run())
+        await asyncio.sleep(2.9)
+        self.assertEqual(self._serving(), ["t"])
+        watching.cancel()
+
+    async def test_versions_are_those_of_the_present_run(self) -> None:
+        await self._beat(versions_by_model={MODEL: WeightVersion(3)})
+        target = self.targets.find(T)
+        assert target is not None
+        self.assertEqual(self.tracker.versions(target), {MODEL: 3})
+        self.tracker.learn_version(target, MODEL, WeightVersion(5))
+        self.assertEqual(self.tracker.versions(target), {MODEL: 5})
+        await self._beat(started_at_ms=2000, sequence=1)
+        self.assertEqual(self.tracker.versions(target), {})
--- /dev/null
+++ b/tests/platform/test_target_client.py
@@ -0,0 +1,241 @@
+"""Tests of the client of targets, against one that answers in bad ways."""
+
+import asyncio
+import socket
+import struct
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+from parameterized import parameterized
+
+from goldcrestyard.core.attempts import Broken, TurnedAway, Unreached
+from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
+from goldcrestyard.core.ids import EventNumber, OrganisationId, RequestId
+from goldcrestyard.core.records import Target
+from goldcrestyard.platform.targets.client import HttpTargetClient
+from tests.fakes.targets import target
+
+ID = "9c41d07be2a35f68"
+STAMP = f"X-Goldcrestyard-Attempt-Id: {ID}\r\nX-Goldcrestyard-Server-Stamp: s\r\n"
+WHOLE = f"HTTP/1.1 200 OK\r\n{STAMP}Content-Length: 5\r\n\r\nhello".encode()
+HEAD = f"HTTP/1.1 200 OK\r\n{STAMP}".encode()
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+Writer = asyncio.StreamWriter
+
+
+async def reset(writer: Writer) -> None:
+    """Close a connection with a reset, after what was sent has arrived."""
+    await asyncio.sleep(0.05)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def close(writer: Writer) -> None:
+    writer.close()
+
+
+async def stay(_: Writer) -> None:
+    """Leave the connection open."""
+
+
+@dataclass(frozen=True)
+class Case:
+    """What a target sends, how the connection ends, and what comes of it."""
+
+    name: str
+    sent: bytes
+    end: Callable[[Writer], Awaitable[None]]
+    expected: bytes | type
+
+
+CASES = [
+    Case("whole", WHOLE, stay, b"hello"),
+    Case("bytes_after_it", WHOLE + WHOLE, stay, b"hello"),
+    Case(
+        "chunked",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        stay,
+        b"hello",
+    ),
+    Case("no_length_and_closed", HEAD + b"\r\nhello", close, b"hello"),
+    Case("no_length_and_reset", HEAD + b"\r\nhel", reset, Broken),
+    Case("shorter_than_its_length", WHOLE[:-2], close, Broken),
+    Case(
+        "chunks_without_end",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        close,
+        Broken,
+    ),
+    Case("closed_before_an_answer", b"", close, Broken),
+    Case("no_answer_in_the_protocol", b"\x00\x01garbage\r\n\r\n", close, Broken),
+    Case(
+        "answer_of_another_request", WHOLE.replace(ID.encode(), b"0" * 16), stay, Broken
+    ),
+    Case("no_signature", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", stay, Broken),
+    Case(
+        "full",
+        b"HTTP/1.1 503 Busy\r\nX-Goldcrestyard-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        stay,
+        TurnedAway,
+    ),
+    Case(
+        "another_target",
+        b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
+        stay,
+        TurnedAway,
+    ),
+]
+
+
+class TargetClientTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against parts of answers, and those of others, taken as whole."""
+
+    async def asyncSetUp(self) -> None:
+        self.requests: list[bytes] = []
+        self.script: list[tuple[bytes, Callable[[Writer], Awaitable[None]]]] = []
+        self.connections = 0
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.target: Target = replace(target("t"), address=f"127.0.0.1:{port}")
+        self.client = HttpTargetClient()
+        await self.client.start()
+        self.addAsyncCleanup(self._stop)
+
+    async def _stop(self) -> None:
+        await self.client.stop()
+        self.server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = 0
+                for line in head.lower().split(b"\r\n"):
+                    if line.startswith(b"content-length:"):
+                        length = int(line.partition(b":")[2])
+                body = await reader.readexactly(length)
+                self.requests.append(head + body)
+                sent, end = self.script.pop(0)
+                writer.write(sent)
+                await writer.drain()
+                await end(writer)
+                if writer.is_closing():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def _call(self, **rest: object) -> TargetCall:
+        headers = (("X-Goldcrestyard-Tenant", "forged"), ("X-Kept", "yes"))
+        call = TargetCall(
+            RequestId(ID), "POST", "h.example", "/a/b?c=%2F", headers, b"body"
+        )
+        return replace(call, **rest)  # type: ignore[arg-type]
+
+    async def _send(self, **rest: object) -> object:
+        """Return the body, or the failure."""
+        async with self.client.open(self.target, self._call(**rest), 1.5) as reply:
+            return await reply.read() if isinstance(reply, TargetReply) else reply
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    async def test_answer(self, _: str, case: Case) -> None:
+        for repeatable in (False, True):
+            with self.subTest(repeatable=repeatable):
+                self.script.append((case.sent, case.end))
+                outcome = await self._send(repeatable=repeatable)
+                if isinstance(case.expected, bytes):
+                    self.assertEqual(outcome, case.expected)
+                else:
+                    self.assertIsInstance(outcome, case.expected)
+
+    async def test_bytes_left_over_are_not_the_next_answer(self) -> None:
+        other = WHOLE.replace(b"hello", b"wrong")
+        self.script += [(WHOLE + other, stay), (WHOLE, stay), (WHOLE, stay)]
+        for _ in range(2):
+            outcome = await self._send(repeatable=True)
+            if isinstance(outcome, bytes):
+                self.assertEqual(outcome, b"hello")
+
+    async def test_late_answer_on_a_kept_connection_is_told_by_its_id(self) -> None:
+        async def send_late(writer: Writer) -> None:
+            await asyncio.sleep(0.1)
+            writer.write(WHOLE.replace(b"hello", b"wrong"))
+            await writer.drain()
+
+        self.script += [(WHOLE, send_late), (WHOLE, stay)]
+        self.assertEqual(await self._send(repeatable=True), b"hello")
+        await asyncio.sleep(0.3)
+        next_id = "1" * 16
+        self.script[0] = (WHOLE.replace(ID.encode(), next_id.encode()), stay)
+        outcome = await self._send(repeatable=True, request=RequestId(next_id))
+        self.assertNotEqual(outcome, b"wrong")
+
+    async def test_what_the_target_is_told(self) -> None:
+        self.script.append((WHOLE, stay))
+        await self._send(
+            organisation=OrganisationId("tejo"), resume_after=EventNumber(4)
+        )
+        (request,) = self.requests
+        head, _, body = request.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        self.assertEqual(lines[0], "POST /a/b?c=%2F HTTP/1.1")
+        self.assertEqual(body, b"body")
+        for expected in (
+            "Host: h.example",
+            f"X-Goldcrestyard-Attempt-Id: {ID}",
+            "X-Goldcrestyard-Expect-Instance: t",
+            "X-Goldcrestyard-Tenant: tejo",
+            "Last-Event-Id: 4",
+            "X-Kept: yes",
+        ):
+            self.assertIn(expected, lines)
+        (deadline,) = [line for line in lines if "Deadline" in line]
+        self.assertLessEqual(int(deadline.rpartition(" ")[2]), 1500)
+        self.assertFalse(any("forged" in line for line in lines))
+
+    @parameterized.expand([("kept", True, 1), ("one_each", False, 3)])
+    async def test_connections(self, _: str, repeatable: bool, expected: int) -> None:
+        for _number in range(3):
+            self.script.append((WHOLE, stay))
+            self.assertEqual(await self._send(repeatable=repeatable), b"hello")
+        self.assertEqual(self.connections, expected)
+
+    async def test_closed_port_proves_that_nothing_was_sent(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+        self.assertIsInstance(await self._send(), Unreached)
+
+    async def test_get_is_never_sent_twice(self) -> None:
+        self.script += [(WHOLE, stay), (b"", close), (WHOLE, stay)]
+        for _number in range(2):
+            outcome = await self._send(method="GET", body=b"", repeatable=True)
+        self.assertIsInstance(outcome, Broken)
+        self.assertEqual(len(self.requests), 2)
+
+    @parameterized.expand(
+        [
+            ("whole", b"Connection: close\r\n", EVENTS, close, 2, False),
+            ("reset", b"Connection: close\r\n", EVENTS[:20], reset, 1, True),
+            ("within_an_event", b"Connection: close\r\n", EVENTS[:20], close, 1, True),
+            ("length_not_reached", b"Content-Length: 90\r\n", EVENTS, close, 2, True),
+        ]
+    )
+    async def test_stream(
+        self,
+        _: str,
+        framing: bytes,
+        sent: bytes,
+        end: Callable[[Writer], Awaitable[None]],
+        events: int,
+        broken: bool,
+    ) -> None:
+        self.script.append((HEAD + framing + b"\r\n" + sent, end))
+        async with self.client.open(self.target, self._call(), 1.5) as reply:
+            assert isinstance(reply, TargetReply)
+            received = [event async for event in reply.events()]
+        whole = [event for event in received if isinstance(event, StreamEvent)]
+        self.assertEqual(len(whole), events)
+        self.assertEqual(any(isinstance(event, Broken) for event in received), broken)
