Serve metrics; test the programs as real processes with stand-ins

Counters and latency histograms at the address that the deploy file names, on both roles; docs/metrics.md lists them. The whole path runs as processes on loopback: calls, jobs, versions, usage, the leader killed in mid-job, all disks wiped one after the other, all processes killed, planned stops, withdrawn keys (also searched for in the logs), leaving targets.

One test failed first for a reason of its own: fronts are ready before the targets' first heartbeats, so the stand-in site waits for an answered quote.

--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -18,6 +18,7 @@
 from goldcrestyard.fleet.jobs.runner import JobRunner
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
@@ -34,7 +35,7 @@
 
     name = "jobs"
     after = ("assembly", "tracking", "versions")
-    requires = ("serving",)
+    requires = ("observability", "serving")
     slices = (JobsSlice,)
     messages = (
         *JobsSlice.commands,
@@ -77,6 +78,7 @@
             client,
             rewards,
             place,
+            app.get(FleetMetrics),
             app.clock,
         )
         app.spawn(while_leading(member, "run jobs", runner.run), "run jobs")
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -44,6 +44,7 @@
 from goldcrestyard.fleet.jobs.rewards import NoScore, RewardCaller, Scored
 from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
 from goldcrestyard.fleet.jobs.transcripts import Transcript
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
@@ -122,9 +123,11 @@
         client: TargetClient,
         rewards: RewardCaller,
         place: Place,
+        metrics: FleetMetrics,
         clock: Clock,
         source: random.Random | None = None,
     ) -> None:
+        self._metrics = metrics
         self._member = member
         self._jobs = member.machine.get(JobsSlice)
         self._serving = member.machine.get(ServingSlice)
@@ -359,6 +362,9 @@
             self._tracker.learn_version(
                 target, run.item.model, run.transcript.current_version
             )
+        seconds = self._clock.monotonic() - began
+        self._metrics.item_runs.labels(type(outcome).__name__).inc()
+        self._metrics.item_seconds.observe(seconds)
         logger.info(
             "item run ended",
             job=job.id,
@@ -369,7 +375,7 @@
             last_event=run.transcript.last,
             versions=sorted(run.transcript.versions),
             outcome=str(outcome),
-            seconds=round(self._clock.monotonic() - began, 3),
+            seconds=round(seconds, 3),
         )
         await self._follow_up(run, job, target, outcome)
 
@@ -447,6 +453,7 @@
             if isinstance(outcome, Applied):
                 break
             await asyncio.sleep(LISTING_PAUSE_SECONDS)
+        self._metrics.items.labels(ended.outcome.value).inc()
         logger.info(
             "item listed",
             job=run.key.job,
--- /dev/null
+++ b/goldcrestyard/fleet/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and histograms of a deployment that assembles itself."""
--- /dev/null
+++ b/goldcrestyard/fleet/observability/apps.py
@@ -0,0 +1,32 @@
+"""Plug-in: counters and histograms."""
+
+from prometheus_client import CollectorRegistry
+
+from goldcrestyard.consensus.driver import ControlMember
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
+from goldcrestyard.kernel import logs
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.membership.view import EntryView
+
+
+class ObservabilityConfig(PluginConfig):
+    """Provides the metrics; the plug-ins that count take them from here."""
+
+    name = "observability"
+    requires = ("peers",)
+    after = ("assembly", "entry")
+
+    def ready(self, app: Application) -> None:
+        """Create the metrics; gauges read the process's objects."""
+        metrics = app.provide(FleetMetrics, FleetMetrics(CollectorRegistry()))
+        metrics.dropped_lines.set_function(logs.dropped_lines)
+        view = app.find(EntryView)
+        if view is not None:
+            metrics.lease.set_function(view.lease_remaining)
+            metrics.revision.set_function(lambda: view.revision)
+        member = app.find(ControlMember)
+        if member is not None:
+            metrics.leader.set_function(lambda: member.is_leader)
+            metrics.term.set_function(lambda: member.term)
+            metrics.revision.set_function(lambda: member.machine.revision)
--- /dev/null
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -0,0 +1,87 @@
+"""The metrics, each with its help text.
+
+Labels only take values from fixed sets, so that the number of series does
+not grow with the number of callers or targets.
+"""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+PREFIX = "goldcrest_fleet"
+
+CALL_BUCKETS = (0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0, 12.0)
+"""From a refusal to the longest route."""
+
+ITEM_BUCKETS = (0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
+"""From a short item to a long one that was resumed."""
+
+Metric = Counter | Gauge | Histogram
+M = TypeVar("M", Counter, Gauge, Histogram)
+
+
+class FleetMetrics:
+    """The metrics of one process, in a registry of its own."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.registry = registry
+        self.all: list[tuple[Metric, tuple[str, ...]]] = []
+        self.answers = self._counter(
+            "answers",
+            "Requests of callers, by kind of route, outcome and verdict.",
+            ("route_kind", "outcome", "verdict"),
+        )
+        self.answer_seconds = self._histogram(
+            "answer_seconds",
+            "Seconds from a request's arrival to its answer.",
+            CALL_BUCKETS,
+            ("route_kind",),
+        )
+        self.item_runs = self._counter(
+            "item_runs", "Runs of items at engines, by how they ended.", ("outcome",)
+        )
+        self.item_seconds = self._histogram(
+            "item_run_seconds", "Seconds that runs of items took.", ITEM_BUCKETS, ()
+        )
+        self.items = self._counter(
+            "items_listed", "Items listed, by how they ended.", ("outcome",)
+        )
+        self.lease = self._gauge(
+            "lease_seconds", "Seconds until this entry's lease runs out."
+        )
+        self.revision = self._gauge(
+            "revision", "Revision of the state that this process has applied."
+        )
+        self.leader = self._gauge("leader", "1 while this control member leads.")
+        self.term = self._gauge("term", "Term of this control member.")
+        self.dropped_lines = self._gauge(
+            "log_lines_dropped", "Log lines that no reader took in time."
+        )
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return self._keep(Gauge(f"{PREFIX}_{name}", text, registry=self.registry), ())
+
+    def _counter(self, name: str, text: str, labels: Sequence[str]) -> Counter:
+        metric = Counter(f"{PREFIX}_{name}", text, labels, registry=self.registry)
+        return self._keep(metric, labels)
+
+    def _histogram(
+        self,
+        name: str,
+        text: str,
+        buckets: Sequence[float],
+        labels: Sequence[str],
+    ) -> Histogram:
+        metric = Histogram(
+            f"{PREFIX}_{name}",
+            text,
+            labels,
+            registry=self.registry,
+            buckets=tuple(buckets),
+        )
+        return self._keep(metric, labels)
+
+    def _keep(self, metric: M, labels: Sequence[str]) -> M:
+        self.all.append((metric, tuple(labels)))
+        return metric
--- a/goldcrestyard/kernel/logs.py
+++ b/goldcrestyard/kernel/logs.py
@@ -8,6 +8,13 @@
 
 from goldcrestyard.kernel.log_output import BoundedOutput, LineLimiter
 
+_output: BoundedOutput | None = None
+
+
+def dropped_lines() -> int:
+    """Return the number of lines that no reader took in time."""
+    return _output.dropped if _output is not None else 0
+
 
 def configure(instance: str, level: str = "info") -> None:
     """Write the logs of this process to standard error."""
@@ -19,9 +26,10 @@
 
     Returns the output, which is to be closed when the process stops.
     """
-    output = BoundedOutput(sys.stdout.fileno())
-    _configure(instance, level, output, [LineLimiter()])
-    return output
+    global _output
+    _output = BoundedOutput(sys.stdout.fileno())
+    _configure(instance, level, _output, [LineLimiter()])
+    return _output
 
 
 def _configure(
--- a/goldcrestyard/platform/answers.py
+++ b/goldcrestyard/platform/answers.py
@@ -10,6 +10,8 @@
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.gateway.calls import CallAnswer
 
+NO_PATH = Refusal(RefusalReason.NOT_FOUND, "no such call")
+
 _UNRUN_STATUS_BY_REASON = {
     RefusalReason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
     RefusalReason.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/goldcrestyard/platform/callers/apps.py
+++ b/goldcrestyard/platform/callers/apps.py
@@ -10,6 +10,7 @@
 from goldcrestyard.fleet.gateway.admission import Admission
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.streams import StreamRunner
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -32,7 +33,7 @@
     """Serves callers and trainers on an entry."""
 
     name = "platform_callers"
-    requires = ("entry", "gateway", "jobs", "directory")
+    requires = ("entry", "gateway", "jobs", "directory", "observability")
 
     def __init__(self) -> None:
         self._front: CallerFront | None = None
@@ -60,6 +61,7 @@
             app.get(StreamRunner),
             JobCalls(admission, app.get(LeaderLink)),
             limits,
+            app.get(FleetMetrics),
             app.clock,
         )
         self._callers = HandlerListener(self._front.handle, connection_limits)
--- a/goldcrestyard/platform/callers/front.py
+++ b/goldcrestyard/platform/callers/front.py
@@ -11,8 +11,9 @@
 from goldcrestyard.core.serving import CallerLimits, RouteKind, ServingRoute
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.gateway.admission import Admission, CallerRequest
-from goldcrestyard.fleet.gateway.calls import CallRunner
+from goldcrestyard.fleet.gateway.calls import CallAnswer, CallRunner
 from goldcrestyard.fleet.gateway.streams import StreamEnd, StreamRunner
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.platform.answers import pass_on, refuse
 from goldcrestyard.platform.bodies import read_body
@@ -33,6 +34,7 @@
         streams: StreamRunner,
         jobs: JobCalls,
         limits: Callable[[], CallerLimits],
+        metrics: FleetMetrics,
         clock: Clock,
     ) -> None:
         self._admission = admission
@@ -40,6 +42,7 @@
         self._streams = streams
         self._jobs = jobs
         self._limits = limits
+        self._metrics = metrics
         self._clock = clock
         self.closing = False
         """Whether each answer ends its connection."""
@@ -68,36 +71,47 @@
         decoded = requests.decode(request, body)
         admitted = self._admission.admit(decoded, arrived_at)
         if isinstance(admitted, Refusal):
-            self._log(decoded, "", admitted, arrived_at)
+            self._note(decoded, None, admitted, arrived_at)
             return refuse(admitted)
         if admitted.route.kind is RouteKind.STREAMING:
             sink = _ResponseSink(request, closing=self.closing)
             end = await self._streams.run(admitted, sink)
-            self._log(decoded, admitted.route.name, end, arrived_at)
+            self._note(decoded, admitted.route, end, arrived_at)
             if isinstance(end, Refusal):
                 return refuse(end)
             return await sink.finish(end)
         answer = await self._calls.answer(admitted)
-        self._log(decoded, admitted.route.name, answer, arrived_at)
+        self._note(decoded, admitted.route, answer, arrived_at)
         return refuse(answer) if isinstance(answer, Refusal) else pass_on(answer)
 
-    def _log(
-        self, request: CallerRequest, route: str, outcome: object, arrived_at: float
+    def _note(
+        self,
+        request: CallerRequest,
+        route: ServingRoute | None,
+        outcome: CallAnswer | StreamEnd | Refusal,
+        arrived_at: float,
     ) -> None:
+        """Log and count how a request ended."""
         verdict = Verdict.RAN
-        described = "answered"
-        if isinstance(outcome, Refusal):
-            verdict = outcome.verdict
-            described = f"{outcome.reason.value}: {outcome.detail}"
-        elif isinstance(outcome, StreamEnd):
-            described = outcome.value
+        match outcome:
+            case Refusal(reason=reason, detail=detail):
+                verdict = outcome.verdict
+                kind, described = reason.value, f"{reason.value}: {detail}"
+            case StreamEnd():
+                kind = described = outcome.value
+            case CallAnswer(status=status):
+                kind, described = "answered", f"answered {status}"
+        seconds = self._clock.monotonic() - arrived_at
+        route_kind = route.kind.value if route is not None else "none"
+        self._metrics.answers.labels(route_kind, kind, verdict.value).inc()
+        self._metrics.answer_seconds.labels(route_kind).observe(seconds)
         logger.info(
             "caller answered",
             request=request.id,
-            route=route,
+            route=route.name if route is not None else None,
             outcome=described,
             verdict=verdict.value,
-            seconds=round(self._clock.monotonic() - arrived_at, 4),
+            seconds=round(seconds, 4),
         )
 
 
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -17,7 +17,7 @@
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.commands import NameVersion
 from goldcrestyard.platform import documents, heartbeats
-from goldcrestyard.platform.answers import json_answer, json_bytes, refuse
+from goldcrestyard.platform.answers import NO_PATH, json_answer, json_bytes, refuse
 from goldcrestyard.platform.bodies import read_body
 from goldcrestyard.platform.names import (
     CONFIG_PATH,
@@ -34,7 +34,6 @@
 MOST_ADDRESSES = 64
 
 UNCOMMITTED = Refusal(RefusalReason.NO_LEADER, "not committed; send it again")
-NO_PATH = Refusal(RefusalReason.NOT_FOUND, "no such call")
 
 
 class _Version(msgspec.Struct):
--- /dev/null
+++ b/goldcrestyard/platform/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, at the address that the deploy file names."""
--- a/goldcrestyard/plugins/metrics/metrics.py
+++ b/goldcrestyard/plugins/metrics/metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from goldcrestyard.core.states import TargetState
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
 
 PREFIX = "goldcrest"
 DURATION_BUCKETS = (0.005, 0.02, 0.1, 0.5, 2.0, 10.0, 60.0, 300.0)
@@ -108,7 +109,19 @@
     yield ""
     yield "| Metric | Type | Labels | Meaning |"
     yield "| --- | --- | --- | --- |"
-    for metric, labels in Metrics(CollectorRegistry()).all:
+    yield from _rows(Metrics(CollectorRegistry()).all)
+    yield ""
+    yield "## On the users' platform"
+    yield ""
+    yield "Each process serves these at the address that `deploy/system.toml` names."
+    yield ""
+    yield "| Metric | Type | Labels | Meaning |"
+    yield "| --- | --- | --- | --- |"
+    yield from _rows(FleetMetrics(CollectorRegistry()).all)
+
+
+def _rows(metrics: Sequence[tuple[Metric, tuple[str, ...]]]) -> Iterator[str]:
+    for metric, labels in metrics:
         for described in metric.describe():
             name = described.name
             if described.type == "counter":
--- /dev/null
+++ b/tests/fakes/platform_site.py
@@ -0,0 +1,388 @@
+"""The programs of the users' platform as real processes on loopback."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import uuid
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from tests.fakes.platform_targets import StandInTarget
+
+ROOT = Path(__file__).parents[2]
+WAIT_SECONDS = 60.0
+HOST = "h.example"
+KEY = "3fexd9dnn2ctnfzs989a"
+ORGANISATION = "tejo"
+MODEL = "m1"
+PORTS = {"ctl": 8407, "dir": 8404, "front": 8405, "ready": 8406}
+ZONES = {"a": "north", "b": "north", "c": "south"}
+
+
+def configuration(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> dict[str, Any]:
+    """Return a configuration with a route of each kind that the test uses."""
+    plain = {"host": HOST, "timeout_ms": 3000, "slo_ms": 500, "attempts": 3}
+    return {
+        "version": version,
+        "routes": [
+            {
+                **plain,
+                "name": "quotes",
+                "path_prefix": "/quotes/",
+                "type": "idempotent",
+                "service": "plain",
+            },
+            {
+                **plain,
+                "name": "once",
+                "path_prefix": "/once/",
+                "type": "non_idempotent",
+                "service": "plain",
+            },
+            {
+                **plain,
+                "name": "score",
+                "path_prefix": "/score/",
+                "type": "idempotent",
+                "service": "plain",
+                "public": True,
+            },
+            {
+                **plain,
+                "name": "jobs",
+                "path_prefix": "/jobs/",
+                "type": "rollout",
+                "service": "engines",
+                "due_ms": 7500,
+                "item_ttl_s": 60,
+            },
+        ],
+        "services": [
+            {"name": "plain", "health_path": "/healthz"},
+            {
+                "name": "engines",
+                "health_path": "/healthz",
+                "engine": {"slots": 8, "models": [{"name": MODEL}]},
+            },
+        ],
+        "tenants": [{"name": ORGANISATION, "api_keys": list(keys)}],
+    }
+
+
+class Process:
+    """One program, its settings file and its disk."""
+
+    def __init__(self, site: "Site", name: str, role: str, host: str, zone: str):
+        self.site = site
+        self.name = name
+        self.role = role
+        self.host = host
+        self.zone = zone
+        self.folder = site.folder / name
+        self.running: asyncio.subprocess.Process | None = None
+
+    def address(self, listener: str) -> str:
+        return f"{self.host}:{PORTS[listener]}"
+
+    async def start(self, *, first_start: bool = False) -> None:
+        """Start the program; its output goes to a file."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        settings = self.folder / "settings.json"
+        settings.write_text(json.dumps(self._settings(first_start)))
+        log = (self.folder / "log").open("ab")
+        self.running = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "goldcrestyard.platform",
+            self.role,
+            cwd=ROOT,
+            env={**os.environ, "GOLDCRESTYARD_SETTINGS": str(settings)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    async def kill(self, number: int = signal.SIGKILL, *, wipe: bool = False) -> None:
+        """Send a signal and wait for the end."""
+        if self.running is not None and self.running.returncode is None:
+            self.running.send_signal(number)
+            await self.running.wait()
+        if wipe:
+            shutil.rmtree(self.folder / "data", ignore_errors=True)
+
+    def signal(self, number: int) -> None:
+        assert self.running is not None
+        self.running.send_signal(number)
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return the structured lines that the program has written."""
+        path = self.folder / "log"
+        lines = path.read_text(errors="replace").splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def _settings(self, first_start: bool) -> dict[str, Any]:
+        listeners = ("front", "ready") if self.role == "front" else ("ctl", "dir")
+        return {
+            "node": self.name,
+            "serves": [self.role],
+            "ip": self.host,
+            "zone": self.zone,
+            "region": ZONES[self.zone],
+            "zones": ZONES,
+            "listen": {name: self.address(name) for name in listeners},
+            "port_range": [7660, 7675],
+            "seeds": [control.address("ctl") for control in self.site.controls[:3]],
+            "bootstrap": first_start,
+            "data_dir": str(self.folder / "data") if self.role == "control" else None,
+            "heartbeat_ms": 400,
+            "fault_budget": {"machines": 1},
+            "bounds": {
+                "revoke_ms": 5000,
+                "lease_ms": 3000,
+                "grace_s": 8,
+                "window_s": 2,
+            },
+            "cloud": {"addr": self.site.duties_address, "duties": ["usage"]},
+        }
+
+
+class Site:
+    """Control members, fronts, targets, an operator and a trainer."""
+
+    def __init__(self, fronts: int = 2) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="goldcrestyard-"))
+        # Each site has addresses of its own, since its ports are fixed.
+        net = f"127.{random.randrange(2, 250)}.{random.randrange(1, 250)}"
+        self.net = net
+        self.duties_address = ""
+        self.reports: list[tuple[str, int, dict[str, int]]] = []
+        self.controls = [
+            Process(self, f"store-{zone}-1", "control", f"{net}.{number}", zone)
+            for number, zone in enumerate(ZONES, 1)
+        ]
+        self.fronts = [
+            Process(self, f"front-{number}", "front", f"{net}.{10 + number}", zone)
+            for number, zone in zip(range(fronts), "abcabcabc", strict=False)
+        ]
+        self.targets: list[StandInTarget] = []
+        self.session: aiohttp.ClientSession | None = None
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, engines: int = 2, services: int = 2) -> None:
+        """Start everything and put the first configuration."""
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True)
+        )
+        await self._serve_duties()
+        for process in [*self.controls, *self.fronts]:
+            await process.start(first_start=True)
+        control = [process.address("ctl") for process in self.controls]
+        for number in range(engines + services):
+            models = {MODEL: 1} if number < engines else {}
+            target = StandInTarget(
+                f"i-{uuid.uuid4().hex[:8]}",
+                "engines" if models else "plain",
+                f"{self.net}.{50 + number}",
+                "abc"[number % 3],
+                control,
+                models,
+            )
+            self.targets.append(target)
+            await target.start()
+        await self.put_configuration(configuration())
+        await self.wait(self._all_ready, "ready fronts")
+        # A front is ready as soon as it can decide, with or without targets.
+        await self.wait(self._all_serve, "fronts that know a target")
+
+    async def close(self) -> None:
+        for target in self.targets:
+            await target.stop()
+        for process in [*self.controls, *self.fronts]:
+            await process.kill()
+        if self.session is not None:
+            await self.session.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    @property
+    def engines(self) -> list[StandInTarget]:
+        return [target for target in self.targets if target.models]
+
+    @property
+    def services(self) -> list[StandInTarget]:
+        return [target for target in self.targets if not target.models]
+
+    async def wait(self, condition: Callable[[], Awaitable[bool]], what: str) -> None:
+        """Wait for a state under a generous deadline."""
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                while not await condition():  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            raise AssertionError(f"waited for {what}") from None
+
+    async def call(
+        self, method: str, url: str, **options: Any
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send a request; status 0 stands for no answer."""
+        assert self.session is not None
+        options.setdefault("timeout", aiohttp.ClientTimeout(total=5.0))
+        try:
+            async with self.session.request(method, url, **options) as response:
+                return response.status, await response.read(), dict(response.headers)
+        except (aiohttp.ClientError, TimeoutError):
+            return 0, b"", {}
+
+    # The operator.
+
+    async def put_configuration(self, document: dict[str, Any]) -> None:
+        async def put() -> bool:
+            control = random.choice(self.controls).address("ctl")
+            status, _, _ = await self.call(
+                "PUT", f"http://{control}/v1/config", json=document
+            )
+            return status == 200
+
+        await self.wait(put, "the configuration's acknowledgement")
+
+    async def leader(self) -> Process:
+        """Return the control member that answers without a redirect."""
+        found: list[Process] = []
+
+        async def look() -> bool:
+            for process in self.controls:
+                url = f"http://{process.address('ctl')}/v1/config"
+                status, _, _ = await self.call("GET", url, allow_redirects=False)
+                if status == 200:
+                    found.append(process)
+                    return True
+            return False
+
+        await self.wait(look, "a leader")
+        return found[0]
+
+    # Callers and trainers.
+
+    async def ask(
+        self, path: str, front: Process | None = None, key: str | None = KEY
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send a caller's request to a front."""
+        front = front or random.choice(self.fronts)
+        headers = self._headers(uuid.uuid4().hex[:16], key)
+        headers["X-Goldcrestyard-Deadline-Ms"] = "2500"
+        url = f"http://{front.address('front')}{path}"
+        return await self.call("POST", url, data=b"body", headers=headers)
+
+    async def submit(self, job: str, items: int, **fields: Any) -> None:
+        """Submit a job until it is accepted."""
+        document = {
+            "step": 0,
+            "model": MODEL,
+            "least_required": 1,
+            "group_count": 1,
+            "requests": [
+                {
+                    "id": f"{job}-{number}",
+                    "path": f"/jobs/{number}",
+                    "headers": {"X-Goldcrestyard-Model": MODEL},
+                    "body": base64.b64encode(b"prompt").decode(),
+                    "tokens": 100,
+                    "group": "g",
+                    "scorer": {
+                        "id": f"r-{job}-{number}",
+                        "host": HOST,
+                        "path": "/score/x",
+                        "body": "",
+                    },
+                }
+                for number in range(items)
+            ],
+            **fields,
+        }
+
+        async def post() -> bool:
+            front = random.choice(self.fronts)
+            status, _, _ = await self.call(
+                "POST",
+                f"http://{front.address('front')}/jobs/{job}",
+                json=document,
+                headers=self._headers(job),
+            )
+            return status == 202
+
+        await self.wait(post, f"the acceptance of {job}")
+
+    async def page(self, job: str, after: int = 0) -> dict[str, Any] | None:
+        """Return a page of a job's results, or None if no node is sure."""
+        front = random.choice(self.fronts)
+        url = f"http://{front.address('front')}/v1/lots/{job}?after={after}"
+        headers = {**self._headers(job), "X-Goldcrestyard-Wait-Ms": "500"}
+        status, body, _ = await self.call("GET", url, headers=headers)
+        if status == 404:
+            raise AssertionError(f"{job} is said not to exist")
+        return json.loads(body) if status == 200 else None
+
+    async def results(self, job: str, count: int) -> list[dict[str, Any]]:
+        """Read until a number of results is listed; places never change."""
+        seen: list[dict[str, Any]] = []
+
+        async def read() -> bool:
+            page = await self.page(job)
+            if page is not None:
+                listed = page["results"]
+                assert listed[: len(seen)] == seen[: len(listed)], "a place changed"
+                seen.extend(listed[len(seen) :])
+            return len(seen) >= count
+
+        await self.wait(read, f"{count} results of {job}")
+        return seen
+
+    def _headers(self, request_id: str, key: str | None = KEY) -> dict[str, str]:
+        headers = {"Host": HOST, "X-Goldcrestyard-Attempt-Id": request_id}
+        if key is not None:
+            headers["Authorization"] = f"Bearer {key}"
+        return headers
+
+    # The platform.
+
+    async def _serve_duties(self) -> None:
+        async def usage(request: web.Request) -> web.Response:
+            report = await request.json()
+            holder = request.headers["X-Goldcrestyard-Duty-Holder"]
+            self.reports.append((holder, report["window_id"], report["counts"]))
+            return web.Response()
+
+        app = web.Application()
+        app.router.add_post("/usage", usage)
+        self._runner = web.AppRunner(app)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, f"{self.net}.40", 0)
+        await site.start()
+        assert site._server is not None
+        port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
+        self.duties_address = f"{self.net}.40:{port}"
+
+    async def _all_serve(self) -> bool:
+        answers = [await self.ask("/quotes/0", front) for front in self.fronts]
+        return all(status == 200 for status, _, _ in answers)
+
+    async def _all_ready(self) -> bool:
+        answers = [
+            await self.call("GET", f"http://{front.address('ready')}/v1/readyz")
+            for front in self.fronts
+        ]
+        with contextlib.suppress(AssertionError):
+            return all(status == 200 for status, _, _ in answers)
+        return False
--- /dev/null
+++ b/tests/fakes/platform_targets.py
@@ -0,0 +1,184 @@
+"""Stand-ins of the platform's targets, over HTTP on loopback."""
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+HEARTBEAT_SECONDS = 0.4
+LOAD_SECONDS = 0.2
+REQUEST_ID = "X-Goldcrestyard-Attempt-Id"
+
+
+@dataclass
+class Run:
+    """A request that a target has begun to run."""
+
+    id: str
+    path: str
+    organisation: str | None
+    resumed_after: int
+    at: float
+
+
+@dataclass
+class StandInTarget:
+    """An engine, or a plain service where it has no models.
+
+    It says of itself what the platform's targets say, streams numbered
+    events, and keeps what it has run.
+    """
+
+    id: str
+    service: str
+    host: str
+    zone: str
+    control: list[str]
+    models: dict[str, int] = field(default_factory=dict)
+    events: int = 20
+    event_seconds: float = 0.02
+    failing: bool = False
+    """Whether each answer is 500."""
+    runs: list[Run] = field(default_factory=list)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    working: Counter[str] = field(default_factory=Counter)
+    """Requests that are being worked on, by id."""
+    leaving: bool = False
+
+    def __post_init__(self) -> None:
+        self.address = ""
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        self._beat_address: str | None = None
+        self._runner: web.AppRunner | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen, and begin to send heartbeats."""
+        app = web.Application()
+        app.router.add_get("/v1/report", self._report)
+        app.router.add_post("/v1/order", self._order)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        self._runner = web.AppRunner(app, handler_cancellation=True)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.host, 0)
+        await site.start()
+        assert site._server is not None
+        port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
+        self.address = f"{self.host}:{port}"
+        self._tasks.append(asyncio.create_task(self._beat()))
+
+    async def stop(self) -> None:
+        """Fall silent, as a crash does."""
+        for task in self._tasks:
+            task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def drain(self) -> None:
+        """Say that it leaves, and wait until that is acknowledged."""
+        self.leaving = True
+        async with aiohttp.ClientSession() as session:
+            while not await self._send(session):  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+    async def _beat(self) -> None:
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await self._send(session)
+                await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _send(self, session: aiohttp.ClientSession) -> bool:
+        self._sequence += 1
+        body = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.leaving else "ready",
+            "cold_left_ms": 0,
+            "models": [{"name": n, "version": v} for n, v in self.models.items()],
+            "seq": self._sequence,
+            "born": self._born,
+        }
+        known = [self._beat_address] if self._beat_address else []
+        for address in [*known, *self.control]:
+            try:
+                async with session.put(
+                    f"http://{address}/v1/instances/{self.id}",
+                    json=body,
+                    timeout=aiohttp.ClientTimeout(total=1.0),
+                ) as response:
+                    if response.status == 200:
+                        self._beat_address = (await response.json()).get("beat_addr")
+                        return True
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            self._beat_address = None
+        return False
+
+    async def _report(self, _: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "models": [{"name": n, "version": v} for n, v in self.models.items()],
+                "seq": len(self.orders),
+                "in_flight": False,
+            }
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if order.get("expect") != len(self.orders):
+            return web.Response(status=409)
+        if self.models[order["model"]] >= order["version"]:
+            return web.Response(status=200)
+        self.orders.append(order)
+        self._tasks.append(asyncio.create_task(self._load(order)))
+        return web.Response(status=202)
+
+    async def _load(self, order: dict[str, Any]) -> None:
+        await asyncio.sleep(LOAD_SECONDS)
+        self.models[order["model"]] = order["version"]
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers.get(REQUEST_ID, "")
+        if request.headers.get("X-Goldcrestyard-Expect-Instance") != self.id:
+            return web.Response(status=421)
+        await request.read()
+        last = int(request.headers.get("Last-Event-Id", "0"))
+        tenant = request.headers.get("X-Goldcrestyard-Tenant")
+        self.runs.append(Run(request_id, request.path, tenant, last, time.time()))
+        headers = {
+            REQUEST_ID: request_id,
+            "X-Goldcrestyard-Server-Stamp": f"stamp-{request_id}",
+        }
+        if self.failing:
+            return web.Response(status=500, headers=headers)
+        self.working[request_id] += 1
+        try:
+            if self.models:
+                return await self._stream(request, headers, last)
+            return web.Response(
+                body=f"{self.id} {request.path}".encode(), headers=headers
+            )
+        finally:
+            self.working[request_id] -= 1
+
+    async def _stream(
+        self, request: web.Request, headers: dict[str, str], last: int
+    ) -> web.StreamResponse:
+        model = request.headers["X-Goldcrestyard-Model"]
+        headers["X-Goldcrestyard-Weight-Versions"] = str(self.models[model])
+        headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        for number in range(last + 1, self.events + 1):
+            await asyncio.sleep(self.event_seconds)
+            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+        await response.write_eof()
+        return response
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 from parameterized import parameterized
+from prometheus_client import CollectorRegistry
 
 from goldcrestyard.core.ids import (
     DataCentre,
@@ -20,6 +21,7 @@
 from goldcrestyard.fleet.jobs.rewards import RewardCaller
 from goldcrestyard.fleet.jobs.runner import JobRunner
 from goldcrestyard.fleet.jobs.slices import JobsSlice
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -151,6 +153,7 @@
             self.client,
             rewards,
             place,
+            FleetMetrics(CollectorRegistry()),
             clock,
             random.Random(1),
         )
