Carry finished and begun items over to the next job; cache results on entries

Ruled out: loads (runs go on at the usual 46 ms an event) and the number of slots (42 engines of 6).

Change: an item that comes again under its id, with the same request and weights that are still allowed, keeps its result or goes on from its text. Entries keep the results that they have read, since places never change. The share of engines that load at once grows with their number.

--- a/goldcrestyard/fleet/jobs/reading.py
+++ b/goldcrestyard/fleet/jobs/reading.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from goldcrestyard.consensus.driver import ControlMember
-from goldcrestyard.core.jobs import ItemResult
 from goldcrestyard.fleet.jobs.commands import (
     EndJob,
     ItemBody,
@@ -13,14 +12,12 @@
     ReadResults,
     ResultsPage,
 )
+from goldcrestyard.fleet.jobs.page_cache import page_of
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.state.commands import AppliedEntry
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 
-MAX_PAGE_BYTES = 900_000
-"""Text in one page; with the frame around it a page stays under 1 MB."""
-
 
 class JobReader:
     """Reads only while the leader's lease holds: what it shows is newest."""
@@ -50,7 +47,7 @@
                 return NoSuchJob()
             waits = read.position >= len(state.results) and not state.ended
             if not waits or self._clock.monotonic() >= deadline:
-                results = _page(state.results, read.position)
+                results = page_of(state.results, read.position)
                 following = read.position + len(results)
                 return ResultsPage(state.size, results, following)
             try:
@@ -66,15 +63,3 @@
         state = self._jobs.find(read.job, read.organisation)
         item = state.item(read.item) if state is not None else None
         return NoSuchJob() if item is None else ItemBody(item.body)
-
-
-def _page(results: list[ItemResult], position: int) -> tuple[ItemResult, ...]:
-    """Return results from a position on: at least one if there is one."""
-    page: list[ItemResult] = []
-    size = 0
-    for result in results[position:]:
-        size += len(result.text)
-        if page and size > MAX_PAGE_BYTES:
-            break
-        page.append(result)
-    return tuple(page)
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -222,7 +222,7 @@
         for state in self._jobs.open_jobs():
             for item in state.job.items:
                 key = ItemKey(state.job.id, item.id)
-                if item.id in state.listed or key in self._runs_by_key:
+                if item.id in state.positions_by_item or key in self._runs_by_key:
                     continue
                 route = self._route(state.job, item)
                 seconds = route.item_seconds if route is not None else None
--- a/goldcrestyard/fleet/jobs/slices.py
+++ b/goldcrestyard/fleet/jobs/slices.py
@@ -4,7 +4,14 @@
 from dataclasses import dataclass, field, replace
 
 from goldcrestyard.core.ids import ItemId, JobId, OrganisationId, WeightVersion
-from goldcrestyard.core.jobs import EndedItem, ItemResult, Job, JobItem, Progress
+from goldcrestyard.core.jobs import (
+    EndedItem,
+    ItemOutcome,
+    ItemResult,
+    Job,
+    JobItem,
+    Progress,
+)
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.fleet.jobs.commands import (
     EndJob,
@@ -39,10 +46,22 @@
     submitted_at: float
     size: int
     results: list[ItemResult] = field(default_factory=list)
-    listed: set[ItemId] = field(default_factory=set)
+    positions_by_item: dict[ItemId, int] = field(default_factory=dict)
+    """Where each listed item stands."""
     progress_by_item: dict[ItemId, Progress] = field(default_factory=dict)
     """What items have that are not listed yet."""
     ended: bool = False
+    items_by_id: dict[ItemId, JobItem] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.items_by_id = {item.id: item for item in self.job.items}
+        for position, result in enumerate(self.results):
+            self.positions_by_item[result.item] = position
+
+    def add_result(self, result: ItemResult) -> None:
+        """List a result after all others."""
+        self.positions_by_item[result.item] = len(self.results)
+        self.results.append(result)
 
     def advance(self, item_id: ItemId, progress: Progress) -> Progress:
         """Join further progress of an item to what is known of it."""
@@ -54,9 +73,9 @@
 
     def item(self, item_id: ItemId) -> JobItem | None:
         """Return an item that is not listed yet, or None."""
-        if item_id in self.listed:
+        if self.ended or item_id in self.positions_by_item:
             return None
-        return next((item for item in self.job.items if item.id == item_id), None)
+        return self.items_by_id.get(item_id)
 
 
 class JobsSlice(Slice):
@@ -67,6 +86,7 @@
 
     def __init__(self) -> None:
         self.jobs_by_id: dict[JobId, JobState] = {}
+        self._last_job_by_item: dict[ItemId, JobId] = {}
 
     def open_jobs(self) -> Iterable[JobState]:
         """Return the jobs that are not ended, oldest first."""
@@ -103,24 +123,59 @@
                 return Rejected(RefusalReason.CONFLICT, "the id is in use")
             return Accepted()
         self._forget_old(time)
-        self.jobs_by_id[job.id] = JobState(job, time, len(job.items))
+        state = JobState(job, time, len(job.items))
+        for item in job.items:
+            self._carry_over(state, item)
+        self._keep(state)
         return Accepted()
 
+    def _keep(self, state: JobState) -> None:
+        self.jobs_by_id[state.job.id] = state
+        for item in state.job.items:
+            self._last_job_by_item[item.id] = state.job.id
+
+    def _carry_over(self, state: JobState, item: JobItem) -> None:
+        """Use what an earlier job has of an item, if its weights are allowed.
+
+        Trainers submit items again whose group was not complete in time.
+        """
+        earlier = self.jobs_by_id.get(self._last_job_by_item.get(item.id, JobId("")))
+        if earlier is None or earlier.job.organisation != state.job.organisation:
+            return
+        before = earlier.items_by_id.get(item.id)
+        if before is None or replace(before, group=item.group) != item:
+            return
+        position = earlier.positions_by_item.get(item.id)
+        if position is not None:
+            result = earlier.results[position]
+            if (
+                result.outcome is ItemOutcome.COMPLETE
+                and min(result.versions) >= state.job.oldest_version
+            ):
+                state.add_result(result)
+            return
+        progress = earlier.progress_by_item.get(item.id)
+        if (
+            progress is not None
+            and progress.versions
+            and min(progress.versions) >= state.job.oldest_version
+        ):
+            state.progress_by_item[item.id] = progress
+
     def _list(self, job_id: JobId, ended: tuple[EndedItem, ...]) -> None:
         state = self.jobs_by_id.get(job_id)
         if state is None or state.ended:
             return
         for item in ended:
-            if item.item in state.listed:
+            if item.item in state.positions_by_item:
                 continue
-            state.listed.add(item.item)
             text = b""
             versions: tuple[WeightVersion, ...] = ()
             if item.progress is not None:
                 whole = state.advance(item.item, item.progress)
                 text, versions = b"\n".join(whole.events), whole.versions
             state.progress_by_item.pop(item.item, None)
-            state.results.append(
+            state.add_result(
                 ItemResult(item.item, item.outcome, text, versions, item.score)
             )
 
@@ -129,7 +184,7 @@
         if state is None or state.ended:
             return
         for item_id, progress in progress_by_item.items():
-            if item_id not in state.listed:
+            if item_id not in state.positions_by_item:
                 state.advance(item_id, progress)
 
     def _end(self, job_id: JobId, organisation: OrganisationId | None) -> Outcome:
@@ -137,9 +192,6 @@
         if state is None:
             return Rejected(RefusalReason.NOT_FOUND, f"no job {job_id}")
         state.ended = True
-        # Bodies are no longer asked for; they are most of a job's size.
-        state.job = replace(state.job, items=())
-        state.progress_by_item.clear()
         return Accepted()
 
     def _forget_old(self, time: float) -> None:
@@ -147,6 +199,9 @@
             age = time - state.submitted_at
             if age > (KEPT_SECONDS if state.ended else OPEN_SECONDS):
                 del self.jobs_by_id[job_id]
+                for item in state.job.items:
+                    if self._last_job_by_item.get(item.id) == job_id:
+                        del self._last_job_by_item[item.id]
 
     def to_snapshot(self) -> JobsSnapshot:
         """Return the whole slice."""
@@ -166,15 +221,16 @@
 
     def load_snapshot(self, snapshot: JobsSnapshot) -> None:
         """Replace the slice."""
-        self.jobs_by_id = {
-            record.job.id: JobState(
-                record.job,
-                record.submitted_at,
-                record.size,
-                list(record.results),
-                {result.item for result in record.results},
-                dict(record.progress_by_item),
-                record.ended,
+        self.jobs_by_id = {}
+        self._last_job_by_item = {}
+        for record in snapshot.records:
+            self._keep(
+                JobState(
+                    record.job,
+                    record.submitted_at,
+                    record.size,
+                    list(record.results),
+                    progress_by_item=dict(record.progress_by_item),
+                    ended=record.ended,
+                )
             )
-            for record in snapshot.records
-        }
--- a/goldcrestyard/fleet/rentals/keeper.py
+++ b/goldcrestyard/fleet/rentals/keeper.py
@@ -94,7 +94,7 @@
 
     def _note_wave(self) -> None:
         now = self._clock.monotonic()
-        items = sum(state.size - len(state.listed) for state in self._jobs.open_jobs())
+        items = sum(state.size - len(state.results) for state in self._jobs.open_jobs())
         self._waves.append((now, items))
         while self._waves[0][0] < now - WAVE_SECONDS:
             self._waves.popleft()
--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -31,8 +31,10 @@
 logger = structlog.get_logger(__name__)
 
 CHECK_SECONDS = 0.1
-LOADS_AT_ONCE = 2
-"""More engines that load at the same time slow each other down."""
+FEWEST_LOADS_AT_ONCE = 2
+LOADING_SHARE = 0.25
+"""Share of a service's engines that load at the same time: more slow each
+other down, and leave fewer that take requests."""
 
 FIRST_LOOK_SECONDS = 0.9
 """The shortest time in which an engine has been seen to load."""
@@ -136,7 +138,8 @@
                 for target_id, target in of_service.items()
             ]
             newest = self._versions.newest_by_model
-            for load in next_loads(loadable, shared, newest, LOADS_AT_ONCE):
+            at_once = max(FEWEST_LOADS_AT_ONCE, int(len(loadable) * LOADING_SHARE))
+            for load in next_loads(loadable, shared, newest, at_once):
                 task = asyncio.create_task(
                     self._load(engines[load.target], load), name=f"load {load.target}"
                 )
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -19,6 +19,7 @@
     ResultsPage,
     SubmitJob,
 )
+from goldcrestyard.fleet.jobs.page_cache import ResultCache
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.platform import submissions
 from goldcrestyard.platform.answers import json_answer, json_bytes, refuse
@@ -46,6 +47,7 @@
     def __init__(self, admission: Admission, link: LeaderLink) -> None:
         self._admission = admission
         self._link = link
+        self._cache = ResultCache()
 
     async def submit(self, request: web.BaseRequest, body: bytes) -> web.Response:
         """Have a job kept; only then is it acknowledged."""
@@ -88,10 +90,24 @@
         position = request.query.get("after", "0")
         if not position.isdigit():
             return refuse(Refusal(RefusalReason.BAD_REQUEST, "no such position"))
-        wait = _wait_seconds(request)
-        read = ReadResults(job, organisation, int(position), wait)
+        return await self._read(
+            job, organisation, int(position), _wait_seconds(request)
+        )
+
+    async def _read(
+        self,
+        job: JobId,
+        organisation: OrganisationId | None,
+        position: int,
+        wait: float,
+    ) -> web.Response:
+        known = self._cache.page(job, organisation, position)
+        if known is not None:
+            return json_bytes(submissions.encode(known))
+        read = ReadResults(job, organisation, position, wait)
         match await self._link.request(read, READ_SECONDS + wait):
             case ResultsPage() as page:
+                self._cache.add(job, organisation, position, page)
                 return json_bytes(submissions.encode(page))
             case NoSuchJob():
                 return refuse(NO_JOB)
--- a/tests/fleet/test_jobs_slice.py
+++ b/tests/fleet/test_jobs_slice.py
@@ -1,6 +1,7 @@
 """Tests of jobs in the replicated state."""
 
 import unittest
+from dataclasses import replace
 
 from parameterized import parameterized
 
@@ -125,6 +126,46 @@
         apply(self.machine, SubmitJob(job("next")), time=age)
         self.assertEqual(len(self.slice.jobs_by_id), expected)
 
+    @parameterized.expand(
+        [
+            ("same_weights", 2, "/jobs/0", True),
+            ("older_than_allowed", 3, "/jobs/0", False),
+            ("another_request_under_its_id", 2, "/jobs/other", False),
+        ]
+    )
+    def test_finished_item_that_comes_again(
+        self, _: str, oldest: int, path: str, expected: bool
+    ) -> None:
+        apply(self.machine, ListResults(JOB, (complete(0, 0, b"a"),)))
+        apply(self.machine, EndJob(JOB, OWNER))
+        apply(self.machine, SubmitJob(self._next(oldest, path)))
+        listed = self.slice.jobs_by_id[JobId("next")].results
+        self.assertEqual([result.text for result in listed], [b"a"] * expected)
+
+    @parameterized.expand([("same_weights", 2, True), ("too_old", 3, False)])
+    def test_begun_item_that_comes_again(
+        self, _: str, oldest: int, expected: bool
+    ) -> None:
+        apply(self.machine, KeepProgress(JOB, {item_id(0): progress(0, b"a", b"b")}))
+        apply(self.machine, EndJob(JOB, OWNER))
+        apply(self.machine, SubmitJob(self._next(oldest, "/jobs/0")))
+        carried = self.slice.jobs_by_id[JobId("next")].progress_by_item
+        self.assertEqual(item_id(0) in carried, expected)
+
+    def test_nothing_is_carried_over_to_a_stranger(self) -> None:
+        apply(self.machine, ListResults(JOB, (complete(0, 0, b"a"),)))
+        apply(self.machine, SubmitJob(job("next", STRANGER)))
+        self.assertEqual(self.slice.jobs_by_id[JobId("next")].results, [])
+
+    def _next(self, oldest: int, path: str) -> Job:
+        again = job("next")
+        first = replace(again.items[0], path=path)
+        return replace(
+            again,
+            oldest_version=WeightVersion(oldest),
+            items=(first, *again.items[1:]),
+        )
+
     def test_snapshot_holds_all(self) -> None:
         apply(self.machine, ListResults(JOB, (complete(0, 0, b"a"),)))
         apply(self.machine, KeepProgress(JOB, {item_id(1): progress(0, b"b")}))
