Keep a new learner: count its silence from when it was added

The test asked the leader alone, whose last change may be lost with it; it asks all voters now. And between the removal of a lost voter and the vote of its successor the keeper slept for a quarter of a second, in which the cluster bears no loss; without that pause a learner that had not answered yet was taken for silent at once and removed again, for ever.

Change: silence counts from the addition; which of two identities of an instance is the newer one follows from their order, not from who was heard last; a step that was applied is followed by the next at once.

--- a/goldcrestyard/fleet/assembly/keeper.py
+++ b/goldcrestyard/fleet/assembly/keeper.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied, ProposalResult
 from goldcrestyard.consensus.roles import Role
@@ -56,6 +57,7 @@
         self._wanted_voters = wanted_voters
         self._clock = clock
         self._asked_by_instance: dict[InstanceId, _Asked] = {}
+        self._known_since_by_id: dict[MemberId, float] = {}
 
     def register(self, handlers: Handlers) -> None:
         """Serve the requests of processes that want to join."""
@@ -75,6 +77,10 @@
                 logger.info(
                     "members of the log changed", step=str(step), result=str(result)
                 )
+                if isinstance(result, Applied):
+                    # Between the removal of a lost voter and the vote of its
+                    # successor the cluster bears no further loss.
+                    continue
             await asyncio.sleep(CHECK_SECONDS)
 
     async def retire(self, machine: str) -> Refusal | None:
@@ -105,14 +111,21 @@
 
     def _facts(self) -> list[MemberFacts]:
         facts = []
-        for status in self._member.members():
-            silent = status.last_contact_seconds
+        now = self._clock.monotonic()
+        known = self._member.members()
+        self._known_since_by_id = {
+            status.id: self._known_since_by_id.get(status.id, now) for status in known
+        }
+        for status in known:
+            silent = now - self._known_since_by_id[status.id]
+            if status.last_contact_seconds is not None:
+                silent = min(silent, status.last_contact_seconds)
             facts.append(
                 MemberFacts(
                     status.id,
                     status.instance,
                     status.role is not Role.LEARNER,
-                    float("inf") if silent is None else silent,
+                    silent,
                     self._member.has_caught_up(status.id),
                 )
             )
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -23,6 +23,7 @@
     instance: InstanceId
     voter: bool
     silent_seconds: float
+    """Since its last answer, or since it was added."""
     caught_up: bool
 
 
@@ -68,7 +69,8 @@
 ) -> Step | None:
     """Return the next change of the members, or None if all is well.
 
-    One change at a time: each is committed before the next is chosen.
+    ``members`` come in the order in which they were added.  One change at a
+    time: each is committed before the next is chosen.
     """
     known = {member.id for member in members}
     for joiner in joiners:
@@ -114,18 +116,14 @@
     return len(remaining) >= wanted_voters
 
 
-def _is_lost(member: MemberFacts, members: Iterable[MemberFacts]) -> bool:
+def _is_lost(member: MemberFacts, members: Sequence[MemberFacts]) -> bool:
     return member.silent_seconds > LOST_VOTER_SECONDS or _superseded(member, members)
 
 
-def _superseded(member: MemberFacts, members: Iterable[MemberFacts]) -> bool:
+def _superseded(member: MemberFacts, members: Sequence[MemberFacts]) -> bool:
     """Return whether the instance has come back without its disk.
 
     The identity that it had before can never answer again.
     """
-    return any(
-        other.instance == member.instance
-        and other.id != member.id
-        and other.silent_seconds < member.silent_seconds
-        for other in members
-    )
+    later = members[members.index(member) + 1 :]
+    return any(other.instance == member.instance for other in later)
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -72,14 +72,20 @@
         await self.network.close()
 
     def voters(self) -> set[str]:
+        """Return the voters that all running voters know.
+
+        What only the leader knows may be lost with it.
+        """
         leaders = self.network.leaders
         if not leaders:
             return set()
-        return {
-            status.instance
-            for status in leaders[0].members()
-            if status.role is not Role.LEARNER
-        }
+        voters = voters_of(leaders[0])
+        known = [
+            voters_of(self.network.running[name])
+            for name in voters
+            if name in self.network.running
+        ]
+        return voters if all(seen == voters for seen in known) else set()
 
     async def wait_voters(self, *names: str) -> None:
         await self.network.wait(
@@ -87,6 +93,15 @@
         )
 
 
+def voters_of(member: ControlMember) -> set[str]:
+    """Return the voters that a member knows."""
+    return {
+        str(status.instance)
+        for status in member.members()
+        if status.role is not Role.LEARNER
+    }
+
+
 class AssemblyTestCase(PausedClockTestCase):
     """Starts the founders."""
 
@@ -224,7 +239,7 @@
         await self.network.leader(but=self.leader)
         await self.assembly.start("d")
         await self.network.wait(
-            lambda: any("d" in self._voters_of(m) for m in self.network.leaders),
+            lambda: any("d" in voters_of(m) for m in self.network.leaders),
             "the new voter",
         )
         self.network.heal()
@@ -257,12 +272,5 @@
         self.assertIsNone(await keeper.retire(machine))
         self.assertIs(keeper.is_retired(machine), False)
         await self.network.wait(lambda: bool(keeper.is_retired(machine)), "empty")
-        self.assertEqual(self.assembly.voters(), {*FOUNDERS, "d"} - {retiring})
+        await self.assembly.wait_voters(*({*FOUNDERS, "d"} - {retiring}))
         self.assertIsNone(await keeper.retire(machine), "a repeated order")
-
-    def _voters_of(self, member: ControlMember) -> set[str]:
-        return {
-            status.instance
-            for status in member.members()
-            if status.role is not Role.LEARNER
-        }
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -81,6 +81,11 @@
         (*THREE[:2], facts("c#1", silent=0.5), facts("c#2", voter=False)),
         Drop(MemberId("c#1"), "lost, and another member takes its place"),
     ),
+    Case(
+        "old_identity_is_lost_even_if_it_was_heard_last",
+        (*THREE[:2], facts("c#1", silent=0.1), facts("c#2", voter=False, silent=0.4)),
+        Drop(MemberId("c#1"), "lost, and another member takes its place"),
+    ),
     Case("spare_learner_does_not_vote", (*THREE, facts("d#1", voter=False)), None),
     Case(
         "silent_learner_goes",
