Try a repeatable call once more when its kept connection was dropped

Targets may drop an idle connection without notice; what is sent next is reset. Such a failure made the router avoid a sound target. A call that may be repeated is sent again at once on a new connection, if the first broke within 0.1 s.

--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -1,5 +1,6 @@
 """Requests to targets over HTTP."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -40,6 +41,10 @@
 """Longer than the time between two steps of a trainer, whose items come in
 waves; a connection that the target has closed is not used again."""
 
+DROPPED_SECONDS = 0.1
+"""A connection that breaks within this time was dropped while it was idle,
+rather than during the work; two round trips between regions."""
+
 HEAD_MARGIN_SECONDS = 0.25
 """A target that keeps its deadline answers within this time after it."""
 
@@ -145,9 +150,43 @@
         self, target: Target, call: TargetCall, seconds_left: float
     ) -> AsyncIterator[TargetReply | AttemptFailure]:
         """Send a request once; leaving the block ends the target's work."""
-        session = self.session if call.repeatable else self.single_session
+        answer = await self._ask(target, call, seconds_left)
+        if not isinstance(answer, aiohttp.ClientResponse):
+            yield answer
+            return
+        try:
+            yield _judge(answer, call) or HttpReply(answer)
+        finally:
+            answer.close()
+
+    async def _ask(
+        self, target: Target, call: TargetCall, seconds_left: float
+    ) -> aiohttp.ClientResponse | AttemptFailure:
+        """Return the answer's head, or why there is none.
+
+        A target may drop an idle connection without notice, and resets what
+        is sent on it next; a call that may be repeated has a second try.
+        """
+        if not call.repeatable:
+            return await self._send(self.single_session, target, call, seconds_left)
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        answer = await self._send(self.session, target, call, seconds_left)
+        seconds = clock() - began
+        if isinstance(answer, Broken) and seconds < DROPPED_SECONDS:
+            left = seconds_left - seconds
+            answer = await self._send(self.single_session, target, call, left)
+        return answer
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        target: Target,
+        call: TargetCall,
+        seconds_left: float,
+    ) -> aiohttp.ClientResponse | AttemptFailure:
         try:
-            response = await session.request(
+            return await session.request(
                 call.method,
                 URL(f"http://{target.address}{call.path_and_query}", encoded=True),
                 data=call.body or None,
@@ -161,15 +200,9 @@
                 middlewares=(send_once,),
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            yield Unreached(describe_error(error))
-            return
+            return Unreached(describe_error(error))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            yield Broken(f"no answer: {describe_error(error)}")
-            return
-        try:
-            yield _judge(response, call) or HttpReply(response)
-        finally:
-            response.close()
+            return Broken(f"no answer: {describe_error(error)}")
 
 
 def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
