Leave silent connections: bound the wait for an answer's head, drop what is kept

Change: a run without an answer after 4 s is broken off, a live stream after 2 s; when a request on a kept connection breaks or is given up after half a second, the connections kept to that target are not used again; reward calls are hedged like calls.

Tests: silent connections against a raw target, hanging engines and scorers in the tables of runs and streams.

--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -128,7 +129,8 @@
         seconds_left = admitted.deadline - began
         outcome: StreamEnd | AttemptFailure
         with self._router.sending(target) as facts:
-            async with self._client.open(target, call, seconds_left) as reply:
+            async with AsyncExitStack() as stack:
+                reply = await self._open(stack, target, call, seconds_left)
                 if isinstance(reply, AttemptFailure):
                     outcome = reply
                 elif reply.status >= 300:
@@ -149,6 +151,20 @@
         )
         return outcome
 
+    async def _open(
+        self,
+        stack: AsyncExitStack,
+        target: Target,
+        call: TargetCall,
+        seconds_left: float,
+    ) -> TargetReply | AttemptFailure:
+        try:
+            async with asyncio.timeout(SILENT_SECONDS):
+                opening = self._client.open(target, call, seconds_left)
+                return await stack.enter_async_context(opening)
+        except TimeoutError:
+            return Broken(f"no answer for {SILENT_SECONDS} s")
+
     async def _pass_failure(
         self, reply: TargetReply, stream: _Stream, sink: StreamSink
     ) -> StreamEnd | AttemptFailure:
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -1,6 +1,7 @@
 """One run of one item at one engine."""
 
 import asyncio
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
 from goldcrestyard.core.attempts import (
@@ -119,7 +120,14 @@
         transcript.last,
         repeatable=True,
     )
-    async with client.open(target, call, seconds_left) as reply:
+    async with AsyncExitStack() as stack:
+        try:
+            async with asyncio.timeout(FIRST_EVENT_SECONDS):
+                reply = await stack.enter_async_context(
+                    client.open(target, call, seconds_left)
+                )
+        except TimeoutError:
+            return BrokenOff(f"no answer for {FIRST_EVENT_SECONDS} s")
         if isinstance(reply, AttemptFailure):
             return _failure(reply)
         if reply.status == IMPOSSIBLE_STATUS:
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -15,11 +15,13 @@
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.backoff import Backoff
+from goldcrestyard.policy.hedging import hedge_after
 
 logger = structlog.get_logger(__name__)
 
 RETRIES = Backoff(base_seconds=0.05, longest_seconds=1.0)
 HALF = 0.5
+MOST_AT_ONCE = 2
 FAILED_STATUS = 500
 
 
@@ -51,28 +53,46 @@
         self._clock = clock
 
     async def score(self, call: RewardCall, deadline: float) -> Scored | NoScore:
-        """Return the score, or that there will be none."""
-        failed = 0
-        tries = 0
+        """Return the score, or that there will be none.
+
+        A call without an answer is sent to a second target meanwhile, since
+        the step of a trainer waits for the last of its scores.
+        """
+        failed = tries = 0
         tried: set[TargetId] = set()
-        while self._clock.monotonic() < deadline:
-            route = self._route(call)
-            if route is None:
-                return NoScore()
-            if failed >= route.max_attempts:
-                return NoScore()
-            target = self._choose(route, tried)
-            if target is None:
-                tried.clear()
-            else:
-                tried.add(target.id)
-                outcome = await self._attempt(call, route, target)
-                if isinstance(outcome, Scored):
-                    return outcome
-                failed += outcome == FAILED_STATUS
-            tries += 1
-            await asyncio.sleep(RETRIES.delay_seconds(tries, HALF))
-        return NoScore()
+        running: set[asyncio.Task[Scored | int | None]] = set()
+        try:
+            while self._clock.monotonic() < deadline:
+                route = self._route(call)
+                if route is None or failed >= route.max_attempts:
+                    return NoScore()
+                target = self._choose(route, tried)
+                if target is None:
+                    # A new connection may work where the last one is silent.
+                    tried.clear()
+                    target = self._choose(route, tried)
+                if target is not None and len(running) < MOST_AT_ONCE:
+                    tried.add(target.id)
+                    tries += 1
+                    attempt = self._attempt(call, route, target)
+                    running.add(asyncio.create_task(attempt))
+                elif not running:
+                    await asyncio.sleep(RETRIES.delay_seconds(tries, HALF))
+                    continue
+                done, running = await asyncio.wait(
+                    running,
+                    timeout=hedge_after(route.objective_seconds),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    outcome = task.result()
+                    if isinstance(outcome, Scored):
+                        return outcome
+                    failed += outcome == FAILED_STATUS
+            return NoScore()
+        finally:
+            for task in running:
+                task.cancel()
 
     def _route(self, call: RewardCall) -> ServingRoute | None:
         table = self._serving.table
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -1,6 +1,7 @@
 """Requests to targets over HTTP."""
 
 import asyncio
+from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -45,6 +46,12 @@
 """A connection that breaks within this time was dropped while it was idle,
 rather than during the work; two round trips between regions."""
 
+SILENT_SECONDS = 0.5
+"""A request that is given up after this long without an answer may be on a
+connection that has gone silent for good, while new ones work."""
+
+RETIRED_SESSIONS = 64
+
 HEAD_MARGIN_SECONDS = 0.25
 """A target that keeps its deadline answers within this time after it."""
 
@@ -115,29 +122,45 @@
     """
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions_by_address: dict[str, aiohttp.ClientSession] = {}
+        self._retired: deque[aiohttp.ClientSession] = deque()
         self._single_session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        """Create the sessions; needs a running event loop."""
-        self._session = _new_session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_SECONDS)
-        )
+        """Create the session for single requests; needs an event loop."""
         self._single_session = _new_session(
             aiohttp.TCPConnector(limit=0, force_close=True)
         )
 
     async def stop(self) -> None:
         """Close all connections."""
-        for session in (self._session, self._single_session):
-            if session is not None:
-                await session.close()
+        sessions = [*self._sessions_by_address.values(), *self._retired]
+        if self._single_session is not None:
+            sessions.append(self._single_session)
+        for session in sessions:
+            await session.close()
+
+    def session(self, address: str) -> aiohttp.ClientSession:
+        """Return the session with the connections kept to an address."""
+        session = self._sessions_by_address.get(address)
+        if session is None:
+            session = self._sessions_by_address[address] = _new_session(
+                aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_SECONDS)
+            )
+        return session
 
-    @property
-    def session(self) -> aiohttp.ClientSession:
-        """The session with kept connections, for what may be repeated."""
-        assert self._session is not None
-        return self._session
+    async def retire(self, address: str) -> None:
+        """Use none of the connections kept to an address any more.
+
+        When one has fallen silent, the others may have, too.  Requests that
+        are running on them go on.
+        """
+        session = self._sessions_by_address.pop(address, None)
+        if session is None:
+            return
+        self._retired.append(session)
+        if len(self._retired) > RETIRED_SESSIONS:
+            await self._retired.popleft().close()
 
     @property
     def single_session(self) -> aiohttp.ClientSession:
@@ -171,8 +194,16 @@
             return await self._send(self.single_session, target, call, seconds_left)
         clock = asyncio.get_running_loop().time
         began = clock()
-        answer = await self._send(self.session, target, call, seconds_left)
+        session = self.session(target.address)
+        try:
+            answer = await self._send(session, target, call, seconds_left)
+        except asyncio.CancelledError:
+            if clock() - began > SILENT_SECONDS:
+                await self.retire(target.address)
+            raise
         seconds = clock() - began
+        if isinstance(answer, Broken):
+            await self.retire(target.address)
         if isinstance(answer, Broken) and seconds < DROPPED_SECONDS:
             left = seconds_left - seconds
             answer = await self._send(self.single_session, target, call, left)
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -52,7 +52,7 @@
     async def report(self, target: Target) -> EngineReport | None:
         """Ask an engine for its state; None if it does not answer."""
         try:
-            async with self._client.session.get(
+            async with self._client.session(target.address).get(
                 f"http://{target.address}{REPORT_PATH}",
                 headers={TARGET_ID: target.id},
                 timeout=self._timeout,
@@ -61,6 +61,7 @@
                     return None
                 report = msgspec.json.decode(await response.read(), type=_Report)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            await self._client.retire(target.address)
             self._log_silence(target, describe_error(error))
             return None
         except msgspec.DecodeError as error:
--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -187,23 +187,34 @@
         await self._serve_duties()
         for process in [*self.controls, *self.fronts]:
             await process.start(first_start=True)
-        control = [process.address("ctl") for process in self.controls]
         for number in range(engines + services):
-            models = {MODEL: 1} if number < engines else {}
-            target = StandInTarget(
-                f"i-{uuid.uuid4().hex[:8]}",
-                "engines" if models else "plain",
-                f"{self.net}.{50 + number}",
-                "abc"[number % 3],
-                control,
-                models,
-            )
+            target = self.new_target(number, engine=number < engines)
             self.targets.append(target)
-            await target.start()
+            await target.listen()
+            target.announce()
         await self.put_configuration(configuration())
         await self.wait(self._all_ready, "ready fronts")
-        # A front is ready as soon as it can decide, with or without targets.
-        await self.wait(self._all_serve, "fronts that know a target")
+        if services:
+            # A front is ready as soon as it can decide, even without targets.
+            await self.wait(self.all_serve, "fronts that know a target")
+
+    def new_target(
+        self, number: int, *, engine: bool, events: int = 20
+    ) -> StandInTarget:
+        """Return a target that does not listen yet."""
+        return StandInTarget(
+            f"i-{uuid.uuid4().hex[:8]}",
+            "engines" if engine else "plain",
+            f"{self.net}.{50 + number}",
+            "abc"[number % 3],
+            [process.address("ctl") for process in self.controls],
+            {MODEL: 1} if engine else {},
+            events,
+        )
+
+    def marker(self) -> str:
+        """Return a fresh id."""
+        return uuid.uuid4().hex[:16]
 
     async def close(self) -> None:
         for target in self.targets:
@@ -276,11 +287,15 @@
     # Callers and trainers.
 
     async def ask(
-        self, path: str, front: Process | None = None, key: str | None = KEY
+        self,
+        path: str,
+        front: Process | None = None,
+        key: str | None = KEY,
+        request_id: str = "",
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send a caller's request to a front."""
         front = front or random.choice(self.fronts)
-        headers = self._headers(uuid.uuid4().hex[:16], key)
+        headers = self._headers(request_id or self.marker(), key)
         headers["X-Goldcrestyard-Deadline-Ms"] = "2500"
         url = f"http://{front.address('front')}{path}"
         return await self.call("POST", url, data=b"body", headers=headers)
@@ -374,7 +389,7 @@
         port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
         self.duties_address = f"{self.net}.40:{port}"
 
-    async def _all_serve(self) -> bool:
+    async def all_serve(self) -> bool:
         answers = [await self.ask("/quotes/0", front) for front in self.fronts]
         return all(status == 200 for status, _, _ in answers)
 
--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -51,14 +51,16 @@
 
     def __post_init__(self) -> None:
         self.address = ""
+        """The address that it names: its own, or that of a proxy before it."""
+        self.own_address = ""
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self._beat_address: str | None = None
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self) -> None:
-        """Listen, and begin to send heartbeats."""
+    async def listen(self) -> None:
+        """Listen on a free port."""
         app = web.Application()
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
@@ -69,7 +71,11 @@
         await site.start()
         assert site._server is not None
         port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
-        self.address = f"{self.host}:{port}"
+        self.own_address = f"{self.host}:{port}"
+        self.address = self.address or self.own_address
+
+    def announce(self) -> None:
+        """Begin to send heartbeats."""
         self._tasks.append(asyncio.create_task(self._beat()))
 
     async def stop(self) -> None:
--- a/tests/fakes/proxy.py
+++ b/tests/fakes/proxy.py
@@ -12,6 +12,8 @@
     """Connections are closed, and new ones at once after they open."""
     SILENT = "silent"
     """Connections stay open, and new ones open, but nothing arrives."""
+    ONE_WAY = "one_way"
+    """Requests arrive, but nothing comes back."""
 
 
 class FaultProxy:
@@ -53,6 +55,10 @@
         """Lose all bytes without closing anything."""
         self._fault = Fault.SILENT
 
+    def lose_answers(self) -> None:
+        """Lose what the target sends; what is sent to it arrives."""
+        self._fault = Fault.ONE_WAY
+
     def silence_open(self) -> None:
         """Lose all bytes of the present connections; new ones work."""
         self._silent_up_to = self._accepted
@@ -88,8 +94,9 @@
             writer.close()
             return
         self._writers.add(far_writer)
-        for source, sink in ((reader, far_writer), (far_reader, writer)):
-            task = asyncio.create_task(self._pump(number, source, sink))
+        ways = ((reader, far_writer, False), (far_reader, writer, True))
+        for source, sink, back in ways:
+            task = asyncio.create_task(self._pump(number, source, sink, back))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -98,16 +105,20 @@
         number: int,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        back: bool,
     ) -> None:
         try:
             while data := await reader.read(65536):
                 if self._delay_seconds:
                     await asyncio.sleep(self._delay_seconds)
-                if self._fault is Fault.NONE and number > self._silent_up_to:
+                passes = self._fault is Fault.NONE or (
+                    self._fault is Fault.ONE_WAY and not back
+                )
+                if passes and number > self._silent_up_to:
                     writer.write(data)
                     await writer.drain()
         except OSError:
             pass
         finally:
-            if self._fault is not Fault.SILENT:
+            if self._fault not in (Fault.SILENT, Fault.ONE_WAY):
                 writer.close()
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -40,6 +40,7 @@
     Answers,
     Behaviour,
     FakeTargetClient,
+    Hangs,
     Streams,
     target,
 )
@@ -72,6 +73,7 @@
     Case("full_then_whole", (FULL, Streams(3)), runs=2),
     Case("down_then_whole", (DOWN, Streams(3)), runs=2),
     Case("no_answer_then_whole", (CUT, Streams(3)), runs=2),
+    Case("hangs_then_whole", (Hangs(), Streams(3)), runs=2),
     Case("resumed", (Streams(3, breaks_after=2), Streams(3)), runs=2),
     Case("silent_then_resumed", (Streams(3, silent_after=1), Streams(3)), runs=2),
     Case("fault_then_whole", (FAULT, Streams(3)), runs=2),
@@ -93,6 +95,7 @@
     ),
     Case("scorer_fails_once", (Streams(3),), scorers=(FAULT, *SCORED)),
     Case("scorer_is_cut_off", (Streams(3),), scorers=(CUT, FULL, *SCORED)),
+    Case("scorer_hangs_once", (Streams(3),), scorers=(Hangs(), *SCORED)),
     Case("scorer_always_fails", (Streams(3),), ERRORED, 1, (), (FAULT,)),
 ]
 
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -22,6 +22,7 @@
     FULL,
     Behaviour,
     FakeTargetClient,
+    Hangs,
     Streams,
     target,
 )
@@ -62,6 +63,7 @@
     Case("never_begun", "/stream/", (CUT, Streams(3)), Verdict.MAY_HAVE_RUN, 0, 1),
     Case("all_full", "/stream/", (FULL, FULL, FULL), Verdict.NOT_RUN, 0, 3),
     Case("resumed", "/resumed/", (Streams(4, breaks_after=2), Streams(4)), WHOLE, 4, 2),
+    Case("hangs", "/resumed/", (Hangs(), Streams(4)), WHOLE, 4, 2),
     Case("silent", "/resumed/", (Streams(4, silent_after=1), Streams(4)), WHOLE, 4, 2),
     Case(
         "resumed_in_vain",
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -222,6 +222,19 @@
             self.assertEqual(outcome, b"hello")
         self.assertEqual(len(self.requests), 3)
 
+    async def test_silent_connections_are_not_used_again(self) -> None:
+        """Guards against one timeout for each kept connection."""
+        self.script += [(WHOLE, stay)] * 4
+        await asyncio.gather(*(self._send(repeatable=True) for _ in range(4)))
+        kept = self.connections
+        self.script.append((b"", stay))
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.7):
+                await self._send(repeatable=True)
+        self.script.append((WHOLE, stay))
+        self.assertEqual(await self._send(repeatable=True), b"hello")
+        self.assertEqual(self.connections, kept + 1)
+
     async def test_second_try_is_the_last(self) -> None:
         self.script += [(b"", close), (b"", close), (WHOLE, stay)]
         self.assertIsInstance(await self._send(repeatable=True), Broken)
