Ask the leader for what follows the results that an entry knows

A reader that asks from the start each time saw only what the entry had kept, until the job's list was whole.

--- a/goldcrestyard/fleet/jobs/page_cache.py
+++ b/goldcrestyard/fleet/jobs/page_cache.py
@@ -34,6 +34,16 @@
             OrderedDict()
         )
 
+    def length(self, job: JobId, organisation: OrganisationId | None) -> int:
+        """Return how many results of a job are known."""
+        known = self._known_by_job.get((job, organisation))
+        return len(known.results) if known is not None else 0
+
+    def is_whole(self, job: JobId, organisation: OrganisationId | None) -> bool:
+        """Return whether all results of a job are known."""
+        known = self._known_by_job.get((job, organisation))
+        return known is not None and len(known.results) >= known.size
+
     def page(
         self, job: JobId, organisation: OrganisationId | None, position: int
     ) -> ResultsPage | None:
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -101,20 +101,36 @@
         position: int,
         wait: float,
     ) -> web.Response:
-        known = self._cache.page(job, organisation, position)
-        if known is not None:
-            return json_bytes(submissions.encode(known))
-        read = ReadResults(job, organisation, position, wait)
+        """Answer from what is known, and what the leader adds to it.
+
+        What was listed stays true without the leader.
+        """
+        known = self._cache.length(job, organisation)
+        if position < known and self._cache.is_whole(job, organisation):
+            return self._known_page(job, organisation, position)
+        first = max(position, known)
+        wait = 0.0 if position < known else wait
+        read = ReadResults(job, organisation, first, wait)
         match await self._link.request(read, READ_SECONDS + wait):
             case ResultsPage() as page:
-                self._cache.add(job, organisation, position, page)
+                self._cache.add(job, organisation, first, page)
+                if position < known:
+                    return self._known_page(job, organisation, position)
                 return json_bytes(submissions.encode(page))
             case NoSuchJob():
                 return refuse(NO_JOB)
             case reply:
                 logger.info("results not read", job=job, reply=str(reply))
+                if position < known:
+                    return self._known_page(job, organisation, position)
                 return refuse(UNSURE)
 
+    def _known_page(
+        self, job: JobId, organisation: OrganisationId | None, position: int
+    ) -> web.Response:
+        page = self._cache.page(job, organisation, position)
+        return refuse(UNSURE) if page is None else json_bytes(submissions.encode(page))
+
     async def item(self, request: web.BaseRequest) -> web.Response:
         """Answer with the body of an item that is not listed."""
         organisation = self._admission.authenticate(key_of(request))
--- a/tests/fleet/test_page_cache.py
+++ b/tests/fleet/test_page_cache.py
@@ -46,6 +46,12 @@
             self.assertEqual(items, [item_id(number) for number in expected])
             self.assertEqual((found.size, found.next_position), (20, 3))
 
+    def test_whole_once_all_is_known(self) -> None:
+        self.assertEqual(self.cache.length(JOB, OWNER), 3)
+        self.assertFalse(self.cache.is_whole(JOB, OWNER))
+        self.cache.add(JOB, OWNER, 3, page(3, 17))
+        self.assertTrue(self.cache.is_whole(JOB, OWNER))
+
     def test_stranger_finds_nothing(self) -> None:
         self.assertIsNone(self.cache.page(JOB, OrganisationId("other"), 0))
 
