Call the planner that rents targets plugins/rentals

The name platform is that of the adapter now; one name, one meaning. The section [platform] of the settings stays, since users' files have it. The ids of faults in the platform's settings file no longer clash with it.

--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -87,17 +87,17 @@
     try:
         document = msgspec.json.decode(path.read_bytes(), type=PlatformFile)
     except OSError as error:
-        return Settings({}), [_error("platform.E001", str(path), str(error))]
+        return Settings({}), [_error("settings_file.E001", str(path), str(error))]
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Settings({}), [_error("platform.E002", str(path), str(error))]
+        return Settings({}), [_error("settings_file.E002", str(path), str(error))]
     problems = [
-        _error("platform.E003", f"listen.{name}", f"{address!r} is not host:port")
+        _error("settings_file.E003", f"listen.{name}", f"{address!r} is not host:port")
         for name, address in document.listen.items()
         if not address.rpartition(":")[2].isdigit()
     ]
     if "control" in document.serves and document.data_dir is None:
         problems.append(
-            _error("platform.E004", "data_dir", "is missing where control is served")
+            _error("settings_file.E004", "data_dir", "is missing on a control member")
         )
     return Settings(_sections(document)), problems
 
--- a/goldcrestyard/plugins/platform/apps.py
+++ b/goldcrestyard/plugins/rentals/apps.py
@@ -7,26 +7,26 @@
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.plugins.orders.placing import OrderDesk
-from goldcrestyard.plugins.platform import checks
-from goldcrestyard.plugins.platform.client import PlatformClient
-from goldcrestyard.plugins.platform.demand_reports import (
+from goldcrestyard.plugins.rentals import checks
+from goldcrestyard.plugins.rentals.client import PlatformClient
+from goldcrestyard.plugins.rentals.demand_reports import (
     DemandReporter,
     DemandReports,
 )
-from goldcrestyard.plugins.platform.messages import ReportDemand
-from goldcrestyard.plugins.platform.planner import Planner
-from goldcrestyard.plugins.platform.settings import PlatformSettings
+from goldcrestyard.plugins.rentals.messages import ReportDemand
+from goldcrestyard.plugins.rentals.planner import Planner
+from goldcrestyard.plugins.rentals.settings import RentalSettings
 from goldcrestyard.plugins.targets.homes import TargetHome
 from goldcrestyard.wire.connection import Handlers
 
 
-class PlatformConfig(PluginConfig):
+class RentalsConfig(PluginConfig):
     """Reports demand and plans targets where ``[platform]`` is set."""
 
-    name = "platform"
+    name = "rentals"
     requires = ("control", "entry", "orders", "peers", "targets")
     settings_section = "platform"
-    settings_class = PlatformSettings
+    settings_class = RentalSettings
     messages = (ReportDemand,)
     checks = (checks.check_address, checks.check_guards)
 
@@ -42,7 +42,7 @@
 
     async def start(self, app: Application) -> None:
         """Start to report demand, and on control members to plan."""
-        settings = app.settings.find(PlatformSettings)
+        settings = app.settings.find(RentalSettings)
         if settings is None:
             return
         reporter = DemandReporter(app.get(TargetHome), app.get(LeaderLink))
--- a/goldcrestyard/plugins/platform/checks.py
+++ b/goldcrestyard/plugins/rentals/checks.py
@@ -4,13 +4,13 @@
 
 from goldcrestyard.kernel.checks import Level, Problem
 from goldcrestyard.kernel.settings import Settings
-from goldcrestyard.plugins.platform.settings import PlatformSettings
+from goldcrestyard.plugins.rentals.settings import RentalSettings
 from goldcrestyard.wire.client import PeerAddress
 
 
 def check_address(settings: Settings) -> Iterable[Problem]:
     """Check that the platform's address can be parsed."""
-    platform = settings.find(PlatformSettings)
+    platform = settings.find(RentalSettings)
     if platform is None:
         return
     try:
@@ -27,7 +27,7 @@
 
 def check_guards(settings: Settings) -> Iterable[Problem]:
     """Warn where a lost answer leaves an order in doubt."""
-    platform = settings.find(PlatformSettings)
+    platform = settings.find(RentalSettings)
     if platform is not None and not (
         platform.checks_fencing or platform.honours_keys or platform.can_look_up
     ):
--- a/goldcrestyard/plugins/platform/demand_reports.py
+++ b/goldcrestyard/plugins/rentals/demand_reports.py
@@ -6,7 +6,7 @@
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.leader_link import LeaderLink
-from goldcrestyard.plugins.platform.messages import ReportDemand
+from goldcrestyard.plugins.rentals.messages import ReportDemand
 from goldcrestyard.plugins.targets.homes import TargetHome
 from goldcrestyard.policy.demand import Demand
 from goldcrestyard.state.commands import Accepted
--- a/goldcrestyard/plugins/platform/orders.py
+++ b/goldcrestyard/plugins/rentals/orders.py
@@ -10,7 +10,7 @@
     Receiver,
     ReceiverId,
 )
-from goldcrestyard.plugins.platform.settings import PlatformSettings
+from goldcrestyard.plugins.rentals.settings import RentalSettings
 from goldcrestyard.policy.demand import (
     RentedTarget,
     StartTargets,
@@ -33,7 +33,7 @@
     target: str | None = None
 
 
-def receiver_of(settings: PlatformSettings) -> Receiver:
+def receiver_of(settings: RentalSettings) -> Receiver:
     """Return the platform as a receiver of orders."""
     guards = Guards(
         settings.checks_fencing, settings.honours_keys, settings.can_look_up
--- a/goldcrestyard/plugins/platform/planner.py
+++ b/goldcrestyard/plugins/rentals/planner.py
@@ -19,19 +19,19 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.orders.placing import OrderDesk
 from goldcrestyard.plugins.orders.slices import OrdersSlice
-from goldcrestyard.plugins.platform.client import (
+from goldcrestyard.plugins.rentals.client import (
     ListedTarget,
     PlatformClient,
     Unavailable,
 )
-from goldcrestyard.plugins.platform.orders import (
+from goldcrestyard.plugins.rentals.orders import (
     PLATFORM,
     receiver_of,
     started_by,
     stopped_by,
     to_order,
 )
-from goldcrestyard.plugins.platform.settings import PlatformSettings
+from goldcrestyard.plugins.rentals.settings import RentalSettings
 from goldcrestyard.plugins.targets.commands import DrainTarget
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy import demand as policy
@@ -53,7 +53,7 @@
         desk: OrderDesk,
         client: PlatformClient,
         clock: Clock,
-        settings: PlatformSettings,
+        settings: RentalSettings,
         demand: Callable[[], Demand | None],
     ) -> None:
         self._member = member
--- a/goldcrestyard/plugins/platform/settings.py
+++ b/goldcrestyard/plugins/rentals/settings.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True)
-class PlatformSettings:
+class RentalSettings:
     """The ``[platform]`` section; only where targets are rented."""
 
     OPTIONAL: ClassVar[bool] = True
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -77,9 +77,9 @@
 
     @parameterized.expand(
         [
-            ("no_name", {"node": None}, "platform.E002"),
-            ("address", {"listen": {"ctl": "10.1.0.10"}}, "platform.E003"),
-            ("control_without_disk", {"data_dir": None}, "platform.E004"),
+            ("no_name", {"node": None}, "settings_file.E002"),
+            ("address", {"listen": {"ctl": "10.1.0.10"}}, "settings_file.E003"),
+            ("control_without_disk", {"data_dir": None}, "settings_file.E004"),
         ]
     )
     def test_fault(self, _: str, change: dict[str, Any], expected: str) -> None:
@@ -88,4 +88,4 @@
 
     def test_missing_file(self) -> None:
         _, problems = platform_settings.decode(Path("/nowhere/settings.json"))
-        self.assertEqual([problem.id for problem in problems], ["platform.E001"])
+        self.assertEqual([problem.id for problem in problems], ["settings_file.E001"])
--- a/tests/plugins/platform/test_planner.py
+++ b/tests/plugins/rentals/test_planner.py
@@ -21,14 +21,14 @@
 )
 from goldcrestyard.plugins.orders.placing import OrderDesk
 from goldcrestyard.plugins.orders.slices import OrdersSlice
-from goldcrestyard.plugins.platform.client import ListedTarget, ReclaimNotice
-from goldcrestyard.plugins.platform.demand_reports import (
+from goldcrestyard.plugins.rentals.client import ListedTarget, ReclaimNotice
+from goldcrestyard.plugins.rentals.demand_reports import (
     DemandReporter,
     DemandReports,
 )
-from goldcrestyard.plugins.platform.messages import ReportDemand
-from goldcrestyard.plugins.platform.planner import Planner
-from goldcrestyard.plugins.platform.settings import DataCentreTerms, PlatformSettings
+from goldcrestyard.plugins.rentals.messages import ReportDemand
+from goldcrestyard.plugins.rentals.planner import Planner
+from goldcrestyard.plugins.rentals.settings import DataCentreTerms, RentalSettings
 from goldcrestyard.plugins.targets.commands import AnnounceTarget, RemoveTarget
 from goldcrestyard.plugins.targets.homes import Load, TargetHome
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -92,7 +92,7 @@
             OrderDesk(self.member),
             self.platform,
             self.clock(),
-            PlatformSettings("127.0.0.1:1", terms, **options),
+            RentalSettings("127.0.0.1:1", terms, **options),
             lambda: self.demand,
         )
 
