--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -65,7 +65,10 @@
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
         app.router.add_route("*", "/{path:.*}", self._serve)
-        self._runner = web.AppRunner(app, handler_cancellation=True)
+        # A crash waits for no request.
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=0.01
+        )
         await self._runner.setup()
         site = web.TCPSite(self._runner, self.host, 0)
         await site.start()
--- a/tests/fleet/test_loading.py
+++ b/tests/fleet/test_loading.py
@@ -178,3 +178,6 @@
         self._name(3)
         await asyncio.sleep(30.0)
         self.assertEqual(engine.version, 3)
+        self._name(4)
+        await asyncio.sleep(5.0)
+        self.assertEqual(engine.version, 4)
--- /dev/null
+++ b/tests/fleet/test_serving_slice.py
@@ -0,0 +1,41 @@
+"""Tests of the newest configuration in the replicated state."""
+
+import unittest
+from dataclasses import replace
+
+from parameterized import parameterized
+
+from goldcrestyard.core.ids import ConfigVersion
+from goldcrestyard.fleet.serving.commands import PutServing
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from tests.fakes.member import apply, machine_of
+from tests.fakes.serving import CONFIG
+
+
+class ServingSliceTests(unittest.TestCase):
+    """Guards against a configuration that reverts."""
+
+    def setUp(self) -> None:
+        self.machine = machine_of(ServingSlice)
+        self.slice = self.machine.get(ServingSlice)
+        self._put(7, b"seven")
+
+    def _put(self, version: int, source: bytes) -> None:
+        config = replace(CONFIG, version=ConfigVersion(version))
+        apply(self.machine, PutServing(config, source))
+
+    @parameterized.expand(
+        [("lower", 6, b"seven"), ("same", 7, b"seven"), ("higher", 9, b"new")]
+    )
+    def test_highest_version_wins(self, _: str, version: int, expected: bytes) -> None:
+        self._put(version, b"new")
+        self.assertEqual(self.slice.source, expected)
+        assert self.slice.table is not None
+        self.assertEqual(self.slice.table.config.version, max(7, version))
+
+    def test_snapshot_holds_all(self) -> None:
+        copy = ServingSlice()
+        copy.load_snapshot(self.slice.to_snapshot())
+        assert copy.table is not None
+        self.assertEqual(copy.source, b"seven")
+        self.assertEqual(copy.table.config, self.slice.table.config)  # type: ignore[union-attr]
--- /dev/null
+++ b/tests/fleet/test_transcripts.py
@@ -0,0 +1,65 @@
+"""Tests of what the runs of an item have generated."""
+
+import unittest
+from dataclasses import dataclass
+
+from parameterized import parameterized
+
+from goldcrestyard.core.calls import StreamEvent
+from goldcrestyard.core.ids import EventNumber, WeightVersion
+from goldcrestyard.fleet.jobs.transcripts import Transcript
+
+
+def event(number: int, version: int | None = None) -> StreamEvent:
+    named = None if version is None else WeightVersion(version)
+    return StreamEvent(EventNumber(number), b"%d" % number, b"", named)
+
+
+@dataclass(frozen=True)
+class Case:
+    """Events that come, how many are taken, and the labels."""
+
+    name: str
+    events: tuple[StreamEvent, ...]
+    taken: int
+    versions: tuple[int, ...] = (3,)
+
+
+CASES = [
+    Case("in_order", (event(1), event(2), event(3)), 3),
+    Case("numbered_from_nought", (event(0), event(1)), 2),
+    Case("one_is_missing", (event(1), event(3)), 1),
+    Case("one_comes_twice", (event(1), event(2), event(2)), 2),
+    Case("new_version", (event(1), event(2, 4)), 2, (3, 4)),
+]
+
+
+class TranscriptTests(unittest.TestCase):
+    """Guards against text with a gap, and versions that did not make it."""
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    def test_events(self, _: str, case: Case) -> None:
+        transcript = Transcript()
+        transcript.begin_run(WeightVersion(3))
+        refused = [transcript.add(given) for given in case.events]
+        self.assertEqual(refused.count(None), case.taken)
+        self.assertEqual(len(transcript.events), case.taken)
+        self.assertEqual(tuple(sorted(transcript.versions)), case.versions)
+
+    def test_run_without_a_version_gives_no_event(self) -> None:
+        transcript = Transcript()
+        transcript.begin_run(None)
+        self.assertIsNotNone(transcript.add(event(1)))
+        self.assertEqual(transcript.events, [])
+
+    def test_goes_on_from_what_was_kept(self) -> None:
+        first = Transcript()
+        first.begin_run(WeightVersion(3))
+        for number in (1, 2):
+            first.add(event(number))
+        restored = Transcript.restore(first.unsaved())
+        restored.begin_run(WeightVersion(4))
+        self.assertIsNotNone(restored.add(event(4)))
+        self.assertIsNone(restored.add(event(3)))
+        rest = restored.unsaved()
+        self.assertEqual((rest.kept, rest.events, rest.versions), (2, (b"3",), (3, 4)))
