--- a/goldcrestyard/membership/subscription.py
+++ b/goldcrestyard/membership/subscription.py
@@ -41,6 +41,8 @@
         clock: Clock,
         control_addresses: ControlAddresses,
         digests: EntryDigests,
+        renew_seconds: float = RENEW_INTERVAL_SECONDS,
+        renew_timeout_seconds: float = RENEW_TIMEOUT_SECONDS,
     ) -> None:
         self._view = view
         self._link = link
@@ -48,6 +50,8 @@
         self._clock = clock
         self._addresses = control_addresses
         self._digests = digests
+        self._renew_seconds = renew_seconds
+        self._renew_timeout_seconds = renew_timeout_seconds
         self._applied = asyncio.Event()
         self.draining = False
 
@@ -79,7 +83,7 @@
         try:
             async with self._dialer.connect(self._addresses[instance]) as connection:
                 reply = await connection.request(
-                    Subscribe(self._view.revision), RENEW_TIMEOUT_SECONDS
+                    Subscribe(self._view.revision), self._renew_timeout_seconds
                 )
                 match reply:
                     case SubscribeReply():
@@ -101,7 +105,7 @@
                 renew = Renew(
                     self._view.revision, self.draining, self._digests.collect()
                 )
-                reply = await connection.request(renew, RENEW_TIMEOUT_SECONDS)
+                reply = await connection.request(renew, self._renew_timeout_seconds)
                 match reply:
                     case RenewReply(lease_seconds=lease_seconds):
                         self._view.grant(sent_at, lease_seconds)
@@ -125,7 +129,7 @@
         """Wait for the interval, or less if changes are to be confirmed."""
         self._applied.clear()
         try:
-            async with asyncio.timeout(RENEW_INTERVAL_SECONDS):
+            async with asyncio.timeout(self._renew_seconds):
                 await self._applied.wait()
         except TimeoutError:
             pass
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -30,6 +30,13 @@
 DRAIN_SHARE = 0.9
 """Share of the time before a process is killed that it may use to stop."""
 
+CONNECT_SECONDS = 0.5
+RENEW_SECONDS = 0.5
+RENEW_TIMEOUT_SECONDS = 0.6
+"""An entry notices within 1.1 s that its leader has fallen silent, about as
+long as the others need to elect the next one.  Twenty round trips between
+regions."""
+
 HEARTBEAT_SECONDS = 0.1
 LEASE_SECONDS = 0.5
 ELECTION_SECONDS = 0.62
@@ -118,8 +125,14 @@
             Region(document.region),
             drain_seconds=bounds.grace_s * DRAIN_SHARE,
         ),
-        "cluster": ClusterSettings("goldcrestyard", "", seeds, peer_address),
-        "entry": EntrySettings(bounds.revoke_ms / 1000 * KEY_LEASE_SHARE),
+        "cluster": ClusterSettings(
+            "goldcrestyard", "", seeds, peer_address, CONNECT_SECONDS
+        ),
+        "entry": EntrySettings(
+            bounds.revoke_ms / 1000 * KEY_LEASE_SHARE,
+            RENEW_SECONDS,
+            RENEW_TIMEOUT_SECONDS,
+        ),
         "listeners": ListenerSettings(document.listen.get("front", ""), ""),
         "listening": ListeningSettings(document.listen, document.cloud.addr),
         "assembly": AssemblySettings(
--- a/goldcrestyard/plugins/entry/apps.py
+++ b/goldcrestyard/plugins/entry/apps.py
@@ -35,6 +35,7 @@
         view = app.provide(EntryView, EntryView(machine, codec, app.clock))
         instance = app.settings.section(InstanceSettings).id
         link = app.provide(LeaderLink, LeaderLink(instance, codec))
+        settings = app.settings.section(EntrySettings)
         members = app.settings.section(ClusterSettings).control_members
         subscription = Subscription(
             view,
@@ -43,6 +44,8 @@
             app.clock,
             app.provide(ControlAddresses, ControlAddresses(members)),
             app.provide(EntryDigests, EntryDigests()),
+            settings.renew_seconds,
+            settings.renew_timeout_seconds,
         )
 
         subscription.register(app.get(Handlers))
--- a/goldcrestyard/plugins/entry/settings.py
+++ b/goldcrestyard/plugins/entry/settings.py
@@ -14,3 +14,11 @@
         "leader, in seconds; the same on every instance.",
         5.0,
     )
+    renew_seconds: float = setting(
+        "Interval at which an entry renews its lease, in seconds.", 1.0
+    )
+    renew_timeout_seconds: float = setting(
+        "How long an entry waits for the leader's answer to a renewal before it "
+        "looks for another leader, in seconds.",
+        2.0,
+    )
--- a/goldcrestyard/plugins/peers/apps.py
+++ b/goldcrestyard/plugins/peers/apps.py
@@ -35,7 +35,9 @@
         codec = app.provide(Codec, Codec())
         codec.register(*app.message_classes)
         handlers = app.provide(Handlers, Handlers())
-        app.provide(PeerDialer, PeerDialer(identity, codec, handlers))
+        app.provide(
+            PeerDialer, PeerDialer(identity, codec, handlers, cluster.connect_seconds)
+        )
         app.provide(PeerServer, PeerServer(identity, codec, handlers))
 
     async def serve(self, app: Application) -> None:
--- a/goldcrestyard/plugins/peers/settings.py
+++ b/goldcrestyard/plugins/peers/settings.py
@@ -20,6 +20,10 @@
     )
     peer_address: str = setting("Address (host:port) of this instance's peer listener.")
 
+    connect_seconds: float = setting(
+        "Longest time to connect to another instance, in seconds.", 3.0
+    )
+
     def read_secret(self) -> bytes:
         """Return the secret; empty where the deployment has none."""
         if not self.secret_file:
--- a/goldcrestyard/wire/client.py
+++ b/goldcrestyard/wire/client.py
@@ -12,6 +12,7 @@
 from goldcrestyard.wire.codec import Codec, CodecError
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.limits import (
+    CLOSE_SECONDS,
     CONNECT_SECONDS,
     HANDSHAKE_SECONDS,
     MAX_FRAME_BYTES,
@@ -46,11 +47,16 @@
     """Opens authenticated connections to peers."""
 
     def __init__(
-        self, identity: handshake.Identity, codec: Codec, handlers: Handlers
+        self,
+        identity: handshake.Identity,
+        codec: Codec,
+        handlers: Handlers,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> None:
         self._identity = identity
         self._codec = codec
         self._handlers = handlers
+        self._connect_seconds = connect_seconds
 
     @asynccontextmanager
     async def connect(self, address: PeerAddress) -> AsyncIterator[PeerConnection]:
@@ -63,8 +69,8 @@
                 f"ws://{address}",
                 compression=None,
                 max_size=MAX_FRAME_BYTES,
-                open_timeout=CONNECT_SECONDS,
-                close_timeout=1.0,
+                open_timeout=self._connect_seconds,
+                close_timeout=min(CLOSE_SECONDS, self._connect_seconds / 2),
                 ping_interval=PING_INTERVAL_SECONDS,
                 ping_timeout=PING_TIMEOUT_SECONDS,
                 proxy=None,
@@ -87,7 +93,9 @@
             self._identity.cluster, self._identity.instance, handshake.new_nonce()
         )
         try:
-            async with asyncio.timeout(HANDSHAKE_SECONDS):
+            async with asyncio.timeout(
+                min(HANDSHAKE_SECONDS, 2 * self._connect_seconds)
+            ):
                 await socket.send(self._codec.encode(hello))
                 reply = self._codec.decode(await socket.recv(decode=False))
                 if not isinstance(reply, HelloReply) or not handshake.check_accepting(
