--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -12,12 +12,8 @@
 
 import structlog
 
-from goldcrestyard.consensus.configuration import (
-    Configuration,
-    MemberId,
-    MemberRecord,
-)
-from goldcrestyard.consensus.disk import FIRST_INDEX, MemberDisk
+from goldcrestyard.consensus.configuration import MemberId, MemberRecord
+from goldcrestyard.consensus.disk import MemberDisk
 from goldcrestyard.consensus.events import (
     AddLearner,
     Appended,
@@ -34,6 +30,7 @@
     SnapshotTaken,
     Tick,
 )
+from goldcrestyard.consensus.founding import founding_entry
 from goldcrestyard.consensus.link import (
     ANSWER_SECONDS,
     Dialer,
@@ -42,6 +39,7 @@
     MemberLink,
     Received,
 )
+from goldcrestyard.consensus.links import MemberLinks
 from goldcrestyard.consensus.member import Member, SavedState, Timing, saves
 from goldcrestyard.consensus.messages import (
     Entry,
@@ -49,6 +47,7 @@
     MemberMessage,
     Snapshot,
 )
+from goldcrestyard.consensus.proposals import WaitingProposals
 from goldcrestyard.consensus.records import (
     LoggedCommand,
     MachineSnapshot,
@@ -61,6 +60,7 @@
     ProposalResult,
 )
 from goldcrestyard.consensus.roles import Role
+from goldcrestyard.consensus.status import MemberStatus, status_of
 from goldcrestyard.core.ids import (
     CorrelationId,
     InstanceId,
@@ -76,7 +76,6 @@
 from goldcrestyard.storage.exceptions import DiskError
 from goldcrestyard.storage.files import DiskFiles, Files
 from goldcrestyard.storage.folder_lock import FolderLock
-from goldcrestyard.wire.client import PeerAddress
 from goldcrestyard.wire.codec import Codec
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import Failure, NotLeader
@@ -89,18 +88,6 @@
 REPLACE_POLL_SECONDS = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class MemberStatus:
-    """What operators see of a member; the last two only on the leader."""
-
-    id: MemberId
-    instance: InstanceId
-    address: str
-    role: Role
-    matched_index: LogIndex | None
-    last_contact_seconds: float | None
-
-
 @dataclass(frozen=True, slots=True)
 class _Joined:
     """A cluster's member has addressed this one, which has none yet."""
@@ -149,7 +136,6 @@
         self._folder = data_folder
         self._codec = codec
         self._clock = clock
-        self._dialer = dialer
         self._named = dict(addresses_by_instance)
         self._own_address = self._named.get(instance, own_address)
         self._timing = timing
@@ -165,13 +151,18 @@
         self._encoder = make_executor()
         self._markers: list[_Marker] = []
         self._answers_by_member: dict[MemberId, list[bytes]] = {}
-        self._links_by_instance: dict[InstanceId, MemberLink] = {}
-        self._instances_by_member: dict[MemberId, InstanceId] = {}
+        self._links = MemberLinks(
+            instance,
+            self._named,
+            dialer,
+            self._identity,
+            self._on_identity,
+            self._on_messages,
+            self._run_link,
+        )
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._ended: asyncio.Future[None] | None = None
-        self._next_number = 0
-        self._queued: dict[int, asyncio.Future[ProposalResult]] = {}
-        self._appended: dict[LogIndex, asyncio.Future[ProposalResult]] = {}
+        self._proposals = WaitingProposals()
         self._last_time = 0.0
         self._applied_index = LogIndex(0)
         self._snapshot_index = LogIndex(0)
@@ -278,7 +269,7 @@
         saved = await loop.run_in_executor(self._writer, self._load)
         self._begin(saved)
         for instance, address in self._named.items():
-            self._ensure_link(instance, address)
+            self._links.ensure(instance, address)
         await self._form_if_complete()
         self._spawn("control member", self._run())
 
@@ -336,12 +327,7 @@
         """Step down and answer nothing from now on."""
         self._failure = detail
         self._core = None
-        for future in self._queued.values():
-            _resolve(future, NotProposed(detail))
-        for future in self._appended.values():
-            _resolve(future, InDoubt(detail))
-        self._queued.clear()
-        self._appended.clear()
+        self._proposals.end(detail)
         self._notice_change()
 
     # Proposals.
@@ -354,7 +340,7 @@
             return NotProposed("this member does not lead", self.leader)
         if not self._serving:
             return NotProposed("this leader has not applied the log yet", self.leader)
-        if len(self._queued) >= MAX_WAITING_PROPOSALS:
+        if self._proposals.queued >= MAX_WAITING_PROPOSALS:
             return NotProposed("too many proposals are waiting", self.instance)
         self._last_time = max(self._last_time, self._clock.wall())
         logged = LoggedCommand(
@@ -366,12 +352,7 @@
     async def _submit(self, make_event: Callable[[int], Event]) -> ProposalResult:
         if self._core is None:
             return NotProposed(self._failure or "the member has not started")
-        self._next_number += 1
-        number = self._next_number
-        future: asyncio.Future[ProposalResult] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._queued[number] = future
+        number, future = self._proposals.add()
         self._queue.put_nowait(make_event(number))
         return await future
 
@@ -382,13 +363,14 @@
         core = self._core
         if core is None:
             return []
-        return [self._status(core, member) for member in core.configuration.members]
+        now = self._clock.monotonic()
+        return [status_of(core, member, now) for member in core.configuration.members]
 
     async def add_learner(
         self, instance: InstanceId, address: str, timeout: float = 10.0
     ) -> ProposalResult:
         """Add an instance that receives the log but does not vote yet."""
-        link = self._ensure_link(instance, address)
+        link = self._links.ensure(instance, address)
         deadline = self._clock.monotonic() + timeout
         while self._core is not None and self._clock.monotonic() < deadline:
             identity = link.identity if link is not None else None
@@ -490,22 +472,6 @@
                 return member
         return None
 
-    def _status(self, core: Member, member: MemberRecord) -> MemberStatus:
-        role = Role.FOLLOWER if member.voter else Role.LEARNER
-        if member.id == core.leader:
-            role = Role.LEADER
-        matched: LogIndex | None = None
-        contact: float | None = None
-        progress = core.progress_by_id.get(member.id)
-        if member.id == core.id:
-            matched, contact = core.log.last_index, 0.0
-        elif progress is not None:
-            matched = progress.match_index
-            contact = self._clock.monotonic() - progress.contacted_at
-        return MemberStatus(
-            member.id, member.instance, member.address, role, matched, contact
-        )
-
     # The task that owns the core.
 
     async def _run(self) -> None:
@@ -556,7 +522,7 @@
         # Proposals in the log may commit even if the disk fails now.
         for effect in effects:
             if isinstance(effect, Appended):
-                self._appended[effect.index] = self._queued.pop(effect.number)
+                self._proposals.append(effect.number, effect.index)
         saved = saves(effects)
         if saved:
             loop = asyncio.get_running_loop()
@@ -571,12 +537,11 @@
                 case LoadSnapshot(snapshot=snapshot):
                     self._restore(snapshot)
                 case Refused(number=number, detail=detail):
-                    _resolve(self._queued.pop(number), NotProposed(detail, self.leader))
+                    self._proposals.refuse(number, detail, self.leader)
         self._notice_change()
         self._take_snapshot_if_due()
 
     def _apply(self, entry: Entry) -> None:
-        future = self._appended.pop(entry.index, None)
         outcome: object = Accepted()
         if entry.kind is EntryKind.COMMAND:
             envelope = to_envelope(self._codec, entry.payload)
@@ -585,8 +550,7 @@
             outcome = applied.outcome
         self.machine.applied_index = entry.index
         self._applied_index = entry.index
-        if future is not None:
-            _resolve(future, Applied(entry.index, outcome))
+        self._proposals.apply(entry.index, outcome)
 
     def _notice_change(self) -> None:
         core = self._core
@@ -596,11 +560,9 @@
             leads = core.role is Role.LEADER
             seen = (core.term, core.leader, leads, core.ready)
             if not leads or (self._seen and self._seen[0] != core.term):
-                for future in self._appended.values():
-                    _resolve(future, InDoubt("this member has lost the lead"))
-                self._appended.clear()
+                self._proposals.doubt("this member has lost the lead")
             for member in core.configuration.members:
-                self._ensure_link(member.instance, member.address)
+                self._links.ensure(member.instance, member.address)
         if seen == self._seen:
             return
         self._seen = seen
@@ -668,25 +630,10 @@
             record = self._core.configuration.find(member_id)
             if record is not None:
                 return record.instance
-        return self._instances_by_member.get(member_id)
+        return self._links.instance_of(member_id)
 
-    def _ensure_link(self, instance: InstanceId, address: str) -> MemberLink | None:
-        """Return the link to an instance; the settings' address goes first."""
-        if instance == self.instance:
-            return None
-        link = self._links_by_instance.get(instance)
-        if link is None:
-            link = MemberLink(
-                instance,
-                PeerAddress.parse(self._named.get(instance, address)),
-                self._dialer,
-                self._identity,
-                self._on_identity,
-                self._on_messages,
-            )
-            self._links_by_instance[instance] = link
-            self._spawn(f"link to {instance}", link.run())
-        return link
+    def _run_link(self, link: MemberLink) -> None:
+        self._spawn(f"link to {link.instance}", link.run())
 
     def _send(self, receiver: MemberId, message: MemberMessage) -> None:
         answers = self._answers_by_member.get(receiver)
@@ -694,12 +641,10 @@
             answers.append(self._codec.encode(message))
             return
         instance = self._instance_of(receiver)
-        link = self._links_by_instance.get(instance) if instance is not None else None
-        if link is not None:
-            link.send(receiver, self._codec.encode(message))
+        if instance is not None:
+            self._links.send(instance, receiver, self._codec.encode(message))
 
-    def _on_identity(self, instance: InstanceId, identity: MemberIdentity) -> None:
-        self._instances_by_member[identity.member] = instance
+    def _on_identity(self) -> None:
         if not self._disk.cluster:
             self._queue.put_nowait(_IdentityLearned())
 
@@ -708,8 +653,8 @@
     ) -> object:
         if self._core is None:
             return _stopped(self._failure)
-        self._instances_by_member[message.member] = connection.peer
-        self._ensure_link(connection.peer, message.address)
+        self._links.note(message.member, connection.peer)
+        self._links.ensure(connection.peer, message.address)
         return self._identity()
 
     async def _on_batch(self, batch: MemberBatch, connection: PeerConnection) -> object:
@@ -717,7 +662,7 @@
             return _stopped(self._failure)
         own = self._disk.member_id
         if batch.receiver == own:
-            self._instances_by_member[batch.sender] = connection.peer
+            self._links.note(batch.sender, connection.peer)
             if not self._disk.cluster:
                 self._queue.put_nowait(_Joined(batch.cluster))
             elif batch.cluster == self._disk.cluster:
@@ -753,34 +698,16 @@
     # Formation of a new cluster.
 
     async def _form_if_complete(self) -> None:
-        """Found the cluster if every named member's disk is empty.
-
-        Only the first of them by name does, and only once all others have
-        said that they belong to no cluster and name the same members.  A
-        member that lost its disk finds the others in a cluster, and waits
-        to be readmitted.
-        """
+        """Found the cluster; only the first named member does, by name."""
         first = min(self._named, default=None)
         if self._disk.cluster or first != self.instance or self._core is None:
             return
-        named = tuple(sorted(self._named))
-        records = []
-        for instance in named:
-            identity: MemberIdentity | None = self._identity()
-            if instance != self.instance:
-                identity = self._links_by_instance[instance].identity
-            if identity is None or identity.cluster or identity.named != named:
-                return
-            address = self._named[instance]
-            records.append(MemberRecord(identity.member, instance, address, True))
-        entry = Entry(
-            Term(1),
-            FIRST_INDEX,
-            EntryKind.CONFIGURATION,
-            b"",
-            Configuration(tuple(records)),
-        )
-        logger.info("founding the cluster", members=named)
+        identities = self._links.identities_by_instance()
+        identities[self.instance] = self._identity()
+        entry = founding_entry(self._named, identities)
+        if entry is None:
+            return
+        logger.info("founding the cluster", members=tuple(sorted(self._named)))
         loop = asyncio.get_running_loop()
         cluster = secrets.token_hex(8)
         self._begin(
@@ -795,10 +722,5 @@
         await loop.run_in_executor(self._writer, self._disk.join, cluster)
 
 
-def _resolve(future: asyncio.Future[ProposalResult], result: ProposalResult) -> None:
-    if not future.done():
-        future.set_result(result)
-
-
 def _stopped(detail: str) -> Failure:
     return Failure(RefusalReason.NO_LEADER, detail, Verdict.NOT_RUN)
--- /dev/null
+++ b/goldcrestyard/consensus/founding.py
@@ -0,0 +1,36 @@
+"""When the named members found a cluster, and with which first entry."""
+
+from collections.abc import Mapping
+
+from goldcrestyard.consensus.configuration import Configuration, MemberRecord
+from goldcrestyard.consensus.disk import FIRST_INDEX
+from goldcrestyard.consensus.link import MemberIdentity
+from goldcrestyard.consensus.messages import Entry, EntryKind
+from goldcrestyard.core.ids import InstanceId, Term
+
+
+def founding_entry(
+    addresses_by_instance: Mapping[InstanceId, str],
+    identities_by_instance: Mapping[InstanceId, MemberIdentity],
+) -> Entry | None:
+    """Return the first entry if every named member's disk is empty.
+
+    All members must have said that they belong to no cluster and name the
+    same members.  A member that lost its disk finds the others in a cluster,
+    and waits to be readmitted.
+    """
+    named = tuple(sorted(addresses_by_instance))
+    records = []
+    for instance in named:
+        identity = identities_by_instance.get(instance)
+        if identity is None or identity.cluster or identity.named != named:
+            return None
+        address = addresses_by_instance[instance]
+        records.append(MemberRecord(identity.member, instance, address, True))
+    return Entry(
+        Term(1),
+        FIRST_INDEX,
+        EntryKind.CONFIGURATION,
+        b"",
+        Configuration(tuple(records)),
+    )
--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -50,19 +50,15 @@
     Vote,
     VoteReply,
 )
+from goldcrestyard.consensus.progress import (
+    BATCH_BYTES,
+    NEVER,
+    PartialSnapshot,
+    Progress,
+)
 from goldcrestyard.consensus.roles import Role, RoleMachine
 from goldcrestyard.core.ids import LogIndex, Term
 
-NEVER = float("-inf")
-
-BATCH_BYTES = 256 * 1024
-"""Bound on the entries in one message, so that at 225 Mbit/s a message takes
-about 10 ms and does not delay a heartbeat."""
-
-BATCH_ENTRIES = 1024
-UNANSWERED_ENTRIES = 4096
-"""Bound on entries sent ahead of a follower's replies."""
-
 CAUGHT_UP_ENTRIES = 64
 """A learner with at most this many entries missing may become a voter."""
 
@@ -91,29 +87,6 @@
     entries: tuple[Entry, ...] = ()
 
 
-@dataclass(slots=True)
-class Progress:
-    """What a leader knows of one other member."""
-
-    next_index: LogIndex
-    match_index: LogIndex = LogIndex(0)
-    acknowledged_sent_at: float = NEVER
-    """Latest sending time of a message that the member has answered."""
-    contacted_at: float = NEVER
-    snapshot_index: LogIndex | None = None
-    snapshot_offset: int = 0
-
-
-@dataclass(slots=True)
-class PartialSnapshot:
-    """The chunks of a snapshot received so far."""
-
-    sender: MemberId
-    term: Term
-    index: LogIndex
-    data: bytearray
-
-
 class Member:
     """One member's state; only ``step`` changes it."""
 
@@ -459,7 +432,7 @@
             progress.snapshot_offset = 0
             self._send_chunk(now, member_id, progress)
             return
-        entries = self._batch(progress)
+        entries = progress.next_batch(self.log)
         if not entries and not heartbeat:
             return
         progress.next_index = LogIndex(previous + len(entries) + 1)
@@ -468,34 +441,15 @@
             Append(self.term, previous, previous_term, entries, self.commit_index, now),
         )
 
-    def _batch(self, progress: Progress) -> tuple[Entry, ...]:
-        if progress.next_index - progress.match_index > UNANSWERED_ENTRIES:
-            return ()
-        last = min(self.log.last_index, progress.next_index + BATCH_ENTRIES - 1)
-        entries = self.log.between(progress.next_index, LogIndex(last))
-        size = 0
-        for count, entry in enumerate(entries):
-            size += len(entry.payload)
-            if size > BATCH_BYTES and count > 0:
-                return entries[:count]
-        return entries
-
     def _take_append_reply(
         self, now: float, sender: MemberId, progress: Progress, reply: AppendReply
     ) -> None:
         if reply.accepted:
-            progress.match_index = max(progress.match_index, reply.match_index)
-            progress.next_index = LogIndex(
-                max(progress.next_index, progress.match_index + 1)
-            )
+            progress.match(reply.match_index)
             self._advance_commit(now)
         else:
             found = self.log.last_index_of_term(reply.conflict_term)
-            retry = reply.match_index if found is None else found + 1
-            # A delayed refusal must neither skip entries nor repeat those
-            # that the member is known to have.
-            retry = max(min(retry, progress.next_index), progress.match_index + 1)
-            progress.next_index = LogIndex(retry)
+            progress.retry_from(reply.match_index if found is None else found + 1)
         if self.role is Role.LEADER:
             self._send_entries(now, sender, progress)
 
@@ -523,10 +477,7 @@
         self, now: float, sender: MemberId, progress: Progress, reply: SnapshotReply
     ) -> None:
         if reply.installed:
-            progress.match_index = max(progress.match_index, reply.index)
-            progress.next_index = LogIndex(
-                max(progress.next_index, progress.match_index + 1)
-            )
+            progress.match(reply.index)
             if reply.index == progress.snapshot_index:
                 progress.snapshot_index = None
                 progress.next_index = LogIndex(progress.match_index + 1)
@@ -637,28 +588,13 @@
         if message.index <= self.commit_index:
             self._reply_to_chunk(sender, message, message.total, installed=True)
             return
-        partial = self._partial
-        if (
-            partial is None
-            or (partial.sender, partial.term) != (sender, message.term)
-            or partial.index != message.index
-        ):
-            partial = PartialSnapshot(sender, message.term, message.index, bytearray())
-            self._partial = partial
-        if message.offset == len(partial.data):
-            partial.data += message.data
-        received = len(partial.data)
+        if self._partial is None or not self._partial.continues(sender, message):
+            self._partial = PartialSnapshot(sender, message.term, message.index)
+        received = self._partial.add(message)
         if received < message.total:
             self._reply_to_chunk(sender, message, received, installed=False)
             return
-        self._install(
-            Snapshot(
-                message.index,
-                message.snapshot_term,
-                message.configuration,
-                bytes(partial.data),
-            )
-        )
+        self._install(self._partial.to_snapshot(message))
         self._reply_to_chunk(sender, message, received, installed=True)
 
     def _install(self, snapshot: Snapshot) -> None:
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -42,11 +42,6 @@
             self._random,
         )
 
-    def is_ready(self, target: Target) -> bool:
-        """Return whether a target still takes new work."""
-        known = self._targets.find(target.id)
-        return known is not None and known == target
-
     @contextmanager
     def sending(self, target: Target) -> Iterator[CallFacts]:
         """Count a call while it is at a target."""
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from goldcrestyard.core.ids import OrganisationId, ServiceName
+from goldcrestyard.core.ids import ServiceName
 from goldcrestyard.core.serving import (
     ServedOrganisation,
     ServedService,
@@ -73,19 +73,10 @@
                 return route
         return None
 
-    def serves_host(self, host: str) -> bool:
-        """Return whether any route has a host."""
-        host = normal_host(host)
-        return any(known == host for known, _ in self._routes_by_place)
-
     def organisation(self, key: str) -> ServedOrganisation | None:
         """Return the organisation that holds a key, or None."""
         return self._organisations_by_key.get(key)
 
-    def organisation_ids(self) -> list[OrganisationId]:
-        """Return all organisations."""
-        return [organisation.id for organisation in self.config.organisations]
-
 
 def pick_service(route: ServingRoute, source: random.Random) -> ServiceName:
     """Draw one of a route's services by weight."""
