Ask control members at the addresses of an entry's own settings

Cause: an entry took the leader's address from the members' list, where it stands as the founder reaches it, over its own setting. When the founder is cut off, the other side could not reach the new leader that way. On the users' platform a member's id is its address, so that both are the same there.

--- a/goldcrestyard/membership/control_addresses.py
+++ b/goldcrestyard/membership/control_addresses.py
@@ -13,11 +13,13 @@
 class ControlAddresses(Mapping[InstanceId, PeerAddress]):
     """Peer addresses by instance; it grows while the process runs.
 
-    What was learned is kept beside the addresses of the settings: those may
-    be of members that have long been replaced.
+    What was learned is kept beside the addresses of the settings, which may
+    be of members that have long been replaced.  For a member that the
+    settings name, they go first: each instance may have its own way to it.
     """
 
     def __init__(self, addresses_by_id: Mapping[InstanceId, str]) -> None:
+        self._named = frozenset(addresses_by_id)
         self._addresses_by_id = {
             instance: PeerAddress.parse(address)
             for instance, address in addresses_by_id.items()
@@ -34,6 +36,8 @@
 
     def learn(self, instance: InstanceId, address: str) -> None:
         """Keep the address of a further member."""
+        if instance in self._named:
+            return
         parsed = PeerAddress.parse(address)
         if self._addresses_by_id.get(instance) != parsed:
             logger.info("control member learned", member=instance, address=address)
