Serve calls, streams and items with one bounded wait; describe an entry once

Live streams and item runs each had their own timeout around the opening of a reply and around the next event; both now call fleet/bounded_replies.py with their own bounds. Calls and streams built the same TargetCall field by field: Admitted.to_call does. The plug-ins addresses and directory both described their own entry from the settings: own_entry does. A parameter typed str is a ServiceName, which makes an ignored type error unnecessary.

--- a/goldcrestyard/fleet/directory/apps.py
+++ b/goldcrestyard/fleet/directory/apps.py
@@ -5,15 +5,16 @@
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
-from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
-from goldcrestyard.plugins.addresses.announcing import EntryAnnouncer, remove_lost
+from goldcrestyard.plugins.addresses.announcing import (
+    EntryAnnouncer,
+    own_entry,
+    remove_lost,
+)
 from goldcrestyard.plugins.addresses.commands import EntriesSnapshot, Entry
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
-from goldcrestyard.plugins.listeners.settings import ListenerSettings
-from goldcrestyard.plugins.peers.settings import ClusterSettings
 
 LOST_SECONDS = 2.0
 """An entry without a lease for this long is not named to callers, who try
@@ -41,7 +42,7 @@
         if view is not None:
             announcer = app.provide(
                 EntryAnnouncer,
-                EntryAnnouncer(_entry_of(app), view, app.get(LeaderLink)),
+                EntryAnnouncer(own_entry(app), view, app.get(LeaderLink)),
             )
             app.spawn(announcer.run(), "announce this entry")
         member = app.find(ControlMember)
@@ -58,16 +59,3 @@
         announcer = app.find(EntryAnnouncer)
         if announcer is not None:
             app.spawn(announcer.mark_draining(), "withdraw this entry")
-
-
-def _entry_of(app: Application) -> Entry:
-    instance = app.settings.section(InstanceSettings)
-    listeners = app.settings.section(ListenerSettings)
-    return Entry(
-        instance.id,
-        listeners.public,
-        listeners.admin,
-        instance.data_centre,
-        instance.region,
-        peer_address=app.settings.section(ClusterSettings).peer_address,
-    )
--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from goldcrestyard.core.calls import Headers
-from goldcrestyard.core.ids import OrganisationId, RequestId
+from goldcrestyard.core.calls import Headers, TargetCall
+from goldcrestyard.core.ids import EventNumber, OrganisationId, RequestId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.fleet.serving.slices import ServingSlice
@@ -41,6 +41,20 @@
     deadline: float
     """On the monotonic clock."""
 
+    def to_call(self, resume_after: EventNumber | None = None) -> TargetCall:
+        """Return the request as it goes to a target."""
+        return TargetCall(
+            self.request.id,
+            self.request.method,
+            self.request.host,
+            self.request.path_and_query,
+            self.request.headers,
+            self.request.body,
+            self.organisation,
+            resume_after,
+            self.route.repeatable,
+        )
+
 
 class Admission:
     """Finds the route of each request and checks its key."""
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -7,8 +7,8 @@
 import structlog
 
 from goldcrestyard.core.attempts import AttemptFailure, Unreached, verdict_on
-from goldcrestyard.core.calls import Headers, TargetCall, TargetClient
-from goldcrestyard.core.ids import TargetId
+from goldcrestyard.core.calls import Headers, TargetClient
+from goldcrestyard.core.ids import ServiceName, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
@@ -137,7 +137,7 @@
         self,
         admitted: Admitted,
         progress: _Progress,
-        service: str,
+        service: ServiceName,
         running: dict[asyncio.Task[CallAnswer | AttemptFailure], Target],
     ) -> Target | None:
         """Return where the request goes next, or None if nowhere."""
@@ -151,28 +151,18 @@
             return None
         if admitted.deadline - self._clock.monotonic() < LEAST_SECONDS:
             return None
-        return self._router.choose(service, progress.tried)  # type: ignore[arg-type]
+        return self._router.choose(service, progress.tried)
 
     async def _attempt(
         self, admitted: Admitted, target: Target, *, hedged: bool
     ) -> CallAnswer | AttemptFailure:
         request = admitted.request
-        call = TargetCall(
-            request.id,
-            request.method,
-            request.host,
-            request.path_and_query,
-            request.headers,
-            request.body,
-            admitted.organisation,
-            repeatable=admitted.route.repeatable,
-        )
         began = self._clock.monotonic()
         began_wall = self._clock.wall()
         outcome: CallAnswer | AttemptFailure
         with self._router.sending(target) as facts:
             async with self._client.open(
-                target, call, admitted.deadline - began
+                target, admitted.to_call(), admitted.deadline - began
             ) as reply:
                 if isinstance(reply, AttemptFailure):
                     outcome = reply
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -1,6 +1,5 @@
 """Streams: a target's events, passed on as they come."""
 
-import asyncio
 import random
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -12,7 +11,6 @@
 from goldcrestyard.core.attempts import AttemptFailure, Broken, Unreached
 from goldcrestyard.core.calls import (
     Headers,
-    TargetCall,
     TargetClient,
     TargetReply,
 )
@@ -20,6 +18,7 @@
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.fleet.bounded_replies import next_within, open_within
 from goldcrestyard.fleet.gateway.admission import (
     RETRY_SECONDS,
     Admission,
@@ -114,23 +113,15 @@
         self, admitted: Admitted, target: Target, stream: _Stream, sink: StreamSink
     ) -> StreamEnd | AttemptFailure:
         request = admitted.request
-        call = TargetCall(
-            request.id,
-            request.method,
-            request.host,
-            request.path_and_query,
-            request.headers,
-            request.body,
-            admitted.organisation,
-            stream.last,
-            admitted.route.repeatable,
-        )
+        call = admitted.to_call(stream.last)
         began = self._clock.monotonic()
         seconds_left = admitted.deadline - began
         outcome: StreamEnd | AttemptFailure
         with self._router.sending(target) as facts:
             async with AsyncExitStack() as stack:
-                reply = await self._open(stack, target, call, seconds_left)
+                reply = await open_within(
+                    SILENT_SECONDS, stack, self._client, target, call, seconds_left
+                )
                 if isinstance(reply, AttemptFailure):
                     outcome = reply
                 elif reply.status >= 300:
@@ -151,20 +142,6 @@
         )
         return outcome
 
-    async def _open(
-        self,
-        stack: AsyncExitStack,
-        target: Target,
-        call: TargetCall,
-        seconds_left: float,
-    ) -> TargetReply | AttemptFailure:
-        try:
-            async with asyncio.timeout(SILENT_SECONDS):
-                opening = self._client.open(target, call, seconds_left)
-                return await stack.enter_async_context(opening)
-        except TimeoutError:
-            return Broken(f"no answer for {SILENT_SECONDS} s")
-
     async def _pass_failure(
         self, reply: TargetReply, stream: _Stream, sink: StreamSink
     ) -> StreamEnd | AttemptFailure:
@@ -187,11 +164,7 @@
     ) -> StreamEnd | AttemptFailure:
         events = reply.events()
         while True:
-            try:
-                async with asyncio.timeout(SILENT_SECONDS):
-                    event = await anext(events, None)
-            except TimeoutError:
-                return Broken(f"no event for {SILENT_SECONDS} s")
+            event = await next_within(SILENT_SECONDS, events)
             if event is None:
                 return StreamEnd.WHOLE
             if isinstance(event, Broken):
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -1,6 +1,5 @@
 """One run of one item at one engine."""
 
-import asyncio
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
@@ -14,6 +13,7 @@
 from goldcrestyard.core.ids import RequestId, WeightVersion
 from goldcrestyard.core.jobs import Job, JobItem
 from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.bounded_replies import next_within, open_within
 from goldcrestyard.fleet.jobs.transcripts import Transcript
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.engine_paces import SLOW_GAPS_BEFORE_MOVING, EnginePaces
@@ -118,13 +118,9 @@
         repeatable=True,
     )
     async with AsyncExitStack() as stack:
-        try:
-            async with asyncio.timeout(FIRST_EVENT_SECONDS):
-                reply = await stack.enter_async_context(
-                    client.open(target, call, seconds_left)
-                )
-        except TimeoutError:
-            return BrokenOff(f"no answer for {FIRST_EVENT_SECONDS} s")
+        reply = await open_within(
+            FIRST_EVENT_SECONDS, stack, client, target, call, seconds_left
+        )
         if isinstance(reply, AttemptFailure):
             return _failure(reply)
         if reply.status == IMPOSSIBLE_STATUS:
@@ -154,11 +150,7 @@
     events = reply.events()
     wait_seconds = FIRST_EVENT_SECONDS
     while True:
-        try:
-            async with asyncio.timeout(wait_seconds):
-                event = await anext(events, None)
-        except TimeoutError:
-            return BrokenOff(f"no event for {wait_seconds} s")
+        event = await next_within(wait_seconds, events)
         if event is None:
             return Generated() if transcript.events else BrokenOff("no event at all")
         if isinstance(event, Broken):
--- a/goldcrestyard/plugins/addresses/announcing.py
+++ b/goldcrestyard/plugins/addresses/announcing.py
@@ -8,12 +8,16 @@
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.ids import CorrelationId, InstanceId
+from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.addresses.commands import Entry, PutEntry, RemoveEntry
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
+from goldcrestyard.plugins.listeners.settings import ListenerSettings
+from goldcrestyard.plugins.peers.settings import ClusterSettings
 
 logger = structlog.get_logger(__name__)
 
@@ -25,6 +29,20 @@
 election takes less."""
 
 
+def own_entry(app: Application) -> Entry:
+    """Return this entry as its settings describe it."""
+    instance = app.settings.section(InstanceSettings)
+    listeners = app.settings.section(ListenerSettings)
+    return Entry(
+        instance.id,
+        listeners.public,
+        listeners.admin,
+        instance.data_centre,
+        instance.region,
+        peer_address=app.settings.section(ClusterSettings).peer_address,
+    )
+
+
 class EntryAnnouncer:
     """Keeps this entry in the replicated list, as it is at the moment."""
 
--- a/goldcrestyard/plugins/addresses/apps.py
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -11,7 +11,11 @@
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
-from goldcrestyard.plugins.addresses.announcing import EntryAnnouncer, remove_lost
+from goldcrestyard.plugins.addresses.announcing import (
+    EntryAnnouncer,
+    own_entry,
+    remove_lost,
+)
 from goldcrestyard.plugins.addresses.commands import (
     EntriesSnapshot,
     Entry,
@@ -22,8 +26,6 @@
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.listeners.bodies import json_answer
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
-from goldcrestyard.plugins.listeners.settings import ListenerSettings
-from goldcrestyard.plugins.peers.settings import ClusterSettings
 from goldcrestyard.policy.addresses import Place, order_for
 from goldcrestyard.policy.leases import MAX_LAG_SECONDS
 
@@ -83,17 +85,9 @@
 
     async def serve(self, app: Application) -> None:
         """Start to keep the list."""
-        instance = app.settings.section(InstanceSettings)
-        listeners = app.settings.section(ListenerSettings)
-        entry = Entry(
-            instance.id,
-            listeners.public,
-            listeners.admin,
-            instance.data_centre,
-            instance.region,
-            peer_address=app.settings.section(ClusterSettings).peer_address,
+        announcer = EntryAnnouncer(
+            own_entry(app), app.get(EntryView), app.get(LeaderLink)
         )
-        announcer = EntryAnnouncer(entry, app.get(EntryView), app.get(LeaderLink))
         app.provide(EntryAnnouncer, announcer)
         app.spawn(announcer.run(), "announce this entry")
         member = app.find(ControlMember)
