--- /dev/null
+++ b/goldcrestyard/consensus/applied.py
@@ -0,0 +1,70 @@
+"""The state machine of a member, its place in the log and its snapshots."""
+
+from collections.abc import Callable
+
+from goldcrestyard.consensus.messages import Entry, EntryKind, Snapshot
+from goldcrestyard.consensus.records import MachineSnapshot, to_envelope
+from goldcrestyard.core.ids import LogIndex, Revision
+from goldcrestyard.state.commands import Accepted
+from goldcrestyard.state.machine import StateMachine
+from goldcrestyard.wire.codec import Codec
+
+
+class AppliedState:
+    """What the committed entries have made, up to ``index``.
+
+    ``last_time`` is the latest time of a command, in seconds of wall time; a
+    leader gives no command an earlier one.
+    """
+
+    def __init__(self, machine: StateMachine, codec: Codec) -> None:
+        self.index = LogIndex(0)
+        self.snapshot_index = LogIndex(0)
+        self.last_time = 0.0
+        self._machine = machine
+        self._codec = codec
+        self._restore_listeners: list[Callable[[Revision], None]] = []
+
+    def listen_restore(self, listener: Callable[[Revision], None]) -> None:
+        """Call a function when a snapshot has replaced the state."""
+        self._restore_listeners.append(listener)
+
+    def apply(self, entry: Entry) -> object:
+        """Apply the next committed entry and return its outcome."""
+        outcome: object = Accepted()
+        if entry.kind is EntryKind.COMMAND:
+            envelope = to_envelope(self._codec, entry.payload)
+            self.last_time = max(self.last_time, envelope.time)
+            outcome = self._machine.apply(entry.index, entry.term, envelope).outcome
+        self._machine.applied_index = entry.index
+        self.index = entry.index
+        return outcome
+
+    def to_snapshot(self) -> Callable[[], bytes]:
+        """Return what encodes the present state, in any thread.
+
+        The slices are copied before this returns.
+        """
+        snapshots = self._machine.to_snapshots()
+        revision, last_time = self._machine.revision, self.last_time
+
+        def encode() -> bytes:
+            by_name = {name: self._codec.encode(s) for name, s in snapshots.items()}
+            return self._codec.encode(MachineSnapshot(revision, last_time, by_name))
+
+        return encode
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replace the state by a snapshot's."""
+        state = self._codec.decode(snapshot.data)
+        assert isinstance(state, MachineSnapshot)
+        snapshots = {
+            name: self._codec.decode(data)
+            for name, data in state.snapshots_by_name.items()
+        }
+        self._machine.load_snapshots(snapshots, snapshot.index, state.revision)
+        self.last_time = max(self.last_time, state.last_time)
+        self.index = snapshot.index
+        self.snapshot_index = snapshot.index
+        for listener in self._restore_listeners:
+            listener(state.revision)
--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -15,8 +15,8 @@
     SaveVote,
     TruncateLog,
 )
-from goldcrestyard.consensus.member import SavedState
 from goldcrestyard.consensus.messages import Entry, EntryKind, Snapshot
+from goldcrestyard.consensus.saved import SavedState
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
 from goldcrestyard.storage.exceptions import CorruptLogError
 from goldcrestyard.storage.files import Files
--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from goldcrestyard.consensus.applied import AppliedState
 from goldcrestyard.consensus.configuration import MemberId, MemberRecord
 from goldcrestyard.consensus.disk import MemberDisk
 from goldcrestyard.consensus.events import (
@@ -40,19 +41,10 @@
     Received,
 )
 from goldcrestyard.consensus.links import MemberLinks
-from goldcrestyard.consensus.member import Member, SavedState, Timing, saves
-from goldcrestyard.consensus.messages import (
-    Entry,
-    EntryKind,
-    MemberMessage,
-    Snapshot,
-)
+from goldcrestyard.consensus.member import Member
+from goldcrestyard.consensus.messages import MemberMessage
 from goldcrestyard.consensus.proposals import WaitingProposals
-from goldcrestyard.consensus.records import (
-    LoggedCommand,
-    MachineSnapshot,
-    to_envelope,
-)
+from goldcrestyard.consensus.records import LoggedCommand
 from goldcrestyard.consensus.results import (
     Applied,
     InDoubt,
@@ -60,7 +52,9 @@
     ProposalResult,
 )
 from goldcrestyard.consensus.roles import Role
+from goldcrestyard.consensus.saved import SavedState, saves
 from goldcrestyard.consensus.status import MemberStatus, status_of
+from goldcrestyard.consensus.timing import Timing
 from goldcrestyard.core.ids import (
     CorrelationId,
     InstanceId,
@@ -133,6 +127,7 @@
     ) -> None:
         self.instance = instance
         self.machine = machine
+        self._state = AppliedState(machine, codec)
         self._folder = data_folder
         self._codec = codec
         self._clock = clock
@@ -163,15 +158,11 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._ended: asyncio.Future[None] | None = None
         self._proposals = WaitingProposals()
-        self._last_time = 0.0
-        self._applied_index = LogIndex(0)
-        self._snapshot_index = LogIndex(0)
         self._snapshot_running = False
         self._serving = False
         """Whether this leader has applied all entries of earlier terms."""
         self._seen: tuple[object, ...] = ()
         self._leadership_changed = asyncio.Event()
-        self._restore_listeners: list[Callable[[Revision], None]] = []
 
     # Leadership.
 
@@ -253,7 +244,7 @@
 
     def listen_restore(self, listener: Callable[[Revision], None]) -> None:
         """Call a function when a snapshot has replaced the state."""
-        self._restore_listeners.append(listener)
+        self._state.listen_restore(listener)
 
     # Life cycle.
 
@@ -299,7 +290,7 @@
 
     def _begin(self, saved: SavedState) -> None:
         if saved.snapshot is not None:
-            self._restore(saved.snapshot)
+            self._state.restore(saved.snapshot)
         self._core = Member(
             self._disk.member_id,
             saved,
@@ -342,9 +333,10 @@
             return NotProposed("this leader has not applied the log yet", self.leader)
         if self._proposals.queued >= MAX_WAITING_PROPOSALS:
             return NotProposed("too many proposals are waiting", self.instance)
-        self._last_time = max(self._last_time, self._clock.wall())
+        time = max(self._state.last_time, self._clock.wall())
+        self._state.last_time = time
         logged = LoggedCommand(
-            self._codec.encode(command), author, correlation_id, self._last_time
+            self._codec.encode(command), author, correlation_id, time
         )
         payload = self._codec.encode(logged)
         return await self._submit(lambda number: Propose(((number, payload),)))
@@ -429,7 +421,7 @@
             if not isinstance(result, Applied):
                 return result
             old_record = None
-        result = Applied(self._applied_index, Accepted())
+        result = Applied(self._state.index, Accepted())
         if learner is not None:
             result = await self.promote(new_id)
         if old_record is not None and isinstance(result, Applied):
@@ -533,25 +525,15 @@
                     self._send(receiver, message)
                 case Apply(entries=entries):
                     for entry in entries:
-                        self._apply(entry)
+                        outcome = self._state.apply(entry)
+                        self._proposals.apply(entry.index, outcome)
                 case LoadSnapshot(snapshot=snapshot):
-                    self._restore(snapshot)
+                    self._state.restore(snapshot)
                 case Refused(number=number, detail=detail):
                     self._proposals.refuse(number, detail, self.leader)
         self._notice_change()
         self._take_snapshot_if_due()
 
-    def _apply(self, entry: Entry) -> None:
-        outcome: object = Accepted()
-        if entry.kind is EntryKind.COMMAND:
-            envelope = to_envelope(self._codec, entry.payload)
-            self._last_time = max(self._last_time, envelope.time)
-            applied = self.machine.apply(entry.index, entry.term, envelope)
-            outcome = applied.outcome
-        self.machine.applied_index = entry.index
-        self._applied_index = entry.index
-        self._proposals.apply(entry.index, outcome)
-
     def _notice_change(self) -> None:
         core = self._core
         self._serving = core is not None and core.ready
@@ -580,41 +562,20 @@
     # Snapshots.
 
     def _take_snapshot_if_due(self) -> None:
-        due = self._applied_index - self._snapshot_index >= self._snapshot_entries
+        due = self._state.index - self._state.snapshot_index >= self._snapshot_entries
         if not due or self._snapshot_running or self._core is None:
             return
         self._snapshot_running = True
-        self._spawn("control snapshot", self._take_snapshot(self._applied_index))
+        self._spawn("control snapshot", self._take_snapshot(self._state.index))
 
     async def _take_snapshot(self, index: LogIndex) -> None:
-        """Encode the present state in a thread; the slices are copied now."""
-        snapshots = self.machine.to_snapshots()
-        revision, last_time = self.machine.revision, self._last_time
-
-        def encode() -> bytes:
-            by_name = {name: self._codec.encode(s) for name, s in snapshots.items()}
-            snapshot = MachineSnapshot(revision, last_time, by_name)
-            return self._codec.encode(snapshot)
-
+        """Encode the present state in a thread."""
+        encode = self._state.to_snapshot()
         data = await asyncio.get_running_loop().run_in_executor(self._encoder, encode)
-        self._snapshot_index = index
+        self._state.snapshot_index = index
         self._snapshot_running = False
         self._queue.put_nowait(SnapshotTaken(index, data))
 
-    def _restore(self, snapshot: Snapshot) -> None:
-        state = self._codec.decode(snapshot.data)
-        assert isinstance(state, MachineSnapshot)
-        snapshots = {
-            name: self._codec.decode(data)
-            for name, data in state.snapshots_by_name.items()
-        }
-        self.machine.load_snapshots(snapshots, snapshot.index, state.revision)
-        self._last_time = max(self._last_time, state.last_time)
-        self._applied_index = snapshot.index
-        self._snapshot_index = snapshot.index
-        for listener in self._restore_listeners:
-            listener(state.revision)
-
     # Other members.
 
     def _identity(self) -> MemberIdentity:
--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -6,8 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from collections.abc import Sequence
 
 from goldcrestyard.consensus.configuration import (
     Configuration,
@@ -26,7 +25,6 @@
     Receive,
     Refused,
     Remove,
-    SaveEffect,
     SaveEntries,
     SaveSnapshot,
     SaveVote,
@@ -57,36 +55,14 @@
     Progress,
 )
 from goldcrestyard.consensus.roles import Role, RoleMachine
+from goldcrestyard.consensus.saved import SavedState
+from goldcrestyard.consensus.timing import Timing
 from goldcrestyard.core.ids import LogIndex, Term
 
 CAUGHT_UP_ENTRIES = 64
 """A learner with at most this many entries missing may become a voter."""
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
-    """The intervals of the protocol, in seconds."""
-
-    heartbeat: float = 0.25
-    lease: float = 1.5
-    election_min: float = 2.0
-    election_max: float = 3.0
-    drift: float = 0.05
-    start_quiet: float = 2.0
-    """How long a member supports no candidate after its start: at least the
-    lease, which it may have confirmed just before."""
-
-
-@dataclass(frozen=True, slots=True)
-class SavedState:
-    """What a member finds on its disk at start."""
-
-    term: Term = Term(0)
-    voted_for: MemberId | None = None
-    snapshot: Snapshot | None = None
-    entries: tuple[Entry, ...] = ()
-
-
 class Member:
     """One member's state; only ``step`` changes it."""
 
@@ -715,12 +691,3 @@
         for voter in self.log.voters:
             if voter != self.id:
                 self._send(voter, message)
-
-
-def saves(effects: Iterable[Effect]) -> list[SaveEffect]:
-    """Return the effects that must be synced before the others."""
-    return [
-        effect
-        for effect in effects
-        if isinstance(effect, SaveVote | TruncateLog | SaveEntries | SaveSnapshot)
-    ]
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -7,7 +7,6 @@
 from goldcrestyard.consensus.configuration import Configuration
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.link import MemberBatch, MemberIdentity, Received
-from goldcrestyard.consensus.member import Timing
 from goldcrestyard.consensus.messages import (
     Append,
     AppendReply,
@@ -19,6 +18,7 @@
     VoteReply,
 )
 from goldcrestyard.consensus.records import MachineSnapshot
+from goldcrestyard.consensus.timing import Timing
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -34,9 +34,11 @@
     Tick,
     TruncateLog,
 )
-from goldcrestyard.consensus.member import Member, SavedState, Timing, saves
+from goldcrestyard.consensus.member import Member
 from goldcrestyard.consensus.messages import Entry, EntryKind, Snapshot
 from goldcrestyard.consensus.roles import Role
+from goldcrestyard.consensus.saved import SavedState, saves
+from goldcrestyard.consensus.timing import Timing
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
 
 TIMING = Timing(
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -27,7 +27,7 @@
     SnapshotTaken,
     Tick,
 )
-from goldcrestyard.consensus.member import Member, SavedState, Timing, saves
+from goldcrestyard.consensus.member import Member
 from goldcrestyard.consensus.messages import (
     Append,
     AppendReply,
@@ -42,6 +42,8 @@
     VoteReply,
 )
 from goldcrestyard.consensus.roles import Role
+from goldcrestyard.consensus.saved import SavedState, saves
+from goldcrestyard.consensus.timing import Timing
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
 
 A, B, C, D = (MemberId(name) for name in "abcd")
--- a/tests/storage/test_crashes.py
+++ b/tests/storage/test_crashes.py
@@ -26,8 +26,8 @@
     TruncateLog,
 )
 from goldcrestyard.consensus.log import Log
-from goldcrestyard.consensus.member import SavedState
 from goldcrestyard.consensus.messages import Entry, EntryKind, Snapshot
+from goldcrestyard.consensus.saved import SavedState
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
 from goldcrestyard.storage.exceptions import (
     CorruptFileError,
