Soak: wait for the vote of a wiped member before the next disk is lost

On a busy machine the wiped process starts after more than 2 s, so nothing was logged yet, and the next wipe took the second of three disks; the site is asked to bear one. Ruled out: the repair itself (joiner, keeper and promotion ran as soon as the process was up).

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,12 +5,18 @@
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import UTC, datetime
+from functools import partial
+from typing import Any
 
 from tests.fakes.platform_site import Process, Site, configuration
 from tests.fakes.proxy import FaultProxy
 
 Log = Callable[[str], None]
 
+LOG_TIME = "%Y-%m-%dT%H:%M:%S.%fZ"
+"""How the processes write times into their logs."""
+
 
 @dataclass(frozen=True)
 class Kill:
@@ -98,9 +104,10 @@
                 lock = self._control if is_control else self._fronts
                 async with lock:
                     self._log(str(_describe(fault)))
+                    since = datetime.now(UTC).strftime(LOG_TIME)
                     await self._trouble(fault)
                     if is_control:
-                        await self._all_members_back()
+                        await self._all_members_back(fault, since)
             case Disturb():
                 self._log(str(_describe(fault)))
                 await self._disturb(fault)
@@ -126,23 +133,42 @@
                 await process.running.wait()
                 await process.start()
 
-    async def _all_members_back(self) -> None:
-        """Wait until the loss is repaired, before the next one."""
-
-        async def settled() -> bool:
-            changes = [
-                entry
-                for control in self._site.controls
-                for entry in control.log_lines()
-                if entry.get("event") == "members of the log changed"
-            ]
-            last = max(changes, key=lambda entry: entry["timestamp"], default=None)
-            return last is None or "Promote" in last["step"]
+    async def _all_members_back(self, fault: Fault, since: str) -> None:
+        """Wait until the loss is repaired, before the next one.
 
+        The site bears the loss of one disk.  A process may take seconds to
+        start on a busy machine, so a wiped one has to be heard of first.
+        """
+        if isinstance(fault, Kill) and fault.wipe:
+            await self._site.wait(
+                partial(self._has_vote, fault.process, since), "the repair of the log"
+            )
         await self._site.leader()
-        # A wiped member asks to join within a second of its start.
+        # A member that was counted out asks to join within a second.
         await asyncio.sleep(2.0)
-        await self._site.wait(settled, "the repair of the log")
+        await self._site.wait(self._is_settled, "the repair of the log")
+
+    async def _has_vote(self, process: Process, since: str) -> bool:
+        step = f"Promote(instance='{process.host}:"
+        return any(
+            entry["step"].startswith(step)
+            and entry["result"].startswith("Applied")
+            and entry["timestamp"] > since
+            for entry in self._member_changes()
+        )
+
+    async def _is_settled(self) -> bool:
+        changes = self._member_changes()
+        last = max(changes, key=lambda entry: entry["timestamp"], default=None)
+        return last is None or "Promote" in last["step"]
+
+    def _member_changes(self) -> list[dict[str, Any]]:
+        return [
+            entry
+            for control in self._site.controls
+            for entry in control.log_lines()
+            if entry.get("event") == "members of the log changed"
+        ]
 
     async def _disturb(self, fault: Disturb) -> None:
         proxy = fault.proxy
