Name the leader's own machine, so that an order to empty it is known

It now notes its own request. The test fails without the change ('waited for the founders' names'); its stand-in reached the leader by a way that production excludes, which the filter by instance id closes. 18 tests of assembly pass.

--- a/goldcrestyard/fleet/assembly/apps.py
+++ b/goldcrestyard/fleet/assembly/apps.py
@@ -62,6 +62,7 @@
                 settings.machine_name,
                 addresses,
                 app.get(PeerDialer),
+                keeper.note_join,
             ),
         )
 
--- a/goldcrestyard/fleet/assembly/joining.py
+++ b/goldcrestyard/fleet/assembly/joining.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 import structlog
 
@@ -33,12 +34,14 @@
         machine: str,
         addresses: ControlAddresses,
         dialer: PeerDialer,
+        ask_self: Callable[[JoinCluster], Awaitable[object]],
     ) -> None:
         self._member = member
         self._own_address = own_address
         self._machine = machine
         self._addresses = addresses
         self._dialer = dialer
+        self._ask_self = ask_self
         self._announced = False
 
     async def run(self) -> None:
@@ -56,8 +59,15 @@
         )
 
     async def _ask(self) -> None:
+        if self._member.is_leader:
+            # Nobody else can tell the leader on which machine it runs.
+            reply = await self._ask_self(self._join())
+            self._announced = isinstance(reply, JoinNoted)
+            return
         candidates = [
-            instance for instance in self._addresses if instance != self._own_address
+            instance
+            for instance in self._addresses
+            if instance != self._member.instance
         ]
         random.shuffle(candidates)
         for instance in candidates:
@@ -74,16 +84,18 @@
                 logger.info("asked to join the cluster", leader=instance)
                 return
 
-    async def _request(self, address: PeerAddress) -> object:
-        join = JoinCluster(
+    def _join(self) -> JoinCluster:
+        return JoinCluster(
             self._member.member_id,
             self._member.instance,
             self._own_address,
             self._machine,
         )
+
+    async def _request(self, address: PeerAddress) -> object:
         try:
             async with self._dialer.connect(address) as connection:
-                return await connection.request(join, ANSWER_SECONDS)
+                return await connection.request(self._join(), ANSWER_SECONDS)
         except PeerUnavailableError as error:
             logger.debug(
                 "control member unavailable", peer=str(address), error=str(error)
--- a/goldcrestyard/fleet/assembly/keeper.py
+++ b/goldcrestyard/fleet/assembly/keeper.py
@@ -30,6 +30,7 @@
     next_step,
 )
 from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.messages import NotLeader
 
 logger = structlog.get_logger(__name__)
 
@@ -152,6 +153,10 @@
                 return await self._member.remove(member_id)
 
     async def _on_join(self, message: JoinCluster, _: PeerConnection) -> object:
+        return await self.note_join(message)
+
+    async def note_join(self, message: JoinCluster) -> JoinNoted | NotLeader:
+        """Remember a process that wants to join, and name its machine."""
         if not self._member.holds_lease():
             return self._member.not_leader()
         joiner = Joiner(message.member, message.instance, message.address)
@@ -160,7 +165,9 @@
         )
         known = self._machines.names_by_instance.get(message.instance)
         if known != message.machine:
-            await self._propose(NameMachine(message.instance, message.machine))
+            name = NameMachine(message.instance, message.machine)
+            if not isinstance(await self._propose(name), Applied):
+                return self._member.not_leader()
         return JoinNoted()
 
     async def _propose(self, command: object) -> ProposalResult:
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -53,6 +53,7 @@
             f"machine-{name}",
             ControlAddresses({InstanceId(n): f"{n}:1" for n in FOUNDERS}),
             _Dialer(network, name),  # type: ignore[arg-type]
+            keeper.note_join,
         )
         self._tasks[name] = [
             asyncio.create_task(while_leading(member, "keep", keeper.run)),
@@ -165,6 +166,17 @@
         await self.assembly.start("c", first_start=True)
         await self.network.leader()
 
+    async def test_all_machines_are_known_by_name(self) -> None:
+        # A leader that had not followed before was unknown, and an order to
+        # empty its machine was answered as one for an unknown machine.
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        leader = await self.network.leader()
+        names = leader.machine.get(MachinesSlice).names_by_instance
+        await self.network.wait(lambda: len(names) == 3, "the founders' names")
+        self.assertEqual([leader], self.network.leaders, "the first leader still")
+        self.assertEqual(f"machine-{leader.instance}", names[leader.instance])
+
 
 class RepairTests(AssemblyTestCase):
     """Losses without an operator."""
