Hold requests at a started front, and elect and follow a leader sooner

The members lost 0.3 s because the first to ask for votes did so while the others, started milliseconds later, still refused; entries polled for the leader every 0.2 s.

Changes: a front that has not had state and lease yet holds a request, at most 1 s or 0.6 of its time; the first election waits half a heartbeat longer than the quiet time; a member that is asked for the feed during an election answers once it is over (0.25 s at most).

--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -100,7 +100,10 @@
         self._follow_configuration()
         if not self._alone:
             spread = timing.election_max - timing.election_min
-            self._election_at = self._quiet_until + source.uniform(0.0, spread)
+            # Members that started at the same time are then past their own
+            # quiet time, and do not refuse the first one that asks.
+            first = self._quiet_until + timing.heartbeat / 2
+            self._election_at = first + source.uniform(0.0, spread)
 
     # What the driver reads.
 
--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -1,5 +1,6 @@
 """Whether a caller's request may go to a target, and on whose behalf."""
 
+import asyncio
 from dataclasses import dataclass
 
 from goldcrestyard.core.calls import Headers, TargetCall
@@ -15,6 +16,14 @@
 targets within this time, and it leaves room for a second attempt."""
 
 
+START_SECONDS = 1.0
+START_SHARE = 0.6
+"""Longest wait of a request, in seconds and as a share of its time, at a
+process that has just started.  After a loss of all processes the members
+elect a leader within a second; a caller that is refused at once has spent its
+retries by then, at entries that know nothing either."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A caller's request, read whole."""
@@ -64,6 +73,23 @@
         self._serving = view.machine.get(ServingSlice)
         self._clock = clock
 
+    async def wait_start(self, seconds_left: float | None) -> None:
+        """Wait for the state and the lease that a started process lacks.
+
+        An entry that loses its lease later refuses at once: it may be cut
+        off, and callers then fare better elsewhere.
+        """
+        if self._view.informed.is_set():
+            return
+        longest = START_SECONDS
+        if seconds_left is not None:
+            longest = min(longest, START_SHARE * seconds_left)
+        try:
+            async with asyncio.timeout(longest):
+                await self._view.informed.wait()
+        except TimeoutError:
+            pass
+
     def admit(self, request: CallerRequest, arrived_at: float) -> Admitted | Refusal:
         """Return the request with what decides about it, or a refusal."""
         route = self.find_route(request.host, request.path)
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -32,6 +32,10 @@
 
 IN_FORCE_POLL_SECONDS = 0.05
 
+ELECTION_WAIT_SECONDS = 0.25
+"""How long an entry that subscribes waits here for a leader to be elected,
+rather than to ask again: shorter than its time for an answer."""
+
 
 class EntrySessions:
     """Serves the entries while this member leads.
@@ -89,11 +93,24 @@
     async def _on_subscribe(
         self, message: Subscribe, connection: PeerConnection
     ) -> object:
+        await self._wait_leader()
         if not self._member.holds_lease():
             return self._member.not_leader()
         connection.spawn(self._follow(message.revision, connection))
         return SubscribeReply(self._member.machine.revision)
 
+    async def _wait_leader(self) -> None:
+        """Wait until this member leads, or knows who does."""
+        try:
+            async with asyncio.timeout(ELECTION_WAIT_SECONDS):
+                while not self._member.holds_lease() and self._member.leader in (
+                    None,
+                    self._member.instance,
+                ):
+                    await self._member.wait_leadership_change()
+        except TimeoutError:
+            pass
+
     async def _follow(self, revision: Revision, connection: PeerConnection) -> None:
         """Push each change once, in order, until the connection closes."""
         while not connection.closed:
--- a/goldcrestyard/membership/view.py
+++ b/goldcrestyard/membership/view.py
@@ -1,5 +1,6 @@
 """An entry's copy of the fanned-out state, and its lease."""
 
+import asyncio
 from collections.abc import Callable
 
 from goldcrestyard.core.ids import CorrelationId, LogIndex, Revision, Term
@@ -23,6 +24,8 @@
         self._codec = codec
         self._clock = clock
         self._lease_expires_at = float("-inf")
+        self.informed = asyncio.Event()
+        """Set once this process has both the state and a lease on it."""
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -47,6 +50,7 @@
         self._lease_expires_at = max(
             self._lease_expires_at, requested_at + lease_seconds
         )
+        self._note_informed()
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
         """Apply changes in order; older ones than the view are ignored."""
@@ -75,6 +79,11 @@
         self.machine.load_snapshots(snapshots, index, push.revision)
         self._notify()
 
+    def _note_informed(self) -> None:
+        if self.machine.revision and self.holds_lease():
+            self.informed.set()
+
     def _notify(self) -> None:
+        self._note_informed()
         for listener in self._listeners:
             listener()
--- a/goldcrestyard/platform/callers/requests.py
+++ b/goldcrestyard/platform/callers/requests.py
@@ -31,7 +31,7 @@
         ),
         body,
         key_of(request),
-        _seconds_left(request),
+        seconds_left(request),
     )
 
 
@@ -51,7 +51,8 @@
     return key.strip() if scheme.lower() == "bearer" and key.strip() else None
 
 
-def _seconds_left(request: web.BaseRequest) -> float | None:
+def seconds_left(request: web.BaseRequest) -> float | None:
+    """Return how long the caller says it will wait, in seconds."""
     try:
         seconds = float(request.headers[DEADLINE]) / 1000
     except (KeyError, ValueError):
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -191,6 +191,17 @@
         self.assertEqual(reply, VoteReply(subject.term, False))
         self.assertIs(subject.role, Role.LEADER)
 
+    def test_first_election_waits_for_members_that_started_together(self) -> None:
+        # Asked at the end of its own quiet time, a member that had started
+        # some milliseconds later refused, and the next try took 0.3 s.
+        quiet_until = START + TIMING.start_quiet
+        wakes = [
+            Member(A, SavedState(Term(1), None, None, log(1)), TIMING, source, START)
+            for source in map(random.Random, range(20))
+        ]
+        earliest = min(each.wake_at for each in wakes)
+        self.assertGreaterEqual(earliest, quiet_until + TIMING.heartbeat / 2)
+
     def test_candidate_asks_before_it_raises_its_term(self) -> None:
         subject = member(1, 3)
         effects = subject.step(subject.wake_at, Tick())
--- a/tests/fleet/test_calls.py
+++ b/tests/fleet/test_calls.py
@@ -6,15 +6,22 @@
 
 from parameterized import parameterized
 
+from goldcrestyard.core.ids import Revision
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
-from goldcrestyard.fleet.gateway.admission import Admission, Admitted
+from goldcrestyard.fleet.gateway.admission import (
+    START_SECONDS,
+    START_SHARE,
+    Admission,
+    Admitted,
+)
 from goldcrestyard.fleet.gateway.calls import CallAnswer, CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import Place
+from goldcrestyard.wire.codec import Codec
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
 from tests.fakes.serving import entry_view, request
@@ -207,3 +214,57 @@
         self.assertTrue(admission.may_still_run(admitted))
         await asyncio.sleep(1001.0)
         self.assertFalse(admission.may_still_run(admitted))
+
+
+@dataclass(frozen=True)
+class StartCase:
+    """When a started process is informed, and how long a request waits."""
+
+    name: str
+    informed_after: float | None
+    seconds_left: float | None
+    waits: float
+
+
+START_CASES = [
+    StartCase("informed", 0.0, 1.2, 0.0),
+    StartCase("informed_meanwhile", 0.3, 1.2, 0.3),
+    StartCase("in_vain", None, 1.2, START_SHARE * 1.2),
+    StartCase("in_vain_without_a_time", None, None, START_SECONDS),
+    StartCase("in_vain_with_much_time", None, 60.0, START_SECONDS),
+]
+
+
+class StartTests(PausedClockTestCase):
+    """Guards against refusals by a process that is only starting.
+
+    After a loss of all processes, callers spent their retries within 0.7 s at
+    entries that did not know a configuration yet.
+    """
+
+    @parameterized.expand([(case.name, case) for case in START_CASES])
+    async def test_wait(self, _: str, case: StartCase) -> None:
+        clock = self.clock()
+        view = EntryView(entry_view(clock, ()).machine, Codec(), clock)
+        view.machine.revision = Revision(1)
+        loop = asyncio.get_running_loop()
+        if case.informed_after is not None:
+            loop.call_later(
+                case.informed_after, lambda: view.grant(clock.monotonic(), 3.0)
+            )
+            await asyncio.sleep(0.0)
+        if case.informed_after == 0.0:
+            await asyncio.sleep(0.01)
+        began = clock.monotonic()
+        await Admission(view, clock).wait_start(case.seconds_left)
+        self.assertAlmostEqual(case.waits, clock.monotonic() - began)
+
+    async def test_lost_lease_is_not_waited_for(self) -> None:
+        clock = self.clock()
+        view = EntryView(entry_view(clock, ()).machine, Codec(), clock)
+        view.machine.revision = Revision(1)
+        view.grant(clock.monotonic(), 3.0)
+        await asyncio.sleep(4.0)
+        began = clock.monotonic()
+        await Admission(view, clock).wait_start(1.2)
+        self.assertEqual(began, clock.monotonic())
--- a/tests/membership/test_entry_sessions.py
+++ b/tests/membership/test_entry_sessions.py
@@ -4,16 +4,23 @@
 older revision.
 """
 
-from dataclasses import dataclass
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
 
 from parameterized import parameterized
 
 from goldcrestyard.core.ids import InstanceId, Revision
 from goldcrestyard.membership.change_feed import ChangeFeed
 from goldcrestyard.membership.digests import LeaderDigests
-from goldcrestyard.membership.entry_sessions import EntrySessions
+from goldcrestyard.membership.entry_sessions import (
+    ELECTION_WAIT_SECONDS,
+    EntrySessions,
+)
 from goldcrestyard.policy.leases import EntryLease
 from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers
+from goldcrestyard.wire.messages import NotLeader, Subscribe
 from tests.fakes.paused_clock import PausedClockTestCase
 
 LEASE_SECONDS = 5.0
@@ -76,3 +83,85 @@
         )
         behind = await sessions.wait_in_force(Revision(7), 2.0)
         self.assertEqual(behind == [], case.in_force)
+
+
+@dataclass(frozen=True)
+class SubscribeCase:
+    """When a leader is elected, who it is, and how long the entry waits."""
+
+    name: str
+    leader: str | None
+    elected_after: float
+    waits: float
+
+
+OWN = InstanceId("store-a")
+
+SUBSCRIBE_CASES = [
+    SubscribeCase("leads_already", OWN, 0.0, 0.0),
+    SubscribeCase("another_leads", "store-b", 0.0, 0.0),
+    SubscribeCase("is_elected", OWN, 0.1, 0.1),
+    SubscribeCase("another_is_elected", "store-b", 0.1, 0.1),
+    SubscribeCase("nobody_is_elected", None, 0.0, ELECTION_WAIT_SECONDS),
+]
+
+
+@dataclass
+class Electing:
+    """Stands in for a control member during an election."""
+
+    instance: InstanceId = OWN
+    leader: str | None = None
+    change: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def holds_lease(self) -> bool:
+        return self.leader == OWN
+
+    async def wait_leadership_change(self) -> None:
+        await self.change.wait()
+
+    def not_leader(self) -> NotLeader:
+        leader = InstanceId(self.leader) if self.leader is not None else None
+        return NotLeader(leader, "")
+
+    @property
+    def machine(self) -> Any:
+        return type("Machine", (), {"revision": Revision(1)})
+
+
+class _Connection:
+    def spawn(self, coroutine: Any) -> None:
+        coroutine.close()
+
+
+class SubscribeTests(PausedClockTestCase):
+    """Guards against entries that ask again and again during an election."""
+
+    @parameterized.expand([(case.name, case) for case in SUBSCRIBE_CASES])
+    async def test_subscribe(self, _: str, case: SubscribeCase) -> None:
+        clock, codec, member = self.clock(), Codec(), Electing()
+        handlers = Handlers()
+        EntrySessions(
+            member,  # type: ignore[arg-type]
+            ChangeFeed(codec, clock),
+            codec,
+            clock,
+            LEASE_SECONDS,
+            LeaderDigests(),
+        ).register(handlers)
+
+        def elect() -> None:
+            member.leader = case.leader
+            member.change.set()
+
+        if case.elected_after:
+            asyncio.get_running_loop().call_later(case.elected_after, elect)
+        else:
+            member.leader = case.leader
+        began = clock.monotonic()
+        message = Subscribe(Revision(0))
+        handle = handlers.find(message)
+        assert handle is not None
+        reply = await handle(message, _Connection())  # type: ignore[arg-type]
+        self.assertAlmostEqual(case.waits, clock.monotonic() - began)
+        self.assertEqual(case.leader != OWN, isinstance(reply, NotLeader))
