--- a/tests/fleet/test_rewards.py
+++ b/tests/fleet/test_rewards.py
@@ -54,6 +54,8 @@
 SCORE = Scored("score")
 GOOD = Answers(signature="score")
 FAULT = Answers(status=500)
+SLOW = Answers(signature="score", seconds=0.4)
+"""Within two objectives of the route."""
 
 CASES = [
     Case("whole", ((GOOD,),), SCORE, 1),
@@ -65,6 +67,8 @@
     Case("full_at_first", ((FULL, FULL, FULL, GOOD),), SCORE, 4),
     Case("another_is_free", ((FULL,), (GOOD,)), SCORE, 2),
     Case("silent_connection", ((Hangs(), GOOD),), SCORE, 2),
+    # A second request at a slow target only makes it slower.
+    Case("slow_one_is_not_asked_twice", ((SLOW,),), SCORE, 1),
     Case("always_at_fault", ((FAULT,),), NoScore(), 4),
 ]
 
