Operations test: kill the leader only once the items' progress can be saved

Cause of the failure listed in KNOWN-RED.txt (test_step_that_came_late, 'resumed_after' null): the test killed the leader 1.5 s after the submission. An item's progress is saved with its sixth event, 0.9 s after its start, or 0.4 s later; on a busy machine two of four items had missed the saving before the kill, and began anew, as docs/platform.md describes. Reproduced twice, in 8 and in 22 runs at once; the second time with the lines of all processes: items at one engine resumed after event 6, those at the other at none. Ruled out: a new leader that forgets saved progress.

--- a/tests/platform/test_operations.py
+++ b/tests/platform/test_operations.py
@@ -89,7 +89,14 @@
         for engine in self.site.engines:
             engine.event_seconds = 0.15
         await self.site.submit("job", 4)
-        await asyncio.sleep(1.5)
+
+        async def all_run() -> bool:
+            return sum(len(engine.runs) for engine in self.site.engines) >= 4
+
+        await self.site.wait(all_run, "all items at engines")
+        # An item's progress is saved with its sixth event, after 0.9 s, or
+        # 0.4 s later; its text takes 3 s.
+        await asyncio.sleep(2.0)
         leader = await self.site.leader()
         await leader.kill()
         await self.site.results("job", 4)
