--- a/goldcrestyard/consensus/applied.py
+++ b/goldcrestyard/consensus/applied.py
@@ -29,12 +29,17 @@
         """Call a function when a snapshot has replaced the state."""
         self._restore_listeners.append(listener)
 
+    def advance_time(self, time: float) -> float:
+        """Note a time of a command, and return the latest."""
+        self.last_time = max(self.last_time, time)
+        return self.last_time
+
     def apply(self, entry: Entry) -> object:
         """Apply the next committed entry and return its outcome."""
         outcome: object = Accepted()
         if entry.kind is EntryKind.COMMAND:
             envelope = to_envelope(self._codec, entry.payload)
-            self.last_time = max(self.last_time, envelope.time)
+            self.advance_time(envelope.time)
             outcome = self._machine.apply(entry.index, entry.term, envelope).outcome
         self._machine.applied_index = entry.index
         self.index = entry.index
@@ -63,7 +68,7 @@
             for name, data in state.snapshots_by_name.items()
         }
         self._machine.load_snapshots(snapshots, snapshot.index, state.revision)
-        self.last_time = max(self.last_time, state.last_time)
+        self.advance_time(state.last_time)
         self.index = snapshot.index
         self.snapshot_index = snapshot.index
         for listener in self._restore_listeners:
--- a/goldcrestyard/consensus/driver.py
+++ b/goldcrestyard/consensus/driver.py
@@ -65,6 +65,7 @@
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.state.commands import Accepted, Command
 from goldcrestyard.state.machine import StateMachine
 from goldcrestyard.storage.exceptions import DiskError
@@ -324,19 +325,26 @@
     # Proposals.
 
     async def propose(
-        self, command: Command, author: str, correlation_id: CorrelationId
+        self,
+        command: Command,
+        author: str = "",
+        correlation_id: CorrelationId = CorrelationId(""),  # noqa: B008 - immutable
     ) -> ProposalResult:
-        """Commit a command and return its outcome."""
+        """Commit a command and return its outcome.
+
+        This member is its author, unless another one is named.
+        """
         if not self.is_leader:
             return NotProposed("this member does not lead", self.leader)
         if not self._serving:
             return NotProposed("this leader has not applied the log yet", self.leader)
         if self._proposals.queued >= MAX_WAITING_PROPOSALS:
             return NotProposed("too many proposals are waiting", self.instance)
-        time = max(self._state.last_time, self._clock.wall())
-        self._state.last_time = time
         logged = LoggedCommand(
-            self._codec.encode(command), author, correlation_id, time
+            self._codec.encode(command),
+            author or self.instance,
+            correlation_id,
+            self._state.advance_time(self._clock.wall()),
         )
         payload = self._codec.encode(logged)
         return await self._submit(lambda number: Propose(((number, payload),)))
@@ -641,10 +649,7 @@
         self._on_messages(batch.sender, batch.messages)
         self._queue.put_nowait(_Marker(performed))
         try:
-            async with asyncio.timeout(ANSWER_SECONDS / 2):
-                await performed.wait()
-        except TimeoutError:
-            pass
+            await wait_at_most(ANSWER_SECONDS / 2, performed.wait())
         finally:
             if self._answers_by_member.get(batch.sender) is answers:
                 del self._answers_by_member[batch.sender]
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -12,6 +12,7 @@
 
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.wire.client import PeerAddress, PeerUnavailableError
 from goldcrestyard.wire.connection import PeerConnection
 
@@ -161,11 +162,7 @@
             return
         formed = self.identity is not None and self.identity.cluster
         seconds = CHECK_SECONDS if formed else FORMING_CHECK_SECONDS
-        try:
-            async with asyncio.timeout(seconds):
-                await self._filled.wait()
-        except TimeoutError:
-            pass
+        await wait_at_most(seconds, self._filled.wait())
 
     async def _send_batch(self, connection: PeerConnection) -> bool:
         """Send the queued messages for one receiver in one frame."""
--- a/goldcrestyard/core/attempts.py
+++ b/goldcrestyard/core/attempts.py
@@ -72,6 +72,11 @@
     return str(error) or type(error).__name__
 
 
+def describe_failure(failure: AttemptFailure) -> str:
+    """Return the kind of a failure and its detail, for the log."""
+    return f"{type(failure).__name__}: {failure.detail}"
+
+
 def verdict_on(outcome: AttemptOutcome) -> Verdict:
     """Return whether the attempt may have run the request."""
     match outcome:
--- a/goldcrestyard/fleet/assembly/joining.py
+++ b/goldcrestyard/fleet/assembly/joining.py
@@ -77,7 +77,7 @@
                 and reply.leader is not None
                 and reply.address not in ("", self._own_address)
             ):
-                self._addresses.learn(reply.leader, reply.address)
+                self._addresses.learn_leader(reply)
                 reply = await self._request(PeerAddress.parse(reply.address))
             if isinstance(reply, JoinNoted):
                 self._announced = True
--- a/goldcrestyard/fleet/assembly/keeper.py
+++ b/goldcrestyard/fleet/assembly/keeper.py
@@ -9,7 +9,7 @@
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied, ProposalResult
 from goldcrestyard.consensus.roles import Role
-from goldcrestyard.core.ids import CorrelationId, InstanceId
+from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.assembly.commands import (
     JoinCluster,
@@ -171,6 +171,4 @@
         return JoinNoted()
 
     async def _propose(self, command: object) -> ProposalResult:
-        return await self._member.propose(
-            command, self._member.instance, CorrelationId("")
-        )
+        return await self._member.propose(command)
--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -1,6 +1,5 @@
 """Whether a caller's request may go to a target, and on whose behalf."""
 
-import asyncio
 from dataclasses import dataclass
 
 from goldcrestyard.core.calls import Headers, TargetCall
@@ -9,6 +8,7 @@
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.view import EntryView
 
 RETRY_SECONDS = 0.3
@@ -84,11 +84,7 @@
         longest = START_SECONDS
         if seconds_left is not None:
             longest = min(longest, START_SHARE * seconds_left)
-        try:
-            async with asyncio.timeout(longest):
-                await self._view.informed.wait()
-        except TimeoutError:
-            pass
+        await wait_at_most(longest, self._view.informed.wait())
 
     def admit(self, request: CallerRequest, arrived_at: float) -> Admitted | Refusal:
         """Return the request with what decides about it, or a refusal."""
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -6,7 +6,12 @@
 
 import structlog
 
-from goldcrestyard.core.attempts import AttemptFailure, Unreached, verdict_on
+from goldcrestyard.core.attempts import (
+    AttemptFailure,
+    Unreached,
+    describe_failure,
+    verdict_on,
+)
 from goldcrestyard.core.calls import Headers, TargetClient
 from goldcrestyard.core.ids import ServiceName, TargetId
 from goldcrestyard.core.records import Target
@@ -225,7 +230,7 @@
         case CallAnswer(status=status):
             return f"answered {status}"
         case _:
-            return f"{type(outcome).__name__}: {outcome.detail}"
+            return describe_failure(outcome)
 
 
 def _verdict(outcome: CallAnswer | AttemptFailure) -> Verdict:
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -33,19 +33,20 @@
         self,
         service: ServiceName,
         tried: AbstractSet[TargetId],
-        places_share: float | None = None,
+        *,
+        with_place: bool = False,
     ) -> Target | None:
         """Return the target for the next attempt, or None if none is left.
 
-        With ``places_share``, targets are left out at which this process has
-        that share of their concurrency in use.
+        With ``with_place``, targets whose concurrency this process uses up are
+        left out.
         """
         candidates = self._targets.serving(service)
-        if places_share is not None:
+        if with_place:
             candidates = tuple(
                 target
                 for target in candidates
-                if has_place(target, self.facts_by_id.get(target.id), places_share)
+                if has_place(target, self.facts_by_id.get(target.id))
             )
         return choose_target(
             candidates,
--- a/goldcrestyard/fleet/jobs/commands.py
+++ b/goldcrestyard/fleet/jobs/commands.py
@@ -46,7 +46,6 @@
     """The leader's wall time, in seconds."""
     results: tuple[ItemResult, ...]
     ended: bool
-    size: int
     progress_by_item: dict[ItemId, Progress] = field(default_factory=dict)
 
 
--- a/goldcrestyard/fleet/jobs/reading.py
+++ b/goldcrestyard/fleet/jobs/reading.py
@@ -15,6 +15,7 @@
 from goldcrestyard.fleet.jobs.page_cache import page_of
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.state.commands import AppliedEntry
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 
@@ -50,11 +51,8 @@
                 results = page_of(state.results, read.position)
                 following = read.position + len(results)
                 return ResultsPage(state.size, results, following)
-            try:
-                async with asyncio.timeout_at(deadline):
-                    await self._changed.wait()
-            except TimeoutError:
-                pass
+            left = deadline - self._clock.monotonic()
+            await wait_at_most(left, self._changed.wait())
         return self._member.not_leader()
 
     async def _on_read_item(self, read: ReadItem, _: PeerConnection) -> object:
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
 
 import structlog
 
-from goldcrestyard.core.attempts import AttemptFailure
+from goldcrestyard.core.attempts import AttemptFailure, describe_failure
 from goldcrestyard.core.calls import TargetCall, TargetClient
 from goldcrestyard.core.ids import ServiceName, TargetId
 from goldcrestyard.core.jobs import RewardCall
@@ -31,12 +30,6 @@
 MOST_AT_ONCE = 2
 FAILED_STATUS = 500
 
-PLACES_SHARE = 1.0
-"""Share of a target's concurrency that reward calls take.  They come in waves,
-as groups end; more of them would fill the target's short queue, and callers
-who wait would be turned away.  On a day with one scorer left, 0.85 lost
-items that were worth more than the calls that it served sooner."""
-
 PLACE_SECONDS = 0.25
 """Longest wait for a place before targets are looked at again: one may have
 arrived meanwhile."""
@@ -102,7 +95,9 @@
                     return NoScore()
                 target = None
                 if len(running) < MOST_AT_ONCE:
-                    target = self._choose(route, tried | self._busy(route, running))
+                    target = self._choose(
+                        route, tried | self._busy(route, running.values())
+                    )
                 if target is not None:
                     tried.add(target.id)
                     task = self._start_attempt(call, route, target)
@@ -133,16 +128,12 @@
             for task in running:
                 task.cancel()
 
-    def _busy(
-        self, route: ServingRoute, running: Mapping[Any, _Attempt]
-    ) -> set[TargetId]:
+    def _busy(self, route: ServingRoute, attempts: Iterable[_Attempt]) -> set[TargetId]:
         """Return the targets that may still answer this call."""
         objective = route.objective_seconds or UNKNOWN_OBJECTIVE_SECONDS
         silent_since = self._clock.monotonic() - SILENT_OBJECTIVES * objective
         return {
-            attempt.target
-            for attempt in running.values()
-            if attempt.began_at > silent_since
+            attempt.target for attempt in attempts if attempt.began_at > silent_since
         }
 
     def _route(self, call: RewardCall) -> ServingRoute | None:
@@ -150,8 +141,17 @@
         return table.route(call.host, call.path) if table is not None else None
 
     def _choose(self, route: ServingRoute, tried: set[TargetId]) -> Target | None:
+        """Return a target with a place for a reward call.
+
+        The calls come in waves, as groups end; more than a target's places
+        would fill its short queue, and callers who wait would be turned away.
+        Fewer lost items that were worth more (0.85 of the places, on a day
+        with one scorer left).
+        """
         for service in route.services:
-            target = self._router.choose(ServiceName(service.name), tried, PLACES_SHARE)
+            target = self._router.choose(
+                ServiceName(service.name), tried, with_place=True
+            )
             if target is not None:
                 return target
         return None
@@ -188,21 +188,17 @@
         async with self._client.open(target, request, route.timeout_seconds) as reply:
             if isinstance(reply, AttemptFailure):
                 self._router.note_failure(target, reply)
-                logger.info(
-                    "reward call failed",
-                    request=call.request,
-                    target=target.id,
-                    outcome=f"{type(reply).__name__}: {reply.detail}",
-                )
+                _log_failure(call, target, describe_failure(reply))
                 return None
             body = await reply.read()
         if isinstance(body, bytes) and 200 <= reply.status < 300:
             facts.succeeded(self._clock.monotonic() - began)
             return Scored(reply.signature) if reply.signature else None
-        logger.info(
-            "reward call failed",
-            request=call.request,
-            target=target.id,
-            outcome=f"answered {reply.status}",
-        )
+        _log_failure(call, target, f"answered {reply.status}")
         return reply.status
+
+
+def _log_failure(call: RewardCall, target: Target, outcome: str) -> None:
+    logger.info(
+        "reward call failed", request=call.request, target=target.id, outcome=outcome
+    )
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -50,6 +50,7 @@
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.plugins.targets.commands import (
     AnnounceTarget,
     DrainTarget,
@@ -171,11 +172,7 @@
                 self._take_up()
                 self._expire()
                 self._start()
-                try:
-                    async with asyncio.timeout(WAKE_SECONDS):
-                        await self._wake.wait()
-                except TimeoutError:
-                    pass
+                await wait_at_most(WAKE_SECONDS, self._wake.wait())
         finally:
             saving.cancel()
             for run in list(self._runs_by_key.values()):
@@ -224,12 +221,18 @@
 
     def _take_up(self) -> None:
         for state in self._jobs.open_jobs():
-            groups: dict[GroupId, int] = {}
-            for item in state.job.items:
-                group = groups.setdefault(item.group, len(groups))
+            untaken = [
+                item
+                for item in state.job.items
+                if item.id not in state.positions_by_item
+                and ItemKey(state.job.id, item.id) not in self._runs_by_key
+            ]
+            if not untaken:
+                continue
+            groups = dict.fromkeys(item.group for item in state.job.items)
+            places_by_group = {group: place for place, group in enumerate(groups)}
+            for item in untaken:
                 key = ItemKey(state.job.id, item.id)
-                if item.id in state.positions_by_item or key in self._runs_by_key:
-                    continue
                 route = self._route(state.job, item)
                 seconds = route.item_seconds if route is not None else None
                 expires_at = (
@@ -241,7 +244,7 @@
                     key,
                     item,
                     expires_at,
-                    (state.submitted_at, group),
+                    (state.submitted_at, places_by_group[item.group]),
                     Transcript.restore(state.progress_by_item.get(item.id)),
                 )
 
@@ -263,12 +266,15 @@
         waiting = self._waiting()
         if not waiting:
             return
-        for key, target_id in assign(waiting, self._rooms()):
+        rooms = self._rooms()
+        for key, target_id in assign(waiting, rooms):
             run = self._runs_by_key[key]
             target = self._targets.find(target_id)
             state = self._jobs.jobs_by_id.get(key.job)
             if target is not None and state is not None:
-                self._spawn(run, self._generate(run, state.job, target))
+                may_move = run.moves < MOST_MOVES and len(rooms) > 1
+                work = self._generate(run, state.job, target, may_move=may_move)
+                self._spawn(run, work)
 
     def _waiting(self) -> list[WaitingItem]:
         now = self._clock.monotonic()
@@ -344,7 +350,9 @@
 
     # One item.
 
-    async def _generate(self, run: ItemRun, job: Job, target: Target) -> None:
+    async def _generate(
+        self, run: ItemRun, job: Job, target: Target, *, may_move: bool
+    ) -> None:
         """Run an item at an engine, then score and list it."""
         self._in_use[target.id] += 1
         self._remember_group(target.id, run.item.group)
@@ -359,12 +367,7 @@
                 run.item,
                 run.transcript,
                 seconds_left,
-                PaceWatch(
-                    self._paces,
-                    target,
-                    self._clock,
-                    may_move=run.moves < MOST_MOVES and len(self._rooms()) > 1,
-                ),
+                PaceWatch(self._paces, target, self._clock, may_move=may_move),
             )
         finally:
             self._in_use[target.id] -= 1
--- a/goldcrestyard/fleet/jobs/slices.py
+++ b/goldcrestyard/fleet/jobs/slices.py
@@ -44,7 +44,6 @@
 
     job: Job
     submitted_at: float
-    size: int
     results: list[ItemResult] = field(default_factory=list)
     positions_by_item: dict[ItemId, int] = field(default_factory=dict)
     """Where each listed item stands."""
@@ -58,6 +57,11 @@
         for position, result in enumerate(self.results):
             self.positions_by_item[result.item] = position
 
+    @property
+    def size(self) -> int:
+        """The number of the job's items."""
+        return len(self.job.items)
+
     def add_result(self, result: ItemResult) -> None:
         """List a result after all others."""
         self.positions_by_item[result.item] = len(self.results)
@@ -123,7 +127,7 @@
                 return Rejected(RefusalReason.CONFLICT, "the id is in use")
             return Accepted()
         self._forget_old(time)
-        state = JobState(job, time, len(job.items))
+        state = JobState(job, time)
         for item in job.items:
             self._carry_over(state, item)
         self._keep(state)
@@ -212,7 +216,6 @@
                     state.submitted_at,
                     tuple(state.results),
                     state.ended,
-                    state.size,
                     dict(state.progress_by_item),
                 )
                 for state in self.jobs_by_id.values()
@@ -228,7 +231,6 @@
                 JobState(
                     record.job,
                     record.submitted_at,
-                    record.size,
                     list(record.results),
                     progress_by_item=dict(record.progress_by_item),
                     ended=record.ended,
--- a/goldcrestyard/fleet/jobs/waiting_line.py
+++ b/goldcrestyard/fleet/jobs/waiting_line.py
@@ -4,6 +4,8 @@
 import heapq
 import itertools
 
+from goldcrestyard.kernel.waiting import wait_at_most
+
 Order = tuple[float, ...]
 """Tasks with a lower order come first."""
 
@@ -21,10 +23,7 @@
         entry = (order, next(self._numbers), woken)
         heapq.heappush(self._heap, entry)
         try:
-            async with asyncio.timeout(timeout_seconds):
-                await woken.wait()
-        except TimeoutError:
-            pass
+            await wait_at_most(timeout_seconds, woken.wait())
         finally:
             # One that is no longer waiting is passed over when its turn comes.
             woken.set()
--- a/goldcrestyard/fleet/leadership.py
+++ b/goldcrestyard/fleet/leadership.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+from goldcrestyard.kernel.waiting import wait_at_most
+
 logger = structlog.get_logger(__name__)
 
 LEASE_POLL_SECONDS = 0.1
@@ -41,12 +43,14 @@
     """
     while True:
         if not member.holds_lease():
-            await _wait_change(member)
+            await wait_at_most(LEASE_POLL_SECONDS, member.wait_leadership_change())
             continue
         task = asyncio.create_task(work(), name=name)
         try:
             while member.is_leader and not task.done():
-                change = asyncio.ensure_future(_wait_change(member))
+                change = asyncio.ensure_future(
+                    wait_at_most(LEASE_POLL_SECONDS, member.wait_leadership_change())
+                )
                 await asyncio.wait({task, change}, return_when=asyncio.FIRST_COMPLETED)
                 change.cancel()
         finally:
@@ -57,11 +61,3 @@
                 "work of the leader failed", work=name, exc_info=task.exception()
             )
             await asyncio.sleep(FAILED_PAUSE_SECONDS)
-
-
-async def _wait_change(member: Leadership) -> None:
-    try:
-        async with asyncio.timeout(LEASE_POLL_SECONDS):
-            await member.wait_leadership_change()
-    except TimeoutError:
-        pass
--- a/goldcrestyard/fleet/metering/reporting.py
+++ b/goldcrestyard/fleet/metering/reporting.py
@@ -8,7 +8,7 @@
 
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.ids import CorrelationId, Term
+from goldcrestyard.core.ids import Term
 from goldcrestyard.fleet.metering.commands import (
     CloseUsage,
     UsageReported,
@@ -106,6 +106,4 @@
         return True
 
     async def _propose(self, command: object) -> object:
-        return await self._member.propose(
-            command, self._member.instance, CorrelationId("")
-        )
+        return await self._member.propose(command)
--- a/goldcrestyard/fleet/tracking/tracker.py
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -8,7 +8,6 @@
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.ids import (
-    CorrelationId,
     DataCentre,
     InstanceId,
     ModelName,
@@ -225,9 +224,7 @@
 
     async def _commit(self, commands: list[Command]) -> Refusal | None:
         for command in commands:
-            result = await self._member.propose(
-                command, self._member.instance, CorrelationId("")
-            )
+            result = await self._member.propose(command)
             if not isinstance(result, Applied):
                 return Refusal(RefusalReason.NO_LEADER, result.detail)
         return None
--- a/goldcrestyard/membership/control_addresses.py
+++ b/goldcrestyard/membership/control_addresses.py
@@ -6,6 +6,7 @@
 
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.wire.client import PeerAddress
+from goldcrestyard.wire.messages import NotLeader
 
 logger = structlog.get_logger(__name__)
 
@@ -34,6 +35,12 @@
     def __len__(self) -> int:
         return len(self._addresses_by_id)
 
+    def learn_leader(self, reply: NotLeader) -> InstanceId | None:
+        """Return who leads, by a member's word, and keep its address."""
+        if reply.leader is not None and reply.address:
+            self.learn(reply.leader, reply.address)
+        return reply.leader
+
     def learn(self, instance: InstanceId, address: str) -> None:
         """Keep the address of a further member."""
         if instance in self._named:
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -10,6 +10,7 @@
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.change_feed import ChangeFeed
 from goldcrestyard.membership.digests import LeaderDigests
 from goldcrestyard.policy import leases
@@ -93,7 +94,7 @@
     async def _on_subscribe(
         self, message: Subscribe, connection: PeerConnection
     ) -> object:
-        await self._wait_leader()
+        await wait_at_most(ELECTION_WAIT_SECONDS, self._wait_leader())
         if not self._member.holds_lease():
             return self._member.not_leader()
         connection.spawn(self._follow(message.revision, connection))
@@ -101,15 +102,9 @@
 
     async def _wait_leader(self) -> None:
         """Wait until this member leads, or knows who does."""
-        try:
-            async with asyncio.timeout(ELECTION_WAIT_SECONDS):
-                while not self._member.holds_lease() and self._member.leader in (
-                    None,
-                    self._member.instance,
-                ):
-                    await self._member.wait_leadership_change()
-        except TimeoutError:
-            pass
+        unknown = (None, self._member.instance)
+        while not self._member.holds_lease() and self._member.leader in unknown:
+            await self._member.wait_leadership_change()
 
     async def _follow(self, revision: Revision, connection: PeerConnection) -> None:
         """Push each change once, in order, until the connection closes."""
--- a/goldcrestyard/membership/subscription.py
+++ b/goldcrestyard/membership/subscription.py
@@ -7,6 +7,7 @@
 
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.membership.digests import EntryDigests
 from goldcrestyard.membership.leader_link import LeaderLink
@@ -89,7 +90,9 @@
                     case SubscribeReply():
                         return await self._follow(connection)
                     case NotLeader():
-                        return self._hint(reply) if reply.leader != instance else None
+                        if reply.leader == instance:
+                            return None
+                        return self._addresses.learn_leader(reply)
                     case _:
                         return None
         except PeerUnavailableError as error:
@@ -111,7 +114,7 @@
                         self._view.grant(sent_at, lease_seconds)
                         self._digests.receive(reply.summaries_by_name)
                     case NotLeader():
-                        return self._hint(reply)
+                        return self._addresses.learn_leader(reply)
                     case _:
                         logger.warning("the leader did not answer", reply=str(reply))
                         return None
@@ -119,20 +122,10 @@
         finally:
             self._link.detach()
 
-    def _hint(self, reply: NotLeader) -> InstanceId | None:
-        """Return who leads, and keep its address."""
-        if reply.leader is not None and reply.address:
-            self._addresses.learn(reply.leader, reply.address)
-        return reply.leader
-
     async def _wait_for_next_renewal(self) -> None:
         """Wait for the interval, or less if changes are to be confirmed."""
         self._applied.clear()
-        try:
-            async with asyncio.timeout(self._renew_seconds):
-                await self._applied.wait()
-        except TimeoutError:
-            pass
+        await wait_at_most(self._renew_seconds, self._applied.wait())
 
     async def _on_changes(self, push: ChangesPush, _: PeerConnection) -> None:
         self._view.apply_changes(push.changes)
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -8,7 +8,7 @@
 
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.ids import CorrelationId, ModelName, TargetId, WeightVersion
+from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.assembly.keeper import MembershipKeeper
 from goldcrestyard.fleet.directory.directory import Directory
@@ -155,9 +155,7 @@
         return json_answer({"state": "complete" if retired else "running"})
 
     async def _commit(self, command: Command) -> bool:
-        result = await self._member.propose(
-            command, self._member.instance, CorrelationId("")
-        )
+        result = await self._member.propose(command)
         return isinstance(result, Applied)
 
 
--- a/goldcrestyard/plugins/addresses/announcing.py
+++ b/goldcrestyard/plugins/addresses/announcing.py
@@ -7,7 +7,7 @@
 
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.ids import CorrelationId, InstanceId
+from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.default_settings import InstanceSettings
@@ -107,7 +107,5 @@
             missing_since = missing_since_by_id.setdefault(instance, now)
             if now - missing_since > lost_seconds:
                 logger.warning("entry is lost", entry=instance)
-                await member.propose(
-                    RemoveEntry(instance), member.instance, CorrelationId("")
-                )
+                await member.propose(RemoveEntry(instance))
                 missing_since_by_id.pop(instance, None)
--- a/goldcrestyard/plugins/orders/placing.py
+++ b/goldcrestyard/plugins/orders/placing.py
@@ -2,7 +2,7 @@
 
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied, ProposalResult
-from goldcrestyard.core.ids import CorrelationId, OrderId
+from goldcrestyard.core.ids import OrderId
 from goldcrestyard.plugins.orders.commands import IntendOrders, Order, OrderRecord
 from goldcrestyard.plugins.orders.slices import OrdersSlice
 from goldcrestyard.state.commands import Accepted
@@ -17,9 +17,7 @@
 
     async def place(self, *orders: Order, author: str = "") -> ProposalResult:
         """Commit intents; repeating them with the same ids is harmless."""
-        return await self._member.propose(
-            IntendOrders(orders), author or self._member.instance, CorrelationId("")
-        )
+        return await self._member.propose(IntendOrders(orders), author)
 
     def find(self, order_id: OrderId) -> OrderRecord | None:
         """Return an order that is open or whose outcome is kept."""
--- a/goldcrestyard/plugins/orders/sender.py
+++ b/goldcrestyard/plugins/orders/sender.py
@@ -8,8 +8,9 @@
 
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.ids import CorrelationId, LogIndex, Term
+from goldcrestyard.core.ids import LogIndex, Term
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.plugins.orders.client import LookUps, OrderClient
 from goldcrestyard.plugins.orders.commands import (
     OrderRecord,
@@ -148,11 +149,7 @@
                 )
 
     async def _wait_for_change(self) -> None:
-        try:
-            async with asyncio.timeout(LEADERSHIP_POLL_SECONDS):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
+        await wait_at_most(LEADERSHIP_POLL_SECONDS, self._changed.wait())
 
     def _on_applied(self, entry: AppliedEntry) -> None:
         # Most entries are claims of calls, thousands a second at peak.
@@ -279,9 +276,7 @@
     async def _commit(self, command: Command, leadership: Leadership) -> bool:
         """Commit a command that may commit twice; False if not leading."""
         while self._leads(leadership):
-            result = await self._member.propose(
-                command, self._member.instance, CorrelationId("")
-            )
+            result = await self._member.propose(command)
             if isinstance(result, Applied):
                 return True
             await asyncio.sleep(LEADERSHIP_POLL_SECONDS)
--- a/goldcrestyard/plugins/orders/settling.py
+++ b/goldcrestyard/plugins/orders/settling.py
@@ -4,7 +4,6 @@
 
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.ids import CorrelationId
 from goldcrestyard.plugins.orders.commands import Settlement, SettleOrders
 
 MAX_SETTLEMENTS = 256
@@ -47,9 +46,7 @@
 
     async def _commit(self, command: SettleOrders) -> None:
         while True:
-            result = await self._member.propose(
-                command, self._member.instance, CorrelationId("")
-            )
+            result = await self._member.propose(command)
             if isinstance(result, Applied):
                 return
             await asyncio.sleep(RETRY_SECONDS)
--- a/goldcrestyard/plugins/rentals/planner.py
+++ b/goldcrestyard/plugins/rentals/planner.py
@@ -9,7 +9,6 @@
 from goldcrestyard.consensus.driver import ControlMember
 from goldcrestyard.consensus.results import Applied, InDoubt
 from goldcrestyard.core.ids import (
-    CorrelationId,
     DataCentre,
     OrderId,
     TargetId,
@@ -223,7 +222,5 @@
                 await self._propose(DrainTarget(target.id, target.incarnation))
 
     async def _propose(self, command: Command) -> bool:
-        result = await self._member.propose(
-            command, self._member.instance, CorrelationId("")
-        )
+        result = await self._member.propose(command)
         return isinstance(result, Applied)
--- a/goldcrestyard/plugins/rollout/rollout.py
+++ b/goldcrestyard/plugins/rollout/rollout.py
@@ -18,6 +18,7 @@
 from goldcrestyard.core.records import PublishedWeights, Target
 from goldcrestyard.core.states import TargetKind
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.plugins.orders.commands import Order, SettleOrders
 from goldcrestyard.plugins.orders.placing import OrderDesk, is_placed
 from goldcrestyard.plugins.rollout.engines import Engines, to_order
@@ -93,7 +94,9 @@
             if due:
                 await self._round(due)
             remaining = self._next_due_at - self._clock.monotonic()
-            await _wait(self._targets_changed, max(POLL_SECONDS, remaining))
+            await wait_at_most(
+                max(POLL_SECONDS, remaining), self._targets_changed.wait()
+            )
 
     def _due(self) -> list[Target]:
         """Return the engines that have to be asked now."""
@@ -217,7 +220,9 @@
             remaining = deadline - self._clock.monotonic()
             if not waiting or remaining <= 0:
                 break
-            await _wait(self._orders_changed, min(remaining, POLL_SECONDS))
+            await wait_at_most(
+                min(remaining, POLL_SECONDS), self._orders_changed.wait()
+            )
         return {order_id: self._outcome(order_id) for order_id in order_ids}
 
     def _is_open(self, order_id: OrderId | None) -> bool:
@@ -267,15 +272,6 @@
         )
 
 
-async def _wait(event: asyncio.Event, seconds: float) -> None:
-    """Wait for an event, but not longer than a time."""
-    try:
-        async with asyncio.timeout(seconds):
-            await event.wait()
-    except TimeoutError:
-        pass
-
-
 class Rollouts:
     """One task for each model line while this member leads."""
 
--- a/goldcrestyard/plugins/targets/home_watch.py
+++ b/goldcrestyard/plugins/targets/home_watch.py
@@ -5,7 +5,7 @@
 import structlog
 
 from goldcrestyard.consensus.driver import ControlMember
-from goldcrestyard.core.ids import CorrelationId, InstanceId
+from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.entry_sessions import EntrySessions
@@ -63,7 +63,5 @@
             await self._member.propose(
                 RemoveTarget(
                     target_id, homed.target.incarnation, TargetState.LOST, home
-                ),
-                self._member.instance,
-                CorrelationId(""),
+                )
             )
--- a/goldcrestyard/plugins/usage/closing.py
+++ b/goldcrestyard/plugins/usage/closing.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from goldcrestyard.consensus.driver import ControlMember
-from goldcrestyard.core.ids import CorrelationId
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.orders.commands import Receiver
 from goldcrestyard.plugins.usage.commands import CloseWindow
@@ -49,8 +48,4 @@
             return
         # A closing in doubt is proposed again at the next poll; the second
         # one of a window changes nothing.
-        await self._member.propose(
-            CloseWindow(window, self._receiver),
-            self._member.instance,
-            CorrelationId(""),
-        )
+        await self._member.propose(CloseWindow(window, self._receiver))
--- a/goldcrestyard/policy/call_routing.py
+++ b/goldcrestyard/policy/call_routing.py
@@ -71,11 +71,9 @@
     return OTHER_REGION_SECONDS
 
 
-def has_place(target: Target, facts: CallFacts | None, share: float) -> bool:
-    """Return whether fewer calls are sent to a target than a share allows."""
-    if facts is None:
-        return True
-    return facts.in_flight < max(1, int(share * target.max_concurrency))
+def has_place(target: Target, facts: CallFacts | None) -> bool:
+    """Return whether fewer calls are at a target than it runs at once."""
+    return facts is None or facts.in_flight < max(1, target.max_concurrency)
 
 
 def choose_target(
--- a/tests/fakes/member.py
+++ b/tests/fakes/member.py
@@ -35,7 +35,10 @@
         self.leadership_started_at = self._clock.monotonic()
 
     async def propose(
-        self, command: Command, author: str, correlation_id: CorrelationId
+        self,
+        command: Command,
+        author: str = "",
+        correlation_id: CorrelationId = CorrelationId(""),  # noqa: B008 - immutable
     ) -> ProposalResult:
         if not self.is_leader:
             return NotProposed("not the leader")
--- a/tests/plugins/rentals/test_planner.py
+++ b/tests/plugins/rentals/test_planner.py
@@ -59,7 +59,10 @@
     """Commits every other intent without saying so."""
 
     async def propose(
-        self, command: Command, author: str, correlation_id: CorrelationId
+        self,
+        command: Command,
+        author: str = "",
+        correlation_id: CorrelationId = CorrelationId(""),  # noqa: B008 - immutable
     ) -> ProposalResult:
         result = await super().propose(command, author, correlation_id)
         if isinstance(command, IntendOrders) and len(self.proposed) % 2:
