Suspend a control member on a full disk instead of ending it

Cause: a failed write ended the member for good, and the process of the platform with it.

Ruled out: going on with the protocol state in memory, since it is ahead of the disk. A record that was written but not synced may be readable now and be lost at the next power failure.

Change: the member drops its protocol state, ends its proposals, and loads the durable state again once the disk takes writes, after it has removed the remains of failed writes. It then supports no candidate at first, as after a restart. Committed entries that it has applied are not applied twice. A gauge shows a failing disk.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -93,6 +93,10 @@
 
 MEMBER_CHANGE_POLL_SECONDS = 0.1
 
+MIN_DISK_RETRY_SECONDS = 0.25
+MAX_DISK_RETRY_SECONDS = 2.0
+"""Bounds in seconds of the delay between two tests of a failed disk."""
+
 
 @dataclass(frozen=True, slots=True)
 class _ClusterDiscovered:
@@ -248,10 +252,10 @@
         return core is not None and core.configuration.find(core.id) is not None
 
     @property
-    def has_stopped(self) -> bool:
-        """Whether this member has stopped, for example after a disk error.
+    def is_suspended(self) -> bool:
+        """Whether this member takes no part because its disk fails.
 
-        It does not start again before the process restarts.
+        It acknowledges, leads and votes again once the disk accepts writes.
         """
         return self._core is None and bool(self._stop_reason)
 
@@ -330,8 +334,9 @@
         return self._disk.load(self.instance)
 
     def _start_core(self, saved: PersistentState) -> None:
-        if saved.snapshot is not None:
-            self._state.restore(saved.snapshot)
+        snapshot = saved.snapshot
+        if snapshot is not None and snapshot.index > self._state.index:
+            self._state.restore(snapshot)
         self._core = Member(
             self._disk.member_id,
             saved,
@@ -543,14 +548,56 @@
                 for event in events:
                     effects += self._core.step(self._clock.monotonic(), event)
                 await self._perform(effects)
-                for barrier in self._barriers:
-                    barrier.reached.set()
-                self._barriers.clear()
+                self._release_barriers()
             except DiskError as error:
                 logger.error(
-                    "disk write failed, control member stopped", error=str(error)
+                    "disk write failed, control member suspended", error=str(error)
                 )
-                self._shut_down(f"the member stopped after a disk error: {error}")
+                self._suspend(f"the member's disk failed: {error}")
+                await self._resume_when_writable()
+
+    def _suspend(self, detail: str) -> None:
+        """Stop taking part, since the protocol state is ahead of the disk.
+
+        All queued events are dropped: the protocol repeats what is still
+        needed, and proposals end with a result.
+        """
+        self._shut_down(detail)
+        while not self._queue.empty():
+            item = self._queue.get_nowait()
+            if isinstance(item, _Barrier):
+                self._barriers.append(item)
+        self._release_barriers()
+
+    async def _resume_when_writable(self) -> None:
+        """Start again from the durable state once the disk takes writes.
+
+        The new protocol state supports no candidate at first, as after a
+        restart of the process.  Raises ``StorageError`` if the stored state
+        is damaged.
+        """
+        loop = asyncio.get_running_loop()
+        delay = MIN_DISK_RETRY_SECONDS
+        while True:
+            await asyncio.sleep(delay * self._rng.uniform(0.75, 1.25))
+            delay = min(2 * delay, MAX_DISK_RETRY_SECONDS)
+            try:
+                saved = await loop.run_in_executor(
+                    self._disk_executor, self._disk.load, self.instance
+                )
+            except (DiskError, OSError) as error:
+                logger.debug("disk still fails", error=str(error))
+                continue
+            break
+        self._stop_reason = ""
+        self._start_core(saved)
+        logger.info("disk accepts writes again, control member resumed")
+        self._update_leadership()
+
+    def _release_barriers(self) -> None:
+        for barrier in self._barriers:
+            barrier.reached.set()
+        self._barriers.clear()
 
     async def _next_events(self, core: Member) -> list[Event]:
         """Wait for an event or the next tick, and return all queued events.
@@ -600,10 +647,13 @@
                     self._send(receiver, message)
                 case Apply(entries=entries):
                     for entry in entries:
+                        if entry.index <= self._state.index:
+                            continue  # Applied before the disk failed.
                         outcome = self._state.apply(entry)
                         self._proposals.resolve_applied(entry.index, outcome)
                 case LoadSnapshot(snapshot=snapshot):
-                    self._state.restore(snapshot)
+                    if snapshot.index > self._state.index:
+                        self._state.restore(snapshot)
                 case Refused(number=number, detail=detail):
                     self._proposals.resolve_refused(number, detail, self.leader)
         self._update_leadership()
@@ -647,12 +697,17 @@
 
     async def _take_snapshot(self, index: LogIndex) -> None:
         """Encode the state at an index in a worker thread."""
+        core = self._core
         encode = self._state.to_snapshot()
         data = await asyncio.get_running_loop().run_in_executor(
             self._snapshot_executor, encode
         )
-        self._state.snapshot_index = index
         self._snapshot_running = False
+        if self._core is not core:
+            # After a disk failure the new core may not know yet that the
+            # entries up to the index are committed.
+            return
+        self._state.snapshot_index = index
         self._queue.put_nowait(SnapshotTaken(index, data))
 
     # Other members.
--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -41,8 +41,9 @@
 class MemberDisk:
     """Persists and loads the Raft state of a member in a data folder.
 
-    Methods block until the data is durable.  After a ``DiskError`` the
-    object must not be used again, since the state on disk is unknown.
+    Methods block until the data is durable.  After a ``DiskError`` the state
+    must be loaded again, since it is not known which of the failed writes
+    reached the disk.
     """
 
     def __init__(
@@ -57,8 +58,11 @@
         self._codec = codec
         self._vote_file = VoteFile(folder, files)
         self._snapshot_file = SnapshotFile(folder, files)
+        self._segment_bytes = segment_bytes
         self._log = SegmentedLog(folder / "log", files, segment_bytes)
         self._vote = VoteRecord("")
+        # Whether the log's segments are all known.
+        self._is_loaded = False
 
     @property
     def member_id(self) -> MemberId:
@@ -74,14 +78,37 @@
         """Load the stored state, or set up an empty disk.
 
         An empty disk, or one without a vote file, gets a new member id on
-        ``instance``.  Raises ``CorruptLogError`` or ``CorruptFileError`` if
-        the stored state is damaged or incomplete.
+        ``instance``.  After a ``DiskError`` the state is loaded that was
+        durable before it: a record that was written but not synced may be
+        readable now and be lost at the next power failure, so the remains of
+        failed writes are removed first.
+
+        Raises ``CorruptLogError`` or ``CorruptFileError`` if the stored state
+        is damaged or incomplete, and ``DiskError`` or ``OSError`` if the disk
+        fails.
         """
+        self._files.close()
+        if self._is_loaded:
+            self._log.discard_failed_writes()
+        self._is_loaded = False
+        self._log = SegmentedLog(self._folder / "log", self._files, self._segment_bytes)
         self._files.make_folder(self._folder / "log")
         vote = self._vote_file.read()
+        if vote is None and self._vote.member:
+            raise CorruptLogError(f"{self._folder}: the vote file has disappeared.")
         if vote is None:
-            return self._initialise(instance)
-        self._vote = vote
+            state = self._initialise(instance)
+        else:
+            if self._vote.member:
+                # The rename by a failed write may not be durable yet.  A vote
+                # in it was not sent, so either record may be kept.
+                self._write_vote(vote)
+            self._vote = vote
+            state = self._load_log(vote)
+        self._is_loaded = True
+        return state
+
+    def _load_log(self, vote: VoteRecord) -> PersistentState:
         snapshot = self._read_snapshot()
         records = self._log.load()
         if not vote.cluster:
--- a/goldcrestyard/fleet/assembly/apps.py
+++ b/goldcrestyard/fleet/assembly/apps.py
@@ -1,7 +1,5 @@
 """Plug-in: a control member that finds and joins its cluster by itself."""
 
-import structlog
-
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.assembly.commands import (
     JoinCluster,
@@ -23,8 +21,6 @@
 from goldcrestyard.wire.client import PeerDialer
 from goldcrestyard.wire.connection import Handlers
 
-logger = structlog.get_logger(__name__)
-
 
 class AssemblyConfig(ControlConfig):
     """Runs the control member, its join requests and membership manager."""
@@ -66,12 +62,6 @@
             ),
         )
 
-    async def start(self, app: Application) -> None:
-        """Start the member; stop the process if the member's disk fails."""
-        await super().start(app)
-        member = app.get(ControlMember)
-        app.spawn(_stop_with_member(app, member), "watch the control member")
-
     async def serve(self, app: Application) -> None:
         """Request membership; manage the cluster while this member leads."""
         member = app.get(ControlMember)
@@ -80,12 +70,3 @@
             while_leading(member, "manage members", app.get(MembershipManager).run),
             "membership manager",
         )
-
-
-async def _stop_with_member(app: Application, member: ControlMember) -> None:
-    """Stop the process after a disk failure; a restart rereads the disk."""
-    while not member.has_stopped:
-        await member.wait_leadership_change()
-    logger.error("disk of the control member failed; stopping the process")
-    app.failed = True
-    app.stop_requested.set()
--- a/goldcrestyard/fleet/assembly/joining.py
+++ b/goldcrestyard/fleet/assembly/joining.py
@@ -49,7 +49,7 @@
     async def run(self) -> None:
         """Check periodically and request membership while it is missing."""
         while True:
-            if not self._has_joined():
+            if not self._member.is_suspended and not self._has_joined():
                 await self._request_membership()
             await asyncio.sleep(JOIN_CHECK_INTERVAL_SECONDS * random.uniform(0.5, 1.5))
 
--- a/goldcrestyard/fleet/observability/apps.py
+++ b/goldcrestyard/fleet/observability/apps.py
@@ -28,5 +28,6 @@
         member = app.find(ControlMember)
         if member is not None:
             metrics.leader.set_function(lambda: member.is_leader)
+            metrics.disk_failing.set_function(lambda: member.is_suspended)
             metrics.term.set_function(lambda: member.term)
             metrics.revision.set_function(lambda: member.machine.revision)
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -59,6 +59,10 @@
         )
         self.leader = self._gauge("leader", "1 while this control member leads.")
         self.term = self._gauge("term", "Term of this control member.")
+        self.disk_failing = self._gauge(
+            "disk_failing",
+            "1 while this control member is suspended because its disk fails.",
+        )
         self.dropped_lines = self._gauge(
             "log_lines_dropped", "Log lines dropped because the reader was too slow."
         )
--- a/goldcrestyard/plugins/metrics/metrics.py
+++ b/goldcrestyard/plugins/metrics/metrics.py
@@ -67,6 +67,10 @@
             "leader", "1 while this control member is the leader, 0 otherwise."
         )
         self.term = self._gauge("term", "Election term of this control member.")
+        self.disk_failing = self._gauge(
+            "disk_failing",
+            "1 while this control member is suspended because its disk fails.",
+        )
         self.change_lag = self._gauge(
             "change_lag_seconds",
             "Seconds for which the slowest entry with a lease has not applied a "
--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -138,6 +138,24 @@
         except OSError as error:
             raise DiskError(f"{self._folder}: {error}") from error
 
+    def discard_failed_writes(self) -> None:
+        """Remove from the disk what failed operations have left behind.
+
+        Afterwards it holds the records of all operations that succeeded, and
+        those that a failed truncation was to remove are gone.
+        """
+        try:
+            size_by_path = {segment.path: segment.size for segment in self._segments}
+            names = self._files.list_names(self._folder)
+            for path in reversed([self._folder / name for name in names]):
+                if path.name.endswith(SEGMENT_SUFFIX) and path not in size_by_path:
+                    self._files.remove(path)
+            self._files.sync_folder(self._folder)
+            for segment in self._segments:
+                self._truncate_file(segment)
+        except OSError as error:
+            raise DiskError(f"{self._folder}: {error}") from error
+
     def _open_segment(self, index: LogIndex) -> _Segment:
         """Return the segment for new records, creating one if necessary."""
         if self._segments and self._segments[-1].size < self._segment_bytes:
