Bound the bytes of an answer that are no answer, and its body

Cause: a target that sends as fast as it is read could keep a front busy until the deadline.

Ruled out: a bound in the reader of the body, since the parser consumes interim responses and extensions without telling anybody; flow control does not see them either.

Change: connections of all HTTP clients count what is no part of a body and end above 64 KiB, apart from the framing of chunks and what the parser holds back. Bodies end at 32 MiB for answers that are passed on and at 1 MiB for those that the product reads. Streams may carry 64 KiB without an event, the search for an event's end does not start again at its first byte, and readers yield for each chunk. The client of orders bounds interim responses and trailers. The verdict stays "may have run".

--- a/goldcrestyard/cli/client.py
+++ b/goldcrestyard/cli/client.py
@@ -12,6 +12,11 @@
 from goldcrestyard.cli.profile import Profile
 from goldcrestyard.core.attempts import describe_error
 from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
+from goldcrestyard.kernel.http_client import (
+    MAX_ANSWER_BYTES,
+    BoundedConnector,
+    read_at_most,
+)
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 REQUEST_TIMEOUT_SECONDS = 20.0
@@ -83,7 +88,9 @@
             total=REQUEST_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS
         )
         failures: list[str] = []
-        async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            headers=headers, timeout=timeout, connector=BoundedConnector()
+        ) as session:
             for round_number in range(MAX_ROUNDS):
                 if round_number:
                     await asyncio.sleep(self._pause_seconds)
@@ -113,7 +120,7 @@
             data=None if body is None else msgspec.json.encode(body),
             params=query,
         ) as answer:
-            content = await answer.read()
+            content = await read_at_most(answer, MAX_ANSWER_BYTES)
             status = answer.status
     except (aiohttp.ClientError, TimeoutError) as error:
         return Unanswered(describe_error(error))
--- a/goldcrestyard/kernel/http_client.py
+++ b/goldcrestyard/kernel/http_client.py
@@ -1,14 +1,48 @@
-"""aiohttp middleware that turns off the client's automatic retries."""
+"""What all HTTP clients of the product share: bounds, and no silent retries.
+
+A server in trouble may send bytes without end that are no answer: interim
+responses, extensions and headers of chunks, or a body that never ends.  They
+cost memory and processor time until the deadline of the request, so each kind
+has a bound of its own.
+"""
+
+import asyncio
+from functools import partial
+from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 from goldcrestyard.core.attempts import describe_error
 
+MAX_OVERHEAD_BYTES = 64 * 1024
+"""Largest number of bytes of an answer that are no part of its body, beyond
+the framing of its chunks.  It is several times the size of the largest head
+that the parser accepts."""
+
+CHUNK_OVERHEAD_FACTOR = 8
+"""Bytes of framing that each byte of a body may have.  A chunk of a single
+byte has five."""
+
+READ_BYTES = 256 * 1024
+"""Largest number of bytes that one read of a socket returns.  The parser may
+hold as many back while a body is read slowly."""
+
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+"""Largest body of an answer that is passed on to a caller."""
+
+MAX_REPORT_BYTES = 1024 * 1024
+"""Largest body of an answer that the product itself reads."""
+
 
 class ConnectionBrokenError(aiohttp.ClientError):
     """The connection failed after it was made; the request may have run."""
 
 
+class UnboundedAnswerError(aiohttp.ClientPayloadError):
+    """The server sends more than an answer may have; it may have run it."""
+
+
 async def without_retries(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -23,3 +57,69 @@
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         raise ConnectionBrokenError(describe_error(error)) from error
+
+
+async def read_at_most(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the whole body of an answer.
+
+    Raises ``UnboundedAnswerError`` if it is longer than ``max_bytes``, and
+    ``aiohttp.ClientError`` if it is incomplete.
+    """
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > max_bytes:
+            response.close()
+            raise UnboundedAnswerError(f"the answer exceeds {max_bytes} bytes")
+    return bytes(body)
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Connector whose connections end when an answer exceeds its overhead."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        # The library has no public option for the class of the protocol.
+        self._factory = partial(  # type: ignore[assignment]
+            BoundedResponseHandler, loop=self._loop
+        )
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """Protocol of a connection that bounds the bytes that are no body.
+
+    The parser consumes such bytes as fast as they arrive and reports nothing,
+    so that neither flow control nor a reader of the body could stop them.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._received_bytes = 0
+        self._earlier_body_bytes = 0
+
+    def set_response_params(self, *args: Any, **options: Any) -> None:
+        """Start to count anew for the next request on the connection."""
+        self._received_bytes = 0
+        self._earlier_body_bytes = self._body_bytes()
+        super().set_response_params(*args, **options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse data, and end the connection if it exceeds the bound."""
+        before = self._payload
+        self._received_bytes += len(data)
+        super().data_received(data)
+        if before is not self._payload:
+            self._earlier_body_bytes = 0
+        body_bytes = self._body_bytes() - self._earlier_body_bytes
+        allowed = MAX_OVERHEAD_BYTES + (1 + CHUNK_OVERHEAD_FACTOR) * body_bytes
+        if self._received_bytes > READ_BYTES + allowed and self.transport is not None:
+            error = UnboundedAnswerError(
+                f"over {MAX_OVERHEAD_BYTES} bytes that are no answer"
+            )
+            if self._payload is not None and not self._payload.is_eof():
+                self._payload.set_exception(error)
+            self.set_exception(error)
+            self.transport.abort()
+
+    def _body_bytes(self) -> int:
+        return 0 if self._payload is None else self._payload.total_bytes
--- a/goldcrestyard/platform/event_stream.py
+++ b/goldcrestyard/platform/event_stream.py
@@ -10,6 +10,9 @@
 from goldcrestyard.platform.names import VERSION_HEADER
 
 MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_BYTES_BETWEEN_EVENTS = 64 * 1024
+"""Largest number of bytes between two events, such as comments and empty
+lines, that a server may send to keep the connection open."""
 
 _VERSION_FIELD = VERSION_HEADER.lower().encode()
 
@@ -22,13 +25,20 @@
     ``read`` yields the bytes of the response body in arbitrary chunks.
     """
     pending = bytearray()
+    without_event = 0
     try:
         async for chunk in read():
+            # The end may lie across two chunks; earlier bytes hold none.
+            searched = max(0, len(pending) - 1)
             pending += chunk
-            while (end := pending.find(b"\n\n")) >= 0:
+            while (end := pending.find(b"\n\n", searched)) >= 0:
                 raw = bytes(pending[: end + 2])
                 del pending[: end + 2]
+                searched = 0
                 event = _parse(raw)
+                without_event = without_event + len(raw) if event is None else 0
+                if without_event > MAX_BYTES_BETWEEN_EVENTS:
+                    event = Broken(f"{without_event} bytes without an event")
                 if event is not None:
                     yield event
                 if isinstance(event, Broken):
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -24,7 +24,12 @@
 from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
 from goldcrestyard.core.ids import WeightVersion
 from goldcrestyard.core.records import Target
-from goldcrestyard.kernel.http_client import without_retries
+from goldcrestyard.kernel.http_client import (
+    MAX_ANSWER_BYTES,
+    BoundedConnector,
+    read_at_most,
+    without_retries,
+)
 from goldcrestyard.platform.event_stream import read_events
 from goldcrestyard.platform.hop_headers import end_to_end
 from goldcrestyard.platform.names import (
@@ -96,7 +101,7 @@
     async def read(self) -> bytes | Broken:
         """Return the whole body, or ``Broken`` if it is incomplete."""
         try:
-            body = await self._response.read()
+            body = await read_at_most(self._response, MAX_ANSWER_BYTES)
             self._check_end()
             return body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -109,6 +114,8 @@
     async def _chunks(self) -> AsyncIterator[bytes]:
         async for chunk in self._response.content.iter_any():
             yield chunk
+            # Data that is always there must not keep the other tasks waiting.
+            await asyncio.sleep(0)
         self._check_end()
 
     def _check_end(self) -> None:
@@ -141,9 +148,7 @@
 
     async def start(self) -> None:
         """Create the session for single requests; needs an event loop."""
-        self._single_session = _new_session(
-            aiohttp.TCPConnector(limit=0, force_close=True)
-        )
+        self._single_session = _new_session(BoundedConnector(limit=0, force_close=True))
 
     async def stop(self) -> None:
         """Close all connections."""
@@ -158,7 +163,7 @@
         session = self._sessions_by_address.get(address)
         if session is None:
             session = self._sessions_by_address[address] = _new_session(
-                aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_SECONDS)
+                BoundedConnector(limit=0, keepalive_timeout=KEEP_ALIVE_SECONDS)
             )
         return session
 
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -12,6 +12,7 @@
     LoadOrder,
     OrderOutcome,
 )
+from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
 from goldcrestyard.platform.names import ORDER_PATH, REPORT_PATH, TARGET_ID_HEADER
 from goldcrestyard.platform.targets.client import HttpTargetClient
 
@@ -61,7 +62,9 @@
             ) as response:
                 if response.status != 200:
                     return None
-                report = msgspec.json.decode(await response.read(), type=_Report)
+                report = msgspec.json.decode(
+                    await read_at_most(response, MAX_REPORT_BYTES), type=_Report
+                )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             await self._client.discard_connections(target.address)
             self._log_failure(target, describe_error(error))
--- a/goldcrestyard/plugins/engines/apps.py
+++ b/goldcrestyard/plugins/engines/apps.py
@@ -4,6 +4,7 @@
 
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.engines.dispatch import Dispatcher
 from goldcrestyard.plugins.engines.settings import EngineSettings
@@ -32,7 +33,7 @@
     async def start(self, app: Application) -> None:
         """Open the HTTP session for engines and add the routes."""
         settings = app.settings.section(EngineSettings)
-        connector = aiohttp.TCPConnector(
+        connector = BoundedConnector(
             limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS
         )
         self._session = aiohttp.ClientSession(
--- a/goldcrestyard/plugins/engines/event_stream.py
+++ b/goldcrestyard/plugins/engines/event_stream.py
@@ -1,5 +1,6 @@
 """Parser for the server-sent event streams of engines."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any
@@ -8,6 +9,9 @@
 from aiohttp import StreamReader
 
 MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_BYTES_BETWEEN_EVENTS = 64 * 1024
+"""Largest number of bytes between two events, such as comments and empty
+lines, that an engine may send to keep the connection open."""
 END_OF_STREAM_DATA = b"[DONE]"
 
 
@@ -40,15 +44,30 @@
     A stream that was cut off has no ``EndOfStream`` as its last event.
     """
     pending = bytearray()
+    without_event = 0
     async for chunk in reader.iter_any():
+        # Data that is always there must not keep the other tasks waiting.
+        await asyncio.sleep(0)
+        # The end may lie across two chunks; earlier bytes hold none.
+        searched = max(0, len(pending) - 1)
         # Lines may end in "\r\n" or "\n"; JSON data contains no raw "\r".
         pending += chunk.replace(b"\r", b"")
-        while (end := pending.find(b"\n\n")) >= 0:
+        without_event += chunk.count(b"\r")
+        while (end := pending.find(b"\n\n", searched)) >= 0:
             block = bytes(pending[:end])
             del pending[: end + 2]
+            searched = 0
             data, event_id = _parse_fields(block)
             if data is not None:
+                without_event = 0
                 yield parse_event(data, event_id)
+                continue
+            without_event += len(block) + 2
+            if without_event > MAX_BYTES_BETWEEN_EVENTS:
+                break
+        if without_event > MAX_BYTES_BETWEEN_EVENTS:
+            yield MalformedEvent("too many bytes without an event")
+            return
         if len(pending) > MAX_EVENT_BYTES:
             yield MalformedEvent("event is too long")
             return
--- a/goldcrestyard/plugins/engines/upstream.py
+++ b/goldcrestyard/plugins/engines/upstream.py
@@ -25,6 +25,7 @@
 from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
 from goldcrestyard.core.ids import AttemptId, CorrelationId
 from goldcrestyard.core.records import Target
+from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.plugins.engines.completeness import ChoiceTracker
 from goldcrestyard.plugins.engines.event_stream import (
     EndOfStream,
@@ -208,7 +209,7 @@
 
     async def _probe(self, target: Target) -> bool:
         timeout = aiohttp.ClientTimeout(total=self._settings.probe_seconds)
-        connector = aiohttp.TCPConnector(force_close=True)
+        connector = BoundedConnector(force_close=True)
         try:
             async with (
                 aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
--- a/goldcrestyard/plugins/orders/apps.py
+++ b/goldcrestyard/plugins/orders/apps.py
@@ -6,6 +6,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.plugins.listeners.routes import AdminRoutes
 from goldcrestyard.plugins.operators.settings import OperatorSettings
 from goldcrestyard.plugins.orders import checks
@@ -51,7 +52,9 @@
         if member is None:
             return
         settings = app.settings.section(OrderSettings)
-        self._session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
+        self._session = aiohttp.ClientSession(
+            connector=BoundedConnector(), cookie_jar=aiohttp.DummyCookieJar()
+        )
         client = OrderClient(
             TcpConnector(settings.order_quiet_seconds),
             settings,
--- a/goldcrestyard/plugins/orders/client.py
+++ b/goldcrestyard/plugins/orders/client.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
 from goldcrestyard.plugins.orders.commands import Order, OrderRecord
 from goldcrestyard.plugins.orders.connection import (
     Connector,
@@ -121,6 +122,7 @@
         url = f"http://{order.receiver.address}{order.look_up_path}"
         try:
             async with self._session.get(url, timeout=self._timeout) as response:
-                return OrderAnswer(response.status, await response.read())
+                body = await read_at_most(response, MAX_REPORT_BYTES)
+                return OrderAnswer(response.status, body)
         except (aiohttp.ClientError, TimeoutError) as error:
             return NoAnswer(str(error) or "timeout")
--- a/goldcrestyard/plugins/orders/connection.py
+++ b/goldcrestyard/plugins/orders/connection.py
@@ -9,6 +9,7 @@
 from goldcrestyard.wire.client import PeerAddress
 
 MAX_ANSWER_BYTES = 64 * 1024
+MAX_INTERIM_ANSWERS = 8
 MAX_CHUNK_LINE_BYTES = 64
 
 
@@ -120,7 +121,7 @@
 
     Raises ``ValueError`` if it is malformed, too long or of unknown length.
     """
-    while True:
+    for _ in range(MAX_INTERIM_ANSWERS + 1):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         status_line, *lines = head.split("\r\n")
         protocol, status_text, *_ = status_line.split(" ")
@@ -129,6 +130,8 @@
         status = int(status_text)
         if status >= 200:
             break
+    else:
+        raise ValueError("too many interim responses")
     headers_by_name = {
         name.strip().lower(): value.strip()
         for name, _, value in (line.partition(":") for line in lines)
@@ -155,8 +158,15 @@
         if size < 0 or len(body) + size > MAX_ANSWER_BYTES:
             raise ValueError("answer is too long")
         if size == 0:
-            while await reader.readuntil(b"\r\n") != b"\r\n":
-                pass
+            await _skip_trailers(reader)
             return bytes(body)
         body += await reader.readexactly(size)
         await reader.readexactly(2)
+
+
+async def _skip_trailers(reader: asyncio.StreamReader) -> None:
+    skipped = 0
+    while (line := await reader.readuntil(b"\r\n")) != b"\r\n":
+        skipped += len(line)
+        if skipped > MAX_ANSWER_BYTES:
+            raise ValueError("the headers after the answer are too long")
--- a/goldcrestyard/plugins/rentals/apps.py
+++ b/goldcrestyard/plugins/rentals/apps.py
@@ -9,6 +9,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.plugins.orders.outbox import OrderOutbox
 from goldcrestyard.plugins.rentals import checks
@@ -54,7 +55,9 @@
         member = app.find(ControlMember)
         if member is None:
             return
-        self._session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
+        self._session = aiohttp.ClientSession(
+            connector=BoundedConnector(), cookie_jar=aiohttp.DummyCookieJar()
+        )
         planner = CapacityPlanner(
             member,
             app.get(OrderOutbox),
--- a/goldcrestyard/plugins/rentals/client.py
+++ b/goldcrestyard/plugins/rentals/client.py
@@ -11,6 +11,7 @@
 
 from goldcrestyard.core.ids import DataCentre, TargetId
 from goldcrestyard.core.states import Rental
+from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
 
 READ_TIMEOUT_SECONDS = 5.0
 
@@ -83,6 +84,6 @@
             ) as response:
                 if response.status != 200:
                     return Unavailable(f"{path} answered {response.status}")
-                return await response.read()
+                return await read_at_most(response, MAX_REPORT_BYTES)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Unavailable(str(error) or "timeout")
--- a/goldcrestyard/plugins/rollout/apps.py
+++ b/goldcrestyard/plugins/rollout/apps.py
@@ -5,6 +5,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.plugins.listeners.routes import AdminRoutes
 from goldcrestyard.plugins.operators.settings import OperatorSettings
 from goldcrestyard.plugins.orders.outbox import OrderOutbox
@@ -36,7 +37,7 @@
             return
         settings = app.settings.section(RolloutSettings)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=BoundedConnector(limit=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
         rollouts = RolloutManager(
--- a/goldcrestyard/plugins/rollout/engines.py
+++ b/goldcrestyard/plugins/rollout/engines.py
@@ -14,6 +14,7 @@
 
 from goldcrestyard.core.ids import OrderId, WeightVersion
 from goldcrestyard.core.records import PublishedWeights, Target
+from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
 from goldcrestyard.plugins.orders.commands import Order, Receiver, ReceiverId
 from goldcrestyard.policy.orders import Guards
 from goldcrestyard.policy.rollouts import (
@@ -69,7 +70,8 @@
                     if response.status != 200:
                         return VersionsUnknown(f"answered {response.status}")
                     reported = msgspec.json.decode(
-                        await response.read(), type=_VersionsBody
+                        await read_at_most(response, MAX_REPORT_BYTES),
+                        type=_VersionsBody,
                     )
             except (aiohttp.ClientError, TimeoutError) as error:
                 return VersionsUnknown(str(error) or "timeout")
--- a/goldcrestyard/plugins/services/apps.py
+++ b/goldcrestyard/plugins/services/apps.py
@@ -4,6 +4,7 @@
 
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.claims.manager import ClaimManager
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
@@ -51,7 +52,7 @@
         """Open the HTTP session for targets and add the routes."""
         settings = app.settings.section(ServiceSettings)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=BoundedConnector(limit=0, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
         )
--- a/goldcrestyard/plugins/weights/apps.py
+++ b/goldcrestyard/plugins/weights/apps.py
@@ -11,6 +11,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
@@ -64,7 +65,7 @@
         machine = app.get(EntryView).machine
         self._cache = WeightCache(settings.cache_folder, settings.cache_bytes)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=BoundedConnector(limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
         )
