Accept a retirement while machines that will return are away

Ruled out: fewer wanted voters, which would give up a tolerated loss.

Change: machines count that have been members and are not retiring, since a frozen one joins again. The retiring member still leaves only when enough others vote, so an early order runs longer rather than being refused. A machine that is known and no member any more can be retired as well.

--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -92,12 +92,14 @@
 
     async def retire(self, machine: str) -> Refusal | None:
         """Start to retire a machine; return None, or why that is refused."""
+        if machine in self._machines.retiring:
+            return None
         instance = self._machines.instance_of(machine)
-        if instance is None or instance not in self._member_instances():
-            if machine in self._machines.retiring:
-                return None
+        if instance is None:
             return Refusal(RefusalReason.NOT_FOUND, f"no machine {machine}")
-        if not may_retire(self._member_facts(), instance, self._wanted_voters):
+        known = self._machines.names_by_instance.keys() | self._member_instances()
+        retiring = self._machines.retiring_instances()
+        if not may_retire(known, retiring, instance, self._wanted_voters):
             return Refusal(
                 RefusalReason.CONFLICT,
                 f"without {machine} fewer than {self._wanted_voters} members remain",
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -118,11 +118,19 @@
 
 
 def may_retire(
-    members: Iterable[MemberFacts], instance: InstanceId, wanted_voters: int
+    known_instances: AbstractSet[InstanceId],
+    retiring: AbstractSet[InstanceId],
+    instance: InstanceId,
+    wanted_voters: int,
 ) -> bool:
-    """Return whether enough members remain after an instance retires."""
-    remaining = {member.instance for member in members if member.instance != instance}
-    return len(remaining) >= wanted_voters
+    """Return whether enough machines remain after an instance retires.
+
+    ``known_instances`` have been members and may be so again: one that is
+    frozen or cut off for a time counts.  The retiring instance stays a member
+    until ``wanted_voters`` others vote, so an order that is accepted early is
+    only carried out late.
+    """
+    return len(known_instances - retiring - {instance}) >= wanted_voters
 
 
 def _is_lost(member: MemberFacts, members: Sequence[MemberFacts]) -> bool:
