Refuse answers without a request id on reused connections

Cause: the id of an answer was compared only if there was one. A late second copy of an answer without an id, arriving when the next request had been sent on the connection, was taken for its answer; a copy of a "not run" would have told the next caller that its request had not run.

Change: on a reused connection an answer without an id is broken. On a connection of its own it is still accepted.

--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -287,6 +287,10 @@
     echoed = response.headers.get(REQUEST_ID_HEADER)
     if echoed is not None and echoed != call.request:
         return Broken("answer to another request")
+    if echoed is None and call.repeatable:
+        # On a reused connection it may be a late copy of an earlier answer,
+        # and "not run" in it would say nothing about this request.
+        return Broken("answer without request id on a reused connection")
     not_run = NOT_RUN_HEADER in response.headers and response.status in NOT_RUN_STATUSES
     if not_run or response.status == MISDIRECTED_STATUS:
         return TurnedAway(response.status, f"target answered {response.status}")
