Check the leader's permission when an order leaves, not before it connects

Cause: orders to engines, rentals and usage reports checked the lease and then opened a connection. A process that was paused meanwhile, or that waited for the connection, sent the order after its lease had ended.

Change: the body of such a request checks the permission of its term at the moment of writing; the head goes out together with it. A leader of a later term counts as another one, since its fence differs.

--- a/goldcrestyard/fleet/metering/reporting.py
+++ b/goldcrestyard/fleet/metering/reporting.py
@@ -12,7 +12,7 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.ids import Term
+from goldcrestyard.fleet.duties import Permit, permit_of
 from goldcrestyard.fleet.metering.commands import (
     CloseUsage,
     UsageReported,
@@ -42,12 +42,8 @@
 class UsageApi(Protocol):
     """Client of the platform's usage interface, provided by its adapter."""
 
-    async def report(self, counts: WindowCounts, fence: Term) -> ReportOutcome:
-        """Send the counts of a window once.
-
-        ``fence`` is the leader's term, which lets the platform reject reports
-        of an earlier leader.
-        """
+    async def report(self, counts: WindowCounts, permit: Permit) -> ReportOutcome:
+        """Send the counts of a window once, if the permit still holds."""
         ...
 
 
@@ -99,12 +95,13 @@
         """Send a report; return whether the next window may be reported."""
         if not self._member.holds_lease():
             return False
-        outcome = await self._api.report(counts, self._member.term)
+        permit = permit_of(self._member)
+        outcome = await self._api.report(counts, permit)
         logger.info(
             "usage report sent",
             window=counts.window,
             requests=sum(counts.counts_by_organisation.values()),
-            fence=self._member.term,
+            fence=permit.fence,
             outcome=outcome.value,
         )
         if outcome is ReportOutcome.UNKNOWN:
--- a/goldcrestyard/fleet/rentals/autoscaler.py
+++ b/goldcrestyard/fleet/rentals/autoscaler.py
@@ -14,9 +14,10 @@
 import structlog
 
 from goldcrestyard.consensus.control_member import ControlMember
-from goldcrestyard.core.ids import DataCentre, ServiceName, Term
+from goldcrestyard.core.ids import DataCentre, ServiceName
 from goldcrestyard.core.serving import ServedService
 from goldcrestyard.core.states import Rental, TargetState
+from goldcrestyard.fleet.duties import Permit, permit_of
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
@@ -69,12 +70,8 @@
 class RentalApi(Protocol):
     """Client of the platform's rental interface, provided by its adapter."""
 
-    async def rent(self, order: RentalOrder, fence: Term) -> RentalOutcome:
-        """Send an order once.
-
-        ``fence`` is the leader's term, which lets the platform reject orders
-        of an earlier leader.
-        """
+    async def rent(self, order: RentalOrder, permit: Permit) -> RentalOutcome:
+        """Send an order once, if the permit still holds."""
         ...
 
 
@@ -149,14 +146,15 @@
     async def _send_order(self, order: RentalOrder, have: int) -> None:
         if not self._member.holds_lease():
             return
-        outcome = await self._api.rent(order, self._member.term)
+        permit = permit_of(self._member)
+        outcome = await self._api.rent(order, permit)
         logger.info(
             "rental order sent",
             service=order.service,
             data_centre=order.data_centre,
             count=order.count,
             have=have,
-            fence=self._member.term,
+            fence=permit.fence,
             outcome=outcome.value,
         )
         key = (order.service, order.data_centre)
--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -16,6 +16,7 @@
 from goldcrestyard.core.ids import ModelName, ServiceName, TargetId, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetKind, TargetState
+from goldcrestyard.fleet.duties import permit_of
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -279,11 +280,12 @@
             return
         if not self._member.holds_lease():
             return
+        permit = permit_of(self._member)
         order = LoadOrder(
-            load.model, load.version, self._member.term, report.accepted_orders
+            load.model, load.version, permit.fence, report.accepted_orders
         )
         self._loading.begin(target.id, load.model)
-        outcome = await self._control.load(target, order)
+        outcome = await self._control.load(target, order, permit)
         logger.info(
             "weight load ordered",
             target=target.id,
@@ -304,7 +306,7 @@
                 # invalidate it, so wait before sending another.
                 self._loading.end(target.id)
                 await self._wait_until_loaded(target, load)
-            case OrderOutcome.CONFLICT | OrderOutcome.REFUSED:
+            case OrderOutcome.CONFLICT | OrderOutcome.REFUSED | OrderOutcome.NOT_SENT:
                 self._loading.end(target.id)
                 await asyncio.sleep(LOAD_RETRY_SECONDS)
 
--- a/goldcrestyard/fleet/versions/orders.py
+++ b/goldcrestyard/fleet/versions/orders.py
@@ -6,6 +6,7 @@
 
 from goldcrestyard.core.ids import ModelName, Term, WeightVersion
 from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.duties import Permit
 
 
 class OrderOutcome(Enum):
@@ -17,6 +18,8 @@
     CONFLICT = "conflict"
     """Another order is in progress or was accepted since the last report."""
     REFUSED = "refused"
+    NOT_SENT = "not sent"
+    """The permit had ended before the order left."""
     UNKNOWN = "unknown"
     """No answer: the order may be carried out now, later or never."""
 
@@ -50,6 +53,8 @@
         """Return an engine's state, or None if it does not answer."""
         ...
 
-    async def load(self, target: Target, order: LoadOrder) -> OrderOutcome:
-        """Send an order once, without retries."""
+    async def load(
+        self, target: Target, order: LoadOrder, permit: Permit
+    ) -> OrderOutcome:
+        """Send an order once, without retries, if the permit still holds."""
         ...
--- a/goldcrestyard/kernel/http_client.py
+++ b/goldcrestyard/kernel/http_client.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
 import aiohttp
+from aiohttp.abc import AbstractStreamWriter
 from aiohttp.client_proto import ResponseHandler
 
 from goldcrestyard.core.attempts import describe_error
@@ -74,6 +76,35 @@
     return bytes(body)
 
 
+class PermissionLostError(Exception):
+    """The permission to send a request ended before its last byte was sent."""
+
+
+class GuardedBody(aiohttp.BytesPayload):
+    """A request body that is sent only while its sender still may send it.
+
+    A process may be paused, or wait for a connection, after it has checked a
+    permission.  The head goes out together with the body, and no task runs
+    between the check here and the write, so the receiver gets a complete
+    request only if the permission held at that moment.
+    """
+
+    def __init__(self, body: bytes, permitted: Callable[[], bool]) -> None:
+        super().__init__(body, content_type="application/json")
+        self._permitted = permitted
+        self.refused = False
+        """Whether the permission had ended, so that nothing was sent."""
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Check the permission, then write the body."""
+        if not self._permitted():
+            self.refused = True
+            raise PermissionLostError("the permission to send has ended")
+        await super().write_with_length(writer, content_length)
+
+
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector whose connections end when an answer exceeds its overhead."""
 
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -7,12 +7,17 @@
 from goldcrestyard.core.attempts import describe_error
 from goldcrestyard.core.ids import InstanceId, ModelName, WeightVersion
 from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.duties import Permit
 from goldcrestyard.fleet.versions.orders import (
     EngineReport,
     LoadOrder,
     OrderOutcome,
 )
-from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
+from goldcrestyard.kernel.http_client import (
+    MAX_REPORT_BYTES,
+    GuardedBody,
+    read_at_most,
+)
 from goldcrestyard.platform.names import ORDER_PATH, REPORT_PATH, TARGET_ID_HEADER
 from goldcrestyard.platform.targets.client import HttpTargetClient
 
@@ -78,9 +83,11 @@
             {ModelName(m.name): WeightVersion(m.version) for m in report.models},
         )
 
-    async def load(self, target: Target, order: LoadOrder) -> OrderOutcome:
+    async def load(
+        self, target: Target, order: LoadOrder, permit: Permit
+    ) -> OrderOutcome:
         """Send an order to load a weight version once."""
-        body = {
+        fields = {
             "op": "version",
             "model": order.model,
             "version": order.version,
@@ -89,17 +96,18 @@
             "fence": order.fence,
             "expect": order.expected_orders,
         }
+        body = GuardedBody(msgspec.json.encode(fields), permit.holds)
         try:
             async with self._client.single_session.post(
                 f"http://{target.address}{ORDER_PATH}",
-                json=body,
+                data=body,
                 headers={TARGET_ID_HEADER: target.id},
                 timeout=self._timeout,
             ) as response:
                 return _OUTCOMES_BY_STATUS.get(response.status, OrderOutcome.REFUSED)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._log_failure(target, describe_error(error))
-            return OrderOutcome.UNKNOWN
+            return OrderOutcome.NOT_SENT if body.refused else OrderOutcome.UNKNOWN
 
     def _log_failure(self, target: Target, error: str) -> None:
         logger.info("engine did not answer", target=target.id, error=error)
--- a/tests/fleet/test_loading.py
+++ b/tests/fleet/test_loading.py
@@ -8,6 +8,7 @@
 from goldcrestyard.core.ids import Term, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetKind
+from goldcrestyard.fleet.duties import Permit
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.fleet.serving.slices import ServingSlice
@@ -65,7 +66,9 @@
         versions = {MODEL: WeightVersion(engine.version)}
         return EngineReport(engine.accepted, False, versions)
 
-    async def load(self, target: Target, order: LoadOrder) -> OrderOutcome:
+    async def load(
+        self, target: Target, order: LoadOrder, permit: Permit
+    ) -> OrderOutcome:
         engine = self.engines[target.id]
         engine.orders.append(order)
         answer = (
--- a/tests/fleet/test_metering.py
+++ b/tests/fleet/test_metering.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from goldcrestyard.core.ids import InstanceId, OrganisationId, RequestId, Term
+from goldcrestyard.fleet.duties import Permit
 from goldcrestyard.fleet.metering.apps import MeteringConfig
 from goldcrestyard.fleet.metering.commands import CloseUsage, WindowCounts
 from goldcrestyard.fleet.metering.meter import (
@@ -29,8 +30,8 @@
         self.reports: list[tuple[WindowCounts, Term]] = []
         self.outcomes: list[ReportOutcome] = []
 
-    async def report(self, counts: WindowCounts, fence: Term) -> ReportOutcome:
-        self.reports.append((counts, fence))
+    async def report(self, counts: WindowCounts, permit: Permit) -> ReportOutcome:
+        self.reports.append((counts, permit.fence))
         await asyncio.sleep(0.01)
         return self.outcomes.pop(0) if self.outcomes else ReportOutcome.ACCEPTED
 
