--- a/goldcrestyard/membership/change_feed.py
+++ b/goldcrestyard/membership/change_feed.py
@@ -13,6 +13,11 @@
 changes a day.  An entry that has missed more gets a snapshot."""
 
 
+MAX_RETAINED_BYTES = 4 * 1024 * 1024
+"""Maximum size of the retained changes.  A change of a configuration may
+hold all of it, and hundreds of them would fill a small machine."""
+
+
 class ChangeFeed:
     """Retains recent changes in order and notifies waiting tasks.
 
@@ -25,6 +30,7 @@
         self._clock = clock
         self._changes: deque[Change] = deque()
         self._added_at: deque[float] = deque()
+        self._retained_bytes = 0
         self._base_revision = Revision(0)
         self._updated = asyncio.Event()
 
@@ -40,8 +46,15 @@
         )
         self._changes.append(change)
         self._added_at.append(self._clock.monotonic())
-        if len(self._changes) > MAX_RETAINED_CHANGES:
-            self._base_revision = self._changes.popleft().revision
+        self._retained_bytes += size_of(change)
+        # The latest change always stays, or each entry would need a snapshot.
+        while len(self._changes) > 1 and (
+            len(self._changes) > MAX_RETAINED_CHANGES
+            or self._retained_bytes > MAX_RETAINED_BYTES
+        ):
+            dropped = self._changes.popleft()
+            self._base_revision = dropped.revision
+            self._retained_bytes -= size_of(dropped)
             self._added_at.popleft()
         self._updated.set()
         self._updated = asyncio.Event()
@@ -50,6 +63,7 @@
         """Drop all changes, because a snapshot replaced the state."""
         self._changes.clear()
         self._added_at.clear()
+        self._retained_bytes = 0
         self._base_revision = revision
         self._updated.set()
         self._updated = asyncio.Event()
@@ -83,3 +97,8 @@
     async def wait(self) -> None:
         """Wait until a change is added or the changes are dropped."""
         await self._updated.wait()
+
+
+def size_of(change: Change) -> int:
+    """Return the size in bytes of a change's encoded commands."""
+    return sum(map(len, change.commands))
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -17,12 +17,13 @@
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.waiting import wait_at_most
-from goldcrestyard.membership.change_feed import ChangeFeed
+from goldcrestyard.membership.change_feed import ChangeFeed, size_of
 from goldcrestyard.membership.digests import LeaderDigests
 from goldcrestyard.policy import leases
 from goldcrestyard.policy.leases import EntryLease
+from goldcrestyard.state.commands import Change
 from goldcrestyard.wire.codec import Codec
-from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.connection import Handlers, PeerConnection, encode_push
 from goldcrestyard.wire.messages import (
     ChangesPush,
     Failure,
@@ -44,6 +45,17 @@
 that the entry does not have to repeat it.  It is shorter than the entry's
 request time-out."""
 
+MAX_CHANGES_BYTES = 256 * 1024
+"""Largest size of the changes that an entry is sent one by one.  Most changes
+replace earlier ones, so that a snapshot is smaller."""
+
+MAX_CONCURRENT_SNAPSHOTS = 8
+"""Maximum number of entries that are sent a snapshot at the same time."""
+
+SNAPSHOT_TIMEOUT_SECONDS = 2.0
+"""Longest time for which an entry may take to receive a snapshot, since others
+wait meanwhile."""
+
 
 class EntrySessions:
     """Handles the entries' requests while this member leads.
@@ -67,6 +79,10 @@
         self._clock = clock
         self._lease_seconds = entry_lease_seconds
         self._digests = digests
+        self._snapshot_slots = asyncio.Semaphore(MAX_CONCURRENT_SNAPSHOTS)
+        # The latest frames, which the entries' connections share.
+        self._shared_snapshot: tuple[Revision, bytes] | None = None
+        self._shared_changes: tuple[tuple[Revision, Revision], bytes] | None = None
         self.leases_by_entry: dict[InstanceId, EntryLease] = {}
 
     def register(self, handlers: Handlers) -> None:
@@ -116,32 +132,70 @@
     async def _follow(self, revision: Revision, connection: PeerConnection) -> None:
         """Push each change once, in order, until the connection closes.
 
-        An entry that has missed changes which are no longer retained gets a
-        snapshot.
+        An entry that has missed changes which are no longer retained, or
+        more of them than a few, gets a snapshot.
         """
         while not connection.closed:
             changes = self._feed.since(revision)
-            if changes is None:
-                revision = self._member.machine.revision
-                sent = await connection.push(self._snapshot(revision))
-            elif changes:
-                revision = changes[-1].revision
-                sent = await connection.push(ChangesPush(changes))
-            else:
+            if changes == ():
                 await self._feed.wait()
                 continue
-            if not sent:
+            if changes is None or sum(map(size_of, changes)) > MAX_CHANGES_BYTES:
+                sent_revision = await self._push_snapshot(connection)
+                if sent_revision is None:
+                    return
+                revision = sent_revision
+                continue
+            if not await connection.push_frame(self._changes_frame(changes)):
                 return
+            revision = changes[-1].revision
 
-    def _snapshot(self, revision: Revision) -> SnapshotPush:
-        snapshots = self._member.machine.to_snapshots(fan_out_only=True)
-        return SnapshotPush(
-            revision,
-            {
-                name: self._codec.encode(snapshot)
-                for name, snapshot in snapshots.items()
-            },
-        )
+    async def _push_snapshot(self, connection: PeerConnection) -> Revision | None:
+        """Send the present state; return its revision, or None on failure.
+
+        Pattern: after an election or a restart of all processes, every entry
+        subscribes at once.  Only a few are sent a snapshot at the same time,
+        and all of them share its frame, since otherwise the copies for
+        hundreds of entries would exceed the leader's memory.
+        """
+        async with self._snapshot_slots:
+            if connection.closed:
+                return None
+            revision, frame = self._snapshot_frame()
+            try:
+                async with asyncio.timeout(SNAPSHOT_TIMEOUT_SECONDS):
+                    sent = await connection.push_frame(frame)
+            except TimeoutError:
+                logger.warning(
+                    "entry does not read its snapshot; closing the connection",
+                    peer=connection.peer,
+                )
+                sent = False
+        if sent:
+            return revision
+        await connection.close()
+        return None
+
+    def _snapshot_frame(self) -> tuple[Revision, bytes]:
+        revision = self._member.machine.revision
+        if self._shared_snapshot is None or self._shared_snapshot[0] != revision:
+            snapshots = self._member.machine.to_snapshots(fan_out_only=True)
+            push = SnapshotPush(
+                revision,
+                {
+                    name: self._codec.encode(snapshot)
+                    for name, snapshot in snapshots.items()
+                },
+            )
+            self._shared_snapshot = (revision, encode_push(self._codec, push))
+        return self._shared_snapshot
+
+    def _changes_frame(self, changes: tuple[Change, ...]) -> bytes:
+        span = (changes[0].revision, changes[-1].revision)
+        if self._shared_changes is None or self._shared_changes[0] != span:
+            frame = encode_push(self._codec, ChangesPush(changes))
+            self._shared_changes = (span, frame)
+        return self._shared_changes[1]
 
     async def _on_renew(self, message: Renew, connection: PeerConnection) -> object:
         if not self._member.holds_lease():
--- a/goldcrestyard/wire/connection.py
+++ b/goldcrestyard/wire/connection.py
@@ -123,8 +123,16 @@
 
     async def push(self, message: object) -> bool:
         """Send a message that has no response; return whether it was sent."""
+        return await self.push_frame(encode_push(self._codec, message))
+
+    async def push_frame(self, frame: bytes) -> bool:
+        """Send the frame of a push; return whether it was sent.
+
+        Several connections can share a frame, so that a message to many peers
+        is encoded and held in memory once.
+        """
         try:
-            await self._send_frame(FrameKind.PUSH, 0, message)
+            await self._socket.send(frame)
         except ConnectionClosed:
             return False
         return True
@@ -165,8 +173,7 @@
     async def _send_frame(
         self, kind: FrameKind, frame_id: int, message: object
     ) -> None:
-        body = self._codec.encode(message)
-        await self._socket.send(cbor2.dumps([int(kind), frame_id, body]))
+        await self._socket.send(_encode_frame(self._codec, kind, frame_id, message))
 
     def _complete_request(self, frame_id: int, message: object) -> None:
         reply = self._replies_by_id.get(frame_id)
@@ -211,7 +218,9 @@
             frame_kind = FrameKind(kind)
         except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
             raise CodecError(f"Malformed frame: {error}") from error
-        return frame_kind, int(frame_id), self._codec.decode(body)
+        if type(frame_id) is not int or not isinstance(body, bytes):
+            raise CodecError("Malformed frame: its id or its message has a wrong type.")
+        return frame_kind, frame_id, self._codec.decode(body)
 
     def _mark_closed(self) -> None:
         self.closed = True
@@ -220,5 +229,16 @@
                 reply.set_result(NoAnswer("connection closed"))
 
 
+def encode_push(codec: Codec, message: object) -> bytes:
+    """Return the frame of a push, for ``PeerConnection.push_frame``."""
+    return _encode_frame(codec, FrameKind.PUSH, 0, message)
+
+
+def _encode_frame(
+    codec: Codec, kind: FrameKind, frame_id: int, message: object
+) -> bytes:
+    return cbor2.dumps([int(kind), frame_id, codec.encode(message)])
+
+
 class _CancelHandlers(Exception):  # noqa: N818 - a signal, not an error
     """Raised in the task group to cancel the handlers that still run."""
