Keep one unexpected error from ending a process

Cause: Application.spawn stopped the process when any of its tasks failed. An undecodable message of a member ended its link and with it the member, and an exception in a slice ended all members at the same committed command, again after each restart. A heartbeat with port 99999 raised OverflowError in the task that loads versions.

Members drop malformed messages, join requests need an address, heartbeats an address and a sane number of slots. A committed command that its slice cannot apply is rejected by all members alike.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -48,7 +48,7 @@
 )
 from goldcrestyard.consensus.links import MemberLinks
 from goldcrestyard.consensus.member import Member
-from goldcrestyard.consensus.messages import MemberMessage
+from goldcrestyard.consensus.messages import MemberMessage, find_fault
 from goldcrestyard.consensus.persistent_state import (
     PersistentState,
     select_save_effects,
@@ -80,7 +80,7 @@
 from goldcrestyard.storage.exceptions import DiskError
 from goldcrestyard.storage.files import DiskFiles, Files
 from goldcrestyard.storage.folder_lock import FolderLock
-from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.codec import Codec, CodecError
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import Failure, NotLeader
 
@@ -786,9 +786,22 @@
 
     def _on_messages(self, sender: MemberId, messages: tuple[bytes, ...]) -> None:
         for data in messages:
-            message = self._codec.decode(data)
-            if isinstance(message, get_args(MemberMessage)):
+            message: object
+            try:
+                message = self._codec.decode(data)
+                fault = find_fault(message)
+            except CodecError as error:
+                fault = str(error)
+            if fault is None and isinstance(message, get_args(MemberMessage)):
                 self._queue.put_nowait(Receive(sender, message))
+            else:
+                # The protocol repeats what it needs; a member that sends
+                # such messages must not end this one.
+                logger.warning(
+                    "malformed message of a member dropped",
+                    sender=sender,
+                    error=fault or "not a message between members",
+                )
 
     # Bootstrap of a new cluster.
 
--- a/goldcrestyard/consensus/messages.py
+++ b/goldcrestyard/consensus/messages.py
@@ -168,3 +168,29 @@
     | InstallSnapshot
     | SnapshotReply
 )
+
+
+def find_fault(message: object) -> str | None:
+    """Return why a received message cannot be processed, or None.
+
+    The types of its fields are checked by the codec already.
+    """
+    match message:
+        case Append(previous_index=previous, entries=entries, commit_index=commit):
+            if previous < 0 or commit < 0:
+                return "negative index"
+            for offset, entry in enumerate(entries, start=1):
+                if entry.index != previous + offset:
+                    return f"entry {entry.index} does not follow {previous}"
+                if entry.term < 0 or entry.term > message.term:
+                    return f"entry of term {entry.term} in term {message.term}"
+                is_configuration = entry.kind is EntryKind.CONFIGURATION
+                if is_configuration != (entry.configuration is not None):
+                    return f"entry {entry.index} has no content of its kind"
+        case AppendReply(match_index=index) | SnapshotReply(index=index):
+            if index < 0:
+                return "negative index"
+        case InstallSnapshot(index=index, offset=offset, total=total, data=data):
+            if index < 1 or offset < 0 or offset + len(data) > total:
+                return "chunk lies outside its snapshot"
+    return None
--- a/goldcrestyard/fleet/assembly/apps.py
+++ b/goldcrestyard/fleet/assembly/apps.py
@@ -1,5 +1,7 @@
 """Plug-in: a control member that finds and joins its cluster by itself."""
 
+from functools import partial
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.assembly.commands import (
     JoinCluster,
@@ -65,8 +67,9 @@
     async def serve(self, app: Application) -> None:
         """Request membership; manage the cluster while this member leads."""
         member = app.get(ControlMember)
-        app.spawn(app.get(ClusterJoiner).run(), "join the cluster")
-        app.spawn(
-            while_leading(member, "manage members", app.get(MembershipManager).run),
+        app.supervise(app.get(ClusterJoiner).run, "join the cluster")
+        manager = app.get(MembershipManager)
+        app.supervise(
+            partial(while_leading, member, "manage members", manager.run),
             "membership manager",
         )
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -15,6 +15,7 @@
 from goldcrestyard.consensus.roles import Role
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.assembly.commands import (
     JoinCluster,
     JoinNoted,
@@ -33,8 +34,9 @@
     may_retire,
     next_membership_change,
 )
+from goldcrestyard.wire.client import PeerAddress
 from goldcrestyard.wire.connection import Handlers, PeerConnection
-from goldcrestyard.wire.messages import NotLeader
+from goldcrestyard.wire.messages import Failure, NotLeader
 
 logger = structlog.get_logger(__name__)
 
@@ -166,10 +168,23 @@
     async def _on_join(self, message: JoinCluster, _: PeerConnection) -> object:
         return await self.record_join(message)
 
-    async def record_join(self, message: JoinCluster) -> JoinNoted | NotLeader:
+    async def record_join(
+        self, message: JoinCluster
+    ) -> JoinNoted | NotLeader | Failure:
         """Record a join request and commit the sender's machine name."""
         if not self._member.holds_lease():
             return self._member.make_not_leader_reply()
+        if not _is_address(message.address):
+            logger.warning(
+                "join request with a malformed address refused",
+                instance=message.instance,
+                address=message.address,
+            )
+            return Failure(
+                RefusalReason.BAD_REQUEST,
+                f"{message.address!r} is not an address",
+                Verdict.NOT_RUN,
+            )
         joiner = Joiner(message.member, message.instance, message.address)
         self._join_requests_by_instance[message.instance] = _JoinRequest(
             joiner, self._clock.monotonic()
@@ -183,3 +198,12 @@
 
     async def _propose(self, command: object) -> ProposalResult:
         return await self._member.propose(command)
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is a host and a port."""
+    try:
+        address = PeerAddress.parse(text)
+    except ValueError:
+        return False
+    return bool(address.host) and 0 < address.port < 65536
--- a/goldcrestyard/fleet/directory/apps.py
+++ b/goldcrestyard/fleet/directory/apps.py
@@ -1,5 +1,7 @@
 """Plug-in: service discovery of the entries for callers."""
 
+from functools import partial
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.directory.directory import Directory
 from goldcrestyard.fleet.leadership import while_leading
@@ -45,7 +47,7 @@
                 EntryAnnouncer,
                 EntryAnnouncer(own_entry(app), view, app.get(LeaderLink)),
             )
-            app.spawn(announcer.run(), "announce this entry")
+            app.supervise(announcer.run, "announce this entry")
         member = app.find(ControlMember)
         if member is not None:
             sessions = app.get(EntrySessions)
@@ -55,10 +57,13 @@
                     member, sessions, app.clock, ENTRY_LOST_SECONDS
                 )
 
-            app.spawn(while_leading(member, "prune entries", prune), "prune entries")
+            app.supervise(
+                partial(while_leading, member, "prune entries", prune),
+                "prune entries",
+            )
 
     async def leave(self, app: Application) -> None:
         """Mark this entry as draining, so that callers are not sent to it."""
         announcer = app.find(EntryAnnouncer)
         if announcer is not None:
-            app.spawn(announcer.mark_draining(), "withdraw this entry")
+            app.supervise(announcer.mark_draining, "withdraw this entry")
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -1,5 +1,7 @@
 """Plug-in that stores, runs and serves the batch jobs of trainers."""
 
+from functools import partial
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.core.jobs import EndedItem, ItemResult, Job, JobItem, Progress
@@ -83,4 +85,6 @@
             app.get(FleetMetrics),
             app.clock,
         )
-        app.spawn(while_leading(member, "run jobs", runner.run), "run jobs")
+        app.supervise(
+            partial(while_leading, member, "run jobs", runner.run), "run jobs"
+        )
--- a/goldcrestyard/fleet/metering/apps.py
+++ b/goldcrestyard/fleet/metering/apps.py
@@ -1,5 +1,7 @@
 """Plug-in: counts and reports the requests of each organisation."""
 
+from functools import partial
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.leadership import while_leading
@@ -55,4 +57,7 @@
             settings.quiet_seconds,
             app.clock,
         )
-        app.spawn(while_leading(member, "report usage", reporter.run), "report usage")
+        app.supervise(
+            partial(while_leading, member, "report usage", reporter.run),
+            "report usage",
+        )
--- a/goldcrestyard/fleet/rentals/apps.py
+++ b/goldcrestyard/fleet/rentals/apps.py
@@ -1,5 +1,7 @@
 """Plug-in: autoscaling of rented targets."""
 
+from functools import partial
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.leadership import while_leading
@@ -22,4 +24,7 @@
             return
         member = app.get(ControlMember)
         autoscaler = RentalAutoscaler(member, api, settings.quiet_seconds, app.clock)
-        app.spawn(while_leading(member, "rent targets", autoscaler.run), "rent targets")
+        app.supervise(
+            partial(while_leading, member, "rent targets", autoscaler.run),
+            "rent targets",
+        )
--- a/goldcrestyard/fleet/tracking/apps.py
+++ b/goldcrestyard/fleet/tracking/apps.py
@@ -1,5 +1,7 @@
 """Plug-in: tracking of targets by their heartbeats."""
 
+from functools import partial
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.fleet.tracking.settings import TrackingSettings
@@ -39,6 +41,7 @@
         tracker = app.find(TargetTracker)
         if tracker is not None:
             member = app.get(ControlMember)
-            app.spawn(
-                while_leading(member, "watch targets", tracker.run), "watch targets"
+            app.supervise(
+                partial(while_leading, member, "watch targets", tracker.run),
+                "watch targets",
             )
--- a/goldcrestyard/fleet/versions/apps.py
+++ b/goldcrestyard/fleet/versions/apps.py
@@ -1,5 +1,7 @@
 """Plug-in that replicates weight versions and loads them onto engines."""
 
+from functools import partial
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.leadership import while_leading
@@ -40,4 +42,7 @@
             app.settings.section(DutySettings).quiet_seconds,
             app.clock,
         )
-        app.spawn(while_leading(member, "load versions", loader.run), "load versions")
+        app.supervise(
+            partial(while_leading, member, "load versions", loader.run),
+            "load versions",
+        )
--- a/goldcrestyard/kernel/application.py
+++ b/goldcrestyard/kernel/application.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, TypeVar, cast
 
 import structlog
@@ -15,6 +15,12 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.exceptions import ServiceMissingError
 from goldcrestyard.kernel.settings import Settings
+from goldcrestyard.kernel.supervision import (
+    AfterFailure,
+    FailureHistory,
+    FailurePolicy,
+    Restart,
+)
 from goldcrestyard.state.slices import Slice
 
 T = TypeVar("T")
@@ -41,6 +47,8 @@
         self.plugins_by_name = {plugin.name: plugin() for plugin in plugin_classes}
         self.stop_requested = asyncio.Event()
         self.failed = False
+        self.task_failures = 0
+        """Number of failures of background tasks that were started again."""
         self._services_by_type: dict[type, object] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._started_plugins: list[PluginConfig] = []
@@ -85,11 +93,47 @@
             for message_class in plugin.messages
         ]
 
+    def supervise(
+        self,
+        work: Callable[[], Coroutine[Any, Any, None]],
+        name: str,
+        policy: FailurePolicy = Restart(),  # noqa: B008 - immutable
+    ) -> None:
+        """Run a task until the application stops, again after it failed.
+
+        ``work`` starts from the state of its objects each time.
+        """
+        self.spawn(self._run_again(work, name, policy), name)
+
+    async def _run_again(
+        self,
+        work: Callable[[], Coroutine[Any, Any, None]],
+        name: str,
+        policy: FailurePolicy,
+    ) -> None:
+        history = FailureHistory(policy)
+        while True:
+            try:
+                await work()
+            except Exception:
+                after = history.record(self.clock.monotonic())
+                if after is AfterFailure.STOP_PROCESS:
+                    raise
+                self.task_failures += 1
+                logger.exception(
+                    "background task failed; starting it again",
+                    task=name,
+                    failures=history.count,
+                    delay_seconds=history.delay_seconds,
+                )
+            else:
+                return
+            await asyncio.sleep(history.delay_seconds)
+
     def spawn(self, coroutine: Coroutine[Any, Any, None], name: str) -> None:
         """Run a task until the application stops.
 
-        If the task fails, the process stops: a process that continues
-        without one of its tasks is harder to detect than a stopped one.
+        If the task fails, the process stops.
         """
         task = asyncio.create_task(coroutine, name=name)
         self._tasks.add(task)
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -1,5 +1,6 @@
 """Decoding of the targets' heartbeats."""
 
+import ipaddress
 from typing import Literal
 
 import msgspec
@@ -9,6 +10,10 @@
 from goldcrestyard.core.states import Rental, TargetState
 from goldcrestyard.policy.heartbeats import Heartbeat
 
+MAX_SLOTS = 65536
+"""Largest number of requests that a target may claim to run at a time.  One
+that claims more has sent something else, and would get all requests."""
+
 
 class _Model(msgspec.Struct):
     name: str
@@ -38,9 +43,10 @@
         beat = msgspec.json.decode(body, type=_HeartbeatBody)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Refusal(RefusalReason.BAD_REQUEST, f"unreadable heartbeat: {error}")
-    host, _, port = beat.addr.rpartition(":")
-    if not host or not port.isdigit():
+    if not _is_address(beat.addr):
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.addr!r} is not host:port")
+    if beat.slots > MAX_SLOTS:
+        return Refusal(RefusalReason.BAD_REQUEST, f"{beat.slots} slots")
     return Heartbeat(
         TargetId(target_id),
         beat.born,
@@ -54,3 +60,13 @@
         {ModelName(m.name): WeightVersion(m.version) for m in beat.models},
         None if beat.leaves_ms is None else beat.leaves_ms / 1000,
     )
+
+
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port[:6]) < 65536
--- a/goldcrestyard/plugins/addresses/apps.py
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -1,6 +1,7 @@
 """Plug-in that serves the address list and registers this entry in it."""
 
 import asyncio
+from functools import partial
 
 from aiohttp import web
 
@@ -90,11 +91,14 @@
             own_entry(app), app.get(EntryView), app.get(LeaderLink)
         )
         app.provide(EntryAnnouncer, announcer)
-        app.spawn(announcer.run(), "announce this entry")
+        app.supervise(announcer.run, "announce this entry")
         member = app.find(ControlMember)
         if member is not None:
-            removing = remove_lost_entries(member, app.get(EntrySessions), app.clock)
-            app.spawn(removing, "remove lost entries")
+            sessions = app.get(EntrySessions)
+            app.supervise(
+                partial(remove_lost_entries, member, sessions, app.clock),
+                "remove lost entries",
+            )
 
     async def leave(self, app: Application) -> None:
         """Mark this entry as draining, and wait until callers know.
--- a/goldcrestyard/plugins/bodies/apps.py
+++ b/goldcrestyard/plugins/bodies/apps.py
@@ -53,10 +53,10 @@
         """Start the client's connections, and sweeps of expired bodies."""
         client = app.get(BodyClient)
         for link in client.links:
-            app.spawn(link.run(), f"body store on {link.member}")
+            app.supervise(link.run, f"body store on {link.member}")
         server = app.find(BodyServer)
         if server is not None:
-            app.spawn(server.run(), "delete old bodies")
+            app.supervise(server.run, "delete old bodies")
 
     async def stop(self, app: Application) -> None:
         """Cancel the client's unfinished transfers."""
--- a/goldcrestyard/plugins/entry/apps.py
+++ b/goldcrestyard/plugins/entry/apps.py
@@ -53,7 +53,7 @@
 
     async def serve(self, app: Application) -> None:
         """Start the subscription to the leader."""
-        app.spawn(app.get(Subscription).run(), "subscription")
+        app.supervise(app.get(Subscription).run, "subscription")
 
     async def leave(self, app: Application) -> None:
         """Report this entry as draining with its next lease renewal."""
--- a/goldcrestyard/plugins/members/leader_side.py
+++ b/goldcrestyard/plugins/members/leader_side.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import OrderedDict
 
+import structlog
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import (
     Applied,
@@ -26,6 +28,8 @@
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import NotLeader
 
+logger = structlog.get_logger(__name__)
+
 REPLACE_TIMEOUT_SECONDS = 60.0
 MAX_STORED_REPLIES = 64
 
@@ -85,6 +89,22 @@
     async def _replace(
         self, message: ReplaceMember, answer: asyncio.Future[ReplaceMemberReply]
     ) -> None:
+        try:
+            reply = await self._replace_and_record(message)
+        except Exception:
+            logger.exception("replacement of a member failed", member=message.old)
+            reply = ReplaceMemberReply(
+                RefusalReason.UNKNOWN_OUTCOME,
+                "the replacement failed; see the log of the leader",
+                Verdict.MAY_HAVE_RUN,
+            )
+        if reply.reason is RefusalReason.UNKNOWN_OUTCOME:
+            # A repeated request then continues the replacement where this one
+            # stopped.
+            self._replies_by_request.pop(message.request_id, None)
+        answer.set_result(reply)
+
+    async def _replace_and_record(self, message: ReplaceMember) -> ReplaceMemberReply:
         async with self._replacing:
             await self._record_in_audit_trail(message, "started", "")
             result = await self._member.replace_member(
@@ -93,11 +113,7 @@
             reply = _reply_of(result)
             outcome = reply.reason.value if reply.reason is not None else "accepted"
             await self._record_in_audit_trail(message, outcome, reply.detail)
-        if reply.reason is RefusalReason.UNKNOWN_OUTCOME:
-            # A repeated request then continues the replacement where this one
-            # stopped.
-            self._replies_by_request.pop(message.request_id, None)
-        answer.set_result(reply)
+        return reply
 
     async def _record_in_audit_trail(
         self, message: ReplaceMember, result: str, detail: str
--- a/goldcrestyard/plugins/orders/apps.py
+++ b/goldcrestyard/plugins/orders/apps.py
@@ -69,7 +69,7 @@
             app.clock,
             settings,
         )
-        app.spawn(sender.run(), "order sender")
+        app.supervise(sender.run, "order sender")
 
     async def stop(self, app: Application) -> None:
         """Close the HTTP session of the look-up client."""
--- a/goldcrestyard/plugins/rentals/apps.py
+++ b/goldcrestyard/plugins/rentals/apps.py
@@ -51,7 +51,7 @@
         if settings is None:
             return
         reporter = DemandReporter(app.get(TargetHome), app.get(LeaderLink))
-        app.spawn(reporter.run(), "demand reports")
+        app.supervise(reporter.run, "demand reports")
         member = app.find(ControlMember)
         if member is None:
             return
@@ -66,8 +66,8 @@
             settings,
             app.get(DemandReports).total,
         )
-        app.spawn(planner.run(), "target plans")
-        app.spawn(planner.watch_notices(), "reclaim notices")
+        app.supervise(planner.run, "target plans")
+        app.supervise(planner.watch_notices, "reclaim notices")
 
     async def stop(self, app: Application) -> None:
         """Close the HTTP session of the platform client."""
--- a/goldcrestyard/plugins/rollout/apps.py
+++ b/goldcrestyard/plugins/rollout/apps.py
@@ -52,7 +52,7 @@
         )
         views = RolloutViews(member, rollouts, app.settings.section(OperatorSettings))
         app.get(AdminRoutes).add("GET", "/operator/v1/rollouts", views.rollouts)
-        app.spawn(rollouts.run(), "rollouts")
+        app.supervise(rollouts.run, "rollouts")
 
     async def stop(self, app: Application) -> None:
         """Close the HTTP session for the engines."""
--- a/goldcrestyard/plugins/scheduling/apps.py
+++ b/goldcrestyard/plugins/scheduling/apps.py
@@ -101,4 +101,4 @@
 
     async def start(self, app: Application) -> None:
         """Start the task that serves queues again after an ejection ends."""
-        app.spawn(app.get(Scheduler).run(), "scheduler")
+        app.supervise(app.get(Scheduler).run, "scheduler")
--- a/goldcrestyard/plugins/targets/apps.py
+++ b/goldcrestyard/plugins/targets/apps.py
@@ -4,6 +4,8 @@
 renewals, and reports the target as lost when they stop.
 """
 
+from functools import partial
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -63,7 +65,7 @@
     async def start(self, app: Application) -> None:
         """Start the scans for targets and homes that stopped renewing."""
         targets = app.get(EntryView).machine.get(TargetsSlice)
-        app.spawn(app.get(TargetHome).run(targets), "target renewals")
+        app.supervise(partial(app.get(TargetHome).run, targets), "target renewals")
         member = app.find(ControlMember)
         if member is not None:
             monitor = HomeMonitor(
@@ -73,4 +75,4 @@
                 app.settings.section(EntrySettings).lease_seconds,
                 app.settings.section(TargetSettings).lost_home_seconds,
             )
-            app.spawn(monitor.run(), "target homes")
+            app.supervise(monitor.run, "target homes")
--- a/goldcrestyard/plugins/usage/apps.py
+++ b/goldcrestyard/plugins/usage/apps.py
@@ -86,7 +86,7 @@
         settings = app.settings.find(UsageSettings)
         if settings is None:
             return
-        app.spawn(app.get(UsageMeter).run(), "usage totals")
+        app.supervise(app.get(UsageMeter).run, "usage totals")
         member = app.find(ControlMember)
         if member is not None:
             guards = Guards(
@@ -94,7 +94,7 @@
             )
             receiver = Receiver(ReceiverId("usage"), settings.address, guards)
             closer = WindowCloser(member, app.clock, settings, receiver)
-            app.spawn(closer.run(), "usage windows")
+            app.supervise(closer.run, "usage windows")
 
     async def drain(self, app: Application) -> None:
         """Send the totals that this entry has not sent yet."""
--- a/goldcrestyard/state/machine.py
+++ b/goldcrestyard/state/machine.py
@@ -3,16 +3,22 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeVar, cast
 
+import structlog
+
 from goldcrestyard.core.ids import LogIndex, Revision, Term
+from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.state.commands import (
     AppliedEntry,
     Command,
     CommandContext,
     Envelope,
     Outcome,
+    Rejected,
 )
 from goldcrestyard.state.slices import Slice
 
+logger = structlog.get_logger(__name__)
+
 S = TypeVar("S", bound=Slice)
 
 Listener = Callable[[AppliedEntry], None]
@@ -96,7 +102,26 @@
         return slice_ is not None and slice_.fan_out
 
     def _apply_command(self, command: Command, context: CommandContext) -> Outcome:
-        outcome = self._slices_by_command[type(command)].apply(command, context)
+        outcome = self._apply_to_slice(command, context)
         for slice_ in self._slices_by_name.values():
             slice_.observe(command, outcome, context)
         return outcome
+
+    def _apply_to_slice(self, command: Command, context: CommandContext) -> Outcome:
+        """Apply a command, or reject it if its slice fails.
+
+        A committed command reaches all members, and again after each restart.
+        One that a slice cannot apply must not end them all; the slices are
+        deterministic, so their states stay the same.
+        """
+        try:
+            return self._slices_by_command[type(command)].apply(command, context)
+        except Exception as error:
+            logger.exception(
+                "committed command failed; it is rejected",
+                command=type(command).__name__,
+                index=context.index,
+            )
+            return Rejected(
+                RefusalReason.BAD_REQUEST, f"the command cannot be applied: {error}"
+            )
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -9,13 +9,18 @@
 import errno
 from dataclasses import replace
 
+import cbor2
 from parameterized import parameterized
 
+from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.messages import Append, Entry, EntryKind
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
 from goldcrestyard.consensus.roles import Role
-from goldcrestyard.core.ids import InstanceId, Revision
+from goldcrestyard.core.ids import InstanceId, LogIndex, Revision, Term
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
+from goldcrestyard.state.commands import Rejected
 from tests.fakes.files import Fault
 from tests.fakes.member_network import MemberNetwork, organisation_ids, put_organisation
 from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
@@ -144,6 +149,54 @@
         self.assertNotIn("kept", organisation_ids(self.leader))
 
 
+class MalformedMessageTests(NetworkTestCase):
+    """Messages that a member must drop, and commands that it must reject."""
+
+    @parameterized.expand(
+        [
+            ("no_encoding", b"\xff\x00"),
+            ("unknown_class", cbor2.dumps(["Nobody", {}])),
+            ("wrong_type", cbor2.dumps(["Vote", {"term": "x"}])),
+            ("not_between_members", cbor2.dumps(["NotLeader", {"leader": None}])),
+        ]
+    )
+    async def test_message_ends_no_member(self, _: str, data: bytes) -> None:
+        for member in self.network.running.values():
+            member._on_messages(MemberId("b#1"), (data,))
+        gap = Append(
+            Term(9),
+            LogIndex(1),
+            Term(1),
+            (Entry(Term(9), LogIndex(7), EntryKind.NO_OP),),
+            LogIndex(1),
+            0.0,
+        )
+        encoded = self.network.codec.encode(gap)
+        for member in self.network.running.values():
+            member._on_messages(MemberId("b#1"), (encoded,))
+        await self.settle()
+        self.leader = await self.network.leader()
+        self.assertIsInstance(await put_organisation(self.leader, "tejo"), Applied)
+        await self.network.wait_until_converged()
+
+    async def test_command_that_a_slice_cannot_apply_is_rejected(self) -> None:
+        """Guards against a committed command that ends all members."""
+
+        def fail(*_: object) -> object:
+            raise KeyError("unexpected")
+
+        for member in self.network.running.values():
+            member.machine.get(OrganisationsSlice).apply = fail  # type: ignore
+        result = await put_organisation(self.leader, "tejo")
+        assert isinstance(result, Applied)
+        self.assertIsInstance(result.outcome, Rejected)
+        await self.settle()
+        for member in self.network.running.values():
+            del member.machine.get(OrganisationsSlice).apply
+        self.assertIsInstance(await put_organisation(self.leader, "bien"), Applied)
+        await self.network.wait_until_converged()
+
+
 class FullDiskTests(NetworkTestCase):
     """A disk that refuses writes for a time, at any operation."""
 
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzing of the decoders that face other processes, disks and people."""
