Judge streams by their events, and cut slow ones only if they can go on

Cause: the daemon's stream reader had a time-out for bytes, so that an engine that sent a comment or a blank now and then kept a stream open for ten minutes. The platform's gateway cut every stream after two seconds without an event, also where no other target could go on, and ignored that callers wait for four times the objective.

Change: the daemon counts the time since the last event. The gateway resumes a silent stream only while an attempt and a target are left; otherwise a slow stream is relayed until the caller's deadline.

--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -37,8 +37,12 @@
 logger = structlog.get_logger(__name__)
 
 SILENCE_TIMEOUT_SECONDS = 2.0
-"""Time in seconds without an event after which a target counts as lost.  The
-time-out of callers is about the same."""
+"""Time in seconds without an event after which a stream is resumed at another
+target.  The time-out of callers is about the same."""
+
+SILENCE_OBJECTIVES = 4.0
+"""The time without an event is at least this multiple of the objective, since
+callers wait as long."""
 
 
 class StreamSink(Protocol):
@@ -104,7 +108,14 @@
             if target is None:
                 break
             tried.add(target.id)
-            outcome = await self._attempt(admitted, target, stream, sink)
+            may_resume = (
+                admitted.route.repeatable
+                and sent + 1 < admitted.route.max_attempts
+                and self._router.choose(service, tried) is not None
+            )
+            outcome = await self._attempt(
+                admitted, target, stream, sink, may_resume=may_resume
+            )
             if isinstance(outcome, StreamEnd):
                 return outcome
             self._router.note_failure(target, outcome)
@@ -123,16 +134,19 @@
         target: Target,
         stream: _StreamState,
         sink: StreamSink,
+        *,
+        may_resume: bool,
     ) -> StreamEnd | AttemptFailure:
         request = admitted.request
         call = admitted.to_call(stream.last_event)
         began = self._clock.monotonic()
         seconds_left = admitted.deadline - began
+        silence_seconds = _silence_seconds(admitted) if may_resume else None
         outcome: StreamEnd | AttemptFailure
         with self._router.call_in_flight(target) as statistics:
             async with AsyncExitStack() as stack:
                 reply = await open_reply_within(
-                    SILENCE_TIMEOUT_SECONDS,
+                    seconds_left if silence_seconds is None else silence_seconds,
                     stack,
                     self._client,
                     target,
@@ -144,7 +158,9 @@
                 elif reply.status >= 300:
                     outcome = await self._relay_error(reply, stream, sink)
                 else:
-                    outcome = await self._relay_events(admitted, reply, stream, sink)
+                    outcome = await self._relay_events(
+                        admitted, reply, stream, sink, silence_seconds
+                    )
             if outcome is StreamEnd.WHOLE:
                 statistics.record_success(self._clock.monotonic() - began)
         logger.info(
@@ -178,10 +194,19 @@
         reply: TargetReply,
         stream: _StreamState,
         sink: StreamSink,
+        silence_seconds: float | None,
     ) -> StreamEnd | AttemptFailure:
+        """Relay events until the end or a silence.
+
+        Without ``silence_seconds`` the stream cannot go on elsewhere, and a
+        slow one is better than none: it may be silent until the deadline.
+        """
         events = reply.events()
         while True:
-            event = await next_event_within(SILENCE_TIMEOUT_SECONDS, events)
+            seconds_left = admitted.deadline - self._clock.monotonic()
+            event = await next_event_within(
+                seconds_left if silence_seconds is None else silence_seconds, events
+            )
             if event is None:
                 return StreamEnd.WHOLE
             if isinstance(event, Broken):
@@ -198,6 +223,11 @@
             await sink.write(event.raw)
 
 
+def _silence_seconds(admitted: AdmittedRequest) -> float:
+    objective = admitted.route.objective_seconds or 0.0
+    return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
+
+
 def _refusal(failures: list[AttemptFailure]) -> Refusal:
     verdict = overall_verdict(failures)
     if verdict is Verdict.NOT_RUN:
--- a/goldcrestyard/plugins/engines/upstream.py
+++ b/goldcrestyard/plugins/engines/upstream.py
@@ -170,9 +170,15 @@
         attempt: AttemptId,
     ) -> AsyncIterator[StreamStep]:
         choices = ChoiceTracker(request.fields.n or 1)
+        events = read_events(response.content)
         try:
-            async for event in read_events(response.content):
+            while True:
+                # Bytes that are no event, such as comments, do not count.
+                async with asyncio.timeout(self._settings.stall_seconds):
+                    event = await anext(events, None)
                 match event:
+                    case None:
+                        break
                     case EndOfStream():
                         missing = choices.missing()
                         yield Broken(missing) if missing is not None else Finished()
@@ -186,10 +192,11 @@
                             yield Broken(fault)
                             return
                         yield event
-        except aiohttp.SocketTimeoutError:
+        except TimeoutError:
+            # Includes the time-out of the socket, which counts bytes.
             yield await self._probe_after_silence(target)
             return
-        except (aiohttp.ClientError, TimeoutError, asyncio.IncompleteReadError) as e:
+        except (aiohttp.ClientError, asyncio.IncompleteReadError) as e:
             yield Broken(f"connection failed during the stream: {describe_error(e)}")
             return
         yield Broken("stream ended without its end mark")
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -1,7 +1,7 @@
 """Tests of streamed answers: complete, resumed or cut."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from parameterized import parameterized
 
@@ -52,6 +52,8 @@
     expected: object
     events: int
     asked: int
+    seconds: float | None = None
+    """The caller's deadline; None for that of the route."""
 
 
 WHOLE, STREAM_CUT = StreamEnd.WHOLE, StreamEnd.CUT
@@ -65,6 +67,26 @@
     Case("resumed", "/resumed/", (Streams(4, breaks_after=2), Streams(4)), WHOLE, 4, 2),
     Case("hangs", "/resumed/", (Hangs(), Streams(4)), WHOLE, 4, 2),
     Case("silent", "/resumed/", (Streams(4, silent_after=1), Streams(4)), WHOLE, 4, 2),
+    # Nowhere else to go on: a slow stream is relayed as long as it lasts.
+    Case(
+        "slow_but_sound",
+        "/stream/",
+        (Streams(3, event_seconds=2.5),),
+        WHOLE,
+        3,
+        1,
+        30.0,
+    ),
+    Case(
+        "slow_everywhere",
+        "/resumed/",
+        (*(Streams(4, event_seconds=2.5),) * 2, Streams(3, event_seconds=2.5)),
+        WHOLE,
+        3,
+        3,
+        30.0,
+    ),
+    Case("stalled", "/stream/", (Streams(3, silent_after=1),), STREAM_CUT, 1, 1, 30.0),
     Case(
         "resumed_in_vain",
         "/resumed/",
@@ -94,6 +116,9 @@
         runner = StreamRunner(admission, router, client, UsageMeter(5.0), clock)
         admitted = admission.admit(request(case.prefix), clock.monotonic())
         assert isinstance(admitted, AdmittedRequest)
+        if case.seconds is not None:
+            deadline = clock.monotonic() + case.seconds
+            admitted = replace(admitted, deadline=deadline)
         sink = RecordingSink()
         end = await runner.run(admitted, sink)
         if isinstance(end, Refusal):
