Accept waiting connections before a listener closes, and wait for slow heads

Cause: a planned stop closed the listening socket at once. Callers that had connected and sent a request, which this process had not accepted yet, were reset without an answer. A request whose head was still arriving did not count as one either, so that its connection was closed under it.

Change: the listener gives the event loop the turns that it needs to accept what waits, then closes. A connection with a part of a request is busy until the request is handled or its head times out.

Tests: 200 callers connect and send before the loop has run once; without the turns both cases fail, without counting arriving heads the slow ones do.

--- a/goldcrestyard/platform/callers/apps.py
+++ b/goldcrestyard/platform/callers/apps.py
@@ -96,7 +96,7 @@
         assert self._callers is not None
         seconds = app.settings.section(InstanceSettings).drain_seconds
         await asyncio.sleep(seconds * NEW_CONNECTIONS_TIME_SHARE)
-        self._callers.close()
+        await self._callers.close()
         await self._callers.wait_idle()
 
     async def stop(self, app: Application) -> None:
--- a/goldcrestyard/plugins/listeners/apps.py
+++ b/goldcrestyard/plugins/listeners/apps.py
@@ -55,7 +55,7 @@
     async def leave(self, app: Application) -> None:
         """Stop accepting callers; the admin listener stays open."""
         if self._public is not None:
-            self._public.close()
+            await self._public.close()
 
     async def drain(self, app: Application) -> None:
         """Wait until the running requests of callers have ended."""
--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -66,6 +66,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._head_timed_out = False
         self.active = False
+        self.receiving = False
+        """Whether a part of a request has arrived that is not handled yet."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time-out for the head of the first request."""
@@ -74,6 +76,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Start the time-out for the head of a further request."""
+        self.receiving = not self.active
         super().data_received(data)
         if not self.active and self._timer is None:
             self._start_head_timer()
@@ -87,6 +90,7 @@
         """Mark a request as running; return False if its head timed out."""
         self._cancel_head_timer()
         self.active = not self._head_timed_out
+        self.receiving = False
         return self.active
 
     async def finish_response(
@@ -103,10 +107,15 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is running or a part of a response is unsent."""
+        """Whether a request is arriving or running, or a response is unsent.
+
+        The time-out for the request head limits how long one may arrive.
+        """
         transport = self.transport
-        unsent = transport is not None and transport.get_write_buffer_size() > 0
-        return self.active or unsent
+        if transport is None:
+            return self.active
+        arriving = self.receiving and not transport.is_closing()
+        return self.active or arriving or transport.get_write_buffer_size() > 0
 
     def handle_error(
         self,
@@ -117,6 +126,7 @@
     ) -> web.StreamResponse:
         """Return a refusal for an error of the HTTP parser."""
         self._cancel_head_timer()
+        self.receiving = False
         if request.writer.output_size > 0:
             raise ConnectionError(
                 "the response has already started; closing the connection"
@@ -145,6 +155,7 @@
         # From here on ``begin`` returns False, so the request does not run and
         # the verdict "not run" is correct.
         self._head_timed_out = True
+        self.receiving = False
         if self.transport is not None:
             body = error_body(
                 Refusal(
--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -17,6 +17,10 @@
 two checks without one, because a request may still be in transit at the
 first."""
 
+ACCEPT_TURNS = 4
+"""Turns of the event loop before a listening socket is closed.  In one of
+them the loop accepts all connections that are waiting."""
+
 SHUTDOWN_TIMEOUT_SECONDS = 2.0
 """How long a handler may take to end after its cancellation."""
 
@@ -55,10 +59,18 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
-    def close(self) -> None:
-        """Stop accepting connections; open ones stay."""
-        if self._server is not None:
-            self._server.close()
+    async def close(self) -> None:
+        """Stop accepting connections; open ones stay.
+
+        Callers may have connected and sent a request already when this
+        process has not accepted their connection yet.  Closing the socket
+        would reset these connections, so they are accepted first.
+        """
+        if self._server is None or not self._server.is_serving():
+            return
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        self._server.close()
 
     async def wait_idle(self) -> None:
         """Wait until no connection has a running request."""
@@ -69,7 +81,7 @@
 
     async def stop(self) -> None:
         """Close all connections; requests that still run are cancelled."""
-        self.close()
+        await self.close()
         await self._runner.cleanup()
 
     def _busy(self) -> bool:
--- a/tests/plugins/listeners/test_server.py
+++ b/tests/plugins/listeners/test_server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import socket
 import unittest
 from unittest import mock
 
@@ -100,7 +101,7 @@
         )
         writer.write(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
         await self.reached.wait()
-        self.listener.close()
+        await self.listener.close()
         idle = asyncio.create_task(self.listener.wait_idle())
         with self.assertRaises(aiohttp.ClientConnectorError):
             await self.session.get(f"{self.base}/stream")
@@ -114,14 +115,50 @@
         await idle
         writer.close()
 
+    @parameterized.expand(
+        [
+            ("whole_requests", b"GET /stream HTTP/1.1\r\nhost: a\r\n\r\n", b""),
+            ("slow_heads", b"GET /stream HTTP/1.1\r\nho", b"st: a\r\n\r\n"),
+        ]
+    )
+    async def test_requests_that_were_just_sent_are_answered(
+        self, _: str, first: bytes, rest: bytes
+    ) -> None:
+        """Pattern: a planned stop under load.
+
+        The callers have connected and sent, and this process has accepted
+        none of their connections when it is told to stop.
+        """
+        assert self.listener.socket_address is not None
+        callers = [
+            socket.create_connection(self.listener.socket_address) for _ in range(200)
+        ]
+        for caller in callers:
+            self.addCleanup(caller.close)
+            caller.sendall(first)
+        await self.listener.close()
+        idle = asyncio.create_task(self.listener.wait_idle())
+        # Longer than the checks for running requests take.
+        await asyncio.sleep(3 * server.IDLE_CHECK_INTERVAL_SECONDS)
+        for caller in callers:
+            caller.sendall(rest)
+        await idle
+        await self.listener.stop()
+        for caller in callers:
+            caller.settimeout(5.0)
+            self.assertTrue(caller.recv(65536).startswith(b"HTTP/1.1 200"))
+
     @parameterized.expand(
         [
             ("idle", False, 0, False),
             ("running", True, 0, True),
             ("unsent", False, 7, True),
+            ("arriving", False, 0, True, True),
         ]
     )
-    async def test_busy(self, _: str, active: bool, unsent: int, busy: bool) -> None:
+    async def test_busy(
+        self, _: str, active: bool, unsent: int, busy: bool, receiving: bool = False
+    ) -> None:
         # The last bytes of a response may still be in the transport's buffer
         # when its request has ended.
         connection = CallerConnection(
@@ -130,7 +167,9 @@
         )
         connection.transport = mock.Mock(spec=asyncio.Transport)
         connection.transport.get_write_buffer_size.return_value = unsent
+        connection.transport.is_closing.return_value = False
         connection.active = active
+        connection.receiving = receiving
         self.assertIs(connection.busy, busy)
 
     async def _pass_rounds(self) -> None:
