--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -191,7 +191,7 @@
             seconds = self._clock.monotonic() - began
             if isinstance(outcome, CallAnswer):
                 if not outcome.failed:
-                    statistics.record_success(seconds)
+                    statistics.record_success(seconds, began + seconds)
                 self._meter.count(admitted.organisation, request.id, started_at_wall)
         logger.info(
             "attempt ended",
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -162,7 +162,8 @@
                         admitted, reply, stream, sink, silence_seconds
                     )
             if outcome is StreamEnd.WHOLE:
-                statistics.record_success(self._clock.monotonic() - began)
+                now = self._clock.monotonic()
+                statistics.record_success(now - began, now)
         logger.info(
             "stream attempt ended",
             request=request.id,
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -216,7 +216,8 @@
                 return None
             body = await reply.read()
         if isinstance(body, bytes) and 200 <= reply.status < 300:
-            statistics.record_success(self._clock.monotonic() - began)
+            now = self._clock.monotonic()
+            statistics.record_success(now - began, now)
             return Scored(reply.signature) if reply.signature else None
         _log_failure(call, target, f"answered {reply.status}")
         return reply.status
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -48,7 +48,7 @@
 regions.  A lost SYN packet is sent again only after a second; before then
 another target can serve the caller."""
 
-KEEP_ALIVE_SECONDS = 9.0
+KEEP_ALIVE_SECONDS = 30.0
 """Time in seconds after which an idle connection is closed.  It is longer than
 the time between two steps of a trainer, which submits its items in bursts.  A
 connection that the target has closed is not used again."""
--- a/goldcrestyard/policy/call_routing.py
+++ b/goldcrestyard/policy/call_routing.py
@@ -29,6 +29,13 @@
 """Shortest and longest time in seconds for which a failing target gets no
 calls.  The time doubles with each consecutive failure."""
 
+NEW_CONNECTION_COST_SECONDS = 0.012
+"""Cost in seconds of a call without a kept connection: opening it, and its
+price for the target, which accepts a limited number from all callers."""
+
+KEPT_SECONDS = 30.0
+"""Time in seconds for which clients keep an idle connection."""
+
 COST_JITTER = 0.2
 """Random share that is added to each cost, so that processes with the same
 information do not all choose the same target."""
@@ -43,9 +50,12 @@
     mean_seconds: float | None = None
     failures_in_a_row: int = 0
     ejected_until: float = float("-inf")
+    answered_at: float = float("-inf")
+    """Monotonic time of the latest response."""
 
-    def record_success(self, seconds: float) -> None:
+    def record_success(self, seconds: float, now: float) -> None:
         """Record a response and end the ejection."""
+        self.answered_at = now
         self.failures_in_a_row = 0
         self.ejected_until = float("-inf")
         if self.mean_seconds is None:
@@ -114,11 +124,23 @@
         key=lambda target: (
             expected_seconds(target, statistics_by_id.get(target.id), location)
             * (1 + COST_JITTER * random_source.random())
+            + connection_seconds(statistics_by_id.get(target.id), now)
         ),
         default=None,
     )
 
 
+def connection_seconds(statistics: CallStatistics | None, now: float) -> float:
+    """Return the cost in seconds of a connection to a target.
+
+    Pattern: hundreds of processes that send few calls each.  One that goes
+    on with the targets that it has called finds a kept connection there;
+    otherwise nearly each call would open one.
+    """
+    kept = statistics is not None and now - statistics.answered_at < KEPT_SECONDS
+    return 0.0 if kept else NEW_CONNECTION_COST_SECONDS
+
+
 def expected_seconds(
     target: Target, statistics: CallStatistics | None, location: CallerLocation
 ) -> float:
--- a/tests/policy/test_call_routing.py
+++ b/tests/policy/test_call_routing.py
@@ -103,6 +103,32 @@
         )
         self.assertGreater(min(chosen[twin] for twin in twins), 20)
 
+    @parameterized.expand(
+        [
+            ("kept_one_is_used", 99.0, 0, "b"),
+            ("long_idle_one_does_not_count", 1.0, 0, None),
+            ("loaded_one_is_passed_by", 99.0, 6, "a"),
+        ]
+    )
+    def test_kept_connections(
+        self, _: str, answered_at: float, in_flight: int, expected: str | None
+    ) -> None:
+        """Pattern: many processes that send a call now and then.
+
+        Guards against a new connection for nearly each call.
+        """
+        random_source = random.Random(5)
+        twins = (target("a"), target("b"))
+        known = {TargetId(name): statistics(mean=0.02) for name in "ab"}
+        known[TargetId("b")].answered_at = answered_at
+        known[TargetId("b")].in_flight = in_flight
+        chosen = {
+            choose_target(twins, known, LOCATION, frozenset(), 100.0, random_source)
+            for _ in range(100)
+        }
+        names = {target.id for target in chosen if target is not None}
+        self.assertEqual(names, {"a", "b"} if expected is None else {expected})
+
     def test_ejection_doubles_and_ends_with_an_answer(self) -> None:
         stats = statistics()
         ejections = []
@@ -110,5 +136,5 @@
             stats.record_failure(10.0)
             ejections.append(stats.ejected_until - 10.0)
         self.assertEqual(ejections, [0.5, 1.0, 2.0, 4.0, 8.0, 8.0, 8.0, 8.0])
-        stats.record_success(0.1)
+        stats.record_success(0.1, 0.0)
         self.assertLess(stats.ejected_until, 10.0)
