Judge the age of items by the steady clock

Cause: the leader gave an item up when its wall time passed the job's submission time and the route's limit.

Change: each member notes on the steady clock when it learned of a job.

Test: the time of day jumps by 40 s ahead and back while an item hangs; both cases fail without the change.

--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -120,7 +120,7 @@
     key: ItemKey
     item: JobItem
     expires_at: float
-    """Wall time in seconds from which the item counts as errored."""
+    """Monotonic time in seconds from which the item counts as errored."""
     rank: Rank
     """Rank of its reward call: the job's submission time, then the position of
     the item's group in the job.  A group counts only when complete, so groups
@@ -177,6 +177,7 @@
         self._wake_event = asyncio.Event()
         self._pending_by_key: dict[ItemKey, PendingItem] = {}
         self._slots_in_use: Counter[TargetId] = Counter()
+        self._seen_at_by_job: dict[JobId, float] = {}
         self._paces = EnginePaces()
         self._lengths = ItemLengths()
         self._groups_by_target: dict[TargetId, dict[GroupId, None]] = {}
@@ -184,7 +185,11 @@
 
     def _on_applied(self, entry: AppliedEntry) -> None:
         match entry.envelope.command:
-            case SubmitJob() | AnnounceTarget() | DrainTarget() | RemoveTarget():
+            case SubmitJob(job=job):
+                self._seen_at_by_job.setdefault(job.id, self._clock.monotonic())
+                self._forget_dropped_jobs()
+                self._wake_event.set()
+            case AnnounceTarget() | DrainTarget() | RemoveTarget():
                 self._wake_event.set()
             case EndJob(job=job_id):
                 for pending in list(self._pending_by_key.values()):
@@ -275,7 +280,7 @@
                 route = self._find_route(state.job, item)
                 seconds = route.item_seconds if route is not None else None
                 expires_at = (
-                    state.submitted_at
+                    self._submitted_at(state)
                     + (seconds or DEFAULT_ITEM_TIMEOUT_SECONDS)
                     + EXPIRY_MARGIN_SECONDS
                 )
@@ -287,8 +292,29 @@
                     Transcript.restore(state.progress_by_item.get(item.id)),
                 )
 
+    def _submitted_at(self, state: JobState) -> float:
+        """Return the monotonic time at which this process learned of a job.
+
+        The time of day may jump, and an item must not be given up early.  It
+        is used only for a job that this process knows from a snapshot.
+        """
+        seen_at = self._seen_at_by_job.get(state.job.id)
+        if seen_at is None:
+            age = max(0.0, self._clock.wall() - state.submitted_at)
+            seen_at = self._clock.monotonic() - age
+            self._seen_at_by_job[state.job.id] = seen_at
+        return seen_at
+
+    def _forget_dropped_jobs(self) -> None:
+        if len(self._seen_at_by_job) > 2 * len(self._jobs.jobs_by_id) + 64:
+            self._seen_at_by_job = {
+                job: seen_at
+                for job, seen_at in self._seen_at_by_job.items()
+                if job in self._jobs.jobs_by_id
+            }
+
     def _expire_items(self) -> None:
-        now = self._clock.wall()
+        now = self._clock.monotonic()
         for pending in list(self._pending_by_key.values()):
             if now >= pending.expires_at and pending.task is None:
                 logger.info(
@@ -418,7 +444,7 @@
         self._slots_in_use[target.id] += 1
         self._remember_group(target.id, pending.item.group)
         began = self._clock.monotonic()
-        seconds_left = max(0.1, pending.expires_at - self._clock.wall())
+        seconds_left = max(0.1, pending.expires_at - began)
         resumed_after = pending.transcript.last_event
         try:
             outcome = await run_item(
@@ -524,9 +550,8 @@
         score = ""
         began = self._clock.monotonic()
         if pending.item.reward is not None:
-            deadline = self._clock.monotonic() + pending.expires_at - self._clock.wall()
             match await self._rewards.score(
-                pending.item.reward, deadline, pending.rank
+                pending.item.reward, pending.expires_at, pending.rank
             ):
                 case Scored(score=text):
                     score = text
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -27,11 +27,12 @@
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
 from goldcrestyard.fleet.versions.work import JobWork
+from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
 from tests.fakes.announcements import announce
 from tests.fakes.member import FakeMember, apply, machine_of
-from tests.fakes.paused_clock import PausedClockTestCase
+from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
 from tests.fakes.serving import CONFIG, HOST, MODEL
 from tests.fakes.targets import (
@@ -197,6 +198,24 @@
             self.assertEqual(result.text, b"1\n2\n3")
             self.assertEqual(result.score, "score")
 
+    @parameterized.expand([("ahead", 40.0), ("back", -40.0)])
+    async def test_jump_of_the_time_of_day(self, _: str, seconds: float) -> None:
+        """Guards against items that are given up before their time."""
+        jump = 0.0
+        clock = Clock(lambda: EPOCH + asyncio.get_running_loop().time() + jump)
+        self.clock = lambda: clock  # type: ignore[method-assign]
+        self._start((Hangs(),))
+        submitted = scored_job("/jobs/")
+        apply(self.machine, SubmitJob(submitted), time=clock.wall())
+        await asyncio.sleep(1.0)
+        jump = seconds
+        await asyncio.sleep(55.0)
+        state = self.jobs.jobs_by_id[submitted.id]
+        self.assertEqual(state.results, [])
+        await asyncio.sleep(10.0)
+        (result,) = state.results
+        self.assertIs(result.outcome, ERRORED)
+
     async def test_score_is_asked_for_after_the_last_event(self) -> None:
         self._start((Streams(3, breaks_after=2), Streams(3)))
         apply(self.machine, SubmitJob(scored_job("/jobs/")), time=self.clock().wall())
