Use each engine's answer at once when the lead passes on

Cause: a new leader asks the engines for their versions and used the answers only when all had come. Where one engine was dark, the items of all the others waited for its time-out of a second.

Change: each answer is recorded when it arrives.

Test: one of three engines answers after a second; without the change none is known before.

--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -137,20 +137,25 @@
             self._tasks_by_target.clear()
 
     async def _query_unknown_versions(self) -> None:
-        """Poll engines for unknown versions before their next heartbeat."""
+        """Poll engines for unknown versions before their next heartbeat.
+
+        Each answer is used at once: an engine that does not answer must not
+        keep the others from their items until its time-out.
+        """
         without_versions = [
             homed.target
             for homed in self._targets.homed_by_id.values()
             if homed.target.kind is TargetKind.ENGINE
             and not self._tracker.versions(homed.target)
         ]
-        reports = await asyncio.gather(
-            *(self._control.report(target) for target in without_versions)
-        )
-        for target, report in zip(without_versions, reports, strict=True):
+
+        async def query(target: Target) -> None:
+            report = await self._control.report(target)
             if report is not None:
                 self._record_versions(target, report)
 
+        await asyncio.gather(*map(query, without_versions))
+
     def _order_loads(self) -> None:
         engines = self._ready_engines()
         steps = self._steps_by_model()
--- a/tests/fleet/test_loading.py
+++ b/tests/fleet/test_loading.py
@@ -43,6 +43,7 @@
     orders: list[LoadOrder] = field(default_factory=list)
     scripted_outcomes: list[OrderOutcome] = field(default_factory=list)
     """Outcomes returned for the next orders, instead of ACCEPTED."""
+    report_seconds: float = 0.0
     delay_seconds: float = 0.0
     """Delay until an order with outcome UNKNOWN is carried out."""
 
@@ -63,6 +64,7 @@
 
     async def report(self, target: Target) -> EngineReport | None:
         engine = self.engines[target.id]
+        await asyncio.sleep(engine.report_seconds)
         versions = {MODEL: WeightVersion(engine.version)}
         return EngineReport(engine.accepted, False, versions)
 
@@ -93,7 +95,12 @@
 
     def _start(self, count: int) -> FakeEngineControl:
         control = FakeEngineControl(count)
-        tracker = TargetTracker(self.member, {}, 1.0, self.clock())  # type: ignore[arg-type]
+        tracker = self.tracker = TargetTracker(
+            self.member,  # type: ignore[arg-type]
+            {},
+            1.0,
+            self.clock(),
+        )
         for name in control.engines:
             engine = target(name, "engines", TargetKind.ENGINE)
             announce(self.machine.get(TargetsSlice), engine)
@@ -137,6 +144,16 @@
         await asyncio.sleep(QUIET_SECONDS - 0.1)
         self.assertEqual(control.engines["e0"].orders, [])
 
+    async def test_engine_without_an_answer_delays_no_other(self) -> None:
+        """Pattern: the lead passes on while some engines are dark."""
+        control = self._start(3)
+        control.engines["e1"].report_seconds = 1.0
+        await asyncio.sleep(0.1)
+        known = {
+            name for name in control.engines if self.tracker.tracked_by_id.get(name)
+        }
+        self.assertEqual(known, {"e0", "e2"})
+
     async def test_nothing_is_ordered_without_the_lease(self) -> None:
         self.member.lease = False
         control = self._start(1)
