--- a/tests/policy/test_engine_paces.py
+++ b/tests/policy/test_engine_paces.py
@@ -5,7 +5,11 @@
 from parameterized import parameterized
 
 from goldcrestyard.core.ids import TargetId
-from goldcrestyard.policy.engine_paces import PACE_EXPIRY_SECONDS, EnginePaces
+from goldcrestyard.policy.engine_paces import (
+    PACE_EXPIRY_SECONDS,
+    SLOW_PACE_EXPIRY_SECONDS,
+    EnginePaces,
+)
 
 A, B, C = TargetId("a"), TargetId("b"), TargetId("c")
 
@@ -26,9 +30,16 @@
         self.assertEqual(self.paces.pace(TargetId("new"), 1.0), 0.036)
 
     def test_slow_engine_gets_work_again_after_a_while(self) -> None:
+        later = SLOW_PACE_EXPIRY_SECONDS + 0.1
+        self.paces.observe(A, 0.035, later)
+        # The median of the other engines, whose paces stay known.
+        self.assertEqual(self.paces.pace(C, later), (0.035 + 0.036) / 2)
+
+    def test_usual_pace_stays_known_between_steps(self) -> None:
+        self.assertEqual(self.paces.pace(B, PACE_EXPIRY_SECONDS - 0.1), 0.036)
         later = PACE_EXPIRY_SECONDS + 0.1
         self.paces.observe(A, 0.035, later)
-        self.assertEqual(self.paces.pace(C, later), 0.035)
+        self.assertEqual(self.paces.pace(B, later), 0.035)
 
     def test_a_single_engine_is_never_slow(self) -> None:
         alone = EnginePaces()
