Keep the list of entries on control members only

Cause: each entry was sent every other entry's announcement, a message for each pair of them.

Change: on the users' platform the list is not fanned out.

--- a/goldcrestyard/fleet/directory/apps.py
+++ b/goldcrestyard/fleet/directory/apps.py
@@ -4,9 +4,15 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.directory.directory import Directory
+from goldcrestyard.fleet.directory.listing import (
+    DirectorySlice,
+    ListedEntryChannel,
+    ListedEntryMerger,
+)
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.membership.digests import EntryDigests, LeaderDigests
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
@@ -16,7 +22,7 @@
     remove_lost_entries,
 )
 from goldcrestyard.plugins.addresses.commands import EntriesSnapshot, Entry
-from goldcrestyard.plugins.addresses.slices import EntriesSlice
+from goldcrestyard.wire.codec import Codec
 
 ENTRY_LOST_SECONDS = 2.0
 """Time in seconds after which an entry without a lease is removed from the
@@ -30,22 +36,25 @@
     name = "directory"
     after = ("assembly", "entry")
     requires = ("peers",)
-    slices = (EntriesSlice,)
-    messages = (*EntriesSlice.commands, Entry, EntriesSnapshot)
+    slices = (DirectorySlice,)
+    messages = (*DirectorySlice.commands, Entry, EntriesSnapshot)
 
     def ready(self, app: Application) -> None:
         """Create the directory on control members."""
         member = app.find(ControlMember)
         if member is not None:
             app.provide(Directory, Directory(member))
+            app.get(LeaderDigests).add(ListedEntryMerger(member, app.get(Codec)))
 
     async def serve(self, app: Application) -> None:
         """Register this entry; as leader, remove entries without a lease."""
         view = app.find(EntryView)
         if view is not None:
+            listing = ListedEntryChannel(app.get(Codec))
+            app.get(EntryDigests).add(listing)
             announcer = app.provide(
                 EntryAnnouncer,
-                EntryAnnouncer(own_entry(app), view, app.get(LeaderLink)),
+                EntryAnnouncer(own_entry(app), view, app.get(LeaderLink), listing),
             )
             app.supervise(announcer.run, "announce this entry")
         member = app.find(ControlMember)
--- a/goldcrestyard/membership/view.py
+++ b/goldcrestyard/membership/view.py
@@ -57,18 +57,22 @@
         self._update_synchronized()
 
     def apply_changes(self, changes: tuple[Change, ...]) -> None:
-        """Apply changes in order, except those applied before."""
+        """Apply changes in order, except those applied before.
+
+        A leader of another release may send commands of slices that this
+        entry does not keep.
+        """
         for change in changes:
             if change.revision <= self.machine.revision:
                 continue
             for encoded in change.commands:
-                envelope = Envelope(
-                    self._codec.decode(encoded),
-                    change.author,
-                    CorrelationId(""),
-                    change.time,
-                )
-                self.machine.apply(LogIndex(change.revision), Term(0), envelope)
+                command = self._codec.decode(encoded)
+                if self.machine.keeps(command):
+                    envelope = Envelope(
+                        command, change.author, CorrelationId(""), change.time
+                    )
+                    self.machine.apply(LogIndex(change.revision), Term(0), envelope)
+            self.machine.revision = change.revision
         self._notify()
 
     def load(self, push: SnapshotPush) -> None:
@@ -77,7 +81,9 @@
             return
         snapshots = {
             name: self._codec.decode(data)
-            for name, data in push.snapshots_by_name.items()
+            for name, data in self.machine.known_snapshots(
+                push.snapshots_by_name
+            ).items()
         }
         index = LogIndex(push.revision)
         self.machine.load_snapshots(snapshots, index, push.revision)
--- a/goldcrestyard/plugins/addresses/announcing.py
+++ b/goldcrestyard/plugins/addresses/announcing.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from dataclasses import replace
+from typing import Protocol
 
 import structlog
 
@@ -47,22 +48,55 @@
     )
 
 
+class EntryListing(Protocol):
+    """How an entry learns whether the replicated list has it."""
+
+    def lists(self, entry: Entry) -> bool:
+        """Return whether the list has exactly this entry.
+
+        True also while that is not known yet.
+        """
+        ...
+
+    def record(self, entry: Entry) -> None:
+        """Record that this entry was committed."""
+        ...
+
+
+class ReplicatedListing:
+    """Reads the list from the replicated state, where entries keep it."""
+
+    def __init__(self, view: EntryView) -> None:
+        self._entries = view.machine.get(EntriesSlice)
+
+    def lists(self, entry: Entry) -> bool:
+        """Return whether the list has exactly this entry."""
+        return self._entries.entries_by_id.get(entry.id) == entry
+
+    def record(self, entry: Entry) -> None:
+        """Do nothing: the commit changes the replicated state."""
+
+
 class EntryAnnouncer:
     """Keeps this entry and its draining state in the replicated list."""
 
-    def __init__(self, entry: Entry, view: EntryView, link: LeaderLink) -> None:
+    def __init__(
+        self, entry: Entry, view: EntryView, link: LeaderLink, listing: EntryListing
+    ) -> None:
         self._entry = entry
         self._view = view
         self._link = link
-        self._entries = view.machine.get(EntriesSlice)
+        self._listing = listing
         self._removed = False
 
     async def run(self) -> None:
         """Propose this entry whenever the list lacks it or differs."""
         while not self._removed:
-            known = self._entries.entries_by_id.get(self._entry.id)
-            if self._view.holds_lease() and known != self._entry:
-                await self._link.propose(PutEntry(self._entry))
+            entry = self._entry
+            if self._view.holds_lease() and not self._listing.lists(entry):
+                result = await self._link.propose(PutEntry(entry))
+                if isinstance(result, Applied):
+                    self._listing.record(entry)
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
     async def mark_draining(self) -> None:
--- a/goldcrestyard/plugins/addresses/apps.py
+++ b/goldcrestyard/plugins/addresses/apps.py
@@ -14,6 +14,7 @@
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.addresses.announcing import (
     EntryAnnouncer,
+    ReplicatedListing,
     own_entry,
     remove_lost_entries,
 )
@@ -87,8 +88,9 @@
 
     async def serve(self, app: Application) -> None:
         """Start to announce this entry; on a member, also remove lost ones."""
+        view = app.get(EntryView)
         announcer = EntryAnnouncer(
-            own_entry(app), app.get(EntryView), app.get(LeaderLink)
+            own_entry(app), view, app.get(LeaderLink), ReplicatedListing(view)
         )
         app.provide(EntryAnnouncer, announcer)
         app.supervise(announcer.run, "announce this entry")
--- a/goldcrestyard/state/machine.py
+++ b/goldcrestyard/state/machine.py
@@ -20,6 +20,7 @@
 logger = structlog.get_logger(__name__)
 
 S = TypeVar("S", bound=Slice)
+T = TypeVar("T")
 
 Listener = Callable[[AppliedEntry], None]
 
@@ -48,6 +49,18 @@
         """Return the slice of a given class."""
         return cast(S, self._slices_by_name[slice_class.name])
 
+    def keeps(self, command: Command) -> bool:
+        """Return whether one of the slices applies a command."""
+        return type(command) in self._slices_by_command
+
+    def known_snapshots(self, snapshots_by_name: Mapping[str, T]) -> dict[str, T]:
+        """Return the snapshots of slices that this machine has."""
+        return {
+            name: snapshot
+            for name, snapshot in snapshots_by_name.items()
+            if name in self._slices_by_name
+        }
+
     def listen(self, listener: Listener) -> None:
         """Register a function that is called after each applied log entry."""
         self._listeners.append(listener)
