--- a/goldcrestyard/fleet/directory/listing.py
+++ b/goldcrestyard/fleet/directory/listing.py
@@ -41,6 +41,14 @@
         """Store the digest of the listed entry; empty if there is none."""
         self._listed = summary
 
+    def unanswered(self) -> None:
+        """Count as not listed until this entry has announced itself.
+
+        A leader of an earlier release does not tell.
+        """
+        if self._listed is None:
+            self._listed = b""
+
     def lists(self, entry: Entry) -> bool:
         """Return whether the list has exactly this entry, or is not known."""
         return self._listed in (None, digest_of(self._codec, entry))
--- a/goldcrestyard/membership/digests.py
+++ b/goldcrestyard/membership/digests.py
@@ -26,6 +26,9 @@
     def receive(self, summary: bytes) -> None:
         """Process the leader's summary for this entry."""
 
+    def unanswered(self) -> None:
+        """Note that the leader, of another release, sends no summary."""
+
 
 class DigestMerger(ABC):
     """The leader's side of the exchange: merges digests into summaries."""
@@ -59,9 +62,11 @@
 
     def receive(self, summaries_by_name: Mapping[str, bytes]) -> None:
         """Pass summaries to their channels; unknown names are ignored."""
-        for name, summary in summaries_by_name.items():
-            channel = self._channels_by_name.get(name)
-            if channel is not None:
+        for name, channel in self._channels_by_name.items():
+            summary = summaries_by_name.get(name)
+            if summary is None:
+                channel.unanswered()
+            else:
                 channel.receive(summary)
 
 
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -46,7 +46,7 @@
 request time-out."""
 
 MAX_CHANGES_BYTES = 256 * 1024
-"""Largest size of the changes that an entry is sent one by one.  Most changes
+"""Largest size of several changes that an entry is sent one by one.  Most
 replace earlier ones, so that a snapshot is smaller."""
 
 MAX_CONCURRENT_SNAPSHOTS = 8
@@ -140,7 +140,7 @@
             if changes == ():
                 await self._feed.wait()
                 continue
-            if changes is None or sum(map(size_of, changes)) > MAX_CHANGES_BYTES:
+            if changes is None or _is_long(changes):
                 sent_revision = await self._push_snapshot(connection)
                 if sent_revision is None:
                     return
@@ -231,3 +231,12 @@
                 return Failure(
                     RefusalReason.UNKNOWN_OUTCOME, detail, Verdict.MAY_HAVE_RUN
                 )
+
+
+def _is_long(changes: tuple[Change, ...]) -> bool:
+    """Return whether a snapshot should be sent instead of changes.
+
+    A single change is always sent as it is, however large: entries that
+    follow must not wait for others that are sent snapshots.
+    """
+    return len(changes) > 1 and sum(map(size_of, changes)) > MAX_CHANGES_BYTES
--- a/tests/fleet/test_listing.py
+++ b/tests/fleet/test_listing.py
@@ -127,6 +127,14 @@
         await asyncio.sleep(5.0)
         self.assertIn(entry(1).id, self.listed)
 
+    async def test_leader_that_does_not_tell(self) -> None:
+        """Guards against entries that an earlier release never lists."""
+        self.leader_digests = LeaderDigests()
+        self.start(1)
+        await asyncio.sleep(30.0)
+        self.assertIn(entry(1).id, self.listed)
+        self.assertEqual(len(self.link.proposed), 1)
+
     async def test_draining_entry_stays_marked(self) -> None:
         announcer = self.start(1)
         await asyncio.sleep(5.0)
--- a/tests/membership/test_entry_sessions.py
+++ b/tests/membership/test_entry_sessions.py
@@ -22,6 +22,7 @@
 from goldcrestyard.membership.digests import LeaderDigests
 from goldcrestyard.membership.entry_sessions import (
     ELECTION_WAIT_SECONDS,
+    MAX_CHANGES_BYTES,
     MAX_CONCURRENT_SNAPSHOTS,
     SNAPSHOT_TIMEOUT_SECONDS,
     EntrySessions,
@@ -274,6 +275,17 @@
         self.assertTrue(all(len(c.frames) == 1 for c in connections))
         self.assertLess(len(connections[0].frames[0]), 2 * 60_000)
 
+    async def test_large_change_waits_for_no_snapshot(self) -> None:
+        """Guards against changes that come late since others start."""
+        self.change_config(range(1, 40), 60_000)
+        current = self.machine.revision
+        (entry,) = await self.subscribe(1, current)
+        await self.subscribe(MAX_CONCURRENT_SNAPSHOTS, seconds=1000.0)
+        await asyncio.sleep(0.1)
+        self.change_config(range(40, 41), 2 * MAX_CHANGES_BYTES)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(entry.frames), 1)
+
     async def test_entries_share_the_frame_of_a_change(self) -> None:
         self.change_config(range(1, 3), 1000)
         current = self.machine.revision
