Refuse a job whose body holds characters beyond ASCII

Cause: base64 raises ValueError for them, not the error that was caught, so that the trainer got an unexplained failure instead of a refusal.

Change: errors of that kind refuse the job.

Test: a case in the table of malformed jobs, which fails without the change.

--- a/goldcrestyard/platform/submissions.py
+++ b/goldcrestyard/platform/submissions.py
@@ -1,7 +1,6 @@
 """Decoding of submitted jobs and encoding of their results."""
 
 import base64
-import binascii
 
 import msgspec
 
@@ -55,7 +54,8 @@
     try:
         lot = msgspec.json.decode(body, type=_Lot)
         items = tuple(_item(item, lot.model) for item in lot.requests)
-    except (msgspec.DecodeError, UnicodeDecodeError, binascii.Error) as error:
+    except (msgspec.DecodeError, ValueError) as error:
+        # The errors of base64 and of decoding text are kinds of ValueError.
         return Refusal(RefusalReason.BAD_REQUEST, f"unreadable job: {error}")
     if not job_id or len({item.id for item in items}) < len(items):
         return Refusal(
--- a/tests/platform/test_submissions.py
+++ b/tests/platform/test_submissions.py
@@ -64,6 +64,7 @@
             ("item_without_id", {"requests": [{"path": "/x"}]}, "j"),
             ("same_id_twice", {"requests": [ITEM, ITEM]}, "j"),
             ("body_not_base64", {"requests": [{**ITEM, "body": "%%"}]}, "j"),
+            ("body_not_ascii", {"requests": [{**ITEM, "body": "\u1000qqqq"}]}, "j"),
             ("version_of_another_type", {**LOT, "least_required": "6"}, "j"),
             ("job_without_id", LOT, ""),
         ]
