Say when items are given up later than their limit

Cause: read as a newcomer, the age of items seemed exact. A member that learns of a job from the log, after a restart or a partition, counts from then.

Change: the docstring says so. The behaviour is unchanged and stays open.

--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -296,7 +296,9 @@
         """Return the monotonic time at which this process learned of a job.
 
         The time of day may jump, and an item must not be given up early.  It
-        is used only for a job that this process knows from a snapshot.
+        is used only for a job that this process knows from a snapshot.  A
+        member that learns of a job late, from the log after a restart or a
+        partition, gives the job's items up as much later.
         """
         seen_at = self._seen_at_by_job.get(state.job.id)
         if seen_at is None:
