Bound what callers send that is no request

Cause: the parser consumes the framing of a body, and a refused body while the connection lingers, as fast as they arrive.

Change: each connection counts what arrives.

--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -11,9 +11,10 @@
 from typing import Any, cast
 
 import structlog
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.kernel.http_client import CHUNK_OVERHEAD_FACTOR, READ_BYTES
 from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, error_body, refuse
 
 logger = structlog.get_logger(__name__)
@@ -25,6 +26,11 @@
 """How long the rest of a refused body is read and discarded, so that the
 caller receives the response instead of a connection reset."""
 
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
+"""Largest number of bytes that are read after a request, whole or refused.  It
+exceeds the largest body, so that the caller of a refused one receives the
+response."""
+
 IDLE_TIMEOUT_SECONDS = 75.0
 """Time after which idle connections are closed.  It is longer than the usual
 client libraries keep theirs, so that the server does not close a connection
@@ -41,6 +47,15 @@
     decompress: bool = True
     """Whether to decompress request bodies rather than keep them as sent."""
 
+    @property
+    def overhead_bytes(self) -> int:
+        """Largest number of bytes in a request that are no part of its body.
+
+        The framing of chunks is not included.  The trailers may be as long as
+        the head of a request.
+        """
+        return MAX_HEADERS * self.header_bytes + 2 * READ_BYTES
+
 
 class CallerConnection(web.RequestHandler):
     """HTTP connection with a time-out for the request head.
@@ -68,6 +83,8 @@
         self.active = False
         self.receiving = False
         """Whether a part of a request has arrived that is not handled yet."""
+        self._body: StreamReader | None = None
+        self._received_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time-out for the head of the first request."""
@@ -75,21 +92,47 @@
         self._start_head_timer()
 
     def data_received(self, data: bytes) -> None:
-        """Start the time-out for the head of a further request."""
+        """Start the time-out for the head of a further request.
+
+        The parser consumes the framing of a body, and a refused body, as fast
+        as they arrive.  A connection with too much of either is closed.
+        """
         self.receiving = not self.active
+        self._received_bytes += len(data)
         super().data_received(data)
         if not self.active and self._timer is None:
             self._start_head_timer()
+        if self._received_bytes > self._allowed_bytes():
+            logger.warning(
+                "caller sends bytes without end; closing the connection",
+                received_bytes=self._received_bytes,
+                request_is_running=self.active,
+            )
+            if self.transport is not None:
+                self.transport.abort()
+
+    def _allowed_bytes(self) -> int:
+        """Return how much may arrive during a request, or between two.
+
+        What follows a whole request belongs to further ones, which the parser
+        reads only a few of.
+        """
+        if not self.active or self._body is None or self._body.is_eof():
+            return MAX_DISCARDED_BYTES
+        framed = (1 + CHUNK_OVERHEAD_FACTOR) * self._body.total_bytes
+        return self._limits.overhead_bytes + framed
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the time-out."""
         self._cancel_head_timer()
         super().connection_lost(exc)
 
-    def begin(self) -> bool:
+    def begin(self, request: web.BaseRequest) -> bool:
         """Mark a request as running; return False if its head timed out."""
         self._cancel_head_timer()
         self.active = not self._head_timed_out
+        self._body = request.content
+        self._received_bytes = 0
         self.receiving = False
         return self.active
 
@@ -104,6 +147,8 @@
             return await super().finish_response(request, resp, start_time)
         finally:
             self.active = False
+            self._body = None
+            self._received_bytes = 0
 
     @property
     def busy(self) -> bool:
--- a/goldcrestyard/plugins/listeners/middleware.py
+++ b/goldcrestyard/plugins/listeners/middleware.py
@@ -45,7 +45,7 @@
 ) -> web.StreamResponse:
     """Mark the connection as active while a request is handled."""
     connection = request.protocol
-    if isinstance(connection, CallerConnection) and not connection.begin():
+    if isinstance(connection, CallerConnection) and not connection.begin(request):
         raise ConnectionResetError(
             "the request line and headers arrived after the time-out"
         )
--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -113,7 +113,9 @@
     ) -> None:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             connection = request.protocol
-            if isinstance(connection, CallerConnection) and not connection.begin():
+            if isinstance(connection, CallerConnection) and not connection.begin(
+                request
+            ):
                 raise ConnectionResetError(
                     "the request line and headers arrived after the time-out"
                 )
