--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -44,6 +44,8 @@
     event_seconds: float = 0.02
     failing: bool = False
     """Whether every request is answered with status 500."""
+    request_limit: float | None = None
+    """Requests a second that it names in its answers; None names no limit."""
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     in_progress: Counter[str] = field(default_factory=Counter)
@@ -169,6 +171,8 @@
             REQUEST_ID_HEADER: request_id,
             "X-Goldcrestyard-Server-Stamp": f"stamp-{request_id}",
         }
+        if self.request_limit is not None:
+            headers["Server-Limit"] = str(self.request_limit)
         if self.failing:
             return web.Response(status=500, headers=headers)
         self.in_progress[request_id] += 1
