Log the request limits of targets and each reward call

The logs could not tell the hypotheses apart: no line named the limit of an answer, and a reward call that succeeded left no line. The target client now reports the limit in each answer; changes of a limit are logged and counted.

--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -218,6 +218,12 @@
         if isinstance(body, bytes) and 200 <= reply.status < 300:
             now = self._clock.monotonic()
             statistics.record_success(now - began, now)
+            logger.info(
+                "reward call ended",
+                request=call.request,
+                target=target.id,
+                seconds=round(now - began, 4),
+            )
             return Scored(reply.signature) if reply.signature else None
         _log_failure(call, target, f"answered {reply.status}")
         return reply.status
--- /dev/null
+++ b/goldcrestyard/fleet/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests that targets in need accept from all processes."""
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -51,6 +51,14 @@
         self.items = self._counter(
             "items_listed", "Items listed, by how they ended.", ("outcome",)
         )
+        self.limited_targets = self._gauge(
+            "limited_targets", "Targets that name a request limit in their answers."
+        )
+        self.target_answers = self._counter(
+            "target_answers",
+            "Answers of targets, by whether they name a request limit.",
+            ("limited",),
+        )
         self.lease = self._gauge(
             "lease_seconds", "Seconds until this entry's lease runs out."
         )
--- a/goldcrestyard/platform/names.py
+++ b/goldcrestyard/platform/names.py
@@ -23,6 +23,9 @@
 DUTY_HOLDER_HEADER = _HEADER_PREFIX + "Duty-Holder"
 FENCE_HEADER = _HEADER_PREFIX + "Fence-Token"
 LAST_EVENT_HEADER = "Last-Event-Id"
+REQUEST_LIMIT_HEADER = "Server-Limit"
+"""Header with the requests per second that a target in need accepts from all
+machines together."""
 
 DIRECTORY_PATH = "/v1/resolve"
 READY_PATH = "/v1/readyz"
--- a/goldcrestyard/platform/targets/apps.py
+++ b/goldcrestyard/platform/targets/apps.py
@@ -2,6 +2,7 @@
 
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.fleet.duties import DutySettings
+from goldcrestyard.fleet.limits.known import KnownLimits
 from goldcrestyard.fleet.versions.orders import EngineControl
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -13,10 +14,13 @@
     """Provides the client for requests to targets and orders to engines."""
 
     name = "target_client"
+    requires = ("request_limits",)
 
     def ready(self, app: Application) -> None:
         """Create the clients; connections are opened later."""
-        client = app.provide(HttpTargetClient, HttpTargetClient())
+        client = app.provide(
+            HttpTargetClient, HttpTargetClient(app.get(KnownLimits).observe)
+        )
         app.provide(TargetClient, client)  # type: ignore[type-abstract]
         holder = app.settings.section(DutySettings).holder_name
         app.provide(
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -5,8 +5,9 @@
 """
 
 import asyncio
+import math
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -22,7 +23,7 @@
     describe_error,
 )
 from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
-from goldcrestyard.core.ids import WeightVersion
+from goldcrestyard.core.ids import RequestRate, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.kernel.http_client import (
     MAX_ANSWER_BYTES,
@@ -38,6 +39,7 @@
     NOT_RUN_HEADER,
     ORGANISATION_HEADER,
     REQUEST_ID_HEADER,
+    REQUEST_LIMIT_HEADER,
     SIGNATURE_HEADER,
     TARGET_ID_HEADER,
     VERSION_HEADER,
@@ -141,7 +143,14 @@
     late answer to an earlier request.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_limit: Callable[[Target, RequestRate | None], None] | None = None
+    ) -> None:
+        """Create a client that reports the request limit of each answer.
+
+        ``on_limit`` gets None as the limit if an answer names none.
+        """
+        self._on_limit = on_limit
         self._sessions_by_address: dict[str, aiohttp.ClientSession] = {}
         self._discarded_sessions: deque[aiohttp.ClientSession] = deque()
         self._single_session: aiohttp.ClientSession | None = None
@@ -200,6 +209,8 @@
             yield answer
             return
         try:
+            if self._on_limit is not None and _is_from(answer, call):
+                self._on_limit(target, _limit_of(answer))
             yield _failure_of(answer, call) or HttpReply(answer)
         finally:
             answer.close()
@@ -280,6 +291,23 @@
     return headers
 
 
+def _is_from(response: aiohttp.ClientResponse, call: TargetCall) -> bool:
+    """Return whether a response is the intended target's answer to a call."""
+    return (
+        response.headers.get(REQUEST_ID_HEADER) == call.request
+        and response.status != MISDIRECTED_STATUS
+    )
+
+
+def _limit_of(response: aiohttp.ClientResponse) -> RequestRate | None:
+    """Return the limit that an answer names; None if it names no valid one."""
+    try:
+        limit = float(response.headers.get(REQUEST_LIMIT_HEADER, ""))
+    except ValueError:
+        return None
+    return RequestRate(limit) if math.isfinite(limit) and limit >= 0 else None
+
+
 def _failure_of(
     response: aiohttp.ClientResponse, call: TargetCall
 ) -> AttemptFailure | None:
