Log the two changes of a request limit as two literal events

tests/test_log_events_page.py failed on 'target named a request limit', because the event's name was computed. Each change now has a call of its own; the page and the code agree again.

--- a/goldcrestyard/fleet/limits/known.py
+++ b/goldcrestyard/fleet/limits/known.py
@@ -35,15 +35,19 @@
         """Record the limit in an answer that has just arrived, or its lack."""
         self._metrics.target_answers.labels("no" if rate is None else "yes").inc()
         known = self.rate(target)
-        if rate != known:
+        if rate is not None and rate != known:
             logger.info(
-                "target named a request limit"
-                if rate is not None
-                else "target names no request limit any more",
+                "target named a request limit",
                 target=target.id,
                 incarnation=target.incarnation,
                 requests_per_second=rate,
             )
+        if rate is None and known is not None:
+            logger.info(
+                "target names no request limit any more",
+                target=target.id,
+                incarnation=target.incarnation,
+            )
         if rate is None:
             self._named_by_target.pop(target.id, None)
         else:
