--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -24,6 +24,8 @@
 
 @dataclass(frozen=True)
 class LimitCase:
+    """What fails while the limits are in force."""
+
     name: str
     leader_killed: bool = False
     front_killed: bool = False
