Keep the requests of all processes within a target's request limit

Cause: nothing read the limit, and each process chose its targets alone, so that bursts of reward calls from the leader came on top of the fronts' calls.

The leader now issues a permit for each request to a target that names a limit, on a schedule for each target (generic cell rate algorithm), starting anew without a burst after a change of the leader. One client in front of the target client asks for it, so that no kind of request passes by. Limits travel with the lease renewals, newest answer first. Where no permit is due within 0.1 s, the request goes to another target or is refused at once with the time of the next permit; hedges avoid such targets, and the job scheduler starts only as many runs as permits are left.

--- a/goldcrestyard/core/attempts.py
+++ b/goldcrestyard/core/attempts.py
@@ -25,6 +25,15 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """The request was not sent: the target's request limit is used up."""
+
+    detail: str
+    retry_after_seconds: float
+    """Time after which the limit is expected to allow a request."""
+
+
 @dataclass(frozen=True, slots=True)
 class Broken:
     """The request was sent, but no complete and matching answer arrived.
@@ -54,7 +63,7 @@
     generated: int
 
 
-AttemptFailure = Unreached | TurnedAway | Broken
+AttemptFailure = Unreached | TurnedAway | Withheld | Broken
 AttemptOutcome = AttemptFailure | Answered
 
 
@@ -85,7 +94,7 @@
 def verdict_for(outcome: AttemptOutcome) -> Verdict:
     """Return whether the target may have run the request."""
     match outcome:
-        case Unreached() | TurnedAway():
+        case Unreached() | TurnedAway() | Withheld():
             return Verdict.NOT_RUN
         case Broken():
             return Verdict.MAY_HAVE_RUN
--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -5,6 +5,7 @@
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.gateway.streams import StreamRunner
+from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -18,7 +19,14 @@
     """Provides admission, routing and the runners that front ends use."""
 
     name = "gateway"
-    requires = ("entry", "metering", "serving", "target_client", "tracking")
+    requires = (
+        "entry",
+        "metering",
+        "request_limits",
+        "serving",
+        "target_client",
+        "tracking",
+    )
 
     def ready(self, app: Application) -> None:
         """Provide the admission, router, call runner and stream runner."""
@@ -31,6 +39,7 @@
                 view.machine.get(TargetsSlice),
                 CallerLocation(instance.data_centre, instance.region),
                 app.clock,
+                is_limited=app.get(TargetPermits).is_limited,
             ),
         )
         client = app.get(TargetClient)  # type: ignore[type-abstract]
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -14,6 +14,7 @@
 from goldcrestyard.core.attempts import (
     AttemptFailure,
     Unreached,
+    Withheld,
     describe_failure,
     verdict_for,
 )
@@ -124,7 +125,7 @@
                 attempt = self._attempt(admitted, target, hedged=bool(running))
                 running[asyncio.create_task(attempt)] = target
             elif not running:
-                return self._refusal(admitted, state)
+                return self._refusal(admitted, state, service)
             hedge_seconds = hedge_after(admitted.route.objective_seconds)
             done, _ = await asyncio.wait(
                 running,
@@ -141,9 +142,12 @@
                     continue
                 self._router.note_failure(target, outcome)
                 state.failures.append(outcome)
-                if isinstance(outcome, Unreached):
-                    state.sent -= 1
-                    state.unreached += 1
+                match outcome:
+                    case Unreached():
+                        state.sent -= 1
+                        state.unreached += 1
+                    case Withheld():
+                        state.sent -= 1
 
     def _next_target(
         self,
@@ -166,7 +170,7 @@
             return None
         if admitted.deadline - self._clock.monotonic() < MIN_ATTEMPT_SECONDS:
             return None
-        return self._router.choose(service, state.tried)
+        return self._router.choose(service, state.tried, hedge=bool(running))
 
     async def _attempt(
         self, admitted: AdmittedRequest, target: Target, *, hedged: bool
@@ -207,7 +211,7 @@
         return outcome
 
     def _refusal(
-        self, admitted: AdmittedRequest, state: _CallState
+        self, admitted: AdmittedRequest, state: _CallState, service: ServiceName
     ) -> CallAnswer | Refusal:
         """Return the result of a request for which no attempt is left."""
         if state.last_answer is not None:
@@ -223,6 +227,13 @@
                 "the key could not be checked again before sending",
                 retry_after_seconds=RETRY_AFTER_SECONDS,
             )
+        withheld_seconds = self._router.withheld_seconds(service)
+        if withheld_seconds is not None:
+            return Refusal(
+                RefusalReason.CAPACITY,
+                "the request limits of the targets are used up",
+                retry_after_seconds=max(RETRY_AFTER_SECONDS, withheld_seconds),
+            )
         detail = "no target has a free slot" if state.failures else "no target is ready"
         return Refusal(
             RefusalReason.CAPACITY, detail, retry_after_seconds=RETRY_AFTER_SECONDS
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -1,11 +1,17 @@
 """Choice of a target for each call, by distance, load and past results."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from collections.abc import Set as AbstractSet
 from contextlib import contextmanager
 
-from goldcrestyard.core.attempts import AttemptFailure, Broken, TurnedAway, Unreached
+from goldcrestyard.core.attempts import (
+    AttemptFailure,
+    Broken,
+    TurnedAway,
+    Unreached,
+    Withheld,
+)
 from goldcrestyard.core.ids import ServiceName, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.kernel.clock import Clock
@@ -31,7 +37,14 @@
         location: CallerLocation,
         clock: Clock,
         random_source: random.Random | None = None,
+        is_limited: Callable[[Target], bool] | None = None,
     ) -> None:
+        """Create a router.
+
+        ``is_limited`` tells whether a target names a request limit; without it
+        none does.
+        """
+        self._is_limited = is_limited
         self._targets = targets
         self._location = location
         self._clock = clock
@@ -44,14 +57,21 @@
         tried: AbstractSet[TargetId],
         *,
         with_free_slot: bool = False,
+        hedge: bool = False,
     ) -> Target | None:
         """Return a target for the next attempt, or None if there is none.
 
         Targets in ``tried`` are excluded.  ``with_free_slot`` also excludes
         targets to which this process already sends as many calls as they can
-        run concurrently.
+        run concurrently.  A ``hedge`` goes to no target with a request limit,
+        where it would take the place of another request.
         """
         candidates = self._targets.serving(service)
+        limited = self._limited(candidates)
+        if hedge and limited:
+            candidates = tuple(
+                target for target in candidates if target.id not in limited
+            )
         if with_free_slot:
             candidates = tuple(
                 target
@@ -65,8 +85,33 @@
             tried,
             self._clock.monotonic(),
             self._random,
+            limited,
+        )
+
+    def withheld_seconds(self, service: ServiceName) -> float | None:
+        """Return the time until a request limit of a service allows a call.
+
+        Returns None if no target of the service has used up its limit.
+        """
+        now = self._clock.monotonic()
+        candidates = self._targets.serving(service)
+        limited = self._limited(candidates)
+        return min(
+            (
+                statistics.withheld_until - now
+                for target in candidates
+                if target.id in limited
+                and (statistics := self.statistics_by_id.get(target.id)) is not None
+                and now < statistics.withheld_until
+            ),
+            default=None,
         )
 
+    def _limited(self, targets: Iterable[Target]) -> frozenset[TargetId]:
+        if self._is_limited is None:
+            return frozenset()
+        return frozenset(target.id for target in targets if self._is_limited(target))
+
     @contextmanager
     def call_in_flight(self, target: Target) -> Iterator[CallStatistics]:
         """Count a call as in flight for the duration of the block."""
@@ -87,6 +132,9 @@
         match failure:
             case Unreached() | Broken():
                 self._statistics(target).record_failure(self._clock.monotonic())
+            case Withheld(retry_after_seconds=seconds):
+                until = self._clock.monotonic() + seconds
+                self._statistics(target).withheld_until = until
             case TurnedAway():
                 pass
 
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from goldcrestyard.core.attempts import AttemptFailure, Broken, Unreached
+from goldcrestyard.core.attempts import AttemptFailure, Broken, Unreached, Withheld
 from goldcrestyard.core.calls import (
     Headers,
     TargetClient,
@@ -120,7 +120,7 @@
                 return outcome
             self._router.note_failure(target, outcome)
             failures.append(outcome)
-            sent += not isinstance(outcome, Unreached)
+            sent += not isinstance(outcome, Unreached | Withheld)
             may_have_run = overall_verdict(failures) is not Verdict.NOT_RUN
             if may_have_run and not admitted.route.repeatable:
                 break
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -20,6 +20,7 @@
 from goldcrestyard.fleet.jobs.runner import JobRunner
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -38,7 +39,7 @@
 
     name = "jobs"
     after = ("assembly", "tracking", "versions")
-    requires = ("observability", "serving")
+    requires = ("observability", "request_limits", "serving")
     slices = (JobsSlice,)
     messages = (
         *JobsSlice.commands,
@@ -70,7 +71,13 @@
         instance = app.settings.section(InstanceSettings)
         location = CallerLocation(instance.data_centre, instance.region)
         client = app.get(TargetClient)  # type: ignore[type-abstract]
-        router = CallRouter(member.machine.get(TargetsSlice), location, app.clock)
+        permits = app.get(TargetPermits)
+        router = CallRouter(
+            member.machine.get(TargetsSlice),
+            location,
+            app.clock,
+            is_limited=permits.is_limited,
+        )
         rewards = RewardClient(
             member.machine.get(ServingSlice), router, client, app.clock
         )
@@ -84,6 +91,7 @@
             location,
             app.get(FleetMetrics),
             app.clock,
+            permitted_runs=permits.available,
         )
         app.supervise(
             partial(while_leading, member, "run jobs", runner.run), "run jobs"
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -12,6 +12,7 @@
     Broken,
     TurnedAway,
     Unreached,
+    Withheld,
 )
 from goldcrestyard.core.calls import TargetCall, TargetClient, TargetReply
 from goldcrestyard.core.ids import RequestId, WeightVersion
@@ -147,7 +148,7 @@
     match failure:
         case Unreached(detail=detail):
             return NotRun(detail, True)
-        case TurnedAway(detail=detail):
+        case TurnedAway(detail=detail) | Withheld(detail=detail):
             return NotRun(detail, False)
         case Broken(detail=detail):
             return BrokenOff(detail)
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -108,6 +108,7 @@
                     target = self._choose_target(
                         route,
                         tried | self._recently_called_targets(route, running.values()),
+                        hedge=bool(running),
                     )
                 if target is not None:
                     tried.add(target.id)
@@ -154,7 +155,7 @@
         return table.route(call.host, call.path) if table is not None else None
 
     def _choose_target(
-        self, route: ServingRoute, tried: set[TargetId]
+        self, route: ServingRoute, tried: set[TargetId], *, hedge: bool
     ) -> Target | None:
         """Return a target with a free slot for a reward call.
 
@@ -166,7 +167,7 @@
         """
         for service in route.services:
             target = self._router.choose(
-                ServiceName(service.name), tried, with_free_slot=True
+                ServiceName(service.name), tried, with_free_slot=True, hedge=hedge
             )
             if target is not None:
                 return target
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -160,7 +160,14 @@
         metrics: FleetMetrics,
         clock: Clock,
         random_source: random.Random | None = None,
+        permitted_runs: Callable[[Target], int | None] | None = None,
     ) -> None:
+        """Create a runner.
+
+        ``permitted_runs`` returns how many runs a target's request limit
+        allows to start now; without it no target has a limit.
+        """
+        self._permitted_runs = permitted_runs
         self._metrics = metrics
         self._member = member
         self._jobs = member.machine.get(JobsSlice)
@@ -415,6 +422,7 @@
                     versions,
                     self._loading.models_on(target.id),
                     set(self._groups_by_target.get(target.id, ())),
+                    self._permitted_runs(target) if self._permitted_runs else None,
                     self._paces.pace(target.id, now),
                 )
             )
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -54,6 +54,11 @@
         self.limited_targets = self._gauge(
             "limited_targets", "Targets that name a request limit in their answers."
         )
+        self.permits = self._counter(
+            "request_permits",
+            "Requests to targets with a request limit, by whether they were sent.",
+            ("outcome",),
+        )
         self.target_answers = self._counter(
             "target_answers",
             "Answers of targets, by whether they name a request limit.",
--- a/goldcrestyard/platform/targets/apps.py
+++ b/goldcrestyard/platform/targets/apps.py
@@ -3,6 +3,7 @@
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.limits.known import KnownLimits
+from goldcrestyard.fleet.limits.permits import LimitedTargetClient, TargetPermits
 from goldcrestyard.fleet.versions.orders import EngineControl
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -21,7 +22,10 @@
         client = app.provide(
             HttpTargetClient, HttpTargetClient(app.get(KnownLimits).observe)
         )
-        app.provide(TargetClient, client)  # type: ignore[type-abstract]
+        app.provide(
+            TargetClient,  # type: ignore[type-abstract]
+            LimitedTargetClient(client, app.get(TargetPermits)),
+        )
         holder = app.settings.section(DutySettings).holder_name
         app.provide(
             EngineControl,  # type: ignore[type-abstract]
--- a/goldcrestyard/policy/call_routing.py
+++ b/goldcrestyard/policy/call_routing.py
@@ -33,6 +33,10 @@
 """Cost in seconds of a call without a kept connection: opening it, and its
 price for the target, which accepts a limited number from all callers."""
 
+PERMIT_COST_SECONDS = 0.03
+"""Cost in seconds of a call to a target with a request limit: the question to
+the leader, and the need of the target."""
+
 KEPT_SECONDS = 30.0
 """Time in seconds for which clients keep an idle connection."""
 
@@ -50,6 +54,9 @@
     mean_seconds: float | None = None
     failures_in_a_row: int = 0
     ejected_until: float = float("-inf")
+    withheld_until: float = float("-inf")
+    """Monotonic time before which the target's request limit, while it names
+    one, is known to be used up."""
     answered_at: float = float("-inf")
     """Monotonic time of the latest response."""
 
@@ -104,15 +111,26 @@
     tried: AbstractSet[TargetId],
     now: float,
     random_source: random.Random,
+    limited: AbstractSet[TargetId] = frozenset(),
 ) -> Target | None:
     """Return the untried target with the lowest expected response time.
 
-    Returns None if all targets have been tried.
+    ``limited`` are the targets with a request limit.  Returns None if all
+    targets have been tried or have used up their limit.
 
     If all targets are ejected they are used nevertheless: the fault may lie
     in the requests or in the network, and waiting would not help.
     """
-    untried = [target for target in candidates if target.id not in tried]
+    untried = [
+        target
+        for target in candidates
+        if target.id not in tried
+        and not (
+            target.id in limited
+            and (known := statistics_by_id.get(target.id)) is not None
+            and now < known.withheld_until
+        )
+    ]
     usable = [
         target
         for target in untried
@@ -125,6 +143,7 @@
             expected_seconds(target, statistics_by_id.get(target.id), location)
             * (1 + COST_JITTER * random_source.random())
             + connection_seconds(statistics_by_id.get(target.id), now)
+            + (PERMIT_COST_SECONDS if target.id in limited else 0.0)
         ),
         default=None,
     )
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -64,6 +64,9 @@
     loading: frozenset[ModelName] = frozenset()
     groups: set[GroupId] = field(default_factory=set)
     """Groups whose shared prompt is in the engine's cache."""
+    permitted_runs: int | None = None
+    """Number of runs that the engine's request limit allows to start now; None
+    if it has none."""
     seconds_per_event: float = 0.0
     """Mean time between two events of a stream; 0 if it is not known."""
 
@@ -73,6 +76,7 @@
         return (
             self.service == item.service
             and self.in_use < self.slots
+            and self.permitted_runs != 0
             and item.model not in self.loading
             and version >= item.oldest_version
             and item.required_version in (None, version)
@@ -98,7 +102,7 @@
 ) -> list[tuple[ItemKey, TargetId]]:
     """Assign items, in their order, each to the engine with the lowest cost.
 
-    Updates ``in_use`` and ``groups`` of the engines.
+    Updates ``in_use``, ``permitted_runs`` and ``groups`` of the engines.
     """
     assigned: list[tuple[ItemKey, TargetId]] = []
     free_slots = sum(max(0, engine.slots - engine.in_use) for engine in engines)
@@ -113,6 +117,8 @@
         ]
         best = min(preferred or eligible, key=lambda engine: _cost(engine, item))
         best.in_use += 1
+        if best.permitted_runs is not None:
+            best.permitted_runs -= 1
         best.groups.add(item.group)
         free_slots -= 1
         assigned.append((item.key, best.id))
--- a/goldcrestyard/policy/retries.py
+++ b/goldcrestyard/policy/retries.py
@@ -12,6 +12,7 @@
     Broken,
     TurnedAway,
     Unreached,
+    Withheld,
     verdict_for,
 )
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -122,7 +123,7 @@
             )
         case Unreached(detail=detail):
             return Refusal(RefusalReason.TARGET_FAILED, f"unreached: {detail}", verdict)
-        case TurnedAway(detail=detail):
+        case TurnedAway(detail=detail) | Withheld(detail=detail):
             return Refusal(RefusalReason.CAPACITY, detail, verdict, 1.0)
         case Broken(detail=detail):
             return Refusal(RefusalReason.INCOMPLETE_ANSWER, detail, verdict)
--- a/tests/fakes/member.py
+++ b/tests/fakes/member.py
@@ -6,6 +6,7 @@
 from goldcrestyard.state.commands import Command, Envelope
 from goldcrestyard.state.machine import StateMachine
 from goldcrestyard.state.slices import Slice
+from goldcrestyard.wire.messages import NotLeader
 
 
 class FakeMember:
@@ -27,6 +28,9 @@
     def holds_lease(self) -> bool:
         return self.is_leader and self.lease
 
+    def make_not_leader_reply(self) -> NotLeader:
+        return NotLeader(None)
+
     def lead(self, term: int) -> None:
         """Become the leader of a term, with the lease, at the present time."""
         self.term = Term(term)
