Take no answer without content as the end of a resumed stream

An error status was handled; a 2xx other than 200, such as 204, counted as a stream without events, so that a stream that had broken off ended whole, and an item with events so far was listed. Now only 200 is a stream. The new case no_content_instead_of_the_rest of tests.fleet.test_streams failed before; the cases with error statuses passed on the code before, and stay as tests.

--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -8,6 +8,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 from typing import Protocol
 
 import structlog
@@ -155,7 +156,7 @@
                 )
                 if isinstance(reply, AttemptFailure):
                     outcome = reply
-                elif reply.status >= 300:
+                elif reply.status != HTTPStatus.OK:
                     outcome = await self._relay_error(reply, stream, sink)
                 else:
                     outcome = await self._relay_events(
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -6,6 +6,7 @@
 
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from goldcrestyard.core.attempts import (
     AttemptFailure,
@@ -139,7 +140,7 @@
             return _to_outcome(reply)
         if reply.status == IMPOSSIBLE_STATUS:
             return Impossible()
-        if not 200 <= reply.status < 300:
+        if reply.status != HTTPStatus.OK:
             return Failed(reply.status)
         return await _read_events(reply, transcript, job.oldest_version, detector)
 
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -20,6 +20,7 @@
 from tests.fakes.targets import (
     FULL,
     RESET,
+    Answers,
     Behaviour,
     FakeTargetClient,
     Hangs,
@@ -87,6 +88,30 @@
         30.0,
     ),
     Case("stalled", "/stream/", (Streams(3, silent_after=1),), STREAM_CUT, 1, 1, 30.0),
+    Case(
+        "error_between_two_runs",
+        "/resumed/",
+        (Streams(4, breaks_after=2), Answers(b"error", 500), Streams(4)),
+        WHOLE,
+        4,
+        3,
+    ),
+    Case(
+        "error_instead_of_the_rest",
+        "/resumed/",
+        (Streams(4, breaks_after=2), *(Answers(b"error", 500),) * 2),
+        STREAM_CUT,
+        2,
+        3,
+    ),
+    Case(
+        "no_content_instead_of_the_rest",
+        "/resumed/",
+        (Streams(4, breaks_after=2), *(Answers(b"", 204),) * 2),
+        STREAM_CUT,
+        2,
+        3,
+    ),
     Case(
         "resumed_in_vain",
         "/resumed/",
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -77,6 +77,19 @@
         Broken,
     ),
     Case("closed_before_an_answer", b"", close, Broken),
+    # The end of a head may lie anywhere, also where it looks whole.
+    Case("closed_after_status_line", b"HTTP/1.1 200 OK\r\n", close, Broken),
+    Case("closed_within_head", HEAD, close, Broken),
+    Case("closed_within_head_line", HEAD + b"Content-Le", close, Broken),
+    Case("closed_after_length", HEAD + b"Content-Length: 0\r\n", close, Broken),
+    Case("closed_within_end_of_head", HEAD + b"\r", close, Broken),
+    Case("reset_within_head", HEAD + b"Content-Length: 0\r\n", reset, Broken),
+    Case(
+        "closed_within_head_of_chunks",
+        HEAD + b"Transfer-Encoding: chunked\r\n",
+        close,
+        Broken,
+    ),
     Case("no_answer_in_the_protocol", b"\x00\x01garbage\r\n\r\n", close, Broken),
     Case(
         "answer_of_another_request", WHOLE.replace(ID.encode(), b"0" * 16), stay, Broken
