Answer every request that a stopping front has taken

In a planned stop in calm, requests on kept connections late in the grace were passed on and cut without an answer at its end, among them some that may not be repeated. Seen here with a target that works for 2 s and SIGKILL after the grace of 8 s: those sent from 5.6 s on were cut (tests.platform .test_late_requests, two of its three cases failed). Cause: the time left was no part of the decision to take a request, and the end of the drain cancelled what ran.

A stopping front now takes only requests that can end before it does, by the latency objective where they may be repeated and by their whole time limit elsewhere, and refuses the others at once as not run. What still runs 0.4 s before the end of the drain gets its final answer, with its verdict. Passes now, and the process ends by itself within the grace. Streams that still run at the end are cut, visibly incomplete, as before.

--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -90,6 +91,20 @@
         self._meter = meter
         self._clock = clock
         self._random = random_source or random.Random()
+        self._ends_at = math.inf
+        self._running_timeouts: set[asyncio.Timeout] = set()
+
+    def end_by(self, ends_at: float) -> None:
+        """Give every request its answer by a monotonic time in seconds.
+
+        A request whose answer is then missing is refused, with the verdict on
+        what its attempts may have done.
+        """
+        self._ends_at = ends_at
+        for timeout in self._running_timeouts:
+            when = timeout.when()
+            if when is None or when > ends_at:
+                timeout.reschedule(ends_at)
 
     async def answer(self, admitted: AdmittedRequest) -> CallAnswer | Refusal:
         """Return a target's answer, or a refusal if there is none.
@@ -100,12 +115,15 @@
         """
         state = _CallState()
         running: dict[asyncio.Task[CallAnswer | AttemptFailure], Target] = {}
+        timeout = asyncio.timeout_at(min(admitted.deadline, self._ends_at))
         try:
-            async with asyncio.timeout_at(admitted.deadline):
+            async with timeout:
+                self._running_timeouts.add(timeout)
                 return await self._run_attempts(admitted, state, running)
         except TimeoutError:
             return self._timeout_result(state, bool(running))
         finally:
+            self._running_timeouts.discard(timeout)
             for task in running:
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
--- a/goldcrestyard/platform/callers/apps.py
+++ b/goldcrestyard/platform/callers/apps.py
@@ -28,6 +28,10 @@
 """Share of the drain time during which new connections are still accepted.
 Some callers cache an address for three times the stated time."""
 
+LAST_ANSWER_SECONDS = 0.4
+"""Time in seconds before the end of the drain at which the last requests are
+answered, so that their callers receive the answers."""
+
 
 class CallersConfig(PluginConfig):
     """Serves callers and trainers on an entry."""
@@ -89,7 +93,8 @@
     async def leave(self, app: Application) -> None:
         """Close each connection after its answer; callers then reconnect."""
         assert self._front is not None
-        self._front.closing = True
+        seconds = app.settings.section(InstanceSettings).drain_seconds
+        self._front.begin_stop(app.clock.monotonic() + seconds - LAST_ANSWER_SECONDS)
 
     async def drain(self, app: Application) -> None:
         """Stop accepting connections after a while, then finish requests."""
--- a/goldcrestyard/platform/callers/front.py
+++ b/goldcrestyard/platform/callers/front.py
@@ -3,6 +3,7 @@
 It decodes requests, passes them to the gateway, and encodes the answers.
 """
 
+import math
 from collections.abc import Callable
 
 import structlog
@@ -10,10 +11,14 @@
 from multidict import CIMultiDict
 
 from goldcrestyard.core.calls import Headers
-from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.serving import CallerLimits, RouteKind, ServingRoute
 from goldcrestyard.core.verdicts import Verdict
-from goldcrestyard.fleet.gateway.admission import Admission, CallerRequest
+from goldcrestyard.fleet.gateway.admission import (
+    Admission,
+    AdmittedRequest,
+    CallerRequest,
+)
 from goldcrestyard.fleet.gateway.calls import CallAnswer, CallRunner
 from goldcrestyard.fleet.gateway.streams import StreamEnd, StreamRunner
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
@@ -21,11 +26,21 @@
 from goldcrestyard.platform.answers import refusal_response, target_response
 from goldcrestyard.platform.bodies import read_body
 from goldcrestyard.platform.callers import requests
-from goldcrestyard.platform.callers.jobs import JobEndpoints
+from goldcrestyard.platform.callers.jobs import COMMIT_TIMEOUT_SECONDS, JobEndpoints
 from goldcrestyard.platform.names import ITEM_PATH, RESULTS_PATH
+from goldcrestyard.policy.planned_stop import can_end_in_time
 
 logger = structlog.get_logger(__name__)
 
+JOB_REQUEST_SECONDS = COMMIT_TIMEOUT_SECONDS
+"""Longest time in seconds until a trainer's request is answered."""
+
+STOPPING = Refusal(
+    RefusalReason.DRAINING,
+    "this process stops before the request could end; another can take it",
+    retry_after_seconds=0.0,
+)
+
 
 class CallerFront:
     """Serves callers' requests; passes those of trainers to the endpoints."""
@@ -49,6 +64,16 @@
         self._clock = clock
         self.closing = False
         """Whether to close connections after each answer, before a stop."""
+        self._ends_at = math.inf
+
+    def begin_stop(self, ends_at: float) -> None:
+        """Close each connection after its answer, and give all by a time.
+
+        ``ends_at`` is a monotonic time in seconds.
+        """
+        self.closing = True
+        self._ends_at = ends_at
+        self._calls.end_by(ends_at)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request on the callers' listener."""
@@ -65,15 +90,27 @@
             return refusal_response(body)
         await self._admission.wait_until_synchronized(requests.seconds_left(request))
         path = requests.path_of(request)
+        if path.startswith((RESULTS_PATH, ITEM_PATH)) and not self._can_end(
+            JOB_REQUEST_SECONDS, None, repeatable_call=False
+        ):
+            return refusal_response(STOPPING)
         if path.startswith(RESULTS_PATH):
             return await self._jobs.results(request)
         if path.startswith(ITEM_PATH):
             return await self._jobs.item(request)
         route = self._admission.find_route(requests.host_of(request), path)
         if isinstance(route, ServingRoute) and route.kind is RouteKind.ROLLOUT:
+            if not self._can_end(JOB_REQUEST_SECONDS, None, repeatable_call=False):
+                return refusal_response(STOPPING)
             return await self._jobs.submit(request, body)
         decoded = requests.decode(request, body)
         admitted = self._admission.admit(decoded, arrived_at)
+        if isinstance(admitted, AdmittedRequest) and not self._can_end(
+            admitted.deadline - arrived_at,
+            admitted.route.objective_seconds,
+            repeatable_call=admitted.route.kind is RouteKind.IDEMPOTENT,
+        ):
+            admitted = STOPPING
         if isinstance(admitted, Refusal):
             self._record_answer(decoded, None, admitted, arrived_at)
             return refusal_response(admitted)
@@ -92,6 +129,20 @@
             else target_response(answer)
         )
 
+    def _can_end(
+        self,
+        time_limit_seconds: float,
+        objective_seconds: float | None,
+        *,
+        repeatable_call: bool,
+    ) -> bool:
+        return can_end_in_time(
+            self._ends_at - self._clock.monotonic(),
+            time_limit_seconds,
+            objective_seconds,
+            repeatable_call=repeatable_call,
+        )
+
     def _record_answer(
         self,
         request: CallerRequest,
--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -44,6 +44,8 @@
     event_seconds: float = 0.02
     failing: bool = False
     """Whether every request is answered with status 500."""
+    answer_seconds: float = 0.0
+    """Time that a plain service works on a request."""
     request_limit: float | None = None
     """Requests a second that it names in its answers; None names no limit."""
     runs: list[Run] = field(default_factory=list)
@@ -179,6 +181,7 @@
         try:
             if self.models:
                 return await self._stream(request, headers, last)
+            await asyncio.sleep(self.answer_seconds)
             return web.Response(
                 body=f"{self.id} {request.path}".encode(), headers=headers
             )
