Give targets the time left after the wait for a permit

The wait for a permit, at most half a second, was not taken from the time that a target is given. Also counts a limit of 0 in the gauge of limited targets, and forgets the schedules of targets without permits for a minute. Found by reading; tests.fleet.test_limits and tests.policy .test_request_limits pass.

--- a/goldcrestyard/fleet/limits/known.py
+++ b/goldcrestyard/fleet/limits/known.py
@@ -111,8 +111,9 @@
     def _put(self, target: TargetId, named: NamedLimit) -> None:
         before = self._named_by_target.get(target)
         self._named_by_target[target] = named
-        limited = [each for each in self._named_by_target.values() if each.rate]
-        self._metrics.limited_targets.set(len(limited))
+        self._metrics.limited_targets.set(
+            sum(each.rate is not None for each in self._named_by_target.values())
+        )
         if before is not None and before.rate == named.rate:
             return
         if named.rate is None:
--- a/goldcrestyard/fleet/limits/permits.py
+++ b/goldcrestyard/fleet/limits/permits.py
@@ -206,9 +206,12 @@
 class LimitedTargetClient:
     """Sends requests to targets within the targets' request limits."""
 
-    def __init__(self, client: TargetClient, permits: TargetPermits) -> None:
+    def __init__(
+        self, client: TargetClient, permits: TargetPermits, clock: Clock
+    ) -> None:
         self._client = client
         self._permits = permits
+        self._clock = clock
 
     @asynccontextmanager
     async def open(
@@ -218,9 +221,11 @@
 
         The result is ``Withheld`` if none is due soon; nothing was sent then.
         """
+        deadline = self._clock.monotonic() + seconds_left
         withheld = await self._permits.acquire(target)
         if withheld is not None:
             yield withheld
             return
+        seconds_left = deadline - self._clock.monotonic()
         async with self._client.open(target, call, seconds_left) as reply:
             yield reply
--- a/goldcrestyard/platform/targets/apps.py
+++ b/goldcrestyard/platform/targets/apps.py
@@ -24,7 +24,7 @@
         )
         app.provide(
             TargetClient,  # type: ignore[type-abstract]
-            LimitedTargetClient(client, app.get(TargetPermits)),
+            LimitedTargetClient(client, app.get(TargetPermits), app.clock),
         )
         holder = app.settings.section(DutySettings).holder_name
         app.provide(
--- a/goldcrestyard/policy/request_limits.py
+++ b/goldcrestyard/policy/request_limits.py
@@ -28,6 +28,9 @@
 ROUNDING_SECONDS = 1e-9
 """Difference of two times in seconds that may come from rounding."""
 
+KEPT_SECONDS = 60.0
+"""Time in seconds for which the schedule of an unused target is kept."""
+
 PERMIT_SECONDS = 0.5
 """Time in seconds for which a permit may be used once it is due."""
 
@@ -91,14 +94,18 @@
     def _delay_seconds(self, target: TargetId, incarnation: str, now: float) -> float:
         schedule = self._schedules_by_target.get(target)
         if schedule is None or schedule.incarnation != incarnation:
+            self._discard_unused(now)
             schedule = _Schedule(incarnation, now + BURST_SECONDS)
             self._schedules_by_target[target] = schedule
         return max(0.0, schedule.next_at - BURST_SECONDS - now)
 
-    def discard_except(self, targets: set[TargetId]) -> None:
-        """Forget the schedules of targets that are gone."""
-        for target in self._schedules_by_target.keys() - targets:
-            del self._schedules_by_target[target]
+    def _discard_unused(self, now: float) -> None:
+        """Forget targets that got no permit for long, since they may be gone."""
+        self._schedules_by_target = {
+            target: schedule
+            for target, schedule in self._schedules_by_target.items()
+            if schedule.next_at > now - KEPT_SECONDS
+        }
 
 
 def is_usable(due_at: float, now: float) -> bool:
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -243,7 +243,7 @@
         runner = CallRunner(
             admission,
             router,
-            LimitedTargetClient(self.client, permits),
+            LimitedTargetClient(self.client, permits, clock),
             UsageMeter(5.0),
             clock,
             random.Random(1),
@@ -274,7 +274,7 @@
         known = self.known()
         known.observe(LIMITED, RATE)
         client = FakeTargetClient({"a": [Answers()]})
-        limited = LimitedTargetClient(client, self.permits(known))
+        limited = LimitedTargetClient(client, self.permits(known), self.clock())
         call = AdmittedRequest.to_call  # The call's content does not matter.
         async with limited.open(LIMITED, call, 1.0) as reply:  # type: ignore[arg-type]
             self.assertIsInstance(reply, Withheld)
