--- a/goldcrestyard/policy/request_limits.py
+++ b/goldcrestyard/policy/request_limits.py
@@ -100,7 +100,7 @@
         return max(0.0, schedule.next_at - BURST_SECONDS - now)
 
     def _discard_unused(self, now: float) -> None:
-        """Forget targets that got no permit for long, since they may be gone."""
+        """Forget targets that got no permit for long; they may be gone."""
         self._schedules_by_target = {
             target: schedule
             for target, schedule in self._schedules_by_target.items()
