--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -32,7 +32,7 @@
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
 from tests.fakes.serving import entry_view, request
-from tests.fakes.targets import Answers, FakeTargetClient, target
+from tests.fakes.targets import Answers, Behaviour, FakeTargetClient, Hangs, target
 
 LIMITED = target("a")
 RATE = RequestRate(2.0)
@@ -45,9 +45,11 @@
         self.leader: str | None = "m1"
         self.lost = False
         self.seconds = 0.02
+        self.asked = 0
         self._handlers = handlers
 
     async def request(self, message: object, timeout: float) -> object:
+        self.asked += 1
         await asyncio.sleep(self.seconds)
         if self.lost:
             return NoAnswer("connection closed")
@@ -223,7 +225,12 @@
     """Guards against calls that wait or hedge where a limit is used up."""
 
     async def _answers(
-        self, calls: int, names: tuple[str, ...], limited: tuple[str, ...]
+        self,
+        calls: int,
+        names: tuple[str, ...],
+        limited: tuple[str, ...],
+        behaviours: dict[str, Behaviour] | None = None,
+        busy: tuple[str, ...] = (),
     ) -> list[object]:
         clock = self.clock()
         view = entry_view(clock, names)
@@ -231,7 +238,9 @@
         for name in limited:
             known.observe(target(name), RATE)
         permits = self.permits(known)
-        self.client = FakeTargetClient({name: [Answers()] for name in names})
+        self.client = FakeTargetClient(
+            {name: [(behaviours or {}).get(name, Answers())] for name in names}
+        )
         admission = Admission(view, clock)
         router = CallRouter(
             view.machine.get(TargetsSlice),
@@ -240,7 +249,9 @@
             random.Random(1),
             permits.is_limited,
         )
-        runner = CallRunner(
+        for name in busy * 60:
+            router.begin_call(target(name))
+        self.runner = runner = CallRunner(
             admission,
             router,
             LimitedTargetClient(self.client, permits, clock),
@@ -248,7 +259,9 @@
             clock,
             random.Random(1),
         )
-        admitted = admission.admit(request("/again/"), clock.monotonic())
+        self.admitted = admitted = admission.admit(
+            request("/again/"), clock.monotonic()
+        )
         assert isinstance(admitted, AdmittedRequest)
         return list(
             await asyncio.gather(*(runner.answer(admitted) for _ in range(calls)))
@@ -264,6 +277,26 @@
         for refusal in refused:
             self.assertGreater(refusal.retry_after_seconds or 0.0, 0.0)
 
+    async def test_used_up_limit_is_not_asked_for_again(self) -> None:
+        await self._answers(20, ("a", "b"), ("a", "b"))
+        asked = self.link.asked
+        assert isinstance(self.admitted, AdmittedRequest)
+        answer = await self.runner.answer(self.admitted)
+        self.assertIsInstance(answer, Refusal)
+        self.assertEqual(asked, self.link.asked)
+
+    async def test_withheld_requests_do_not_count_as_attempts(self) -> None:
+        """The route allows three attempts; four targets have no permit."""
+        self.link.leader = None
+        names = ("a", "b", "c", "d", "e")
+        (answer,) = await self._answers(1, names, names[:4], busy=("e",))
+        self.assertNotIsInstance(answer, Refusal)
+        self.assertEqual(["e"], self.client.called_targets)
+
+    async def test_hedges_avoid_targets_with_a_limit(self) -> None:
+        await self._answers(1, ("a", "b"), ("a",), {"b": Hangs()})
+        self.assertEqual(["b"], self.client.called_targets)
+
     async def test_targets_without_a_limit_take_the_rest(self) -> None:
         answers = await self._answers(20, ("a", "b"), ("a",))
         self.assertFalse([each for each in answers if isinstance(each, Refusal)])
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -100,6 +100,19 @@
 ]
 
 
+LIMIT_LINE = b"Server-Limit: 1.5\r\n"
+
+
+@dataclass(frozen=True)
+class LimitCase:
+    """A header of an answer, and the limits that are reported."""
+
+    name: str
+    header: bytes
+    answer: bytes
+    expected: list[float | None]
+
+
 class TargetClientTests(unittest.IsolatedAsyncioTestCase):
     """Guards against accepting incomplete answers and those of other calls."""
 
@@ -110,7 +123,8 @@
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
         self.target: Target = replace(target("t"), address=f"127.0.0.1:{port}")
-        self.client = HttpTargetClient()
+        self.limits: list[float | None] = []
+        self.client = HttpTargetClient(lambda _, limit: self.limits.append(limit))
         await self.client.start()
         self.addAsyncCleanup(self._stop)
 
@@ -162,6 +176,33 @@
                 else:
                     self.assertIsInstance(outcome, case.expected)
 
+    @parameterized.expand(
+        [
+            (case.name, case)
+            for case in (
+                LimitCase("named", LIMIT_LINE, WHOLE, [1.5]),
+                LimitCase("not_named", b"", WHOLE, [None]),
+                LimitCase("no_number", b"Server-Limit: some\r\n", WHOLE, [None]),
+                LimitCase("not_finite", b"Server-Limit: nan\r\n", WHOLE, [None]),
+                LimitCase("negative", b"Server-Limit: -1\r\n", WHOLE, [None]),
+                LimitCase("not_run", LIMIT_LINE, FULL, [1.5]),
+                LimitCase("of_another_target", LIMIT_LINE, MISDIRECTED, []),
+                LimitCase(
+                    "of_another_request",
+                    LIMIT_LINE,
+                    WHOLE.replace(ID.encode(), b"0" * 16),
+                    [],
+                ),
+            )
+        ]
+    )
+    async def test_request_limit(self, _: str, case: LimitCase) -> None:
+        """Guards against limits that are not read, or taken from elsewhere."""
+        line, end, rest = case.answer.partition(b"\r\n")
+        self.script = [(line + end + case.header + rest, stay)] * 2
+        await self._send(repeatable=False)
+        self.assertEqual(self.limits, case.expected)
+
     async def test_bytes_left_over_are_not_the_next_answer(self) -> None:
         other = WHOLE.replace(b"hello", b"wrong")
         self.script += [(WHOLE + other, stay), (WHOLE, stay), (WHOLE, stay)]
--- a/tests/policy/test_job_schedule.py
+++ b/tests/policy/test_job_schedule.py
@@ -1,6 +1,7 @@
 """Tests of the scheduling of job items on engines."""
 
 import unittest
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from parameterized import parameterized
@@ -124,6 +125,20 @@
         self.assertEqual([key.item for key, _ in assigned], list("012345"))
         self.assertEqual(sum(target == "a" for _, target in assigned), 4)
 
+    @parameterized.expand([("none", 0), ("one", 1), ("more_than_slots", 9)])
+    def test_engine_with_a_request_limit_starts_no_more_than_it_accepts(
+        self, _: str, permitted_runs: int
+    ) -> None:
+        items = [
+            replace(ITEM, key=ItemKey(JobId("j"), ItemId(str(number))))
+            for number in range(10)
+        ]
+        limited = engine("a", permitted_runs=permitted_runs)
+        assigned = assign(items, [limited, engine("b")])
+        started = Counter(target for _, target in assigned)
+        self.assertEqual(started["a"], min(permitted_runs, 4))
+        self.assertEqual(started["b"], 4)
+
 
 @dataclass(frozen=True)
 class Wave:
--- a/tests/policy/test_request_limits.py
+++ b/tests/policy/test_request_limits.py
@@ -27,6 +27,7 @@
     rate: float
     asks_per_second: float
     paused_until: float = 0.0
+    """End of a pause that begins after the first second."""
     new_issuer_each_seconds: float = SECONDS
     least_share: float = 0.95
     """Least share of the rate that must be used."""
@@ -50,8 +51,10 @@
     def test_any_window_keeps_to_the_limit(self, _: str, case: Case) -> None:
         used: list[float] = []
         schedules = PermitSchedules()
-        now, issuer_since = case.paused_until, case.paused_until
+        now = issuer_since = 0.0
         while now < SECONDS:
+            if 1.0 < now < case.paused_until:
+                now = case.paused_until
             if now - issuer_since >= case.new_issuer_each_seconds:
                 schedules, issuer_since = PermitSchedules(), now
             match schedules.take(TARGET, "1", RequestRate(case.rate), now):
