--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -28,3 +28,8 @@
         soak = await run_seed(seed, SECONDS)
         self.assertGreater(soak.jobs, 0)
         self.assertGreater(soak.statuses[200], 0)
+
+    async def test_promises_hold_while_services_name_request_limits(self) -> None:
+        soak = await run_seed(26, SECONDS, limits=True)
+        self.assertGreater(soak.jobs, 0)
+        self.assertGreater(soak.statuses[200], 0)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,9 @@
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--keep", type=Path, help="folder to keep the logs in")
+    parser.add_argument(
+        "--limits", action="store_true", help="services name request limits"
+    )
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
     failed_seeds = 0
@@ -27,6 +30,7 @@
                     options.seconds,
                     verbose=options.verbose,
                     keep=options.keep,
+                    limits=options.limits,
                 )
             )
         except* GuaranteeViolationError as failures:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -44,7 +44,9 @@
         *,
         verbose: bool = False,
         keep: Path | None = None,
+        limits: bool = False,
     ) -> None:
+        self._limits = limits
         self.seed = seed
         self._seconds = seconds
         self._random = random.Random(seed)
@@ -76,6 +78,8 @@
                     group.create_task(self._train(f"t{number}", deadline))
                 for _ in range(3):
                     group.create_task(self._call(deadline))
+                if self._limits:
+                    group.create_task(self._name_limits(deadline))
             await self._check_final_state(injector)
         except* Exception as failures:
             course = "\n".join(self.events[-60:])
@@ -122,6 +126,21 @@
             await asyncio.sleep(self._random.uniform(*FAULT_PAUSE_RANGE_SECONDS))
             await injector.inject(injector.draw())
 
+    async def _name_limits(self, deadline: float) -> None:
+        """Let services name request limits from time to time.
+
+        A random source of its own leaves the faults of a seed as they are.
+        """
+        random_source = random.Random(f"limits {self.seed}")
+        loop = asyncio.get_running_loop()
+        while loop.time() < deadline:
+            for target in self._site.services:
+                target.request_limit = random_source.choice((None, 1.0, 3.0, 10.0))
+            self._log(f"limits {[t.request_limit for t in self._site.services]}")
+            await asyncio.sleep(random_source.uniform(1.0, 4.0))
+        for target in self._site.services:
+            target.request_limit = None
+
     async def _train(self, name: str, deadline: float) -> None:
         """Submit one job after another and read each to its end."""
         loop = asyncio.get_running_loop()
@@ -211,10 +230,15 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, *, verbose: bool = False, keep: Path | None = None
+    seed: int,
+    seconds: float,
+    *,
+    verbose: bool = False,
+    keep: Path | None = None,
+    limits: bool = False,
 ) -> Soak:
     """Run the soak with a seed and return it with its counts."""
-    soak = Soak(seed, seconds, verbose=verbose, keep=keep)
+    soak = Soak(seed, seconds, verbose=verbose, keep=keep, limits=limits)
     with contextlib.suppress(asyncio.CancelledError):
         await soak.run()
     return soak
