Type what the issuer of permits returns

Its type was object, which hid from readers and from the type checker that a permit, a delay or nothing is returned. No change of behaviour; tests.fleet.test_limits passes.

--- a/goldcrestyard/fleet/limits/permits.py
+++ b/goldcrestyard/fleet/limits/permits.py
@@ -61,8 +61,10 @@
         """Register the handler of ``AskPermit``."""
         handlers.add(AskPermit, self._on_ask)
 
-    def take(self, target: TargetId, incarnation: str, rate: RequestRate) -> object:
-        """Return a ``PermitDecision``, or None without the leader's lease."""
+    def take(
+        self, target: TargetId, incarnation: str, rate: RequestRate
+    ) -> PermitDecision | None:
+        """Issue a permit if one is due soon; None without the lease."""
         if not self._member.holds_lease():
             return None
         return self._current_schedules().take(
@@ -96,7 +98,7 @@
                 return PermitReply(seconds)
             case Withholding(retry_after_seconds=seconds):
                 return WithheldReply(seconds)
-            case _:
+            case None:
                 return self._member.make_not_leader_reply()
 
 
@@ -179,9 +181,7 @@
         match self._source:
             case IssuedHere(issuer=issuer):
                 decision = issuer.take(target.id, target.incarnation, record.rate)
-                if isinstance(decision, Permitted | Withholding):
-                    return decision
-                return Withholding(NO_LEADER_RETRY_SECONDS)
+                return decision or Withholding(NO_LEADER_RETRY_SECONDS)
             case IssuedByLeader(link=link):
                 return await self._ask(link, record)
 
