Name the decision against a permit after what it is

Withholding, Withheld and WithheldReply were easy to mistake for one another; the schedule's decision is now NotPermitted. No change of behaviour; the tests of the limits pass.

--- a/goldcrestyard/fleet/limits/permits.py
+++ b/goldcrestyard/fleet/limits/permits.py
@@ -29,10 +29,10 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.policy.request_limits import (
+    NotPermitted,
     PermitDecision,
     PermitSchedules,
     Permitted,
-    Withholding,
     is_usable,
 )
 from goldcrestyard.wire.connection import Handlers, PeerConnection
@@ -96,7 +96,7 @@
         match self.take(ask.limit.target, ask.limit.incarnation, rate):
             case Permitted(delay_seconds=seconds):
                 return PermitReply(seconds)
-            case Withholding(retry_after_seconds=seconds):
+            case NotPermitted(retry_after_seconds=seconds):
                 return WithheldReply(seconds)
             case None:
                 return self._member.make_not_leader_reply()
@@ -162,7 +162,7 @@
         match await self._decide(target, record):
             case None:
                 return None
-            case Withholding(retry_after_seconds=seconds):
+            case NotPermitted(retry_after_seconds=seconds):
                 outcome = Withheld("request limit of the target", seconds)
             case Permitted(delay_seconds=seconds):
                 await asyncio.sleep(seconds)
@@ -181,7 +181,7 @@
         match self._source:
             case IssuedHere(issuer=issuer):
                 decision = issuer.take(target.id, target.incarnation, record.rate)
-                return decision or Withholding(NO_LEADER_RETRY_SECONDS)
+                return decision or NotPermitted(NO_LEADER_RETRY_SECONDS)
             case IssuedByLeader(link=link):
                 return await self._ask(link, record)
 
@@ -189,18 +189,18 @@
         self, link: LeaderLink, record: LimitRecord
     ) -> PermitDecision | None:
         if link.leader is None:
-            return Withholding(NO_LEADER_RETRY_SECONDS)
+            return NotPermitted(NO_LEADER_RETRY_SECONDS)
         match await link.request(AskPermit(record), REPLY_TIMEOUT_SECONDS):
             case PermitReply(delay_seconds=seconds):
                 return Permitted(seconds)
             case WithheldReply(retry_after_seconds=seconds):
-                return Withholding(seconds)
+                return NotPermitted(seconds)
             case LimitEnded(record=ended):
                 self._known.adopt(ended)
                 return None
             case reply:
                 logger.info("leader issued no permit", reply=type(reply).__name__)
-                return Withholding(NO_LEADER_RETRY_SECONDS)
+                return NotPermitted(NO_LEADER_RETRY_SECONDS)
 
 
 class LimitedTargetClient:
--- a/goldcrestyard/policy/request_limits.py
+++ b/goldcrestyard/policy/request_limits.py
@@ -43,13 +43,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Withholding:
+class NotPermitted:
     """No permit is due soon; the sender may ask again after a delay."""
 
     retry_after_seconds: float
 
 
-PermitDecision = Permitted | Withholding
+PermitDecision = Permitted | NotPermitted
 
 
 @dataclass(slots=True)
@@ -75,7 +75,7 @@
         """Issue a permit for one request if one is due soon."""
         delay = self._delay_seconds(target, incarnation, now)
         if delay > MAX_WAIT_SECONDS + ROUNDING_SECONDS:
-            return Withholding(delay - MAX_WAIT_SECONDS)
+            return NotPermitted(delay - MAX_WAIT_SECONDS)
         schedule = self._schedules_by_target[target]
         schedule.next_at = max(schedule.next_at, now) + 1.0 / max(MIN_RATE, rate)
         return Permitted(delay)
--- a/tests/policy/test_request_limits.py
+++ b/tests/policy/test_request_limits.py
@@ -8,9 +8,9 @@
 from goldcrestyard.core.ids import RequestRate, TargetId
 from goldcrestyard.policy.request_limits import (
     PERMIT_SECONDS,
+    NotPermitted,
     PermitSchedules,
     Permitted,
-    Withholding,
     is_usable,
 )
 
@@ -72,10 +72,10 @@
         schedules, rate = PermitSchedules(), RequestRate(2.0)
         self.assertIsInstance(schedules.take(TARGET, "1", rate, 0.0), Permitted)
         decision = schedules.take(TARGET, "1", rate, 0.0)
-        assert isinstance(decision, Withholding)
+        assert isinstance(decision, NotPermitted)
         at = decision.retry_after_seconds
         early = schedules.take(TARGET, "1", rate, at - 0.01)
-        self.assertIsInstance(early, Withholding)
+        self.assertIsInstance(early, NotPermitted)
         self.assertIsInstance(schedules.take(TARGET, "1", rate, at), Permitted)
 
     def test_available_permits_can_all_be_taken(self) -> None:
