--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -49,7 +49,11 @@
 )
 from goldcrestyard.consensus.links import MemberLinks
 from goldcrestyard.consensus.member import Member
-from goldcrestyard.consensus.messages import MemberMessage, find_fault
+from goldcrestyard.consensus.messages import (
+    InstallSnapshot,
+    MemberMessage,
+    find_fault,
+)
 from goldcrestyard.consensus.persistent_state import (
     PersistentState,
     select_save_effects,
@@ -708,6 +712,7 @@
             # After a disk failure the new core may not know yet that the
             # entries up to the index are committed.
             return
+        logger.info("snapshot taken", index=index, size=len(data))
         self._state.snapshot_index = index
         self._queue.put_nowait(SnapshotTaken(index, data))
 
@@ -733,6 +738,13 @@
         self._spawn(f"link to {link.instance}", link.run())
 
     def _send(self, receiver: MemberId, message: MemberMessage) -> None:
+        if isinstance(message, InstallSnapshot) and message.offset == 0:
+            logger.info(
+                "snapshot transfer started",
+                member=receiver,
+                index=message.index,
+                size=message.total,
+            )
         replies = self._replies_by_member.get(receiver)
         if replies is not None:
             replies.append(self._codec.encode(message))
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -215,6 +215,14 @@
                 batch = replace(batch, messages=(), compressed=block)
         reply = await connection.request(batch, RESPONSE_TIMEOUT_SECONDS)
         if not isinstance(reply, Received):
+            logger.warning(
+                "member did not acknowledge a batch; reconnecting",
+                peer=self.instance,
+                reply=str(reply),
+                messages=len(messages),
+                size=size,
+                sent_size=len(batch.compressed) or size,
+            )
             return False
         if reply.member == receiver:
             self._on_messages(receiver, reply.messages)
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -45,6 +45,9 @@
 """Time in seconds after which a join request expires.  A process that is not
 yet a member repeats its request every half second."""
 
+LEARNER_LOG_INTERVAL_SECONDS = 1.0
+"""Interval in seconds at which the progress of a learner is logged."""
+
 ADD_TIMEOUT_SECONDS = 1.0
 """Longest wait in seconds for the answer of a process that is added as a
 learner."""
@@ -66,6 +69,7 @@
         self._clock = clock
         self._join_requests_by_instance: dict[InstanceId, _JoinRequest] = {}
         self._first_seen_by_id: dict[MemberId, float] = {}
+        self._learners_logged_at = float("-inf")
 
     def register(self, handlers: Handlers) -> None:
         """Register the handler for join requests."""
@@ -74,8 +78,10 @@
     async def run(self) -> None:
         """Apply membership changes one at a time until cancelled."""
         while True:
+            facts = self._member_facts()
+            self._log_learners(facts)
             change = next_membership_change(
-                self._member_facts(),
+                facts,
                 self._joiners(),
                 self._wanted_voters,
                 self._machines.retiring_instances(),
@@ -145,6 +151,25 @@
             )
         return facts
 
+    def _log_learners(self, facts: list[MemberFacts]) -> None:
+        """Log, at intervals, how far the learners are behind the leader."""
+        now = self._clock.monotonic()
+        behind = {fact.id for fact in facts if not fact.voter and not fact.caught_up}
+        if not behind or now - self._learners_logged_at < LEARNER_LOG_INTERVAL_SECONDS:
+            return
+        self._learners_logged_at = now
+        statuses = self._member.member_statuses()
+        last_index = max(status.matched_index or 0 for status in statuses)
+        for status in statuses:
+            if status.id in behind:
+                logger.info(
+                    "learner is catching up",
+                    member=status.id,
+                    matched_index=status.matched_index,
+                    last_index=last_index,
+                    silent_seconds=status.last_contact_seconds,
+                )
+
     def _joiners(self) -> list[Joiner]:
         now = self._clock.monotonic()
         return [
