--- a/tests/fakes/member_network.py
+++ b/tests/fakes/member_network.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 import tempfile
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from concurrent.futures import Executor, Future
 from contextlib import asynccontextmanager
@@ -14,9 +15,10 @@
 from typing import Any
 
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.messages import Entry
 from goldcrestyard.consensus.records import LoggedCommand
 from goldcrestyard.consensus.results import ProposalResult
-from goldcrestyard.core.ids import CorrelationId, InstanceId, OrganisationId
+from goldcrestyard.core.ids import CorrelationId, InstanceId, LogIndex, OrganisationId
 from goldcrestyard.core.records import Organisation
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.change_feed import ChangeFeed
@@ -73,9 +75,10 @@
         network, local, remote = self._network, str(self.peer), self._remote
         if self._number <= network.last_silenced_connection:
             await asyncio.get_running_loop().create_future()
-        await network.deliver(local, remote)
+        data = network.codec.encode(message)
+        await network.deliver(local, remote, len(data))
         handlers = network.handlers_by_instance[remote]
-        decoded = network.codec.decode(network.codec.encode(message))
+        decoded = network.codec.decode(data)
         handler = handlers.find(decoded)
         assert handler is not None
         answer = await handler(decoded, self)  # type: ignore[arg-type]
@@ -117,15 +120,20 @@
         self.cut_links: set[tuple[str, str]] = set()
         self.connections = 0
         self.last_silenced_connection = 0
+        self.latency_seconds = LATENCY_SECONDS
+        self.bytes_per_second = float("inf")
+        """Throughput of each connection."""
+        self.bytes_by_receiver: Counter[str] = Counter()
         self.running: dict[str, ControlMember] = {}
         self.feeds_by_instance: dict[str, ChangeFeed] = {}
         self.handlers_by_instance: dict[str, Handlers] = {}
         self.files_by_instance: dict[str, MemoryFiles] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="goldcrestyard-")
 
-    async def deliver(self, sender: str, receiver: str) -> None:
-        """Delay a message by the latency, or wait for ever if it is lost."""
-        await asyncio.sleep(LATENCY_SECONDS)
+    async def deliver(self, sender: str, receiver: str, size: int = 0) -> None:
+        """Delay a message by its size in bytes, or wait for ever if lost."""
+        self.bytes_by_receiver[receiver] += size
+        await asyncio.sleep(self.latency_seconds + size / self.bytes_per_second)
         if (sender, receiver) in self.cut_links or receiver not in self.running:
             await asyncio.get_running_loop().create_future()
 
@@ -135,6 +143,14 @@
         self.cut_links |= {(name, other) for other in all_names if other != name}
         self.cut_links |= {(other, name) for other in all_names if other != name}
 
+    def log_entries(self, member: ControlMember) -> tuple[Entry, ...]:
+        """Return the entries in a member's log."""
+        core = member._core
+        assert core is not None
+        return core.log.entries_between(
+            LogIndex(core.log.base_index + 1), core.log.last_index
+        )
+
     def silence_open(self) -> None:
         """Lose all messages on the present connections; new ones work."""
         self.last_silenced_connection = self.connections
