Send a follower the entries after a gap once

Cause: after a gap a follower rejects every message in flight, and the leader took each rejection as news: it moved back and sent the same entries again, up to 256 KiB for each of some thirty messages. The messages filled the queue of the link, which drops the oldest one, and so made the next gap. A learner starts with such a gap, since it lacks all earlier entries. The more is proposed meanwhile, the longer it takes, without a bound. Until the learner has caught up the lost member is not replaced.

Now a leader sends one message to a follower whose log it does not know, and the next ones after its reply; a rejection of a message older than that one says nothing new. The messages in flight are bounded by number and size, below what a link queues.

test_conflict_skips_a_term_at_a_time compared the next index after sending; that index now moves with the reply. It compares the entries sent instead, which is as strict: one message carries all from the conflict on.

Without the check of outdated rejections test_gap_is_filled_once fails.

--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -423,8 +423,8 @@
     ) -> None:
         """Send the entries that a member lacks.
 
-        Replication is pipelined: sent entries count as received until the
-        member rejects them.
+        Once it has accepted a message, replication is pipelined: sent entries
+        count as received until the member rejects them.
         """
         if progress.snapshot_index is not None:
             return
@@ -438,7 +438,7 @@
         entries = progress.next_batch(self.log)
         if not entries and not heartbeat:
             return
-        progress.next_index = LogIndex(previous + len(entries) + 1)
+        progress.record_sent(entries, now)
         self._send(
             member_id,
             Append(self.term, previous, previous_term, entries, self.commit_index, now),
@@ -450,7 +450,7 @@
         if reply.accepted:
             progress.record_match(reply.match_index)
             self._advance_commit(now)
-        else:
+        elif not progress.is_outdated_rejection(reply.sent_at):
             found = self.log.last_index_of_term(reply.conflict_term)
             progress.retry_from(reply.match_index if found is None else found + 1)
         if self.role is Role.LEADER:
--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -1,6 +1,8 @@
 """Replication progress of each follower, and partially received snapshots."""
 
+from collections import deque
 from dataclasses import dataclass, field
+from enum import Enum
 
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.log import Log
@@ -18,6 +20,26 @@
 MAX_UNACKNOWLEDGED_ENTRIES = 4096
 """Maximum number of entries in flight to one follower."""
 
+MAX_UNACKNOWLEDGED_BYTES = 8 * MAX_APPEND_BYTES
+"""Size of the payloads in flight to one follower from which no more are sent.
+A link sends half of it in one batch, so that the next batch can follow."""
+
+MAX_UNACKNOWLEDGED_MESSAGES = 32
+"""Maximum number of messages with entries in flight to one follower.  It is
+less than a link queues, since a dropped message makes a gap, and all that
+follow it are rejected."""
+
+
+class ReplicationState(Enum):
+    """How a leader sends entries to a follower."""
+
+    PROBE = "probe"
+    """It is not known which entries the follower has.  One message is sent,
+    and no further one before its reply."""
+    PIPELINE = "pipeline"
+    """The follower has accepted a message.  Entries are sent without waiting
+    for the replies, within limits."""
+
 
 @dataclass(slots=True)
 class Progress:
@@ -37,14 +59,24 @@
     """Index of the snapshot being sent; None while entries are sent."""
     snapshot_offset: int = 0
     """Number of bytes of that snapshot that the member has acknowledged."""
+    state: ReplicationState = ReplicationState.PROBE
+    probed_at: float | None = None
+    """Time at which the probe was sent; None if it is still to be sent."""
+    _unacknowledged: deque[tuple[LogIndex, int]] = field(default_factory=deque)
+    """Last index and size in bytes of each message in flight, oldest first."""
+    _unacknowledged_bytes: int = 0
 
     def next_batch(self, log: Log) -> tuple[Entry, ...]:
         """Return the entries to send next.
 
-        Empty if the member has all entries, or too many are in flight.
+        Empty if the member has all entries, or no more may be sent before it
+        replies.
         """
-        if self.next_index - self.match_index > MAX_UNACKNOWLEDGED_ENTRIES:
-            return ()
+        match self.state:
+            case ReplicationState.PROBE if self.probed_at is not None:
+                return ()
+            case ReplicationState.PIPELINE if self._is_window_full():
+                return ()
         last = min(log.last_index, self.next_index + MAX_APPEND_ENTRIES - 1)
         entries = log.entries_between(self.next_index, LogIndex(last))
         size = 0
@@ -54,10 +86,35 @@
                 return entries[:count]
         return entries
 
+    def record_sent(self, entries: tuple[Entry, ...], now: float) -> None:
+        """Record that entries returned by ``next_batch`` have been sent."""
+        match self.state:
+            case ReplicationState.PROBE:
+                if self.probed_at is None:
+                    self.probed_at = now
+            case ReplicationState.PIPELINE if entries:
+                size = sum(len(entry.payload) for entry in entries)
+                self.next_index = LogIndex(entries[-1].index + 1)
+                self._unacknowledged.append((entries[-1].index, size))
+                self._unacknowledged_bytes += size
+
     def record_match(self, index: LogIndex) -> None:
         """Record that the member stores all entries up to an index."""
+        self.state = ReplicationState.PIPELINE
         self.match_index = max(self.match_index, index)
         self.next_index = LogIndex(max(self.next_index, self.match_index + 1))
+        while self._unacknowledged and self._unacknowledged[0][0] <= self.match_index:
+            _, size = self._unacknowledged.popleft()
+            self._unacknowledged_bytes -= size
+
+    def is_outdated_rejection(self, sent_at: float) -> bool:
+        """Return whether a rejected message was sent before the last probe.
+
+        After a gap the member rejects every message in flight.  Only the
+        first rejection says something new; each further one would have the
+        same entries sent again.
+        """
+        return self.probed_at is not None and sent_at < self.probed_at
 
     def retry_from(self, index: int) -> None:
         """Move ``next_index`` back after the member rejected an ``Append``.
@@ -67,6 +124,17 @@
         """
         index = max(min(index, self.next_index), self.match_index + 1)
         self.next_index = LogIndex(index)
+        self.state = ReplicationState.PROBE
+        self.probed_at = None
+        self._unacknowledged.clear()
+        self._unacknowledged_bytes = 0
+
+    def _is_window_full(self) -> bool:
+        return (
+            self.next_index - self.match_index > MAX_UNACKNOWLEDGED_ENTRIES
+            or self._unacknowledged_bytes >= MAX_UNACKNOWLEDGED_BYTES
+            or len(self._unacknowledged) >= MAX_UNACKNOWLEDGED_MESSAGES
+        )
 
 
 @dataclass(slots=True)
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -7,7 +7,7 @@
 
 import random
 import unittest
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from parameterized import parameterized
 
@@ -32,6 +32,7 @@
     SnapshotTaken,
     Tick,
 )
+from goldcrestyard.consensus.link import MAX_QUEUED_MESSAGES
 from goldcrestyard.consensus.member import Member
 from goldcrestyard.consensus.messages import (
     Append,
@@ -309,8 +310,55 @@
         """Guards against one round trip for each conflicting entry."""
         subject = make_member(1, *[2] * 20, *[4] * 20)
         now = elect_leader(subject)
-        step(subject, now, B, AppendReply(Term(5), False, LogIndex(22), Term(3), now))
-        self.assertEqual(subject.progress_by_id[B].next_index, 22 + 21)
+        conflict = AppendReply(Term(5), False, LogIndex(22), Term(3), now)
+        (append,) = sent(step(subject, now, B, conflict))
+        assert isinstance(append, Append)
+        self.assertEqual(append.previous_index, 21)
+        self.assertEqual([e.index for e in append.entries], [*range(22, 22 + 21)])
+
+    @parameterized.expand([("sent_earlier", 0.0, 0), ("sent_after_it", 0.2, 1)])
+    def test_gap_is_filled_once(self, _: str, delay: float, messages: int) -> None:
+        """Guards against the same entries sent for each rejected message."""
+        subject, now = make_ready_leader(1)
+        for number in range(5):
+            subject.step(now + number / 100, Propose(((number, b"x" * 9),)))
+        retried_at = now + 0.1
+        conflict = AppendReply(subject.term, False, LogIndex(3), Term(0), now)
+        self.assertEqual(len(sent(step(subject, retried_at, B, conflict))), 1)
+        conflict = replace(conflict, sent_at=now + 0.04 + delay)
+        effects = step(subject, retried_at + 0.2, B, conflict)
+        self.assertEqual(len(sent(effects)), messages)
+
+    def test_probe_is_answered_before_more_is_sent(self) -> None:
+        subject, now = make_ready_leader(1)
+        conflict = AppendReply(subject.term, False, LogIndex(3), Term(0), now)
+        step(subject, now, B, conflict)
+        self.assertEqual(self._sent_to(subject, now, B), [3])
+        self.assertEqual(self._sent_to(subject, now, B), [])
+        accepted = AppendReply(subject.term, True, LogIndex(3), Term(0), now)
+        (append,) = sent(step(subject, now, B, accepted))
+        assert isinstance(append, Append)
+        self.assertEqual([e.index for e in append.entries], [4])
+        self.assertEqual(self._sent_to(subject, now, B), [5])
+
+    def _sent_to(self, subject: Member, now: float, receiver: MemberId) -> list[int]:
+        """Propose a command; return the indexes that the receiver is sent."""
+        return [
+            entry.index
+            for effect in subject.step(now, Propose(((1, b"x"),)))
+            if isinstance(effect, Send) and effect.receiver == receiver
+            for entry in getattr(effect.message, "entries", ())
+        ]
+
+    def test_messages_in_flight_fit_into_the_queue_of_a_link(self) -> None:
+        """Guards against a gap made by a queue that drops messages."""
+        subject, now = make_ready_leader(1)
+        appends = [self._sent_to(subject, now, B) for _ in range(100)]
+        self.assertLess(sum(map(bool, appends)), MAX_QUEUED_MESSAGES)
+        accepted = AppendReply(subject.term, True, LogIndex(3), Term(0), now)
+        (append, *_) = sent(step(subject, now, B, accepted))
+        assert isinstance(append, Append)
+        self.assertGreater(len(append.entries), 50)
 
     def test_follower_names_the_first_entry_of_the_conflicting_term(self) -> None:
         subject = make_member(1, *[2] * 10, *[3] * 10)
