Send no messages to a member that another one has replaced

A machine that lost its disk comes back at its address as another member. Until it is removed the earlier member still gets each new entry and each heartbeat, over the same link, and a batch holds messages for one receiver only. So between two batches of the learner goes one for a member that no longer exists, a round trip each.

Now a link drops messages to a member once another one has answered at its address.

--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -120,6 +120,7 @@
         self.address = address
         self.identity: MemberIdentity | None = None
         """Identity last reported from the address; None before the first."""
+        self._replaced_members: set[MemberId] = set()
         self._dialer = dialer
         self._own_identity = own_identity
         self._on_identity = on_identity
@@ -128,10 +129,22 @@
         self._message_queued = asyncio.Event()
 
     def send(self, receiver: MemberId, message: bytes) -> None:
-        """Queue a message; delivery is not guaranteed."""
+        """Queue a message; delivery is not guaranteed.
+
+        A message to a member whose disk another one has replaced is dropped:
+        the batch that carries it would delay those to the other member.
+        """
+        if receiver in self._replaced_members:
+            return
         self._queue.append((receiver, message))
         self._message_queued.set()
 
+    def _record_replaced(self, member: MemberId) -> None:
+        self._replaced_members.add(member)
+        kept = [item for item in self._queue if item[0] != member]
+        self._queue.clear()
+        self._queue.extend(kept)
+
     async def run(self) -> None:
         """Keep the link connected until the task is cancelled."""
         backoff = MIN_RECONNECT_DELAY_SECONDS
@@ -180,6 +193,9 @@
         reply = await connection.request(self._own_identity(), RESPONSE_TIMEOUT_SECONDS)
         if not isinstance(reply, MemberIdentity):
             return False
+        if self.identity is not None and self.identity.member != reply.member:
+            self._record_replaced(self.identity.member)
+        self._replaced_members.discard(reply.member)
         self.identity = reply
         self._on_identity(self.instance, reply)
         return True
@@ -227,6 +243,7 @@
         if reply.member == receiver:
             self._on_messages(receiver, reply.messages)
             return True
+        self._record_replaced(receiver)
         if self.identity is not None and self.identity.member == reply.member:
             return True
         logger.warning(
--- a/tests/consensus/test_catch_up.py
+++ b/tests/consensus/test_catch_up.py
@@ -80,6 +80,7 @@
                 GrowingLog("few_proposals", 600, 7_000, 1),
                 GrowingLog("many_proposals", 600, 7_000, 6),
                 GrowingLog("long_log", 900, 7_000, 3),
+                GrowingLog("busy_long_log", 1_500, 7_000, 6),
                 GrowingLog("small_entries", 4_000, 200, 6),
                 GrowingLog("same_region", 900, 7_000, 6, 0.001),
             ]
