--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -697,6 +697,10 @@
         due = self._state.index - self._state.snapshot_index >= self._snapshot_entries
         if not due or self._snapshot_running or self._core is None:
             return
+        if self._core.commit_index < self._state.index:
+            # After a disk failure the new core does not know yet that the
+            # applied entries are committed.
+            return
         self._snapshot_running = True
         self._spawn("control snapshot", self._take_snapshot(self._state.index))
 
@@ -709,9 +713,7 @@
         )
         self._snapshot_running = False
         if self._core is not core:
-            # After a disk failure the new core may not know yet that the
-            # entries up to the index are committed.
-            return
+            return  # The disk failed; see _start_snapshot_if_due.
         logger.info("snapshot taken", index=index, size=len(data))
         self._state.snapshot_index = index
         self._queue.put_nowait(SnapshotTaken(index, data))
--- /dev/null
+++ b/tests/consensus/test_full_disks.py
@@ -0,0 +1,62 @@
+"""Tests of control members whose disks fail for a time, one after another.
+
+They guard against a cluster that stops taking changes once every disk has
+failed, although all accept writes again, and against a member that ends for
+good because its disk was full for a moment.
+"""
+
+import asyncio
+import errno
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from typing import Any
+
+from parameterized import parameterized
+
+from tests.consensus.test_driver import NetworkTestCase
+from tests.fakes.files import Fault
+from tests.fakes.member_network import organisation_ids, put_organisation
+
+
+class DelayedExecutor(Executor):
+    """Runs work in the calling thread and delivers its result later."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+
+    def submit(self, fn: Callable[..., Any], /, *args: Any, **kwargs: Any) -> Any:
+        future: Future[Any] = Future()
+        result = fn(*args, **kwargs)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._seconds, future.set_result, result)
+        return future
+
+
+class SnapshotDuringFailureTests(NetworkTestCase):
+    """A disk that fails while a snapshot is encoded."""
+
+    snapshot_entries = 5
+
+    @parameterized.expand([("before", 0.1), ("after", 2.0), ("long_after", 5.0)])
+    async def test_snapshot_of_a_resumed_member(self, _: str, seconds: float) -> None:
+        """Guards against a snapshot of entries not yet known as committed.
+
+        A resumed member learns only from the next leader which of its entries
+        are committed, and its state machine has applied them already.
+        """
+        follower = self.followers[0]
+        follower._snapshot_executor = DelayedExecutor(seconds)
+        for number in range(8):
+            await put_organisation(self.leader, f"o{number}")
+        await self.network.wait_until_converged()
+        files = self.network.files_by_instance[follower.instance]
+        files.fault = Fault(len(files.operations) + 1, error=errno.ENOSPC, lasting=True)
+        await put_organisation(self.leader, "meanwhile")
+        await self.network.wait(lambda: follower.is_suspended, "the full disk")
+        self.network.isolate(follower.instance)
+        files.fault = None
+        await self.settle(10.0)
+        self.assertFalse(follower.is_suspended)
+        self.network.heal()
+        await self.network.wait_until_converged()
+        self.assertIn("meanwhile", organisation_ids(follower))
