--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -93,6 +93,9 @@
         self._is_loaded = False
         self._log = SegmentedLog(self._folder / "log", self._files, self._segment_bytes)
         self._files.make_folder(self._folder / "log")
+        # A partial snapshot may take the room that the vote needs.
+        self._snapshot_file.discard_failed_write()
+        self._vote_file.discard_failed_write()
         vote = self._vote_file.read()
         if vote is None and self._vote.member:
             raise CorruptLogError(f"{self._folder}: the vote file has disappeared.")
--- a/goldcrestyard/storage/atomic_file.py
+++ b/goldcrestyard/storage/atomic_file.py
@@ -16,6 +16,7 @@
 
     def __init__(self, path: Path, files: Files) -> None:
         self._path = path
+        self._temporary = path.with_name(path.name + ".new")
         self._files = files
 
     def read(self) -> bytes | None:
@@ -41,13 +42,25 @@
 
         Raises ``DiskError`` if a file operation fails.
         """
-        temporary = self._path.with_name(self._path.name + ".new")
         header = _HEADER.pack(zlib.crc32(content), len(content))
         try:
-            self._files.remove(temporary)
-            self._files.append(temporary, header + content)
-            self._files.sync(temporary)
-            self._files.replace(temporary, self._path)
+            self._files.remove(self._temporary)
+            self._files.append(self._temporary, header + content)
+            self._files.sync(self._temporary)
+            self._files.replace(self._temporary, self._path)
             self._files.sync_folder(self._path.parent)
         except OSError as error:
             raise DiskError(f"{self._path}: {error}") from error
+
+    def discard_failed_write(self) -> None:
+        """Remove what a write that did not end has left behind.
+
+        Raises ``DiskError`` if a file operation fails.
+        """
+        folder = self._path.parent
+        try:
+            if self._temporary.name in self._files.list_names(folder):
+                self._files.remove(self._temporary)
+                self._files.sync_folder(folder)
+        except OSError as error:
+            raise DiskError(f"{self._path}: {error}") from error
--- a/goldcrestyard/storage/snapshots.py
+++ b/goldcrestyard/storage/snapshots.py
@@ -44,3 +44,7 @@
         """Replace the snapshot; it is durable on return."""
         header = _HEADER.pack(record.index, record.term, len(record.configuration))
         self._file.write(header + record.configuration + record.data)
+
+    def discard_failed_write(self) -> None:
+        """Remove what a write that did not end has left behind."""
+        self._file.discard_failed_write()
--- a/goldcrestyard/storage/vote_file.py
+++ b/goldcrestyard/storage/vote_file.py
@@ -40,3 +40,7 @@
     def write(self, record: VoteRecord) -> None:
         """Replace the record; it is durable on return."""
         self._file.write(msgspec.json.encode(record))
+
+    def discard_failed_write(self) -> None:
+        """Remove what a write that did not end has left behind."""
+        self._file.discard_failed_write()
--- a/tests/consensus/test_full_disks.py
+++ b/tests/consensus/test_full_disks.py
@@ -60,3 +60,28 @@
         self.network.heal()
         await self.network.wait_until_converged()
         self.assertIn("meanwhile", organisation_ids(follower))
+
+
+class OwnUseTests(NetworkTestCase):
+    """A disk that the member's own files fill."""
+
+    snapshot_entries = 20
+
+    async def test_snapshot_larger_than_the_room(self) -> None:
+        """Guards against a partial snapshot that keeps the disk full.
+
+        Without it the disk has room for the vote and for the log.
+        """
+        follower = self.followers[0]
+        files = self.network.files_by_instance[follower.instance]
+        for number in range(15):
+            await put_organisation(self.leader, f"{number}-{'x' * 400}")
+        await self.network.wait_until_converged()
+        files.capacity = files.used + 5_000
+        for number in range(15, 24):
+            await put_organisation(self.leader, f"{number}-{'x' * 20}")
+        await self.network.wait(lambda: follower.is_suspended, "the full disk")
+        await self.settle(10.0)
+        self.assertFalse(follower.is_suspended)
+        await put_organisation(self.leader, "after")
+        await self.network.wait_until_converged()
--- a/tests/fakes/files.py
+++ b/tests/fakes/files.py
@@ -36,6 +36,8 @@
     """An ``errno`` value to raise instead of the operation; 0 for none."""
     lasting: bool = False
     """Whether the error also meets all later operations."""
+    only: tuple[str, ...] = ()
+    """Names of the operations that the error meets; empty for all."""
 
 
 class MemoryFiles:
@@ -43,6 +45,8 @@
 
     def __init__(self, fault: Fault | None = None) -> None:
         self.fault = fault
+        self.capacity: int | None = None
+        """Size in bytes at which the disk is full; None for no limit."""
         self.operations: list[str] = []
         self._inodes_by_path: dict[Path, _Inode] = {}
         self._durable_by_path: dict[Path, _Inode] = {}
@@ -75,6 +79,11 @@
     def size(self, path: Path) -> int:
         return len(self._inodes_by_path[path].content)
 
+    @property
+    def used(self) -> int:
+        """Number of bytes that the files take."""
+        return sum(len(inode.content) for inode in self._inodes_by_path.values())
+
     def paths(self) -> list[Path]:
         return sorted(self._inodes_by_path)
 
@@ -92,7 +101,11 @@
 
     def append(self, path: Path, data: bytes) -> None:
         self._before_operation("append")
-        self._inodes_by_path.setdefault(path, _Inode()).content.extend(data)
+        room = len(data) if self.capacity is None else self.capacity - self.used
+        content = self._inodes_by_path.setdefault(path, _Inode()).content
+        content.extend(data[: max(0, room)])
+        if room < len(data):
+            raise OSError(errno.ENOSPC, errno.errorcode[errno.ENOSPC])
         self._after_operation()
 
     def truncate(self, path: Path, size: int) -> None:
@@ -137,7 +150,7 @@
             return
         if fault.crash_before:
             raise Crash
-        if fault.error:
+        if fault.error and (not fault.only or operation in fault.only):
             raise OSError(fault.error, errno.errorcode[fault.error])
 
     def _after_operation(self) -> None:
