Match the results of proposals by term as well as by index

A change, job or other command was acknowledged although it was never committed. The leader's disk hung while it wrote the entry; meanwhile another member was elected and committed other entries at the same index. When the disk answered again, the member processed the next leader's messages, which had queued up, in one step with its own loss of the leadership. It applied the other leader's entry and resolved the waiting proposal at that index as applied, before it resolved the proposals of the lost leadership as in doubt.

The test hangs the leader's disk until the next leader has committed 0, 1 and 5 commands; before, all three cases gave Applied(index=3, Accepted()) for a command that no member holds. Each proposal now keeps the term of its entry, and only an entry of that term resolves it as applied; others are resolved as in doubt as soon as the step ends. The test of the member that compares the Appended effect now compares its term too.

Ruled out: a loss from the logs themselves. All members held the same entries in each case, and a partition of the leader does not show the fault, because the tick that ends its leadership comes before the messages.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -641,7 +641,9 @@
         # if the disk fails, so its result is then in doubt.
         for effect in effects:
             if isinstance(effect, Appended):
-                self._proposals.record_appended(effect.number, effect.index)
+                self._proposals.record_appended(
+                    effect.number, effect.index, effect.term
+                )
         saved = select_save_effects(effects)
         if saved:
             loop = asyncio.get_running_loop()
@@ -655,7 +657,9 @@
                         if entry.index <= self._state.index:
                             continue  # Applied before the disk failed.
                         outcome = self._state.apply(entry)
-                        self._proposals.resolve_applied(entry.index, outcome)
+                        self._proposals.resolve_applied(
+                            entry.index, entry.term, outcome
+                        )
                 case LoadSnapshot(snapshot=snapshot):
                     if snapshot.index > self._state.index:
                         self._state.restore(snapshot)
--- a/goldcrestyard/consensus/events.py
+++ b/goldcrestyard/consensus/events.py
@@ -141,6 +141,7 @@
 
     number: int
     index: LogIndex
+    term: Term
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -396,7 +396,7 @@
         for number, payload in payloads:
             index = LogIndex(self.log.last_index + len(entries) + 1)
             entries.append(Entry(self.term, index, EntryKind.COMMAND, payload))
-            self._effects.append(Appended(number, index))
+            self._effects.append(Appended(number, index, self.term))
         self._append(now, entries)
 
     def _append(self, now: float, entries: list[Entry]) -> None:
@@ -665,7 +665,7 @@
             self._effects.append(Refused(event.number, changed))
             return
         index = LogIndex(self.log.last_index + 1)
-        self._effects.append(Appended(event.number, index))
+        self._effects.append(Appended(event.number, index, self.term))
         entry = Entry(self.term, index, EntryKind.CONFIGURATION, b"", changed)
         kept = {
             member.id: self.progress_by_id.get(member.id, Progress(index))
--- a/goldcrestyard/consensus/proposals.py
+++ b/goldcrestyard/consensus/proposals.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 from goldcrestyard.consensus.results import (
     Applied,
@@ -12,7 +13,13 @@
     NotProposed,
     ProposalResult,
 )
-from goldcrestyard.core.ids import InstanceId, LogIndex
+from goldcrestyard.core.ids import InstanceId, LogIndex, Term
+
+
+@dataclass(frozen=True, slots=True)
+class _AppendedProposal:
+    term: Term
+    future: asyncio.Future[ProposalResult]
 
 
 class PendingProposals:
@@ -21,7 +28,7 @@
     def __init__(self) -> None:
         self._next_number = 0
         self._queued: dict[int, asyncio.Future[ProposalResult]] = {}
-        self._appended: dict[LogIndex, asyncio.Future[ProposalResult]] = {}
+        self._appended: dict[LogIndex, _AppendedProposal] = {}
 
     @property
     def queued(self) -> int:
@@ -37,9 +44,9 @@
         self._queued[self._next_number] = future
         return self._next_number, future
 
-    def record_appended(self, number: int, index: LogIndex) -> None:
-        """Record the log index at which a proposal was appended."""
-        self._appended[index] = self._queued.pop(number)
+    def record_appended(self, number: int, index: LogIndex, term: Term) -> None:
+        """Record the log index and term at which a proposal was appended."""
+        self._appended[index] = _AppendedProposal(term, self._queued.pop(number))
 
     def resolve_refused(
         self, number: int, detail: str, leader: InstanceId | None
@@ -47,22 +54,25 @@
         """Resolve a proposal that was not appended as ``NotProposed``."""
         _resolve_future(self._queued.pop(number), NotProposed(detail, leader))
 
-    def resolve_applied(self, index: LogIndex, outcome: object) -> None:
+    def resolve_applied(self, index: LogIndex, term: Term, outcome: object) -> None:
         """Resolve the proposal at a log index as ``Applied``.
 
-        Does nothing if the entry was not proposed on this member.
+        Does nothing if the entry was not proposed on this member.  The entry
+        of a later leader may be committed at the index of a proposal, before
+        this member has noticed that it no longer leads.
         """
-        future = self._appended.pop(index, None)
-        if future is not None:
-            _resolve_future(future, Applied(index, outcome))
+        appended = self._appended.get(index)
+        if appended is not None and appended.term == term:
+            del self._appended[index]
+            _resolve_future(appended.future, Applied(index, outcome))
 
     def resolve_in_doubt(self, detail: str) -> None:
         """Resolve all appended proposals as ``InDoubt``.
 
         Another leader may still commit them.
         """
-        for future in self._appended.values():
-            _resolve_future(future, InDoubt(detail))
+        for appended in self._appended.values():
+            _resolve_future(appended.future, InDoubt(detail))
         self._appended.clear()
 
     def resolve_all(self, detail: str) -> None:
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -22,6 +22,7 @@
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
 from goldcrestyard.state.commands import Rejected
 from tests.fakes.files import Fault
+from tests.fakes.hanging_executor import HangingExecutor
 from tests.fakes.member_network import MemberNetwork, organisation_ids, put_organisation
 from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
@@ -96,6 +97,25 @@
         await self.network.wait_until_converged()
         self.assertEqual(organisation_ids(self.leader), ("kept",))
 
+    @parameterized.expand([(0,), (1,), (5,)])
+    async def test_entry_of_the_next_leader_is_no_result(self, commands: int) -> None:
+        """Guards against the result of another command at the same index.
+
+        The disk hangs until the next leader has committed entries there; the
+        member then learns of them before it notices that it has lost the lead.
+        """
+        self.leader._disk_executor = disk = HangingExecutor()
+        disk.hang()
+        waiting = asyncio.create_task(put_organisation(self.leader, "doubtful"))
+        other = await self.network.leader(but=self.leader)
+        for number in range(commands):
+            await put_organisation(other, f"kept{number}")
+        await self.settle(1.0)
+        disk.release()
+        self.assertIsInstance(await waiting, InDoubt)
+        await self.network.wait_until_converged()
+        self.assertNotIn("doubtful", organisation_ids(self.leader))
+
     async def test_paused_leader_neither_leads_nor_holds_the_lease(self) -> None:
         """Guards against a paused leader that acts before its next tick."""
         self.assertTrue(self.leader.holds_lease())
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -273,7 +273,7 @@
     def test_proposal_is_saved_before_it_is_sent(self) -> None:
         subject, now = make_ready_leader(1)
         effects = subject.step(now, Propose(((7, b"x"),)))
-        self.assertIn(Appended(7, LogIndex(3)), effects)
+        self.assertIn(Appended(7, LogIndex(3), subject.term), effects)
         saved = [isinstance(effect, SaveEntries) for effect in effects].index(True)
         first_sent = [isinstance(effect, Send) for effect in effects].index(True)
         self.assertLess(saved, first_sent)
