--- /dev/null
+++ b/tests/fleet/test_failing_disks.py
@@ -0,0 +1,82 @@
+"""Tests of a cluster whose machines' disks fail in turn (paused clock).
+
+They guard against changes that are refused for good after the last disk has
+room again, and against a machine that stays out of the cluster although its
+process runs.
+"""
+
+from parameterized import parameterized
+
+from goldcrestyard.consensus.control_member import ControlMember
+from tests.fakes.files import MemoryFiles
+from tests.fakes.hanging_executor import HangingExecutor
+from tests.fakes.member_network import put_organisation
+from tests.fleet.test_assembly import FOUNDERS, AssemblyTestCase
+
+
+class FailingDisksTestCase(AssemblyTestCase):
+    """Starts the founders and has helpers for their disks."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.executors: dict[str, HangingExecutor] = {}
+
+    async def start(self, name: str, *, first_start: bool = False) -> ControlMember:
+        member = await self.assembly.start(name, first_start=first_start)
+        member._disk_executor = self.executors[name] = HangingExecutor()
+        return member
+
+    async def start_founders(self) -> ControlMember:
+        for name in FOUNDERS:
+            await self.start(name, first_start=True)
+        return await self.network.leader()
+
+    def files(self, name: str) -> MemoryFiles:
+        return self.network.files_by_instance[name]
+
+    def fill(self, name: str) -> None:
+        """Leave no room on a disk."""
+        self.files(name).capacity = self.files(name).used
+
+    def repair(self, name: str) -> None:
+        """Let a disk work again."""
+        self.files(name).capacity = None
+        self.files(name).fault = None
+        self.executors[name].release()
+
+    def members(self) -> set[str]:
+        """Return the members that the leader knows, voters or not."""
+        leaders = self.network.leaders
+        return {s.instance for m in leaders[:1] for s in m.member_statuses()}
+
+    async def wait_members(self, *names: str) -> None:
+        await self.network.wait(lambda: self.members() == set(names), f"{names}")
+
+
+class RejoiningTests(FailingDisksTestCase):
+    """Machines that were removed while they were away."""
+
+    @parameterized.expand([("cut_off",), ("full",), ("hangs",)])
+    async def test_removed_learner_joins_again(self, how: str) -> None:
+        """Guards against a learner that keeps a leader it has lost.
+
+        It learns of its removal from nobody.
+        """
+        await self.start_founders()
+        learner = await self.start("d")
+        await self.wait_members(*FOUNDERS, "d")
+        await self.network.wait(lambda: learner.is_member, "the configuration")
+        match how:
+            case "cut_off":
+                self.network.isolate("d")
+            case "full":
+                self.fill("d")
+            case _:
+                self.executors["d"].hang()
+        leader = await self.network.leader()
+        await put_organisation(leader, "meanwhile")
+        await self.wait_members(*FOUNDERS)
+        self.network.heal()
+        self.repair("d")
+        await self.wait_members(*FOUNDERS, "d")
+        await self.network.wait_until_converged()
