Start a control member whose disk is full as suspended

A process whose new disk was full when it started ended with an error, and again at each restart, while a member whose disk fills up later is suspended and comes back by itself. A founder with a full disk thus ended although the deployment only had to wait for it.

The member now starts as suspended and goes on when the disk takes writes. It makes no contact with others before, since it has no member id yet. Other errors, such as a folder that it may not use or a damaged state, still end the start.

The bootstrap of the cluster is now always checked by the member's task, so that a full disk suspends the member there as well.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import errno
 import random
 import secrets
 from collections.abc import Callable, Mapping
@@ -98,6 +99,8 @@
 
 MEMBER_CHANGE_POLL_SECONDS = 0.1
 
+DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
+
 MIN_DISK_RETRY_SECONDS = 0.25
 MAX_DISK_RETRY_SECONDS = 2.0
 """Bounds in seconds of the delay between two tests of a failed disk."""
@@ -118,8 +121,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _IdentityReceived:
-    """A link has received the identity of the member at its other end."""
+class _BootstrapCheck:
+    """Bootstraps the cluster if all configured members are known by now."""
 
 
 def _single_thread_executor() -> Executor:
@@ -303,15 +306,19 @@
     async def start(self) -> None:
         """Load the durable state, and start the links and the Raft task.
 
-        Raises ``StorageError`` if the data folder is damaged or in use.
+        If the disk is full, the member starts as suspended.  Raises
+        ``StorageError`` if the data folder is damaged or in use.
         """
         loop = asyncio.get_running_loop()
         self._task_failure = loop.create_future()
-        saved = await loop.run_in_executor(self._disk_executor, self._load)
-        self._start_core(saved)
-        for instance, address in self._configured_addresses.items():
-            self._links.get_or_create(instance, address)
-        await self._bootstrap_if_complete()
+        try:
+            saved = await loop.run_in_executor(self._disk_executor, self._load)
+        except (DiskError, OSError) as error:
+            if isinstance(error, OSError) and error.errno not in DISK_FULL_ERRNOS:
+                raise  # Such as a folder that this process may not use.
+            self._suspend_after(error)
+        else:
+            self._start_core(saved)
         self._spawn("control member", self._run())
 
     async def wait_for_failure(self) -> None:
@@ -335,7 +342,8 @@
 
     def _load(self) -> PersistentState:
         self._folder.mkdir(parents=True, exist_ok=True)
-        self._lock = FolderLock(self._folder)
+        if self._lock is None:
+            self._lock = FolderLock(self._folder)
         return self._disk.load(self.instance)
 
     def _start_core(self, saved: PersistentState) -> None:
@@ -349,6 +357,9 @@
             self._rng,
             self._clock.monotonic(),
         )
+        for instance, address in self._configured_addresses.items():
+            self._links.get_or_create(instance, address)
+        self._queue.put_nowait(_BootstrapCheck())
 
     def _spawn(self, name: str, coroutine: Any) -> None:
         task = asyncio.create_task(coroutine, name=name)
@@ -546,6 +557,8 @@
     # The task that owns the core.
 
     async def _run(self) -> None:
+        if self.is_suspended:
+            await self._resume_when_writable()
         while self._core is not None:
             try:
                 events = await self._next_events(self._core)
@@ -555,19 +568,17 @@
                 await self._perform(effects)
                 self._release_barriers()
             except DiskError as error:
-                logger.error(
-                    "disk write failed, control member suspended", error=str(error)
-                )
-                self._suspend(f"the member's disk failed: {error}")
+                self._suspend_after(error)
                 await self._resume_when_writable()
 
-    def _suspend(self, detail: str) -> None:
+    def _suspend_after(self, error: Exception) -> None:
         """Stop taking part, since the protocol state is ahead of the disk.
 
         All queued events are dropped: the protocol repeats what is still
         needed, and proposals end with a result.
         """
-        self._shut_down(detail)
+        logger.error("disk write failed, control member suspended", error=str(error))
+        self._shut_down(f"the member's disk failed: {error}")
         while not self._queue.empty():
             item = self._queue.get_nowait()
             if isinstance(item, _Barrier):
@@ -587,9 +598,7 @@
             await asyncio.sleep(delay * self._rng.uniform(0.75, 1.25))
             delay = min(2 * delay, MAX_DISK_RETRY_SECONDS)
             try:
-                saved = await loop.run_in_executor(
-                    self._disk_executor, self._disk.load, self.instance
-                )
+                saved = await loop.run_in_executor(self._disk_executor, self._load)
             except (DiskError, OSError) as error:
                 logger.debug("disk still fails", error=str(error))
                 continue
@@ -627,7 +636,7 @@
                     self._barriers.append(item)
                 case _ClusterDiscovered(cluster=cluster):
                     await self._join_cluster(cluster)
-                case _IdentityReceived():
+                case _BootstrapCheck():
                     await self._bootstrap_if_complete()
                 case _:
                     events.append(item)
@@ -761,7 +770,7 @@
 
     def _on_identity(self) -> None:
         if not self._disk.cluster:
-            self._queue.put_nowait(_IdentityReceived())
+            self._queue.put_nowait(_BootstrapCheck())
 
     async def _handle_identity(
         self, message: MemberIdentity, connection: PeerConnection
--- a/tests/fleet/test_failing_disks.py
+++ b/tests/fleet/test_failing_disks.py
@@ -5,12 +5,15 @@
 process runs.
 """
 
+import asyncio
+
 from parameterized import parameterized
 
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.results import Applied
 from tests.fakes.files import MemoryFiles
 from tests.fakes.hanging_executor import HangingExecutor
-from tests.fakes.member_network import put_organisation
+from tests.fakes.member_network import organisation_ids, put_organisation
 from tests.fleet.test_assembly import FOUNDERS, AssemblyTestCase
 
 
@@ -80,3 +83,50 @@
         self.repair("d")
         await self.wait_members(*FOUNDERS, "d")
         await self.network.wait_until_converged()
+
+
+class StartTests(FailingDisksTestCase):
+    """Disks that are full when a process starts or joins."""
+
+    @parameterized.expand([("a",), ("c",)])
+    async def test_founder_on_a_full_disk(self, name: str) -> None:
+        """Guards against a process that ends because its new disk is full."""
+        files = self.network.files_by_instance[name] = MemoryFiles()
+        files.capacity = 0
+        for founder in FOUNDERS:
+            await self.start(founder, first_start=True)
+        await asyncio.sleep(5.0)
+        self.assertEqual(self.network.leaders, [])
+        self.repair(name)
+        await self.assembly.wait_voters(*FOUNDERS)
+        leader = await self.network.leader()
+        self.assertIsInstance(await put_organisation(leader, "first"), Applied)
+        await self.network.wait_until_converged()
+
+    async def test_restart_on_a_full_disk(self) -> None:
+        """Guards against a member that needs room to load its state."""
+        leader = await self.start_founders()
+        await put_organisation(leader, "first")
+        name = next(n for n in FOUNDERS if n != leader.instance)
+        await self.assembly.stop(name)
+        self.fill(name)
+        await self.start(name)
+        await put_organisation(leader, "second")
+        await asyncio.sleep(2.0)
+        self.repair(name)
+        await self.network.wait_until_converged()
+        self.assertEqual(organisation_ids(leader), ("first", "second"))
+
+    @parameterized.expand([(0,), (50,), (100,), (150,), (200,), (400,)])
+    async def test_disk_full_while_joining(self, room: int) -> None:
+        """Guards against a machine that is full before it is a member."""
+        await self.start_founders()
+        files = self.network.files_by_instance["d"] = MemoryFiles()
+        files.capacity = room
+        await self.start("d")
+        await asyncio.sleep(4.0)
+        self.repair("d")
+        await self.wait_members(*FOUNDERS, "d")
+        leader = await self.network.leader()
+        self.assertIsInstance(await put_organisation(leader, "first"), Applied)
+        await self.network.wait_until_converged()
