--- a/tests/fleet/test_failing_disks.py
+++ b/tests/fleet/test_failing_disks.py
@@ -6,16 +6,21 @@
 """
 
 import asyncio
+import errno
+import random
 
 from parameterized import parameterized
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
-from tests.fakes.files import MemoryFiles
+from tests.fakes.files import Fault, MemoryFiles
 from tests.fakes.hanging_executor import HangingExecutor
 from tests.fakes.member_network import organisation_ids, put_organisation
 from tests.fleet.test_assembly import FOUNDERS, AssemblyTestCase
 
+ACKNOWLEDGEMENT_SECONDS = 5.0
+"""Bound on the wait for an acknowledgement while all members run."""
+
 
 class FailingDisksTestCase(AssemblyTestCase):
     """Starts the founders and has helpers for their disks."""
@@ -130,3 +135,67 @@
         leader = await self.network.leader()
         self.assertIsInstance(await put_organisation(leader, "first"), Applied)
         await self.network.wait_until_converged()
+
+
+class DisksInTurnTests(FailingDisksTestCase):
+    """Each disk fails for some seconds, never two at once."""
+
+    @parameterized.expand(
+        [(f"{n}_spare_seed_{seed}", n, seed) for n in range(3) for seed in range(2)]
+    )
+    async def test_changes_go_on_after_the_last_disk(
+        self, _: str, spares: int, seed: int
+    ) -> None:
+        rng = random.Random(seed)
+        names = [*FOUNDERS, *"de"[:spares]]
+        await self.start_founders()
+        for name in names[3:]:
+            await self.start(name)
+        await self.wait_members(*names)
+        acknowledged: set[str] = set()
+
+        async def propose_all() -> None:
+            number = 0
+            while True:
+                number += 1
+                for leader in self.network.leaders[:1]:
+                    name = f"o{number}"
+                    result = await put_organisation(leader, name)
+                    if isinstance(result, Applied):
+                        acknowledged.add(name)
+                await asyncio.sleep(rng.uniform(0.0, 0.4))
+
+        proposing = asyncio.create_task(propose_all())
+        for _ in range(10):
+            leaders = self.network.leaders
+            if leaders and rng.random() < 0.5:
+                name = str(leaders[0].instance)
+            else:
+                name = rng.choice(names)
+            self._fail(name, rng)
+            await asyncio.sleep(rng.uniform(0.5, 6.0))
+            self.repair(name)
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+        async with asyncio.timeout(ACKNOWLEDGEMENT_SECONDS):
+            while "last" not in acknowledged:
+                leader = await self.network.leader()
+                if isinstance(await put_organisation(leader, "last"), Applied):
+                    acknowledged.add("last")
+        proposing.cancel()
+        await self.wait_members(*names)
+        await self.network.wait(lambda: len(self.assembly.voters()) == 3, "voters")
+        await self.network.wait_until_converged()
+        for name in names:
+            known = set(organisation_ids(self.network.running[name]))
+            self.assertEqual(acknowledged - known, set())
+
+    def _fail(self, name: str, rng: random.Random) -> None:
+        files = self.files(name)
+        match rng.choice(["full", "fails", "hangs"]):
+            case "full":
+                files.capacity = files.used + rng.choice([0, 10, 100, 1000])
+            case "fails":
+                start = len(files.operations) + rng.randrange(1, 9)
+                files.fault = Fault(start, error=errno.EIO, lasting=True)
+            case _:
+                self.executors[name].hang()
