Treat deep nesting as an error of the document in every decoder

Another writer's heartbeat with 100,000 nested arrays in an unknown field ended its handler with a traceback (500 from the test server; the listener of the product turns it into a 400). The same bytes in a configuration, a job, a weight version, an engine's report, an answer with token counts or an answer to an order raised RecursionError out of the decoder. By reading: in the report of an engine that error ends the leader's loading of versions, which starts again and asks the same engine.

Cause: each decoder caught its own choice of errors, and msgspec raises RecursionError, no DecodeError, for deep nesting.

Change: core/decoding.decode_json returns the value or Malformed, whatever the decoder below raises; all documents from outside go through it. Three modules that read only what this product has stored keep their own call.

Ruled out: memory and time.

--- a/goldcrestyard/cli/client.py
+++ b/goldcrestyard/cli/client.py
@@ -11,6 +11,7 @@
 
 from goldcrestyard.cli.profile import Profile
 from goldcrestyard.core.attempts import describe_error
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
 from goldcrestyard.kernel.http_client import (
     MAX_ANSWER_BYTES,
@@ -124,9 +125,8 @@
             status = answer.status
     except (aiohttp.ClientError, TimeoutError) as error:
         return Unanswered(describe_error(error))
-    try:
-        data = msgspec.json.decode(content, type=dict[str, Any])
-    except msgspec.DecodeError:
+    data = decode_json(content, dict[str, Any])
+    if isinstance(data, Malformed):
         return Unanswered(
             f"answered {status} without JSON; use the instance's admin address"
         )
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -12,6 +12,7 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.assembly.manager import MembershipManager
@@ -125,11 +126,10 @@
         return encoded_json_response(documents.unpack(self._serving.source))
 
     async def _name_version(self, body: bytes) -> web.Response:
-        try:
-            named = msgspec.json.decode(body, type=_Version)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            logger.warning("weight version refused", reason=str(error))
-            return refusal_response(Refusal(RefusalReason.BAD_REQUEST, str(error)))
+        named = decode_json(body, _Version)
+        if isinstance(named, Malformed):
+            logger.warning("weight version refused", reason=named.detail)
+            return refusal_response(Refusal(RefusalReason.BAD_REQUEST, named.detail))
         command = NameVersion(ModelName(named.model), WeightVersion(named.version))
         if not await self._commit(command):
             return refusal_response(UNCOMMITTED)
--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import Meta
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import (
     ConfigVersion,
     DataCentre,
@@ -106,10 +107,14 @@
 
 def decode(body: bytes) -> ServingConfig | Refusal:
     """Return the serving configuration, or a refusal if it is invalid."""
+    document = decode_json(body, _Document)
+    if isinstance(document, Malformed):
+        return Refusal(
+            RefusalReason.BAD_REQUEST, f"unreadable document: {document.detail}"
+        )
     try:
-        document = msgspec.json.decode(body, type=_Document)
         config = _serving_config(document)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except ValueError as error:
         return Refusal(RefusalReason.BAD_REQUEST, f"unreadable document: {error}")
     found = list(faults(config))
     if found:
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Rental, TargetState
@@ -39,10 +40,11 @@
 
 def decode(target_id: str, body: bytes) -> Heartbeat | Refusal:
     """Return the heartbeat, or a refusal if the body is invalid."""
-    try:
-        beat = msgspec.json.decode(body, type=_HeartbeatBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Refusal(RefusalReason.BAD_REQUEST, f"unreadable heartbeat: {error}")
+    beat = decode_json(body, _HeartbeatBody)
+    if isinstance(beat, Malformed):
+        return Refusal(
+            RefusalReason.BAD_REQUEST, f"unreadable heartbeat: {beat.detail}"
+        )
     if not _is_address(beat.addr):
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.addr!r} is not host:port")
     if beat.slots > MAX_SLOTS:
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
 from goldcrestyard.fleet.duties import DutySettings
@@ -104,11 +105,11 @@
     The settings are empty if the file cannot be read or decoded.
     """
     try:
-        document = msgspec.json.decode(path.read_bytes(), type=PlatformFile)
+        document = decode_json(path.read_bytes(), PlatformFile)
     except OSError as error:
         return Settings({}), [_error("settings_file.E001", str(path), str(error))]
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Settings({}), [_error("settings_file.E002", str(path), str(error))]
+    if isinstance(document, Malformed):
+        return Settings({}), [_error("settings_file.E002", str(path), document.detail)]
     problems = [
         _error("settings_file.E003", f"listen.{name}", f"{address!r} is not host:port")
         for name, address in document.listen.items()
--- a/goldcrestyard/platform/submissions.py
+++ b/goldcrestyard/platform/submissions.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import (
     GroupId,
     ItemId,
@@ -51,11 +52,13 @@
     job_id: str, organisation: OrganisationId | None, host: str, path: str, body: bytes
 ) -> Job | Refusal:
     """Return the job, or a refusal if the submission is invalid."""
+    lot = decode_json(body, _Lot)
+    if isinstance(lot, Malformed):
+        return Refusal(RefusalReason.BAD_REQUEST, f"unreadable job: {lot.detail}")
     try:
-        lot = msgspec.json.decode(body, type=_Lot)
         items = tuple(_item(item, lot.model) for item in lot.requests)
-    except (msgspec.DecodeError, ValueError) as error:
-        # The errors of base64 and of decoding text are kinds of ValueError.
+    except ValueError as error:
+        # The errors of base64 are kinds of ValueError.
         return Refusal(RefusalReason.BAD_REQUEST, f"unreadable job: {error}")
     if not job_id or len({item.id for item in items}) < len(items):
         return Refusal(
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -5,6 +5,7 @@
 import structlog
 
 from goldcrestyard.core.attempts import describe_error
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import InstanceId, ModelName, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.duties import Permit
@@ -67,15 +68,15 @@
             ) as response:
                 if response.status != 200:
                     return None
-                report = msgspec.json.decode(
-                    await read_at_most(response, MAX_REPORT_BYTES), type=_Report
+                report = decode_json(
+                    await read_at_most(response, MAX_REPORT_BYTES), _Report
                 )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             await self._client.discard_connections(target.address)
             self._log_failure(target, describe_error(error))
             return None
-        except msgspec.DecodeError as error:
-            self._log_failure(target, str(error))
+        if isinstance(report, Malformed):
+            self._log_failure(target, report.detail)
             return None
         return EngineReport(
             report.seq,
--- a/goldcrestyard/plugins/engines/event_stream.py
+++ b/goldcrestyard/plugins/engines/event_stream.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
 from aiohttp import StreamReader
 
+from goldcrestyard.core.decoding import Malformed, decode_json
+
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 MAX_BYTES_BETWEEN_EVENTS = 64 * 1024
 """Largest number of bytes between two events, such as comments and empty
@@ -77,10 +78,10 @@
     """Return the event for the contents of its data fields."""
     if data == END_OF_STREAM_DATA:
         return EndOfStream()
-    try:
-        return Piece(msgspec.json.decode(data, type=dict[str, Any]), event_id)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return MalformedEvent(str(error))
+    decoded = decode_json(data, dict[str, Any])
+    if isinstance(decoded, Malformed):
+        return MalformedEvent(decoded.detail)
+    return Piece(decoded, event_id)
 
 
 def _parse_fields(block: bytes) -> tuple[bytes | None, str | None]:
--- a/goldcrestyard/plugins/engines/token_counts.py
+++ b/goldcrestyard/plugins/engines/token_counts.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from goldcrestyard.core.attempts import Answered, AttemptOutcome, TokenCount
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.plugins.engines.requests import InferenceRequest, prompt_tokens
 
 
@@ -24,11 +25,8 @@
     """Return the token count that a plain answer reports, or None."""
     if not isinstance(outcome, Answered) or outcome.status >= 400:
         return None
-    try:
-        answer = msgspec.json.decode(outcome.body, type=_AnswerWithUsage)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    return _to_count(answer.usage)
+    answer = decode_json(outcome.body, _AnswerWithUsage)
+    return None if isinstance(answer, Malformed) else _to_count(answer.usage)
 
 
 class StreamTokenCounter:
--- a/goldcrestyard/plugins/engines/upstream.py
+++ b/goldcrestyard/plugins/engines/upstream.py
@@ -22,6 +22,7 @@
     describe_error,
     proves_not_run,
 )
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
 from goldcrestyard.core.ids import AttemptId, CorrelationId
 from goldcrestyard.core.records import Target
@@ -277,10 +278,9 @@
     request: InferenceRequest,
     attempt: AttemptId,
 ) -> AttemptOutcome:
-    try:
-        data = msgspec.json.decode(body, type=dict[str, object])
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Broken(f"answer is not a complete JSON object: {error}")
+    data = decode_json(body, dict[str, object])
+    if isinstance(data, Malformed):
+        return Broken(f"answer is not a complete JSON object: {data.detail}")
     if not matches_attempt(data.get("id"), attempt):
         return Broken("answer belongs to another request")
     choices = ChoiceTracker(request.fields.n or 1)
--- a/goldcrestyard/plugins/listeners/bodies.py
+++ b/goldcrestyard/plugins/listeners/bodies.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 
 T = TypeVar("T")
@@ -54,14 +55,12 @@
     body = await read_body(request)
     if isinstance(body, Refusal):
         return body
-    try:
-        return msgspec.json.decode(body, type=expected)
-    except msgspec.ValidationError as error:
+    decoded = decode_json(body, expected)
+    if isinstance(decoded, Malformed):
         return Refusal(
-            RefusalReason.BAD_REQUEST, f"body does not match the schema: {error}"
+            RefusalReason.BAD_REQUEST, f"body cannot be decoded: {decoded.detail}"
         )
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return Refusal(RefusalReason.BAD_REQUEST, f"body is not valid JSON: {error}")
+    return decoded
 
 
 def json_answer(data: object, status: int = 200) -> web.Response:
--- a/goldcrestyard/plugins/rentals/client.py
+++ b/goldcrestyard/plugins/rentals/client.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 import aiohttp
-import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import DataCentre, TargetId
 from goldcrestyard.core.states import Rental
 from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
@@ -61,20 +61,20 @@
         body = await self._get("/targets")
         if isinstance(body, Unavailable):
             return body
-        try:
-            return msgspec.json.decode(body, type=_TargetList).targets
-        except msgspec.DecodeError as error:
-            return Unavailable(str(error))
+        listed = decode_json(body, _TargetList)
+        if isinstance(listed, Malformed):
+            return Unavailable(listed.detail)
+        return listed.targets
 
     async def notices(self) -> tuple[ReclaimNotice, ...] | Unavailable:
         """Return the reclaim notices, or why they could not be fetched."""
         body = await self._get("/notices")
         if isinstance(body, Unavailable):
             return body
-        try:
-            return msgspec.json.decode(body, type=_NoticeList).notices
-        except msgspec.DecodeError as error:
-            return Unavailable(str(error))
+        listed = decode_json(body, _NoticeList)
+        if isinstance(listed, Malformed):
+            return Unavailable(listed.detail)
+        return listed.notices
 
     async def _get(self, path: str) -> bytes | Unavailable:
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS)
--- a/goldcrestyard/plugins/rollout/engines.py
+++ b/goldcrestyard/plugins/rollout/engines.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import OrderId, WeightVersion
 from goldcrestyard.core.records import PublishedWeights, Target
 from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
@@ -69,14 +70,13 @@
                 async with self._session.get(url, timeout=self._timeout) as response:
                     if response.status != 200:
                         return VersionsUnknown(f"answered {response.status}")
-                    reported = msgspec.json.decode(
-                        await read_at_most(response, MAX_REPORT_BYTES),
-                        type=_VersionsBody,
+                    reported = decode_json(
+                        await read_at_most(response, MAX_REPORT_BYTES), _VersionsBody
                     )
             except (aiohttp.ClientError, TimeoutError) as error:
                 return VersionsUnknown(str(error) or "timeout")
-            except msgspec.DecodeError as error:
-                return VersionsUnknown(f"malformed answer: {error}")
+        if isinstance(reported, Malformed):
+            return VersionsUnknown(f"malformed answer: {reported.detail}")
         active = WeightVersion(reported.active) if reported.active is not None else None
         return VersionsReported(active, tuple(map(WeightVersion, reported.staged)))
 
--- a/goldcrestyard/policy/orders.py
+++ b/goldcrestyard/policy/orders.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import LogIndex, Term
 from goldcrestyard.policy.backoff import Backoff
 
@@ -212,11 +213,8 @@
 
 
 def _highest_fence(body: bytes) -> Fence | None:
-    try:
-        answer = msgspec.json.decode(body, type=_StaleFenceAnswer)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-    if answer.error != "stale_fencing":
+    answer = decode_json(body, _StaleFenceAnswer)
+    if isinstance(answer, Malformed) or answer.error != "stale_fencing":
         return None
     term, index = answer.highest
     return Fence(Term(term), LogIndex(index))
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -4,12 +4,25 @@
 import unittest
 from typing import Any
 
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
 from parameterized import parameterized
+from yarl import URL
 
+from goldcrestyard.core.ids import TargetId
 from goldcrestyard.core.refusals import Refusal
 from goldcrestyard.core.states import Rental, TargetState
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.fleet.versions.slices import VersionsSlice
+from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.platform import heartbeats
+from goldcrestyard.platform.control.front import ControlFront
+from goldcrestyard.platform.names import HEARTBEAT_PATH
+from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.heartbeats import Heartbeat
+from tests.fakes.member import FakeMember, machine_of
+from tests.fakes.quiet_logs import quiet_logs
 
 BEAT: dict[str, Any] = {
     "service": "engines",
@@ -62,3 +75,50 @@
     @parameterized.expand([("empty", b""), ("cut", b'{"service'), ("binary", b"\xff")])
     def test_unreadable(self, _: str, body: bytes) -> None:
         self.assertIsInstance(heartbeats.decode("i-1", body), Refusal)
+
+
+GOOD = {"seq": 1, "state": "ready", "leaves_ms": None}
+
+ODD_BODIES = [
+    ("nested_deeply", b'{"other":' + b"[" * 100_000 + b"]" * 100_000 + b"}"),
+    ("binary", bytes(range(256))),
+]
+
+
+class ControlFrontTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against an odd heartbeat that ends or stops its receiver."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        machine = machine_of(TargetsSlice, ServingSlice, VersionsSlice)
+        self.targets = machine.get(TargetsSlice)
+        member: Any = FakeMember(machine, Clock())
+        self.tracker = TargetTracker(member, {}, 1.0, Clock())
+        front = ControlFront(member, None, self.tracker, "127.0.0.1:1")  # type: ignore[arg-type]
+        server = TestServer(web.Application())
+        server.app.router.add_route("*", "/{path:.*}", front.handle)
+        self.client = TestClient(server)
+        await self.client.start_server()
+        self.addAsyncCleanup(self.client.close)
+
+    async def _put(self, target_id: str, body: bytes | dict[str, Any]) -> int:
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        path = URL(f"{HEARTBEAT_PATH}{target_id}", encoded=True)
+        async with self.client.put(path, data=data) as response:
+            return response.status
+
+    @parameterized.expand(ODD_BODIES)
+    async def test_odd_heartbeat_among_good_ones(
+        self, _: str, odd: bytes | dict[str, Any], odd_id: str = "i-odd"
+    ) -> None:
+        self.assertEqual(await self._put("i-1", {**BEAT, **GOOD}), 200)
+        self.assertEqual(await self._put(odd_id, odd), 400)
+        for seq in (2, 3):
+            beat = {**BEAT, **GOOD, "seq": seq, "slots": 8 + seq}
+            self.assertEqual(await self._put("i-1", beat), 200)
+        other = {**BEAT, **GOOD, "addr": "10.0.0.10:8080"}
+        self.assertEqual(await self._put("i-2", other), 200)
+        served = {target.id for target in self.targets.serving("engines")}
+        self.assertEqual(served, {"i-1", "i-2"})
+        known = self.tracker.tracked_by_id
+        self.assertEqual(known[TargetId("i-1")].sequence, 3)
