Refuse numbers that are too large where they arrive

A heartbeat with a start time of 400 digits was acknowledged. At the address of a running target it ended that target, whose own heartbeats were then ignored as those of an earlier run. Whole numbers of up to 4,300 digits were taken elsewhere too, and failed later: the load report of a target in the digests of its entry and the token count of an answer in the fair queue (OverflowError: int too large to convert to float), a header limit in the parser of each new connection of every machine (OverflowError: can't convert to size_t), weights of 1e308 in the choice of each request (ValueError: total of weights must be finite). The last two were in a configuration that had been committed.

Cause: the types of the documents set no bounds, and Python's integers have none.

Change: Count and WholeNumber in core/decoding bound the fields of all documents from outside to 2**53 - 1, byte limits to what the parser takes, token counts to what an answer can have; a configuration with weights without a finite total is refused. Types that are stored keep their fields, or records of the log would become unreadable.

Ruled out: floats.

--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -6,12 +6,22 @@
 """
 
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
+from msgspec import Meta
 
 T = TypeVar("T")
 
+MAX_WHOLE_NUMBER = 2**53 - 1
+"""Largest whole number from outside.  All implementations of JSON exchange
+numbers up to it exactly; arithmetic with floats fails on far larger ones."""
+
+Count = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+WholeNumber = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
+"""Types of fields of documents from outside.  Types that are also stored must
+not use them: a bound that is lowered would make stored records unreadable."""
+
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, OverflowError)
 """What the decoders raise for input that they cannot decode."""
 
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -12,7 +12,7 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import Count, Malformed, decode_json
 from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.assembly.manager import MembershipManager
@@ -50,7 +50,7 @@
 
 class _Version(msgspec.Struct):
     model: str
-    version: int
+    version: Count
 
 
 class ControlFront:
--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -10,7 +10,12 @@
 import msgspec
 from msgspec import Meta
 
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import (
+    Count,
+    Malformed,
+    WholeNumber,
+    decode_json,
+)
 from goldcrestyard.core.ids import (
     ConfigVersion,
     DataCentre,
@@ -33,7 +38,8 @@
 )
 from goldcrestyard.policy.serving import faults
 
-NonNegativeInt = Annotated[int, Meta(ge=0)]
+ByteCount = Annotated[int, Meta(gt=0, lt=2**31)]
+"""Largest size in bytes, which the parser of heads keeps in a C integer."""
 
 
 class _Share(msgspec.Struct):
@@ -49,11 +55,11 @@
     timeout_ms: float = 10_000.0
     service: str | None = None
     split: list[_Share] | None = None
-    attempts: NonNegativeInt = 1
+    attempts: Count = 1
     """Maximum number of targets that may run one request."""
     slo_ms: float | None = None
     """Objective for the response time; a later answer is worth less."""
-    priority: int = 0
+    priority: WholeNumber = 0
     public: bool = False
     resumable: bool = False
     single_version: bool = False
@@ -66,13 +72,13 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int
+    slots: WholeNumber
     models: list[_Model] = []
 
 
 class _Autoscale(msgspec.Struct):
-    min: int
-    max: int
+    min: WholeNumber
+    max: WholeNumber
     boot_s: float = 0.0
     spot_price: float | None = None
     zone_prices: dict[str, float] = {}
@@ -85,8 +91,8 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 32 * 1024 * 1024
+    max_header_bytes: ByteCount = 16 * 1024
+    max_body_bytes: Count = 32 * 1024 * 1024
     header_timeout_ms: float = 3000.0
     idle_timeout_ms: float = 15_000.0
 
@@ -94,11 +100,11 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: WholeNumber | None = None
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: WholeNumber
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import (
+    Count,
+    Malformed,
+    WholeNumber,
+    decode_json,
+)
 from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Rental, TargetState
@@ -18,19 +23,19 @@
 
 class _Model(msgspec.Struct):
     name: str
-    version: int
+    version: Count
 
 
 class _HeartbeatBody(msgspec.Struct):
     service: str
     addr: str
     zone: str
-    slots: int
+    slots: WholeNumber
     state: Literal["ready", "draining"]
-    seq: int
+    seq: Count
     """Sequence number, which increases with each heartbeat.  In an engine's
     report the same field is the number of accepted orders."""
-    born: int = 0
+    born: Count = 0
     """Start of this run of the target, as Unix milliseconds."""
     models: list[_Model] = []
     spot: bool = False
--- a/goldcrestyard/platform/submissions.py
+++ b/goldcrestyard/platform/submissions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import Malformed, WholeNumber, decode_json
 from goldcrestyard.core.ids import (
     GroupId,
     ItemId,
@@ -41,10 +41,10 @@
     requests: list[_Item]
     """The job's items."""
     model: str = ""
-    step: int = 0
-    least_required: int = 0
+    step: WholeNumber = 0
+    least_required: WholeNumber = 0
     """The oldest weight version that may generate tokens of the job."""
-    group_count: int = 0
+    group_count: WholeNumber = 0
     """Number of complete groups of items for which the trainer waits."""
 
 
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -5,7 +5,7 @@
 import structlog
 
 from goldcrestyard.core.attempts import describe_error
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import Count, Malformed, decode_json
 from goldcrestyard.core.ids import InstanceId, ModelName, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.duties import Permit
@@ -38,11 +38,11 @@
 
 class _Model(msgspec.Struct):
     name: str
-    version: int
+    version: Count
 
 
 class _Report(msgspec.Struct):
-    seq: int = 0
+    seq: Count = 0
     """Number of accepted orders.  In a heartbeat the same field is the
     heartbeat's sequence number."""
     in_flight: bool = False
--- a/goldcrestyard/plugins/engines/requests.py
+++ b/goldcrestyard/plugins/engines/requests.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import WholeNumber
 from goldcrestyard.core.ids import ModelName
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Priority
@@ -25,8 +26,8 @@
     stream: bool | None = False
     messages: list[dict[str, Any]] | None = None
     prompt: str | list[Any] | None = None
-    max_tokens: int | None = None
-    n: int | None = None
+    max_tokens: WholeNumber | None = None
+    n: WholeNumber | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/plugins/engines/token_counts.py
+++ b/goldcrestyard/plugins/engines/token_counts.py
@@ -1,19 +1,23 @@
 """Token counts of attempts, as the engine reports them or estimated."""
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from goldcrestyard.core.attempts import Answered, AttemptOutcome, TokenCount
 from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.plugins.engines.requests import InferenceRequest, prompt_tokens
 
+ReportedTokens = Annotated[int, Meta(ge=0, lt=2**31)]
+"""A number of tokens that one answer can have."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Usage:
-    prompt_tokens: int
-    completion_tokens: int
+    prompt_tokens: ReportedTokens
+    completion_tokens: ReportedTokens
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/plugins/operators/views.py
+++ b/goldcrestyard/plugins/operators/views.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.results import Applied
+from goldcrestyard.core.decoding import Count
 from goldcrestyard.core.ids import KeyId, PlanNumber, Revision, TargetId
 from goldcrestyard.core.records import Key
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -37,7 +38,7 @@
     """Body of a request for a plan; ``declaration`` is TOML text."""
 
     declaration: str
-    number: PlanNumber | None = None
+    number: Count | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +74,8 @@
         body = await read_json(request, PlanBody)
         if isinstance(body, Refusal):
             return refuse(body)
-        plan = await self._planner.plan(body.declaration, body.number, author)
+        number = PlanNumber(body.number) if body.number is not None else None
+        plan = await self._planner.plan(body.declaration, number, author)
         if isinstance(plan, Refusal):
             return refuse(plan)
         return json_answer({"plan": plan})
--- a/goldcrestyard/plugins/organisations/declarations.py
+++ b/goldcrestyard/plugins/organisations/declarations.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from goldcrestyard.core.decoding import MAX_WHOLE_NUMBER
 from goldcrestyard.core.records import Organisation
 from goldcrestyard.plugins.organisations.commands import (
     PutOrganisation,
@@ -43,7 +44,9 @@
     """Return the errors in an organisation's share and limits."""
     if not 0 < record.share < float("inf"):
         yield "share must be a number above 0"
-    if record.tokens_per_minute is not None and record.tokens_per_minute <= 0:
+    if record.tokens_per_minute is not None and not (
+        0 < record.tokens_per_minute <= MAX_WHOLE_NUMBER
+    ):
         yield "tokens_per_minute must be above 0; leave it out for no limit"
 
 
--- a/goldcrestyard/plugins/rollout/engines.py
+++ b/goldcrestyard/plugins/rollout/engines.py
@@ -12,7 +12,7 @@
 import aiohttp
 import msgspec
 
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import Count, Malformed, decode_json
 from goldcrestyard.core.ids import OrderId, WeightVersion
 from goldcrestyard.core.records import PublishedWeights, Target
 from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
@@ -32,8 +32,8 @@
 
 
 class _VersionsBody(msgspec.Struct):
-    active: int | None = None
-    staged: tuple[int, ...] = ()
+    active: Count | None = None
+    staged: tuple[Count, ...] = ()
 
 
 class _OrderBody(msgspec.Struct, omit_defaults=True):
--- a/goldcrestyard/plugins/targets/views.py
+++ b/goldcrestyard/plugins/targets/views.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.core.decoding import Count, WholeNumber
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -42,7 +43,7 @@
     incarnation: str
     rental: Rental = Rental.ON_DEMAND
     checks_fencing: bool = False
-    max_concurrency: int = 16
+    max_concurrency: WholeNumber = 16
 
     def to_target(self) -> Target:
         """Return the target's record, in state ``READY``."""
@@ -65,12 +66,12 @@
 class ReportedLoad:
     """Load in a renewal; its time is given as an age, since clocks differ."""
 
-    queue_length: int = 0
-    running_tokens: int = 0
+    queue_length: Count = 0
+    running_tokens: Count = 0
     cache_use: float = 0.0
     age_seconds: float = 0.0
-    running_requests: int = 0
-    resumable_requests: int = 0
+    running_requests: Count = 0
+    resumable_requests: Count = 0
 
     def to_load(self, now: float) -> Load:
         """Return the load with its time on this entry's clock."""
--- a/goldcrestyard/plugins/trainers/questions.py
+++ b/goldcrestyard/plugins/trainers/questions.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import MAX_WHOLE_NUMBER
 from goldcrestyard.core.ids import BodyDigest, GroupId, ModelName, SampleId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.plugins.engines.requests import InferenceFields, InferenceRequest
@@ -127,6 +128,9 @@
         return _bad_request(f"a step has from 1 to {MAX_SAMPLES} samples")
     if question.attempt < 0:
         return _bad_request("'attempt' must not be negative")
+    numbers = (question.attempt, question.max_tokens, abs(question.top_k or 0))
+    if max(numbers) > MAX_WHOLE_NUMBER:
+        return _bad_request(f"numbers must not exceed {MAX_WHOLE_NUMBER}")
     if not 0 <= question.wait_seconds < float("inf"):
         return _bad_request("'wait_seconds' must not be negative")
     groups = {prompt.group for prompt in question.prompts}
--- a/goldcrestyard/policy/orders.py
+++ b/goldcrestyard/policy/orders.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import Count, Malformed, decode_json
 from goldcrestyard.core.ids import LogIndex, Term
 from goldcrestyard.policy.backoff import Backoff
 
@@ -128,7 +128,7 @@
 
 class _StaleFenceAnswer(msgspec.Struct):
     error: str = ""
-    highest: tuple[int, int] = (0, 0)
+    highest: tuple[Count, Count] = (0, 0)
 
 
 def first_step(guards: Guards, maybe_sent: bool) -> NextStep:
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -5,6 +5,7 @@
 of the route.
 """
 
+import math
 import random
 from collections import Counter
 from collections.abc import Iterator
@@ -29,8 +30,9 @@
                 yield f"route {route.name} names an unknown service {service.name}"
         if any(service.weight < 0 for service in route.services):
             yield f"route {route.name} has a negative weight"
-        if sum(service.weight for service in route.services) <= 0:
-            yield f"the weights of route {route.name} add up to 0"
+        total = sum(service.weight for service in route.services)
+        if not 0 < total < math.inf:
+            yield f"the weights of route {route.name} add up to {total}"
         if route.timeout_seconds <= 0:
             yield f"route {route.name} has no timeout"
         if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -4,6 +4,7 @@
 decoder raises an error that its caller does not expect.
 """
 
+import json
 import re
 import unittest
 from collections.abc import Callable
@@ -16,9 +17,20 @@
 import goldcrestyard
 from goldcrestyard.core.attempts import Answered
 from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.ids import OrganisationId
+from goldcrestyard.core.records import Organisation
+from goldcrestyard.core.refusals import Refusal
 from goldcrestyard.platform import documents, heartbeats, submissions
 from goldcrestyard.plugins.engines.event_stream import parse_event
-from goldcrestyard.plugins.engines.token_counts import token_count_of_answer
+from goldcrestyard.plugins.engines.requests import InferenceRequest, parse_request
+from goldcrestyard.plugins.engines.token_counts import (
+    StreamTokenCounter,
+    token_count_of_answer,
+)
+from goldcrestyard.plugins.operators.views import PlanBody
+from goldcrestyard.plugins.organisations.declarations import declaration_errors
+from goldcrestyard.plugins.targets.views import Announcement, TargetRequest
+from goldcrestyard.plugins.trainers.questions import parse_question
 from goldcrestyard.policy.orders import _highest_fence
 
 PACKAGE = Path(goldcrestyard.__file__).parent
@@ -92,3 +104,68 @@
     def test_deep_nesting(self, _: str, decode: Callable[[bytes], Any]) -> None:
         for body in (b'{"other":' + DEEP + b"}", DEEP):
             decode(body)
+
+
+HUGE = 10**400
+DIGITS = b"9" * 400
+
+
+class LargeNumberTests(unittest.TestCase):
+    """Numbers on which later arithmetic would fail are refused on arrival."""
+
+    @parameterized.expand(
+        [
+            ("load", TargetRequest, b'{"incarnation":"1","load":{"%s":%s}}', name)
+            for name in ("queue_length", "running_tokens", "running_requests")
+        ]
+        + [
+            (
+                "announcement",
+                Announcement,
+                b'{"id":"t","kind":"engine","address":"10.0.0.9:80","region":"r",'
+                b'"data_centre":"d","serves":[],"incarnation":"1","%s":%s}',
+                "max_concurrency",
+            ),
+            ("plan", PlanBody, b'{"declaration":"","%s":%s}', "number"),
+        ]
+    )
+    def test_body(self, _: str, expected: type, body: bytes, name: str) -> None:
+        ordinary = body % (name.encode(), b"9")
+        self.assertNotIsInstance(decode_json(ordinary, expected), Malformed)
+        huge = body % (name.encode(), DIGITS)
+        self.assertIsInstance(decode_json(huge, expected), Malformed)
+
+    @parameterized.expand([("huge", HUGE), ("negative", -1), ("one_answer", 2**40)])
+    def test_token_counts_of_an_answer(self, _: str, number: int) -> None:
+        usage = {"prompt_tokens": 3, "completion_tokens": number}
+        body = json.dumps({"usage": usage}).encode()
+        self.assertIsNone(token_count_of_answer(Answered(200, "", body)))
+        request = parse_request("/v1/completions", {"model": "m", "prompt": "a"})
+        assert isinstance(request, InferenceRequest)
+        counter = StreamTokenCounter(request)
+        counter.add({"usage": usage})
+        self.assertEqual(counter.count.generated, 0)
+
+    @parameterized.expand([("max_tokens",), ("n",)])
+    def test_inference_request(self, name: str) -> None:
+        body = {"model": "m", "prompt": "a", name: HUGE}
+        self.assertIsInstance(parse_request("/v1/completions", body), Refusal)
+
+    @parameterized.expand([("max_tokens",), ("attempt",), ("top_k",)])
+    def test_question(self, name: str) -> None:
+        question = {
+            "model": "m",
+            "prompts": [{"group": "g", "prompt": "a"}],
+            "samples_per_prompt": 1,
+            "max_tokens": 1,
+        }
+        self.assertNotIsInstance(parse_question(question), Refusal)
+        self.assertIsInstance(parse_question({**question, name: HUGE}), Refusal)
+
+    def test_declared_limit(self) -> None:
+        record = Organisation(OrganisationId("o"), 1.0, HUGE)
+        self.assertTrue(list(declaration_errors(record)))
+
+    def test_highest_fence_of_an_answer(self) -> None:
+        body = b'{"error":"stale_fencing","highest":[%s,1]}' % DIGITS
+        self.assertIsNone(_highest_fence(body))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -85,6 +85,19 @@
     ("wrong_type", lambda d: d.update(version="seven")),
     ("no_routes", lambda d: d.pop("routes")),
     ("route_without_host", lambda d: d["routes"][0].pop("host")),
+    ("huge_version", lambda d: d.update(version=10**400)),
+    ("huge_priority", lambda d: d["routes"][0].update(priority=10**400)),
+    ("huge_attempts", lambda d: d["routes"][0].update(attempts=10**400)),
+    ("huge_slots", lambda d: d["services"][0]["engine"].update(slots=10**400)),
+    ("huge_bound", lambda d: d["services"][0]["autoscale"].update(max=10**400)),
+    # The parser of heads fails on these, on each connection.
+    ("huge_header_limit", lambda d: d["limits"].update(max_header_bytes=2**64)),
+    ("negative_header_limit", lambda d: d["limits"].update(max_header_bytes=-1)),
+    # Random choices fail on a total that is not finite, on each request.
+    (
+        "weights_beyond_floats",
+        lambda d: [s.update(weight=1e308) for s in d["routes"][0]["split"]],
+    ),
 ]
 
 
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -66,6 +66,12 @@
             ("slots_of_another_type", {"slots": "eight"}),
             ("no_number", {"seq": None}),
             ("models_of_another_type", {"models": {"m": 4}}),
+            *((f"huge_{name}", {name: 10**400}) for name in ("seq", "born", "slots")),
+            ("huge_version", {"models": [{"name": "m", "version": 10**400}]}),
+            ("huge_leaves", {"leaves_ms": 10**400}),
+            ("inexact_born", {"born": 2**53}),
+            ("negative_born", {"born": -1}),
+            ("negative_seq", {"seq": -1}),
         ]
     )
     def test_refused(self, _: str, change: dict[str, Any]) -> None:
@@ -82,6 +88,8 @@
 ODD_BODIES = [
     ("nested_deeply", b'{"other":' + b"[" * 100_000 + b"]" * 100_000 + b"}"),
     ("binary", bytes(range(256))),
+    # A later start at the same address would end the other target there.
+    ("number_too_large", {**BEAT, **GOOD, "born": 10**400}),
 ]
 
 
--- a/tests/platform/test_submissions.py
+++ b/tests/platform/test_submissions.py
@@ -67,6 +67,10 @@
             ("body_not_ascii", {"requests": [{**ITEM, "body": "\u1000qqqq"}]}, "j"),
             ("version_of_another_type", {**LOT, "least_required": "6"}, "j"),
             ("job_without_id", LOT, ""),
+            *(
+                (f"huge_{name}", {**LOT, name: 10**400}, "j")
+                for name in ("step", "least_required", "group_count")
+            ),
         ]
     )
     def test_refused(self, _: str, document: object, job: str) -> None:
