Refuse ids, names and headers that cannot be sent or stored

A heartbeat whose path held an encoded line break registered a target with it in its id. The HTTP library refuses to send such an id in a header, with a ValueError that the client of the engines' reports did not catch. On real processes a new leader then logged 'task of the leader failed; restarting it' for the loading of versions, and 'weight load task raised an exception' again and again; the other engines got their version. By reading: an item, a scorer or an organisation of such a name made each request to each target look like a broken answer.

Headers with bytes that are not UTF-8 become lone surrogates, which cannot be encoded. With such a stamp in the answer of a scoring server, the leader's command with the score could not be encoded (UnicodeEncodeError in Codec.encode of ListResults), nor could the outcome of a claim with such a content type, a job with such an id or host, or the body of a refusal that repeats them; a key with such bytes was answered as 'may have run'.

Cause: text from outside went unchecked into headers, commands and bodies.

Change: core/decoding says what an id, a header and a path are; the decoders of heartbeats, jobs and configurations refuse the rest. Names have at most 256 characters, as they are replicated. Headers of an item that frame a request are left out as they are for callers. An answer with such a stamp counts as broken. The engines' client also takes a ValueError for no answer, for targets that were registered before.

--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -5,6 +5,7 @@
 ``RecursionError``, and a number of thousands of digits in a ``ValueError``.
 """
 
+import re
 from dataclasses import dataclass
 from typing import Annotated, TypeVar
 
@@ -22,6 +23,13 @@
 """Types of fields of documents from outside.  Types that are also stored must
 not use them: a bound that is lowered would make stored records unreadable."""
 
+MAX_ID_LENGTH = 256
+"""Longest id or name from outside.  Ids go into headers, log lines and the
+replicated state."""
+
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_PATH = re.compile(r"/[!-~]*")
+
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, OverflowError)
 """What the decoders raise for input that they cannot decode."""
 
@@ -39,3 +47,33 @@
         return msgspec.json.decode(data, type=expected)
     except DECODE_ERRORS as error:
         return Malformed(str(error))
+
+
+def is_id(text: str) -> bool:
+    """Return whether a text from outside can be sent and stored as an id.
+
+    Control characters cannot be sent in a header, and the lone surrogates
+    that stand for bytes which are not UTF-8 cannot be encoded.
+    """
+    return 0 < len(text) <= MAX_ID_LENGTH and text.isprintable()
+
+
+def is_header(name: str, value: str) -> bool:
+    """Return whether a header can be sent."""
+    printable = value.replace("\t", " ").isprintable()
+    return printable and _HEADER_NAME.fullmatch(name) is not None
+
+
+def is_path(text: str) -> bool:
+    """Return whether a path, perhaps with a query, can be sent as it is."""
+    return _PATH.fullmatch(text) is not None
+
+
+def encodable(text: str) -> str:
+    """Return a text with question marks for what cannot be encoded."""
+    return text.encode("utf-8", "replace").decode()
+
+
+def bytes_of(header: str) -> bytes:
+    """Return the bytes of a header's value as they were received."""
+    return header.encode("utf-8", "surrogateescape")
--- a/goldcrestyard/core/keys.py
+++ b/goldcrestyard/core/keys.py
@@ -9,6 +9,7 @@
 import secrets
 from dataclasses import dataclass
 
+from goldcrestyard.core.decoding import bytes_of
 from goldcrestyard.core.ids import KeyHash, KeyId
 
 _KEY_PATTERN = re.compile(r"gcy_([a-z0-9]{12})_([A-Za-z0-9_-]{32,64})")
@@ -46,7 +47,7 @@
     Secrets are 256 random bits, so a fast hash cannot be reversed by
     guessing; a deliberately slow one would only delay each request.
     """
-    return KeyHash(hashlib.sha256(secret.encode()).hexdigest())
+    return KeyHash(hashlib.sha256(bytes_of(secret)).hexdigest())
 
 
 def hashes_equal(first: KeyHash, second: KeyHash) -> bool:
--- a/goldcrestyard/platform/answers.py
+++ b/goldcrestyard/platform/answers.py
@@ -6,6 +6,7 @@
 from aiohttp import hdrs, web
 from multidict import CIMultiDict
 
+from goldcrestyard.core.decoding import encodable
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.gateway.calls import CallAnswer
@@ -37,7 +38,7 @@
 def refusal_response(refusal: Refusal) -> web.Response:
     """Return the HTTP response for a refusal."""
     response = json_response(
-        {"error": refusal.reason.value, "detail": refusal.detail},
+        {"error": refusal.reason.value, "detail": encodable(refusal.detail)},
         status_of(refusal),
     )
     if refusal.retry_after_seconds is not None:
--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -15,6 +15,7 @@
     Malformed,
     WholeNumber,
     decode_json,
+    is_id,
 )
 from goldcrestyard.core.ids import (
     ConfigVersion,
@@ -123,6 +124,9 @@
     except ValueError as error:
         return Refusal(RefusalReason.BAD_REQUEST, f"unreadable document: {error}")
     found = list(faults(config))
+    # Requests to targets name the organisation in a header.
+    if not all(is_id(organisation.id) for organisation in config.organisations):
+        found.append("the name of an organisation is not valid")
     if found:
         return Refusal(RefusalReason.BAD_REQUEST, "; ".join(found[:5]))
     return config
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -10,6 +10,7 @@
     Malformed,
     WholeNumber,
     decode_json,
+    is_id,
 )
 from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -50,6 +51,8 @@
         return Refusal(
             RefusalReason.BAD_REQUEST, f"unreadable heartbeat: {beat.detail}"
         )
+    if not all(map(is_id, (target_id, beat.service, beat.zone))):
+        return Refusal(RefusalReason.BAD_REQUEST, "an id or a name is not valid")
     if not _is_address(beat.addr):
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.addr!r} is not host:port")
     if beat.slots > MAX_SLOTS:
--- a/goldcrestyard/platform/submissions.py
+++ b/goldcrestyard/platform/submissions.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from goldcrestyard.core.decoding import Malformed, WholeNumber, decode_json
+from goldcrestyard.core.decoding import (
+    Malformed,
+    WholeNumber,
+    decode_json,
+    is_header,
+    is_id,
+    is_path,
+)
 from goldcrestyard.core.ids import (
     GroupId,
     ItemId,
@@ -18,6 +25,7 @@
 from goldcrestyard.core.jobs import Job, JobItem, RewardCall
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.jobs.commands import ResultsPage
+from goldcrestyard.platform.hop_headers import end_to_end
 from goldcrestyard.platform.names import LENGTH_HINT_HEADER, MODEL_HEADER
 
 
@@ -60,9 +68,15 @@
     except ValueError as error:
         # The errors of base64 are kinds of ValueError.
         return Refusal(RefusalReason.BAD_REQUEST, f"unreadable job: {error}")
-    if not job_id or len({item.id for item in items}) < len(items):
+    if not is_header("host", host):
+        return Refusal(RefusalReason.BAD_REQUEST, "the host is not valid")
+    if not is_id(job_id) or len({item.id for item in items}) < len(items):
+        return Refusal(
+            RefusalReason.BAD_REQUEST, "no valid job id, or an item id used twice"
+        )
+    if not all(map(_can_be_sent, items)):
         return Refusal(
-            RefusalReason.BAD_REQUEST, "missing job id, or an item id used twice"
+            RefusalReason.BAD_REQUEST, "an item whose request cannot be sent"
         )
     return Job(
         JobId(job_id),
@@ -110,7 +124,7 @@
     return JobItem(
         ItemId(item.id),
         item.path,
-        tuple(item.headers.items()),
+        end_to_end(item.headers.items()),
         base64.b64decode(item.body, validate=True),
         ModelName(named.get(MODEL_HEADER.lower(), model)),
         GroupId(item.group),
@@ -119,6 +133,20 @@
     )
 
 
+def _can_be_sent(item: JobItem) -> bool:
+    """Return whether the requests of an item can be sent to any target."""
+    if not (is_id(item.id) and is_path(item.path)):
+        return False
+    if not all(is_header(name, value) for name, value in item.headers):
+        return False
+    reward = item.reward
+    return reward is None or (
+        is_id(reward.request)
+        and is_header("host", reward.host)
+        and is_path(reward.path)
+    )
+
+
 def _number(text: str) -> int:
     """Return a number of tokens, or 0 if the text is not one."""
     return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -23,6 +23,7 @@
     describe_error,
 )
 from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
+from goldcrestyard.core.decoding import is_header
 from goldcrestyard.core.ids import RequestRate, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.kernel.http_client import (
@@ -322,8 +323,11 @@
     not_run = NOT_RUN_HEADER in response.headers and response.status in NOT_RUN_STATUSES
     if not_run or response.status == MISDIRECTED_STATUS:
         return TurnedAway(response.status, f"target answered {response.status}")
+    signature = response.headers.get(SIGNATURE_HEADER)
     if 200 <= response.status < 300 and (
-        echoed is None or SIGNATURE_HEADER not in response.headers
+        echoed is None
+        or signature is None
+        or not is_header(SIGNATURE_HEADER, signature)
     ):
         return Broken("answer without request id or signature")
     return None
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -71,7 +71,7 @@
                 report = decode_json(
                     await read_at_most(response, MAX_REPORT_BYTES), _Report
                 )
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             await self._client.discard_connections(target.address)
             self._log_failure(target, describe_error(error))
             return None
@@ -106,7 +106,7 @@
                 timeout=self._timeout,
             ) as response:
                 return _OUTCOMES_BY_STATUS.get(response.status, OrderOutcome.REFUSED)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             self._log_failure(target, describe_error(error))
             return OrderOutcome.NOT_SENT if body.refused else OrderOutcome.UNKNOWN
 
--- a/goldcrestyard/plugins/listeners/errors.py
+++ b/goldcrestyard/plugins/listeners/errors.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from goldcrestyard.core.decoding import encodable
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 
 VERDICT_HEADER = "x-verdict"
@@ -48,7 +49,7 @@
     return msgspec.json.encode(
         {
             "error": {
-                "message": refusal.detail,
+                "message": encodable(refusal.detail),
                 "type": kind,
                 "code": refusal.reason.value,
                 "param": None,
--- a/goldcrestyard/plugins/operators/authorisation.py
+++ b/goldcrestyard/plugins/operators/authorisation.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from goldcrestyard.core.decoding import bytes_of
 from goldcrestyard.core.headers import REQUEST_ID_HEADER
 from goldcrestyard.core.ids import RequestId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -18,7 +19,7 @@
 def operator_of(request: web.Request, settings: OperatorSettings) -> str | None:
     """Return the name of the operator whose key is sent, or None."""
     _, _, token = request.headers.get("authorization", "").partition(" ")
-    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    digest = hashlib.sha256(bytes_of(token.strip())).hexdigest()
     # Every hash is compared, so that the response time does not reveal
     # whether or where a key matched.
     matching = [
--- a/goldcrestyard/plugins/services/requests.py
+++ b/goldcrestyard/plugins/services/requests.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from urllib.parse import unquote_plus, unquote_to_bytes
 
+from goldcrestyard.core.decoding import is_header
 from goldcrestyard.core.headers import REQUEST_ID_HEADER
 from goldcrestyard.core.ids import RequestId, ServiceName
 from goldcrestyard.core.records import Service, ServiceRoute
@@ -122,9 +123,15 @@
 def select_headers(
     headers: Iterable[tuple[str, str]], allowed: frozenset[str]
 ) -> tuple[tuple[str, str], ...]:
-    """Return the headers with an allowed name, in lower case."""
+    """Return the headers with an allowed name, in lower case.
+
+    Those with bytes that are not text are left out: the headers of an answer
+    may be stored with its claim.
+    """
     return tuple(
-        (name.lower(), value) for name, value in headers if name.lower() in allowed
+        (name.lower(), value)
+        for name, value in headers
+        if name.lower() in allowed and is_header(name, value)
     )
 
 
--- a/goldcrestyard/plugins/targets/views.py
+++ b/goldcrestyard/plugins/targets/views.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
-from goldcrestyard.core.decoding import Count, WholeNumber
+from goldcrestyard.core.decoding import Count, WholeNumber, bytes_of
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -217,7 +217,7 @@
 
     def _check_token(self, request: web.Request) -> Refusal | None:
         _, _, token = request.headers.get("authorization", "").partition(" ")
-        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        digest = hashlib.sha256(bytes_of(token.strip())).hexdigest()
         if hmac.compare_digest(digest, self._settings.token_sha256.lower()):
             return None
         return Refusal(RefusalReason.INVALID_KEY, "unknown target token")
--- a/goldcrestyard/plugins/weights/views.py
+++ b/goldcrestyard/plugins/weights/views.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from goldcrestyard.core.decoding import bytes_of
 from goldcrestyard.core.ids import ModelName, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.plugins.listeners.errors import refuse
@@ -68,5 +69,5 @@
 
     def _has_target_token(self, request: web.Request) -> bool:
         _, _, token = request.headers.get("authorization", "").partition(" ")
-        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        digest = hashlib.sha256(bytes_of(token.strip())).hexdigest()
         return hmac.compare_digest(digest, self._token_sha256.lower())
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -12,23 +12,28 @@
 from pathlib import Path
 from typing import Any
 
+from aiohttp import web
 from parameterized import parameterized
 
 import goldcrestyard
+from goldcrestyard.core import keys
 from goldcrestyard.core.attempts import Answered
 from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import OrganisationId
 from goldcrestyard.core.records import Organisation
-from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.platform import documents, heartbeats, submissions
+from goldcrestyard.platform.answers import refusal_response
 from goldcrestyard.plugins.engines.event_stream import parse_event
 from goldcrestyard.plugins.engines.requests import InferenceRequest, parse_request
 from goldcrestyard.plugins.engines.token_counts import (
     StreamTokenCounter,
     token_count_of_answer,
 )
+from goldcrestyard.plugins.listeners.errors import refuse
 from goldcrestyard.plugins.operators.views import PlanBody
 from goldcrestyard.plugins.organisations.declarations import declaration_errors
+from goldcrestyard.plugins.services.requests import select_headers
 from goldcrestyard.plugins.targets.views import Announcement, TargetRequest
 from goldcrestyard.plugins.trainers.questions import parse_question
 from goldcrestyard.policy.orders import _highest_fence
@@ -169,3 +174,26 @@
     def test_highest_fence_of_an_answer(self) -> None:
         body = b'{"error":"stale_fencing","highest":[%s,1]}' % DIGITS
         self.assertIsNone(_highest_fence(body))
+
+
+NOT_TEXT = "a\udcff"
+"""A header with a byte that is not UTF-8, as the HTTP library returns it."""
+
+
+class TextTests(unittest.TestCase):
+    """Text that cannot be encoded is refused, replaced or passed as bytes."""
+
+    @parameterized.expand([("platform", refusal_response), ("product", refuse)])
+    def test_detail_of_a_refusal(
+        self, _: str, respond: Callable[[Refusal], web.Response]
+    ) -> None:
+        refusal = Refusal(RefusalReason.NOT_FOUND, f"no route for {NOT_TEXT}")
+        self.assertEqual(respond(refusal).status, 404)
+
+    def test_secret_of_a_key(self) -> None:
+        self.assertNotEqual(keys.hash_secret(NOT_TEXT), keys.hash_secret("a?"))
+
+    def test_headers_of_an_answer(self) -> None:
+        headers = [("Content-Type", NOT_TEXT), ("X-A", "b\tc")]
+        allowed = frozenset({"content-type", "x-a"})
+        self.assertEqual(select_headers(headers, allowed), (("x-a", "b\tc"),))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -90,6 +90,7 @@
     ("huge_attempts", lambda d: d["routes"][0].update(attempts=10**400)),
     ("huge_slots", lambda d: d["services"][0]["engine"].update(slots=10**400)),
     ("huge_bound", lambda d: d["services"][0]["autoscale"].update(max=10**400)),
+    ("organisation_with_line_break", lambda d: d["tenants"][0].update(name="a\nb")),
     # The parser of heads fails on these, on each connection.
     ("huge_header_limit", lambda d: d["limits"].update(max_header_bytes=2**64)),
     ("negative_header_limit", lambda d: d["limits"].update(max_header_bytes=-1)),
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -4,8 +4,7 @@
 import unittest
 from typing import Any
 
-from aiohttp import web
-from aiohttp.test_utils import TestClient, TestServer
+from aiohttp.test_utils import RawTestServer, TestClient
 from parameterized import parameterized
 from yarl import URL
 
@@ -78,6 +77,22 @@
         body = json.dumps({**BEAT, **change}).encode()
         self.assertIsInstance(heartbeats.decode("i-1", body), Refusal)
 
+    @parameterized.expand(
+        [
+            ("line_break", "a\nb"),
+            ("nul", "a\x00b"),
+            ("byte_that_is_not_text", "a\udcffb"),
+            ("empty", ""),
+            ("endless", "x" * 1000),
+        ]
+    )
+    def test_names_that_cannot_be_sent(self, _: str, name: str) -> None:
+        body = json.dumps(BEAT).encode()
+        self.assertIsInstance(heartbeats.decode(name, body), Refusal)
+        for field in ("service", "zone"):
+            body = json.dumps({**BEAT, field: name}).encode()
+            self.assertIsInstance(heartbeats.decode("i-1", body), Refusal)
+
     @parameterized.expand([("empty", b""), ("cut", b'{"service'), ("binary", b"\xff")])
     def test_unreadable(self, _: str, body: bytes) -> None:
         self.assertIsInstance(heartbeats.decode("i-1", body), Refusal)
@@ -90,6 +105,9 @@
     ("binary", bytes(range(256))),
     # A later start at the same address would end the other target there.
     ("number_too_large", {**BEAT, **GOOD, "born": 10**400}),
+    ("port_out_of_range", {**BEAT, **GOOD, "addr": "10.0.0.9:70000"}),
+    ("id_with_line_break", {**BEAT, **GOOD}, "i%0Aodd"),
+    ("endless_service", {**BEAT, **GOOD, "service": "x" * 1000}),
 ]
 
 
@@ -103,9 +121,7 @@
         member: Any = FakeMember(machine, Clock())
         self.tracker = TargetTracker(member, {}, 1.0, Clock())
         front = ControlFront(member, None, self.tracker, "127.0.0.1:1")  # type: ignore[arg-type]
-        server = TestServer(web.Application())
-        server.app.router.add_route("*", "/{path:.*}", front.handle)
-        self.client = TestClient(server)
+        self.client = TestClient(RawTestServer(front.handle))
         await self.client.start_server()
         self.addAsyncCleanup(self.client.close)
 
--- a/tests/platform/test_submissions.py
+++ b/tests/platform/test_submissions.py
@@ -36,6 +36,23 @@
 }
 
 
+SCORER = ITEM["scorer"]
+UNSENDABLE: list[tuple[str, dict[str, Any]]] = [
+    ("id_with_line_break", {"id": "a\nb"}),
+    ("empty_id", {"id": ""}),
+    ("endless_id", {"id": "x" * 1000}),
+    ("path_with_line_break", {"path": "/a\r\nX: y"}),
+    ("path_with_space", {"path": "/a b"}),
+    ("path_without_slash", {"path": "a"}),
+    ("header_with_line_break", {"headers": {"X": "a\nb"}}),
+    ("header_name_with_colon", {"headers": {"X: y": "a"}}),
+    ("header_without_name", {"headers": {"": "a"}}),
+    ("scorer_id_with_line_break", {"scorer": {**SCORER, "id": "a\nb"}}),
+    ("scorer_path_with_line_break", {"scorer": {**SCORER, "path": "/a\nb"}}),
+    ("scorer_host_with_line_break", {"scorer": {**SCORER, "host": "a\nb"}}),
+]
+
+
 def decode(document: object, job: str = "j") -> Job | Refusal:
     body = json.dumps(document).encode()
     return submissions.decode(job, OrganisationId("o"), "h.example", "/jobs/", body)
@@ -67,6 +84,12 @@
             ("body_not_ascii", {"requests": [{**ITEM, "body": "\u1000qqqq"}]}, "j"),
             ("version_of_another_type", {**LOT, "least_required": "6"}, "j"),
             ("job_without_id", LOT, ""),
+            ("job_id_that_is_not_text", LOT, "j\udcff"),
+            ("endless_job_id", LOT, "j" * 1000),
+            *(
+                (f"item_{name}", {**LOT, "requests": [{**ITEM, **change}]}, "j")
+                for name, change in UNSENDABLE
+            ),
             *(
                 (f"huge_{name}", {**LOT, name: 10**400}, "j")
                 for name in ("step", "least_required", "group_count")
@@ -76,6 +99,17 @@
     def test_refused(self, _: str, document: object, job: str) -> None:
         self.assertIsInstance(decode(document, job), Refusal)
 
+    def test_host_that_is_not_text(self) -> None:
+        body = json.dumps(LOT).encode()
+        job = submissions.decode("j", None, "h.example:\udcff", "/jobs/", body)
+        self.assertIsInstance(job, Refusal)
+
+    def test_headers_that_frame_a_request_are_left_out(self) -> None:
+        framing = {"Content-Length": "5", "transfer-encoding": "chunked", "X": "y"}
+        job = decode({**LOT, "requests": [{**ITEM, "headers": framing}]})
+        assert isinstance(job, Job)
+        self.assertEqual(job.items[0].headers, (("X", "y"),))
+
 
 class EncodeTests(unittest.TestCase):
     """Guards against changes of the result format that trainers read."""
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -11,9 +11,20 @@
 
 from goldcrestyard.core.attempts import Broken, TurnedAway, Unreached
 from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
-from goldcrestyard.core.ids import EventNumber, OrganisationId, RequestId
+from goldcrestyard.core.ids import (
+    EventNumber,
+    InstanceId,
+    ModelName,
+    OrganisationId,
+    RequestId,
+    Term,
+    WeightVersion,
+)
 from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.duties import permit_of
+from goldcrestyard.fleet.versions.orders import LoadOrder, OrderOutcome
 from goldcrestyard.platform.targets.client import HttpTargetClient
+from goldcrestyard.platform.targets.engine_control import HttpEngineControl
 from tests.fakes.targets import target
 
 ID = "9c41d07be2a35f68"
@@ -95,11 +106,27 @@
         "answer_of_another_request", WHOLE.replace(ID.encode(), b"0" * 16), stay, Broken
     ),
     Case("no_signature", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", stay, Broken),
+    Case(
+        "signature_that_is_not_text",
+        WHOLE.replace(b"Stamp: s", b"Stamp: \xff"),
+        stay,
+        Broken,
+    ),
     Case("full", FULL, stay, TurnedAway),
     Case("another_target", MISDIRECTED, stay, TurnedAway),
 ]
 
 
+@dataclass
+class Leader:
+    """A leader that holds its lease."""
+
+    term: Term = Term(4)
+
+    def holds_lease(self) -> bool:
+        return True
+
+
 LIMIT_LINE = b"Server-Limit: 1.5\r\n"
 
 
@@ -203,6 +230,28 @@
         await self._send(repeatable=False)
         self.assertEqual(self.limits, case.expected)
 
+    @parameterized.expand(
+        [
+            ("whole", "t", b'{"seq":2}', True),
+            ("nested_deeply", "t", b'{"x":' + b"[" * 9999 + b"]" * 9999 + b"}", False),
+            ("number_too_large", "t", b'{"seq":' + b"9" * 400 + b"}", False),
+            ("id_with_line_break", "t\n1", b"{}", False),
+            ("port_out_of_range", "127.0.0.1:70000", b"{}", False),
+        ]
+    )
+    async def test_report(self, _: str, odd: str, body: bytes, read: bool) -> None:
+        """Guards against an odd engine that ends the loading of versions."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.script.append((head + body, stay))
+        change = {"address": odd} if ":" in odd else {"id": odd}
+        control = HttpEngineControl(self.client, InstanceId("m"))
+        to = replace(self.target, **change)  # type: ignore[arg-type]
+        self.assertEqual(await control.report(to) is not None, read)
+        load = LoadOrder(ModelName("m"), WeightVersion(2), 1, 0)
+        self.script = [(b"", close)]
+        outcome = await control.load(to, load, permit_of(Leader()))
+        self.assertIs(outcome, OrderOutcome.UNKNOWN)
+
     async def test_bytes_left_over_are_not_the_next_answer(self) -> None:
         other = WHOLE.replace(b"hello", b"wrong")
         self.script += [(WHOLE + other, stay), (WHOLE, stay), (WHOLE, stay)]
