Bound the size of a heartbeat

A heartbeat of 64 MiB was read and acknowledged: the control listener had one limit for all bodies, that of a configuration. Such a body is held by the leader for as long as it arrives, and takes a share of its loop to decode.

Change: a heartbeat has at most 1 MiB and is refused with 413 beyond.

Before: tests.platform.test_heartbeats test_endless_heartbeat failed, 200 instead of 413 for 1 MiB and a few hundred bytes. After: passes.

--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -41,6 +41,9 @@
 logger = structlog.get_logger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_HEARTBEAT_BYTES = 1024 * 1024
+"""Largest heartbeat, which has some dozens of bytes for each model."""
+
 MAX_DIRECTORY_ADDRESSES = 64
 
 UNCOMMITTED = Refusal(
@@ -73,7 +76,10 @@
         """Answer a request as the leader, or redirect it to the leader."""
         if not self._member.holds_lease():
             return self._redirect(request)
-        body = await read_body(request, MAX_BODY_BYTES)
+        is_heartbeat = request.path.startswith(HEARTBEAT_PATH)
+        body = await read_body(
+            request, MAX_HEARTBEAT_BYTES if is_heartbeat else MAX_BODY_BYTES
+        )
         if isinstance(body, Refusal):
             return refusal_response(body)
         match request.method, request.path:
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -16,7 +16,10 @@
 from goldcrestyard.fleet.versions.slices import VersionsSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.platform import heartbeats
-from goldcrestyard.platform.control.front import ControlFront
+from goldcrestyard.platform.control.front import (
+    MAX_HEARTBEAT_BYTES,
+    ControlFront,
+)
 from goldcrestyard.platform.names import HEARTBEAT_PATH
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.heartbeats import Heartbeat
@@ -131,6 +134,11 @@
         async with self.client.put(path, data=data) as response:
             return response.status
 
+    async def test_endless_heartbeat(self) -> None:
+        """Guards against the cost of one heartbeat for the leader."""
+        body = json.dumps(BEAT).encode() + b" " * MAX_HEARTBEAT_BYTES
+        self.assertEqual(await self._put("i-1", body), 413)
+
     @parameterized.expand(ODD_BODIES)
     async def test_odd_heartbeat_among_good_ones(
         self, _: str, odd: bytes | dict[str, Any], odd_id: str = "i-odd"
