Read numbers in headers and queries with one strict parser

An answer of a target whose header of weight versions held a superscript digit raised ValueError out of the target client: str.isdigit accepts such digits, int does not. So did 5,000 digits there, in the position of a page of results, in the wait of a trainer, in a piece's version, and in the queries of the audit trail; a wait of 400 digits raised OverflowError, and so did the year of a Retry-After date. Callers got the answer for faults of the program to a request that had not run, and the task that read the answer of a target ended. Versions of -1 and of 400 digits were taken from events.

Change: core/decoding.parse_count and parse_decimal read all of these; what they do not take is refused or ignored as the place already did for text without digits. Lengths and statuses of answers to orders are read with them as well: int accepts signs, spaces and underscores there.

--- a/goldcrestyard/cli/commands/confirm.py
+++ b/goldcrestyard/cli/commands/confirm.py
@@ -7,6 +7,7 @@
 from goldcrestyard.cli.base import SERVER_OPTIONS, ChangeCommand
 from goldcrestyard.cli.client import OperatorClient
 from goldcrestyard.cli.exit_codes import ExitCode
+from goldcrestyard.core.decoding import parse_count
 
 _PLAN_REFERENCE = re.compile(r"([0-9]{1,19})@([0-9a-f]{64})")
 
@@ -22,13 +23,14 @@
     async def run_on(self, client: OperatorClient) -> int:
         """Confirm the plan."""
         match = _PLAN_REFERENCE.fullmatch(self.argument("plan"))
-        if match is None:
+        number = parse_count(match[1]) if match is not None else None
+        if match is None or number is None:
             return self.fail(
                 ExitCode.USAGE,
                 "give the plan as NUMBER@DIGEST; 'goldcrest plans show NUMBER' "
                 "prints both",
             )
-        number, digest = int(match[1]), match[2]
+        digest = match[2]
         reply = await client.send(
             "POST", f"/plans/{number}/confirm", {"digest": digest}
         )
--- a/goldcrestyard/cli/commands/plan.py
+++ b/goldcrestyard/cli/commands/plan.py
@@ -9,6 +9,7 @@
 from goldcrestyard.cli.base import SERVER_OPTIONS, OperatorCommand
 from goldcrestyard.cli.client import Answer, OperatorClient
 from goldcrestyard.cli.exit_codes import ExitCode
+from goldcrestyard.core.decoding import parse_count
 
 
 class Command(OperatorCommand):
@@ -40,11 +41,12 @@
         body: dict[str, object] = {"declaration": self.declaration}
         number = self.option("number")
         if number is not None:
-            if not number.isdigit():
+            parsed = parse_count(number)
+            if parsed is None:
                 return self.fail(
                     ExitCode.USAGE, f"--number {number} is not a whole number"
                 )
-            body["number"] = int(number)
+            body["number"] = parsed
         reply = await client.send("POST", "/plans", body)
         if not isinstance(reply, Answer):
             return self.report_failure(reply)
--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -5,6 +5,7 @@
 ``RecursionError``, and a number of thousands of digits in a ``ValueError``.
 """
 
+import math
 import re
 from dataclasses import dataclass
 from typing import Annotated, TypeVar
@@ -18,6 +19,8 @@
 """Largest whole number from outside.  All implementations of JSON exchange
 numbers up to it exactly; arithmetic with floats fails on far larger ones."""
 
+_MAX_COUNT_DIGITS = len(str(MAX_WHOLE_NUMBER))
+
 Count = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 WholeNumber = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
 """Types of fields of documents from outside.  Types that are also stored must
@@ -77,3 +80,26 @@
 def bytes_of(header: str) -> bytes:
     """Return the bytes of a header's value as they were received."""
     return header.encode("utf-8", "surrogateescape")
+
+
+def parse_count(text: str) -> int | None:
+    """Return a decimal number, or None.
+
+    ``int`` alone accepts signs, underscores, spaces and digits of all
+    scripts, and fails on thousands of digits.
+    """
+    if len(text) > _MAX_COUNT_DIGITS or not (text.isascii() and text.isdigit()):
+        return None
+    number = int(text)
+    return number if number <= MAX_WHOLE_NUMBER else None
+
+
+def parse_decimal(text: str) -> float | None:
+    """Return a finite number with or without a fraction, or None."""
+    if len(text) > MAX_ID_LENGTH or not text.isascii() or "_" in text:
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) else None
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.ids import CorrelationId, ItemId, JobId, OrganisationId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
@@ -96,14 +97,12 @@
         job = JobId(path_of(request).removeprefix(RESULTS_PATH))
         if request.method == "DELETE":
             return await self._end(job, organisation)
-        position = request.query.get("after", "0")
-        if not position.isdigit():
+        position = parse_count(request.query.get("after", "0"))
+        if position is None:
             return refusal_response(
                 Refusal(RefusalReason.BAD_REQUEST, "parameter 'after' is not a number")
             )
-        return await self._read(
-            job, organisation, int(position), _wait_seconds(request)
-        )
+        return await self._read(job, organisation, position, _wait_seconds(request))
 
     async def _read(
         self,
@@ -199,5 +198,5 @@
 
 
 def _wait_seconds(request: web.BaseRequest) -> float:
-    text = request.headers.get(WAIT_HEADER, "")
-    return min(MAX_RESULT_WAIT_SECONDS, int(text) / 1000) if text.isdigit() else 0.0
+    milliseconds = parse_count(request.headers.get(WAIT_HEADER, ""))
+    return min(MAX_RESULT_WAIT_SECONDS, (milliseconds or 0) / 1000)
--- a/goldcrestyard/platform/callers/requests.py
+++ b/goldcrestyard/platform/callers/requests.py
@@ -1,9 +1,8 @@
 """Decoding of callers' requests."""
 
-import math
-
 from aiohttp import hdrs, web
 
+from goldcrestyard.core.decoding import parse_decimal
 from goldcrestyard.core.ids import RequestId
 from goldcrestyard.fleet.gateway.admission import CallerRequest
 from goldcrestyard.platform.hop_headers import end_to_end
@@ -68,8 +67,5 @@
 
     A value that is not a positive finite number is ignored.
     """
-    try:
-        seconds = float(request.headers[DEADLINE_HEADER]) / 1000
-    except (KeyError, ValueError):
-        return None
-    return seconds if math.isfinite(seconds) and seconds > 0 else None
+    milliseconds = parse_decimal(request.headers.get(DEADLINE_HEADER, ""))
+    return milliseconds / 1000 if milliseconds and milliseconds > 0 else None
--- a/goldcrestyard/platform/event_stream.py
+++ b/goldcrestyard/platform/event_stream.py
@@ -6,6 +6,7 @@
 
 from goldcrestyard.core.attempts import Broken, describe_error
 from goldcrestyard.core.calls import StreamEvent
+from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.ids import EventNumber, WeightVersion
 from goldcrestyard.platform.names import VERSION_HEADER
 
@@ -64,11 +65,11 @@
             value = value.removeprefix(b" ")
             match name.lower():
                 case b"id":
-                    number = int(value)
+                    number = _parse_number(value)
                 case b"data":
                     data.append(value)
                 case name if name == _VERSION_FIELD:
-                    version = int(value)
+                    version = _parse_number(value)
                 case b"" | b"event" | b"retry":
                     pass
                 case _:
@@ -83,3 +84,10 @@
         raw,
         None if version is None else WeightVersion(version),
     )
+
+
+def _parse_number(value: bytes) -> int:
+    number = parse_count(value.decode("ascii"))
+    if number is None:
+        raise ValueError("not a number")
+    return number
--- a/goldcrestyard/platform/submissions.py
+++ b/goldcrestyard/platform/submissions.py
@@ -11,6 +11,7 @@
     is_header,
     is_id,
     is_path,
+    parse_count,
 )
 from goldcrestyard.core.ids import (
     GroupId,
@@ -28,6 +29,9 @@
 from goldcrestyard.platform.hop_headers import end_to_end
 from goldcrestyard.platform.names import LENGTH_HINT_HEADER, MODEL_HEADER
 
+MAX_LENGTH_HINT = 10**9
+"""Number of tokens from which a hint is no number of tokens of an item."""
+
 
 class _Scorer(msgspec.Struct):
     id: str
@@ -149,4 +153,5 @@
 
 def _number(text: str) -> int:
     """Return a number of tokens, or 0 if the text is not one."""
-    return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0
+    number = parse_count(text)
+    return number if number is not None and number < MAX_LENGTH_HINT else 0
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -23,7 +22,7 @@
     describe_error,
 )
 from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
-from goldcrestyard.core.decoding import is_header
+from goldcrestyard.core.decoding import is_header, parse_count, parse_decimal
 from goldcrestyard.core.ids import RequestRate, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.kernel.http_client import (
@@ -98,8 +97,8 @@
         self.status = response.status
         self.headers = end_to_end(response.headers.items())
         self.signature = response.headers.get(SIGNATURE_HEADER, "")
-        version = response.headers.get(VERSION_HEADER, "")
-        self.version = WeightVersion(int(version)) if version.isdigit() else None
+        version = parse_count(response.headers.get(VERSION_HEADER, ""))
+        self.version = None if version is None else WeightVersion(version)
 
     async def read(self) -> bytes | Broken:
         """Return the whole body, or ``Broken`` if it is incomplete."""
@@ -302,11 +301,8 @@
 
 def _limit_of(response: aiohttp.ClientResponse) -> RequestRate | None:
     """Return the limit that an answer names; None if it names no valid one."""
-    try:
-        limit = float(response.headers.get(REQUEST_LIMIT_HEADER, ""))
-    except ValueError:
-        return None
-    return RequestRate(limit) if math.isfinite(limit) and limit >= 0 else None
+    limit = parse_decimal(response.headers.get(REQUEST_LIMIT_HEADER, ""))
+    return None if limit is None or limit < 0 else RequestRate(limit)
 
 
 def _failure_of(
--- a/goldcrestyard/plugins/audit/views.py
+++ b/goldcrestyard/plugins/audit/views.py
@@ -3,6 +3,7 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.ids import LogIndex
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.membership.leader_link import LeaderLink
@@ -47,11 +48,9 @@
 
     async def audit(self, request: web.Request, _: Author) -> web.StreamResponse:
         """List records, filtered by log index, author and subject."""
-        since = request.query.get("since", "0")
-        limit = request.query.get("limit", "100")
-        if not (since.isascii() and since.isdigit()) or not (
-            limit.isascii() and limit.isdigit()
-        ):
+        since = parse_count(request.query.get("since", "0"))
+        limit = parse_count(request.query.get("limit", "100"))
+        if since is None or limit is None:
             return refuse(
                 Refusal(
                     RefusalReason.BAD_REQUEST,
@@ -59,10 +58,10 @@
                 )
             )
         query = AuditQuery(
-            LogIndex(int(since)),
+            LogIndex(since),
             request.query.get("author", ""),
             request.query.get("subject", ""),
-            min(int(limit), MAX_LISTED_RECORDS),
+            min(limit, MAX_LISTED_RECORDS),
         )
         reply = await self._link.request(query, LEADER_QUERY_TIMEOUT_SECONDS)
         if not isinstance(reply, AuditReply):
--- a/goldcrestyard/plugins/operators/views.py
+++ b/goldcrestyard/plugins/operators/views.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.decoding import Count
+from goldcrestyard.core.decoding import Count, parse_count
 from goldcrestyard.core.ids import KeyId, PlanNumber, Revision, TargetId
 from goldcrestyard.core.records import Key
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -198,6 +198,7 @@
 
 def _plan_number(request: web.Request) -> PlanNumber | Refusal:
     text = request.match_info["number"]
-    if text.isascii() and text.isdigit() and len(text) < 20:
-        return PlanNumber(int(text))
+    number = parse_count(text)
+    if number is not None:
+        return PlanNumber(number)
     return Refusal(RefusalReason.BAD_REQUEST, f"{text!r} is not a plan number")
--- a/goldcrestyard/plugins/orders/connection.py
+++ b/goldcrestyard/plugins/orders/connection.py
@@ -5,6 +5,7 @@
 import struct
 from typing import Protocol
 
+from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.policy.orders import OrderAnswer
 from goldcrestyard.wire.client import PeerAddress
 
@@ -127,7 +128,9 @@
         protocol, status_text, *_ = status_line.split(" ")
         if not protocol.startswith("HTTP/1."):
             raise ValueError(f"unexpected protocol {protocol}")
-        status = int(status_text)
+        status = parse_count(status_text)
+        if status is None:
+            raise ValueError("the status is not a number")
         if status >= 200:
             break
     else:
@@ -139,8 +142,8 @@
     if headers_by_name.get("transfer-encoding", "").lower() == "chunked":
         return OrderAnswer(status, await _read_chunks(reader))
     if "content-length" in headers_by_name:
-        length = int(headers_by_name["content-length"])
-        if not 0 <= length <= MAX_ANSWER_BYTES:
+        length = parse_count(headers_by_name["content-length"])
+        if length is None or length > MAX_ANSWER_BYTES:
             raise ValueError("answer is too long")
         return OrderAnswer(status, await reader.readexactly(length))
     if status == 204:
--- a/goldcrestyard/plugins/trainers/views.py
+++ b/goldcrestyard/plugins/trainers/views.py
@@ -6,6 +6,7 @@
 import structlog
 from aiohttp import web
 
+from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.headers import CORRELATION_HEADER
 from goldcrestyard.core.ids import BatchId, ModelName, StepNumber, WeightVersion
 from goldcrestyard.core.records import ModelLine
@@ -180,10 +181,9 @@
 
 
 def _step_number(text: str) -> StepNumber | Refusal:
-    if text.isascii() and text.isdigit() and len(text) <= 16:
-        number = int(text)
-        if number <= MAX_STEP_NUMBER:
-            return StepNumber(number)
+    number = parse_count(text)
+    if number is not None and number <= MAX_STEP_NUMBER:
+        return StepNumber(number)
     return Refusal(
         RefusalReason.BAD_REQUEST,
         f"the step must be a number from 0 to {MAX_STEP_NUMBER}",
--- a/goldcrestyard/plugins/weights/views.py
+++ b/goldcrestyard/plugins/weights/views.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from goldcrestyard.core.decoding import bytes_of
+from goldcrestyard.core.decoding import bytes_of, parse_count
 from goldcrestyard.core.ids import ModelName, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.plugins.listeners.errors import refuse
@@ -36,12 +36,12 @@
         proof = request.headers.get(PROOF_HEADER)
         if proof is None and not self._has_target_token(request):
             return refuse(Refusal(RefusalReason.INVALID_KEY, "unknown target token"))
-        version = request.match_info["version"]
-        if not (version.isascii() and version.isdigit() and len(version) <= 16):
+        version = parse_count(request.match_info["version"])
+        if version is None:
             detail = "the version is not a number"
             return refuse(Refusal(RefusalReason.BAD_REQUEST, detail))
         weights = self._weights.find(
-            ModelName(request.match_info["model"]), WeightVersion(int(version))
+            ModelName(request.match_info["model"]), WeightVersion(version)
         )
         if weights is None:
             return refuse(
--- a/goldcrestyard/policy/hand_out.py
+++ b/goldcrestyard/policy/hand_out.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from goldcrestyard.core.decoding import MAX_WHOLE_NUMBER, parse_count
 from goldcrestyard.core.ids import WeightVersion
 
 VersionsBehind = Callable[[WeightVersion], int | None]
@@ -40,10 +41,10 @@
     match value:
         case bool():
             return None
-        case int() if value >= 0:
+        case int() if 0 <= value <= MAX_WHOLE_NUMBER:
             return WeightVersion(value)
-        case str() if value.isascii() and value.isdigit():
-            return WeightVersion(int(value))
+        case str() if (version := parse_count(value)) is not None:
+            return WeightVersion(version)
     return None
 
 
--- a/goldcrestyard/policy/weight_sources.py
+++ b/goldcrestyard/policy/weight_sources.py
@@ -73,7 +73,7 @@
         except ValueError:
             try:
                 seconds = parsedate_to_datetime(header).timestamp() - now
-            except ValueError:
+            except (ValueError, OverflowError):
                 pass
     if math.isnan(seconds):
         seconds = default
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -18,7 +18,12 @@
 import goldcrestyard
 from goldcrestyard.core import keys
 from goldcrestyard.core.attempts import Answered
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import (
+    Malformed,
+    decode_json,
+    parse_count,
+    parse_decimal,
+)
 from goldcrestyard.core.ids import OrganisationId
 from goldcrestyard.core.records import Organisation
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -36,7 +41,9 @@
 from goldcrestyard.plugins.services.requests import select_headers
 from goldcrestyard.plugins.targets.views import Announcement, TargetRequest
 from goldcrestyard.plugins.trainers.questions import parse_question
+from goldcrestyard.policy.hand_out import parse_version
 from goldcrestyard.policy.orders import _highest_fence
+from goldcrestyard.policy.weight_sources import retry_after_seconds
 
 PACKAGE = Path(goldcrestyard.__file__).parent
 DEPTH = 100_000
@@ -197,3 +204,56 @@
         headers = [("Content-Type", NOT_TEXT), ("X-A", "b\tc")]
         allowed = frozenset({"content-type", "x-a"})
         self.assertEqual(select_headers(headers, allowed), (("x-a", "b\tc"),))
+
+
+class NumberTests(unittest.TestCase):
+    """Only what is written as a number is read as one."""
+
+    @parameterized.expand(
+        [
+            ("largest", "9007199254740991", 2**53 - 1),
+            ("leading_zero", "07", 7),
+            ("too_large", "9007199254740992", None),
+            ("thousands_of_digits", "9" * 5000, None),
+            ("superscript", "\u00b2", None),
+            ("digits_of_another_script", "\u0661", None),
+            ("sign", "+1", None),
+            ("negative", "-1", None),
+            ("underscore", "1_0", None),
+            ("space", " 1", None),
+            ("empty", "", None),
+            ("not_text", NOT_TEXT, None),
+        ]
+    )
+    def test_count(self, _: str, text: str, expected: int | None) -> None:
+        self.assertEqual(parse_count(text), expected)
+
+    @parameterized.expand(
+        [
+            ("fraction", "1.5", 1.5),
+            ("exponent", "1e3", 1000.0),
+            ("negative", "-1", -1.0),
+            ("infinite", "inf", None),
+            ("beyond_floats", "1e999", None),
+            ("no_number", "nan", None),
+            ("thousands_of_digits", "9" * 5000, None),
+            ("digits_of_another_script", "\u0661", None),
+            ("underscore", "1_0", None),
+            ("empty", "", None),
+        ]
+    )
+    def test_decimal(self, _: str, text: str, expected: float | None) -> None:
+        self.assertEqual(parse_decimal(text), expected)
+
+    @parameterized.expand([("superscript", "\u00b2"), ("digits", "9" * 5000)])
+    def test_weight_version_of_a_piece(self, _: str, text: str) -> None:
+        self.assertIsNone(parse_version(text))
+
+    @parameterized.expand(
+        [
+            ("year", "01 Jan 999999999999 00:00:00"),
+            ("zone", "1 Jan 2020 00:00:00 +99999999999999"),
+        ]
+    )
+    def test_delay_of_an_impossible_date(self, _: str, header: str) -> None:
+        self.assertEqual(retry_after_seconds(header, 0.0, 2.0), 2.0)
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,59 @@
+"""Tests of decoding numbers in callers' headers and queries.
+
+They guard against a number on which the decoder raises, so that the caller
+gets an internal error, or that is read as another one.
+"""
+
+import unittest
+from typing import Any
+
+from aiohttp.test_utils import make_mocked_request
+from parameterized import parameterized
+
+from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.platform.callers.jobs import JobEndpoints, _wait_seconds
+from goldcrestyard.platform.callers.requests import seconds_left
+from goldcrestyard.platform.names import DEADLINE_HEADER, RESULTS_PATH, WAIT_HEADER
+
+ODD = [
+    ("superscript", "\u00b2"),
+    ("digits_of_another_script", "\u0661"),
+    ("thousands_of_digits", "9" * 5000),
+    ("negative", "-1"),
+    ("no_number", "nan"),
+]
+
+
+class _OpenAdmission:
+    """Takes all requests as those of one organisation."""
+
+    def authenticate(self, key: str | None) -> Refusal | None:
+        return None
+
+
+class HeaderTests(unittest.TestCase):
+    """Odd numbers in headers are ignored."""
+
+    @parameterized.expand([*ODD, ("too_large", "9" * 400)])
+    def test_ignored(self, _: str, text: str) -> None:
+        headers = {WAIT_HEADER: text, DEADLINE_HEADER: text}
+        request = make_mocked_request("GET", "/", headers)
+        self.assertEqual(_wait_seconds(request), 0.0)
+        self.assertIsNone(seconds_left(request))
+
+    def test_read(self) -> None:
+        headers = {WAIT_HEADER: "500", DEADLINE_HEADER: "1500.5"}
+        request = make_mocked_request("GET", "/", headers)
+        self.assertEqual(_wait_seconds(request), 0.5)
+        self.assertEqual(seconds_left(request), 1.5005)
+
+
+class QueryTests(unittest.IsolatedAsyncioTestCase):
+    """An odd position of a page is refused."""
+
+    @parameterized.expand([*ODD[:4], ("too_large", "9" * 400), ("empty", "")])
+    async def test_position(self, _: str, text: str) -> None:
+        admission: Any = _OpenAdmission()
+        jobs = JobEndpoints(admission, None)  # type: ignore[arg-type]
+        request = make_mocked_request("GET", f"{RESULTS_PATH}j?after={text}")
+        self.assertEqual((await jobs.results(request)).status, 400)
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -23,6 +23,7 @@
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.duties import permit_of
 from goldcrestyard.fleet.versions.orders import LoadOrder, OrderOutcome
+from goldcrestyard.platform.names import VERSION_HEADER
 from goldcrestyard.platform.targets.client import HttpTargetClient
 from goldcrestyard.platform.targets.engine_control import HttpEngineControl
 from tests.fakes.targets import target
@@ -127,6 +128,14 @@
         return True
 
 
+ODD_VERSIONS = [
+    ("superscript", "\u00b2".encode()),
+    ("thousands_of_digits", b"9" * 5000),
+    ("too_large", b"9" * 400),
+    ("negative", b"-1"),
+    ("not_text", b"\xff"),
+]
+
 LIMIT_LINE = b"Server-Limit: 1.5\r\n"
 
 
@@ -252,6 +261,19 @@
         outcome = await control.load(to, load, permit_of(Leader()))
         self.assertIs(outcome, OrderOutcome.UNKNOWN)
 
+    @parameterized.expand(ODD_VERSIONS)
+    async def test_odd_version(self, _: str, version: bytes) -> None:
+        """Guards against a version that ends the task which reads it."""
+        line = VERSION_HEADER.encode() + b": " + version + b"\r\n"
+        event = b"id: 1\ndata: a\n" + line.replace(b"\r", b"") + b"\n"
+        head = HEAD + line + b"Content-Length: %d\r\n\r\n" % len(event)
+        self.script.append((head + event, stay))
+        async with self.client.open(self.target, self._call(), 1.5) as reply:
+            assert isinstance(reply, TargetReply)
+            self.assertIsNone(reply.version)
+            (read,) = [event async for event in reply.events()]
+        self.assertIsInstance(read, Broken)
+
     async def test_bytes_left_over_are_not_the_next_answer(self) -> None:
         other = WHOLE.replace(b"hello", b"wrong")
         self.script += [(WHOLE + other, stay), (WHOLE, stay), (WHOLE, stay)]
