Refuse addresses to which no connection can be opened

A target of the product announced itself at 127.0.0.1:70000, at a port of superscript digits or without a port, and was registered. An order to it raised OverflowError, ValueError or UnicodeError in the client of orders, whose caller takes only OSError for 'not sent'. By reading: the sender ends, starts again and meets the same order, which is in the log; after ten failures in a row (the limit of kernel/supervision) the process ends, and so does each leader after it. An id with a letter outside ASCII did the same in the encoding of the request, and one with a line break added a header to it.

Settings with a port out of range passed their checks and failed at the start; one of superscript digits raised in the check.

Cause: three parsers of host:port, of which none was strict.

Change: split_address and is_address in core/decoding are the one parser, which also knows what a host can be. An announcement with another address or a name that cannot be sent is refused; the sender takes the address of a target that was registered before for one that cannot be reached, and encodes ids.

Ruled out: heartbeats of the platform's targets, whose address was checked.

Before: 49 of 148 tests failed (core.test_decoding, plugins.orders test_connection, platform.test_settings); 23 of them as the check of an announcement did not exist. After: all pass.

--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -22,6 +22,7 @@
 _MAX_COUNT_DIGITS = len(str(MAX_WHOLE_NUMBER))
 
 Count = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+Port = Annotated[int, Meta(gt=0, le=65535)]
 WholeNumber = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
 """Types of fields of documents from outside.  Types that are also stored must
 not use them: a bound that is lowered would make stored records unreadable."""
@@ -30,6 +31,9 @@
 """Longest id or name from outside.  Ids go into headers, log lines and the
 replicated state."""
 
+MAX_PORT = 65535
+
+_HOST = re.compile(r"[0-9A-Za-z._:%\[\]-]{1,255}")
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _PATH = re.compile(r"/[!-~]*")
 
@@ -103,3 +107,21 @@
     except ValueError:
         return None
     return number if math.isfinite(number) else None
+
+
+def split_address(text: str) -> tuple[str, int] | None:
+    """Return host and port of an address, or None if it is not one.
+
+    Port 0, which stands for any free port, is accepted.
+    """
+    host, _, port_text = text.rpartition(":")
+    port = parse_count(port_text)
+    if port is None or port > MAX_PORT or _HOST.fullmatch(host) is None:
+        return None
+    return host, port
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is ``host:port`` to which one can connect."""
+    address = split_address(text)
+    return address is not None and address[1] > 0
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -13,6 +13,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied, ProposalResult
 from goldcrestyard.consensus.roles import Role
+from goldcrestyard.core.decoding import is_address
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
@@ -34,7 +35,6 @@
     may_retire,
     next_membership_change,
 )
-from goldcrestyard.wire.client import PeerAddress
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import Failure, NotLeader
 
@@ -199,7 +199,7 @@
         """Record a join request and commit the sender's machine name."""
         if not self._member.holds_lease():
             return self._member.make_not_leader_reply()
-        if not _is_address(message.address):
+        if not is_address(message.address):
             logger.warning(
                 "join request with a malformed address refused",
                 instance=message.instance,
@@ -223,12 +223,3 @@
 
     async def _propose(self, command: object) -> ProposalResult:
         return await self._member.propose(command)
-
-
-def _is_address(text: str) -> bool:
-    """Return whether a text is a host and a port."""
-    try:
-        address = PeerAddress.parse(text)
-    except ValueError:
-        return False
-    return bool(address.host) and 0 < address.port < 65536
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -10,6 +10,7 @@
     Malformed,
     WholeNumber,
     decode_json,
+    is_address,
     is_id,
 )
 from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
@@ -53,7 +54,7 @@
         )
     if not all(map(is_id, (target_id, beat.service, beat.zone))):
         return Refusal(RefusalReason.BAD_REQUEST, "an id or a name is not valid")
-    if not _is_address(beat.addr):
+    if not _is_target_address(beat.addr):
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.addr!r} is not host:port")
     if beat.slots > MAX_SLOTS:
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.slots} slots")
@@ -72,11 +73,10 @@
     )
 
 
-def _is_address(text: str) -> bool:
+def _is_target_address(text: str) -> bool:
     """Return whether a text is an IPv4 address and a port."""
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.IPv4Address(host)
+        ipaddress.IPv4Address(text.rpartition(":")[0])
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port[:6]) < 65536
+    return is_address(text)
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from goldcrestyard.core.decoding import Malformed, decode_json
+from goldcrestyard.core.decoding import Malformed, Port, decode_json, is_address
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
 from goldcrestyard.fleet.duties import DutySettings
@@ -85,7 +85,7 @@
     zones: dict[str, str]
     """Region of each data centre."""
     listen: dict[str, str]
-    port_range: tuple[int, int]
+    port_range: tuple[Port, Port]
     """Ports for connections between goldcrestyard processes."""
     seeds: list[str]
     """Addresses of other machines' control listeners, not peer listeners."""
@@ -113,7 +113,7 @@
     problems = [
         _error("settings_file.E003", f"listen.{name}", f"{address!r} is not host:port")
         for name, address in document.listen.items()
-        if not address.rpartition(":")[2].isdigit()
+        if not is_address(address)
     ]
     if "control" in document.serves and document.data_dir is None:
         problems.append(
--- a/goldcrestyard/plugins/listeners/checks.py
+++ b/goldcrestyard/plugins/listeners/checks.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterable
 
+from goldcrestyard.core.decoding import is_address
 from goldcrestyard.kernel.checks import Problem, Severity
 from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.plugins.listeners.settings import ListenerSettings
-from goldcrestyard.plugins.peers.checks import is_address
 
 
 def check_addresses(settings: Settings) -> Iterable[Problem]:
--- a/goldcrestyard/plugins/orders/client.py
+++ b/goldcrestyard/plugins/orders/client.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 from typing import Protocol
+from urllib.parse import quote
 
 import aiohttp
 
@@ -28,6 +29,8 @@
 
 SENDER_HEADER = "x-sender"
 
+_PRINTABLE = "".join(map(chr, range(0x21, 0x7F)))
+
 
 class OrderClient:
     """Sends each order over a new connection."""
@@ -88,12 +91,14 @@
     The order id is the idempotency key; two headers carry the fencing token.
     """
     order = record.order
+    # The ids of targets and models are part of order ids and paths.
+    order_id, path = quote(order.id, _PRINTABLE), quote(order.path, _PRINTABLE)
     head = (
-        f"POST {order.path} HTTP/1.1\r\n"
+        f"POST {path} HTTP/1.1\r\n"
         f"host: {order.receiver.address}\r\n"
         "content-type: application/json\r\n"
         f"content-length: {len(order.body)}\r\n"
-        f"idempotency-key: {order.id}\r\n"
+        f"idempotency-key: {order_id}\r\n"
         f"x-fencing-term: {record.fence.term}\r\n"
         f"x-fencing-index: {record.fence.index}\r\n"
         f"{SENDER_HEADER}: {sender}\r\n"
--- a/goldcrestyard/plugins/orders/connection.py
+++ b/goldcrestyard/plugins/orders/connection.py
@@ -56,7 +56,10 @@
 
     async def open(self, address: str) -> OrderConnection:
         """Connect to a receiver and set the limits on undelivered data."""
-        parsed = PeerAddress.parse(address)
+        try:
+            parsed = PeerAddress.parse(address)
+        except ValueError as error:
+            raise OSError(str(error)) from error
         reader, writer = await asyncio.open_connection(
             parsed.host, parsed.port, limit=MAX_ANSWER_BYTES
         )
--- a/goldcrestyard/plugins/peers/checks.py
+++ b/goldcrestyard/plugins/peers/checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+from goldcrestyard.core.decoding import is_address
 from goldcrestyard.kernel.checks import Problem, Severity
 from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.plugins.peers.settings import ClusterSettings
@@ -74,9 +75,3 @@
             f"Write at least {MIN_SECRET_BYTES} random bytes to the file, the same on "
             "every instance.",
         )
-
-
-def is_address(text: str) -> bool:
-    """Return whether a text has the form ``host:port`` with a valid port."""
-    host, separator, port = text.rpartition(":")
-    return bool(host and separator and port.isdigit() and 0 < int(port) < 65536)
--- a/goldcrestyard/plugins/targets/views.py
+++ b/goldcrestyard/plugins/targets/views.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
-from goldcrestyard.core.decoding import Count, WholeNumber, bytes_of
+from goldcrestyard.core.decoding import Count, WholeNumber, bytes_of, is_address, is_id
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -45,6 +45,11 @@
     checks_fencing: bool = False
     max_concurrency: WholeNumber = 16
 
+    def is_valid(self) -> bool:
+        """Return whether requests and orders can be sent to the target."""
+        names = (self.id, self.incarnation, self.data_centre, self.region)
+        return is_address(self.address) and all(map(is_id, (*names, *self.serves)))
+
     def to_target(self) -> Target:
         """Return the target's record, in state ``READY``."""
         return Target(
@@ -126,6 +131,13 @@
         announcement = await read_json(request, Announcement)
         if isinstance(announcement, Refusal):
             return refuse(announcement)
+        if not announcement.is_valid():
+            return refuse(
+                Refusal(
+                    RefusalReason.BAD_REQUEST,
+                    "the address is not host:port, or a name is not valid",
+                )
+            )
         command = AnnounceTarget(announcement.to_target(), self._instance)
         refusal = await self._propose(command, request)
         if refusal is not None:
--- a/goldcrestyard/wire/client.py
+++ b/goldcrestyard/wire/client.py
@@ -8,6 +8,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from goldcrestyard.core.decoding import split_address
 from goldcrestyard.wire import handshake
 from goldcrestyard.wire.codec import Codec, CodecError
 from goldcrestyard.wire.connection import Handlers, PeerConnection
@@ -35,9 +36,11 @@
 
     @classmethod
     def parse(cls, text: str) -> "PeerAddress":
-        """Parse ``host:port``; raise ``ValueError`` if there is no port."""
-        host, _, port = text.rpartition(":")
-        return cls(host, int(port))
+        """Parse ``host:port``; raise ``ValueError`` if it is not that."""
+        address = split_address(text)
+        if address is None:
+            raise ValueError(f"{text!r} is not host:port")
+        return cls(*address)
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from aiohttp import web
+from msgspec import convert
 from parameterized import parameterized
 
 import goldcrestyard
@@ -21,12 +22,14 @@
 from goldcrestyard.core.decoding import (
     Malformed,
     decode_json,
+    is_address,
     parse_count,
     parse_decimal,
 )
 from goldcrestyard.core.ids import OrganisationId
 from goldcrestyard.core.records import Organisation
 from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.platform import documents, heartbeats, submissions
 from goldcrestyard.platform.answers import refusal_response
 from goldcrestyard.plugins.engines.event_stream import parse_event
@@ -35,7 +38,9 @@
     StreamTokenCounter,
     token_count_of_answer,
 )
+from goldcrestyard.plugins.listeners.checks import check_addresses
 from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.listeners.settings import ListenerSettings
 from goldcrestyard.plugins.operators.views import PlanBody
 from goldcrestyard.plugins.organisations.declarations import declaration_errors
 from goldcrestyard.plugins.services.requests import select_headers
@@ -44,6 +49,7 @@
 from goldcrestyard.policy.hand_out import parse_version
 from goldcrestyard.policy.orders import _highest_fence
 from goldcrestyard.policy.weight_sources import retry_after_seconds
+from goldcrestyard.wire.client import PeerAddress
 
 PACKAGE = Path(goldcrestyard.__file__).parent
 DEPTH = 100_000
@@ -206,6 +212,69 @@
         self.assertEqual(select_headers(headers, allowed), (("x-a", "b\tc"),))
 
 
+ADDRESSES = [
+    ("ordinary", "10.0.0.9:8080", True),
+    ("name", "localhost:1", True),
+    ("ipv6", "[::1]:80", True),
+    ("largest_port", "10.0.0.9:65535", True),
+    ("port_out_of_range", "10.0.0.9:65536", False),
+    ("port_zero", "10.0.0.9:0", False),
+    ("negative_port", "10.0.0.9:-1", False),
+    ("signed_port", "10.0.0.9:+80", False),
+    ("superscript_port", "10.0.0.9:\u00b2", False),
+    ("port_of_another_script", "10.0.0.9:\u0661", False),
+    ("endless_port", "10.0.0.9:" + "9" * 5000, False),
+    ("space", "10.0.0.9: 80", False),
+    ("line_break", "10.0.0.9:80\n", False),
+    ("no_port", "10.0.0.9", False),
+    ("empty_port", "10.0.0.9:", False),
+    ("no_host", ":80", False),
+    ("host_with_space", "a b:80", False),
+    ("host_with_nul", "a\x00:80", False),
+    ("host_that_is_not_text", "\udcff:80", False),
+    ("path", "10.0.0.9/x:80", False),
+    ("endless_host", "a" * 1000 + ":80", False),
+    ("empty", "", False),
+]
+
+
+class AddressTests(unittest.TestCase):
+    """Only addresses to which a connection can be opened are taken."""
+
+    @parameterized.expand(ADDRESSES)
+    def test_address(self, _: str, text: str, expected: bool) -> None:
+        self.assertEqual(is_address(text), expected)
+        if not expected and not text.endswith(":0"):
+            with self.assertRaises(ValueError):
+                PeerAddress.parse(text)
+        listeners = Settings({"listeners": ListenerSettings(text, "10.0.0.1:1")})
+        self.assertEqual(not list(check_addresses(listeners)), expected)
+
+    @parameterized.expand(
+        [("address", text) for _, text, is_valid in ADDRESSES if not is_valid]
+        + [
+            ("id", "a\nb"),
+            ("id", ""),
+            ("incarnation", "x" * 1000),
+            ("data_centre", "a\x00"),
+            ("serves", ["m\n"]),
+        ]
+    )
+    def test_announcement(self, field: str, value: object) -> None:
+        ordinary = {
+            "id": "t",
+            "kind": "engine",
+            "address": "10.0.0.9:80",
+            "region": "r",
+            "data_centre": "d",
+            "serves": ["m"],
+            "incarnation": "1",
+        }
+        self.assertTrue(convert(ordinary, Announcement).is_valid())
+        odd = convert({**ordinary, field: value}, Announcement)
+        self.assertFalse(odd.is_valid())
+
+
 class NumberTests(unittest.TestCase):
     """Only what is written as a number is read as one."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -79,6 +79,15 @@
         [
             ("no_name", {"node": None}, "settings_file.E002"),
             ("address", {"listen": {"ctl": "10.1.0.10"}}, "settings_file.E003"),
+            *(
+                (
+                    f"port_{port}",
+                    {"listen": {"ctl": f"::1:{port}"}},
+                    "settings_file.E003",
+                )
+                for port in ("\u00b2", "70000", "0", "9" * 5000)
+            ),
+            ("peer_port", {"port_range": [70000, 70010]}, "settings_file.E002"),
             ("control_without_disk", {"data_dir": None}, "settings_file.E004"),
         ]
     )
--- a/tests/plugins/orders/test_connection.py
+++ b/tests/plugins/orders/test_connection.py
@@ -142,6 +142,32 @@
             record = OrderRecord(order, self.record.fence, 0.0, "")
             self.assertIsInstance(await self.client().send(record), NotSent)
 
+    @parameterized.expand(
+        [
+            ("port_out_of_range", "127.0.0.1:70000"),
+            ("negative_port", "127.0.0.1:-1"),
+            ("superscript_port", "127.0.0.1:\u00b2"),
+            ("no_port", "127.0.0.1"),
+            ("no_host", ":80"),
+            ("nul_in_the_host", "a\x00b:80"),
+            ("endless_host", "a" * 1000 + ":80"),
+        ]
+    )
+    async def test_odd_address_is_not_sent_to(self, _: str, address: str) -> None:
+        """Guards against an address that ends the sending of all orders."""
+        order = Order("o1", Receiver("r", address), "test", "/orders", BODY)
+        record = OrderRecord(order, self.record.fence, 0.0, "")
+        self.assertIsInstance(await self.client().send(record), NotSent)
+
+    async def test_odd_ids_are_encoded(self) -> None:
+        """Guards against an id that ends the sending, or adds a header."""
+        odd = "o\u00e9\r\nx: y"
+        order = Order(odd, Receiver("r", self.address), "test", f"/{odd}", BODY)
+        record = OrderRecord(order, self.record.fence, 0.0, "")
+        self.assertIsInstance(await self.client().send(record), OrderAnswer)
+        self.assertIn(b"POST /o%C3%A9%0D%0Ax:%20y HTTP/1.1\r\n", self.received)
+        self.assertIn(b"key: o%C3%A9%0D%0Ax:%20y\r\n", self.received)
+
     @unittest.skipUnless(hasattr(socket, "TCP_USER_TIMEOUT"), "not on this platform")
     async def test_undelivered_bytes_are_dropped_after_the_quiet_period(self) -> None:
         """Guards against bytes that arrive after the next leader sends."""
