Bound what a TOML document can cost and hold

Nested arrays or a number of 5,000 digits in a declaration, in settings or in the profile of the tool raised RecursionError or ValueError out of the decoder; the first ended the handler of the operator's request, the second the start with a traceback. A key with 5,000 dots took 110 MB in the parser, one with 100,000 (200 KB of text) ended a trial process when the machine had no memory left. Time-outs and limits of NaN or infinity passed the checks of settings, as comparisons let NaN pass.

Change: core/decoding.decode_toml is the one decoder of TOML. It refuses keys with 32 dots and more, numbers that are not finite or beyond 2**53, and turns whatever the parser raises into the fault that each caller already had.

Ruled out: lone surrogates and dates, which the parser refuses.

--- a/goldcrestyard/cli/profile.py
+++ b/goldcrestyard/cli/profile.py
@@ -4,13 +4,14 @@
 those are inherited by other programs and shown in process listings.
 """
 
-import tomllib
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_toml
+
 DEFAULT_PROFILE = Path("goldcrest.toml")
 
 
@@ -43,9 +44,10 @@
     found = _ProfileFile()
     if profile_path is not None or path.exists():
         try:
-            found = msgspec.convert(
-                tomllib.loads(path.read_text(encoding="utf-8")), _ProfileFile
-            )
+            document = decode_toml(path.read_text(encoding="utf-8"))
+            if isinstance(document, Malformed):
+                return ProfileFault(f"profile {path} is faulty: {document.detail}")
+            found = msgspec.convert(document, _ProfileFile)
         except OSError as error:
             return ProfileFault(f"profile {path} cannot be read: {error.strerror}")
         except (ValueError, msgspec.ValidationError) as error:
--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -7,8 +7,9 @@
 
 import math
 import re
+import tomllib
 from dataclasses import dataclass
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -33,6 +34,12 @@
 
 MAX_PORT = 65535
 
+_DOTTED_KEY = re.compile(
+    r"""(?<![\w-])(?:(?:[\w-]++|"[^"\n]*+"|'[^'\n]*+')[ \t]*+\.[ \t]*+){32}"""
+)
+"""More parts than a key of any document has.  The parser's memory grows with
+the square of their number."""
+
 _HOST = re.compile(r"[0-9A-Za-z._:%\[\]-]{1,255}")
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _PATH = re.compile(r"/[!-~]*")
@@ -56,6 +63,32 @@
         return Malformed(str(error))
 
 
+def decode_toml(text: str) -> dict[str, Any] | Malformed:
+    """Return the tables of a TOML document.
+
+    Numbers that are not finite or too large are errors here: no setting has
+    one, comparisons let NaN pass, and it makes time-outs undefined.
+    """
+    if _DOTTED_KEY.search(text) is not None:
+        return Malformed("a key has too many parts")
+    try:
+        document = tomllib.loads(text)
+    except DECODE_ERRORS as error:
+        return Malformed(str(error))
+    values: list[Any] = [document]
+    while values:
+        match values.pop():
+            case dict() as table:
+                values.extend(table.values())
+            case list() as items:
+                values.extend(items)
+            case int() | float() as number if not abs(number) <= MAX_WHOLE_NUMBER:
+                return Malformed("a number is too large, infinite or NaN")
+            case _:
+                pass
+    return document
+
+
 def is_id(text: str) -> bool:
     """Return whether a text from outside can be sent and stored as an id.
 
--- a/goldcrestyard/kernel/settings.py
+++ b/goldcrestyard/kernel/settings.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import tomllib
 import typing
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -14,6 +13,7 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_toml
 from goldcrestyard.kernel.checks import Problem, Severity
 
 T = TypeVar("T")
@@ -60,15 +60,20 @@
 ) -> tuple[Settings, list[Problem]]:
     """Read a settings file; return the settings and all problems in it."""
     try:
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        text = path.read_text(encoding="utf-8")
     except OSError as error:
         return Settings({}), [
             _error("settings.E001", str(path), f"cannot be read: {error.strerror}")
         ]
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except UnicodeDecodeError as error:
         return Settings({}), [
             _error("settings.E002", str(path), f"is not valid TOML: {error}")
         ]
+    document = decode_toml(text)
+    if isinstance(document, Malformed):
+        return Settings({}), [
+            _error("settings.E002", str(path), f"is not valid TOML: {document.detail}")
+        ]
     return build(document, section_classes_by_name)
 
 
--- a/goldcrestyard/plugins/operators/declarations.py
+++ b/goldcrestyard/plugins/operators/declarations.py
@@ -4,13 +4,13 @@
 is left out is not touched; an empty one removes all its records.
 """
 
-import tomllib
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_toml
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy import plans
 from goldcrestyard.policy.plans import PlannedChange
@@ -34,10 +34,9 @@
 
 def read(text: str, kinds: Sequence[DeclaredKind]) -> Declaration | DeclarationFaults:
     """Parse and validate a declaration; return all its faults at once."""
-    try:
-        document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        return DeclarationFaults((f"not valid TOML: {error}",))
+    document = decode_toml(text)
+    if isinstance(document, Malformed):
+        return DeclarationFaults((f"not valid TOML: {document.detail}",))
     kinds_by_table = {kind.table: kind for kind in kinds}
     faults = [
         f"{table}: not a known table; known tables: {', '.join(sorted(kinds_by_table))}"
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -6,6 +6,7 @@
 
 import json
 import re
+import tempfile
 import unittest
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,11 +18,13 @@
 from parameterized import parameterized
 
 import goldcrestyard
+from goldcrestyard.cli.profile import ProfileFault, read_profile
 from goldcrestyard.core import keys
 from goldcrestyard.core.attempts import Answered
 from goldcrestyard.core.decoding import (
     Malformed,
     decode_json,
+    decode_toml,
     is_address,
     parse_count,
     parse_decimal,
@@ -29,7 +32,7 @@
 from goldcrestyard.core.ids import OrganisationId
 from goldcrestyard.core.records import Organisation
 from goldcrestyard.core.refusals import Refusal, RefusalReason
-from goldcrestyard.kernel.settings import Settings
+from goldcrestyard.kernel.settings import Settings, load
 from goldcrestyard.platform import documents, heartbeats, submissions
 from goldcrestyard.platform.answers import refusal_response
 from goldcrestyard.plugins.engines.event_stream import parse_event
@@ -41,6 +44,8 @@
 from goldcrestyard.plugins.listeners.checks import check_addresses
 from goldcrestyard.plugins.listeners.errors import refuse
 from goldcrestyard.plugins.listeners.settings import ListenerSettings
+from goldcrestyard.plugins.operators import declarations
+from goldcrestyard.plugins.operators.declarations import DeclarationFaults
 from goldcrestyard.plugins.operators.views import PlanBody
 from goldcrestyard.plugins.organisations.declarations import declaration_errors
 from goldcrestyard.plugins.services.requests import select_headers
@@ -100,7 +105,7 @@
         callers = {
             str(path.relative_to(PACKAGE))
             for path in PACKAGE.rglob("*.py")
-            if re.search(r"json\.decode\(", path.read_text(encoding="utf-8"))
+            if re.search(r"json\.decode\(|tomllib\.", path.read_text(encoding="utf-8"))
         }
         self.assertEqual(callers, {"core/decoding.py", *STORED_DOCUMENTS})
 
@@ -326,3 +331,35 @@
     )
     def test_delay_of_an_impossible_date(self, _: str, header: str) -> None:
         self.assertEqual(retry_after_seconds(header, 0.0, 2.0), 2.0)
+
+
+ODD_TOML = [
+    ("cut", "[a"),
+    ("arrays_nested_deeply", "a=" + "[" * 5000 + "]" * 5000),
+    ("tables_nested_deeply", "a=" + "{a=" * 5000),
+    ("number_of_5000_digits", "a=" + "9" * 5000),
+    ("number_of_400_digits", "a=[{b=" + "9" * 400 + "}]"),
+    ("not_a_number", "a=nan"),
+    ("infinite", "a=[-inf]"),
+    ("many_parts", "a." * 10_000 + "a=1"),
+    ("many_quoted_parts", "['a' . \"b\" . " + "'c' ." * 10_000 + "d]"),
+]
+
+
+class TomlTests(unittest.TestCase):
+    """An odd document is a fault of it, at a bounded cost."""
+
+    @parameterized.expand(ODD_TOML)
+    def test_malformed(self, _: str, text: str) -> None:
+        self.assertIsInstance(declarations.read(text, ()), DeclarationFaults)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "file.toml"
+            path.write_text(text)
+            self.assertEqual([p.id for p in load(path, {})[1]], ["settings.E002"])
+            profile = read_profile(path, ("127.0.0.1:1",), None)
+            assert isinstance(profile, ProfileFault)
+            self.assertIn("faulty", profile.message)
+
+    def test_long_texts_are_no_keys(self) -> None:
+        text = f'a = "{"10.0.0.1:80, " * 10_000}"\nb = "{"x" * 1_000_000}"'
+        self.assertNotIsInstance(decode_toml(text), Malformed)
