Tell odd messages and stored files apart from faults of the program

A message of a member with a term of 2**64 was taken over: the term went into the vote file, and the next record of the log raised struct.error (argument out of range), which ends a member; with two of three members it ended the group (TimeoutError while the test waited for a leader).

Change: find_fault refuses numbers that are not finite or beyond 2**53; codec, frames and compressed batches turn every error of the decoders into theirs; the disk turns content that cannot be decoded into CorruptFileError and CorruptLogError.

--- a/goldcrestyard/consensus/compression.py
+++ b/goldcrestyard/consensus/compression.py
@@ -8,6 +8,8 @@
 
 import cbor2
 
+from goldcrestyard.core.decoding import DECODE_ERRORS
+
 MIN_COMPRESSED_BYTES = 1024
 """Size from which messages are compressed.  Heartbeats are smaller."""
 
@@ -43,7 +45,7 @@
         if not decompressor.eof:
             raise CompressionError("the block is truncated or too large")
         messages = cbor2.loads(data)
-    except (zlib.error, cbor2.CBORDecodeError, ValueError) as error:
+    except (zlib.error, cbor2.CBORDecodeError, *DECODE_ERRORS) as error:
         raise CompressionError(f"the block cannot be decompressed: {error}") from error
     if not isinstance(messages, list) or not all(
         isinstance(message, bytes) for message in messages
--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -27,7 +27,7 @@
 )
 from goldcrestyard.storage.snapshots import SnapshotFile, SnapshotRecord
 from goldcrestyard.storage.vote_file import VoteFile, VoteRecord
-from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.codec import Codec, CodecError
 
 logger = structlog.get_logger(__name__)
 
@@ -232,10 +232,18 @@
         record = self._snapshot_file.read()
         if record is None:
             return None
-        configuration = self._codec.decode(record.configuration)
-        assert isinstance(configuration, Configuration)
+        configuration = self._decode_configuration(record.configuration)
         return Snapshot(record.index, record.term, configuration, record.data)
 
+    def _decode_configuration(self, data: bytes) -> Configuration:
+        try:
+            configuration = self._codec.decode(data)
+        except CodecError as error:
+            raise CorruptLogError(f"{self._folder}: {error}") from error
+        if not isinstance(configuration, Configuration):
+            raise CorruptLogError(f"{self._folder}: a configuration has another type.")
+        return configuration
+
     def _entries_after_snapshot(
         self, snapshot: Snapshot | None, entries: list[Entry]
     ) -> tuple[Entry, ...]:
@@ -271,8 +279,12 @@
         )
 
     def _to_entry(self, record: LogRecord) -> Entry:
+        if record.kind >= len(_ENTRY_KINDS):
+            raise CorruptLogError(
+                f"{self._folder}: entry {record.index} is of an unknown kind."
+            )
         kind = _ENTRY_KINDS[record.kind]
         if kind is EntryKind.CONFIGURATION:
-            configuration = self._codec.decode(record.payload)
+            configuration = self._decode_configuration(record.payload)
             return Entry(record.term, record.index, kind, b"", configuration)
         return Entry(record.term, record.index, kind, record.payload)
--- a/goldcrestyard/consensus/messages.py
+++ b/goldcrestyard/consensus/messages.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from goldcrestyard.consensus.configuration import Configuration
+from goldcrestyard.core.decoding import MAX_WHOLE_NUMBER
 from goldcrestyard.core.ids import LogIndex, Term
 
 
@@ -175,6 +176,8 @@
 
     The types of its fields are checked by the codec already.
     """
+    if isinstance(message, MemberMessage) and not _has_usable_numbers(message):
+        return "number is too large"
     match message:
         case Append(previous_index=previous, entries=entries, commit_index=commit):
             if previous < 0 or commit < 0:
@@ -194,3 +197,10 @@
             if index < 1 or offset < 0 or offset + len(data) > total:
                 return "chunk lies outside its snapshot"
     return None
+
+
+def _has_usable_numbers(message: MemberMessage) -> bool:
+    """Return whether terms, indexes and times can be stored and compared."""
+    fields = (getattr(message, name) for name in message.__slots__)
+    numbers = (field for field in fields if isinstance(field, int | float))
+    return all(abs(number) <= MAX_WHOLE_NUMBER for number in numbers)
--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.ids import LogIndex, Term
 from goldcrestyard.storage.exceptions import CorruptLogError, DiskError
 from goldcrestyard.storage.files import Files
@@ -181,9 +182,10 @@
     ) -> tuple[list[LogRecord], _Segment, bool]:
         data = self._files.read(path) or b""
         records: list[LogRecord] = []
-        segment = _Segment(
-            path, LogIndex(int(path.name.removesuffix(SEGMENT_SUFFIX))), []
-        )
+        first_index = parse_count(path.name.removesuffix(SEGMENT_SUFFIX).lstrip("0"))
+        if first_index is None:
+            raise CorruptLogError(f"{path}: is not named after an entry. Remove it.")
+        segment = _Segment(path, LogIndex(first_index), [])
         position = 0
         while position < len(data):
             record, end = _parse_record(data, position)
--- a/goldcrestyard/storage/snapshots.py
+++ b/goldcrestyard/storage/snapshots.py
@@ -6,6 +6,7 @@
 
 from goldcrestyard.core.ids import LogIndex, Term
 from goldcrestyard.storage.atomic_file import AtomicFile
+from goldcrestyard.storage.exceptions import CorruptFileError
 from goldcrestyard.storage.files import Files
 
 _HEADER = struct.Struct("<QQI")
@@ -34,6 +35,11 @@
         content = self._file.read()
         if content is None:
             return None
+        if len(content) < _HEADER.size:
+            raise CorruptFileError(
+                "The snapshot file has no header. Move the data folder aside and "
+                "replace this member from the others."
+            )
         index, term, length = _HEADER.unpack_from(content)
         split = _HEADER.size + length
         return SnapshotRecord(
--- a/goldcrestyard/storage/vote_file.py
+++ b/goldcrestyard/storage/vote_file.py
@@ -5,7 +5,9 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.storage.atomic_file import AtomicFile
+from goldcrestyard.storage.exceptions import CorruptFileError
 from goldcrestyard.storage.files import Files
 
 
@@ -35,7 +37,13 @@
         content = self._file.read()
         if content is None:
             return None
-        return msgspec.json.decode(content, type=VoteRecord)
+        record = decode_json(content, VoteRecord)
+        if isinstance(record, Malformed):
+            raise CorruptFileError(
+                f"The vote file cannot be decoded: {record.detail}. Move the data "
+                "folder aside and replace this member from the others."
+            )
+        return record
 
     def write(self, record: VoteRecord) -> None:
         """Replace the record; it is durable on return."""
--- a/goldcrestyard/wire/codec.py
+++ b/goldcrestyard/wire/codec.py
@@ -5,6 +5,8 @@
 import cbor2
 import msgspec
 
+from goldcrestyard.core.decoding import DECODE_ERRORS
+
 
 class CodecError(Exception):
     """Data cannot be decoded, perhaps because of an incompatible release."""
@@ -52,5 +54,5 @@
             return msgspec.convert(fields, message_class, builtin_types=(bytes,))
         except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
             raise CodecError(f"Message cannot be decoded: {error}") from error
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, *DECODE_ERRORS) as error:
             raise CodecError(f"Unknown or malformed message: {error}") from error
--- a/goldcrestyard/wire/connection.py
+++ b/goldcrestyard/wire/connection.py
@@ -16,6 +16,7 @@
 from websockets.asyncio.connection import Connection
 from websockets.exceptions import ConnectionClosed
 
+from goldcrestyard.core.decoding import DECODE_ERRORS
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.core.verdicts import Verdict
@@ -216,7 +217,7 @@
         try:
             kind, frame_id, body = cbor2.loads(data)
             frame_kind = FrameKind(kind)
-        except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        except (cbor2.CBORDecodeError, TypeError, *DECODE_ERRORS) as error:
             raise CodecError(f"Malformed frame: {error}") from error
         if type(frame_id) is not int or not isinstance(body, bytes):
             raise CodecError("Malformed frame: its id or its message has a wrong type.")
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import errno
+import math
 from dataclasses import replace
 
 import cbor2
@@ -149,6 +150,16 @@
         self.assertNotIn("kept", organisation_ids(self.leader))
 
 
+def vote(term: int) -> bytes:
+    fields = {"term": term, "last_index": 1, "last_term": 1}
+    return cbor2.dumps(["Vote", fields])
+
+
+def reply(**changes: float) -> bytes:
+    fields = {"term": 1, "match_index": 1, "conflict_term": 0, "sent_at": 0.0}
+    return cbor2.dumps(["AppendReply", {**fields, "accepted": True, **changes}])
+
+
 class MalformedMessageTests(NetworkTestCase):
     """Messages that a member must drop, and commands that it must reject."""
 
@@ -157,6 +168,13 @@
             ("no_encoding", b"\xff\x00"),
             ("unknown_class", cbor2.dumps(["Nobody", {}])),
             ("wrong_type", cbor2.dumps(["Vote", {"term": "x"}])),
+            ("nested_deeply", b"\x81" * 100_000 + b"\x00"),
+            ("refers_to_itself", b"\x82\x64Vote\xd8\x1c\x81\xd8\x1d\x00"),
+            ("term_of_a_vote", vote(2**64)),
+            ("term_that_no_record_holds", reply(term=2**64)),
+            ("term_too_large", reply(term=10**400)),
+            ("time_that_is_no_number", reply(sent_at=math.nan)),
+            ("time_too_late", reply(sent_at=math.inf)),
             ("not_between_members", cbor2.dumps(["NotLeader", {"leader": None}])),
         ]
     )
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -63,7 +63,6 @@
 STORED_DOCUMENTS = {
     "plugins/rentals/orders.py",
     "plugins/trainers/manifests.py",
-    "storage/vote_file.py",
 }
 """Modules that decode only documents that this product has stored."""
 
--- a/tests/storage/test_crashes.py
+++ b/tests/storage/test_crashes.py
@@ -29,11 +29,14 @@
 from goldcrestyard.consensus.messages import Entry, EntryKind, Snapshot
 from goldcrestyard.consensus.persistent_state import PersistentState
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
+from goldcrestyard.storage.atomic_file import AtomicFile
 from goldcrestyard.storage.exceptions import (
     CorruptFileError,
     CorruptLogError,
     DiskError,
+    StorageError,
 )
+from goldcrestyard.storage.log_segments import LogRecord, SegmentedLog
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.files import Crash, Fault, MemoryFiles
 from tests.fakes.quiet_logs import quiet_logs
@@ -252,6 +255,40 @@
             self.files.flip_bit(path, position)
         open_disk(self.files).load(INSTANCE)
 
+    @parameterized.expand(
+        [
+            ("vote_of_another_type", "vote", b'{"member":7}'),
+            ("vote_nested_deeply", "vote", b"[" * 100_000),
+            ("vote_that_is_no_text", "vote", b"\xff"),
+            ("snapshot_without_header", "snapshot", b"short"),
+            ("snapshot_without_configuration", "snapshot", bytes(20)),
+        ]
+    )
+    def test_intact_file_with_odd_content(
+        self, _: str, name: str, content: bytes
+    ) -> None:
+        """Guards against a file of another writer that is not told as such."""
+        AtomicFile(FOLDER / name, self.files).write(content)
+        with self.assertRaises(StorageError):
+            open_disk(self.files).load(INSTANCE)
+
+    @parameterized.expand([("unknown_kind", 9, b""), ("configuration", 2, b"\xff")])
+    def test_intact_record_with_odd_content(
+        self, _: str, kind: int, payload: bytes
+    ) -> None:
+        record = LogRecord(Term(5), LogIndex(25), kind, payload)
+        log = SegmentedLog(FOLDER / "log", self.files, 60)
+        log.load()
+        log.append([record])
+        with self.assertRaises(CorruptLogError):
+            open_disk(self.files).load(INSTANCE)
+
+    @parameterized.expand([("word", "old"), ("superscript", "\u00b2"), ("sign", "-1")])
+    def test_segment_with_odd_name(self, _: str, name: str) -> None:
+        self.files.append(FOLDER / "log" / f"{name}.log", b"")
+        with self.assertRaises(CorruptLogError):
+            open_disk(self.files).load(INSTANCE)
+
     def test_lost_log_is_an_error(self) -> None:
         for path in self.files.paths():
             if path.name != "vote":
