Refuse documents that can be decoded but not passed on

A request for a completion with 600 nested arrays was decoded; encoding it for the engine raises RecursionError if that call lies 400 frames deeper, and one with 900 if it lies 150 deeper (measured with msgspec, limit 1,000). The caller's request then ends as a fault of the program.

Change: a document without a type of its own has at most 100 levels.

--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -34,6 +34,10 @@
 
 MAX_PORT = 65535
 
+MAX_NESTING = 100
+"""Most levels of a document that is passed on.  What one call can decode
+another cannot encode if it has less of the stack left."""
+
 _DOTTED_KEY = re.compile(
     r"""(?<![\w-])(?:(?:[\w-]++|"[^"\n]*+"|'[^'\n]*+')[ \t]*+\.[ \t]*+){32}"""
 )
@@ -58,9 +62,28 @@
 def decode_json(data: bytes, expected: type[T]) -> T | Malformed:
     """Return the value of a JSON document, converted to a type."""
     try:
-        return msgspec.json.decode(data, type=expected)
+        value = msgspec.json.decode(data, type=expected)
     except DECODE_ERRORS as error:
         return Malformed(str(error))
+    # Only a document without a type of its own keeps values of any depth.
+    may_be_deep = data.count(b"[") + data.count(b"{") > MAX_NESTING
+    if may_be_deep and isinstance(value, dict) and _is_nested_deeply(value):
+        return Malformed(f"more than {MAX_NESTING} levels")
+    return value
+
+
+def _is_nested_deeply(value: Any) -> bool:
+    level = [value]
+    for _ in range(MAX_NESTING):
+        level = [
+            child
+            for node in level
+            for child in (node.values() if isinstance(node, dict) else node)
+            if type(child) is dict or type(child) is list
+        ]
+        if not level:
+            return False
+    return True
 
 
 def decode_toml(text: str) -> dict[str, Any] | Malformed:
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -100,6 +100,18 @@
     def test_value(self) -> None:
         self.assertEqual(decode_json(b'{"count":4}', _Record), _Record(4))
 
+    @parameterized.expand([("ordinary", 99, True), ("too_deep", 100, False)])
+    def test_levels_of_a_document_that_is_passed_on(
+        self, _: str, depth: int, expected: bool
+    ) -> None:
+        """Guards against a document that can be decoded but not encoded."""
+        for body in (
+            b'{"a":' * depth + b"{}" + b"}" * depth,
+            b'{"a":' + b"[" * depth + b"]" * depth + b"}",
+        ):
+            decoded = decode_json(body, dict[str, Any])
+            self.assertEqual(not isinstance(decoded, Malformed), expected)
+
     def test_all_documents_from_outside_are_decoded_here(self) -> None:
         callers = {
             str(path.relative_to(PACKAGE))
