Do not call a request not run when its handler failed

An error that the front for callers did not expect was answered with 400, 'malformed request' and the verdict not_run, whether or not a target had run the request: the listener answered errors of handlers as those of the parser of heads. A caller may then send a request again that must not run twice.

Change: an error of a handler is answered with 502 and may_have_run, as the listener with routes already did.

Before: tests.plugins.listeners.test_server test_failed_handler_without_routes failed (400 instead of 502). After: passes.

--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -14,6 +14,7 @@
 from aiohttp import StreamReader, web
 
 from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.http_client import CHUNK_OVERHEAD_FACTOR, READ_BYTES
 from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, error_body, refuse
 
@@ -169,7 +170,7 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """Return a refusal for an error of the HTTP parser."""
+        """Return a refusal for an error of the parser or of a handler."""
         self._cancel_head_timer()
         self.receiving = False
         if request.writer.output_size > 0:
@@ -178,8 +179,13 @@
             )
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             logger.error("unhandled exception in the HTTP server", exc_info=exc)
-        first_line = (message or "malformed request").strip().partition("\n")[0]
-        response = refuse(Refusal(RefusalReason.BAD_REQUEST, first_line))
+            refusal = Refusal(
+                RefusalReason.UNKNOWN_OUTCOME, "internal error", Verdict.MAY_HAVE_RUN
+            )
+        else:
+            first_line = (message or "malformed request").strip().partition("\n")[0]
+            refusal = Refusal(RefusalReason.BAD_REQUEST, first_line)
+        response = refuse(refusal)
         response.force_close()
         return response
 
--- a/tests/plugins/listeners/test_server.py
+++ b/tests/plugins/listeners/test_server.py
@@ -23,7 +23,7 @@
     ConnectionLimits,
 )
 from goldcrestyard.plugins.listeners.routes import PublicRoutes
-from goldcrestyard.plugins.listeners.server import HttpListener
+from goldcrestyard.plugins.listeners.server import HandlerListener, HttpListener
 
 ANSWER_BYTES = 32 * 1024 * 1024
 """More than the socket buffers hold while the caller does not read."""
@@ -77,6 +77,22 @@
         self.assertEqual(answer.status, 502)
         self.assertEqual(error["verdict"], "may_have_run")
 
+    async def test_failed_handler_without_routes(self) -> None:
+        """Guards against a second run of a request that may have run."""
+
+        async def fail(_: web.BaseRequest) -> web.StreamResponse:
+            raise ValueError("handler failed")
+
+        listener = HandlerListener(fail, lambda: ConnectionLimits(5.0))
+        await listener.open("127.0.0.1:0")
+        self.addAsyncCleanup(listener.stop)
+        assert listener.socket_address is not None
+        host, port = listener.socket_address
+        async with self.session.get(f"http://{host}:{port}/") as answer:
+            error = json.loads(await answer.read())["error"]
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(error["verdict"], "may_have_run")
+
     async def test_answer_that_fails_half_way_is_cut_off(self) -> None:
         async with self.session.get(f"{self.base}/fail-late") as answer:
             with self.assertRaises(aiohttp.ClientPayloadError):
