Fuzz with deep nesting, long numbers, odd digits and lone surrogates

New decoders: announcements, loads, completion requests, questions, usage in answers, answers to orders, declarations, numbers and addresses. Each goes on to what happens with the value afterwards: the command is encoded, the parser of heads is made with the limits, the route picks a service, the body is encoded 400 frames deeper.

A test with real processes sends each odd heartbeat three times among those of the targets: each is refused, no task of a process fails, and a target that announces itself afterwards answers callers.

--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -7,6 +7,7 @@
 import time
 import traceback
 
+import structlog
 from hypothesis import HealthCheck, given, seed, settings
 
 from tests.fuzz.decoders import DECODERS, Decoder
@@ -48,6 +49,9 @@
     parser.add_argument("--decoder", default="", help="part of a decoder's name")
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
     first = secrets.randbits(32) if options.seed is None else options.seed
     deadline = time.monotonic() + 60.0 * options.minutes
     rounds = findings = 0
--- a/tests/fuzz/decoders.py
+++ b/tests/fuzz/decoders.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import tempfile
 from collections.abc import AsyncIterator, Callable
@@ -14,8 +15,10 @@
 from typing import Any
 
 import cbor2
+import msgspec
 from aiohttp import StreamReader
 from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_parser import HttpRequestParser
 from hypothesis import strategies as st
 
 from goldcrestyard.consensus.compression import (
@@ -46,9 +49,27 @@
 )
 from goldcrestyard.consensus.persistent_state import PersistentState
 from goldcrestyard.consensus.timing import Timing
-from goldcrestyard.core.ids import InstanceId, LogIndex, Term
+from goldcrestyard.core.attempts import Answered
+from goldcrestyard.core.decoding import (
+    MAX_PORT,
+    MAX_WHOLE_NUMBER,
+    Malformed,
+    bytes_of,
+    decode_json,
+    encodable,
+    parse_count,
+    parse_decimal,
+    split_address,
+)
+from goldcrestyard.core.ids import InstanceId, LogIndex, TargetId, Term
+from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.fleet.jobs.apps import JobsConfig
+from goldcrestyard.fleet.jobs.commands import SubmitJob
+from goldcrestyard.fleet.serving.commands import PutServing
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.kernel import registry
 from goldcrestyard.kernel import settings as kernel_settings
+from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.platform import (
     documents,
     event_stream,
@@ -58,14 +79,41 @@
 from goldcrestyard.platform import settings as platform_settings
 from goldcrestyard.plugins.control.apps import ControlConfig
 from goldcrestyard.plugins.engines import event_stream as engine_stream
+from goldcrestyard.plugins.engines.requests import (
+    InferenceFields,
+    InferenceRequest,
+    parse_request,
+)
+from goldcrestyard.plugins.engines.token_counts import (
+    StreamTokenCounter,
+    token_count_of_answer,
+)
+from goldcrestyard.plugins.operators import declarations
+from goldcrestyard.plugins.orders.connection import read_answer
+from goldcrestyard.plugins.scheduling.load_digests import encode_loads
+from goldcrestyard.plugins.targets.commands import AnnounceTarget
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.plugins.targets.views import Announcement, TargetRequest
+from goldcrestyard.plugins.trainers.questions import parse_question
+from goldcrestyard.policy.hand_out import parse_version
+from goldcrestyard.policy.routing import LoadReport
+from goldcrestyard.policy.serving import ServingTable, pick_service
+from goldcrestyard.policy.weight_sources import retry_after_seconds
 from goldcrestyard.storage.exceptions import CorruptFileError, CorruptLogError
 from goldcrestyard.storage.log_segments import LogRecord, SegmentedLog
 from goldcrestyard.storage.snapshots import SnapshotFile, SnapshotRecord
 from goldcrestyard.storage.vote_file import VoteFile, VoteRecord
+from goldcrestyard.wire.client import PeerAddress
 from goldcrestyard.wire.codec import Codec, CodecError
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from tests.fakes.files import MemoryFiles
-from tests.fuzz.mutations import changed_bytes, changed_cbor, changed_json
+from tests.fakes.member import FakeMember, machine_of
+from tests.fuzz.mutations import (
+    changed_bytes,
+    changed_cbor,
+    changed_json,
+    changed_text,
+)
 from tests.platform.test_documents import DOCUMENT
 from tests.platform.test_heartbeats import BEAT
 
@@ -122,6 +170,39 @@
         }
     ],
 }
+ANNOUNCEMENT = {
+    "id": "t",
+    "kind": "engine",
+    "address": "10.0.0.9:80",
+    "region": "r",
+    "data_centre": "d",
+    "serves": ["m"],
+    "incarnation": "1",
+    "max_concurrency": 8,
+}
+RENEWAL = {
+    "incarnation": "1",
+    "load": {"queue_length": 2, "running_tokens": 900, "age_seconds": 0.5},
+}
+COMPLETION = {"model": "m", "prompt": ["a"], "max_tokens": 3, "extra": {"seed": 1}}
+QUESTION = {
+    "model": "m",
+    "prompts": [{"group": "g", "messages": [{"role": "user", "content": "a"}]}],
+    "samples_per_prompt": 2,
+    "max_tokens": 8,
+    "top_k": 4,
+    "wait_seconds": 1.5,
+}
+USAGE = {"id": "x", "usage": {"prompt_tokens": 3, "completion_tokens": 9}}
+ANSWER = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n{\r\n0\r\n\r\n"
+ANSWER_ERRORS = (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError)
+DECLARATION = """
+[organisations.o]
+share = 2.0
+tokens_per_minute = 500
+[services.s]
+routes = [{ prefix = "/q/" }]
+"""
 STREAM = (
     b"id: 1\ndata: a\n\n: ping\n\n"
     b"id: 2\ndata: b\nx-goldcrestyard-weight-versions: 3\n\n"
@@ -158,7 +239,7 @@
     codec = Codec()
     for plugin in registry.discover_plugins():
         codec.register(*plugin.messages)
-    codec.register(*ControlConfig.messages)
+    codec.register(*ControlConfig.messages, *JobsConfig.messages, PutServing)
     return codec
 
 
@@ -277,6 +358,121 @@
         return platform_settings.decode(path)
 
 
+def _check_numbers(data: bytes) -> None:
+    """Use what is read of a header in the arithmetic that follows."""
+    text = data.decode("utf-8", "surrogateescape")
+    count, decimal = parse_count(text), parse_decimal(text)
+    assert count is None or count / 1000 <= MAX_WHOLE_NUMBER
+    assert decimal is None or abs(decimal) < math.inf
+    address = split_address(text)
+    assert address is None or 0 <= address[1] <= MAX_PORT
+    parse_version(text)
+    retry_after_seconds(text, 0.0, 1.0)
+    encodable(text).encode()
+    bytes_of(text)
+
+
+def _check_announcement(data: bytes) -> None:
+    announcement = decode_json(data, Announcement)
+    if not isinstance(announcement, Malformed) and announcement.is_valid():
+        CODEC.encode(AnnounceTarget(announcement.to_target(), InstanceId("e")))
+        PeerAddress.parse(announcement.address)
+
+
+def _check_load(data: bytes) -> None:
+    """Pass a target's load on as its entry does."""
+    request = decode_json(data, TargetRequest)
+    if isinstance(request, Malformed) or request.load is None:
+        return
+    load = request.load.to_load(100.0)
+    waiting = float(load.running_tokens + load.queue_length * 256)
+    encode_loads(CODEC, {TargetId("t"): LoadReport(waiting, load.measured_at)}, 100.0)
+
+
+def _check_inference(data: bytes) -> None:
+    """Pass a completion request on, deeper in the stack than it was read."""
+    body = decode_json(data, dict[str, Any])
+    if isinstance(body, Malformed):
+        return
+    request = parse_request("/v1/completions", body)
+    if isinstance(request, Refusal):
+        return
+
+    def encode(depth: int) -> bytes:
+        return encode(depth - 1) if depth else msgspec.json.encode(request.body)
+
+    encode(400)
+
+
+def _check_job(data: bytes) -> None:
+    job = submissions.decode("j", None, "h", "/p", data)
+    if not isinstance(job, Refusal):
+        CODEC.encode(SubmitJob(job))
+
+
+def _check_configuration(data: bytes) -> None:
+    config = documents.decode(data)
+    if isinstance(config, Refusal):
+        return
+    CODEC.encode(PutServing(config, b""))
+    size = config.limits.header_bytes
+    loop = asyncio.new_event_loop()
+    HttpRequestParser(None, loop, 2**16, max_line_size=size, max_field_size=size)
+    loop.close()
+    for route in ServingTable(config).config.routes:
+        pick_service(route, random.Random(1))
+
+
+def _check_heartbeat(data: bytes) -> None:
+    """Take a heartbeat as the tracker does, and send its id in a header."""
+    beat = heartbeats.decode("i-1", data)
+    if isinstance(beat, Refusal):
+        return
+    machine = machine_of(TargetsSlice)
+    member: Any = FakeMember(machine, Clock())
+
+    async def take() -> None:
+        await TargetTracker(member, {}, 1.0, Clock()).heartbeat(beat)
+
+    asyncio.run(take())
+    for command in member.proposed:
+        CODEC.encode(command)
+    PeerAddress.parse(beat.address)
+
+
+def _read_question(data: bytes) -> None:
+    body = decode_json(data, dict[str, Any])
+    if not isinstance(body, Malformed):
+        question = parse_question(body)
+        if not isinstance(question, Refusal):
+            msgspec.json.encode(question)
+
+
+def _count_tokens(data: bytes) -> None:
+    count = token_count_of_answer(Answered(200, "", data))
+    assert count is None or float(count.prompt + count.generated) >= 0.0
+    body = decode_json(data, dict[str, Any])
+    if not isinstance(body, Malformed):
+        request = InferenceRequest("/v1/completions", InferenceFields("m"), {})  # type: ignore[arg-type]
+        StreamTokenCounter(request).add(body)
+
+
+def _read_declaration(data: bytes) -> None:
+    plugins = registry.discover_plugins()
+    kinds = [kind for plugin in plugins for kind in plugin.declared_kinds]
+    declarations.read(data.decode("utf-8", "replace"), kinds)
+
+
+def _read_order_answer(data: bytes) -> None:
+    async def read() -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data(data)
+        reader.feed_eof()
+        await read_answer(reader)
+
+    asyncio.run(read())
+
+
 DECODERS = [
     Decoder(
         "peer_frame",
@@ -296,13 +492,21 @@
         _step_members,
         (CodecError,),
     ),
+    Decoder("job", changed_json(LOT), _check_job),
+    Decoder("configuration", changed_json(DOCUMENT), _check_configuration),
+    Decoder("heartbeat", changed_json(BEAT), _check_heartbeat),
+    Decoder("announcement", changed_json(ANNOUNCEMENT), _check_announcement),
+    Decoder("load_of_a_target", changed_json(RENEWAL), _check_load),
+    Decoder("inference_request", changed_json(COMPLETION), _check_inference),
+    Decoder("question", changed_json(QUESTION), _read_question),
+    Decoder("answer_with_usage", changed_json(USAGE), _count_tokens),
     Decoder(
-        "job",
-        changed_json(LOT),
-        lambda data: submissions.decode("j", None, "h", "/p", data),
+        "answer_to_an_order", changed_bytes(ANSWER), _read_order_answer, ANSWER_ERRORS
     ),
-    Decoder("configuration", changed_json(DOCUMENT), documents.decode),
-    Decoder("heartbeat", changed_json(BEAT), lambda d: heartbeats.decode("i-1", d)),
+    Decoder("declaration", changed_text(DECLARATION), _read_declaration),
+    Decoder("count", changed_text("120"), _check_numbers),
+    Decoder("decimal", changed_text("1.5"), _check_numbers),
+    Decoder("address", changed_text("10.0.0.9:8080"), _check_numbers),
     Decoder("stream", changed_bytes(STREAM), _read_stream),
     Decoder("engine_stream", changed_bytes(ENGINE_STREAM), _read_engine_stream),
     Decoder(
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -5,6 +5,8 @@
 import signal
 import unittest
 
+from yarl import URL
+
 from tests.fakes.platform_site import (
     KEY,
     MODEL,
@@ -12,6 +14,7 @@
     Site,
     configuration,
 )
+from tests.platform.test_heartbeats import ODD_BODIES
 
 
 class WholePathTests(unittest.IsolatedAsyncioTestCase):
@@ -61,6 +64,34 @@
         by_window = {(window, json.dumps(c)) for _, window, c in site.reports}
         self.assertEqual(len(by_window), len({window for window, _ in by_window}))
 
+    async def test_odd_heartbeats_among_those_of_the_targets(self) -> None:
+        """Guards against one odd entry that ends the machines that read it."""
+        site = self.site
+        leader = await site.leader()
+        for _, odd, *odd_id in ODD_BODIES:
+            data = odd if isinstance(odd, bytes) else json.dumps(odd).encode()
+            path = f"/v1/instances/{odd_id[0] if odd_id else 'i-odd'}"
+            url = URL(f"http://{leader.address('ctl')}{path}", encoded=True)
+            for _ in range(3):
+                status, _, _ = await site.call("PUT", url, data=data)
+                self.assertEqual(status, 400)
+        # Only a target that announces itself afterwards can answer.
+        for target in site.services:
+            await target.stop()
+        added = site.new_target(9, engine=False)
+        site.targets = [*site.engines, added]
+        await added.listen()
+        added.announce()
+        await self._quotes()
+        await site.submit("job-1", 4)
+        self.assertEqual(len(await site.results("job-1", 4)), 4)
+        for process in [*site.controls, *site.fronts]:
+            assert process.running is not None
+            self.assertIsNone(process.running.returncode)
+            events = {line.get("event") for line in process.log_lines()}
+            self.assertNotIn("task of the leader failed; restarting it", events)
+        self.assertIs(await site.leader(), leader)
+
     async def _name_version(self) -> None:
         site = self.site
         leader = await site.leader()
