Use the other entries of a platform's list beside an odd one

One entry of the list of rented targets that lacked a field, or was of another type, made the whole list unreadable: no capacity was planned, and targets under notice were not drained, for as long as the entry stood there.

Change: each entry is decoded on its own; an odd one is skipped and logged.

Ruled out: a deeply nested entry is not told apart, since the parser stops at it before the list ends; that list still counts as unavailable.

--- a/goldcrestyard/plugins/rentals/client.py
+++ b/goldcrestyard/plugins/rentals/client.py
@@ -4,15 +4,23 @@
 go through the order outbox instead.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import aiohttp
+import msgspec
+import structlog
 
 from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.ids import DataCentre, TargetId
 from goldcrestyard.core.states import Rental
 from goldcrestyard.kernel.http_client import MAX_REPORT_BYTES, read_at_most
 
+logger = structlog.get_logger(__name__)
+
+T = TypeVar("T")
+
 READ_TIMEOUT_SECONDS = 5.0
 
 
@@ -41,12 +49,12 @@
 
 @dataclass(frozen=True, slots=True)
 class _TargetList:
-    targets: tuple[ListedTarget, ...]
+    targets: tuple[msgspec.Raw, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class _NoticeList:
-    notices: tuple[ReclaimNotice, ...]
+    notices: tuple[msgspec.Raw, ...]
 
 
 class PlatformClient:
@@ -64,7 +72,7 @@
         listed = decode_json(body, _TargetList)
         if isinstance(listed, Malformed):
             return Unavailable(listed.detail)
-        return listed.targets
+        return _readable_entries(listed.targets, ListedTarget)
 
     async def notices(self) -> tuple[ReclaimNotice, ...] | Unavailable:
         """Return the reclaim notices, or why they could not be fetched."""
@@ -74,7 +82,7 @@
         listed = decode_json(body, _NoticeList)
         if isinstance(listed, Malformed):
             return Unavailable(listed.detail)
-        return listed.notices
+        return _readable_entries(listed.notices, ReclaimNotice)
 
     async def _get(self, path: str) -> bytes | Unavailable:
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS)
@@ -87,3 +95,20 @@
                 return await read_at_most(response, MAX_REPORT_BYTES)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Unavailable(str(error) or "timeout")
+
+
+def _readable_entries(
+    entries: Iterable[msgspec.Raw], expected: type[T]
+) -> tuple[T, ...]:
+    """Return the entries of a list that can be decoded; skip the others.
+
+    One entry of another kind must not keep the others from their use.
+    """
+    readable: list[T] = []
+    for entry in entries:
+        decoded = decode_json(bytes(entry), expected)
+        if isinstance(decoded, Malformed):
+            logger.warning("entry of a platform's list skipped", error=decoded.detail)
+        else:
+            readable.append(decoded)
+    return tuple(readable)
