--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -12,6 +12,7 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
+from goldcrestyard.core.decoding import Count, Malformed, decode_json
 from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.assembly.manager import MembershipManager
@@ -40,6 +41,9 @@
 logger = structlog.get_logger(__name__)
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_HEARTBEAT_BYTES = 1024 * 1024
+"""Largest heartbeat, which has some dozens of bytes for each model."""
+
 MAX_DIRECTORY_ADDRESSES = 64
 
 UNCOMMITTED = Refusal(
@@ -49,7 +53,7 @@
 
 class _Version(msgspec.Struct):
     model: str
-    version: int
+    version: Count
 
 
 class ControlFront:
@@ -72,7 +76,10 @@
         """Answer a request as the leader, or redirect it to the leader."""
         if not self._member.holds_lease():
             return self._redirect(request)
-        body = await read_body(request, MAX_BODY_BYTES)
+        is_heartbeat = request.path.startswith(HEARTBEAT_PATH)
+        body = await read_body(
+            request, MAX_HEARTBEAT_BYTES if is_heartbeat else MAX_BODY_BYTES
+        )
         if isinstance(body, Refusal):
             return refusal_response(body)
         match request.method, request.path:
@@ -125,11 +132,10 @@
         return encoded_json_response(documents.unpack(self._serving.source))
 
     async def _name_version(self, body: bytes) -> web.Response:
-        try:
-            named = msgspec.json.decode(body, type=_Version)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            logger.warning("weight version refused", reason=str(error))
-            return refusal_response(Refusal(RefusalReason.BAD_REQUEST, str(error)))
+        named = decode_json(body, _Version)
+        if isinstance(named, Malformed):
+            logger.warning("weight version refused", reason=named.detail)
+            return refusal_response(Refusal(RefusalReason.BAD_REQUEST, named.detail))
         command = NameVersion(ModelName(named.model), WeightVersion(named.version))
         if not await self._commit(command):
             return refusal_response(UNCOMMITTED)
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -5,6 +5,14 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import (
+    Count,
+    Malformed,
+    WholeNumber,
+    decode_json,
+    is_address,
+    is_id,
+)
 from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Rental, TargetState
@@ -17,19 +25,19 @@
 
 class _Model(msgspec.Struct):
     name: str
-    version: int
+    version: Count
 
 
 class _HeartbeatBody(msgspec.Struct):
     service: str
     addr: str
     zone: str
-    slots: int
+    slots: WholeNumber
     state: Literal["ready", "draining"]
-    seq: int
+    seq: Count
     """Sequence number, which increases with each heartbeat.  In an engine's
     report the same field is the number of accepted orders."""
-    born: int = 0
+    born: Count = 0
     """Start of this run of the target, as Unix milliseconds."""
     models: list[_Model] = []
     spot: bool = False
@@ -39,11 +47,14 @@
 
 def decode(target_id: str, body: bytes) -> Heartbeat | Refusal:
     """Return the heartbeat, or a refusal if the body is invalid."""
-    try:
-        beat = msgspec.json.decode(body, type=_HeartbeatBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Refusal(RefusalReason.BAD_REQUEST, f"unreadable heartbeat: {error}")
-    if not _is_address(beat.addr):
+    beat = decode_json(body, _HeartbeatBody)
+    if isinstance(beat, Malformed):
+        return Refusal(
+            RefusalReason.BAD_REQUEST, f"unreadable heartbeat: {beat.detail}"
+        )
+    if not all(map(is_id, (target_id, beat.service, beat.zone))):
+        return Refusal(RefusalReason.BAD_REQUEST, "an id or a name is not valid")
+    if not _is_target_address(beat.addr):
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.addr!r} is not host:port")
     if beat.slots > MAX_SLOTS:
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.slots} slots")
@@ -62,11 +73,10 @@
     )
 
 
-def _is_address(text: str) -> bool:
+def _is_target_address(text: str) -> bool:
     """Return whether a text is an IPv4 address and a port."""
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.IPv4Address(host)
+        ipaddress.IPv4Address(text.rpartition(":")[0])
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port[:6]) < 65536
+    return is_address(text)
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from goldcrestyard.core.decoding import Malformed, Port, decode_json, is_address
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
 from goldcrestyard.fleet.duties import DutySettings
@@ -84,7 +85,7 @@
     zones: dict[str, str]
     """Region of each data centre."""
     listen: dict[str, str]
-    port_range: tuple[int, int]
+    port_range: tuple[Port, Port]
     """Ports for connections between goldcrestyard processes."""
     seeds: list[str]
     """Addresses of other machines' control listeners, not peer listeners."""
@@ -104,15 +105,15 @@
     The settings are empty if the file cannot be read or decoded.
     """
     try:
-        document = msgspec.json.decode(path.read_bytes(), type=PlatformFile)
+        document = decode_json(path.read_bytes(), PlatformFile)
     except OSError as error:
         return Settings({}), [_error("settings_file.E001", str(path), str(error))]
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Settings({}), [_error("settings_file.E002", str(path), str(error))]
+    if isinstance(document, Malformed):
+        return Settings({}), [_error("settings_file.E002", str(path), document.detail)]
     problems = [
         _error("settings_file.E003", f"listen.{name}", f"{address!r} is not host:port")
         for name, address in document.listen.items()
-        if not address.rpartition(":")[2].isdigit()
+        if not is_address(address)
     ]
     if "control" in document.serves and document.data_dir is None:
         problems.append(
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -5,6 +5,7 @@
 import structlog
 
 from goldcrestyard.core.attempts import describe_error
+from goldcrestyard.core.decoding import Count, Malformed, decode_json
 from goldcrestyard.core.ids import InstanceId, ModelName, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.duties import Permit
@@ -37,11 +38,11 @@
 
 class _Model(msgspec.Struct):
     name: str
-    version: int
+    version: Count
 
 
 class _Report(msgspec.Struct):
-    seq: int = 0
+    seq: Count = 0
     """Number of accepted orders.  In a heartbeat the same field is the
     heartbeat's sequence number."""
     in_flight: bool = False
@@ -67,15 +68,15 @@
             ) as response:
                 if response.status != 200:
                     return None
-                report = msgspec.json.decode(
-                    await read_at_most(response, MAX_REPORT_BYTES), type=_Report
+                report = decode_json(
+                    await read_at_most(response, MAX_REPORT_BYTES), _Report
                 )
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             await self._client.discard_connections(target.address)
             self._log_failure(target, describe_error(error))
             return None
-        except msgspec.DecodeError as error:
-            self._log_failure(target, str(error))
+        if isinstance(report, Malformed):
+            self._log_failure(target, report.detail)
             return None
         return EngineReport(
             report.seq,
@@ -105,7 +106,7 @@
                 timeout=self._timeout,
             ) as response:
                 return _OUTCOMES_BY_STATUS.get(response.status, OrderOutcome.REFUSED)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             self._log_failure(target, describe_error(error))
             return OrderOutcome.NOT_SENT if body.refused else OrderOutcome.UNKNOWN
 
--- a/goldcrestyard/plugins/engines/token_counts.py
+++ b/goldcrestyard/plugins/engines/token_counts.py
@@ -1,18 +1,23 @@
 """Token counts of attempts, as the engine reports them or estimated."""
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from goldcrestyard.core.attempts import Answered, AttemptOutcome, TokenCount
+from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.plugins.engines.requests import InferenceRequest, prompt_tokens
 
+ReportedTokens = Annotated[int, Meta(ge=0, lt=2**31)]
+"""A number of tokens that one answer can have."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Usage:
-    prompt_tokens: int
-    completion_tokens: int
+    prompt_tokens: ReportedTokens
+    completion_tokens: ReportedTokens
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,11 +29,8 @@
     """Return the token count that a plain answer reports, or None."""
     if not isinstance(outcome, Answered) or outcome.status >= 400:
         return None
-    try:
-        answer = msgspec.json.decode(outcome.body, type=_AnswerWithUsage)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    return _to_count(answer.usage)
+    answer = decode_json(outcome.body, _AnswerWithUsage)
+    return None if isinstance(answer, Malformed) else _to_count(answer.usage)
 
 
 class StreamTokenCounter:
--- a/goldcrestyard/plugins/targets/views.py
+++ b/goldcrestyard/plugins/targets/views.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.core.decoding import Count, WholeNumber, bytes_of, is_address, is_id
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -42,7 +43,12 @@
     incarnation: str
     rental: Rental = Rental.ON_DEMAND
     checks_fencing: bool = False
-    max_concurrency: int = 16
+    max_concurrency: WholeNumber = 16
+
+    def is_valid(self) -> bool:
+        """Return whether requests and orders can be sent to the target."""
+        names = (self.id, self.incarnation, self.data_centre, self.region)
+        return is_address(self.address) and all(map(is_id, (*names, *self.serves)))
 
     def to_target(self) -> Target:
         """Return the target's record, in state ``READY``."""
@@ -65,12 +71,12 @@
 class ReportedLoad:
     """Load in a renewal; its time is given as an age, since clocks differ."""
 
-    queue_length: int = 0
-    running_tokens: int = 0
+    queue_length: Count = 0
+    running_tokens: Count = 0
     cache_use: float = 0.0
     age_seconds: float = 0.0
-    running_requests: int = 0
-    resumable_requests: int = 0
+    running_requests: Count = 0
+    resumable_requests: Count = 0
 
     def to_load(self, now: float) -> Load:
         """Return the load with its time on this entry's clock."""
@@ -125,6 +131,13 @@
         announcement = await read_json(request, Announcement)
         if isinstance(announcement, Refusal):
             return refuse(announcement)
+        if not announcement.is_valid():
+            return refuse(
+                Refusal(
+                    RefusalReason.BAD_REQUEST,
+                    "the address is not host:port, or a name is not valid",
+                )
+            )
         command = AnnounceTarget(announcement.to_target(), self._instance)
         refusal = await self._propose(command, request)
         if refusal is not None:
@@ -216,7 +229,7 @@
 
     def _check_token(self, request: web.Request) -> Refusal | None:
         _, _, token = request.headers.get("authorization", "").partition(" ")
-        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        digest = hashlib.sha256(bytes_of(token.strip())).hexdigest()
         if hmac.compare_digest(digest, self._settings.token_sha256.lower()):
             return None
         return Refusal(RefusalReason.INVALID_KEY, "unknown target token")
