Log the digest of requests whose attempts fail

The logs could not tell the hypotheses apart: each attempt of a caller has an id of its own, so no line said that a request came again, and nothing said that a connection had broken before the target refused the next one. Failed attempts now name a digest of organisation, method, host, path and body, and the target client logs when it sends a request again on a new connection. No decision changes.

--- a/goldcrestyard/core/calls.py
+++ b/goldcrestyard/core/calls.py
@@ -4,6 +4,7 @@
 for the protocol of the targets implements it.
 """
 
+import hashlib
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
@@ -14,6 +15,7 @@
 from goldcrestyard.core.ids import (
     EventNumber,
     OrganisationId,
+    RequestDigest,
     RequestId,
     WeightVersion,
 )
@@ -21,6 +23,8 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+REQUEST_DIGEST_BYTES = 16
+
 
 @dataclass(frozen=True, slots=True)
 class TargetCall:
@@ -41,6 +45,22 @@
     a reused one fails, at the risk that the target runs it twice."""
 
 
+def request_digest(call: TargetCall) -> RequestDigest:
+    """Return the digest by which a request is recognised when it comes again.
+
+    It covers the organisation, the path and the body; the id differs from
+    attempt to attempt.
+    """
+    digest = hashlib.blake2b(digest_size=REQUEST_DIGEST_BYTES)
+    for part in (call.organisation or "", call.method, call.host, call.path_and_query):
+        # Lengths keep the parts apart.
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(8))
+        digest.update(encoded)
+    digest.update(call.body)
+    return RequestDigest(digest.digest())
+
+
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
     """One event of a target's event stream."""
--- a/goldcrestyard/core/ids.py
+++ b/goldcrestyard/core/ids.py
@@ -51,6 +51,7 @@
 """Version of the serving configuration, set by the operator.  A higher
 version replaces a lower one."""
 EventNumber = NewType("EventNumber", int)
+RequestDigest = NewType("RequestDigest", bytes)
 """Position of an event in the stream of one request, counted from 1."""
 
 OrderId = NewType("OrderId", str)
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -19,7 +19,12 @@
     describe_failure,
     verdict_for,
 )
-from goldcrestyard.core.calls import Headers, TargetClient
+from goldcrestyard.core.calls import (
+    Headers,
+    TargetCall,
+    TargetClient,
+    request_digest,
+)
 from goldcrestyard.core.ids import ServiceName, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -194,12 +199,13 @@
         self, admitted: AdmittedRequest, target: Target, *, hedged: bool
     ) -> CallAnswer | AttemptFailure:
         request = admitted.request
+        call = admitted.to_call()
         began = self._clock.monotonic()
         started_at_wall = self._clock.wall()
         outcome: CallAnswer | AttemptFailure
         with self._router.call_in_flight(target) as statistics:
             async with self._client.open(
-                target, admitted.to_call(), admitted.deadline - began
+                target, call, admitted.deadline - began
             ) as reply:
                 if isinstance(reply, AttemptFailure):
                     outcome = reply
@@ -223,6 +229,7 @@
             incarnation=target.incarnation,
             hedged=hedged,
             outcome=_describe(outcome),
+            digest=_digest_of_failed(call, outcome),
             verdict=_outcome_verdict(outcome).value,
             seconds=round(seconds, 4),
         )
@@ -274,6 +281,16 @@
             return describe_failure(outcome)
 
 
+def _digest_of_failed(
+    call: TargetCall, outcome: CallAnswer | AttemptFailure
+) -> str | None:
+    match outcome:
+        case CallAnswer():
+            return None
+        case _:
+            return request_digest(call).hex()
+
+
 def _outcome_verdict(outcome: CallAnswer | AttemptFailure) -> Verdict:
     match outcome:
         case CallAnswer():
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -18,6 +18,7 @@
     Headers,
     TargetClient,
     TargetReply,
+    request_digest,
 )
 from goldcrestyard.core.ids import EventNumber, TargetId
 from goldcrestyard.core.records import Target
@@ -174,6 +175,11 @@
             resumed_after=call.resume_after,
             last_event=stream.last_event,
             outcome=str(outcome),
+            digest=(
+                request_digest(call).hex()
+                if isinstance(outcome, AttemptFailure)
+                else None
+            ),
         )
         return outcome
 
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -11,6 +11,7 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
+import structlog
 from aiohttp import hdrs
 from multidict import CIMultiDict
 from yarl import URL
@@ -45,6 +46,8 @@
     VERSION_HEADER,
 )
 
+logger = structlog.get_logger(__name__)
+
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Longest wait in seconds for a new connection, several round trips between
 regions.  A lost SYN packet is sent again only after a second; before then
@@ -238,6 +241,14 @@
         if isinstance(answer, Broken):
             await self.discard_connections(target.address)
         if isinstance(answer, Broken) and seconds < DROPPED_CONNECTION_SECONDS:
+            logger.info(
+                "connection broke; sending the request again on a new one",
+                request=call.request,
+                target=target.id,
+                incarnation=target.incarnation,
+                outcome=answer.detail,
+                seconds=round(seconds, 4),
+            )
             left = seconds_left - seconds
             answer = await self._send(self.single_session, target, call, left)
         return answer
