--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -48,6 +48,10 @@
     """Time that a plain service works on a request."""
     request_limit: float | None = None
     """Requests a second that it names in its answers; None names no limit."""
+    deadly_path: str | None = None
+    """Path of the requests that crash it as they begin to run."""
+    down_seconds: float = 1.0
+    """Time after a crash until it is back at its address, as another run."""
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     in_progress: Counter[str] = field(default_factory=Counter)
@@ -63,9 +67,10 @@
         self._heartbeat_address: str | None = None
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._restart: asyncio.Task[None] | None = None
 
-    async def listen(self) -> None:
-        """Listen on a free port."""
+    async def listen(self, port: int = 0) -> None:
+        """Listen on a port, by default a free one."""
         app = web.Application()
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
@@ -75,7 +80,7 @@
             app, handler_cancellation=True, shutdown_timeout=0.01
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.host, 0)
+        site = web.TCPSite(self._runner, self.host, port, reuse_address=True)
         await site.start()
         assert site._server is not None
         port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
@@ -86,8 +91,24 @@
         """Start to send heartbeats in the background."""
         self._tasks.append(asyncio.create_task(self._send_heartbeats()))
 
+    async def crash(self) -> None:
+        """End without notice, and come back later under another id."""
+        await self._end()
+        await asyncio.sleep(self.down_seconds)
+        self.id = f"{self.id}-again"
+        self._started_at_ms = int(time.time() * 1000)
+        self._sequence = 0
+        self._heartbeat_address = None
+        await self.listen(int(self.own_address.rpartition(":")[2]))
+        self.announce()
+
     async def stop(self) -> None:
         """Stop heartbeats and close connections, as a crash does."""
+        if self._restart is not None:
+            self._restart.cancel()
+        await self._end()
+
+    async def _end(self) -> None:
         for task in self._tasks:
             task.cancel()
         if self._runner is not None:
@@ -169,6 +190,10 @@
         last = int(request.headers.get("Last-Event-Id", "0"))
         tenant = request.headers.get("X-Goldcrestyard-Tenant")
         self.runs.append(Run(request_id, request.path, tenant, last, time.time()))
+        if request.path == self.deadly_path:
+            if self._restart is None or self._restart.done():
+                self._restart = asyncio.create_task(self.crash())
+            await asyncio.get_running_loop().create_future()
         headers = {
             REQUEST_ID_HEADER: request_id,
             "X-Goldcrestyard-Server-Stamp": f"stamp-{request_id}",
