Keep the verdict of a request whose second send is refused

A repeatable request whose kept connection breaks within 0.1 s is sent again on a new connection. The first send now decides, since the target may have run it. A second send that the target itself turns away still counts as turned away: that answer names the request.

The test failed before: Unreached instead of Broken.

--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -250,7 +250,10 @@
                 seconds=round(seconds, 4),
             )
             left = seconds_left - seconds
-            answer = await self._send(self.single_session, target, call, left)
+            second = await self._send(self.single_session, target, call, left)
+            # A target that is gone may have run the first one before.
+            if not isinstance(second, Unreached):
+                answer = second
         return answer
 
     async def _send(
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -306,6 +306,17 @@
             self.assertEqual(outcome, b"hello")
         self.assertEqual(len(self.requests), 3)
 
+    async def test_request_may_have_run_at_a_target_that_is_gone(self) -> None:
+        """Guards against a refused second try that hides the first."""
+
+        async def crash(writer: Writer) -> None:
+            self.server.close()
+            await reset(writer)
+
+        self.script += [(WHOLE, stay), (b"", crash)]
+        await self._send(repeatable=True)
+        self.assertIsInstance(await self._send(repeatable=True), Broken)
+
     async def test_silent_connections_are_not_used_again(self) -> None:
         """Guards against waiting for a time-out on every silent connection."""
         self.script += [(WHOLE, stay)] * 4
