Reject requests under which three targets have crashed

What callers saw: a request that crashes each target that begins to run it took all targets of its service within half a second, again each time they were back; every other request for the service was refused meanwhile.

Cause: nothing recognised a request that comes again. What an entry learns from a failed attempt concerns the target, which it avoids for a time; the request goes on to the next target, a hedge goes out before the first has crashed, and the caller's retry starts anew at any entry. The class of fault: a cause that travels with the work, where only the place of the failure is remembered, and by each process alone.

Change: fleet/crashes and policy/crashing_requests.py. A request is recognised by a digest of organisation, method, host, path and body. A run of a target counts as crashed under it if the connection broke without an answer and the run has ended, not as planned: it refuses connections, is lost or has started again. A reset alone does not count, and an answer clears the request. Entries report crashes with an early lease renewal; the leader adds up distinct runs and commits the rejection at the third. A request that was on exactly the same runs as another is left until one of them has more, five at most, and runs that a rejected request has crashed no longer count for others. The log entry holds on entries that have just started and for the next leader; an entry without a leader goes by what it knows. A rejected request is refused at once as not run, 503 with the time until it is served again, an hour. One request crashes two targets at most, and a suspect is not hedged. Items and reward calls never pass here. Neither headers nor ids count for the digest.

--- a/goldcrestyard/core/calls.py
+++ b/goldcrestyard/core/calls.py
@@ -105,3 +105,10 @@
         returned as ``TurnedAway``.
         """
         ...
+
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether a target refuses a new connection, as one that ended.
+
+        A target that does not answer at all may be out of reach instead.
+        """
+        ...
--- a/goldcrestyard/core/refusals.py
+++ b/goldcrestyard/core/refusals.py
@@ -27,6 +27,7 @@
     SAMPLES_TOO_OLD = "samples_too_old"
     STALE_PLAN = "stale_plan"
     TARGET_FAILED = "target_failed"
+    TARGETS_CRASHED = "targets_crashed"
     UNKNOWN_MODEL = "model_not_found"
     UNKNOWN_OUTCOME = "unknown_outcome"
 
--- /dev/null
+++ b/goldcrestyard/fleet/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Rejection of requests that crash the targets that run them."""
--- /dev/null
+++ b/goldcrestyard/fleet/crashes/suspects.py
@@ -0,0 +1,216 @@
+"""The requests under which targets have crashed, as each process knows them.
+
+Entries report the crashes that they see with their lease renewals, and the
+leader returns those of all entries.  A record is sent again until the leader
+has it, so a new leader soon knows what any entry knows.
+"""
+
+from collections.abc import Callable
+
+from goldcrestyard.core.ids import InstanceId, RequestDigest
+from goldcrestyard.fleet.crashes.messages import (
+    AnswerRecord,
+    CrashRecord,
+    SuspectRecords,
+)
+from goldcrestyard.fleet.crashes.slices import RejectedRequestsSlice
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.membership.digests import DigestChannel, DigestMerger
+from goldcrestyard.policy.crashing_requests import (
+    REJECTED_SECONDS,
+    Crash,
+    CrashTally,
+    TargetRun,
+)
+from goldcrestyard.wire.codec import Codec
+
+CHANNEL_NAME = "crashing_requests"
+
+MAX_REPORTED_SUSPECTS = 64
+"""Maximum number of suspected requests in one message, those with the most
+crashes."""
+
+ANSWER_REPORT_SECONDS = 10.0
+"""Time in seconds for which an answer to a suspect is reported, many times
+the interval of the renewals."""
+
+
+class Suspects:
+    """What one process knows of crashes under requests."""
+
+    def __init__(
+        self, rejected: RejectedRequestsSlice, metrics: FleetMetrics, clock: Clock
+    ) -> None:
+        self._rejected = rejected
+        self._seen_changes = 0
+        self._metrics = metrics
+        self._clock = clock
+        self._tally = CrashTally()
+        self._listeners: list[Callable[[], None]] = []
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Register a function to call after each new crash."""
+        self._listeners.append(listener)
+
+    def note_crash(self, request: RequestDigest, run: TargetRun, at: float) -> bool:
+        """Record a crash at a monotonic time; return whether it is new."""
+        self._synchronize()
+        if self._committed_seconds_left(request) is not None:
+            return False
+        if not self._tally.note_crash(Crash(request, run, at)):
+            return False
+        self._set_gauge()
+        for listener in self._listeners:
+            listener()
+        return True
+
+    def note_answer(self, request: RequestDigest, at: float) -> None:
+        """Record a target's answer at a monotonic time."""
+        self._synchronize()
+        if self._tally.note_answer(request, at):
+            self._set_gauge()
+
+    def are_none(self) -> bool:
+        """Return whether no request is suspected or rejected."""
+        return self._tally.is_empty() and not self._rejected.rejected_by_request
+
+    def crash_count(self, request: RequestDigest) -> int:
+        """Return the number of crashes that count for a request."""
+        self._synchronize()
+        return len(self._tally.crashes(request))
+
+    def rejected_seconds_left(self, request: RequestDigest) -> float | None:
+        """Return for how long a request is rejected; None if it is not.
+
+        What this process knows by itself counts too, so that it does not
+        depend on the leader.
+        """
+        self._synchronize()
+        committed = self._committed_seconds_left(request)
+        if committed is None and self._is_to_reject(request):
+            return REJECTED_SECONDS
+        return committed
+
+    def to_reject(self) -> dict[RequestDigest, tuple[TargetRun, ...]]:
+        """Return the runs that crashed under requests to be rejected."""
+        self._synchronize()
+        self._tally.discard_old(self._clock.monotonic())
+        return {
+            request: tuple(sorted(self._tally.crashes(request)))
+            for request in self._tally.suspects()
+            if self._is_to_reject(request)
+        }
+
+    def records(self) -> SuspectRecords:
+        """Return what is known, for other processes."""
+        self._synchronize()
+        now = self._clock.monotonic()
+        self._tally.discard_old(now)
+        self._set_gauge()
+        return SuspectRecords(
+            tuple(
+                CrashRecord(request, run, now - at)
+                for request in self._tally.suspects()[:MAX_REPORTED_SUSPECTS]
+                for run, at in self._tally.crashes(request).items()
+            ),
+            tuple(
+                AnswerRecord(request, now - at)
+                for request, at in self._tally.answers().items()
+                if now - at <= ANSWER_REPORT_SECONDS
+            ),
+        )
+
+    def adopt(self, records: SuspectRecords) -> None:
+        """Take over what another process knows."""
+        now = self._clock.monotonic()
+        for answer in records.answers:
+            self.note_answer(answer.request, now - answer.age_seconds)
+        for crash in records.crashes:
+            self.note_crash(crash.request, crash.run, now - crash.age_seconds)
+
+    def _is_to_reject(self, request: RequestDigest) -> bool:
+        return self._tally.is_to_reject(
+            request, rejected_before=request in self._rejected.rejected_by_request
+        )
+
+    def _committed_seconds_left(self, request: RequestDigest) -> float | None:
+        rejected = self._rejected.rejected_by_request.get(request)
+        if rejected is None:
+            return None
+        left = rejected.rejected_at + REJECTED_SECONDS - self._clock.wall()
+        return min(left, REJECTED_SECONDS) if left > 0 else None
+
+    def _synchronize(self) -> None:
+        """Account for the requests that were rejected since the last call."""
+        if self._seen_changes == self._rejected.changes:
+            return
+        self._seen_changes = self._rejected.changes
+        for request in self._rejected.rejected_by_request:
+            if self._committed_seconds_left(request) is not None:
+                self._tally.forget(request)
+        self._tally.explain(self._rejected.runs())
+        self._set_gauge()
+        self._metrics.rejected_requests.set(len(self._rejected.rejected_by_request))
+
+    def _set_gauge(self) -> None:
+        self._metrics.suspected_requests.set(len(self._tally.suspects()))
+
+
+class SuspectsChannel(DigestChannel):
+    """Exchanges the crashes that an entry knows with the leader."""
+
+    name = CHANNEL_NAME
+
+    def __init__(
+        self, suspects: Suspects, resolve: Callable[[], None], codec: Codec
+    ) -> None:
+        """Create a channel; ``resolve`` finds targets that ended since."""
+        self._suspects = suspects
+        self._resolve = resolve
+        self._codec = codec
+        self._known_to_leader: frozenset[tuple[RequestDigest, TargetRun]] = frozenset()
+
+    def collect(self) -> bytes:
+        """Return what the leader does not know yet."""
+        self._resolve()
+        records = self._suspects.records()
+        return self._codec.encode(
+            SuspectRecords(
+                tuple(
+                    crash
+                    for crash in records.crashes
+                    if (crash.request, crash.run) not in self._known_to_leader
+                ),
+                records.answers,
+            )
+        )
+
+    def receive(self, summary: bytes) -> None:
+        """Take over what the leader knows."""
+        records = self._codec.decode(summary)
+        assert isinstance(records, SuspectRecords)
+        self._known_to_leader = frozenset(
+            (crash.request, crash.run) for crash in records.crashes
+        )
+        self._suspects.adopt(records)
+
+
+class SuspectsMerger(DigestMerger):
+    """Merges the crashes that all entries know, on the leader."""
+
+    name = CHANNEL_NAME
+
+    def __init__(self, suspects: Suspects, codec: Codec) -> None:
+        self._suspects = suspects
+        self._codec = codec
+
+    def merge(self, entry: InstanceId, digest: bytes) -> None:
+        """Take over what an entry knows."""
+        records = self._codec.decode(digest)
+        assert isinstance(records, SuspectRecords)
+        self._suspects.adopt(records)
+
+    def summary(self, entry: InstanceId) -> bytes:
+        """Return what is known."""
+        return self._codec.encode(self._suspects.records())
--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -1,6 +1,7 @@
 """Plug-in of entries: routes callers' requests to targets."""
 
 from goldcrestyard.core.calls import TargetClient
+from goldcrestyard.fleet.crashes.guard import RequestGuard
 from goldcrestyard.fleet.gateway.admission import Admission
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
@@ -20,6 +21,7 @@
 
     name = "gateway"
     requires = (
+        "crashing_requests",
         "entry",
         "metering",
         "request_limits",
@@ -44,7 +46,12 @@
         )
         client = app.get(TargetClient)  # type: ignore[type-abstract]
         meter = app.get(UsageMeter)
-        app.provide(CallRunner, CallRunner(admission, router, client, meter, app.clock))
+        guard = app.get(RequestGuard)
         app.provide(
-            StreamRunner, StreamRunner(admission, router, client, meter, app.clock)
+            CallRunner,
+            CallRunner(admission, router, client, guard, meter, app.clock),
+        )
+        app.provide(
+            StreamRunner,
+            StreamRunner(admission, router, client, guard, meter, app.clock),
         )
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -14,21 +14,18 @@
 
 from goldcrestyard.core.attempts import (
     AttemptFailure,
+    Broken,
     Unreached,
     Withheld,
     describe_failure,
     verdict_for,
 )
-from goldcrestyard.core.calls import (
-    Headers,
-    TargetCall,
-    TargetClient,
-    request_digest,
-)
+from goldcrestyard.core.calls import Headers, TargetClient
 from goldcrestyard.core.ids import ServiceName, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.fleet.crashes.guard import RequestGuard, WatchedRequest
 from goldcrestyard.fleet.gateway.admission import (
     RETRY_AFTER_SECONDS,
     Admission,
@@ -37,6 +34,7 @@
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.policy.crashing_requests import MAX_CRASHES_IN_ONE_REQUEST
 from goldcrestyard.policy.hedging import hedge_after
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.serving import pick_service
@@ -70,11 +68,14 @@
 class _CallState:
     """State of one request over all its attempts."""
 
+    watched: WatchedRequest
     tried: set[TargetId] = field(default_factory=set)
     failures: list[AttemptFailure] = field(default_factory=list)
     sent: int = 0
     """Attempts that count towards the route's ``max_attempts``."""
     unreached: int = 0
+    crashes: int = 0
+    """Attempts whose target crashed."""
     last_answer: CallAnswer | None = None
 
 
@@ -86,6 +87,7 @@
         admission: Admission,
         router: CallRouter,
         client: TargetClient,
+        guard: RequestGuard,
         meter: UsageMeter,
         clock: Clock,
         random_source: random.Random | None = None,
@@ -93,6 +95,7 @@
         self._admission = admission
         self._router = router
         self._client = client
+        self._guard = guard
         self._meter = meter
         self._clock = clock
         self._random = random_source or random.Random()
@@ -118,7 +121,11 @@
         when the first is slow.  The first answer without a server error is
         returned; cancelling the other attempts ends their work at the targets.
         """
-        state = _CallState()
+        watched = self._guard.watch(admitted.to_call())
+        rejected = watched.refusal()
+        if rejected is not None:
+            return rejected
+        state = _CallState(watched)
         running: dict[asyncio.Task[CallAnswer | AttemptFailure], Target] = {}
         timeout = asyncio.timeout_at(min(admitted.deadline, self._ends_at))
         try:
@@ -129,8 +136,10 @@
             return self._timeout_result(state, bool(running))
         finally:
             self._running_timeouts.discard(timeout)
-            for task in running:
+            for task, target in running.items():
                 task.cancel()
+                if state.last_answer is None:
+                    watched.note_unanswered(target)
             await asyncio.gather(*running, return_exceptions=True)
 
     async def _run_attempts(
@@ -145,7 +154,7 @@
             if target is not None:
                 state.tried.add(target.id)
                 state.sent += 1
-                attempt = self._attempt(admitted, target, hedged=bool(running))
+                attempt = self._attempt(admitted, target, state, hedged=bool(running))
                 running[asyncio.create_task(attempt)] = target
             elif not running:
                 return self._refusal(admitted, state, service)
@@ -187,8 +196,12 @@
         if (
             state.sent >= route.max_attempts
             or state.unreached >= MAX_UNREACHED_ATTEMPTS
+            or state.crashes >= MAX_CRASHES_IN_ONE_REQUEST
         ):
             return None
+        # A hedge of a suspect might crash a second target meanwhile.
+        if (running and state.watched.is_suspect()) or state.watched.refusal():
+            return None
         if not self._admission.is_still_authorised(admitted):
             return None
         if admitted.deadline - self._clock.monotonic() < MIN_ATTEMPT_SECONDS:
@@ -196,16 +209,20 @@
         return self._router.choose(service, state.tried, hedge=bool(running))
 
     async def _attempt(
-        self, admitted: AdmittedRequest, target: Target, *, hedged: bool
+        self,
+        admitted: AdmittedRequest,
+        target: Target,
+        state: _CallState,
+        *,
+        hedged: bool,
     ) -> CallAnswer | AttemptFailure:
         request = admitted.request
-        call = admitted.to_call()
         began = self._clock.monotonic()
         started_at_wall = self._clock.wall()
         outcome: CallAnswer | AttemptFailure
         with self._router.call_in_flight(target) as statistics:
             async with self._client.open(
-                target, call, admitted.deadline - began
+                target, admitted.to_call(), admitted.deadline - began
             ) as reply:
                 if isinstance(reply, AttemptFailure):
                     outcome = reply
@@ -220,7 +237,12 @@
             if isinstance(outcome, CallAnswer):
                 if not outcome.failed:
                     statistics.record_success(seconds, began + seconds)
+                    state.watched.note_answer()
                 self._meter.count(admitted.organisation, request.id, started_at_wall)
+        if isinstance(outcome, Broken):
+            # Another attempt may end while this one waits.
+            has_crashed = await state.watched.note_broken(target)
+            state.crashes += has_crashed
         logger.info(
             "attempt ended",
             request=request.id,
@@ -229,7 +251,7 @@
             incarnation=target.incarnation,
             hedged=hedged,
             outcome=_describe(outcome),
-            digest=_digest_of_failed(call, outcome),
+            digest=_digest_of_failed(state.watched, outcome),
             verdict=_outcome_verdict(outcome).value,
             seconds=round(seconds, 4),
         )
@@ -246,6 +268,9 @@
             return Refusal(
                 RefusalReason.TARGET_FAILED, "no target gave a complete answer", verdict
             )
+        rejected = state.watched.refusal()
+        if rejected is not None:
+            return rejected
         if not self._admission.is_still_authorised(admitted):
             return Refusal(
                 RefusalReason.ENTRY_LEASE,
@@ -282,13 +307,13 @@
 
 
 def _digest_of_failed(
-    call: TargetCall, outcome: CallAnswer | AttemptFailure
+    watched: WatchedRequest, outcome: CallAnswer | AttemptFailure
 ) -> str | None:
     match outcome:
         case CallAnswer():
             return None
         case _:
-            return request_digest(call).hex()
+            return watched.digest.hex()
 
 
 def _outcome_verdict(outcome: CallAnswer | AttemptFailure) -> Verdict:
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -24,6 +24,7 @@
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.fleet.crashes.guard import RequestGuard
 from goldcrestyard.fleet.gateway.admission import (
     RETRY_AFTER_SECONDS,
     Admission,
@@ -33,6 +34,7 @@
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.reply_timeouts import next_event_within, open_reply_within
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.policy.crashing_requests import MAX_CRASHES_IN_ONE_REQUEST
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.serving import pick_service
 
@@ -82,6 +84,7 @@
         admission: Admission,
         router: CallRouter,
         client: TargetClient,
+        guard: RequestGuard,
         meter: UsageMeter,
         clock: Clock,
         random_source: random.Random | None = None,
@@ -89,6 +92,7 @@
         self._admission = admission
         self._router = router
         self._client = client
+        self._guard = guard
         self._meter = meter
         self._clock = clock
         self._random = random_source or random.Random()
@@ -97,13 +101,19 @@
         self, admitted: AdmittedRequest, sink: StreamSink
     ) -> StreamEnd | Refusal:
         """Write the stream to the sink; refuse it only if no head was sent."""
+        watched = self._guard.watch(admitted.to_call())
+        rejected = watched.refusal()
+        if rejected is not None:
+            return rejected
         service = pick_service(admitted.route, self._random)
         stream = _StreamState()
         tried: set[TargetId] = set()
         failures: list[AttemptFailure] = []
-        sent = 0
+        sent = crashes = 0
         while (
             sent < admitted.route.max_attempts
+            and crashes < MAX_CRASHES_IN_ONE_REQUEST
+            and watched.refusal() is None
             and self._admission.is_still_authorised(admitted)
         ):
             target = self._router.choose(service, tried)
@@ -119,7 +129,11 @@
                 admitted, target, stream, sink, may_resume=may_resume
             )
             if isinstance(outcome, StreamEnd):
+                if stream.last_event is not None:
+                    watched.note_answer()
                 return outcome
+            if isinstance(outcome, Broken):
+                crashes += await watched.note_broken(target)
             self._router.note_failure(target, outcome)
             failures.append(outcome)
             sent += not isinstance(outcome, Unreached | Withheld)
--- a/goldcrestyard/fleet/limits/permits.py
+++ b/goldcrestyard/fleet/limits/permits.py
@@ -213,6 +213,10 @@
         self._permits = permits
         self._clock = clock
 
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether a target refuses a new connection."""
+        return await self._client.refuses_connections(target)
+
     @asynccontextmanager
     async def open(
         self, target: Target, call: TargetCall, seconds_left: float
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -64,6 +64,13 @@
             "Answers of targets, by whether they name a request limit.",
             ("limited",),
         )
+        self.suspected_requests = self._gauge(
+            "suspected_requests", "Requests under which targets have crashed."
+        )
+        self.rejected_requests = self._gauge(
+            "rejected_requests",
+            "Requests that are rejected because targets crash under them.",
+        )
         self.lease = self._gauge(
             "lease_seconds", "Seconds until this entry's lease runs out."
         )
--- a/goldcrestyard/membership/digests.py
+++ b/goldcrestyard/membership/digests.py
@@ -6,6 +6,7 @@
 memory only, since the next digest replaces a lost one.
 """
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
 from typing import ClassVar
@@ -49,6 +50,12 @@
 
     def __init__(self) -> None:
         self._channels_by_name: dict[str, DigestChannel] = {}
+        self.renewal_requested = asyncio.Event()
+        """Set if a digest should not wait for the next renewal."""
+
+    def request_renewal(self) -> None:
+        """Let the next renewal take place at once."""
+        self.renewal_requested.set()
 
     def add(self, channel: DigestChannel) -> None:
         """Register a channel under its name."""
--- a/goldcrestyard/membership/subscription.py
+++ b/goldcrestyard/membership/subscription.py
@@ -61,7 +61,6 @@
         self._digests = digests
         self._renew_seconds = renew_seconds
         self._renew_timeout_seconds = renew_timeout_seconds
-        self._revision_applied = asyncio.Event()
         self.draining = False
 
     def register(self, handlers: Handlers) -> None:
@@ -141,18 +140,19 @@
             self._link.detach()
 
     async def _wait_for_next_renewal(self) -> None:
-        """Wait for the renewal interval, or until a change is applied.
+        """Wait for the renewal interval, or until an earlier one is requested.
 
-        The early renewal informs the leader that this entry has applied the
-        change.
+        The early renewal informs the leader that this entry has applied a
+        change, or that it has an urgent digest.
         """
-        self._revision_applied.clear()
-        await wait_at_most(self._renew_seconds, self._revision_applied.wait())
+        requested = self._digests.renewal_requested
+        await wait_at_most(self._renew_seconds, requested.wait())
+        requested.clear()
 
     async def _on_changes(self, push: ChangesPush, _: PeerConnection) -> None:
         self._view.apply_changes(push.changes)
-        self._revision_applied.set()
+        self._digests.request_renewal()
 
     async def _on_snapshot(self, push: SnapshotPush, _: PeerConnection) -> None:
         self._view.load(push)
-        self._revision_applied.set()
+        self._digests.request_renewal()
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -58,6 +58,11 @@
 the time between two steps of a trainer, which submits its items in bursts.  A
 connection that the target has closed is not used again."""
 
+PROBE_TIMEOUT_SECONDS = 0.1
+"""Longest wait in seconds for a connection that shows whether a target has
+ended, two round trips between regions.  A request waits for it before it is
+sent to another target."""
+
 DROPPED_CONNECTION_SECONDS = 0.1
 """Time in seconds after the sending of a request within which a broken
 connection counts as dropped by the target while it was idle, not during the
@@ -218,6 +223,19 @@
         finally:
             answer.close()
 
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether a target refuses a new connection."""
+        host, _, port = target.address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError, ValueError):
+            return False
+        writer.close()
+        return False
+
     async def _send_with_retry(
         self, target: Target, call: TargetCall, seconds_left: float
     ) -> aiohttp.ClientResponse | AttemptFailure:
--- a/goldcrestyard/plugins/listeners/errors.py
+++ b/goldcrestyard/plugins/listeners/errors.py
@@ -31,6 +31,7 @@
     RefusalReason.SAMPLES_TOO_OLD: HTTPStatus.GONE,
     RefusalReason.STALE_PLAN: HTTPStatus.CONFLICT,
     RefusalReason.TARGET_FAILED: HTTPStatus.BAD_GATEWAY,
+    RefusalReason.TARGETS_CRASHED: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.UNKNOWN_MODEL: HTTPStatus.NOT_FOUND,
     RefusalReason.UNKNOWN_OUTCOME: HTTPStatus.BAD_GATEWAY,
 }
--- a/goldcrestyard/plugins/targets/slices.py
+++ b/goldcrestyard/plugins/targets/slices.py
@@ -51,6 +51,19 @@
         homed = self.homed_by_id.get(target_id)
         return homed.target if homed is not None else None
 
+    def run_state(self, target_id: TargetId, incarnation: str) -> TargetState | None:
+        """Return the state of a run of a target; None if it is not known.
+
+        A run that another one of the same target has followed is lost.
+        """
+        homed = self.homed_by_id.get(target_id)
+        if homed is None:
+            removed = self._removed_by_run.get((target_id, incarnation))
+            return removed.state if removed is not None else None
+        if homed.target.incarnation == incarnation:
+            return homed.target.state
+        return TargetState.LOST
+
     def serving(self, name: str) -> tuple[Target, ...]:
         """Return the targets that take new work for a model or a service.
 
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -1,5 +1,8 @@
 """A serving configuration with a route of each kind, for an entry's view."""
 
+from prometheus_client import CollectorRegistry
+
+from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.core.ids import (
     ConfigVersion,
     ItemId,
@@ -18,7 +21,11 @@
     ServingRoute,
     WeightedService,
 )
+from goldcrestyard.fleet.crashes.guard import RequestGuard
+from goldcrestyard.fleet.crashes.slices import RejectedRequestsSlice
+from goldcrestyard.fleet.crashes.suspects import Suspects
 from goldcrestyard.fleet.gateway.admission import CallerRequest
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
@@ -79,7 +86,7 @@
 
 def entry_view(clock: Clock, targets: tuple[str, ...]) -> EntryView:
     """Return an entry's view, with a lease, of ``CONFIG`` and the targets."""
-    machine = StateMachine([ServingSlice(), TargetsSlice()])
+    machine = StateMachine([ServingSlice(), TargetsSlice(), RejectedRequestsSlice()])
     apply(machine, PutServing(CONFIG, b""))
     for name in targets:
         announce(machine.get(TargetsSlice), target(name))
@@ -88,6 +95,22 @@
     return view
 
 
+def request_guard(
+    view: EntryView,
+    client: TargetClient,
+    clock: Clock,
+    suspects: Suspects | None = None,
+) -> RequestGuard:
+    """Return an entry's guard, whose crashes nobody else learns of."""
+    machine = view.machine
+    if suspects is None:
+        metrics = FleetMetrics(CollectorRegistry())
+        suspects = Suspects(machine.get(RejectedRequestsSlice), metrics, clock)
+    return RequestGuard(
+        suspects, machine.get(TargetsSlice), client, clock, lambda: None
+    )
+
+
 def request(prefix: str, key: str | None = "key") -> CallerRequest:
     """Return a caller's request under a route's prefix."""
     path = f"{prefix}x"
--- a/tests/fakes/targets.py
+++ b/tests/fakes/targets.py
@@ -119,6 +119,11 @@
     calls: list[tuple[str, TargetCall]] = field(default_factory=list)
     open_calls: int = 0
     """The number of calls in progress."""
+    gone: set[str] = field(default_factory=set)
+    """The targets that refuse connections."""
+
+    async def refuses_connections(self, target: Target) -> bool:
+        return target.id in self.gone
 
     @asynccontextmanager
     async def open(
--- a/tests/fleet/test_calls.py
+++ b/tests/fleet/test_calls.py
@@ -24,7 +24,7 @@
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
-from tests.fakes.serving import entry_view, request
+from tests.fakes.serving import entry_view, request, request_guard
 from tests.fakes.targets import (
     DOWN,
     FULL,
@@ -123,7 +123,13 @@
             self.view.machine.get(TargetsSlice), location, clock, random.Random(1)
         )
         return CallRunner(
-            self.admission, router, self.client, self.meter, clock, random.Random(1)
+            self.admission,
+            router,
+            self.client,
+            request_guard(self.view, self.client, clock),
+            self.meter,
+            clock,
+            random.Random(1),
         )
 
     def _admit(self, prefix: str) -> AdmittedRequest:
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -31,7 +31,7 @@
 from tests.fakes.member import FakeMember, machine_of
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
-from tests.fakes.serving import entry_view, request
+from tests.fakes.serving import entry_view, request, request_guard
 from tests.fakes.targets import Answers, Behaviour, FakeTargetClient, Hangs, target
 
 LIMITED = target("a")
@@ -251,10 +251,12 @@
         )
         for name in busy * 60:
             router.begin_call(target(name))
+        limited_client = LimitedTargetClient(self.client, permits, clock)
         self.runner = runner = CallRunner(
             admission,
             router,
-            LimitedTargetClient(self.client, permits, clock),
+            limited_client,
+            request_guard(view, limited_client, clock),
             UsageMeter(5.0),
             clock,
             random.Random(1),
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -16,7 +16,7 @@
 from goldcrestyard.policy.call_routing import CallerLocation
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
-from tests.fakes.serving import entry_view, request
+from tests.fakes.serving import entry_view, request, request_guard
 from tests.fakes.targets import (
     FULL,
     RESET,
@@ -138,7 +138,14 @@
         router = CallRouter(
             view.machine.get(TargetsSlice), location, clock, random.Random(1)
         )
-        runner = StreamRunner(admission, router, client, UsageMeter(5.0), clock)
+        runner = StreamRunner(
+            admission,
+            router,
+            client,
+            request_guard(view, client, clock),
+            UsageMeter(5.0),
+            clock,
+        )
         admitted = admission.admit(request(case.prefix), clock.monotonic())
         assert isinstance(admitted, AdmittedRequest)
         if case.seconds is not None:
