Do not suspect requests that were given up

A request that had no answer by its deadline, or whose caller had left, counted as one under which its target crashed if the target ended within 10 s. A target drops a request when its connection closes, so that its later end says nothing. Only a connection that breaks counts now, and the target's end must follow within 5 s, the time in which a silent target is removed. A target that falls silent without ending its connections is no evidence any more.

--- a/goldcrestyard/fleet/crashes/guard.py
+++ b/goldcrestyard/fleet/crashes/guard.py
@@ -22,17 +22,17 @@
 
 logger = structlog.get_logger(__name__)
 
-END_SECONDS = 10.0
-"""Time in seconds within which a target must be known to have ended for a
-request without an answer to count as one under which it crashed.  A silent
-target is removed within four seconds."""
+END_SECONDS = 5.0
+"""Time in seconds after a connection broke within which the target must be
+known to have ended for it to count as crashed.  A silent target is removed
+within four seconds."""
 
-MAX_UNANSWERED = 256
-"""Maximum number of requests without an answer whose targets are observed."""
+MAX_BROKEN_SENDS = 256
+"""Maximum number of sends without an answer whose targets are observed."""
 
 
 @dataclass(frozen=True, slots=True)
-class _Unanswered:
+class _BrokenSend:
     request: RequestDigest
     run: TargetRun
 
@@ -59,7 +59,7 @@
         self._client = client
         self._clock = clock
         self._report = report
-        self._ended_at_by_unanswered: dict[_Unanswered, float] = {}
+        self._broke_at_by_send: dict[_BrokenSend, float] = {}
 
     def watch(self, call: TargetCall) -> "WatchedRequest":
         """Return the guard's view of one request, for all its attempts."""
@@ -67,7 +67,7 @@
 
     def is_idle(self) -> bool:
         """Return whether no request is suspected, rejected or observed."""
-        return self._suspects.are_none() and not self._ended_at_by_unanswered
+        return self._suspects.are_none() and not self._broke_at_by_send
 
     def refusal(self, request: RequestDigest) -> Refusal | None:
         """Return the refusal of a rejected request; None if it may be sent."""
@@ -97,53 +97,48 @@
                 is_gone = True
             case _:
                 return False
-        unanswered = _Unanswered(request, _run(target))
+        broken = _BrokenSend(request, _run(target))
         if is_gone:
-            self._note_crash(unanswered, broke_at)
+            self._note_crash(broken, broke_at)
             self._report()
         else:
-            self._observe(unanswered, broke_at)
+            self._observe(broken, broke_at)
         return is_gone
 
-    def note_unanswered(self, target: Target, request: RequestDigest) -> None:
-        """Record a request that was given up without an answer."""
-        if self._state(target) is TargetState.READY:
-            self._observe(_Unanswered(request, _run(target)), self._clock.monotonic())
-
     def note_answer(self, request: RequestDigest) -> None:
         """Record a complete answer, which clears the request."""
         self._suspects.note_answer(request, self._clock.monotonic())
-        for unanswered in list(self._ended_at_by_unanswered):
-            if unanswered.request == request:
-                del self._ended_at_by_unanswered[unanswered]
+        for broken in list(self._broke_at_by_send):
+            if broken.request == request:
+                del self._broke_at_by_send[broken]
 
     def resolve(self) -> None:
         """Record the crashes of targets whose end has become known since."""
         now = self._clock.monotonic()
-        for unanswered, ended_at in list(self._ended_at_by_unanswered.items()):
-            run = unanswered.run
+        for broken, broke_at in list(self._broke_at_by_send.items()):
+            run = broken.run
             match self._targets.run_state(run.target, run.incarnation):
-                case TargetState.READY if now - ended_at <= END_SECONDS:
+                case TargetState.READY if now - broke_at <= END_SECONDS:
                     continue
                 case TargetState.LOST:
-                    self._note_crash(unanswered, ended_at)
-            del self._ended_at_by_unanswered[unanswered]
+                    self._note_crash(broken, broke_at)
+            del self._broke_at_by_send[broken]
 
-    def _note_crash(self, unanswered: _Unanswered, at: float) -> None:
-        if self._suspects.note_crash(unanswered.request, unanswered.run, at):
+    def _note_crash(self, broken: _BrokenSend, at: float) -> None:
+        if self._suspects.note_crash(broken.request, broken.run, at):
             logger.info(
                 "target crashed under a request",
-                digest=unanswered.request.hex(),
-                target=unanswered.run.target,
-                incarnation=unanswered.run.incarnation,
-                crashes=self._suspects.crash_count(unanswered.request),
+                digest=broken.request.hex(),
+                target=broken.run.target,
+                incarnation=broken.run.incarnation,
+                crashes=self._suspects.crash_count(broken.request),
             )
 
-    def _observe(self, unanswered: _Unanswered, ended_at: float) -> None:
-        self._ended_at_by_unanswered.setdefault(unanswered, ended_at)
-        if len(self._ended_at_by_unanswered) > MAX_UNANSWERED:
-            oldest = next(iter(self._ended_at_by_unanswered))
-            del self._ended_at_by_unanswered[oldest]
+    def _observe(self, broken: _BrokenSend, broke_at: float) -> None:
+        self._broke_at_by_send.setdefault(broken, broke_at)
+        if len(self._broke_at_by_send) > MAX_BROKEN_SENDS:
+            oldest = next(iter(self._broke_at_by_send))
+            del self._broke_at_by_send[oldest]
 
     def _state(self, target: Target) -> TargetState | None:
         return self._targets.run_state(target.id, target.incarnation)
@@ -176,10 +171,6 @@
         """Record that no answer came; return whether the target is gone."""
         return await self._guard.note_broken(target, self.digest)
 
-    def note_unanswered(self, target: Target) -> None:
-        """Record that the request was given up without an answer."""
-        self._guard.note_unanswered(target, self.digest)
-
     def note_answer(self) -> None:
         """Record a complete answer of a target."""
         if not self._guard.is_idle():
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -121,11 +121,10 @@
         when the first is slow.  The first answer without a server error is
         returned; cancelling the other attempts ends their work at the targets.
         """
-        watched = self._guard.watch(admitted.to_call())
-        rejected = watched.refusal()
+        state = _CallState(self._guard.watch(admitted.to_call()))
+        rejected = state.watched.refusal()
         if rejected is not None:
             return rejected
-        state = _CallState(watched)
         running: dict[asyncio.Task[CallAnswer | AttemptFailure], Target] = {}
         timeout = asyncio.timeout_at(min(admitted.deadline, self._ends_at))
         try:
@@ -136,10 +135,8 @@
             return self._timeout_result(state, bool(running))
         finally:
             self._running_timeouts.discard(timeout)
-            for task, target in running.items():
+            for task in running:
                 task.cancel()
-                if state.last_answer is None:
-                    watched.note_unanswered(target)
             await asyncio.gather(*running, return_exceptions=True)
 
     async def _run_attempts(
