Hold back requests under which two targets have crashed

A request that crashes targets took three within half a second, all that a small service has: the caller's retry reached another entry before the leader knew enough.

The leader commits the suspicion, so that all entries know it within a round trip. Crashed targets are back before the next try, and the third crash leads to the rejection as before. The bound on crashes of one request goes, since the second one holds it back.

--- a/goldcrestyard/fleet/crashes/apps.py
+++ b/goldcrestyard/fleet/crashes/apps.py
@@ -5,13 +5,13 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.fleet.crashes.commands import (
-    RejectedRequest,
-    RejectedRequestsSnapshot,
+    CrashingRequest,
+    CrashingRequestsSnapshot,
 )
 from goldcrestyard.fleet.crashes.guard import RequestGuard
 from goldcrestyard.fleet.crashes.messages import MESSAGES
 from goldcrestyard.fleet.crashes.rejection import RequestRejection
-from goldcrestyard.fleet.crashes.slices import RejectedRequestsSlice
+from goldcrestyard.fleet.crashes.slices import CrashingRequestsSlice
 from goldcrestyard.fleet.crashes.suspects import (
     Suspects,
     SuspectsChannel,
@@ -28,16 +28,16 @@
 
 
 class CrashingRequestsConfig(PluginConfig):
-    """Replicates the rejected requests; entries report, the leader decides."""
+    """Replicates crashing requests; entries report, the leader decides."""
 
     name = "crashing_requests"
     requires = ("observability", "peers", "target_client", "tracking")
     after = ("assembly", "entry")
-    slices = (RejectedRequestsSlice,)
+    slices = (CrashingRequestsSlice,)
     messages = (
-        *RejectedRequestsSlice.commands,
-        RejectedRequest,
-        RejectedRequestsSnapshot,
+        *CrashingRequestsSlice.commands,
+        CrashingRequest,
+        CrashingRequestsSnapshot,
         *MESSAGES,
     )
 
@@ -50,14 +50,14 @@
         codec = app.get(Codec)
         member = app.find(ControlMember)
         if member is not None:
-            rejected = member.machine.get(RejectedRequestsSlice)
+            rejected = member.machine.get(CrashingRequestsSlice)
             suspects = Suspects(rejected, metrics, app.clock)
             app.get(LeaderDigests).add(SuspectsMerger(suspects, codec))
             self._rejection = RequestRejection(member, suspects)
             return
         machine = app.get(EntryView).machine
         digests = app.get(EntryDigests)
-        suspects = Suspects(machine.get(RejectedRequestsSlice), metrics, app.clock)
+        suspects = Suspects(machine.get(CrashingRequestsSlice), metrics, app.clock)
         guard = app.provide(
             RequestGuard,
             RequestGuard(
--- a/goldcrestyard/fleet/crashes/commands.py
+++ b/goldcrestyard/fleet/crashes/commands.py
@@ -1,4 +1,4 @@
-"""Commands and snapshot of the rejected requests slice."""
+"""Commands and snapshot of the crashing requests slice."""
 
 from dataclasses import dataclass
 
@@ -6,6 +6,14 @@
 from goldcrestyard.policy.crashing_requests import TargetRun
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectRequest:
+    """Tells all entries at once that runs have crashed under a request."""
+
+    request: RequestDigest
+    runs: tuple[TargetRun, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RejectRequest:
     """Rejects a request from now on, for the runs that crashed under it."""
@@ -15,16 +23,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RejectedRequest:
-    """A rejected request with the wall time of its rejection in seconds."""
+class CrashingRequest:
+    """A request with the runs that have crashed under it."""
 
     request: RequestDigest
     runs: tuple[TargetRun, ...]
-    rejected_at: float
+    since: float
+    """Wall time in seconds of the latest command for it."""
 
 
 @dataclass(frozen=True, slots=True)
-class RejectedRequestsSnapshot:
-    """Snapshot of the rejected requests, those rejected first at the start."""
+class CrashingRequestsSnapshot:
+    """Snapshot of the slice, in both lists the oldest first."""
 
-    rejected: tuple[RejectedRequest, ...]
+    suspected: tuple[CrashingRequest, ...]
+    rejected: tuple[CrashingRequest, ...]
--- a/goldcrestyard/fleet/crashes/guard.py
+++ b/goldcrestyard/fleet/crashes/guard.py
@@ -70,8 +70,8 @@
         return self._suspects.are_none() and not self._broke_at_by_send
 
     def refusal(self, request: RequestDigest) -> Refusal | None:
-        """Return the refusal of a rejected request; None if it may be sent."""
-        seconds = self._suspects.rejected_seconds_left(request)
+        """Return the refusal of a request; None if it may be sent."""
+        seconds = self._suspects.refused_seconds_left(request)
         if seconds is None:
             return None
         return Refusal(
@@ -84,8 +84,8 @@
         """Return whether targets have crashed under a request."""
         return self._suspects.crash_count(request) > 0
 
-    async def note_broken(self, target: Target, request: RequestDigest) -> bool:
-        """Record that no answer came; return whether the target is gone.
+    async def note_broken(self, target: Target, request: RequestDigest) -> None:
+        """Record that a connection broke, and ask whether the target is gone.
 
         A target that has ended refuses new connections.
         """
@@ -96,14 +96,13 @@
             case TargetState.LOST:
                 is_gone = True
             case _:
-                return False
+                return
         broken = _BrokenSend(request, _run(target))
         if is_gone:
             self._note_crash(broken, broke_at)
             self._report()
         else:
             self._observe(broken, broke_at)
-        return is_gone
 
     def note_answer(self, request: RequestDigest) -> None:
         """Record a complete answer, which clears the request."""
@@ -160,16 +159,16 @@
         return request_digest(self._call)
 
     def refusal(self) -> Refusal | None:
-        """Return the refusal if the request is rejected."""
+        """Return the refusal if the request may not be sent now."""
         return None if self._guard.is_idle() else self._guard.refusal(self.digest)
 
     def is_suspect(self) -> bool:
         """Return whether targets have crashed under the request."""
         return not self._guard.is_idle() and self._guard.is_suspect(self.digest)
 
-    async def note_broken(self, target: Target) -> bool:
-        """Record that no answer came; return whether the target is gone."""
-        return await self._guard.note_broken(target, self.digest)
+    async def note_broken(self, target: Target) -> None:
+        """Record that the connection broke without an answer."""
+        await self._guard.note_broken(target, self.digest)
 
     def note_answer(self) -> None:
         """Record a complete answer of a target."""
--- a/goldcrestyard/fleet/crashes/rejection.py
+++ b/goldcrestyard/fleet/crashes/rejection.py
@@ -1,4 +1,4 @@
-"""The leader's part: commits the rejection of requests that crash targets."""
+"""The leader's part: commits which requests are suspected and rejected."""
 
 import asyncio
 
@@ -12,12 +12,12 @@
 logger = structlog.get_logger(__name__)
 
 RETRY_SECONDS = 0.2
-"""Delay in seconds before a rejection that was not committed is proposed
+"""Delay in seconds before a command that was not committed is proposed
 again."""
 
 
 class RequestRejection:
-    """Proposes rejections as soon as the crashes suffice."""
+    """Proposes suspicions and rejections as soon as the crashes suffice."""
 
     def __init__(self, member: ControlMember, suspects: Suspects) -> None:
         self._member = member
@@ -26,18 +26,18 @@
         suspects.listen(self._crash_noted.set)
 
     async def run(self) -> None:
-        """Propose rejections until cancelled."""
+        """Propose commands until cancelled."""
         while True:
             self._crash_noted.clear()
-            for request, runs in self._suspects.to_reject().items():
-                result = await self._member.propose(RejectRequest(request, runs))
+            for command in self._suspects.to_commit():
+                result = await self._member.propose(command)
                 if not isinstance(result, Applied):
                     self._crash_noted.set()
                     await asyncio.sleep(RETRY_SECONDS)
-                    continue
-                logger.warning(
-                    "request is rejected from now on: targets crash under it",
-                    digest=request.hex(),
-                    targets=[run.target for run in runs],
-                )
+                elif isinstance(command, RejectRequest):
+                    logger.warning(
+                        "request is rejected from now on: targets crash under it",
+                        digest=command.request.hex(),
+                        targets=[run.target for run in command.runs],
+                    )
             await self._crash_noted.wait()
--- a/goldcrestyard/fleet/crashes/suspects.py
+++ b/goldcrestyard/fleet/crashes/suspects.py
@@ -5,19 +5,26 @@
 has it, so a new leader soon knows what any entry knows.
 """
 
+import random
 from collections.abc import Callable
 
 from goldcrestyard.core.ids import InstanceId, RequestDigest
+from goldcrestyard.fleet.crashes.commands import (
+    CrashingRequest,
+    RejectRequest,
+    SuspectRequest,
+)
 from goldcrestyard.fleet.crashes.messages import (
     AnswerRecord,
     CrashRecord,
     SuspectRecords,
 )
-from goldcrestyard.fleet.crashes.slices import RejectedRequestsSlice
+from goldcrestyard.fleet.crashes.slices import CrashingRequestsSlice
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.digests import DigestChannel, DigestMerger
 from goldcrestyard.policy.crashing_requests import (
+    HELD_AFTER_CRASHES,
     REJECTED_SECONDS,
     Crash,
     CrashTally,
@@ -40,10 +47,12 @@
     """What one process knows of crashes under requests."""
 
     def __init__(
-        self, rejected: RejectedRequestsSlice, metrics: FleetMetrics, clock: Clock
+        self, committed: CrashingRequestsSlice, metrics: FleetMetrics, clock: Clock
     ) -> None:
-        self._rejected = rejected
+        self._committed = committed
+        self._hold_jitter = random.random()
         self._seen_changes = 0
+        self._adopted: frozenset[CrashingRequest] = frozenset()
         self._metrics = metrics
         self._clock = clock
         self._tally = CrashTally()
@@ -56,7 +65,7 @@
     def note_crash(self, request: RequestDigest, run: TargetRun, at: float) -> bool:
         """Record a crash at a monotonic time; return whether it is new."""
         self._synchronize()
-        if self._committed_seconds_left(request) is not None:
+        if self._rejected_seconds_left(request) is not None:
             return False
         if not self._tally.note_crash(Crash(request, run, at)):
             return False
@@ -73,34 +82,45 @@
 
     def are_none(self) -> bool:
         """Return whether no request is suspected or rejected."""
-        return self._tally.is_empty() and not self._rejected.rejected_by_request
+        self._synchronize()
+        return self._tally.is_empty() and not self._committed.rejected_by_request
 
     def crash_count(self, request: RequestDigest) -> int:
         """Return the number of crashes that count for a request."""
         self._synchronize()
         return len(self._tally.crashes(request))
 
-    def rejected_seconds_left(self, request: RequestDigest) -> float | None:
-        """Return for how long a request is rejected; None if it is not.
+    def refused_seconds_left(self, request: RequestDigest) -> float | None:
+        """Return for how long a request is refused; None if it is not.
 
         What this process knows by itself counts too, so that it does not
         depend on the leader.
         """
         self._synchronize()
-        committed = self._committed_seconds_left(request)
-        if committed is None and self._is_to_reject(request):
+        committed = self._rejected_seconds_left(request)
+        if committed is not None:
+            return committed
+        if self._is_to_reject(request):
             return REJECTED_SECONDS
-        return committed
+        return self._tally.held_seconds_left(
+            request, self._clock.monotonic(), self._hold_jitter
+        )
 
-    def to_reject(self) -> dict[RequestDigest, tuple[TargetRun, ...]]:
-        """Return the runs that crashed under requests to be rejected."""
+    def to_commit(self) -> list[SuspectRequest | RejectRequest]:
+        """Return the commands for requests that are to be held or rejected."""
         self._synchronize()
         self._tally.discard_old(self._clock.monotonic())
-        return {
-            request: tuple(sorted(self._tally.crashes(request)))
-            for request in self._tally.suspects()
-            if self._is_to_reject(request)
-        }
+        commands: list[SuspectRequest | RejectRequest] = []
+        for request in self._tally.suspects():
+            runs = tuple(sorted(self._tally.crashes(request)))
+            committed = self._committed.suspected_by_request.get(request)
+            if self._is_to_reject(request):
+                commands.append(RejectRequest(request, runs))
+            elif len(runs) >= HELD_AFTER_CRASHES and (
+                committed is None or not set(runs) <= set(committed.runs)
+            ):
+                commands.append(SuspectRequest(request, runs))
+        return commands
 
     def records(self) -> SuspectRecords:
         """Return what is known, for other processes."""
@@ -131,27 +151,37 @@
 
     def _is_to_reject(self, request: RequestDigest) -> bool:
         return self._tally.is_to_reject(
-            request, rejected_before=request in self._rejected.rejected_by_request
+            request, rejected_before=request in self._committed.rejected_by_request
         )
 
-    def _committed_seconds_left(self, request: RequestDigest) -> float | None:
-        rejected = self._rejected.rejected_by_request.get(request)
+    def _rejected_seconds_left(self, request: RequestDigest) -> float | None:
+        rejected = self._committed.rejected_by_request.get(request)
         if rejected is None:
             return None
-        left = rejected.rejected_at + REJECTED_SECONDS - self._clock.wall()
+        left = rejected.since + REJECTED_SECONDS - self._clock.wall()
         return min(left, REJECTED_SECONDS) if left > 0 else None
 
     def _synchronize(self) -> None:
-        """Account for the requests that were rejected since the last call."""
-        if self._seen_changes == self._rejected.changes:
+        """Account for what was committed since the last call."""
+        if self._seen_changes == self._committed.changes:
             return
-        self._seen_changes = self._rejected.changes
-        for request in self._rejected.rejected_by_request:
-            if self._committed_seconds_left(request) is not None:
+        self._seen_changes = self._committed.changes
+        for request in self._committed.rejected_by_request:
+            if self._rejected_seconds_left(request) is not None:
                 self._tally.forget(request)
-        self._tally.explain(self._rejected.runs())
+        self._tally.explain(self._committed.rejected_runs())
+        # Each is adopted once, since an answer may clear it before the wall
+        # clock is set back.
+        suspected = frozenset(self._committed.suspected_by_request.values())
+        clock = self._clock
+        for crashing in suspected - self._adopted:
+            age_seconds = max(0.0, clock.wall() - crashing.since)
+            for run in crashing.runs:
+                at = clock.monotonic() - age_seconds
+                self._tally.note_crash(Crash(crashing.request, run, at))
+        self._adopted = suspected
         self._set_gauge()
-        self._metrics.rejected_requests.set(len(self._rejected.rejected_by_request))
+        self._metrics.rejected_requests.set(len(self._committed.rejected_by_request))
 
     def _set_gauge(self) -> None:
         self._metrics.suspected_requests.set(len(self._tally.suspects()))
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -34,7 +34,6 @@
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.kernel.clock import Clock
-from goldcrestyard.policy.crashing_requests import MAX_CRASHES_IN_ONE_REQUEST
 from goldcrestyard.policy.hedging import hedge_after
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.serving import pick_service
@@ -74,8 +73,6 @@
     sent: int = 0
     """Attempts that count towards the route's ``max_attempts``."""
     unreached: int = 0
-    crashes: int = 0
-    """Attempts whose target crashed."""
     last_answer: CallAnswer | None = None
 
 
@@ -151,7 +148,9 @@
             if target is not None:
                 state.tried.add(target.id)
                 state.sent += 1
-                attempt = self._attempt(admitted, target, state, hedged=bool(running))
+                attempt = self._attempt(
+                    admitted, target, state.watched, hedged=bool(running)
+                )
                 running[asyncio.create_task(attempt)] = target
             elif not running:
                 return self._refusal(admitted, state, service)
@@ -193,7 +192,6 @@
         if (
             state.sent >= route.max_attempts
             or state.unreached >= MAX_UNREACHED_ATTEMPTS
-            or state.crashes >= MAX_CRASHES_IN_ONE_REQUEST
         ):
             return None
         # A hedge of a suspect might crash a second target meanwhile.
@@ -209,7 +207,7 @@
         self,
         admitted: AdmittedRequest,
         target: Target,
-        state: _CallState,
+        watched: WatchedRequest,
         *,
         hedged: bool,
     ) -> CallAnswer | AttemptFailure:
@@ -234,12 +232,10 @@
             if isinstance(outcome, CallAnswer):
                 if not outcome.failed:
                     statistics.record_success(seconds, began + seconds)
-                    state.watched.note_answer()
+                    watched.note_answer()
                 self._meter.count(admitted.organisation, request.id, started_at_wall)
         if isinstance(outcome, Broken):
-            # Another attempt may end while this one waits.
-            has_crashed = await state.watched.note_broken(target)
-            state.crashes += has_crashed
+            await watched.note_broken(target)
         logger.info(
             "attempt ended",
             request=request.id,
@@ -248,7 +244,7 @@
             incarnation=target.incarnation,
             hedged=hedged,
             outcome=_describe(outcome),
-            digest=_digest_of_failed(state.watched, outcome),
+            digest=_digest_of_failed(watched, outcome),
             verdict=_outcome_verdict(outcome).value,
             seconds=round(seconds, 4),
         )
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -34,7 +34,6 @@
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.reply_timeouts import next_event_within, open_reply_within
 from goldcrestyard.kernel.clock import Clock
-from goldcrestyard.policy.crashing_requests import MAX_CRASHES_IN_ONE_REQUEST
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.serving import pick_service
 
@@ -109,10 +108,9 @@
         stream = _StreamState()
         tried: set[TargetId] = set()
         failures: list[AttemptFailure] = []
-        sent = crashes = 0
+        sent = 0
         while (
             sent < admitted.route.max_attempts
-            and crashes < MAX_CRASHES_IN_ONE_REQUEST
             and watched.refusal() is None
             and self._admission.is_still_authorised(admitted)
         ):
@@ -133,7 +131,7 @@
                     watched.note_answer()
                 return outcome
             if isinstance(outcome, Broken):
-                crashes += await watched.note_broken(target)
+                await watched.note_broken(target)
             self._router.note_failure(target, outcome)
             failures.append(outcome)
             sent += not isinstance(outcome, Unreached | Withheld)
--- a/goldcrestyard/policy/crashing_requests.py
+++ b/goldcrestyard/policy/crashing_requests.py
@@ -21,6 +21,14 @@
 REJECTED_AFTER_SHARED_CRASHES = 5
 """Number of crashed runs after which a request is rejected in any case."""
 
+HELD_AFTER_CRASHES = 2
+HELD_SECONDS = 4.0
+"""Number of crashed runs from which on a request is not sent to a target for
+a time after each crash, once to twice this long.  Crashed targets are back
+after some seconds, so that the next try does not take the last target of a
+small service.
+"""
+
 SUSPECT_SECONDS = 600.0
 """Time in seconds after which a crash no longer counts."""
 
@@ -32,10 +40,6 @@
 """Maximum number of suspected requests; beyond it those with the fewest
 crashes, then the oldest, are forgotten."""
 
-MAX_CRASHES_IN_ONE_REQUEST = 2
-"""Number of targets that may crash during the attempts of one request before
-it gets no further attempt."""
-
 
 @dataclass(frozen=True, slots=True, order=True)
 class TargetRun:
@@ -160,6 +164,21 @@
             for other, crashed_at in self._crashed_at_by_request.items()
         )
 
+    def held_seconds_left(
+        self, request: RequestDigest, now: float, jitter: float
+    ) -> float | None:
+        """Return for how long a request is held back; None if it is not.
+
+        ``jitter`` is a random number from 0 to 1, different in each process.
+        If all let the request go at the same moment, several targets would
+        crash under it at once.
+        """
+        crashed_at = self.crashes(request)
+        if len(crashed_at) < HELD_AFTER_CRASHES:
+            return None
+        left = max(crashed_at.values()) + HELD_SECONDS * (1.0 + jitter) - now
+        return left if left > 0 else None
+
     def _keep(self, request: RequestDigest, crashed_at: dict[TargetRun, float]) -> None:
         if crashed_at:
             self._crashed_at_by_request[request] = crashed_at
--- a/tests/fakes/serving.py
+++ b/tests/fakes/serving.py
@@ -22,7 +22,7 @@
     WeightedService,
 )
 from goldcrestyard.fleet.crashes.guard import RequestGuard
-from goldcrestyard.fleet.crashes.slices import RejectedRequestsSlice
+from goldcrestyard.fleet.crashes.slices import CrashingRequestsSlice
 from goldcrestyard.fleet.crashes.suspects import Suspects
 from goldcrestyard.fleet.gateway.admission import CallerRequest
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
@@ -86,7 +86,7 @@
 
 def entry_view(clock: Clock, targets: tuple[str, ...]) -> EntryView:
     """Return an entry's view, with a lease, of ``CONFIG`` and the targets."""
-    machine = StateMachine([ServingSlice(), TargetsSlice(), RejectedRequestsSlice()])
+    machine = StateMachine([ServingSlice(), TargetsSlice(), CrashingRequestsSlice()])
     apply(machine, PutServing(CONFIG, b""))
     for name in targets:
         announce(machine.get(TargetsSlice), target(name))
@@ -105,7 +105,7 @@
     machine = view.machine
     if suspects is None:
         metrics = FleetMetrics(CollectorRegistry())
-        suspects = Suspects(machine.get(RejectedRequestsSlice), metrics, clock)
+        suspects = Suspects(machine.get(CrashingRequestsSlice), metrics, clock)
     return RequestGuard(
         suspects, machine.get(TargetsSlice), client, clock, lambda: None
     )
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -17,7 +17,7 @@
 from goldcrestyard.fleet.crashes.guard import END_SECONDS, RequestGuard
 from goldcrestyard.fleet.crashes.messages import MESSAGES
 from goldcrestyard.fleet.crashes.rejection import RequestRejection
-from goldcrestyard.fleet.crashes.slices import RejectedRequestsSlice
+from goldcrestyard.fleet.crashes.slices import CrashingRequestsSlice
 from goldcrestyard.fleet.crashes.suspects import (
     Suspects,
     SuspectsChannel,
@@ -32,7 +32,11 @@
 from goldcrestyard.plugins.targets.commands import DrainTarget, RemoveTarget
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
-from goldcrestyard.policy.crashing_requests import REJECTED_SECONDS, TargetRun
+from goldcrestyard.policy.crashing_requests import (
+    HELD_SECONDS,
+    REJECTED_SECONDS,
+    TargetRun,
+)
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.announcements import announce
 from tests.fakes.member import FakeMember
@@ -64,7 +68,7 @@
         quiet_logs(self)
         self.view = entry_view(self.clock(), tuple("abcd"))
         self.targets = self.view.machine.get(TargetsSlice)
-        self.rejected = self.view.machine.get(RejectedRequestsSlice)
+        self.committed = self.view.machine.get(CrashingRequestsSlice)
         self.client = FakeTargetClient({name: [Answers()] for name in "abcd"})
         self.codec = Codec()
         self.codec.register(*MESSAGES)
@@ -78,7 +82,7 @@
 
     def new_suspects(self) -> Suspects:
         metrics = FleetMetrics(CollectorRegistry())
-        return Suspects(self.rejected, metrics, self.clock())
+        return Suspects(self.committed, metrics, self.clock())
 
     def new_guard(self, suspects: Suspects) -> RequestGuard:
         return request_guard(self.view, self.client, self.clock(), suspects)
@@ -88,7 +92,7 @@
         assert isinstance(admitted, AdmittedRequest)
         return admitted
 
-    async def reject(self, suspects: Suspects) -> FakeMember:
+    async def commit(self, suspects: Suspects) -> FakeMember:
         """Let the leader decide on what it knows."""
         member = FakeMember(self.view.machine, self.clock())
         rejection = RequestRejection(member, suspects)  # type: ignore[arg-type]
@@ -196,9 +200,9 @@
         for channel in channels * 2:
             self.exchange(channel, leader)
         self.assertEqual([3, 3, 3], [e.crash_count(self.digest) for e in entries])
-        member = await self.reject(leader)
+        member = await self.commit(leader)
         self.assertEqual(1, len(member.proposed))
-        self.assertIsNotNone(self.new_suspects().rejected_seconds_left(self.digest))
+        self.assertIsNotNone(self.new_suspects().refused_seconds_left(self.digest))
 
     async def test_new_leader_learns_what_entries_had_been_told(self) -> None:
         """The entry that saw the crashes is gone together with the leader."""
@@ -231,18 +235,32 @@
         for name in "abc":
             for digest in (self.digest, self.innocent):
                 self.suspects.note_crash(digest, run(name), now)
-        self.assertEqual({}, self.suspects.to_reject())
+        await self.commit(self.suspects)
+        self.assertEqual(0, len(self.committed.rejected_by_request))
         self.suspects.note_crash(self.digest, run("d"), now)
-        await self.reject(self.suspects)
+        await self.commit(self.suspects)
         self.assertIsNone(self.guard.refusal(self.innocent))
         self.assertEqual(0, self.suspects.crash_count(self.innocent))
         self.assertIsNotNone(self.guard.refusal(self.digest))
 
+    async def test_request_is_held_back_everywhere_after_two_crashes(self) -> None:
+        """Guards against a third crash while the first targets are down."""
+        for name in "ab":
+            self.suspects.note_crash(self.digest, run(name), self.clock().monotonic())
+        await self.commit(self.suspects)
+        guard = self.new_guard(self.new_suspects())
+        refusal = guard.refusal(self.digest)
+        assert refusal is not None
+        self.assertLessEqual(refusal.retry_after_seconds or 0.0, 2 * HELD_SECONDS)
+        await asyncio.sleep(2 * HELD_SECONDS + 1.0)
+        self.assertIsNone(guard.refusal(self.digest))
+        self.assertTrue(guard.is_suspect(self.digest))
+
     async def test_rejection_survives_a_snapshot_and_ends_in_time(self) -> None:
         for name in "abc":
             self.suspects.note_crash(self.digest, run(name), 0.0)
-        await self.reject(self.suspects)
-        self.rejected.load_snapshot(self.rejected.to_snapshot())
+        await self.commit(self.suspects)
+        self.committed.load_snapshot(self.committed.to_snapshot())
         refusal = self.guard.refusal(self.digest)
         assert refusal is not None
         self.assertAlmostEqual(
@@ -343,8 +361,9 @@
     async def test_answer_clears_a_suspect(self, _: str, prefix: str) -> None:
         admitted = self.admit(prefix)
         digest = request_digest(admitted.to_call())
+        before = self.clock().monotonic() - 2 * HELD_SECONDS
         for name in "xy":
-            self.suspects.note_crash(digest, run(name), 0.0)
+            self.suspects.note_crash(digest, run(name), before)
         answers: Behaviour = Answers() if prefix == "/again/" else Streams()
         outcome = await self.answer(admitted, dict.fromkeys("abcd", answers))
         self.assertNotIsInstance(outcome, Refusal)
