--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -293,6 +293,12 @@
         await self.server.wait_closed()
         self.assertIsInstance(await self._send(), Unreached)
 
+    async def test_target_that_ended_is_told_from_one_that_runs(self) -> None:
+        self.assertFalse(await self.client.refuses_connections(self.target))
+        self.server.close()
+        await self.server.wait_closed()
+        self.assertTrue(await self.client.refuses_connections(self.target))
+
     async def test_get_that_may_run_once_is_never_sent_twice(self) -> None:
         self.script += [(b"", close), (WHOLE, stay)]
         outcome = await self._send(method="GET", body=b"")
--- a/tests/policy/test_crashing_requests.py
+++ b/tests/policy/test_crashing_requests.py
@@ -7,6 +7,7 @@
 
 from goldcrestyard.core.ids import RequestDigest, TargetId
 from goldcrestyard.policy.crashing_requests import (
+    HELD_SECONDS,
     MAX_SUSPECTS,
     SUSPECT_SECONDS,
     Crash,
@@ -70,6 +71,23 @@
             tally.is_to_reject(DEADLY, rejected_before=case.rejected_before),
         )
 
+    @parameterized.expand(
+        [
+            ("one_crash", "a", 0.0, 0.0, None),
+            ("two_crashes", "ab", 0.0, 1.0, HELD_SECONDS),
+            ("latest_jitter", "ab", 1.0, 1.0, 2 * HELD_SECONDS),
+            ("a_crash_later", "abc", 0.0, 3.0, HELD_SECONDS - 1.0),
+            ("over", "ab", 0.0, 1.0 + HELD_SECONDS, None),
+        ]
+    )
+    def test_hold(
+        self, _: str, runs: str, jitter: float, now: float, left: float | None
+    ) -> None:
+        tally = CrashTally()
+        for number, name in enumerate(runs):
+            tally.note_crash(Crash(DEADLY, run(name), float(number)))
+        self.assertEqual(left, tally.held_seconds_left(DEADLY, now, jitter))
+
     def test_answer_outweighs_earlier_crashes_that_are_reported_late(self) -> None:
         tally = CrashTally()
         tally.note_crash(Crash(INNOCENT, run("a"), 1.0))
