--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -14,6 +14,7 @@
 
 from goldcrestyard.core.attempts import (
     AttemptFailure,
+    Broken,
     Unreached,
     Withheld,
     describe_failure,
@@ -24,6 +25,7 @@
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.fleet.crashes.guard import RequestGuard, WatchedRequest
 from goldcrestyard.fleet.gateway.admission import (
     RETRY_AFTER_SECONDS,
     Admission,
@@ -65,6 +67,7 @@
 class _CallState:
     """State of one request over all its attempts."""
 
+    watched: WatchedRequest
     tried: set[TargetId] = field(default_factory=set)
     failures: list[AttemptFailure] = field(default_factory=list)
     sent: int = 0
@@ -81,6 +84,7 @@
         admission: Admission,
         router: CallRouter,
         client: TargetClient,
+        guard: RequestGuard,
         meter: UsageMeter,
         clock: Clock,
         random_source: random.Random | None = None,
@@ -88,6 +92,7 @@
         self._admission = admission
         self._router = router
         self._client = client
+        self._guard = guard
         self._meter = meter
         self._clock = clock
         self._random = random_source or random.Random()
@@ -113,7 +118,10 @@
         when the first is slow.  The first answer without a server error is
         returned; cancelling the other attempts ends their work at the targets.
         """
-        state = _CallState()
+        state = _CallState(self._guard.watch(admitted.to_call()))
+        rejected = state.watched.refusal()
+        if rejected is not None:
+            return rejected
         running: dict[asyncio.Task[CallAnswer | AttemptFailure], Target] = {}
         timeout = asyncio.timeout_at(min(admitted.deadline, self._ends_at))
         try:
@@ -140,7 +148,9 @@
             if target is not None:
                 state.tried.add(target.id)
                 state.sent += 1
-                attempt = self._attempt(admitted, target, hedged=bool(running))
+                attempt = self._attempt(
+                    admitted, target, state.watched, hedged=bool(running)
+                )
                 running[asyncio.create_task(attempt)] = target
             elif not running:
                 return self._refusal(admitted, state, service)
@@ -184,6 +194,9 @@
             or state.unreached >= MAX_UNREACHED_ATTEMPTS
         ):
             return None
+        # A hedge of a suspect might crash a second target meanwhile.
+        if (running and state.watched.is_suspect()) or state.watched.refusal():
+            return None
         if not self._admission.is_still_authorised(admitted):
             return None
         if admitted.deadline - self._clock.monotonic() < MIN_ATTEMPT_SECONDS:
@@ -191,7 +204,12 @@
         return self._router.choose(service, state.tried, hedge=bool(running))
 
     async def _attempt(
-        self, admitted: AdmittedRequest, target: Target, *, hedged: bool
+        self,
+        admitted: AdmittedRequest,
+        target: Target,
+        watched: WatchedRequest,
+        *,
+        hedged: bool,
     ) -> CallAnswer | AttemptFailure:
         request = admitted.request
         began = self._clock.monotonic()
@@ -214,7 +232,10 @@
             if isinstance(outcome, CallAnswer):
                 if not outcome.failed:
                     statistics.record_success(seconds, began + seconds)
+                    watched.note_answer()
                 self._meter.count(admitted.organisation, request.id, started_at_wall)
+        if isinstance(outcome, Broken):
+            await watched.note_broken(target)
         logger.info(
             "attempt ended",
             request=request.id,
@@ -223,6 +244,7 @@
             incarnation=target.incarnation,
             hedged=hedged,
             outcome=_describe(outcome),
+            digest=_digest_of_failed(watched, outcome),
             verdict=_outcome_verdict(outcome).value,
             seconds=round(seconds, 4),
         )
@@ -239,6 +261,9 @@
             return Refusal(
                 RefusalReason.TARGET_FAILED, "no target gave a complete answer", verdict
             )
+        rejected = state.watched.refusal()
+        if rejected is not None:
+            return rejected
         if not self._admission.is_still_authorised(admitted):
             return Refusal(
                 RefusalReason.ENTRY_LEASE,
@@ -274,6 +299,16 @@
             return describe_failure(outcome)
 
 
+def _digest_of_failed(
+    watched: WatchedRequest, outcome: CallAnswer | AttemptFailure
+) -> str | None:
+    match outcome:
+        case CallAnswer():
+            return None
+        case _:
+            return watched.digest.hex()
+
+
 def _outcome_verdict(outcome: CallAnswer | AttemptFailure) -> Verdict:
     match outcome:
         case CallAnswer():
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -18,11 +18,13 @@
     Headers,
     TargetClient,
     TargetReply,
+    request_digest,
 )
 from goldcrestyard.core.ids import EventNumber, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.fleet.crashes.guard import RequestGuard
 from goldcrestyard.fleet.gateway.admission import (
     RETRY_AFTER_SECONDS,
     Admission,
@@ -81,6 +83,7 @@
         admission: Admission,
         router: CallRouter,
         client: TargetClient,
+        guard: RequestGuard,
         meter: UsageMeter,
         clock: Clock,
         random_source: random.Random | None = None,
@@ -88,6 +91,7 @@
         self._admission = admission
         self._router = router
         self._client = client
+        self._guard = guard
         self._meter = meter
         self._clock = clock
         self._random = random_source or random.Random()
@@ -96,6 +100,10 @@
         self, admitted: AdmittedRequest, sink: StreamSink
     ) -> StreamEnd | Refusal:
         """Write the stream to the sink; refuse it only if no head was sent."""
+        watched = self._guard.watch(admitted.to_call())
+        rejected = watched.refusal()
+        if rejected is not None:
+            return rejected
         service = pick_service(admitted.route, self._random)
         stream = _StreamState()
         tried: set[TargetId] = set()
@@ -103,6 +111,7 @@
         sent = 0
         while (
             sent < admitted.route.max_attempts
+            and watched.refusal() is None
             and self._admission.is_still_authorised(admitted)
         ):
             target = self._router.choose(service, tried)
@@ -118,7 +127,11 @@
                 admitted, target, stream, sink, may_resume=may_resume
             )
             if isinstance(outcome, StreamEnd):
+                if stream.last_event is not None:
+                    watched.note_answer()
                 return outcome
+            if isinstance(outcome, Broken):
+                await watched.note_broken(target)
             self._router.note_failure(target, outcome)
             failures.append(outcome)
             sent += not isinstance(outcome, Unreached | Withheld)
@@ -174,6 +187,11 @@
             resumed_after=call.resume_after,
             last_event=stream.last_event,
             outcome=str(outcome),
+            digest=(
+                request_digest(call).hex()
+                if isinstance(outcome, AttemptFailure)
+                else None
+            ),
         )
         return outcome
 
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -10,6 +10,7 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
+import structlog
 from aiohttp import hdrs
 from multidict import CIMultiDict
 from yarl import URL
@@ -45,6 +46,8 @@
     VERSION_HEADER,
 )
 
+logger = structlog.get_logger(__name__)
+
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Longest wait in seconds for a new connection, several round trips between
 regions.  A lost SYN packet is sent again only after a second; before then
@@ -55,6 +58,11 @@
 the time between two steps of a trainer, which submits its items in bursts.  A
 connection that the target has closed is not used again."""
 
+PROBE_TIMEOUT_SECONDS = 0.1
+"""Longest wait in seconds for a connection that shows whether a target has
+ended, two round trips between regions.  A request waits for it before it is
+sent to another target."""
+
 DROPPED_CONNECTION_SECONDS = 0.1
 """Time in seconds after the sending of a request within which a broken
 connection counts as dropped by the target while it was idle, not during the
@@ -215,6 +223,19 @@
         finally:
             answer.close()
 
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether a target refuses a new connection."""
+        host, _, port = target.address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError, ValueError):
+            return False
+        writer.close()
+        return False
+
     async def _send_with_retry(
         self, target: Target, call: TargetCall, seconds_left: float
     ) -> aiohttp.ClientResponse | AttemptFailure:
@@ -238,8 +259,19 @@
         if isinstance(answer, Broken):
             await self.discard_connections(target.address)
         if isinstance(answer, Broken) and seconds < DROPPED_CONNECTION_SECONDS:
+            logger.info(
+                "connection broke; sending the request again on a new one",
+                request=call.request,
+                target=target.id,
+                incarnation=target.incarnation,
+                outcome=answer.detail,
+                seconds=round(seconds, 4),
+            )
             left = seconds_left - seconds
-            answer = await self._send(self.single_session, target, call, left)
+            second = await self._send(self.single_session, target, call, left)
+            # A target that is gone may have run the first one before.
+            if not isinstance(second, Unreached):
+                answer = second
         return answer
 
     async def _send(
