Take the digest of requests whose path is not UTF-8

A path or a host with bytes that are not UTF-8 becomes a text with lone surrogates. Its digest, which is taken when an attempt fails, raised UnicodeEncodeError in the task of the request. It is now taken over the bytes as they were received. The new case path_that_is_not_utf8 failed with that error before. Also, the docstring of EventNumber stands at its name again.

--- a/goldcrestyard/core/calls.py
+++ b/goldcrestyard/core/calls.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from goldcrestyard.core.attempts import AttemptFailure, Broken
+from goldcrestyard.core.decoding import bytes_of
 from goldcrestyard.core.ids import (
     EventNumber,
     OrganisationId,
@@ -54,7 +55,7 @@
     digest = hashlib.blake2b(digest_size=REQUEST_DIGEST_BYTES)
     for part in (call.organisation or "", call.method, call.host, call.path_and_query):
         # Lengths keep the parts apart.
-        encoded = part.encode()
+        encoded = bytes_of(part)
         digest.update(len(encoded).to_bytes(8))
         digest.update(encoded)
     digest.update(call.body)
--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -138,7 +138,7 @@
 
 
 def bytes_of(header: str) -> bytes:
-    """Return the bytes of a header's value as they were received."""
+    """Return the bytes of a header or a path as they were received."""
     return header.encode("utf-8", "surrogateescape")
 
 
--- a/goldcrestyard/core/ids.py
+++ b/goldcrestyard/core/ids.py
@@ -51,8 +51,9 @@
 """Version of the serving configuration, set by the operator.  A higher
 version replaces a lower one."""
 EventNumber = NewType("EventNumber", int)
-RequestDigest = NewType("RequestDigest", bytes)
 """Position of an event in the stream of one request, counted from 1."""
+RequestDigest = NewType("RequestDigest", bytes)
+"""Digest by which a request is recognised when it comes again."""
 
 OrderId = NewType("OrderId", str)
 PlanNumber = NewType("PlanNumber", int)
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -399,6 +399,10 @@
                 DigestCase("resumed", lambda c: replace(c, resume_after=3), True),  # type: ignore[arg-type]
                 DigestCase("body", lambda c: replace(c, body=b"other")),
                 DigestCase("path", lambda c: replace(c, path_and_query="/x")),
+                DigestCase(
+                    "path_that_is_not_utf8",
+                    lambda c: replace(c, path_and_query="/\udcff"),
+                ),
                 DigestCase("method", lambda c: replace(c, method="PUT")),
                 DigestCase("host", lambda c: replace(c, host="other")),
                 DigestCase("organisation", lambda c: replace(c, organisation=None)),
