Let a learner notice that it hears from no leader

Cause: the leader removes a silent learner, and the entry that removes it does not reach it. A voter in that position starts an election, no longer knows a leader and asks to join again. A learner has no election timer: it kept its last leader for ever and took itself for a member.

Ruled out: the fix of replication; the learner is out of touch at its removal, so the entry is lost whatever the leader sends.

Now a learner forgets the leader after an election timeout without a message from it. It still stands for no election.

Measured: test_cut_off_learner_is_removed_and_comes_back failed with "waited for the learner as a member again" (60 s on the paused clock); it passes now.

--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -155,11 +155,14 @@
 
     @property
     def next_tick_at(self) -> float:
-        """Time at which the next ``Tick`` is due; infinity for a learner."""
+        """Time at which the next ``Tick`` is due.
+
+        Infinity for a learner that knows no leader.
+        """
         match self.role:
             case Role.LEADER:
                 return min(self._next_heartbeat_at, self.step_down_at)
-            case Role.LEARNER:
+            case Role.LEARNER if self.leader is None:
                 return float("inf")
             case _:
                 return self._election_deadline
@@ -196,7 +199,9 @@
                 if now >= self._election_deadline:
                     self._start_pre_vote(now)
             case Role.LEARNER:
-                pass
+                if now >= self._election_deadline:
+                    # The leader may have removed this member meanwhile.
+                    self.leader = None
 
     def _restart_election_timer(self, now: float) -> None:
         self._election_deadline = now + self._rng.uniform(
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -274,6 +274,29 @@
         )
         await self._assert_data_is_kept()
 
+    async def test_cut_off_learner_is_removed_and_comes_back(self) -> None:
+        """Guards against a learner that does not notice its removal.
+
+        It would not ask to join again, and could not replace a lost voter.
+        """
+        await self.assembly.start("d")
+
+        def has_learner() -> bool:
+            return any(
+                "d" in {status.instance for status in m.member_statuses()}
+                for m in self.network.leaders
+            )
+
+        await self.network.wait(has_learner, "the learner")
+        await self.network.wait(lambda: self.network.running["d"].is_member, "d")
+        self.network.isolate("d")
+        await self.network.wait(lambda: not has_learner(), "its removal")
+        self.network.heal()
+        await self.network.wait(has_learner, "the learner as a member again")
+        await self.assembly.stop(self._follower(), lose_disk=True)
+        await self.network.wait(lambda: "d" in self.assembly.voters(), "its vote")
+        await self._assert_data_is_kept()
+
     async def test_retirement_needs_a_machine_in_its_place(self) -> None:
         retiring = self._follower()
         machine = f"machine-{retiring}"
