--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -414,7 +414,7 @@
     def _send_heartbeats(self, now: float) -> None:
         for member_id, progress in self.progress_by_id.items():
             if progress.snapshot_index is not None:
-                self._send_snapshot_chunk(now, member_id, progress)
+                self._send_snapshot_chunk(now, member_id, progress, heartbeat=True)
             else:
                 self._send_entries(now, member_id, progress, heartbeat=True)
 
@@ -436,8 +436,6 @@
         previous = LogIndex(progress.next_index - 1)
         previous_term = self.log.term_at(previous)
         if previous_term is None:
-            progress.snapshot_index = self.log.snapshot.index
-            progress.snapshot_offset = 0
             self._send_snapshot_chunk(now, member_id, progress)
             return
         entries = progress.next_batch(self.log)
@@ -462,13 +460,29 @@
             self._send_entries(now, sender, progress)
 
     def _send_snapshot_chunk(
-        self, now: float, member_id: MemberId, progress: Progress
+        self,
+        now: float,
+        member_id: MemberId,
+        progress: Progress,
+        *,
+        heartbeat: bool = False,
     ) -> None:
+        """Send the next chunk of the latest snapshot.
+
+        A heartbeat has no data while a chunk is in flight: on a link that
+        carries a chunk in more than a heartbeat interval, the copies would
+        fill the queue.
+        """
         snapshot = self.log.snapshot
         if progress.snapshot_index != snapshot.index:
             progress.snapshot_index = snapshot.index
             progress.snapshot_offset = 0
+            progress.chunk_sent_at = None
         offset = progress.snapshot_offset
+        data = b""
+        if not heartbeat or progress.chunk_sent_at is None:
+            data = snapshot.data[offset : offset + self._chunk_bytes]
+            progress.chunk_sent_at = now
         self._send(
             member_id,
             InstallSnapshot(
@@ -478,7 +492,7 @@
                 snapshot.configuration,
                 offset,
                 len(snapshot.data),
-                snapshot.data[offset : offset + self._chunk_bytes],
+                data,
                 now,
             ),
         )
@@ -504,6 +518,13 @@
                 # The member has restarted; the next heartbeat resumes the
                 # transfer at the offset that it reported.
                 progress.snapshot_offset = reply.received
+                progress.chunk_sent_at = None
+            elif (
+                progress.chunk_sent_at is not None
+                and reply.sent_at > progress.chunk_sent_at
+            ):
+                # A later heartbeat arrived and the chunk did not.
+                self._send_snapshot_chunk(now, sender, progress)
 
     def _advance_commit(self, now: float) -> None:
         matched = [
--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -59,6 +59,9 @@
     """Index of the snapshot being sent; None while entries are sent."""
     snapshot_offset: int = 0
     """Number of bytes of that snapshot that the member has acknowledged."""
+    chunk_sent_at: float | None = None
+    """Time at which the chunk at that offset was sent; None if it is still to
+    be sent."""
     state: ReplicationState = ReplicationState.PROBE
     probed_at: float | None = None
     """Time at which the probe was sent; None if it is still to be sent."""
