Send smaller batches to a member over a slow link

Cause: a batch of up to 1 MiB, and one more message, has to be acknowledged within 0.5 s, whatever the link carries. One that is not is lost with all that is queued behind it, and after the reconnection the same entries form the same batch again.

Now the size is halved after a batch that was not acknowledged, down to 64 KiB, and doubled after a full one that was in a quarter of the time. A single message is still sent whole.

--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -37,6 +37,11 @@
 """Size from which no further message is added to a batch, so that at
 225 Mbit/s the batch is acknowledged within the response timeout."""
 
+MIN_BATCH_BYTES = 64 * 1024
+"""Least value of that size.  It is halved after a batch that was not
+acknowledged in time, so that a slower link does not carry the same messages
+again and again, and doubled after one that was in a quarter of the time."""
+
 MAX_QUEUED_MESSAGES = 64
 """Maximum number of queued messages, beyond which the oldest is dropped.  The
 Raft protocol sends its content again if it is still needed."""
@@ -127,6 +132,7 @@
         self._on_messages = on_messages
         self._queue: deque[tuple[MemberId, bytes]] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self._message_queued = asyncio.Event()
+        self._batch_bytes = MAX_BATCH_BYTES
 
     def send(self, receiver: MemberId, message: bytes) -> None:
         """Queue a message; delivery is not guaranteed.
@@ -218,9 +224,10 @@
         Return whether the connection can still be used.
         """
         receiver = self._queue[0][0]
+        limit = self._batch_bytes
         messages: list[bytes] = []
         size = 0
-        while self._queue and self._queue[0][0] == receiver and size < MAX_BATCH_BYTES:
+        while self._queue and self._queue[0][0] == receiver and size < limit:
             messages.append(self._queue.popleft()[1])
             size += len(messages[-1])
         own = self._own_identity()
@@ -229,8 +236,11 @@
             block = compress(batch.messages)
             if block is not None:
                 batch = replace(batch, messages=(), compressed=block)
+        sent_at = asyncio.get_running_loop().time()
         reply = await connection.request(batch, RESPONSE_TIMEOUT_SECONDS)
+        seconds = asyncio.get_running_loop().time() - sent_at
         if not isinstance(reply, Received):
+            self._batch_bytes = max(MIN_BATCH_BYTES, min(size, limit) // 2)
             logger.warning(
                 "member did not acknowledge a batch; reconnecting",
                 peer=self.instance,
@@ -240,6 +250,8 @@
                 sent_size=len(batch.compressed) or size,
             )
             return False
+        if size >= limit and seconds < RESPONSE_TIMEOUT_SECONDS / 4:
+            self._batch_bytes = min(MAX_BATCH_BYTES, 2 * limit)
         if reply.member == receiver:
             self._on_messages(receiver, reply.messages)
             return True
--- a/tests/consensus/test_large_transfers.py
+++ b/tests/consensus/test_large_transfers.py
@@ -76,6 +76,7 @@
             (case.name, case)
             for case in [
                 Transfer("snapshot", 600, 7_000, 2_000_000, 1, 500),
+                Transfer("large_batches", 600, 7_000, 1_500_000, 6),
             ]
         ]
     )
