Expect each member to catch up after the faults of a simulation

The simulation expected only that the cluster commits again once the faults have ended.

Now each member of the leader's configuration has to apply what was committed.

--- a/tests/consensus/simulation.py
+++ b/tests/consensus/simulation.py
@@ -60,6 +60,11 @@
 """Time in seconds within which the cluster must make progress after the faults
 have ended.  Several elections may fail in a row, each taking up to 4 s."""
 
+CATCH_UP_SECONDS = 10.0
+"""Time in seconds after that within which each member must have the entries
+that were committed.  A member that is out of touch starts an election first
+in the worst case."""
+
 
 @dataclass(frozen=True)
 class Faults:
@@ -231,6 +236,28 @@
             if self.now >= deadline:
                 raise InvariantViolationError("no progress after all faults have ended")
             self.run(0.5)
+        self._wait_until_followed(self.last_committed)
+
+    def _wait_until_followed(self, index: LogIndex) -> None:
+        """Expect each member to apply the entries up to an index.
+
+        A majority commits without the others, so progress of the cluster does
+        not show that every follower is sent what it lacks.
+        """
+        deadline = self.now + CATCH_UP_SECONDS
+        while behind := [node for node in self._members() if node.applied < index]:
+            if self.now >= deadline:
+                names = ", ".join(f"{n.instance} at {n.applied}" for n in behind)
+                raise InvariantViolationError(f"not caught up to {index}: {names}")
+            self.run(0.5)
+
+    def _members(self) -> list[Node]:
+        """Return the nodes in the configuration of the leader."""
+        leader = self.leader()
+        if leader is None or leader.core is None:
+            return self.nodes
+        configuration = leader.core.configuration
+        return [node for node in self.nodes if configuration.find(node.member_id)]
 
     def _repeat_at_rate(self, rate: float, action: Callable[[], None]) -> None:
         def run_and_repeat() -> None:
