--- a/tests/consensus/test_large_transfers.py
+++ b/tests/consensus/test_large_transfers.py
@@ -41,6 +41,10 @@
     """Time within which the new member must have its vote."""
 
 
+MAX_LOG_BYTES = 128_000_000
+"""Memory that control may use on an instance."""
+
+
 class LargeTransferTests(PausedClockTestCase):
     """A member with an empty disk that joins over a slow link."""
 
@@ -77,6 +81,8 @@
             for case in [
                 Transfer("snapshot", 600, 7_000, 2_000_000, 1, 500),
                 Transfer("large_batches", 600, 7_000, 1_500_000, 6),
+                Transfer("snapshots_meanwhile", 600, 7_000, 2_000_000, 6, 100),
+                Transfer("large_entry", 1, 8_000_000, 5_000_000),
             ]
         ]
     )
@@ -106,3 +112,25 @@
         sent = self.network.bytes_by_receiver[joined.instance]
         self.assertIsInstance(result, Applied, f"{sent} bytes in {seconds:.1f} s")
         self.assertLess(seconds, case.seconds, f"{sent} bytes")
+
+
+class LogSizeTests(PausedClockTestCase):
+    """A log whose entries are few and large."""
+
+    async def test_snapshot_is_taken_before_the_log_fills_the_memory(self) -> None:
+        """Guards against a log that is kept whole because its entries are few.
+
+        A new member is sent all of it.
+        """
+        quiet_logs(self)
+        network = MemberNetwork(
+            ["a"], Clock(lambda: EPOCH + asyncio.get_running_loop().time())
+        )
+        self.addAsyncCleanup(network.close)
+        await network.start_all()
+        leader = await network.leader()
+        source = random.Random(29)
+        for _count in range(1_300):
+            await put_organisation(leader, source.randbytes(50_000).hex())
+        kept = sum(len(entry.payload) for entry in network.log_entries(leader))
+        self.assertLess(kept, MAX_LOG_BYTES)
