--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -63,6 +63,10 @@
 MAX_PROMOTION_LAG_ENTRIES = 64
 """Maximum number of entries that a learner may lack to be promoted."""
 
+MAX_KEPT_INTERVALS = 8
+"""Maximum number of intervals between snapshots whose entries are kept for a
+member that is receiving one."""
+
 
 class Member:
     """Raft state of one member; only ``step`` changes it."""
@@ -184,7 +188,7 @@
             case AddLearner() | Promote() | Remove():
                 self._change_configuration(now, event)
             case SnapshotTaken(index=index, data=data):
-                self._compact_log(index, data)
+                self._compact_log(now, index, data)
         return self._effects
 
     # Timers.
@@ -413,7 +417,7 @@
 
     def _send_heartbeats(self, now: float) -> None:
         for member_id, progress in self.progress_by_id.items():
-            if progress.snapshot_index is not None:
+            if progress.snapshot is not None:
                 self._send_snapshot_chunk(now, member_id, progress, heartbeat=True)
             else:
                 self._send_entries(now, member_id, progress, heartbeat=True)
@@ -431,7 +435,7 @@
         Once it has accepted a message, replication is pipelined: sent entries
         count as received until the member rejects them.
         """
-        if progress.snapshot_index is not None:
+        if progress.snapshot is not None:
             return
         previous = LogIndex(progress.next_index - 1)
         previous_term = self.log.term_at(previous)
@@ -467,15 +471,18 @@
         *,
         heartbeat: bool = False,
     ) -> None:
-        """Send the next chunk of the latest snapshot.
+        """Send the next chunk of a snapshot.
+
+        A transfer that has begun goes on when a newer snapshot is taken, as
+        long as the log continues the one being sent.
 
         A heartbeat has no data while a chunk is in flight: on a link that
         carries a chunk in more than a heartbeat interval, the copies would
         fill the queue.
         """
-        snapshot = self.log.snapshot
-        if progress.snapshot_index != snapshot.index:
-            progress.snapshot_index = snapshot.index
+        snapshot = progress.snapshot
+        if snapshot is None or snapshot.index < self.log.base_index:
+            snapshot = progress.snapshot = self.log.snapshot
             progress.snapshot_offset = 0
             progress.chunk_sent_at = None
         offset = progress.snapshot_offset
@@ -502,13 +509,13 @@
     ) -> None:
         if reply.installed:
             progress.record_match(reply.index)
-            if reply.index == progress.snapshot_index:
-                progress.snapshot_index = None
+            if progress.snapshot is not None and reply.index >= progress.snapshot.index:
+                progress.snapshot = None
                 progress.next_index = LogIndex(progress.match_index + 1)
             self._advance_commit(now)
             if self.role is Role.LEADER:
                 self._send_entries(now, sender, progress)
-        elif reply.index == progress.snapshot_index:
+        elif progress.snapshot is not None and reply.index == progress.snapshot.index:
             # A duplicated reply must not send the next chunk again: every
             # chunk sent twice is answered twice, which doubles the traffic.
             if reply.received > progress.snapshot_offset:
@@ -669,7 +676,7 @@
 
     # Snapshots.
 
-    def _compact_log(self, index: LogIndex, data: bytes) -> None:
+    def _compact_log(self, now: float, index: LogIndex, data: bytes) -> None:
         term = self.log.term_at(index)
         if index <= self.log.snapshot.index or term is None:
             return
@@ -678,9 +685,25 @@
         # The later half of the entries since the previous snapshot is kept,
         # so that a follower slightly behind needs no snapshot.
         base = LogIndex((self.log.snapshot.index + index) // 2)
-        self.log.compact(snapshot, base)
+        base = min([base, *self._snapshot_indexes_in_transfer(now)])
+        oldest = index - MAX_KEPT_INTERVALS * (index - self.log.snapshot.index)
+        self.log.compact(snapshot, LogIndex(max(base, oldest, self.log.base_index)))
         self._effects.append(SaveSnapshot(snapshot, LogIndex(index + 1), False))
 
+    def _snapshot_indexes_in_transfer(self, now: float) -> list[LogIndex]:
+        """Return the indexes of the snapshots that responsive members receive.
+
+        The entries after them are kept: a member that lacked them would need
+        another snapshot, and so on if one takes longer than the interval
+        between two.
+        """
+        return [
+            progress.snapshot.index
+            for progress in self.progress_by_id.values()
+            if progress.snapshot is not None
+            and now - progress.last_contact_at < self._timing.election_timeout_min
+        ]
+
     # Configuration.
 
     def _change_configuration(
--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -55,8 +55,8 @@
     """Latest sending time of a message that the member has acknowledged."""
     last_contact_at: float = NEVER
     """Time at which the member's latest reply arrived."""
-    snapshot_index: LogIndex | None = None
-    """Index of the snapshot being sent; None while entries are sent."""
+    snapshot: Snapshot | None = None
+    """The snapshot being sent; None while entries are sent."""
     snapshot_offset: int = 0
     """Number of bytes of that snapshot that the member has acknowledged."""
     chunk_sent_at: float | None = None
