--- a/goldcrestyard/consensus/applied.py
+++ b/goldcrestyard/consensus/applied.py
@@ -13,7 +13,9 @@
 class AppliedState:
     """The state machine after the committed entry at ``index``.
 
-    ``snapshot_index`` is the index of the latest snapshot.  ``last_time`` is
+    ``snapshot_index`` is the index of the latest snapshot, ``snapshot_bytes``
+    its size, and ``log_bytes`` the size of the payloads applied since.
+    ``last_time`` is
     the latest time of a command, in seconds of wall time.  A leader never
     gives a command an earlier time, even if its wall clock is set back.
     """
@@ -21,6 +23,8 @@
     def __init__(self, machine: StateMachine, codec: Codec) -> None:
         self.index = LogIndex(0)
         self.snapshot_index = LogIndex(0)
+        self.snapshot_bytes = 0
+        self.log_bytes = 0
         self.last_time = 0.0
         self._machine = machine
         self._codec = codec
@@ -45,6 +49,7 @@
         ``Accepted``.
         """
         outcome: object = Accepted()
+        self.log_bytes += len(entry.payload)
         if entry.kind is EntryKind.COMMAND:
             envelope = decode_envelope(self._codec, entry.payload)
             self.advance_time(envelope.time)
@@ -53,6 +58,12 @@
         self.index = entry.index
         return outcome
 
+    def record_snapshot(self, index: LogIndex, size: int, log_bytes: int) -> None:
+        """Record a snapshot at an index, and the log's size at that time."""
+        self.snapshot_index = index
+        self.snapshot_bytes = size
+        self.log_bytes -= log_bytes
+
     def to_snapshot(self) -> Callable[[], bytes]:
         """Return a function that encodes the current state.
 
@@ -80,5 +91,7 @@
         self.advance_time(state.last_time)
         self.index = snapshot.index
         self.snapshot_index = snapshot.index
+        self.snapshot_bytes = len(snapshot.data)
+        self.log_bytes = 0
         for listener in self._restore_listeners:
             listener(state.revision)
--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -97,6 +97,11 @@
 refused.  At 4,100 claims a second this holds more than two seconds of claims.
 """
 
+MAX_LOG_BYTES = 32 * 1024 * 1024
+"""Size of the log since the latest snapshot from which the next one is taken,
+unless the state itself is large: then at twice its size, so that encoding it
+costs no more than a share of what writing the log costs."""
+
 MEMBER_CHANGE_POLL_SECONDS = 0.1
 
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
@@ -709,7 +714,11 @@
     # Snapshots.
 
     def _start_snapshot_if_due(self) -> None:
-        due = self._state.index - self._state.snapshot_index >= self._snapshot_entries
+        state = self._state
+        due = (
+            state.index - state.snapshot_index >= self._snapshot_entries
+            or state.log_bytes >= max(MAX_LOG_BYTES, 2 * state.snapshot_bytes)
+        )
         if not due or self._snapshot_running or self._core is None:
             return
         if self._core.commit_index < self._state.index:
@@ -722,6 +731,7 @@
     async def _take_snapshot(self, index: LogIndex) -> None:
         """Encode the state at an index in a worker thread."""
         core = self._core
+        log_bytes = self._state.log_bytes
         encode = self._state.to_snapshot()
         data = await asyncio.get_running_loop().run_in_executor(
             self._snapshot_executor, encode
@@ -730,7 +740,7 @@
         if self._core is not core:
             return  # The disk failed; see _start_snapshot_if_due.
         logger.info("snapshot taken", index=index, size=len(data))
-        self._state.snapshot_index = index
+        self._state.record_snapshot(index, len(data), log_bytes)
         self._queue.put_nowait(SnapshotTaken(index, data))
 
     # Other members.
@@ -755,7 +765,9 @@
         self._spawn(f"link to {link.instance}", link.run())
 
     def _send(self, receiver: MemberId, message: MemberMessage) -> None:
-        if isinstance(message, InstallSnapshot) and message.offset == 0:
+        if isinstance(message, InstallSnapshot) and message.offset == 0 < len(
+            message.data
+        ):
             logger.info(
                 "snapshot transfer started",
                 member=receiver,
