Give a link the time that a single large message needs

The response time-out now grows with the largest message of a batch, at 512 KiB/s; up to 256 KiB it is what it was.

What remains: while such a message is on its way, the link carries no heartbeat. A leader whose quorum needs that link loses its lease meanwhile, and the entry may be lost with it; that is answered as in doubt.

--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -42,6 +42,11 @@
 acknowledged in time, so that a slower link does not carry the same messages
 again and again, and doubled after one that was in a quarter of the time."""
 
+MIN_BYTES_PER_SECOND = 512 * 1024
+"""Throughput that a link is given time for if it carries a large message.
+One of several MB, such as an entry with a large job, cannot be split; it would
+be cut off and sent again for ever."""
+
 MAX_QUEUED_MESSAGES = 64
 """Maximum number of queued messages, beyond which the oldest is dropped.  The
 Raft protocol sends its content again if it is still needed."""
@@ -236,8 +241,12 @@
             block = compress(batch.messages)
             if block is not None:
                 batch = replace(batch, messages=(), compressed=block)
+        sent_size = len(batch.compressed) or size
+        timeout = max(
+            RESPONSE_TIMEOUT_SECONDS, max(map(len, messages)) / MIN_BYTES_PER_SECOND
+        )
         sent_at = asyncio.get_running_loop().time()
-        reply = await connection.request(batch, RESPONSE_TIMEOUT_SECONDS)
+        reply = await connection.request(batch, timeout)
         seconds = asyncio.get_running_loop().time() - sent_at
         if not isinstance(reply, Received):
             self._batch_bytes = max(MIN_BATCH_BYTES, min(size, limit) // 2)
@@ -247,7 +256,7 @@
                 reply=str(reply),
                 messages=len(messages),
                 size=size,
-                sent_size=len(batch.compressed) or size,
+                sent_size=sent_size,
             )
             return False
         if size >= limit and seconds < RESPONSE_TIMEOUT_SECONDS / 4:
