Refuse a caller's request id whose bytes are not text

A request whose id held a byte that is not UTF-8 was sent to a target without that byte: the HTTP library drops it (run: 'a\xffb' arrives as 'ab'). The target's answer then names the id that it got, which is not that of the request, and counts as one to another request; the target is avoided for a time, and so is the next one. A request that may run only once had run.

Change: such a request is refused with 400 before it is sent.

Before: tests.platform.test_requests test_id_2_not_text failed. After: passes.

--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -20,10 +20,12 @@
 """Largest whole number from outside.  All implementations of JSON exchange
 numbers up to it exactly; arithmetic with floats fails on far larger ones."""
 
+MAX_PORT = 65535
+
 _MAX_COUNT_DIGITS = len(str(MAX_WHOLE_NUMBER))
 
 Count = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
-Port = Annotated[int, Meta(gt=0, le=65535)]
+Port = Annotated[int, Meta(gt=0, le=MAX_PORT)]
 WholeNumber = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
 """Types of fields of documents from outside.  Types that are also stored must
 not use them: a bound that is lowered would make stored records unreadable."""
@@ -32,8 +34,6 @@
 """Longest id or name from outside.  Ids go into headers, log lines and the
 replicated state."""
 
-MAX_PORT = 65535
-
 MAX_NESTING = 100
 """Most levels of a document that is passed on.  What one call can decode
 another cannot encode if it has less of the stack left."""
--- a/goldcrestyard/platform/callers/front.py
+++ b/goldcrestyard/platform/callers/front.py
@@ -104,6 +104,8 @@
                 return refusal_response(STOPPING)
             return await self._jobs.submit(request, body)
         decoded = requests.decode(request, body)
+        if isinstance(decoded, Refusal):
+            return refusal_response(decoded)
         admitted = self._admission.admit(decoded, arrived_at)
         if isinstance(admitted, AdmittedRequest) and not self._can_end(
             admitted.deadline - arrived_at,
--- a/goldcrestyard/platform/callers/requests.py
+++ b/goldcrestyard/platform/callers/requests.py
@@ -2,8 +2,9 @@
 
 from aiohttp import hdrs, web
 
-from goldcrestyard.core.decoding import parse_decimal
+from goldcrestyard.core.decoding import is_header, parse_decimal
 from goldcrestyard.core.ids import RequestId
+from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.gateway.admission import CallerRequest
 from goldcrestyard.platform.hop_headers import end_to_end
 from goldcrestyard.platform.names import (
@@ -27,10 +28,17 @@
 in its requests to targets."""
 
 
-def decode(request: web.BaseRequest, body: bytes) -> CallerRequest:
-    """Return the gateway's representation of a request."""
+def decode(request: web.BaseRequest, body: bytes) -> CallerRequest | Refusal:
+    """Return the gateway's representation of a request.
+
+    A request whose id has bytes that are not text is refused.  They would not
+    be sent, and the target's answer to the id that remains would not count.
+    """
+    request_id = request.headers.get(REQUEST_ID_HEADER, "")
+    if not is_header(REQUEST_ID_HEADER, request_id):
+        return Refusal(RefusalReason.BAD_REQUEST, "the request id is not valid")
     return CallerRequest(
-        RequestId(request.headers.get(REQUEST_ID_HEADER, "")),
+        RequestId(request_id),
         request.method,
         host_of(request),
         path_of(request),
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -5,15 +5,23 @@
 """
 
 import unittest
+from types import SimpleNamespace
 from typing import Any
 
 from aiohttp.test_utils import make_mocked_request
+from multidict import CIMultiDict
 from parameterized import parameterized
 
 from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.fleet.gateway.admission import CallerRequest
 from goldcrestyard.platform.callers.jobs import JobEndpoints, _wait_seconds
-from goldcrestyard.platform.callers.requests import seconds_left
-from goldcrestyard.platform.names import DEADLINE_HEADER, RESULTS_PATH, WAIT_HEADER
+from goldcrestyard.platform.callers.requests import decode, seconds_left
+from goldcrestyard.platform.names import (
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+    RESULTS_PATH,
+    WAIT_HEADER,
+)
 
 ODD = [
     ("superscript", "\u00b2"),
@@ -48,6 +56,18 @@
         self.assertEqual(seconds_left(request), 1.5005)
 
 
+class RequestIdTests(unittest.TestCase):
+    """Guards against an id that makes each target's answer look wrong."""
+
+    @parameterized.expand(
+        [("ordinary", "9c41", True), ("none", "", True), ("not_text", "9\udcff", False)]
+    )
+    def test_id(self, _: str, request_id: str, expected: bool) -> None:
+        headers = CIMultiDict({REQUEST_ID_HEADER: request_id})
+        request: Any = SimpleNamespace(headers=headers, method="GET", raw_path="/")
+        self.assertEqual(isinstance(decode(request, b""), CallerRequest), expected)
+
+
 class QueryTests(unittest.IsolatedAsyncioTestCase):
     """An odd position of a page is refused."""
 
