Accept targets that announce themselves at port 0

A connection to port 0 fails like one to a closed port, so that nothing has to be guarded against.

Before: tests.processes.test_planned_stop test_targets_of_the_stopped_entry_stay_registered failed (waited 30 s for the target). After: passes.

--- a/goldcrestyard/plugins/targets/views.py
+++ b/goldcrestyard/plugins/targets/views.py
@@ -7,7 +7,13 @@
 from aiohttp import web
 
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
-from goldcrestyard.core.decoding import Count, WholeNumber, bytes_of, is_address, is_id
+from goldcrestyard.core.decoding import (
+    Count,
+    WholeNumber,
+    bytes_of,
+    is_id,
+    split_address,
+)
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -46,9 +52,13 @@
     max_concurrency: WholeNumber = 16
 
     def is_valid(self) -> bool:
-        """Return whether requests and orders can be sent to the target."""
+        """Return whether requests and orders can be sent to the target.
+
+        Port 0 is accepted: a connection to it fails like one to a closed port.
+        """
         names = (self.id, self.incarnation, self.data_centre, self.region)
-        return is_address(self.address) and all(map(is_id, (*names, *self.serves)))
+        address = split_address(self.address)
+        return address is not None and all(map(is_id, (*names, *self.serves)))
 
     def to_target(self) -> Target:
         """Return the target's record, in state ``READY``."""
