Leave numbers of declarations to the checks of their kinds

The decoder of TOML refused an infinite share with a text about the document; the check of the kind, which names the field, did not get to see it. The numbers are now checked for settings, whose fields have no checks of NaN.

--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -87,17 +87,20 @@
 
 
 def decode_toml(text: str) -> dict[str, Any] | Malformed:
-    """Return the tables of a TOML document.
-
-    Numbers that are not finite or too large are errors here: no setting has
-    one, comparisons let NaN pass, and it makes time-outs undefined.
-    """
+    """Return the tables of a TOML document."""
     if _DOTTED_KEY.search(text) is not None:
         return Malformed("a key has too many parts")
     try:
-        document = tomllib.loads(text)
+        return tomllib.loads(text)
     except DECODE_ERRORS as error:
         return Malformed(str(error))
+
+
+def has_usable_numbers(document: Any) -> bool:
+    """Return whether all numbers in a document are finite and not too large.
+
+    Comparisons let NaN pass, and it makes time-outs undefined.
+    """
     values: list[Any] = [document]
     while values:
         match values.pop():
@@ -106,10 +109,10 @@
             case list() as items:
                 values.extend(items)
             case int() | float() as number if not abs(number) <= MAX_WHOLE_NUMBER:
-                return Malformed("a number is too large, infinite or NaN")
+                return False
             case _:
                 pass
-    return document
+    return True
 
 
 def is_id(text: str) -> bool:
--- a/goldcrestyard/kernel/settings.py
+++ b/goldcrestyard/kernel/settings.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from goldcrestyard.core.decoding import Malformed, decode_toml
+from goldcrestyard.core.decoding import Malformed, decode_toml, has_usable_numbers
 from goldcrestyard.kernel.checks import Problem, Severity
 
 T = TypeVar("T")
@@ -74,6 +74,9 @@
         return Settings({}), [
             _error("settings.E002", str(path), f"is not valid TOML: {document.detail}")
         ]
+    if not has_usable_numbers(document):
+        detail = "a number is too large, infinite or NaN"
+        return Settings({}), [_error("settings.E002", str(path), detail)]
     return build(document, section_classes_by_name)
 
 
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -353,11 +353,15 @@
     ("arrays_nested_deeply", "a=" + "[" * 5000 + "]" * 5000),
     ("tables_nested_deeply", "a=" + "{a=" * 5000),
     ("number_of_5000_digits", "a=" + "9" * 5000),
+    ("many_parts", "a." * 10_000 + "a=1"),
+    ("many_quoted_parts", "['a' . \"b\" . " + "'c' ." * 10_000 + "d]"),
+]
+
+
+ODD_NUMBERS = [
     ("number_of_400_digits", "a=[{b=" + "9" * 400 + "}]"),
     ("not_a_number", "a=nan"),
     ("infinite", "a=[-inf]"),
-    ("many_parts", "a." * 10_000 + "a=1"),
-    ("many_quoted_parts", "['a' . \"b\" . " + "'c' ." * 10_000 + "d]"),
 ]
 
 
@@ -375,6 +379,14 @@
             assert isinstance(profile, ProfileFault)
             self.assertIn("faulty", profile.message)
 
+    @parameterized.expand(ODD_NUMBERS)
+    def test_number_in_settings(self, _: str, text: str) -> None:
+        """Guards against a time-out of NaN, which passes all checks."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "file.toml"
+            path.write_text(text)
+            self.assertEqual([p.id for p in load(path, {})[1]], ["settings.E002"])
+
     def test_long_texts_are_no_keys(self) -> None:
         text = f'a = "{"10.0.0.1:80, " * 10_000}"\nb = "{"x" * 1_000_000}"'
         self.assertNotIsInstance(decode_toml(text), Malformed)
