--- a/goldcrestyard/core/decoding.py
+++ b/goldcrestyard/core/decoding.py
@@ -20,10 +20,12 @@
 """Largest whole number from outside.  All implementations of JSON exchange
 numbers up to it exactly; arithmetic with floats fails on far larger ones."""
 
+MAX_PORT = 65535
+
 _MAX_COUNT_DIGITS = len(str(MAX_WHOLE_NUMBER))
 
 Count = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
-Port = Annotated[int, Meta(gt=0, le=65535)]
+Port = Annotated[int, Meta(gt=0, le=MAX_PORT)]
 WholeNumber = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
 """Types of fields of documents from outside.  Types that are also stored must
 not use them: a bound that is lowered would make stored records unreadable."""
@@ -32,8 +34,6 @@
 """Longest id or name from outside.  Ids go into headers, log lines and the
 replicated state."""
 
-MAX_PORT = 65535
-
 MAX_NESTING = 100
 """Most levels of a document that is passed on.  What one call can decode
 another cannot encode if it has less of the stack left."""
@@ -87,17 +87,20 @@
 
 
 def decode_toml(text: str) -> dict[str, Any] | Malformed:
-    """Return the tables of a TOML document.
-
-    Numbers that are not finite or too large are errors here: no setting has
-    one, comparisons let NaN pass, and it makes time-outs undefined.
-    """
+    """Return the tables of a TOML document."""
     if _DOTTED_KEY.search(text) is not None:
         return Malformed("a key has too many parts")
     try:
-        document = tomllib.loads(text)
+        return tomllib.loads(text)
     except DECODE_ERRORS as error:
         return Malformed(str(error))
+
+
+def has_usable_numbers(document: Any) -> bool:
+    """Return whether all numbers in a document are finite and not too large.
+
+    Comparisons let NaN pass, and it makes time-outs undefined.
+    """
     values: list[Any] = [document]
     while values:
         match values.pop():
@@ -106,10 +109,10 @@
             case list() as items:
                 values.extend(items)
             case int() | float() as number if not abs(number) <= MAX_WHOLE_NUMBER:
-                return Malformed("a number is too large, infinite or NaN")
+                return False
             case _:
                 pass
-    return document
+    return True
 
 
 def is_id(text: str) -> bool:
