Promote a learner that has fallen behind meanwhile once it has caught up

goldcrest members replace answered "has not caught up" and left the cluster without the lost voter and without its replacement: between the check and the promotion the lost voter is removed, and proposals go on. The operator had to repeat the call. It now waits again, within its time limit; the fleet's manager does so already.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -517,11 +517,27 @@
             old_record = None
         result = Applied(self._state.index, Accepted())
         if learner is not None:
-            result = await self.promote(new_id)
+            result = await self._promote_caught_up(learner, deadline)
         if old_record is not None and isinstance(result, Applied):
             result = await self.remove(old_record.id)
         return result
 
+    async def _promote_caught_up(
+        self, learner: MemberRecord, deadline: float
+    ) -> ProposalResult:
+        """Promote a learner, again if it has fallen behind meanwhile.
+
+        Proposals go on while the lost voter is removed; until the learner
+        votes, the cluster tolerates no further loss.
+        """
+        while True:
+            result = await self.promote(learner.instance)
+            if not isinstance(result, NotProposed) or not await self._wait_caught_up(
+                learner.id, deadline
+            ):
+                return result
+            await asyncio.sleep(MEMBER_CHANGE_POLL_SECONDS)
+
     async def _wait_caught_up(self, member_id: MemberId, deadline: float) -> bool:
         while self.is_leader and self._core is not None:
             now = self._clock.monotonic()
