--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -8,10 +8,12 @@
 
 import aiohttp
 from aiohttp import web
+from multidict import CIMultiDict
 
 HEARTBEAT_SECONDS = 0.4
 WEIGHT_LOAD_SECONDS = 0.2
 REQUEST_ID_HEADER = "X-Goldcrestyard-Attempt-Id"
+LEAVING_HEADER = "Server-Leaving"
 
 
 @dataclass
@@ -48,6 +50,9 @@
     """Time that a plain service works on a request."""
     request_limit: float | None = None
     """Requests a second that it names in its answers; None names no limit."""
+    leaving: tuple[str, ...] = ()
+    """Values of the header by which its answers say that it leaves; each makes
+    one header."""
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     in_progress: Counter[str] = field(default_factory=Counter)
@@ -169,10 +174,14 @@
         last = int(request.headers.get("Last-Event-Id", "0"))
         tenant = request.headers.get("X-Goldcrestyard-Tenant")
         self.runs.append(Run(request_id, request.path, tenant, last, time.time()))
-        headers = {
-            REQUEST_ID_HEADER: request_id,
-            "X-Goldcrestyard-Server-Stamp": f"stamp-{request_id}",
-        }
+        headers = CIMultiDict(
+            {
+                REQUEST_ID_HEADER: request_id,
+                "X-Goldcrestyard-Server-Stamp": f"stamp-{request_id}",
+            }
+        )
+        for value in self.leaving:
+            headers.add(LEAVING_HEADER, value)
         if self.request_limit is not None:
             headers["Server-Limit"] = str(self.request_limit)
         if self.failing:
@@ -189,7 +198,7 @@
             self.in_progress[request_id] -= 1
 
     async def _stream(
-        self, request: web.Request, headers: dict[str, str], last: int
+        self, request: web.Request, headers: CIMultiDict[str], last: int
     ) -> web.StreamResponse:
         model = request.headers["X-Goldcrestyard-Model"]
         headers["X-Goldcrestyard-Weight-Versions"] = str(self.models[model])
