Send no new work to targets that say in an answer that they leave

Cause: nothing read the header Server-Leaving, so a process learned of a draining target from the leader alone.

The target client reads the header in every answer that it takes for the target's own: plain ones, heads of streams, failures and rejections, reports and answers to orders. It is kept by the target's id and run in fleet/leaving, removed from what callers get, and checked at the choice of a target and once more at each sending, which covers retries, hedges, second sends, resumed streams, items and reward calls. A second send that is withheld leaves the outcome of the first, which may have run.

Only one header with the value 1 counts. A 421, or an answer that names another target or request, counts for nobody.

--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -5,6 +5,7 @@
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.gateway.streams import StreamRunner
+from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.kernel.application import Application
@@ -21,6 +22,7 @@
     name = "gateway"
     requires = (
         "entry",
+        "leaving_targets",
         "metering",
         "request_limits",
         "serving",
@@ -40,6 +42,7 @@
                 CallerLocation(instance.data_centre, instance.region),
                 app.clock,
                 is_limited=app.get(TargetPermits).is_limited,
+                is_leaving=app.get(LeavingTargets).includes,
             ),
         )
         client = app.get(TargetClient)  # type: ignore[type-abstract]
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -253,6 +253,8 @@
                 retry_after_seconds=max(RETRY_AFTER_SECONDS, withheld_seconds),
             )
         detail = "no target has a free slot" if state.failures else "no target is ready"
+        if self._router.all_leaving(service):
+            detail = "all targets of the service leave"
         return Refusal(
             RefusalReason.CAPACITY, detail, retry_after_seconds=RETRY_AFTER_SECONDS
         )
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -38,12 +38,15 @@
         clock: Clock,
         random_source: random.Random | None = None,
         is_limited: Callable[[Target], bool] | None = None,
+        is_leaving: Callable[[Target], bool] | None = None,
     ) -> None:
         """Create a router.
 
-        ``is_limited`` tells whether a target names a request limit; without it
-        none does.
+        ``is_limited`` tells whether a target names a request limit, and
+        ``is_leaving`` whether it has said that it leaves; without them none
+        does.
         """
+        self._is_leaving = is_leaving
         self._is_limited = is_limited
         self._targets = targets
         self._location = location
@@ -66,7 +69,7 @@
         run concurrently.  A ``hedge`` goes to no target with a request limit,
         where it would take the place of another request.
         """
-        candidates = self._targets.serving(service)
+        candidates = self._staying(service)
         limited = self._limited(candidates)
         if hedge and limited:
             candidates = tuple(
@@ -94,7 +97,7 @@
         Returns None if no target of the service has used up its limit.
         """
         now = self._clock.monotonic()
-        candidates = self._targets.serving(service)
+        candidates = self._staying(service)
         limited = self._limited(candidates)
         return min(
             (
@@ -107,6 +110,17 @@
             default=None,
         )
 
+    def all_leaving(self, service: ServiceName) -> bool:
+        """Return whether all ready targets have said that they leave."""
+        return bool(self._targets.serving(service)) and not self._staying(service)
+
+    def _staying(self, service: ServiceName) -> tuple[Target, ...]:
+        """Return the ready targets that have not said that they leave."""
+        serving = self._targets.serving(service)
+        if self._is_leaving is None:
+            return serving
+        return tuple(target for target in serving if not self._is_leaving(target))
+
     def _limited(self, targets: Iterable[Target]) -> frozenset[TargetId]:
         if self._is_limited is None:
             return frozenset()
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -20,6 +20,7 @@
 from goldcrestyard.fleet.jobs.runner import JobRunner
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
@@ -39,7 +40,7 @@
 
     name = "jobs"
     after = ("assembly", "tracking", "versions")
-    requires = ("observability", "request_limits", "serving")
+    requires = ("leaving_targets", "observability", "request_limits", "serving")
     slices = (JobsSlice,)
     messages = (
         *JobsSlice.commands,
@@ -72,11 +73,13 @@
         location = CallerLocation(instance.data_centre, instance.region)
         client = app.get(TargetClient)  # type: ignore[type-abstract]
         permits = app.get(TargetPermits)
+        leaving = app.get(LeavingTargets)
         router = CallRouter(
             member.machine.get(TargetsSlice),
             location,
             app.clock,
             is_limited=permits.is_limited,
+            is_leaving=leaving.includes,
         )
         rewards = RewardClient(
             member.machine.get(ServingSlice), router, client, app.clock
@@ -92,6 +95,7 @@
             app.get(FleetMetrics),
             app.clock,
             permitted_runs=permits.available,
+            is_leaving=leaving.includes,
         )
         app.supervise(
             partial(while_leading, member, "run jobs", runner.run), "run jobs"
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -161,12 +161,15 @@
         clock: Clock,
         random_source: random.Random | None = None,
         permitted_runs: Callable[[Target], int | None] | None = None,
+        is_leaving: Callable[[Target], bool] | None = None,
     ) -> None:
         """Create a runner.
 
         ``permitted_runs`` returns how many runs a target's request limit
-        allows to start now; without it no target has a limit.
+        allows to start now; without it no target has a limit.  ``is_leaving``
+        tells whether a target has said that it leaves; without it none has.
         """
+        self._is_leaving = is_leaving
         self._permitted_runs = permitted_runs
         self._metrics = metrics
         self._member = member
@@ -412,6 +415,8 @@
             versions = self._tracker.versions(target)
             if target.state is not TargetState.READY or not versions:
                 continue
+            if self._is_leaving is not None and self._is_leaving(target):
+                continue
             engines.append(
                 EngineSlots(
                     target.id,
--- /dev/null
+++ b/goldcrestyard/fleet/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that say in their answers that they leave."""
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -54,6 +54,13 @@
         self.limited_targets = self._gauge(
             "limited_targets", "Targets that name a request limit in their answers."
         )
+        self.leaving_targets = self._gauge(
+            "leaving_targets",
+            "Known targets that have said in an answer that they leave.",
+        )
+        self.leaving_services = self._gauge(
+            "leaving_services", "Services whose ready targets all leave."
+        )
         self.permits = self._counter(
             "request_permits",
             "Requests to targets with a request limit, by whether they were sent.",
--- a/goldcrestyard/fleet/versions/apps.py
+++ b/goldcrestyard/fleet/versions/apps.py
@@ -5,6 +5,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.commands import NameVersion, VersionsSnapshot
 from goldcrestyard.fleet.versions.loading import LoadingModels, VersionLoader
@@ -41,6 +42,7 @@
             app.get(JobWork),
             app.settings.section(DutySettings).quiet_seconds,
             app.clock,
+            app.get(LeavingTargets).includes,
         )
         app.supervise(
             partial(while_leading, member, "load versions", loader.run),
--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
 
@@ -106,7 +106,14 @@
         work: JobWork,
         quiet_seconds: float,
         clock: Clock,
+        is_leaving: Callable[[Target], bool] | None = None,
     ) -> None:
+        """Create a loader.
+
+        ``is_leaving`` tells whether a target has said that it leaves; without
+        it none has.
+        """
+        self._is_leaving = is_leaving
         self._member = member
         self._targets = member.machine.get(TargetsSlice)
         self._versions = member.machine.get(VersionsSlice)
@@ -198,6 +205,7 @@
             for homed in self._targets.homed_by_id.values()
             if homed.target.state is TargetState.READY
             and self._tracker.versions(homed.target)
+            and not (self._is_leaving and self._is_leaving(homed.target))
         }
 
     def _newest_by_model(
--- a/goldcrestyard/fleet/versions/orders.py
+++ b/goldcrestyard/fleet/versions/orders.py
@@ -19,7 +19,7 @@
     """Another order is in progress or was accepted since the last report."""
     REFUSED = "refused"
     NOT_SENT = "not sent"
-    """The permit had ended before the order left."""
+    """The permit had ended before the order left, or the engine leaves."""
     UNKNOWN = "unknown"
     """No answer: the order may be carried out now, later or never."""
 
--- a/goldcrestyard/platform/names.py
+++ b/goldcrestyard/platform/names.py
@@ -26,6 +26,10 @@
 REQUEST_LIMIT_HEADER = "Server-Limit"
 """Header with the requests per second that a target in need accepts from all
 machines together."""
+LEAVING_HEADER = "Server-Leaving"
+"""Header with ``1`` in all answers of a target that leaves."""
+ANSWERING_TARGET_HEADER = _HEADER_PREFIX + "Instance-Id"
+"""Header with the id of the answering target, in some answers."""
 
 DIRECTORY_PATH = "/v1/resolve"
 READY_PATH = "/v1/readyz"
--- a/goldcrestyard/platform/targets/apps.py
+++ b/goldcrestyard/platform/targets/apps.py
@@ -2,6 +2,7 @@
 
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.fleet.duties import DutySettings
+from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.limits.known import KnownLimits
 from goldcrestyard.fleet.limits.permits import LimitedTargetClient, TargetPermits
 from goldcrestyard.fleet.versions.orders import EngineControl
@@ -15,12 +16,13 @@
     """Provides the client for requests to targets and orders to engines."""
 
     name = "target_client"
-    requires = ("request_limits",)
+    requires = ("leaving_targets", "request_limits")
 
     def ready(self, app: Application) -> None:
         """Create the clients; connections are opened later."""
         client = app.provide(
-            HttpTargetClient, HttpTargetClient(app.get(KnownLimits).observe)
+            HttpTargetClient,
+            HttpTargetClient(app.get(KnownLimits).observe, app.get(LeavingTargets)),
         )
         app.provide(
             TargetClient,  # type: ignore[type-abstract]
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -20,11 +20,13 @@
     Broken,
     TurnedAway,
     Unreached,
+    Withheld,
     describe_error,
 )
 from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
 from goldcrestyard.core.ids import RequestRate, WeightVersion
 from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.kernel.http_client import (
     MAX_ANSWER_BYTES,
     BoundedConnector,
@@ -34,8 +36,10 @@
 from goldcrestyard.platform.event_stream import read_events
 from goldcrestyard.platform.hop_headers import end_to_end
 from goldcrestyard.platform.names import (
+    ANSWERING_TARGET_HEADER,
     DEADLINE_HEADER,
     LAST_EVENT_HEADER,
+    LEAVING_HEADER,
     NOT_RUN_HEADER,
     ORGANISATION_HEADER,
     REQUEST_ID_HEADER,
@@ -95,7 +99,11 @@
             or "chunked" in response.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
         )
         self.status = response.status
-        self.headers = end_to_end(response.headers.items())
+        self.headers = tuple(
+            (name, value)
+            for name, value in end_to_end(response.headers.items())
+            if name.lower() != LEAVING_HEADER.lower()
+        )
         self.signature = response.headers.get(SIGNATURE_HEADER, "")
         version = response.headers.get(VERSION_HEADER, "")
         self.version = WeightVersion(int(version)) if version.isdigit() else None
@@ -144,13 +152,18 @@
     """
 
     def __init__(
-        self, on_limit: Callable[[Target, RequestRate | None], None] | None = None
+        self,
+        on_limit: Callable[[Target, RequestRate | None], None] | None = None,
+        leaving: LeavingTargets | None = None,
     ) -> None:
         """Create a client that reports the request limit of each answer.
 
-        ``on_limit`` gets None as the limit if an answer names none.
+        ``on_limit`` gets None as the limit if an answer names none.  A target
+        in ``leaving`` gets no more requests, and those that say in an answer
+        that they leave are added to it.
         """
         self._on_limit = on_limit
+        self._leaving = leaving
         self._sessions_by_address: dict[str, aiohttp.ClientSession] = {}
         self._discarded_sessions: deque[aiohttp.ClientSession] = deque()
         self._single_session: aiohttp.ClientSession | None = None
@@ -204,6 +217,8 @@
         Closing an answer that is not read to its end cancels the work at the
         target.  A repeatable call may be sent twice.
         """
+        clock = asyncio.get_running_loop().time
+        began = clock()
         answer = await self._send_with_retry(target, call, seconds_left)
         if not isinstance(answer, aiohttp.ClientResponse):
             yield answer
@@ -211,10 +226,42 @@
         try:
             if self._on_limit is not None and _is_from(answer, call):
                 self._on_limit(target, _limit_of(answer))
+            echoed = answer.headers.get(REQUEST_ID_HEADER)
+            # Without an id, an answer on a reused connection may be a late one
+            # to another request.
+            if echoed == call.request or (echoed is None and not call.repeatable):
+                self.note_leaving(target, answer, clock() - began)
             yield _failure_of(answer, call) or HttpReply(answer)
         finally:
             answer.close()
 
+    def is_leaving(self, target: Target) -> bool:
+        """Return whether a target has said that it leaves."""
+        return self._leaving is not None and self._leaving.includes(target)
+
+    def note_leaving(
+        self,
+        target: Target,
+        response: aiohttp.ClientResponse,
+        seconds_since_sent: float,
+    ) -> None:
+        """Record the target as one that leaves if its answer says so.
+
+        A misdirected request was answered by whatever has the address now.
+        """
+        named = response.headers.get(ANSWERING_TARGET_HEADER)
+        from_target = (
+            response.status != MISDIRECTED_STATUS
+            if named is None
+            else named == target.id
+        )
+        if (
+            self._leaving is not None
+            and from_target
+            and response.headers.getall(LEAVING_HEADER, []) == ["1"]
+        ):
+            self._leaving.observe(target, seconds_since_sent)
+
     async def _send_with_retry(
         self, target: Target, call: TargetCall, seconds_left: float
     ) -> aiohttp.ClientResponse | AttemptFailure:
@@ -237,7 +284,13 @@
         seconds = clock() - began
         if isinstance(answer, Broken):
             await self.discard_connections(target.address)
-        if isinstance(answer, Broken) and seconds < DROPPED_CONNECTION_SECONDS:
+        # A second sending that is withheld would hide that the first one may
+        # have run.
+        if (
+            isinstance(answer, Broken)
+            and seconds < DROPPED_CONNECTION_SECONDS
+            and not self.is_leaving(target)
+        ):
             left = seconds_left - seconds
             answer = await self._send(self.single_session, target, call, left)
         return answer
@@ -249,6 +302,10 @@
         call: TargetCall,
         seconds_left: float,
     ) -> aiohttp.ClientResponse | AttemptFailure:
+        # Checked for each sending: other answers may have arrived since the
+        # target was chosen.
+        if self.is_leaving(target):
+            return Withheld("the target has said that it leaves", 0.0)
         try:
             return await session.request(
                 call.method,
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -1,5 +1,7 @@
 """HTTP client for the control interface of engines: orders and reports."""
 
+import asyncio
+
 import aiohttp
 import msgspec
 import structlog
@@ -47,6 +49,8 @@
     in_flight: bool = False
     """Whether the engine is carrying out an order, not a request."""
     models: list[_Model] = []
+    born: int = 0
+    """Start of this run of the engine, as Unix milliseconds; 0 if missing."""
 
 
 class HttpEngineControl:
@@ -59,6 +63,8 @@
 
     async def report(self, target: Target) -> EngineReport | None:
         """Return the report of an engine, or None if it cannot be obtained."""
+        clock = asyncio.get_running_loop().time
+        began = clock()
         try:
             async with self._client.session(target.address).get(
                 f"http://{target.address}{REPORT_PATH}",
@@ -66,10 +72,13 @@
                 timeout=self._timeout,
             ) as response:
                 if response.status != 200:
+                    self._client.note_leaving(target, response, clock() - began)
                     return None
                 report = msgspec.json.decode(
                     await read_at_most(response, MAX_REPORT_BYTES), type=_Report
                 )
+                if report.born == 0 or str(report.born) == target.incarnation:
+                    self._client.note_leaving(target, response, clock() - began)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             await self._client.discard_connections(target.address)
             self._log_failure(target, describe_error(error))
@@ -87,6 +96,10 @@
         self, target: Target, order: LoadOrder, permit: Permit
     ) -> OrderOutcome:
         """Send an order to load a weight version once."""
+        if self._client.is_leaving(target):
+            return OrderOutcome.NOT_SENT
+        clock = asyncio.get_running_loop().time
+        began = clock()
         fields = {
             "op": "version",
             "model": order.model,
@@ -104,6 +117,7 @@
                 headers={TARGET_ID_HEADER: target.id},
                 timeout=self._timeout,
             ) as response:
+                self._client.note_leaving(target, response, clock() - began)
                 return _OUTCOMES_BY_STATUS.get(response.status, OrderOutcome.REFUSED)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._log_failure(target, describe_error(error))
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -9,11 +9,14 @@
 
 from parameterized import parameterized
 
-from goldcrestyard.core.attempts import Broken, TurnedAway, Unreached
+from goldcrestyard.core.attempts import Broken, TurnedAway, Unreached, Withheld
 from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
 from goldcrestyard.core.ids import EventNumber, OrganisationId, RequestId
 from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.leaving.known import LeavingTargets
+from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.platform.targets.client import HttpTargetClient
+from goldcrestyard.plugins.targets.slices import TargetsSlice
 from tests.fakes.targets import target
 
 ID = "9c41d07be2a35f68"
@@ -113,6 +116,48 @@
     expected: list[float | None]
 
 
+LEAVING_LINE = b"Server-Leaving: 1\r\n"
+OTHER_ANSWER = WHOLE.replace(ID.encode(), b"0" * 16)
+
+
+@dataclass(frozen=True)
+class LeavingCase:
+    """Header lines of an answer, and whether its target is left out."""
+
+    name: str
+    header: bytes
+    answer: bytes
+    leaves: bool
+
+
+LEAVING_CASES = [
+    LeavingCase("success", LEAVING_LINE, WHOLE, True),
+    LeavingCase("failure", LEAVING_LINE, FAILED, True),
+    LeavingCase("full", LEAVING_LINE, FULL, True),
+    LeavingCase("limited", LEAVING_LINE, FULL.replace(b"503 Busy", b"429 No"), True),
+    LeavingCase("not_named", b"", WHOLE, False),
+    LeavingCase("zero", b"Server-Leaving: 0\r\n", WHOLE, False),
+    LeavingCase("empty", b"Server-Leaving:\r\n", WHOLE, False),
+    LeavingCase("word", b"Server-Leaving: yes\r\n", WHOLE, False),
+    LeavingCase("two_values", b"Server-Leaving: 1, 0\r\n", WHOLE, False),
+    LeavingCase("twice", LEAVING_LINE * 2, WHOLE, False),
+    LeavingCase("of_another_target", LEAVING_LINE, MISDIRECTED, False),
+    LeavingCase(
+        "of_a_target_that_names_itself",
+        LEAVING_LINE + b"X-Goldcrestyard-Instance-Id: other\r\n",
+        WHOLE,
+        False,
+    ),
+    LeavingCase(
+        "misdirected_by_the_target_itself",
+        LEAVING_LINE + b"X-Goldcrestyard-Instance-Id: t\r\n",
+        MISDIRECTED,
+        True,
+    ),
+    LeavingCase("of_another_request", LEAVING_LINE, OTHER_ANSWER, False),
+]
+
+
 class TargetClientTests(unittest.IsolatedAsyncioTestCase):
     """Guards against accepting incomplete answers and those of other calls."""
 
@@ -124,7 +169,10 @@
         port = self.server.sockets[0].getsockname()[1]
         self.target: Target = replace(target("t"), address=f"127.0.0.1:{port}")
         self.limits: list[float | None] = []
-        self.client = HttpTargetClient(lambda _, limit: self.limits.append(limit))
+        self.leaving = LeavingTargets(TargetsSlice(), Clock())
+        self.client = HttpTargetClient(
+            lambda _, limit: self.limits.append(limit), self.leaving
+        )
         await self.client.start()
         self.addAsyncCleanup(self._stop)
 
@@ -203,6 +251,37 @@
         await self._send(repeatable=False)
         self.assertEqual(self.limits, case.expected)
 
+    @parameterized.expand([(case.name, case) for case in LEAVING_CASES])
+    async def test_leaving(self, _: str, case: LeavingCase) -> None:
+        """Guards against a notice that is missed, or taken from elsewhere."""
+        line, end, rest = case.answer.partition(b"\r\n")
+        self.script = [(line + end + case.header + rest, stay)] * 2
+        call = self._call(repeatable=True)
+        async with self.client.open(self.target, call, 1.5) as reply:
+            if isinstance(reply, TargetReply):
+                names = {name.lower() for name, _ in reply.headers}
+                self.assertNotIn("server-leaving", names)
+        self.assertEqual(case.leaves, self.leaving.includes(self.target))
+        sent = len(self.requests)
+        self.script = [(WHOLE, stay)] * 2
+        for repeatable in (False, True):
+            outcome = await self._send(repeatable=repeatable)
+            self.assertEqual(case.leaves, isinstance(outcome, Withheld))
+        self.assertEqual(case.leaves, sent == len(self.requests))
+
+    async def test_dropped_request_is_not_sent_again_to_a_target_that_leaves(
+        self,
+    ) -> None:
+        """Guards against a second sending, and an unproved "not run"."""
+
+        async def leave_and_reset(writer: Writer) -> None:
+            self.leaving.observe(self.target, 0.0)
+            await reset(writer)
+
+        self.script += [(b"", leave_and_reset), (WHOLE, stay)]
+        self.assertIsInstance(await self._send(repeatable=True), Broken)
+        self.assertEqual(len(self.requests), 1)
+
     async def test_bytes_left_over_are_not_the_next_answer(self) -> None:
         other = WHOLE.replace(b"hello", b"wrong")
         self.script += [(WHOLE + other, stay), (WHOLE, stay), (WHOLE, stay)]
