Test leaving targets through reuse, a change of the lead and restarts

The tests run real processes against stand-ins whose heartbeats go on saying that they are ready: another target, and the same id again, at the address of one that has left; a leader that is killed, and a front that is started again, after one front has heard of it; items and reward calls of the leader. Others cover reports and orders of engines, items and loads.

A front that was cut off sent on to servers that left until they were gone.

--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -69,8 +69,8 @@
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def listen(self) -> None:
-        """Listen on a free port."""
+    async def listen(self, port: int = 0) -> None:
+        """Listen on a port, by default a free one."""
         app = web.Application()
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
@@ -80,7 +80,7 @@
             app, handler_cancellation=True, shutdown_timeout=0.01
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.host, 0)
+        site = web.TCPSite(self._runner, self.host, port)
         await site.start()
         assert site._server is not None
         port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
--- a/tests/fleet/test_loading.py
+++ b/tests/fleet/test_loading.py
@@ -93,7 +93,9 @@
         apply(self.machine, PutServing(CONFIG, b""))
         self.member = FakeMember(self.machine, self.clock())
 
-    def _start(self, count: int) -> FakeEngineControl:
+    def _start(
+        self, count: int, leaving: frozenset[str] = frozenset()
+    ) -> FakeEngineControl:
         control = FakeEngineControl(count)
         tracker = self.tracker = TargetTracker(
             self.member,  # type: ignore[arg-type]
@@ -112,6 +114,7 @@
             JobWork(),
             QUIET_SECONDS,
             self.clock(),
+            lambda target: target.id in leaving,
         )
         task = asyncio.create_task(loader.run())
         self.addCleanup(task.cancel)
@@ -127,6 +130,14 @@
         for engine in control.engines.values():
             self.assertEqual((engine.version, len(engine.orders)), (2, 1))
 
+    async def test_engine_that_leaves_gets_no_orders(self) -> None:
+        """Guards against loads on a target that has said that it leaves."""
+        control = self._start(3, frozenset({"e1"}))
+        self._publish(2)
+        await asyncio.sleep(8.0)
+        orders = {name: len(each.orders) for name, each in control.engines.items()}
+        self.assertEqual({"e0": 1, "e1": 0, "e2": 1}, orders)
+
     async def test_no_more_than_two_load_at_once(self) -> None:
         control = self._start(5)
         self._publish(2)
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -134,6 +134,7 @@
         engines: tuple[Behaviour, ...],
         scorers: tuple[Behaviour, ...] = SCORED,
         engine_count: int = 2,
+        leaving: frozenset[str] = frozenset(),
     ) -> "asyncio.Task[None]":
         clock = self.clock()
         targets = self.machine.get(TargetsSlice)
@@ -166,6 +167,7 @@
             FleetMetrics(CollectorRegistry()),
             clock,
             random.Random(1),
+            is_leaving=lambda target: target.id in leaving,
         )
         task = asyncio.create_task(runner.run())
         self.addAsyncCleanup(self._stop, task)
@@ -184,6 +186,14 @@
     def _engine_calls(self) -> list[str]:
         return [name for name in self.client.called_targets if name != "scorer"]
 
+    async def test_engine_that_leaves_gets_no_items(self) -> None:
+        """Guards against items for a target that has said that it leaves."""
+        self._start((Streams(3),), leaving=frozenset({"e0"}))
+        submit = SubmitJob(scored_job("/jobs/", items=4))
+        apply(self.machine, submit, time=self.clock().wall())
+        await self._wait_listed(4)
+        self.assertEqual({"e1"}, set(self._engine_calls()))
+
     @parameterized.expand([(case.name, case) for case in CASES])
     async def test_item(self, _: str, case: Case) -> None:
         self._start(case.engines, case.scorers)
--- a/tests/platform/test_leaving_answers.py
+++ b/tests/platform/test_leaving_answers.py
@@ -16,6 +16,11 @@
 REQUESTS = 24
 
 
+SETTLING_SECONDS = 2.0
+"""Time from an answer until all processes must know of it: a renewal, a commit
+and a change of the leader."""
+
+
 @dataclass(frozen=True)
 class CutOffCase:
     """What happens to a front that is cut off from control."""
@@ -25,6 +30,23 @@
     """Whether the front is frozen for a time after the answer."""
 
 
+@dataclass(frozen=True)
+class SharedCase:
+    """What fails once one front has heard that a target leaves."""
+
+    name: str
+    leader_killed: bool = False
+    front_restarted: bool = False
+
+
+@dataclass(frozen=True)
+class ReuseCase:
+    """The target that follows at the address of one that has left."""
+
+    name: str
+    same_id: bool
+
+
 class LeavingAnswerTestCase(unittest.IsolatedAsyncioTestCase):
     """A site with two plain targets."""
 
@@ -111,3 +133,81 @@
         await self.join()
         await asyncio.sleep(1.0)
         self.assertEqual(before, [len(target.runs) for target in self.site.services])
+
+    @parameterized.expand(
+        [
+            (case.name, case)
+            for case in (ReuseCase("another_target", False), ReuseCase("same_id", True))
+        ]
+    )
+    async def test_next_target_at_the_address_is_used(
+        self, _: str, case: ReuseCase
+    ) -> None:
+        """Guards against a notice that outlives the run that gave it."""
+        site = self.site
+        front = site.fronts[0]
+        await self.cut_off()
+        self.leaver.leaving = ("1",)
+        await self.hear(self.leaver, front)
+        await self.leaver.stop()
+        follower = site.new_target(3, engine=False)
+        if case.same_id:
+            follower.id = self.leaver.id
+        await follower.listen(int(self.leaver.address.rpartition(":")[2]))
+        site.targets.append(follower)
+        follower.announce()
+        await self.ask_many(front)
+        self.assertEqual([], follower.runs)
+        await self.join()
+        await self.hear(follower, front)
+
+
+class SharedNoticeTests(LeavingAnswerTestCase):
+    """Guards against a notice that only the front that got it knows.
+
+    The heartbeats of the target say that it is ready all the while.
+    """
+
+    @parameterized.expand(
+        [
+            (case.name, case)
+            for case in (
+                SharedCase("calm"),
+                SharedCase("leader_killed", leader_killed=True),
+                SharedCase("front_restarted", front_restarted=True),
+            )
+        ]
+    )
+    async def test_no_front_uses_the_target(self, _: str, case: SharedCase) -> None:
+        site = self.site
+        self.leaver.leaving = ("1",)
+        await self.hear(self.leaver, site.fronts[0])
+        if case.leader_killed:
+            leader = await site.leader()
+            await leader.kill()
+            await leader.start()
+        await asyncio.sleep(SETTLING_SECONDS)
+        if case.front_restarted:
+            await site.fronts[0].kill()
+            await site.fronts[0].start()
+        await site.wait(site.all_serve, "fronts that serve")
+        before = len(self.leaver.runs)
+        for front in site.fronts:
+            answers = await self.ask_many(front)
+            self.assertEqual({200}, {status for status, _, _ in answers})
+        self.assertEqual(before, len(self.leaver.runs))
+
+    async def test_leader_starts_no_items_or_reward_calls_there(self) -> None:
+        site = self.site
+        leaving = [site.engines[0], self.leaver]
+        await site.submit("first", 24)
+        await site.results("first", 24)
+        for target in leaving:
+            self.assertTrue(target.runs)
+            target.leaving = ("1",)
+        await site.submit("second", 24)
+        await site.results("second", 24)
+        before = [len(target.runs) for target in leaving]
+        await site.submit("third", 24)
+        await site.results("third", 24)
+        self.assertEqual(before, [len(target.runs) for target in leaving])
