--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -26,6 +26,8 @@
     resumed_after: int
     started_at: float
     """Unix time in seconds."""
+    said_leaving: bool = False
+    """Whether the answer says that the target leaves."""
 
 
 @dataclass
@@ -173,7 +175,9 @@
         await request.read()
         last = int(request.headers.get("Last-Event-Id", "0"))
         tenant = request.headers.get("X-Goldcrestyard-Tenant")
-        self.runs.append(Run(request_id, request.path, tenant, last, time.time()))
+        self.runs.append(
+            Run(request_id, request.path, tenant, last, time.time(), bool(self.leaving))
+        )
         headers = CIMultiDict(
             {
                 REQUEST_ID_HEADER: request_id,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -33,3 +33,9 @@
         soak = await run_seed(26, SECONDS, limits=True)
         self.assertGreater(soak.jobs, 0)
         self.assertGreater(soak.statuses[200], 0)
+
+    async def test_promises_hold_while_targets_leave(self) -> None:
+        """Also guards against calls to a target whose notice was passed on."""
+        soak = await run_seed(3001, SECONDS, leaving=True)
+        self.assertGreater(soak.jobs, 0)
+        self.assertGreater(soak.statuses[200], 0)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,6 +19,9 @@
     parser.add_argument(
         "--limits", action="store_true", help="services name request limits"
     )
+    parser.add_argument(
+        "--leaving", action="store_true", help="targets leave and others follow"
+    )
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
     failed_seeds = 0
@@ -31,6 +34,7 @@
                     verbose=options.verbose,
                     keep=options.keep,
                     limits=options.limits,
+                    leaving=options.leaving,
                 )
             )
         except* GuaranteeViolationError as failures:
@@ -38,7 +42,8 @@
             print(f"seed {seed}: BROKEN {failures.exceptions}", flush=True)
         else:
             print(
-                f"seed {seed}: {soak.jobs} jobs, calls {dict(soak.statuses)}",
+                f"seed {seed}: {soak.jobs} jobs, calls {dict(soak.statuses)}, "
+                f"{soak.notices} notices of leaving",
                 flush=True,
             )
     return 1 if failed_seeds else 0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -90,6 +91,9 @@
         self._control_lock = asyncio.Lock()
         self._fronts_lock = asyncio.Lock()
         self.version = 1
+        self.disturbed: list[tuple[str, float]] = []
+        """Names of disturbed processes with the Unix time in seconds at the
+        end of the disturbance."""
 
     def draw(self) -> Fault:
         """Return the next fault from the random source."""
@@ -128,6 +132,7 @@
                     self._log(str(_describe(fault)))
                     since = datetime.now(UTC).strftime(LOG_TIME)
                     await self._inject_process_fault(fault)
+                    self.disturbed.append((process.name, time.time()))
                     if is_control:
                         await self._wait_for_recovery(fault, since)
             case NetworkFault():
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,10 +12,12 @@
 import random
 import shutil
 import time
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from tests.fakes.platform_site import ORGANISATION, Site
+from tests.fakes.platform_targets import StandInTarget
 from tests.fakes.proxy import FaultProxy
 from tests.soak.faults import Injector
 
@@ -30,6 +32,23 @@
 """Statuses of refusals that guarantee that the call has not run."""
 
 
+LEAVING_SECONDS = 1.0
+"""Time in seconds after a front has passed on an answer in which a target says
+that it leaves, from which that front sends it no more calls."""
+
+
+@dataclass(frozen=True)
+class SentCall:
+    """A call of a caller; times are Unix times in seconds."""
+
+    id: str
+    front: str
+    target: str
+    """The target that answered it; empty without a success."""
+    sent_at: float
+    answered_at: float
+
+
 class GuaranteeViolationError(AssertionError):
     """A caller or a target observed a violation of a guarantee."""
 
@@ -45,8 +64,10 @@
         verbose: bool = False,
         keep: Path | None = None,
         limits: bool = False,
+        leaving: bool = False,
     ) -> None:
         self._limits = limits
+        self._leaving = leaving
         self.seed = seed
         self._seconds = seconds
         self._random = random.Random(seed)
@@ -59,6 +80,9 @@
         self.statuses: collections.Counter[int] = collections.Counter()
         self.jobs = 0
         self._refused_ids: set[str] = set()
+        self._calls: list[SentCall] = []
+        self.notices = 0
+        """Fronts and targets where the front passed on that it leaves."""
 
     async def run(self) -> None:
         """Run the soak.
@@ -76,10 +100,12 @@
                     group.create_task(self._inject(injector, deadline))
                 for number in range(2):
                     group.create_task(self._train(f"t{number}", deadline))
-                for _ in range(3):
+                for _ in range(12 if self._leaving else 3):
                     group.create_task(self._call(deadline))
                 if self._limits:
                     group.create_task(self._name_limits(deadline))
+                if self._leaving:
+                    group.create_task(self._replace_targets(deadline))
             await self._check_final_state(injector)
         except* Exception as failures:
             course = "\n".join(self.events[-60:])
@@ -141,6 +167,53 @@
         for target in self._site.services:
             target.request_limit = None
 
+    async def _replace_targets(self, deadline: float) -> None:
+        """Let targets leave and others follow them at their addresses.
+
+        Half of them report it to the leader as well.  Some of those that
+        follow have the same id.  At times all services leave together.
+        """
+        random_source = random.Random(f"leaving {self.seed}")
+        loop = asyncio.get_running_loop()
+        present = list(self._site.targets)
+        while loop.time() < deadline:
+            await asyncio.sleep(random_source.uniform(0.2, 1.5))
+            leaving = [random_source.choice(present)]
+            if random_source.random() < 0.2:
+                leaving = [target for target in present if not target.models]
+            reports: list[asyncio.Task[None]] = []
+            for target in leaving:
+                target.leaving = ("1",)
+                if random_source.random() < 0.5:
+                    reports.append(asyncio.create_task(target.drain()))
+                self._log(f"{target.id} leaves, reports it: {target.draining}")
+            await asyncio.sleep(random_source.uniform(1.5, 4.0))
+            for report in reports:
+                report.cancel()
+            for target in leaving:
+                follower = await self._follow(
+                    target, same_id=random_source.random() < 0.4
+                )
+                present[present.index(target)] = follower
+
+    async def _follow(self, target: StandInTarget, *, same_id: bool) -> StandInTarget:
+        """Stop a target and start another one at its address."""
+        await target.stop()
+        number = self._site.targets.index(target)
+        follower = self._site.new_target(
+            number, engine=bool(target.models), events=EVENTS_PER_RUN
+        )
+        follower.host, follower.zone = target.host, target.zone
+        if same_id:
+            follower.id = target.id
+        follower.address = target.address
+        follower.event_seconds = target.event_seconds
+        await follower.listen(int(target.own_address.rpartition(":")[2]))
+        self._site.targets.append(follower)
+        follower.announce()
+        self._log(f"{follower.id} follows {target.id}")
+        return follower
+
     async def _train(self, name: str, deadline: float) -> None:
         """Submit one job after another and read each to its end."""
         loop = asyncio.get_running_loop()
@@ -172,12 +245,17 @@
             path = self._random.choice(("/once/", "/quotes/"))
             front = self._random.choice(self._site.fronts)
             request_id = self._site.marker()
+            sent_at = time.time()
             status, body, headers = await self._site.ask(
                 f"{path}{request_id}", front, request_id=request_id
             )
             self.statuses[status] += 1
             if status in NOT_RUN_STATUSES:
                 self._refused_ids.add(request_id)
+            target = body.partition(b" ")[0].decode() if status == 200 else ""
+            self._calls.append(
+                SentCall(request_id, front.name, target, sent_at, time.time())
+            )
             if status == 200 and (
                 not body.endswith(request_id.encode())
                 or headers["X-Goldcrestyard-Server-Stamp"] != f"stamp-{request_id}"
@@ -216,8 +294,37 @@
             raise GuaranteeViolationError(
                 f"windows reported with two sums: {conflicting_windows}"
             )
+        self._check_leaving(injector)
         await self._check_configuration(injector)
 
+    def _check_leaving(self, injector: Injector) -> None:
+        """Check that fronts avoid the targets whose notice they passed on.
+
+        Calls after a restart or a freeze of the front do not count.
+        """
+        for target in self._site.targets:
+            runs_by_id = {run.id: run for run in target.runs}
+            heard_at_by_front: dict[str, float] = {}
+            for call in sorted(self._calls, key=lambda call: call.answered_at):
+                run = runs_by_id.get(call.id)
+                if run is not None and run.said_leaving and call.target == target.id:
+                    heard_at_by_front.setdefault(call.front, call.answered_at)
+            self.notices += len(heard_at_by_front)
+            for call in self._calls:
+                heard_at = heard_at_by_front.get(call.front)
+                if (
+                    call.id in runs_by_id
+                    and heard_at is not None
+                    and call.sent_at > heard_at + LEAVING_SECONDS
+                    and not any(
+                        name == call.front and heard_at <= at <= call.sent_at
+                        for name, at in injector.disturbed
+                    )
+                ):
+                    raise GuaranteeViolationError(
+                        f"{call} reached {target.id}, known to leave at {heard_at}"
+                    )
+
     async def _check_configuration(self, injector: Injector) -> None:
         leader = await self._site.leader()
         url = f"http://{leader.address('ctl')}/v1/config"
@@ -236,9 +343,12 @@
     verbose: bool = False,
     keep: Path | None = None,
     limits: bool = False,
+    leaving: bool = False,
 ) -> Soak:
     """Run the soak with a seed and return it with its counts."""
-    soak = Soak(seed, seconds, verbose=verbose, keep=keep, limits=limits)
+    soak = Soak(
+        seed, seconds, verbose=verbose, keep=keep, limits=limits, leaving=leaving
+    )
     with contextlib.suppress(asyncio.CancelledError):
         await soak.run()
     return soak
