--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -6,6 +6,7 @@
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.gateway.streams import StreamRunner
+from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.kernel.application import Application
@@ -23,6 +24,7 @@
     requires = (
         "crashing_requests",
         "entry",
+        "leaving_targets",
         "metering",
         "request_limits",
         "serving",
@@ -42,6 +44,7 @@
                 CallerLocation(instance.data_centre, instance.region),
                 app.clock,
                 is_limited=app.get(TargetPermits).is_limited,
+                is_leaving=app.get(LeavingTargets).includes,
             ),
         )
         client = app.get(TargetClient)  # type: ignore[type-abstract]
--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -8,10 +8,12 @@
 
 import aiohttp
 from aiohttp import web
+from multidict import CIMultiDict
 
 HEARTBEAT_SECONDS = 0.4
 WEIGHT_LOAD_SECONDS = 0.2
 REQUEST_ID_HEADER = "X-Goldcrestyard-Attempt-Id"
+LEAVING_HEADER = "Server-Leaving"
 
 
 @dataclass
@@ -24,6 +26,8 @@
     resumed_after: int
     started_at: float
     """Unix time in seconds."""
+    said_leaving: bool = False
+    """Whether the answer says that the target leaves."""
 
 
 @dataclass
@@ -52,6 +56,9 @@
     """Path of the requests that crash it as they begin to run."""
     down_seconds: float = 1.0
     """Time after a crash until it is back at its address, as another run."""
+    leaving: tuple[str, ...] = ()
+    """Values of the header by which its answers say that it leaves; each makes
+    one header."""
     runs: list[Run] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
     in_progress: Counter[str] = field(default_factory=Counter)
@@ -189,15 +196,21 @@
         await request.read()
         last = int(request.headers.get("Last-Event-Id", "0"))
         tenant = request.headers.get("X-Goldcrestyard-Tenant")
-        self.runs.append(Run(request_id, request.path, tenant, last, time.time()))
+        self.runs.append(
+            Run(request_id, request.path, tenant, last, time.time(), bool(self.leaving))
+        )
         if request.path == self.deadly_path:
             if self._restart is None or self._restart.done():
                 self._restart = asyncio.create_task(self.crash())
             await asyncio.get_running_loop().create_future()
-        headers = {
-            REQUEST_ID_HEADER: request_id,
-            "X-Goldcrestyard-Server-Stamp": f"stamp-{request_id}",
-        }
+        headers = CIMultiDict(
+            {
+                REQUEST_ID_HEADER: request_id,
+                "X-Goldcrestyard-Server-Stamp": f"stamp-{request_id}",
+            }
+        )
+        for value in self.leaving:
+            headers.add(LEAVING_HEADER, value)
         if self.request_limit is not None:
             headers["Server-Limit"] = str(self.request_limit)
         if self.failing:
@@ -214,7 +227,7 @@
             self.in_progress[request_id] -= 1
 
     async def _stream(
-        self, request: web.Request, headers: dict[str, str], last: int
+        self, request: web.Request, headers: CIMultiDict[str], last: int
     ) -> web.StreamResponse:
         model = request.headers["X-Goldcrestyard-Model"]
         headers["X-Goldcrestyard-Weight-Versions"] = str(self.models[model])
