Give the tests of leaving targets a guard of requests

Their runners need one since the requests that crash targets are recognised; nine tests failed with an AttributeError after the merge. The tests check the same as before.

--- a/tests/fleet/test_leaving.py
+++ b/tests/fleet/test_leaving.py
@@ -32,7 +32,7 @@
 from tests.fakes.member import FakeMember, apply, machine_of
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
-from tests.fakes.serving import entry_view, request
+from tests.fakes.serving import entry_view, request, request_guard
 from tests.fakes.targets import (
     FULL,
     RESET,
@@ -245,7 +245,8 @@
         )
         admitted = admission.admit(request(prefix), clock.monotonic())
         assert isinstance(admitted, AdmittedRequest)
-        common = (admission, router, self.client, UsageMeter(5.0), clock)
+        guard = request_guard(view, self.client, clock)
+        common = (admission, router, self.client, guard, UsageMeter(5.0), clock)
         if prefix in ("/stream/", "/resumed/"):
             return await StreamRunner(*common).run(admitted, _NoSink())
         return await CallRunner(*common, random.Random(1)).answer(admitted)
