Wait until the fronts know both targets before they are cut off

test_target_gets_no_more_requests failed in 2 of 8 runs beside other load: all requests were answered 503, "all targets of the service leave". Nine pairs of runs at once, with the logs kept, gave 6 failures in 18; in the log kept the other target had not been registered when control was frozen, since its first heartbeat fell into the election. So the front was right. The tests now wait until each front has sent a request to each target. The checks are the same.

--- a/tests/platform/test_leaving_answers.py
+++ b/tests/platform/test_leaving_answers.py
@@ -57,6 +57,10 @@
         # The one that leaves is in the data centre of the first front, which
         # prefers it.
         self.stayer, self.leaver = self.site.services
+        # A front that is cut off learns of no further target.
+        for front in self.site.fronts:
+            for target in self.site.services:
+                await self.hear(target, front)
 
     async def cut_off(self) -> None:
         """Freeze all control members: every front is cut off from control."""
