--- a/tests/consensus/test_large_transfers.py
+++ b/tests/consensus/test_large_transfers.py
@@ -10,22 +10,13 @@
 
 from parameterized import parameterized
 
-from goldcrestyard.consensus.control_member import ControlMember
-from goldcrestyard.consensus.results import Applied, ProposalResult
-from goldcrestyard.consensus.timing import Timing
-from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.consensus.results import Applied
 from goldcrestyard.kernel.clock import Clock
+from tests.fakes.joining_members import REPAIR_SECONDS, JoiningMemberTestCase
 from tests.fakes.member_network import MemberNetwork, put_organisation
 from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
 
-INSTANCES = ["a", "b", "c"]
-
-TIMING = Timing(0.1, 0.5, 0.62, 0.95, 0.05, 0.53)
-"""Timing of the members of a self-assembling deployment."""
-
-PROPOSAL_INTERVAL_SECONDS = 0.1
-
 
 @dataclass(frozen=True)
 class Transfer:
@@ -37,7 +28,7 @@
     bytes_per_second: float
     proposers: int = 0
     snapshot_entries: int = 10_000
-    seconds: float = 4.8
+    seconds: float = REPAIR_SECONDS
     """Time within which the new member must have its vote."""
 
 
@@ -45,36 +36,9 @@
 """Memory that control may use on an instance."""
 
 
-class LargeTransferTests(PausedClockTestCase):
+class LargeTransferTests(JoiningMemberTestCase):
     """A member with an empty disk that joins over a slow link."""
 
-    async def _start(self, snapshot_entries: int) -> None:
-        quiet_logs(self)
-        self.network = MemberNetwork(
-            INSTANCES,
-            Clock(lambda: EPOCH + asyncio.get_running_loop().time()),
-            timing=TIMING,
-            snapshot_entries=snapshot_entries,
-        )
-        self.addAsyncCleanup(self.network.close)
-        await self.network.start_all()
-        self.leader = await self.network.leader()
-        self._random = random.Random(29)
-
-    async def _propose(self, size: int) -> ProposalResult:
-        name = self._random.randbytes(size // 2).hex()
-        return await put_organisation(self.leader, name)
-
-    async def _propose_repeatedly(self, size: int) -> None:
-        while True:
-            await self._propose(size)
-            await asyncio.sleep(PROPOSAL_INTERVAL_SECONDS)
-
-    async def _wipe_a_follower(self) -> ControlMember:
-        name = next(n for n in INSTANCES if n != self.leader.instance)
-        await self.network.stop(name, lose_disk=True)
-        return await self.network.start(name)
-
     @parameterized.expand(
         [
             (case.name, case)
@@ -88,28 +52,15 @@
     )
     async def test_ends_in_time(self, _: str, case: Transfer) -> None:
         """Guards against chunks, entries or batches that are sent for ever."""
-        await self._start(case.snapshot_entries)
-        at_once = min(case.entries, 100)
-        for _count in range(case.entries // at_once):
-            await asyncio.gather(
-                *(self._propose(case.entry_bytes) for _ in range(at_once))
-            )
+        await self.start_members(case.snapshot_entries)
+        await self.fill_log(case.entries, case.entry_bytes)
         # A member that lacks only a few entries gets its vote at once.
-        await asyncio.gather(*(self._propose(100) for _ in range(100)))
+        await self.fill_log(100, 100)
         await self.network.wait_until_converged()
         self.network.latency_seconds = 0.025
         self.network.bytes_per_second = case.bytes_per_second
-        for _proposer in range(case.proposers):
-            proposing = asyncio.create_task(self._propose_repeatedly(case.entry_bytes))
-            self.addCleanup(proposing.cancel)
-        joined = await self._wipe_a_follower()
-        self.network.bytes_by_receiver.clear()
-        started_at = self.network.clock.monotonic()
-        result = await self.leader.replace_member(
-            joined.instance, InstanceId(joined.instance), f"{joined.instance}:1", 20.0
-        )
-        seconds = self.network.clock.monotonic() - started_at
-        sent = self.network.bytes_by_receiver[joined.instance]
+        self.keep_proposing(case.entry_bytes, case.proposers)
+        result, seconds, sent = await self.replace_wiped_member()
         self.assertIsInstance(result, Applied, f"{sent} bytes in {seconds:.1f} s")
         self.assertLess(seconds, case.seconds, f"{sent} bytes")
 
