Swap versions in a test once each stream has a token

The test swapped the version once the engine ran all four samples, which is up to 0.03 s before their first tokens; with 0.2 s there, two of two runs on fail. So all tokens were of the later version, and the answer was right.

The stand-in engine now counts the streams that have a token, and the test waits for four of them. The checks are the same.

--- a/demo/fakes/engine.py
+++ b/demo/fakes/engine.py
@@ -37,6 +37,8 @@
     """Weight version that pieces name: ``honest`` for the true one,
     ``omitted`` for none, ``unpublished`` for one that does not exist."""
     running: int = 0
+    streams_begun: int = 0
+    """Number of streams whose first token has been generated."""
     runs_by_request: Counter[str] = field(default_factory=Counter)
     runs_by_call: Counter[str] = field(default_factory=Counter)
     """Runs by the value of the body field ``user``, set by the caller."""
@@ -100,6 +102,7 @@
         last = len(tokens) - 1
 
         def piece_at(position: int) -> dict[str, Any]:
+            self.streams_begun += position == 0
             return self._piece(
                 request.path, request_id, body, tokens[position], position == last
             )
@@ -232,6 +235,7 @@
             {
                 "version": self.version,
                 "running": self.running,
+                "streams_begun": self.streams_begun,
                 "runs_by_request": dict(self.runs_by_request),
                 "runs_by_call": dict(self.runs_by_call),
                 "headers_seen": self.headers_seen,
--- a/tests/fakes/trainers.py
+++ b/tests/fakes/trainers.py
@@ -74,13 +74,19 @@
         self.addCleanup(asking.cancel)
         return asking
 
-    async def wait_running(self, *engines: str, count: int = 1) -> None:
-        """Wait until each engine generates at least ``count`` samples."""
+    async def wait_running(
+        self, *engines: str, count: int = 1, state: str = "running"
+    ) -> None:
+        """Wait until each engine runs at least ``count`` samples.
+
+        A sample runs before its first token is generated; with the state
+        ``streams_begun``, ``count`` samples have a token.
+        """
 
         async def running(session: aiohttp.ClientSession) -> bool:
             for engine in engines:
                 async with session.get(f"http://{engine}/fake/state") as answer:
-                    if (await answer.json())["running"] < count:
+                    if (await answer.json())[state] < count:
                         return False
             return True
 
--- a/tests/processes/test_trainers.py
+++ b/tests/processes/test_trainers.py
@@ -69,7 +69,7 @@
     async def test_swap_in_mid_stream_gives_two_spans(self) -> None:
         engine = await self.start_engine(token_seconds=0.03)
         asking = self.asking(max_tokens=100)
-        await self.wait_running(engine, count=4)
+        await self.wait_running(engine, count=4, state="streams_begun")
         await self.publish(2)
         await self.swap(engine, 2)
         answer = await asking
