Bound the log and the waiting proposals by the memory of a process

The adapter did not read the memory that the platform allows (limits.ram_mb).

Change: policy/memory.py shares out the memory of a process.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -80,7 +80,9 @@
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.default_settings import MemorySettings
 from goldcrestyard.kernel.waiting import wait_at_most
+from goldcrestyard.policy.memory import ControlShares, control_shares
 from goldcrestyard.state.commands import Accepted, Command
 from goldcrestyard.state.machine import StateMachine
 from goldcrestyard.storage.exceptions import DiskError
@@ -97,10 +99,13 @@
 refused.  At 4,100 claims a second this holds more than two seconds of claims.
 """
 
-MAX_LOG_BYTES = 32 * 1024 * 1024
-"""Size of the log since the latest snapshot from which the next one is taken,
-unless the state itself is large: then at twice its size, so that encoding it
-costs no more than a share of what writing the log costs."""
+MIN_LOG_SHARE = 0.5
+"""Share of the room for the log from which a snapshot is taken, unless the
+state itself is large: then at twice its size, so that encoding it costs no
+more than a share of what writing the log costs, or at the latest when the room
+for the log is full."""
+
+DEFAULT_SHARES = control_shares(MemorySettings().process_bytes)
 
 MEMBER_CHANGE_POLL_SECONDS = 0.1
 
@@ -136,6 +141,10 @@
     return ThreadPoolExecutor(1, "control")
 
 
+ProposalCheck = Callable[[Command], str | None]
+"""Returns why there is no room for what a command would add, or None."""
+
+
 class ControlMember:
     """This instance's member of the replicated log.
 
@@ -155,6 +164,7 @@
         own_address: str = "",
         timing: Timing = Timing(),  # noqa: B008 - immutable
         snapshot_entries: int = 10_000,
+        shares: ControlShares = DEFAULT_SHARES,
         files: Files | None = None,
         make_executor: Callable[[], Executor] = _single_thread_executor,
         random_source: random.Random | None = None,
@@ -169,6 +179,7 @@
         self._own_address = self._configured_addresses.get(instance, own_address)
         self._timing = timing
         self._snapshot_entries = snapshot_entries
+        self._shares = shares
         self._rng = random_source or random.Random(secrets.randbits(64))
         self._disk = MemberDisk(data_folder, files or DiskFiles(), codec)
         self._lock: FolderLock | None = None
@@ -196,6 +207,7 @@
         # Receives the exception of the first task that fails.
         self._task_failure: asyncio.Future[None] | None = None
         self._proposals = PendingProposals()
+        self._proposal_checks: list[ProposalCheck] = []
         self._snapshot_running = False
         self._ready_to_lead = False
         """Whether this member leads and has committed an entry of its term,
@@ -363,6 +375,7 @@
             self._timing,
             self._rng,
             self._clock.monotonic(),
+            max_log_bytes=self._shares.log,
         )
         for instance, address in self._configured_addresses.items():
             self._links.get_or_create(instance, address)
@@ -420,12 +433,30 @@
             self._state.advance_time(self._clock.wall()),
         )
         payload = self._codec.encode(logged)
-        return await self._submit(lambda number: Propose(((number, payload),)))
+        if self._proposals.held_bytes + len(payload) > self._shares.proposals:
+            return NotProposed(
+                "the waiting proposals leave no room",
+                self.instance,
+                RefusalReason.NO_ROOM,
+            )
+        for check in self._proposal_checks:
+            detail = check(command)
+            if detail is not None:
+                return NotProposed(detail, self.instance, RefusalReason.NO_ROOM)
+        return await self._submit(
+            lambda number: Propose(((number, payload),)), len(payload)
+        )
+
+    def add_proposal_check(self, check: ProposalCheck) -> None:
+        """Register a check of the commands proposed on this leader."""
+        self._proposal_checks.append(check)
 
-    async def _submit(self, make_event: Callable[[int], Event]) -> ProposalResult:
+    async def _submit(
+        self, make_event: Callable[[int], Event], size: int = 0
+    ) -> ProposalResult:
         if self._core is None:
             return NotProposed(self._stop_reason or "the member has not started")
-        number, future = self._proposals.add()
+        number, future = self._proposals.add(size)
         self._queue.put_nowait(make_event(number))
         return await future
 
@@ -731,9 +762,11 @@
 
     def _start_snapshot_if_due(self) -> None:
         state = self._state
+        room = self._shares.log
         due = (
             state.index - state.snapshot_index >= self._snapshot_entries
-            or state.log_bytes >= max(MAX_LOG_BYTES, 2 * state.snapshot_bytes)
+            or state.log_bytes
+            >= min(max(MIN_LOG_SHARE * room, 2 * state.snapshot_bytes), room)
         )
         if not due or self._snapshot_running or self._core is None:
             return
--- a/goldcrestyard/consensus/log.py
+++ b/goldcrestyard/consensus/log.py
@@ -74,6 +74,19 @@
                 return None
         return None
 
+    def base_within(self, last: LogIndex, max_bytes: int) -> LogIndex:
+        """Return the lowest index after which the entries up to ``last`` fit.
+
+        The payloads of the entries after it, up to ``last``, have no more than
+        ``max_bytes`` together.
+        """
+        size = 0
+        for entry in reversed(self._entries[: last - self.base_index]):
+            size += len(entry.payload)
+            if size > max_bytes:
+                return entry.index
+        return self.base_index
+
     def append(self, entries: Sequence[Entry]) -> None:
         """Append entries; the first must follow the last one stored."""
         for entry in entries:
--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -67,6 +67,10 @@
 """Maximum number of intervals between snapshots whose entries are kept for a
 member that is receiving one."""
 
+MAX_LOG_BYTES = 32 * 1024 * 1024
+"""Size of the payloads of the entries that are kept from before a snapshot
+while a member receives one; half of it otherwise."""
+
 
 class Member:
     """Raft state of one member; only ``step`` changes it."""
@@ -80,6 +84,7 @@
         now: float,
         *,
         chunk_bytes: int = MAX_APPEND_BYTES,
+        max_log_bytes: int = MAX_LOG_BYTES,
     ) -> None:
         self.id = member_id
         self.term = saved.term
@@ -92,6 +97,7 @@
         self._timing = timing
         self._rng = random_source
         self._chunk_bytes = chunk_bytes
+        self._max_log_bytes = max_log_bytes
         self._roles = RoleMachine()
         # A heartbeat that this member acknowledged just before a restart may
         # still back the leader's lease.
@@ -686,8 +692,15 @@
         # The later half of the entries since the previous snapshot is kept,
         # so that a follower slightly behind needs no snapshot.
         base = LogIndex((self.log.snapshot.index + index) // 2)
-        base = min([base, *self._snapshot_indexes_in_transfer(now)])
-        oldest = index - MAX_KEPT_INTERVALS * (index - self.log.snapshot.index)
+        in_transfer = self._snapshot_indexes_in_transfer(now)
+        base = min([base, *in_transfer])
+        oldest = max(
+            index - MAX_KEPT_INTERVALS * (index - self.log.snapshot.index),
+            self.log.base_within(
+                index,
+                self._max_log_bytes if in_transfer else self._max_log_bytes // 2,
+            ),
+        )
         self.log.compact(snapshot, LogIndex(max(base, oldest, self.log.base_index)))
         self._effects.append(SaveSnapshot(snapshot, LogIndex(index + 1), False))
 
--- a/goldcrestyard/consensus/proposals.py
+++ b/goldcrestyard/consensus/proposals.py
@@ -16,9 +16,16 @@
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
 
 
+@dataclass(frozen=True, slots=True)
+class _QueuedProposal:
+    size: int
+    future: asyncio.Future[ProposalResult]
+
+
 @dataclass(frozen=True, slots=True)
 class _AppendedProposal:
     term: Term
+    size: int
     future: asyncio.Future[ProposalResult]
 
 
@@ -27,32 +34,41 @@
 
     def __init__(self) -> None:
         self._next_number = 0
-        self._queued: dict[int, asyncio.Future[ProposalResult]] = {}
+        self._queued: dict[int, _QueuedProposal] = {}
         self._appended: dict[LogIndex, _AppendedProposal] = {}
+        self.held_bytes = 0
+        """Size of the payloads of all proposals without a result."""
 
     @property
     def queued(self) -> int:
         """Number of proposals that are not yet in the log."""
         return len(self._queued)
 
-    def add(self) -> tuple[int, asyncio.Future[ProposalResult]]:
-        """Register a proposal; return its number and the future result."""
+    def add(self, size: int = 0) -> tuple[int, asyncio.Future[ProposalResult]]:
+        """Register a proposal; return its number and the future result.
+
+        ``size`` is that of its payload in bytes.
+        """
         self._next_number += 1
         future: asyncio.Future[ProposalResult] = (
             asyncio.get_running_loop().create_future()
         )
-        self._queued[self._next_number] = future
+        self._queued[self._next_number] = _QueuedProposal(size, future)
+        self.held_bytes += size
         return self._next_number, future
 
     def record_appended(self, number: int, index: LogIndex, term: Term) -> None:
         """Record the log index and term at which a proposal was appended."""
-        self._appended[index] = _AppendedProposal(term, self._queued.pop(number))
+        queued = self._queued.pop(number)
+        self._appended[index] = _AppendedProposal(term, queued.size, queued.future)
 
     def resolve_refused(
         self, number: int, detail: str, leader: InstanceId | None
     ) -> None:
         """Resolve a proposal that was not appended as ``NotProposed``."""
-        _resolve_future(self._queued.pop(number), NotProposed(detail, leader))
+        queued = self._queued.pop(number)
+        self.held_bytes -= queued.size
+        _resolve_future(queued.future, NotProposed(detail, leader))
 
     def resolve_applied(self, index: LogIndex, term: Term, outcome: object) -> None:
         """Resolve the proposal at a log index as ``Applied``.
@@ -64,6 +80,7 @@
         appended = self._appended.get(index)
         if appended is not None and appended.term == term:
             del self._appended[index]
+            self.held_bytes -= appended.size
             _resolve_future(appended.future, Applied(index, outcome))
 
     def resolve_in_doubt(self, detail: str) -> None:
@@ -72,6 +89,7 @@
         Another leader may still commit them.
         """
         for appended in self._appended.values():
+            self.held_bytes -= appended.size
             _resolve_future(appended.future, InDoubt(detail))
         self._appended.clear()
 
@@ -80,8 +98,9 @@
 
         Those not yet in the log were not proposed; the others are in doubt.
         """
-        for future in self._queued.values():
-            _resolve_future(future, NotProposed(detail))
+        for queued in self._queued.values():
+            self.held_bytes -= queued.size
+            _resolve_future(queued.future, NotProposed(detail))
         self._queued.clear()
         self.resolve_in_doubt(detail)
 
--- a/goldcrestyard/consensus/results.py
+++ b/goldcrestyard/consensus/results.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from goldcrestyard.core.ids import InstanceId, LogIndex
+from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.state.commands import Outcome
 
 
@@ -26,6 +27,7 @@
 
     detail: str
     leader: InstanceId | None = None
+    reason: RefusalReason = RefusalReason.NO_LEADER
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/core/refusals.py
+++ b/goldcrestyard/core/refusals.py
@@ -22,6 +22,7 @@
     KEY_WITHDRAWN = "key_withdrawn"
     LIMIT = "limit_exceeded"
     NO_LEADER = "no_leader"
+    NO_ROOM = "no_room"
     NO_TARGET = "no_target"
     NOT_FOUND = "not_found"
     SAMPLES_TOO_OLD = "samples_too_old"
--- a/goldcrestyard/daemon.py
+++ b/goldcrestyard/daemon.py
@@ -19,7 +19,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.checks import Problem, Severity, has_errors, run_checks
-from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
 from goldcrestyard.kernel.settings import Settings, load
 
 logger = structlog.get_logger(__name__)
@@ -33,7 +33,10 @@
     plugin_classes: Sequence[type[PluginConfig]],
 ) -> dict[str, type]:
     """Return the settings classes of all plug-ins by their TOML table."""
-    classes: dict[str, type] = {"instance": InstanceSettings}
+    classes: dict[str, type] = {
+        "instance": InstanceSettings,
+        "memory": MemorySettings,
+    }
     for plugin in plugin_classes:
         if plugin.settings_class is not None:
             classes[plugin.settings_section] = plugin.settings_class
--- a/goldcrestyard/kernel/default_settings.py
+++ b/goldcrestyard/kernel/default_settings.py
@@ -1,4 +1,4 @@
-"""The settings section that every process has; plug-ins add others."""
+"""The settings sections that every process has; plug-ins add others."""
 
 from dataclasses import dataclass
 
@@ -17,3 +17,14 @@
     drain_seconds: float = setting(
         "Longest time a planned stop waits for running requests, in seconds.", 600.0
     )
+
+
+@dataclass(frozen=True)
+class MemorySettings:
+    """The ``[memory]`` section: how much memory this process may use."""
+
+    process_bytes: int = setting(
+        "Resident memory of this process that must not be exceeded, in bytes. What "
+        "callers, peers and targets make it keep is bounded accordingly.",
+        512_000_000,
+    )
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -225,8 +225,8 @@
         match result:
             case Applied(index=index, outcome=outcome):
                 return ProposeReply(index, self._codec.encode(outcome))
-            case NotProposed(detail=detail):
-                return Failure(RefusalReason.NO_LEADER, detail, Verdict.NOT_RUN)
+            case NotProposed(detail=detail, reason=reason):
+                return Failure(reason, detail, Verdict.NOT_RUN)
             case InDoubt(detail=detail):
                 return Failure(
                     RefusalReason.UNKNOWN_OUTCOME, detail, Verdict.MAY_HAVE_RUN
--- a/goldcrestyard/membership/leader_link.py
+++ b/goldcrestyard/membership/leader_link.py
@@ -96,8 +96,8 @@
                 return NotProposed(detail)
             case NotLeader(leader=leader):
                 return NotProposed("the contacted member is not the leader", leader)
-            case Failure(detail=detail, verdict=Verdict.NOT_RUN):
-                return NotProposed(detail)
+            case Failure(reason=reason, detail=detail, verdict=Verdict.NOT_RUN):
+                return NotProposed(detail, reason=reason)
             case Failure(detail=detail) | NoAnswer(detail=detail):
                 return InDoubt(detail)
             case _:
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -5,16 +5,24 @@
 """
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
-
-from goldcrestyard.core.decoding import Malformed, Port, decode_json, is_address
+from msgspec import Meta
+
+from goldcrestyard.core.decoding import (
+    MAX_WHOLE_NUMBER,
+    Malformed,
+    Port,
+    decode_json,
+    is_address,
+)
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.tracking.settings import TrackingSettings
 from goldcrestyard.kernel.checks import Problem, Severity
-from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
 from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.platform.listening import ListeningSettings
 from goldcrestyard.plugins.control.settings import ControlSettings
@@ -23,6 +31,7 @@
 from goldcrestyard.plugins.peers.settings import ClusterSettings
 from goldcrestyard.policy.leader_places import election_delay
 from goldcrestyard.policy.leases import MAX_CLOCK_DRIFT
+from goldcrestyard.policy.memory import MEGABYTE
 
 KEY_LEASE_SHARE = 0.75
 """Share of ``revoke_ms`` for which an entry may use its copy of the API keys
@@ -68,6 +77,11 @@
     window_s: float = 5
 
 
+class _Limits(msgspec.Struct):
+    ram_mb: Annotated[float, Meta(gt=0, le=MAX_WHOLE_NUMBER / MEGABYTE)] = 512
+    """Memory in MB from which the platform ends the process."""
+
+
 class _Cloud(msgspec.Struct):
     addr: str = ""
     duties: list[str] = []
@@ -94,6 +108,7 @@
     heartbeat_ms: float
     """Interval of the targets' heartbeats."""
     data_dir: str | None = None
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     fault_budget: _Losses = msgspec.field(default_factory=_Losses)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     cloud: _Cloud = msgspec.field(default_factory=_Cloud)
@@ -138,6 +153,7 @@
             Region(document.region),
             drain_seconds=bounds.grace_s * DRAIN_TIME_SHARE,
         ),
+        "memory": MemorySettings(int(document.limits.ram_mb * MEGABYTE)),
         "cluster": ClusterSettings(
             "goldcrestyard", "", seeds, peer_address, CONNECT_TIMEOUT_SECONDS
         ),
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -23,7 +23,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.checks import Check
-from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
 from goldcrestyard.membership.change_feed import ChangeFeed
 from goldcrestyard.membership.digests import LeaderDigests
 from goldcrestyard.membership.entry_sessions import EntrySessions
@@ -32,6 +32,7 @@
 from goldcrestyard.plugins.entry.settings import EntrySettings
 from goldcrestyard.plugins.peers.settings import ClusterSettings
 from goldcrestyard.policy.leases import MAX_CLOCK_DRIFT
+from goldcrestyard.policy.memory import control_shares
 from goldcrestyard.state.machine import StateMachine
 from goldcrestyard.wire.client import PeerDialer
 from goldcrestyard.wire.codec import Codec
@@ -100,6 +101,7 @@
     """
     codec = app.get(Codec)
     handlers = app.get(Handlers)
+    memory = app.settings.find(MemorySettings) or MemorySettings()
     machine = StateMachine(slice_class() for slice_class in app.slice_classes)
     member = app.provide(
         ControlMember,
@@ -114,6 +116,7 @@
             own_address=app.settings.section(ClusterSettings).peer_address,
             timing=_timing(control),
             snapshot_entries=control.snapshot_entries,
+            shares=control_shares(memory.process_bytes),
         ),
     )
     member.register(handlers)
--- a/goldcrestyard/plugins/listeners/errors.py
+++ b/goldcrestyard/plugins/listeners/errors.py
@@ -27,6 +27,7 @@
     RefusalReason.KEY_WITHDRAWN: HTTPStatus.UNAUTHORIZED,
     RefusalReason.LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
     RefusalReason.NO_LEADER: HTTPStatus.SERVICE_UNAVAILABLE,
+    RefusalReason.NO_ROOM: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NO_TARGET: HTTPStatus.SERVICE_UNAVAILABLE,
     RefusalReason.NOT_FOUND: HTTPStatus.NOT_FOUND,
     RefusalReason.SAMPLES_TOO_OLD: HTTPStatus.GONE,
--- /dev/null
+++ b/goldcrestyard/policy/memory.py
@@ -0,0 +1,67 @@
+"""Shares of a process's memory that clients, peers and targets may fill.
+
+The platform ends a process that exceeds its memory, whatever filled it.  What
+others make a process keep is therefore bounded as a sum, and what does not fit
+is refused before it is stored.
+"""
+
+from dataclasses import dataclass
+
+MEGABYTE = 1_000_000
+
+RESERVED_CONTROL_BYTES = 100 * MEGABYTE
+RESERVED_ENTRY_BYTES = 60 * MEGABYTE
+"""Memory of a process itself: the interpreter, its modules, connections and
+all state that is small and bounded in number."""
+
+JOBS_SHARE = 0.17
+"""Share for the replicated jobs.  While a snapshot is taken or installed, they
+are held up to five times: as state, as a snapshot and while one is encoded."""
+
+LOG_SHARE = 0.1
+"""Share for the log entries since the latest snapshot; half of it again may be
+kept from before, for members that are behind."""
+
+PROPOSALS_SHARE = 0.06
+"""Share for the proposals that are not applied yet."""
+
+BODIES_SHARE = 0.27
+"""Share of an entry for the bodies of requests and answers in progress.  Those
+of a submitted job are held four times, in its encodings."""
+
+ADMISSION_SHARE = 0.8
+"""Share of the room for jobs up to which jobs are admitted.  The rest is for
+the texts of the jobs that are running."""
+
+MIN_SHARED_BYTES = 32 * MEGABYTE
+"""Memory that is shared out even if the process has less than the reserve."""
+
+
+@dataclass(frozen=True, slots=True)
+class ControlShares:
+    """Bounds in bytes of what a control member holds for others."""
+
+    jobs: int
+    log: int
+    proposals: int
+
+    @property
+    def admitted_jobs(self) -> int:
+        """Size of the jobs from which no further one is admitted."""
+        return int(ADMISSION_SHARE * self.jobs)
+
+
+def control_shares(process_bytes: int) -> ControlShares:
+    """Return the bounds for a control member with so much memory."""
+    shared = max(MIN_SHARED_BYTES, process_bytes - RESERVED_CONTROL_BYTES)
+    return ControlShares(
+        int(JOBS_SHARE * shared),
+        int(LOG_SHARE * shared),
+        int(PROPOSALS_SHARE * shared),
+    )
+
+
+def entry_body_bytes(process_bytes: int) -> int:
+    """Return the bound of the bodies in progress on an entry."""
+    shared = max(MIN_SHARED_BYTES, process_bytes - RESERVED_ENTRY_BYTES)
+    return int(BODIES_SHARE * shared)
--- a/tests/fakes/joining_members.py
+++ b/tests/fakes/joining_members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import Any
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import ProposalResult
@@ -26,13 +27,16 @@
 class JoiningMemberTestCase(PausedClockTestCase):
     """Three members, one of which loses its disk and is replaced."""
 
-    async def start_members(self, snapshot_entries: int = 10_000) -> None:
+    async def start_members(
+        self, snapshot_entries: int = 10_000, **options: Any
+    ) -> None:
         quiet_logs(self)
         self.network = MemberNetwork(
             INSTANCES,
             Clock(lambda: EPOCH + asyncio.get_running_loop().time()),
             timing=TIMING,
             snapshot_entries=snapshot_entries,
+            **options,
         )
         self.addAsyncCleanup(self.network.close)
         await self.network.start_all()
--- a/tests/fakes/member_network.py
+++ b/tests/fakes/member_network.py
@@ -123,6 +123,8 @@
         self.latency_seconds = LATENCY_SECONDS
         self.bytes_per_second = float("inf")
         """Throughput of each connection."""
+        self.throughput_by_receiver: dict[str, float] = {}
+        """Bytes per second of the connections to single members."""
         self.bytes_by_receiver: Counter[str] = Counter()
         self.running: dict[str, ControlMember] = {}
         self.feeds_by_instance: dict[str, ChangeFeed] = {}
@@ -133,7 +135,8 @@
     async def deliver(self, sender: str, receiver: str, size: int = 0) -> None:
         """Delay a message by its size in bytes, or wait for ever if lost."""
         self.bytes_by_receiver[receiver] += size
-        await asyncio.sleep(self.latency_seconds + size / self.bytes_per_second)
+        throughput = self.throughput_by_receiver.get(receiver, self.bytes_per_second)
+        await asyncio.sleep(self.latency_seconds + size / throughput)
         if (sender, receiver) in self.cut_links or receiver not in self.running:
             await asyncio.get_running_loop().create_future()
 
