Bound the jobs that the control members keep by their memory

A job was one log entry, which held up the heartbeats.

Change: an item's content is dropped when it is listed or its job ends; a digest tells whether it comes again. The leader admits a job only if all jobs fit their share of the memory, those proposed and those arriving included, and refuses it otherwise at once, before anything is stored (503, no_room, not run, Retry-After). A job of more than 256 KB comes in parts, each a log entry of its own. A part in doubt is sent again, and is never reported as not run.

--- a/goldcrestyard/core/jobs.py
+++ b/goldcrestyard/core/jobs.py
@@ -4,6 +4,7 @@
 the results later.  Several items may share a prompt and form a group.
 """
 
+import hashlib
 from dataclasses import dataclass
 from enum import Enum
 
@@ -20,6 +21,8 @@
     WeightVersion,
 )
 
+REQUEST_DIGEST_BYTES = 16
+
 
 @dataclass(frozen=True, slots=True)
 class RewardCall:
@@ -47,6 +50,39 @@
     estimated_tokens: int = 0
     """The trainer's estimate of the length of the text, right at the median
     but often far off; 0 if there is none."""
+    released_digest: bytes = b""
+    """Digest of the request once its content is released; empty before."""
+
+    @property
+    def request_digest(self) -> bytes:
+        """Digest of all that decides what the item's runs generate."""
+        if self.released_digest:
+            return self.released_digest
+        digest = hashlib.blake2b(digest_size=REQUEST_DIGEST_BYTES)
+        reward = self.reward
+        for part in (
+            repr((self.path, self.headers, self.model, self.estimated_tokens)).encode(),
+            self.body,
+            repr(reward and (reward.request, reward.host, reward.path)).encode(),
+            reward.body if reward is not None else b"",
+        ):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return digest.digest()
+
+    def released(self) -> "JobItem":
+        """Return the item without its content, which no run needs any more."""
+        if self.released_digest:
+            return self
+        return JobItem(
+            self.id,
+            "",
+            (),
+            b"",
+            self.model,
+            self.group,
+            released_digest=self.request_digest,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -6,14 +6,17 @@
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.core.jobs import EndedItem, ItemResult, Job, JobItem, Progress
 from goldcrestyard.fleet.gateway.router import CallRouter
+from goldcrestyard.fleet.jobs.admission import JobAdmission
 from goldcrestyard.fleet.jobs.commands import (
     ItemBody,
+    JobHeld,
     JobRecord,
     JobsSnapshot,
     NoSuchJob,
     ReadItem,
     ReadResults,
     ResultsPage,
+    StagedJobRecord,
 )
 from goldcrestyard.fleet.jobs.reading import JobReader
 from goldcrestyard.fleet.jobs.rewards import RewardClient
@@ -29,9 +32,10 @@
 from goldcrestyard.fleet.versions.work import JobWork
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
-from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
+from goldcrestyard.policy.memory import control_shares
 from goldcrestyard.wire.connection import Handlers
 
 
@@ -51,6 +55,8 @@
         Progress,
         JobRecord,
         JobsSnapshot,
+        StagedJobRecord,
+        JobHeld,
         ReadResults,
         ResultsPage,
         ReadItem,
@@ -61,8 +67,18 @@
     def ready(self, app: Application) -> None:
         """Register the handlers for messages of entries that read jobs."""
         member = app.find(ControlMember)
-        if member is not None:
-            JobReader(member, app.clock).register(app.get(Handlers))
+        if member is None:
+            return
+        JobReader(member, app.clock).register(app.get(Handlers))
+        memory = app.settings.find(MemorySettings) or MemorySettings()
+        admission = JobAdmission(
+            member.machine.get(JobsSlice),
+            control_shares(memory.process_bytes).admitted_jobs,
+            lambda: member.term,
+            app.clock,
+        )
+        member.add_proposal_check(admission.check)
+        member.machine.listen(admission.on_applied)
 
     async def serve(self, app: Application) -> None:
         """Start the task that runs items whenever this member leads."""
--- a/goldcrestyard/fleet/jobs/commands.py
+++ b/goldcrestyard/fleet/jobs/commands.py
@@ -13,6 +13,27 @@
     job: Job
 
 
+@dataclass(frozen=True, slots=True)
+class StageJobPart:
+    """Adds a part of an encoded job; the last one submits the job.
+
+    Adding a part again changes nothing.  ``digest`` is that of the whole
+    encoded job and ``size`` its size; ``offset`` is that of ``data`` in it.
+    """
+
+    job: JobId
+    organisation: OrganisationId | None
+    digest: bytes
+    size: int
+    offset: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class JobHeld:
+    """Outcome of a part after which the whole job is held."""
+
+
 @dataclass(frozen=True, slots=True)
 class ListResults:
     """Appends the results of ended items to a job's list, each item once."""
@@ -49,11 +70,27 @@
     progress_by_item: dict[ItemId, Progress] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class StagedJobRecord:
+    """An incomplete job in a snapshot of the slice.
+
+    ``parts`` are pairs of an offset and the data there.
+    """
+
+    job: JobId
+    organisation: OrganisationId | None
+    digest: bytes
+    size: int
+    updated_at: float
+    parts: tuple[tuple[int, bytes], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class JobsSnapshot:
     """Snapshot of all jobs."""
 
     records: tuple[JobRecord, ...]
+    staged: tuple[StagedJobRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -33,6 +33,7 @@
     EndJob,
     KeepProgress,
     ListResults,
+    StageJobPart,
     SubmitJob,
 )
 from goldcrestyard.fleet.jobs.item_runs import (
@@ -196,9 +197,9 @@
     def _on_applied(self, entry: AppliedEntry) -> None:
         match entry.envelope.command:
             case SubmitJob(job=job):
-                self._seen_at_by_job.setdefault(job.id, self._clock.monotonic())
-                self._forget_dropped_jobs()
-                self._wake_event.set()
+                self._note_submission(job.id)
+            case StageJobPart(job=job_id) if job_id in self._jobs.jobs_by_id:
+                self._note_submission(job_id)
             case AnnounceTarget() | DrainTarget() | RemoveTarget():
                 self._wake_event.set()
             case EndJob(job=job_id):
@@ -207,6 +208,11 @@
                         self._cancel(pending)
                 self._wake_event.set()
 
+    def _note_submission(self, job_id: JobId) -> None:
+        self._seen_at_by_job.setdefault(job_id, self._clock.monotonic())
+        self._forget_dropped_jobs()
+        self._wake_event.set()
+
     async def run(self) -> None:
         """Run items during one term as leader, until cancelled."""
         self._pending_by_key.clear()
--- a/goldcrestyard/fleet/jobs/slices.py
+++ b/goldcrestyard/fleet/jobs/slices.py
@@ -15,12 +15,28 @@
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.fleet.jobs.commands import (
     EndJob,
+    JobHeld,
     JobRecord,
     JobsSnapshot,
     KeepProgress,
     ListResults,
+    StageJobPart,
     SubmitJob,
 )
+from goldcrestyard.fleet.jobs.staging import (
+    STAGING_SECONDS,
+    StagedJob,
+    StagingKey,
+    from_record,
+    staging_key,
+    to_record,
+)
+from goldcrestyard.policy.job_sizes import (
+    item_size,
+    job_size,
+    progress_size,
+    result_size,
+)
 from goldcrestyard.state.commands import (
     Accepted,
     Command,
@@ -52,21 +68,64 @@
     """Saved progress of items that are not listed yet."""
     ended: bool = False
     items_by_id: dict[ItemId, JobItem] = field(init=False)
+    request_bytes: int = field(init=False)
+    """Size of the job and of the items' requests that are still held."""
+    text_bytes: int = field(init=False)
+    """Size of the results and of the saved progress."""
 
     def __post_init__(self) -> None:
         self.items_by_id = {item.id: item for item in self.job.items}
         for position, result in enumerate(self.results):
             self.positions_by_item[result.item] = position
+        self.text_bytes = sum(map(result_size, self.results)) + sum(
+            map(progress_size, self.progress_by_item.values())
+        )
+        self.request_bytes = job_size(self.job)
+        self.release(self.items_by_id if self.ended else self.positions_by_item)
 
     @property
     def size(self) -> int:
         """The number of the job's items."""
         return len(self.job.items)
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of all that is held of the job."""
+        return self.request_bytes + self.text_bytes
+
     def add_result(self, result: ItemResult) -> None:
         """Append a result to the list."""
         self.positions_by_item[result.item] = len(self.results)
         self.results.append(result)
+        self.text_bytes += result_size(result)
+        self.drop_progress(result.item)
+
+    def drop_progress(self, item_id: ItemId) -> None:
+        """Drop the saved progress of an item, if there is any."""
+        progress = self.progress_by_item.pop(item_id, None)
+        if progress is not None:
+            self.text_bytes -= progress_size(progress)
+
+    def release(self, item_ids: Iterable[ItemId]) -> None:
+        """Drop the content of items that need no further run.
+
+        A digest of each is kept, which tells whether an item of a later job
+        is the same.
+        """
+        released = {
+            item_id: self.items_by_id[item_id].released()
+            for item_id in item_ids
+            if item_id in self.items_by_id
+            and not self.items_by_id[item_id].released_digest
+        }
+        if not released:
+            return
+        for item_id, item in released.items():
+            self.request_bytes -= item_size(self.items_by_id[item_id])
+            self.request_bytes += item_size(item)
+        self.items_by_id.update(released)
+        items = tuple(released.get(item.id, item) for item in self.job.items)
+        self.job = replace(self.job, items=items)
 
     def merge_progress(self, item_id: ItemId, progress: Progress) -> Progress:
         """Append progress to an item's saved events; return the result.
@@ -77,7 +136,9 @@
         known = self.progress_by_item.get(item_id)
         kept = known.events[: progress.kept] if known is not None else ()
         merged = replace(progress, kept=0, events=(*kept, *progress.events))
+        self.drop_progress(item_id)
         self.progress_by_item[item_id] = merged
+        self.text_bytes += progress_size(merged)
         return merged
 
     def item(self, item_id: ItemId) -> JobItem | None:
@@ -91,12 +152,28 @@
     """Jobs by id, with the last job that contained each item."""
 
     name = "jobs"
-    commands = (SubmitJob, ListResults, KeepProgress, EndJob)
+    commands = (SubmitJob, StageJobPart, ListResults, KeepProgress, EndJob)
 
     def __init__(self) -> None:
         self.jobs_by_id: dict[JobId, JobState] = {}
+        self.staged_by_key: dict[StagingKey, StagedJob] = {}
         self._last_job_by_item: dict[ItemId, JobId] = {}
 
+    def held_bytes(self, time: float) -> int:
+        """Return the size of all jobs that are not expired at a wall time.
+
+        A job that arrives in parts counts with its whole size.
+        """
+        return sum(
+            state.held_bytes
+            for state in self.jobs_by_id.values()
+            if not _is_expired(state, time)
+        ) + sum(
+            staged.size
+            for staged in self.staged_by_key.values()
+            if time - staged.updated_at <= STAGING_SECONDS
+        )
+
     def open_jobs(self) -> Iterable[JobState]:
         """Return the jobs that are not ended, oldest first."""
         return [state for state in self.jobs_by_id.values() if not state.ended]
@@ -115,6 +192,8 @@
         match command:
             case SubmitJob(job=job):
                 return self._submit(job, context.time)
+            case StageJobPart():
+                return self._stage(command, context.time)
             case ListResults(job=job_id, ended=ended):
                 self._list_results(job_id, ended)
                 return Accepted()
@@ -135,9 +214,36 @@
         state = JobState(job, time)
         for item in job.items:
             self._carry_over(state, item)
+        state.release(state.positions_by_item)
         self._add_job(state)
         return Accepted()
 
+    def _stage(self, part: StageJobPart, time: float) -> Outcome:
+        """Add a part of a job; submit the job once it is complete."""
+        known = self.jobs_by_id.get(part.job)
+        if known is not None:
+            if known.job.organisation != part.organisation:
+                return Rejected(RefusalReason.CONFLICT, "the id is in use")
+            return JobHeld()
+        self._drop_expired(time)
+        key = staging_key(part)
+        staged = self.staged_by_key.get(key)
+        if staged is None:
+            if part.offset > 0:
+                # The parts before it were dropped.
+                return Rejected(RefusalReason.NO_ROOM, "the first part is missing")
+            staged = self.staged_by_key[key] = StagedJob(part.size, time)
+        if not staged.add(part, time):
+            return Rejected(RefusalReason.BAD_REQUEST, "a part is not in the job")
+        job = staged.assemble(key)
+        if job is None:
+            return Accepted()
+        del self.staged_by_key[key]
+        if isinstance(job, str):
+            return Rejected(RefusalReason.BAD_REQUEST, job)
+        outcome = self._submit(job, time)
+        return JobHeld() if isinstance(outcome, Accepted) else outcome
+
     def _add_job(self, state: JobState) -> None:
         self.jobs_by_id[state.job.id] = state
         for item in state.job.items:
@@ -153,7 +259,7 @@
         if earlier is None or earlier.job.organisation != state.job.organisation:
             return
         earlier_item = earlier.items_by_id.get(item.id)
-        if earlier_item is None or replace(earlier_item, group=item.group) != item:
+        if earlier_item is None or earlier_item.request_digest != item.request_digest:
             return
         position = earlier.positions_by_item.get(item.id)
         if position is not None:
@@ -170,7 +276,7 @@
             and progress.versions
             and min(progress.versions) >= state.job.oldest_version
         ):
-            state.progress_by_item[item.id] = progress
+            state.merge_progress(item.id, replace(progress, kept=0))
 
     def _list_results(self, job_id: JobId, ended: tuple[EndedItem, ...]) -> None:
         state = self.jobs_by_id.get(job_id)
@@ -184,10 +290,10 @@
             if item.progress is not None:
                 merged = state.merge_progress(item.item, item.progress)
                 text, versions = b"\n".join(merged.events), merged.versions
-            state.progress_by_item.pop(item.item, None)
             state.add_result(
                 ItemResult(item.item, item.outcome, text, versions, item.score)
             )
+        state.release(item.item for item in ended)
 
     def _save_progress(
         self, job_id: JobId, progress_by_item: dict[ItemId, Progress]
@@ -204,14 +310,15 @@
         if state is None:
             return Rejected(RefusalReason.NOT_FOUND, f"no job {job_id}")
         state.ended = True
+        state.release(state.items_by_id)
         return Accepted()
 
     def _drop_expired(self, time: float) -> None:
+        for key, staged in list(self.staged_by_key.items()):
+            if time - staged.updated_at > STAGING_SECONDS:
+                del self.staged_by_key[key]
         for job_id, state in list(self.jobs_by_id.items()):
-            age = time - state.submitted_at
-            if age > (
-                RESULT_RETENTION_SECONDS if state.ended else OPEN_JOB_RETENTION_SECONDS
-            ):
+            if _is_expired(state, time):
                 del self.jobs_by_id[job_id]
                 for item in state.job.items:
                     if self._last_job_by_item.get(item.id) == job_id:
@@ -229,12 +336,14 @@
                     dict(state.progress_by_item),
                 )
                 for state in self.jobs_by_id.values()
-            )
+            ),
+            tuple(to_record(*item) for item in self.staged_by_key.items()),
         )
 
     def load_snapshot(self, snapshot: JobsSnapshot) -> None:
         """Replace all jobs by those of a snapshot."""
         self.jobs_by_id = {}
+        self.staged_by_key = dict(map(from_record, snapshot.staged))
         self._last_job_by_item = {}
         for record in snapshot.records:
             self._add_job(
@@ -246,3 +355,10 @@
                     ended=record.ended,
                 )
             )
+
+
+def _is_expired(state: JobState, time: float) -> bool:
+    age = time - state.submitted_at
+    return age > (
+        RESULT_RETENTION_SECONDS if state.ended else OPEN_JOB_RETENTION_SECONDS
+    )
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -1,13 +1,21 @@
 """HTTP endpoints for trainers: submitting, reading and ending jobs."""
 
+import asyncio
 from http import HTTPStatus
+from itertools import islice
 
 import structlog
 from aiohttp import web
 
-from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
+from goldcrestyard.consensus.results import (
+    Applied,
+    InDoubt,
+    NotProposed,
+    ProposalResult,
+)
 from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.ids import CorrelationId, ItemId, JobId, OrganisationId
+from goldcrestyard.core.jobs import Job
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.gateway.admission import RETRY_AFTER_SECONDS, Admission
@@ -18,9 +26,11 @@
     ReadItem,
     ReadResults,
     ResultsPage,
+    StageJobPart,
     SubmitJob,
 )
 from goldcrestyard.fleet.jobs.result_cache import ResultCache
+from goldcrestyard.fleet.jobs.staging import MAX_PART_BYTES, encode_job, split_job
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.platform import submissions
 from goldcrestyard.platform.answers import (
@@ -35,15 +45,29 @@
     RESULTS_PATH,
     WAIT_HEADER,
 )
-from goldcrestyard.state.commands import Command, Rejected
+from goldcrestyard.state.commands import Accepted, Command, Rejected
 
 logger = structlog.get_logger(__name__)
 
 COMMIT_TIMEOUT_SECONDS = 2.0
+STAGING_TIMEOUT_SECONDS = 5.0
+"""Longest time in seconds for the commit of a job in parts."""
+
+PART_RETRY_SECONDS = 0.1
+"""Pause in seconds before a part whose outcome is in doubt is sent again."""
+
+MAX_CONCURRENT_PARTS = 4
+"""Number of parts of a job that are committed at a time.  More of them would
+only wait at the leader, where they take memory."""
+
 READ_TIMEOUT_SECONDS = 1.0
 MAX_RESULT_WAIT_SECONDS = 1.0
 
 UNKNOWN_JOB = Refusal(RefusalReason.NOT_FOUND, "no such job")
+NO_ROOM_RETRY_SECONDS = 1.0
+"""Advice to a trainer whose job finds no room.  A trainer ends a job, which
+makes room, every few seconds."""
+
 LEADER_UNAVAILABLE = Refusal(
     RefusalReason.NO_LEADER,
     "the leader did not answer",
@@ -74,7 +98,12 @@
         if isinstance(job, Refusal):
             logger.warning("job refused", reason=job.detail)
             return refusal_response(job)
-        refusal = await self._commit(SubmitJob(job), job.id)
+        encoded = encode_job(job)
+        refusal = (
+            await self._commit(SubmitJob(job), job.id)
+            if len(encoded) <= MAX_PART_BYTES
+            else await self._commit_parts(job, encoded)
+        )
         logger.info(
             "job submitted",
             job=job.id,
@@ -83,6 +112,7 @@
             step=job.step,
             oldest_version=job.oldest_version,
             items=len(job.items),
+            size=len(encoded),
             refusal=None if refusal is None else refusal.detail,
         )
         if refusal is not None:
@@ -175,26 +205,82 @@
         )
         return json_response({}) if refusal is None else refusal_response(refusal)
 
+    async def _commit_parts(self, job: Job, encoded: bytes) -> Refusal | None:
+        """Commit a job that is too large for one log entry.
+
+        The leader decides with the first part whether it has room for all.
+        """
+        parts = split_job(job, encoded)
+        first = next(parts)
+        try:
+            async with asyncio.timeout(STAGING_TIMEOUT_SECONDS):
+                result = await self._propose_part(first)
+                while _needs_more_parts(result) and (
+                    following := list(islice(parts, MAX_CONCURRENT_PARTS))
+                ):
+                    results = await asyncio.gather(*map(self._propose_part, following))
+                    result = min(results, key=_needs_more_parts)
+        except TimeoutError:
+            result = InDoubt(f"not committed within {STAGING_TIMEOUT_SECONDS} s")
+        return _refusal_of(result)
+
+    async def _propose_part(self, part: StageJobPart) -> ProposalResult:
+        """Commit a part of a job, again while it is in doubt.
+
+        After that a refusal of the part does not show that the job has not
+        run: the first copy of the part may have completed it.
+        """
+        in_doubt = False
+        while True:
+            result = await self._link.propose(
+                part,
+                correlation_id=CorrelationId(part.job),
+                timeout=COMMIT_TIMEOUT_SECONDS,
+            )
+            if isinstance(result, Applied) or not (
+                in_doubt or isinstance(result, InDoubt)
+            ):
+                return result
+            in_doubt = True
+            await asyncio.sleep(PART_RETRY_SECONDS)
+
     async def _commit(self, command: Command, job: JobId) -> Refusal | None:
         """Commit a command; return a refusal, or None if it was accepted."""
         result = await self._link.propose(
             command, correlation_id=CorrelationId(job), timeout=COMMIT_TIMEOUT_SECONDS
         )
-        match result:
-            case Applied(outcome=Rejected(reason=reason, detail=detail)):
-                return Refusal(reason, detail)
-            case Applied():
-                return None
-            case NotProposed(detail=detail):
-                return Refusal(
-                    RefusalReason.NO_LEADER,
-                    detail,
-                    retry_after_seconds=RETRY_AFTER_SECONDS,
-                )
-            case InDoubt(detail=detail):
-                return Refusal(
-                    RefusalReason.UNKNOWN_OUTCOME, detail, Verdict.MAY_HAVE_RUN
-                )
+        return _refusal_of(result)
+
+
+def _needs_more_parts(result: ProposalResult) -> bool:
+    """Return whether a job is still incomplete after a part, and can go on."""
+    return isinstance(result, Applied) and result.outcome == Accepted()
+
+
+def _refusal_of(result: ProposalResult) -> Refusal | None:
+    """Return the refusal of a commit, or None if it was accepted."""
+    match result:
+        case (
+            NotProposed(detail=detail, reason=RefusalReason.NO_ROOM)
+            | Applied(outcome=Rejected(reason=RefusalReason.NO_ROOM, detail=detail))
+        ):
+            return Refusal(
+                RefusalReason.NO_ROOM,
+                detail,
+                retry_after_seconds=NO_ROOM_RETRY_SECONDS,
+            )
+        case Applied(outcome=Rejected(reason=reason, detail=detail)):
+            return Refusal(reason, detail)
+        case Applied():
+            return None
+        case NotProposed(detail=detail):
+            return Refusal(
+                RefusalReason.NO_LEADER,
+                detail,
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
+        case InDoubt(detail=detail):
+            return Refusal(RefusalReason.UNKNOWN_OUTCOME, detail, Verdict.MAY_HAVE_RUN)
 
 
 def _wait_seconds(request: web.BaseRequest) -> float:
--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -27,6 +27,7 @@
 ORGANISATION = "tejo"
 MODEL = "m1"
 PORTS = {"ctl": 8407, "dir": 8404, "front": 8405, "ready": 8406}
+RAM_MB_BY_ROLE = {"control": 330, "front": 300}
 ZONES = {"a": "north", "b": "north", "c": "south"}
 
 
@@ -128,6 +129,13 @@
         assert self.running is not None
         self.running.send_signal(number)
 
+    def peak_mb(self) -> int:
+        """Return the largest resident memory since the start, in MB."""
+        assert self.running is not None
+        status = Path(f"/proc/{self.running.pid}/status").read_text()
+        (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(line.split()[1]) // 1024
+
     def log_lines(self) -> list[dict[str, Any]]:
         """Return the structured lines that the program has written in full."""
         path = self.folder / "log"
@@ -147,6 +155,7 @@
             "zones": ZONES,
             "listen": {name: self.address(name) for name in listeners},
             "port_range": [7660, 7675],
+            "limits": {"ram_mb": RAM_MB_BY_ROLE[self.role]},
             "seeds": [control.address("ctl") for control in self.site.controls[:3]],
             "bootstrap": first_start,
             "data_dir": str(self.folder / "data") if self.role == "control" else None,
--- /dev/null
+++ b/tests/platform/test_memory.py
@@ -0,0 +1,140 @@
+"""The memory of the processes while clients send as much as they may."""
+
+import base64
+import io
+import json
+import os
+import signal
+import unittest
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+from parameterized import parameterized
+
+from tests.fakes.platform_site import MODEL, RAM_MB_BY_ROLE, Site
+
+LARGE_JOB_BYTES = 10 * 1024 * 1024
+ITEMS = 20
+ACCEPTED, NO_ROOM = 202, 503
+ANSWER_SECONDS = 10.0
+
+
+@dataclass(frozen=True)
+class LargeJobs:
+    """Large jobs that are submitted one after another."""
+
+    name: str
+    jobs: int
+    ended: bool
+    """Whether each is ended before the next one comes."""
+
+
+class LargeJobTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against large jobs that exceed the memory of their keepers."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = Site(fronts=1)
+        self.addAsyncCleanup(self.site.close)
+        await self.site.start(engines=0, services=1)
+
+    @parameterized.expand(
+        [
+            (case.name, case)
+            for case in (
+                LargeJobs("ended_in_turn", 8, ended=True),
+                LargeJobs("left_open", 8, ended=False),
+            )
+        ]
+    )
+    async def test_members_keep_within_their_memory(
+        self, _: str, case: LargeJobs
+    ) -> None:
+        accepted = []
+        for number in range(case.jobs):
+            job = f"job-{number}"
+            status, headers = await self._submit(job)
+            if status == ACCEPTED:
+                accepted.append(job)
+            else:
+                self.assertEqual(status, NO_ROOM)
+                self.assertIn("Retry-After", headers)
+            if case.ended:
+                await self._end(job)
+        self.assertEqual(len(accepted) == case.jobs, case.ended, accepted)
+        self.assertTrue(accepted)
+        self._check_memory()
+        await self._restart_members()
+        for job in accepted:
+            await self._read(job)
+        self._check_memory()
+        for job in accepted:
+            await self._end(job)
+        await self._submit_until_accepted("afterwards")
+        self._check_memory()
+
+    async def _submit(self, job: str) -> tuple[int, dict[str, str]]:
+        front = self.site.fronts[0].address("front")
+        status, _, headers = await self.site.call(
+            "POST",
+            f"http://{front}/jobs/{job}",
+            data=io.BytesIO(large_job(job)),
+            headers=self.site._headers(job),
+            timeout=aiohttp.ClientTimeout(total=ANSWER_SECONDS),
+        )
+        return status, headers
+
+    async def _submit_until_accepted(self, job: str) -> None:
+        async def submit() -> bool:
+            return (await self._submit(job))[0] == ACCEPTED
+
+        await self.site.wait(submit, f"the acceptance of {job}")
+
+    async def _read(self, job: str) -> None:
+        async def read() -> bool:
+            return await self.site.page(job) is not None
+
+        await self.site.wait(read, f"the results of {job}")
+
+    async def _end(self, job: str) -> None:
+        front = self.site.fronts[0].address("front")
+
+        async def end() -> bool:
+            status, _, _ = await self.site.call(
+                "DELETE",
+                f"http://{front}/v1/lots/{job}",
+                headers=self.site._headers(job),
+            )
+            return status in (200, 404)
+
+        await self.site.wait(end, f"the end of {job}")
+
+    async def _restart_members(self) -> None:
+        for process in self.site.controls:
+            process.signal(signal.SIGKILL)
+        for process in self.site.controls:
+            await process.kill()
+            await process.start()
+        await self.site.leader()
+
+    def _check_memory(self) -> None:
+        for process in [*self.site.controls, *self.site.fronts]:
+            limit = RAM_MB_BY_ROLE[process.role]
+            self.assertLess(process.peak_mb(), limit, process.name)
+
+
+def large_job(job: str) -> bytes:
+    """Return the body of a job with large items."""
+    requests: list[dict[str, Any]] = [
+        {
+            "id": f"{job}-{number}",
+            "path": f"/jobs/{number}",
+            "headers": {"X-Goldcrestyard-Model": MODEL},
+            "body": base64.b64encode(os.urandom(LARGE_JOB_BYTES // ITEMS)).decode(),
+            "tokens": 100,
+            "group": "g",
+        }
+        for number in range(ITEMS)
+    ]
+    document = {"step": 0, "model": MODEL, "least_required": 1, "requests": requests}
+    return json.dumps({**document, "group_count": 1}).encode()
