Record each departure of a target before it is acknowledged

Cause: TargetTracker.leave returned success without recording anything if the target was not in the state. It was on record as a lost run, and an announcement makes a lost run ready again. The same holds for a target whose first heartbeat is still on its way.

Ruled out: that the late heartbeat overrules a recorded departure (a run that has left stays so), and that another leader or the fronts miss it.

Change: a departure is always a command in the log. It ends the present run and the lost ones of the target, and for a minute unrecorded ones that started before it.

--- a/goldcrestyard/fleet/tracking/tracker.py
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -11,7 +11,7 @@
 import structlog
 
 from goldcrestyard.consensus.control_member import ControlMember
-from goldcrestyard.consensus.results import Applied
+from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
 from goldcrestyard.core.ids import (
     DataCentre,
     InstanceId,
@@ -28,6 +28,7 @@
 from goldcrestyard.plugins.targets.commands import (
     AnnounceTarget,
     DrainTarget,
+    LeaveTarget,
     RemoveTarget,
 )
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -41,7 +42,7 @@
     Stale,
     interpret,
 )
-from goldcrestyard.state.commands import Command
+from goldcrestyard.state.commands import Command, Rejected
 
 logger = structlog.get_logger(__name__)
 
@@ -114,18 +115,24 @@
                 )
 
     async def leave(self, target_id: TargetId) -> Refusal | None:
-        """Remove a target that ends; return a refusal, or None on success."""
+        """Record that a target ends; return a refusal, or None on success.
+
+        This is recorded even of a target that is not known here: it may be
+        lost for the moment, or its first heartbeat may still be on its way,
+        and neither may bring it back afterwards.
+        """
         target = self._targets.find(target_id)
-        if target is None:
-            return None
         logger.info(
             "target announced its end; removing it",
             target=target_id,
-            address=target.address,
-        )
-        return await self._commit(
-            [RemoveTarget(target_id, target.incarnation, TargetState.LEFT)]
+            address=target.address if target is not None else None,
         )
+        match await self._member.propose(LeaveTarget(target_id)):
+            case Applied(outcome=Rejected(reason=reason, detail=detail)):
+                return Refusal(reason, detail)
+            case NotProposed(detail=detail) | InDoubt(detail=detail):
+                return Refusal(RefusalReason.NO_LEADER, detail)
+        return None
 
     def versions(self, target: Target) -> dict[ModelName, WeightVersion]:
         """Return the weight versions that the present run has loaded.
@@ -213,7 +220,7 @@
             RemoveTarget(other.id, other.incarnation, TargetState.LOST)
             for other in ended
         ]
-        commands.append(AnnounceTarget(target, LEADER_HOME))
+        commands.append(AnnounceTarget(target, LEADER_HOME, beat.started_at_ms / 1000))
         if beat.state is TargetState.DRAINING:
             commands.append(DrainTarget(beat.id, target.incarnation))
         logger.info(
@@ -251,7 +258,9 @@
 
     async def _commit(self, commands: list[Command]) -> Refusal | None:
         for command in commands:
-            result = await self._member.propose(command)
-            if not isinstance(result, Applied):
-                return Refusal(RefusalReason.NO_LEADER, result.detail)
+            match await self._member.propose(command):
+                case NotProposed(detail=detail) | InDoubt(detail=detail):
+                    return Refusal(RefusalReason.NO_LEADER, detail)
+                case Applied(outcome=Rejected(detail=detail)):
+                    logger.info("report of a target changes nothing", reason=detail)
         return None
--- a/goldcrestyard/plugins/targets/apps.py
+++ b/goldcrestyard/plugins/targets/apps.py
@@ -19,6 +19,7 @@
     AnnounceTarget,
     DrainTarget,
     HomedTarget,
+    LeaveTarget,
     RemoveTarget,
     TargetsSnapshot,
 )
@@ -42,6 +43,7 @@
         AnnounceTarget: lambda command: f"target/{command.target.id}",
         DrainTarget: lambda command: f"target/{command.id}",
         RemoveTarget: lambda command: f"target/{command.id}",
+        LeaveTarget: lambda command: f"target/{command.id}",
     }
 
     def ready(self, app: Application) -> None:
--- a/goldcrestyard/plugins/targets/commands.py
+++ b/goldcrestyard/plugins/targets/commands.py
@@ -1,6 +1,6 @@
 """Commands and snapshot of the targets slice."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from goldcrestyard.core.ids import InstanceId, TargetId
 from goldcrestyard.core.records import Target
@@ -13,6 +13,8 @@
 
     target: Target
     home: InstanceId
+    started_at: float | None = None
+    """Start of the run as Unix time in seconds, or None if it is unknown."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +40,17 @@
     home: InstanceId | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveTarget:
+    """Records that the present run of a target has left, whatever its state.
+
+    A target that leaves may name its id only.  Its run may be recorded as
+    lost, or not at all while its announcement is still on its way.
+    """
+
+    id: TargetId
+
+
 @dataclass(frozen=True, slots=True)
 class HomedTarget:
     """A target and the entry that tracks its renewals."""
@@ -62,3 +75,4 @@
 
     targets: tuple[HomedTarget, ...]
     removed: tuple[RemovedTarget, ...] = ()
+    departed_at_by_id: dict[TargetId, float] = field(default_factory=dict)
--- a/goldcrestyard/plugins/targets/slices.py
+++ b/goldcrestyard/plugins/targets/slices.py
@@ -11,6 +11,7 @@
     AnnounceTarget,
     DrainTarget,
     HomedTarget,
+    LeaveTarget,
     RemovedTarget,
     RemoveTarget,
     TargetsSnapshot,
@@ -30,12 +31,19 @@
 detect late messages, which arrive within minutes."""
 
 
+MAX_DEPARTURES = 1024
+DEPARTURE_SECONDS = 60.0
+"""Number of departures of unrecorded runs that are kept, and for how long.  A
+late announcement arrives within seconds.  The time also bounds for how long a
+target that starts again is kept out if the clocks differ."""
+
+
 class TargetsSlice(Slice):
     """Targets by id, each with its home."""
 
     name = "targets"
     fan_out = True
-    commands = (AnnounceTarget, DrainTarget, RemoveTarget)
+    commands = (AnnounceTarget, DrainTarget, RemoveTarget, LeaveTarget)
 
     def __init__(self) -> None:
         self.homed_by_id: dict[TargetId, HomedTarget] = {}
@@ -45,6 +53,8 @@
         self._removed_by_run: OrderedDict[tuple[TargetId, str], RemovedTarget] = (
             OrderedDict()
         )
+        # Unix times at which targets have left whose run was not recorded.
+        self._departed_at_by_id: dict[TargetId, float] = {}
 
     def find(self, target_id: TargetId) -> Target | None:
         """Return a target, or None if it is unknown or removed."""
@@ -99,15 +109,18 @@
     def apply(self, command: Command, context: CommandContext) -> Outcome:
         """Apply one committed command."""
         match command:
-            case AnnounceTarget(target=target, home=home):
-                return self._announce(target, home)
+            case AnnounceTarget():
+                return self._announce(command, context.time)
             case DrainTarget(id=target_id, incarnation=incarnation):
                 return self._drain(target_id, incarnation)
             case RemoveTarget():
                 return self._remove(command)
+            case LeaveTarget(id=target_id):
+                return self._leave(target_id, context.time)
         raise TypeError(f"unexpected command {command!r}")
 
-    def _announce(self, target: Target, home: InstanceId) -> Outcome:
+    def _announce(self, command: AnnounceTarget, time: float) -> Outcome:
+        target, home = command.target, command.home
         known = self.homed_by_id.get(target.id)
         removed = self._removed_by_run.get((target.id, target.incarnation))
         state: TargetState | None = TargetState.READY
@@ -117,6 +130,8 @@
             state = next_state(removed.state, TargetEvent.ANNOUNCE)
             if state is TargetState.READY and removed.draining:
                 state = next_state(state, TargetEvent.DRAIN)
+        elif self._has_departed(command, time):
+            state = None
         if state is None:
             detail = f"this run of target {target.id} has left"
             return Rejected(RefusalReason.CONFLICT, detail)
@@ -151,6 +166,36 @@
         )
         return Accepted()
 
+    def _leave(self, target_id: TargetId, time: float) -> Outcome:
+        """Record that a target has left, so that no late message undoes it."""
+        known = self.homed_by_id.get(target_id)
+        if known is not None:
+            run = known.target
+            return self._remove(RemoveTarget(run.id, run.incarnation, TargetState.LEFT))
+        for removed in list(self._removed_by_run.values()):
+            if removed.id == target_id and removed.state is TargetState.LOST:
+                self._record_removed_run(replace(removed, state=TargetState.LEFT))
+        # The run that leaves may be another one, whose announcement is late.
+        departures = {
+            other: at
+            for other, at in self._departed_at_by_id.items()
+            if time - at <= DEPARTURE_SECONDS
+        }
+        if target_id not in departures and len(departures) >= MAX_DEPARTURES:
+            return Rejected(RefusalReason.NO_ROOM, "too many departures are recorded")
+        self._departed_at_by_id = {**departures, target_id: time}
+        return Accepted()
+
+    def _has_departed(self, command: AnnounceTarget, time: float) -> bool:
+        """Return whether an unrecorded run started before its target left."""
+        departed_at = self._departed_at_by_id.get(command.target.id)
+        return (
+            departed_at is not None
+            and command.started_at is not None
+            and command.started_at <= departed_at
+            and time - departed_at <= DEPARTURE_SECONDS
+        )
+
     def _remove_lost_run(self, command: RemoveTarget) -> Outcome:
         """Record that a run that was removed as lost has left."""
         removed = self._removed_by_run.get((command.id, command.incarnation))
@@ -202,7 +247,9 @@
     def to_snapshot(self) -> TargetsSnapshot:
         """Return the targets and the removed runs."""
         return TargetsSnapshot(
-            tuple(self.homed_by_id.values()), tuple(self._removed_by_run.values())
+            tuple(self.homed_by_id.values()),
+            tuple(self._removed_by_run.values()),
+            dict(self._departed_at_by_id),
         )
 
     def load_snapshot(self, snapshot: TargetsSnapshot) -> None:
@@ -215,6 +262,7 @@
         self._removed_by_run = OrderedDict(
             ((removed.id, removed.incarnation), removed) for removed in snapshot.removed
         )
+        self._departed_at_by_id = dict(snapshot.departed_at_by_id)
 
 
 def _removal_event(state: TargetState) -> TargetEvent:
