Ignore reports that name nothing in force beside those of the targets

Cause: an address belongs to the target that started last, judged from the report alone. The odd target displaced the engine, and the engine's own heartbeats were stale from then on. A report with an engine's id and another service drained it for good, and a start in the far future displaced it for ever. Ruled out: the runner, which sends items to any ready target.

Change: a report has an effect only if it is of a recorded run, with that run's service, or names a configured service and a start that is not over a minute ahead. Only targets of configured services displace others. A target of a service that is dropped for a while stays known. A report lists 256 models at most.

--- a/goldcrestyard/fleet/tracking/apps.py
+++ b/goldcrestyard/fleet/tracking/apps.py
@@ -1,9 +1,11 @@
 """Plug-in: tracking of targets by their heartbeats."""
 
+from collections.abc import Collection
 from functools import partial
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.settings import TrackingSettings
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.kernel.application import Application
@@ -16,6 +18,7 @@
     """Replicates the targets; the leader tracks their heartbeats."""
 
     name = "tracking"
+    requires = ("serving",)
     after = ("assembly", "entry")
     slices = (TargetsSlice,)
     messages = (*TargetsSlice.commands, HomedTarget, TargetsSnapshot)
@@ -26,6 +29,12 @@
         if member is None:
             return
         settings = app.settings.section(TrackingSettings)
+        serving = member.machine.get(ServingSlice)
+
+        def configured_services() -> Collection[str]:
+            table = serving.table
+            return table.services_by_name.keys() if table is not None else ()
+
         app.provide(
             TargetTracker,
             TargetTracker(
@@ -33,6 +42,7 @@
                 settings.regions_by_data_centre,
                 settings.heartbeat_seconds,
                 app.clock,
+                configured_services,
             ),
         )
 
--- a/goldcrestyard/fleet/tracking/tracker.py
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 import structlog
@@ -81,18 +82,29 @@
         regions_by_data_centre: dict[DataCentre, Region],
         heartbeat_seconds: float,
         clock: Clock,
+        configured_services: Callable[[], Collection[str] | None] = lambda: None,
     ) -> None:
+        """Create a tracker.
+
+        ``configured_services`` returns the services that targets may name;
+        None allows all.
+        """
         self._member = member
         self._targets = member.machine.get(TargetsSlice)
         self._regions_by_data_centre = regions_by_data_centre
         self._lost_seconds = LOST_AFTER_HEARTBEATS * heartbeat_seconds
         self._clock = clock
+        self._configured_services = configured_services
         self.tracked_by_id: dict[TargetId, TrackedTarget] = {}
 
     async def heartbeat(self, beat: Heartbeat) -> Refusal | None:
         """Process a heartbeat; return a refusal, or None if it is accepted."""
         meaning = interpret(
-            beat, self._known_target(beat.id), self._targets_at(beat.address)
+            beat,
+            self._known_target(beat.id),
+            self._targets_at(beat.address),
+            self._configured_services(),
+            self._clock.wall(),
         )
         match meaning:
             case Stale(reason=reason):
@@ -238,6 +250,9 @@
     def _record_heartbeat(self, beat: Heartbeat) -> None:
         leaves_at = None
         now = self._clock.monotonic()
+        if beat.id not in self.tracked_by_id:
+            for gone in self.tracked_by_id.keys() - self._targets.homed_by_id:
+                del self.tracked_by_id[gone]
         if beat.leaves_in_seconds is not None:
             leaves_at = now + beat.leaves_in_seconds
         self.tracked_by_id[beat.id] = TrackedTarget(
@@ -261,6 +276,10 @@
             match await self._member.propose(command):
                 case NotProposed(detail=detail) | InDoubt(detail=detail):
                     return Refusal(RefusalReason.NO_LEADER, detail)
+                case Applied(
+                    outcome=Rejected(reason=RefusalReason.NO_ROOM, detail=detail)
+                ):
+                    return Refusal(RefusalReason.NO_ROOM, detail)
                 case Applied(outcome=Rejected(detail=detail)):
                     logger.info("report of a target changes nothing", reason=detail)
         return None
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -23,6 +23,11 @@
 that claims more has sent something else, and would get all requests."""
 
 
+MAX_MODELS = 256
+"""Largest number of models that a target may list.  The leader keeps them for
+each target."""
+
+
 class _Model(msgspec.Struct):
     name: str
     version: Count
@@ -58,6 +63,8 @@
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.addr!r} is not host:port")
     if beat.slots > MAX_SLOTS:
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.slots} slots")
+    if len(beat.models) > MAX_MODELS or not all(is_id(m.name) for m in beat.models):
+        return Refusal(RefusalReason.BAD_REQUEST, "too many models, or an odd name")
     return Heartbeat(
         TargetId(target_id),
         beat.born,
--- a/tests/policy/test_heartbeats.py
+++ b/tests/policy/test_heartbeats.py
@@ -56,8 +56,13 @@
     known: KnownTarget | None
     expected: Meaning
     at_address: tuple[Target, ...] = ()
+    services: tuple[str, ...] | None = None
+    now: float | None = None
 
 
+UNCONFIGURED = replace(other(1100), serves=("billing",))
+ODD = replace(HEARTBEAT, service="billing")
+
 CASES = [
     Case("first", HEARTBEAT, None, Arrived(())),
     Case("next", HEARTBEAT, KNOWN, Renewed()),
@@ -101,6 +106,81 @@
         Renewed(),
     ),
     Case("moved", replace(HEARTBEAT, address="10.0.0.2:80"), KNOWN, Arrived(())),
+    Case(
+        "unknown_service",
+        ODD,
+        None,
+        Stale("its service is not configured"),
+        services=("quotes",),
+    ),
+    Case(
+        "unknown_service_at_the_address_of_a_target",
+        replace(ODD, started_at_ms=2000),
+        None,
+        Stale("its service is not configured"),
+        (other(1100),),
+        services=("quotes",),
+    ),
+    Case(
+        "unknown_service_under_the_id_of_a_target",
+        replace(ODD, started_at_ms=2000, state=TargetState.DRAINING),
+        KNOWN,
+        Stale("its service is not configured"),
+        services=("quotes",),
+    ),
+    Case(
+        "unknown_service_as_the_run_of_a_target",
+        replace(ODD, state=TargetState.DRAINING),
+        KNOWN,
+        Stale("another service than that of this run"),
+        services=("quotes",),
+    ),
+    Case(
+        "other_service_as_the_run_of_a_target",
+        replace(HEARTBEAT, service="engines", state=TargetState.DRAINING),
+        KNOWN,
+        Stale("another service than that of this run"),
+        services=("quotes", "engines"),
+    ),
+    Case(
+        "beside_a_target_of_an_unknown_service",
+        HEARTBEAT,
+        None,
+        Arrived(()),
+        (UNCONFIGURED,),
+        services=("quotes",),
+    ),
+    Case(
+        "known_run_beside_a_target_of_an_unknown_service",
+        HEARTBEAT,
+        KNOWN,
+        Renewed(),
+        (UNCONFIGURED,),
+        services=("quotes",),
+    ),
+    Case(
+        "run_of_a_service_that_is_no_longer_configured",
+        replace(HEARTBEAT, state=TargetState.DRAINING),
+        KNOWN,
+        Leaving(),
+        services=(),
+    ),
+    Case(
+        "start_in_the_future",
+        replace(HEARTBEAT, started_at_ms=10**15),
+        KNOWN,
+        Stale("its start lies in the future"),
+        services=("quotes",),
+        now=2.0,
+    ),
+    Case(
+        "clock_ahead_by_seconds",
+        replace(HEARTBEAT, started_at_ms=12_000),
+        None,
+        Arrived(()),
+        services=("quotes",),
+        now=2.0,
+    ),
 ]
 
 
@@ -110,6 +190,7 @@
     @parameterized.expand([(case.name, case) for case in CASES])
     def test_meaning(self, _: str, case: Case) -> None:
         at_address = (*case.at_address, TARGET) if case.known else case.at_address
-        self.assertEqual(
-            interpret(case.heartbeat, case.known, at_address), case.expected
+        meaning = interpret(
+            case.heartbeat, case.known, at_address, case.services, case.now
         )
+        self.assertEqual(meaning, case.expected)
