Share one room in memory between all bodies in progress

Cause: each head, body and answer had a bound of its own, and their sum had none.

Change: heads and bodies of requests, answers that are read or not yet sent, and parts of events share one room, by the memory of the process. A request that finds none is refused at once, as not run; an answer that finds none ends its attempt. A body that stalls for the idle time-out is refused. A configuration has 2 MB at most. Metrics show what is held.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -286,6 +286,16 @@
         """
         return self._core is None and bool(self._stop_reason)
 
+    @property
+    def proposals_bytes(self) -> int:
+        """Size of the proposals on this member that have no result yet."""
+        return self._proposals.held_bytes
+
+    @property
+    def log_bytes(self) -> int:
+        """Size of the entries applied since the latest snapshot."""
+        return self._state.log_bytes
+
     @property
     def term(self) -> Term:
         """Latest term that this member has received."""
--- /dev/null
+++ b/goldcrestyard/fleet/memory/apps.py
@@ -0,0 +1,33 @@
+"""Plug-in: the room for bodies in progress, and metrics of what is held."""
+
+from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
+from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.kernel.default_settings import MemorySettings
+from goldcrestyard.policy.memory import control_shares, entry_body_bytes
+
+
+class MemoryConfig(PluginConfig):
+    """Provides the room that listeners and the client of targets share."""
+
+    name = "memory"
+    requires = ("observability",)
+    after = ("assembly",)
+
+    def ready(self, app: Application) -> None:
+        """Create the room, by the memory of the process and its role."""
+        memory = app.settings.find(MemorySettings) or MemorySettings()
+        member = app.find(ControlMember)
+        capacity = (
+            entry_body_bytes(memory.process_bytes)
+            if member is None
+            else control_shares(memory.process_bytes).bodies
+        )
+        room = app.provide(ByteRoom, ByteRoom(capacity))
+        metrics = app.get(FleetMetrics)
+        metrics.bodies_bytes.set_function(lambda: room.held)
+        if member is not None:
+            metrics.proposals_bytes.set_function(lambda: member.proposals_bytes)
+            metrics.log_bytes.set_function(lambda: member.log_bytes)
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -84,6 +84,18 @@
         self.revision = self._gauge(
             "revision", "Revision of the state that this process has applied."
         )
+        self.bodies_bytes = self._gauge(
+            "bodies_bytes", "Bytes of requests and answers in progress."
+        )
+        self.jobs_bytes = self._gauge(
+            "jobs_bytes", "Bytes of the jobs that this control member keeps."
+        )
+        self.proposals_bytes = self._gauge(
+            "proposals_bytes", "Bytes of the proposals without a result."
+        )
+        self.log_bytes = self._gauge(
+            "log_bytes", "Bytes of the log entries since the latest snapshot."
+        )
         self.leader = self._gauge("leader", "1 while this control member leads.")
         self.term = self._gauge("term", "Term of this control member.")
         self.disk_failing = self._gauge(
--- a/goldcrestyard/kernel/http_client.py
+++ b/goldcrestyard/kernel/http_client.py
@@ -16,6 +16,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from goldcrestyard.core.attempts import describe_error
+from goldcrestyard.kernel.byte_room import ByteLease
 
 MAX_OVERHEAD_BYTES = 64 * 1024
 """Largest number of bytes of an answer that are no part of its body, beyond
@@ -45,6 +46,10 @@
     """The server sends more than an answer may have; it may have run it."""
 
 
+class NoRoomError(aiohttp.ClientPayloadError):
+    """The answer finds no room in memory; the server may have run it."""
+
+
 async def without_retries(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -61,21 +66,41 @@
         raise ConnectionBrokenError(describe_error(error)) from error
 
 
-async def read_at_most(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+async def read_at_most(
+    response: aiohttp.ClientResponse, max_bytes: int, lease: ByteLease | None = None
+) -> bytes:
     """Return the whole body of an answer.
 
-    Raises ``UnboundedAnswerError`` if it is longer than ``max_bytes``, and
+    Raises ``UnboundedAnswerError`` if it is longer than ``max_bytes``,
+    ``NoRoomError`` if ``lease`` finds no room for it, and
     ``aiohttp.ClientError`` if it is incomplete.
     """
     body = bytearray()
     async for chunk in response.content.iter_any():
         body += chunk
+        if lease is not None and not lease.grow(len(chunk)):
+            response.close()
+            raise NoRoomError("no room for the answer beside those of others")
         if len(body) > max_bytes:
             response.close()
             raise UnboundedAnswerError(f"the answer exceeds {max_bytes} bytes")
     return bytes(body)
 
 
+async def read_to_end(response: aiohttp.ClientResponse, max_bytes: int) -> None:
+    """Read the body of an answer without keeping it.
+
+    Raises ``UnboundedAnswerError`` if it is longer than ``max_bytes``, and
+    ``aiohttp.ClientError`` if it is incomplete.
+    """
+    size = 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        if size > max_bytes:
+            response.close()
+            raise UnboundedAnswerError(f"the answer exceeds {max_bytes} bytes")
+
+
 class PermissionLostError(Exception):
     """The permission to send a request ended before its last byte was sent."""
 
--- a/goldcrestyard/platform/callers/apps.py
+++ b/goldcrestyard/platform/callers/apps.py
@@ -14,6 +14,7 @@
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
@@ -37,7 +38,7 @@
     """Serves callers and trainers on an entry."""
 
     name = "platform_callers"
-    requires = ("entry", "gateway", "jobs", "directory", "observability")
+    requires = ("entry", "gateway", "jobs", "directory", "memory", "observability")
 
     def __init__(self) -> None:
         self._front: CallerFront | None = None
@@ -68,7 +69,9 @@
             app.get(FleetMetrics),
             app.clock,
         )
-        self._callers = HandlerListener(self._front.handle, connection_limits)
+        self._callers = HandlerListener(
+            self._front.handle, connection_limits, app.get(ByteRoom)
+        )
 
         async def readiness(request: web.BaseRequest) -> web.StreamResponse:
             ready = (
--- a/goldcrestyard/platform/callers/front.py
+++ b/goldcrestyard/platform/callers/front.py
@@ -28,6 +28,7 @@
 from goldcrestyard.platform.callers import requests
 from goldcrestyard.platform.callers.jobs import COMMIT_TIMEOUT_SECONDS, JobEndpoints
 from goldcrestyard.platform.names import ITEM_PATH, RESULTS_PATH
+from goldcrestyard.plugins.listeners.connections import lease_of
 from goldcrestyard.policy.planned_stop import can_end_in_time
 
 logger = structlog.get_logger(__name__)
@@ -78,6 +79,11 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request on the callers' listener."""
         response = await self._answer(request)
+        if isinstance(response, web.Response) and isinstance(response.body, bytes):
+            # It takes memory in place of the request until it has been read.
+            lease = lease_of(request)
+            lease.release()
+            lease.add(len(response.body))
         if self.closing and not response.prepared:
             response.force_close()
             response.headers[hdrs.CONNECTION] = "close"
@@ -85,7 +91,8 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at = self._clock.monotonic()
-        body = await read_body(request, self._limits().body_bytes)
+        limits = self._limits()
+        body = await read_body(request, limits.body_bytes, limits.idle_seconds)
         if isinstance(body, Refusal):
             return refusal_response(body)
         await self._admission.wait_until_synchronized(requests.seconds_left(request))
@@ -103,6 +110,12 @@
             if not self._can_end(JOB_REQUEST_SECONDS, None, repeatable_call=False):
                 return refusal_response(STOPPING)
             return await self._jobs.submit(request, body)
+        return await self._answer_call(request, body, arrived_at)
+
+    async def _answer_call(
+        self, request: web.BaseRequest, body: bytes, arrived_at: float
+    ) -> web.StreamResponse:
+        """Answer a request on a route that is not one of trainers."""
         decoded = requests.decode(request, body)
         if isinstance(decoded, Refusal):
             return refusal_response(decoded)
@@ -125,11 +138,9 @@
             return await sink.finish(end)
         answer = await self._calls.answer(admitted)
         self._record_answer(decoded, admitted.route, answer, arrived_at)
-        return (
-            refusal_response(answer)
-            if isinstance(answer, Refusal)
-            else target_response(answer)
-        )
+        if isinstance(answer, Refusal):
+            return refusal_response(answer)
+        return target_response(answer)
 
     def _can_end(
         self,
--- a/goldcrestyard/platform/control/apps.py
+++ b/goldcrestyard/platform/control/apps.py
@@ -7,6 +7,7 @@
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.platform.control.front import ControlFront, DirectoryFront
 from goldcrestyard.platform.listening import ListeningSettings
 from goldcrestyard.plugins.listeners.connections import ConnectionLimits
@@ -17,7 +18,7 @@
     """Serves operators, trainers, targets and service discovery."""
 
     name = "platform_control"
-    requires = ("assembly", "directory", "serving", "tracking", "versions")
+    requires = ("assembly", "directory", "memory", "serving", "tracking", "versions")
 
     def __init__(self) -> None:
         self._listeners: list[HandlerListener] = []
@@ -36,7 +37,7 @@
             (control.handle, addresses["ctl"]),
             (directory.handle, addresses["dir"]),
         ):
-            listener = HandlerListener(handler, _limits)
+            listener = HandlerListener(handler, _limits, app.get(ByteRoom))
             self._listeners.append(listener)
             await listener.open(address)
 
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -12,7 +12,7 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
-from goldcrestyard.core.decoding import Count, Malformed, decode_json
+from goldcrestyard.core.decoding import Count, Malformed, decode_json, is_id
 from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.assembly.manager import MembershipManager
@@ -36,14 +36,19 @@
     RETIRE_PATH,
     VERSION_PATH,
 )
-from goldcrestyard.state.commands import Command
+from goldcrestyard.state.commands import Command, Rejected
 
 logger = structlog.get_logger(__name__)
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BODY_BYTES = 2 * 1024 * 1024
+"""Largest configuration; every process keeps it, decoded and as sent."""
+
 MAX_HEARTBEAT_BYTES = 1024 * 1024
 """Largest heartbeat, which has some dozens of bytes for each model."""
 
+BODY_IDLE_SECONDS = 5.0
+"""Time in seconds without a byte of a body after which it is refused."""
+
 MAX_DIRECTORY_ADDRESSES = 64
 
 UNCOMMITTED = Refusal(
@@ -78,7 +83,9 @@
             return self._redirect(request)
         is_heartbeat = request.path.startswith(HEARTBEAT_PATH)
         body = await read_body(
-            request, MAX_HEARTBEAT_BYTES if is_heartbeat else MAX_BODY_BYTES
+            request,
+            MAX_HEARTBEAT_BYTES if is_heartbeat else MAX_BODY_BYTES,
+            BODY_IDLE_SECONDS,
         )
         if isinstance(body, Refusal):
             return refusal_response(body)
@@ -136,6 +143,10 @@
         if isinstance(named, Malformed):
             logger.warning("weight version refused", reason=named.detail)
             return refusal_response(Refusal(RefusalReason.BAD_REQUEST, named.detail))
+        if not is_id(named.model):
+            return refusal_response(
+                Refusal(RefusalReason.BAD_REQUEST, "the name of the model is not valid")
+            )
         command = NameVersion(ModelName(named.model), WeightVersion(named.version))
         if not await self._commit(command):
             return refusal_response(UNCOMMITTED)
@@ -175,7 +186,7 @@
 
     async def _commit(self, command: Command) -> bool:
         result = await self._member.propose(command)
-        return isinstance(result, Applied)
+        return isinstance(result, Applied) and not isinstance(result.outcome, Rejected)
 
 
 class DirectoryFront:
--- a/goldcrestyard/platform/event_stream.py
+++ b/goldcrestyard/platform/event_stream.py
@@ -8,9 +8,10 @@
 from goldcrestyard.core.calls import StreamEvent
 from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.ids import EventNumber, WeightVersion
+from goldcrestyard.kernel.byte_room import ByteLease
 from goldcrestyard.platform.names import VERSION_HEADER
 
-MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
 MAX_BYTES_BETWEEN_EVENTS = 64 * 1024
 """Largest number of bytes between two events, such as comments and empty
 lines, that a server may send to keep the connection open."""
@@ -19,11 +20,12 @@
 
 
 async def read_events(
-    read: Callable[[], AsyncIterator[bytes]],
+    read: Callable[[], AsyncIterator[bytes]], lease: ByteLease | None = None
 ) -> AsyncIterator[StreamEvent | Broken]:
     """Yield the events of a stream, then ``Broken`` if it is incomplete.
 
-    ``read`` yields the bytes of the response body in arbitrary chunks.
+    ``read`` yields the bytes of the response body in arbitrary chunks.  The
+    part of an event that has arrived counts in ``lease``.
     """
     pending = bytearray()
     without_event = 0
@@ -44,6 +46,9 @@
                     yield event
                 if isinstance(event, Broken):
                     return
+            if lease is not None and not lease.resize(len(pending)):
+                yield Broken("no room for the event beside those of others")
+                return
             if len(pending) > MAX_EVENT_BYTES:
                 yield Broken(f"event exceeds {MAX_EVENT_BYTES} bytes")
                 return
--- a/goldcrestyard/platform/targets/apps.py
+++ b/goldcrestyard/platform/targets/apps.py
@@ -8,6 +8,7 @@
 from goldcrestyard.fleet.versions.orders import EngineControl
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.platform.targets.client import HttpTargetClient
 from goldcrestyard.platform.targets.engine_control import HttpEngineControl
 
@@ -16,13 +17,17 @@
     """Provides the client for requests to targets and orders to engines."""
 
     name = "target_client"
-    requires = ("leaving_targets", "request_limits")
+    requires = ("leaving_targets", "memory", "request_limits")
 
     def ready(self, app: Application) -> None:
         """Create the clients; connections are opened later."""
         client = app.provide(
             HttpTargetClient,
-            HttpTargetClient(app.get(KnownLimits).observe, app.get(LeavingTargets)),
+            HttpTargetClient(
+                app.get(KnownLimits).observe,
+                app.get(LeavingTargets),
+                app.get(ByteRoom),
+            ),
         )
         app.provide(
             TargetClient,  # type: ignore[type-abstract]
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -28,10 +28,12 @@
 from goldcrestyard.core.ids import RequestRate, WeightVersion
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.leaving.known import LeavingTargets
+from goldcrestyard.kernel.byte_room import ByteLease, ByteRoom
 from goldcrestyard.kernel.http_client import (
     MAX_ANSWER_BYTES,
     BoundedConnector,
     read_at_most,
+    read_to_end,
     without_retries,
 )
 from goldcrestyard.platform.event_stream import read_events
@@ -96,8 +98,9 @@
 class HttpReply(TargetReply):
     """A target's answer whose status and headers have arrived."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, lease: ByteLease) -> None:
         self._response = response
+        self._lease = lease
         # The response releases its connection at its end, but the protocol
         # object is needed then to detect how the connection ended.
         connection = response.connection
@@ -119,15 +122,24 @@
     async def read(self) -> bytes | Broken:
         """Return the whole body, or ``Broken`` if it is incomplete."""
         try:
-            body = await read_at_most(self._response, MAX_ANSWER_BYTES)
+            body = await read_at_most(self._response, MAX_ANSWER_BYTES, self._lease)
             self._check_end()
             return body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Broken(f"answer cut off: {describe_error(error)}")
 
+    async def read_to_end(self, max_bytes: int) -> Broken | None:
+        """Read the body without keeping it; ``Broken`` if it is incomplete."""
+        try:
+            await read_to_end(self._response, max_bytes)
+            self._check_end()
+            return None
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Broken(f"answer cut off: {describe_error(error)}")
+
     def events(self) -> AsyncIterator[StreamEvent | Broken]:
         """Yield the events, then ``Broken`` if the stream is incomplete."""
-        return read_events(self._chunks)
+        return read_events(self._chunks, self._lease)
 
     async def _chunks(self) -> AsyncIterator[bytes]:
         async for chunk in self._response.content.iter_any():
@@ -163,15 +175,18 @@
         self,
         on_limit: Callable[[Target, RequestRate | None], None] | None = None,
         leaving: LeavingTargets | None = None,
+        room: ByteRoom | None = None,
     ) -> None:
         """Create a client that reports the request limit of each answer.
 
         ``on_limit`` gets None as the limit if an answer names none.  A target
         in ``leaving`` gets no more requests, and those that say in an answer
-        that they leave are added to it.
+        that they leave are added to it.  The bodies that are being read share
+        ``room``.
         """
         self._on_limit = on_limit
         self._leaving = leaving
+        self._room = room or ByteRoom(2 * MAX_ANSWER_BYTES)
         self._sessions_by_address: dict[str, aiohttp.ClientSession] = {}
         self._discarded_sessions: deque[aiohttp.ClientSession] = deque()
         self._single_session: aiohttp.ClientSession | None = None
@@ -231,6 +246,7 @@
         if not isinstance(answer, aiohttp.ClientResponse):
             yield answer
             return
+        lease = self._room.lease()
         try:
             if self._on_limit is not None and _is_from(answer, call):
                 self._on_limit(target, _limit_of(answer))
@@ -239,8 +255,9 @@
             # to another request.
             if echoed == call.request or (echoed is None and not call.repeatable):
                 self.note_leaving(target, answer, clock() - began)
-            yield _failure_of(answer, call) or HttpReply(answer)
+            yield _failure_of(answer, call) or HttpReply(answer, lease)
         finally:
+            lease.release()
             answer.close()
 
     async def refuses_connections(self, target: Target) -> bool:
--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -15,6 +15,7 @@
 
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.byte_room import ByteLease, ByteRoom
 from goldcrestyard.kernel.http_client import CHUNK_OVERHEAD_FACTOR, READ_BYTES
 from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, error_body, refuse
 
@@ -66,7 +67,9 @@
     request is handled.
     """
 
-    def __init__(self, manager: web.Server, limits: ConnectionLimits) -> None:
+    def __init__(
+        self, manager: web.Server, limits: ConnectionLimits, room: ByteRoom
+    ) -> None:
         super().__init__(
             manager,
             loop=asyncio.get_running_loop(),
@@ -85,7 +88,12 @@
         self.receiving = False
         """Whether a part of a request has arrived that is not handled yet."""
         self._body: StreamReader | None = None
+        self._refused_body: StreamReader | None = None
         self._received_bytes = 0
+        self._found_no_room = False
+        self.lease = room.lease()
+        """The memory that the head, the body and the answer of the present
+        request take."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time-out for the head of the first request."""
@@ -100,6 +108,11 @@
         """
         self.receiving = not self.active
         self._received_bytes += len(data)
+        if self._found_no_room:
+            return
+        if self.receiving and not self._discards() and not self.lease.grow(len(data)):
+            self._refuse_for_room()
+            return
         super().data_received(data)
         if not self.active and self._timer is None:
             self._start_head_timer()
@@ -112,6 +125,27 @@
             if self.transport is not None:
                 self.transport.abort()
 
+    def _discards(self) -> bool:
+        """Return whether the rest of a refused body is read and discarded."""
+        return self._refused_body is not None and not self._refused_body.is_eof()
+
+    def _refuse_for_room(self) -> None:
+        """Refuse a request whose head finds no room; close the connection.
+
+        What still arrives is dropped for a while, since closing a connection
+        with unread bytes would reset it before the caller has the refusal.
+        """
+        logger.warning("no room for the head of a request; closing the connection")
+        self._found_no_room = True
+        self.receiving = False
+        self._cancel_head_timer()
+        self.lease.release()
+        refusal = Refusal(RefusalReason.NO_ROOM, "no room for the request")
+        self._write_refusal("503 Service Unavailable", refusal)
+        asyncio.get_running_loop().call_later(
+            LINGERING_TIMEOUT_SECONDS, self.force_close
+        )
+
     def _allowed_bytes(self) -> int:
         """Return how much may arrive during a request, or between two.
 
@@ -124,8 +158,9 @@
         return self._limits.overhead_bytes + framed
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the time-out."""
+        """Cancel the time-out and give back the memory."""
         self._cancel_head_timer()
+        self.lease.release()
         super().connection_lost(exc)
 
     def begin(self, request: web.BaseRequest) -> bool:
@@ -133,8 +168,11 @@
         self._cancel_head_timer()
         self.active = not self._head_timed_out
         self._body = request.content
+        self._refused_body = None
         self._received_bytes = 0
         self.receiving = False
+        # From here on the request counts by its body, which is read apart.
+        self.lease.release()
         return self.active
 
     async def finish_response(
@@ -148,8 +186,10 @@
             return await super().finish_response(request, resp, start_time)
         finally:
             self.active = False
+            self._refused_body = self._body
             self._body = None
             self._received_bytes = 0
+            self.lease.release()
 
     @property
     def busy(self) -> bool:
@@ -207,21 +247,36 @@
         # the verdict "not run" is correct.
         self._head_timed_out = True
         self.receiving = False
-        if self.transport is not None:
-            body = error_body(
-                Refusal(
-                    RefusalReason.BAD_REQUEST,
-                    "the request line and headers did not arrive within "
-                    f"{self._limits.header_seconds} s",
-                )
-            )
-            head = (
-                "HTTP/1.1 408 Request Timeout\r\n"
-                "content-type: application/json\r\n"
-                f"content-length: {len(body)}\r\n"
-                f"{VERDICT_HEADER}: not_run\r\n"
-                "x-should-retry: false\r\n"
-                "connection: close\r\n\r\n"
-            )
-            self.transport.write(head.encode() + body)
+        refusal = Refusal(
+            RefusalReason.BAD_REQUEST,
+            "the request line and headers did not arrive within "
+            f"{self._limits.header_seconds} s",
+        )
+        self._write_refusal("408 Request Timeout", refusal, "x-should-retry: false")
         self.force_close()
+
+    def _write_refusal(self, status: str, refusal: Refusal, *headers: str) -> None:
+        """Answer a request whose head is not complete."""
+        if self.transport is None:
+            return
+        body = error_body(refusal)
+        head = (
+            f"HTTP/1.1 {status}",
+            "content-type: application/json",
+            f"content-length: {len(body)}",
+            f"{VERDICT_HEADER}: not_run",
+            *headers,
+            "connection: close\r\n\r\n",
+        )
+        self.transport.write("\r\n".join(head).encode() + body)
+
+
+def lease_of(request: web.BaseRequest) -> ByteLease:
+    """Return the memory that a request takes until it is answered.
+
+    Without ``CallerConnection`` each request has a room of its own.
+    """
+    connection = request.protocol
+    if isinstance(connection, CallerConnection):
+        return connection.lease
+    return ByteRoom(2 * MAX_DISCARDED_BYTES).lease()
--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -5,11 +5,14 @@
 
 from aiohttp import web
 
+from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.kernel.default_settings import MemorySettings
 from goldcrestyard.plugins.listeners.connections import (
     CallerConnection,
     ConnectionLimits,
 )
 from goldcrestyard.plugins.listeners.routes import Routes
+from goldcrestyard.policy.memory import entry_body_bytes
 from goldcrestyard.wire.client import PeerAddress
 
 IDLE_CHECK_INTERVAL_SECONDS = 0.2
@@ -25,6 +28,8 @@
 """How long a handler may take to end after its cancellation."""
 
 
+DEFAULT_ROOM_BYTES = entry_body_bytes(MemorySettings().process_bytes)
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -32,10 +37,14 @@
     """Accepts connections on an address and reports when it is idle."""
 
     def __init__(
-        self, runner: web.BaseRunner, limits: Callable[[], ConnectionLimits]
+        self,
+        runner: web.BaseRunner,
+        limits: Callable[[], ConnectionLimits],
+        room: ByteRoom | None = None,
     ) -> None:
         self._runner = runner
         self._limits = limits
+        self._room = room or ByteRoom(DEFAULT_ROOM_BYTES)
         self._server: asyncio.Server | None = None
 
     async def open(self, address: str) -> None:
@@ -45,7 +54,7 @@
         assert manager is not None
         parsed = PeerAddress.parse(address)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(manager, self._limits()),
+            lambda: CallerConnection(manager, self._limits(), self._room),
             parsed.host,
             parsed.port,
             backlog=512,
@@ -95,21 +104,26 @@
 class HttpListener(Listener):
     """Serves routes on an address."""
 
-    def __init__(self, routes: Routes, limits: ConnectionLimits) -> None:
+    def __init__(
+        self, routes: Routes, limits: ConnectionLimits, room: ByteRoom | None = None
+    ) -> None:
         runner = web.AppRunner(
             routes.web_application,
             access_log=None,
             shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
             handler_cancellation=True,
         )
-        super().__init__(runner, lambda: limits)
+        super().__init__(runner, lambda: limits, room)
 
 
 class HandlerListener(Listener):
     """Passes all requests to one handler, which does its own routing."""
 
     def __init__(
-        self, handler: Handler, limits: Callable[[], ConnectionLimits]
+        self,
+        handler: Handler,
+        limits: Callable[[], ConnectionLimits],
+        room: ByteRoom | None = None,
     ) -> None:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             connection = request.protocol
@@ -123,4 +137,4 @@
 
         server = web.Server(handle, handler_cancellation=True)
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS)
-        super().__init__(runner, limits)
+        super().__init__(runner, limits, room)
--- a/goldcrestyard/policy/memory.py
+++ b/goldcrestyard/policy/memory.py
@@ -18,13 +18,19 @@
 """Share for the replicated jobs.  While a snapshot is taken or installed, they
 are held up to five times: as state, as a snapshot and while one is encoded."""
 
-LOG_SHARE = 0.1
+LOG_SHARE = 0.09
 """Share for the log entries since the latest snapshot; half of it again may be
 kept from before, for members that are behind."""
 
-PROPOSALS_SHARE = 0.06
+PROPOSALS_SHARE = 0.05
 """Share for the proposals that are not applied yet."""
 
+TEXTS_SHARE = 0.04
+"""Share for the texts of the items that the leader runs."""
+
+CONTROL_BODIES_SHARE = 0.05
+"""Share of a control member for the bodies of requests in progress."""
+
 BODIES_SHARE = 0.27
 """Share of an entry for the bodies of requests and answers in progress.  Those
 of a submitted job are held four times, in its encodings."""
@@ -44,6 +50,8 @@
     jobs: int
     log: int
     proposals: int
+    bodies: int
+    texts: int
 
     @property
     def admitted_jobs(self) -> int:
@@ -58,6 +66,8 @@
         int(JOBS_SHARE * shared),
         int(LOG_SHARE * shared),
         int(PROPOSALS_SHARE * shared),
+        int(CONTROL_BODIES_SHARE * shared),
+        int(TEXTS_SHARE * shared),
     )
 
 
--- a/tests/consensus/test_memory.py
+++ b/tests/consensus/test_memory.py
@@ -10,7 +10,9 @@
 from goldcrestyard.policy.memory import ControlShares
 from tests.fakes.joining_members import JoiningMemberTestCase
 
-SHARES = ControlShares(jobs=10_000_000, log=400_000, proposals=200_000)
+SHARES = ControlShares(
+    jobs=10_000_000, log=400_000, proposals=200_000, bodies=0, texts=0
+)
 ENTRY_BYTES = 10_000
 IN_FLIGHT_BYTES = 2 * SHARES.proposals
 """Entries that are appended while a snapshot is encoded and stored."""
--- a/tests/plugins/listeners/test_server.py
+++ b/tests/plugins/listeners/test_server.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 from parameterized import parameterized
 
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.plugins.listeners import server
 from goldcrestyard.plugins.listeners.bodies import BodyLimits
 from goldcrestyard.plugins.listeners.connections import (
@@ -180,6 +181,7 @@
         connection = CallerConnection(
             web.Server(self.fail_at_once),  # type: ignore[arg-type]
             ConnectionLimits(5.0),
+            ByteRoom(1_000_000),
         )
         connection.transport = mock.Mock(spec=asyncio.Transport)
         connection.transport.get_write_buffer_size.return_value = unsent
