Bound what engines make the leader keep

Cause: the whole body of each answer to a reward call was kept, up to 32 MB, though the score is in the head; sixteen of them at a time. An answer beyond its bound was not noted as a failure of the engine. The texts of items had no bound at all.

Change: the body of an answer to a reward call is read to its end and dropped; more than 1 MB of it is a failure, and the engine is avoided for a time. The text of an item has 900 KB at most, which a page of results can hold, and all texts of a leader share a room. A text beyond that is dropped and its item goes elsewhere. No run begins while the jobs fill their share. Progress is saved in entries of 256 KB. What was read on engines that are gone is dropped.

--- a/goldcrestyard/core/calls.py
+++ b/goldcrestyard/core/calls.py
@@ -89,6 +89,13 @@
     async def read(self) -> bytes | Broken:
         """Return the complete body, or ``Broken`` if it is truncated."""
 
+    @abstractmethod
+    async def read_to_end(self, max_bytes: int) -> Broken | None:
+        """Read the body without keeping it.
+
+        ``Broken`` is returned if it is truncated or longer than ``max_bytes``.
+        """
+
     @abstractmethod
     def events(self) -> AsyncIterator[StreamEvent | Broken]:
         """Yield the events; ``Broken`` comes last if the stream is cut off."""
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -71,8 +71,12 @@
             return
         JobReader(member, app.clock).register(app.get(Handlers))
         memory = app.settings.find(MemorySettings) or MemorySettings()
+        jobs = member.machine.get(JobsSlice)
+        app.get(FleetMetrics).jobs_bytes.set_function(
+            lambda: jobs.held_bytes(app.clock.wall())
+        )
         admission = JobAdmission(
-            member.machine.get(JobsSlice),
+            jobs,
             control_shares(memory.process_bytes).admitted_jobs,
             lambda: member.term,
             app.clock,
@@ -89,6 +93,7 @@
         location = CallerLocation(instance.data_centre, instance.region)
         client = app.get(TargetClient)  # type: ignore[type-abstract]
         permits = app.get(TargetPermits)
+        memory = app.settings.find(MemorySettings) or MemorySettings()
         leaving = app.get(LeavingTargets)
         router = CallRouter(
             member.machine.get(TargetsSlice),
@@ -112,6 +117,7 @@
             app.clock,
             permitted_runs=permits.available,
             is_leaving=leaving.includes,
+            shares=control_shares(memory.process_bytes),
         )
         app.supervise(
             partial(while_leading, member, "run jobs", runner.run), "run jobs"
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -68,12 +68,19 @@
     """The engine rejected the item's request as one that can never succeed."""
 
 
+@dataclass(frozen=True, slots=True)
+class TooLong:
+    """There is no room for the item's text, which is dropped."""
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class Moved:
     """The engine is slow; the item resumes on another engine."""
 
 
-RunOutcome = Generated | NotRun | BrokenOff | Failed | Impossible | Moved
+RunOutcome = Generated | NotRun | BrokenOff | Failed | Impossible | TooLong | Moved
 
 IMPOSSIBLE_STATUS = 422
 """HTTP status of an item that no engine can process."""
@@ -177,6 +184,9 @@
         version = event.version or transcript.current_version
         if version is not None and version < oldest_version:
             return BrokenOff(f"version {version} is older than {oldest_version}")
+        full = transcript.take_room(event)
+        if full is not None:
+            return TooLong(full)
         problem = transcript.add(event)
         if problem is not None:
             return BrokenOff(problem)
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -35,6 +35,9 @@
 MAX_CONCURRENT_ATTEMPTS = 2
 """Maximum number of concurrent attempts of one call, including the hedge."""
 
+MAX_ANSWER_BYTES = 1024 * 1024
+"""Largest body of an answer to a reward call.  Nothing of it is kept."""
+
 COUNTED_FAILURE_STATUS = 500
 """HTTP status that counts towards the route's ``max_attempts``."""
 
@@ -215,8 +218,13 @@
                 self._router.note_failure(target, reply)
                 _log_failure(call, target, describe_failure(reply))
                 return None
-            body = await reply.read()
-        if isinstance(body, bytes) and 200 <= reply.status < 300:
+            # The score is in the head; the body only shows that it is whole.
+            broken = await reply.read_to_end(MAX_ANSWER_BYTES)
+        if broken is not None:
+            self._router.note_failure(target, broken)
+            _log_failure(call, target, describe_failure(broken))
+            return None
+        if 200 <= reply.status < 300:
             now = self._clock.monotonic()
             statistics.record_success(now - began, now)
             logger.info(
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -8,13 +8,13 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
 import structlog
 
-from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.control_member import DEFAULT_SHARES, ControlMember
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.core.ids import (
@@ -25,7 +25,7 @@
     TargetId,
     WeightVersion,
 )
-from goldcrestyard.core.jobs import EndedItem, ItemOutcome, Job, JobItem
+from goldcrestyard.core.jobs import EndedItem, ItemOutcome, Job, JobItem, Progress
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.core.states import TargetState
@@ -45,6 +45,7 @@
     NotRun,
     RunOutcome,
     SlowEngineDetector,
+    TooLong,
     run_item,
 )
 from goldcrestyard.fleet.jobs.rewards import NoScore, RewardClient, Scored
@@ -56,6 +57,7 @@
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
 from goldcrestyard.fleet.versions.work import JobWork
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.plugins.targets.commands import (
@@ -75,6 +77,8 @@
     assign,
     longest_first,
 )
+from goldcrestyard.policy.job_sizes import progress_size
+from goldcrestyard.policy.memory import ControlShares
 from goldcrestyard.state.commands import AppliedEntry
 
 logger = structlog.get_logger(__name__)
@@ -88,6 +92,10 @@
 """Minimum number of new events of an item for which its progress is saved.
 Short items end before a save would pay off."""
 
+MAX_SAVED_BYTES = 256 * 1024
+"""Size of the progress that is saved with one log entry, unless that of a
+single item is larger."""
+
 REQUEUE_BACKOFF = Backoff(base_seconds=0.03, longest_seconds=0.5)
 """Delay of an item's next run after runs that were refused or interrupted."""
 
@@ -163,13 +171,17 @@
         random_source: random.Random | None = None,
         permitted_runs: Callable[[Target], int | None] | None = None,
         is_leaving: Callable[[Target], bool] | None = None,
+        shares: ControlShares = DEFAULT_SHARES,
     ) -> None:
         """Create a runner.
 
         ``permitted_runs`` returns how many runs a target's request limit
         allows to start now; without it no target has a limit.  ``is_leaving``
         tells whether a target has said that it leaves; without it none has.
+        ``shares`` bound what the texts of items take.
         """
+        self._max_jobs_bytes = shares.jobs
+        self._text_room = ByteRoom(shares.texts)
         self._is_leaving = is_leaving
         self._permitted_runs = permitted_runs
         self._metrics = metrics
@@ -215,7 +227,8 @@
 
     async def run(self) -> None:
         """Run items during one term as leader, until cancelled."""
-        self._pending_by_key.clear()
+        for pending in list(self._pending_by_key.values()):
+            self._forget(pending)
         self._slots_in_use.clear()
         save_task = asyncio.create_task(self._save_periodically(), name="save progress")
         try:
@@ -255,6 +268,12 @@
         }
         if not progress_by_key:
             return
+        for part in _split_progress(progress_by_key):
+            await self._propose_progress(job_id, part)
+
+    async def _propose_progress(
+        self, job_id: JobId, progress_by_key: "_ProgressByKey"
+    ) -> None:
         result = await self._member.propose(
             KeepProgress(
                 job_id,
@@ -305,7 +324,9 @@
                     item,
                     expires_at,
                     (state.submitted_at, positions_by_group[item.group]),
-                    Transcript.restore(state.progress_by_item.get(item.id)),
+                    Transcript.restore(
+                        state.progress_by_item.get(item.id), self._text_room.lease()
+                    ),
                 )
 
     def _submitted_at(self, state: JobState) -> float:
@@ -343,15 +364,24 @@
                 self._spawn(pending, self._list_result(pending, _errored_item(pending)))
 
     def _cancel(self, pending: PendingItem) -> None:
-        self._pending_by_key.pop(pending.key, None)
+        self._forget(pending)
         if pending.task is not None:
             pending.task.cancel()
 
+    def _forget(self, pending: PendingItem) -> None:
+        self._pending_by_key.pop(pending.key, None)
+        pending.transcript.release()
+
     # Starting runs.
 
     def _start_runs(self) -> None:
         waiting = {item.key: item for item in self._waiting_items()}
         engines = self._available_engines() if waiting else []
+        if waiting and self._jobs.held_bytes(self._clock.wall()) > self._max_jobs_bytes:
+            logger.warning(
+                "no room for further texts; items wait", waiting=len(waiting)
+            )
+            engines = []
         for key, target_id in assign(waiting.values(), engines):
             del waiting[key]
             pending = self._pending_by_key[key]
@@ -532,6 +562,19 @@
                     pending.avoided_until_by_target[target.id] = (
                         now + ENGINE_AVOIDANCE_SECONDS
                     )
+            case TooLong(detail=detail):
+                logger.warning(
+                    "text of an item dropped",
+                    job=job.id,
+                    item=pending.item.id,
+                    target=target.id,
+                    reason=detail,
+                )
+                pending.transcript.discard()
+                self._requeue(pending, now)
+                pending.avoided_until_by_target[target.id] = (
+                    now + ENGINE_AVOIDANCE_SECONDS
+                )
             case Moved():
                 pending.moves += 1
                 pending.avoided_until_by_target[target.id] = (
@@ -619,18 +662,38 @@
             else None,
             score_seconds=None if score_seconds is None else round(score_seconds, 3),
         )
-        self._pending_by_key.pop(pending.key, None)
+        self._forget(pending)
 
     def _find_route(self, job: Job, item: JobItem) -> ServingRoute | None:
         table = self._serving.table
         return table.route(job.host, item.path) if table is not None else None
 
     def _remember_group(self, target_id: TargetId, group: GroupId) -> None:
+        if target_id not in self._groups_by_target:
+            # Targets come and go; what was read on those gone is forgotten.
+            for gone in self._groups_by_target.keys() - self._targets.homed_by_id:
+                del self._groups_by_target[gone]
         groups = self._groups_by_target.setdefault(target_id, {})
         groups[group] = None
         if len(groups) > MAX_GROUPS_PER_ENGINE:
             del groups[next(iter(groups))]
 
 
+_ProgressByKey = dict[ItemKey, tuple[PendingItem, int, Progress]]
+
+
+def _split_progress(progress_by_key: _ProgressByKey) -> Iterator[_ProgressByKey]:
+    """Yield the progress of items in parts that fit into a log entry each."""
+    part: _ProgressByKey = {}
+    size = 0
+    for key, entry in progress_by_key.items():
+        if part and size + progress_size(entry[2]) > MAX_SAVED_BYTES:
+            yield part
+            part, size = {}, 0
+        part[key] = entry
+        size += progress_size(entry[2])
+    yield part
+
+
 def _errored_item(pending: PendingItem) -> EndedItem:
     return EndedItem(pending.item.id, ItemOutcome.ERRORED)
--- a/goldcrestyard/fleet/jobs/transcripts.py
+++ b/goldcrestyard/fleet/jobs/transcripts.py
@@ -5,11 +5,20 @@
 from goldcrestyard.core.calls import StreamEvent
 from goldcrestyard.core.ids import EventNumber, WeightVersion
 from goldcrestyard.core.jobs import Progress
+from goldcrestyard.kernel.byte_room import ByteLease
+from goldcrestyard.policy.job_sizes import EVENT_BYTES, progress_size
+
+MAX_TEXT_BYTES = 900_000
+"""Largest text of an item.  A page of results, of at most 1 MB, must hold it
+and the item's ids."""
 
 
 @dataclass(slots=True)
 class Transcript:
-    """An item's stream events without gaps, and their weight versions."""
+    """An item's stream events without gaps, and their weight versions.
+
+    ``lease`` is the memory that the events take; None counts none.
+    """
 
     events: list[bytes] = field(default_factory=list)
     last_event: EventNumber | None = None
@@ -20,24 +29,44 @@
     """The version that generates the coming events; None if unknown."""
     saved_count: int = 0
     """Number of leading events that are saved in the replicated state."""
+    lease: ByteLease | None = None
+    size: int = 0
+    """Size of the events in bytes, with an allowance for each."""
 
     @classmethod
-    def restore(cls, progress: Progress | None) -> "Transcript":
+    def restore(
+        cls, progress: Progress | None, lease: ByteLease | None = None
+    ) -> "Transcript":
         """Return a transcript of saved progress, or an empty one for None."""
         if progress is None:
-            return cls()
+            return cls(lease=lease)
+        size = progress_size(progress)
+        if lease is not None:
+            lease.add(size)
         return cls(
             list(progress.events),
             progress.last,
             set(progress.versions),
             progress.current_version,
             len(progress.events),
+            lease,
+            size,
         )
 
     def begin_run(self, version: WeightVersion | None) -> None:
         """Set the weight version of the coming events, None if unknown."""
         self.current_version = version
 
+    def take_room(self, event: StreamEvent) -> str | None:
+        """Take the memory for an event; return why there is none, or None."""
+        size = EVENT_BYTES + len(event.data)
+        if self.size + size > MAX_TEXT_BYTES:
+            return f"the text exceeds {MAX_TEXT_BYTES} bytes"
+        if self.lease is not None and not self.lease.grow(size):
+            return "no room for the text beside those of other items"
+        self.size += size
+        return None
+
     def add(self, event: StreamEvent) -> str | None:
         """Add an event; return why it was refused, or None if it was added."""
         expected = (
@@ -61,6 +90,13 @@
         self.last_event = None
         self.current_version = None
         self.saved_count = 0
+        self.release()
+
+    def release(self) -> None:
+        """Give back the memory of the events, which are not used any more."""
+        self.size = 0
+        if self.lease is not None:
+            self.lease.release()
 
     def unsaved_progress(self) -> Progress:
         """Return the progress that the replicated state lacks."""
--- a/tests/fakes/targets.py
+++ b/tests/fakes/targets.py
@@ -89,6 +89,12 @@
         assert isinstance(self._behaviour, Answers)
         return self._behaviour.body
 
+    async def read_to_end(self, max_bytes: int) -> Broken | None:
+        body = await self.read()
+        if isinstance(body, Broken):
+            return body
+        return Broken("too long") if len(body) > max_bytes else None
+
     async def events(self) -> AsyncIterator[StreamEvent | Broken]:
         behaviour = self._behaviour
         assert isinstance(behaviour, Streams)
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -1,9 +1,10 @@
 """The memory of the processes while clients send as much as they may."""
 
+import asyncio
 import base64
 import io
 import json
-import os
+import random
 import signal
 import unittest
 from dataclasses import dataclass
@@ -12,11 +13,14 @@
 import aiohttp
 from parameterized import parameterized
 
+from tests.fakes.endless_targets import Bytes, EndlessTarget
 from tests.fakes.platform_site import MODEL, RAM_MB_BY_ROLE, Site
 
 LARGE_JOB_BYTES = 10 * 1024 * 1024
-ITEMS = 20
+ITEMS = 8
 ACCEPTED, NO_ROOM = 202, 503
+JOBS = 3
+ENDLESS_JOB_ITEMS = 28
 ANSWER_SECONDS = 10.0
 
 
@@ -67,6 +71,8 @@
         await self._restart_members()
         for job in accepted:
             await self._read(job)
+            if not case.ended:
+                await self._read_item(job, ITEMS - 1)
         self._check_memory()
         for job in accepted:
             await self._end(job)
@@ -96,6 +102,22 @@
 
         await self.site.wait(read, f"the results of {job}")
 
+    async def _read_item(self, job: str, number: int) -> None:
+        """Read the body of an item, which comes in several parts."""
+        front = self.site.fronts[0].address("front")
+        url = f"http://{front}/v1/items/{job}?id={job}-{number}"
+
+        async def read() -> bool:
+            status, body, _ = await self.site.call(
+                "GET", url, headers=self.site._headers(job)
+            )
+            self.assertIn(status, (200, 503))
+            if status == 200:
+                self.assertEqual(body, item_body(job, number))
+            return status == 200
+
+        await self.site.wait(read, f"the body of an item of {job}")
+
     async def _end(self, job: str) -> None:
         front = self.site.fronts[0].address("front")
 
@@ -123,6 +145,73 @@
             self.assertLess(process.peak_mb(), limit, process.name)
 
 
+@dataclass(frozen=True)
+class EndlessAnswers:
+    """Targets that send bytes without end beside sound ones."""
+
+    name: str
+    kind: Bytes
+    engines: bool
+    targets: int = 2
+    callers: int = 0
+    """Number of callers at a time of the service of the targets."""
+
+
+class EndlessAnswerTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against answers without end that fill the memory of a process.
+
+    The requests of others at the process would end with it.
+    """
+
+    @parameterized.expand(
+        [
+            (case.name, case)
+            for case in (
+                EndlessAnswers("scores", Bytes.BODY, engines=False, targets=4),
+                EndlessAnswers(
+                    "event_of_an_item", Bytes.EVENT, engines=True, targets=4
+                ),
+                EndlessAnswers("events_of_an_item", Bytes.EVENTS, engines=True),
+                EndlessAnswers("answers", Bytes.BODY, engines=False, callers=24),
+            )
+        ]
+    )
+    async def test_processes_keep_within_their_memory(
+        self, _: str, case: EndlessAnswers
+    ) -> None:
+        site = Site(fronts=1)
+        self.addAsyncCleanup(site.close)
+        await site.start(engines=5, services=2)
+        for target in site.services:
+            target.answer_seconds = 0.2
+        for number in range(case.targets):
+            target = site.new_target(20 + number, engine=case.engines)
+            endless = EndlessTarget(target, case.kind)
+            self.addAsyncCleanup(endless.stop)
+            await endless.start()
+        callers = [asyncio.create_task(self._call(site)) for _ in range(case.callers)]
+        await asyncio.gather(*(self._train(site, f"job-{n}") for n in range(JOBS)))
+        for caller in callers:
+            caller.cancel()
+        for process in [*site.controls, *site.fronts]:
+            limit = RAM_MB_BY_ROLE[process.role]
+            self.assertLess(process.peak_mb(), limit, process.name)
+
+    async def _train(self, site: Site, job: str) -> None:
+        await site.submit(job, ENDLESS_JOB_ITEMS)
+        listed = await site.results(job, ENDLESS_JOB_ITEMS)
+        self.assertEqual({result["state"] for result in listed}, {"complete"})
+
+    async def _call(self, site: Site) -> None:
+        while True:
+            await site.ask("/quotes/x")
+
+
+def item_body(job: str, number: int) -> bytes:
+    """Return the body of an item, which does not compress."""
+    return random.Random(f"{job}-{number}").randbytes(LARGE_JOB_BYTES // ITEMS)
+
+
 def large_job(job: str) -> bytes:
     """Return the body of a job with large items."""
     requests: list[dict[str, Any]] = [
@@ -130,7 +219,7 @@
             "id": f"{job}-{number}",
             "path": f"/jobs/{number}",
             "headers": {"X-Goldcrestyard-Model": MODEL},
-            "body": base64.b64encode(os.urandom(LARGE_JOB_BYTES // ITEMS)).decode(),
+            "body": base64.b64encode(item_body(job, number)).decode(),
             "tokens": 100,
             "group": "g",
         }
