Bound further sums of what others make a process keep

The body of an item, of up to 24 MB, was one reply of the leader for each reader at a time; a connection to a slow peer held each of its replies encoded, up to 1,024; names of versions, targets and groups had no bound in number or length.

Change: an item's body is read in parts of 512 KB. A connection encodes one message at a time. 4,096 models and 8,192 targets are kept at most; further ones are refused as not recorded (503). Names of groups and models of items have 256 characters at most.

--- a/goldcrestyard/fleet/jobs/commands.py
+++ b/goldcrestyard/fleet/jobs/commands.py
@@ -118,18 +118,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadItem:
-    """Asks the leader for the request body of an item not listed yet."""
+    """Asks the leader for the request body of an item not listed yet.
+
+    The reply holds the body from ``offset`` on, up to a limit.
+    """
 
     job: JobId
     organisation: OrganisationId | None
     item: ItemId
+    offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class ItemBody:
-    """The request body of an item."""
+    """A part of the request body of an item, and the size of the whole."""
 
     body: bytes
+    size: int = 0
+    """0 from a leader of an earlier release, whose reply holds the whole."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/reading.py
+++ b/goldcrestyard/fleet/jobs/reading.py
@@ -19,6 +19,10 @@
 from goldcrestyard.state.commands import AppliedEntry
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 
+MAX_BODY_PART_BYTES = 512 * 1024
+"""Size of the part of an item's body in one reply.  Whole bodies, of many
+readers at a time, would exceed the memory of the leader."""
+
 
 class JobReader:
     """Answers reads of jobs while this member holds the leader's lease.
@@ -63,4 +67,8 @@
             return self._member.make_not_leader_reply()
         state = self._jobs.find(read.job, read.organisation)
         item = state.item(read.item) if state is not None else None
-        return NoSuchJob() if item is None else ItemBody(item.body)
+        if item is None:
+            return NoSuchJob()
+        start = max(0, read.offset)
+        part = item.body[start : start + MAX_BODY_PART_BYTES]
+        return ItemBody(part, len(item.body))
--- a/goldcrestyard/fleet/versions/slices.py
+++ b/goldcrestyard/fleet/versions/slices.py
@@ -1,10 +1,20 @@
 """Replicated state: the newest weight version of each model."""
 
 from goldcrestyard.core.ids import ModelName, WeightVersion
+from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.fleet.versions.commands import NameVersion, VersionsSnapshot
-from goldcrestyard.state.commands import Accepted, Command, CommandContext, Outcome
+from goldcrestyard.state.commands import (
+    Accepted,
+    Command,
+    CommandContext,
+    Outcome,
+    Rejected,
+)
 from goldcrestyard.state.slices import Slice
 
+MAX_MODELS = 4096
+"""Largest number of models whose versions are kept."""
+
 
 class VersionsSlice(Slice):
     """Newest version of each model; an older one never replaces it."""
@@ -19,6 +29,11 @@
         """Apply one committed command."""
         match command:
             case NameVersion(model=model, version=version):
+                if (
+                    model not in self.newest_by_model
+                    and len(self.newest_by_model) >= MAX_MODELS
+                ):
+                    return Rejected(RefusalReason.NO_ROOM, "too many models are named")
                 known = self.newest_by_model.get(model, WeightVersion(0))
                 self.newest_by_model[model] = max(known, version)
                 return Accepted()
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -38,6 +38,7 @@
     json_response,
     refusal_response,
 )
+from goldcrestyard.platform.bodies import NO_ROOM
 from goldcrestyard.platform.callers.requests import host_of, key_of, path_of
 from goldcrestyard.platform.names import (
     ITEM_PATH,
@@ -45,6 +46,7 @@
     RESULTS_PATH,
     WAIT_HEADER,
 )
+from goldcrestyard.plugins.listeners.connections import lease_of
 from goldcrestyard.state.commands import Accepted, Command, Rejected
 
 logger = structlog.get_logger(__name__)
@@ -184,15 +186,25 @@
         if isinstance(organisation, Refusal):
             return refusal_response(organisation)
         job = JobId(path_of(request).removeprefix(ITEM_PATH))
-        read = ReadItem(job, organisation, ItemId(request.query.get("id", "")))
-        match await self._link.request(read, READ_TIMEOUT_SECONDS):
-            case ItemBody(body=body):
-                return web.Response(body=body)
-            case NoSuchJob():
-                return refusal_response(UNKNOWN_JOB)
-            case reply:
-                logger.info("leader did not return the item", job=job, reply=str(reply))
-                return refusal_response(LEADER_UNAVAILABLE)
+        item = ItemId(request.query.get("id", ""))
+        body = bytearray()
+        while True:
+            read = ReadItem(job, organisation, item, len(body))
+            match await self._link.request(read, READ_TIMEOUT_SECONDS):
+                case ItemBody(body=part, size=size):
+                    if not lease_of(request).grow(len(part)):
+                        return refusal_response(NO_ROOM)
+                    body += part
+                    if len(body) >= size:
+                        return web.Response(body=bytes(body))
+                case NoSuchJob():
+                    # An item that was listed meanwhile has no body any more.
+                    return refusal_response(UNKNOWN_JOB)
+                case reply:
+                    logger.info(
+                        "leader did not return the item", job=job, reply=str(reply)
+                    )
+                    return refusal_response(LEADER_UNAVAILABLE)
 
     async def _end(
         self, job: JobId, organisation: OrganisationId | None
--- a/goldcrestyard/platform/submissions.py
+++ b/goldcrestyard/platform/submissions.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from goldcrestyard.core.decoding import (
+    MAX_ID_LENGTH,
     Malformed,
     WholeNumber,
     decode_json,
@@ -141,6 +142,9 @@
     """Return whether the requests of an item can be sent to any target."""
     if not (is_id(item.id) and is_path(item.path)):
         return False
+    # These outlive the item, in what is learned of the engines.
+    if max(len(item.group), len(item.model)) > MAX_ID_LENGTH:
+        return False
     if not all(is_header(name, value) for name, value in item.headers):
         return False
     reward = item.reward
--- a/goldcrestyard/plugins/targets/slices.py
+++ b/goldcrestyard/plugins/targets/slices.py
@@ -38,6 +38,10 @@
 target that starts again is kept out if the clocks differ."""
 
 
+MAX_TARGETS = 8192
+"""Several times the number of targets of the largest deployment."""
+
+
 class TargetsSlice(Slice):
     """Targets by id, each with its home."""
 
@@ -121,6 +125,8 @@
 
     def _announce(self, command: AnnounceTarget, time: float) -> Outcome:
         target, home = command.target, command.home
+        if target.id not in self.homed_by_id and len(self.homed_by_id) >= MAX_TARGETS:
+            return Rejected(RefusalReason.NO_ROOM, "too many targets are known")
         known = self.homed_by_id.get(target.id)
         removed = self._removed_by_run.get((target.id, target.incarnation))
         state: TargetState | None = TargetState.READY
--- a/goldcrestyard/wire/connection.py
+++ b/goldcrestyard/wire/connection.py
@@ -87,6 +87,9 @@
         self._replies_by_id: dict[int, asyncio.Future[Any]] = {}
         self._next_id = 0
         self._slots = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
+        # Held while a message is encoded and sent: a peer that reads slowly
+        # leaves one encoded message in memory, not all of them.
+        self._sending = asyncio.Lock()
         self._handler_tasks: asyncio.TaskGroup | None = None
         self.closed = False
 
@@ -174,7 +177,8 @@
     async def _send_frame(
         self, kind: FrameKind, frame_id: int, message: object
     ) -> None:
-        await self._socket.send(_encode_frame(self._codec, kind, frame_id, message))
+        async with self._sending:
+            await self._socket.send(_encode_frame(self._codec, kind, frame_id, message))
 
     def _complete_request(self, frame_id: int, message: object) -> None:
         reply = self._replies_by_id.get(frame_id)
