Tell a retirement as complete only once the removal is committed

A retiring machine counted as empty when its member was missing in the leader's latest configuration, committed or not; at that word the platform takes the machine and its disk away. If the leader is cut off then, the removal may never be committed, and the member is still needed for a majority.

Change: the machine is empty once no member is on it in the committed configuration either, told by a leader that holds its lease.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -486,6 +486,21 @@
             for member in core.configuration.members
         ]
 
+    def settled_instances(self) -> frozenset[InstanceId]:
+        """Return the instances of which a member may still be needed.
+
+        These are the instances in the committed configuration and in the
+        latest one: a removal that is not committed may never be.
+        """
+        core = self._core
+        if core is None:
+            return frozenset()
+        return frozenset(
+            member.instance
+            for configuration in (core.committed_configuration, core.configuration)
+            for member in configuration.members
+        )
+
     async def add_learner(
         self, instance: InstanceId, address: str, timeout: float = 10.0
     ) -> ProposalResult:
--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -131,6 +131,11 @@
         """The latest configuration in the log, committed or not."""
         return self.log.configuration
 
+    @property
+    def committed_configuration(self) -> Configuration:
+        """The latest configuration that is known to be committed."""
+        return self.log.configuration_at(self.commit_index)
+
     @property
     def has_committed_in_term(self) -> bool:
         """Whether this member leads and has committed an entry of its term.
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -120,11 +120,15 @@
     def is_retired(self, machine: str) -> bool | None:
         """Return whether a retiring machine no longer hosts a member.
 
-        None means that the machine is not retiring.
+        None means that the machine is not retiring.  The machine and its disk
+        may be taken away once this is true, so the removal must be committed.
         """
         if machine not in self._machines.retiring:
             return None
-        return self._machines.instance_of(machine) not in self._member_instances()
+        if not self._member.holds_lease():
+            return False
+        instance = self._machines.instance_of(machine)
+        return instance not in self._member.settled_instances()
 
     def _member_instances(self) -> set[InstanceId]:
         return {status.instance for status in self._member.member_statuses()}
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -297,6 +297,39 @@
         await self.network.wait(lambda: "d" in self.assembly.voters(), "its vote")
         await self._assert_data_is_kept()
 
+    async def test_removal_that_is_not_committed_is_not_told(self) -> None:
+        """Guards against a disk that is taken away while it is needed."""
+        leader, retired = self.leader, self._follower()
+        names = leader.machine.get(MachinesSlice).names_by_instance
+        await self.assembly.start("d")
+        await self.network.wait(lambda: len(names) == 4, "the machines' names")
+        manager = self.assembly.managers[leader.instance]
+        self.assertIsNone(await manager.retire(f"machine-{retired}"))
+        told_early = False
+        cut = False
+
+        def watch() -> bool:
+            nonlocal told_early, cut
+            latest = {status.instance for status in leader.member_statuses()}
+            if retired not in latest and not cut:
+                # The leader has just appended the removal.
+                self.network.isolate(leader.instance)
+                cut = True
+            if cut:
+                told_early |= bool(manager.is_retired(f"machine-{retired}"))
+            return cut and not leader.is_leader
+
+        await self.network.wait(watch, "a leader that is cut off", 0.001)
+        self.assertFalse(told_early)
+        self.network.heal()
+        await self.network.wait(
+            lambda: any(
+                self.assembly.managers[member.instance].is_retired(f"machine-{retired}")
+                for member in self.network.leaders
+            ),
+            "the committed removal",
+        )
+
     async def test_retirement_needs_a_machine_in_its_place(self) -> None:
         retiring = self._follower()
         machine = f"machine-{retiring}"
