--- a/goldcrestyard/fleet/tracking/tracker.py
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -162,8 +162,11 @@
         """Record a weight version from an answer or a report of a target.
 
         A new leader can use the target at once, without waiting for its next
-        heartbeat.
+        heartbeat.  An answer of an earlier run says nothing of this one.
         """
+        present = self._targets.find(target.id)
+        if present is None or present.incarnation != target.incarnation:
+            return
         tracked = self.tracked_by_id.get(target.id)
         if tracked is None or tracked.incarnation != target.incarnation:
             tracked = TrackedTarget(target.incarnation, -1, self._clock.monotonic())
--- a/tests/fleet/test_tracker.py
+++ b/tests/fleet/test_tracker.py
@@ -113,3 +113,12 @@
         self.assertEqual(self.tracker.versions(target), {MODEL: 5})
         await self._beat(started_at_ms=2000, sequence=1)
         self.assertEqual(self.tracker.versions(target), {})
+        self.tracker.record_version(target, MODEL, WeightVersion(7))
+        present = self.targets.find(T)
+        assert present is not None
+        self.assertEqual(self.tracker.versions(present), {})
+        await self._beat(
+            started_at_ms=2000, sequence=2, versions_by_model={MODEL: WeightVersion(1)}
+        )
+        self.tracker.record_version(target, MODEL, WeightVersion(7))
+        self.assertEqual(self.tracker.versions(present), {MODEL: 1})
