--- a/goldcrestyard/consensus/applied.py
+++ b/goldcrestyard/consensus/applied.py
@@ -83,9 +83,11 @@
         """Replace the state by that of a snapshot, and call the listeners."""
         state = self._codec.decode(snapshot.data)
         assert isinstance(state, MachineSnapshot)
+        # Each encoded slice is dropped once it is decoded, as all of them take
+        # as much memory as the state.
+        encoded = state.snapshots_by_name
         snapshots = {
-            name: self._codec.decode(data)
-            for name, data in state.snapshots_by_name.items()
+            name: self._codec.decode(encoded.pop(name)) for name in list(encoded)
         }
         self._machine.load_snapshots(snapshots, snapshot.index, state.revision)
         self.advance_time(state.last_time)
--- a/goldcrestyard/policy/memory.py
+++ b/goldcrestyard/policy/memory.py
@@ -14,7 +14,7 @@
 """Memory of a process itself: the interpreter, its modules, connections and
 all state that is small and bounded in number."""
 
-JOBS_SHARE = 0.17
+JOBS_SHARE = 0.13
 """Share for the replicated jobs.  While a snapshot is taken or installed, they
 are held up to five times: as state, as a snapshot and while one is encoded."""
 
--- a/goldcrestyard/storage/atomic_file.py
+++ b/goldcrestyard/storage/atomic_file.py
@@ -10,6 +10,10 @@
 _HEADER = struct.Struct("<IQ")
 """CRC-32 of the content, and its length in bytes."""
 
+MAX_JOINED_BYTES = 64 * 1024
+"""Size up to which the content is written at once.  Larger parts are written
+one by one, since a copy of all would take as much memory again."""
+
 
 class AtomicFile:
     """A file that holds either the old or the new content after a crash."""
@@ -19,7 +23,7 @@
         self._temporary = path.with_name(path.name + ".new")
         self._files = files
 
-    def read(self) -> bytes | None:
+    def read(self) -> memoryview | None:
         """Return the content, or None if there is no file.
 
         Raises ``CorruptFileError`` if its checksum or length does not match.
@@ -29,7 +33,7 @@
             return None
         if len(data) >= _HEADER.size:
             checksum, length = _HEADER.unpack_from(data)
-            content = data[_HEADER.size :]
+            content = memoryview(data)[_HEADER.size :]
             if length == len(content) and zlib.crc32(content) == checksum:
                 return content
         raise CorruptFileError(
@@ -37,15 +41,22 @@
             "folder aside and replace this member from the others."
         )
 
-    def write(self, content: bytes) -> None:
-        """Replace the content; it is durable on return.
+    def write(self, *parts: bytes) -> None:
+        """Replace the content by some parts; it is durable on return.
 
         Raises ``DiskError`` if a file operation fails.
         """
-        header = _HEADER.pack(zlib.crc32(content), len(content))
+        checksum = 0
+        for part in parts:
+            checksum = zlib.crc32(part, checksum)
+        size = sum(map(len, parts))
+        written = (_HEADER.pack(checksum, size), *parts)
+        if size <= MAX_JOINED_BYTES:
+            written = (b"".join(written),)
         try:
             self._files.remove(self._temporary)
-            self._files.append(self._temporary, header + content)
+            for part in written:
+                self._files.append(self._temporary, part)
             self._files.sync(self._temporary)
             self._files.replace(self._temporary, self._path)
             self._files.sync_folder(self._path.parent)
--- a/goldcrestyard/storage/snapshots.py
+++ b/goldcrestyard/storage/snapshots.py
@@ -43,13 +43,16 @@
         index, term, length = _HEADER.unpack_from(content)
         split = _HEADER.size + length
         return SnapshotRecord(
-            LogIndex(index), Term(term), content[_HEADER.size : split], content[split:]
+            LogIndex(index),
+            Term(term),
+            bytes(content[_HEADER.size : split]),
+            bytes(content[split:]),
         )
 
     def write(self, record: SnapshotRecord) -> None:
         """Replace the snapshot; it is durable on return."""
         header = _HEADER.pack(record.index, record.term, len(record.configuration))
-        self._file.write(header + record.configuration + record.data)
+        self._file.write(header, record.configuration, record.data)
 
     def discard_failed_write(self) -> None:
         """Remove what a write that did not end has left behind."""
--- a/goldcrestyard/storage/vote_file.py
+++ b/goldcrestyard/storage/vote_file.py
@@ -37,7 +37,7 @@
         content = self._file.read()
         if content is None:
             return None
-        record = decode_json(content, VoteRecord)
+        record = decode_json(bytes(content), VoteRecord)
         if isinstance(record, Malformed):
             raise CorruptFileError(
                 f"The vote file cannot be decoded: {record.detail}. Move the data "
