Show the bound on texts with tests, and log it once

Cause: the bound on the texts of items had a test with real engines only, and its log line came with each pass of the scheduler. A large job may take five seconds to store, but a front that stops took it with two seconds left.

Change: tables of the runner with texts that are too long or without end, a room that many texts share, and jobs that fill their share. The line is logged when the room ends, with the sizes. A front that stops takes a large job only if it can be answered in time.

--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -181,6 +181,7 @@
         ``shares`` bound what the texts of items take.
         """
         self._max_jobs_bytes = shares.jobs
+        self._had_room = True
         self._text_room = ByteRoom(shares.texts)
         self._is_leaving = is_leaving
         self._permitted_runs = permitted_runs
@@ -377,10 +378,7 @@
     def _start_runs(self) -> None:
         waiting = {item.key: item for item in self._waiting_items()}
         engines = self._available_engines() if waiting else []
-        if waiting and self._jobs.held_bytes(self._clock.wall()) > self._max_jobs_bytes:
-            logger.warning(
-                "no room for further texts; items wait", waiting=len(waiting)
-            )
+        if waiting and not self._has_room_for_texts():
             engines = []
         for key, target_id in assign(waiting.values(), engines):
             del waiting[key]
@@ -396,6 +394,18 @@
             self._slots_in_use,
         )
 
+    def _has_room_for_texts(self) -> bool:
+        """Return whether the jobs leave room for the texts of further runs."""
+        held = self._jobs.held_bytes(self._clock.wall())
+        had_room, self._had_room = self._had_room, held <= self._max_jobs_bytes
+        if had_room and not self._had_room:
+            logger.warning(
+                "no room for further texts; items wait",
+                held_bytes=held,
+                max_bytes=self._max_jobs_bytes,
+            )
+        return self._had_room
+
     def _waiting_items(self) -> list[WaitingItem]:
         now = self._clock.monotonic()
         waiting: list[WaitingItem] = []
--- a/goldcrestyard/platform/callers/front.py
+++ b/goldcrestyard/platform/callers/front.py
@@ -26,7 +26,11 @@
 from goldcrestyard.platform.answers import refusal_response, target_response
 from goldcrestyard.platform.bodies import read_body
 from goldcrestyard.platform.callers import requests
-from goldcrestyard.platform.callers.jobs import COMMIT_TIMEOUT_SECONDS, JobEndpoints
+from goldcrestyard.platform.callers.jobs import (
+    COMMIT_TIMEOUT_SECONDS,
+    JobEndpoints,
+    submission_seconds,
+)
 from goldcrestyard.platform.names import ITEM_PATH, RESULTS_PATH
 from goldcrestyard.plugins.listeners.connections import lease_of
 from goldcrestyard.policy.planned_stop import can_end_in_time
@@ -34,7 +38,7 @@
 logger = structlog.get_logger(__name__)
 
 JOB_REQUEST_SECONDS = COMMIT_TIMEOUT_SECONDS
-"""Longest time in seconds until a trainer's request is answered."""
+"""Longest time in seconds until a trainer's request for a job is answered."""
 
 STOPPING = Refusal(
     RefusalReason.DRAINING,
@@ -107,7 +111,8 @@
             return await self._jobs.item(request)
         route = self._admission.find_route(requests.host_of(request), path)
         if isinstance(route, ServingRoute) and route.kind is RouteKind.ROLLOUT:
-            if not self._can_end(JOB_REQUEST_SECONDS, None, repeatable_call=False):
+            seconds = submission_seconds(len(body))
+            if not self._can_end(seconds, None, repeatable_call=False):
                 return refusal_response(STOPPING)
             return await self._jobs.submit(request, body)
         return await self._answer_call(request, body, arrived_at)
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -77,6 +77,12 @@
 )
 
 
+def submission_seconds(body_bytes: int) -> float:
+    """Return the longest time until a submitted job is answered."""
+    large = body_bytes > MAX_PART_BYTES
+    return STAGING_TIMEOUT_SECONDS if large else COMMIT_TIMEOUT_SECONDS
+
+
 class JobEndpoints:
     """Decodes trainers' requests and passes them to the leader."""
 
--- a/tests/fakes/targets.py
+++ b/tests/fakes/targets.py
@@ -48,6 +48,8 @@
     event_seconds: float = 0.03
     slows_after: int | None = None
     """The event after which each one takes ten times as long."""
+    padding: bytes = b""
+    """Text that follows the number in each event."""
 
 
 @dataclass(frozen=True)
@@ -108,7 +110,7 @@
             if behaviour.silent_after is not None and number > behaviour.silent_after:
                 await asyncio.get_running_loop().create_future()
             changed = number == behaviour.changes_at
-            data = b"%d" % number
+            data = b"%d" % number + behaviour.padding
             yield StreamEvent(
                 EventNumber(number),
                 data,
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 from prometheus_client import CollectorRegistry
 
+from goldcrestyard.consensus.control_member import DEFAULT_SHARES
 from goldcrestyard.core.ids import (
     DataCentre,
     JobId,
@@ -30,6 +31,7 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
+from goldcrestyard.policy.memory import ControlShares
 from tests.fakes.announcements import announce
 from tests.fakes.member import FakeMember, apply, machine_of
 from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
@@ -68,6 +70,7 @@
 
 
 ERRORED = ItemOutcome.ERRORED
+LONG = b"x" * 300_000
 SERVER_ERROR = Answers(status=500)
 
 CASES = [
@@ -95,6 +98,8 @@
         versions=(2,),
         prefix="/single/",
     ),
+    Case("text_too_long_then_whole", (Streams(9, padding=LONG), Streams(3)), runs=2),
+    Case("text_without_end", (Streams(10**6, padding=LONG), Streams(3)), runs=2),
     Case("scorer_fails_once", (Streams(3),), scorers=(SERVER_ERROR, *SCORED)),
     Case("scorer_is_cut_off", (Streams(3),), scorers=(RESET, FULL, *SCORED)),
     Case("scorer_hangs_once", (Streams(3),), scorers=(Hangs(), *SCORED)),
@@ -135,6 +140,7 @@
         scorers: tuple[Behaviour, ...] = SCORED,
         engine_count: int = 2,
         leaving: frozenset[str] = frozenset(),
+        shares: ControlShares = DEFAULT_SHARES,
     ) -> "asyncio.Task[None]":
         clock = self.clock()
         targets = self.machine.get(TargetsSlice)
@@ -168,7 +174,9 @@
             clock,
             random.Random(1),
             is_leaving=lambda target: target.id in leaving,
+            shares=shares,
         )
+        self.text_room = runner._text_room
         task = asyncio.create_task(runner.run())
         self.addAsyncCleanup(self._stop, task)
         return task
@@ -208,6 +216,44 @@
             self.assertEqual(result.text, b"1\n2\n3")
             self.assertEqual(result.score, "score")
 
+    async def test_texts_of_many_items_share_a_room(self) -> None:
+        """Guards against texts that exceed the memory of the leader together.
+
+        All items are listed in the end, though not all texts fit at a time.
+        """
+        room = 30_000
+        self._start(
+            (Streams(3, padding=b"x" * 1000),),
+            engine_count=4,
+            shares=replace(DEFAULT_SHARES, texts=room),
+        )
+        submit = SubmitJob(scored_job("/jobs/", items=40))
+        apply(self.machine, submit, time=self.clock().wall())
+        most = 0
+        state = self.jobs.jobs_by_id[JobId("job")]
+        async with asyncio.timeout(LISTING_TIMEOUT_SECONDS):
+            while len(state.results) < 40:
+                most = max(most, self.text_room.held)
+                await asyncio.sleep(0.005)
+        self.assertLessEqual(most, room)
+        self.assertGreater(most, room / 2)
+        self.assertEqual({r.outcome for r in state.results}, {ItemOutcome.COMPLETE})
+        self.assertEqual(self.text_room.held, 0)
+
+    async def test_no_run_begins_while_the_jobs_fill_their_share(self) -> None:
+        """Guards against texts for which the members have no room."""
+        submit = SubmitJob(scored_job("/jobs/"))
+        apply(self.machine, submit, time=self.clock().wall())
+        other = replace(scored_job("/none/", items=9), id=JobId("other"))
+        apply(self.machine, SubmitJob(other), time=self.clock().wall())
+        held = self.jobs.held_bytes(self.clock().wall())
+        shares = replace(DEFAULT_SHARES, jobs=held - 100)
+        self._start((Streams(3),), shares=shares)
+        await asyncio.sleep(5.0)
+        self.assertEqual(self._engine_calls(), [])
+        apply(self.machine, EndJob(other.id, other.organisation))
+        await self._wait_listed()
+
     @parameterized.expand([("ahead", 40.0), ("back", -40.0)])
     async def test_jump_of_the_time_of_day(self, _: str, seconds: float) -> None:
         """Guards against items that are given up before their time."""
