--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -32,7 +32,7 @@
 from goldcrestyard.fleet.versions.work import JobWork
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
-from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
+from goldcrestyard.kernel.default_settings import InstanceSettings, process_bytes
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
 from goldcrestyard.policy.memory import control_shares
@@ -70,14 +70,13 @@
         if member is None:
             return
         JobReader(member, app.clock).register(app.get(Handlers))
-        memory = app.settings.find(MemorySettings) or MemorySettings()
         jobs = member.machine.get(JobsSlice)
         app.get(FleetMetrics).jobs_bytes.set_function(
             lambda: jobs.held_bytes(app.clock.wall())
         )
         admission = JobAdmission(
             jobs,
-            control_shares(memory.process_bytes).admitted_jobs,
+            control_shares(process_bytes(app.settings)).admitted_jobs,
             lambda: member.term,
             app.clock,
         )
@@ -93,7 +92,6 @@
         location = CallerLocation(instance.data_centre, instance.region)
         client = app.get(TargetClient)  # type: ignore[type-abstract]
         permits = app.get(TargetPermits)
-        memory = app.settings.find(MemorySettings) or MemorySettings()
         leaving = app.get(LeavingTargets)
         router = CallRouter(
             member.machine.get(TargetsSlice),
@@ -117,7 +115,7 @@
             app.clock,
             permitted_runs=permits.available,
             is_leaving=leaving.includes,
-            shares=control_shares(memory.process_bytes),
+            shares=control_shares(process_bytes(app.settings)),
         )
         app.supervise(
             partial(while_leading, member, "run jobs", runner.run), "run jobs"
--- a/goldcrestyard/fleet/memory/apps.py
+++ b/goldcrestyard/fleet/memory/apps.py
@@ -5,7 +5,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.byte_room import ByteRoom
-from goldcrestyard.kernel.default_settings import MemorySettings
+from goldcrestyard.kernel.default_settings import process_bytes
 from goldcrestyard.policy.memory import control_shares, entry_body_bytes
 
 
@@ -18,12 +18,12 @@
 
     def ready(self, app: Application) -> None:
         """Create the room, by the memory of the process and its role."""
-        memory = app.settings.find(MemorySettings) or MemorySettings()
+        available = process_bytes(app.settings)
         member = app.find(ControlMember)
         capacity = (
-            entry_body_bytes(memory.process_bytes)
+            entry_body_bytes(available)
             if member is None
-            else control_shares(memory.process_bytes).bodies
+            else control_shares(available).bodies
         )
         room = app.provide(ByteRoom, ByteRoom(capacity))
         metrics = app.get(FleetMetrics)
--- a/goldcrestyard/kernel/default_settings.py
+++ b/goldcrestyard/kernel/default_settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
-from goldcrestyard.kernel.settings import setting
+from goldcrestyard.kernel.settings import Settings, setting
 
 
 @dataclass(frozen=True)
@@ -28,3 +28,8 @@
         "callers, peers and targets make it keep is bounded accordingly.",
         512_000_000,
     )
+
+
+def process_bytes(settings: Settings) -> int:
+    """Return the memory in bytes that this process may use."""
+    return (settings.find(MemorySettings) or MemorySettings()).process_bytes
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -23,7 +23,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.checks import Check
-from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
+from goldcrestyard.kernel.default_settings import InstanceSettings, process_bytes
 from goldcrestyard.membership.change_feed import ChangeFeed
 from goldcrestyard.membership.digests import LeaderDigests
 from goldcrestyard.membership.entry_sessions import EntrySessions
@@ -101,7 +101,6 @@
     """
     codec = app.get(Codec)
     handlers = app.get(Handlers)
-    memory = app.settings.find(MemorySettings) or MemorySettings()
     machine = StateMachine(slice_class() for slice_class in app.slice_classes)
     member = app.provide(
         ControlMember,
@@ -116,7 +115,7 @@
             own_address=app.settings.section(ClusterSettings).peer_address,
             timing=_timing(control),
             snapshot_entries=control.snapshot_entries,
-            shares=control_shares(memory.process_bytes),
+            shares=control_shares(process_bytes(app.settings)),
         ),
     )
     member.register(handlers)
