--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -63,6 +63,8 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     in_progress: Counter[str] = field(default_factory=Counter)
     """The number of requests in progress, by request id."""
+    events_sent: Counter[str] = field(default_factory=Counter)
+    """The number of events sent in all runs of a request, by its id."""
     draining: bool = False
 
     def __post_init__(self) -> None:
@@ -237,5 +239,6 @@
         for number in range(last + 1, self.events + 1):
             await asyncio.sleep(self.event_seconds)
             await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            self.events_sent[request.headers.get(REQUEST_ID_HEADER, "")] += 1
         await response.write_eof()
         return response
