Never acknowledge a job that is not whole after its last part

Cause: found when the diff was read. If the leader took every part of a job and none of them completed it, the front answered 202. No way to that state is known, but a success must tell of something recorded.

Change: such a submission is in doubt (504), which the trainer repeats.

Measured: the row never_whole of tests.platform.test_job_parts fails without the change (202 for 504) and passes with it.

--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -238,6 +238,8 @@
                 ):
                     results = await asyncio.gather(*map(self._propose_part, following))
                     result = min(results, key=_needs_more_parts)
+            if _needs_more_parts(result):
+                result = InDoubt("the job is not whole after its last part")
         except TimeoutError:
             result = InDoubt(f"not committed within {STAGING_TIMEOUT_SECONDS} s")
         return _refusal_of(result)
--- a/tests/platform/test_job_parts.py
+++ b/tests/platform/test_job_parts.py
@@ -115,6 +115,7 @@
                     ),
                     MAY_HAVE_RUN,
                 ),
+                PartsCase("never_whole", lambda _, __: APPLIED, MAY_HAVE_RUN),
                 PartsCase("always_in_doubt", lambda _, __: IN_DOUBT, MAY_HAVE_RUN),
             )
         ]
