--- a/goldcrestyard/platform/callers/apps.py
+++ b/goldcrestyard/platform/callers/apps.py
@@ -69,9 +69,8 @@
             app.get(FleetMetrics),
             app.clock,
         )
-        self._callers = HandlerListener(
-            self._front.handle, connection_limits, app.get(ByteRoom)
-        )
+        room = app.get(ByteRoom)
+        self._callers = HandlerListener(self._front.handle, connection_limits, room)
 
         async def readiness(request: web.BaseRequest) -> web.StreamResponse:
             ready = (
@@ -83,7 +82,7 @@
             status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
             return web.Response(status=status)
 
-        self._ready = HandlerListener(readiness, connection_limits)
+        self._ready = HandlerListener(readiness, connection_limits, room)
 
     async def serve(self, app: Application) -> None:
         """Open the listeners for callers and for the readiness check."""
--- a/goldcrestyard/platform/metrics/apps.py
+++ b/goldcrestyard/platform/metrics/apps.py
@@ -7,6 +7,7 @@
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.platform.answers import UNKNOWN_PATH, refusal_response
 from goldcrestyard.platform.names import METRICS_PATH, METRICS_PORT
 from goldcrestyard.plugins.listeners.connections import ConnectionLimits
@@ -18,7 +19,7 @@
     """Serves the metrics in the text format of Prometheus."""
 
     name = "platform_metrics"
-    requires = ("observability",)
+    requires = ("memory", "observability")
 
     def __init__(self) -> None:
         self._listener: HandlerListener | None = None
@@ -39,6 +40,7 @@
         self._listener = HandlerListener(
             scrape,
             lambda: ConnectionLimits(limits.header_seconds, limits.idle_seconds),
+            app.get(ByteRoom),
         )
         own = app.settings.section(ClusterSettings).peer_address
         await self._listener.open(f"{own.rpartition(':')[0]}:{METRICS_PORT}")
