Admit small jobs up to a larger share of the memory than large ones

Change: all jobs have a share of 0.2, and are admitted up to 0.9 of it; jobs that come in parts up to a share of 0.1.

--- a/goldcrestyard/fleet/jobs/admission.py
+++ b/goldcrestyard/fleet/jobs/admission.py
@@ -11,6 +11,7 @@
 from goldcrestyard.fleet.jobs.staging import StagingKey, staging_key
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.job_sizes import job_size
+from goldcrestyard.policy.memory import ControlShares
 from goldcrestyard.state.commands import AppliedEntry, Command
 
 logger = structlog.get_logger(__name__)
@@ -26,12 +27,12 @@
     def __init__(
         self,
         jobs: JobsSlice,
-        max_bytes: int,
+        shares: ControlShares,
         term: Callable[[], Term],
         clock: Clock,
     ) -> None:
         self._jobs = jobs
-        self._max_bytes = max_bytes
+        self._shares = shares
         self._term = term
         self._clock = clock
         self._proposed_in = Term(0)
@@ -41,11 +42,13 @@
         """Return why there is no room for a job, or None if it may come."""
         match command:
             case SubmitJob(job=job):
-                return self._admit(_key(job), job_size(job))
+                return self._admit(_key(job), job_size(job), self._shares.admitted_jobs)
             case StageJobPart(size=size):
                 key = staging_key(command)
                 known = key in self._jobs.staged_by_key
-                return None if known else self._admit(key, size)
+                return (
+                    None if known else self._admit(key, size, self._shares.large_jobs)
+                )
             case _:
                 return None
 
@@ -57,7 +60,7 @@
             case StageJobPart() as part:
                 self._proposed_bytes_by_key.pop(staging_key(part), None)
 
-    def _admit(self, key: StagingKey, size: int) -> str | None:
+    def _admit(self, key: StagingKey, size: int, max_bytes: int) -> str | None:
         if self._proposed_in != self._term():
             # What an earlier term proposed and did not commit never will be.
             self._proposed_bytes_by_key.clear()
@@ -66,15 +69,15 @@
             return None
         held = self._jobs.held_bytes(self._clock.wall())
         held += sum(self._proposed_bytes_by_key.values())
-        if held + size > self._max_bytes:
+        if held + size > max_bytes:
             logger.warning(
                 "job refused: no room",
                 job=key[0],
                 size=size,
                 held_bytes=held,
-                max_bytes=self._max_bytes,
+                max_bytes=max_bytes,
             )
-            return f"the jobs leave no room: {held} of {self._max_bytes} bytes are held"
+            return f"the jobs leave no room: {held} of {max_bytes} bytes are held"
         self._proposed_bytes_by_key[key] = size
         return None
 
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -76,7 +76,7 @@
         )
         admission = JobAdmission(
             jobs,
-            control_shares(process_bytes(app.settings)).admitted_jobs,
+            control_shares(process_bytes(app.settings)),
             lambda: member.term,
             app.clock,
         )
--- a/goldcrestyard/policy/memory.py
+++ b/goldcrestyard/policy/memory.py
@@ -14,9 +14,13 @@
 """Memory of a process itself: the interpreter, its modules, connections and
 all state that is small and bounded in number."""
 
-JOBS_SHARE = 0.13
+JOBS_SHARE = 0.2
 """Share for the replicated jobs.  While a snapshot is taken or installed, they
-are held up to five times: as state, as a snapshot and while one is encoded."""
+are held several times: as state, as a snapshot and while one is encoded."""
+
+LARGE_JOBS_SHARE = 0.1
+"""Share up to which jobs are admitted that arrive in parts.  Beside the jobs
+that are held already, such a job takes memory in its log entries."""
 
 LOG_SHARE = 0.09
 """Share for the log entries since the latest snapshot; half of it again may be
@@ -35,7 +39,7 @@
 """Share of an entry for the bodies of requests and answers in progress.  Those
 of a submitted job are held four times, in its encodings."""
 
-ADMISSION_SHARE = 0.8
+ADMISSION_SHARE = 0.9
 """Share of the room for jobs up to which jobs are admitted.  The rest is for
 the texts of the jobs that are running."""
 
@@ -45,9 +49,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlShares:
-    """Bounds in bytes of what a control member holds for others."""
+    """Bounds in bytes of what a control member holds for others.
+
+    ``large_jobs`` is that of all jobs while a large one is admitted.
+    """
 
     jobs: int
+    large_jobs: int
     log: int
     proposals: int
     bodies: int
@@ -64,6 +72,7 @@
     shared = max(MIN_SHARED_BYTES, process_bytes - RESERVED_CONTROL_BYTES)
     return ControlShares(
         int(JOBS_SHARE * shared),
+        int(LARGE_JOBS_SHARE * shared),
         int(LOG_SHARE * shared),
         int(PROPOSALS_SHARE * shared),
         int(CONTROL_BODIES_SHARE * shared),
