Let the leader say how many losses the control cluster can bear

A cluster of three voters was left with two sound ones and no learner for nine seconds, and no line said so before the next disk was lost.

Change: at each check of the members the leader counts sound voters, the disks that can be lost now, lost voters without a successor and retirements that wait. It logs the result when it has changed: as an error if a machine has to be added, as a warning if a learner takes over. A new leader waits for as long as a voter may be silent. What is decided on members is unchanged.

--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -23,6 +23,7 @@
     NameMachine,
     RetireMachine,
 )
+from goldcrestyard.fleet.assembly.health import ClusterHealthMonitor
 from goldcrestyard.fleet.assembly.slices import MachinesSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.membership import (
@@ -70,6 +71,7 @@
         self._join_requests_by_instance: dict[InstanceId, _JoinRequest] = {}
         self._first_seen_by_id: dict[MemberId, float] = {}
         self._learners_logged_at = float("-inf")
+        self.monitor = ClusterHealthMonitor(member, wanted_voters, clock)
 
     def register(self, handlers: Handlers) -> None:
         """Register the handler for join requests."""
@@ -80,6 +82,7 @@
         while True:
             facts = self._member_facts()
             self._log_learners(facts)
+            self.monitor.check(facts, self._machines.retiring_instances())
             change = next_membership_change(
                 facts,
                 self._joiners(),
