Log which voters a member without a leader has heard

After the loss of a majority the members logged that they had no leader, but not which voters were missing, nor that a process had started with an empty disk.

Change: each member logs its id, term, last index, voters and whether its disk was empty at the start. After 5 s without a leader, and then every 30 s, it logs the voters by its configuration with the time since their last answer on its links, and members that answer without a vote. Deployments of both daemons have it.

With the mechanism broken test_leader_watch fails: no bound of 5 s, no interval, a disk that always counts as used, no times of answers.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -50,6 +50,7 @@
 )
 from goldcrestyard.consensus.links import MemberLinks
 from goldcrestyard.consensus.member import Member
+from goldcrestyard.consensus.member_report import MemberReport, make_member_report
 from goldcrestyard.consensus.messages import (
     InstallSnapshot,
     MemberMessage,
@@ -486,6 +487,18 @@
             for member in core.configuration.members
         ]
 
+    def report(self) -> MemberReport | None:
+        """Return what this member knows; None if it has stopped."""
+        core = self._core
+        if core is None:
+            return None
+        return make_member_report(
+            core,
+            bool(self._disk.was_empty),
+            self._links.answered_at_by_member(),
+            self._clock.monotonic(),
+        )
+
     def settled_instances(self) -> frozenset[InstanceId]:
         """Return the instances of which a member may still be needed.
 
--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -63,6 +63,9 @@
         self._vote = VoteRecord("")
         # Whether the log's segments are all known.
         self._is_loaded = False
+        self.was_empty: bool | None = None
+        """Whether the disk held no state of a cluster when it was first
+        loaded; None before that."""
 
     @property
     def member_id(self) -> MemberId:
@@ -109,6 +112,8 @@
             self._vote = vote
             state = self._load_log(vote)
         self._is_loaded = True
+        if self.was_empty is None:
+            self.was_empty = not self.cluster
         return state
 
     def _load_log(self, vote: VoteRecord) -> PersistentState:
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -130,6 +130,8 @@
         self.address = address
         self.identity: MemberIdentity | None = None
         """Identity last reported from the address; None before the first."""
+        self.answered_at: float | None = None
+        """Time on the event loop's clock of the latest answer, or None."""
         self._replaced_members: set[MemberId] = set()
         self._dialer = dialer
         self._own_identity = own_identity
@@ -208,6 +210,7 @@
             self._record_replaced(self.identity.member)
         self._replaced_members.discard(reply.member)
         self.identity = reply
+        self.answered_at = asyncio.get_running_loop().time()
         self._on_identity(self.instance, reply)
         return True
 
@@ -262,6 +265,7 @@
         if size >= limit and seconds < RESPONSE_TIMEOUT_SECONDS / 4:
             self._batch_bytes = min(MAX_BATCH_BYTES, 2 * limit)
         if reply.member == receiver:
+            self.answered_at = sent_at + seconds
             self._on_messages(receiver, reply.messages)
             return True
         self._record_replaced(receiver)
--- a/goldcrestyard/consensus/links.py
+++ b/goldcrestyard/consensus/links.py
@@ -69,6 +69,17 @@
             if link.identity is not None
         }
 
+    def answered_at_by_member(self) -> dict[MemberId, float]:
+        """Return the time of the latest answer of each member that answers.
+
+        Only the latest member of an instance is included.
+        """
+        return {
+            link.identity.member: link.answered_at
+            for link in self._links_by_instance.values()
+            if link.identity is not None and link.answered_at is not None
+        }
+
     def send(self, instance: InstanceId, receiver: MemberId, message: bytes) -> None:
         """Queue a message on the link to an instance.
 
--- a/goldcrestyard/fleet/assembly/apps.py
+++ b/goldcrestyard/fleet/assembly/apps.py
@@ -66,6 +66,7 @@
 
     async def serve(self, app: Application) -> None:
         """Request membership; manage the cluster while this member leads."""
+        await super().serve(app)
         member = app.get(ControlMember)
         app.supervise(app.get(ClusterJoiner).run, "join the cluster")
         manager = app.get(MembershipManager)
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -6,6 +6,7 @@
 
 from goldcrestyard.consensus.configuration import Configuration
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.leader_watch import LeaderWatch
 from goldcrestyard.consensus.link import MemberBatch, MemberIdentity, Received
 from goldcrestyard.consensus.messages import (
     Append,
@@ -82,6 +83,12 @@
             await member.start()
             app.spawn(member.wait_for_failure(), "control member")
 
+    async def serve(self, app: Application) -> None:
+        """Log the member's state at the start and without a leader."""
+        member = app.find(ControlMember)
+        if member is not None:
+            app.supervise(LeaderWatch(member, app.clock).run, "leader watch")
+
     async def stop(self, app: Application) -> None:
         """Close the log."""
         member = app.find(ControlMember)
--- /dev/null
+++ b/tests/fleet/test_leader_watch.py
@@ -0,0 +1,72 @@
+"""Tests of the log lines of a member without a leader (paused clock).
+
+Guards against a cluster without a majority of which no line says who is
+missing.
+"""
+
+import asyncio
+
+from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.leader_watch import (
+    CHECK_INTERVAL_SECONDS,
+    LEADERLESS_SECONDS,
+    REPEAT_SECONDS,
+    LeaderWatch,
+)
+from tests.fleet.test_cluster_health import ClusterTestCase
+
+LEADERLESS = "control member knows of no leader"
+STARTED = "control member started"
+
+
+class LeaderWatchTests(ClusterTestCase):
+    """The lines of a member that starts or has no leader."""
+
+    def watch(self, member: ControlMember) -> None:
+        task = asyncio.create_task(LeaderWatch(member, self.network.clock).run())
+        self.addCleanup(task.cancel)
+
+    async def test_member_without_leader_names_the_voters(self) -> None:
+        left = self.network.running[self.followers[0]]
+        self.watch(left)
+        ids = {member.member_id for member in self.network.running.values()}
+        emptied_id = self.network.running[self.followers[1]].member_id
+        for name in (str(self.leader.instance), self.followers[1]):
+            await self.assembly.stop(name, lose_disk=True)
+        await self.assembly.start(self.followers[1])
+        emptied = self.network.running[self.followers[1]]
+        line = await self.wait_event(LEADERLESS)
+        self.assertEqual("warning", line["log_level"])
+        self.assertGreater(line["leaderless_seconds"], LEADERLESS_SECONDS)
+        self.assertEqual(left.member_id, line["member"])
+        self.assertGreater(line["last_index"], 0)
+        silent = line["silent_seconds_by_voter"]
+        self.assertEqual(ids, set(silent))
+        self.assertEqual(0.0, silent[left.member_id])
+        self.assertGreater(silent[self.leader_id], LEADERLESS_SECONDS)
+        self.assertIsNone(silent[emptied_id], "another member answers there")
+        self.assertEqual((emptied.member_id,), line["other_members"])
+        await asyncio.sleep(REPEAT_SECONDS + 2 * CHECK_INTERVAL_SECONDS)
+        self.assertEqual(2, len(self.of(LEADERLESS)), "repeated after a while")
+
+    async def test_election_is_not_logged(self) -> None:
+        left = self.network.running[self.followers[0]]
+        self.watch(left)
+        await self.assembly.stop(str(self.leader.instance), lose_disk=True)
+        await self.network.leader(but=self.leader)
+        await asyncio.sleep(10.0)
+        self.assertEqual([], self.of(LEADERLESS))
+
+    async def test_start_tells_an_empty_disk(self) -> None:
+        name = self.followers[0]
+        before = self.network.running[name].member_id
+        for lose_disk in (False, True):
+            await self.assembly.stop(name, lose_disk=lose_disk)
+            self.watch(await self.assembly.start(name))
+            await asyncio.sleep(1.0)
+        kept, emptied = self.of(STARTED)
+        self.assertEqual((before, False), (kept["member"], kept["disk_was_empty"]))
+        self.assertEqual(3, len(kept["voters"]))
+        self.assertGreater(kept["last_index"], 0)
+        self.assertTrue(emptied["disk_was_empty"])
+        self.assertNotEqual(before, emptied["member"])
