--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -37,6 +37,10 @@
 
 FOUNDERS = ["a", "b", "c"]
 
+CATCH_UP_SECONDS = 4.8
+"""Time after its successor has started from which a lost machine no longer
+counts, so that another disk may be lost."""
+
 
 class Assembly:
     """Members with managers, and joiners that use the founders as seeds."""
@@ -351,3 +355,114 @@
         await self.network.wait(lambda: bool(manager.is_retired(machine)), "empty")
         await self.assembly.wait_voters(*({*FOUNDERS, "d"} - {retiring}))
         self.assertIsNone(await manager.retire(machine), "a repeated order")
+
+
+class EmptyingTests(AssemblyTestCase):
+    """Machines that are emptied and taken away while others are lost."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        self.leader = await self.network.leader()
+        names = self.leader.machine.get(MachinesSlice).names_by_instance
+        # A fourth machine that is lost for good: the order to empty another
+        # one is accepted, but waits for a machine in its place.
+        await self.assembly.start("d")
+        await self.network.wait(lambda: len(names) == 4, "the machines' names")
+        await self.assembly.stop("d", lose_disk=True)
+        await self.network.wait(
+            lambda: len(self.leader.member_statuses()) == 3, "the removal of d"
+        )
+
+    def _is_told_empty(self, name: str) -> bool:
+        return any(
+            self.assembly.managers[member.instance].is_retired(f"machine-{name}")
+            for member in self.network.leaders
+        )
+
+    @parameterized.expand(
+        [
+            ("at_once", 0.2),
+            ("after_1_second", 1.0),
+            ("before_the_loss_is_known", 1.6),
+            ("as_the_loss_is_known", 2.2),
+            ("after_the_loss_is_known", 3.0),
+        ]
+    )
+    async def test_lost_machine_does_not_count_as_one_that_remains(
+        self, _: str, successor_after: float
+    ) -> None:
+        """Guards against a majority lost with the disk of one machine.
+
+        A machine was emptied while another one was lost but not known to be:
+        the successor of the lost one took the place of the emptied one, and
+        two sound voters of three were left.
+        """
+        emptied, lost = (n for n in FOUNDERS if n != self.leader.instance)
+        manager = self.assembly.managers[self.leader.instance]
+        self.assertIsNone(await manager.retire(f"machine-{emptied}"))
+        await asyncio.sleep(3.0)
+        self.assertFalse(self._is_told_empty(emptied))
+        await self.assembly.stop(lost, lose_disk=True)
+        await asyncio.sleep(successor_after)
+        await self.assembly.start("e")
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        if self._is_told_empty(emptied):
+            await self.assembly.stop(emptied, lose_disk=True)
+        wiped = str(self.leader.instance)
+        await self.assembly.stop(wiped, lose_disk=True)
+        await self.assembly.start(wiped)
+        leader = await self.network.leader()
+        self.assertIsInstance(await put_organisation(leader, "after"), Applied)
+
+    async def test_lost_learner_does_not_take_the_place_of_an_emptied_machine(
+        self,
+    ) -> None:
+        """Guards against a vote for a machine that was lost a moment ago."""
+        emptied = next(n for n in FOUNDERS if n != self.leader.instance)
+        await self.assembly.start("e")
+        await self.network.wait(
+            lambda: any(
+                status.instance == "e" and self.leader.has_caught_up(status.id)
+                for status in self.leader.member_statuses()
+            ),
+            "the learner",
+        )
+        await self.assembly.stop("e", lose_disk=True)
+        await asyncio.sleep(1.0)
+        manager = self.assembly.managers[self.leader.instance]
+        self.assertIsNone(await manager.retire(f"machine-{emptied}"))
+        await asyncio.sleep(3.0)
+        self.assertFalse(self._is_told_empty(emptied))
+
+
+class ReplacementTests(AssemblyTestCase):
+    """A silent voter is replaced while its disk is still needed."""
+
+    async def test_leader_loses_its_disk_during_a_replacement(self) -> None:
+        """Guards against a replacement that needs each disk for a moment.
+
+        A voter that had been cut off was removed before its successor voted.
+        The leader lost its disk in between, and the one voter left could not
+        go on, though the removed one came back whole.
+        """
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        leader = await self.network.leader()
+        await self.assembly.start("d")
+        await self.network.wait(lambda: len(leader.member_statuses()) == 4, "d")
+        cut = next(n for n in FOUNDERS if n != leader.instance)
+        other = next(n for n in FOUNDERS if n not in (cut, leader.instance))
+        self.network.isolate(cut)
+        before = voters_of(leader)
+        await self.network.wait(
+            lambda: voters_of(self.network.running[other]) != before,
+            "the first change that the other voter stores",
+            0.001,
+        )
+        await self.assembly.stop(str(leader.instance), lose_disk=True)
+        self.network.heal()
+        await self.assembly.start(str(leader.instance))
+        leader = await self.network.leader()
+        self.assertIsInstance(await put_organisation(leader, "after"), Applied)
