Replace a voter through a joint configuration

Callers saw no leader after one disk was lost, though the budget of losses allowed it. A silent voter was removed before its successor was promoted, so that it did not count against the quorum; between the two changes each of the remaining disks was needed (two voters of two, with three wanted). If the leader lost its disk there, the other one could not go on, although the removed voter came back whole.

A replacement is now one change: from the moment at which it is appended, elections, commits and the lease need a majority of the old voters and one of the new voters.

New tests in test_member: commits, elections and the lease need both groups, and a new leader ends the replacement.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -36,6 +36,7 @@
     Receive,
     Refused,
     Remove,
+    Replace,
     Send,
     SnapshotTaken,
     Tick,
@@ -545,6 +546,33 @@
             return NotProposed(f"{instance} is not a learner")
         return await self._submit(lambda number: Promote(number, member.id))
 
+    async def replace(self, voter: MemberId, learner: MemberId) -> ProposalResult:
+        """Let a learner that has caught up take the vote of a voter.
+
+        Returns once the voter is no longer a member, or, with a result in
+        doubt, when this member ceases to lead before that.
+        """
+        result = await self._submit(lambda number: Replace(number, voter, learner))
+        while isinstance(result, Applied) and self._is_replacing(voter):
+            if not self.is_leader:
+                return InDoubt("this member has lost the leadership")
+            await asyncio.sleep(MEMBER_CHANGE_POLL_SECONDS)
+        return result
+
+    async def _wait_no_replacement(self, deadline: float) -> None:
+        """Wait until a replacement that an earlier leader began has ended."""
+        while self._core is not None and self._core.configuration.is_joint:
+            if self._clock.monotonic() >= deadline:
+                return
+            await asyncio.sleep(MEMBER_CHANGE_POLL_SECONDS)
+
+    def _is_replacing(self, voter: MemberId) -> bool:
+        core = self._core
+        return core is not None and any(
+            configuration.find(voter) is not None
+            for configuration in (core.committed_configuration, core.configuration)
+        )
+
     async def remove(self, member_id: MemberId) -> ProposalResult:
         """Remove a member from the configuration."""
         return await self._submit(lambda number: Remove(number, member_id))
@@ -564,6 +592,7 @@
         resumes after the last completed step.
         """
         deadline = self._clock.monotonic() + timeout
+        await self._wait_no_replacement(deadline)
         old_record = self._find_record(old, voter=True)
         learner = self._find_record(new_id, voter=False)
         if learner is None and (
@@ -577,30 +606,23 @@
             caught_up = await self._wait_caught_up(learner.id, deadline)
             if not caught_up:
                 return InDoubt(f"{new_id} has been added but has not caught up")
-        if old_record is not None and not self._is_responsive(old_record.id):
-            # An unreachable voter still counts towards the quorum size, so
-            # it is removed before the learner is promoted.
-            result = await self.remove(old_record.id)
-            if not isinstance(result, Applied):
-                return result
-            old_record = None
-        result = Applied(self._state.index, Accepted())
-        if learner is not None:
-            result = await self._promote_caught_up(learner, deadline)
-        if old_record is not None and isinstance(result, Applied):
-            result = await self.remove(old_record.id)
-        return result
+            return await self._give_vote(learner, old_record, deadline)
+        if old_record is not None:
+            return await self.remove(old_record.id)
+        return Applied(self._state.index, Accepted())
 
-    async def _promote_caught_up(
-        self, learner: MemberRecord, deadline: float
+    async def _give_vote(
+        self, learner: MemberRecord, old: MemberRecord | None, deadline: float
     ) -> ProposalResult:
-        """Promote a learner, again if it has fallen behind meanwhile.
+        """Give a learner a vote, that of ``old`` if there is such a voter.
 
-        Proposals go on while the lost voter is removed; until the learner
-        votes, the cluster tolerates no further loss.
+        Tries again if the learner has fallen behind meanwhile.
         """
         while True:
-            result = await self.promote(learner.instance)
+            if old is None:
+                result = await self.promote(learner.instance)
+            else:
+                result = await self.replace(old.id, learner.id)
             if not isinstance(result, NotProposed) or not await self._wait_caught_up(
                 learner.id, deadline
             ):
@@ -627,16 +649,6 @@
             return False
         return core.has_caught_up(self._clock.monotonic(), member_id)
 
-    def _is_responsive(self, member_id: MemberId) -> bool:
-        core = self._core
-        if core is None or member_id == core.id:
-            return core is not None
-        progress = core.progress_by_id.get(member_id)
-        if progress is None:
-            return False
-        silent_seconds = self._clock.monotonic() - progress.last_contact_at
-        return silent_seconds < self._timing.election_timeout_min
-
     def _find_record(self, instance: InstanceId, *, voter: bool) -> MemberRecord | None:
         core = self._core
         if core is None:
--- a/goldcrestyard/consensus/events.py
+++ b/goldcrestyard/consensus/events.py
@@ -53,6 +53,19 @@
     member: MemberId
 
 
+@dataclass(frozen=True, slots=True)
+class Replace:
+    """Replace a voter by a learner that has caught up, in one change.
+
+    ``number`` identifies the proposal.  It is applied once the joint
+    configuration is committed; the leader then ends the replacement.
+    """
+
+    number: int
+    voter: MemberId
+    learner: MemberId
+
+
 @dataclass(frozen=True, slots=True)
 class Remove:
     """Remove a member from the configuration.
@@ -72,7 +85,8 @@
     data: bytes
 
 
-Event = Tick | Receive | Propose | AddLearner | Promote | Remove | SnapshotTaken
+ConfigurationEvent = AddLearner | Promote | Replace | Remove
+Event = Tick | Receive | Propose | ConfigurationEvent | SnapshotTaken
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/consensus/log.py
+++ b/goldcrestyard/consensus/log.py
@@ -144,4 +144,4 @@
             else self._base_configuration
         )
         self.voters = self.configuration.voters
-        self.quorum = self.configuration.quorum
+        self.voter_groups = self.configuration.voter_groups
--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -12,12 +12,14 @@
 from goldcrestyard.consensus.configuration import (
     Configuration,
     MemberId,
+    has_quorum,
     quorum_value,
 )
 from goldcrestyard.consensus.events import (
     AddLearner,
     Appended,
     Apply,
+    ConfigurationEvent,
     Effect,
     Event,
     LoadSnapshot,
@@ -26,6 +28,7 @@
     Receive,
     Refused,
     Remove,
+    Replace,
     SaveEntries,
     SaveSnapshot,
     SaveVote,
@@ -196,7 +199,7 @@
                 self._handle_message(now, sender, message)
             case Propose(payloads_by_number=payloads):
                 self._propose(now, payloads)
-            case AddLearner() | Promote() | Remove():
+            case AddLearner() | Promote() | Replace() | Remove():
                 self._change_configuration(now, event)
             case SnapshotTaken(index=index, data=data):
                 self._compact_log(now, index, data)
@@ -253,9 +256,7 @@
         self._become_leader_if_quorum(now)
 
     def _has_vote_quorum(self) -> bool:
-        return (
-            len(self._votes_received.intersection(self.log.voters)) >= self.log.quorum
-        )
+        return has_quorum(self.log.voter_groups, self._votes_received)
 
     def _become_leader_if_quorum(self, now: float) -> None:
         if not self._has_vote_quorum():
@@ -546,20 +547,22 @@
                 self._send_snapshot_chunk(now, sender, progress)
 
     def _advance_commit(self, now: float) -> None:
-        matched = [
-            self.log.last_index
+        matched = {
+            voter: self.log.last_index
             if voter == self.id
             else self.progress_by_id[voter].match_index
             for voter in self.log.voters
-        ]
-        reached = LogIndex(int(quorum_value(matched, self.log.quorum)))
+        }
+        reached = LogIndex(int(quorum_value(self.log.voter_groups, matched)))
         # An entry of an earlier term may still be overwritten even if a
         # majority stores it; it commits with the next entry of this term.
         if reached > self.commit_index and self.log.term_at(reached) == self.term:
             self._commit(reached)
-            if self.configuration.find(self.id) is None and (
-                self.commit_index >= self.log.configuration_index
-            ):
+            if self.commit_index < self.log.configuration_index:
+                return
+            if self.configuration.is_joint:
+                self._append_configuration(now, self.configuration.without_replaced())
+            elif self.configuration.find(self.id) is None:
                 self._become_follower(now, self.term, None)
 
     def _commit(self, index: LogIndex) -> None:
@@ -573,13 +576,13 @@
         Every voter of the quorum has answered a message sent at this time or
         later.
         """
-        sent_at = [
-            float("inf")
+        sent_at = {
+            voter: float("inf")
             if voter == self.id
             else self.progress_by_id[voter].last_acknowledged_sent_at
             for voter in self.log.voters
-        ]
-        return quorum_value(sent_at, self.log.quorum)
+        }
+        return quorum_value(self.log.voter_groups, sent_at)
 
     # Replication, follower side.
 
@@ -725,15 +728,17 @@
 
     # Configuration.
 
-    def _change_configuration(
-        self, now: float, event: AddLearner | Promote | Remove
-    ) -> None:
+    def _change_configuration(self, now: float, event: ConfigurationEvent) -> None:
         changed = self._make_configuration(now, event)
         if isinstance(changed, str):
             self._effects.append(Refused(event.number, changed))
             return
         index = LogIndex(self.log.last_index + 1)
         self._effects.append(Appended(event.number, index, self.term))
+        self._append_configuration(now, changed)
+
+    def _append_configuration(self, now: float, changed: Configuration) -> None:
+        index = LogIndex(self.log.last_index + 1)
         entry = Entry(self.term, index, EntryKind.CONFIGURATION, b"", changed)
         kept = {
             member.id: self.progress_by_id.get(member.id, Progress(index))
@@ -751,13 +756,13 @@
             self.progress_by_id.pop(member_id, None)
 
     def _make_configuration(
-        self, now: float, event: AddLearner | Promote | Remove
+        self, now: float, event: ConfigurationEvent
     ) -> Configuration | str:
         """Return the new configuration, or the reason for refusing it."""
         current = self.configuration
         if not self.has_committed_in_term:
             return "this member does not lead"
-        if self.log.configuration_index > self.commit_index:
+        if self.log.configuration_index > self.commit_index or current.is_joint:
             return "another change of the members is not yet committed"
         match event:
             case AddLearner(member=member):
@@ -768,6 +773,8 @@
                 if not self.has_caught_up(now, member_id):
                     return f"{member_id} has not caught up"
                 return current.with_voter(member_id)
+            case Replace(voter=voter, learner=learner):
+                return self._make_replacement(now, voter, learner)
             case Remove(member=member_id):
                 if current.find(member_id) is None:
                     return f"{member_id} is not a member"
@@ -775,6 +782,16 @@
                     return f"{member_id} is the only voter"
                 return current.without_member(member_id)
 
+    def _make_replacement(
+        self, now: float, voter: MemberId, learner: MemberId
+    ) -> Configuration | str:
+        voters = self.configuration.voters
+        if voter not in voters or learner in voters:
+            return f"{learner} cannot take the vote of {voter}"
+        if not self.has_caught_up(now, learner):
+            return f"{learner} has not caught up"
+        return self.configuration.with_replacement(voter, learner)
+
     def has_caught_up(self, now: float, member_id: MemberId) -> bool:
         """Return whether a member replicates closely enough to be a voter.
 
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -33,6 +33,7 @@
     MemberFacts,
     MembershipChange,
     Promote,
+    Replace,
     may_retire,
     next_membership_change,
 )
@@ -95,9 +96,8 @@
                     "membership change finished", step=str(change), result=str(result)
                 )
                 if isinstance(result, Applied):
-                    # Go on at once: between the removal of a lost voter and
-                    # the promotion of its replacement the cluster tolerates
-                    # no further loss.
+                    # Go on at once: a cluster with too few voters tolerates
+                    # fewer losses than it should.
                     continue
             await asyncio.sleep(MEMBERSHIP_CHECK_INTERVAL_SECONDS)
 
@@ -194,6 +194,8 @@
                 )
             case Promote(instance=instance):
                 return await self._member.promote(instance)
+            case Replace(voter=voter, learner=learner):
+                return await self._member.replace(voter, learner)
             case Drop(id=member_id):
                 return await self._member.remove(member_id)
 
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -57,6 +57,15 @@
     instance: InstanceId
 
 
+@dataclass(frozen=True, slots=True)
+class Replace:
+    """Let a learner take the vote of a member, which leaves."""
+
+    voter: MemberId
+    learner: MemberId
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Drop:
     """Remove a member."""
@@ -65,7 +74,7 @@
     reason: str
 
 
-MembershipChange = Add | Promote | Drop
+MembershipChange = Add | Promote | Replace | Drop
 
 
 def next_membership_change(
@@ -97,9 +106,7 @@
         if _is_lost(member, members) or member.instance in retiring
     ]
     if promotable and (lost := [m for m in outgoing if _is_lost(m, members)]):
-        # A lost voter counts towards the quorum size, so it is removed before
-        # its replacement is promoted.
-        return Drop(lost[0].id, "lost, and another member takes its place")
+        return Replace(lost[0].id, promotable[0].id, "lost")
     remaining_voters = len(voters) - len(outgoing)
     if promotable and remaining_voters < wanted_voters:
         return Promote(promotable[0].instance)
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -26,6 +26,7 @@
     Receive,
     Refused,
     Remove,
+    Replace,
     SaveEntries,
     SaveVote,
     Send,
@@ -409,6 +410,8 @@
     ),
     RefusedChangeCase("unknown", Remove(9, D), "not a member"),
     RefusedChangeCase("not_caught_up", Promote(9, D), "has not caught up"),
+    RefusedChangeCase("replaced_by_a_voter", Replace(9, B, C), "cannot take the vote"),
+    RefusedChangeCase("replaces_no_voter", Replace(9, D, D), "cannot take the vote"),
     RefusedChangeCase("second_change", Remove(9, C), "not yet committed", pending=True),
 ]
 
@@ -453,6 +456,96 @@
         self.assertIs(subject.role, Role.LEARNER)
 
 
+@dataclass(frozen=True)
+class JointElectionCase:
+    """Votes in an election while D replaces C, and whether they suffice."""
+
+    name: str
+    votes: tuple[MemberId, ...]
+    wins: bool
+
+
+JOINT_ELECTION_CASES = [
+    JointElectionCase("other_old_and_new_voter", (B,), True),
+    JointElectionCase("replaced_voter_only", (C,), False),
+    JointElectionCase("new_voter_only", (D,), False),
+    JointElectionCase("replaced_and_new_voter", (C, D), True),
+]
+
+
+class ReplacementTests(unittest.TestCase):
+    """Replacement of the voter C by the learner D in one change.
+
+    Guards against a moment in which the disk of each single voter is needed,
+    and against two leaders, one of the old voters and one of the new ones.
+    """
+
+    def _start_replacement(self, replaced: MemberId = C) -> tuple[Member, float]:
+        subject, now = make_ready_leader(1)
+        subject.step(now, AddLearner(8, LEARNER))
+        acknowledge_log(subject, now, B, now)
+        acknowledge_log(subject, now, D, now)
+        subject.step(now, Replace(9, replaced, D))
+        self.assertEqual(subject.configuration.voters, (A, B, C, D))
+        return subject, now
+
+    @parameterized.expand(
+        [
+            ("both_groups", (B,), True),
+            ("old_group_only", (C,), False),
+            ("new_group_only", (D,), False),
+            ("one_of_each_group", (C, D), True),
+        ]
+    )
+    def test_commit(self, _: str, members: tuple[MemberId, ...], ends: bool) -> None:
+        subject, now = self._start_replacement()
+        for member in members:
+            acknowledge_log(subject, now, member, now)
+        self.assertEqual(subject.configuration.is_joint, not ends)
+        if ends:
+            self.assertEqual(subject.configuration.voters, (A, B, D))
+
+    @parameterized.expand([(case.name, case) for case in JOINT_ELECTION_CASES])
+    def test_election(self, _: str, case: JointElectionCase) -> None:
+        joint = configuration(A, B, C).with_learner(LEARNER).with_replacement(C, D)
+        entries = (
+            *log(1),
+            Entry(Term(1), LogIndex(2), EntryKind.CONFIGURATION, b"", joint),
+        )
+        saved = PersistentState(Term(1), None, None, entries)
+        subject = Member(A, saved, TIMING, random.Random(1), START)
+        now = subject.next_tick_at
+        subject.step(now, Tick())
+        for member in case.votes:
+            step(subject, now, member, PreVoteReply(subject.term, Term(2), True))
+        for member in case.votes:
+            step(subject, now, member, VoteReply(Term(2), True))
+        self.assertIs(subject.role is Role.LEADER, case.wins)
+        if case.wins:
+            for member in case.votes:
+                acknowledge_log(subject, now, member, now)
+            self.assertEqual(subject.configuration.voters, (A, B, D))
+
+    def test_lease_needs_an_answer_of_both_groups(self) -> None:
+        subject, now = self._start_replacement()
+        later = now + TIMING.heartbeat
+        reply = AppendReply(subject.term, True, LogIndex(1), Term(0), later)
+        step(subject, later, C, reply)
+        before = subject.lease_expires_at
+        step(subject, later, D, reply)
+        self.assertGreater(subject.lease_expires_at, before)
+
+    def test_replaced_leader_steps_down_at_the_end(self) -> None:
+        subject, now = self._start_replacement(A)
+        acknowledge_log(subject, now, B, now)
+        self.assertIs(subject.role, Role.LEADER)
+        acknowledge_log(subject, now, D, now)
+        acknowledge_log(subject, now, B, now)
+        self.assertIs(subject.role, Role.LEADER)
+        acknowledge_log(subject, now, C, now)
+        self.assertIs(subject.role, Role.LEARNER)
+
+
 class StorageOrderTests(unittest.TestCase):
     """The order of the effects of a step.
 
--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -31,6 +31,17 @@
 ZONES = {"a": "north", "b": "north", "c": "south"}
 
 
+VOTE_STEPS = ("Promote(", "Replace(")
+"""Beginnings of the logged membership changes that give a member a vote."""
+
+
+def gives_vote(step: str, host: str) -> bool:
+    """Return whether a logged membership change gives a vote to a host."""
+    return step.startswith(VOTE_STEPS) and (
+        f"(instance='{host}:" in step or f"learner='{host}:" in step
+    )
+
+
 def configuration(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> dict[str, Any]:
     """Return a configuration with a route of each type that the tests use."""
     plain = {"host": HOST, "timeout_ms": 3000, "slo_ms": 500, "attempts": 3}
