Give a vote only to a learner that has just answered

An emptying was told as complete although only two of the three voters left had a disk: the learner that took the place of the emptied machine had been lost a second before. A learner counted as caught up for a whole election timeout after its last answer, in which it may have been lost.

A member now counts as caught up only if it has answered within three heartbeats and stores the latest configuration. Silence shorter than that remains possible; a change that relies on such a member is made good by the next one, since the member counts as lost from then on.

--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -795,16 +795,19 @@
     def has_caught_up(self, now: float, member_id: MemberId) -> bool:
         """Return whether a member replicates closely enough to be a voter.
 
-        True only on the leader, for a member that has responded within the
-        election timeout and lacks few entries.
+        True only on the leader, for itself and for a member that has just
+        answered, lacks few entries, and stores the latest configuration.
         """
+        if self.role is not Role.LEADER or self.configuration.find(member_id) is None:
+            return False
+        if member_id == self.id:
+            return True
         progress = self.progress_by_id.get(member_id)
         return (
-            self.role is Role.LEADER
-            and progress is not None
-            and self.configuration.find(member_id) is not None
+            progress is not None
+            and progress.match_index >= self.log.configuration_index
             and progress.match_index + MAX_PROMOTION_LAG_ENTRIES >= self.log.last_index
-            and now - progress.last_contact_at < self._timing.election_timeout_min
+            and now - progress.last_contact_at < self._timing.confirmation
         )
 
     def _update_role_from_configuration(self) -> None:
--- a/goldcrestyard/consensus/timing.py
+++ b/goldcrestyard/consensus/timing.py
@@ -21,3 +21,12 @@
     """Time after its start for which a member refuses every candidate.  It is
     at least the lease, since the member may have acknowledged a heartbeat just
     before the restart."""
+
+    @property
+    def confirmation(self) -> float:
+        """Time since its last answer within which a member counts as running.
+
+        Any silence may be that of a lost member, so a change that relies on a
+        member needs an answer of a moment ago.
+        """
+        return 3 * self.heartbeat
