Release a retiring voter only beside enough that have just answered

A machine was to be emptied, and waited since only three keep the log. Another one was lost; its successor joined before the loss was known, and took the place of the machine to be emptied, which was told as complete. Two sound voters of three were left and no learner, so the next disk ended the cluster.

The policy counted each voter that was not yet known to be lost as one that remains. Now a retiring voter leaves only if as many others as are wanted have just answered and store the latest configuration; a lost voter gets a learner before a retiring one does. That a retiring machine may be taken away is recorded in the log (CompleteRetirement), once its removal is committed and enough sound voters store it, so the answer holds with another leader and after a restart. Until then a retiring machine may join again if a lost voter has no other successor.

--- a/goldcrestyard/fleet/assembly/apps.py
+++ b/goldcrestyard/fleet/assembly/apps.py
@@ -4,6 +4,7 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.assembly.commands import (
+    CompleteRetirement,
     JoinCluster,
     JoinNoted,
     MachinesSnapshot,
@@ -34,6 +35,7 @@
         *ControlConfig.messages,
         NameMachine,
         RetireMachine,
+        CompleteRetirement,
         MachinesSnapshot,
         JoinCluster,
         JoinNoted,
--- a/goldcrestyard/fleet/assembly/commands.py
+++ b/goldcrestyard/fleet/assembly/commands.py
@@ -21,12 +21,23 @@
     machine: str
 
 
+@dataclass(frozen=True, slots=True)
+class CompleteRetirement:
+    """Records that a retiring machine may be taken away with its disk."""
+
+    machine: str
+
+
 @dataclass(frozen=True, slots=True)
 class MachinesSnapshot:
-    """Snapshot of the machines slice."""
+    """Snapshot of the machines slice.
+
+    ``retiring`` has the retired machines as well.
+    """
 
     names_by_instance: dict[InstanceId, str]
     retiring: tuple[str, ...]
+    retired: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -18,6 +18,7 @@
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.assembly.commands import (
+    CompleteRetirement,
     JoinCluster,
     JoinNoted,
     NameMachine,
@@ -34,6 +35,7 @@
     MembershipChange,
     Promote,
     Replace,
+    count_sound_voters,
     may_retire,
     next_membership_change,
 )
@@ -89,6 +91,7 @@
                 self._joiners(),
                 self._wanted_voters,
                 self._machines.retiring_instances(),
+                self._machines.retired_instances(),
             )
             if change is not None:
                 result = await self._apply_change(change)
@@ -99,6 +102,7 @@
                     # Go on at once: a cluster with too few voters tolerates
                     # fewer losses than it should.
                     continue
+            await self._complete_retirements()
             await asyncio.sleep(MEMBERSHIP_CHECK_INTERVAL_SECONDS)
 
     async def retire(self, machine: str) -> Refusal | None:
@@ -121,17 +125,31 @@
         return Refusal(RefusalReason.NO_LEADER, "the order was not committed")
 
     def is_retired(self, machine: str) -> bool | None:
-        """Return whether a retiring machine no longer hosts a member.
+        """Return whether a retiring machine may be taken away with its disk.
 
-        None means that the machine is not retiring.  The machine and its disk
-        may be taken away once this is true, so the removal must be committed.
+        None means that the machine is not retiring.
         """
         if machine not in self._machines.retiring:
             return None
-        if not self._member.holds_lease():
-            return False
-        instance = self._machines.instance_of(machine)
-        return instance not in self._member.settled_instances()
+        return machine in self._machines.retired
+
+    async def _complete_retirements(self) -> None:
+        """Record which retiring machines are no longer needed.
+
+        The removal of a machine's member must be committed, and as many
+        voters as are wanted must have just answered and store that removal:
+        the machine may be taken away as soon as the record is committed.
+        """
+        waiting = self._machines.retiring - self._machines.retired
+        if not waiting or (
+            count_sound_voters(self._member_facts()) < self._wanted_voters
+        ):
+            return
+        settled = self._member.settled_instances()
+        for machine in sorted(waiting):
+            if self._machines.instance_of(machine) not in settled:
+                result = await self._propose(CompleteRetirement(machine))
+                logger.info("retirement completed", machine=machine, result=str(result))
 
     def _member_instances(self) -> set[InstanceId]:
         return {status.instance for status in self._member.member_statuses()}
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -1,8 +1,9 @@
 """Changes of the replicated log's members.
 
 The leader applies one change at a time: it adds joining processes as learners,
-promotes learners that have caught up, and removes members that are lost or
-whose machine retires.
+gives learners a vote, and removes members that are lost or whose machine
+retires.  A change relies only on members that have just answered: one that has
+been silent for a moment may already be lost, and its disk with it.
 """
 
 from collections.abc import Iterable, Sequence
@@ -31,7 +32,8 @@
     silent_seconds: float
     """Time since the member's last answer, or since it was added."""
     caught_up: bool
-    """Whether the member has nearly all entries of the leader's log."""
+    """Whether the member has just answered, and has nearly all entries of the
+    leader's log, the latest configuration among them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,46 +84,132 @@
     joiners: Iterable[Joiner],
     wanted_voters: int,
     retiring: AbstractSet[InstanceId] = frozenset(),
+    retired: AbstractSet[InstanceId] = frozenset(),
 ) -> MembershipChange | None:
     """Return the next membership change, or None if none is needed.
 
     ``members`` are in the order in which they were added.  ``retiring`` are
-    instances whose members have to leave.  Call the function
-    again only after the returned change is committed.
+    instances whose members have to leave, and ``retired`` those whose disks
+    may be gone.  Call the function again only after the returned change is
+    committed.
     """
+    facts = _Facts(members, wanted_voters, retiring, retired)
     known_ids = {member.id for member in members}
     for joiner in joiners:
-        if joiner.id not in known_ids and joiner.instance not in retiring:
+        if joiner.id not in known_ids and facts.may_join(joiner.instance):
             return Add(joiner)
-    learners = [
-        member
-        for member in members
-        if not member.voter and member.instance not in retiring
-    ]
-    promotable = [member for member in learners if member.caught_up]
-    voters = [member for member in members if member.voter]
-    outgoing = [
-        member
-        for member in voters
-        if _is_lost(member, members) or member.instance in retiring
-    ]
-    if promotable and (lost := [m for m in outgoing if _is_lost(m, members)]):
-        return Replace(lost[0].id, promotable[0].id, "lost")
-    remaining_voters = len(voters) - len(outgoing)
-    if promotable and remaining_voters < wanted_voters:
-        return Promote(promotable[0].instance)
-    if remaining_voters >= wanted_voters and outgoing:
-        return Drop(outgoing[0].id, "instance is lost or retiring")
-    for learner in members:
-        if learner.voter:
-            continue
-        if learner.instance in retiring:
-            return Drop(learner.id, "instance is retiring")
-        if learner.silent_seconds > LOST_LEARNER_SECONDS or _superseded(
-            learner, members
-        ):
-            return Drop(learner.id, "silent learner")
-    return None
+    return (
+        facts.replace_lost_voter()
+        or facts.release_retiring_voter()
+        or facts.add_voter()
+        or facts.drop_learner()
+    )
+
+
+class _Facts:
+    """The members, sorted by what they are good for."""
+
+    def __init__(
+        self,
+        members: Sequence[MemberFacts],
+        wanted_voters: int,
+        retiring: AbstractSet[InstanceId],
+        retired: AbstractSet[InstanceId],
+    ) -> None:
+        self._members = members
+        self._wanted_voters = wanted_voters
+        self._retiring = retiring
+        self._retired = retired
+        self._voters = [member for member in members if member.voter]
+        self._lost = [m for m in self._voters if _is_lost(m, members)]
+        self._learners = [
+            member
+            for member in members
+            if not member.voter
+            and member.caught_up
+            and not _superseded(member, members)
+        ]
+        self._successors = [
+            member for member in self._learners if member.instance not in retiring
+        ]
+
+    def may_join(self, instance: InstanceId) -> bool:
+        """Return whether a process may become a learner."""
+        if instance in self._retired:
+            return False
+        return instance not in self._retiring or self._needs_retiring()
+
+    def replace_lost_voter(self) -> MembershipChange | None:
+        """Remove a lost voter, or give its vote to a learner."""
+        if not self._lost:
+            return None
+        lost = self._lost[0]
+        if self._sound_voters_without(lost) >= self._wanted_voters:
+            return Drop(lost.id, "lost, and enough others vote")
+        successors = self._successors
+        if not successors and self._needs_retiring():
+            successors = self._learners
+        if successors:
+            return Replace(lost.id, successors[0].id, "lost")
+        return None
+
+    def release_retiring_voter(self) -> MembershipChange | None:
+        """Let a retiring voter leave, once enough others have just answered.
+
+        A voter that is silent for a moment may be lost.  If there is only one
+        learner, that voter needs it more than the retiring one.
+        """
+        for voter in self._voters:
+            if voter.instance not in self._retiring:
+                continue
+            others = self._sound_voters_without(voter)
+            if others >= self._wanted_voters:
+                return Drop(voter.id, "instance is retiring")
+            if self._successors and others + 1 >= self._wanted_voters:
+                successor = self._successors[0]
+                return Replace(voter.id, successor.id, "instance is retiring")
+        return None
+
+    def add_voter(self) -> MembershipChange | None:
+        """Give a learner a vote while there are too few voters."""
+        if self._successors and len(self._voters) < self._wanted_voters:
+            return Promote(self._successors[0].instance)
+        return None
+
+    def drop_learner(self) -> MembershipChange | None:
+        """Remove a learner that is lost or not needed."""
+        for learner in self._members:
+            if learner.voter:
+                continue
+            if learner.instance in self._retiring and not self._needs_retiring():
+                return Drop(learner.id, "instance is retiring")
+            if learner.silent_seconds > LOST_LEARNER_SECONDS or _superseded(
+                learner, self._members
+            ):
+                return Drop(learner.id, "silent learner")
+        return None
+
+    def _sound_voters_without(self, leaving: MemberFacts) -> int:
+        return count_sound_voters(
+            member for member in self._voters if member is not leaving
+        )
+
+    def _needs_retiring(self) -> bool:
+        """Return whether a retiring instance has to keep the log for longer.
+
+        That is so while a lost voter has no other successor.
+        """
+        return bool(self._lost) and not any(
+            not member.voter
+            and member.instance not in self._retiring
+            and member.silent_seconds <= LOST_VOTER_SECONDS
+            for member in self._members
+        )
+
+
+def count_sound_voters(members: Iterable[MemberFacts]) -> int:
+    """Return how many voters have just answered and have caught up."""
+    return sum(member.voter and member.caught_up for member in members)
 
 
 def may_retire(
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -14,6 +14,7 @@
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.fleet.assembly.commands import (
+    CompleteRetirement,
     JoinCluster,
     JoinNoted,
     MachinesSnapshot,
@@ -126,6 +127,7 @@
                 JoinNoted,
                 NameMachine,
                 RetireMachine,
+                CompleteRetirement,
                 MachinesSnapshot,
             ),
         )
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -1,6 +1,7 @@
 """Tests of the membership changes that the leader makes."""
 
 import unittest
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import permutations
 
@@ -25,9 +26,14 @@
 def facts(
     member: str, *, voter: bool = True, silent: float = 0.1, caught_up: bool = True
 ) -> MemberFacts:
-    """Return a member; the part before the ``#`` names its instance."""
+    """Return a member; the part before the ``#`` names its instance.
+
+    One that is silent for a moment does not count as caught up.
+    """
     instance = InstanceId(member.partition("#")[0])
-    return MemberFacts(MemberId(member), instance, voter, silent, caught_up)
+    return MemberFacts(
+        MemberId(member), instance, voter, silent, caught_up and silent < UNSURE
+    )
 
 
 def joiner(member: str) -> Joiner:
@@ -38,6 +44,8 @@
     return Replace(MemberId(voter), MemberId(learner), reason)
 
 
+RETIRING = "instance is retiring"
+UNSURE = 1.0
 LOST = LOST_VOTER_SECONDS + 0.1
 THREE = (facts("a#1"), facts("b#1"), facts("c#1"))
 
@@ -51,6 +59,7 @@
     expected: object
     joiners: tuple[str, ...] = ()
     retiring: frozenset[str] = field(default_factory=frozenset)
+    retired: frozenset[str] = field(default_factory=frozenset)
 
 
 CASES = [
@@ -68,6 +77,25 @@
         (*THREE[:2], facts("c#1", silent=LOST), facts("d#1", voter=False)),
         replace("c#1", "d#1", "lost"),
     ),
+    Case(
+        "silent_voter_that_enough_others_outvote_goes",
+        (*THREE, facts("d#1", silent=LOST), facts("e#1", voter=False)),
+        Drop(MemberId("d#1"), "lost, and enough others vote"),
+    ),
+    Case(
+        "voter_that_is_silent_for_a_moment_stays",
+        (*THREE[:2], facts("c#1", silent=UNSURE), facts("d#1", voter=False)),
+        None,
+    ),
+    Case(
+        "learner_that_is_silent_for_a_moment_gets_no_vote",
+        (
+            *THREE[:2],
+            facts("c#1", silent=LOST),
+            facts("d#1", voter=False, silent=UNSURE),
+        ),
+        None,
+    ),
     Case(
         "successor_that_lacks_entries_waits",
         (
@@ -99,18 +127,102 @@
         Drop(MemberId("d#1"), "silent learner"),
     ),
     Case(
-        "retiring_voter_stays_until_another_votes",
+        "learner_takes_the_vote_of_a_retiring_voter",
         (*THREE, facts("d#1", voter=False)),
-        Promote(InstanceId("d")),
+        replace("c#1", "d#1", RETIRING),
         retiring=frozenset({"c"}),
     ),
     Case(
-        "retiring_voter_goes_then",
+        "retiring_voter_stays_without_a_learner",
+        THREE,
+        None,
+        retiring=frozenset({"c"}),
+    ),
+    Case(
+        "retiring_voter_goes_if_enough_others_vote",
         (*THREE, facts("d#1")),
-        Drop(MemberId("c#1"), "instance is lost or retiring"),
+        Drop(MemberId("c#1"), RETIRING),
+        retiring=frozenset({"c"}),
+    ),
+    Case(
+        "retiring_voter_stays_while_one_of_the_others_is_silent",
+        (facts("a#1"), facts("b#1", silent=UNSURE), facts("c#1"), facts("d#1")),
+        None,
         retiring=frozenset({"c"}),
     ),
-    Case("retired_machine_is_not_added", THREE, None, ("d#1",), frozenset({"d"})),
+    Case(
+        "retiring_voter_keeps_its_vote_while_one_of_the_others_is_silent",
+        (
+            facts("a#1"),
+            facts("b#1", silent=UNSURE),
+            facts("c#1"),
+            facts("d#1", voter=False),
+        ),
+        None,
+        retiring=frozenset({"c"}),
+    ),
+    Case(
+        "lost_voter_goes_before_a_retiring_one",
+        (
+            facts("a#1"),
+            facts("b#1", silent=LOST),
+            facts("c#1"),
+            facts("d#1", voter=False),
+        ),
+        replace("b#1", "d#1", "lost"),
+        retiring=frozenset({"c"}),
+    ),
+    Case(
+        "two_voters_retire_one_after_the_other",
+        (*THREE, facts("d#1", voter=False), facts("e#1", voter=False)),
+        replace("b#1", "d#1", RETIRING),
+        retiring=frozenset({"b", "c"}),
+    ),
+    Case(
+        "retiring_machine_is_not_added",
+        THREE,
+        None,
+        ("d#1",),
+        frozenset({"d"}),
+    ),
+    Case(
+        "retiring_machine_is_added_for_a_lost_voter",
+        (*THREE[:2], facts("c#1", silent=LOST)),
+        Add(joiner("d#1")),
+        ("d#1",),
+        frozenset({"d"}),
+    ),
+    Case(
+        "retiring_machine_is_not_added_beside_another_successor",
+        (
+            *THREE[:2],
+            facts("c#1", silent=LOST),
+            facts("e#1", voter=False, caught_up=False),
+        ),
+        None,
+        ("d#1",),
+        frozenset({"d"}),
+    ),
+    Case(
+        "retired_machine_is_not_added",
+        (*THREE[:2], facts("c#1", silent=LOST)),
+        None,
+        ("d#1",),
+        frozenset({"d"}),
+        frozenset({"d"}),
+    ),
+    Case(
+        "retiring_learner_takes_the_vote_of_a_lost_voter",
+        (*THREE[:2], facts("c#1", silent=LOST), facts("d#1", voter=False)),
+        replace("c#1", "d#1", "lost"),
+        retiring=frozenset({"d"}),
+    ),
+    Case(
+        "retiring_learner_that_is_not_needed_goes",
+        (*THREE, facts("d#1", voter=False)),
+        Drop(MemberId("d#1"), RETIRING),
+        retiring=frozenset({"d"}),
+    ),
 ]
 
 
@@ -123,7 +235,8 @@
             case.members,
             [joiner(member) for member in case.joiners],
             3,
-            frozenset(InstanceId(name) for name in case.retiring),
+            instances(case.retiring),
+            instances(case.retired),
         )
         self.assertEqual(step, case.expected)
 
@@ -144,7 +257,7 @@
         )
 
 
-def instances(names: str) -> frozenset[InstanceId]:
+def instances(names: Iterable[str]) -> frozenset[InstanceId]:
     return frozenset(map(InstanceId, names))
 
 
