Let a voter lead until its removal is committed

Ruled out: to let the removed member vote for shorter logs. Its removal may be committed, and then another leader may be elected with it.

Change: a member stays a follower, and so may be elected, while the latest configuration is not known to be committed and the one before it gives the member a vote. It leads only until the removal is committed, as a leader that removes itself does.

What remains: a removed member that never hears that its removal is committed sends pre-votes. These raise no term, and the voters refuse them.

--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -615,6 +615,7 @@
         committed = min(message.commit_index, matched)
         if committed > self.commit_index:
             self._commit(LogIndex(committed))
+            self._update_role_from_configuration()
         self._send(
             sender, AppendReply(self.term, True, matched, Term(0), message.sent_at)
         )
@@ -811,8 +812,17 @@
         )
 
     def _update_role_from_configuration(self) -> None:
-        """Switch between learner and follower to match the configuration."""
-        votes = self.id in self.log.voters
+        """Switch between learner and follower to match the configuration.
+
+        A voter starts elections until its removal is committed.  It may be
+        the only member that stores the removal: its log is then the only one
+        that can win, and the others need its vote.
+        """
+        latest_index = self.log.configuration_index
+        votes = self.id in self.log.voters or (
+            self.commit_index < latest_index
+            and self.id in self.log.configuration_at(LogIndex(latest_index - 1)).voters
+        )
         if votes and self.role is Role.LEARNER:
             self._roles.fire("become_voter")
         elif not votes and self.role is Role.FOLLOWER:
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -456,6 +456,65 @@
         self.assertIs(subject.role, Role.LEARNER)
 
 
+@dataclass(frozen=True)
+class RemovedVoterCase:
+    """Configurations in the log of A, which the last one removes."""
+
+    name: str
+    configurations: tuple[Configuration, ...]
+
+
+JOINT_WITHOUT_A = configuration(A, B, C).with_learner(LEARNER).with_replacement(A, D)
+
+REMOVED_VOTER_CASES = [
+    RemovedVoterCase("removed", (configuration(B, C),)),
+    RemovedVoterCase("replaced", (JOINT_WITHOUT_A, JOINT_WITHOUT_A.without_replaced())),
+]
+
+
+class RemovedVoterTests(unittest.TestCase):
+    """A voter that is the only member that stores its own removal.
+
+    Guards against a cluster without a leader: the others have shorter logs,
+    and if a disk is lost as well, they have no majority without its vote.
+    """
+
+    def _restart(self, case: RemovedVoterCase) -> Member:
+        entries = log(1) + tuple(
+            Entry(Term(1), LogIndex(index), EntryKind.CONFIGURATION, b"", members)
+            for index, members in enumerate(case.configurations, start=2)
+        )
+        saved = PersistentState(Term(1), None, None, entries)
+        return Member(A, saved, TIMING, random.Random(1), START)
+
+    @parameterized.expand([(case.name, case) for case in REMOVED_VOTER_CASES])
+    def test_leads_until_its_removal_is_committed(
+        self, _: str, case: RemovedVoterCase
+    ) -> None:
+        subject = self._restart(case)
+        now = subject.next_tick_at
+        subject.step(now, Tick())
+        voters = subject.configuration.voters
+        for voter in voters:
+            step(subject, now, voter, PreVoteReply(subject.term, Term(2), True))
+        for voter in voters:
+            step(subject, now, voter, VoteReply(Term(2), True))
+        self.assertIs(subject.role, Role.LEADER)
+        for voter in voters:
+            acknowledge_log(subject, now, voter, now)
+        self.assertIs(subject.role, Role.LEARNER)
+
+    @parameterized.expand([(case.name, case) for case in REMOVED_VOTER_CASES])
+    def test_becomes_a_learner_once_its_removal_is_committed(
+        self, _: str, case: RemovedVoterCase
+    ) -> None:
+        subject = self._restart(case)
+        self.assertIs(subject.role, Role.FOLLOWER)
+        last = subject.log.last_index
+        step(subject, START, B, Append(Term(1), last, Term(1), (), last, START))
+        self.assertIs(subject.role, Role.LEARNER)
+
+
 @dataclass(frozen=True)
 class JointElectionCase:
     """Votes in an election while D replaces C, and whether they suffice."""
