--- a/goldcrestyard/cli/base.py
+++ b/goldcrestyard/cli/base.py
@@ -147,9 +147,14 @@
         if not isinstance(reply, Answer):
             return self.report_failure(reply)
         records = [self.row(record) for record in reply.data[self.records_key]]
-        self.show(reply.data, table_lines(self.columns, records))
+        lines = [*table_lines(self.columns, records), *self.footer(reply.data)]
+        self.show(reply.data, lines)
         return ExitCode.DONE
 
+    def footer(self, data: Mapping[str, Any]) -> Sequence[str]:
+        """Return the lines below the table."""
+        return ()
+
     def query(self) -> dict[str, str]:
         """Return the query parameters of the request."""
         return {}
--- a/goldcrestyard/cli/commands/members_list.py
+++ b/goldcrestyard/cli/commands/members_list.py
@@ -1,5 +1,8 @@
 """``goldcrest members list``."""
 
+from collections.abc import Mapping, Sequence
+from typing import Any
+
 from goldcrestyard.cli.base import SERVER_OPTIONS, ListCommand
 
 
@@ -21,3 +24,16 @@
         "last_contact_seconds",
         "id",
     )
+
+    def footer(self, data: Mapping[str, Any]) -> Sequence[str]:
+        """Return how many more disks may be lost.
+
+        An instance of an earlier release does not answer with it.
+        """
+        health = data.get("health")
+        if health is None:
+            return ()
+        return (
+            f"{health['sound_voters']} of {health['voters']} voters answer; "
+            f"disks that may be lost now: {health['tolerated_losses']}",
+        )
--- a/goldcrestyard/fleet/observability/apps.py
+++ b/goldcrestyard/fleet/observability/apps.py
@@ -3,6 +3,8 @@
 from prometheus_client import CollectorRegistry
 
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.fleet.assembly.manager import MembershipManager
+from goldcrestyard.fleet.observability.cluster_health import observe_cluster_health
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.kernel import logs
 from goldcrestyard.kernel.application import Application
@@ -21,6 +23,8 @@
         """Create the metrics; gauges read their values when collected."""
         metrics = app.provide(FleetMetrics, FleetMetrics(CollectorRegistry()))
         metrics.dropped_lines.set_function(logs.dropped_line_count)
+        manager = app.find(MembershipManager)
+        observe_cluster_health(metrics, manager.monitor if manager else None)
         view = app.find(EntryView)
         if view is not None:
             metrics.lease.set_function(view.lease_remaining)
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -11,6 +11,10 @@
 
 METRIC_PREFIX = "goldcrest_fleet"
 
+LEADER_ONLY = "NaN unless this process leads and has heard the members"
+"""Part of the help of gauges that only the leader knows.  A value such as 0 on
+the other processes would look like an alarm."""
+
 ANSWER_SECONDS_BUCKETS = (0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0, 12.0)
 """Bucket bounds in seconds, from an immediate refusal to the longest time-out
 of a route."""
@@ -102,6 +106,33 @@
             "disk_failing",
             "1 while this control member is suspended because its disk fails.",
         )
+        self.voters = self._gauge(
+            "voters", f"Voters of the control cluster; {LEADER_ONLY}."
+        )
+        self.sound_voters = self._gauge(
+            "sound_voters",
+            "Voters that have answered lately and still have their disk; "
+            f"{LEADER_ONLY}.",
+        )
+        self.tolerated_losses = self._gauge(
+            "tolerated_losses",
+            "Disks of voters that can be lost now without losing the majority; "
+            f"{LEADER_ONLY}.",
+        )
+        self.missing_machines = self._gauge(
+            "missing_machines",
+            "Machines to add before all wanted voters are sound and retiring ones "
+            f"can leave; {LEADER_ONLY}.",
+        )
+        self.lost_without_successor = self._gauge(
+            "lost_voters_without_successor",
+            f"Lost voters for which no running learner is left; {LEADER_ONLY}.",
+        )
+        self.waiting_retirements = self._gauge(
+            "waiting_retirements",
+            "Retiring machines that wait for another one in their place; "
+            f"{LEADER_ONLY}.",
+        )
         self.dropped_lines = self._gauge(
             "log_lines_dropped", "Log lines dropped because the reader was too slow."
         )
--- a/goldcrestyard/plugins/members/views.py
+++ b/goldcrestyard/plugins/members/views.py
@@ -14,6 +14,7 @@
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.listeners.bodies import json_answer, read_json
 from goldcrestyard.plugins.listeners.errors import refuse
+from goldcrestyard.plugins.members.health import voters_health
 from goldcrestyard.plugins.members.messages import (
     MembersQuery,
     MembersReply,
@@ -58,11 +59,13 @@
         self._addresses_by_id = addresses_by_id
 
     async def members(self, request: web.Request, _: Author) -> web.StreamResponse:
-        """List the control members."""
+        """List the control members, and the losses that they can bear."""
         reply = await self._link.request(MembersQuery(), LEADER_QUERY_TIMEOUT_SECONDS)
         if not isinstance(reply, MembersReply):
             return refuse(no_leader_refusal(reply))
-        return json_answer({"members": reply.members})
+        return json_answer(
+            {"members": reply.members, "health": voters_health(reply.members)}
+        )
 
     async def replace(self, request: web.Request, author: Author) -> web.StreamResponse:
         """Replace a control member, such as one that lost its disk."""
--- a/tests/fleet/test_cluster_health.py
+++ b/tests/fleet/test_cluster_health.py
@@ -5,14 +5,18 @@
 """
 
 import asyncio
+import math
 from typing import Any
 
 import structlog
+from prometheus_client import CollectorRegistry
 
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.fleet.assembly.health import ClusterHealthMonitor
 from goldcrestyard.fleet.assembly.slices import MachinesSlice
+from goldcrestyard.fleet.observability.cluster_health import observe_cluster_health
+from goldcrestyard.fleet.observability.metrics import METRIC_PREFIX, FleetMetrics
 from goldcrestyard.policy.cluster_health import ClusterHealth, ClusterState
 from goldcrestyard.policy.membership import LOST_VOTER_SECONDS, MemberFacts
 from tests.fakes.paused_clock import PausedClockTestCase
@@ -29,6 +33,14 @@
     "control cluster tolerates fewer losses than planned",
     CRITICAL,
 )
+GAUGES = (
+    "voters",
+    "sound_voters",
+    "tolerated_losses",
+    "missing_machines",
+    "lost_voters_without_successor",
+    "waiting_retirements",
+)
 
 Line = dict[str, Any]
 
@@ -52,6 +64,13 @@
     def health(self) -> ClusterHealth | None:
         return self.assembly.managers[self.leader.instance].monitor.health
 
+    def gauges(self, name: str) -> tuple[float, ...]:
+        registry = CollectorRegistry()
+        monitor = self.assembly.managers[name].monitor
+        observe_cluster_health(FleetMetrics(registry), monitor)
+        values = [registry.get_sample_value(f"{METRIC_PREFIX}_{g}") for g in GAUGES]
+        return tuple(value for value in values if value is not None)
+
     async def wait_event(self, event: str) -> Line:
         await self.network.wait(lambda: bool(self.of(event)), event)
         return self.of(event)[0]
@@ -79,6 +98,9 @@
         assert health is not None
         self.assertEqual((3, 2), (health.voters, health.sound_voters))
         self.assertEqual(0, health.tolerated_losses)
+        self.assertEqual((3, 2, 0, 1, 1, 0), self.gauges(str(self.leader.instance)))
+        for value in self.gauges(self.followers[1]):
+            self.assertTrue(math.isnan(value), "another member does not know")
         await asyncio.sleep(20.0)
         self.assertEqual(
             [TOLERATES, CRITICAL],
