Give no vote to a learner on a retired machine

A machine whose retirement is complete is taken away with its disk. The order can complete while a change that was chosen before it is carried out: the new leader of a cluster with a lost voter chooses to add the retiring machine again, waits up to a second for its answer, and applies the completion that an earlier leader had appended in the meantime. The learner then took the vote of the lost voter, or stayed a learner as long as a lost voter had no other successor.

Learners on retired machines are no successors and are removed. The new row learner_on_a_retired_machine_gets_no_vote failed before, with a Replace by the learner instead of its removal.

--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -127,6 +127,7 @@
             for member in members
             if not member.voter
             and member.caught_up
+            and member.instance not in retired
             and not _superseded(member, members)
         ]
         self._successors = [
@@ -181,7 +182,9 @@
         for learner in self._members:
             if learner.voter:
                 continue
-            if learner.instance in self._retiring and not self._needs_retiring():
+            if learner.instance in self._retired or (
+                learner.instance in self._retiring and not self._needs_retiring()
+            ):
                 return Drop(learner.id, "instance is retiring")
             if learner.silent_seconds > LOST_LEARNER_SECONDS or _superseded(
                 learner, self._members
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -217,6 +217,13 @@
         replace("c#1", "d#1", "lost"),
         retiring=frozenset({"d"}),
     ),
+    Case(
+        "learner_on_a_retired_machine_gets_no_vote",
+        (*THREE[:2], facts("c#1", silent=LOST), facts("d#1", voter=False)),
+        Drop(MemberId("d#1"), RETIRING),
+        retiring=frozenset({"d"}),
+        retired=frozenset({"d"}),
+    ),
     Case(
         "retiring_learner_that_is_not_needed_goes",
         (*THREE, facts("d#1", voter=False)),
