Replace a voter without its disk before a silent one

With two lost voters and one learner, the first in the order of the members was replaced. If that one was frozen or cut off and the other had lost its disk, the cluster gave up a sound copy and kept a vote that nobody can cast. This needs five voters, or four: with three, one running voter elects nobody.

Voters whose instance has joined again with a new id go first. The new row voter_without_its_disk_goes_before_a_silent_one failed before, with a Replace of the silent voter.

--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -122,6 +122,8 @@
         self._retired = retired
         self._voters = [member for member in members if member.voter]
         self._lost = [m for m in self._voters if _is_lost(m, members)]
+        # A voter that is only silent may still have its disk.
+        self._lost.sort(key=lambda member: not _superseded(member, members))
         self._learners = [
             member
             for member in members
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -120,6 +120,17 @@
         (*THREE[:2], facts("c#1", silent=0.1), facts("c#2", voter=False, silent=0.4)),
         replace("c#1", "c#2", "lost"),
     ),
+    Case(
+        "voter_without_its_disk_goes_before_a_silent_one",
+        (
+            facts("a#1"),
+            facts("b#1", silent=LOST),
+            facts("c#1", silent=LOST),
+            facts("d#1"),
+            facts("c#2", voter=False),
+        ),
+        replace("c#1", "c#2", "lost"),
+    ),
     Case("spare_learner_does_not_vote", (*THREE, facts("d#1", voter=False)), None),
     Case(
         "silent_learner_goes",
