Count the majority of all voters when a machine is released

More voters than wanted can vote: an earlier release gave the successor a vote before it removed the lost voter, and the planned losses can be lowered in the settings. A retiring voter was then released, and its retirement completed, as soon as three others had just answered.

The voters that have just answered must keep a majority of all voters after the planned losses. With as many voters as are wanted, the number is the same as before. The two rows of next_membership_change with four and five voters failed before, with a Replace and a Drop of the retiring voter.

--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -35,7 +35,7 @@
     MembershipChange,
     Promote,
     Replace,
-    count_sound_voters,
+    has_enough_sound_voters,
     may_retire,
     next_membership_change,
 )
@@ -136,13 +136,13 @@
     async def _complete_retirements(self) -> None:
         """Record which retiring machines are no longer needed.
 
-        The removal of a machine's member must be committed, and as many
-        voters as are wanted must have just answered and store that removal:
+        The removal of a machine's member must be committed, and enough voters
+        for the planned losses must have just answered and store that removal:
         the machine may be taken away as soon as the record is committed.
         """
         waiting = self._machines.retiring - self._machines.retired
-        if not waiting or (
-            count_sound_voters(self._member_facts()) < self._wanted_voters
+        if not waiting or not has_enough_sound_voters(
+            self._member_facts(), self._wanted_voters
         ):
             return
         settled = self._member.settled_instances()
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -166,9 +166,12 @@
             if voter.instance not in self._retiring:
                 continue
             others = self._sound_voters_without(voter)
-            if others >= self._wanted_voters:
+            count = len(self._voters)
+            if others >= _needed_sound_voters(count - 1, self._wanted_voters):
                 return Drop(voter.id, "instance is retiring")
-            if self._successors and others + 1 >= self._wanted_voters:
+            if self._successors and others + 1 >= _needed_sound_voters(
+                count, self._wanted_voters
+            ):
                 successor = self._successors[0]
                 return Replace(voter.id, successor.id, "instance is retiring")
         return None
@@ -195,9 +198,7 @@
         return None
 
     def _sound_voters_without(self, leaving: MemberFacts) -> int:
-        return count_sound_voters(
-            member for member in self._voters if member is not leaving
-        )
+        return _count_sound(voter for voter in self._voters if voter is not leaving)
 
     def _needs_retiring(self) -> bool:
         """Return whether a retiring instance has to keep the log for longer.
@@ -212,9 +213,25 @@
         )
 
 
-def count_sound_voters(members: Iterable[MemberFacts]) -> int:
-    """Return how many voters have just answered and have caught up."""
-    return sum(member.voter and member.caught_up for member in members)
+def has_enough_sound_voters(members: Iterable[MemberFacts], wanted_voters: int) -> bool:
+    """Return whether those that have just answered bear the planned losses."""
+    voters = [member for member in members if member.voter]
+    needed = _needed_sound_voters(len(voters), wanted_voters)
+    return _count_sound(voters) >= needed
+
+
+def _count_sound(voters: Iterable[MemberFacts]) -> int:
+    return sum(voter.caught_up for voter in voters)
+
+
+def _needed_sound_voters(voters: int, wanted_voters: int) -> int:
+    """Return how many of a number of voters must be sound.
+
+    With more voters than are wanted, a majority is larger, and it must be left
+    after the planned losses.
+    """
+    planned_losses = (wanted_voters - 1) // 2
+    return max(wanted_voters, voters // 2 + 1 + planned_losses)
 
 
 def may_retire(
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -18,6 +18,7 @@
     MemberFacts,
     Promote,
     Replace,
+    has_enough_sound_voters,
     may_retire,
     next_membership_change,
 )
@@ -172,6 +173,30 @@
         None,
         retiring=frozenset({"c"}),
     ),
+    Case(
+        "retiring_voter_keeps_its_vote_if_four_others_include_a_silent_one",
+        (
+            facts("a#1"),
+            facts("b#1", silent=UNSURE),
+            facts("c#1"),
+            facts("d#1"),
+            facts("e#1", voter=False),
+        ),
+        None,
+        retiring=frozenset({"c"}),
+    ),
+    Case(
+        "retiring_voter_stays_beside_four_others_one_of_them_silent",
+        (
+            facts("a#1"),
+            facts("b#1", silent=UNSURE),
+            facts("c#1"),
+            facts("d#1"),
+            facts("e#1"),
+        ),
+        None,
+        retiring=frozenset({"c"}),
+    ),
     Case(
         "lost_voter_goes_before_a_retiring_one",
         (
@@ -258,6 +283,21 @@
         )
         self.assertEqual(step, case.expected)
 
+    @parameterized.expand(
+        [
+            ("three", THREE, True),
+            ("two", THREE[:2], False),
+            ("two_and_a_learner", (*THREE[:2], facts("d#1", voter=False)), False),
+            ("two_and_a_silent_one", (*THREE[:2], facts("c#1", silent=UNSURE)), False),
+            ("three_and_a_silent_one", (*THREE, facts("d#1", silent=UNSURE)), False),
+            ("four", (*THREE, facts("d#1")), True),
+        ]
+    )
+    def test_enough_sound_voters(
+        self, _: str, members: tuple[MemberFacts, ...], expected: bool
+    ) -> None:
+        self.assertIs(has_enough_sound_voters(members, 3), expected)
+
     @parameterized.expand(
         [
             ("three", "abc", "", False),
