Count a voter's silence from the leader's election

A leader that led before kept the times at which it had first seen the members. After its second election, a voter that had not answered yet counted as silent since then, and so as lost at once: with a learner at hand, a sound voter was replaced, though a new leader has only heard a majority. The health monitor already took no notice of such times; the policy did.

Silence now counts from the election at the earliest, as it does for a member that leads for the first time. The row answers_late of the new test failed before, with a replacement of the voter within the first second.

--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -162,7 +162,10 @@
             status.id: self._first_seen_by_id.get(status.id, now) for status in known
         }
         for status in known:
-            silent = now - self._first_seen_by_id[status.id]
+            # A new leader has heard nobody yet.
+            silent = now - max(
+                self._first_seen_by_id[status.id], self._member.leadership_started_at
+            )
             if status.last_contact_seconds is not None:
                 silent = min(silent, status.last_contact_seconds)
             facts.append(
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -30,7 +30,8 @@
     instance: InstanceId
     voter: bool
     silent_seconds: float
-    """Time since the member's last answer, or since it was added."""
+    """Time since the member's last answer, or, if that is later, since it was
+    added or the leader was elected."""
     caught_up: bool
     """Whether the member has just answered, and has nearly all entries of the
     leader's log, the latest configuration among them."""
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -8,10 +8,12 @@
 
 from parameterized import parameterized
 
+from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.consensus.roles import Role
-from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.consensus.status import MemberStatus
+from goldcrestyard.core.ids import InstanceId, LogIndex
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.fleet.assembly.commands import (
     CompleteRetirement,
@@ -27,6 +29,7 @@
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
+from goldcrestyard.state.commands import Accepted
 from tests.fakes.member_network import (
     MemberNetwork,
     _Dialer,
@@ -468,3 +471,72 @@
         await self.assembly.start(str(leader.instance))
         leader = await self.network.leader()
         self.assertIsInstance(await put_organisation(leader, "after"), Applied)
+
+
+class FakeLeader:
+    """Leads three voters and a learner; they answer when a test says so."""
+
+    is_leader = True
+
+    def __init__(self) -> None:
+        self.machine = self
+        self.leadership_started_at = 0.0
+        self.silent_seconds: dict[str, float] = dict.fromkeys("abcd", 0.0)
+        self.replaced: list[MemberId] = []
+
+    def get(self, kind: type[MachinesSlice]) -> MachinesSlice:
+        return kind()
+
+    def member_statuses(self) -> list[MemberStatus]:
+        roles = {"a": Role.LEADER, "d": Role.LEARNER}
+        return [
+            MemberStatus(
+                MemberId(f"{name}#1"),
+                InstanceId(name),
+                f"{name}:1",
+                roles.get(name, Role.FOLLOWER),
+                None,
+                silent,
+            )
+            for name, silent in self.silent_seconds.items()
+        ]
+
+    def has_caught_up(self, member_id: MemberId) -> bool:
+        return self.silent_seconds[member_id[0]] < 0.75
+
+    async def replace(self, voter: MemberId, learner: MemberId) -> Applied:
+        self.replaced.append(voter)
+        await asyncio.sleep(0.1)
+        return Applied(LogIndex(1), Accepted())
+
+
+class SecondLeadershipTests(PausedClockTestCase):
+    """A member leads again after another leader."""
+
+    @parameterized.expand([("answers_late", 1.0, 0), ("lost", 10.0, 1)])
+    async def test_silence_is_counted_from_the_leadership(
+        self, _: str, silent_seconds: float, replacements: int
+    ) -> None:
+        """Guards against a sound voter that is replaced as lost.
+
+        The new leader had not yet heard it, and counted its silence from the
+        first time that it was seen, in an earlier leadership.
+        """
+        quiet_logs(self)
+        leader = FakeLeader()
+        manager = MembershipManager(
+            leader,  # type: ignore[arg-type]
+            3,
+            self.clock(),
+        )
+        await self._lead(manager, 1.0)
+        await asyncio.sleep(60.0)
+        leader.leadership_started_at = self.clock().monotonic()
+        leader.silent_seconds["c"] = float("inf")
+        await self._lead(manager, silent_seconds)
+        self.assertEqual(leader.replaced[:1], [MemberId("c#1")] * replacements)
+
+    async def _lead(self, manager: MembershipManager, seconds: float) -> None:
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await manager.run()
