Complete a retirement only when no instance of the machine is a member

A machine whose address has changed has two instances in the replicated names. Only the first one was looked up, and it is no member any more: the retirement was told as complete at once, while the machine's present instance voted, and its disk was taken away.

All instances of the machine must have left. The new test failed before: is_retired was true while the machine voted.

--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -147,7 +147,7 @@
             return
         settled = self._member.settled_instances()
         for machine in sorted(waiting):
-            if self._machines.instance_of(machine) not in settled:
+            if settled.isdisjoint(self._machines.instances_of(machine)):
                 result = await self._propose(CompleteRetirement(machine))
                 logger.info("retirement completed", machine=machine, result=str(result))
 
--- a/goldcrestyard/fleet/assembly/slices.py
+++ b/goldcrestyard/fleet/assembly/slices.py
@@ -32,6 +32,13 @@
                 return instance
         return None
 
+    def instances_of(self, machine: str) -> frozenset[InstanceId]:
+        """Return the instances that run on a machine or ran on it.
+
+        There are several if the machine's address has changed.
+        """
+        return self._instances_on({machine})
+
     def retiring_instances(self) -> frozenset[InstanceId]:
         """Return the instances that run on retiring or retired machines."""
         return self._instances_on(self.retiring)
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -361,6 +361,27 @@
         await self.assembly.wait_voters(*({*FOUNDERS, "d"} - {retiring}))
         self.assertIsNone(await manager.retire(machine), "a repeated order")
 
+    async def test_machine_that_moved_is_not_told_empty_while_it_votes(self) -> None:
+        """Guards against a disk that is taken away while it is needed.
+
+        The instance at the machine's former address is no member; the one at
+        its present address is.
+        """
+        former = NameMachine(InstanceId("d-before"), "machine-d")
+        self.assertIsInstance(await self.leader.propose(former), Applied)
+        lost = self._follower()
+        await self.assembly.start("d")
+        await self.assembly.stop(lost, lose_disk=True)
+        await self.assembly.wait_voters(*({*FOUNDERS, "d"} - {lost}))
+        manager = self.assembly.managers[self.leader.instance]
+        self.assertIsNone(await manager.retire("machine-d"))
+        await asyncio.sleep(3.0)
+        self.assertIn("d", self.assembly.voters())
+        self.assertIs(manager.is_retired("machine-d"), False)
+        await self.assembly.start("e")
+        await self.network.wait(lambda: bool(manager.is_retired("machine-d")), "empty")
+        self.assertNotIn("d", self.assembly.voters())
+
 
 class EmptyingTests(AssemblyTestCase):
     """Machines that are emptied and taken away while others are lost."""
