--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -35,7 +35,7 @@
     MembershipChange,
     Promote,
     Replace,
-    count_sound_voters,
+    has_enough_sound_voters,
     may_retire,
     next_membership_change,
 )
@@ -136,18 +136,18 @@
     async def _complete_retirements(self) -> None:
         """Record which retiring machines are no longer needed.
 
-        The removal of a machine's member must be committed, and as many
-        voters as are wanted must have just answered and store that removal:
+        The removal of a machine's member must be committed, and enough voters
+        for the planned losses must have just answered and store that removal:
         the machine may be taken away as soon as the record is committed.
         """
         waiting = self._machines.retiring - self._machines.retired
-        if not waiting or (
-            count_sound_voters(self._member_facts()) < self._wanted_voters
+        if not waiting or not has_enough_sound_voters(
+            self._member_facts(), self._wanted_voters
         ):
             return
         settled = self._member.settled_instances()
         for machine in sorted(waiting):
-            if self._machines.instance_of(machine) not in settled:
+            if settled.isdisjoint(self._machines.instances_of(machine)):
                 result = await self._propose(CompleteRetirement(machine))
                 logger.info("retirement completed", machine=machine, result=str(result))
 
@@ -162,7 +162,10 @@
             status.id: self._first_seen_by_id.get(status.id, now) for status in known
         }
         for status in known:
-            silent = now - self._first_seen_by_id[status.id]
+            # A new leader has heard nobody yet.
+            silent = now - max(
+                self._first_seen_by_id[status.id], self._member.leadership_started_at
+            )
             if status.last_contact_seconds is not None:
                 silent = min(silent, status.last_contact_seconds)
             facts.append(
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -30,7 +30,8 @@
     instance: InstanceId
     voter: bool
     silent_seconds: float
-    """Time since the member's last answer, or since it was added."""
+    """Time since the member's last answer, or, if that is later, since it was
+    added or the leader was elected."""
     caught_up: bool
     """Whether the member has just answered, and has nearly all entries of the
     leader's log, the latest configuration among them."""
@@ -122,11 +123,14 @@
         self._retired = retired
         self._voters = [member for member in members if member.voter]
         self._lost = [m for m in self._voters if _is_lost(m, members)]
+        # A voter that is only silent may still have its disk.
+        self._lost.sort(key=lambda member: not _superseded(member, members))
         self._learners = [
             member
             for member in members
             if not member.voter
             and member.caught_up
+            and member.instance not in retired
             and not _superseded(member, members)
         ]
         self._successors = [
@@ -163,9 +167,12 @@
             if voter.instance not in self._retiring:
                 continue
             others = self._sound_voters_without(voter)
-            if others >= self._wanted_voters:
+            count = len(self._voters)
+            if others >= _needed_sound_voters(count - 1, self._wanted_voters):
                 return Drop(voter.id, "instance is retiring")
-            if self._successors and others + 1 >= self._wanted_voters:
+            if self._successors and others + 1 >= _needed_sound_voters(
+                count, self._wanted_voters
+            ):
                 successor = self._successors[0]
                 return Replace(voter.id, successor.id, "instance is retiring")
         return None
@@ -181,7 +188,9 @@
         for learner in self._members:
             if learner.voter:
                 continue
-            if learner.instance in self._retiring and not self._needs_retiring():
+            if learner.instance in self._retired or (
+                learner.instance in self._retiring and not self._needs_retiring()
+            ):
                 return Drop(learner.id, "instance is retiring")
             if learner.silent_seconds > LOST_LEARNER_SECONDS or _superseded(
                 learner, self._members
@@ -190,9 +199,7 @@
         return None
 
     def _sound_voters_without(self, leaving: MemberFacts) -> int:
-        return count_sound_voters(
-            member for member in self._voters if member is not leaving
-        )
+        return _count_sound(voter for voter in self._voters if voter is not leaving)
 
     def _needs_retiring(self) -> bool:
         """Return whether a retiring instance has to keep the log for longer.
@@ -207,9 +214,25 @@
         )
 
 
-def count_sound_voters(members: Iterable[MemberFacts]) -> int:
-    """Return how many voters have just answered and have caught up."""
-    return sum(member.voter and member.caught_up for member in members)
+def has_enough_sound_voters(members: Iterable[MemberFacts], wanted_voters: int) -> bool:
+    """Return whether those that have just answered bear the planned losses."""
+    voters = [member for member in members if member.voter]
+    needed = _needed_sound_voters(len(voters), wanted_voters)
+    return _count_sound(voters) >= needed
+
+
+def _count_sound(voters: Iterable[MemberFacts]) -> int:
+    return sum(voter.caught_up for voter in voters)
+
+
+def _needed_sound_voters(voters: int, wanted_voters: int) -> int:
+    """Return how many of a number of voters must be sound.
+
+    With more voters than are wanted, a majority is larger, and it must be left
+    after the planned losses.
+    """
+    planned_losses = (wanted_voters - 1) // 2
+    return max(wanted_voters, voters // 2 + 1 + planned_losses)
 
 
 def may_retire(
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -18,6 +18,7 @@
     MemberFacts,
     Promote,
     Replace,
+    has_enough_sound_voters,
     may_retire,
     next_membership_change,
 )
@@ -120,6 +121,17 @@
         (*THREE[:2], facts("c#1", silent=0.1), facts("c#2", voter=False, silent=0.4)),
         replace("c#1", "c#2", "lost"),
     ),
+    Case(
+        "voter_without_its_disk_goes_before_a_silent_one",
+        (
+            facts("a#1"),
+            facts("b#1", silent=LOST),
+            facts("c#1", silent=LOST),
+            facts("d#1"),
+            facts("c#2", voter=False),
+        ),
+        replace("c#1", "c#2", "lost"),
+    ),
     Case("spare_learner_does_not_vote", (*THREE, facts("d#1", voter=False)), None),
     Case(
         "silent_learner_goes",
@@ -161,6 +173,30 @@
         None,
         retiring=frozenset({"c"}),
     ),
+    Case(
+        "retiring_voter_keeps_its_vote_if_four_others_include_a_silent_one",
+        (
+            facts("a#1"),
+            facts("b#1", silent=UNSURE),
+            facts("c#1"),
+            facts("d#1"),
+            facts("e#1", voter=False),
+        ),
+        None,
+        retiring=frozenset({"c"}),
+    ),
+    Case(
+        "retiring_voter_stays_beside_four_others_one_of_them_silent",
+        (
+            facts("a#1"),
+            facts("b#1", silent=UNSURE),
+            facts("c#1"),
+            facts("d#1"),
+            facts("e#1"),
+        ),
+        None,
+        retiring=frozenset({"c"}),
+    ),
     Case(
         "lost_voter_goes_before_a_retiring_one",
         (
@@ -217,6 +253,13 @@
         replace("c#1", "d#1", "lost"),
         retiring=frozenset({"d"}),
     ),
+    Case(
+        "learner_on_a_retired_machine_gets_no_vote",
+        (*THREE[:2], facts("c#1", silent=LOST), facts("d#1", voter=False)),
+        Drop(MemberId("d#1"), RETIRING),
+        retiring=frozenset({"d"}),
+        retired=frozenset({"d"}),
+    ),
     Case(
         "retiring_learner_that_is_not_needed_goes",
         (*THREE, facts("d#1", voter=False)),
@@ -240,6 +283,21 @@
         )
         self.assertEqual(step, case.expected)
 
+    @parameterized.expand(
+        [
+            ("three", THREE, True),
+            ("two", THREE[:2], False),
+            ("two_and_a_learner", (*THREE[:2], facts("d#1", voter=False)), False),
+            ("two_and_a_silent_one", (*THREE[:2], facts("c#1", silent=UNSURE)), False),
+            ("three_and_a_silent_one", (*THREE, facts("d#1", silent=UNSURE)), False),
+            ("four", (*THREE, facts("d#1")), True),
+        ]
+    )
+    def test_enough_sound_voters(
+        self, _: str, members: tuple[MemberFacts, ...], expected: bool
+    ) -> None:
+        self.assertIs(has_enough_sound_voters(members, 3), expected)
+
     @parameterized.expand(
         [
             ("three", "abc", "", False),
