Tell members without a leader from processes outside the cluster

Change: a process that is not in its own configuration logs another event, at level info, with the same fields.

Measured: test_leader_watch passes, 5 of 5 runs.

--- a/goldcrestyard/consensus/leader_watch.py
+++ b/goldcrestyard/consensus/leader_watch.py
@@ -64,17 +64,34 @@
         ):
             return
         self._logged_at = now
-        logger.warning(
-            "control member knows of no leader",
+        _log_missing_leader(report, leaderless_seconds)
+
+
+def _log_missing_leader(report: MemberReport, leaderless_seconds: float) -> None:
+    silent_seconds = {
+        voter: round(seconds, 1) if seconds is not None else None
+        for voter, seconds in report.silent_seconds_by_voter.items()
+    }
+    if not report.is_member:
+        # Such as one that has been removed: no leader sends it anything.
+        logger.info(
+            "process that is no control member knows of no leader",
             leaderless_seconds=round(leaderless_seconds, 1),
             member=report.member,
             disk_was_empty=report.disk_was_empty,
-            role=report.role.value,
-            term=report.term,
             last_index=report.last_index,
-            silent_seconds_by_voter={
-                voter: round(seconds, 1) if seconds is not None else None
-                for voter, seconds in report.silent_seconds_by_voter.items()
-            },
+            silent_seconds_by_voter=silent_seconds,
             other_members=report.other_members,
         )
+        return
+    logger.warning(
+        "control member knows of no leader",
+        leaderless_seconds=round(leaderless_seconds, 1),
+        member=report.member,
+        disk_was_empty=report.disk_was_empty,
+        role=report.role.value,
+        term=report.term,
+        last_index=report.last_index,
+        silent_seconds_by_voter=silent_seconds,
+        other_members=report.other_members,
+    )
--- a/goldcrestyard/consensus/member_report.py
+++ b/goldcrestyard/consensus/member_report.py
@@ -14,6 +14,8 @@
     """What a member knows of itself and of the other members."""
 
     member: MemberId
+    is_member: bool
+    """Whether it is in its own configuration, with or without a vote."""
     disk_was_empty: bool
     """Whether the disk held no state of a cluster at the start."""
     role: Role
@@ -41,6 +43,7 @@
         silent[core.id] = 0.0
     return MemberReport(
         core.id,
+        core.configuration.find(core.id) is not None,
         disk_was_empty,
         core.role,
         core.term,
--- a/tests/fleet/test_leader_watch.py
+++ b/tests/fleet/test_leader_watch.py
@@ -16,6 +16,7 @@
 from tests.fleet.test_cluster_health import ClusterTestCase
 
 LEADERLESS = "control member knows of no leader"
+OUTSIDE = "process that is no control member knows of no leader"
 STARTED = "control member started"
 
 
@@ -35,6 +36,7 @@
             await self.assembly.stop(name, lose_disk=True)
         await self.assembly.start(self.followers[1])
         emptied = self.network.running[self.followers[1]]
+        self.watch(emptied)
         line = await self.wait_event(LEADERLESS)
         self.assertEqual("warning", line["log_level"])
         self.assertGreater(line["leaderless_seconds"], LEADERLESS_SECONDS)
@@ -46,6 +48,11 @@
         self.assertGreater(silent[self.leader_id], LEADERLESS_SECONDS)
         self.assertIsNone(silent[emptied_id], "another member answers there")
         self.assertEqual((emptied.member_id,), line["other_members"])
+        outside = await self.wait_event(OUTSIDE)
+        self.assertEqual("info", outside["log_level"], "it has no vote to miss")
+        self.assertEqual(emptied.member_id, outside["member"])
+        self.assertTrue(outside["disk_was_empty"])
+        self.assertIn(left.member_id, outside["other_members"])
         await asyncio.sleep(REPEAT_SECONDS + 2 * CHECK_INTERVAL_SECONDS)
         self.assertEqual(2, len(self.of(LEADERLESS)), "repeated after a while")
 
