Avoid an engine whose answers to items are invalid, for all items

Cause: each item avoided an engine that sends events without end only by itself, and only while a sound engine had a free slot. The faulty engine's slots are free again at once, so the items that waited for a sound one ran there: 162 to 461 runs for 84 items, of up to 900 KB each, which were also saved in the replicated log. The leader took targets for lost that had sent heartbeats, and lost its term. Saved texts stayed after they had been dropped, so the next leader resumed items after them. Seen with tests.platform.test_memory, events_of_an_item, twice at once on one core beside three busy processes.

Ruled out: the share of the jobs (never full, no "items wait" line); the room of the texts (full for none, none, 4 and 124 runs of the four traced ones).

Change: policy/engine_faults.py records for a run of an engine the items whose answers exceeded a bound or were no answer. After two items without a complete text between them the engine gets none for 2 to 30 s, then one at a time until one is complete. Where no other engine serves an item, avoided ones get one item at a time. Broken tells malformed bytes from too few; a text that another engine began does not count. A dropped text is dropped from the replicated state as well.

Remains: a new leader learns of such engines anew.

--- a/goldcrestyard/core/attempts.py
+++ b/goldcrestyard/core/attempts.py
@@ -40,10 +40,13 @@
 
     ``target_answers`` is true if the target answered a probe on a new
     connection afterwards, so the request may be sent to it again.
+    ``malformed`` is true if the target sent bytes that are no answer, or more
+    than an answer may have, rather than none or too few.
     """
 
     detail: str
     target_answers: bool = False
+    malformed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -19,7 +19,7 @@
 from goldcrestyard.core.ids import RequestId, WeightVersion
 from goldcrestyard.core.jobs import Job, JobItem
 from goldcrestyard.core.records import Target
-from goldcrestyard.fleet.jobs.transcripts import Transcript
+from goldcrestyard.fleet.jobs.transcripts import TextShortage, Transcript
 from goldcrestyard.fleet.reply_timeouts import next_event_within, open_reply_within
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.engine_paces import SLOW_GAPS_BEFORE_MOVING, EnginePaces
@@ -56,6 +56,16 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """The engine sent bytes that are no answer to the item.
+
+    The item resumes after its last event.
+    """
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class Failed:
     """The engine answered with an error status; the item starts again."""
@@ -72,7 +82,7 @@
 class TooLong:
     """There is no room for the item's text, which is dropped."""
 
-    detail: str
+    shortage: TextShortage
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +90,9 @@
     """The engine is slow; the item resumes on another engine."""
 
 
-RunOutcome = Generated | NotRun | BrokenOff | Failed | Impossible | TooLong | Moved
+RunOutcome = (
+    Generated | NotRun | BrokenOff | Malformed | Failed | Impossible | TooLong | Moved
+)
 
 IMPOSSIBLE_STATUS = 422
 """HTTP status of an item that no engine can process."""
@@ -158,6 +170,8 @@
             return NotRun(detail, True)
         case TurnedAway(detail=detail) | Withheld(detail=detail):
             return NotRun(detail, False)
+        case Broken(detail=detail, malformed=True):
+            return Malformed(detail)
         case Broken(detail=detail):
             return BrokenOff(detail)
 
@@ -180,16 +194,16 @@
                 else BrokenOff("the stream ended without an event")
             )
         if isinstance(event, Broken):
-            return BrokenOff(event.detail)
+            return _to_outcome(event)
         version = event.version or transcript.current_version
         if version is not None and version < oldest_version:
             return BrokenOff(f"version {version} is older than {oldest_version}")
-        full = transcript.take_room(event)
-        if full is not None:
-            return TooLong(full)
+        shortage = transcript.take_room(event)
+        if shortage is not None:
+            return TooLong(shortage)
         problem = transcript.add(event)
         if problem is not None:
-            return BrokenOff(problem)
+            return Malformed(problem)
         if detector.note_event():
             return Moved()
         wait_seconds = NEXT_EVENT_TIMEOUT_SECONDS
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -41,6 +41,7 @@
     Failed,
     Generated,
     Impossible,
+    Malformed,
     Moved,
     NotRun,
     RunOutcome,
@@ -51,7 +52,7 @@
 from goldcrestyard.fleet.jobs.rewards import NoScore, RewardClient, Scored
 from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
 from goldcrestyard.fleet.jobs.slot_queue import Rank
-from goldcrestyard.fleet.jobs.transcripts import Transcript
+from goldcrestyard.fleet.jobs.transcripts import TextShortage, Transcript
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -68,10 +69,13 @@
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.backoff import Backoff
 from goldcrestyard.policy.call_routing import CallerLocation, distance_seconds
+from goldcrestyard.policy.crashing_requests import TargetRun
+from goldcrestyard.policy.engine_faults import EngineFaults
 from goldcrestyard.policy.engine_paces import MAX_MOVES_PER_ITEM, EnginePaces
 from goldcrestyard.policy.item_lengths import ItemLengths
 from goldcrestyard.policy.job_schedule import (
     EngineSlots,
+    EngineTrust,
     ItemKey,
     WaitingItem,
     assign,
@@ -203,6 +207,7 @@
         self._slots_in_use: Counter[TargetId] = Counter()
         self._seen_at_by_job: dict[JobId, float] = {}
         self._paces = EnginePaces()
+        self._faults = EngineFaults()
         self._lengths = ItemLengths()
         self._groups_by_target: dict[TargetId, dict[GroupId, None]] = {}
         member.machine.listen(self._on_applied)
@@ -248,7 +253,9 @@
         """Commit the progress of running items at fixed intervals.
 
         Each event is written to the replicated log once: either here or with
-        the item's result.
+        the item's result.  Saved text that an item has dropped is dropped here
+        as well; a new leader would resume the item after it, and it would
+        take room from the texts of others.
         """
         while True:
             await asyncio.sleep(PROGRESS_SAVE_INTERVAL_SECONDS)
@@ -258,14 +265,17 @@
     async def _save_progress(self, job_id: JobId) -> None:
         progress_by_key = {
             pending.key: (
-                pending,
-                len(pending.transcript.events),
+                pending.transcript,
+                pending.transcript.drops,
                 pending.transcript.unsaved_progress(),
             )
             for pending in self._pending_by_key.values()
             if pending.key.job == job_id
-            and len(pending.transcript.events)
-            >= pending.transcript.saved_count + MIN_UNSAVED_EVENTS
+            and (
+                pending.transcript.drop_unsaved
+                or len(pending.transcript.events)
+                >= pending.transcript.saved_count + MIN_UNSAVED_EVENTS
+            )
         }
         if not progress_by_key:
             return
@@ -275,6 +285,16 @@
     async def _propose_progress(
         self, job_id: JobId, progress_by_key: "_ProgressByKey"
     ) -> None:
+        # Texts may have been dropped while earlier parts were committed.
+        progress_by_key = {
+            key: entry
+            for key, entry in progress_by_key.items()
+            if entry[0].drops == entry[1]
+        }
+        if not progress_by_key:
+            return
+        for transcript, _, _ in progress_by_key.values():
+            transcript.may_be_saved = True
         result = await self._member.propose(
             KeepProgress(
                 job_id,
@@ -285,15 +305,10 @@
         )
         if not isinstance(result, Applied):
             return
-        for pending, count, saved in progress_by_key.values():
+        for transcript, drops, saved in progress_by_key.values():
             # The transcript may have been discarded during the commit.
-            if (
-                pending.transcript.saved_count
-                == saved.kept
-                <= count
-                <= len(pending.transcript.events)
-            ):
-                pending.transcript.saved_count = count
+            if transcript.drops == drops:
+                transcript.record_saved(saved)
 
     # Adding, expiring and cancelling items.
 
@@ -475,6 +490,7 @@
                     set(self._groups_by_target.get(target.id, ())),
                     self._permitted_runs(target) if self._permitted_runs else None,
                     self._paces.pace(target.id, now),
+                    self._faults.trust(_run_of(target), now),
                 )
             )
         return engines
@@ -546,8 +562,43 @@
                 pending.item.estimated_tokens,
                 len(pending.transcript.events),
             )
+        self._record_trust(pending, target, outcome, whole_text=resumed_after is None)
         await self._handle_outcome(pending, job, target, outcome)
 
+    def _record_trust(
+        self,
+        pending: PendingItem,
+        target: Target,
+        outcome: RunOutcome,
+        *,
+        whole_text: bool,
+    ) -> None:
+        """Record for all items what a run has shown of its engine.
+
+        ``whole_text`` tells whether the run began the item's text.  The text
+        of another engine is no fault of one that resumes it.
+        """
+        match outcome:
+            case Generated():
+                self._faults.note_text(_run_of(target))
+            case TooLong(shortage=TextShortage.TEXT) if whole_text:
+                self._note_fault(pending, target)
+            case Malformed():
+                self._note_fault(pending, target)
+
+    def _note_fault(self, pending: PendingItem, target: Target) -> None:
+        run = _run_of(target)
+        now = self._clock.monotonic()
+        before = self._faults.trust(run, now)
+        self._faults.note_fault(run, pending.key, now)
+        trust = self._faults.trust(run, now)
+        if trust is EngineTrust.AVOIDED and trust is not before:
+            logger.warning(
+                "engine avoided: invalid answers to items",
+                target=target.id,
+                incarnation=target.incarnation,
+            )
+
     async def _handle_outcome(
         self, pending: PendingItem, job: Job, target: Target, outcome: RunOutcome
     ) -> None:
@@ -572,13 +623,13 @@
                     pending.avoided_until_by_target[target.id] = (
                         now + ENGINE_AVOIDANCE_SECONDS
                     )
-            case TooLong(detail=detail):
+            case TooLong(shortage=shortage):
                 logger.warning(
                     "text of an item dropped",
                     job=job.id,
                     item=pending.item.id,
                     target=target.id,
-                    reason=detail,
+                    reason=shortage.value,
                 )
                 pending.transcript.discard()
                 self._requeue(pending, now)
@@ -592,7 +643,7 @@
                 )
                 if self._must_restart(pending, job):
                     pending.transcript.discard()
-            case BrokenOff():
+            case BrokenOff() | Malformed():
                 self._requeue(pending, now)
                 pending.avoided_until_by_target[target.id] = (
                     now + ENGINE_AVOIDANCE_SECONDS
@@ -689,7 +740,7 @@
             del groups[next(iter(groups))]
 
 
-_ProgressByKey = dict[ItemKey, tuple[PendingItem, int, Progress]]
+_ProgressByKey = dict[ItemKey, tuple[Transcript, int, Progress]]
 
 
 def _split_progress(progress_by_key: _ProgressByKey) -> Iterator[_ProgressByKey]:
@@ -705,5 +756,9 @@
     yield part
 
 
+def _run_of(target: Target) -> TargetRun:
+    return TargetRun(target.id, target.incarnation)
+
+
 def _errored_item(pending: PendingItem) -> EndedItem:
     return EndedItem(pending.item.id, ItemOutcome.ERRORED)
--- a/goldcrestyard/fleet/jobs/transcripts.py
+++ b/goldcrestyard/fleet/jobs/transcripts.py
@@ -1,6 +1,7 @@
 """The text that an item's runs have generated so far."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from goldcrestyard.core.calls import StreamEvent
 from goldcrestyard.core.ids import EventNumber, WeightVersion
@@ -13,6 +14,13 @@
 and the item's ids."""
 
 
+class TextShortage(Enum):
+    """Why there is no room for a further event of a text."""
+
+    TEXT = f"the text exceeds {MAX_TEXT_BYTES} bytes"
+    ROOM = "no room for the text beside those of other items"
+
+
 @dataclass(slots=True)
 class Transcript:
     """An item's stream events without gaps, and their weight versions.
@@ -29,6 +37,13 @@
     """The version that generates the coming events; None if unknown."""
     saved_count: int = 0
     """Number of leading events that are saved in the replicated state."""
+    may_be_saved: bool = False
+    """Whether the replicated state may hold events of the item, also such
+    that were discarded since."""
+    drop_unsaved: bool = False
+    """Whether the replicated state may hold events that were discarded."""
+    drops: int = 0
+    """Number of times that the events were discarded."""
     lease: ByteLease | None = None
     size: int = 0
     """Size of the events in bytes, with an allowance for each."""
@@ -49,21 +64,22 @@
             set(progress.versions),
             progress.current_version,
             len(progress.events),
-            lease,
-            size,
+            may_be_saved=True,
+            lease=lease,
+            size=size,
         )
 
     def begin_run(self, version: WeightVersion | None) -> None:
         """Set the weight version of the coming events, None if unknown."""
         self.current_version = version
 
-    def take_room(self, event: StreamEvent) -> str | None:
+    def take_room(self, event: StreamEvent) -> TextShortage | None:
         """Take the memory for an event; return why there is none, or None."""
         size = EVENT_BYTES + len(event.data)
         if self.size + size > MAX_TEXT_BYTES:
-            return f"the text exceeds {MAX_TEXT_BYTES} bytes"
+            return TextShortage.TEXT
         if self.lease is not None and not self.lease.grow(size):
-            return "no room for the text beside those of other items"
+            return TextShortage.ROOM
         self.size += size
         return None
 
@@ -90,6 +106,8 @@
         self.last_event = None
         self.current_version = None
         self.saved_count = 0
+        self.drops += 1
+        self.drop_unsaved = self.may_be_saved
         self.release()
 
     def release(self) -> None:
@@ -98,6 +116,12 @@
         if self.lease is not None:
             self.lease.release()
 
+    def record_saved(self, progress: Progress) -> None:
+        """Record that the replicated state holds the unsaved progress."""
+        self.saved_count = progress.kept + len(progress.events)
+        self.may_be_saved = self.saved_count > 0
+        self.drop_unsaved = False
+
     def unsaved_progress(self) -> Progress:
         """Return the progress that the replicated state lacks."""
         return Progress(
--- a/goldcrestyard/platform/event_stream.py
+++ b/goldcrestyard/platform/event_stream.py
@@ -9,6 +9,7 @@
 from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.ids import EventNumber, WeightVersion
 from goldcrestyard.kernel.byte_room import ByteLease
+from goldcrestyard.kernel.http_client import UnboundedAnswerError
 from goldcrestyard.platform.names import VERSION_HEADER
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -41,7 +42,7 @@
                 event = _parse(raw)
                 without_event = without_event + len(raw) if event is None else 0
                 if without_event > MAX_BYTES_BETWEEN_EVENTS:
-                    event = Broken(f"{without_event} bytes without an event")
+                    event = _malformed(f"{without_event} bytes without an event")
                 if event is not None:
                     yield event
                 if isinstance(event, Broken):
@@ -50,10 +51,13 @@
                 yield Broken("no room for the event beside those of others")
                 return
             if len(pending) > MAX_EVENT_BYTES:
-                yield Broken(f"event exceeds {MAX_EVENT_BYTES} bytes")
+                yield _malformed(f"event exceeds {MAX_EVENT_BYTES} bytes")
                 return
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        yield Broken(f"stream cut off: {describe_error(error)}")
+        yield Broken(
+            f"stream cut off: {describe_error(error)}",
+            malformed=isinstance(error, UnboundedAnswerError),
+        )
         return
     if pending.strip():
         yield Broken("stream ended within an event")
@@ -78,11 +82,11 @@
                 case b"" | b"event" | b"retry":
                     pass
                 case _:
-                    return Broken("line is not a known event field")
+                    return _malformed("line is not a known event field")
     except ValueError:
-        return Broken("event number or version is not an integer")
+        return _malformed("event number or version is not an integer")
     if number is None:
-        return Broken("event has no number") if data else None
+        return _malformed("event has no number") if data else None
     return StreamEvent(
         EventNumber(number),
         b"\n".join(data),
@@ -91,6 +95,10 @@
     )
 
 
+def _malformed(detail: str) -> Broken:
+    return Broken(detail, malformed=True)
+
+
 def _parse_number(value: bytes) -> int:
     number = parse_count(value.decode("ascii"))
     if number is None:
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -32,6 +32,7 @@
 from goldcrestyard.kernel.http_client import (
     MAX_ANSWER_BYTES,
     BoundedConnector,
+    UnboundedAnswerError,
     read_at_most,
     read_to_end,
     without_retries,
@@ -91,6 +92,9 @@
 BODILESS_STATUSES = frozenset({204, 304})
 MISDIRECTED_STATUS = 421
 
+MALFORMED_ANSWER_ERRORS = (aiohttp.ClientResponseError, UnboundedAnswerError)
+"""Errors of the HTTP library for an answer whose head is none or too long."""
+
 SUPPRESSED_DEFAULT_HEADERS = ("accept", "accept-encoding", "user-agent", "content-type")
 """Default headers of the HTTP library that are not added to a request."""
 
@@ -372,7 +376,10 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Unreached(describe_error(error))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            return Broken(f"no answer: {describe_error(error)}")
+            return Broken(
+                f"no answer: {describe_error(error)}",
+                malformed=isinstance(error, MALFORMED_ANSWER_ERRORS),
+            )
 
 
 def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
@@ -431,5 +438,5 @@
         or signature is None
         or not is_header(SIGNATURE_HEADER, signature)
     ):
-        return Broken("answer without request id or signature")
+        return Broken("answer without request id or signature", malformed=True)
     return None
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import NamedTuple
 
 from goldcrestyard.core.ids import (
@@ -32,6 +33,17 @@
     item: ItemId
 
 
+class EngineTrust(Enum):
+    """How many items an engine gets, from its earlier answers."""
+
+    TRUSTED = "trusted"
+    """As many as it has slots."""
+    ON_TRIAL = "on trial"
+    """One at a time."""
+    AVOIDED = "avoided"
+    """None, unless no other engine serves the item; then one at a time."""
+
+
 @dataclass(frozen=True, slots=True)
 class WaitingItem:
     """An item that can start as soon as an engine has a free slot."""
@@ -69,19 +81,27 @@
     if it has none."""
     seconds_per_event: float = 0.0
     """Mean time between two events of a stream; 0 if it is not known."""
+    trust: EngineTrust = EngineTrust.TRUSTED
 
-    def can_run(self, item: WaitingItem) -> bool:
-        """Return whether the engine can generate an item now."""
+    def serves(self, item: WaitingItem) -> bool:
+        """Return whether the engine can run an item once it has a slot."""
         version = self.versions_by_model.get(item.model, WeightVersion(0))
         return (
             self.service == item.service
-            and self.in_use < self.slots
-            and self.permitted_runs != 0
-            and item.model not in self.loading
             and version >= item.oldest_version
             and item.required_version in (None, version)
         )
 
+    def can_run(self, item: WaitingItem) -> bool:
+        """Return whether the engine can generate an item now."""
+        slots = self.slots if self.trust is EngineTrust.TRUSTED else 1
+        return (
+            self.in_use < slots
+            and self.permitted_runs != 0
+            and item.model not in self.loading
+            and self.serves(item)
+        )
+
 
 CACHED_PROMPT_BONUS_SECONDS = 0.05
 """Time in seconds saved by an engine that has the prompt of the item's group
@@ -110,6 +130,8 @@
         if free_slots <= 0:
             break
         eligible = [engine for engine in engines if engine.can_run(item)]
+        if any(engine.trust is EngineTrust.AVOIDED for engine in eligible):
+            eligible = _without_avoided(eligible, item, engines)
         if not eligible:
             continue
         preferred = [
@@ -125,6 +147,23 @@
     return assigned
 
 
+def _without_avoided(
+    eligible: list[EngineSlots], item: WaitingItem, engines: Sequence[EngineSlots]
+) -> list[EngineSlots]:
+    """Return the engines that may get an item now.
+
+    An item rather waits for a slot of a sound engine than to run at one that
+    is avoided.  If no other engine serves the item, the fault may lie in the
+    items, and waiting would not help.
+    """
+    if not any(
+        engine.trust is not EngineTrust.AVOIDED and engine.serves(item)
+        for engine in engines
+    ):
+        return eligible
+    return [engine for engine in eligible if engine.trust is not EngineTrust.AVOIDED]
+
+
 def _cost(engine: EngineSlots, item: WaitingItem) -> float:
     cost = (
         engine.distance_seconds + FULL_LOAD_COST_SECONDS * engine.in_use / engine.slots
--- a/tests/fakes/member.py
+++ b/tests/fakes/member.py
@@ -1,5 +1,7 @@
 """A control member without a log, for tests of leader-only tasks."""
 
+import asyncio
+
 from goldcrestyard.consensus.results import Applied, NotProposed, ProposalResult
 from goldcrestyard.core.ids import CorrelationId, InstanceId, LogIndex, Term
 from goldcrestyard.kernel.clock import Clock
@@ -23,6 +25,7 @@
         self.is_leader = True
         self.lease = True
         self.proposed: list[Command] = []
+        self.commit_seconds = 0.0
         self._clock = clock
 
     def holds_lease(self) -> bool:
@@ -47,6 +50,8 @@
         if not self.is_leader:
             return NotProposed("not the leader")
         self.proposed.append(command)
+        if self.commit_seconds:
+            await asyncio.sleep(self.commit_seconds)
         return apply(self.machine, command, self.term, self._clock.wall())
 
 
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -10,15 +10,17 @@
 from goldcrestyard.consensus.control_member import DEFAULT_SHARES
 from goldcrestyard.core.ids import (
     DataCentre,
+    EventNumber,
     JobId,
     Region,
     RequestId,
+    TargetId,
     WeightVersion,
 )
-from goldcrestyard.core.jobs import ItemOutcome, Job, RewardCall
+from goldcrestyard.core.jobs import ItemOutcome, Job, Progress, RewardCall
 from goldcrestyard.core.states import TargetKind
 from goldcrestyard.fleet.gateway.router import CallRouter
-from goldcrestyard.fleet.jobs.commands import EndJob, SubmitJob
+from goldcrestyard.fleet.jobs.commands import EndJob, KeepProgress, SubmitJob
 from goldcrestyard.fleet.jobs.rewards import RewardClient
 from goldcrestyard.fleet.jobs.runner import JobRunner
 from goldcrestyard.fleet.jobs.slices import JobsSlice
@@ -31,6 +33,8 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
+from goldcrestyard.policy.crashing_requests import TargetRun
+from goldcrestyard.policy.job_schedule import EngineTrust
 from goldcrestyard.policy.memory import ControlShares
 from tests.fakes.announcements import announce
 from tests.fakes.member import FakeMember, apply, machine_of
@@ -177,6 +181,7 @@
             shares=shares,
         )
         self.text_room = runner._text_room
+        self.faults = runner._faults
         task = asyncio.create_task(runner.run())
         self.addAsyncCleanup(self._stop, task)
         return task
@@ -240,6 +245,75 @@
         self.assertEqual({r.outcome for r in state.results}, {ItemOutcome.COMPLETE})
         self.assertEqual(self.text_room.held, 0)
 
+    async def test_engine_without_sound_answers_gets_few_items(self) -> None:
+        """Guards against items that each try an engine in trouble.
+
+        Its slots are free again at once, so that all items that wait for a
+        slot of a sound engine would run there, and cost the leader time.
+        """
+        self._start((Streams(30),), engine_count=4)
+        endless = Streams(10**6, padding=LONG, event_seconds=0.005)
+        self.client.behaviours_by_target["e0"] = [endless]
+        submit = SubmitJob(scored_job("/jobs/", items=90))
+        apply(self.machine, submit, time=self.clock().wall())
+        await self._wait_listed(90)
+        calls = self._engine_calls().count("e0")
+        # Six slots at first, then one trial after 2 s and one after 4 more.
+        self.assertLessEqual(calls, 6 + 2)
+
+    @parameterized.expand(
+        [
+            ("begun_there", 0, EngineTrust.AVOIDED),
+            ("resumed_there", 2, EngineTrust.TRUSTED),
+        ]
+    )
+    async def test_text_that_is_too_long(
+        self, _: str, saved: int, expected: EngineTrust
+    ) -> None:
+        """Guards against an engine that is avoided for the text of another."""
+        submitted = scored_job("/jobs/", items=2)
+        apply(self.machine, SubmitJob(submitted), time=self.clock().wall())
+        versions = (WeightVersion(1),)
+        progress = Progress(
+            0, (LONG,) * saved, EventNumber(saved), versions, versions[0]
+        )
+        if saved:
+            items = {item.id: progress for item in submitted.items}
+            apply(self.machine, KeepProgress(submitted.id, items))
+        long = Streams(9, padding=LONG)
+        self._start((long, long, Hangs()), engine_count=1)
+        await asyncio.sleep(1.0)
+        run = TargetRun(TargetId("e0"), "1000")
+        self.assertGreater(len(self._engine_calls()), 2)
+        self.assertIs(self.faults.trust(run, self.clock().monotonic()), expected)
+
+    @parameterized.expand([("at_once", 0.0), ("late", 0.4), ("very_late", 0.9)])
+    async def test_saved_text_that_was_dropped_is_not_resumed(
+        self, _: str, commit_seconds: float
+    ) -> None:
+        """Guards against a new leader that goes on after a dropped text.
+
+        Saved texts that were dropped also filled the share of the jobs.  A
+        text may be dropped before its own commit or that of another text.
+        """
+        self.member.commit_seconds = commit_seconds
+        endless = Streams(10**6, padding=b"x" * 80_000, event_seconds=0.06)
+        first = self._start((endless, endless, Hangs()))
+        submitted = scored_job("/jobs/", items=2)
+        apply(self.machine, SubmitJob(submitted), time=self.clock().wall())
+        state = self.jobs.jobs_by_id[submitted.id]
+        async with asyncio.timeout(LISTING_TIMEOUT_SECONDS):
+            while not state.text_bytes:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(3.0)
+        self.assertEqual(len(self._engine_calls()), 4)
+        self.assertEqual(state.text_bytes, 0)
+        await self._stop(first)
+        self._start((Streams(3),))
+        await self._wait_listed(2)
+        resumed_after = [call.resume_after for _, call in self.client.calls]
+        self.assertEqual(set(resumed_after), {None})
+
     async def test_no_run_begins_while_the_jobs_fill_their_share(self) -> None:
         """Guards against texts for which the members have no room."""
         submit = SubmitJob(scored_job("/jobs/"))
--- a/tests/platform/test_event_stream.py
+++ b/tests/platform/test_event_stream.py
@@ -7,13 +7,19 @@
 from parameterized import parameterized
 
 from goldcrestyard.core.attempts import Broken
-from goldcrestyard.platform.event_stream import read_events
+from goldcrestyard.kernel.http_client import UnboundedAnswerError
+from goldcrestyard.platform.event_stream import (
+    MAX_BYTES_BETWEEN_EVENTS,
+    MAX_EVENT_BYTES,
+    read_events,
+)
 
 ONE = b"id: 1\ndata: a\n\n"
 TWO = b"id: 2\ndata: b:c\n\n"
 CHANGED = b"x-goldcrestyard-weight-versions: 9\nid: 3\ndata:  d\n\n"
 
 Cut = type("Cut", (), {})
+Endless = type("Endless", (), {})
 
 CASES = [
     ("whole", [ONE + TWO], [(1, b"a"), (2, b"b:c")], False),
@@ -33,22 +39,38 @@
 ]
 
 
-async def collect(chunks: list[object]) -> tuple[list[tuple[int, bytes]], bool]:
-    """Return the events, and whether the stream was cut off."""
+async def collect(
+    chunks: list[object],
+) -> tuple[list[tuple[int, bytes]], Broken | None]:
+    """Return the events, and the failure of a stream that was cut off."""
 
     async def read() -> AsyncIterator[bytes]:
         for chunk in chunks:
             if chunk is Cut:
                 raise aiohttp.ClientPayloadError("reset")
+            if chunk is Endless:
+                raise UnboundedAnswerError("no answer")
             assert isinstance(chunk, bytes)
             yield chunk
 
     events: list[tuple[int, bytes]] = []
     async for event in read_events(read):
         if isinstance(event, Broken):
-            return events, True
+            return events, event
         events.append((event.number, event.data))
-    return events, False
+    return events, None
+
+
+MALFORMED_CASES = [
+    ("cut_within_an_event", [ONE, TWO[:6]], False),
+    ("connection_breaks", [ONE, Cut], False),
+    ("answer_without_end", [ONE, Endless], True),
+    ("no_number", [ONE, b"data: b\n\n"], True),
+    ("number_is_no_number", [ONE, b"id: x\ndata: b\n\n"], True),
+    ("other_bytes", [ONE, b"HTTP/1.1 200 OK\nServer: x\n\n"], True),
+    ("event_without_end", [ONE, b"id: 2\ndata: " + b"x" * MAX_EVENT_BYTES], True),
+    ("no_event", [ONE, b": ping\n\n" * MAX_BYTES_BETWEEN_EVENTS], True),
+]
 
 
 class ReadEventsTests(unittest.IsolatedAsyncioTestCase):
@@ -62,7 +84,17 @@
         expected: list[tuple[int, bytes]],
         broken: bool,
     ) -> None:
-        self.assertEqual(await collect(chunks), (expected, broken))
+        events, failure = await collect(chunks)
+        self.assertEqual((events, failure is not None), (expected, broken))
+
+    @parameterized.expand(MALFORMED_CASES)
+    async def test_bytes_that_are_no_answer(
+        self, _: str, chunks: list[object], malformed: bool
+    ) -> None:
+        """Guards against a target in trouble that counts as one cut off."""
+        _events, failure = await collect(chunks)
+        assert failure is not None
+        self.assertIs(failure.malformed, malformed)
 
     async def test_version_that_an_event_names(self) -> None:
         async def read() -> AsyncIterator[bytes]:
--- a/tests/policy/test_job_schedule.py
+++ b/tests/policy/test_job_schedule.py
@@ -18,6 +18,7 @@
 from goldcrestyard.policy.item_lengths import DEFAULT_EVENTS
 from goldcrestyard.policy.job_schedule import (
     EngineSlots,
+    EngineTrust,
     ItemKey,
     WaitingItem,
     assign,
@@ -97,6 +98,30 @@
         "b",
         replace(ITEM, required_version=WeightVersion(3)),
     ),
+    Case(
+        "avoided_by_all_though_the_others_are_full",
+        (engine("a", trust=EngineTrust.AVOIDED), engine("b", in_use=4)),
+        None,
+    ),
+    Case(
+        "avoided_by_all_where_no_other_serves",
+        (engine("a", trust=EngineTrust.AVOIDED), engine("b", version=2)),
+        "a",
+    ),
+    Case(
+        "all_avoided_get_one_item_each",
+        (
+            engine("a", in_use=1, trust=EngineTrust.AVOIDED),
+            engine("b", in_use=1, trust=EngineTrust.AVOIDED),
+        ),
+        None,
+    ),
+    Case("on_trial", (engine(trust=EngineTrust.ON_TRIAL),), "e"),
+    Case(
+        "on_trial_with_an_item",
+        (engine("a", in_use=1, trust=EngineTrust.ON_TRIAL), engine("b", in_use=3)),
+        "b",
+    ),
     Case(
         "other_service",
         (engine(),),
