Refuse to replace a voter by a member that already votes

ReplaceMember with a present voter as the new member removed the old voter and reported success: three voters became two, and each of the two disks was needed. The branch resumed a replacement of an earlier release, which gave the new member its vote before it removed the old one.

An even number of voters still resumes such a replacement, since the removal keeps the losses that can be borne. With an odd number the call is refused. The new test failed before, with an Applied result.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -608,6 +608,10 @@
                 return InDoubt(f"{new_id} has been added but has not caught up")
             return await self._give_vote(learner, old_record, deadline)
         if old_record is not None:
+            # The new member votes already.  An earlier release added its vote
+            # before it removed the old one, so that may be all that is left.
+            if self._voter_count() % 2 == 1:
+                return NotProposed(f"{new_id} votes already, beside {old}")
             return await self.remove(old_record.id)
         return Applied(self._state.index, Accepted())
 
@@ -649,6 +653,9 @@
             return False
         return core.has_caught_up(self._clock.monotonic(), member_id)
 
+    def _voter_count(self) -> int:
+        return 0 if self._core is None else len(self._core.configuration.voters)
+
     def _find_record(self, instance: InstanceId, *, voter: bool) -> MemberRecord | None:
         core = self._core
         if core is None:
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -440,6 +440,13 @@
         await self.network.wait_until_converged()
         self.assertEqual(len(organisation_ids(self.network.running["d"])), 51)
 
+    async def test_voter_is_not_replaced_by_another_voter(self) -> None:
+        """Guards against two voters where each disk is needed."""
+        old, other = (member.instance for member in self.followers)
+        result = await self.leader.replace_member(old, other, f"{other}:1")
+        self.assertIsInstance(result, NotProposed)
+        self.assertEqual(self._voters(), set(INSTANCES))
+
     async def test_replacement_cut_off_half_way_is_resumed(self) -> None:
         old = self.followers[0].instance
         new = await self.network.start("d", configured_members=["d", *INSTANCES])
