--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -19,6 +19,7 @@
 from goldcrestyard.consensus.events import (
     AddLearner,
     Appended,
+    ConfigurationEvent,
     Effect,
     Event,
     Promote,
@@ -397,7 +398,7 @@
     """
 
     name: str
-    event: AddLearner | Promote | Remove
+    event: ConfigurationEvent
     detail: str
     pending: bool = False
 
@@ -410,6 +411,7 @@
     ),
     RefusedChangeCase("unknown", Remove(9, D), "not a member"),
     RefusedChangeCase("not_caught_up", Promote(9, D), "has not caught up"),
+    RefusedChangeCase("replaced_by_a_stranger", Replace(9, C, D), "has not caught up"),
     RefusedChangeCase("replaced_by_a_voter", Replace(9, B, C), "cannot take the vote"),
     RefusedChangeCase("replaces_no_voter", Replace(9, D, D), "cannot take the vote"),
     RefusedChangeCase("second_change", Remove(9, C), "not yet committed", pending=True),
@@ -439,6 +441,15 @@
         acknowledge_log(subject, now, B, now)
         self.assertEqual(subject.commit_index, 3)
 
+    def test_member_has_caught_up_once_it_stores_the_configuration(self) -> None:
+        """Guards against a retirement that rests on copies without it."""
+        subject, now = make_ready_leader(1)
+        subject.step(now, AddLearner(8, LEARNER))
+        self.assertFalse(subject.has_caught_up(now, B))
+        acknowledge_log(subject, now, B, now)
+        self.assertTrue(subject.has_caught_up(now, B))
+        self.assertFalse(subject.has_caught_up(now + TIMING.confirmation, B))
+
     def test_learner_becomes_a_voter_once_it_has_caught_up(self) -> None:
         subject, now = make_ready_leader(1)
         subject.step(now, AddLearner(8, LEARNER))
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import unittest
 
+import cbor2
 from parameterized import parameterized
 
 from goldcrestyard.consensus.configuration import MemberId
@@ -13,7 +15,7 @@
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.consensus.roles import Role
 from goldcrestyard.consensus.status import MemberStatus
-from goldcrestyard.core.ids import InstanceId, LogIndex
+from goldcrestyard.core.ids import CorrelationId, InstanceId, LogIndex, Term
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.fleet.assembly.commands import (
     CompleteRetirement,
@@ -29,7 +31,8 @@
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
-from goldcrestyard.state.commands import Accepted
+from goldcrestyard.state.commands import Accepted, CommandContext, Envelope
+from goldcrestyard.wire.codec import Codec
 from tests.fakes.member_network import (
     MemberNetwork,
     _Dialer,
@@ -494,6 +497,37 @@
         self.assertIsInstance(await put_organisation(leader, "after"), Applied)
 
 
+class MachinesSliceTests(unittest.TestCase):
+    """Snapshots of the machines.
+
+    Guards against a retired machine that joins again, or is no longer told as
+    retired, after a snapshot.
+    """
+
+    def test_snapshot_has_the_retired_machines(self) -> None:
+        before, after = MachinesSlice(), MachinesSlice()
+        for command in (
+            NameMachine(InstanceId("d"), "machine-d"),
+            RetireMachine("machine-d"),
+            CompleteRetirement("machine-d"),
+        ):
+            envelope = Envelope(command, "a", CorrelationId(""), 0.0)
+            before.apply(command, CommandContext(LogIndex(1), Term(1), envelope))
+        after.load_snapshot(before.to_snapshot())
+        self.assertEqual(after.retired_instances(), {"d"})
+        self.assertEqual(after.retiring_instances(), {"d"})
+
+    def test_snapshot_of_an_earlier_release(self) -> None:
+        codec = Codec()
+        codec.register(MachinesSnapshot)
+        fields = {"names_by_instance": {"d": "machine-d"}, "retiring": ["machine-d"]}
+        snapshot = codec.decode(cbor2.dumps(["MachinesSnapshot", fields]))
+        machines = MachinesSlice()
+        machines.load_snapshot(snapshot)
+        self.assertEqual(machines.retiring_instances(), {"d"})
+        self.assertEqual(machines.retired_instances(), frozenset())
+
+
 class FakeLeader:
     """Leads three voters and a learner; they answer when a test says so."""
 
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -132,6 +132,16 @@
         ),
         replace("c#1", "c#2", "lost"),
     ),
+    Case(
+        "learner_without_its_disk_gets_no_vote",
+        (
+            *THREE[:2],
+            facts("c#1", silent=LOST),
+            facts("d#1", voter=False),
+            facts("d#2", voter=False, caught_up=False),
+        ),
+        Drop(MemberId("d#1"), "silent learner"),
+    ),
     Case("spare_learner_does_not_vote", (*THREE, facts("d#1", voter=False)), None),
     Case(
         "silent_learner_goes",
@@ -253,6 +263,38 @@
         replace("c#1", "d#1", "lost"),
         retiring=frozenset({"d"}),
     ),
+    Case(
+        "retiring_learner_leaves_the_vote_to_one_that_catches_up",
+        (
+            *THREE[:2],
+            facts("c#1", silent=LOST),
+            facts("d#1", voter=False),
+            facts("e#1", voter=False, caught_up=False),
+        ),
+        Drop(MemberId("d#1"), RETIRING),
+        retiring=frozenset({"d"}),
+    ),
+    Case(
+        "retiring_learner_takes_the_vote_beside_a_silent_learner",
+        (
+            *THREE[:2],
+            facts("c#1", silent=LOST),
+            facts("d#1", voter=False),
+            facts("e#1", voter=False, silent=LOST),
+        ),
+        replace("c#1", "d#1", "lost"),
+        retiring=frozenset({"d"}),
+    ),
+    Case(
+        "retiring_learner_that_is_needed_stays",
+        (
+            *THREE[:2],
+            facts("c#1", silent=LOST),
+            facts("d#1", voter=False, caught_up=False),
+        ),
+        None,
+        retiring=frozenset({"d"}),
+    ),
     Case(
         "learner_on_a_retired_machine_gets_no_vote",
         (*THREE[:2], facts("c#1", silent=LOST), facts("d#1", voter=False)),
