Leave out a bound that the number of needed voters implies

A mutation check showed that the lower bound wanted_voters never decides: with fewer voters than wanted, a majority and the planned losses are more than all of them.

--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -228,11 +228,11 @@
 def _needed_sound_voters(voters: int, wanted_voters: int) -> int:
     """Return how many of a number of voters must be sound.
 
-    With more voters than are wanted, a majority is larger, and it must be left
-    after the planned losses.
+    A majority of them must be left after the planned losses.  With fewer
+    voters than are wanted, the result is larger than their number.
     """
     planned_losses = (wanted_voters - 1) // 2
-    return max(wanted_voters, voters // 2 + 1 + planned_losses)
+    return voters // 2 + 1 + planned_losses
 
 
 def may_retire(
