--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -28,6 +28,7 @@
 from goldcrestyard.fleet.assembly.slices import MachinesSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.membership import (
+    GONE_SECONDS,
     Add,
     Drop,
     Joiner,
@@ -73,6 +74,7 @@
         self._clock = clock
         self._join_requests_by_instance: dict[InstanceId, _JoinRequest] = {}
         self._first_seen_by_id: dict[MemberId, float] = {}
+        self._heard_at_by_instance: dict[InstanceId, float] = {}
         self._learners_logged_at = float("-inf")
         self.monitor = ClusterHealthMonitor(member, wanted_voters, clock)
 
@@ -112,9 +114,11 @@
         instance = self._machines.instance_of(machine)
         if instance is None:
             return Refusal(RefusalReason.NOT_FOUND, f"no machine {machine}")
-        known = self._machines.names_by_instance.keys() | self._member_instances()
+        if not self._member.holds_lease():
+            return Refusal(RefusalReason.NO_LEADER, "this member does not lead")
+        remaining = self._remaining_instances()
         retiring = self._machines.retiring_instances()
-        if not may_retire(known, retiring, instance, self._wanted_voters):
+        if not may_retire(remaining, retiring, instance, self._wanted_voters):
             return Refusal(
                 RefusalReason.CONFLICT,
                 f"without {machine} fewer than {self._wanted_voters} members remain",
@@ -151,8 +155,19 @@
                 result = await self._propose(CompleteRetirement(machine))
                 logger.info("retirement completed", machine=machine, result=str(result))
 
-    def _member_instances(self) -> set[InstanceId]:
-        return {status.instance for status in self._member.member_statuses()}
+    def _remaining_instances(self) -> frozenset[InstanceId]:
+        """Return the instances that have been heard of lately.
+
+        These are members, and processes that have been or ask to be.
+        """
+        self._member_facts()
+        heard_since = self._clock.monotonic() - GONE_SECONDS
+        self._heard_at_by_instance = {
+            instance: heard_at
+            for instance, heard_at in self._heard_at_by_instance.items()
+            if heard_at > heard_since
+        }
+        return frozenset(self._heard_at_by_instance)
 
     def _member_facts(self) -> list[MemberFacts]:
         facts = []
@@ -168,6 +183,7 @@
             )
             if status.last_contact_seconds is not None:
                 silent = min(silent, status.last_contact_seconds)
+            self._record_heard(status.instance, now - silent)
             facts.append(
                 MemberFacts(
                     status.id,
@@ -179,6 +195,10 @@
             )
         return facts
 
+    def _record_heard(self, instance: InstanceId, heard_at: float) -> None:
+        before = self._heard_at_by_instance.get(instance, heard_at)
+        self._heard_at_by_instance[instance] = max(before, heard_at)
+
     def _log_learners(self, facts: list[MemberFacts]) -> None:
         """Log, at intervals, how far the learners are behind the leader."""
         now = self._clock.monotonic()
@@ -244,6 +264,7 @@
         self._join_requests_by_instance[message.instance] = _JoinRequest(
             joiner, self._clock.monotonic()
         )
+        self._record_heard(message.instance, self._clock.monotonic())
         known = self._machines.names_by_instance.get(message.instance)
         if known != message.machine:
             name = NameMachine(message.instance, message.machine)
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -21,6 +21,11 @@
 LOST_LEARNER_SECONDS = 10.0
 """Time without contact after which a learner is removed."""
 
+GONE_SECONDS = 10.0
+"""Time without contact after which a machine no longer counts as one that
+remains when another one retires.  One that is frozen or cut off for a shorter
+time does, since it returns."""
+
 
 @dataclass(frozen=True, slots=True)
 class MemberFacts:
@@ -236,19 +241,19 @@
 
 
 def may_retire(
-    known_instances: AbstractSet[InstanceId],
+    remaining_instances: AbstractSet[InstanceId],
     retiring: AbstractSet[InstanceId],
     instance: InstanceId,
     wanted_voters: int,
 ) -> bool:
     """Return whether enough machines remain after an instance retires.
 
-    ``known_instances`` have been members and may be so again: one that is
-    frozen or cut off for a time counts.  The retiring instance stays a member
-    until ``wanted_voters`` others vote, so an order that is accepted early is
-    only carried out late.
+    ``remaining_instances`` have been heard of within ``GONE_SECONDS``: one
+    that is frozen or cut off for a time counts.  One that is gone for good
+    must not: the order would wait for a machine that never comes, and take
+    the next one that comes in place of another machine.
     """
-    return len(known_instances - retiring - {instance}) >= wanted_voters
+    return len(remaining_instances - retiring - {instance}) >= wanted_voters
 
 
 def _is_lost(member: MemberFacts, members: Sequence[MemberFacts]) -> bool:
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -33,6 +33,7 @@
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
+from goldcrestyard.policy.membership import GONE_SECONDS
 from goldcrestyard.state.commands import Accepted, CommandContext, Envelope
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.member_network import (
@@ -396,15 +397,33 @@
         for name in FOUNDERS:
             await self.assembly.start(name, first_start=True)
         self.leader = await self.network.leader()
+        self.manager = self.assembly.managers[self.leader.instance]
         names = self.leader.machine.get(MachinesSlice).names_by_instance
-        # A fourth machine that is lost for good: the order to empty another
-        # one is accepted, but waits for a machine in its place.
         await self.assembly.start("d")
         await self.network.wait(lambda: len(names) == 4, "the machines' names")
         await self.assembly.stop("d", lose_disk=True)
+
+    async def _empty_without_a_spare_machine(self, name: str) -> None:
+        """Order a machine to be emptied, which waits for one in its place.
+
+        The order is accepted since a fourth machine was heard of lately; that
+        one is lost for good.
+        """
+        await asyncio.sleep(1.5)
+        self.assertIsNone(await self.manager.retire(f"machine-{name}"))
         await self.network.wait(
             lambda: len(self.leader.member_statuses()) == 3, "the removal of d"
         )
+        await asyncio.sleep(3.0)
+        self.assertFalse(self._is_told_empty(name))
+
+    async def _lose_the_leaders_disk(self) -> None:
+        """Wipe the leader, and expect the others to go on."""
+        wiped = str(self.leader.instance)
+        await self.assembly.stop(wiped, lose_disk=True)
+        await self.assembly.start(wiped)
+        leader = await self.network.leader()
+        self.assertIsInstance(await put_organisation(leader, "after"), Applied)
 
     def _is_told_empty(self, name: str) -> bool:
         return any(
@@ -431,21 +450,42 @@
         two sound voters of three were left.
         """
         emptied, lost = (n for n in FOUNDERS if n != self.leader.instance)
-        manager = self.assembly.managers[self.leader.instance]
-        self.assertIsNone(await manager.retire(f"machine-{emptied}"))
-        await asyncio.sleep(3.0)
-        self.assertFalse(self._is_told_empty(emptied))
+        await self._empty_without_a_spare_machine(emptied)
         await self.assembly.stop(lost, lose_disk=True)
         await asyncio.sleep(successor_after)
         await self.assembly.start("e")
         await asyncio.sleep(CATCH_UP_SECONDS)
         if self._is_told_empty(emptied):
             await self.assembly.stop(emptied, lose_disk=True)
-        wiped = str(self.leader.instance)
-        await self.assembly.stop(wiped, lose_disk=True)
-        await self.assembly.start(wiped)
-        leader = await self.network.leader()
-        self.assertIsInstance(await put_organisation(leader, "after"), Applied)
+        await self._lose_the_leaders_disk()
+
+    async def test_machine_that_waits_to_be_emptied_loses_its_disk(self) -> None:
+        """Guards against a machine that is not admitted again while it counts.
+
+        Its member on the lost disk stayed a voter, and the machine could not
+        join with its empty disk: two sound voters of three were left.
+        """
+        emptied = next(n for n in FOUNDERS if n != self.leader.instance)
+        await self._empty_without_a_spare_machine(emptied)
+        await self.assembly.stop(emptied, lose_disk=True)
+        await self.assembly.start(emptied)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        self.assertFalse(self._is_told_empty(emptied))
+        await self._lose_the_leaders_disk()
+
+    async def test_machine_that_is_gone_does_not_count_as_one_that_remains(
+        self,
+    ) -> None:
+        """Guards against an order that waits for a machine that never comes.
+
+        It took the next one, which had come in place of another machine.
+        """
+        await asyncio.sleep(GONE_SECONDS + 1.0)
+        emptied = next(n for n in FOUNDERS if n != self.leader.instance)
+        refusal = await self.manager.retire(f"machine-{emptied}")
+        assert refusal is not None
+        self.assertIs(refusal.reason, RefusalReason.CONFLICT)
+        self.assertIsNone(self.manager.is_retired(f"machine-{emptied}"))
 
     async def test_lost_learner_does_not_take_the_place_of_an_emptied_machine(
         self,
@@ -462,8 +502,7 @@
         )
         await self.assembly.stop("e", lose_disk=True)
         await asyncio.sleep(1.0)
-        manager = self.assembly.managers[self.leader.instance]
-        self.assertIsNone(await manager.retire(f"machine-{emptied}"))
+        self.assertIsNone(await self.manager.retire(f"machine-{emptied}"))
         await asyncio.sleep(3.0)
         self.assertFalse(self._is_told_empty(emptied))
 
