Test that a new member's silence counts from its addition

A mutant that counted it from the leader's election survived: a learner that is added late in a leadership would be removed before it can answer.

--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -33,6 +33,7 @@
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
+from goldcrestyard.policy.membership import LOST_LEARNER_SECONDS
 from goldcrestyard.state.commands import Accepted, CommandContext, Envelope
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.member_network import (
@@ -540,6 +541,7 @@
         self.leadership_started_at = 0.0
         self.silent_seconds: dict[str, float] = dict.fromkeys("abcd", 0.0)
         self.replaced: list[MemberId] = []
+        self.removed: list[MemberId] = []
         self.proposed: list[object] = []
         self.machines = MachinesSlice()
 
@@ -549,12 +551,17 @@
     def settled_instances(self) -> frozenset[InstanceId]:
         return frozenset(map(InstanceId, self.silent_seconds))
 
+    async def remove(self, member_id: MemberId) -> Applied:
+        self.removed.append(member_id)
+        await asyncio.sleep(0.1)
+        return Applied(LogIndex(1), Accepted())
+
     async def propose(self, command: object) -> Applied:
         self.proposed.append(command)
         return Applied(LogIndex(1), Accepted())
 
     def member_statuses(self) -> list[MemberStatus]:
-        roles = {"a": Role.LEADER, "d": Role.LEARNER}
+        roles = {"a": Role.LEADER, "d": Role.LEARNER, "e": Role.LEARNER}
         return [
             MemberStatus(
                 MemberId(f"{name}#1"),
@@ -643,3 +650,19 @@
         leader.silent_seconds["c"] = float("inf")
         await lead(manager, silent_seconds)
         self.assertEqual(leader.replaced[:1], [MemberId("c#1")] * replacements)
+
+    async def test_silence_of_a_new_member_is_counted_from_its_addition(self) -> None:
+        """Guards against a learner that is removed before it can answer."""
+        quiet_logs(self)
+        leader = FakeLeader()
+        manager = MembershipManager(
+            leader,  # type: ignore[arg-type]
+            3,
+            self.clock(),
+        )
+        await lead(manager, 60.0)
+        leader.silent_seconds["e"] = float("inf")
+        await lead(manager, LOST_LEARNER_SECONDS)
+        self.assertEqual(leader.removed, [])
+        await lead(manager, 1.0)
+        self.assertEqual(leader.removed[:1], [MemberId("e#1")])
