--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -624,6 +624,23 @@
         expected = [CompleteRetirement("machine")] if completes else []
         self.assertEqual(leader.proposed[:1], expected)
 
+    async def test_retired_machine_gets_no_vote(self) -> None:
+        """Guards against a vote for a machine that is being taken away."""
+        quiet_logs(self)
+        leader = FakeLeader()
+        leader.machines.names_by_instance[InstanceId("d")] = "machine"
+        leader.machines.retiring.add("machine")
+        leader.machines.retired.add("machine")
+        leader.silent_seconds["c"] = float("inf")
+        manager = MembershipManager(
+            leader,  # type: ignore[arg-type]
+            3,
+            self.clock(),
+        )
+        await lead(manager, 5.0)
+        self.assertEqual(leader.replaced, [])
+        self.assertEqual(leader.removed[:1], [MemberId("d#1")])
+
 
 class SecondLeadershipTests(PausedClockTestCase):
     """A member leads again after another leader."""
