--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -199,7 +199,9 @@
         return None
 
     def _sound_voters_without(self, leaving: MemberFacts) -> int:
-        return _count_sound(voter for voter in self._voters if voter is not leaving)
+        return count_sound_voters(
+            voter for voter in self._voters if voter is not leaving
+        )
 
     def _needs_retiring(self) -> bool:
         """Return whether a retiring instance has to keep the log for longer.
@@ -218,11 +220,12 @@
     """Return whether those that have just answered bear the planned losses."""
     voters = [member for member in members if member.voter]
     needed = _needed_sound_voters(len(voters), wanted_voters)
-    return _count_sound(voters) >= needed
+    return count_sound_voters(voters) >= needed
 
 
-def _count_sound(voters: Iterable[MemberFacts]) -> int:
-    return sum(voter.caught_up for voter in voters)
+def count_sound_voters(members: Iterable[MemberFacts]) -> int:
+    """Return how many voters have just answered and have caught up."""
+    return sum(member.voter and member.caught_up for member in members)
 
 
 def _needed_sound_voters(voters: int, wanted_voters: int) -> int:
