--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -33,7 +33,7 @@
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.membership.control_addresses import ControlAddresses
 from goldcrestyard.plugins.organisations.slices import OrganisationsSlice
-from goldcrestyard.policy.membership import GONE_SECONDS
+from goldcrestyard.policy.membership import GONE_SECONDS, LOST_LEARNER_SECONDS
 from goldcrestyard.state.commands import Accepted, CommandContext, Envelope
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.member_network import (
@@ -579,6 +579,7 @@
         self.leadership_started_at = 0.0
         self.silent_seconds: dict[str, float] = dict.fromkeys("abcd", 0.0)
         self.replaced: list[MemberId] = []
+        self.removed: list[MemberId] = []
         self.proposed: list[object] = []
         self.machines = MachinesSlice()
 
@@ -588,12 +589,17 @@
     def settled_instances(self) -> frozenset[InstanceId]:
         return frozenset(map(InstanceId, self.silent_seconds))
 
+    async def remove(self, member_id: MemberId) -> Applied:
+        self.removed.append(member_id)
+        await asyncio.sleep(0.1)
+        return Applied(LogIndex(1), Accepted())
+
     async def propose(self, command: object) -> Applied:
         self.proposed.append(command)
         return Applied(LogIndex(1), Accepted())
 
     def member_statuses(self) -> list[MemberStatus]:
-        roles = {"a": Role.LEADER, "d": Role.LEARNER}
+        roles = {"a": Role.LEADER, "d": Role.LEARNER, "e": Role.LEARNER}
         return [
             MemberStatus(
                 MemberId(f"{name}#1"),
@@ -656,6 +662,23 @@
         expected = [CompleteRetirement("machine")] if completes else []
         self.assertEqual(leader.proposed[:1], expected)
 
+    async def test_retired_machine_gets_no_vote(self) -> None:
+        """Guards against a vote for a machine that is being taken away."""
+        quiet_logs(self)
+        leader = FakeLeader()
+        leader.machines.names_by_instance[InstanceId("d")] = "machine"
+        leader.machines.retiring.add("machine")
+        leader.machines.retired.add("machine")
+        leader.silent_seconds["c"] = float("inf")
+        manager = MembershipManager(
+            leader,  # type: ignore[arg-type]
+            3,
+            self.clock(),
+        )
+        await lead(manager, 5.0)
+        self.assertEqual(leader.replaced, [])
+        self.assertEqual(leader.removed[:1], [MemberId("d#1")])
+
 
 class SecondLeadershipTests(PausedClockTestCase):
     """A member leads again after another leader."""
@@ -682,3 +705,19 @@
         leader.silent_seconds["c"] = float("inf")
         await lead(manager, silent_seconds)
         self.assertEqual(leader.replaced[:1], [MemberId("c#1")] * replacements)
+
+    async def test_silence_of_a_new_member_is_counted_from_its_addition(self) -> None:
+        """Guards against a learner that is removed before it can answer."""
+        quiet_logs(self)
+        leader = FakeLeader()
+        manager = MembershipManager(
+            leader,  # type: ignore[arg-type]
+            3,
+            self.clock(),
+        )
+        await lead(manager, 60.0)
+        leader.silent_seconds["e"] = float("inf")
+        await lead(manager, LOST_LEARNER_SECONDS)
+        self.assertEqual(leader.removed, [])
+        await lead(manager, 1.0)
+        self.assertEqual(leader.removed[:1], [MemberId("e#1")])
