Promote a learner by its member id

A promotion named an instance, and the leader took the first learner on it. If that one had lost its disk and joined again, the first was its former id, which never catches up: the refused change was chosen again without end, and the removal of the former id came after it. This needs fewer voters than are wanted, as while a cluster grows to five.

The change now names the member, as the others do.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -539,12 +539,9 @@
             and core.configuration.find(identity.member) is None
         )
 
-    async def promote(self, instance: InstanceId) -> ProposalResult:
-        """Make the learner on an instance a voter; it must have caught up."""
-        member = self._find_record(instance, voter=False)
-        if member is None:
-            return NotProposed(f"{instance} is not a learner")
-        return await self._submit(lambda number: Promote(number, member.id))
+    async def promote(self, learner: MemberId) -> ProposalResult:
+        """Make a learner a voter; it must have caught up."""
+        return await self._submit(lambda number: Promote(number, learner))
 
     async def replace(self, voter: MemberId, learner: MemberId) -> ProposalResult:
         """Let a learner that has caught up take the vote of a voter.
@@ -624,7 +621,7 @@
         """
         while True:
             if old is None:
-                result = await self.promote(learner.instance)
+                result = await self.promote(learner.id)
             else:
                 result = await self.replace(old.id, learner.id)
             if not isinstance(result, NotProposed) or not await self._wait_caught_up(
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -233,8 +233,8 @@
                 return await self._member.add_learner(
                     joiner.instance, joiner.address, ADD_TIMEOUT_SECONDS
                 )
-            case Promote(instance=instance):
-                return await self._member.promote(instance)
+            case Promote(learner=learner):
+                return await self._member.promote(learner)
             case Replace(voter=voter, learner=learner):
                 return await self._member.replace(voter, learner)
             case Drop(id=member_id):
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -62,7 +62,7 @@
 class Promote:
     """Make a learner a voter."""
 
-    instance: InstanceId
+    learner: MemberId
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,7 +185,7 @@
     def add_voter(self) -> MembershipChange | None:
         """Give a learner a vote while there are too few voters."""
         if self._successors and len(self._voters) < self._wanted_voters:
-            return Promote(self._successors[0].instance)
+            return Promote(self._successors[0].id)
         return None
 
     def drop_learner(self) -> MembershipChange | None:
