--- a/goldcrestyard/consensus/configuration.py
+++ b/goldcrestyard/consensus/configuration.py
@@ -14,6 +14,9 @@
 different member, so it cannot vote twice in a term, and the entries that it
 lost do not count as stored."""
 
+VoterGroups = tuple[tuple[MemberId, ...], ...]
+"""Groups of voters of which a quorum has a majority each."""
+
 
 class VoterChange(Enum):
     """How a voter takes part in a replacement that is in progress."""
@@ -62,11 +65,8 @@
         return any(member.change is not VoterChange.NONE for member in self.members)
 
     @property
-    def voter_groups(self) -> tuple[tuple[MemberId, ...], ...]:
-        """The groups of voters of which a quorum has a majority each.
-
-        There are two during a replacement, the old one and the new one.
-        """
+    def voter_groups(self) -> VoterGroups:
+        """The old and the new voters during a replacement, else one group."""
         if not self.is_joint:
             return (self.voters,)
         return tuple(
@@ -127,18 +127,14 @@
         )
 
 
-def has_quorum(
-    groups: tuple[tuple[MemberId, ...], ...], members: AbstractSet[MemberId]
-) -> bool:
+def has_quorum(groups: VoterGroups, members: AbstractSet[MemberId]) -> bool:
     """Return whether members include a majority of each group of voters."""
     return all(
         sum(voter in members for voter in group) > len(group) // 2 for group in groups
     )
 
 
-def quorum_value(
-    groups: tuple[tuple[MemberId, ...], ...], value_by_id: Mapping[MemberId, float]
-) -> float:
+def quorum_value(groups: VoterGroups, value_by_id: Mapping[MemberId, float]) -> float:
     """Return the largest value that a majority of each group has reached."""
     return min(
         sorted((value_by_id[voter] for voter in group), reverse=True)[len(group) // 2]
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -113,7 +113,7 @@
 
 
 class _Facts:
-    """The members, sorted by what they are good for."""
+    """The members by what they can do for the cluster, and the next step."""
 
     def __init__(
         self,
