--- a/goldcrestyard/fleet/assembly/joining.py
+++ b/goldcrestyard/fleet/assembly/joining.py
@@ -73,6 +73,7 @@
         ]
         random.shuffle(candidates)
         for instance in candidates:
+            answering: str = instance
             reply = await self._send_join(self._addresses[instance])
             if (
                 isinstance(reply, NotLeader)
@@ -80,10 +81,15 @@
                 and reply.address not in ("", self._own_address)
             ):
                 self._addresses.learn_leader(reply)
+                answering = reply.leader
                 reply = await self._send_join(PeerAddress.parse(reply.address))
             if isinstance(reply, JoinNoted):
                 self._acknowledged = True
-                logger.info("join request acknowledged by the leader", leader=instance)
+                logger.info(
+                    "join request acknowledged by the leader",
+                    leader=answering,
+                    term=self._member.term,
+                )
                 return
 
     def _join_message(self) -> JoinCluster:
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -10,6 +10,7 @@
 from unittest.mock import AsyncMock
 
 import cbor2
+import structlog
 from parameterized import parameterized
 
 from goldcrestyard.consensus.configuration import MemberId
@@ -145,6 +146,28 @@
         self.addAsyncCleanup(self.assembly.close)
 
 
+class JoinRequestLogTests(AssemblyTestCase):
+    """The line that a process logs when its join request is acknowledged."""
+
+    async def test_line_names_the_member_that_answered(self) -> None:
+        """Guards against a line that names a member which did not lead."""
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        leader = await self.network.leader()
+        # Loggers of the members are set to critical events only.
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
+        with structlog.testing.capture_logs() as lines:
+            for name in ("d", "e", "f"):
+                await self.assembly.start(name)
+            await asyncio.sleep(2.0)
+        named = {
+            line["leader"]
+            for line in lines
+            if line["event"] == "join request acknowledged by the leader"
+        }
+        self.assertEqual(named, {leader.instance})
+
+
 class FoundingTests(AssemblyTestCase):
     """The first start of a deployment."""
 
