--- a/goldcrestyard/core/ids.py
+++ b/goldcrestyard/core/ids.py
@@ -21,6 +21,10 @@
 WeightVersion = NewType("WeightVersion", int)
 """Version of a model's weights; increases with each publication."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a target's software, as the target names it; empty if unknown.
+What two versions generate does not fit together."""
+
 RequestRate = NewType("RequestRate", float)
 """Requests per second."""
 
--- a/goldcrestyard/core/records.py
+++ b/goldcrestyard/core/records.py
@@ -14,6 +14,7 @@
     OrganisationId,
     Region,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
@@ -110,3 +111,5 @@
     state: TargetState = TargetState.READY
     incarnation: str = ""
     """Changes with each start of the target."""
+    software: SoftwareVersion = SoftwareVersion("")
+    """Software that this run of the target has; another run may have other."""
--- a/goldcrestyard/fleet/tracking/tracker.py
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -230,6 +230,7 @@
             beat.rental,
             max_concurrency=beat.slots,
             incarnation=str(beat.started_at_ms),
+            software=beat.software,
         )
         commands: list[Command] = [
             RemoveTarget(other.id, other.incarnation, TargetState.LOST)
@@ -246,6 +247,7 @@
             data_centre=beat.data_centre,
             rental=beat.rental.value,
             incarnation=beat.started_at_ms,
+            software=beat.software,
             state=beat.state.value,
         )
         return commands
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -13,7 +13,13 @@
     is_address,
     is_id,
 )
-from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
+from goldcrestyard.core.ids import (
+    DataCentre,
+    ModelName,
+    SoftwareVersion,
+    TargetId,
+    WeightVersion,
+)
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Rental, TargetState
 from goldcrestyard.policy.heartbeats import Heartbeat
@@ -37,6 +43,8 @@
     service: str
     addr: str
     zone: str
+    version: str
+    """Version of the target's software, not of its weights."""
     slots: WholeNumber
     state: Literal["ready", "draining"]
     seq: Count
@@ -57,7 +65,7 @@
         return Refusal(
             RefusalReason.BAD_REQUEST, f"unreadable heartbeat: {beat.detail}"
         )
-    if not all(map(is_id, (target_id, beat.service, beat.zone))):
+    if not all(map(is_id, (target_id, beat.service, beat.zone, beat.version))):
         return Refusal(RefusalReason.BAD_REQUEST, "an id or a name is not valid")
     if not _is_target_address(beat.addr):
         return Refusal(RefusalReason.BAD_REQUEST, f"{beat.addr!r} is not host:port")
@@ -77,6 +85,7 @@
         Rental.RECLAIMABLE if beat.spot else Rental.ON_DEMAND,
         {ModelName(m.name): WeightVersion(m.version) for m in beat.models},
         None if beat.leaves_ms is None else beat.leaves_ms / 1000,
+        SoftwareVersion(beat.version),
     )
 
 
--- a/goldcrestyard/policy/heartbeats.py
+++ b/goldcrestyard/policy/heartbeats.py
@@ -7,7 +7,13 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
-from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
+from goldcrestyard.core.ids import (
+    DataCentre,
+    ModelName,
+    SoftwareVersion,
+    TargetId,
+    WeightVersion,
+)
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import Rental, TargetState
 
@@ -40,6 +46,7 @@
     versions_by_model: dict[ModelName, WeightVersion]
     leaves_in_seconds: float | None = None
     """Time until the target stops, or None if it stays."""
+    software: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/fleet/test_tracker.py
+++ b/tests/fleet/test_tracker.py
@@ -7,6 +7,7 @@
     DataCentre,
     ModelName,
     Region,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
@@ -51,6 +52,15 @@
         await self._beat()
         self.assertEqual(self._serving(), ["t"])
 
+    async def test_software_is_that_of_the_present_run(self) -> None:
+        """Guards against taking up a stream at another version's engine."""
+        await self._beat(software=SoftwareVersion("v1"))
+        later = {"started_at_ms": HEARTBEAT.started_at_ms + 1, "sequence": 1}
+        await self._beat(software=SoftwareVersion("v2"), **later)
+        target = self.targets.find(HEARTBEAT.id)
+        assert target is not None
+        self.assertEqual(target.software, "v2")
+
     async def test_leaving_target_gets_no_new_work(self) -> None:
         await self._beat()
         await self._beat(sequence=6, state=TargetState.DRAINING)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -52,6 +52,7 @@
         self.assertEqual(beat.id, "i-1")
         self.assertEqual((beat.started_at_ms, beat.sequence), (1700000000000, 12))
         self.assertEqual(beat.versions_by_model, {"m": 4})
+        self.assertEqual(beat.software, "v1")
         self.assertIs(beat.state, TargetState.DRAINING)
         self.assertIs(beat.rental, Rental.RECLAIMABLE)
         self.assertEqual(beat.leaves_in_seconds, 2.5)
@@ -59,6 +60,8 @@
     @parameterized.expand(
         [
             ("no_service", {"service": None}),
+            ("software_of_another_type", {"version": 4}),
+            ("no_software", {"version": ""}),
             ("unknown_state", {"state": "resting"}),
             ("address_without_port", {"addr": "10.0.0.9"}),
             ("port_out_of_range", {"addr": "10.0.0.9:99999"}),
