--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -640,6 +640,16 @@
             await asyncio.sleep(MEMBER_CHANGE_POLL_SECONDS)
         return False
 
+    def has_answered(self, member_id: MemberId) -> bool:
+        """Return whether a member has just answered this leader.
+
+        The result is false unless this member is the leader.
+        """
+        core = self._core
+        if core is None:
+            return False
+        return core.has_answered(self._clock.monotonic(), member_id)
+
     def has_caught_up(self, member_id: MemberId) -> bool:
         """Return whether a member lacks few enough entries to be promoted.
 
--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -789,15 +789,16 @@
         voters = self.configuration.voters
         if voter not in voters or learner in voters:
             return f"{learner} cannot take the vote of {voter}"
-        if not self.has_caught_up(now, learner):
+        if not self.has_answered(now, learner):
+            return f"{learner} has not answered, or has not caught up"
+        if self.has_answered(now, voter) and not self.has_caught_up(now, learner):
             return f"{learner} has not caught up"
         return self.configuration.with_replacement(voter, learner)
 
-    def has_caught_up(self, now: float, member_id: MemberId) -> bool:
-        """Return whether a member replicates closely enough to be a voter.
+    def has_answered(self, now: float, member_id: MemberId) -> bool:
+        """Return whether a member has just answered, whatever it stores.
 
-        True only on the leader, for itself and for a member that has just
-        answered, lacks few entries, and stores the latest configuration.
+        True only on the leader, for itself and for other members.
         """
         if self.role is not Role.LEADER or self.configuration.find(member_id) is None:
             return False
@@ -806,11 +807,25 @@
         progress = self.progress_by_id.get(member_id)
         return (
             progress is not None
-            and progress.match_index >= self.log.configuration_index
-            and progress.match_index + MAX_PROMOTION_LAG_ENTRIES >= self.log.last_index
             and now - progress.last_contact_at < self._timing.confirmation
         )
 
+    def has_caught_up(self, now: float, member_id: MemberId) -> bool:
+        """Return whether a member replicates closely enough to be a voter.
+
+        True only on the leader, for itself and for a member that has just
+        answered, lacks few entries, and stores the latest configuration.
+        """
+        if not self.has_answered(now, member_id):
+            return False
+        if member_id == self.id:
+            return True
+        matched = self.progress_by_id[member_id].match_index
+        return (
+            matched >= self.log.configuration_index
+            and matched + MAX_PROMOTION_LAG_ENTRIES >= self.log.last_index
+        )
+
     def _update_role_from_configuration(self) -> None:
         """Switch between learner and follower to match the configuration.
 
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -50,8 +50,8 @@
 """Time in seconds after which a join request expires.  A process that is not
 yet a member repeats its request every half second."""
 
-LEARNER_LOG_INTERVAL_SECONDS = 1.0
-"""Interval in seconds at which the progress of a learner is logged."""
+COPYING_LOG_INTERVAL_SECONDS = 1.0
+"""Interval in seconds at which the progress of a copy is logged."""
 
 ADD_TIMEOUT_SECONDS = 1.0
 """Longest wait in seconds for the answer of a process that is added as a
@@ -75,7 +75,7 @@
         self._join_requests_by_instance: dict[InstanceId, _JoinRequest] = {}
         self._first_seen_by_id: dict[MemberId, float] = {}
         self._heard_at_by_instance: dict[InstanceId, float] = {}
-        self._learners_logged_at = float("-inf")
+        self._copying_logged_at = float("-inf")
         self.monitor = ClusterHealthMonitor(member, wanted_voters, clock)
 
     def register(self, handlers: Handlers) -> None:
@@ -86,7 +86,7 @@
         """Apply membership changes one at a time until cancelled."""
         while True:
             facts = self._member_facts()
-            self._log_learners(facts)
+            self._log_copying_members(facts)
             self.monitor.check(facts, self._machines.retiring_instances())
             change = next_membership_change(
                 facts,
@@ -191,6 +191,7 @@
                     status.role is not Role.LEARNER,
                     silent,
                     self._member.has_caught_up(status.id),
+                    self._member.has_answered(status.id),
                 )
             )
         return facts
@@ -199,20 +200,25 @@
         before = self._heard_at_by_instance.get(instance, heard_at)
         self._heard_at_by_instance[instance] = max(before, heard_at)
 
-    def _log_learners(self, facts: list[MemberFacts]) -> None:
-        """Log, at intervals, how far the learners are behind the leader."""
+    def _log_copying_members(self, facts: list[MemberFacts]) -> None:
+        """Log, at intervals, how far members that answer are behind."""
         now = self._clock.monotonic()
-        behind = {fact.id for fact in facts if not fact.voter and not fact.caught_up}
-        if not behind or now - self._learners_logged_at < LEARNER_LOG_INTERVAL_SECONDS:
+        behind = {
+            fact.id
+            for fact in facts
+            if not fact.caught_up and (fact.answers or not fact.voter)
+        }
+        if not behind or now - self._copying_logged_at < COPYING_LOG_INTERVAL_SECONDS:
             return
-        self._learners_logged_at = now
+        self._copying_logged_at = now
         statuses = self._member.member_statuses()
         last_index = max(status.matched_index or 0 for status in statuses)
         for status in statuses:
             if status.id in behind:
                 logger.info(
-                    "learner is catching up",
+                    "member is catching up",
                     member=status.id,
+                    role=status.role.value,
                     matched_index=status.matched_index,
                     last_index=last_index,
                     silent_seconds=status.last_contact_seconds,
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -13,10 +13,14 @@
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.core.ids import InstanceId
 
+TAKE_OVER_SECONDS = 1.5
+"""Time without contact after which a learner takes a voter's vote.  It is
+longer than most restarts of a process, and short enough that the voter is
+replaced before another one is likely to fail.  A voter that comes back later
+becomes a learner."""
+
 LOST_VOTER_SECONDS = 2.5
-"""Time without contact after which a voter counts as lost and is replaced, if
-a learner has caught up.  It is longer than a restart of the process, and short
-enough that the voter is replaced before another one is likely to fail."""
+"""Time without contact after which a voter counts as lost to operators."""
 
 LOST_LEARNER_SECONDS = 10.0
 """Time without contact after which a learner is removed."""
@@ -40,6 +44,8 @@
     caught_up: bool
     """Whether the member has just answered, and has nearly all entries of the
     leader's log, the latest configuration among them."""
+    answers: bool = False
+    """Whether the member has just answered, whatever it has of the log."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,16 +136,19 @@
         self._lost = [m for m in self._voters if _is_lost(m, members)]
         # A voter that is only silent may still have its disk.
         self._lost.sort(key=lambda member: not _superseded(member, members))
-        self._learners = [
+        self._answering_learners = [
             member
             for member in members
             if not member.voter
-            and member.caught_up
+            and (member.answers or member.caught_up)
             and member.instance not in retired
             and not _superseded(member, members)
         ]
+        self._answering_learners.sort(key=lambda member: not member.caught_up)
         self._successors = [
-            member for member in self._learners if member.instance not in retiring
+            member
+            for member in self._answering_learners
+            if member.caught_up and member.instance not in retiring
         ]
 
     def may_join(self, instance: InstanceId) -> bool:
@@ -149,15 +158,24 @@
         return instance not in self._retiring or self._needs_retiring()
 
     def replace_lost_voter(self) -> MembershipChange | None:
-        """Remove a lost voter, or give its vote to a learner."""
+        """Remove a lost voter, or give its vote to a learner.
+
+        A learner that still copies the log takes it as well: while it copies,
+        commits need the same members as before, and after the loss of another
+        disk it completes the majority that elects a leader.
+        """
         if not self._lost:
             return None
         lost = self._lost[0]
         if self._sound_voters_without(lost) >= self._wanted_voters:
             return Drop(lost.id, "lost, and enough others vote")
-        successors = self._successors
+        successors = [
+            member
+            for member in self._answering_learners
+            if member.instance not in self._retiring
+        ]
         if not successors and self._needs_retiring():
-            successors = self._learners
+            successors = self._answering_learners
         if successors:
             return Replace(lost.id, successors[0].id, "lost")
         return None
@@ -216,7 +234,7 @@
         return bool(self._lost) and not any(
             not member.voter
             and member.instance not in self._retiring
-            and member.silent_seconds <= LOST_VOTER_SECONDS
+            and member.silent_seconds <= TAKE_OVER_SECONDS
             for member in self._members
         )
 
@@ -260,7 +278,7 @@
 
 
 def _is_lost(member: MemberFacts, members: Sequence[MemberFacts]) -> bool:
-    return member.silent_seconds > LOST_VOTER_SECONDS or _superseded(member, members)
+    return member.silent_seconds > TAKE_OVER_SECONDS or _superseded(member, members)
 
 
 def _superseded(member: MemberFacts, members: Sequence[MemberFacts]) -> bool:
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import random
 import unittest
 from unittest.mock import AsyncMock
 
@@ -280,6 +281,27 @@
         await self.assembly.wait_voters(*({*FOUNDERS, "d", "e"} - {first, second}))
         await self._assert_data_is_kept()
 
+    @parameterized.expand([("follower", False), ("leader", True)])
+    async def test_next_disk_is_lost_while_the_log_is_copied(
+        self, _: str, leads: bool
+    ) -> None:
+        """Guards against a vote that stays with a lost disk during a copy."""
+        for number in range(300):
+            name = f"{number}-{random.Random(number).randbytes(15_000).hex()}"
+            await put_organisation(self.leader, name)
+        kept = organisation_ids(self.leader)
+        first, other = (n for n in FOUNDERS if n != self.leader.instance)
+        await self.assembly.stop(first, lose_disk=True)
+        self.network.throughput_by_receiver[first] = 600_000
+        newcomer = await self.assembly.start(first)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        self.assertFalse(self.leader.has_caught_up(newcomer.member_id))
+        second = str(self.leader.instance) if leads else other
+        await self.assembly.stop(second, lose_disk=True)
+        await self.assembly.start(second)
+        await self.assembly.wait_voters(*FOUNDERS)
+        self.assertEqual(organisation_ids(self.network.leaders[0])[-300:], kept[-300:])
+
     async def test_join_through_the_only_running_seed(self) -> None:
         """A new machine joins through the only seed that still runs."""
         followers = [n for n in FOUNDERS if n != self.leader.instance]
@@ -635,6 +657,9 @@
             for name, silent in self.silent_seconds.items()
         ]
 
+    def has_answered(self, member_id: MemberId) -> bool:
+        return self.has_caught_up(member_id)
+
     def has_caught_up(self, member_id: MemberId) -> bool:
         return self.silent_seconds[member_id[0]] < 0.75
 
--- a/tests/policy/test_membership_model.py
+++ b/tests/policy/test_membership_model.py
@@ -50,12 +50,23 @@
     return change
 
 
+def wait_for_the_copy(
+    members: Sequence[MemberFacts], *arguments: Any
+) -> MembershipChange | None:
+    changed = [replace(member, answers=member.caught_up) for member in members]
+    return next_membership_change(changed, *arguments)
+
+
 def has_enough_trusted_voters(
     members: Sequence[MemberFacts], wanted_voters: int
 ) -> bool:
     return has_enough_sound_voters(with_trusted_voters(members), wanted_voters)
 
 
+SLOW_COPIES = Case(
+    "second_loss_during_a_copy", spares=0, orders=0, freezes=0, slow_copies=True
+)
+
 FAULTS = [
     (
         "silent_voters_count_as_staying",
@@ -69,6 +80,12 @@
         Case("", orders=0, losses=1, freezes=1),
         "the sound disks have no quorum of the pending configuration",
     ),
+    (
+        "vote_stays_with_a_lost_disk_until_the_log_is_copied",
+        Policy(wait_for_the_copy),
+        SLOW_COPIES,
+        "the sound disks have no quorum of the committed configuration",
+    ),
     (
         "removed_voter_starts_no_election",
         Policy(removed_voter_campaigns=False),
@@ -84,6 +101,8 @@
     Case("no_spare_machine", spares=0, freezes=1),
     Case("spare_machine_and_an_order", losses=1, freezes=0),
     Case("spare_machine_and_two_losses", orders=0, freezes=0),
+    SLOW_COPIES,
+    replace(SLOW_COPIES, name="second_loss_during_a_copy_with_a_spare", spares=1),
     Case("spare_machine_to_a_depth", freezes=1, depth=6),
     replace(FIVE, name="five_voters_to_a_depth", depth=5),
 ]
@@ -91,6 +110,8 @@
 DEEP_CASES = [
     Case("two_frozen_machines_and_no_spare", spares=0),
     Case("order_and_two_losses", freezes=0),
+    replace(SLOW_COPIES, name="copy_loss_and_freeze", freezes=1, spares=1),
+    replace(SLOW_COPIES, name="copy_losses_and_order", orders=1),
     Case("two_orders", orders=2, losses=1, freezes=0),
     Case("loss_and_freeze", orders=0, losses=1, freezes=1),
     Case("spare_machine_deeper", freezes=1, depth=10),
