--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -323,7 +323,9 @@
         url = f"http://{front.address('front')}{path}"
         return await self.call("POST", url, data=b"body", headers=headers)
 
-    async def submit(self, job: str, items: int, **fields: Any) -> None:
+    async def submit(
+        self, job: str, items: int, *, body: bytes = b"prompt", **fields: Any
+    ) -> None:
         """Submit a job, and repeat that until it is accepted."""
         document = {
             "step": 0,
@@ -335,7 +337,7 @@
                     "id": f"{job}-{number}",
                     "path": f"/jobs/{number}",
                     "headers": {"X-Goldcrestyard-Model": MODEL},
-                    "body": base64.b64encode(b"prompt").decode(),
+                    "body": base64.b64encode(body).decode(),
                     "tokens": 100,
                     "group": "g",
                     "scorer": {
