--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -214,7 +214,7 @@
         self._ready_to_lead = False
         """Whether this member leads and has committed an entry of its term,
         and has therefore applied all entries of earlier terms."""
-        # Term, leader, whether this member leads, and whether it is ready.
+        # Term, leader, role, and whether this member is ready to lead.
         self._last_leadership: tuple[object, ...] = ()
         self._leadership_changed = asyncio.Event()
 
@@ -314,7 +314,7 @@
         return self._core.leadership_started_at
 
     async def wait_leadership_change(self) -> None:
-        """Wait until the term, the leader or its readiness changes.
+        """Wait until the term, the leader, its readiness or the role changes.
 
         A leader is ready once it has committed an entry of its term.
         """
@@ -791,7 +791,7 @@
         leadership: tuple[object, ...] = ()
         if core is not None:
             is_leader = core.role is Role.LEADER
-            leadership = (core.term, core.leader, is_leader, core.has_committed_in_term)
+            leadership = (core.term, core.leader, core.role, core.has_committed_in_term)
             if not is_leader or (
                 self._last_leadership and self._last_leadership[0] != core.term
             ):
@@ -804,9 +804,9 @@
         if core is not None:
             logger.info(
                 "leadership changed",
-                term=core.term,
-                leader=self.leader,
                 role=core.role.value,
+                leader=self.leader,
+                term=core.term,
                 ready=core.has_committed_in_term,
             )
         self._leadership_changed.set()
--- a/tests/fleet/test_leader_watch.py
+++ b/tests/fleet/test_leader_watch.py
@@ -6,6 +6,8 @@
 
 import asyncio
 
+from parameterized import parameterized
+
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.leader_watch import (
     CHECK_INTERVAL_SECONDS,
@@ -13,11 +15,13 @@
     REPEAT_SECONDS,
     LeaderWatch,
 )
+from tests.fleet.test_assembly import FOUNDERS
 from tests.fleet.test_cluster_health import ClusterTestCase
 
 LEADERLESS = "control member knows of no leader"
 OUTSIDE = "process that is no control member knows of no leader"
 STARTED = "control member started"
+CHANGED = "leadership changed"
 
 
 class LeaderWatchTests(ClusterTestCase):
@@ -77,3 +81,17 @@
         self.assertGreater(kept["last_index"], 0)
         self.assertTrue(emptied["disk_was_empty"])
         self.assertNotEqual(before, emptied["member"])
+
+    @parameterized.expand([("founder", False), ("emptied", True)])
+    async def test_vote_is_logged(self, _: str, emptied: bool) -> None:
+        """Guards against logs that don't tell when a member got its vote."""
+        name = self.followers[0]
+        if emptied:
+            await self.assembly.stop(name, lose_disk=True)
+            self.lines.clear()
+            await self.assembly.start(name)
+            await self.assembly.wait_voters(*FOUNDERS)
+        await asyncio.sleep(1.0)
+        changes = [list(line.items())[:3] for line in self.of(CHANGED)]
+        followed = ("leader", self.leader.instance), ("term", self.leader.term)
+        self.assertIn([("role", "follower"), *followed], changes)
