--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
-from typing import Any, get_args
+from typing import Any, TypeVar, get_args
 
 import structlog
 
@@ -24,6 +24,7 @@
 from goldcrestyard.consensus.compression import CompressionError
 from goldcrestyard.consensus.configuration import MemberId, MemberRecord
 from goldcrestyard.consensus.disk import MemberDisk
+from goldcrestyard.consensus.disk_outages import DiskOutages
 from goldcrestyard.consensus.events import (
     AddLearner,
     Appended,
@@ -143,6 +144,8 @@
     return ThreadPoolExecutor(1, "control")
 
 
+T = TypeVar("T")
+
 ProposalCheck = Callable[[Command], str | None]
 """Returns why there is no room for what a command would add, or None."""
 
@@ -184,6 +187,7 @@
         self._shares = shares
         self._rng = random_source or random.Random(secrets.randbits(64))
         self._disk = MemberDisk(data_folder, files or DiskFiles(), codec)
+        self.disk_outages = DiskOutages(clock)
         self._lock: FolderLock | None = None
         # The Raft logic; None before the start and after a stop or failure.
         self._core: Member | None = None
@@ -340,10 +344,9 @@
         If the disk is full, the member starts as suspended.  Raises
         ``StorageError`` if the data folder is damaged or in use.
         """
-        loop = asyncio.get_running_loop()
-        self._task_failure = loop.create_future()
+        self._task_failure = asyncio.get_running_loop().create_future()
         try:
-            saved = await loop.run_in_executor(self._disk_executor, self._load)
+            saved = await self._run_on_disk(self._load)
         except (DiskError, OSError) as error:
             if isinstance(error, OSError) and error.errno not in DISK_FULL_ERRNOS:
                 raise  # Such as a folder that this process may not use.
@@ -371,6 +374,13 @@
             self._lock.close()
             self._lock = None
 
+    async def _run_on_disk(self, operation: Callable[..., T], *arguments: Any) -> T:
+        loop = asyncio.get_running_loop()
+        with self.disk_outages.operation():
+            return await loop.run_in_executor(
+                self._disk_executor, operation, *arguments
+            )
+
     def _load(self) -> PersistentState:
         self._folder.mkdir(parents=True, exist_ok=True)
         if self._lock is None:
@@ -685,7 +695,7 @@
         All queued events are dropped: the protocol repeats what is still
         needed, and proposals end with a result.
         """
-        logger.error("disk write failed, control member suspended", error=str(error))
+        self.disk_outages.record_failure(error)
         self._shut_down(f"the member's disk failed: {error}")
         while not self._queue.empty():
             item = self._queue.get_nowait()
@@ -700,20 +710,19 @@
         restart of the process.  Raises ``StorageError`` if the stored state
         is damaged.
         """
-        loop = asyncio.get_running_loop()
         delay = MIN_DISK_RETRY_SECONDS
         while True:
             await asyncio.sleep(delay * self._rng.uniform(0.75, 1.25))
             delay = min(2 * delay, MAX_DISK_RETRY_SECONDS)
             try:
-                saved = await loop.run_in_executor(self._disk_executor, self._load)
+                saved = await self._run_on_disk(self._load)
             except (DiskError, OSError) as error:
                 logger.debug("disk still fails", error=str(error))
                 continue
             break
         self._stop_reason = ""
         self._start_core(saved)
-        logger.info("disk accepts writes again, control member resumed")
+        self.disk_outages.record_recovery()
         self._update_leadership()
 
     def _release_barriers(self) -> None:
@@ -763,8 +772,7 @@
                 )
         saved = select_save_effects(effects)
         if saved:
-            loop = asyncio.get_running_loop()
-            await loop.run_in_executor(self._disk_executor, self._disk.save, saved)
+            await self._run_on_disk(self._disk.save, saved)
         for effect in effects:
             match effect:
                 case Send(receiver=receiver, message=message):
@@ -969,13 +977,8 @@
             "bootstrapping cluster from configured members",
             members=tuple(sorted(self._configured_addresses)),
         )
-        loop = asyncio.get_running_loop()
         cluster = secrets.token_hex(8)
-        self._start_core(
-            await loop.run_in_executor(
-                self._disk_executor, self._disk.bootstrap, cluster, entry
-            )
-        )
+        self._start_core(await self._run_on_disk(self._disk.bootstrap, cluster, entry))
 
     async def _join_cluster(self, cluster: str) -> None:
         """Join the cluster of a member that has contacted this one.
@@ -984,8 +987,7 @@
         """
         if self._disk.cluster or not cluster:
             return
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._disk_executor, self._disk.join, cluster)
+        await self._run_on_disk(self._disk.join, cluster)
 
 
 def _not_running_failure(detail: str) -> Failure:
--- a/goldcrestyard/consensus/leader_watch.py
+++ b/goldcrestyard/consensus/leader_watch.py
@@ -21,7 +21,7 @@
 
 
 class LeaderWatch:
-    """Logs a member's state at its start and while it knows of no leader.
+    """Logs a member's state at its start, and while it has no leader or disk.
 
     The lines tell which voters are missing when nobody can be elected.
     """
@@ -37,6 +37,7 @@
         """Check the member until cancelled."""
         self._leader_known_at = self._clock.monotonic()
         while True:
+            self._member.disk_outages.check()
             report = self._member.report()
             if report is not None:
                 self._check(report)
--- a/goldcrestyard/fleet/observability/apps.py
+++ b/goldcrestyard/fleet/observability/apps.py
@@ -33,5 +33,9 @@
         if member is not None:
             metrics.leader.set_function(lambda: member.is_leader)
             metrics.disk_failing.set_function(lambda: member.is_suspended)
+            metrics.disk_outages.set_function(lambda: member.disk_outages.count)
+            metrics.disk_outage_seconds.set_function(
+                lambda: member.disk_outages.seconds
+            )
             metrics.term.set_function(lambda: member.term)
             metrics.revision.set_function(lambda: member.machine.revision)
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -106,6 +106,16 @@
             "disk_failing",
             "1 while this control member is suspended because its disk fails.",
         )
+        self.disk_outages = self._gauge(
+            "disk_outages",
+            "Times since the process started that this control member could not vote "
+            "because its disk failed or did not answer.",
+        )
+        self.disk_outage_seconds = self._gauge(
+            "disk_outage_seconds",
+            "Seconds for which this control member has not been able to vote because "
+            "its disk fails or does not answer; 0 while it works.",
+        )
         self.voters = self._gauge(
             "voters", f"Voters of the control cluster; {LEADER_ONLY}."
         )
--- a/goldcrestyard/plugins/metrics/observers.py
+++ b/goldcrestyard/plugins/metrics/observers.py
@@ -84,5 +84,7 @@
     metrics.log_index.set_function(lambda: member.machine.applied_index)
     metrics.leader.set_function(lambda: member.is_leader)
     metrics.disk_failing.set_function(lambda: member.is_suspended)
+    metrics.disk_outages.set_function(lambda: member.disk_outages.count)
+    metrics.disk_outage_seconds.set_function(lambda: member.disk_outages.seconds)
     metrics.term.set_function(lambda: member.term)
     metrics.change_lag.set_function(change_lag)
--- a/tests/fleet/test_failing_disks.py
+++ b/tests/fleet/test_failing_disks.py
@@ -9,9 +9,11 @@
 import errno
 import random
 
+import structlog
 from parameterized import parameterized
 
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.leader_watch import LeaderWatch
 from goldcrestyard.consensus.results import Applied
 from tests.fakes.files import Fault, MemoryFiles
 from tests.fakes.hanging_executor import HangingExecutor
@@ -21,6 +23,11 @@
 ACKNOWLEDGEMENT_SECONDS = 5.0
 """Bound on the wait for an acknowledgement while all members run."""
 
+FAILED = "disk write failed, control member suspended"
+RESUMED = "disk accepts writes again, control member resumed"
+HANGS = "disk does not answer, control member cannot vote"
+ENDED = "disk operation ended, control member can vote again"
+
 
 class FailingDisksTestCase(AssemblyTestCase):
     """Starts the founders and has helpers for their disks."""
@@ -199,3 +206,44 @@
                 files.fault = Fault(start, error=errno.EIO, lasting=True)
             case _:
                 self.executors[name].hang()
+
+
+class OutageLinesTests(FailingDisksTestCase):
+    """Disks that keep a member from voting while its process answers.
+
+    Guards against a cluster without a majority of which no log tells that a
+    disk fails or hangs.
+    """
+
+    @parameterized.expand(
+        [
+            ("full", FAILED, "suspended_seconds", RESUMED),
+            ("hangs", HANGS, "waited_seconds", ENDED),
+        ]
+    )
+    async def test_outage_is_logged_and_counted(
+        self, how: str, event: str, field: str, end: str
+    ) -> None:
+        leader = await self.start_founders()
+        name = next(n for n in FOUNDERS if n != leader.instance)
+        member = self.network.running[name]
+        structlog.reset_defaults()
+        lines = self.enterContext(structlog.testing.capture_logs())
+        watching = asyncio.create_task(LeaderWatch(member, self.network.clock).run())
+        self.addCleanup(watching.cancel)
+        if how == "full":
+            self.fill(name)
+        else:
+            self.executors[name].hang()
+        await put_organisation(leader, "first")
+        await asyncio.sleep(70.0)
+        self.assertEqual(1, member.disk_outages.count)
+        self.assertAlmostEqual(70.0, member.disk_outages.seconds, delta=1.0)
+        self.repair(name)
+        await asyncio.sleep(2.0)
+        self.assertEqual(0.0, member.disk_outages.seconds)
+        logged = [line for line in lines if line["event"] in (event, end)]
+        self.assertEqual([event] * 3 + [end], [line["event"] for line in logged])
+        self.assertEqual([field] * 4, [next(iter(line)) for line in logged])
+        for line, seconds in zip(logged, (0.0, 30.0, 60.0, 70.0), strict=True):
+            self.assertAlmostEqual(seconds, line[field], delta=3.0)
