--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -52,12 +52,18 @@
 )
 from goldcrestyard.consensus.links import MemberLinks
 from goldcrestyard.consensus.member import Member
-from goldcrestyard.consensus.member_report import MemberReport, make_member_report
+from goldcrestyard.consensus.member_report import (
+    MemberReport,
+    make_member_report,
+    make_member_state,
+)
 from goldcrestyard.consensus.messages import (
     InstallSnapshot,
     MemberMessage,
+    PreVoteReply,
     find_fault,
 )
+from goldcrestyard.consensus.missing_votes import ANSWER_SECONDS
 from goldcrestyard.consensus.persistent_state import (
     PersistentState,
     select_save_effects,
@@ -200,6 +206,7 @@
         self._barriers: list[_Barrier] = []
         # Replies to a member are collected here while its batch is processed.
         self._replies_by_member: dict[MemberId, list[bytes]] = {}
+        self._vote_refused_at: dict[MemberId, float] = {}
         self._links = MemberLinks(
             instance,
             self._configured_addresses,
@@ -503,11 +510,16 @@
         core = self._core
         if core is None:
             return None
+        now = self._clock.monotonic()
         return make_member_report(
             core,
             bool(self._disk.was_empty),
-            self._links.answered_at_by_member(),
-            self._clock.monotonic(),
+            self._links.answers(now),
+            {
+                member
+                for member, refused_at in self._vote_refused_at.items()
+                if now - refused_at <= ANSWER_SECONDS
+            },
         )
 
     def settled_instances(self) -> frozenset[InstanceId]:
@@ -856,13 +868,20 @@
 
     # Other members.
 
-    def _identity(self) -> MemberIdentity:
+    def _identity(self, *, with_state: bool = False) -> MemberIdentity:
+        """Return this member's identity.
+
+        Its state is included while it knows of no leader.
+        """
+        core = self._core
+        told = core is not None and (with_state or core.leader is None)
         return MemberIdentity(
             self._disk.member_id,
             self._disk.cluster,
             self._own_address,
             tuple(sorted(self._configured_addresses)),
             accepts_compressed=True,
+            state=make_member_state(core) if told and core is not None else None,
         )
 
     def _instance_of(self, member_id: MemberId) -> InstanceId | None:
@@ -904,7 +923,8 @@
             return _not_running_failure(self._stop_reason)
         self._links.record_member(message.member, connection.peer)
         self._links.get_or_create(connection.peer, message.address)
-        return self._identity()
+        # A member without a leader tells its state to be told that of others.
+        return self._identity(with_state=message.state is not None)
 
     async def _handle_batch(
         self, batch: MemberBatch, connection: PeerConnection
@@ -947,6 +967,8 @@
             except CodecError as error:
                 fault = str(error)
             if fault is None and isinstance(message, get_args(MemberMessage)):
+                if isinstance(message, PreVoteReply):
+                    self._record_vote_reply(sender, message)
                 self._queue.put_nowait(Receive(sender, message))
             else:
                 # The protocol repeats what it needs; a member that sends
@@ -957,6 +979,13 @@
                     error=fault or "not a message between members",
                 )
 
+    def _record_vote_reply(self, sender: MemberId, reply: PreVoteReply) -> None:
+        core = self._core
+        if reply.granted:
+            self._vote_refused_at.pop(sender, None)
+        elif core is not None and core.configuration.find(sender) is not None:
+            self._vote_refused_at[sender] = self._clock.monotonic()
+
     # Bootstrap of a new cluster.
 
     async def _bootstrap_if_complete(self) -> None:
--- a/goldcrestyard/consensus/leader_watch.py
+++ b/goldcrestyard/consensus/leader_watch.py
@@ -5,6 +5,13 @@
 import structlog
 
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.member_lines import (
+    describe_answers,
+    describe_ids,
+    describe_lacks,
+    describe_voters,
+    short_id,
+)
 from goldcrestyard.consensus.member_report import MemberReport
 from goldcrestyard.kernel.clock import Clock
 
@@ -36,12 +43,18 @@
     async def run(self) -> None:
         """Check the member until cancelled."""
         self._leader_known_at = self._clock.monotonic()
-        while True:
-            self._member.disk_outages.check()
+        try:
+            while True:
+                self._member.disk_outages.check()
+                report = self._member.report()
+                if report is not None:
+                    self._check(report)
+                await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+        finally:
+            # At a planned stop, the latest state tells most.
             report = self._member.report()
-            if report is not None:
-                self._check(report)
-            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            if report is not None and self._member.leader is None:
+                self._log_missing_leader(report)
 
     def _check(self, report: MemberReport) -> None:
         if not self._start_logged:
@@ -50,25 +63,43 @@
                 "control member started",
                 member=report.member,
                 disk_was_empty=report.disk_was_empty,
-                term=report.term,
-                last_index=report.last_index,
+                term=report.state.term,
+                last_index=report.state.last_index,
                 voters=tuple(report.silent_seconds_by_voter),
             )
         now = self._clock.monotonic()
         if self._member.leader is not None:
             self._leader_known_at = now
             return
-        leaderless_seconds = now - self._leader_known_at
         if (
-            leaderless_seconds <= LEADERLESS_SECONDS
-            or now - self._logged_at < REPEAT_SECONDS
+            now - self._leader_known_at > LEADERLESS_SECONDS
+            and now - self._logged_at >= REPEAT_SECONDS
         ):
+            self._logged_at = now
+            self._log_missing_leader(report)
+
+    def _log_missing_leader(self, report: MemberReport) -> None:
+        _log_lacking_votes(report, self._clock.monotonic() - self._leader_known_at)
+        known_by, state = report.known_by
+        if not state.configuration_index:
             return
-        self._logged_at = now
-        _log_missing_leader(report, leaderless_seconds)
+        logger.info(
+            "configuration of a member without a leader",
+            voters=describe_voters(state.voter_groups),
+            learners=describe_ids(state.learners),
+            index=state.configuration_index,
+            configuration_term=(
+                report.configuration_term if known_by == report.member else None
+            ),
+            known_by=short_id(known_by),
+        )
 
 
-def _log_missing_leader(report: MemberReport, leaderless_seconds: float) -> None:
+def _log_lacking_votes(report: MemberReport, leaderless_seconds: float) -> None:
+    lacks = "a configuration; no member has told one"
+    if report.known_by[1].configuration_index:
+        lacks = describe_lacks(report.lacking_groups())
+    answers = describe_answers(report.answers)
     silent_seconds = {
         voter: round(seconds, 1) if seconds is not None else None
         for voter, seconds in report.silent_seconds_by_voter.items()
@@ -77,22 +108,26 @@
         # Such as one that has been removed: no leader sends it anything.
         logger.info(
             "process that is no control member knows of no leader",
+            lacks=lacks,
+            answers=answers,
             leaderless_seconds=round(leaderless_seconds, 1),
             member=report.member,
             disk_was_empty=report.disk_was_empty,
-            last_index=report.last_index,
+            last_index=report.state.last_index,
             silent_seconds_by_voter=silent_seconds,
             other_members=report.other_members,
         )
         return
     logger.warning(
         "control member knows of no leader",
+        lacks=lacks,
+        answers=answers,
         leaderless_seconds=round(leaderless_seconds, 1),
         member=report.member,
         disk_was_empty=report.disk_was_empty,
-        role=report.role.value,
-        term=report.term,
-        last_index=report.last_index,
+        role=report.state.role.value,
+        term=report.state.term,
+        last_index=report.state.last_index,
         silent_seconds_by_voter=silent_seconds,
         other_members=report.other_members,
     )
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -11,11 +11,13 @@
 import structlog
 
 from goldcrestyard.consensus.compression import compress, decompress
-from goldcrestyard.consensus.configuration import MemberId
-from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.consensus.configuration import MemberId, VoterGroups
+from goldcrestyard.consensus.roles import Role
+from goldcrestyard.core.ids import InstanceId, LogIndex, Term
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.wire.client import PeerAddress, PeerUnavailableError
 from goldcrestyard.wire.connection import PeerConnection
+from goldcrestyard.wire.messages import Failure
 
 logger = structlog.get_logger(__name__)
 
@@ -52,6 +54,22 @@
 Raft protocol sends its content again if it is still needed."""
 
 
+@dataclass(frozen=True, slots=True)
+class MemberState:
+    """State of a control member, for the log lines of the others."""
+
+    role: Role
+    term: Term
+    leader: MemberId | None
+    last_index: LogIndex
+    last_term: Term
+    configuration_index: LogIndex
+    """Index of the latest configuration, or of the snapshot that holds it."""
+    voter_groups: VoterGroups
+    """The voters; during a replacement the old and the new ones."""
+    learners: tuple[MemberId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class MemberIdentity:
     """Identity of a control member, as sent and as requested in return.
@@ -68,6 +86,9 @@
     accepts_compressed: bool = False
     """Whether the member understands ``MemberBatch.compressed``; members of
     earlier releases do not."""
+    state: MemberState | None = None
+    """Sent only while the sender or the receiver knows of no leader, since
+    identities are exchanged before each heartbeat."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +153,10 @@
         """Identity last reported from the address; None before the first."""
         self.answered_at: float | None = None
         """Time on the event loop's clock of the latest answer, or None."""
+        self.failure: Failure | None = None
+        """What the member answered instead of its latest identity, such as
+        that its disk fails; None after an identity."""
+        self.failed_at = float("-inf")
         self._replaced_members: set[MemberId] = set()
         self._dialer = dialer
         self._own_identity = own_identity
@@ -205,7 +230,11 @@
         """Request the peer's identity; return whether it was received."""
         reply = await connection.request(self._own_identity(), RESPONSE_TIMEOUT_SECONDS)
         if not isinstance(reply, MemberIdentity):
+            if isinstance(reply, Failure):
+                self.failure = reply
+                self.failed_at = asyncio.get_running_loop().time()
             return False
+        self.failure = None
         if self.identity is not None and self.identity.member != reply.member:
             self._record_replaced(self.identity.member)
         self._replaced_members.discard(reply.member)
--- a/goldcrestyard/consensus/links.py
+++ b/goldcrestyard/consensus/links.py
@@ -4,6 +4,7 @@
 
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.link import Dialer, MemberIdentity, MemberLink
+from goldcrestyard.consensus.missing_votes import MemberAnswer
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.wire.client import PeerAddress
 
@@ -69,16 +70,17 @@
             if link.identity is not None
         }
 
-    def answered_at_by_member(self) -> dict[MemberId, float]:
-        """Return the time of the latest answer of each member that answers.
-
-        Only the latest member of an instance is included.
-        """
-        return {
-            link.identity.member: link.answered_at
-            for link in self._links_by_instance.values()
-            if link.identity is not None and link.answered_at is not None
-        }
+    def answers(self, now: float) -> tuple[MemberAnswer, ...]:
+        """Return the latest answer of each instance that has answered."""
+        answers = []
+        for instance, link in self._links_by_instance.items():
+            member = link.identity.member if link.identity is not None else None
+            state = link.identity.state if link.identity is not None else None
+            failure = link.failure.detail if link.failure is not None else ""
+            at = link.failed_at if failure else link.answered_at
+            if at is not None:
+                answers.append(MemberAnswer(instance, now - at, member, state, failure))
+        return tuple(answers)
 
     def send(self, instance: InstanceId, receiver: MemberId, message: bytes) -> None:
         """Queue a message on the link to an instance.
--- a/tests/fleet/test_leader_watch.py
+++ b/tests/fleet/test_leader_watch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 
 from parameterized import parameterized
 
@@ -15,11 +16,13 @@
     REPEAT_SECONDS,
     LeaderWatch,
 )
+from goldcrestyard.consensus.member_lines import short_id
 from tests.fleet.test_assembly import FOUNDERS
 from tests.fleet.test_cluster_health import ClusterTestCase
 
 LEADERLESS = "control member knows of no leader"
 OUTSIDE = "process that is no control member knows of no leader"
+CONFIGURATION = "configuration of a member without a leader"
 STARTED = "control member started"
 CHANGED = "leadership changed"
 
@@ -60,6 +63,49 @@
         await asyncio.sleep(REPEAT_SECONDS + 2 * CHECK_INTERVAL_SECONDS)
         self.assertEqual(2, len(self.of(LEADERLESS)), "repeated after a while")
 
+    @parameterized.expand([("emptied",), ("suspended",), ("planned_end",)])
+    async def test_lines_tell_why_nobody_is_elected(self, how: str) -> None:
+        """Guards against a cut line without the reason.
+
+        Readers may have its first 200 characters only.
+        """
+        lost, other = str(self.leader.instance), self.followers[1]
+        left = self.network.running[self.followers[0]]
+        other_id = self.network.running[other].member_id
+        watching = asyncio.create_task(LeaderWatch(left, self.network.clock).run())
+        self.addCleanup(watching.cancel)
+        await self.assembly.stop(lost, lose_disk=True)
+        match how:
+            case "emptied":
+                await self.assembly.stop(other, lose_disk=True)
+                emptied = await self.assembly.start(other)
+                self.watch(emptied)
+                reason = f"emptied, now {short_id(emptied.member_id)[1:]}"
+            case "suspended":
+                files = self.network.files_by_instance[other]
+                files.capacity = files.used
+                reason = "the member's disk failed"
+            case _:
+                await self.assembly.stop(other)
+                reason = "silent "
+        await asyncio.sleep(3.5 if how == "planned_end" else 10.0)
+        watching.cancel()
+        await asyncio.sleep(0.1)
+        line = self.of(LEADERLESS)[-1]
+        text = json.dumps(line)[:200]
+        self.assertIn('{"lacks": "1 of 2 votes: ', text)
+        self.assertIn(f"{short_id(other_id)} {reason}", text)
+        self.assertIn(f"{short_id(self.leader_id)} silent ", text)
+        configuration = self.of(CONFIGURATION)[-1]
+        for voter in (left.member_id, other_id, self.leader_id):
+            self.assertIn(short_id(voter), configuration["voters"])
+        if how == "emptied":
+            outside = self.of(OUTSIDE)[-1]
+            self.assertEqual(line["lacks"][:13], outside["lacks"][:13])
+            self.assertIn(short_id(left.member_id), outside["answers"])
+            known_by = {line["known_by"] for line in self.of(CONFIGURATION)}
+            self.assertEqual({short_id(left.member_id)}, known_by)
+
     async def test_election_is_not_logged(self) -> None:
         left = self.network.running[self.followers[0]]
         self.watch(left)
