--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -51,7 +51,7 @@
     Received,
 )
 from goldcrestyard.consensus.links import MemberLinks
-from goldcrestyard.consensus.member import Member
+from goldcrestyard.consensus.member import MAX_PROMOTION_LAG_ENTRIES, Member
 from goldcrestyard.consensus.member_report import (
     MemberReport,
     make_member_report,
@@ -91,6 +91,7 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.default_settings import MemorySettings
 from goldcrestyard.kernel.waiting import wait_at_most
+from goldcrestyard.policy.membership_waits import LogFacts
 from goldcrestyard.policy.memory import ControlShares, control_shares
 from goldcrestyard.state.commands import Accepted, Command
 from goldcrestyard.state.machine import StateMachine
@@ -522,6 +523,22 @@
             },
         )
 
+    def log_facts(self) -> LogFacts | None:
+        """Return what the members store of the log; None unless this leads."""
+        core = self._core
+        if core is None or core.role is not Role.LEADER:
+            return None
+        matched = {id: p.match_index for id, p in core.progress_by_id.items()}
+        matched[core.id] = core.log.last_index
+        return LogFacts(
+            core.log.last_index,
+            core.commit_index,
+            core.log.configuration_index,
+            core.configuration.voter_groups,
+            matched,
+            MAX_PROMOTION_LAG_ENTRIES,
+        )
+
     def settled_instances(self) -> frozenset[InstanceId]:
         """Return the instances of which a member may still be needed.
 
--- a/goldcrestyard/fleet/assembly/health.py
+++ b/goldcrestyard/fleet/assembly/health.py
@@ -1,4 +1,4 @@
-"""The leader's view of how many losses the control cluster can bear."""
+"""The leader's view of the control cluster: bearable losses, and waits."""
 
 from collections.abc import Sequence
 from collections.abc import Set as AbstractSet
@@ -7,7 +7,9 @@
 import structlog
 
 from goldcrestyard.consensus.control_member import ControlMember
-from goldcrestyard.core.ids import InstanceId
+from goldcrestyard.consensus.member_lines import describe_ids, short_id
+from goldcrestyard.core.ids import InstanceId, Term
+from goldcrestyard.fleet.assembly.slices import MachinesSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.cluster_health import (
     ClusterHealth,
@@ -15,9 +17,24 @@
     assess_cluster,
 )
 from goldcrestyard.policy.membership import LOST_VOTER_SECONDS, MemberFacts
+from goldcrestyard.policy.membership_waits import (
+    Cause,
+    LacksConfiguration,
+    LacksEntries,
+    MembershipWait,
+    NoLearner,
+    NotStored,
+    Silent,
+    Step,
+    find_membership_wait,
+)
 
 logger = structlog.get_logger(__name__)
 
+WAIT_LOG_SECONDS = 1.0
+"""Time for which a step waits before that is logged, and least interval of
+these lines.  Most steps take less, and the reason may change at each check."""
+
 
 class ClusterHealthMonitor:
     """Assesses the members while this one leads, and logs changes.
@@ -108,3 +125,84 @@
                 lost_without_successor=health.lost_without_successor,
                 waiting_retirements=health.waiting_retirements,
             )
+
+
+class StepMonitor:
+    """Logs why a step of the membership waits, when the reason changes."""
+
+    def __init__(
+        self,
+        member: ControlMember,
+        machines: MachinesSlice,
+        wanted_voters: int,
+        clock: Clock,
+    ) -> None:
+        self._member = member
+        self._machines = machines
+        self._wanted_voters = wanted_voters
+        self._clock = clock
+        self._waits_since: float | None = None
+        self._logged: MembershipWait | None = None
+        self._logged_term = Term(0)
+        self._logged_at = float("-inf")
+
+    def check(self, members: Sequence[MemberFacts]) -> None:
+        """Look for a step that waits, and log the reason if it is another."""
+        log = self._member.log_facts()
+        wait = None
+        if log is not None:
+            wait = find_membership_wait(
+                members,
+                log,
+                self._wanted_voters,
+                self._machines.retiring_instances(),
+                self._machines.retired_instances(),
+            )
+        if wait is None:
+            self._waits_since = self._logged = None
+            return
+        now = self._clock.monotonic()
+        if self._waits_since is None:
+            self._waits_since = now
+        term = self._member.term
+        if now - max(self._waits_since, self._logged_at) < WAIT_LOG_SECONDS or (
+            wait.is_same_reason(self._logged) and term == self._logged_term
+        ):
+            return
+        self._logged, self._logged_term, self._logged_at = wait, term, now
+        logger.warning(
+            "membership step waits",
+            waits=_describe_wait(wait),
+            waited_seconds=round(now - self._waits_since, 1),
+            term=term,
+        )
+
+
+def _describe_wait(wait: MembershipWait) -> str:
+    cause = _describe_cause(wait.cause)
+    match wait.step:
+        case Step.COMMIT:
+            return cause
+        case Step.REPLACE:
+            return f"vote of lost {wait.subject}: {cause}"
+        case Step.RETIRE:
+            return f"order to empty {wait.subject}: {cause}"
+        case Step.COMPLETE:
+            return f"end of the order to empty {wait.subject}: {cause}"
+        case Step.PROMOTE:
+            return f"vote of a further member: {cause}"
+
+
+def _describe_cause(cause: Cause) -> str:
+    match cause:
+        case NoLearner():
+            return "no learner"
+        case Silent(member=member, seconds=seconds):
+            return f"{short_id(member)} has not answered for {seconds:.1f}s"
+        case LacksEntries(member=member, entries=entries):
+            return f"{short_id(member)} lacks {entries} entries"
+        case LacksConfiguration(member=member):
+            return f"{short_id(member)} lacks the latest configuration"
+        case NotStored(index=index, is_joint=is_joint, lacking=lacking):
+            kind = "replacement" if is_joint else "configuration"
+            return f"{kind} {index} lacks answers of {describe_ids(lacking)}"
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -24,7 +24,7 @@
     NameMachine,
     RetireMachine,
 )
-from goldcrestyard.fleet.assembly.health import ClusterHealthMonitor
+from goldcrestyard.fleet.assembly.health import ClusterHealthMonitor, StepMonitor
 from goldcrestyard.fleet.assembly.slices import MachinesSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.membership import (
@@ -77,6 +77,7 @@
         self._heard_at_by_instance: dict[InstanceId, float] = {}
         self._learners_logged_at = float("-inf")
         self.monitor = ClusterHealthMonitor(member, wanted_voters, clock)
+        self._steps = StepMonitor(member, self._machines, wanted_voters, clock)
 
     def register(self, handlers: Handlers) -> None:
         """Register the handler for join requests."""
@@ -87,7 +88,7 @@
         while True:
             facts = self._member_facts()
             self._log_learners(facts)
-            self.monitor.check(facts, self._machines.retiring_instances())
+            self._check_health(facts)
             change = next_membership_change(
                 facts,
                 self._joiners(),
@@ -96,7 +97,7 @@
                 self._machines.retired_instances(),
             )
             if change is not None:
-                result = await self._apply_change(change)
+                result = await self._apply_and_watch(change)
                 logger.info(
                     "membership change finished", step=str(change), result=str(result)
                 )
@@ -226,6 +227,22 @@
             if now - request.received_at < JOIN_REQUEST_TTL_SECONDS
         ]
 
+    def _check_health(self, facts: list[MemberFacts]) -> None:
+        self.monitor.check(facts, self._machines.retiring_instances())
+        self._steps.check(facts)
+
+    async def _apply_and_watch(self, change: MembershipChange) -> ProposalResult:
+        """Carry out a change; check the members' health until it ends."""
+        task = asyncio.create_task(self._apply_change(change))
+        try:
+            while not task.done():
+                await asyncio.wait({task}, timeout=MEMBERSHIP_CHECK_INTERVAL_SECONDS)
+                if not task.done():
+                    self._check_health(self._member_facts())
+        finally:
+            task.cancel()
+        return await task
+
     async def _apply_change(self, change: MembershipChange) -> ProposalResult:
         match change:
             case Add(joiner=joiner):
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -609,6 +609,9 @@
     def get(self, _: type[MachinesSlice]) -> MachinesSlice:
         return self.machines
 
+    def log_facts(self) -> None:
+        return None
+
     def settled_instances(self) -> frozenset[InstanceId]:
         return frozenset(map(InstanceId, self.silent_seconds))
 
--- a/tests/fleet/test_cluster_health.py
+++ b/tests/fleet/test_cluster_health.py
@@ -6,12 +6,15 @@
 
 import asyncio
 import math
+import re
 from typing import Any
 
 import structlog
 from prometheus_client import CollectorRegistry
 
 from goldcrestyard.consensus.configuration import MemberId
+from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.member_lines import short_id
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.fleet.assembly.health import ClusterHealthMonitor
 from goldcrestyard.fleet.assembly.slices import MachinesSlice
@@ -19,9 +22,11 @@
 from goldcrestyard.fleet.observability.metrics import METRIC_PREFIX, FleetMetrics
 from goldcrestyard.policy.cluster_health import ClusterHealth, ClusterState
 from goldcrestyard.policy.membership import LOST_VOTER_SECONDS, MemberFacts
+from tests.fakes.member_network import put_organisation
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fleet.test_assembly import FOUNDERS, AssemblyTestCase
 
+WAITS = "membership step waits"
 TOLERATES = "control cluster tolerates the planned losses"
 CRITICAL = "control cluster loses its majority with the next disk; add a machine"
 REPAIRING = (
@@ -170,6 +175,64 @@
         self.assertEqual((TOLERATES, 1), (line["event"], line["missing_machines"]))
 
 
+class WaitLinesTests(ClusterTestCase):
+    """The leader's lines on a step that waits.
+
+    Guards against a step that doesn't finish without a reason in the log, and
+    against a line for each check.
+    """
+
+    async def test_reason_is_logged_when_it_changes(self) -> None:
+        lost = self.followers[0]
+        await self.wait_event(TOLERATES)
+        self.assertEqual([], self.of(WAITS), "in normal operation")
+        await self.assembly.stop(lost, lose_disk=True)
+        await asyncio.sleep(10.0)
+        self.network.throughput_by_receiver["d"] = 1000.0
+        for number in range(100):
+            await put_organisation(self.leader, f"o{number}")
+        learner = await self.assembly.start("d")
+        await self.network.wait(lambda: self.first_words(learner)[1:] != [], "a line")
+        self.network.throughput_by_receiver.clear()
+        await self.assembly.wait_voters(str(self.leader.instance), "d", *self.others)
+        await asyncio.sleep(5.0)
+        vote = f"vote of lost {lost}: "
+        first, *behind = self.first_words(learner)
+        self.assertEqual(f"{vote}no learner", first)
+        self.assertIn(f"{vote}LEARNER lacks", behind)
+        self.assertLess(len(behind), 5)
+
+    async def test_replacement_without_a_majority(self) -> None:
+        learner = await self.assembly.start("d")
+        await self.network.wait(lambda: learner.leader is not None, "the learner")
+        await self.assembly.stop(self.followers[0], lose_disk=True)
+
+        def is_replacing() -> bool:
+            facts = self.leader.log_facts()
+            return facts is not None and len(facts.voter_groups) > 1
+
+        await self.network.wait(is_replacing, "the replacement", poll_seconds=0.001)
+        self.network.isolate(self.others[0])
+        line = await self.wait_event(WAITS)
+        self.assertRegex(line["waits"], r"^replacement \d+ lacks answers of ")
+        silent = self.network.running[self.others[0]].member_id
+        self.assertIn(short_id(silent), line["waits"])
+        self.network.heal()
+        await self.assembly.wait_voters(str(self.leader.instance), "d", *self.others)
+
+    @property
+    def others(self) -> list[str]:
+        return self.followers[1:]
+
+    def first_words(self, learner: ControlMember) -> list[str]:
+        """Return the reasons in the log, without their numbers."""
+        name = short_id(learner.member_id)
+        return [
+            re.sub(r"(lacks|for) .*", r"\1", line["waits"].replace(name, "LEARNER"))
+            for line in self.of(WAITS)
+        ]
+
+
 class FakeLeader:
     """A leader whose leadership began at a given time."""
 
