--- a/goldcrestyard/consensus/leader_watch.py
+++ b/goldcrestyard/consensus/leader_watch.py
@@ -7,6 +7,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.member_lines import (
     describe_answers,
+    describe_followers,
     describe_ids,
     describe_lacks,
     describe_voters,
@@ -97,7 +98,11 @@
 
 def _log_lacking_votes(report: MemberReport, leaderless_seconds: float) -> None:
     lacks = "a configuration; no member has told one"
-    if report.known_by[1].configuration_index:
+    followers = describe_followers(report.answers)
+    if not report.is_member and followers:
+        # Its own links don't tell which voters the leader reaches.
+        lacks = f"nothing, but this process is no member: {followers}"
+    elif report.known_by[1].configuration_index:
         lacks = describe_lacks(report.lacking_groups())
     answers = describe_answers(report.answers)
     silent_seconds = {
--- a/goldcrestyard/consensus/member_lines.py
+++ b/goldcrestyard/consensus/member_lines.py
@@ -73,6 +73,18 @@
             return f"refuses, follows {short_id(leader)}" if leader else "refuses"
 
 
+def describe_followers(answers: Sequence[MemberAnswer]) -> str:
+    """Return which members that answer follow a leader; empty if none does."""
+    return ", ".join(
+        f"{short_id(answer.member)} follows {short_id(answer.state.leader)}"
+        for answer in answers
+        if answer.member is not None
+        and answer.state is not None
+        and answer.state.leader is not None
+        and answer.seconds_ago <= ANSWER_SECONDS
+    )
+
+
 def describe_answers(answers: Sequence[MemberAnswer]) -> str:
     """Return what the other members answer: role, log and configuration.
 
@@ -94,8 +106,9 @@
     elif state is None:
         text = "state unknown"
     else:
+        leader = f" of {short_id(state.leader)}" if state.leader else ""
         text = (
-            f"{state.role.value} term {state.term} last {state.last_index} "
+            f"{state.role.value}{leader} term {state.term} last {state.last_index} "
             f"cfg {state.configuration_index}"
         )
     return f"{name} {text} {answer.seconds_ago:.1f}s ago"
--- a/tests/consensus/test_missing_votes.py
+++ b/tests/consensus/test_missing_votes.py
@@ -11,6 +11,7 @@
 from goldcrestyard.consensus.link import MemberState
 from goldcrestyard.consensus.member_lines import (
     describe_answers,
+    describe_followers,
     describe_lacks,
     describe_voters,
 )
@@ -151,3 +152,11 @@
                 ]
             ),
         )
+
+    def test_followers(self) -> None:
+        """Guards against missing votes in the line where there is a leader."""
+        answers = [answer("b", leader="c"), answer("d", 9.0, leader="b"), answer("e")]
+        self.assertEqual(
+            "10.0.0.b#1111 follows 10.0.0.c#1111", describe_followers(answers)
+        )
+        self.assertIn("b#1111 follower of 10.0.0.c#1111 te", describe_answers(answers))
--- a/tests/fleet/test_leader_watch.py
+++ b/tests/fleet/test_leader_watch.py
@@ -106,6 +106,17 @@
             known_by = {line["known_by"] for line in self.of(CONFIGURATION)}
             self.assertEqual({short_id(left.member_id)}, known_by)
 
+    async def test_process_that_is_not_admitted_names_the_leader(self) -> None:
+        """Guards against missing votes in the line where there is a leader."""
+        outside = await self.network.start("d", FOUNDERS)
+        self.watch(outside)
+        line = await self.wait_event(OUTSIDE)
+        self.assertRegex(line["lacks"], "^nothing, but this process is no member: ")
+        leader_id = short_id(self.leader_id)
+        for name in self.followers:
+            follower = short_id(self.network.running[name].member_id)
+            self.assertIn(f"{follower} follows {leader_id}", line["lacks"])
+
     async def test_election_is_not_logged(self) -> None:
         left = self.network.running[self.followers[0]]
         self.watch(left)
