--- a/tests/processes/test_control_members.py
+++ b/tests/processes/test_control_members.py
@@ -111,6 +111,21 @@
 class LeaderLossTests(ControlTestCase):
     """The leader is killed, or suspended for longer than its lease."""
 
+    async def test_planned_end_without_a_leader_is_logged(self) -> None:
+        """Guards against an end that hides why there was no leader."""
+        left, lost = self.followers
+        for instance in (self.leader, lost):
+            await self.kill(instance)
+        # The leader is given up after an election timeout of 3 s at most.
+        await asyncio.sleep(4.0)
+        assert left.process is not None
+        left.process.terminate()
+        await left.process.wait()
+        log = (self.deployment.folder / f"{left.id}.log").read_text()
+        line = next(line for line in log.splitlines() if '"lacks"' in line)
+        self.assertRegex(line, '^{"lacks": "1 of 2 votes: ')
+        self.assertIn('"control member knows of no leader"', line)
+
     async def test_killed_leader_loses_no_accepted_change(self) -> None:
         putting = [
             asyncio.create_task(self.keep_putting(instance))
