--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
-from typing import Any, get_args
+from typing import Any, TypeVar, get_args
 
 import structlog
 
@@ -24,6 +24,7 @@
 from goldcrestyard.consensus.compression import CompressionError
 from goldcrestyard.consensus.configuration import MemberId, MemberRecord
 from goldcrestyard.consensus.disk import MemberDisk
+from goldcrestyard.consensus.disk_outages import DiskOutages
 from goldcrestyard.consensus.events import (
     AddLearner,
     Appended,
@@ -50,13 +51,19 @@
     Received,
 )
 from goldcrestyard.consensus.links import MemberLinks
-from goldcrestyard.consensus.member import Member
-from goldcrestyard.consensus.member_report import MemberReport, make_member_report
+from goldcrestyard.consensus.member import MAX_PROMOTION_LAG_ENTRIES, Member
+from goldcrestyard.consensus.member_report import (
+    MemberReport,
+    make_member_report,
+    make_member_state,
+)
 from goldcrestyard.consensus.messages import (
     InstallSnapshot,
     MemberMessage,
+    PreVoteReply,
     find_fault,
 )
+from goldcrestyard.consensus.missing_votes import ANSWER_SECONDS
 from goldcrestyard.consensus.persistent_state import (
     PersistentState,
     select_save_effects,
@@ -84,6 +91,7 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.default_settings import MemorySettings
 from goldcrestyard.kernel.waiting import wait_at_most
+from goldcrestyard.policy.membership_waits import LogFacts
 from goldcrestyard.policy.memory import ControlShares, control_shares
 from goldcrestyard.state.commands import Accepted, Command
 from goldcrestyard.state.machine import StateMachine
@@ -143,6 +151,8 @@
     return ThreadPoolExecutor(1, "control")
 
 
+T = TypeVar("T")
+
 ProposalCheck = Callable[[Command], str | None]
 """Returns why there is no room for what a command would add, or None."""
 
@@ -184,6 +194,7 @@
         self._shares = shares
         self._rng = random_source or random.Random(secrets.randbits(64))
         self._disk = MemberDisk(data_folder, files or DiskFiles(), codec)
+        self.disk_outages = DiskOutages(clock)
         self._lock: FolderLock | None = None
         # The Raft logic; None before the start and after a stop or failure.
         self._core: Member | None = None
@@ -196,6 +207,7 @@
         self._barriers: list[_Barrier] = []
         # Replies to a member are collected here while its batch is processed.
         self._replies_by_member: dict[MemberId, list[bytes]] = {}
+        self._vote_refused_at: dict[MemberId, float] = {}
         self._links = MemberLinks(
             instance,
             self._configured_addresses,
@@ -214,7 +226,7 @@
         self._ready_to_lead = False
         """Whether this member leads and has committed an entry of its term,
         and has therefore applied all entries of earlier terms."""
-        # Term, leader, whether this member leads, and whether it is ready.
+        # Term, leader, role, and whether this member is ready to lead.
         self._last_leadership: tuple[object, ...] = ()
         self._leadership_changed = asyncio.Event()
 
@@ -314,7 +326,7 @@
         return self._core.leadership_started_at
 
     async def wait_leadership_change(self) -> None:
-        """Wait until the term, the leader or its readiness changes.
+        """Wait until the term, the leader, its readiness or the role changes.
 
         A leader is ready once it has committed an entry of its term.
         """
@@ -340,10 +352,9 @@
         If the disk is full, the member starts as suspended.  Raises
         ``StorageError`` if the data folder is damaged or in use.
         """
-        loop = asyncio.get_running_loop()
-        self._task_failure = loop.create_future()
+        self._task_failure = asyncio.get_running_loop().create_future()
         try:
-            saved = await loop.run_in_executor(self._disk_executor, self._load)
+            saved = await self._run_on_disk(self._load)
         except (DiskError, OSError) as error:
             if isinstance(error, OSError) and error.errno not in DISK_FULL_ERRNOS:
                 raise  # Such as a folder that this process may not use.
@@ -371,6 +382,13 @@
             self._lock.close()
             self._lock = None
 
+    async def _run_on_disk(self, operation: Callable[..., T], *arguments: Any) -> T:
+        loop = asyncio.get_running_loop()
+        with self.disk_outages.operation():
+            return await loop.run_in_executor(
+                self._disk_executor, operation, *arguments
+            )
+
     def _load(self) -> PersistentState:
         self._folder.mkdir(parents=True, exist_ok=True)
         if self._lock is None:
@@ -493,11 +511,32 @@
         core = self._core
         if core is None:
             return None
+        now = self._clock.monotonic()
         return make_member_report(
             core,
             bool(self._disk.was_empty),
-            self._links.answered_at_by_member(),
-            self._clock.monotonic(),
+            self._links.answers(now),
+            {
+                member
+                for member, refused_at in self._vote_refused_at.items()
+                if now - refused_at <= ANSWER_SECONDS
+            },
+        )
+
+    def log_facts(self) -> LogFacts | None:
+        """Return what the members store of the log; None unless this leads."""
+        core = self._core
+        if core is None or core.role is not Role.LEADER:
+            return None
+        matched = {id: p.match_index for id, p in core.progress_by_id.items()}
+        matched[core.id] = core.log.last_index
+        return LogFacts(
+            core.log.last_index,
+            core.commit_index,
+            core.log.configuration_index,
+            core.configuration.voter_groups,
+            matched,
+            MAX_PROMOTION_LAG_ENTRIES,
         )
 
     def settled_instances(self) -> frozenset[InstanceId]:
@@ -695,7 +734,7 @@
         All queued events are dropped: the protocol repeats what is still
         needed, and proposals end with a result.
         """
-        logger.error("disk write failed, control member suspended", error=str(error))
+        self.disk_outages.record_failure(error)
         self._shut_down(f"the member's disk failed: {error}")
         while not self._queue.empty():
             item = self._queue.get_nowait()
@@ -710,20 +749,19 @@
         restart of the process.  Raises ``StorageError`` if the stored state
         is damaged.
         """
-        loop = asyncio.get_running_loop()
         delay = MIN_DISK_RETRY_SECONDS
         while True:
             await asyncio.sleep(delay * self._rng.uniform(0.75, 1.25))
             delay = min(2 * delay, MAX_DISK_RETRY_SECONDS)
             try:
-                saved = await loop.run_in_executor(self._disk_executor, self._load)
+                saved = await self._run_on_disk(self._load)
             except (DiskError, OSError) as error:
                 logger.debug("disk still fails", error=str(error))
                 continue
             break
         self._stop_reason = ""
         self._start_core(saved)
-        logger.info("disk accepts writes again, control member resumed")
+        self.disk_outages.record_recovery()
         self._update_leadership()
 
     def _release_barriers(self) -> None:
@@ -773,8 +811,7 @@
                 )
         saved = select_save_effects(effects)
         if saved:
-            loop = asyncio.get_running_loop()
-            await loop.run_in_executor(self._disk_executor, self._disk.save, saved)
+            await self._run_on_disk(self._disk.save, saved)
         for effect in effects:
             match effect:
                 case Send(receiver=receiver, message=message):
@@ -801,7 +838,7 @@
         leadership: tuple[object, ...] = ()
         if core is not None:
             is_leader = core.role is Role.LEADER
-            leadership = (core.term, core.leader, is_leader, core.has_committed_in_term)
+            leadership = (core.term, core.leader, core.role, core.has_committed_in_term)
             if not is_leader or (
                 self._last_leadership and self._last_leadership[0] != core.term
             ):
@@ -814,9 +851,9 @@
         if core is not None:
             logger.info(
                 "leadership changed",
-                term=core.term,
-                leader=self.leader,
                 role=core.role.value,
+                leader=self.leader,
+                term=core.term,
                 ready=core.has_committed_in_term,
             )
         self._leadership_changed.set()
@@ -858,13 +895,20 @@
 
     # Other members.
 
-    def _identity(self) -> MemberIdentity:
+    def _identity(self, *, with_state: bool = False) -> MemberIdentity:
+        """Return this member's identity.
+
+        Its state is included while it knows of no leader.
+        """
+        core = self._core
+        told = core is not None and (with_state or core.leader is None)
         return MemberIdentity(
             self._disk.member_id,
             self._disk.cluster,
             self._own_address,
             tuple(sorted(self._configured_addresses)),
             accepts_compressed=True,
+            state=make_member_state(core) if told and core is not None else None,
         )
 
     def _instance_of(self, member_id: MemberId) -> InstanceId | None:
@@ -906,7 +950,8 @@
             return _not_running_failure(self._stop_reason)
         self._links.record_member(message.member, connection.peer)
         self._links.get_or_create(connection.peer, message.address)
-        return self._identity()
+        # A member without a leader tells its state to be told that of others.
+        return self._identity(with_state=message.state is not None)
 
     async def _handle_batch(
         self, batch: MemberBatch, connection: PeerConnection
@@ -949,6 +994,8 @@
             except CodecError as error:
                 fault = str(error)
             if fault is None and isinstance(message, get_args(MemberMessage)):
+                if isinstance(message, PreVoteReply):
+                    self._record_vote_reply(sender, message)
                 self._queue.put_nowait(Receive(sender, message))
             else:
                 # The protocol repeats what it needs; a member that sends
@@ -959,6 +1006,13 @@
                     error=fault or "not a message between members",
                 )
 
+    def _record_vote_reply(self, sender: MemberId, reply: PreVoteReply) -> None:
+        core = self._core
+        if reply.granted:
+            self._vote_refused_at.pop(sender, None)
+        elif core is not None and core.configuration.find(sender) is not None:
+            self._vote_refused_at[sender] = self._clock.monotonic()
+
     # Bootstrap of a new cluster.
 
     async def _bootstrap_if_complete(self) -> None:
@@ -979,13 +1033,8 @@
             "bootstrapping cluster from configured members",
             members=tuple(sorted(self._configured_addresses)),
         )
-        loop = asyncio.get_running_loop()
         cluster = secrets.token_hex(8)
-        self._start_core(
-            await loop.run_in_executor(
-                self._disk_executor, self._disk.bootstrap, cluster, entry
-            )
-        )
+        self._start_core(await self._run_on_disk(self._disk.bootstrap, cluster, entry))
 
     async def _join_cluster(self, cluster: str) -> None:
         """Join the cluster of a member that has contacted this one.
@@ -994,8 +1043,7 @@
         """
         if self._disk.cluster or not cluster:
             return
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._disk_executor, self._disk.join, cluster)
+        await self._run_on_disk(self._disk.join, cluster)
 
 
 def _not_running_failure(detail: str) -> Failure:
