--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -20,7 +20,11 @@
 import structlog
 
 from goldcrestyard.consensus.applied import AppliedState
-from goldcrestyard.consensus.bootstrap import make_bootstrap_entry
+from goldcrestyard.consensus.bootstrap import (
+    FoundingRule,
+    make_bootstrap_entry,
+    make_founding,
+)
 from goldcrestyard.consensus.compression import CompressionError
 from goldcrestyard.consensus.configuration import MemberId, MemberRecord
 from goldcrestyard.consensus.disk import MemberDisk
@@ -164,6 +168,7 @@
         addresses_by_instance: Mapping[InstanceId, str],
         *,
         own_address: str = "",
+        founding_rule: FoundingRule = FoundingRule.ALL,
         timing: Timing = Timing(),  # noqa: B008 - immutable
         snapshot_entries: int = 10_000,
         shares: ControlShares = DEFAULT_SHARES,
@@ -179,6 +184,7 @@
         self._clock = clock
         self._configured_addresses = dict(addresses_by_instance)
         self._own_address = self._configured_addresses.get(instance, own_address)
+        self._founding_rule = founding_rule
         self._timing = timing
         self._snapshot_entries = snapshot_entries
         self._shares = shares
@@ -375,7 +381,10 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         if self._lock is None:
             self._lock = FolderLock(self._folder)
-        return self._disk.load(self.instance)
+        founding = None
+        if self._founding_rule is FoundingRule.MAJORITY:
+            founding = make_founding(self.instance, self._configured_addresses)
+        return self._disk.load(self.instance, founding)
 
     def _start_core(self, saved: PersistentState) -> None:
         snapshot = saved.snapshot
@@ -967,6 +976,8 @@
         Only the member whose instance id sorts first does so, so that no
         second cluster can arise.
         """
+        if self._founding_rule is not FoundingRule.ALL:
+            return
         founder = min(self._configured_addresses, default=None)
         if self._disk.cluster or founder != self.instance or self._core is None:
             return
--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -16,7 +16,7 @@
     TruncateLog,
 )
 from goldcrestyard.consensus.messages import Entry, EntryKind, Snapshot
-from goldcrestyard.consensus.persistent_state import PersistentState
+from goldcrestyard.consensus.persistent_state import Founding, PersistentState
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
 from goldcrestyard.storage.exceptions import CorruptLogError
 from goldcrestyard.storage.files import Files
@@ -77,14 +77,17 @@
         """Id of the cluster that the member belongs to; empty if none."""
         return self._vote.cluster
 
-    def load(self, instance: InstanceId) -> PersistentState:
+    def load(
+        self, instance: InstanceId, founding: Founding | None = None
+    ) -> PersistentState:
         """Load the stored state, or set up an empty disk.
 
-        An empty disk, or one without a vote file, gets a new member id on
-        ``instance``.  After a ``DiskError`` the state is loaded that was
-        durable before it: a record that was written but not synced may be
-        readable now and be lost at the next power failure, so the remains of
-        failed writes are removed first.
+        An empty disk begins with ``founding``, if that is given.  Otherwise,
+        like one without a vote file, it gets a new member id on ``instance``.
+        After a ``DiskError`` the state is loaded that was durable before it: a
+        record that was written but not synced may be readable now and be lost
+        at the next power failure, so the remains of failed writes are removed
+        first.
 
         Raises ``CorruptLogError`` or ``CorruptFileError`` if the stored state
         is damaged or incomplete, and ``DiskError`` or ``OSError`` if the disk
@@ -103,7 +106,7 @@
         if vote is None and self._vote.member:
             raise CorruptLogError(f"{self._folder}: the vote file has disappeared.")
         if vote is None:
-            state = self._initialise(instance)
+            state = self._initialise(instance, founding)
         else:
             if self._vote.member:
                 # The rename by a failed write may not be durable yet.  A vote
@@ -114,6 +117,14 @@
         self._is_loaded = True
         if self.was_empty is None:
             self.was_empty = not self.cluster
+        if (
+            founding is not None
+            and not self.cluster
+            and self.member_id == founding.member
+        ):
+            # The member id is stored first: after a crash before the cluster
+            # is, the founding is repeated with the same id.
+            state = self.bootstrap(founding.cluster, founding.entry)
         return state
 
     def _load_log(self, vote: VoteRecord) -> PersistentState:
@@ -181,18 +192,25 @@
         """Close all open files."""
         self._files.close()
 
-    def _initialise(self, instance: InstanceId) -> PersistentState:
+    def _initialise(
+        self, instance: InstanceId, founding: Founding | None
+    ) -> PersistentState:
         """Set up an empty disk.
 
         A log without its vote file is moved aside and not used: the member
-        may have voted or acknowledged entries without a record of it.
+        may have voted or acknowledged entries without a record of it.  For the
+        same reason it is no founder any more.
         """
-        self._set_aside_orphaned_log()
+        had_log = self._set_aside_orphaned_log()
         self._log.restart_at(FIRST_LOG_INDEX)
-        self._write_vote(VoteRecord(f"{instance}#{secrets.token_hex(4)}"))
+        member = MemberId(f"{instance}#{secrets.token_hex(4)}")
+        if founding is not None and not had_log:
+            member = founding.member
+        self._write_vote(VoteRecord(member))
         return PersistentState()
 
-    def _set_aside_orphaned_log(self) -> None:
+    def _set_aside_orphaned_log(self) -> bool:
+        """Move a log without its vote file aside; return whether one was."""
         log_folder = self._folder / "log"
         found: list[Path] = []
         for path in [log_folder / name for name in self._files.list_names(log_folder)]:
@@ -204,7 +222,7 @@
         if "snapshot" in self._files.list_names(self._folder):
             found.append(self._folder / "snapshot")
         if not found:
-            return
+            return False
         set_aside_folder = self._folder / f"set-aside-{secrets.token_hex(4)}"
         logger.warning(
             "log without vote file moved aside, new member id assigned",
@@ -216,6 +234,7 @@
         self._files.sync_folder(set_aside_folder)
         self._files.sync_folder(log_folder)
         self._files.sync_folder(self._folder)
+        return True
 
     def _write_vote(self, vote: VoteRecord) -> None:
         self._vote_file.write(vote)
--- a/goldcrestyard/consensus/persistent_state.py
+++ b/goldcrestyard/consensus/persistent_state.py
@@ -29,6 +29,15 @@
     entries: tuple[Entry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Founding:
+    """State with which the disk of a cluster's founder begins."""
+
+    member: MemberId
+    cluster: str
+    entry: Entry
+
+
 def select_save_effects(effects: Iterable[Effect]) -> list[SaveEffect]:
     """Return the effects to make durable before the others are performed."""
     return [
--- a/goldcrestyard/fleet/assembly/apps.py
+++ b/goldcrestyard/fleet/assembly/apps.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from goldcrestyard.consensus.bootstrap import FoundingRule
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.assembly.commands import (
     CompleteRetirement,
@@ -47,7 +48,7 @@
         settings = app.settings.section(AssemblySettings)
         cluster = app.settings.section(ClusterSettings)
         control = app.settings.section(ControlSettings)
-        member = provide_member(app, control, settings.founders)
+        member = provide_member(app, control, settings.founders, FoundingRule.MAJORITY)
         manager = MembershipManager(member, settings.wanted_voters, app.clock)
         manager.register(app.get(Handlers))
         app.provide(MembershipManager, manager)
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import ClassVar
 
+from goldcrestyard.consensus.bootstrap import FoundingRule
 from goldcrestyard.consensus.configuration import Configuration
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.leader_watch import LeaderWatch
@@ -100,6 +101,7 @@
     app: Application,
     control: ControlSettings,
     initial_addresses: Mapping[InstanceId, str],
+    founding_rule: FoundingRule = FoundingRule.ALL,
 ) -> ControlMember:
     """Create this instance's member, its change feed and the entry sessions.
 
@@ -120,6 +122,7 @@
             app.get(PeerDialer),
             initial_addresses,
             own_address=app.settings.section(ClusterSettings).peer_address,
+            founding_rule=founding_rule,
             timing=_timing(control),
             snapshot_entries=control.snapshot_entries,
             shares=control_shares(process_bytes(app.settings)),
--- a/tests/fleet/test_failing_disks.py
+++ b/tests/fleet/test_failing_disks.py
@@ -101,7 +101,8 @@
         for founder in FOUNDERS:
             await self.start(founder, first_start=True)
         await asyncio.sleep(5.0)
-        self.assertEqual(self.network.leaders, [])
+        (leader,) = self.network.leaders
+        self.assertNotEqual(leader.instance, name)
         self.repair(name)
         await self.assembly.wait_voters(*FOUNDERS)
         leader = await self.network.leader()
