--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import random
 import unittest
 from unittest.mock import AsyncMock
 
@@ -149,23 +150,66 @@
 class JoinRequestLogTests(AssemblyTestCase):
     """The line that a process logs when its join request is acknowledged."""
 
-    async def test_line_names_the_member_that_answered(self) -> None:
-        """Guards against a line that names a member which did not lead."""
+    async def test_one_line_names_the_member_that_answered(self) -> None:
+        """Guards against lines that name a member which did not lead.
+
+        A process that waits for its addition repeats its request only.
+        """
         for name in FOUNDERS:
             await self.assembly.start(name, first_start=True)
         leader = await self.network.leader()
+        await asyncio.sleep(2.0)
+        manager = self.assembly.managers[leader.instance]
+        manager._apply_change = AsyncMock(  # type: ignore[method-assign]
+            return_value=NotProposed("no change is made")
+        )
         # Loggers of the members are set to critical events only.
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
         with structlog.testing.capture_logs() as lines:
             for name in ("d", "e", "f"):
                 await self.assembly.start(name)
             await asyncio.sleep(2.0)
-        named = {
+        named = [
             line["leader"]
             for line in lines
             if line["event"] == "join request acknowledged by the leader"
+        ]
+        self.assertEqual(named, [leader.instance] * 3)
+
+
+class JoiningTests(AssemblyTestCase):
+    """How soon a new process becomes a learner."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        self.leader = await self.network.leader()
+        await asyncio.sleep(2.0)
+
+    async def _wait_member(self, *names: str) -> None:
+        def are_members() -> bool:
+            statuses = self.leader.member_statuses()
+            known = {str(s.instance) for s in statuses} | {s.id for s in statuses}
+            return known.issuperset(names)
+
+        await self.network.wait(are_members, f"the members {names}", 0.005)
+
+    @parameterized.expand([("one", 1), ("both", 2)])
+    async def test_silent_members_do_not_delay_a_request(
+        self, _: str, silent: int
+    ) -> None:
+        """Guards against a request that waits for one to a silent member."""
+        followers = [n for n in FOUNDERS if n != self.leader.instance]
+        names = ["d", "e", "f", "g"]
+        random.seed(29)
+        self.network.cut_links |= {
+            (name, follower) for name in names for follower in followers[:silent]
         }
-        self.assertEqual(named, {leader.instance})
+        async with asyncio.timeout(1.0):
+            for name in names:
+                await self.assembly.start(name)
+            await self._wait_member(*names)
 
 
 class FoundingTests(AssemblyTestCase):
