--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -217,6 +217,9 @@
         # Term, leader, whether this member leads, and whether it is ready.
         self._last_leadership: tuple[object, ...] = ()
         self._leadership_changed = asyncio.Event()
+        # The learners to which this leader could give a vote.
+        self._caught_up_learners: frozenset[MemberId] = frozenset()
+        self._membership_listeners: list[Callable[[], None]] = []
 
     # Leadership.
 
@@ -650,6 +653,28 @@
             return False
         return core.has_caught_up(self._clock.monotonic(), member_id)
 
+    def add_membership_listener(self, listener: Callable[[], None]) -> None:
+        """Register a function to call when the members may have to change.
+
+        It is called on the leader, each time that a learner has caught up.
+        """
+        self._membership_listeners.append(listener)
+
+    def _report_caught_up(self) -> None:
+        core = self._core
+        caught_up: frozenset[MemberId] = frozenset()
+        if core is not None and core.role is Role.LEADER:
+            now = self._clock.monotonic()
+            caught_up = frozenset(
+                member.id
+                for member in core.configuration.members
+                if not member.voter and core.has_caught_up(now, member.id)
+            )
+        if not caught_up <= self._caught_up_learners:
+            for listener in self._membership_listeners:
+                listener()
+        self._caught_up_learners = caught_up
+
     def _voter_count(self) -> int:
         return 0 if self._core is None else len(self._core.configuration.voters)
 
@@ -783,6 +808,7 @@
                 case Refused(number=number, detail=detail):
                     self._proposals.resolve_refused(number, detail, self.leader)
         self._update_leadership()
+        self._report_caught_up()
         self._start_snapshot_if_due()
 
     def _update_leadership(self) -> None:
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -27,6 +27,7 @@
 from goldcrestyard.fleet.assembly.health import ClusterHealthMonitor
 from goldcrestyard.fleet.assembly.slices import MachinesSlice
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.policy.membership import (
     GONE_SECONDS,
     Add,
@@ -46,6 +47,10 @@
 logger = structlog.get_logger(__name__)
 
 MEMBERSHIP_CHECK_INTERVAL_SECONDS = 0.25
+MIN_CHECK_INTERVAL_SECONDS = 0.02
+"""Bounds in seconds of the interval between two checks of the members.  A join
+request and a learner that has caught up lead to a check at once."""
+
 JOIN_REQUEST_TTL_SECONDS = 3.0
 """Time in seconds after which a join request expires.  A process that is not
 yet a member repeats its request every half second."""
@@ -76,6 +81,9 @@
         self._first_seen_by_id: dict[MemberId, float] = {}
         self._heard_at_by_instance: dict[InstanceId, float] = {}
         self._learners_logged_at = float("-inf")
+        # Set when a change of the members may have become possible.
+        self._check_due = asyncio.Event()
+        member.add_membership_listener(self._check_due.set)
         self.monitor = ClusterHealthMonitor(member, wanted_voters, clock)
 
     def register(self, handlers: Handlers) -> None:
@@ -105,7 +113,13 @@
                     # fewer losses than it should.
                     continue
             await self._complete_retirements()
-            await asyncio.sleep(MEMBERSHIP_CHECK_INTERVAL_SECONDS)
+            await self._wait_for_check()
+
+    async def _wait_for_check(self) -> None:
+        await asyncio.sleep(MIN_CHECK_INTERVAL_SECONDS)
+        rest = MEMBERSHIP_CHECK_INTERVAL_SECONDS - MIN_CHECK_INTERVAL_SECONDS
+        await wait_at_most(rest, self._check_due.wait())
+        self._check_due.clear()
 
     async def retire(self, machine: str) -> Refusal | None:
         """Start to retire a machine; return None, or why that is refused."""
@@ -265,6 +279,8 @@
             joiner, self._clock.monotonic()
         )
         self._record_heard(message.instance, self._clock.monotonic())
+        if message.member not in self._first_seen_by_id:
+            self._check_due.set()
         known = self._machines.names_by_instance.get(message.instance)
         if known != message.machine:
             name = NameMachine(message.instance, message.machine)
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import unittest
+from collections.abc import Callable
 from unittest.mock import AsyncMock
 
 import cbor2
@@ -211,6 +212,26 @@
                 await self.assembly.start(name)
             await self._wait_member(*names)
 
+    @parameterized.expand([(0.0,), (0.05,), (0.1,), (0.15,), (0.2,)])
+    async def test_vote_follows_as_soon_as_a_learner_has_caught_up(
+        self, after: float
+    ) -> None:
+        """Guards against a vote that waits for a periodic check."""
+        random.seed(29)
+        lost = next(n for n in FOUNDERS if n != self.leader.instance)
+        await self.assembly.stop(lost, lose_disk=True)
+        await asyncio.sleep(1.0 + after)
+        new = (await self.assembly.start(lost)).member_id
+        await self.network.wait(
+            lambda: self.leader.has_caught_up(new), "a learner", 0.001
+        )
+        # The new configuration makes it lag until it stores that one.
+        await asyncio.sleep(0.05)
+        voters = {
+            s.id for s in self.leader.member_statuses() if s.role is not Role.LEARNER
+        }
+        self.assertIn(new, voters)
+
 
 class FoundingTests(AssemblyTestCase):
     """The first start of a deployment."""
@@ -653,6 +674,9 @@
     def get(self, _: type[MachinesSlice]) -> MachinesSlice:
         return self.machines
 
+    def add_membership_listener(self, listener: Callable[[], None]) -> None:
+        """Do nothing: the tests wait for the periodic checks."""
+
     def settled_instances(self) -> frozenset[InstanceId]:
         return frozenset(map(InstanceId, self.silent_seconds))
 
