--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -277,6 +277,11 @@
         """This member's id, which its disk stores."""
         return self._disk.member_id
 
+    @property
+    def cluster(self) -> str:
+        """The cluster that this member's disk belongs to; empty if none."""
+        return self._disk.cluster
+
     @property
     def is_member(self) -> bool:
         """Whether this member is in its latest configuration."""
@@ -526,20 +531,41 @@
         A learner receives the log but does not vote.  ``timeout`` in seconds
         bounds the wait for the member's identity.
         """
-        link = self._links.get_or_create(instance, address)
         deadline = self._clock.monotonic() + timeout
         while self._core is not None and self._clock.monotonic() < deadline:
-            identity = link.identity if link is not None else None
-            if identity is not None and self._can_be_added(self._core, identity):
-                record = MemberRecord(identity.member, instance, address, False)
-                return await self._submit(partial(AddLearner, member=record))
+            identity = self.contact(instance, address)
+            if identity is not None and self.can_be_added(
+                identity.member, identity.cluster
+            ):
+                return await self.add_known_learner(identity.member, instance, address)
             await asyncio.sleep(MEMBER_CHANGE_POLL_SECONDS)
         return NotProposed(f"no new member answers at {address}")
 
-    def _can_be_added(self, core: Member, identity: MemberIdentity) -> bool:
+    async def add_known_learner(
+        self, member_id: MemberId, instance: InstanceId, address: str
+    ) -> ProposalResult:
+        """Add a member whose id is known as a learner.
+
+        ``can_be_added`` must be true for it.
+        """
+        record = MemberRecord(member_id, instance, address, False)
+        return await self._submit(partial(AddLearner, member=record))
+
+    def contact(self, instance: InstanceId, address: str) -> MemberIdentity | None:
+        """Keep a link to a process; return the identity last reported on it.
+
+        None is returned before the first report.
+        """
+        link = self._links.get_or_create(instance, address)
+        return None if link is None else link.identity
+
+    def can_be_added(self, member_id: MemberId, cluster: str) -> bool:
+        """Return whether a member may be added, given its disk's cluster."""
+        core = self._core
         return (
-            identity.cluster in ("", self._disk.cluster)
-            and core.configuration.find(identity.member) is None
+            core is not None
+            and cluster in ("", self._disk.cluster)
+            and core.configuration.find(member_id) is None
         )
 
     async def promote(self, learner: MemberId) -> ProposalResult:
--- a/goldcrestyard/fleet/assembly/commands.py
+++ b/goldcrestyard/fleet/assembly/commands.py
@@ -48,6 +48,9 @@
     instance: InstanceId
     address: str
     machine: str
+    cluster: str | None = None
+    """Cluster of the sender's disk, empty if it has none; None in a request of
+    an earlier release."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/assembly/joining.py
+++ b/goldcrestyard/fleet/assembly/joining.py
@@ -144,6 +144,7 @@
             self._member.instance,
             self._own_address,
             self._machine,
+            self._member.cluster,
         )
 
     async def _send_join(self, address: PeerAddress) -> object:
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
 import structlog
 
@@ -25,6 +24,7 @@
     RetireMachine,
 )
 from goldcrestyard.fleet.assembly.health import ClusterHealthMonitor
+from goldcrestyard.fleet.assembly.join_requests import JoinRequest, JoinRequests
 from goldcrestyard.fleet.assembly.slices import MachinesSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.waiting import wait_at_most
@@ -51,23 +51,9 @@
 """Bounds in seconds of the interval between two checks of the members.  A join
 request and a learner that has caught up lead to a check at once."""
 
-JOIN_REQUEST_TTL_SECONDS = 3.0
-"""Time in seconds after which a join request expires.  A process that is not
-yet a member repeats its request every half second."""
-
 LEARNER_LOG_INTERVAL_SECONDS = 1.0
 """Interval in seconds at which the progress of a learner is logged."""
 
-ADD_TIMEOUT_SECONDS = 1.0
-"""Longest wait in seconds for the answer of a process that is added as a
-learner."""
-
-
-@dataclass(frozen=True, slots=True)
-class _JoinRequest:
-    joiner: Joiner
-    received_at: float
-
 
 class MembershipManager:
     """Adds, promotes and removes cluster members while this member leads."""
@@ -77,7 +63,7 @@
         self._machines = member.machine.get(MachinesSlice)
         self._wanted_voters = wanted_voters
         self._clock = clock
-        self._join_requests_by_instance: dict[InstanceId, _JoinRequest] = {}
+        self._join_requests = JoinRequests()
         self._first_seen_by_id: dict[MemberId, float] = {}
         self._heard_at_by_instance: dict[InstanceId, float] = {}
         self._learners_logged_at = float("-inf")
@@ -233,19 +219,26 @@
                 )
 
     def _joiners(self) -> list[Joiner]:
-        now = self._clock.monotonic()
-        return [
-            request.joiner
-            for request in self._join_requests_by_instance.values()
-            if now - request.received_at < JOIN_REQUEST_TTL_SECONDS
-        ]
+        """Return the processes that ask to join and can be added now."""
+        members = self._member.member_statuses()
+        pending = self._join_requests.pending(members, self._clock.monotonic())
+        return [request.joiner for request in pending if self._can_be_added(request)]
+
+    def _can_be_added(self, request: JoinRequest) -> bool:
+        joiner, cluster = request.joiner, request.cluster
+        if cluster is None:
+            # The link to a process of an earlier release reports its cluster.
+            identity = self._member.contact(joiner.instance, joiner.address)
+            if identity is None or identity.member != joiner.id:
+                return False
+            cluster = identity.cluster
+        return self._member.can_be_added(joiner.id, cluster)
 
     async def _apply_change(self, change: MembershipChange) -> ProposalResult:
         match change:
             case Add(joiner=joiner):
-                self._join_requests_by_instance.pop(joiner.instance, None)
-                return await self._member.add_learner(
-                    joiner.instance, joiner.address, ADD_TIMEOUT_SECONDS
+                return await self._member.add_known_learner(
+                    joiner.id, joiner.instance, joiner.address
                 )
             case Promote(learner=learner):
                 return await self._member.promote(learner)
@@ -274,12 +267,24 @@
                 f"{message.address!r} is not an address",
                 Verdict.NOT_RUN,
             )
+        if message.cluster not in (None, "", self._member.cluster):
+            logger.warning(
+                "join request of a member of another cluster refused",
+                instance=message.instance,
+                member=message.member,
+                cluster=message.cluster,
+            )
+            return Failure(
+                RefusalReason.CONFLICT,
+                f"{message.member} belongs to another cluster",
+                Verdict.NOT_RUN,
+            )
         joiner = Joiner(message.member, message.instance, message.address)
-        self._join_requests_by_instance[message.instance] = _JoinRequest(
-            joiner, self._clock.monotonic()
-        )
-        self._record_heard(message.instance, self._clock.monotonic())
-        if message.member not in self._first_seen_by_id:
+        now = self._clock.monotonic()
+        self._record_heard(message.instance, now)
+        request = JoinRequest(joiner, message.cluster, now)
+        if self._join_requests.record(request, self._member.member_statuses()):
+            self._member.contact(message.instance, message.address)
             self._check_due.set()
         known = self._machines.names_by_instance.get(message.instance)
         if known != message.machine:
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -212,6 +212,34 @@
                 await self.assembly.start(name)
             await self._wait_member(*names)
 
+    @parameterized.expand(
+        [
+            ("no_cluster", "", 0.0, "d", "d"),
+            ("no_cluster_after_a_check", "", 0.1, "d", "d"),
+            ("no_cluster_long_after_a_check", "", 0.15, "d", "d"),
+            ("another_cluster", "another", 0.0, "", ""),
+            ("earlier_release", None, 0.0, "", "d"),
+        ]
+    )
+    async def test_request_is_enough(
+        self, _: str, cluster: str | None, after: float, at_once: str, over_link: str
+    ) -> None:
+        """Guards against an addition that waits for a link or for a check.
+
+        A request of the earlier release names no cluster, and has to wait.
+        """
+        leader = str(self.leader.instance)
+        self.network.cut_links.add((leader, "d"))
+        new = await self.network.start("d", [])
+        request = JoinCluster(new.member_id, new.instance, "d:1", "d", cluster)
+        await asyncio.sleep(after)
+        for added, seconds in ((at_once, 0.1), (over_link, 2.5)):
+            await self.assembly.managers[leader].record_join(request)
+            await asyncio.sleep(seconds)
+            known = {str(s.instance) for s in self.leader.member_statuses()}
+            self.assertEqual("".join(known - set(FOUNDERS)), added)
+            self.network.heal()
+
     @parameterized.expand([(0.0,), (0.05,), (0.1,), (0.15,), (0.2,)])
     async def test_vote_follows_as_soon_as_a_learner_has_caught_up(
         self, after: float
