--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -559,6 +559,25 @@
         link = self._links.get_or_create(instance, address)
         return None if link is None else link.identity
 
+    def newcomers(self) -> list[tuple[InstanceId, MemberIdentity, float]]:
+        """Return the processes without a cluster on the instances of members.
+
+        They have lost the disks of these members.  Each comes with the
+        identity that it reported and the time of its latest answer.
+        """
+        if self._core is None:
+            return []
+        members = self._core.configuration.members
+        instances = {member.instance for member in members}
+        answered_at = self._links.answered_at_by_member()
+        return [
+            (instance, identity, answered_at[identity.member])
+            for instance, identity in self._links.identities_by_instance().items()
+            if instance in instances
+            and not identity.cluster
+            and self.can_be_added(identity.member, identity.cluster)
+        ]
+
     def can_be_added(self, member_id: MemberId, cluster: str) -> bool:
         """Return whether a member may be added, given its disk's cluster."""
         core = self._core
@@ -682,7 +701,8 @@
     def add_membership_listener(self, listener: Callable[[], None]) -> None:
         """Register a function to call when the members may have to change.
 
-        It is called on the leader, each time that a learner has caught up.
+        It is called on the leader each time that a learner has caught up, and
+        when a process has reported its identity.
         """
         self._membership_listeners.append(listener)
 
@@ -697,10 +717,13 @@
                 if not member.voter and core.has_caught_up(now, member.id)
             )
         if not caught_up <= self._caught_up_learners:
-            for listener in self._membership_listeners:
-                listener()
+            self._call_membership_listeners()
         self._caught_up_learners = caught_up
 
+    def _call_membership_listeners(self) -> None:
+        for listener in self._membership_listeners:
+            listener()
+
     def _voter_count(self) -> int:
         return 0 if self._core is None else len(self._core.configuration.voters)
 
@@ -940,6 +963,7 @@
     def _on_identity(self) -> None:
         if not self._disk.cluster:
             self._queue.put_nowait(_BootstrapCheck())
+        self._call_membership_listeners()
 
     async def _handle_identity(
         self, message: MemberIdentity, connection: PeerConnection
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -49,7 +49,8 @@
 MEMBERSHIP_CHECK_INTERVAL_SECONDS = 0.25
 MIN_CHECK_INTERVAL_SECONDS = 0.02
 """Bounds in seconds of the interval between two checks of the members.  A join
-request and a learner that has caught up lead to a check at once."""
+request, a reported identity and a learner that has caught up lead to a check
+at once."""
 
 LEARNER_LOG_INTERVAL_SECONDS = 1.0
 """Interval in seconds at which the progress of a learner is logged."""
@@ -219,8 +220,17 @@
                 )
 
     def _joiners(self) -> list[Joiner]:
-        """Return the processes that ask to join and can be added now."""
+        """Return the processes that ask to join and can be added now.
+
+        A process that has lost the disk of a member need not ask: over lossy
+        links the leader may reach it before its request arrives.
+        """
         members = self._member.member_statuses()
+        for instance, identity, answered_at in self._member.newcomers():
+            joiner = Joiner(identity.member, instance, identity.address)
+            self._join_requests.record(
+                JoinRequest(joiner, identity.cluster, answered_at), members
+            )
         pending = self._join_requests.pending(members, self._clock.monotonic())
         return [request.joiner for request in pending if self._can_be_added(request)]
 
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -240,6 +240,17 @@
             self.assertEqual("".join(known - set(FOUNDERS)), added)
             self.network.heal()
 
+    async def test_lost_disk_is_known_without_a_request(self) -> None:
+        """Guards against a learner that waits for a request that was lost.
+
+        The leader's link reaches the process on the empty disk.
+        """
+        lost = next(n for n in FOUNDERS if n != self.leader.instance)
+        await self.assembly.stop(lost, lose_disk=True)
+        await asyncio.sleep(1.0)
+        new = await self.network.start(lost, [])
+        await self._wait_member(new.member_id)
+
     @parameterized.expand([(0.0,), (0.05,), (0.1,), (0.15,), (0.2,)])
     async def test_vote_follows_as_soon_as_a_learner_has_caught_up(
         self, after: float
@@ -705,6 +716,9 @@
     def add_membership_listener(self, listener: Callable[[], None]) -> None:
         """Do nothing: the tests wait for the periodic checks."""
 
+    def newcomers(self) -> list[object]:
+        return []
+
     def settled_instances(self) -> frozenset[InstanceId]:
         return frozenset(map(InstanceId, self.silent_seconds))
 
