--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -235,6 +235,10 @@
         # Term, leader, role, and whether this member is ready to lead.
         self._last_leadership: tuple[object, ...] = ()
         self._leadership_changed = asyncio.Event()
+        # Learners that answer, and whether they have caught up: this leader
+        # could give them a vote.
+        self._able_learners: frozenset[tuple[MemberId, bool]] = frozenset()
+        self._membership_listeners: list[Callable[[], None]] = []
 
     # Leadership.
 
@@ -292,6 +296,11 @@
         """This member's id, which its disk stores."""
         return self._disk.member_id
 
+    @property
+    def cluster(self) -> str:
+        """The cluster that this member's disk belongs to; empty if none."""
+        return self._disk.cluster
+
     @property
     def is_member(self) -> bool:
         """Whether this member is in its latest configuration."""
@@ -571,20 +580,60 @@
         A learner receives the log but does not vote.  ``timeout`` in seconds
         bounds the wait for the member's identity.
         """
-        link = self._links.get_or_create(instance, address)
         deadline = self._clock.monotonic() + timeout
         while self._core is not None and self._clock.monotonic() < deadline:
-            identity = link.identity if link is not None else None
-            if identity is not None and self._can_be_added(self._core, identity):
-                record = MemberRecord(identity.member, instance, address, False)
-                return await self._submit(partial(AddLearner, member=record))
+            identity = self.contact(instance, address)
+            if identity is not None and self.can_be_added(
+                identity.member, identity.cluster
+            ):
+                return await self.add_known_learner(identity.member, instance, address)
             await asyncio.sleep(MEMBER_CHANGE_POLL_SECONDS)
         return NotProposed(f"no new member answers at {address}")
 
-    def _can_be_added(self, core: Member, identity: MemberIdentity) -> bool:
+    async def add_known_learner(
+        self, member_id: MemberId, instance: InstanceId, address: str
+    ) -> ProposalResult:
+        """Add a member whose id is known as a learner.
+
+        ``can_be_added`` must be true for it.
+        """
+        record = MemberRecord(member_id, instance, address, False)
+        return await self._submit(partial(AddLearner, member=record))
+
+    def contact(self, instance: InstanceId, address: str) -> MemberIdentity | None:
+        """Keep a link to a process; return the identity last reported on it.
+
+        None is returned before the first report.
+        """
+        link = self._links.get_or_create(instance, address)
+        return None if link is None else link.identity
+
+    def newcomers(self) -> list[tuple[InstanceId, MemberIdentity, float]]:
+        """Return the processes without a cluster on the instances of members.
+
+        They have lost the disks of these members.  Each comes with the
+        identity that it reported and the time of its latest answer.
+        """
+        if self._core is None:
+            return []
+        members = self._core.configuration.members
+        instances = {member.instance for member in members}
+        answered_at = self._links.answered_at_by_member()
+        return [
+            (instance, identity, answered_at[identity.member])
+            for instance, identity in self._links.identities_by_instance().items()
+            if instance in instances
+            and not identity.cluster
+            and self.can_be_added(identity.member, identity.cluster)
+        ]
+
+    def can_be_added(self, member_id: MemberId, cluster: str) -> bool:
+        """Return whether a member may be added, given its disk's cluster."""
+        core = self._core
         return (
-            identity.cluster in ("", self._disk.cluster)
-            and core.configuration.find(identity.member) is None
+            core is not None
+            and cluster in ("", self._disk.cluster)
+            and core.configuration.find(member_id) is None
         )
 
     async def promote(self, learner: MemberId) -> ProposalResult:
@@ -708,6 +757,32 @@
             return False
         return core.has_caught_up(self._clock.monotonic(), member_id)
 
+    def add_membership_listener(self, listener: Callable[[], None]) -> None:
+        """Register a function to call when the members may have to change.
+
+        It is called on the leader each time that a learner answers again or
+        has caught up, and when a process has reported its identity.
+        """
+        self._membership_listeners.append(listener)
+
+    def _report_learners(self) -> None:
+        core = self._core
+        able: frozenset[tuple[MemberId, bool]] = frozenset()
+        if core is not None and core.role is Role.LEADER:
+            now = self._clock.monotonic()
+            able = frozenset(
+                (member.id, core.has_caught_up(now, member.id))
+                for member in core.configuration.members
+                if not member.voter and core.has_answered(now, member.id)
+            )
+        if not able <= self._able_learners:
+            self._call_membership_listeners()
+        self._able_learners = able
+
+    def _call_membership_listeners(self) -> None:
+        for listener in self._membership_listeners:
+            listener()
+
     def _voter_count(self) -> int:
         return 0 if self._core is None else len(self._core.configuration.voters)
 
@@ -839,6 +914,7 @@
                 case Refused(number=number, detail=detail):
                     self._proposals.resolve_refused(number, detail, self.leader)
         self._update_leadership()
+        self._report_learners()
         self._start_snapshot_if_due()
 
     def _update_leadership(self) -> None:
@@ -951,6 +1027,7 @@
     def _on_identity(self) -> None:
         if not self._disk.cluster:
             self._queue.put_nowait(_BootstrapCheck())
+        self._call_membership_listeners()
 
     async def _handle_identity(
         self, message: MemberIdentity, connection: PeerConnection
--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
 import structlog
 
@@ -25,8 +24,10 @@
     RetireMachine,
 )
 from goldcrestyard.fleet.assembly.health import ClusterHealthMonitor, StepMonitor
+from goldcrestyard.fleet.assembly.join_requests import JoinRequest, JoinRequests
 from goldcrestyard.fleet.assembly.slices import MachinesSlice
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.policy.membership import (
     GONE_SECONDS,
     Add,
@@ -46,23 +47,14 @@
 logger = structlog.get_logger(__name__)
 
 MEMBERSHIP_CHECK_INTERVAL_SECONDS = 0.25
-JOIN_REQUEST_TTL_SECONDS = 3.0
-"""Time in seconds after which a join request expires.  A process that is not
-yet a member repeats its request every half second."""
+MIN_CHECK_INTERVAL_SECONDS = 0.02
+"""Bounds in seconds of the interval between two checks of the members.  A join
+request, a reported identity and a learner that has caught up lead to a check
+at once."""
 
 COPYING_LOG_INTERVAL_SECONDS = 1.0
 """Interval in seconds at which the progress of a copy is logged."""
 
-ADD_TIMEOUT_SECONDS = 1.0
-"""Longest wait in seconds for the answer of a process that is added as a
-learner."""
-
-
-@dataclass(frozen=True, slots=True)
-class _JoinRequest:
-    joiner: Joiner
-    received_at: float
-
 
 class MembershipManager:
     """Adds, promotes and removes cluster members while this member leads."""
@@ -72,10 +64,13 @@
         self._machines = member.machine.get(MachinesSlice)
         self._wanted_voters = wanted_voters
         self._clock = clock
-        self._join_requests_by_instance: dict[InstanceId, _JoinRequest] = {}
+        self._join_requests = JoinRequests()
         self._first_seen_by_id: dict[MemberId, float] = {}
         self._heard_at_by_instance: dict[InstanceId, float] = {}
         self._copying_logged_at = float("-inf")
+        # Set when a change of the members may have become possible.
+        self._check_due = asyncio.Event()
+        member.add_membership_listener(self._check_due.set)
         self.monitor = ClusterHealthMonitor(member, wanted_voters, clock)
         self._steps = StepMonitor(member, self._machines, wanted_voters, clock)
 
@@ -106,7 +101,13 @@
                     # fewer losses than it should.
                     continue
             await self._complete_retirements()
-            await asyncio.sleep(MEMBERSHIP_CHECK_INTERVAL_SECONDS)
+            await self._wait_for_check()
+
+    async def _wait_for_check(self) -> None:
+        await asyncio.sleep(MIN_CHECK_INTERVAL_SECONDS)
+        rest = MEMBERSHIP_CHECK_INTERVAL_SECONDS - MIN_CHECK_INTERVAL_SECONDS
+        await wait_at_most(rest, self._check_due.wait())
+        self._check_due.clear()
 
     async def retire(self, machine: str) -> Refusal | None:
         """Start to retire a machine; return None, or why that is refused."""
@@ -226,12 +227,29 @@
                 )
 
     def _joiners(self) -> list[Joiner]:
-        now = self._clock.monotonic()
-        return [
-            request.joiner
-            for request in self._join_requests_by_instance.values()
-            if now - request.received_at < JOIN_REQUEST_TTL_SECONDS
-        ]
+        """Return the processes that ask to join and can be added now.
+
+        A process that has lost the disk of a member need not ask: over lossy
+        links the leader may reach it before its request arrives.
+        """
+        members = self._member.member_statuses()
+        for instance, identity, answered_at in self._member.newcomers():
+            joiner = Joiner(identity.member, instance, identity.address)
+            self._join_requests.record(
+                JoinRequest(joiner, identity.cluster, answered_at), members
+            )
+        pending = self._join_requests.pending(members, self._clock.monotonic())
+        return [request.joiner for request in pending if self._can_be_added(request)]
+
+    def _can_be_added(self, request: JoinRequest) -> bool:
+        joiner, cluster = request.joiner, request.cluster
+        if cluster is None:
+            # The link to a process of an earlier release reports its cluster.
+            identity = self._member.contact(joiner.instance, joiner.address)
+            if identity is None or identity.member != joiner.id:
+                return False
+            cluster = identity.cluster
+        return self._member.can_be_added(joiner.id, cluster)
 
     def _check_health(self, facts: list[MemberFacts]) -> None:
         self.monitor.check(facts, self._machines.retiring_instances())
@@ -252,9 +270,8 @@
     async def _apply_change(self, change: MembershipChange) -> ProposalResult:
         match change:
             case Add(joiner=joiner):
-                self._join_requests_by_instance.pop(joiner.instance, None)
-                return await self._member.add_learner(
-                    joiner.instance, joiner.address, ADD_TIMEOUT_SECONDS
+                return await self._member.add_known_learner(
+                    joiner.id, joiner.instance, joiner.address
                 )
             case Promote(learner=learner):
                 return await self._member.promote(learner)
@@ -283,11 +300,25 @@
                 f"{message.address!r} is not an address",
                 Verdict.NOT_RUN,
             )
+        if message.cluster not in (None, "", self._member.cluster):
+            logger.warning(
+                "join request of a member of another cluster refused",
+                instance=message.instance,
+                member=message.member,
+                cluster=message.cluster,
+            )
+            return Failure(
+                RefusalReason.CONFLICT,
+                f"{message.member} belongs to another cluster",
+                Verdict.NOT_RUN,
+            )
         joiner = Joiner(message.member, message.instance, message.address)
-        self._join_requests_by_instance[message.instance] = _JoinRequest(
-            joiner, self._clock.monotonic()
-        )
-        self._record_heard(message.instance, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._record_heard(message.instance, now)
+        request = JoinRequest(joiner, message.cluster, now)
+        if self._join_requests.record(request, self._member.member_statuses()):
+            self._member.contact(message.instance, message.address)
+            self._check_due.set()
         known = self._machines.names_by_instance.get(message.instance)
         if known != message.machine:
             name = NameMachine(message.instance, message.machine)
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import unittest
+from collections.abc import Callable
 from unittest.mock import AsyncMock
 
 import cbor2
@@ -154,23 +155,125 @@
 class JoinRequestLogTests(AssemblyTestCase):
     """The line that a process logs when its join request is acknowledged."""
 
-    async def test_line_names_the_member_that_answered(self) -> None:
-        """Guards against a line that names a member which did not lead."""
+    async def test_one_line_names_the_member_that_answered(self) -> None:
+        """Guards against lines that name a member which did not lead.
+
+        A process that waits for its addition repeats its request only.
+        """
         for name in FOUNDERS:
             await self.assembly.start(name, first_start=True)
         leader = await self.network.leader()
+        await asyncio.sleep(2.0)
+        manager = self.assembly.managers[leader.instance]
+        manager._apply_change = AsyncMock(  # type: ignore[method-assign]
+            return_value=NotProposed("no change is made")
+        )
         # Loggers of the members are set to critical events only.
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
         with structlog.testing.capture_logs() as lines:
             for name in ("d", "e", "f"):
                 await self.assembly.start(name)
             await asyncio.sleep(2.0)
-        named = {
+        named = [
             line["leader"]
             for line in lines
             if line["event"] == "join request acknowledged by the leader"
+        ]
+        self.assertEqual(named, [leader.instance] * 3)
+
+
+class JoiningTests(AssemblyTestCase):
+    """How soon a new process becomes a learner."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for name in FOUNDERS:
+            await self.assembly.start(name, first_start=True)
+        self.leader = await self.network.leader()
+        await asyncio.sleep(2.0)
+
+    async def _wait_member(self, *names: str) -> None:
+        def are_members() -> bool:
+            statuses = self.leader.member_statuses()
+            known = {str(s.instance) for s in statuses} | {s.id for s in statuses}
+            return known.issuperset(names)
+
+        await self.network.wait(are_members, f"the members {names}", 0.005)
+
+    @parameterized.expand([("one", 1), ("both", 2)])
+    async def test_silent_members_do_not_delay_a_request(
+        self, _: str, silent: int
+    ) -> None:
+        """Guards against a request that waits for one to a silent member."""
+        followers = [n for n in FOUNDERS if n != self.leader.instance]
+        names = ["d", "e", "f", "g"]
+        random.seed(29)
+        self.network.cut_links |= {
+            (name, follower) for name in names for follower in followers[:silent]
         }
-        self.assertEqual(named, {leader.instance})
+        async with asyncio.timeout(1.0):
+            for name in names:
+                await self.assembly.start(name)
+            await self._wait_member(*names)
+
+    @parameterized.expand(
+        [
+            ("no_cluster", "", 0.0, "d", "d"),
+            ("no_cluster_after_a_check", "", 0.1, "d", "d"),
+            ("no_cluster_long_after_a_check", "", 0.15, "d", "d"),
+            ("another_cluster", "another", 0.0, "", ""),
+            ("earlier_release", None, 0.0, "", "d"),
+        ]
+    )
+    async def test_request_is_enough(
+        self, _: str, cluster: str | None, after: float, at_once: str, over_link: str
+    ) -> None:
+        """Guards against an addition that waits for a link or for a check.
+
+        A request of the earlier release names no cluster, and has to wait.
+        """
+        leader = str(self.leader.instance)
+        self.network.cut_links.add((leader, "d"))
+        new = await self.network.start("d", [])
+        request = JoinCluster(new.member_id, new.instance, "d:1", "d", cluster)
+        await asyncio.sleep(after)
+        for added, seconds in ((at_once, 0.1), (over_link, 2.5)):
+            await self.assembly.managers[leader].record_join(request)
+            await asyncio.sleep(seconds)
+            known = {str(s.instance) for s in self.leader.member_statuses()}
+            self.assertEqual("".join(known - set(FOUNDERS)), added)
+            self.network.heal()
+
+    async def test_lost_disk_is_known_without_a_request(self) -> None:
+        """Guards against a learner that waits for a request that was lost.
+
+        The leader's link reaches the process on the empty disk.
+        """
+        lost = next(n for n in FOUNDERS if n != self.leader.instance)
+        await self.assembly.stop(lost, lose_disk=True)
+        await asyncio.sleep(1.0)
+        new = await self.network.start(lost, [])
+        await self._wait_member(new.member_id)
+
+    @parameterized.expand([(0.0,), (0.05,), (0.1,), (0.15,), (0.2,)])
+    async def test_vote_follows_as_soon_as_a_learner_has_caught_up(
+        self, after: float
+    ) -> None:
+        """Guards against a vote that waits for a periodic check."""
+        random.seed(29)
+        lost = next(n for n in FOUNDERS if n != self.leader.instance)
+        await self.assembly.stop(lost, lose_disk=True)
+        await asyncio.sleep(1.0 + after)
+        new = (await self.assembly.start(lost)).member_id
+        await self.network.wait(
+            lambda: self.leader.has_caught_up(new), "a learner", 0.001
+        )
+        # The new configuration makes it lag until it stores that one.
+        await asyncio.sleep(0.05)
+        voters = {
+            s.id for s in self.leader.member_statuses() if s.role is not Role.LEARNER
+        }
+        self.assertIn(new, voters)
 
 
 class FoundingTests(AssemblyTestCase):
@@ -712,6 +815,12 @@
     def log_facts(self) -> None:
         return None
 
+    def add_membership_listener(self, listener: Callable[[], None]) -> None:
+        """Do nothing: the tests wait for the periodic checks."""
+
+    def newcomers(self) -> list[object]:
+        return []
+
     def settled_instances(self) -> frozenset[InstanceId]:
         return frozenset(map(InstanceId, self.silent_seconds))
 
