--- a/tests/processes/test_control_members.py
+++ b/tests/processes/test_control_members.py
@@ -116,13 +116,19 @@
         left, lost = self.followers
         for instance in (self.leader, lost):
             await self.kill(instance)
-        # The leader is given up after an election timeout of 3 s at most.
-        await asyncio.sleep(4.0)
+
+        def lines(text: str) -> list[str]:
+            log = (self.deployment.folder / f"{left.id}.log").read_text()
+            return [line for line in log.splitlines() if text in line]
+
+        async def without_leader(_: aiohttp.ClientSession) -> bool:
+            return '"leader": null' in lines('"leadership changed"')[-1]
+
+        await wait_for(without_leader, "an election")
         assert left.process is not None
         left.process.terminate()
         await left.process.wait()
-        log = (self.deployment.folder / f"{left.id}.log").read_text()
-        line = next(line for line in log.splitlines() if '"lacks"' in line)
+        line = lines('"lacks"')[-1]
         self.assertRegex(line, '^{"lacks": "1 of 2 votes: ')
         self.assertIn('"control member knows of no leader"', line)
 
