--- a/goldcrestyard/policy/heartbeats.py
+++ b/goldcrestyard/policy/heartbeats.py
@@ -129,6 +129,9 @@
         return Renewed() if draining else Leaving()
     if known.target.address != heartbeat.address:
         return Arrived(())
+    if known.target.software != heartbeat.software:
+        # A former release recorded the target without its software.
+        return Arrived(())
     return Renewed()
 
 
--- a/tests/policy/test_heartbeats.py
+++ b/tests/policy/test_heartbeats.py
@@ -5,7 +5,7 @@
 
 from parameterized import parameterized
 
-from goldcrestyard.core.ids import DataCentre, Region, TargetId
+from goldcrestyard.core.ids import DataCentre, Region, SoftwareVersion, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import Rental, TargetKind, TargetState
 from goldcrestyard.policy.heartbeats import (
@@ -105,6 +105,12 @@
         KnownTarget(replace(TARGET, state=TargetState.DRAINING), 4),
         Renewed(),
     ),
+    Case(
+        "recorded_without_its_software",
+        replace(HEARTBEAT, software=SoftwareVersion("v1")),
+        KNOWN,
+        Arrived(()),
+    ),
     Case("moved", replace(HEARTBEAT, address="10.0.0.2:80"), KNOWN, Arrived(())),
     Case(
         "unknown_service",
