--- a/goldcrestyard/core/jobs.py
+++ b/goldcrestyard/core/jobs.py
@@ -17,6 +17,7 @@
     ModelName,
     OrganisationId,
     RequestId,
+    SoftwareVersion,
     StepNumber,
     WeightVersion,
 )
@@ -121,6 +122,9 @@
     last: EventNumber | None
     versions: tuple[WeightVersion, ...]
     current_version: WeightVersion | None
+    software: SoftwareVersion = SoftwareVersion("")
+    """Software of the engine that generated the first event; all others come
+    from engines with the same.  Empty in the progress of a former release."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -161,6 +161,7 @@
             return Impossible()
         if reply.status != HTTPStatus.OK:
             return Failed(reply.status)
+        transcript.begin_run(reply.version, target.software)
         return await _read_events(reply, transcript, job.oldest_version, detector)
 
 
@@ -182,7 +183,6 @@
     oldest_version: WeightVersion,
     detector: SlowEngineDetector,
 ) -> RunOutcome:
-    transcript.begin_run(reply.version)
     events = reply.events()
     wait_seconds = FIRST_EVENT_TIMEOUT_SECONDS
     while True:
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -22,6 +22,7 @@
     GroupId,
     JobId,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
@@ -77,9 +78,12 @@
     EngineSlots,
     EngineTrust,
     ItemKey,
+    TextLoss,
     WaitingItem,
     assign,
     longest_first,
+    may_continue,
+    text_loss,
 )
 from goldcrestyard.policy.job_sizes import progress_size
 from goldcrestyard.policy.memory import ControlShares
@@ -146,6 +150,9 @@
     """Number of runs that were refused, unreached or interrupted."""
     moves: int = 0
     """Number of runs abandoned because the engine was slow."""
+    text_ran_at: float = 0.0
+    """Monotonic time at which the last run that added to the text ended, or at
+    which this leader took the item over."""
     not_before: float = 0.0
     """Monotonic time of the earliest next run."""
     avoided_until_by_target: dict[TargetId, float] = field(default_factory=dict)
@@ -343,6 +350,7 @@
                     Transcript.restore(
                         state.progress_by_item.get(item.id), self._text_room.lease()
                     ),
+                    text_ran_at=self._clock.monotonic(),
                 )
 
     def _submitted_at(self, state: JobState) -> float:
@@ -395,13 +403,19 @@
         engines = self._available_engines() if waiting else []
         if waiting and not self._has_room_for_texts():
             engines = []
+        self._drop_texts_without_engine(waiting, engines)
         for key, target_id in assign(waiting.values(), engines):
             del waiting[key]
             pending = self._pending_by_key[key]
             target = self._targets.find(target_id)
             state = self._jobs.jobs_by_id.get(key.job)
             if target is not None and state is not None:
-                may_move = pending.moves < MAX_MOVES_PER_ITEM and len(engines) > 1
+                may_move = pending.moves < MAX_MOVES_PER_ITEM and any(
+                    engine.id != target.id
+                    and engine.service in target.serves
+                    and engine.software == target.software
+                    for engine in engines
+                )
                 work = self._generate(pending, state.job, target, may_move=may_move)
                 self._spawn(pending, work)
         self._work.record_pass(
@@ -409,6 +423,50 @@
             self._slots_in_use,
         )
 
+    def _drop_texts_without_engine(
+        self, waiting: dict[ItemKey, WaitingItem], engines: list[EngineSlots]
+    ) -> None:
+        """Drop texts that no engine can go on with in time."""
+        now = self._clock.monotonic()
+        ready = self._ready_software()
+        for key, item in waiting.items():
+            pending = self._pending_by_key[key]
+            waited = now - pending.text_ran_at
+            loss = text_loss(item, engines, ready.get(item.service, ()), waited)
+            if loss is None:
+                continue
+            self._drop_text(pending, loss)
+            state = self._jobs.jobs_by_id[key.job]
+            waiting[key] = self._to_waiting_item(state, pending, now) or item
+
+    def _drop_text(self, pending: PendingItem, loss: TextLoss) -> None:
+        transcript = pending.transcript
+        self._metrics.lost_texts.labels(loss.value).inc()
+        logger.info(
+            "item starts again: no engine can go on with its text",
+            reason=loss.value,
+            item=pending.key.item,
+            software=transcript.software,
+            events=len(transcript.events),
+            job=pending.key.job,
+        )
+        transcript.discard()
+
+    def _ready_software(self) -> dict[ServiceName, set[SoftwareVersion]]:
+        """Return, by service, the software of engines that take new runs."""
+        ready: dict[ServiceName, set[SoftwareVersion]] = {}
+        for homed in self._targets.homed_by_id.values():
+            target = homed.target
+            if self._takes_runs(target):
+                service = ServiceName(target.serves[0])
+                ready.setdefault(service, set()).add(target.software)
+        return ready
+
+    def _takes_runs(self, target: Target) -> bool:
+        return target.state is TargetState.READY and not (
+            self._is_leaving is not None and self._is_leaving(target)
+        )
+
     def _has_room_for_texts(self) -> bool:
         """Return whether the jobs leave room for the texts of further runs."""
         held = self._jobs.held_bytes(self._clock.wall())
@@ -456,6 +514,7 @@
             state.job.oldest_version,
             pending.item.group,
             needed_version,
+            pending.transcript.required_software,
             self._lengths.remaining_events(
                 pending.item.model,
                 pending.item.estimated_tokens,
@@ -474,9 +533,7 @@
         for homed in self._targets.homed_by_id.values():
             target = homed.target
             versions = self._tracker.versions(target)
-            if target.state is not TargetState.READY or not versions:
-                continue
-            if self._is_leaving is not None and self._is_leaving(target):
+            if not versions or not self._takes_runs(target):
                 continue
             engines.append(
                 EngineSlots(
@@ -491,6 +548,7 @@
                     self._permitted_runs(target) if self._permitted_runs else None,
                     self._paces.pace(target.id, now),
                     self._faults.trust(_run_of(target), now),
+                    target.software,
                 )
             )
         return engines
@@ -523,6 +581,10 @@
         began = self._clock.monotonic()
         seconds_left = max(0.1, pending.expires_at - began)
         resumed_after = pending.transcript.last_event
+        if self._is_other_software(pending, target):
+            # The item waits for an engine again.
+            self._slots_in_use[target.id] -= 1
+            return
         try:
             outcome = await run_item(
                 self._client,
@@ -549,6 +611,7 @@
             item=pending.item.id,
             target=target.id,
             incarnation=target.incarnation,
+            software=target.software,
             resumed_after=resumed_after,
             last_event=pending.transcript.last_event,
             versions=sorted(pending.transcript.versions),
@@ -563,8 +626,29 @@
                 len(pending.transcript.events),
             )
         self._record_trust(pending, target, outcome, whole_text=resumed_after is None)
+        if pending.transcript.last_event != resumed_after:
+            pending.text_ran_at = self._clock.monotonic()
+            if self._is_other_software(pending, target):
+                self._drop_text(pending, TextLoss.ENGINE_RESTARTED)
+                if isinstance(outcome, Generated):
+                    return
         await self._handle_outcome(pending, job, target, outcome)
 
+    def _is_other_software(self, pending: PendingItem, target: Target) -> bool:
+        """Return whether the target has started again with other software.
+
+        Its record may be older than the process at its address, so a run that
+        was sent to one run of the target may have reached the next.
+        """
+        present = self._targets.find(target.id)
+        required = pending.transcript.required_software
+        return (
+            present is not None
+            and present.incarnation != target.incarnation
+            and required is not None
+            and not may_continue(required, present.software)
+        )
+
     def _record_trust(
         self,
         pending: PendingItem,
--- a/goldcrestyard/fleet/jobs/transcripts.py
+++ b/goldcrestyard/fleet/jobs/transcripts.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from goldcrestyard.core.calls import StreamEvent
-from goldcrestyard.core.ids import EventNumber, WeightVersion
+from goldcrestyard.core.ids import EventNumber, SoftwareVersion, WeightVersion
 from goldcrestyard.core.jobs import Progress
 from goldcrestyard.kernel.byte_room import ByteLease
 from goldcrestyard.policy.job_sizes import EVENT_BYTES, progress_size
@@ -33,6 +33,9 @@
     """Number of the latest event; None before the first."""
     versions: set[WeightVersion] = field(default_factory=set)
     """All weight versions that generated a part of the text."""
+    software: SoftwareVersion = SoftwareVersion("")
+    """Software of the engine that generated the first event, and the only one
+    that may go on; empty if it is unknown or before the first event."""
     current_version: WeightVersion | None = None
     """The version that generates the coming events; None if unknown."""
     saved_count: int = 0
@@ -62,6 +65,7 @@
             list(progress.events),
             progress.last,
             set(progress.versions),
+            progress.software,
             progress.current_version,
             len(progress.events),
             may_be_saved=True,
@@ -69,9 +73,22 @@
             size=size,
         )
 
-    def begin_run(self, version: WeightVersion | None) -> None:
-        """Set the weight version of the coming events, None if unknown."""
+    def begin_run(
+        self, version: WeightVersion | None, software: SoftwareVersion
+    ) -> None:
+        """Set the weight version of the coming events, None if unknown.
+
+        ``software`` is that of the engine; it becomes that of the text unless
+        an earlier run began it.
+        """
         self.current_version = version
+        if not self.events:
+            self.software = software
+
+    @property
+    def required_software(self) -> SoftwareVersion | None:
+        """The software that may go on; None if there is no text yet."""
+        return self.software if self.events else None
 
     def take_room(self, event: StreamEvent) -> TextShortage | None:
         """Take the memory for an event; return why there is none, or None."""
@@ -104,6 +121,7 @@
         self.events.clear()
         self.versions.clear()
         self.last_event = None
+        self.software = SoftwareVersion("")
         self.current_version = None
         self.saved_count = 0
         self.drops += 1
@@ -130,4 +148,5 @@
             self.last_event,
             tuple(sorted(self.versions)),
             self.current_version,
+            self.software,
         )
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -55,6 +55,11 @@
         self.items = self._counter(
             "items_listed", "Items listed, by how they ended.", ("outcome",)
         )
+        self.lost_texts = self._counter(
+            "item_texts_lost",
+            "Texts of items dropped since no engine could go on with them, by reason.",
+            ("reason",),
+        )
         self.limited_targets = self._gauge(
             "limited_targets", "Targets that name a request limit in their answers."
         )
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -3,14 +3,15 @@
 Each waiting item goes to the eligible engine with the lowest cost, which
 counts the distance, the load, the time that the engine needs for the item's
 text and whether it has already read the prompt that the item's group shares.
+An item with text goes only to engines with the software that began the text.
 
 Pattern: a step's items arrive at once, and its longest text decides when the
 step is complete.  The longest texts of a job therefore start first, on the
 fastest engines.
 """
 
-from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
     JobId,
     ModelName,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
@@ -57,6 +59,9 @@
     required_version: WeightVersion | None = None
     """The version that produced the item's earlier output, if only this one
     may continue it; None if any version may."""
+    required_software: SoftwareVersion | None = None
+    """The software that began the item's text, empty if unknown; None if there
+    is no text."""
     remaining_events: float = DEFAULT_EVENTS
     """Expected number of events that its text still lacks."""
     avoided_engines: frozenset[TargetId] = frozenset()
@@ -82,6 +87,8 @@
     seconds_per_event: float = 0.0
     """Mean time between two events of a stream; 0 if it is not known."""
     trust: EngineTrust = EngineTrust.TRUSTED
+    software: SoftwareVersion = SoftwareVersion("")
+    """Software of the engine's present run; empty if unknown."""
 
     def serves(self, item: WaitingItem) -> bool:
         """Return whether the engine can run an item once it has a slot."""
@@ -90,6 +97,10 @@
             self.service == item.service
             and version >= item.oldest_version
             and item.required_version in (None, version)
+            and (
+                item.required_software is None
+                or may_continue(item.required_software, self.software)
+            )
         )
 
     def can_run(self, item: WaitingItem) -> bool:
@@ -103,6 +114,62 @@
         )
 
 
+TEXT_WAIT_SECONDS = 1.0
+"""Time in seconds since its last run for which a text waits for a free engine
+of its software.  The platform allows no item to be without an engine for 5 s,
+and a further run may take a second or two to begin."""
+
+
+class TextLoss(Enum):
+    """Why an item's text cannot go on, so that the item starts again."""
+
+    UNKNOWN_SOFTWARE = "unknown software"
+    """It is not known which software began the text."""
+    NO_ENGINE = "no engine"
+    """No engine with the software that began it is ready."""
+    NO_FREE_ENGINE = "no free engine"
+    """No engine with the software that began it could run it in time."""
+    ENGINE_RESTARTED = "engine restarted"
+    """Its engine started again with other software around the latest run."""
+
+
+def may_continue(text: SoftwareVersion, engine: SoftwareVersion) -> bool:
+    """Return whether an engine's software may go on with a text."""
+    return text != "" and text == engine
+
+
+def text_loss(
+    item: WaitingItem,
+    engines: Sequence[EngineSlots],
+    ready_software: Collection[SoftwareVersion],
+    waited_seconds: float,
+) -> TextLoss | None:
+    """Return why a waiting item must start again; None if its text is kept.
+
+    ``ready_software`` is that of all ready engines of the item's service, also
+    of those whose weight versions are not known yet.  A text is kept while no
+    engine could run the item from its beginning either.
+    """
+    software = item.required_software
+    if software is None:
+        return None
+    is_ready = software in ready_software
+    if software != "" and is_ready and waited_seconds < TEXT_WAIT_SECONDS:
+        return None
+    fresh = replace(item, required_software=None, required_version=None)
+    starting = _eligible(fresh, engines)
+    if not starting:
+        return None
+    if software == "":
+        return TextLoss.UNKNOWN_SOFTWARE
+    if not is_ready:
+        return TextLoss.NO_ENGINE
+    # A run at an engine that the item avoids has just failed.
+    if _preferred(_eligible(item, engines), item) or not _preferred(starting, item):
+        return None
+    return TextLoss.NO_FREE_ENGINE
+
+
 CACHED_PROMPT_BONUS_SECONDS = 0.05
 """Time in seconds saved by an engine that has the prompt of the item's group
 in its cache."""
@@ -129,14 +196,10 @@
     for item in items:
         if free_slots <= 0:
             break
-        eligible = [engine for engine in engines if engine.can_run(item)]
-        if any(engine.trust is EngineTrust.AVOIDED for engine in eligible):
-            eligible = _without_avoided(eligible, item, engines)
+        eligible = _eligible(item, engines)
         if not eligible:
             continue
-        preferred = [
-            engine for engine in eligible if engine.id not in item.avoided_engines
-        ]
+        preferred = _preferred(eligible, item)
         best = min(preferred or eligible, key=lambda engine: _cost(engine, item))
         best.in_use += 1
         if best.permitted_runs is not None:
@@ -147,6 +210,17 @@
     return assigned
 
 
+def _eligible(item: WaitingItem, engines: Sequence[EngineSlots]) -> list[EngineSlots]:
+    eligible = [engine for engine in engines if engine.can_run(item)]
+    if any(engine.trust is EngineTrust.AVOIDED for engine in eligible):
+        eligible = _without_avoided(eligible, item, engines)
+    return eligible
+
+
+def _preferred(eligible: list[EngineSlots], item: WaitingItem) -> list[EngineSlots]:
+    return [engine for engine in eligible if engine.id not in item.avoided_engines]
+
+
 def _without_avoided(
     eligible: list[EngineSlots], item: WaitingItem, engines: Sequence[EngineSlots]
 ) -> list[EngineSlots]:
--- a/tests/fakes/targets.py
+++ b/tests/fakes/targets.py
@@ -16,6 +16,7 @@
     DataCentre,
     EventNumber,
     Region,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
@@ -174,4 +175,5 @@
         (service,),
         max_concurrency=6,
         incarnation="1000",
+        software=SoftwareVersion("v1"),
     )
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -34,6 +34,12 @@
         self.assertGreater(soak.jobs, 0)
         self.assertGreater(soak.statuses[200], 0)
 
+    async def test_promises_hold_while_software_versions_change(self) -> None:
+        """Also guards against texts that two software versions generated."""
+        soak = await run_seed(4101, SECONDS, versions=True)
+        self.assertGreater(soak.jobs, 0)
+        self.assertEqual(soak.mixed_texts, 0)
+
     async def test_promises_hold_while_targets_leave(self) -> None:
         """Also guards against calls to a target whose notice was passed on."""
         soak = await run_seed(3001, SECONDS, leaving=True)
--- a/tests/policy/test_job_schedule.py
+++ b/tests/policy/test_job_schedule.py
@@ -12,17 +12,21 @@
     JobId,
     ModelName,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
 from goldcrestyard.policy.item_lengths import DEFAULT_EVENTS
 from goldcrestyard.policy.job_schedule import (
+    TEXT_WAIT_SECONDS,
     EngineSlots,
     EngineTrust,
     ItemKey,
+    TextLoss,
     WaitingItem,
     assign,
     longest_first,
+    text_loss,
 )
 
 MODEL = ModelName("m")
@@ -35,6 +39,10 @@
 )
 
 
+V1, V2, UNKNOWN = SoftwareVersion("v1"), SoftwareVersion("v2"), SoftwareVersion("")
+TEXT = replace(ITEM, required_software=V1)
+
+
 def engine(
     name: str = "e", version: int = 3, in_use: int = 0, **rest: object
 ) -> EngineSlots:
@@ -98,6 +106,19 @@
         "b",
         replace(ITEM, required_version=WeightVersion(3)),
     ),
+    Case(
+        "text_goes_on_at_its_software_only",
+        (engine("a", software=V2), engine("b", in_use=3, software=V1)),
+        "b",
+        TEXT,
+    ),
+    Case("text_waits_for_its_software", (engine(software=V2),), None, TEXT),
+    Case(
+        "text_of_unknown_software_goes_on_nowhere",
+        (engine(software=UNKNOWN),),
+        None,
+        replace(ITEM, required_software=UNKNOWN),
+    ),
     Case(
         "avoided_by_all_though_the_others_are_full",
         (engine("a", trust=EngineTrust.AVOIDED), engine("b", in_use=4)),
@@ -165,6 +186,62 @@
         self.assertEqual(started["b"], 4)
 
 
+@dataclass(frozen=True)
+class Loss:
+    """Engines, the seconds since the last run, and why the text is lost.
+
+    ``ready`` is the software of all ready engines, with known weights or not.
+    """
+
+    name: str
+    engines: tuple[EngineSlots, ...]
+    seconds: float
+    expected: TextLoss | None
+    ready: tuple[SoftwareVersion, ...] = (V1, V2)
+    item: WaitingItem = TEXT
+
+
+FREE_V1, FULL_V1 = engine("a", software=V1), engine("a", in_use=4, software=V1)
+FREE_V2, FULL_V2 = engine("b", software=V2), engine("b", in_use=4, software=V2)
+LATE = TEXT_WAIT_SECONDS
+AVOIDS_A = replace(TEXT, avoided_engines=frozenset({TargetId("a")}))
+LOSSES = [
+    Loss("no_text", (FREE_V2,), LATE, None, (V2,), ITEM),
+    Loss("free", (FREE_V1, FREE_V2), LATE, None),
+    Loss("none_is_left", (FREE_V2,), 0.0, TextLoss.NO_ENGINE, (V2,)),
+    Loss("none_is_left_and_no_slot_is_free", (FULL_V2,), LATE, None, (V2,)),
+    Loss("weights_not_known_yet", (FREE_V2,), 0.5, None),
+    Loss("full_for_a_moment", (FULL_V1, FREE_V2), 0.5, None),
+    Loss("full_for_long", (FULL_V1, FREE_V2), LATE, TextLoss.NO_FREE_ENGINE),
+    Loss("all_are_full", (FULL_V1, FULL_V2), LATE, None),
+    Loss("avoided_for_a_moment", (FREE_V1, FREE_V2), 0.5, None, item=AVOIDS_A),
+    Loss(
+        "avoided_for_long",
+        (FREE_V1, FREE_V2),
+        LATE,
+        TextLoss.NO_FREE_ENGINE,
+        item=AVOIDS_A,
+    ),
+    Loss("avoided_but_the_only_one", (FREE_V1,), LATE, None, (V1,), AVOIDS_A),
+    Loss(
+        "unknown",
+        (FREE_V1,),
+        0.0,
+        TextLoss.UNKNOWN_SOFTWARE,
+        item=replace(ITEM, required_software=UNKNOWN),
+    ),
+]
+
+
+class TextLossTests(unittest.TestCase):
+    """Guards against items without an engine and texts dropped in vain."""
+
+    @parameterized.expand([(case.name, case) for case in LOSSES])
+    def test_text_loss(self, _: str, case: Loss) -> None:
+        loss = text_loss(case.item, case.engines, case.ready, case.seconds)
+        self.assertIs(loss, case.expected)
+
+
 @dataclass(frozen=True)
 class Wave:
     """Lengths of a step's texts, the trainer's estimates, and the engines.
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,11 @@
     parser.add_argument(
         "--leaving", action="store_true", help="targets leave and others follow"
     )
+    parser.add_argument(
+        "--versions",
+        action="store_true",
+        help="engines of several software versions serve side by side",
+    )
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
     failed_seeds = 0
@@ -35,6 +40,7 @@
                     keep=options.keep,
                     limits=options.limits,
                     leaving=options.leaving,
+                    versions=options.versions,
                 )
             )
         except* GuaranteeViolationError as failures:
