--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -4,6 +4,7 @@
 already has, and adds the events of the engine's stream to its transcript.
 """
 
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -138,8 +139,13 @@
     transcript: Transcript,
     seconds_left: float,
     detector: SlowEngineDetector,
+    start_again: Callable[[], None] | None = None,
 ) -> RunOutcome:
-    """Run an item on a target, resuming after its transcript's last event."""
+    """Run an item on a target, resuming after its transcript's last event.
+
+    With ``start_again`` the target generates the whole text.  It is called
+    when the target has begun to, and discards the earlier text.
+    """
     call = TargetCall(
         RequestId(item.id),
         "POST",
@@ -148,7 +154,7 @@
         item.headers,
         item.body,
         job.organisation,
-        transcript.last_event,
+        transcript.last_event if start_again is None else None,
         repeatable=True,
     )
     async with AsyncExitStack() as stack:
@@ -161,6 +167,8 @@
             return Impossible()
         if reply.status != HTTPStatus.OK:
             return Failed(reply.status)
+        if start_again is not None:
+            start_again()
         transcript.begin_run(reply.version, target.software)
         return await _read_events(reply, transcript, job.oldest_version, detector)
 
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -9,7 +9,8 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 import structlog
@@ -403,9 +404,15 @@
         engines = self._available_engines() if waiting else []
         if waiting and not self._has_room_for_texts():
             engines = []
-        self._drop_texts_without_engine(waiting, engines)
+        losses = self._find_text_losses(waiting, engines)
+        texts = {key: waiting[key] for key in losses}
+        for key in losses:
+            waiting[key] = self._as_new_start(waiting[key])
+        engines_by_id = {engine.id: engine for engine in engines}
         for key, target_id in assign(waiting.values(), engines):
             del waiting[key]
+            if key in texts and engines_by_id[target_id].serves(texts[key]):
+                del losses[key]
             pending = self._pending_by_key[key]
             target = self._targets.find(target_id)
             state = self._jobs.jobs_by_id.get(key.job)
@@ -416,28 +423,44 @@
                     and engine.software == target.software
                     for engine in engines
                 )
-                work = self._generate(pending, state.job, target, may_move=may_move)
+                work = self._generate(
+                    pending,
+                    state.job,
+                    target,
+                    may_move=may_move,
+                    loss=losses.get(key),
+                )
                 self._spawn(pending, work)
         self._work.record_pass(
             ((item.model, item.oldest_version) for item in waiting.values()),
             self._slots_in_use,
         )
 
-    def _drop_texts_without_engine(
+    def _find_text_losses(
         self, waiting: dict[ItemKey, WaitingItem], engines: list[EngineSlots]
-    ) -> None:
-        """Drop texts that no engine can go on with in time."""
+    ) -> dict[ItemKey, TextLoss]:
+        """Return the items whose text no engine can go on with in time."""
         now = self._clock.monotonic()
         ready = self._ready_software()
+        losses: dict[ItemKey, TextLoss] = {}
         for key, item in waiting.items():
-            pending = self._pending_by_key[key]
-            waited = now - pending.text_ran_at
+            waited = now - self._pending_by_key[key].text_ran_at
             loss = text_loss(item, engines, ready.get(item.service, ()), waited)
-            if loss is None:
-                continue
-            self._drop_text(pending, loss)
-            state = self._jobs.jobs_by_id[key.job]
-            waiting[key] = self._to_waiting_item(state, pending, now) or item
+            if loss is not None:
+                losses[key] = loss
+        return losses
+
+    def _as_new_start(self, item: WaitingItem) -> WaitingItem:
+        """Return a waiting item as it would be without its text."""
+        request = self._pending_by_key[item.key].item
+        return replace(
+            item,
+            required_software=None,
+            required_version=None,
+            remaining_events=self._lengths.remaining_events(
+                item.model, request.estimated_tokens, 0
+            ),
+        )
 
     def _drop_text(self, pending: PendingItem, loss: TextLoss) -> None:
         transcript = pending.transcript
@@ -573,15 +596,27 @@
     # Running, scoring and listing one item.
 
     async def _generate(
-        self, pending: PendingItem, job: Job, target: Target, *, may_move: bool
+        self,
+        pending: PendingItem,
+        job: Job,
+        target: Target,
+        *,
+        may_move: bool,
+        loss: TextLoss | None = None,
     ) -> None:
-        """Run an item once at an engine and act on the outcome."""
+        """Run an item once at an engine and act on the outcome.
+
+        ``loss`` tells why its text cannot go on, so that the run starts again.
+        """
         self._slots_in_use[target.id] += 1
         self._remember_group(target.id, pending.item.group)
         began = self._clock.monotonic()
         seconds_left = max(0.1, pending.expires_at - began)
-        resumed_after = pending.transcript.last_event
-        if self._is_other_software(pending, target):
+        transcript = pending.transcript
+        before = (transcript.drops, transcript.last_event)
+        resumed_after = transcript.last_event if loss is None else None
+        start_again = None if loss is None else partial(self._drop_text, pending, loss)
+        if loss is None and self._is_other_software(pending, target):
             # The item waits for an engine again.
             self._slots_in_use[target.id] -= 1
             return
@@ -594,13 +629,15 @@
                 pending.transcript,
                 seconds_left,
                 SlowEngineDetector(self._paces, target, self._clock, may_move=may_move),
+                start_again,
             )
         finally:
             self._slots_in_use[target.id] -= 1
             self._wake_event.set()
-        if pending.transcript.current_version is not None:
+        has_changed = (transcript.drops, transcript.last_event) != before
+        if has_changed and transcript.current_version is not None:
             self._tracker.record_version(
-                target, pending.item.model, pending.transcript.current_version
+                target, pending.item.model, transcript.current_version
             )
         seconds = self._clock.monotonic() - began
         self._metrics.item_runs.labels(type(outcome).__name__).inc()
@@ -626,7 +663,7 @@
                 len(pending.transcript.events),
             )
         self._record_trust(pending, target, outcome, whole_text=resumed_after is None)
-        if pending.transcript.last_event != resumed_after:
+        if has_changed:
             pending.text_ran_at = self._clock.monotonic()
             if self._is_other_software(pending, target):
                 self._drop_text(pending, TextLoss.ENGINE_RESTARTED)
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -121,7 +121,10 @@
 
 
 class TextLoss(Enum):
-    """Why an item's text cannot go on, so that the item starts again."""
+    """Why an item's text cannot go on, so that the item starts again.
+
+    The text is kept until another engine has begun a new one.
+    """
 
     UNKNOWN_SOFTWARE = "unknown software"
     """It is not known which software began the text."""
@@ -144,28 +147,22 @@
     ready_software: Collection[SoftwareVersion],
     waited_seconds: float,
 ) -> TextLoss | None:
-    """Return why a waiting item must start again; None if its text is kept.
+    """Return why a waiting item may start again; None if it may not.
 
     ``ready_software`` is that of all ready engines of the item's service, also
-    of those whose weight versions are not known yet.  A text is kept while no
-    engine could run the item from its beginning either.
+    of those whose weight versions are not known yet.
     """
     software = item.required_software
     if software is None:
         return None
-    is_ready = software in ready_software
-    if software != "" and is_ready and waited_seconds < TEXT_WAIT_SECONDS:
-        return None
-    fresh = replace(item, required_software=None, required_version=None)
-    starting = _eligible(fresh, engines)
-    if not starting:
-        return None
     if software == "":
         return TextLoss.UNKNOWN_SOFTWARE
-    if not is_ready:
+    if software not in ready_software:
         return TextLoss.NO_ENGINE
+    if waited_seconds < TEXT_WAIT_SECONDS:
+        return None
     # A run at an engine that the item avoids has just failed.
-    if _preferred(_eligible(item, engines), item) or not _preferred(starting, item):
+    if _preferred(_eligible(item, engines), item):
         return None
     return TextLoss.NO_FREE_ENGINE
 
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -65,7 +65,7 @@
 
     name: str
     software: str
-    engines: tuple[tuple[str, Behaviour], ...]
+    engines: tuple[tuple[str, Behaviour | list[Behaviour]], ...]
     target: str
     resumed_after: int | None
     seconds: tuple[float, float]
@@ -73,12 +73,18 @@
 
 
 WHOLE = Streams(3)
-AT_ONCE, AFTER_WAITING = (0.0, 0.9), (1.0, 2.5)
+BACK: list[Behaviour] = [*([DOWN] * 7), WHOLE]
+"""Behaviour of an engine that is out of reach for some seconds."""
+AT_ONCE, AFTER_WAITING = (0.0, 0.9), (1.0, 4.0)
 SAVED_TEXTS = [
     SavedText("same", "v1", (("v2", WHOLE), ("v1", WHOLE)), "e1", 2, AT_ONCE),
     SavedText("none_left", "v1", (("v2", WHOLE),), "e0", None, AT_ONCE),
     SavedText("unknown", "", (("v1", WHOLE), ("", WHOLE)), "e0", None, AT_ONCE),
     SavedText("down", "v1", (("v1", DOWN), ("v2", WHOLE)), "e1", None, AFTER_WAITING),
+    # A text is kept until another engine has begun a new one.
+    SavedText("all_down", "v1", (("v1", BACK), ("v2", DOWN)), "e0", 2, AFTER_WAITING),
+    SavedText("only_one_is_down", "v1", (("v1", BACK),), "e0", 2, AFTER_WAITING),
+    SavedText("none_left_and_down", "v1", (("v2", BACK),), "e0", None, AFTER_WAITING),
 ]
 
 LISTING_TIMEOUT_SECONDS = 30.0
@@ -271,7 +277,8 @@
         named = tuple(name for name, _ in case.engines)
         self._start((WHOLE,), engine_count=len(named), software=named)
         for number, (_, behaviour) in enumerate(case.engines):
-            self.client.behaviours_by_target[f"e{number}"] = [behaviour]
+            several = behaviour if isinstance(behaviour, list) else [behaviour]
+            self.client.behaviours_by_target[f"e{number}"] = list(several)
         began = self.clock().monotonic()
         await self._wait_listed()
         seconds = self.clock().monotonic() - began
--- a/tests/policy/test_job_schedule.py
+++ b/tests/policy/test_job_schedule.py
@@ -209,11 +209,25 @@
     Loss("no_text", (FREE_V2,), LATE, None, (V2,), ITEM),
     Loss("free", (FREE_V1, FREE_V2), LATE, None),
     Loss("none_is_left", (FREE_V2,), 0.0, TextLoss.NO_ENGINE, (V2,)),
-    Loss("none_is_left_and_no_slot_is_free", (FULL_V2,), LATE, None, (V2,)),
+    Loss(
+        "none_is_left_and_no_slot_is_free",
+        (FULL_V2,),
+        LATE,
+        TextLoss.NO_ENGINE,
+        (V2,),
+    ),
+    Loss("all_are_full", (FULL_V1, FULL_V2), LATE, TextLoss.NO_FREE_ENGINE),
+    Loss(
+        "avoided_but_the_only_one",
+        (FREE_V1,),
+        LATE,
+        TextLoss.NO_FREE_ENGINE,
+        (V1,),
+        AVOIDS_A,
+    ),
     Loss("weights_not_known_yet", (FREE_V2,), 0.5, None),
     Loss("full_for_a_moment", (FULL_V1, FREE_V2), 0.5, None),
     Loss("full_for_long", (FULL_V1, FREE_V2), LATE, TextLoss.NO_FREE_ENGINE),
-    Loss("all_are_full", (FULL_V1, FULL_V2), LATE, None),
     Loss("avoided_for_a_moment", (FREE_V1, FREE_V2), 0.5, None, item=AVOIDS_A),
     Loss(
         "avoided_for_long",
@@ -222,7 +236,6 @@
         TextLoss.NO_FREE_ENGINE,
         item=AVOIDS_A,
     ),
-    Loss("avoided_but_the_only_one", (FREE_V1,), LATE, None, (V1,), AVOIDS_A),
     Loss(
         "unknown",
         (FREE_V1,),
@@ -234,7 +247,7 @@
 
 
 class TextLossTests(unittest.TestCase):
-    """Guards against items without an engine and texts dropped in vain."""
+    """Guards against items without an engine and texts given up early."""
 
     @parameterized.expand([(case.name, case) for case in LOSSES])
     def test_text_loss(self, _: str, case: Loss) -> None:
