--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -217,6 +217,8 @@
         self._paces = EnginePaces()
         self._faults = EngineFaults()
         self._lengths = ItemLengths()
+        self._refused_at_by_run: dict[TargetRun, float] = {}
+        """Runs of engines that have lately refused a connection."""
         self._groups_by_target: dict[TargetId, dict[GroupId, None]] = {}
         member.machine.listen(self._on_applied)
 
@@ -441,11 +443,11 @@
     ) -> dict[ItemKey, TextLoss]:
         """Return the items whose text no engine can go on with in time."""
         now = self._clock.monotonic()
-        ready = self._ready_software()
+        unheard = self._unheard_software()
         losses: dict[ItemKey, TextLoss] = {}
         for key, item in waiting.items():
             waited = now - self._pending_by_key[key].text_ran_at
-            loss = text_loss(item, engines, ready.get(item.service, ()), waited)
+            loss = text_loss(item, engines, unheard.get(item.service, ()), waited)
             if loss is not None:
                 losses[key] = loss
         return losses
@@ -475,15 +477,15 @@
         )
         transcript.discard()
 
-    def _ready_software(self) -> dict[ServiceName, set[SoftwareVersion]]:
-        """Return, by service, the software of engines that take new runs."""
-        ready: dict[ServiceName, set[SoftwareVersion]] = {}
+    def _unheard_software(self) -> dict[ServiceName, set[SoftwareVersion]]:
+        """Return the software of engines without known weights, by service."""
+        unheard: dict[ServiceName, set[SoftwareVersion]] = {}
         for homed in self._targets.homed_by_id.values():
             target = homed.target
-            if self._takes_runs(target):
+            if self._takes_runs(target) and not self._tracker.versions(target):
                 service = ServiceName(target.serves[0])
-                ready.setdefault(service, set()).add(target.software)
-        return ready
+                unheard.setdefault(service, set()).add(target.software)
+        return unheard
 
     def _takes_runs(self, target: Target) -> bool:
         return target.state is TargetState.READY and not (
@@ -553,6 +555,11 @@
     def _available_engines(self) -> list[EngineSlots]:
         engines: list[EngineSlots] = []
         now = self._clock.monotonic()
+        self._refused_at_by_run = {
+            run: refused_at
+            for run, refused_at in self._refused_at_by_run.items()
+            if now < refused_at + ENGINE_AVOIDANCE_SECONDS
+        }
         for homed in self._targets.homed_by_id.values():
             target = homed.target
             versions = self._tracker.versions(target)
@@ -572,6 +579,7 @@
                     self._paces.pace(target.id, now),
                     self._faults.trust(_run_of(target), now),
                     target.software,
+                    _run_of(target) in self._refused_at_by_run,
                 )
             )
         return engines
@@ -741,9 +749,7 @@
             case NotRun(unreached=unreached):
                 self._requeue(pending, now)
                 if unreached:
-                    pending.avoided_until_by_target[target.id] = (
-                        now + ENGINE_AVOIDANCE_SECONDS
-                    )
+                    await self._note_unreached(pending, target)
             case TooLong(shortage=shortage):
                 logger.warning(
                     "text of an item dropped",
@@ -772,6 +778,12 @@
                 if self._must_restart(pending, job):
                     pending.transcript.discard()
 
+    async def _note_unreached(self, pending: PendingItem, target: Target) -> None:
+        now = self._clock.monotonic()
+        pending.avoided_until_by_target[target.id] = now + ENGINE_AVOIDANCE_SECONDS
+        if await self._client.refuses_connections(target):
+            self._refused_at_by_run[_run_of(target)] = now
+
     def _requeue(self, pending: PendingItem, now: float) -> None:
         pending.interruptions += 1
         delay = REQUEUE_BACKOFF.delay_seconds(
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -89,6 +89,8 @@
     trust: EngineTrust = EngineTrust.TRUSTED
     software: SoftwareVersion = SoftwareVersion("")
     """Software of the engine's present run; empty if unknown."""
+    refuses: bool = False
+    """Whether it has lately refused a connection, as one that has ended."""
 
     def serves(self, item: WaitingItem) -> bool:
         """Return whether the engine can run an item once it has a slot."""
@@ -129,7 +131,7 @@
     UNKNOWN_SOFTWARE = "unknown software"
     """It is not known which software began the text."""
     NO_ENGINE = "no engine"
-    """No engine with the software that began it is ready."""
+    """No ready engine with the software that began it has its weights."""
     NO_FREE_ENGINE = "no free engine"
     """No engine with the software that began it could run it in time."""
     ENGINE_RESTARTED = "engine restarted"
@@ -144,22 +146,26 @@
 def text_loss(
     item: WaitingItem,
     engines: Sequence[EngineSlots],
-    ready_software: Collection[SoftwareVersion],
+    unheard_software: Collection[SoftwareVersion],
     waited_seconds: float,
 ) -> TextLoss | None:
     """Return why a waiting item may start again; None if it may not.
 
-    ``ready_software`` is that of all ready engines of the item's service, also
-    of those whose weight versions are not known yet.
+    ``unheard_software`` is that of ready engines of the item's service whose
+    weight versions are not known yet.  Waiting helps if such an engine, or one
+    that is busy, may go on with the text.
     """
     software = item.required_software
     if software is None:
         return None
     if software == "":
         return TextLoss.UNKNOWN_SOFTWARE
-    if software not in ready_software:
+    unheard = software in unheard_software
+    serving = [engine for engine in engines if engine.serves(item)]
+    if not serving and not unheard:
         return TextLoss.NO_ENGINE
-    if waited_seconds < TEXT_WAIT_SECONDS:
+    may_help = unheard or not all(engine.refuses for engine in serving)
+    if may_help and waited_seconds < TEXT_WAIT_SECONDS:
         return None
     # A run at an engine that the item avoids has just failed.
     if _preferred(_eligible(item, engines), item):
@@ -215,7 +221,11 @@
 
 
 def _preferred(eligible: list[EngineSlots], item: WaitingItem) -> list[EngineSlots]:
-    return [engine for engine in eligible if engine.id not in item.avoided_engines]
+    return [
+        engine
+        for engine in eligible
+        if engine.id not in item.avoided_engines and not engine.refuses
+    ]
 
 
 def _without_avoided(
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -70,6 +70,8 @@
     resumed_after: int | None
     seconds: tuple[float, float]
     """Bounds on the time until the item is listed."""
+    ended: frozenset[str] = frozenset()
+    """Engines that refuse connections."""
 
 
 WHOLE = Streams(3)
@@ -81,6 +83,15 @@
     SavedText("none_left", "v1", (("v2", WHOLE),), "e0", None, AT_ONCE),
     SavedText("unknown", "", (("v1", WHOLE), ("", WHOLE)), "e0", None, AT_ONCE),
     SavedText("down", "v1", (("v1", DOWN), ("v2", WHOLE)), "e1", None, AFTER_WAITING),
+    SavedText(
+        "ended",
+        "v1",
+        (("v1", DOWN), ("v2", WHOLE)),
+        "e1",
+        None,
+        AT_ONCE,
+        frozenset({"e0"}),
+    ),
     # A text is kept until another engine has begun a new one.
     SavedText("all_down", "v1", (("v1", BACK), ("v2", DOWN)), "e0", 2, AFTER_WAITING),
     SavedText("only_one_is_down", "v1", (("v1", BACK),), "e0", 2, AFTER_WAITING),
@@ -279,6 +290,7 @@
         for number, (_, behaviour) in enumerate(case.engines):
             several = behaviour if isinstance(behaviour, list) else [behaviour]
             self.client.behaviours_by_target[f"e{number}"] = list(several)
+        self.client.gone.update(case.ended)
         began = self.clock().monotonic()
         await self._wait_listed()
         seconds = self.clock().monotonic() - began
--- a/tests/policy/test_job_schedule.py
+++ b/tests/policy/test_job_schedule.py
@@ -119,6 +119,12 @@
         None,
         replace(ITEM, required_software=UNKNOWN),
     ),
+    Case(
+        "one_that_has_ended_is_the_last",
+        (engine("a", refuses=True), engine("b", in_use=3)),
+        "b",
+    ),
+    Case("one_that_has_ended_if_no_other_can", (engine(refuses=True),), "e"),
     Case(
         "avoided_by_all_though_the_others_are_full",
         (engine("a", trust=EngineTrust.AVOIDED), engine("b", in_use=4)),
@@ -190,31 +196,31 @@
 class Loss:
     """Engines, the seconds since the last run, and why the text is lost.
 
-    ``ready`` is the software of all ready engines, with known weights or not.
+    ``unheard`` is the software of ready engines whose weights are not known.
     """
 
     name: str
     engines: tuple[EngineSlots, ...]
     seconds: float
     expected: TextLoss | None
-    ready: tuple[SoftwareVersion, ...] = (V1, V2)
+    unheard: tuple[SoftwareVersion, ...] = ()
     item: WaitingItem = TEXT
 
 
 FREE_V1, FULL_V1 = engine("a", software=V1), engine("a", in_use=4, software=V1)
+OLD_V1, ENDED_V1 = engine(version=2, software=V1), engine(software=V1, refuses=True)
 FREE_V2, FULL_V2 = engine("b", software=V2), engine("b", in_use=4, software=V2)
 LATE = TEXT_WAIT_SECONDS
 AVOIDS_A = replace(TEXT, avoided_engines=frozenset({TargetId("a")}))
 LOSSES = [
-    Loss("no_text", (FREE_V2,), LATE, None, (V2,), ITEM),
+    Loss("no_text", (FREE_V2,), LATE, None, item=ITEM),
     Loss("free", (FREE_V1, FREE_V2), LATE, None),
-    Loss("none_is_left", (FREE_V2,), 0.0, TextLoss.NO_ENGINE, (V2,)),
+    Loss("none_is_left", (FREE_V2,), 0.0, TextLoss.NO_ENGINE),
     Loss(
         "none_is_left_and_no_slot_is_free",
         (FULL_V2,),
         LATE,
         TextLoss.NO_ENGINE,
-        (V2,),
     ),
     Loss("all_are_full", (FULL_V1, FULL_V2), LATE, TextLoss.NO_FREE_ENGINE),
     Loss(
@@ -222,10 +228,12 @@
         (FREE_V1,),
         LATE,
         TextLoss.NO_FREE_ENGINE,
-        (V1,),
-        AVOIDS_A,
+        item=AVOIDS_A,
     ),
-    Loss("weights_not_known_yet", (FREE_V2,), 0.5, None),
+    Loss("weights_not_known_yet", (FREE_V2,), 0.5, None, (V1,)),
+    Loss("weights_too_old", (OLD_V1, FREE_V2), 0.0, TextLoss.NO_ENGINE),
+    Loss("has_ended", (ENDED_V1, FREE_V2), 0.0, TextLoss.NO_FREE_ENGINE),
+    Loss("one_of_two_has_ended", (ENDED_V1, FULL_V1, FREE_V2), 0.5, None),
     Loss("full_for_a_moment", (FULL_V1, FREE_V2), 0.5, None),
     Loss("full_for_long", (FULL_V1, FREE_V2), LATE, TextLoss.NO_FREE_ENGINE),
     Loss("avoided_for_a_moment", (FREE_V1, FREE_V2), 0.5, None, item=AVOIDS_A),
@@ -251,7 +259,7 @@
 
     @parameterized.expand([(case.name, case) for case in LOSSES])
     def test_text_loss(self, _: str, case: Loss) -> None:
-        loss = text_loss(case.item, case.engines, case.ready, case.seconds)
+        loss = text_loss(case.item, case.engines, case.unheard, case.seconds)
         self.assertIs(loss, case.expected)
 
 
