--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -9,7 +9,8 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 import structlog
@@ -22,6 +23,7 @@
     GroupId,
     JobId,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
@@ -77,9 +79,12 @@
     EngineSlots,
     EngineTrust,
     ItemKey,
+    TextLoss,
     WaitingItem,
     assign,
     longest_first,
+    may_continue,
+    text_loss,
 )
 from goldcrestyard.policy.job_sizes import progress_size
 from goldcrestyard.policy.memory import ControlShares
@@ -146,6 +151,9 @@
     """Number of runs that were refused, unreached or interrupted."""
     moves: int = 0
     """Number of runs abandoned because the engine was slow."""
+    text_ran_at: float = 0.0
+    """Monotonic time at which the last run that added to the text ended, or at
+    which this leader took the item over."""
     not_before: float = 0.0
     """Monotonic time of the earliest next run."""
     avoided_until_by_target: dict[TargetId, float] = field(default_factory=dict)
@@ -209,6 +217,8 @@
         self._paces = EnginePaces()
         self._faults = EngineFaults()
         self._lengths = ItemLengths()
+        self._refused_at_by_run: dict[TargetRun, float] = {}
+        """Runs of engines that have lately refused a connection."""
         self._groups_by_target: dict[TargetId, dict[GroupId, None]] = {}
         member.machine.listen(self._on_applied)
 
@@ -343,6 +353,7 @@
                     Transcript.restore(
                         state.progress_by_item.get(item.id), self._text_room.lease()
                     ),
+                    text_ran_at=self._clock.monotonic(),
                 )
 
     def _submitted_at(self, state: JobState) -> float:
@@ -395,20 +406,92 @@
         engines = self._available_engines() if waiting else []
         if waiting and not self._has_room_for_texts():
             engines = []
+        losses = self._find_text_losses(waiting, engines)
+        texts = {key: waiting[key] for key in losses}
+        for key in losses:
+            waiting[key] = self._as_new_start(waiting[key])
+        engines_by_id = {engine.id: engine for engine in engines}
         for key, target_id in assign(waiting.values(), engines):
             del waiting[key]
+            if key in texts and engines_by_id[target_id].serves(texts[key]):
+                del losses[key]
             pending = self._pending_by_key[key]
             target = self._targets.find(target_id)
             state = self._jobs.jobs_by_id.get(key.job)
             if target is not None and state is not None:
-                may_move = pending.moves < MAX_MOVES_PER_ITEM and len(engines) > 1
-                work = self._generate(pending, state.job, target, may_move=may_move)
+                may_move = pending.moves < MAX_MOVES_PER_ITEM and any(
+                    engine.id != target.id
+                    and engine.service in target.serves
+                    and engine.software == target.software
+                    for engine in engines
+                )
+                work = self._generate(
+                    pending,
+                    state.job,
+                    target,
+                    may_move=may_move,
+                    loss=losses.get(key),
+                )
                 self._spawn(pending, work)
         self._work.record_pass(
             ((item.model, item.oldest_version) for item in waiting.values()),
             self._slots_in_use,
         )
 
+    def _find_text_losses(
+        self, waiting: dict[ItemKey, WaitingItem], engines: list[EngineSlots]
+    ) -> dict[ItemKey, TextLoss]:
+        """Return the items whose text no engine can go on with in time."""
+        now = self._clock.monotonic()
+        unheard = self._unheard_software()
+        losses: dict[ItemKey, TextLoss] = {}
+        for key, item in waiting.items():
+            waited = now - self._pending_by_key[key].text_ran_at
+            loss = text_loss(item, engines, unheard.get(item.service, ()), waited)
+            if loss is not None:
+                losses[key] = loss
+        return losses
+
+    def _as_new_start(self, item: WaitingItem) -> WaitingItem:
+        """Return a waiting item as it would be without its text."""
+        request = self._pending_by_key[item.key].item
+        return replace(
+            item,
+            required_software=None,
+            required_version=None,
+            remaining_events=self._lengths.remaining_events(
+                item.model, request.estimated_tokens, 0
+            ),
+        )
+
+    def _drop_text(self, pending: PendingItem, loss: TextLoss) -> None:
+        transcript = pending.transcript
+        self._metrics.lost_texts.labels(loss.value).inc()
+        logger.info(
+            "item starts again: no engine can go on with its text",
+            reason=loss.value,
+            item=pending.key.item,
+            software=transcript.software,
+            events=len(transcript.events),
+            job=pending.key.job,
+        )
+        transcript.discard()
+
+    def _unheard_software(self) -> dict[ServiceName, set[SoftwareVersion]]:
+        """Return the software of engines without known weights, by service."""
+        unheard: dict[ServiceName, set[SoftwareVersion]] = {}
+        for homed in self._targets.homed_by_id.values():
+            target = homed.target
+            if self._takes_runs(target) and not self._tracker.versions(target):
+                service = ServiceName(target.serves[0])
+                unheard.setdefault(service, set()).add(target.software)
+        return unheard
+
+    def _takes_runs(self, target: Target) -> bool:
+        return target.state is TargetState.READY and not (
+            self._is_leaving is not None and self._is_leaving(target)
+        )
+
     def _has_room_for_texts(self) -> bool:
         """Return whether the jobs leave room for the texts of further runs."""
         held = self._jobs.held_bytes(self._clock.wall())
@@ -456,6 +539,7 @@
             state.job.oldest_version,
             pending.item.group,
             needed_version,
+            pending.transcript.required_software,
             self._lengths.remaining_events(
                 pending.item.model,
                 pending.item.estimated_tokens,
@@ -471,12 +555,15 @@
     def _available_engines(self) -> list[EngineSlots]:
         engines: list[EngineSlots] = []
         now = self._clock.monotonic()
+        self._refused_at_by_run = {
+            run: refused_at
+            for run, refused_at in self._refused_at_by_run.items()
+            if now < refused_at + ENGINE_AVOIDANCE_SECONDS
+        }
         for homed in self._targets.homed_by_id.values():
             target = homed.target
             versions = self._tracker.versions(target)
-            if target.state is not TargetState.READY or not versions:
-                continue
-            if self._is_leaving is not None and self._is_leaving(target):
+            if not versions or not self._takes_runs(target):
                 continue
             engines.append(
                 EngineSlots(
@@ -491,6 +578,8 @@
                     self._permitted_runs(target) if self._permitted_runs else None,
                     self._paces.pace(target.id, now),
                     self._faults.trust(_run_of(target), now),
+                    target.software,
+                    _run_of(target) in self._refused_at_by_run,
                 )
             )
         return engines
@@ -515,14 +604,30 @@
     # Running, scoring and listing one item.
 
     async def _generate(
-        self, pending: PendingItem, job: Job, target: Target, *, may_move: bool
+        self,
+        pending: PendingItem,
+        job: Job,
+        target: Target,
+        *,
+        may_move: bool,
+        loss: TextLoss | None = None,
     ) -> None:
-        """Run an item once at an engine and act on the outcome."""
+        """Run an item once at an engine and act on the outcome.
+
+        ``loss`` tells why its text cannot go on, so that the run starts again.
+        """
         self._slots_in_use[target.id] += 1
         self._remember_group(target.id, pending.item.group)
         began = self._clock.monotonic()
         seconds_left = max(0.1, pending.expires_at - began)
-        resumed_after = pending.transcript.last_event
+        transcript = pending.transcript
+        before = (transcript.drops, transcript.last_event)
+        resumed_after = transcript.last_event if loss is None else None
+        start_again = None if loss is None else partial(self._drop_text, pending, loss)
+        if loss is None and self._is_other_software(pending, target):
+            # The item waits for an engine again.
+            self._slots_in_use[target.id] -= 1
+            return
         try:
             outcome = await run_item(
                 self._client,
@@ -532,13 +637,15 @@
                 pending.transcript,
                 seconds_left,
                 SlowEngineDetector(self._paces, target, self._clock, may_move=may_move),
+                start_again,
             )
         finally:
             self._slots_in_use[target.id] -= 1
             self._wake_event.set()
-        if pending.transcript.current_version is not None:
+        has_changed = (transcript.drops, transcript.last_event) != before
+        if has_changed and transcript.current_version is not None:
             self._tracker.record_version(
-                target, pending.item.model, pending.transcript.current_version
+                target, pending.item.model, transcript.current_version
             )
         seconds = self._clock.monotonic() - began
         self._metrics.item_runs.labels(type(outcome).__name__).inc()
@@ -549,6 +656,7 @@
             item=pending.item.id,
             target=target.id,
             incarnation=target.incarnation,
+            software=target.software,
             resumed_after=resumed_after,
             last_event=pending.transcript.last_event,
             versions=sorted(pending.transcript.versions),
@@ -563,8 +671,29 @@
                 len(pending.transcript.events),
             )
         self._record_trust(pending, target, outcome, whole_text=resumed_after is None)
+        if has_changed:
+            pending.text_ran_at = self._clock.monotonic()
+            if self._is_other_software(pending, target):
+                self._drop_text(pending, TextLoss.ENGINE_RESTARTED)
+                if isinstance(outcome, Generated):
+                    return
         await self._handle_outcome(pending, job, target, outcome)
 
+    def _is_other_software(self, pending: PendingItem, target: Target) -> bool:
+        """Return whether the target has started again with other software.
+
+        Its record may be older than the process at its address, so a run that
+        was sent to one run of the target may have reached the next.
+        """
+        present = self._targets.find(target.id)
+        required = pending.transcript.required_software
+        return (
+            present is not None
+            and present.incarnation != target.incarnation
+            and required is not None
+            and not may_continue(required, present.software)
+        )
+
     def _record_trust(
         self,
         pending: PendingItem,
@@ -620,9 +749,7 @@
             case NotRun(unreached=unreached):
                 self._requeue(pending, now)
                 if unreached:
-                    pending.avoided_until_by_target[target.id] = (
-                        now + ENGINE_AVOIDANCE_SECONDS
-                    )
+                    await self._note_unreached(pending, target)
             case TooLong(shortage=shortage):
                 logger.warning(
                     "text of an item dropped",
@@ -651,6 +778,12 @@
                 if self._must_restart(pending, job):
                     pending.transcript.discard()
 
+    async def _note_unreached(self, pending: PendingItem, target: Target) -> None:
+        now = self._clock.monotonic()
+        pending.avoided_until_by_target[target.id] = now + ENGINE_AVOIDANCE_SECONDS
+        if await self._client.refuses_connections(target):
+            self._refused_at_by_run[_run_of(target)] = now
+
     def _requeue(self, pending: PendingItem, now: float) -> None:
         pending.interruptions += 1
         delay = REQUEUE_BACKOFF.delay_seconds(
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -3,13 +3,14 @@
 Each waiting item goes to the eligible engine with the lowest cost, which
 counts the distance, the load, the time that the engine needs for the item's
 text and whether it has already read the prompt that the item's group shares.
+An item with text goes only to engines with the software that began the text.
 
 Pattern: a step's items arrive at once, and its longest text decides when the
 step is complete.  The longest texts of a job therefore start first, on the
 fastest engines.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -20,6 +21,7 @@
     JobId,
     ModelName,
     ServiceName,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
@@ -57,6 +59,9 @@
     required_version: WeightVersion | None = None
     """The version that produced the item's earlier output, if only this one
     may continue it; None if any version may."""
+    required_software: SoftwareVersion | None = None
+    """The software that began the item's text, empty if unknown; None if there
+    is no text."""
     remaining_events: float = DEFAULT_EVENTS
     """Expected number of events that its text still lacks."""
     avoided_engines: frozenset[TargetId] = frozenset()
@@ -82,6 +87,10 @@
     seconds_per_event: float = 0.0
     """Mean time between two events of a stream; 0 if it is not known."""
     trust: EngineTrust = EngineTrust.TRUSTED
+    software: SoftwareVersion = SoftwareVersion("")
+    """Software of the engine's present run; empty if unknown."""
+    refuses: bool = False
+    """Whether it has lately refused a connection, as one that has ended."""
 
     def serves(self, item: WaitingItem) -> bool:
         """Return whether the engine can run an item once it has a slot."""
@@ -90,6 +99,10 @@
             self.service == item.service
             and version >= item.oldest_version
             and item.required_version in (None, version)
+            and (
+                item.required_software is None
+                or may_continue(item.required_software, self.software)
+            )
         )
 
     def can_run(self, item: WaitingItem) -> bool:
@@ -103,6 +116,63 @@
         )
 
 
+TEXT_WAIT_SECONDS = 1.0
+"""Time in seconds since its last run for which a text waits for a free engine
+of its software.  The platform allows no item to be without an engine for 5 s,
+and a further run may take a second or two to begin."""
+
+
+class TextLoss(Enum):
+    """Why an item's text cannot go on, so that the item starts again.
+
+    The text is kept until another engine has begun a new one.
+    """
+
+    UNKNOWN_SOFTWARE = "unknown software"
+    """It is not known which software began the text."""
+    NO_ENGINE = "no engine"
+    """No ready engine with the software that began it has its weights."""
+    NO_FREE_ENGINE = "no free engine"
+    """No engine with the software that began it could run it in time."""
+    ENGINE_RESTARTED = "engine restarted"
+    """Its engine started again with other software around the latest run."""
+
+
+def may_continue(text: SoftwareVersion, engine: SoftwareVersion) -> bool:
+    """Return whether an engine's software may go on with a text."""
+    return text != "" and text == engine
+
+
+def text_loss(
+    item: WaitingItem,
+    engines: Sequence[EngineSlots],
+    unheard_software: Collection[SoftwareVersion],
+    waited_seconds: float,
+) -> TextLoss | None:
+    """Return why a waiting item may start again; None if it may not.
+
+    ``unheard_software`` is that of ready engines of the item's service whose
+    weight versions are not known yet.  Waiting helps if such an engine, or one
+    that is busy, may go on with the text.
+    """
+    software = item.required_software
+    if software is None:
+        return None
+    if software == "":
+        return TextLoss.UNKNOWN_SOFTWARE
+    unheard = software in unheard_software
+    serving = [engine for engine in engines if engine.serves(item)]
+    if not serving and not unheard:
+        return TextLoss.NO_ENGINE
+    may_help = unheard or not all(engine.refuses for engine in serving)
+    if may_help and waited_seconds < TEXT_WAIT_SECONDS:
+        return None
+    # A run at an engine that the item avoids has just failed.
+    if _preferred(_eligible(item, engines), item):
+        return None
+    return TextLoss.NO_FREE_ENGINE
+
+
 CACHED_PROMPT_BONUS_SECONDS = 0.05
 """Time in seconds saved by an engine that has the prompt of the item's group
 in its cache."""
@@ -129,14 +199,10 @@
     for item in items:
         if free_slots <= 0:
             break
-        eligible = [engine for engine in engines if engine.can_run(item)]
-        if any(engine.trust is EngineTrust.AVOIDED for engine in eligible):
-            eligible = _without_avoided(eligible, item, engines)
+        eligible = _eligible(item, engines)
         if not eligible:
             continue
-        preferred = [
-            engine for engine in eligible if engine.id not in item.avoided_engines
-        ]
+        preferred = _preferred(eligible, item)
         best = min(preferred or eligible, key=lambda engine: _cost(engine, item))
         best.in_use += 1
         if best.permitted_runs is not None:
@@ -147,6 +213,21 @@
     return assigned
 
 
+def _eligible(item: WaitingItem, engines: Sequence[EngineSlots]) -> list[EngineSlots]:
+    eligible = [engine for engine in engines if engine.can_run(item)]
+    if any(engine.trust is EngineTrust.AVOIDED for engine in eligible):
+        eligible = _without_avoided(eligible, item, engines)
+    return eligible
+
+
+def _preferred(eligible: list[EngineSlots], item: WaitingItem) -> list[EngineSlots]:
+    return [
+        engine
+        for engine in eligible
+        if engine.id not in item.avoided_engines and not engine.refuses
+    ]
+
+
 def _without_avoided(
     eligible: list[EngineSlots], item: WaitingItem, engines: Sequence[EngineSlots]
 ) -> list[EngineSlots]:
