--- a/tests/consensus/test_missing_votes.py
+++ b/tests/consensus/test_missing_votes.py
@@ -7,156 +7,98 @@
 
 from parameterized import parameterized
 
+from goldcrestyard.consensus import member_lines
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.link import MemberState
-from goldcrestyard.consensus.member_lines import (
-    describe_answers,
-    describe_followers,
-    describe_lacks,
-    describe_voters,
-)
 from goldcrestyard.consensus.missing_votes import MemberAnswer, find_lacking_groups
 from goldcrestyard.consensus.roles import Role
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
 
 
 def ids(names: str) -> tuple[MemberId, ...]:
-    """Return the ids of members, each named by the letter of its instance.
+    """Return member ids; a capital letter is a member on an emptied disk."""
+    return tuple(MemberId(f"{n.lower()}:7#{1 + n.isupper()}") for n in names)
 
-    A capital letter stands for the member after the disk was lost.
-    """
-    return tuple(
-        MemberId(f"10.0.0.{name.lower()}:70#{'ffff' if name.isupper() else '1111'}99")
-        for name in names
-    )
+
+GROUP = ids("abc")
+ONE, JOINT = (GROUP,), (GROUP, ids("abd"))
+DISK = "the member's disk failed"
+FULL = f"{DISK}: /data/vote: [Errno 28] No space left on device"
 
 
 def answer(
     name: str, seconds_ago: float = 0.4, failure: str = "", leader: str = ""
 ) -> MemberAnswer:
     (member,) = ids(name)
-    state = MemberState(
-        Role.FOLLOWER,
-        Term(6),
-        ids(leader)[0] if leader else None,
-        LogIndex(912),
-        Term(6),
-        LogIndex(905),
-        (ids("abc"),),
-        (),
-    )
-    instance = InstanceId(member.partition("#")[0])
+    role, term, index = Role.FOLLOWER, Term(6), LogIndex(912)
+    followed = ids(leader)[0] if leader else None
+    state = MemberState(role, term, followed, index, term, LogIndex(905), ONE, ())
+    instance = InstanceId(f"{name.lower()}:7")
     return MemberAnswer(instance, seconds_ago, member, state, failure)
 
 
-DISK = "the member's disk failed"
-FULL = f"{DISK}: /data/vote: [Errno 28] No space left on device"
-ONE, JOINT = ("abc",), ("abc", "abd")
+B, C, EMPTIED_B = answer("b"), answer("c"), answer("B")
+FAILING, FOLLOWING = answer("b", failure=FULL), answer("c", leader="d")
+LATE = answer("b", 7.2)
+FOLLOWERS = [B, FOLLOWING, answer("e", 9.0, leader="d")]
+OF_TWO = "1 of 2 votes: "
+NEVER = "never answered"
 
 
 class LacksTests(unittest.TestCase):
-    """What member ``a`` lacks, by the answers of the others."""
+    """What a member lacks, by the answers of the others."""
 
     @parameterized.expand(
         [
-            ("enough", ONE, [answer("b")], "", "nothing, enough voters answer"),
-            (
-                "silent",
-                ONE,
-                [answer("b", 7.2)],
-                "",
-                "1 of 2 votes: 10.0.0.b#1111 silent 7.2s, 10.0.0.c#1111 never answered",
-            ),
-            (
-                "emptied",
-                ONE,
-                [answer("B"), answer("c", 9.0)],
-                "",
-                "1 of 2 votes: 10.0.0.b#1111 emptied, now #ffff, "
-                "10.0.0.c#1111 silent 9.0s",
-            ),
+            ("enough", ONE, [B], "nothing, enough voters answer"),
+            ("silent", ONE, [LATE], f"{OF_TWO}b#1 silent 7.2s, c#1 {NEVER}"),
+            ("emptied", ONE, [EMPTIED_B], f"{OF_TWO}b#1 emptied, now #2, c#1 {NEVER}"),
             (
                 "suspended_and_refusing",
                 ONE,
-                [answer("b", failure=FULL), answer("c", leader="d")],
-                "c",
-                f"1 of 2 votes: 10.0.0.b#1111 {DISK}, "
-                "10.0.0.c#1111 refuses, follows 10.0.0.d#1111",
-            ),
-            (
-                "new_group_of_a_replacement",
-                JOINT,
-                [answer("c")],
-                "",
-                "1 of 2 new votes: 10.0.0.b#1111 never answered, "
-                "10.0.0.d#1111 never answered",
+                [FAILING, FOLLOWING],
+                f"{OF_TWO}b#1 {DISK}, c#1 refuses, follows d#1",
             ),
+            ("joint", JOINT, [C], f"1 of 2 new votes: b#1 {NEVER}, d#1 {NEVER}"),
             (
                 "both_groups",
                 JOINT,
-                [answer("b", 4.0)],
-                "",
-                "1 of 2 old votes: 10.0.0.b#1111 silent 4.0s, "
-                "10.0.0.c#1111 never answered; "
-                "1 of 2 new votes: 10.0.0.b#1111 silent 4.0s, "
-                "10.0.0.d#1111 never answered",
-            ),
-            (
-                "own_disk_was_emptied",
-                ONE,
-                [answer("b")],
-                "",
-                "1 of 2 votes: 10.0.0.a#1111 emptied, now #ffff, "
-                "10.0.0.c#1111 never answered",
-                "A",
+                [LATE],
+                f"1 of 2 old votes: b#1 silent 7.2s, c#1 {NEVER}; "
+                f"1 of 2 new votes: b#1 silent 7.2s, d#1 {NEVER}",
             ),
+            ("own", ONE, [B], f"{OF_TWO}a#1 emptied, now #2, c#1 {NEVER}", "A"),
         ]
     )
     def test_lacks(
         self,
         _: str,
-        groups: tuple[str, ...],
+        groups: tuple[tuple[MemberId, ...], ...],
         answers: list[MemberAnswer],
-        refusing: str,
         expected: str,
         own: str = "a",
     ) -> None:
-        found = find_lacking_groups(
-            tuple(map(ids, groups)), ids(own)[0], answers, set(ids(refusing))
-        )
-        self.assertEqual(expected, describe_lacks(found))
+        refusing = {a.member for a in answers if a.member and a is FOLLOWING}
+        found = find_lacking_groups(groups, ids(own)[0], answers, refusing)
+        self.assertEqual(expected, member_lines.describe_lacks(found))
 
     @parameterized.expand(
         [
-            (ONE, "10.0.0.a#1111 10.0.0.b#1111 10.0.0.c#1111"),
+            (member_lines.describe_voters, ONE, "a#1 b#1 c#1"),
+            (member_lines.describe_voters, JOINT, "old a#1 b#1 c#1; new a#1 b#1 d#1"),
+            (member_lines.describe_followers, FOLLOWERS, "c#1 follows d#1"),
             (
-                JOINT,
-                "old 10.0.0.a#1111 10.0.0.b#1111 10.0.0.c#1111; "
-                "new 10.0.0.a#1111 10.0.0.b#1111 10.0.0.d#1111",
+                member_lines.describe_answers,
+                [
+                    FOLLOWING,
+                    FAILING,
+                    MemberAnswer(InstanceId("d:7"), 1.0),
+                    MemberAnswer(InstanceId("e:7"), 9.0),
+                ],
+                "c#1 follower of d#1 term 6 last 912 cfg 905 0.4s ago; "
+                f"b#1 {DISK} 0.4s ago; d:7 state unknown 1.0s ago",
             ),
         ]
     )
-    def test_voters(self, groups: tuple[str, ...], expected: str) -> None:
-        self.assertEqual(expected, describe_voters(tuple(map(ids, groups))))
-
-    def test_answers(self) -> None:
-        self.assertEqual(
-            "10.0.0.b#1111 follower term 6 last 912 cfg 905 0.4s ago; "
-            f"10.0.0.c#1111 {DISK} 2.0s ago; 10.0.0.d:70 state unknown 1.0s ago",
-            describe_answers(
-                [
-                    answer("b"),
-                    answer("c", 2.0, failure=FULL),
-                    MemberAnswer(InstanceId("10.0.0.d:70"), 1.0),
-                    MemberAnswer(InstanceId("10.0.0.e:70"), 9.0),
-                ]
-            ),
-        )
-
-    def test_followers(self) -> None:
-        """Guards against missing votes in the line where there is a leader."""
-        answers = [answer("b", leader="c"), answer("d", 9.0, leader="b"), answer("e")]
-        self.assertEqual(
-            "10.0.0.b#1111 follows 10.0.0.c#1111", describe_followers(answers)
-        )
-        self.assertIn("b#1111 follower of 10.0.0.c#1111 te", describe_answers(answers))
+    def test_description(self, describe, argument, expected) -> None:  # type: ignore[no-untyped-def]
+        self.assertEqual(expected, describe(argument))
