Record the software of targets that a former release recorded without it

Cause: a heartbeat of a recorded run changes nothing, so targets that a former release recorded would have no known software until they start again. Change: such a target counts as arrived when its heartbeat names its software. Result: the new case of test_heartbeats fails on the former code.

--- a/goldcrestyard/policy/heartbeats.py
+++ b/goldcrestyard/policy/heartbeats.py
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrived:
-    """The target is new, has restarted or has moved.
+    """The target is new, has restarted, has moved or names its software.
 
     ``ended`` are the earlier targets at its address.
     """
@@ -127,6 +127,9 @@
     if heartbeat.state is TargetState.DRAINING:
         draining = known.target.state is TargetState.DRAINING
         return Renewed() if draining else Leaving()
+    # The release that recorded the target may not have recorded its software.
+    if heartbeat.software and not known.target.software:
+        return Arrived(())
     if known.target.address != heartbeat.address:
         return Arrived(())
     return Renewed()
--- a/tests/policy/test_heartbeats.py
+++ b/tests/policy/test_heartbeats.py
@@ -5,7 +5,7 @@
 
 from parameterized import parameterized
 
-from goldcrestyard.core.ids import DataCentre, Region, TargetId
+from goldcrestyard.core.ids import DataCentre, Region, SoftwareVersion, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import Rental, TargetKind, TargetState
 from goldcrestyard.policy.heartbeats import (
@@ -98,6 +98,12 @@
         Stale("a target that started later has this address"),
         (other(1100),),
     ),
+    Case(
+        "recorded_without_its_software",
+        replace(HEARTBEAT, software=SoftwareVersion("v1")),
+        KNOWN,
+        Arrived(()),
+    ),
     Case("leaves", replace(HEARTBEAT, state=TargetState.DRAINING), KNOWN, Leaving()),
     Case(
         "leaves_as_before",
