--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -22,6 +22,7 @@
     choose_target,
     has_free_slot,
 )
+from goldcrestyard.policy.stream_origins import StreamOrigin
 
 
 class CallRouter:
@@ -61,15 +62,19 @@
         *,
         with_free_slot: bool = False,
         hedge: bool = False,
+        origin: StreamOrigin | None = None,
     ) -> Target | None:
         """Return a target for the next attempt, or None if there is none.
 
         Targets in ``tried`` are excluded.  ``with_free_slot`` also excludes
         targets to which this process already sends as many calls as they can
         run concurrently.  A ``hedge`` goes to no target with a request limit,
-        where it would take the place of another request.
+        where it would take the place of another request.  A stream with an
+        ``origin`` goes on only at targets that fit it.
         """
         candidates = self._staying(service)
+        if origin is not None:
+            candidates = tuple(filter(origin.fits, candidates))
         limited = self._limited(candidates)
         if hedge and limited:
             candidates = tuple(
@@ -114,6 +119,18 @@
         """Return whether all ready targets have said that they leave."""
         return bool(self._targets.serving(service)) and not self._staying(service)
 
+    def software_changed(self, target: Target) -> bool:
+        """Return whether another run of a target has other software.
+
+        A request that names the target's id may have reached either run.
+        """
+        present = self._targets.find(target.id)
+        return (
+            present is not None
+            and present.incarnation != target.incarnation
+            and present.software != target.software
+        )
+
     def _staying(self, service: ServiceName) -> tuple[Target, ...]:
         """Return the ready targets that have not said that they leave."""
         serving = self._targets.serving(service)
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -1,7 +1,8 @@
 """Streamed answers: relay of a target's events to the caller.
 
-A stream that breaks off is resumed at another target after its last event,
-if its route allows; otherwise the caller can see that it is incomplete.
+A stream that breaks off is resumed after its last event at another target
+with the software version that wrote its first event, if its route allows;
+otherwise the caller can see that it is incomplete.
 """
 
 import random
@@ -20,7 +21,7 @@
     TargetReply,
     request_digest,
 )
-from goldcrestyard.core.ids import EventNumber, TargetId
+from goldcrestyard.core.ids import EventNumber, ServiceName, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
@@ -36,6 +37,7 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.serving import pick_service
+from goldcrestyard.policy.stream_origins import StreamOrigin
 
 logger = structlog.get_logger(__name__)
 
@@ -73,6 +75,20 @@
     head_sent: bool = False
     last_event: EventNumber | None = None
     """Number of the last event sent to the caller."""
+    origin: StreamOrigin | None = None
+    """What wrote the first event sent to the caller."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Silence:
+    """Time in seconds without an event after which an attempt ends.
+
+    None means that the stream cannot go on elsewhere.  A slow one is better
+    than none: it may be silent until the deadline.
+    """
+
+    before_first: float | None
+    after_first: float | None
 
 
 class StreamRunner:
@@ -114,17 +130,25 @@
             and watched.refusal() is None
             and self._admission.is_still_authorised(admitted)
         ):
-            target = self._router.choose(service, tried)
+            target = self._router.choose(service, tried, origin=stream.origin)
             if target is None:
                 break
             tried.add(target.id)
-            may_resume = (
-                admitted.route.repeatable
-                and sent + 1 < admitted.route.max_attempts
-                and self._router.choose(service, tried) is not None
+            may_repeat = (
+                admitted.route.repeatable and sent + 1 < admitted.route.max_attempts
+            )
+            origin = StreamOrigin(service, target.software)
+            silence = _Silence(
+                self._silence_seconds(admitted, service, tried, stream.origin),
+                self._silence_seconds(admitted, service, tried, origin),
             )
             outcome = await self._attempt(
-                admitted, target, stream, sink, may_resume=may_resume
+                admitted,
+                target,
+                origin,
+                stream,
+                sink,
+                silence if may_repeat else _Silence(None, None),
             )
             if isinstance(outcome, StreamEnd):
                 if stream.last_event is not None:
@@ -138,6 +162,8 @@
             may_have_run = overall_verdict(failures) is not Verdict.NOT_RUN
             if may_have_run and not admitted.route.repeatable:
                 break
+            if stream.origin is not None and self._router.software_changed(target):
+                break
         if stream.head_sent:
             return StreamEnd.CUT
         return _refusal(failures)
@@ -146,16 +172,16 @@
         self,
         admitted: AdmittedRequest,
         target: Target,
+        origin: StreamOrigin,
         stream: _StreamState,
         sink: StreamSink,
-        *,
-        may_resume: bool,
+        silence: _Silence,
     ) -> StreamEnd | AttemptFailure:
         request = admitted.request
         call = admitted.to_call(stream.last_event)
         began = self._clock.monotonic()
         seconds_left = admitted.deadline - began
-        silence_seconds = _silence_seconds(admitted) if may_resume else None
+        silence_seconds = silence.before_first
         outcome: StreamEnd | AttemptFailure
         with self._router.call_in_flight(target) as statistics:
             async with AsyncExitStack() as stack:
@@ -173,7 +199,7 @@
                     outcome = await self._relay_error(reply, stream, sink)
                 else:
                     outcome = await self._relay_events(
-                        admitted, reply, stream, sink, silence_seconds
+                        admitted, reply, origin, stream, sink, silence
                     )
             if outcome is StreamEnd.WHOLE:
                 now = self._clock.monotonic()
@@ -212,17 +238,17 @@
         self,
         admitted: AdmittedRequest,
         reply: TargetReply,
+        origin: StreamOrigin,
         stream: _StreamState,
         sink: StreamSink,
-        silence_seconds: float | None,
+        silence: _Silence,
     ) -> StreamEnd | AttemptFailure:
-        """Relay events until the end or a silence.
-
-        Without ``silence_seconds`` the stream cannot go on elsewhere, and a
-        slow one is better than none: it may be silent until the deadline.
-        """
+        """Relay events until the end or a silence."""
         events = reply.events()
         while True:
+            silence_seconds = (
+                silence.before_first if stream.origin is None else silence.after_first
+            )
             seconds_left = admitted.deadline - self._clock.monotonic()
             event = await next_event_within(
                 seconds_left if silence_seconds is None else silence_seconds, events
@@ -240,12 +266,22 @@
                 )
                 await sink.begin(reply.status, reply.headers)
             stream.last_event = event.number
+            if stream.origin is None:
+                stream.origin = origin
             await sink.write(event.raw)
 
-
-def _silence_seconds(admitted: AdmittedRequest) -> float:
-    objective = admitted.route.objective_seconds or 0.0
-    return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
+    def _silence_seconds(
+        self,
+        admitted: AdmittedRequest,
+        service: ServiceName,
+        tried: set[TargetId],
+        origin: StreamOrigin | None,
+    ) -> float | None:
+        """Return the longest silence; None if no other target can go on."""
+        if self._router.choose(service, tried, origin=origin) is None:
+            return None
+        objective = admitted.route.objective_seconds or 0.0
+        return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
 
 
 def _refusal(failures: list[AttemptFailure]) -> Refusal:
--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -66,6 +66,8 @@
     events_sent: Counter[str] = field(default_factory=Counter)
     """The number of events sent in all runs of a request, by its id."""
     draining: bool = False
+    software: str = "v1"
+    """Version of its software, which shows in the text that it generates."""
 
     def __post_init__(self) -> None:
         self.address = ""
@@ -142,7 +144,7 @@
             "service": self.service,
             "addr": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": "draining" if self.draining else "ready",
             "cold_left_ms": 0,
@@ -238,7 +240,10 @@
         await response.prepare(request)
         for number in range(last + 1, self.events + 1):
             await asyncio.sleep(self.event_seconds)
-            await response.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+            text = f"piece {number}"
+            if self.software != "v1":
+                text = f"{self.software} {text}"
+            await response.write(f"id: {number}\ndata: {text}\n\n".encode())
             self.events_sent[request.headers.get(REQUEST_ID_HEADER, "")] += 1
         await response.write_eof()
         return response
--- a/tests/fakes/targets.py
+++ b/tests/fakes/targets.py
@@ -16,6 +16,7 @@
     DataCentre,
     EventNumber,
     Region,
+    SoftwareVersion,
     TargetId,
     WeightVersion,
 )
@@ -162,7 +163,10 @@
 
 
 def target(
-    name: str, service: str = "quotes", kind: TargetKind = TargetKind.SERVICE
+    name: str,
+    service: str = "quotes",
+    kind: TargetKind = TargetKind.SERVICE,
+    software: str = "v1",
 ) -> Target:
     """Return a target in data centre ``dc`` of region ``r``."""
     return Target(
@@ -174,4 +178,5 @@
         (service,),
         max_concurrency=6,
         incarnation="1000",
+        software=SoftwareVersion(software),
     )
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -14,6 +14,7 @@
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
+from tests.fakes.announcements import announce
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
 from tests.fakes.serving import entry_view, request, request_guard
@@ -55,9 +56,12 @@
     asked: int
     seconds: float | None = None
     """The caller's deadline; None for that of the route."""
+    software: tuple[str, ...] = ("v1",) * 4
+    """Software version of each of the targets ``a`` to ``d``."""
 
 
 WHOLE, STREAM_CUT = StreamEnd.WHOLE, StreamEnd.CUT
+ALL_DIFFER = ("v1", "v2", "v3", "v4")
 
 CASES = [
     Case("whole", "/stream/", (Streams(3),), WHOLE, 3, 1),
@@ -120,6 +124,53 @@
         1,
         3,
     ),
+    Case(
+        "resumed_at_the_same_version",
+        "/resumed/",
+        (Streams(4, breaks_after=2), Streams(4)),
+        WHOLE,
+        4,
+        2,
+        software=("v1", "v2", "v1", "v2"),
+    ),
+    Case(
+        "no_target_of_its_version_left",
+        "/resumed/",
+        (Streams(4, breaks_after=2), Streams(4)),
+        STREAM_CUT,
+        2,
+        1,
+        software=ALL_DIFFER,
+    ),
+    Case(
+        "unknown_version_may_be_another",
+        "/resumed/",
+        (Streams(4, breaks_after=2), Streams(4)),
+        STREAM_CUT,
+        2,
+        1,
+        software=("",) * 4,
+    ),
+    Case(
+        "no_event_binds_to_no_version",
+        "/resumed/",
+        (Hangs(), Streams(4)),
+        WHOLE,
+        4,
+        2,
+        30.0,
+        software=ALL_DIFFER,
+    ),
+    Case(
+        "slow_and_no_target_of_its_version",
+        "/resumed/",
+        (Streams(4, event_seconds=0.3, slows_after=1), Streams(4)),
+        WHOLE,
+        4,
+        1,
+        30.0,
+        software=ALL_DIFFER,
+    ),
 ]
 
 
@@ -130,7 +181,11 @@
     async def test_stream(self, _: str, case: Case) -> None:
         quiet_logs(self)
         clock = self.clock()
-        view = entry_view(clock, ("a", "b", "c", "d"))
+        view = entry_view(clock, ())
+        software_by_name = dict(zip("abcd", case.software, strict=True))
+        for name, software in software_by_name.items():
+            announced = target(name, software=software)
+            announce(view.machine.get(TargetsSlice), announced)
         shared = list(case.behaviours)
         client = FakeTargetClient(dict.fromkeys("abcd", shared))
         admission = Admission(view, clock)
@@ -164,3 +219,7 @@
         self.assertEqual(sink.head_count, int(case.events > 0))
         self.assertEqual(len(client.calls), case.asked)
         self.assertEqual(client.open_calls, 0)
+        resumed = [name for name, call in client.calls if call.resume_after]
+        if resumed:
+            versions = {software_by_name[name] for name, _ in client.calls}
+            self.assertEqual(len(versions), 1)
