--- a/goldcrestyard/plugins/targets/commands.py
+++ b/goldcrestyard/plugins/targets/commands.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from goldcrestyard.core.ids import InstanceId, TargetId
+from goldcrestyard.core.ids import InstanceId, SoftwareVersion, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetState
 
@@ -69,6 +69,16 @@
     draining: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LeftSoftware:
+    """When the latest target with a software version left a service."""
+
+    service: str
+    software: SoftwareVersion
+    at: float
+    """Unix time in seconds."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetsSnapshot:
     """Snapshot of the targets slice."""
@@ -76,3 +86,7 @@
     targets: tuple[HomedTarget, ...]
     removed: tuple[RemovedTarget, ...] = ()
     departed_at_by_id: dict[TargetId, float] = field(default_factory=dict)
+    left_software: tuple[LeftSoftware, ...] = ()
+    software_known_since: float | None = None
+    """Unix time since which departures of software versions are recorded; None
+    in the snapshot of a release that does not record them."""
--- a/goldcrestyard/plugins/targets/slices.py
+++ b/goldcrestyard/plugins/targets/slices.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import replace
 
-from goldcrestyard.core.ids import InstanceId, TargetId
+from goldcrestyard.core.ids import InstanceId, SoftwareVersion, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import RefusalReason
 from goldcrestyard.core.states import TargetKind, TargetState
@@ -16,6 +16,7 @@
     RemoveTarget,
     TargetsSnapshot,
 )
+from goldcrestyard.plugins.targets.software import LeftVersions
 from goldcrestyard.policy.target_states import TargetEvent, next_state
 from goldcrestyard.state.commands import (
     Accepted,
@@ -59,6 +60,9 @@
         )
         # Unix times at which targets have left whose run was not recorded.
         self._departed_at_by_id: dict[TargetId, float] = {}
+        self._left_versions = LeftVersions()
+        self.latest_time = 0.0
+        """Unix time of the latest command that this process has applied."""
 
     def find(self, target_id: TargetId) -> Target | None:
         """Return a target, or None if it is unknown or removed."""
@@ -98,6 +102,23 @@
                 self._serving_by_name[name] = known
         return known
 
+    def software_since(
+        self, service: str, time: float
+    ) -> frozenset[SoftwareVersion] | None:
+        """Return the software versions of a service's targets since a time.
+
+        ``time`` is Unix time in seconds.  Returns None if it lies before the
+        time since which departures are recorded.
+        """
+        left = self._left_versions.since(service, time)
+        if left is None:
+            return None
+        return left | {
+            homed.target.software
+            for homed in self.homed_by_id.values()
+            if service in homed.target.serves
+        }
+
     def model_names(self) -> tuple[str, ...]:
         """Return the sorted names of the models that an engine serves."""
         if self._model_names is None:
@@ -110,15 +131,23 @@
             self._model_names = tuple(sorted(names))
         return self._model_names
 
+    def observe(
+        self, command: Command, outcome: Outcome, context: CommandContext
+    ) -> None:
+        """Note the time, which is a lower bound of the present one."""
+        self.latest_time = max(self.latest_time, context.time)
+
     def apply(self, command: Command, context: CommandContext) -> Outcome:
         """Apply one committed command."""
+        if self._left_versions.known_since is None:
+            self._left_versions.known_since = context.time
         match command:
             case AnnounceTarget():
                 return self._announce(command, context.time)
             case DrainTarget(id=target_id, incarnation=incarnation):
-                return self._drain(target_id, incarnation)
+                return self._drain(target_id, incarnation, context.time)
             case RemoveTarget():
-                return self._remove(command)
+                return self._remove(command, context.time)
             case LeaveTarget(id=target_id):
                 return self._leave(target_id, context.time)
         raise TypeError(f"unexpected command {command!r}")
@@ -142,18 +171,18 @@
             detail = f"this run of target {target.id} has left"
             return Rejected(RefusalReason.CONFLICT, detail)
         self._removed_by_run.pop((target.id, target.incarnation), None)
-        self._put(HomedTarget(replace(target, state=state), home))
+        self._put(HomedTarget(replace(target, state=state), home), time)
         return Accepted()
 
-    def _drain(self, target_id: TargetId, incarnation: str) -> Outcome:
+    def _drain(self, target_id: TargetId, incarnation: str, time: float) -> Outcome:
         known = self._find_run(target_id, incarnation)
         state = next_state(known.target.state, TargetEvent.DRAIN) if known else None
         if known is None or state is None:
             return Rejected(RefusalReason.NOT_FOUND, f"no target {target_id}")
-        self._put(HomedTarget(replace(known.target, state=state), known.home))
+        self._put(HomedTarget(replace(known.target, state=state), known.home), time)
         return Accepted()
 
-    def _remove(self, command: RemoveTarget) -> Outcome:
+    def _remove(self, command: RemoveTarget, time: float) -> Outcome:
         known = self._find_run(command.id, command.incarnation)
         if known is None:
             return self._remove_lost_run(command)
@@ -164,6 +193,7 @@
         if state is None:
             return Rejected(RefusalReason.NOT_FOUND, f"no target {command.id}")
         del self.homed_by_id[command.id]
+        self._left_versions.note(known.target, time)
         self._clear_caches()
         self._remove_from_home(known)
         draining = known.target.state is TargetState.DRAINING
@@ -177,7 +207,8 @@
         known = self.homed_by_id.get(target_id)
         if known is not None:
             run = known.target
-            return self._remove(RemoveTarget(run.id, run.incarnation, TargetState.LEFT))
+            command = RemoveTarget(run.id, run.incarnation, TargetState.LEFT)
+            return self._remove(command, time)
         for removed in list(self._removed_by_run.values()):
             if removed.id == target_id and removed.state is TargetState.LOST:
                 self._record_removed_run(replace(removed, state=TargetState.LEFT))
@@ -221,10 +252,13 @@
             return None
         return known
 
-    def _put(self, homed: HomedTarget) -> None:
+    def _put(self, homed: HomedTarget, time: float) -> None:
         known = self.homed_by_id.get(homed.target.id)
         if known is not None:
             self._remove_from_home(known)
+            before, after = known.target, homed.target
+            if (before.software, before.serves) != (after.software, after.serves):
+                self._left_versions.note(before, time)
             if known.target.incarnation != homed.target.incarnation:
                 # The target has restarted, so its earlier run has ended.
                 run = known.target
@@ -256,6 +290,8 @@
             tuple(self.homed_by_id.values()),
             tuple(self._removed_by_run.values()),
             dict(self._departed_at_by_id),
+            self._left_versions.to_snapshot(),
+            self._left_versions.known_since,
         )
 
     def load_snapshot(self, snapshot: TargetsSnapshot) -> None:
@@ -264,7 +300,10 @@
         self.ids_by_home = {}
         self._clear_caches()
         for homed in snapshot.targets:
-            self._put(homed)
+            self._put(homed, 0.0)
+        self._left_versions = LeftVersions(
+            snapshot.left_software, snapshot.software_known_since
+        )
         self._removed_by_run = OrderedDict(
             ((removed.id, removed.incarnation), removed) for removed in snapshot.removed
         )
--- a/tests/plugins/targets/test_slices.py
+++ b/tests/plugins/targets/test_slices.py
@@ -7,16 +7,18 @@
 import unittest
 from collections.abc import Sequence
 from dataclasses import dataclass
+from unittest.mock import patch
 
 from parameterized import parameterized
 
 from goldcrestyard.core.ids import TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetKind, TargetState
-from goldcrestyard.plugins.targets import slices
+from goldcrestyard.plugins.targets import slices, software
 from goldcrestyard.plugins.targets.commands import (
     AnnounceTarget,
     DrainTarget,
+    LeaveTarget,
     RemoveTarget,
     TargetsSnapshot,
 )
@@ -124,3 +126,69 @@
             apply(machine, announce(run=f"i{number}"))
         snapshot = machine.get(TargetsSlice).to_snapshot()
         self.assertEqual(len(snapshot.removed), slices.MAX_REMOVED_RUNS)
+
+
+class SoftwareTests(unittest.TestCase):
+    """Guards against a version forgotten while its streams may go on."""
+
+    def _target(self, name: str, software: str, run: str = "i1") -> AnnounceTarget:
+        announced = Target(
+            name,
+            TargetKind.SERVICE,
+            "h:1",
+            "a",
+            "r",
+            ("s",),
+            incarnation=run,
+            software=software,
+        )
+        return AnnounceTarget(announced, "e1")
+
+    @parameterized.expand(
+        [
+            ("serves", (), {"v1"}),
+            ("drains", (DrainTarget("a", "i1"),), {"v1"}),
+            ("left", (RemoveTarget("a", "i1", LEFT),), {"v1"}),
+            ("left_unannounced", (LeaveTarget("a"),), {"v1"}),
+            ("started_again", ("v2",), {"v1", "v2"}),
+            ("moved", ("v1",), {"v1"}),
+        ]
+    )
+    def test_versions(self, _: str, changes, expected) -> None:
+        machine = machine_of(TargetsSlice)
+        apply(machine, self._target("a", "v1"), time=100.0)
+        for change in changes:
+            if isinstance(change, str):
+                change = self._target("a", change, run="i2")
+            apply(machine, change, time=200.0)
+        targets = machine.get(TargetsSlice)
+        codec = Codec()
+        codec.register(TargetsSnapshot)
+        snapshot = codec.decode(codec.encode(targets.to_snapshot()))
+        again = TargetsSlice()
+        again.load_snapshot(snapshot)
+        for slice_ in (targets, again):
+            self.assertEqual(slice_.software_since("s", 150.0), expected)
+            present = {homed.target.software for homed in slice_.homed_by_id.values()}
+            self.assertEqual(slice_.software_since("s", 250.0), present)
+
+    def test_snapshot_of_a_former_release(self) -> None:
+        """What left before is not known, so nothing may be concluded."""
+        machine = machine_of(TargetsSlice)
+        targets = machine.get(TargetsSlice)
+        targets.load_snapshot(TargetsSnapshot(()))
+        self.assertIsNone(targets.software_since("s", 50.0))
+        apply(machine, self._target("a", "v1"), time=100.0)
+        self.assertIsNone(targets.software_since("s", 99.0))
+        self.assertEqual(targets.software_since("s", 100.0), {"v1"})
+
+    def test_bound(self) -> None:
+        """Beyond the bound the record counts as new."""
+        machine = machine_of(TargetsSlice)
+        self.enterContext(patch.object(software, "MAX_LEFT", 2))
+        for number in range(3):
+            apply(machine, self._target("a", f"v{number}", f"i{number}"), time=100.0)
+        targets = machine.get(TargetsSlice)
+        self.assertIsNotNone(targets.software_since("s", 50.0))
+        apply(machine, self._target("a", "v3", "i3"), time=101.0)
+        self.assertIsNone(targets.software_since("s", 100.5))
