--- a/goldcrestyard/core/calls.py
+++ b/goldcrestyard/core/calls.py
@@ -6,7 +6,7 @@
 
 import hashlib
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from typing import Protocol
@@ -18,13 +18,16 @@
     OrganisationId,
     RequestDigest,
     RequestId,
+    StreamDigest,
     WeightVersion,
 )
 from goldcrestyard.core.records import Target
+from goldcrestyard.core.serving import ServingRoute
 
 Headers = tuple[tuple[str, str], ...]
 
 REQUEST_DIGEST_BYTES = 16
+STREAM_DIGEST_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,13 +56,31 @@
     attempt to attempt.
     """
     digest = hashlib.blake2b(digest_size=REQUEST_DIGEST_BYTES)
-    for part in (call.organisation or "", call.method, call.host, call.path_and_query):
-        # Lengths keep the parts apart.
+    parts = (call.organisation or "", call.method, call.host, call.path_and_query)
+    _update(digest, parts)
+    digest.update(call.body)
+    return RequestDigest(digest.digest())
+
+
+def stream_digest(
+    organisation: OrganisationId | None, route: ServingRoute, attempt: RequestId
+) -> StreamDigest:
+    """Return the digest by which a stream is recognised when it is taken up.
+
+    It covers the organisation and the route, so that the id of another one's
+    stream finds nothing.
+    """
+    digest = hashlib.blake2b(digest_size=STREAM_DIGEST_BYTES)
+    _update(digest, (organisation or "", route.host, route.prefix, attempt))
+    return StreamDigest(digest.digest())
+
+
+def _update(digest: hashlib.blake2b, parts: Iterable[str]) -> None:
+    """Add texts to a digest; their lengths keep them apart."""
+    for part in parts:
         encoded = bytes_of(part)
         digest.update(len(encoded).to_bytes(8))
         digest.update(encoded)
-    digest.update(call.body)
-    return RequestDigest(digest.digest())
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/core/ids.py
+++ b/goldcrestyard/core/ids.py
@@ -58,6 +58,8 @@
 """Position of an event in the stream of one request, counted from 1."""
 RequestDigest = NewType("RequestDigest", bytes)
 """Digest by which a request is recognised when it comes again."""
+StreamDigest = NewType("StreamDigest", bytes)
+"""Digest by which a stream is recognised when its caller takes it up."""
 
 OrderId = NewType("OrderId", str)
 PlanNumber = NewType("PlanNumber", int)
--- a/goldcrestyard/core/refusals.py
+++ b/goldcrestyard/core/refusals.py
@@ -29,6 +29,7 @@
     STALE_PLAN = "stale_plan"
     TARGET_FAILED = "target_failed"
     TARGETS_CRASHED = "targets_crashed"
+    UNKNOWN_ORIGIN = "unknown_origin"
     UNKNOWN_MODEL = "model_not_found"
     UNKNOWN_OUTCOME = "unknown_outcome"
 
--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -10,6 +10,7 @@
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.view import EntryView
+from goldcrestyard.policy.stream_origins import TakeUp
 
 RETRY_AFTER_SECONDS = 0.3
 """Value of the Retry-After header of refused requests.  Targets report free
@@ -42,6 +43,15 @@
     """API key, None if the request has none."""
     seconds_left: float | None
     """Time limit stated by the caller, None if it states none."""
+    takes_up: TakeUp | None = None
+    """The stream that the caller takes up; None if this is a new request."""
+
+    @property
+    def first_attempt(self) -> RequestId:
+        """The attempt by whose id a stream of this request is recorded."""
+        if self.takes_up is None:
+            return self.id
+        return self.takes_up.first or RequestId("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -9,6 +9,7 @@
 from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.metering.meter import UsageMeter
+from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
@@ -28,6 +29,7 @@
         "metering",
         "request_limits",
         "serving",
+        "stream_resumption",
         "target_client",
         "tracking",
     )
@@ -56,5 +58,13 @@
         )
         app.provide(
             StreamRunner,
-            StreamRunner(admission, router, client, guard, meter, app.clock),
+            StreamRunner(
+                admission,
+                router,
+                client,
+                guard,
+                meter,
+                app.clock,
+                origins=app.get(StreamOrigins),
+            ),
         )
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -21,11 +21,11 @@
     TargetReply,
     request_digest,
 )
-from goldcrestyard.core.ids import EventNumber, ServiceName, TargetId
+from goldcrestyard.core.ids import EventNumber, ServiceName, SoftwareVersion, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
-from goldcrestyard.fleet.crashes.guard import RequestGuard
+from goldcrestyard.fleet.crashes.guard import RequestGuard, WatchedRequest
 from goldcrestyard.fleet.gateway.admission import (
     RETRY_AFTER_SECONDS,
     Admission,
@@ -34,10 +34,18 @@
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.reply_timeouts import next_event_within, open_reply_within
+from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.serving import pick_service
-from goldcrestyard.policy.stream_origins import StreamOrigin
+from goldcrestyard.policy.stream_origins import (
+    KnownOrigin,
+    OnlyVersion,
+    OriginDecision,
+    StreamOrigin,
+    TakeUp,
+    UnknownOrigin,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -50,6 +58,15 @@
 callers wait as long."""
 
 
+CANNOT_GO_ON = Refusal(
+    RefusalReason.UNKNOWN_ORIGIN,
+    "it is not known what began this stream, so it cannot go on",
+    retry_after_seconds=RETRY_AFTER_SECONDS,
+)
+"""The same for all causes, so that it tells nothing of another organisation's
+streams."""
+
+
 class StreamSink(Protocol):
     """The caller's connection, to which a stream is written."""
 
@@ -76,7 +93,9 @@
     last_event: EventNumber | None = None
     """Number of the last event sent to the caller."""
     origin: StreamOrigin | None = None
-    """What wrote the first event sent to the caller."""
+    """What wrote the first event that the caller has."""
+    relayed: bool = False
+    """Whether an event was sent to the caller in this answer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +122,9 @@
         meter: UsageMeter,
         clock: Clock,
         random_source: random.Random | None = None,
+        origins: StreamOrigins | None = None,
     ) -> None:
+        """Create a runner; without ``origins`` no stream can be taken up."""
         self._admission = admission
         self._router = router
         self._client = client
@@ -111,6 +132,7 @@
         self._meter = meter
         self._clock = clock
         self._random = random_source or random.Random()
+        self._origins = origins
 
     async def run(
         self, admitted: AdmittedRequest, sink: StreamSink
@@ -120,8 +142,29 @@
         rejected = watched.refusal()
         if rejected is not None:
             return rejected
-        service = pick_service(admitted.route, self._random)
         stream = _StreamState()
+        take_up = admitted.request.takes_up
+        if take_up is not None:
+            match await self._find_origin(admitted, take_up):
+                case KnownOrigin(origin=origin) | OnlyVersion(origin=origin):
+                    stream = _StreamState(last_event=take_up.after, origin=origin)
+                case UnknownOrigin():
+                    return CANNOT_GO_ON
+        return await self._relay(admitted, stream, watched, sink)
+
+    async def _relay(
+        self,
+        admitted: AdmittedRequest,
+        stream: _StreamState,
+        watched: WatchedRequest,
+        sink: StreamSink,
+    ) -> StreamEnd | Refusal:
+        """Attempt a stream at one target after another."""
+        service = (
+            pick_service(admitted.route, self._random)
+            if stream.origin is None
+            else stream.origin.service
+        )
         tried: set[TargetId] = set()
         failures: list[AttemptFailure] = []
         sent = 0
@@ -151,7 +194,7 @@
                 silence if may_repeat else _Silence(None, None),
             )
             if isinstance(outcome, StreamEnd):
-                if stream.last_event is not None:
+                if stream.relayed:
                     watched.note_answer()
                 return outcome
             if isinstance(outcome, Broken):
@@ -199,7 +242,7 @@
                     outcome = await self._relay_error(reply, stream, sink)
                 else:
                     outcome = await self._relay_events(
-                        admitted, reply, origin, stream, sink, silence
+                        admitted, reply, target, origin, stream, sink, silence
                     )
             if outcome is StreamEnd.WHOLE:
                 now = self._clock.monotonic()
@@ -238,6 +281,7 @@
         self,
         admitted: AdmittedRequest,
         reply: TargetReply,
+        target: Target,
         origin: StreamOrigin,
         stream: _StreamState,
         sink: StreamSink,
@@ -254,6 +298,9 @@
                 seconds_left if silence_seconds is None else silence_seconds, events
             )
             if event is None:
+                if not stream.head_sent:
+                    stream.head_sent = True
+                    await sink.begin(reply.status, reply.headers)
                 return StreamEnd.WHOLE
             if isinstance(event, Broken):
                 return event
@@ -268,7 +315,41 @@
             stream.last_event = event.number
             if stream.origin is None:
                 stream.origin = origin
-            await sink.write(event.raw)
+            try:
+                await sink.write(event.raw)
+            finally:
+                # A caller may have the event though its connection has failed.
+                if not stream.relayed:
+                    stream.relayed = True
+                    self._note_origin(admitted, target, stream.origin)
+
+    async def _find_origin(
+        self, admitted: AdmittedRequest, take_up: TakeUp
+    ) -> OriginDecision:
+        if self._origins is None:
+            return UnknownOrigin()
+        return await self._origins.find(
+            admitted.route, admitted.organisation, admitted.request.id, take_up
+        )
+
+    def _note_origin(
+        self, admitted: AdmittedRequest, target: Target, origin: StreamOrigin
+    ) -> None:
+        """Record the origin once an event has been sent to the caller.
+
+        If the target has started again meanwhile with other software, either
+        run may have written the event.
+        """
+        if self._origins is None or not admitted.route.resumable:
+            return
+        if self._router.software_changed(target):
+            origin = StreamOrigin(origin.service, SoftwareVersion(""))
+        self._origins.note(
+            admitted.route,
+            admitted.organisation,
+            admitted.request.first_attempt,
+            origin,
+        )
 
     def _silence_seconds(
         self,
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -43,6 +43,15 @@
             ANSWER_SECONDS_BUCKETS,
             ("route_kind",),
         )
+        self.take_ups = self._counter(
+            "stream_take_ups",
+            "Streams that callers took up, by what is known of their origin.",
+            ("decision",),
+        )
+        self.recorded_streams = self._gauge(
+            "recorded_streams",
+            "Streams whose software version this control member has recorded.",
+        )
         self.item_runs = self._counter(
             "item_runs", "Runs of items at engines, by how they ended.", ("outcome",)
         )
--- /dev/null
+++ b/goldcrestyard/fleet/resumption/__init__.py
@@ -0,0 +1,1 @@
+"""Records of the software version that began each resumable stream."""
--- a/goldcrestyard/platform/callers/requests.py
+++ b/goldcrestyard/platform/callers/requests.py
@@ -2,17 +2,20 @@
 
 from aiohttp import hdrs, web
 
-from goldcrestyard.core.decoding import is_header, parse_decimal
-from goldcrestyard.core.ids import RequestId
+from goldcrestyard.core.decoding import is_header, parse_count, parse_decimal
+from goldcrestyard.core.ids import EventNumber, RequestId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.gateway.admission import CallerRequest
 from goldcrestyard.platform.hop_headers import end_to_end
 from goldcrestyard.platform.names import (
     DEADLINE_HEADER,
+    LAST_EVENT_HEADER,
     ORGANISATION_HEADER,
     REQUEST_ID_HEADER,
+    RESUMES_HEADER,
     TARGET_ID_HEADER,
 )
+from goldcrestyard.policy.stream_origins import TakeUp
 
 _RESERVED_HEADERS = frozenset(
     name.lower()
@@ -51,6 +54,23 @@
         body,
         key_of(request),
         seconds_left(request),
+        take_up_of(request),
+    )
+
+
+def take_up_of(request: web.BaseRequest) -> TakeUp | None:
+    """Return the stream that a caller takes up; None for a new request.
+
+    A header that stands there more than once names nothing.
+    """
+    last_events = request.headers.getall(LAST_EVENT_HEADER, [])
+    attempts = request.headers.getall(RESUMES_HEADER, [])
+    if not last_events and not attempts:
+        return None
+    last_event = parse_count(last_events[0]) if len(last_events) == 1 else None
+    return TakeUp(
+        RequestId(attempts[0]) if len(attempts) == 1 and attempts[0] else None,
+        None if last_event is None else EventNumber(last_event),
     )
 
 
--- a/goldcrestyard/platform/names.py
+++ b/goldcrestyard/platform/names.py
@@ -23,6 +23,9 @@
 DUTY_HOLDER_HEADER = _HEADER_PREFIX + "Duty-Holder"
 FENCE_HEADER = _HEADER_PREFIX + "Fence-Token"
 LAST_EVENT_HEADER = "Last-Event-Id"
+RESUMES_HEADER = "Resumes"
+"""Header with the id of the caller's attempt that brought the first event of
+the stream that the caller takes up."""
 REQUEST_LIMIT_HEADER = "Server-Limit"
 """Header with the requests per second that a target in need accepts from all
 machines together."""
--- /dev/null
+++ b/tests/fleet/test_resumption.py
@@ -0,0 +1,251 @@
+"""Tests of the records of the software versions that began streams."""
+
+import asyncio
+from dataclasses import dataclass, replace
+from unittest.mock import patch
+
+from parameterized import parameterized
+from prometheus_client import CollectorRegistry
+
+from goldcrestyard.core.ids import (
+    EventNumber,
+    OrganisationId,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+    StreamDigest,
+)
+from goldcrestyard.core.serving import RouteKind, WeightedService
+from goldcrestyard.core.states import TargetState
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
+from goldcrestyard.fleet.resumption import slices
+from goldcrestyard.fleet.resumption.commands import (
+    KeepOrigins,
+    OriginGroup,
+    OriginsSnapshot,
+    to_groups,
+)
+from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
+from goldcrestyard.fleet.resumption.leader_side import OriginKeeper
+from goldcrestyard.fleet.resumption.slices import StreamOriginsSlice
+from goldcrestyard.plugins.targets.commands import AnnounceTarget, RemoveTarget
+from goldcrestyard.policy.stream_origins import (
+    TAKE_UP_SECONDS,
+    KnownOrigin,
+    OnlyVersion,
+    StreamOrigin,
+    TakeUp,
+    UnknownOrigin,
+)
+from goldcrestyard.wire.codec import Codec
+from goldcrestyard.wire.connection import Handlers
+from tests.fakes.member import FakeMember, apply, machine_of
+from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+from tests.fakes.serving import entry_view, route
+from tests.fakes.targets import target
+from tests.fleet.test_limits import LeaderStub
+
+ROUTE = route(RouteKind.STREAMING, "/talk/", resumable=True)
+OTHER_ROUTE = replace(ROUTE, prefix="/other/")
+SPLIT = replace(
+    ROUTE, services=(*ROUTE.services, WeightedService(ServiceName("rest"), 1.0))
+)
+V1, V2 = (
+    StreamOrigin(ServiceName("quotes"), SoftwareVersion(version))
+    for version in ("v1", "v2")
+)
+TEJO, LIS = OrganisationId("tejo"), OrganisationId("lis")
+FIRST, EVENT = RequestId("first"), EventNumber(5)
+
+
+@dataclass(frozen=True)
+class Case:
+    """A take-up of a stream that ``tejo`` began on ``ROUTE`` at version 1."""
+
+    name: str
+    expected: object
+    software: tuple[str, ...] = ("v1", "v2")
+    asker: str = "other"
+    """The entry that is asked: the one that served it, or another one."""
+    organisation: OrganisationId | None = TEJO
+    route: object = ROUTE
+    take_up: TakeUp = TakeUp(FIRST, EVENT)
+    restart: bool = False
+    """Whether all entries and control members start again before."""
+    killed_after: float = 1.0
+    """Time in seconds after the first event at which the serving entry is
+    killed."""
+    leader: bool = True
+
+
+KNOWN, ONLY, UNKNOWN = KnownOrigin(V1), OnlyVersion(V1), UnknownOrigin()
+
+CASES = [
+    Case("own_stream", KNOWN, asker="served"),
+    Case("own_stream_without_leader", KNOWN, asker="served", leader=False),
+    Case("on_another_entry", KNOWN),
+    Case("all_started_again", KNOWN, restart=True),
+    Case("without_leader", UNKNOWN, leader=False),
+    Case("killed_inside_the_window", UNKNOWN, killed_after=0.0),
+    Case("foreign_organisation", UNKNOWN, organisation=LIS),
+    Case("no_organisation", UNKNOWN, organisation=None),
+    Case("foreign_route", UNKNOWN, route=OTHER_ROUTE),
+    Case("unknown_attempt", UNKNOWN, take_up=TakeUp(RequestId("x"), EVENT)),
+    Case("no_attempt", UNKNOWN, take_up=TakeUp(None, EVENT)),
+    Case("no_number", UNKNOWN, take_up=TakeUp(FIRST, None)),
+    Case("only_version", ONLY, ("v1",), take_up=TakeUp(None, EVENT)),
+    Case("only_version_killed", ONLY, ("v1",), killed_after=0.0),
+    Case("no_number_though_only", UNKNOWN, ("v1",), take_up=TakeUp(FIRST, None)),
+    Case(
+        "route_of_two_services",
+        UNKNOWN,
+        ("v1",),
+        route=SPLIT,
+        take_up=TakeUp(None, EVENT),
+    ),
+]
+
+
+class TakeUpTests(PausedClockTestCase):
+    """Guards against a version that is forgotten, or told to others."""
+
+    async def asyncSetUp(self) -> None:
+        quiet_logs(self)
+        self.member = FakeMember(machine_of(StreamOriginsSlice), self.clock())
+        self.member.commit_seconds = 0.01
+        self.keeper = OriginKeeper(self.member)  # type: ignore[arg-type]
+        handlers = Handlers()
+        self.keeper.register(handlers)
+        self.link = LeaderStub(handlers)
+        self._start(self.keeper.run())
+
+    def _start(self, work) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self.addCleanup(task.cancel)
+        return task
+
+    def _entry(self, software: tuple[str, ...] = ("v1", "v2")) -> StreamOrigins:
+        self.view = entry_view(self.clock(), ())
+        for number, version in enumerate(software):
+            self._announce(str(number), version)
+        return StreamOrigins(
+            self.view,
+            self.link,  # type: ignore[arg-type]
+            FleetMetrics(CollectorRegistry()),
+            self.clock(),
+        )
+
+    def _announce(self, name: str, version: str) -> None:
+        command = AnnounceTarget(target(name, software=version), "entry")
+        apply(self.view.machine, command, time=self.clock().wall())
+
+    async def _find(self, entry: StreamOrigins, case: Case) -> object:
+        return await entry.find(
+            case.route,  # type: ignore[arg-type]
+            case.organisation,
+            RequestId("second"),
+            case.take_up,
+        )
+
+    @parameterized.expand([(case.name, case) for case in CASES])
+    async def test_decision(self, _: str, case: Case) -> None:
+        served = self._entry(case.software)
+        sending = self._start(served.run())
+        served.note(ROUTE, TEJO, FIRST, V1)
+        await asyncio.sleep(case.killed_after)
+        sending.cancel()
+        if case.restart:
+            snapshot = self.member.machine.to_snapshots()
+            self.member.machine.load_snapshots(snapshot, 1, 1)
+        if not case.leader:
+            self.link.leader = None
+        asked = served if case.asker == "served" else self._entry(case.software)
+        self.assertEqual(await self._find(asked, case), case.expected)
+
+    async def test_record_on_its_way(self) -> None:
+        """The leader is asked again before a stream is refused."""
+        served, other = self._entry(), self._entry()
+        served.note(ROUTE, TEJO, FIRST, V1)
+        finding = asyncio.create_task(self._find(other, CASES[0]))
+        await asyncio.sleep(0.03)
+        self._start(served.run())
+        self.assertEqual(await finding, KNOWN)
+
+    async def test_sent_again_until_committed(self) -> None:
+        served, other = self._entry(), self._entry()
+        self.link.lost = True
+        self._start(served.run())
+        served.note(ROUTE, TEJO, FIRST, V1)
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.member.proposed, [])
+        self.link.lost = False
+        await asyncio.sleep(1.0)
+        self.assertEqual(await self._find(other, CASES[0]), KNOWN)
+
+    async def test_many_streams_share_commands(self) -> None:
+        """A hundred streams in a second of two entries are few log entries."""
+        entries = [self._entry(), self._entry()]
+        for entry in entries:
+            self._start(entry.run())
+        for number in range(100):
+            attempt = RequestId(f"a{number}")
+            entries[number % 2].note(ROUTE, TEJO, attempt, V1)
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+        kept = self.member.machine.get(StreamOriginsSlice)
+        self.assertEqual(kept.count(), 100)
+        self.assertLessEqual(len(self.member.proposed), 30)
+
+    async def test_version_that_left(self) -> None:
+        """It counts as long as callers may take its streams up."""
+        entry = self._entry()
+        case = replace(CASES[0], take_up=TakeUp(None, EVENT))
+        remove = RemoveTarget("1", "1000", TargetState.LEFT)
+        apply(self.view.machine, remove, time=self.clock().wall())
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+        await asyncio.sleep(TAKE_UP_SECONDS - 1)
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+        await asyncio.sleep(2)
+        self.assertEqual(await self._find(entry, case), ONLY)
+
+    async def test_entry_without_lease(self) -> None:
+        """Another version may serve that it has not heard of."""
+        entry = self._entry(("v1",))
+        case = replace(CASES[0], take_up=TakeUp(None, EVENT))
+        self.assertEqual(await self._find(entry, case), ONLY)
+        await asyncio.sleep(2000.0)
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+
+
+class SliceTests(PausedClockTestCase):
+    """Guards against records without bounds, or that a restart changes."""
+
+    def _stream(self, number: int) -> StreamDigest:
+        return StreamDigest(number.to_bytes(16))
+
+    async def test_bounds_and_snapshot(self) -> None:
+        machine = machine_of(StreamOriginsSlice)
+        kept = machine.get(StreamOriginsSlice)
+        self.enterContext(patch.object(slices, "MAX_STREAMS", 3))
+        for number in range(5):
+            command = KeepOrigins(to_groups([(self._stream(number), V1)]))
+            apply(machine, command, time=EPOCH + number)
+        apply(
+            machine,
+            KeepOrigins(to_groups([(self._stream(3), V2)])),
+            time=EPOCH + 5,
+        )
+        found = [kept.find(self._stream(number)) for number in range(5)]
+        ambiguous = StreamOrigin(V1.service, SoftwareVersion(""))
+        self.assertEqual(found, [None, None, V1, ambiguous, V1])
+        codec = Codec()
+        codec.register(OriginsSnapshot, OriginGroup)
+        again = machine_of(StreamOriginsSlice)
+        snapshot = codec.decode(codec.encode(kept.to_snapshot()))
+        again.get(StreamOriginsSlice).load_snapshot(snapshot)
+        self.assertEqual(
+            again.get(StreamOriginsSlice).to_snapshot(), kept.to_snapshot()
+        )
+        apply(machine, KeepOrigins(()), time=EPOCH + 5 + TAKE_UP_SECONDS + 1)
+        self.assertEqual(kept.count(), 0)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -15,13 +15,14 @@
 from goldcrestyard.core.refusals import Refusal
 from goldcrestyard.fleet.gateway.admission import CallerRequest
 from goldcrestyard.platform.callers.jobs import JobEndpoints, _wait_seconds
-from goldcrestyard.platform.callers.requests import decode, seconds_left
+from goldcrestyard.platform.callers.requests import decode, seconds_left, take_up_of
 from goldcrestyard.platform.names import (
     DEADLINE_HEADER,
     REQUEST_ID_HEADER,
     RESULTS_PATH,
     WAIT_HEADER,
 )
+from goldcrestyard.policy.stream_origins import TakeUp
 
 ODD = [
     ("superscript", "\u00b2"),
@@ -68,6 +69,32 @@
         self.assertEqual(isinstance(decode(request, b""), CallerRequest), expected)
 
 
+FIRST, EVENT = ("Resumes", "9c41"), ("Last-Event-Id", "5")
+
+
+class TakeUpTests(unittest.TestCase):
+    """Guards against a take-up whose doubtful headers name a stream."""
+
+    @parameterized.expand(
+        [
+            ("new_request", [], None),
+            ("take_up", [FIRST, EVENT], ("9c41", 5)),
+            ("no_attempt", [EVENT], (None, 5)),
+            ("empty_attempt", [("Resumes", ""), EVENT], (None, 5)),
+            ("attempt_twice", [FIRST, FIRST, EVENT], (None, 5)),
+            ("no_event", [FIRST], ("9c41", None)),
+            ("event_twice", [FIRST, EVENT, EVENT], ("9c41", None)),
+            ("no_number", [FIRST, ("Last-Event-Id", "5x")], ("9c41", None)),
+            ("negative", [FIRST, ("Last-Event-Id", "-5")], ("9c41", None)),
+            ("huge", [FIRST, ("Last-Event-Id", "9" * 400)], ("9c41", None)),
+        ]
+    )
+    def test_decoded(self, _: str, headers: Any, expected: Any) -> None:
+        request: Any = SimpleNamespace(headers=CIMultiDict(headers))
+        take_up = TakeUp(*expected) if expected is not None else None
+        self.assertEqual(take_up_of(request), take_up)
+
+
 class QueryTests(unittest.IsolatedAsyncioTestCase):
     """An odd position of a page is refused."""
 
