--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -1,7 +1,8 @@
 """Streamed answers: relay of a target's events to the caller.
 
-A stream that breaks off is resumed at another target after its last event,
-if its route allows; otherwise the caller can see that it is incomplete.
+A stream that breaks off is resumed after its last event at another target
+with the software version that wrote its first event, if its route allows;
+otherwise the caller can see that it is incomplete.
 """
 
 import random
@@ -20,11 +21,11 @@
     TargetReply,
     request_digest,
 )
-from goldcrestyard.core.ids import EventNumber, TargetId
+from goldcrestyard.core.ids import EventNumber, ServiceName, SoftwareVersion, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
-from goldcrestyard.fleet.crashes.guard import RequestGuard
+from goldcrestyard.fleet.crashes.guard import RequestGuard, WatchedRequest
 from goldcrestyard.fleet.gateway.admission import (
     RETRY_AFTER_SECONDS,
     Admission,
@@ -33,9 +34,18 @@
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.reply_timeouts import next_event_within, open_reply_within
+from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.serving import pick_service
+from goldcrestyard.policy.stream_origins import (
+    KnownOrigin,
+    OnlyVersion,
+    OriginDecision,
+    StreamOrigin,
+    TakeUp,
+    UnknownOrigin,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -48,6 +58,15 @@
 callers wait as long."""
 
 
+CANNOT_GO_ON = Refusal(
+    RefusalReason.UNKNOWN_ORIGIN,
+    "it is not known what began this stream, so it cannot go on",
+    retry_after_seconds=RETRY_AFTER_SECONDS,
+)
+"""The same for all causes, so that it tells nothing of another organisation's
+streams."""
+
+
 class StreamSink(Protocol):
     """The caller's connection, to which a stream is written."""
 
@@ -73,6 +92,22 @@
     head_sent: bool = False
     last_event: EventNumber | None = None
     """Number of the last event sent to the caller."""
+    origin: StreamOrigin | None = None
+    """What wrote the first event that the caller has."""
+    relayed: bool = False
+    """Whether an event was sent to the caller in this answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Silence:
+    """Time in seconds without an event after which an attempt ends.
+
+    None means that the stream cannot go on elsewhere.  A slow one is better
+    than none: it may be silent until the deadline.
+    """
+
+    before_first: float | None
+    after_first: float | None
 
 
 class StreamRunner:
@@ -87,7 +122,9 @@
         meter: UsageMeter,
         clock: Clock,
         random_source: random.Random | None = None,
+        origins: StreamOrigins | None = None,
     ) -> None:
+        """Create a runner; without ``origins`` no stream can be taken up."""
         self._admission = admission
         self._router = router
         self._client = client
@@ -95,6 +132,7 @@
         self._meter = meter
         self._clock = clock
         self._random = random_source or random.Random()
+        self._origins = origins
 
     async def run(
         self, admitted: AdmittedRequest, sink: StreamSink
@@ -104,8 +142,29 @@
         rejected = watched.refusal()
         if rejected is not None:
             return rejected
-        service = pick_service(admitted.route, self._random)
         stream = _StreamState()
+        take_up = admitted.request.takes_up
+        if take_up is not None:
+            match await self._find_origin(admitted, take_up):
+                case KnownOrigin(origin=origin) | OnlyVersion(origin=origin):
+                    stream = _StreamState(last_event=take_up.after, origin=origin)
+                case UnknownOrigin():
+                    return CANNOT_GO_ON
+        return await self._relay(admitted, stream, watched, sink)
+
+    async def _relay(
+        self,
+        admitted: AdmittedRequest,
+        stream: _StreamState,
+        watched: WatchedRequest,
+        sink: StreamSink,
+    ) -> StreamEnd | Refusal:
+        """Attempt a stream at one target after another."""
+        service = (
+            pick_service(admitted.route, self._random)
+            if stream.origin is None
+            else stream.origin.service
+        )
         tried: set[TargetId] = set()
         failures: list[AttemptFailure] = []
         sent = 0
@@ -114,20 +173,28 @@
             and watched.refusal() is None
             and self._admission.is_still_authorised(admitted)
         ):
-            target = self._router.choose(service, tried)
+            target = self._router.choose(service, tried, origin=stream.origin)
             if target is None:
                 break
             tried.add(target.id)
-            may_resume = (
-                admitted.route.repeatable
-                and sent + 1 < admitted.route.max_attempts
-                and self._router.choose(service, tried) is not None
+            may_repeat = (
+                admitted.route.repeatable and sent + 1 < admitted.route.max_attempts
+            )
+            origin = StreamOrigin(service, target.software)
+            silence = _Silence(
+                self._silence_seconds(admitted, service, tried, stream.origin),
+                self._silence_seconds(admitted, service, tried, origin),
             )
             outcome = await self._attempt(
-                admitted, target, stream, sink, may_resume=may_resume
+                admitted,
+                target,
+                origin,
+                stream,
+                sink,
+                silence if may_repeat else _Silence(None, None),
             )
             if isinstance(outcome, StreamEnd):
-                if stream.last_event is not None:
+                if stream.relayed:
                     watched.note_answer()
                 return outcome
             if isinstance(outcome, Broken):
@@ -138,6 +205,8 @@
             may_have_run = overall_verdict(failures) is not Verdict.NOT_RUN
             if may_have_run and not admitted.route.repeatable:
                 break
+            if stream.origin is not None and self._router.software_changed(target):
+                break
         if stream.head_sent:
             return StreamEnd.CUT
         return _refusal(failures)
@@ -146,16 +215,16 @@
         self,
         admitted: AdmittedRequest,
         target: Target,
+        origin: StreamOrigin,
         stream: _StreamState,
         sink: StreamSink,
-        *,
-        may_resume: bool,
+        silence: _Silence,
     ) -> StreamEnd | AttemptFailure:
         request = admitted.request
         call = admitted.to_call(stream.last_event)
         began = self._clock.monotonic()
         seconds_left = admitted.deadline - began
-        silence_seconds = _silence_seconds(admitted) if may_resume else None
+        silence_seconds = silence.before_first
         outcome: StreamEnd | AttemptFailure
         with self._router.call_in_flight(target) as statistics:
             async with AsyncExitStack() as stack:
@@ -173,7 +242,7 @@
                     outcome = await self._relay_error(reply, stream, sink)
                 else:
                     outcome = await self._relay_events(
-                        admitted, reply, stream, sink, silence_seconds
+                        admitted, reply, target, origin, stream, sink, silence
                     )
             if outcome is StreamEnd.WHOLE:
                 now = self._clock.monotonic()
@@ -212,22 +281,26 @@
         self,
         admitted: AdmittedRequest,
         reply: TargetReply,
+        target: Target,
+        origin: StreamOrigin,
         stream: _StreamState,
         sink: StreamSink,
-        silence_seconds: float | None,
+        silence: _Silence,
     ) -> StreamEnd | AttemptFailure:
-        """Relay events until the end or a silence.
-
-        Without ``silence_seconds`` the stream cannot go on elsewhere, and a
-        slow one is better than none: it may be silent until the deadline.
-        """
+        """Relay events until the end or a silence."""
         events = reply.events()
         while True:
+            silence_seconds = (
+                silence.before_first if stream.origin is None else silence.after_first
+            )
             seconds_left = admitted.deadline - self._clock.monotonic()
             event = await next_event_within(
                 seconds_left if silence_seconds is None else silence_seconds, events
             )
             if event is None:
+                if not stream.head_sent:
+                    stream.head_sent = True
+                    await sink.begin(reply.status, reply.headers)
                 return StreamEnd.WHOLE
             if isinstance(event, Broken):
                 return event
@@ -240,12 +313,56 @@
                 )
                 await sink.begin(reply.status, reply.headers)
             stream.last_event = event.number
-            await sink.write(event.raw)
+            if stream.origin is None:
+                stream.origin = origin
+            try:
+                await sink.write(event.raw)
+            finally:
+                # A caller may have the event though its connection has failed.
+                if not stream.relayed:
+                    stream.relayed = True
+                    self._note_origin(admitted, target, stream.origin)
+
+    async def _find_origin(
+        self, admitted: AdmittedRequest, take_up: TakeUp
+    ) -> OriginDecision:
+        if self._origins is None:
+            return UnknownOrigin()
+        return await self._origins.find(
+            admitted.route, admitted.organisation, admitted.request.id, take_up
+        )
 
+    def _note_origin(
+        self, admitted: AdmittedRequest, target: Target, origin: StreamOrigin
+    ) -> None:
+        """Record the origin once an event has been sent to the caller.
 
-def _silence_seconds(admitted: AdmittedRequest) -> float:
-    objective = admitted.route.objective_seconds or 0.0
-    return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
+        If the target has started again meanwhile with other software, either
+        run may have written the event.
+        """
+        if self._origins is None or not admitted.route.resumable:
+            return
+        if self._router.software_changed(target):
+            origin = StreamOrigin(origin.service, SoftwareVersion(""))
+        self._origins.note(
+            admitted.route,
+            admitted.organisation,
+            admitted.request.first_attempt,
+            origin,
+        )
+
+    def _silence_seconds(
+        self,
+        admitted: AdmittedRequest,
+        service: ServiceName,
+        tried: set[TargetId],
+        origin: StreamOrigin | None,
+    ) -> float | None:
+        """Return the longest silence; None if no other target can go on."""
+        if self._router.choose(service, tried, origin=origin) is None:
+            return None
+        objective = admitted.route.objective_seconds or 0.0
+        return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
 
 
 def _refusal(failures: list[AttemptFailure]) -> Refusal:
--- a/tests/fakes/targets.py
+++ b/tests/fakes/targets.py
@@ -163,7 +163,10 @@
 
 
 def target(
-    name: str, service: str = "quotes", kind: TargetKind = TargetKind.SERVICE
+    name: str,
+    service: str = "quotes",
+    kind: TargetKind = TargetKind.SERVICE,
+    software: str = "v1",
 ) -> Target:
     """Return a target in data centre ``dc`` of region ``r``."""
     return Target(
@@ -175,5 +178,5 @@
         (service,),
         max_concurrency=6,
         incarnation="1000",
-        software=SoftwareVersion("v1"),
+        software=SoftwareVersion(software),
     )
--- a/tests/policy/test_heartbeats.py
+++ b/tests/policy/test_heartbeats.py
@@ -98,6 +98,12 @@
         Stale("a target that started later has this address"),
         (other(1100),),
     ),
+    Case(
+        "names_another_software_in_the_same_run",
+        replace(HEARTBEAT, software=SoftwareVersion("v2")),
+        KnownTarget(replace(TARGET, software=SoftwareVersion("v1")), 4),
+        Renewed(),
+    ),
     Case("leaves", replace(HEARTBEAT, state=TargetState.DRAINING), KNOWN, Leaving()),
     Case(
         "leaves_as_before",
