--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -29,6 +29,7 @@
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
+from goldcrestyard.fleet.versions.orders import EngineControl
 from goldcrestyard.fleet.versions.work import JobWork
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -116,6 +117,7 @@
             permitted_runs=permits.available,
             is_leaving=leaving.includes,
             shares=control_shares(process_bytes(app.settings)),
+            control=app.get(EngineControl),  # type: ignore[type-abstract]
         )
         app.supervise(
             partial(while_leading, member, "run jobs", runner.run), "run jobs"
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -59,6 +59,7 @@
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
+from goldcrestyard.fleet.versions.orders import EngineControl
 from goldcrestyard.fleet.versions.work import JobWork
 from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.kernel.clock import Clock
@@ -154,6 +155,8 @@
     text_ran_at: float = 0.0
     """Monotonic time at which the last run that added to the text ended, or at
     which this leader took the item over."""
+    begun_at: Target | None = None
+    """The target that began the text; None if another leader saw it begin."""
     not_before: float = 0.0
     """Monotonic time of the earliest next run."""
     avoided_until_by_target: dict[TargetId, float] = field(default_factory=dict)
@@ -184,18 +187,22 @@
         permitted_runs: Callable[[Target], int | None] | None = None,
         is_leaving: Callable[[Target], bool] | None = None,
         shares: ControlShares = DEFAULT_SHARES,
+        control: EngineControl | None = None,
     ) -> None:
         """Create a runner.
 
         ``permitted_runs`` returns how many runs a target's request limit
         allows to start now; without it no target has a limit.  ``is_leaving``
         tells whether a target has said that it leaves; without it none has.
-        ``shares`` bound what the texts of items take.
+        ``shares`` bound what the texts of items take.  ``control`` asks an
+        engine which run it is before it goes on with a text; without it the
+        recorded run counts.
         """
         self._max_jobs_bytes = shares.jobs
         self._had_room = True
         self._text_room = ByteRoom(shares.texts)
         self._is_leaving = is_leaving
+        self._control = control
         self._permitted_runs = permitted_runs
         self._metrics = metrics
         self._member = member
@@ -446,7 +453,11 @@
         unheard = self._unheard_software()
         losses: dict[ItemKey, TextLoss] = {}
         for key, item in waiting.items():
-            waited = now - self._pending_by_key[key].text_ran_at
+            pending = self._pending_by_key[key]
+            if self._is_other_software(pending, pending.begun_at):
+                losses[key] = TextLoss.ENGINE_RESTARTED
+                continue
+            waited = now - pending.text_ran_at
             loss = text_loss(item, engines, unheard.get(item.service, ()), waited)
             if loss is not None:
                 losses[key] = loss
@@ -624,17 +635,16 @@
         before = (transcript.drops, transcript.last_event)
         resumed_after = transcript.last_event if loss is None else None
         start_again = None if loss is None else partial(self._drop_text, pending, loss)
-        if loss is None and self._is_other_software(pending, target):
-            # The item waits for an engine again.
-            self._slots_in_use[target.id] -= 1
-            return
         try:
-            outcome = await run_item(
+            refusal = None
+            if resumed_after is not None:
+                refusal = await self._check_recorded_run(target)
+            outcome = refusal or await run_item(
                 self._client,
                 target,
                 job,
                 pending.item,
-                pending.transcript,
+                transcript,
                 seconds_left,
                 SlowEngineDetector(self._paces, target, self._clock, may_move=may_move),
                 start_again,
@@ -673,18 +683,42 @@
         self._record_trust(pending, target, outcome, whole_text=resumed_after is None)
         if has_changed:
             pending.text_ran_at = self._clock.monotonic()
-            if self._is_other_software(pending, target):
+            if resumed_after is None:
+                pending.begun_at = target
+            if self._is_other_software(pending, target) or self._is_other_software(
+                pending, pending.begun_at
+            ):
                 self._drop_text(pending, TextLoss.ENGINE_RESTARTED)
                 if isinstance(outcome, Generated):
                     return
         await self._handle_outcome(pending, job, target, outcome)
 
-    def _is_other_software(self, pending: PendingItem, target: Target) -> bool:
+    async def _check_recorded_run(self, target: Target) -> NotRun | None:
+        """Return why a text may not go on at an engine, or None if it may.
+
+        An engine that starts again under its id may have other software, and
+        accepts requests before its first heartbeat is received.
+        """
+        present = self._targets.find(target.id)
+        if present is None or present.incarnation != target.incarnation:
+            return NotRun("the recorded run has ended", False)
+        if self._control is None:
+            return None
+        report = await self._control.report(target)
+        if report is None:
+            return NotRun("the engine does not tell which run it is", True)
+        if report.incarnation not in ("", target.incarnation):
+            return NotRun("another run than the recorded one", True)
+        return None
+
+    def _is_other_software(self, pending: PendingItem, target: Target | None) -> bool:
         """Return whether the target has started again with other software.
 
         Its record may be older than the process at its address, so a run that
         was sent to one run of the target may have reached the next.
         """
+        if target is None:
+            return False
         present = self._targets.find(target.id)
         required = pending.transcript.required_software
         return (
--- a/goldcrestyard/fleet/versions/orders.py
+++ b/goldcrestyard/fleet/versions/orders.py
@@ -44,6 +44,8 @@
     accepted_orders: int
     order_in_progress: bool
     versions_by_model: dict[ModelName, WeightVersion]
+    incarnation: str = ""
+    """That of the engine's present run; empty if it names none."""
 
 
 class EngineControl(Protocol):
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -93,6 +93,7 @@
             report.seq,
             report.in_flight,
             {ModelName(m.name): WeightVersion(m.version) for m in report.models},
+            str(report.born) if report.born else "",
         )
 
     async def load(
--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -194,6 +194,7 @@
                 "models": [{"name": n, "version": v} for n, v in self.models.items()],
                 "seq": len(self.orders),
                 "in_flight": False,
+                "born": self._started_at_ms,
             }
         )
 
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -19,6 +19,7 @@
     WeightVersion,
 )
 from goldcrestyard.core.jobs import ItemOutcome, Job, Progress, RewardCall
+from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetKind
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.jobs.commands import EndJob, KeepProgress, SubmitJob
@@ -30,6 +31,7 @@
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
+from goldcrestyard.fleet.versions.orders import EngineReport
 from goldcrestyard.fleet.versions.work import JobWork
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -98,6 +100,18 @@
     SavedText("none_left_and_down", "v1", (("v2", BACK),), "e0", None, AFTER_WAITING),
 ]
 
+
+class FakeControl:
+    """Reports the runs of engines; without a run an engine does not answer."""
+
+    def __init__(self, incarnations: dict[str, str]) -> None:
+        self.incarnations = incarnations
+
+    async def report(self, target: Target) -> EngineReport | None:
+        named = self.incarnations.get(target.id)
+        return None if named is None else EngineReport(0, False, {}, named)
+
+
 LISTING_TIMEOUT_SECONDS = 30.0
 SCORED = (Answers(signature="score"),)
 REWARD = RewardCall(RequestId("reward"), HOST, "/score/1", b"")
@@ -190,6 +204,7 @@
         leaving: frozenset[str] = frozenset(),
         shares: ControlShares = DEFAULT_SHARES,
         software: tuple[str, ...] = (),
+        incarnations: dict[str, str] | None = None,
     ) -> "asyncio.Task[None]":
         clock = self.clock()
         targets = self.machine.get(TargetsSlice)
@@ -228,6 +243,9 @@
             random.Random(1),
             is_leaving=lambda target: target.id in leaving,
             shares=shares,
+            control=(
+                None if incarnations is None else FakeControl(incarnations)  # type: ignore[arg-type]
+            ),
         )
         self.text_room = runner._text_room
         self.faults = runner._faults
@@ -245,6 +263,19 @@
             while len(state.results) < count:  # noqa: ASYNC110
                 await asyncio.sleep(0.05)
 
+    def _save_text(self, submitted: Job, software: str) -> None:
+        """Save two events of the text of a job's first item."""
+        versions = (WeightVersion(1),)
+        saved = Progress(
+            0,
+            (b"1", b"2"),
+            EventNumber(2),
+            versions,
+            versions[0],
+            SoftwareVersion(software),
+        )
+        apply(self.machine, KeepProgress(submitted.id, {submitted.items[0].id: saved}))
+
     def _engine_calls(self) -> list[str]:
         return [name for name in self.client.called_targets if name != "scorer"]
 
@@ -280,11 +311,7 @@
         """
         submitted = scored_job("/jobs/")
         apply(self.machine, SubmitJob(submitted), time=self.clock().wall())
-        versions = (WeightVersion(1),)
-        software = SoftwareVersion(case.software)
-        saved = Progress(0, (b"1", b"2"), EventNumber(2), versions, 1, software)  # type: ignore[arg-type]
-        item = submitted.items[0].id
-        apply(self.machine, KeepProgress(submitted.id, {item: saved}))
+        self._save_text(submitted, case.software)
         named = tuple(name for name, _ in case.engines)
         self._start((WHOLE,), engine_count=len(named), software=named)
         for number, (_, behaviour) in enumerate(case.engines):
@@ -298,6 +325,30 @@
         self.assertEqual((name, call.resume_after), (case.target, case.resumed_after))
         self.assertTrue(case.seconds[0] <= seconds <= case.seconds[1], seconds)
 
+    @parameterized.expand(
+        [
+            ("recorded", {"e0": "1000", "e1": "1000"}, "e0", 2),
+            ("no_run_is_named", {"e0": "", "e1": ""}, "e0", 2),
+            ("another", {"e0": "2000", "e1": "1000"}, "e1", 2),
+            ("no_answer", {"e1": "1000"}, "e1", 2),
+            ("no_recorded_one", {"e0": "2000", "e1": "2000"}, "e2", None),
+        ]
+    )
+    async def test_text_goes_on_at_the_recorded_run_only(
+        self, _: str, incarnations: dict[str, str], name: str, resumed_after: int
+    ) -> None:
+        """Guards against an engine that started again and is not heard yet."""
+        submitted = scored_job("/jobs/")
+        apply(self.machine, SubmitJob(submitted), time=self.clock().wall())
+        self._save_text(submitted, "v1")
+        software = ("v1", "v1", "v2")
+        self._start(
+            (WHOLE,), engine_count=3, software=software, incarnations=incarnations
+        )
+        await self._wait_listed()
+        called, call = self.client.calls[-2]
+        self.assertEqual((called, call.resume_after), (name, resumed_after))
+
     async def test_engine_that_starts_again_under_its_id(self) -> None:
         """Guards against text of a later run with other software.
 
--- a/tests/platform/test_engine_control.py
+++ b/tests/platform/test_engine_control.py
@@ -27,12 +27,14 @@
     status: int
     body: str = ""
     leaves: bool = True
+    incarnation: str = ""
+    """The run that the report names."""
 
 
 CASES = [
     Case("report", 200, '{"seq":1}'),
-    Case("report_of_this_run", 200, '{"seq":1,"born":1000}'),
-    Case("report_of_another_run", 200, '{"seq":1,"born":1001}', leaves=False),
+    Case("report_of_this_run", 200, '{"seq":1,"born":1000}', incarnation="1000"),
+    Case("report_of_another_run", 200, '{"seq":1,"born":1001}', False, "1001"),
     Case("accepted", 202),
     Case("conflict", 409),
     Case("failed", 500),
@@ -76,7 +78,9 @@
             f"Content-Length: {len(case.body)}\r\n\r\n{case.body}"
         ).encode()
         if case.status == 200:
-            self.assertIsNotNone(await self.control.report(self.target))
+            report = await self.control.report(self.target)
+            assert report is not None
+            self.assertEqual(report.incarnation, case.incarnation)
         else:
             await self._load()
         self.assertEqual(case.leaves, self.leaving.includes(self.target))
