--- a/tests/platform/test_take_ups.py
+++ b/tests/platform/test_take_ups.py
@@ -161,7 +161,8 @@
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with self.site.session.post(
                 f"http://{front.address('front')}{path}",
-                data=b"body",
+                # Requests under which two targets end are held back.
+                data=stream.first.encode(),
                 headers=[*sent, *(headers or [])],  # type: ignore[arg-type]
                 timeout=aiohttp.ClientTimeout(total=8.0),
             ) as response:
