--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -30,6 +30,7 @@
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.policy.membership import (
     GONE_SECONDS,
+    TAKE_OVER_SECONDS,
     Add,
     Drop,
     Joiner,
@@ -66,6 +67,7 @@
         self._clock = clock
         self._join_requests = JoinRequests()
         self._first_seen_by_id: dict[MemberId, float] = {}
+        self._caught_up_at_by_id: dict[MemberId, float] = {}
         self._heard_at_by_instance: dict[InstanceId, float] = {}
         self._copying_logged_at = float("-inf")
         # Set when a change of the members may have become possible.
@@ -178,11 +180,18 @@
         self._first_seen_by_id = {
             status.id: self._first_seen_by_id.get(status.id, now) for status in known
         }
+        self._caught_up_at_by_id = {
+            status.id: now
+            if self._member.has_caught_up(status.id)
+            else self._caught_up_at_by_id.get(status.id, now)
+            for status in known
+        }
+        led_since = self._member.leadership_started_at
         for status in known:
             # A new leader has heard nobody yet.
-            silent = now - max(
-                self._first_seen_by_id[status.id], self._member.leadership_started_at
-            )
+            silent = now - max(self._first_seen_by_id[status.id], led_since)
+            behind = now - max(self._caught_up_at_by_id[status.id], led_since)
+            answers = self._member.has_answered(status.id)
             if status.last_contact_seconds is not None:
                 silent = min(silent, status.last_contact_seconds)
             self._record_heard(status.instance, now - silent)
@@ -193,7 +202,8 @@
                     status.role is not Role.LEARNER,
                     silent,
                     self._member.has_caught_up(status.id),
-                    self._member.has_answered(status.id),
+                    answers,
+                    answers and behind > TAKE_OVER_SECONDS,
                 )
             )
         return facts
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -46,6 +46,9 @@
     leader's log, the latest configuration among them."""
     answers: bool = False
     """Whether the member has just answered, whatever it has of the log."""
+    is_behind: bool = False
+    """Whether the member answers, and has not caught up for
+    ``TAKE_OVER_SECONDS``."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +115,7 @@
             return Add(joiner)
     return (
         facts.replace_lost_voter()
+        or facts.replace_voter_that_is_behind()
         or facts.release_retiring_voter()
         or facts.add_voter()
         or facts.drop_learner()
@@ -180,6 +184,21 @@
             return Replace(lost.id, successors[0].id, "lost")
         return None
 
+    def replace_voter_that_is_behind(self) -> MembershipChange | None:
+        """Give the vote of a voter that copies the log to one that has it.
+
+        After the next loss each commit would wait for the copy.  The change
+        itself must not: the others have to be a majority.
+        """
+        if not self._successors:
+            return None
+        for voter in self._voters:
+            others = self._sound_voters_without(voter)
+            if voter.is_behind and others > len(self._voters) // 2:
+                successor = self._successors[0]
+                return Replace(voter.id, successor.id, "has not caught up")
+        return None
+
     def release_retiring_voter(self) -> MembershipChange | None:
         """Let a retiring voter leave, once enough others have just answered.
 
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -483,6 +483,39 @@
         await self.assembly.wait_voters(*FOUNDERS)
         self.assertEqual(organisation_ids(self.network.leaders[0])[-300:], kept[-300:])
 
+    @parameterized.expand([("voter_comes_back", True), ("another_machine", False)])
+    async def test_copying_voter_leaves_the_vote_to_a_member_that_has_the_log(
+        self, _: str, comes_back: bool
+    ) -> None:
+        """Guards against commits that wait for a copy beside a whole learner.
+
+        The vote of a silent voter went to a machine behind a slow link.  With
+        the next disk lost, its copy was needed for each commit, also for the
+        one that replaces a voter by the learner.
+        """
+        for number in range(300):
+            name = f"{number}-{random.Random(number).randbytes(15_000).hex()}"
+            await put_organisation(self.leader, name)
+        silent, second = (n for n in FOUNDERS if n != self.leader.instance)
+        self.network.throughput_by_receiver["d"] = 300_000
+        if comes_back:
+            self.network.isolate(silent)
+        else:
+            await self.assembly.stop(silent, lose_disk=True)
+        slow = await self.assembly.start("d")
+        await self.network.wait(lambda: "d" in voters_of(self.leader), "the new voter")
+        if comes_back:
+            self.network.heal()
+        else:
+            await self.assembly.start("e")
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        self.assertFalse(self.leader.has_caught_up(slow.member_id))
+        await self.assembly.stop(second, lose_disk=True)
+        leader = await self.network.leader()
+        async with asyncio.timeout(5.0):
+            result = await put_organisation(leader, "second")
+        self.assertIsInstance(result, Applied)
+
     async def test_join_through_the_only_running_seed(self) -> None:
         """A new machine joins through the only seed that still runs."""
         followers = [n for n in FOUNDERS if n != self.leader.instance]
--- a/tests/policy/membership_model.py
+++ b/tests/policy/membership_model.py
@@ -260,7 +260,13 @@
             name, seconds = instance_of(instance), SECONDS[silence]
             facts.append(
                 MemberFacts(
-                    member, name, slot.voter, seconds, sound, silence is Silence.NONE
+                    member,
+                    name,
+                    slot.voter,
+                    seconds,
+                    sound,
+                    silence is Silence.NONE,
+                    silence is Silence.NONE and not stored,
                 )
             )
         return tuple(facts)
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -25,7 +25,12 @@
 
 
 def facts(
-    member: str, *, voter: bool = True, silent: float = 0.1, caught_up: bool = True
+    member: str,
+    *,
+    voter: bool = True,
+    silent: float = 0.1,
+    caught_up: bool = True,
+    is_behind: bool = False,
 ) -> MemberFacts:
     """Return a member; the part before the ``#`` names its instance.
 
@@ -34,7 +39,13 @@
     instance = InstanceId(member.partition("#")[0])
     answers = silent < UNSURE
     return MemberFacts(
-        MemberId(member), instance, voter, silent, caught_up and answers, answers
+        MemberId(member),
+        instance,
+        voter,
+        silent,
+        caught_up and answers and not is_behind,
+        answers,
+        is_behind,
     )
 
 
@@ -184,6 +195,35 @@
         ),
         replace("c#1", "d#2", "lost"),
     ),
+    Case(
+        "learner_that_has_the_log_takes_the_vote_of_one_that_copies_it",
+        (*THREE[:2], facts("d#1", is_behind=True), facts("e#1", voter=False)),
+        replace("d#1", "e#1", "has not caught up"),
+    ),
+    Case(
+        "voter_that_lacks_entries_for_a_moment_stays",
+        (*THREE[:2], facts("c#1", caught_up=False), facts("d#1", voter=False)),
+        None,
+    ),
+    Case(
+        "learner_that_copies_takes_no_vote_of_one_that_does",
+        (
+            *THREE[:2],
+            facts("d#1", is_behind=True),
+            facts("e#1", voter=False, caught_up=False),
+        ),
+        None,
+    ),
+    Case(
+        "no_exchange_that_needs_the_copy_to_be_committed",
+        (
+            THREE[0],
+            facts("b#1", silent=UNSURE),
+            facts("d#1", is_behind=True),
+            facts("e#1", voter=False),
+        ),
+        None,
+    ),
     Case("spare_learner_does_not_vote", (*THREE, facts("d#1", voter=False)), None),
     Case(
         "silent_learner_goes",
