--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -657,9 +657,7 @@
             self._partial_snapshot is None
             or not self._partial_snapshot.matches_transfer(sender, message)
         ):
-            self._partial_snapshot = PartialSnapshot(
-                sender, message.term, message.index
-            )
+            self._partial_snapshot = PartialSnapshot(sender, message.index)
         received = self._partial_snapshot.add(message)
         if received < message.total:
             self._send_snapshot_reply(sender, message, received, installed=False)
--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -7,7 +7,7 @@
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.log import Log
 from goldcrestyard.consensus.messages import Entry, InstallSnapshot, Snapshot
-from goldcrestyard.core.ids import LogIndex, Term
+from goldcrestyard.core.ids import LogIndex
 
 NEVER = float("-inf")
 """Time of an event that has not happened yet."""
@@ -145,20 +145,17 @@
     """A snapshot that a follower is receiving in chunks."""
 
     sender: MemberId
-    term: Term
     index: LogIndex
     _data: bytearray = field(default_factory=bytearray)
 
     def matches_transfer(self, sender: MemberId, message: InstallSnapshot) -> bool:
         """Return whether a chunk belongs to this transfer.
 
-        It must have the same sender, term and snapshot index.
+        It must have the same sender and snapshot index.  The term may be
+        another one: a leader stores a snapshot before it sends it, and sends
+        the same data when it is elected again.
         """
-        return (self.sender, self.term, self.index) == (
-            sender,
-            message.term,
-            message.index,
-        )
+        return (self.sender, self.index) == (sender, message.index)
 
     def add(self, message: InstallSnapshot) -> int:
         """Append a chunk if it is the next one.
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -386,6 +386,29 @@
         self.assertEqual(received, b"0123456789")
         self.assertEqual(subject.progress_by_id[C].match_index, 4)
 
+    def test_snapshot_transfer_goes_on_in_the_next_term_of_its_sender(self) -> None:
+        """Guards against a copy that begins again with each election.
+
+        Over a lossy link the leader steps down often, and is elected again.
+        """
+        subject = make_member(1)
+        members = configuration(A, B, C)
+
+        def receive(term: int, index: int, offset: int, data: bytes) -> int:
+            chunk = InstallSnapshot(
+                Term(term), LogIndex(index), Term(1), members, offset, 8, data, START
+            )
+            (reply,) = sent(step(subject, START, B, chunk))
+            assert isinstance(reply, SnapshotReply)
+            return reply.received
+
+        self.assertEqual(receive(2, 9, 0, b"0123"), 4)
+        self.assertEqual(receive(3, 9, 0, b"0123"), 4)
+        self.assertEqual(receive(3, 10, 0, b"ab"), 2)
+        self.assertEqual(receive(3, 9, 0, b"0123"), 4)
+        self.assertEqual(receive(4, 9, 4, b"4567"), 8)
+        self.assertEqual(subject.log.snapshot.data, b"01234567")
+
 
 LEARNER = MemberRecord(D, InstanceId("d"), "", False)
 
