--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -516,6 +516,48 @@
             result = await put_organisation(leader, "second")
         self.assertIsInstance(result, Applied)
 
+    @parameterized.expand(
+        [
+            ("restart_during_a_snapshot", "restart", 100),
+            ("disk_lost_during_a_log", "disk_lost", 10_000),
+            ("cut_during_a_snapshot", "cut", 100),
+            ("leader_restart_during_a_log", "leader_restart", 10_000),
+        ]
+    )
+    async def test_copy_is_disturbed_before_the_next_disk_is_lost(
+        self, _: str, event: str, snapshot_entries: int
+    ) -> None:
+        """Guards against a copy whose vote is missing when it is needed."""
+        for member in self.network.running.values():
+            member._snapshot_entries = snapshot_entries
+        for number in range(300):
+            name = f"{number}-{random.Random(number).randbytes(15_000).hex()}"
+            await put_organisation(self.leader, name)
+        kept = organisation_ids(self.leader)
+        first, second = (n for n in FOUNDERS if n != self.leader.instance)
+        await self.assembly.stop(first, lose_disk=True)
+        self.network.throughput_by_receiver[first] = 600_000
+        await self.assembly.start(first)
+        await asyncio.sleep(CATCH_UP_SECONDS / 2)
+        match event:
+            case "restart" | "disk_lost":
+                await self.assembly.stop(first, lose_disk=event == "disk_lost")
+                await asyncio.sleep(0.5)
+                await self.assembly.start(first)
+            case "cut":
+                self.network.isolate(first)
+                await asyncio.sleep(1.2)
+                self.network.heal()
+            case _:
+                leader = str(self.leader.instance)
+                await self.assembly.stop(leader)
+                await self.assembly.start(leader)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        await self.assembly.stop(second, lose_disk=True)
+        await self.assembly.start(second)
+        await self.assembly.wait_voters(*FOUNDERS)
+        self.assertEqual(organisation_ids(self.network.leaders[0])[-300:], kept[-300:])
+
     async def test_join_through_the_only_running_seed(self) -> None:
         """A new machine joins through the only seed that still runs."""
         followers = [n for n in FOUNDERS if n != self.leader.instance]
