--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 import structlog
 
@@ -69,6 +70,8 @@
         self._first_seen_by_id: dict[MemberId, float] = {}
         self._caught_up_at_by_id: dict[MemberId, float] = {}
         self._heard_at_by_instance: dict[InstanceId, float] = {}
+        # Last check at which too few voters had answered to keep the lease.
+        self._without_quorum_at = float("-inf")
         self._copying_logged_at = float("-inf")
         # Set when a change of the members may have become possible.
         self._check_due = asyncio.Event()
@@ -87,7 +90,7 @@
             self._log_copying_members(facts)
             self._check_health(facts)
             change = next_membership_change(
-                facts,
+                self._without_own_silence(facts),
                 self._joiners(),
                 self._wanted_voters,
                 self._machines.retiring_instances(),
@@ -208,6 +211,20 @@
             )
         return facts
 
+    def _without_own_silence(self, facts: list[MemberFacts]) -> list[MemberFacts]:
+        """Count silence only from when enough voters answered.
+
+        Before that it may have been this member that was cut off or paused.
+        """
+        now = self._clock.monotonic()
+        if not self._member.holds_lease():
+            self._without_quorum_at = now
+        seconds = now - self._without_quorum_at
+        return [
+            replace(fact, silent_seconds=min(fact.silent_seconds, seconds))
+            for fact in facts
+        ]
+
     def _record_heard(self, instance: InstanceId, heard_at: float) -> None:
         before = self._heard_at_by_instance.get(instance, heard_at)
         self._heard_at_by_instance[instance] = max(before, heard_at)
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -558,6 +558,31 @@
         await self.assembly.wait_voters(*FOUNDERS)
         self.assertEqual(organisation_ids(self.network.leaders[0])[-300:], kept[-300:])
 
+    @parameterized.expand([(f"{s}_s", s) for s in (1.6, 1.7, 1.8, 1.9)])
+    async def test_silence_of_the_leader_itself_moves_no_vote(
+        self, _: str, seconds: float
+    ) -> None:
+        """Guards against a sound voter replaced by the first one that answers.
+
+        After a cut or a pause of the leader all others have been silent.  A
+        learner that answered before them took the vote of one of them.
+        """
+        await self.assembly.start("d")
+        await self.network.wait(
+            lambda: len(self.leader.member_statuses()) == 4, "the learner"
+        )
+        others = voters_of(self.leader) - {str(self.leader.instance)}
+        self.leader.replace = AsyncMock(  # type: ignore[method-assign]
+            return_value=NotProposed("no change is made")
+        )
+        leader = str(self.leader.instance)
+        self.network.cut_links |= {(leader, other) for other in others}
+        self.network.cut_links |= {(other, leader) for other in others}
+        await asyncio.sleep(seconds)
+        self.network.heal()
+        await asyncio.sleep(5.0)
+        self.leader.replace.assert_not_awaited()
+
     async def test_join_through_the_only_running_seed(self) -> None:
         """A new machine joins through the only seed that still runs."""
         followers = [n for n in FOUNDERS if n != self.leader.instance]
@@ -887,6 +912,9 @@
     def get(self, _: type[MachinesSlice]) -> MachinesSlice:
         return self.machines
 
+    def holds_lease(self) -> bool:
+        return True
+
     def log_facts(self) -> None:
         return None
 
