--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import deque
 from dataclasses import replace
 
 import structlog
@@ -68,7 +69,10 @@
         self._clock = clock
         self._join_requests = JoinRequests()
         self._first_seen_by_id: dict[MemberId, float] = {}
-        self._caught_up_at_by_id: dict[MemberId, float] = {}
+        # Times of the latest checks and the last index of the log at each, and
+        # the index at the last check before them.
+        self._last_indexes: deque[tuple[float, int]] = deque()
+        self._earlier_index = 0
         self._heard_at_by_instance: dict[InstanceId, float] = {}
         # Last check at which too few voters had answered to keep the lease.
         self._without_quorum_at = float("-inf")
@@ -183,18 +187,21 @@
         self._first_seen_by_id = {
             status.id: self._first_seen_by_id.get(status.id, now) for status in known
         }
-        self._caught_up_at_by_id = {
-            status.id: now
-            if self._member.has_caught_up(status.id)
-            else self._caught_up_at_by_id.get(status.id, now)
-            for status in known
-        }
+        last_index = max((status.matched_index or 0 for status in known), default=0)
+        self._last_indexes.append((now, last_index))
+        while self._last_indexes[0][0] < now - TAKE_OVER_SECONDS:
+            self._earlier_index = self._last_indexes.popleft()[1]
         led_since = self._member.leadership_started_at
         for status in known:
             # A new leader has heard nobody yet.
-            silent = now - max(self._first_seen_by_id[status.id], led_since)
-            behind = now - max(self._caught_up_at_by_id[status.id], led_since)
+            silent = known_for = now - max(self._first_seen_by_id[status.id], led_since)
             answers = self._member.has_answered(status.id)
+            # Under load, a member far away lacks many entries all the time.
+            is_behind = (
+                answers
+                and known_for > TAKE_OVER_SECONDS
+                and (status.matched_index or 0) < self._earlier_index
+            )
             if status.last_contact_seconds is not None:
                 silent = min(silent, status.last_contact_seconds)
             self._record_heard(status.instance, now - silent)
@@ -206,7 +213,7 @@
                     silent,
                     self._member.has_caught_up(status.id),
                     answers,
-                    answers and behind > TAKE_OVER_SECONDS,
+                    is_behind,
                 )
             )
         return facts
--- a/goldcrestyard/policy/membership.py
+++ b/goldcrestyard/policy/membership.py
@@ -47,8 +47,8 @@
     answers: bool = False
     """Whether the member has just answered, whatever it has of the log."""
     is_behind: bool = False
-    """Whether the member answers, and has not caught up for
-    ``TAKE_OVER_SECONDS``."""
+    """Whether the member answers, and lacks entries that the leader had
+    ``TAKE_OVER_SECONDS`` ago."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,7 +194,11 @@
             return None
         for voter in self._voters:
             others = self._sound_voters_without(voter)
-            if voter.is_behind and others > len(self._voters) // 2:
+            if (
+                voter.is_behind
+                and not voter.caught_up
+                and others > len(self._voters) // 2
+            ):
                 successor = self._successors[0]
                 return Replace(voter.id, successor.id, "has not caught up")
         return None
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -9,6 +9,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from unittest.mock import AsyncMock
 
 import cbor2
@@ -1021,6 +1022,53 @@
         self.assertEqual(leader.removed[:1], [MemberId("d#1")])
 
 
+class BusyLeader(FakeLeader):
+    """Appends 2,000 entries a second; ``c`` lacks the latest ones."""
+
+    def __init__(self, entries_lacked: float) -> None:
+        super().__init__()
+        self._entries_lacked = entries_lacked
+
+    def member_statuses(self) -> list[MemberStatus]:
+        last_index = 2_000 * asyncio.get_running_loop().time()
+        lacked = {MemberId("c#1"): self._entries_lacked}
+        return [
+            replace(
+                status,
+                matched_index=LogIndex(int(last_index - lacked.get(status.id, 0.0))),
+            )
+            for status in super().member_statuses()
+        ]
+
+    def has_answered(self, member_id: MemberId) -> bool:
+        return super().has_caught_up(member_id)
+
+    def has_caught_up(self, member_id: MemberId) -> bool:
+        return member_id != "c#1"
+
+
+class BusyLeaderTests(PausedClockTestCase):
+    """Voters that lack entries while a learner has them."""
+
+    @parameterized.expand([("far_away", 400, 0), ("copies_the_log", 8_000, 1)])
+    async def test_vote_of_a_member_that_lacks_entries(
+        self, _: str, entries_lacked: int, replacements: int
+    ) -> None:
+        """Guards against votes that move to machines near the leader.
+
+        A member on a long link lacks many entries all the time under load.
+        """
+        quiet_logs(self)
+        leader = BusyLeader(entries_lacked)
+        manager = MembershipManager(
+            leader,  # type: ignore[arg-type]
+            3,
+            self.clock(),
+        )
+        await lead(manager, 5.0)
+        self.assertEqual(leader.replaced[:1], [MemberId("c#1")] * replacements)
+
+
 class SecondLeadershipTests(PausedClockTestCase):
     """A member leads again after another leader."""
 
