--- a/goldcrestyard/fleet/assembly/manager.py
+++ b/goldcrestyard/fleet/assembly/manager.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections import deque
+from dataclasses import replace
 
 import structlog
 
@@ -30,6 +32,7 @@
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.policy.membership import (
     GONE_SECONDS,
+    TAKE_OVER_SECONDS,
     Add,
     Drop,
     Joiner,
@@ -66,7 +69,13 @@
         self._clock = clock
         self._join_requests = JoinRequests()
         self._first_seen_by_id: dict[MemberId, float] = {}
+        # Times of the latest checks and the last index of the log at each, and
+        # the index at the last check before them.
+        self._last_indexes: deque[tuple[float, int]] = deque()
+        self._earlier_index = 0
         self._heard_at_by_instance: dict[InstanceId, float] = {}
+        # Last check at which too few voters had answered to keep the lease.
+        self._without_quorum_at = float("-inf")
         self._copying_logged_at = float("-inf")
         # Set when a change of the members may have become possible.
         self._check_due = asyncio.Event()
@@ -85,7 +94,7 @@
             self._log_copying_members(facts)
             self._check_health(facts)
             change = next_membership_change(
-                facts,
+                self._without_own_silence(facts),
                 self._joiners(),
                 self._wanted_voters,
                 self._machines.retiring_instances(),
@@ -178,10 +187,20 @@
         self._first_seen_by_id = {
             status.id: self._first_seen_by_id.get(status.id, now) for status in known
         }
+        last_index = max((status.matched_index or 0 for status in known), default=0)
+        self._last_indexes.append((now, last_index))
+        while self._last_indexes[0][0] < now - TAKE_OVER_SECONDS:
+            self._earlier_index = self._last_indexes.popleft()[1]
+        led_since = self._member.leadership_started_at
         for status in known:
             # A new leader has heard nobody yet.
-            silent = now - max(
-                self._first_seen_by_id[status.id], self._member.leadership_started_at
+            silent = known_for = now - max(self._first_seen_by_id[status.id], led_since)
+            answers = self._member.has_answered(status.id)
+            # Under load, a member far away lacks many entries all the time.
+            is_behind = (
+                answers
+                and known_for > TAKE_OVER_SECONDS
+                and (status.matched_index or 0) < self._earlier_index
             )
             if status.last_contact_seconds is not None:
                 silent = min(silent, status.last_contact_seconds)
@@ -193,11 +212,26 @@
                     status.role is not Role.LEARNER,
                     silent,
                     self._member.has_caught_up(status.id),
-                    self._member.has_answered(status.id),
+                    answers,
+                    is_behind,
                 )
             )
         return facts
 
+    def _without_own_silence(self, facts: list[MemberFacts]) -> list[MemberFacts]:
+        """Count silence only from when enough voters answered.
+
+        Before that it may have been this member that was cut off or paused.
+        """
+        now = self._clock.monotonic()
+        if not self._member.holds_lease():
+            self._without_quorum_at = now
+        seconds = now - self._without_quorum_at
+        return [
+            replace(fact, silent_seconds=min(fact.silent_seconds, seconds))
+            for fact in facts
+        ]
+
     def _record_heard(self, instance: InstanceId, heard_at: float) -> None:
         before = self._heard_at_by_instance.get(instance, heard_at)
         self._heard_at_by_instance[instance] = max(before, heard_at)
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -9,6 +9,7 @@
 import random
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from unittest.mock import AsyncMock
 
 import cbor2
@@ -483,6 +484,106 @@
         await self.assembly.wait_voters(*FOUNDERS)
         self.assertEqual(organisation_ids(self.network.leaders[0])[-300:], kept[-300:])
 
+    @parameterized.expand([("voter_comes_back", True), ("another_machine", False)])
+    async def test_copying_voter_leaves_the_vote_to_a_member_that_has_the_log(
+        self, _: str, comes_back: bool
+    ) -> None:
+        """Guards against commits that wait for a copy beside a whole learner.
+
+        The vote of a silent voter went to a machine behind a slow link.  With
+        the next disk lost, its copy was needed for each commit, also for the
+        one that replaces a voter by the learner.
+        """
+        for number in range(300):
+            name = f"{number}-{random.Random(number).randbytes(15_000).hex()}"
+            await put_organisation(self.leader, name)
+        silent, second = (n for n in FOUNDERS if n != self.leader.instance)
+        self.network.throughput_by_receiver["d"] = 300_000
+        if comes_back:
+            self.network.isolate(silent)
+        else:
+            await self.assembly.stop(silent, lose_disk=True)
+        slow = await self.assembly.start("d")
+        await self.network.wait(lambda: "d" in voters_of(self.leader), "the new voter")
+        if comes_back:
+            self.network.heal()
+        else:
+            await self.assembly.start("e")
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        self.assertFalse(self.leader.has_caught_up(slow.member_id))
+        await self.assembly.stop(second, lose_disk=True)
+        leader = await self.network.leader()
+        async with asyncio.timeout(5.0):
+            result = await put_organisation(leader, "second")
+        self.assertIsInstance(result, Applied)
+
+    @parameterized.expand(
+        [
+            ("restart_during_a_snapshot", "restart", 100),
+            ("disk_lost_during_a_log", "disk_lost", 10_000),
+            ("cut_during_a_snapshot", "cut", 100),
+            ("leader_restart_during_a_log", "leader_restart", 10_000),
+        ]
+    )
+    async def test_copy_is_disturbed_before_the_next_disk_is_lost(
+        self, _: str, event: str, snapshot_entries: int
+    ) -> None:
+        """Guards against a copy whose vote is missing when it is needed."""
+        for member in self.network.running.values():
+            member._snapshot_entries = snapshot_entries
+        for number in range(300):
+            name = f"{number}-{random.Random(number).randbytes(15_000).hex()}"
+            await put_organisation(self.leader, name)
+        kept = organisation_ids(self.leader)
+        first, second = (n for n in FOUNDERS if n != self.leader.instance)
+        await self.assembly.stop(first, lose_disk=True)
+        self.network.throughput_by_receiver[first] = 600_000
+        await self.assembly.start(first)
+        await asyncio.sleep(CATCH_UP_SECONDS / 2)
+        match event:
+            case "restart" | "disk_lost":
+                await self.assembly.stop(first, lose_disk=event == "disk_lost")
+                await asyncio.sleep(0.5)
+                await self.assembly.start(first)
+            case "cut":
+                self.network.isolate(first)
+                await asyncio.sleep(1.2)
+                self.network.heal()
+            case _:
+                leader = str(self.leader.instance)
+                await self.assembly.stop(leader)
+                await self.assembly.start(leader)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        await self.assembly.stop(second, lose_disk=True)
+        await self.assembly.start(second)
+        await self.assembly.wait_voters(*FOUNDERS)
+        self.assertEqual(organisation_ids(self.network.leaders[0])[-300:], kept[-300:])
+
+    @parameterized.expand([(f"{s}_s", s) for s in (1.6, 1.7, 1.8, 1.9)])
+    async def test_silence_of_the_leader_itself_moves_no_vote(
+        self, _: str, seconds: float
+    ) -> None:
+        """Guards against a sound voter replaced by the first one that answers.
+
+        After a cut or a pause of the leader all others have been silent.  A
+        learner that answered before them took the vote of one of them.
+        """
+        await self.assembly.start("d")
+        await self.network.wait(
+            lambda: len(self.leader.member_statuses()) == 4, "the learner"
+        )
+        others = voters_of(self.leader) - {str(self.leader.instance)}
+        self.leader.replace = AsyncMock(  # type: ignore[method-assign]
+            return_value=NotProposed("no change is made")
+        )
+        leader = str(self.leader.instance)
+        self.network.cut_links |= {(leader, other) for other in others}
+        self.network.cut_links |= {(other, leader) for other in others}
+        await asyncio.sleep(seconds)
+        self.network.heal()
+        await asyncio.sleep(5.0)
+        self.leader.replace.assert_not_awaited()
+
     async def test_join_through_the_only_running_seed(self) -> None:
         """A new machine joins through the only seed that still runs."""
         followers = [n for n in FOUNDERS if n != self.leader.instance]
@@ -812,6 +913,9 @@
     def get(self, _: type[MachinesSlice]) -> MachinesSlice:
         return self.machines
 
+    def holds_lease(self) -> bool:
+        return True
+
     def log_facts(self) -> None:
         return None
 
@@ -918,6 +1022,53 @@
         self.assertEqual(leader.removed[:1], [MemberId("d#1")])
 
 
+class BusyLeader(FakeLeader):
+    """Appends 2,000 entries a second; ``c`` lacks the latest ones."""
+
+    def __init__(self, entries_lacked: float) -> None:
+        super().__init__()
+        self._entries_lacked = entries_lacked
+
+    def member_statuses(self) -> list[MemberStatus]:
+        last_index = 2_000 * asyncio.get_running_loop().time()
+        lacked = {MemberId("c#1"): self._entries_lacked}
+        return [
+            replace(
+                status,
+                matched_index=LogIndex(int(last_index - lacked.get(status.id, 0.0))),
+            )
+            for status in super().member_statuses()
+        ]
+
+    def has_answered(self, member_id: MemberId) -> bool:
+        return super().has_caught_up(member_id)
+
+    def has_caught_up(self, member_id: MemberId) -> bool:
+        return member_id != "c#1"
+
+
+class BusyLeaderTests(PausedClockTestCase):
+    """Voters that lack entries while a learner has them."""
+
+    @parameterized.expand([("far_away", 400, 0), ("copies_the_log", 8_000, 1)])
+    async def test_vote_of_a_member_that_lacks_entries(
+        self, _: str, entries_lacked: int, replacements: int
+    ) -> None:
+        """Guards against votes that move to machines near the leader.
+
+        A member on a long link lacks many entries all the time under load.
+        """
+        quiet_logs(self)
+        leader = BusyLeader(entries_lacked)
+        manager = MembershipManager(
+            leader,  # type: ignore[arg-type]
+            3,
+            self.clock(),
+        )
+        await lead(manager, 5.0)
+        self.assertEqual(leader.replaced[:1], [MemberId("c#1")] * replacements)
+
+
 class SecondLeadershipTests(PausedClockTestCase):
     """A member leads again after another leader."""
 
