--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -24,6 +24,7 @@
 from goldcrestyard.consensus.compression import CompressionError
 from goldcrestyard.consensus.configuration import MemberId, MemberRecord
 from goldcrestyard.consensus.disk import MemberDisk
+from goldcrestyard.consensus.early_entries import EarlyEntries
 from goldcrestyard.consensus.events import (
     AddLearner,
     Appended,
@@ -56,6 +57,7 @@
     InstallSnapshot,
     MemberMessage,
     find_fault,
+    make_transfer_key,
 )
 from goldcrestyard.consensus.persistent_state import (
     PersistentState,
@@ -187,6 +189,7 @@
         self._lock: FolderLock | None = None
         # The Raft logic; None before the start and after a stop or failure.
         self._core: Member | None = None
+        self._early_entries = EarlyEntries()
         self._stop_reason = ""
         # Events for the Raft logic, barriers, and notices about other members.
         self._queue: asyncio.Queue[Any] = asyncio.Queue()
@@ -381,6 +384,7 @@
         snapshot = saved.snapshot
         if snapshot is not None and snapshot.index > self._state.index:
             self._state.restore(snapshot)
+        self._early_entries = EarlyEntries()
         self._core = Member(
             self._disk.member_id,
             saved,
@@ -672,13 +676,23 @@
                 events = await self._next_events(self._core)
                 effects: list[Effect] = []
                 for event in events:
-                    effects += self._core.step(self._clock.monotonic(), event)
+                    effects += self._step(self._core, event)
                 await self._perform(effects)
                 self._release_barriers()
             except DiskError as error:
                 self._suspend_after(error)
                 await self._resume_when_writable()
 
+    def _step(self, core: Member, event: Event) -> list[Effect]:
+        """Process an event, and the entries that can follow it."""
+        now = self._clock.monotonic()
+        if self._early_entries.hold(now, event, core.log.last_index, core.term):
+            return []
+        effects = core.step(now, event)
+        while (held := self._early_entries.take(now, core.log.last_index)) is not None:
+            effects += core.step(now, held)
+        return effects
+
     def _suspend_after(self, error: Exception) -> None:
         """Stop taking part, since the protocol state is ahead of the disk.
 
@@ -855,6 +869,7 @@
             self._own_address,
             tuple(sorted(self._configured_addresses)),
             accepts_compressed=True,
+            accepts_early_entries=True,
         )
 
     def _instance_of(self, member_id: MemberId) -> InstanceId | None:
@@ -883,7 +898,12 @@
             return
         instance = self._instance_of(receiver)
         if instance is not None:
-            self._links.send(instance, receiver, self._codec.encode(message))
+            self._links.send(
+                instance,
+                receiver,
+                self._codec.encode(message),
+                make_transfer_key(message),
+            )
 
     def _on_identity(self) -> None:
         if not self._disk.cluster:
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -5,13 +5,15 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager, AsyncExitStack
-from dataclasses import dataclass, replace
-from typing import Protocol
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 import structlog
 
 from goldcrestyard.consensus.compression import compress, decompress
 from goldcrestyard.consensus.configuration import MemberId
+from goldcrestyard.consensus.messages import TransferKey
+from goldcrestyard.consensus.outbox import Batch, Outbox
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.wire.client import PeerAddress, PeerUnavailableError
@@ -27,30 +29,34 @@
 
 MIN_RECONNECT_DELAY_SECONDS = 0.1
 MAX_RECONNECT_DELAY_SECONDS = 1.0
+MIN_CONTACT_DELAY_SECONDS = 0.05
+"""Bounds in seconds of the delay between two attempts to connect, and the
+delay after which the next one follows if the member has contacted this one
+meanwhile."""
+
 IDLE_CHECK_INTERVAL_SECONDS = 1.0
 BOOTSTRAP_CHECK_INTERVAL_SECONDS = 0.25
 """Intervals in seconds at which an idle connection is checked, in a cluster
 and before it is formed.  The leader's connections are never idle, due to its
 heartbeats."""
 
-MAX_BATCH_BYTES = 1024 * 1024
-"""Size from which no further message is added to a batch, so that at
-225 Mbit/s the batch is acknowledged within the response timeout."""
+CONNECTIONS = 3
+MAX_CONNECTIONS = 7
+EXTRA_CONNECTION_IDLE_SECONDS = 5.0
+"""Number of connections of a link, with those during a large transfer, and the
+time in seconds after which one of these closes when it is idle.  TCP delivers
+in order, so a lost packet stops its connection for 0.2 s or more; the others
+go on meanwhile."""
 
-MIN_BATCH_BYTES = 64 * 1024
-"""Least value of that size.  It is halved after a batch that was not
-acknowledged in time, so that a slower link does not carry the same messages
-again and again, and doubled after one that was in a quarter of the time."""
+MIN_WAIT_SECONDS = 0.001
+"""Time that is not waited for.  A timer may fire early by a rounding error,
+and the rest of its time is too short for another one."""
 
 MIN_BYTES_PER_SECOND = 512 * 1024
 """Throughput that a link is given time for if it carries a large message.
 One of several MB, such as an entry with a large job, cannot be split; it would
 be cut off and sent again for ever."""
 
-MAX_QUEUED_MESSAGES = 64
-"""Maximum number of queued messages, beyond which the oldest is dropped.  The
-Raft protocol sends its content again if it is still needed."""
-
 
 @dataclass(frozen=True, slots=True)
 class MemberIdentity:
@@ -68,6 +74,9 @@
     accepts_compressed: bool = False
     """Whether the member understands ``MemberBatch.compressed``; members of
     earlier releases do not."""
+    accepts_early_entries: bool = False
+    """Whether the member puts entries in order that arrive before those they
+    follow; members of earlier releases reject them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,10 +120,12 @@
 
 
 class MemberLink:
-    """Connection to the control member at one address, kept by one task.
+    """Connections to the control member at one address, one task for each.
 
-    The task connects, requests the identity of the member at the address,
-    and sends queued messages in batches; it reconnects after a failure.
+    A task connects, requests the identity of the member at the address, and
+    takes batches from the queue of the link whenever its connection is idle;
+    it reconnects after a failure.  A batch that is not acknowledged in the
+    expected time is sent on another connection too.
     """
 
     def __init__(
@@ -132,44 +143,64 @@
         """Identity last reported from the address; None before the first."""
         self.answered_at: float | None = None
         """Time on the event loop's clock of the latest answer, or None."""
+        self._checked_at = 0.0
         self._replaced_members: set[MemberId] = set()
         self._dialer = dialer
         self._own_identity = own_identity
         self._on_identity = on_identity
         self._on_messages = on_messages
-        self._queue: deque[tuple[MemberId, bytes]] = deque(maxlen=MAX_QUEUED_MESSAGES)
-        self._message_queued = asyncio.Event()
-        self._batch_bytes = MAX_BATCH_BYTES
-
-    def send(self, receiver: MemberId, message: bytes) -> None:
+        self._outbox = Outbox()
+        # Set while a large transfer is queued.
+        self._large_transfer = asyncio.Event()
+        # One for each idle connection; the first has been idle longest.
+        self._idle: deque[asyncio.Future[None]] = deque()
+        # Set, and replaced, when the member has contacted this one.
+        self._contacted = asyncio.Event()
+        # Starts of the attempts to connect that are under way.
+        self._attempts: dict[asyncio.Future[None], float] = {}
+
+    def send(
+        self, receiver: MemberId, message: bytes, key: TransferKey | None = None
+    ) -> None:
         """Queue a message; delivery is not guaranteed.
 
-        A message to a member whose disk another one has replaced is dropped:
-        the batch that carries it would delay those to the other member.
+        ``key`` is that of entries or a snapshot chunk.  A message to a member
+        whose disk another one has replaced is dropped: the batch that carries
+        it would delay those to the other member.
         """
         if receiver in self._replaced_members:
             return
-        self._queue.append((receiver, message))
-        self._message_queued.set()
+        self._outbox.add(receiver, message, key)
+        if self._outbox.has_large_transfer:
+            self._large_transfer.set()
+        self._wake_connection()
 
     def _record_replaced(self, member: MemberId) -> None:
         self._replaced_members.add(member)
-        kept = [item for item in self._queue if item[0] != member]
-        self._queue.clear()
-        self._queue.extend(kept)
+        self._outbox.drop(member)
 
     async def run(self) -> None:
         """Keep the link connected until the task is cancelled."""
+        async with asyncio.TaskGroup() as connections:
+            for number in range(MAX_CONNECTIONS):
+                connections.create_task(self._keep_connected(number >= CONNECTIONS))
+
+    async def _keep_connected(self, extra: bool) -> None:
         backoff = MIN_RECONNECT_DELAY_SECONDS
-        closing: set[asyncio.Task[None]] = set()
+        closing: set[asyncio.Task[Any]] = set()
         try:
             while True:
+                if extra:
+                    await self._large_transfer.wait()
                 stack = AsyncExitStack()
                 try:
-                    connecting = self._dialer.connect(self.address)
-                    connection = await stack.enter_async_context(connecting)
+                    connection = await self._connect(stack, closing)
                     backoff = MIN_RECONNECT_DELAY_SECONDS
-                    await self._exchange_messages(connection)
+                    self._outbox.connections += 1
+                    try:
+                        await self._exchange_messages(connection, extra)
+                    finally:
+                        self._outbox.connections -= 1
                 except PeerUnavailableError as error:
                     logger.debug(
                         "control member unreachable, reconnecting",
@@ -183,26 +214,64 @@
                     task = asyncio.create_task(stack.aclose())
                     closing.add(task)
                     task.add_done_callback(closing.discard)
-                self._queue.clear()
-                await asyncio.sleep(backoff * random.uniform(0.5, 1.5))
+                if not self._outbox.connections:
+                    self._outbox.clear()
+                contacted = self._contacted
+                await asyncio.sleep(MIN_CONTACT_DELAY_SECONDS)
+                delay = backoff * random.uniform(0.5, 1.5) - MIN_CONTACT_DELAY_SECONDS
+                await wait_at_most(delay, contacted.wait())
                 backoff = min(2 * backoff, MAX_RECONNECT_DELAY_SECONDS)
         finally:
             await asyncio.gather(*closing, return_exceptions=True)
 
-    async def _exchange_messages(self, connection: PeerConnection) -> None:
-        """Exchange identities and messages until the connection fails."""
+    async def _connect(
+        self, stack: AsyncExitStack, closing: set[asyncio.Task[Any]]
+    ) -> PeerConnection:
+        """Connect, unless the attempt is given up by ``record_contact``."""
+        loop = asyncio.get_running_loop()
+        given_up = loop.create_future()
+        connecting = asyncio.create_task(
+            stack.enter_async_context(self._dialer.connect(self.address))
+        )
+        self._attempts[given_up] = loop.time()
+        try:
+            await asyncio.wait(
+                {connecting, given_up}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if connecting.done():
+                return connecting.result()
+            raise PeerUnavailableError("no answer from a member that runs")
+        finally:
+            del self._attempts[given_up]
+            if not connecting.done():
+                connecting.cancel()
+                closing.add(connecting)
+                connecting.add_done_callback(closing.discard)
+
+    @property
+    def _peer_is_in_cluster(self) -> bool:
+        return self.identity is not None and bool(self.identity.cluster)
+
+    async def _exchange_messages(self, connection: PeerConnection, extra: bool) -> None:
+        """Exchange identities and messages until the connection fails.
+
+        An extra connection ends when it has been idle.
+        """
         while not connection.closed:
-            peer_is_in_cluster = self.identity is not None and self.identity.cluster
-            can_send = peer_is_in_cluster and self._queue
+            can_send = self._peer_is_in_cluster and self._outbox.has_batch
             if not can_send and not await self._exchange_identities(connection):
                 return
-            await self._wait_for_messages()
-            while self._queue:
-                if not await self._send_batch(connection):
+            batch = await self._wait_for_batch(extra)
+            if batch is None and extra:
+                return
+            while batch is not None:
+                if not await self._send_batch(connection, batch):
                     return
+                batch = self._take_batch()
 
     async def _exchange_identities(self, connection: PeerConnection) -> bool:
         """Request the peer's identity; return whether it was received."""
+        self._checked_at = asyncio.get_running_loop().time()
         reply = await connection.request(self._own_identity(), RESPONSE_TIMEOUT_SECONDS)
         if not isinstance(reply, MemberIdentity):
             return False
@@ -210,71 +279,115 @@
             self._record_replaced(self.identity.member)
         self._replaced_members.discard(reply.member)
         self.identity = reply
+        self._outbox.parallel = reply.accepts_early_entries
         self.answered_at = asyncio.get_running_loop().time()
         self._on_identity(self.instance, reply)
         return True
 
-    async def _wait_for_messages(self) -> None:
-        self._message_queued.clear()
-        if self._queue:
-            return
-        peer_is_in_cluster = self.identity is not None and self.identity.cluster
+    def _wake_connection(self) -> None:
+        """Wake the connection that has been idle longest."""
+        while self._idle:
+            waiter = self._idle.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def _take_batch(self) -> Batch | None:
+        batch = self._outbox.take()
+        if not self._outbox.has_large_transfer:
+            self._large_transfer.clear()
+        if self._outbox.has_batch:
+            self._wake_connection()
+        return batch
+
+    async def _wait_for_batch(self, extra: bool) -> Batch | None:
+        """Return the next batch, or None when the idle time is over.
+
+        Then the member is checked, unless it has answered on another
+        connection meanwhile, or the extra connection closes.
+        """
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        while (batch := self._take_batch()) is None:
+            due_at = self._idle_until(started_at, extra)
+            if due_at - loop.time() < MIN_WAIT_SECONDS:
+                return None
+            waiter = loop.create_future()
+            self._idle.append(waiter)
+            try:
+                await wait_at_most(due_at - loop.time(), waiter)
+            finally:
+                if waiter in self._idle:
+                    self._idle.remove(waiter)
+        return batch
+
+    def _idle_until(self, started_at: float, extra: bool) -> float:
+        if extra:
+            return started_at + EXTRA_CONNECTION_IDLE_SECONDS
         seconds = (
             IDLE_CHECK_INTERVAL_SECONDS
-            if peer_is_in_cluster
+            if self._peer_is_in_cluster
             else BOOTSTRAP_CHECK_INTERVAL_SECONDS
         )
-        await wait_at_most(seconds, self._message_queued.wait())
-
-    async def _send_batch(self, connection: PeerConnection) -> bool:
-        """Send queued messages for one receiver as one batch.
-
-        Return whether the connection can still be used.
-        """
-        receiver = self._queue[0][0]
-        limit = self._batch_bytes
-        messages: list[bytes] = []
-        size = 0
-        while self._queue and self._queue[0][0] == receiver and size < limit:
-            messages.append(self._queue.popleft()[1])
-            size += len(messages[-1])
-        own = self._own_identity()
-        batch = MemberBatch(own.member, receiver, own.cluster, tuple(messages))
-        if self.identity is not None and self.identity.accepts_compressed:
-            block = compress(batch.messages)
-            if block is not None:
-                batch = replace(batch, messages=(), compressed=block)
-        sent_size = len(batch.compressed) or size
+        return max(started_at, self.answered_at or 0.0, self._checked_at) + seconds
+
+    def _resend(self, batch: Batch, attempt: int) -> None:
+        self._outbox.record_late(batch, attempt)
+        if self._outbox.has_batch:
+            self._wake_connection()
+
+    async def _send_batch(self, connection: PeerConnection, batch: Batch) -> bool:
+        """Send a batch; return whether the connection can still be used."""
+        attempt = batch.attempts
+        size = batch.size
+        message = self._pack(batch)
+        sent_size = len(message.compressed) or size
         timeout = max(
-            RESPONSE_TIMEOUT_SECONDS, max(map(len, messages)) / MIN_BYTES_PER_SECOND
+            RESPONSE_TIMEOUT_SECONDS,
+            max(map(len, batch.messages)) / MIN_BYTES_PER_SECOND,
         )
-        sent_at = asyncio.get_running_loop().time()
-        reply = await connection.request(batch, timeout)
-        seconds = asyncio.get_running_loop().time() - sent_at
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        late = loop.call_later(
+            self._outbox.pace.resend_seconds(size), self._resend, batch, attempt
+        )
+        try:
+            reply = await connection.request(message, timeout)
+        finally:
+            late.cancel()
+        seconds = loop.time() - sent_at
         if not isinstance(reply, Received):
-            self._batch_bytes = max(MIN_BATCH_BYTES, min(size, limit) // 2)
+            self._outbox.record_failed(batch, attempt)
+            self._wake_connection()
             logger.warning(
                 "member did not acknowledge a batch; reconnecting",
                 peer=self.instance,
                 reply=str(reply),
-                messages=len(messages),
+                messages=len(batch.messages),
                 size=size,
                 sent_size=sent_size,
             )
             return False
-        if size >= limit and seconds < RESPONSE_TIMEOUT_SECONDS / 4:
-            self._batch_bytes = min(MAX_BATCH_BYTES, 2 * limit)
-        if reply.member == receiver:
-            self.answered_at = sent_at + seconds
-            self._on_messages(receiver, reply.messages)
+        self._outbox.record_acknowledged(batch, attempt, seconds)
+        if reply.member == batch.receiver:
+            self.answered_at = loop.time()
+            self._on_messages(batch.receiver, reply.messages)
             return True
-        self._record_replaced(receiver)
+        self._record_replaced(batch.receiver)
         if self.identity is not None and self.identity.member == reply.member:
             return True
         logger.warning(
             "another member answers at this address; if the instance lost its disk, "
             "replace the member",
-            expected=receiver,
+            expected=batch.receiver,
             answering=reply.member,
         )
         return await self._exchange_identities(connection)
+
+    def _pack(self, batch: Batch) -> MemberBatch:
+        own = self._own_identity()
+        if self.identity is not None and self.identity.accepts_compressed:
+            block = compress(batch.messages)
+            if block is not None:
+                return MemberBatch(own.member, batch.receiver, own.cluster, (), block)
+        return MemberBatch(own.member, batch.receiver, own.cluster, batch.messages)
--- a/goldcrestyard/consensus/links.py
+++ b/goldcrestyard/consensus/links.py
@@ -4,6 +4,7 @@
 
 from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.link import Dialer, MemberIdentity, MemberLink
+from goldcrestyard.consensus.messages import TransferKey
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.wire.client import PeerAddress
 
@@ -80,14 +81,20 @@
             if link.identity is not None and link.answered_at is not None
         }
 
-    def send(self, instance: InstanceId, receiver: MemberId, message: bytes) -> None:
+    def send(
+        self,
+        instance: InstanceId,
+        receiver: MemberId,
+        message: bytes,
+        key: TransferKey | None,
+    ) -> None:
         """Queue a message on the link to an instance.
 
         The message is dropped if there is no link.
         """
         link = self._links_by_instance.get(instance)
         if link is not None:
-            link.send(receiver, message)
+            link.send(receiver, message, key)
 
     def _record_identity(self, instance: InstanceId, identity: MemberIdentity) -> None:
         self.record_member(identity.member, instance)
--- a/goldcrestyard/consensus/messages.py
+++ b/goldcrestyard/consensus/messages.py
@@ -170,6 +170,24 @@
     | SnapshotReply
 )
 
+TransferKey = tuple[int, ...]
+"""What a message with entries or with a snapshot chunk carries."""
+
+
+def make_transfer_key(message: MemberMessage) -> TransferKey | None:
+    """Return what a message carries, or None for one without such content.
+
+    Two messages of one leader with the same key differ only in the time of
+    sending and in the commit index.
+    """
+    match message:
+        case Append(entries=entries) if entries:
+            return (message.term, message.previous_index, entries[-1].index)
+        case InstallSnapshot(data=data) if data:
+            return (message.term, message.index, message.offset, len(data))
+        case _:
+            return None
+
 
 def find_fault(message: object) -> str | None:
     """Return why a received message cannot be processed, or None.
--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -13,8 +13,15 @@
 """Time of an event that has not happened yet."""
 
 MAX_APPEND_BYTES = 256 * 1024
-"""Maximum size of the payloads in one ``Append`` and of a snapshot chunk.  At
-225 Mbit/s a message takes about 10 ms and does not delay a heartbeat."""
+"""Maximum size of a snapshot chunk.  At 225 Mbit/s it takes about 10 ms."""
+
+MAX_ENTRIES_BYTES = 64 * 1024
+"""Maximum size of the payloads in one ``Append``, unless it has one entry.  It
+is the least size of a batch on a link, which a message cannot be less than."""
+
+GAP_SECONDS = 0.75
+"""Time for which a member rejects heartbeats, and accepts none of the entries
+in flight, after which the entries are sent again."""
 
 MAX_APPEND_ENTRIES = 1024
 MAX_UNACKNOWLEDGED_ENTRIES = 4096
@@ -41,6 +48,15 @@
     for the replies, within limits."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """A message with entries in flight."""
+
+    last_index: LogIndex
+    size: int
+    sent_at: float
+
+
 @dataclass(slots=True)
 class Progress:
     """A leader's replication state for one other member.
@@ -65,9 +81,14 @@
     state: ReplicationState = ReplicationState.PROBE
     probed_at: float | None = None
     """Time at which the probe was sent; None if it is still to be sent."""
-    _unacknowledged: deque[tuple[LogIndex, int]] = field(default_factory=deque)
-    """Last index and size in bytes of each message in flight, oldest first."""
+    _unacknowledged: deque["_Sent"] = field(default_factory=deque)
+    """Messages with entries in flight, oldest first."""
     _unacknowledged_bytes: int = 0
+    _probe: "_Sent | None" = None
+    """The probe in flight, if it has entries."""
+    _stalled_since: float | None = None
+    """Sending time of the first heartbeat that was rejected since the member
+    last accepted entries."""
 
     def next_batch(self, log: Log) -> tuple[Entry, ...]:
         """Return the entries to send next.
@@ -85,39 +106,69 @@
         size = 0
         for count, entry in enumerate(entries):
             size += len(entry.payload)
-            if size > MAX_APPEND_BYTES and count > 0:
+            if size > MAX_ENTRIES_BYTES and count > 0:
                 return entries[:count]
         return entries
 
     def record_sent(self, entries: tuple[Entry, ...], now: float) -> None:
         """Record that entries returned by ``next_batch`` have been sent."""
+        message: _Sent | None = None
+        if entries:
+            size = sum(len(entry.payload) for entry in entries)
+            message = _Sent(entries[-1].index, size, now)
         match self.state:
             case ReplicationState.PROBE:
                 if self.probed_at is None:
                     self.probed_at = now
-            case ReplicationState.PIPELINE if entries:
-                size = sum(len(entry.payload) for entry in entries)
-                self.next_index = LogIndex(entries[-1].index + 1)
-                self._unacknowledged.append((entries[-1].index, size))
-                self._unacknowledged_bytes += size
+                    self._probe = message
+            case ReplicationState.PIPELINE if message is not None:
+                self._record_in_flight(message)
+
+    def _record_in_flight(self, message: _Sent) -> None:
+        self.next_index = LogIndex(message.last_index + 1)
+        self._unacknowledged.append(message)
+        self._unacknowledged_bytes += message.size
 
     def record_match(self, index: LogIndex) -> None:
         """Record that the member stores all entries up to an index."""
+        if index > self.match_index:
+            self._stalled_since = None
         self.state = ReplicationState.PIPELINE
         self.match_index = max(self.match_index, index)
         self.next_index = LogIndex(max(self.next_index, self.match_index + 1))
-        while self._unacknowledged and self._unacknowledged[0][0] <= self.match_index:
-            _, size = self._unacknowledged.popleft()
-            self._unacknowledged_bytes -= size
+        if self._probe is not None and self._probe.last_index > self.match_index:
+            # A heartbeat has overtaken the probe.
+            self._record_in_flight(self._probe)
+        self._probe = None
+        while (
+            self._unacknowledged
+            and self._unacknowledged[0].last_index <= self.match_index
+        ):
+            self._unacknowledged_bytes -= self._unacknowledged.popleft().size
 
     def is_outdated_rejection(self, sent_at: float) -> bool:
-        """Return whether a rejected message was sent before the last probe.
+        """Return whether a rejection says nothing new.
 
         After a gap the member rejects every message in flight.  Only the
         first rejection says something new; each further one would have the
-        same entries sent again.
+        same entries sent again.  A heartbeat that has overtaken entries on
+        another connection is rejected too, until they arrive.
         """
-        return self.probed_at is not None and sent_at < self.probed_at
+        match self.state:
+            case ReplicationState.PROBE:
+                return self.probed_at is not None and sent_at < self.probed_at
+            case ReplicationState.PIPELINE:
+                # Messages with entries do not overtake each other.
+                if all(message.sent_at != sent_at for message in self._unacknowledged):
+                    return self._has_overtaken(sent_at)
+                return False
+
+    def _has_overtaken(self, sent_at: float) -> bool:
+        if not self._unacknowledged:
+            return False
+        if self._stalled_since is None:
+            self._stalled_since = sent_at
+        return sent_at - self._stalled_since < GAP_SECONDS
 
     def retry_from(self, index: int) -> None:
         """Move ``next_index`` back after the member rejected an ``Append``.
@@ -129,6 +180,8 @@
         self.next_index = LogIndex(index)
         self.state = ReplicationState.PROBE
         self.probed_at = None
+        self._probe = None
+        self._stalled_since = None
         self._unacknowledged.clear()
         self._unacknowledged_bytes = 0
 
--- a/tests/consensus/test_compression.py
+++ b/tests/consensus/test_compression.py
@@ -79,8 +79,10 @@
         )
         link.identity = identity
         link.send(MemberId("b#1"), TEXT)
+        waiting = link._take_batch()
+        assert waiting is not None
         await asyncio.wait_for(
-            link._send_batch(Connection()),  # type: ignore[arg-type]
+            link._send_batch(Connection(), waiting),  # type: ignore[arg-type]
             5.0,
         )
         (batch,) = sent
--- /dev/null
+++ b/tests/consensus/test_lossy_links.py
@@ -0,0 +1,79 @@
+"""Tests of the links between members over connections that lose packets.
+
+They guard against a member that gets its vote late or never, and against a
+leader that loses its lease while it copies the log to another member.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from parameterized import parameterized
+
+from goldcrestyard.consensus.results import Applied
+from tests.fakes.joining_members import JoiningMemberTestCase
+
+
+@dataclass(frozen=True)
+class LossyLink:
+    """A log to be copied while the network loses packets."""
+
+    name: str
+    packet_loss: float
+    seconds: float
+    """Time within which the new member must have its vote."""
+    sent_share: float
+    """Largest ratio of the bytes sent to the size of the log."""
+
+
+class LossyLinkTests(JoiningMemberTestCase):
+    """A member with an empty disk that joins over lossy links."""
+
+    @parameterized.expand(
+        [
+            (case.name, case)
+            for case in [
+                LossyLink("no_loss", 0.0, 1.0, 0.75),
+                LossyLink("some_loss", 0.025, 1.4, 0.85),
+                LossyLink("high_loss", 0.05, 2.1, 1.0),
+            ]
+        ]
+    )
+    async def test_member_joins_in_time(self, _: str, case: LossyLink) -> None:
+        """Guards against batches that wait for lost packets one by one."""
+        await self.start_members()
+        await self.fill_log(1_500, 1_400)
+        await self.network.wait_until_converged()
+        self.network.latency_seconds = 0.015
+        self.network.bytes_per_second = 10_000_000
+        self.network.packet_loss = case.packet_loss
+        self.keep_proposing(1_400, 4)
+        term = self.leader.term
+        result, seconds, sent = await self.replace_wiped_member()
+        self.assertIsInstance(result, Applied, f"after {seconds:.1f} s")
+        self.assertLess(seconds, case.seconds)
+        self.assertEqual(self.leader.term, term)
+        log = sum(len(e.payload) for e in self.network.log_entries(self.leader))
+        self.assertLess(sent / log, case.sent_share)
+
+
+class StalledConnectionTests(JoiningMemberTestCase):
+    """A large transfer on a slow link."""
+
+    @parameterized.expand([("slow", 400_000.0), ("less_slow", 500_000.0)])
+    async def test_heartbeats_overtake_it(
+        self, _: str, bytes_per_second: float
+    ) -> None:
+        """Guards against a leader whose lease ends behind its own transfer."""
+        await self.start_members()
+        follower = next(
+            name for name in self.network.names if name != self.leader.instance
+        )
+        for name in self.network.names:
+            if name not in (follower, self.leader.instance):
+                await self.network.stop(name)
+        self.network.throughput_by_receiver[follower] = bytes_per_second
+        writing = asyncio.create_task(self.propose(600_000))
+        while not writing.done():
+            self.assertTrue(self.leader.holds_lease())
+            await asyncio.sleep(0.02)
+        self.assertIsInstance(await writing, Applied)
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -34,7 +34,6 @@
     SnapshotTaken,
     Tick,
 )
-from goldcrestyard.consensus.link import MAX_QUEUED_MESSAGES
 from goldcrestyard.consensus.member import Member
 from goldcrestyard.consensus.messages import (
     Append,
@@ -49,6 +48,7 @@
     Vote,
     VoteReply,
 )
+from goldcrestyard.consensus.outbox import MAX_QUEUED_MESSAGES
 from goldcrestyard.consensus.persistent_state import (
     PersistentState,
     select_save_effects,
--- a/tests/fakes/member_network.py
+++ b/tests/fakes/member_network.py
@@ -37,6 +37,14 @@
 LATENCY_SECONDS = 0.005
 WAIT_SECONDS = 60.0
 
+PACKET_BYTES = 6_000
+WINDOW_PACKETS = 32
+RETRANSMISSION_SECONDS = 0.2
+"""Size of a packet, number of packets that are sent without waiting for the
+first, and the time after which the lost ones of these are repeated.  With them
+a message is delayed about as often and as long as on the bench's lossy links.
+"""
+
 
 class InlineExecutor(Executor):
     """Runs work in the calling thread.
@@ -76,13 +84,13 @@
         if self._number <= network.last_silenced_connection:
             await asyncio.get_running_loop().create_future()
         data = network.codec.encode(message)
-        await network.deliver(local, remote, len(data))
+        await network.deliver(local, remote, len(data), self._number)
         handlers = network.handlers_by_instance[remote]
         decoded = network.codec.decode(data)
         handler = handlers.find(decoded)
         assert handler is not None
         answer = await handler(decoded, self)  # type: ignore[arg-type]
-        await network.deliver(remote, local)
+        await network.deliver(remote, local, 0, self._number)
         return network.codec.decode(network.codec.encode(answer))
 
 
@@ -126,20 +134,46 @@
         self.throughput_by_receiver: dict[str, float] = {}
         """Bytes per second of the connections to single members."""
         self.bytes_by_receiver: Counter[str] = Counter()
+        self.packet_loss = 0.0
+        """Share of packets that are lost.  As with TCP, a connection delivers
+        in order and repeats a lost packet after a time-out."""
+        self._packets = random.Random(7)
+        self._delivered_at: dict[tuple[int, str], float] = {}
         self.running: dict[str, ControlMember] = {}
         self.feeds_by_instance: dict[str, ChangeFeed] = {}
         self.handlers_by_instance: dict[str, Handlers] = {}
         self.files_by_instance: dict[str, MemoryFiles] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="goldcrestyard-")
 
-    async def deliver(self, sender: str, receiver: str, size: int = 0) -> None:
+    async def deliver(
+        self, sender: str, receiver: str, size: int = 0, connection: int = 0
+    ) -> None:
         """Delay a message by its size in bytes, or wait for ever if lost."""
         self.bytes_by_receiver[receiver] += size
         throughput = self.throughput_by_receiver.get(receiver, self.bytes_per_second)
-        await asyncio.sleep(self.latency_seconds + size / throughput)
+        seconds = self.latency_seconds + size / throughput
+        if self.packet_loss:
+            seconds += self._seconds_lost(size)
+            now = asyncio.get_running_loop().time()
+            earliest = self._delivered_at.get((connection, receiver), 0.0)
+            seconds = max(seconds, earliest - now)
+            self._delivered_at[connection, receiver] = now + seconds
+        await asyncio.sleep(seconds)
         if (sender, receiver) in self.cut_links or receiver not in self.running:
             await asyncio.get_running_loop().create_future()
 
+    def _seconds_lost(self, size: int) -> float:
+        """Return the delay of a message by lost packets."""
+        seconds = 0.0
+        packets = 1 + size // PACKET_BYTES
+        while packets > 0:
+            in_window = min(packets, WINDOW_PACKETS)
+            while self._packets.random() > (1 - self.packet_loss) ** in_window:
+                seconds += RETRANSMISSION_SECONDS
+                in_window = 1
+            packets -= WINDOW_PACKETS
+        return seconds
+
     def isolate(self, name: str) -> None:
         """Cut all links of a member in both directions."""
         all_names = [*self.names, *self.running]
