--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -914,8 +914,8 @@
     ) -> object:
         if self._core is None:
             return _not_running_failure(self._stop_reason)
-        self._links.record_member(message.member, connection.peer)
         self._links.get_or_create(connection.peer, message.address)
+        self._links.record_contact(message.member, connection.peer)
         return self._identity()
 
     async def _handle_batch(
@@ -925,7 +925,7 @@
             return _not_running_failure(self._stop_reason)
         own = self._disk.member_id
         if batch.receiver == own:
-            self._links.record_member(batch.sender, connection.peer)
+            self._links.record_contact(batch.sender, connection.peer)
             if not self._disk.cluster:
                 self._queue.put_nowait(_ClusterDiscovered(batch.cluster))
             elif batch.cluster == self._disk.cluster:
--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -175,6 +175,19 @@
             self._large_transfer.set()
         self._wake_connection()
 
+    def record_contact(self) -> None:
+        """Reconnect at once, since the member is evidently running.
+
+        An attempt to connect that has had no answer for a while is given up:
+        its packets may have been sent while the member did not run.
+        """
+        now = asyncio.get_running_loop().time()
+        for given_up, started_at in self._attempts.items():
+            if now - started_at >= RESPONSE_TIMEOUT_SECONDS and not given_up.done():
+                given_up.set_result(None)
+        self._contacted.set()
+        self._contacted = asyncio.Event()
+
     def _record_replaced(self, member: MemberId) -> None:
         self._replaced_members.add(member)
         self._outbox.drop(member)
--- a/goldcrestyard/consensus/links.py
+++ b/goldcrestyard/consensus/links.py
@@ -58,6 +58,13 @@
         """Record the instance from which a member has sent a message."""
         self._instances_by_member[member] = instance
 
+    def record_contact(self, member: MemberId, instance: InstanceId) -> None:
+        """Record that a member has contacted this one from its instance."""
+        self.record_member(member, instance)
+        link = self._links_by_instance.get(instance)
+        if link is not None:
+            link.record_contact()
+
     def instance_of(self, member: MemberId) -> InstanceId | None:
         """Return the instance of a member by its latest message, or None."""
         return self._instances_by_member.get(member)
--- a/tests/consensus/test_lossy_links.py
+++ b/tests/consensus/test_lossy_links.py
@@ -10,6 +10,7 @@
 from parameterized import parameterized
 
 from goldcrestyard.consensus.results import Applied
+from goldcrestyard.core.ids import InstanceId
 from tests.fakes.joining_members import JoiningMemberTestCase
 
 
@@ -77,3 +78,22 @@
             self.assertTrue(self.leader.holds_lease())
             await asyncio.sleep(0.02)
         self.assertIsInstance(await writing, Applied)
+
+
+class ReconnectingTests(JoiningMemberTestCase):
+    """A member that comes back after a while."""
+
+    @parameterized.expand([("same_disk", False), ("empty_disk", True)])
+    async def test_member_that_returns_is_contacted_at_once(
+        self, _: str, lose_disk: bool
+    ) -> None:
+        """Guards against a wait for the next attempt to connect."""
+        await self.start_members()
+        name = next(n for n in self.network.names if n != self.leader.instance)
+        for seconds in (5.1, 5.3, 5.5, 5.7):
+            await self.network.stop(name, lose_disk=lose_disk)
+            await asyncio.sleep(seconds)
+            returned = await self.network.start(name)
+            await asyncio.sleep(0.2)
+            known = self.leader._links.identities_by_instance()[InstanceId(name)]
+            self.assertEqual(known.member, returned.member_id)
