--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -206,6 +206,8 @@
             if may_have_run and not admitted.route.repeatable:
                 break
             if stream.origin is not None and self._router.software_changed(target):
+                # The caller must not take the stream up at the noted version.
+                self._note_origin(admitted, target, stream.origin)
                 break
         if stream.head_sent:
             return StreamEnd.CUT
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -1,7 +1,9 @@
 """Tests of streamed answers: complete, resumed or cut."""
 
+import asyncio
 import random
 from dataclasses import dataclass, replace
+from unittest.mock import Mock
 
 from parameterized import parameterized
 
@@ -12,6 +14,7 @@
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.gateway.streams import StreamEnd, StreamRunner
 from goldcrestyard.fleet.metering.meter import UsageMeter
+from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
 from tests.fakes.announcements import announce
@@ -223,3 +226,44 @@
         if resumed:
             versions = {software_by_name[name] for name, _ in client.calls}
             self.assertEqual(len(versions), 1)
+
+
+class OriginTests(PausedClockTestCase):
+    """Guards against a take-up at a version that may not have begun the stream."""
+
+    @parameterized.expand(
+        [
+            ("not_restarted", None, ["v1"]),
+            ("same_software", "v1", ["v1"]),
+            ("other_software_heard_after_the_first_event", "v2", ["v1", ""]),
+        ]
+    )
+    async def test_noted(self, _: str, restarts_with: str | None, noted) -> None:
+        quiet_logs(self)
+        clock = self.clock()
+        view = entry_view(clock, ())
+        targets = view.machine.get(TargetsSlice)
+        announce(targets, target("a", software="v1"))
+        client = FakeTargetClient({"a": [Streams(4, breaks_after=2)]})
+        admission = Admission(view, clock)
+        location = CallerLocation(target("a").data_centre, target("a").region)
+        origins = Mock(spec=StreamOrigins)
+        runner = StreamRunner(
+            admission,
+            CallRouter(targets, location, clock, random.Random(1)),
+            client,
+            request_guard(view, client, clock),
+            UsageMeter(5.0),
+            clock,
+            origins=origins,
+        )
+        admitted = admission.admit(request("/resumed/"), clock.monotonic())
+        assert isinstance(admitted, AdmittedRequest)
+        running = asyncio.create_task(runner.run(admitted, RecordingSink()))
+        await asyncio.sleep(0.045)
+        if restarts_with is not None:
+            again = target("a", software=restarts_with)
+            announce(targets, replace(again, incarnation="2000"))
+        await running
+        seen = [call.args[3].software for call in origins.note.call_args_list]
+        self.assertEqual(seen, noted)
