--- a/goldcrestyard/fleet/resumption/entry_side.py
+++ b/goldcrestyard/fleet/resumption/entry_side.py
@@ -1,7 +1,8 @@
 """An entry's part: records the origins of streams, and looks them up."""
 
 import asyncio
-from collections import OrderedDict
+import math
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 
 import structlog
@@ -24,6 +25,7 @@
     RecordOrigins,
 )
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -52,6 +54,9 @@
 RETRY_SECONDS = 0.2
 """Delay in seconds before records that were not committed are sent again."""
 
+SAMPLE_SECONDS = 2.0
+"""Shortest time in seconds between two samples of the log's time."""
+
 MAX_BATCH = 1024
 """Maximum number of streams in one message, about 16 KB."""
 
@@ -75,6 +80,15 @@
     """Monotonic time in seconds."""
 
 
+@dataclass(frozen=True, slots=True)
+class _LogTime:
+    seen_at: float
+    """Monotonic time in seconds."""
+    time: float
+    """The log's time, Unix time in seconds."""
+    commands_seen: int
+
+
 def software_of(decision: OriginDecision) -> SoftwareVersion | None:
     """Return the software version that a stream goes on with, if any."""
     match decision:
@@ -98,7 +112,7 @@
         self._noted_by_stream: OrderedDict[StreamDigest, _Noted] = OrderedDict()
         self._unrecorded: OrderedDict[StreamDigest, StreamOrigin] = OrderedDict()
         self._noted = asyncio.Event()
-        self._time_seen = (0.0, 0.0)
+        self._seen: deque[_LogTime] = deque()
 
     def note(
         self,
@@ -108,7 +122,7 @@
         origin: StreamOrigin,
     ) -> None:
         """Record the origin of a stream, by the attempt of its first event."""
-        self._present()
+        self._since()
         if not first:
             return
         stream = stream_digest(organisation, route, first)
@@ -124,7 +138,10 @@
     async def run(self) -> None:
         """Send records to the leader until cancelled."""
         while True:
-            await self._noted.wait()
+            self._since()
+            await wait_at_most(SAMPLE_SECONDS, self._noted.wait())
+            if not self._noted.is_set():
+                continue
             self._noted.clear()
             batch = list(self._unrecorded.items())[:MAX_BATCH]
             reply = await self._link.request(
@@ -156,9 +173,9 @@
         services = frozenset(weighted.name for weighted in route.services)
         only = None
         if len(services) == 1 and self._view.holds_lease():
-            since = self._present() - TAKE_UP_SECONDS
             (service,) = services
-            only = only_origin(services, self._targets.software_since(service, since))
+            software = self._targets.software_since(service, self._since())
+            only = only_origin(services, software)
         recorded = None
         if take_up.first and take_up.after is not None:
             stream = stream_digest(organisation, route, take_up.first)
@@ -177,17 +194,30 @@
         )
         return decision
 
-    def _present(self) -> float:
-        """Return a lower bound of the leader's wall time in seconds.
+    def _since(self) -> float:
+        """Return a log time that was ``TAKE_UP_SECONDS`` ago or earlier.
 
-        It counts from when this process first looked after a change: the wall
-        clock of this machine may be set.
+        The log's time jumps when a leader whose clock is ahead takes over, and
+        stands still after it.  What the log's time was that long ago by the
+        steady clock holds all the same.  A process that has not run so long
+        relies on the leader's clock.
         """
-        time, seen_at = self._time_seen
-        if self._targets.latest_time > time:
-            time, seen_at = self._targets.latest_time, self._clock.monotonic()
-            self._time_seen = time, seen_at
-        return time + self._clock.monotonic() - seen_at
+        now = self._clock.monotonic()
+        latest = _LogTime(now, self._targets.latest_time, self._targets.commands_seen)
+        seen = self._seen
+        if latest.time == 0.0:
+            # Nothing but a snapshot is known: all recorded departures count.
+            return 0.0
+        if not seen or now - seen[-1].seen_at >= SAMPLE_SECONDS:
+            seen.append(latest)
+        while len(seen) > 1 and now - seen[1].seen_at >= TAKE_UP_SECONDS:
+            seen.popleft()
+        before = seen[0]
+        if now - before.seen_at < TAKE_UP_SECONDS:
+            return before.time + now - before.seen_at - TAKE_UP_SECONDS
+        if before.commands_seen == latest.commands_seen:
+            return math.nextafter(before.time, math.inf)
+        return before.time
 
     def _remembered(self, stream: StreamDigest) -> StreamOrigin | None:
         noted = self._noted_by_stream.get(stream)
--- a/goldcrestyard/plugins/targets/slices.py
+++ b/goldcrestyard/plugins/targets/slices.py
@@ -63,6 +63,8 @@
         self._left_versions = LeftVersions()
         self.latest_time = 0.0
         """Unix time of the latest command that this process has applied."""
+        self.commands_seen = 0
+        """Number of commands that this process has applied."""
 
     def find(self, target_id: TargetId) -> Target | None:
         """Return a target, or None if it is unknown or removed."""
@@ -136,6 +138,7 @@
     ) -> None:
         """Note the time, which is a lower bound of the present one."""
         self.latest_time = max(self.latest_time, context.time)
+        self.commands_seen += 1
 
     def apply(self, command: Command, context: CommandContext) -> Outcome:
         """Apply one committed command."""
--- a/tests/fleet/test_resumption.py
+++ b/tests/fleet/test_resumption.py
@@ -209,6 +209,38 @@
         await asyncio.sleep(2)
         self.assertEqual(await self._find(entry, case), ONLY)
 
+    @parameterized.expand(
+        [
+            ("stands_still", 0.0, 0.0),
+            ("jumps_after_the_departure", 1.0, 2000.0),
+            ("back_after_a_jump", 1.0, 0.5),
+        ]
+    )
+    async def test_time_of_the_log(self, _: str, rate: float, offset: float) -> None:
+        """A version that left 20 s ago counts, whatever the clocks."""
+        entry = self._entry()
+        case = replace(CASES[0], take_up=TakeUp(None, EVENT))
+        start = self.clock().wall()
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+        await asyncio.sleep(100.0)
+        remove = RemoveTarget("1", "1000", TargetState.LEFT)
+        apply(self.view.machine, remove, time=start + 100.0 * rate)
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+        await asyncio.sleep(20.0)
+        command = AnnounceTarget(target("0", software="v1"), "entry")
+        apply(self.view.machine, command, time=start + 120.0 * rate + offset)
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+
+    async def test_entry_with_a_snapshot_only(self) -> None:
+        """A new entry goes on at the only version from its start."""
+        entry = self._entry(())
+        case = replace(CASES[0], take_up=TakeUp(None, EVENT))
+        announce = AnnounceTarget(target("0", software="v1"), "entry")
+        for time in (0.0, self.clock().wall()):
+            apply(self.view.machine, announce, time=time)
+            self.assertEqual(await self._find(entry, case), ONLY)
+            await asyncio.sleep(1.0)
+
     async def test_entry_without_lease(self) -> None:
         """Another version may serve that it has not heard of."""
         entry = self._entry(("v1",))
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -229,7 +229,7 @@
 
 
 class OriginTests(PausedClockTestCase):
-    """Guards against a take-up at a version that may not have begun the stream."""
+    """Guards against a take-up at a version that may not have begun it."""
 
     @parameterized.expand(
         [
