--- a/goldcrestyard/fleet/resumption/entry_side.py
+++ b/goldcrestyard/fleet/resumption/entry_side.py
@@ -24,6 +24,7 @@
     OriginsRecorded,
     RecordOrigins,
 )
+from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.leader_link import LeaderLink
@@ -106,6 +107,7 @@
     ) -> None:
         self._view = view
         self._targets = view.machine.get(TargetsSlice)
+        self._serving = view.machine.get(ServingSlice)
         self._link = link
         self._metrics = metrics
         self._clock = clock
@@ -174,8 +176,11 @@
         only = None
         if len(services) == 1 and self._view.holds_lease():
             (service,) = services
-            software = self._targets.software_since(service, self._since())
-            only = only_origin(services, software)
+            since = self._since()
+            moved_at = self._serving.moved_at(route)
+            if moved_at is not None and (moved_at == 0.0 or moved_at < since):
+                software = self._targets.software_since(service, since)
+                only = only_origin(services, software)
         recorded = None
         if take_up.first and take_up.after is not None:
             stream = stream_digest(organisation, route, take_up.first)
--- a/goldcrestyard/fleet/serving/commands.py
+++ b/goldcrestyard/fleet/serving/commands.py
@@ -17,9 +17,22 @@
     source: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class MovedRoute:
+    """A route that last led to other services at a Unix time in seconds."""
+
+    host: str
+    prefix: str
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServingSnapshot:
     """Snapshot of the serving configuration; None before the first."""
 
     config: ServingConfig | None
     source: bytes
+    moved: tuple[MovedRoute, ...] = ()
+    moves_known_since: float | None = None
+    """Unix time since which moves of routes are recorded; None in the snapshot
+    of a release that does not record them."""
--- a/goldcrestyard/fleet/serving/slices.py
+++ b/goldcrestyard/fleet/serving/slices.py
@@ -1,8 +1,12 @@
 """Replicated state of the serving configuration."""
 
-from goldcrestyard.core.serving import ServingConfig
-from goldcrestyard.fleet.serving.commands import PutServing, ServingSnapshot
-from goldcrestyard.policy.serving import ServingTable
+from goldcrestyard.core.serving import ServingConfig, ServingRoute
+from goldcrestyard.fleet.serving.commands import (
+    MovedRoute,
+    PutServing,
+    ServingSnapshot,
+)
+from goldcrestyard.policy.serving import RouteKey, ServingTable, moved_routes, route_key
 from goldcrestyard.state.commands import Accepted, Command, CommandContext, Outcome
 from goldcrestyard.state.slices import Slice
 
@@ -19,12 +23,32 @@
         """Lookup table of the configuration; None before the first."""
         self.source = b""
         """The operator's document, compressed."""
+        self._moved_at_by_route: dict[RouteKey, float] = {}
+        self._moves_known_since: float | None = 0.0
+
+    def moved_at(self, route: ServingRoute) -> float | None:
+        """Return the Unix time at which a route last led to other services.
+
+        Returns None if that is not known, and 0 if it never did.
+        """
+        if self._moves_known_since is None:
+            return None
+        moved_at = self._moved_at_by_route.get(route_key(route), 0.0)
+        return max(moved_at, self._moves_known_since)
+
+    def observe(
+        self, command: Command, outcome: Outcome, context: CommandContext
+    ) -> None:
+        """Record moves from now on if the snapshot did not tell of them."""
+        if self._moves_known_since is None:
+            self._moves_known_since = context.time
 
     def apply(self, command: Command, context: CommandContext) -> Outcome:
         """Apply one committed command."""
         match command:
             case PutServing(config=config, source=source):
                 if self.table is None or config.version > self.table.config.version:
+                    self._record_moves(ServingTable(config), context.time)
                     self._replace_config(config, source)
                 return Accepted()
         raise TypeError(f"unexpected command {command!r}")
@@ -32,15 +56,35 @@
     def to_snapshot(self) -> ServingSnapshot:
         """Return the configuration and its source document."""
         config = self.table.config if self.table is not None else None
-        return ServingSnapshot(config, self.source)
+        moved = tuple(
+            MovedRoute(host, prefix, at)
+            for (host, prefix), at in self._moved_at_by_route.items()
+        )
+        return ServingSnapshot(config, self.source, moved, self._moves_known_since)
 
     def load_snapshot(self, snapshot: ServingSnapshot) -> None:
         """Replace the configuration by that of a snapshot."""
+        self._moved_at_by_route = {
+            (moved.host, moved.prefix): moved.at for moved in snapshot.moved
+        }
+        self._moves_known_since = snapshot.moves_known_since
         if snapshot.config is None:
             self.table, self.source = None, b""
         else:
             self._replace_config(snapshot.config, snapshot.source)
 
+    def _record_moves(self, coming: ServingTable, time: float) -> None:
+        if self.table is None:
+            return
+        moved_at = {
+            **self._moved_at_by_route,
+            **dict.fromkeys(moved_routes(self.table, coming), time),
+        }
+        kept = map(route_key, coming.config.routes)
+        self._moved_at_by_route = {
+            key: moved_at[key] for key in kept if key in moved_at
+        }
+
     def _replace_config(self, config: ServingConfig, source: bytes) -> None:
         self.table = ServingTable(config)
         self.source = source
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -52,13 +52,22 @@
     return host.partition(":")[0].lower()
 
 
+RouteKey = tuple[str, str]
+"""Host, normalized, and path prefix of a route."""
+
+
+def route_key(route: ServingRoute) -> RouteKey:
+    """Return the host and the prefix by which a route is found."""
+    return normalize_host(route.host), route.prefix
+
+
 class ServingTable:
     """Indexes of a configuration by host and prefix, key and service name."""
 
     def __init__(self, config: ServingConfig) -> None:
         self.config = config
         self._routes_by_host_and_prefix = {
-            (normalize_host(route.host), route.prefix): route for route in config.routes
+            route_key(route): route for route in config.routes
         }
         self._organisations_by_key = {
             key: organisation
@@ -85,6 +94,27 @@
         return self._organisations_by_key.get(key)
 
 
+def moved_routes(before: ServingTable, after: ServingTable) -> set[RouteKey]:
+    """Return the routes of a configuration some of whose requests moved.
+
+    Such requests led to other services before, or to none; they may have been
+    those of a route that is gone.
+    """
+    moved: set[RouteKey] = set()
+    for route in (*before.config.routes, *after.config.routes):
+        former = before.route(*route_key(route))
+        present = after.route(*route_key(route))
+        if present is not None and _services(former) != _services(present):
+            moved.add(route_key(present))
+    return moved
+
+
+def _services(route: ServingRoute | None) -> frozenset[ServiceName]:
+    if route is None:
+        return frozenset()
+    return frozenset(service.name for service in route.services)
+
+
 def pick_service(route: ServingRoute, random_source: random.Random) -> ServiceName:
     """Return one of a route's services at random, by weight."""
     if len(route.services) == 1:
--- a/tests/fleet/test_resumption.py
+++ b/tests/fleet/test_resumption.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry
 
 from goldcrestyard.core.ids import (
+    ConfigVersion,
     EventNumber,
     OrganisationId,
     RequestId,
@@ -28,6 +29,8 @@
 from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
 from goldcrestyard.fleet.resumption.leader_side import OriginKeeper
 from goldcrestyard.fleet.resumption.slices import StreamOriginsSlice
+from goldcrestyard.fleet.serving.commands import PutServing
+from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.plugins.targets.commands import AnnounceTarget, RemoveTarget
 from goldcrestyard.policy.stream_origins import (
     TAKE_UP_SECONDS,
@@ -42,7 +45,7 @@
 from tests.fakes.member import FakeMember, apply, machine_of
 from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
-from tests.fakes.serving import entry_view, route
+from tests.fakes.serving import CONFIG, entry_view, route
 from tests.fakes.targets import target
 from tests.fleet.test_limits import LeaderStub
 
@@ -231,6 +234,52 @@
         apply(self.view.machine, command, time=start + 120.0 * rate + offset)
         self.assertEqual(await self._find(entry, case), UNKNOWN)
 
+    @parameterized.expand(
+        [
+            ("unchanged", [("/talk/", "quotes")], ONLY),
+            ("moved", [("/talk/", "rest")], UNKNOWN),
+            ("was_split", [("/talk/", "quotes", "rest")], UNKNOWN),
+            ("added", [], UNKNOWN),
+            ("added_below", [("/", "rest")], UNKNOWN),
+            (
+                "longer_one_removed",
+                [("/talk/", "quotes"), ("/talk/a/", "rest")],
+                UNKNOWN,
+            ),
+            (
+                "other_one_moved",
+                [("/talk/", "quotes"), ("/other/", "rest")],
+                ONLY,
+            ),
+        ]
+    )
+    async def test_route_changed(self, _: str, before, expected) -> None:
+        """A service's only version did not begin another one's streams."""
+        entry = self._entry(("v1",))
+        case = replace(CASES[0], take_up=TakeUp(None, EVENT))
+        routes = [
+            replace(
+                ROUTE,
+                prefix=prefix,
+                services=tuple(WeightedService(ServiceName(s), 1.0) for s in services),
+            )
+            for prefix, *services in before
+        ]
+        for version, age, present in (
+            (2, 100.0, routes),
+            (3, 0.0, [ROUTE, OTHER_ROUTE]),
+        ):
+            config = replace(
+                CONFIG, version=ConfigVersion(version), routes=tuple(present)
+            )
+            time = self.clock().wall() - age
+            apply(self.view.machine, PutServing(config, b""), time=time)
+        serving = self.view.machine.get(ServingSlice)
+        serving.load_snapshot(serving.to_snapshot())
+        self.assertEqual(await self._find(entry, case), expected)
+        await asyncio.sleep(TAKE_UP_SECONDS + 1)
+        self.assertEqual(await self._find(entry, case), ONLY)
+
     async def test_entry_with_a_snapshot_only(self) -> None:
         """A new entry goes on at the only version from its start."""
         entry = self._entry(())
--- a/tests/fleet/test_serving_slice.py
+++ b/tests/fleet/test_serving_slice.py
@@ -39,3 +39,12 @@
         assert copy.table is not None
         self.assertEqual(copy.source, b"seven")
         self.assertEqual(copy.table.config, self.slice.table.config)  # type: ignore[union-attr]
+
+    def test_snapshot_of_a_release_without_moves(self) -> None:
+        """Moves are not known before the next command."""
+        snapshot = replace(self.slice.to_snapshot(), moves_known_since=None)
+        self.slice.load_snapshot(snapshot)
+        route = CONFIG.routes[0]
+        self.assertIsNone(self.slice.moved_at(route))
+        apply(self.machine, PutServing(CONFIG, b""), time=5.0)
+        self.assertEqual(self.slice.moved_at(route), 5.0)
