--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -98,18 +98,6 @@
     """Whether an event was sent to the caller in this answer."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Silence:
-    """Time in seconds without an event after which an attempt ends.
-
-    None means that the stream cannot go on elsewhere.  A slow one is better
-    than none: it may be silent until the deadline.
-    """
-
-    before_first: float | None
-    after_first: float | None
-
-
 class StreamRunner:
     """Relays streams, resuming them at other targets where allowed."""
 
@@ -181,17 +169,8 @@
                 admitted.route.repeatable and sent + 1 < admitted.route.max_attempts
             )
             origin = StreamOrigin(service, target.software)
-            silence = _Silence(
-                self._silence_seconds(admitted, service, tried, stream.origin),
-                self._silence_seconds(admitted, service, tried, origin),
-            )
             outcome = await self._attempt(
-                admitted,
-                target,
-                origin,
-                stream,
-                sink,
-                silence if may_repeat else _Silence(None, None),
+                admitted, target, origin, stream, sink, tried if may_repeat else None
             )
             if isinstance(outcome, StreamEnd):
                 if stream.relayed:
@@ -220,13 +199,15 @@
         origin: StreamOrigin,
         stream: _StreamState,
         sink: StreamSink,
-        silence: _Silence,
+        tried: set[TargetId] | None,
     ) -> StreamEnd | AttemptFailure:
         request = admitted.request
         call = admitted.to_call(stream.last_event)
         began = self._clock.monotonic()
         seconds_left = admitted.deadline - began
-        silence_seconds = silence.before_first
+        silence_seconds = self._silence_seconds(
+            admitted, origin.service, tried, stream.origin
+        )
         outcome: StreamEnd | AttemptFailure
         with self._router.call_in_flight(target) as statistics:
             async with AsyncExitStack() as stack:
@@ -244,7 +225,14 @@
                     outcome = await self._relay_error(reply, stream, sink)
                 else:
                     outcome = await self._relay_events(
-                        admitted, reply, target, origin, stream, sink, silence
+                        admitted,
+                        reply,
+                        target,
+                        origin,
+                        stream,
+                        sink,
+                        silence_seconds,
+                        tried,
                     )
             if outcome is StreamEnd.WHOLE:
                 now = self._clock.monotonic()
@@ -287,14 +275,12 @@
         origin: StreamOrigin,
         stream: _StreamState,
         sink: StreamSink,
-        silence: _Silence,
+        silence_seconds: float | None,
+        tried: set[TargetId] | None,
     ) -> StreamEnd | AttemptFailure:
         """Relay events until the end or a silence."""
         events = reply.events()
         while True:
-            silence_seconds = (
-                silence.before_first if stream.origin is None else silence.after_first
-            )
             seconds_left = admitted.deadline - self._clock.monotonic()
             event = await next_event_within(
                 seconds_left if silence_seconds is None else silence_seconds, events
@@ -315,6 +301,7 @@
                 )
                 await sink.begin(reply.status, reply.headers)
             stream.last_event = event.number
+            begins = stream.origin is None
             if stream.origin is None:
                 stream.origin = origin
             try:
@@ -324,6 +311,10 @@
                 if not stream.relayed:
                     stream.relayed = True
                     self._note_origin(admitted, target, stream.origin)
+            if begins:
+                silence_seconds = self._silence_seconds(
+                    admitted, origin.service, tried, stream.origin
+                )
 
     async def _find_origin(
         self, admitted: AdmittedRequest, take_up: TakeUp
@@ -357,11 +348,15 @@
         self,
         admitted: AdmittedRequest,
         service: ServiceName,
-        tried: set[TargetId],
+        tried: set[TargetId] | None,
         origin: StreamOrigin | None,
     ) -> float | None:
-        """Return the longest silence; None if no other target can go on."""
-        if self._router.choose(service, tried, origin=origin) is None:
+        """Return the longest silence; None if no other target can go on.
+
+        A slow stream is better than none: it may be silent until the deadline.
+        ``tried`` is None if no other target may be tried.
+        """
+        if tried is None or self._router.choose(service, tried, origin=origin) is None:
             return None
         objective = admitted.route.objective_seconds or 0.0
         return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -267,3 +267,23 @@
         await running
         seen = [call.args[3].software for call in origins.note.call_args_list]
         self.assertEqual(seen, noted)
+
+    async def test_choices_before_the_first_event(self) -> None:
+        """Each choice looks at all targets, and delays the first event."""
+        clock = self.clock()
+        view = entry_view(clock, ("a", "b"))
+        client = FakeTargetClient({"a": [Streams(1)], "b": [Streams(1)]})
+        admission = Admission(view, clock)
+        location = CallerLocation(target("a").data_centre, target("a").region)
+        router = CallRouter(
+            view.machine.get(TargetsSlice), location, clock, random.Random(1)
+        )
+        router.choose = Mock(wraps=router.choose)  # type: ignore[method-assign]
+        guard, meter = request_guard(view, client, clock), UsageMeter(5.0)
+        runner = StreamRunner(admission, router, client, guard, meter, clock)
+        admitted = admission.admit(request("/resumed/"), clock.monotonic())
+        assert isinstance(admitted, AdmittedRequest)
+        running = asyncio.create_task(runner.run(admitted, RecordingSink()))
+        await asyncio.sleep(0.01)
+        self.assertEqual(router.choose.call_count, 2)
+        await running
