--- a/goldcrestyard/fleet/resumption/commands.py
+++ b/goldcrestyard/fleet/resumption/commands.py
@@ -29,7 +29,7 @@
     """The streams that were recorded at one time."""
 
     at: float
-    """Unix time in seconds."""
+    """Age of the slice in seconds."""
     groups: tuple[OriginGroup, ...]
 
 
@@ -38,6 +38,10 @@
     """Snapshot of the slice, the oldest first."""
 
     kept: tuple[KeptOrigins, ...]
+    age: float = 0.0
+    """Age of the slice in seconds; see ``MAX_STEP_SECONDS``."""
+    time: float = 0.0
+    """Unix time in seconds of the latest command."""
 
 
 def to_groups(
--- a/goldcrestyard/fleet/resumption/slices.py
+++ b/goldcrestyard/fleet/resumption/slices.py
@@ -25,6 +25,12 @@
 They take at most 16 MB, and are 1,000 new streams a second for a minute."""
 
 
+MAX_STEP_SECONDS = 5.0
+"""Longest time in seconds by which one command makes records older.  The log's
+time jumps when a leader whose clock is ahead takes over, which must not make
+the records of moments ago look old."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Kept:
     origin: StreamOrigin
@@ -39,6 +45,8 @@
 
     def __init__(self) -> None:
         self._kept_by_stream: OrderedDict[StreamDigest, _Kept] = OrderedDict()
+        self._age = 0.0
+        self._time = 0.0
 
     def find(self, stream: StreamDigest) -> StreamOrigin | None:
         """Return the origin of a stream, or None if it is not recorded."""
@@ -53,20 +61,26 @@
         """Apply one committed command."""
         match command:
             case KeepOrigins(groups=groups):
+                self._advance(context.time)
                 for stream, origin in streams_of(groups):
                     known = self._kept_by_stream.pop(stream, None)
                     merged = merge_origins(known.origin if known else None, origin)
-                    self._kept_by_stream[stream] = _Kept(merged, context.time)
-                self._forget_old(context.time)
+                    self._kept_by_stream[stream] = _Kept(merged, self._age)
+                self._forget_old()
             case _:
                 raise TypeError(f"unexpected command {command!r}")
         return Accepted()
 
-    def _forget_old(self, time: float) -> None:
+    def _advance(self, time: float) -> None:
+        if self._kept_by_stream:
+            self._age += min(max(0.0, time - self._time), MAX_STEP_SECONDS)
+        self._time = time
+
+    def _forget_old(self) -> None:
         while self._kept_by_stream:
             stream, kept = next(iter(self._kept_by_stream.items()))
             if (
-                time - kept.at <= TAKE_UP_SECONDS
+                self._age - kept.at <= TAKE_UP_SECONDS
                 and len(self._kept_by_stream) <= MAX_STREAMS
             ):
                 return
@@ -82,11 +96,14 @@
                 for at, streams in groupby(
                     self._kept_by_stream.items(), key=lambda item: item[1].at
                 )
-            )
+            ),
+            self._age,
+            self._time,
         )
 
     def load_snapshot(self, snapshot: OriginsSnapshot) -> None:
         """Replace all streams by those of a snapshot."""
+        self._age, self._time = snapshot.age, snapshot.time
         self._kept_by_stream = OrderedDict(
             (stream, _Kept(origin, kept.at))
             for kept in snapshot.kept
--- a/tests/fleet/test_resumption.py
+++ b/tests/fleet/test_resumption.py
@@ -328,5 +328,23 @@
         self.assertEqual(
             again.get(StreamOriginsSlice).to_snapshot(), kept.to_snapshot()
         )
+        # One command makes records older by a few seconds at most.
+        for seconds in range(1, int(TAKE_UP_SECONDS)):
+            apply(machine, KeepOrigins(()), time=EPOCH + 5 + seconds)
+        self.assertNotEqual(kept.count(), 0)
         apply(machine, KeepOrigins(()), time=EPOCH + 5 + TAKE_UP_SECONDS + 1)
         self.assertEqual(kept.count(), 0)
+
+    @parameterized.expand([("ahead", 2000.0), ("stands_still", 0.0)])
+    async def test_time_jumps(self, _: str, seconds: float) -> None:
+        """A new leader's clock does not make all streams forgotten."""
+        machine = machine_of(StreamOriginsSlice)
+        kept = machine.get(StreamOriginsSlice)
+        command = KeepOrigins(to_groups([(self._stream(1), V1)]))
+        apply(machine, command, time=EPOCH)
+        kept.load_snapshot(kept.to_snapshot())
+        for number in (2, 3):
+            command = KeepOrigins(to_groups([(self._stream(number), V1)]))
+            apply(machine, command, time=EPOCH + seconds)
+        found = [kept.find(self._stream(number)) for number in (1, 2, 3)]
+        self.assertEqual(found, [V1, V1, V1])
