--- a/goldcrestyard/fleet/resumption/entry_side.py
+++ b/goldcrestyard/fleet/resumption/entry_side.py
@@ -55,6 +55,10 @@
 RETRY_SECONDS = 0.2
 """Delay in seconds before records that were not committed are sent again."""
 
+MAX_LAG_SECONDS = 2.0
+"""Time in seconds since the lease was renewed after which an entry that cannot
+ask the leader may not have heard of a version that has begun to serve."""
+
 SAMPLE_SECONDS = 2.0
 """Shortest time in seconds between two samples of the log's time."""
 
@@ -185,8 +189,12 @@
         if take_up.first and take_up.after is not None:
             stream = stream_digest(organisation, route, take_up.first)
             recorded = self._remembered(stream)
-            if recorded is None and only is None:
-                recorded = await self._ask(stream)
+            if recorded is None:
+                match await self._ask(stream, again=only is None):
+                    case StreamOrigin() as recorded:
+                        pass
+                    case None if self._view.renewed_seconds_ago() > MAX_LAG_SECONDS:
+                        only = None
         decision = decide_origin(take_up, only, recorded, services)
         self._metrics.take_ups.labels(type(decision).__name__).inc()
         logger.info(
@@ -230,8 +238,15 @@
             return None
         return noted.origin
 
-    async def _ask(self, stream: StreamDigest) -> StreamOrigin | None:
-        for delay_seconds in (0.0, ASK_AGAIN_SECONDS):
+    async def _ask(
+        self, stream: StreamDigest, *, again: bool
+    ) -> StreamOrigin | OriginNotKnown | None:
+        """Return what the leader knows of a stream; None without its answer.
+
+        ``again`` tells whether to ask once more if it does not know it.
+        """
+        answer: OriginNotKnown | None = None
+        for delay_seconds in (0.0, ASK_AGAIN_SECONDS) if again else (0.0,):
             await asyncio.sleep(delay_seconds)
             if self._link.leader is None:
                 continue
@@ -240,10 +255,10 @@
                 case OriginReply(service=service, software=software):
                     return StreamOrigin(service, software)
                 case OriginNotKnown():
-                    pass
+                    answer = reply
                 case _:
                     logger.info(
                         "leader named no origin of a stream",
                         reply=type(reply).__name__,
                     )
-        return None
+        return answer
--- a/goldcrestyard/membership/view.py
+++ b/goldcrestyard/membership/view.py
@@ -24,6 +24,7 @@
         self._codec = codec
         self._clock = clock
         self._lease_expires_at = float("-inf")
+        self._renewed_at = float("-inf")
         self.synchronized = asyncio.Event()
         """Set once this entry has received the state and a lease on it."""
         self._listeners: list[Callable[[], None]] = []
@@ -41,6 +42,10 @@
         """Return the seconds until the lease expires; 0 if it has expired."""
         return max(0.0, self._lease_expires_at - self._clock.monotonic())
 
+    def renewed_seconds_ago(self) -> float:
+        """Return the seconds since the lease was last renewed."""
+        return self._clock.monotonic() - self._renewed_at
+
     def listen(self, listener: Callable[[], None]) -> None:
         """Register a function to call after each change of the state."""
         self._listeners.append(listener)
@@ -51,6 +56,7 @@
         The leader counts from a later moment, so that this entry always
         regards the lease as expired before the leader does.
         """
+        self._renewed_at = max(self._renewed_at, requested_at)
         self._lease_expires_at = max(
             self._lease_expires_at, requested_at + lease_seconds
         )
--- a/tests/fleet/test_resumption.py
+++ b/tests/fleet/test_resumption.py
@@ -212,6 +212,24 @@
         await asyncio.sleep(2)
         self.assertEqual(await self._find(entry, case), ONLY)
 
+    @parameterized.expand(
+        [
+            ("leader_answers", 10.0, True, KnownOrigin(V2)),
+            ("cut_off", 3.0, False, UNKNOWN),
+            ("leader_just_lost", 1.0, False, ONLY),
+        ]
+    )
+    async def test_version_not_heard_of(
+        self, _: str, cut_off_seconds: float, leader: bool, expected
+    ) -> None:
+        """An entry with its lease may lack the version that began a stream."""
+        served, asked = self._entry(), self._entry(("v1",))
+        self._start(served.run())
+        served.note(ROUTE, TEJO, FIRST, V2)
+        await asyncio.sleep(cut_off_seconds)
+        self.link.leader = self.link.leader if leader else None
+        self.assertEqual(await self._find(asked, CASES[0]), expected)
+
     @parameterized.expand(
         [
             ("stands_still", 0.0, 0.0),
