--- a/goldcrestyard/fleet/resumption/apps.py
+++ b/goldcrestyard/fleet/resumption/apps.py
@@ -25,7 +25,7 @@
     """Entries record the origins of streams; the leader commits them."""
 
     name = "stream_resumption"
-    requires = ("observability", "peers", "tracking")
+    requires = ("observability", "peers", "serving", "tracking")
     after = ("assembly", "entry")
     slices = (StreamOriginsSlice,)
     messages = (
--- a/goldcrestyard/fleet/serving/slices.py
+++ b/goldcrestyard/fleet/serving/slices.py
@@ -10,6 +10,14 @@
 from goldcrestyard.state.commands import Accepted, Command, CommandContext, Outcome
 from goldcrestyard.state.slices import Slice
 
+GONE_SECONDS = 120.0
+"""Time in seconds for which a route that is gone is remembered, twice the time
+for which callers may take up its streams."""
+
+MAX_MOVED = 4096
+"""Maximum number of routes whose moves are recorded.  Beyond it the oldest one
+is forgotten, and the record counts as new."""
+
 
 class ServingSlice(Slice):
     """The serving configuration with the highest version."""
@@ -76,14 +84,19 @@
     def _record_moves(self, coming: ServingTable, time: float) -> None:
         if self.table is None:
             return
-        moved_at = {
-            **self._moved_at_by_route,
-            **dict.fromkeys(moved_routes(self.table, coming), time),
-        }
-        kept = map(route_key, coming.config.routes)
+        moved = moved_routes(self.table, coming, self._moved_at_by_route)
+        present = set(map(route_key, coming.config.routes))
         self._moved_at_by_route = {
-            key: moved_at[key] for key in kept if key in moved_at
+            key: at
+            for key, at in self._moved_at_by_route.items()
+            if key in present or time - at <= GONE_SECONDS
         }
+        for key in moved:
+            self._moved_at_by_route.pop(key, None)
+            self._moved_at_by_route[key] = time
+        while len(self._moved_at_by_route) > MAX_MOVED:
+            oldest = next(iter(self._moved_at_by_route))
+            self._moves_known_since = self._moved_at_by_route.pop(oldest)
 
     def _replace_config(self, config: ServingConfig, source: bytes) -> None:
         self.table = ServingTable(config)
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from goldcrestyard.core.ids import ServiceName
 from goldcrestyard.core.serving import (
@@ -94,24 +94,36 @@
         return self._organisations_by_key.get(key)
 
 
-def moved_routes(before: ServingTable, after: ServingTable) -> set[RouteKey]:
-    """Return the routes of a configuration some of whose requests moved.
+def moved_routes(
+    before: ServingTable, after: ServingTable, moved: Collection[RouteKey]
+) -> set[RouteKey]:
+    """Return the routes some of whose requests led to other services before.
 
-    Such requests led to other services before, or to none; they may have been
-    those of a route that is gone.
+    These may be requests of a route that is gone, which is returned itself if
+    no other route has taken its place.  ``moved`` are those that moved lately:
+    one that is added in the place of a route among them has moved.
     """
-    moved: set[RouteKey] = set()
+    found: set[RouteKey] = set()
     for route in (*before.config.routes, *after.config.routes):
-        former = before.route(*route_key(route))
-        present = after.route(*route_key(route))
-        if present is not None and _services(former) != _services(present):
-            moved.add(route_key(present))
-    return moved
+        key = route_key(route)
+        former, present = before.route(*key), after.route(*key)
+        if former is None:
+            if any(_overlap(key, other) for other in moved):
+                found.add(key)
+        elif present is None:
+            found.add(key)
+        elif _services(former) != _services(present):
+            found.add(route_key(present))
+    return found
 
 
-def _services(route: ServingRoute | None) -> frozenset[ServiceName]:
-    if route is None:
-        return frozenset()
+def _overlap(one: RouteKey, other: RouteKey) -> bool:
+    prefixes = one[1], other[1]
+    shorter = min(prefixes, key=len)
+    return one[0] == other[0] and all(prefix.startswith(shorter) for prefix in prefixes)
+
+
+def _services(route: ServingRoute) -> frozenset[ServiceName]:
     return frozenset(service.name for service in route.services)
 
 
