--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -8,7 +8,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from goldcrestyard.core.ids import ServiceName
 from goldcrestyard.core.serving import (
@@ -52,13 +52,22 @@
     return host.partition(":")[0].lower()
 
 
+RouteKey = tuple[str, str]
+"""Host, normalized, and path prefix of a route."""
+
+
+def route_key(route: ServingRoute) -> RouteKey:
+    """Return the host and the prefix by which a route is found."""
+    return normalize_host(route.host), route.prefix
+
+
 class ServingTable:
     """Indexes of a configuration by host and prefix, key and service name."""
 
     def __init__(self, config: ServingConfig) -> None:
         self.config = config
         self._routes_by_host_and_prefix = {
-            (normalize_host(route.host), route.prefix): route for route in config.routes
+            route_key(route): route for route in config.routes
         }
         self._organisations_by_key = {
             key: organisation
@@ -85,6 +94,39 @@
         return self._organisations_by_key.get(key)
 
 
+def moved_routes(
+    before: ServingTable, after: ServingTable, moved: Collection[RouteKey]
+) -> set[RouteKey]:
+    """Return the routes some of whose requests led to other services before.
+
+    These may be requests of a route that is gone, which is returned itself if
+    no other route has taken its place.  ``moved`` are those that moved lately:
+    one that is added in the place of a route among them has moved.
+    """
+    found: set[RouteKey] = set()
+    for route in (*before.config.routes, *after.config.routes):
+        key = route_key(route)
+        former, present = before.route(*key), after.route(*key)
+        if former is None:
+            if any(_overlap(key, other) for other in moved):
+                found.add(key)
+        elif present is None:
+            found.add(key)
+        elif _services(former) != _services(present):
+            found.add(route_key(present))
+    return found
+
+
+def _overlap(one: RouteKey, other: RouteKey) -> bool:
+    prefixes = one[1], other[1]
+    shorter = min(prefixes, key=len)
+    return one[0] == other[0] and all(prefix.startswith(shorter) for prefix in prefixes)
+
+
+def _services(route: ServingRoute) -> frozenset[ServiceName]:
+    return frozenset(service.name for service in route.services)
+
+
 def pick_service(route: ServingRoute, random_source: random.Random) -> ServiceName:
     """Return one of a route's services at random, by weight."""
     if len(route.services) == 1:
--- a/tests/fleet/test_resumption.py
+++ b/tests/fleet/test_resumption.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry
 
 from goldcrestyard.core.ids import (
+    ConfigVersion,
     EventNumber,
     OrganisationId,
     RequestId,
@@ -28,6 +29,8 @@
 from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
 from goldcrestyard.fleet.resumption.leader_side import OriginKeeper
 from goldcrestyard.fleet.resumption.slices import StreamOriginsSlice
+from goldcrestyard.fleet.serving.commands import PutServing
+from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.plugins.targets.commands import AnnounceTarget, RemoveTarget
 from goldcrestyard.policy.stream_origins import (
     TAKE_UP_SECONDS,
@@ -42,7 +45,7 @@
 from tests.fakes.member import FakeMember, apply, machine_of
 from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
-from tests.fakes.serving import entry_view, route
+from tests.fakes.serving import CONFIG, entry_view, route
 from tests.fakes.targets import target
 from tests.fleet.test_limits import LeaderStub
 
@@ -209,6 +212,107 @@
         await asyncio.sleep(2)
         self.assertEqual(await self._find(entry, case), ONLY)
 
+    @parameterized.expand(
+        [
+            ("leader_answers", 10.0, True, KnownOrigin(V2)),
+            ("cut_off", 3.0, False, UNKNOWN),
+            ("leader_just_lost", 1.0, False, ONLY),
+        ]
+    )
+    async def test_version_not_heard_of(
+        self, _: str, cut_off_seconds: float, leader: bool, expected
+    ) -> None:
+        """An entry with its lease may lack the version that began a stream."""
+        served, asked = self._entry(), self._entry(("v1",))
+        self._start(served.run())
+        served.note(ROUTE, TEJO, FIRST, V2)
+        await asyncio.sleep(cut_off_seconds)
+        self.link.leader = self.link.leader if leader else None
+        self.assertEqual(await self._find(asked, CASES[0]), expected)
+
+    @parameterized.expand(
+        [
+            ("stands_still", 0.0, 0.0),
+            ("jumps_after_the_departure", 1.0, 2000.0),
+            ("back_after_a_jump", 1.0, 0.5),
+        ]
+    )
+    async def test_time_of_the_log(self, _: str, rate: float, offset: float) -> None:
+        """A version that left 20 s ago counts, whatever the clocks."""
+        entry = self._entry()
+        case = replace(CASES[0], take_up=TakeUp(None, EVENT))
+        start = self.clock().wall()
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+        await asyncio.sleep(100.0)
+        remove = RemoveTarget("1", "1000", TargetState.LEFT)
+        apply(self.view.machine, remove, time=start + 100.0 * rate)
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+        await asyncio.sleep(20.0)
+        command = AnnounceTarget(target("0", software="v1"), "entry")
+        apply(self.view.machine, command, time=start + 120.0 * rate + offset)
+        self.assertEqual(await self._find(entry, case), UNKNOWN)
+
+    @parameterized.expand(
+        [
+            ("unchanged", [("/talk/", "quotes")], ONLY),
+            ("moved", [("/talk/", "rest")], UNKNOWN),
+            ("was_split", [("/talk/", "quotes", "rest")], UNKNOWN),
+            ("added", [], ONLY),
+            ("added_again", [], UNKNOWN, [("/talk/", "rest")]),
+            ("added_in_place_of_another", [], UNKNOWN, [("/talk/a/", "rest")]),
+            ("added_below", [("/", "rest")], UNKNOWN),
+            (
+                "longer_one_removed",
+                [("/talk/", "quotes"), ("/talk/a/", "rest")],
+                UNKNOWN,
+            ),
+            (
+                "other_one_moved",
+                [("/talk/", "quotes"), ("/other/", "rest")],
+                ONLY,
+            ),
+        ]
+    )
+    async def test_route_changed(self, _: str, before, expected, first=None) -> None:
+        """A service's only version did not begin another one's streams."""
+        entry = self._entry(("v1",))
+        case = replace(CASES[0], take_up=TakeUp(None, EVENT))
+        configurations = [
+            (100.0, before if first is None else first),
+            (5.0, before),
+            (0.0, [("/talk/", "quotes"), ("/other/", "quotes")]),
+        ]
+        for version, (age, routes) in enumerate(configurations, 2):
+            present = tuple(
+                replace(
+                    ROUTE,
+                    prefix=prefix,
+                    services=tuple(
+                        WeightedService(ServiceName(service), 1.0)
+                        for service in services
+                    ),
+                )
+                for prefix, *services in routes
+            )
+            config = replace(CONFIG, version=ConfigVersion(version), routes=present)
+            time = self.clock().wall() - age
+            apply(self.view.machine, PutServing(config, b""), time=time)
+        serving = self.view.machine.get(ServingSlice)
+        serving.load_snapshot(serving.to_snapshot())
+        self.assertEqual(await self._find(entry, case), expected)
+        await asyncio.sleep(TAKE_UP_SECONDS + 1)
+        self.assertEqual(await self._find(entry, case), ONLY)
+
+    async def test_entry_with_a_snapshot_only(self) -> None:
+        """A new entry goes on at the only version from its start."""
+        entry = self._entry(())
+        case = replace(CASES[0], take_up=TakeUp(None, EVENT))
+        announce = AnnounceTarget(target("0", software="v1"), "entry")
+        for time in (0.0, self.clock().wall()):
+            apply(self.view.machine, announce, time=time)
+            self.assertEqual(await self._find(entry, case), ONLY)
+            await asyncio.sleep(1.0)
+
     async def test_entry_without_lease(self) -> None:
         """Another version may serve that it has not heard of."""
         entry = self._entry(("v1",))
@@ -247,5 +351,23 @@
         self.assertEqual(
             again.get(StreamOriginsSlice).to_snapshot(), kept.to_snapshot()
         )
+        # One command makes records older by a few seconds at most.
+        for seconds in range(1, int(TAKE_UP_SECONDS)):
+            apply(machine, KeepOrigins(()), time=EPOCH + 5 + seconds)
+        self.assertNotEqual(kept.count(), 0)
         apply(machine, KeepOrigins(()), time=EPOCH + 5 + TAKE_UP_SECONDS + 1)
         self.assertEqual(kept.count(), 0)
+
+    @parameterized.expand([("ahead", 2000.0), ("stands_still", 0.0)])
+    async def test_time_jumps(self, _: str, seconds: float) -> None:
+        """A new leader's clock does not make all streams forgotten."""
+        machine = machine_of(StreamOriginsSlice)
+        kept = machine.get(StreamOriginsSlice)
+        command = KeepOrigins(to_groups([(self._stream(1), V1)]))
+        apply(machine, command, time=EPOCH)
+        kept.load_snapshot(kept.to_snapshot())
+        for number in (2, 3):
+            command = KeepOrigins(to_groups([(self._stream(number), V1)]))
+            apply(machine, command, time=EPOCH + seconds)
+        found = [kept.find(self._stream(number)) for number in (1, 2, 3)]
+        self.assertEqual(found, [V1, V1, V1])
