--- a/goldcrestyard/fleet/directory/apps.py
+++ b/goldcrestyard/fleet/directory/apps.py
@@ -9,6 +9,7 @@
     ListedEntryChannel,
     ListedEntryMerger,
 )
+from goldcrestyard.fleet.directory.pruning import remove_entries_without_contact
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -19,19 +20,13 @@
 from goldcrestyard.plugins.addresses.announcing import (
     EntryAnnouncer,
     own_entry,
-    remove_lost_entries,
 )
 from goldcrestyard.plugins.addresses.commands import EntriesSnapshot, Entry
 from goldcrestyard.wire.codec import Codec
 
-ENTRY_LOST_SECONDS = 2.0
-"""Time in seconds after which an entry without a lease is removed from the
-list.  A short time is safe, as callers that cannot connect try another entry
-at once."""
-
 
 class DirectoryConfig(PluginConfig):
-    """Registers this entry; the leader removes entries without a lease."""
+    """Registers this entry; the leader removes entries without contact."""
 
     name = "directory"
     after = ("assembly", "entry")
@@ -47,7 +42,7 @@
             app.get(LeaderDigests).add(ListedEntryMerger(member, app.get(Codec)))
 
     async def serve(self, app: Application) -> None:
-        """Register this entry; as leader, remove entries without a lease."""
+        """Register this entry; as leader, remove entries without contact."""
         view = app.find(EntryView)
         if view is not None:
             listing = ListedEntryChannel(app.get(Codec))
@@ -62,9 +57,7 @@
             sessions = app.get(EntrySessions)
 
             async def prune() -> None:
-                await remove_lost_entries(
-                    member, sessions, app.clock, ENTRY_LOST_SECONDS
-                )
+                await remove_entries_without_contact(member, sessions, app.clock)
 
             app.supervise(
                 partial(while_leading, member, "prune entries", prune),
--- a/goldcrestyard/fleet/directory/directory.py
+++ b/goldcrestyard/fleet/directory/directory.py
@@ -11,9 +11,11 @@
 contains the entries of a wider area.  Callers choose at random among the
 addresses that they receive."""
 
-ANSWER_TTL_SECONDS = 2.0
-"""Time in seconds for which callers may cache an answer.  It is shorter than
-the drain time of an entry, so that they stop using an entry before it ends."""
+ANSWER_TTL_SECONDS = 1.0
+"""Time in seconds for which callers may cache an answer, some of them three
+times as long.  It is shorter than the drain time of an entry, so that they
+stop using an entry before it ends, and as short as the detection of entries
+that do not answer.  Callers ask only before they open a connection."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/membership/entry_sessions.py
+++ b/goldcrestyard/membership/entry_sessions.py
@@ -84,6 +84,8 @@
         self._shared_snapshot: tuple[Revision, bytes] | None = None
         self._shared_changes: tuple[tuple[Revision, Revision], bytes] | None = None
         self.leases_by_entry: dict[InstanceId, EntryLease] = {}
+        self.renewed_at_by_entry: dict[InstanceId, float] = {}
+        """Monotonic time of each entry's latest renewal, granted or not."""
 
     def register(self, handlers: Handlers) -> None:
         """Register the handlers of the entries' messages."""
@@ -200,6 +202,7 @@
     async def _on_renew(self, message: Renew, connection: PeerConnection) -> object:
         if not self._member.holds_lease():
             return self._member.make_not_leader_reply()
+        self.renewed_at_by_entry[connection.peer] = self._clock.monotonic()
         granted = leases.seconds_granted(
             self._feed.lag_seconds(message.revision), self._lease_seconds
         )
