--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -8,18 +8,16 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Coroutine, Iterator
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
 import structlog
 
 from goldcrestyard.consensus.control_member import DEFAULT_SHARES, ControlMember
-from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.core.ids import (
-    CorrelationId,
     GroupId,
     JobId,
     ServiceName,
@@ -27,14 +25,11 @@
     TargetId,
     WeightVersion,
 )
-from goldcrestyard.core.jobs import EndedItem, ItemOutcome, Job, JobItem, Progress
+from goldcrestyard.core.jobs import Job
 from goldcrestyard.core.records import Target
-from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.fleet.jobs.commands import (
     EndJob,
-    KeepProgress,
-    ListResults,
     StageJobPart,
     SubmitJob,
 )
@@ -51,9 +46,11 @@
     TooLong,
     run_item,
 )
-from goldcrestyard.fleet.jobs.rewards import NoScore, RewardClient, Scored
+from goldcrestyard.fleet.jobs.listing import ItemLister, errored_item
+from goldcrestyard.fleet.jobs.pending import PendingItem, find_route, must_restart
+from goldcrestyard.fleet.jobs.rewards import RewardClient
+from goldcrestyard.fleet.jobs.saving import ProgressSaver
 from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
-from goldcrestyard.fleet.jobs.slot_queue import Rank
 from goldcrestyard.fleet.jobs.transcripts import TextShortage, Transcript
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
@@ -87,7 +84,6 @@
     may_continue,
     text_loss,
 )
-from goldcrestyard.policy.job_sizes import progress_size
 from goldcrestyard.policy.memory import ControlShares
 from goldcrestyard.state.commands import AppliedEntry
 
@@ -97,15 +93,6 @@
 """Longest time in seconds between two scheduling passes.  The scheduler is not
 notified of every change of the engines' free slots and weight versions."""
 
-PROGRESS_SAVE_INTERVAL_SECONDS = 0.4
-MIN_UNSAVED_EVENTS = 6
-"""Minimum number of new events of an item for which its progress is saved.
-Short items end before a save would pay off."""
-
-MAX_SAVED_BYTES = 256 * 1024
-"""Size of the progress that is saved with one log entry, unless that of a
-single item is larger."""
-
 REQUEUE_BACKOFF = Backoff(base_seconds=0.03, longest_seconds=0.5)
 """Delay of an item's next run after runs that were refused or interrupted."""
 
@@ -113,9 +100,6 @@
 """Time in seconds for which an item prefers other engines after a run that
 failed, was interrupted or slow, or did not reach its engine."""
 
-LISTING_RETRY_SECONDS = 0.2
-"""Pause in seconds before an uncommitted result is proposed again."""
-
 EXPIRY_MARGIN_SECONDS = 0.5
 """Time in seconds added to an item's time limit.  The trainer counts the limit
 from its first attempt to submit the job, on a clock that may differ from the
@@ -129,41 +113,6 @@
 prompt; the oldest is dropped first."""
 
 
-@dataclass(slots=True)
-class PendingItem:
-    """The state of an item whose result this leader has not committed yet.
-
-    An item may need several runs, at different engines, until it is complete.
-    """
-
-    key: ItemKey
-    item: JobItem
-    expires_at: float
-    """Monotonic time in seconds from which the item counts as errored."""
-    rank: Rank
-    """Rank of its reward call: the job's submission time, then the position of
-    the item's group in the job.  A group counts only when complete, so groups
-    are scored one after another."""
-    transcript: Transcript = field(default_factory=Transcript)
-    failures: int = 0
-    """Number of runs answered with an error status, limited by the route's
-    ``max_attempts``."""
-    interruptions: int = 0
-    """Number of runs that were refused, unreached or interrupted."""
-    moves: int = 0
-    """Number of runs abandoned because the engine was slow."""
-    text_ran_at: float = 0.0
-    """Monotonic time at which the last run that added to the text ended, or at
-    which this leader took the item over."""
-    begun_at: Target | None = None
-    """The target that began the text; None if another leader saw it begin."""
-    not_before: float = 0.0
-    """Monotonic time of the earliest next run."""
-    avoided_until_by_target: dict[TargetId, float] = field(default_factory=dict)
-    task: asyncio.Task[None] | None = None
-    """The task that runs, scores or lists the item; None while it waits."""
-
-
 class JobRunner:
     """Runs the items of open jobs and commits their results.
 
@@ -213,12 +162,13 @@
         self._loading = loading
         self._work = work
         self._client = client
-        self._rewards = rewards
         self._location = location
         self._clock = clock
         self._random = random_source or random.Random()
         self._wake_event = asyncio.Event()
         self._pending_by_key: dict[ItemKey, PendingItem] = {}
+        self._saver = ProgressSaver(member, self._pending_by_key)
+        self._lister = ItemLister(member, rewards, metrics, clock, self._forget)
         self._slots_in_use: Counter[TargetId] = Counter()
         self._seen_at_by_job: dict[JobId, float] = {}
         self._paces = EnginePaces()
@@ -253,7 +203,7 @@
         for pending in list(self._pending_by_key.values()):
             self._forget(pending)
         self._slots_in_use.clear()
-        save_task = asyncio.create_task(self._save_periodically(), name="save progress")
+        save_task = asyncio.create_task(self._saver.run(), name="save progress")
         try:
             while True:
                 self._wake_event.clear()
@@ -266,67 +216,6 @@
             for pending in list(self._pending_by_key.values()):
                 self._cancel(pending)
 
-    async def _save_periodically(self) -> None:
-        """Commit the progress of running items at fixed intervals.
-
-        Each event is written to the replicated log once: either here or with
-        the item's result.  Saved text that an item has dropped is dropped here
-        as well; a new leader would resume the item after it, and it would
-        take room from the texts of others.
-        """
-        while True:
-            await asyncio.sleep(PROGRESS_SAVE_INTERVAL_SECONDS)
-            for state in self._jobs.open_jobs():
-                await self._save_progress(state.job.id)
-
-    async def _save_progress(self, job_id: JobId) -> None:
-        progress_by_key = {
-            pending.key: (
-                pending.transcript,
-                pending.transcript.drops,
-                pending.transcript.unsaved_progress(),
-            )
-            for pending in self._pending_by_key.values()
-            if pending.key.job == job_id
-            and (
-                pending.transcript.drop_unsaved
-                or len(pending.transcript.events)
-                >= pending.transcript.saved_count + MIN_UNSAVED_EVENTS
-            )
-        }
-        if not progress_by_key:
-            return
-        for part in _split_progress(progress_by_key):
-            await self._propose_progress(job_id, part)
-
-    async def _propose_progress(
-        self, job_id: JobId, progress_by_key: "_ProgressByKey"
-    ) -> None:
-        # Texts may have been dropped while earlier parts were committed.
-        progress_by_key = {
-            key: entry
-            for key, entry in progress_by_key.items()
-            if entry[0].drops == entry[1]
-        }
-        if not progress_by_key:
-            return
-        for transcript, _, _ in progress_by_key.values():
-            transcript.may_be_saved = True
-        result = await self._member.propose(
-            KeepProgress(
-                job_id,
-                {key.item: saved for key, (_, _, saved) in progress_by_key.items()},
-            ),
-            self._member.instance,
-            CorrelationId(job_id),
-        )
-        if not isinstance(result, Applied):
-            return
-        for transcript, drops, saved in progress_by_key.values():
-            # The transcript may have been discarded during the commit.
-            if transcript.drops == drops:
-                transcript.record_saved(saved)
-
     # Adding, expiring and cancelling items.
 
     def _add_open_items(self) -> None:
@@ -345,7 +234,7 @@
             }
             for item in new_items:
                 key = ItemKey(state.job.id, item.id)
-                route = self._find_route(state.job, item)
+                route = find_route(self._serving, state.job, item)
                 seconds = route.item_seconds if route is not None else None
                 expires_at = (
                     self._submitted_at(state)
@@ -395,7 +284,9 @@
                     job=pending.key.job,
                     item=pending.key.item,
                 )
-                self._spawn(pending, self._list_result(pending, _errored_item(pending)))
+                self._spawn(
+                    pending, self._lister.list_result(pending, errored_item(pending))
+                )
 
     def _cancel(self, pending: PendingItem) -> None:
         self._forget(pending)
@@ -537,7 +428,7 @@
     def _to_waiting_item(
         self, state: JobState, pending: PendingItem, now: float
     ) -> WaitingItem | None:
-        route = self._find_route(state.job, pending.item)
+        route = find_route(self._serving, state.job, pending.item)
         if route is None:
             return None
         needed_version: WeightVersion | None = None
@@ -612,7 +503,7 @@
                 exc_info=task.exception(),
             )
 
-    # Running, scoring and listing one item.
+    # Running one item.
 
     async def _generate(
         self,
@@ -768,15 +659,15 @@
         now = self._clock.monotonic()
         match outcome:
             case Generated():
-                await self._score(pending, job)
+                await self._lister.score(pending, job)
             case Impossible():
-                await self._list_result(pending, _errored_item(pending))
+                await self._lister.list_result(pending, errored_item(pending))
             case Failed():
                 pending.failures += 1
                 pending.transcript.discard()
-                route = self._find_route(job, pending.item)
+                route = find_route(self._serving, job, pending.item)
                 if route is not None and pending.failures >= route.max_attempts:
-                    await self._list_result(pending, _errored_item(pending))
+                    await self._lister.list_result(pending, errored_item(pending))
                 pending.avoided_until_by_target[target.id] = (
                     now + ENGINE_AVOIDANCE_SECONDS
                 )
@@ -802,14 +693,14 @@
                 pending.avoided_until_by_target[target.id] = (
                     now + ENGINE_AVOIDANCE_SECONDS
                 )
-                if self._must_restart(pending, job):
+                if must_restart(self._serving, pending, job):
                     pending.transcript.discard()
             case BrokenOff() | Malformed():
                 self._requeue(pending, now)
                 pending.avoided_until_by_target[target.id] = (
                     now + ENGINE_AVOIDANCE_SECONDS
                 )
-                if self._must_restart(pending, job):
+                if must_restart(self._serving, pending, job):
                     pending.transcript.discard()
 
     async def _note_unreached(self, pending: PendingItem, target: Target) -> None:
@@ -825,77 +716,6 @@
         )
         pending.not_before = now + delay
 
-    def _must_restart(self, pending: PendingItem, job: Job) -> bool:
-        """Return whether an item mixes versions on a single-version route."""
-        route = self._find_route(job, pending.item)
-        single = route is not None and route.single_version
-        return single and len(pending.transcript.versions) > 1
-
-    async def _score(self, pending: PendingItem, job: Job) -> None:
-        if self._must_restart(pending, job):
-            logger.info(
-                "item restarted: generated by more than one weight version",
-                item=pending.key.item,
-            )
-            pending.transcript.discard()
-            return
-        score = ""
-        began = self._clock.monotonic()
-        if pending.item.reward is not None:
-            match await self._rewards.score(
-                pending.item.reward, pending.expires_at, pending.rank
-            ):
-                case Scored(score=text):
-                    score = text
-                case NoScore():
-                    logger.info(
-                        "item errored: no score",
-                        item=pending.key.item,
-                        request=pending.item.reward.request,
-                    )
-                    await self._list_result(pending, _errored_item(pending))
-                    return
-        await self._list_result(
-            pending,
-            EndedItem(
-                pending.item.id,
-                ItemOutcome.COMPLETE,
-                pending.transcript.unsaved_progress(),
-                score,
-            ),
-            self._clock.monotonic() - began,
-        )
-
-    async def _list_result(
-        self, pending: PendingItem, ended: EndedItem, score_seconds: float | None = None
-    ) -> None:
-        """Commit a result, retrying until it is applied or the task ends."""
-        command = ListResults(pending.key.job, (ended,))
-        while True:
-            outcome = await self._member.propose(
-                command, self._member.instance, CorrelationId(pending.key.item)
-            )
-            if isinstance(outcome, Applied):
-                break
-            await asyncio.sleep(LISTING_RETRY_SECONDS)
-        self._metrics.items.labels(ended.outcome.value).inc()
-        logger.info(
-            "item listed",
-            job=pending.key.job,
-            item=pending.key.item,
-            outcome=ended.outcome.value,
-            versions=sorted(pending.transcript.versions),
-            request=pending.item.reward.request
-            if pending.item.reward is not None
-            else None,
-            score_seconds=None if score_seconds is None else round(score_seconds, 3),
-        )
-        self._forget(pending)
-
-    def _find_route(self, job: Job, item: JobItem) -> ServingRoute | None:
-        table = self._serving.table
-        return table.route(job.host, item.path) if table is not None else None
-
     def _remember_group(self, target_id: TargetId, group: GroupId) -> None:
         if target_id not in self._groups_by_target:
             # Targets come and go; what was read on those gone is forgotten.
@@ -907,25 +727,5 @@
             del groups[next(iter(groups))]
 
 
-_ProgressByKey = dict[ItemKey, tuple[Transcript, int, Progress]]
-
-
-def _split_progress(progress_by_key: _ProgressByKey) -> Iterator[_ProgressByKey]:
-    """Yield the progress of items in parts that fit into a log entry each."""
-    part: _ProgressByKey = {}
-    size = 0
-    for key, entry in progress_by_key.items():
-        if part and size + progress_size(entry[2]) > MAX_SAVED_BYTES:
-            yield part
-            part, size = {}, 0
-        part[key] = entry
-        size += progress_size(entry[2])
-    yield part
-
-
 def _run_of(target: Target) -> TargetRun:
     return TargetRun(target.id, target.incarnation)
-
-
-def _errored_item(pending: PendingItem) -> EndedItem:
-    return EndedItem(pending.item.id, ItemOutcome.ERRORED)
