--- a/goldcrestyard/fleet/jobs/pending.py
+++ b/goldcrestyard/fleet/jobs/pending.py
@@ -10,7 +10,8 @@
 from goldcrestyard.fleet.jobs.slot_queue import Rank
 from goldcrestyard.fleet.jobs.transcripts import Transcript
 from goldcrestyard.fleet.serving.slices import ServingSlice
-from goldcrestyard.policy.job_schedule import ItemKey
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.job_schedule import ItemKey, may_continue
 
 
 @dataclass(slots=True)
@@ -59,3 +60,23 @@
     route = find_route(serving, job, pending.item)
     single = route is not None and route.single_version
     return single and len(pending.transcript.versions) > 1
+
+
+def is_other_software(
+    targets: TargetsSlice, pending: PendingItem, target: Target | None
+) -> bool:
+    """Return whether the target has started again with other software.
+
+    Its record may be older than the process at its address, so a run that
+    was sent to one run of the target may have reached the next.
+    """
+    if target is None:
+        return False
+    present = targets.find(target.id)
+    required = pending.transcript.required_software
+    return (
+        present is not None
+        and present.incarnation != target.incarnation
+        and required is not None
+        and not may_continue(required, present.software)
+    )
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -7,10 +7,8 @@
 
 import asyncio
 import random
-from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
-from functools import partial
 from typing import Any
 
 import structlog
@@ -18,14 +16,11 @@
 from goldcrestyard.consensus.control_member import DEFAULT_SHARES, ControlMember
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.core.ids import (
-    GroupId,
     JobId,
     ServiceName,
     SoftwareVersion,
-    TargetId,
     WeightVersion,
 )
-from goldcrestyard.core.jobs import Job
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.fleet.jobs.commands import (
@@ -33,25 +28,14 @@
     StageJobPart,
     SubmitJob,
 )
-from goldcrestyard.fleet.jobs.item_runs import (
-    BrokenOff,
-    Failed,
-    Generated,
-    Impossible,
-    Malformed,
-    Moved,
-    NotRun,
-    RunOutcome,
-    SlowEngineDetector,
-    TooLong,
-    run_item,
-)
+from goldcrestyard.fleet.jobs.engine_notes import EngineNotes, run_of
 from goldcrestyard.fleet.jobs.listing import ItemLister, errored_item
-from goldcrestyard.fleet.jobs.pending import PendingItem, find_route, must_restart
+from goldcrestyard.fleet.jobs.pending import PendingItem, find_route, is_other_software
 from goldcrestyard.fleet.jobs.rewards import RewardClient
+from goldcrestyard.fleet.jobs.running import REQUEUE_BACKOFF, ItemRunner
 from goldcrestyard.fleet.jobs.saving import ProgressSaver
 from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
-from goldcrestyard.fleet.jobs.transcripts import TextShortage, Transcript
+from goldcrestyard.fleet.jobs.transcripts import Transcript
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -67,21 +51,15 @@
     RemoveTarget,
 )
 from goldcrestyard.plugins.targets.slices import TargetsSlice
-from goldcrestyard.policy.backoff import Backoff
 from goldcrestyard.policy.call_routing import CallerLocation, distance_seconds
-from goldcrestyard.policy.crashing_requests import TargetRun
-from goldcrestyard.policy.engine_faults import EngineFaults
-from goldcrestyard.policy.engine_paces import MAX_MOVES_PER_ITEM, EnginePaces
-from goldcrestyard.policy.item_lengths import ItemLengths
+from goldcrestyard.policy.engine_paces import MAX_MOVES_PER_ITEM
 from goldcrestyard.policy.job_schedule import (
     EngineSlots,
-    EngineTrust,
     ItemKey,
     TextLoss,
     WaitingItem,
     assign,
     longest_first,
-    may_continue,
     text_loss,
 )
 from goldcrestyard.policy.memory import ControlShares
@@ -93,13 +71,6 @@
 """Longest time in seconds between two scheduling passes.  The scheduler is not
 notified of every change of the engines' free slots and weight versions."""
 
-REQUEUE_BACKOFF = Backoff(base_seconds=0.03, longest_seconds=0.5)
-"""Delay of an item's next run after runs that were refused or interrupted."""
-
-ENGINE_AVOIDANCE_SECONDS = 2.0
-"""Time in seconds for which an item prefers other engines after a run that
-failed, was interrupted or slow, or did not reach its engine."""
-
 EXPIRY_MARGIN_SECONDS = 0.5
 """Time in seconds added to an item's time limit.  The trainer counts the limit
 from its first attempt to submit the job, on a clock that may differ from the
@@ -108,10 +79,6 @@
 DEFAULT_ITEM_TIMEOUT_SECONDS = 600.0
 """Time limit in seconds of an item whose route sets none."""
 
-MAX_GROUPS_PER_ENGINE = 4096
-"""Maximum number of groups recorded per engine as having read their shared
-prompt; the oldest is dropped first."""
-
 
 class JobRunner:
     """Runs the items of open jobs and commits their results.
@@ -151,9 +118,7 @@
         self._had_room = True
         self._text_room = ByteRoom(shares.texts)
         self._is_leaving = is_leaving
-        self._control = control
         self._permitted_runs = permitted_runs
-        self._metrics = metrics
         self._member = member
         self._jobs = member.machine.get(JobsSlice)
         self._serving = member.machine.get(ServingSlice)
@@ -161,22 +126,27 @@
         self._tracker = tracker
         self._loading = loading
         self._work = work
-        self._client = client
         self._location = location
         self._clock = clock
-        self._random = random_source or random.Random()
         self._wake_event = asyncio.Event()
         self._pending_by_key: dict[ItemKey, PendingItem] = {}
         self._saver = ProgressSaver(member, self._pending_by_key)
         self._lister = ItemLister(member, rewards, metrics, clock, self._forget)
-        self._slots_in_use: Counter[TargetId] = Counter()
+        self._notes = EngineNotes(self._targets)
+        self._item_runner = ItemRunner(
+            member.machine,
+            tracker,
+            work,
+            client,
+            self._lister,
+            self._notes,
+            metrics,
+            clock,
+            random_source or random.Random(),
+            control,
+            self._wake_event.set,
+        )
         self._seen_at_by_job: dict[JobId, float] = {}
-        self._paces = EnginePaces()
-        self._faults = EngineFaults()
-        self._lengths = ItemLengths()
-        self._refused_at_by_run: dict[TargetRun, float] = {}
-        """Runs of engines that have lately refused a connection."""
-        self._groups_by_target: dict[TargetId, dict[GroupId, None]] = {}
         member.machine.listen(self._on_applied)
 
     def _on_applied(self, entry: AppliedEntry) -> None:
@@ -202,7 +172,7 @@
         """Run items during one term as leader, until cancelled."""
         for pending in list(self._pending_by_key.values()):
             self._forget(pending)
-        self._slots_in_use.clear()
+        self._notes.slots_in_use.clear()
         save_task = asyncio.create_task(self._saver.run(), name="save progress")
         try:
             while True:
@@ -323,7 +293,7 @@
                     and engine.software == target.software
                     for engine in engines
                 )
-                work = self._generate(
+                work = self._item_runner.generate(
                     pending,
                     state.job,
                     target,
@@ -333,7 +303,7 @@
                 self._spawn(pending, work)
         self._work.record_pass(
             ((item.model, item.oldest_version) for item in waiting.values()),
-            self._slots_in_use,
+            self._notes.slots_in_use,
         )
 
     def _find_text_losses(
@@ -345,7 +315,7 @@
         losses: dict[ItemKey, TextLoss] = {}
         for key, item in waiting.items():
             pending = self._pending_by_key[key]
-            if self._is_other_software(pending, pending.begun_at):
+            if is_other_software(self._targets, pending, pending.begun_at):
                 losses[key] = TextLoss.ENGINE_RESTARTED
                 continue
             waited = now - pending.text_ran_at
@@ -361,24 +331,11 @@
             item,
             required_software=None,
             required_version=None,
-            remaining_events=self._lengths.remaining_events(
+            remaining_events=self._notes.lengths.remaining_events(
                 item.model, request.estimated_tokens, 0
             ),
         )
 
-    def _drop_text(self, pending: PendingItem, loss: TextLoss) -> None:
-        transcript = pending.transcript
-        self._metrics.lost_texts.labels(loss.value).inc()
-        logger.info(
-            "item starts again: no engine can go on with its text",
-            reason=loss.value,
-            item=pending.key.item,
-            software=transcript.software,
-            events=len(transcript.events),
-            job=pending.key.job,
-        )
-        transcript.discard()
-
     def _unheard_software(self) -> dict[ServiceName, set[SoftwareVersion]]:
         """Return the software of engines without known weights, by service."""
         unheard: dict[ServiceName, set[SoftwareVersion]] = {}
@@ -442,7 +399,7 @@
             pending.item.group,
             needed_version,
             pending.transcript.required_software,
-            self._lengths.remaining_events(
+            self._notes.lengths.remaining_events(
                 pending.item.model,
                 pending.item.estimated_tokens,
                 len(pending.transcript.events),
@@ -457,11 +414,7 @@
     def _available_engines(self) -> list[EngineSlots]:
         engines: list[EngineSlots] = []
         now = self._clock.monotonic()
-        self._refused_at_by_run = {
-            run: refused_at
-            for run, refused_at in self._refused_at_by_run.items()
-            if now < refused_at + ENGINE_AVOIDANCE_SECONDS
-        }
+        self._notes.drop_old_refusals(now)
         for homed in self._targets.homed_by_id.values():
             target = homed.target
             versions = self._tracker.versions(target)
@@ -472,16 +425,16 @@
                     target.id,
                     ServiceName(target.serves[0]),
                     target.max_concurrency,
-                    self._slots_in_use[target.id],
+                    self._notes.slots_in_use[target.id],
                     distance_seconds(self._location, target),
                     versions,
                     self._loading.models_on(target.id),
-                    set(self._groups_by_target.get(target.id, ())),
+                    set(self._notes.groups(target.id)),
                     self._permitted_runs(target) if self._permitted_runs else None,
-                    self._paces.pace(target.id, now),
-                    self._faults.trust(_run_of(target), now),
+                    self._notes.paces.pace(target.id, now),
+                    self._notes.faults.trust(run_of(target), now),
                     target.software,
-                    _run_of(target) in self._refused_at_by_run,
+                    self._notes.has_refused(target),
                 )
             )
         return engines
@@ -502,230 +455,3 @@
                 item=pending.key.item,
                 exc_info=task.exception(),
             )
-
-    # Running one item.
-
-    async def _generate(
-        self,
-        pending: PendingItem,
-        job: Job,
-        target: Target,
-        *,
-        may_move: bool,
-        loss: TextLoss | None = None,
-    ) -> None:
-        """Run an item once at an engine and act on the outcome.
-
-        ``loss`` tells why its text cannot go on, so that the run starts again.
-        """
-        self._slots_in_use[target.id] += 1
-        self._remember_group(target.id, pending.item.group)
-        began = self._clock.monotonic()
-        seconds_left = max(0.1, pending.expires_at - began)
-        transcript = pending.transcript
-        before = (transcript.drops, transcript.last_event)
-        resumed_after = transcript.last_event if loss is None else None
-        start_again = None if loss is None else partial(self._drop_text, pending, loss)
-        try:
-            refusal = None
-            if resumed_after is not None:
-                refusal = await self._check_recorded_run(target)
-            outcome = refusal or await run_item(
-                self._client,
-                target,
-                job,
-                pending.item,
-                transcript,
-                seconds_left,
-                SlowEngineDetector(self._paces, target, self._clock, may_move=may_move),
-                start_again,
-            )
-        finally:
-            self._slots_in_use[target.id] -= 1
-            self._wake_event.set()
-        has_changed = (transcript.drops, transcript.last_event) != before
-        if has_changed and transcript.current_version is not None:
-            self._tracker.record_version(
-                target, pending.item.model, transcript.current_version
-            )
-        seconds = self._clock.monotonic() - began
-        self._metrics.item_runs.labels(type(outcome).__name__).inc()
-        self._metrics.item_seconds.observe(seconds)
-        logger.info(
-            "item run ended",
-            job=job.id,
-            item=pending.item.id,
-            target=target.id,
-            incarnation=target.incarnation,
-            software=target.software,
-            resumed_after=resumed_after,
-            last_event=pending.transcript.last_event,
-            versions=sorted(pending.transcript.versions),
-            outcome=str(outcome),
-            seconds=round(seconds, 3),
-        )
-        if isinstance(outcome, Generated):
-            self._work.record_run(pending.item.model, seconds)
-            self._lengths.observe(
-                pending.item.model,
-                pending.item.estimated_tokens,
-                len(pending.transcript.events),
-            )
-        self._record_trust(pending, target, outcome, whole_text=resumed_after is None)
-        if has_changed:
-            pending.text_ran_at = self._clock.monotonic()
-            if resumed_after is None:
-                pending.begun_at = target
-            if self._is_other_software(pending, target) or self._is_other_software(
-                pending, pending.begun_at
-            ):
-                self._drop_text(pending, TextLoss.ENGINE_RESTARTED)
-                if isinstance(outcome, Generated):
-                    return
-        await self._handle_outcome(pending, job, target, outcome)
-
-    async def _check_recorded_run(self, target: Target) -> NotRun | None:
-        """Return why a text may not go on at an engine, or None if it may.
-
-        An engine that starts again under its id may have other software, and
-        accepts requests before its first heartbeat is received.
-        """
-        present = self._targets.find(target.id)
-        if present is None or present.incarnation != target.incarnation:
-            return NotRun("the recorded run has ended", False)
-        if self._control is None:
-            return None
-        report = await self._control.report(target)
-        if report is None:
-            return NotRun("the engine does not tell which run it is", True)
-        if report.incarnation not in ("", target.incarnation):
-            return NotRun("another run than the recorded one", True)
-        return None
-
-    def _is_other_software(self, pending: PendingItem, target: Target | None) -> bool:
-        """Return whether the target has started again with other software.
-
-        Its record may be older than the process at its address, so a run that
-        was sent to one run of the target may have reached the next.
-        """
-        if target is None:
-            return False
-        present = self._targets.find(target.id)
-        required = pending.transcript.required_software
-        return (
-            present is not None
-            and present.incarnation != target.incarnation
-            and required is not None
-            and not may_continue(required, present.software)
-        )
-
-    def _record_trust(
-        self,
-        pending: PendingItem,
-        target: Target,
-        outcome: RunOutcome,
-        *,
-        whole_text: bool,
-    ) -> None:
-        """Record for all items what a run has shown of its engine.
-
-        ``whole_text`` tells whether the run began the item's text.  The text
-        of another engine is no fault of one that resumes it.
-        """
-        match outcome:
-            case Generated():
-                self._faults.note_text(_run_of(target))
-            case TooLong(shortage=TextShortage.TEXT) if whole_text:
-                self._note_fault(pending, target)
-            case Malformed():
-                self._note_fault(pending, target)
-
-    def _note_fault(self, pending: PendingItem, target: Target) -> None:
-        run = _run_of(target)
-        now = self._clock.monotonic()
-        before = self._faults.trust(run, now)
-        self._faults.note_fault(run, pending.key, now)
-        trust = self._faults.trust(run, now)
-        if trust is EngineTrust.AVOIDED and trust is not before:
-            logger.warning(
-                "engine avoided: invalid answers to items",
-                target=target.id,
-                incarnation=target.incarnation,
-            )
-
-    async def _handle_outcome(
-        self, pending: PendingItem, job: Job, target: Target, outcome: RunOutcome
-    ) -> None:
-        now = self._clock.monotonic()
-        match outcome:
-            case Generated():
-                await self._lister.score(pending, job)
-            case Impossible():
-                await self._lister.list_result(pending, errored_item(pending))
-            case Failed():
-                pending.failures += 1
-                pending.transcript.discard()
-                route = find_route(self._serving, job, pending.item)
-                if route is not None and pending.failures >= route.max_attempts:
-                    await self._lister.list_result(pending, errored_item(pending))
-                pending.avoided_until_by_target[target.id] = (
-                    now + ENGINE_AVOIDANCE_SECONDS
-                )
-            case NotRun(unreached=unreached):
-                self._requeue(pending, now)
-                if unreached:
-                    await self._note_unreached(pending, target)
-            case TooLong(shortage=shortage):
-                logger.warning(
-                    "text of an item dropped",
-                    job=job.id,
-                    item=pending.item.id,
-                    target=target.id,
-                    reason=shortage.value,
-                )
-                pending.transcript.discard()
-                self._requeue(pending, now)
-                pending.avoided_until_by_target[target.id] = (
-                    now + ENGINE_AVOIDANCE_SECONDS
-                )
-            case Moved():
-                pending.moves += 1
-                pending.avoided_until_by_target[target.id] = (
-                    now + ENGINE_AVOIDANCE_SECONDS
-                )
-                if must_restart(self._serving, pending, job):
-                    pending.transcript.discard()
-            case BrokenOff() | Malformed():
-                self._requeue(pending, now)
-                pending.avoided_until_by_target[target.id] = (
-                    now + ENGINE_AVOIDANCE_SECONDS
-                )
-                if must_restart(self._serving, pending, job):
-                    pending.transcript.discard()
-
-    async def _note_unreached(self, pending: PendingItem, target: Target) -> None:
-        now = self._clock.monotonic()
-        pending.avoided_until_by_target[target.id] = now + ENGINE_AVOIDANCE_SECONDS
-        if await self._client.refuses_connections(target):
-            self._refused_at_by_run[_run_of(target)] = now
-
-    def _requeue(self, pending: PendingItem, now: float) -> None:
-        pending.interruptions += 1
-        delay = REQUEUE_BACKOFF.delay_seconds(
-            pending.interruptions, self._random.random()
-        )
-        pending.not_before = now + delay
-
-    def _remember_group(self, target_id: TargetId, group: GroupId) -> None:
-        if target_id not in self._groups_by_target:
-            # Targets come and go; what was read on those gone is forgotten.
-            for gone in self._groups_by_target.keys() - self._targets.homed_by_id:
-                del self._groups_by_target[gone]
-        groups = self._groups_by_target.setdefault(target_id, {})
-        groups[group] = None
-        if len(groups) > MAX_GROUPS_PER_ENGINE:
-            del groups[next(iter(groups))]
-
-
-def _run_of(target: Target) -> TargetRun:
-    return TargetRun(target.id, target.incarnation)
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -248,7 +248,7 @@
             ),
         )
         self.text_room = runner._text_room
-        self.faults = runner._faults
+        self.faults = runner._notes.faults
         task = asyncio.create_task(runner.run())
         self.addAsyncCleanup(self._stop, task)
         return task
