--- a/goldcrestyard/policy/fairness.py
+++ b/goldcrestyard/policy/fairness.py
@@ -16,6 +16,7 @@
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Priority
 
+K = TypeVar("K")
 P = TypeVar("P")
 
 USE_HALF_LIFE_SECONDS = 30.0
@@ -34,36 +35,54 @@
 rate."""
 
 
-class TokenUse:
-    """Decaying token counts by organisation, for this entry and the others."""
+class DecayingCounts(Generic[K]):
+    """Counts by key that halve every ``USE_HALF_LIFE_SECONDS``."""
 
     def __init__(self) -> None:
-        self._tokens_by_id: dict[OrganisationId, float] = {}
+        self._amounts_by_key: dict[K, float] = {}
         self._decayed_at = 0.0
-        self._others_by_id: dict[OrganisationId, float] = {}
-        self._others_reported_at = 0.0
 
-    def charge(self, organisation: OrganisationId, tokens: float, now: float) -> None:
-        """Add tokens to a count; a negative number corrects an estimate."""
+    def charge(self, key: K, amount: float, now: float) -> None:
+        """Add to a count; a negative amount corrects an estimate."""
         self._decay_counts(now)
-        charged = self._tokens_by_id.get(organisation, 0.0) + tokens
-        self._tokens_by_id[organisation] = max(0.0, charged)
+        charged = self._amounts_by_key.get(key, 0.0) + amount
+        self._amounts_by_key[key] = max(0.0, charged)
+
+    def counts(self, now: float) -> dict[K, float]:
+        """Return all counts, without those below 1."""
+        self._decay_counts(now)
+        self._amounts_by_key = {
+            key: amount for key, amount in self._amounts_by_key.items() if amount >= 1.0
+        }
+        return dict(self._amounts_by_key)
+
+    def _count(self, key: K, now: float) -> float:
+        return self._amounts_by_key.get(key, 0.0) * _decay(now - self._decayed_at)
+
+    def _decay_counts(self, now: float) -> None:
+        factor = _decay(now - self._decayed_at)
+        for key in self._amounts_by_key:
+            self._amounts_by_key[key] *= factor
+        self._decayed_at = now
+
+
+class TokenUse(DecayingCounts[OrganisationId]):
+    """Decaying token counts by organisation, for this entry and the others."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._others_by_id: dict[OrganisationId, float] = {}
+        self._others_reported_at = 0.0
 
     def total_use(self, organisation: OrganisationId, now: float) -> float:
         """Return an organisation's use on all entries."""
-        own = self._tokens_by_id.get(organisation, 0.0) * _decay(now - self._decayed_at)
+        own = self._count(organisation, now)
         others = self._others_by_id.get(organisation, 0.0)
         return own + others * _decay(now - self._others_reported_at)
 
     def own_use(self, now: float) -> dict[OrganisationId, float]:
         """Return this entry's use by organisation, without counts below 1."""
-        self._decay_counts(now)
-        self._tokens_by_id = {
-            organisation: tokens
-            for organisation, tokens in self._tokens_by_id.items()
-            if tokens >= 1.0
-        }
-        return dict(self._tokens_by_id)
+        return self.counts(now)
 
     def learn_others(
         self, others_by_id: Mapping[OrganisationId, float], now: float
@@ -72,12 +91,6 @@
         self._others_by_id = dict(others_by_id)
         self._others_reported_at = now
 
-    def _decay_counts(self, now: float) -> None:
-        factor = _decay(now - self._decayed_at)
-        for organisation in self._tokens_by_id:
-            self._tokens_by_id[organisation] *= factor
-        self._decayed_at = now
-
 
 @dataclass(slots=True, eq=False)
 class WaitingRequest(Generic[P]):
