--- a/goldcrestyard/fleet/jobs/choosing.py
+++ b/goldcrestyard/fleet/jobs/choosing.py
@@ -10,6 +10,7 @@
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes, run_of
+from goldcrestyard.fleet.jobs.ordering import JobOrdering
 from goldcrestyard.fleet.jobs.pending import PendingItem, find_route, is_other_software
 from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
 from goldcrestyard.fleet.serving.slices import ServingSlice
@@ -44,6 +45,7 @@
     """Whether the item may move to another engine if this one is slow."""
     loss: TextLoss | None
     """Why its text cannot go on; None if it can, or if there is none."""
+    expected_events: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,7 @@
         clock: Clock,
         notes: EngineNotes,
         pending_by_key: Mapping[ItemKey, PendingItem],
+        ordering: JobOrdering,
         max_jobs_bytes: int,
         permitted_runs: Callable[[Target], int | None] | None,
         is_leaving: Callable[[Target], bool] | None,
@@ -87,6 +90,7 @@
         self._clock = clock
         self._notes = notes
         self._pending_by_key = pending_by_key
+        self._ordering = ordering
         self._max_jobs_bytes = max_jobs_bytes
         self._had_room = True
         self._permitted_runs = permitted_runs
@@ -94,8 +98,11 @@
 
     def choose(self) -> Choice:
         """Return the runs that start now, and the items that go on waiting."""
-        waiting = {item.key: item for item in self._waiting_items()}
-        engines = self._available_engines() if waiting else []
+        items = self._waiting_items()
+        engines = self._available_engines() if items else []
+        arranged = self._ordering.arrange(items, engines)
+        waiting = {item.key: item for item in arranged}
+        left_out = [item for item in items if item.key not in waiting]
         if waiting and not self._has_room_for_texts():
             engines = []
         losses = self._find_text_losses(waiting, engines)
@@ -104,6 +111,7 @@
             waiting[key] = self._as_new_start(waiting[key])
         engines_by_id = {engine.id: engine for engine in engines}
         runs: list[ChosenRun] = []
+        events_by_key = {key: item.remaining_events for key, item in waiting.items()}
         for key, target_id in assign(waiting.values(), engines):
             del waiting[key]
             if key in texts and engines_by_id[target_id].serves(texts[key]):
@@ -119,9 +127,16 @@
                     for engine in engines
                 )
                 runs.append(
-                    ChosenRun(pending, state.job, target, may_move, losses.get(key))
+                    ChosenRun(
+                        pending,
+                        state.job,
+                        target,
+                        may_move,
+                        losses.get(key),
+                        events_by_key[key],
+                    )
                 )
-        return Choice(runs, list(waiting.values()))
+        return Choice(runs, [*waiting.values(), *left_out])
 
     def _find_text_losses(
         self, waiting: dict[ItemKey, WaitingItem], engines: list[EngineSlots]
--- a/goldcrestyard/fleet/jobs/pending.py
+++ b/goldcrestyard/fleet/jobs/pending.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from goldcrestyard.core.ids import TargetId
+from goldcrestyard.core.ids import OrganisationId, TargetId
 from goldcrestyard.core.jobs import Job, JobItem
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.serving import ServingRoute
@@ -14,6 +14,15 @@
 from goldcrestyard.policy.job_schedule import ItemKey, may_continue
 
 
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """Expected events of a run, charged to an organisation and a kind."""
+
+    organisation: OrganisationId
+    urgency: int
+    events: float
+
+
 @dataclass(slots=True)
 class PendingItem:
     """The state of an item whose result this leader has not committed yet.
@@ -45,6 +54,14 @@
     not_before: float = 0.0
     """Monotonic time of the earliest next run."""
     avoided_until_by_target: dict[TargetId, float] = field(default_factory=dict)
+    due_at: float | None = None
+    """Monotonic time in seconds by which the job is due; None if it is not."""
+    waits_since: float = 0.0
+    """Monotonic time since which it has had no engine."""
+    engine: TargetId | None = None
+    """The engine that it runs at, or is about to; None if there is none."""
+    charge: Charge | None = None
+    """What its present run was charged."""
     task: asyncio.Task[None] | None = None
     """The task that runs, scores or lists the item; None while it waits."""
 
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -1,9 +1,10 @@
 """Runner of batch jobs on the leader.
 
 Keeps the unfinished items of open jobs, lets those that are chosen run, and
-gives up those that have expired.  ``choosing`` assigns items to engines,
-``running`` follows each run, ``listing`` has complete texts scored and commits
-the results, and ``saving`` commits progress.
+gives up those that have expired.  ``ordering`` says which item starts first,
+``choosing`` assigns items to engines, ``running`` follows each run,
+``listing`` has complete texts scored and commits the results, and ``saving``
+commits progress.
 """
 
 import asyncio
@@ -27,6 +28,7 @@
 )
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes
 from goldcrestyard.fleet.jobs.listing import ItemLister, errored_item
+from goldcrestyard.fleet.jobs.ordering import JobOrdering
 from goldcrestyard.fleet.jobs.pending import PendingItem, find_route
 from goldcrestyard.fleet.jobs.rewards import RewardClient
 from goldcrestyard.fleet.jobs.running import REQUEUE_BACKOFF, ItemRunner
@@ -126,7 +128,10 @@
             clock,
             random_source or random.Random(),
             control,
-            self._wake_event.set,
+            self._on_run_end,
+        )
+        self._ordering = JobOrdering(
+            member.machine, self._notes, self._pending_by_key, metrics, clock
         )
         self._chooser = ItemChooser(
             member.machine,
@@ -136,6 +141,7 @@
             clock,
             self._notes,
             self._pending_by_key,
+            self._ordering,
             shares.jobs,
             permitted_runs,
             is_leaving,
@@ -177,6 +183,7 @@
                 await wait_at_most(SCHEDULING_INTERVAL_SECONDS, self._wake_event.wait())
         finally:
             save_task.cancel()
+            self._ordering.clear_metrics()
             for pending in list(self._pending_by_key.values()):
                 self._cancel(pending)
 
@@ -200,8 +207,10 @@
                 key = ItemKey(state.job.id, item.id)
                 route = find_route(self._serving, state.job, item)
                 seconds = route.item_seconds if route is not None else None
+                due_seconds = route.due_seconds if route is not None else None
+                submitted_at = self._submitted_at(state)
                 expires_at = (
-                    self._submitted_at(state)
+                    submitted_at
                     + (seconds or DEFAULT_ITEM_TIMEOUT_SECONDS)
                     + EXPIRY_MARGIN_SECONDS
                 )
@@ -214,6 +223,8 @@
                         state.progress_by_item.get(item.id), self._text_room.lease()
                     ),
                     text_ran_at=self._clock.monotonic(),
+                    due_at=None if due_seconds is None else submitted_at + due_seconds,
+                    waits_since=self._clock.monotonic(),
                 )
 
     def _submitted_at(self, state: JobState) -> float:
@@ -273,18 +284,32 @@
                 may_move=run.may_move,
                 loss=run.loss,
             )
+            run.pending.engine = run.target.id
+            self._ordering.note_start(run.pending, run.job, run.expected_events)
             self._spawn(run.pending, work)
         self._work.record_pass(
             ((item.model, item.oldest_version) for item in choice.waiting),
             self._notes.slots_in_use,
         )
 
+    def _on_run_end(self, pending: PendingItem, events: int) -> None:
+        self._release_engine(pending, events)
+        self._wake_event.set()
+
+    def _release_engine(self, pending: PendingItem, events: int = 0) -> None:
+        pending.engine = None
+        pending.waits_since = self._clock.monotonic()
+        self._ordering.note_end(pending, events)
+
     def _spawn(self, pending: PendingItem, work: Coroutine[Any, Any, None]) -> None:
         pending.task = asyncio.create_task(work, name=f"item {pending.key.item}")
         pending.task.add_done_callback(lambda task: self._on_task_done(pending, task))
 
     def _on_task_done(self, pending: PendingItem, task: asyncio.Task[None]) -> None:
         pending.task = None
+        if pending.engine is not None:
+            # The task was cancelled before it began.
+            self._release_engine(pending)
         self._wake_event.set()
         if not task.cancelled() and task.exception() is not None:
             pending.not_before = (
--- a/goldcrestyard/fleet/jobs/running.py
+++ b/goldcrestyard/fleet/jobs/running.py
@@ -67,9 +67,11 @@
         clock: Clock,
         random_source: random.Random,
         control: EngineControl | None,
-        on_slot_free: Callable[[], None],
+        on_run_end: Callable[[PendingItem, int], None],
     ) -> None:
-        """Create a runner that reports each slot that has become free.
+        """Create a runner that reports the end of each run.
+
+        ``on_run_end`` gets the number of events that the run has added.
 
         ``control`` asks an engine which run it is before it goes on with a
         text; without it the recorded run counts.
@@ -85,7 +87,7 @@
         self._clock = clock
         self._random = random_source
         self._control = control
-        self._on_slot_free = on_slot_free
+        self._on_run_end = on_run_end
 
     async def generate(
         self,
@@ -106,6 +108,7 @@
         seconds_left = max(0.1, pending.expires_at - began)
         transcript = pending.transcript
         before = (transcript.drops, transcript.last_event)
+        drops, length = transcript.drops, len(transcript.events)
         resumed_after = transcript.last_event if loss is None else None
         start_again = None if loss is None else partial(self._drop_text, pending, loss)
         try:
@@ -126,7 +129,7 @@
             )
         finally:
             self._notes.slots_in_use[target.id] -= 1
-            self._on_slot_free()
+            self._on_run_end(pending, transcript.added_since(drops, length))
         has_changed = (transcript.drops, transcript.last_event) != before
         if has_changed and transcript.current_version is not None:
             self._tracker.record_version(
--- a/goldcrestyard/fleet/jobs/transcripts.py
+++ b/goldcrestyard/fleet/jobs/transcripts.py
@@ -128,6 +128,13 @@
         self.drop_unsaved = self.may_be_saved
         self.release()
 
+    def added_since(self, drops: int, length: int) -> int:
+        """Return the number of events added since there were ``length``.
+
+        ``drops`` is the number of drops at that time.
+        """
+        return len(self.events) - (length if self.drops == drops else 0)
+
     def release(self) -> None:
         """Give back the memory of the events, which are not used any more."""
         self.size = 0
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -69,6 +69,27 @@
             "Texts of items dropped since no engine could go on with them, by reason.",
             ("reason",),
         )
+        self.waiting_items = self._gauge(
+            "items_waiting",
+            "Items that wait for an engine, by urgency; 9 and above count as 9.  "
+            "Only the leader's are current.",
+            ("urgency",),
+        )
+        self.waiting_organisations = self._gauge(
+            "organisations_waiting",
+            "Organisations with items that wait for an engine.  Only the leader's "
+            "are current.",
+        )
+        self.most_waiting_items = self._gauge(
+            "items_waiting_of_one_organisation",
+            "Items that wait for an engine, of the organisation with the most.  Only "
+            "the leader's are current.",
+        )
+        self.short_pools = self._gauge(
+            "short_pools",
+            "Pairs of service and model whose items start in whole groups, since not "
+            "all can end in time.  Only the leader's are current.",
+        )
         self.limited_targets = self._gauge(
             "limited_targets", "Targets that name a request limit in their answers."
         )
@@ -161,10 +182,9 @@
             "log_lines_dropped", "Log lines dropped because the reader was too slow."
         )
 
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return self._register(
-            Gauge(f"{METRIC_PREFIX}_{name}", text, registry=self.registry), ()
-        )
+    def _gauge(self, name: str, text: str, labels: Sequence[str] = ()) -> Gauge:
+        metric = Gauge(f"{METRIC_PREFIX}_{name}", text, labels, registry=self.registry)
+        return self._register(metric, labels)
 
     def _counter(self, name: str, text: str, labels: Sequence[str]) -> Counter:
         metric = Counter(
--- a/goldcrestyard/policy/item_order.py
+++ b/goldcrestyard/policy/item_order.py
@@ -159,7 +159,7 @@
 @dataclass(slots=True)
 class _Group:
     job: OpenJob
-    waiting: list[OpenItem] = field(default_factory=list)
+    items: list[OpenItem] = field(default_factory=list)
     running: int = 0
     waiting_events: float = 0.0
     all_events: float = 0.0
@@ -168,10 +168,10 @@
     def add(self, item: OpenItem) -> None:
         self.all_events += item.remaining_events
         self.longest = max(self.longest, item.remaining_events)
+        self.items.append(item)
         if item.running:
             self.running += 1
         else:
-            self.waiting.append(item)
             self.waiting_events += item.remaining_events
 
     def begun(self, group: GroupId) -> bool:
@@ -279,7 +279,7 @@
 def in_whole_groups(
     jobs: Sequence[OpenJob], capacity: PoolCapacity, served: Served, now: float
 ) -> list[OpenItem]:
-    """Return the waiting items of a pool, whole groups one after another.
+    """Return the items of a pool, whole groups one after another.
 
     Items that cannot end before they expire are left out while the engines are
     at least half full.  The pace of the pool must be known.
@@ -293,14 +293,14 @@
     planner = _Planner(capacity, forecast, now, running_events)
     in_time, late = planner.place(queues, wanted, lambda job: job.ends_by)
     before_expiry, rest = planner.place(late, None, lambda job: job.expires_at)
-    ordered = [item for group in (*in_time, *before_expiry) for item in group.waiting]
+    ordered = [item for group in (*in_time, *before_expiry) for item in group.items]
     pace = capacity.seconds_per_event
     for job, groups in rest:
         failed = [item for item in job.items if item.group in job.failed_groups]
-        remaining = [item for group in groups for item in group.waiting]
+        remaining = [item for group in groups for item in group.items]
         ordered += (
             item
-            for item in (*remaining, *(item for item in failed if not item.running))
+            for item in (*remaining, *failed)
             if not capacity.is_half_full
             or now + item.remaining_events * pace <= job.expires_at
         )
@@ -315,11 +315,11 @@
             continue
         by_id.setdefault(item.group, _Group(job)).add(item)
     for group in by_id.values():
-        group.waiting.sort(key=lambda item: -item.remaining_events)
+        group.items.sort(key=lambda item: -item.remaining_events)
     keyed = sorted(
         by_id.items(),
         key=lambda entry: (
-            len(entry[1].waiting) + entry[1].running,
+            len(entry[1].items),
             not entry[1].begun(entry[0]),
             entry[1].all_events,
         ),
@@ -412,9 +412,10 @@
     order: StartOrder = StartOrder.OLDEST_JOB_FIRST
     changed_at: float = -math.inf
     ranks: dict[ItemKey, int] = field(default_factory=dict)
-    """Positions of the waiting items; empty unless whole groups come first."""
+    """Positions of items; empty unless whole groups come first.  Those of
+    running items count once they have to wait again."""
     known: set[ItemKey] = field(default_factory=set)
-    """Waiting items at the latest update, also those that are left out."""
+    """Items at the latest update, also those that are left out."""
 
 
 def next_order(
@@ -431,6 +432,10 @@
     return order
 
 
+def _rank(entry: tuple[int, WaitingItem]) -> int:
+    return entry[0]
+
+
 class ItemOrder:
     """Keeps each pool's order and arranges the items that wait."""
 
@@ -462,10 +467,10 @@
             if order is not state.order:
                 state.order, state.changed_at = order, now
                 changes.append(OrderChange(pool, order, pool_load))
-            self._rank(state, of_pool, capacity, now)
+            self._rank_items(state, of_pool, capacity, now)
         return changes
 
-    def _rank(
+    def _rank_items(
         self,
         state: _PoolState,
         jobs: Sequence[OpenJob],
@@ -477,17 +482,7 @@
         if state.order is StartOrder.WHOLE_GROUPS and capacity.events_per_second > 0:
             ordered = in_whole_groups(jobs, capacity, self.served, now)
             state.ranks = {item.key: rank for rank, item in enumerate(ordered)}
-            state.known = {
-                item.key for job in jobs for item in job.items if not item.running
-            }
-
-    def is_current(self, items: Iterable[WaitingItem]) -> bool:
-        """Return whether all waiting items were known at the latest update."""
-        for item in items:
-            state = self._states_by_pool.get(Pool(item.service, item.model))
-            if state is None or (state.known and item.key not in state.known):
-                return False
-        return True
+            state.known = {item.key for job in jobs for item in job.items}
 
     def arrange(
         self,
@@ -504,25 +499,26 @@
             state.ranks or state.known for state in self._states_by_pool.values()
         ):
             return list(items)
+        under_half = {
+            pool for pool, known in capacity_by_pool.items() if not known.is_half_full
+        }
         ranked: list[tuple[int, WaitingItem]] = []
+        pool, state = Pool(ServiceName(""), ModelName("")), _PoolState()
         for item in items:
-            pool = Pool(item.service, item.model)
-            rank = self._position(pool, item)
-            under_half = not capacity_by_pool.get(pool, NO_CAPACITY).is_half_full
-            if item.key in overdue and under_half:
-                rank = -1
-            if rank is not None:
-                ranked.append((rank, item))
-        ranked.sort(key=lambda entry: entry[0])
+            if item.service != pool.service or item.model != pool.model:
+                # Items come job by job, and most jobs have one pool.
+                pool = Pool(item.service, item.model)
+                state = self._states_by_pool.get(pool, _PoolState())
+            key = item.key
+            if key in overdue and pool in under_half:
+                ranked.append((-1, item))
+            elif key not in state.known:
+                ranked.append((0, item))
+            elif key in state.ranks:
+                ranked.append((state.ranks[key], item))
+        ranked.sort(key=_rank)
         return [item for _, item in ranked]
 
-    def _position(self, pool: Pool, item: WaitingItem) -> int | None:
-        """Return an item's position in its pool; None if it is left out."""
-        state = self._states_by_pool.get(pool)
-        if state is None or item.key not in state.known:
-            return 0
-        return state.ranks.get(item.key)
-
     def orders(self) -> Counter[StartOrder]:
         """Return the number of pools with each order."""
         return Counter(state.order for state in self._states_by_pool.values())
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterator
 
-from goldcrestyard.core.ids import ServiceName
+from goldcrestyard.core.ids import OrganisationId, ServiceName
 from goldcrestyard.core.serving import (
     ServedOrganisation,
     ServedService,
@@ -74,6 +74,10 @@
             for organisation in config.organisations
             for key in organisation.keys
         }
+        self._organisations_by_id = {
+            organisation.id: organisation for organisation in config.organisations
+        }
+        self._services_of_unequal_urgency = _services_of_unequal_urgency(config)
         self.services_by_name: dict[ServiceName, ServedService] = {
             service.name: service for service in config.services
         }
@@ -93,6 +97,52 @@
         """Return the organisation that holds a key, or None."""
         return self._organisations_by_key.get(key)
 
+    def urgency(self, route: ServingRoute, organisation: OrganisationId | None) -> int:
+        """Return how urgent an organisation's requests on a route are.
+
+        0 is the highest.  The priority of the organisation goes before that of
+        the route.
+        """
+        holder = (
+            None
+            if organisation is None
+            else self._organisations_by_id.get(organisation)
+        )
+        if holder is not None and holder.priority is not None:
+            return holder.priority
+        return route.priority
+
+    def sent_urgency(
+        self, route: ServingRoute, organisation: OrganisationId | None
+    ) -> int | None:
+        """Return the urgency that a request carries; None if it needs none.
+
+        It needs one only if requests to its service differ in urgency.
+        """
+        if all(
+            service.name not in self._services_of_unequal_urgency
+            for service in route.services
+        ):
+            return None
+        return self.urgency(route, organisation)
+
+
+def _services_of_unequal_urgency(config: ServingConfig) -> set[ServiceName]:
+    """Return the services to which requests of several urgencies go."""
+    urgencies_by_service: dict[ServiceName, set[int]] = {}
+    own = {
+        organisation.priority
+        for organisation in config.organisations
+        if organisation.priority is not None
+    }
+    for route in config.routes:
+        for service in route.services:
+            urgencies = urgencies_by_service.setdefault(service.name, set())
+            urgencies.add(route.priority)
+            if not route.open:
+                urgencies.update(own)
+    return {name for name, found in urgencies_by_service.items() if len(found) > 1}
+
 
 def moved_routes(
     before: ServingTable, after: ServingTable, moved: Collection[RouteKey]
