--- a/goldcrestyard/core/serving.py
+++ b/goldcrestyard/core/serving.py
@@ -73,6 +73,10 @@
     slots: int
     """Requests that an engine runs at the same time."""
     models: tuple[ModelName, ...]
+    memory_tokens: int = 0
+    """Tokens of prompts and texts that an engine holds; 0 if not known."""
+    tokens_per_event: int = 0
+    """Maximum number of tokens in an event of a text; 0 if not known."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/choosing.py
+++ b/goldcrestyard/fleet/jobs/choosing.py
@@ -5,13 +5,20 @@
 
 import structlog
 
-from goldcrestyard.core.ids import ServiceName, SoftwareVersion, WeightVersion
+from goldcrestyard.core.ids import ServiceName, SoftwareVersion, TargetId, WeightVersion
 from goldcrestyard.core.jobs import Job
 from goldcrestyard.core.records import Target
+from goldcrestyard.core.serving import EngineShape
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes, run_of
 from goldcrestyard.fleet.jobs.ordering import JobOrdering
-from goldcrestyard.fleet.jobs.pending import PendingItem, find_route, is_other_software
+from goldcrestyard.fleet.jobs.pending import (
+    PendingItem,
+    find_route,
+    group_of,
+    is_other_software,
+    prompt_tokens,
+)
 from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -241,8 +248,53 @@
                 for target, until in pending.avoided_until_by_target.items()
                 if now < until
             ),
+            *self._tokens(pending, route.services[0].name),
+        )
+
+    def _tokens(
+        self, pending: PendingItem, service: ServiceName
+    ) -> tuple[float, float]:
+        """Return the expected tokens of an item's prompt and of its text.
+
+        They are 0 if the memory of the service's engines is not known.
+        """
+        shape = self._shape(service)
+        if shape is None or shape.memory_tokens <= 0:
+            return 0.0, 0.0
+        item = pending.item
+        return prompt_tokens(item), self._notes.lengths.text_tokens(
+            item.model,
+            item.estimated_tokens,
+            len(pending.transcript.events),
+            shape.tokens_per_event,
         )
 
+    def _shape(self, service: ServiceName) -> EngineShape | None:
+        table = self._serving.table
+        served = table.services_by_name.get(service) if table is not None else None
+        return None if served is None else served.engine
+
+    def _add_memory(self, engines: list[EngineSlots]) -> None:
+        """Set the memory of engines for which it is known, and its use."""
+        engines_by_id: dict[TargetId, EngineSlots] = {}
+        for engine in engines:
+            shape = self._shape(engine.service)
+            if shape is not None and shape.memory_tokens > 0:
+                engine.memory_tokens = shape.memory_tokens
+                engines_by_id[engine.id] = engine
+        if not engines_by_id:
+            return
+        for pending in self._pending_by_key.values():
+            if pending.engine is None or pending.engine not in engines_by_id:
+                continue
+            engine = engines_by_id[pending.engine]
+            prompt, text = self._tokens(pending, engine.service)
+            group = group_of(pending.item)
+            engine.tokens_in_use += text
+            if group not in engine.running_groups:
+                engine.tokens_in_use += prompt
+                engine.running_groups.add(group)
+
     def _available_engines(self) -> list[EngineSlots]:
         engines: list[EngineSlots] = []
         now = self._clock.monotonic()
@@ -269,4 +321,5 @@
                     self._notes.has_refused(target),
                 )
             )
+        self._add_memory(engines)
         return engines
--- a/goldcrestyard/fleet/jobs/ordering.py
+++ b/goldcrestyard/fleet/jobs/ordering.py
@@ -6,10 +6,10 @@
 import structlog
 
 from goldcrestyard.core.ids import GroupId, JobId, OrganisationId
-from goldcrestyard.core.jobs import ItemOutcome, Job, JobItem
+from goldcrestyard.core.jobs import ItemOutcome, Job
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes
-from goldcrestyard.fleet.jobs.pending import Charge, PendingItem, find_route
+from goldcrestyard.fleet.jobs.pending import Charge, PendingItem, find_route, group_of
 from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
@@ -153,7 +153,7 @@
         open_groups: set[GroupId] = set()
         expires_at = due_at = None
         for item in state.job.items:
-            group = _group(item)
+            group = group_of(item)
             position = state.positions_by_item.get(item.id)
             if position is not None:
                 ended[group] += 1
@@ -209,11 +209,6 @@
     return job.organisation or OrganisationId("")
 
 
-def _group(item: JobItem) -> GroupId:
-    """Return the group of an item; an item without one is a group itself."""
-    return item.group or GroupId(item.id)
-
-
 def _capacities(engines: Iterable[EngineSlots]) -> dict[Pool, PoolCapacity]:
     """Return the capacity of the engines that have some version of a model."""
     slots: Counter[Pool] = Counter()
--- a/goldcrestyard/fleet/jobs/pending.py
+++ b/goldcrestyard/fleet/jobs/pending.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from goldcrestyard.core.ids import OrganisationId, TargetId
+from goldcrestyard.core.ids import GroupId, OrganisationId, TargetId
 from goldcrestyard.core.jobs import Job, JobItem
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.serving import ServingRoute
@@ -66,6 +66,21 @@
     """The task that runs, scores or lists the item; None while it waits."""
 
 
+PROMPT_BYTES_PER_TOKEN = 4
+"""Assumed number of bytes of a request's body for each token of its prompt, of
+which the request states no number."""
+
+
+def group_of(item: JobItem) -> GroupId:
+    """Return the group of an item; an item without one is a group itself."""
+    return item.group or GroupId(item.id)
+
+
+def prompt_tokens(item: JobItem) -> float:
+    """Return the assumed number of tokens of an item's prompt."""
+    return len(item.body) / PROMPT_BYTES_PER_TOKEN
+
+
 def find_route(serving: ServingSlice, job: Job, item: JobItem) -> ServingRoute | None:
     """Return the route of an item; None if no configuration names it."""
     table = serving.table
--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -75,6 +75,8 @@
 class _Engine(msgspec.Struct):
     slots: WholeNumber
     models: list[_Model] = []
+    kv_cap_tokens: WholeNumber = 0
+    stride: WholeNumber = 0
 
 
 class _Autoscale(msgspec.Struct):
@@ -195,7 +197,12 @@
     engine = rental = None
     if service.engine is not None:
         models = tuple(ModelName(model.name) for model in service.engine.models)
-        engine = EngineShape(service.engine.slots, models)
+        engine = EngineShape(
+            service.engine.slots,
+            models,
+            service.engine.kv_cap_tokens,
+            service.engine.stride,
+        )
     if service.autoscale is not None:
         bounds = service.autoscale
         rental = RentalBounds(
--- a/goldcrestyard/policy/item_lengths.py
+++ b/goldcrestyard/policy/item_lengths.py
@@ -48,11 +48,30 @@
         """Return the expected number of further events of a text."""
         expected = DEFAULT_EVENTS
         if estimated_tokens > 0:
-            totals = self._totals_by_model.get(model)
-            tokens_per_event = (
-                totals.tokens / totals.events
-                if totals is not None
-                else EXPECTED_TOKENS_PER_EVENT
-            )
-            expected = estimated_tokens / tokens_per_event
+            expected = estimated_tokens / self._tokens_per_event(model)
         return max(expected - events_so_far, MIN_REMAINING_SHARE * events_so_far, 1.0)
+
+    def text_tokens(
+        self,
+        model: ModelName,
+        estimated_tokens: int,
+        events_so_far: int,
+        max_tokens_per_event: int = 0,
+    ) -> float:
+        """Return the expected number of tokens of a complete text.
+
+        ``max_tokens_per_event`` is 0 if it is not known.
+        """
+        events = events_so_far + self.remaining_events(
+            model, estimated_tokens, events_so_far
+        )
+        per_event = self._tokens_per_event(model)
+        if max_tokens_per_event > 0:
+            per_event = min(per_event, max_tokens_per_event)
+        return events * per_event
+
+    def _tokens_per_event(self, model: ModelName) -> float:
+        totals = self._totals_by_model.get(model)
+        if totals is None:
+            return EXPECTED_TOKENS_PER_EVENT
+        return totals.tokens / totals.events
--- a/goldcrestyard/policy/item_order.py
+++ b/goldcrestyard/policy/item_order.py
@@ -15,7 +15,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import NamedTuple, TypeVar
 
@@ -511,6 +511,8 @@
                 state = self._states_by_pool.get(pool, _PoolState())
             key = item.key
             if key in overdue and pool in under_half:
+                # It may not wait for an engine with enough memory either.
+                item = replace(item, prompt_tokens=0.0, text_tokens=0.0)
                 ranked.append((-1, item))
             elif key not in state.known:
                 ranked.append((0, item))
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -10,6 +10,7 @@
 fastest engines.
 """
 
+import math
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -66,6 +67,10 @@
     """Expected number of events that its text still lacks."""
     avoided_engines: frozenset[TargetId] = frozenset()
     """Engines that get the item only if no other engine can run it."""
+    prompt_tokens: float = 0.0
+    """Tokens of its prompt, which its group shares at an engine."""
+    text_tokens: float = 0.0
+    """Expected tokens of its complete text."""
 
 
 @dataclass(slots=True)
@@ -91,6 +96,12 @@
     """Software of the engine's present run; empty if unknown."""
     refuses: bool = False
     """Whether it has lately refused a connection, as one that has ended."""
+    memory_tokens: float = math.inf
+    """Tokens that its memory holds."""
+    tokens_in_use: float = 0.0
+    """Expected tokens of the items that run on it, once they are complete."""
+    running_groups: set[GroupId] = field(default_factory=set)
+    """Groups of the items that run on it."""
 
     def serves(self, item: WaitingItem) -> bool:
         """Return whether the engine can run an item once it has a slot."""
@@ -115,6 +126,20 @@
             and self.serves(item)
         )
 
+    def tokens_of(self, item: WaitingItem) -> float:
+        """Return the tokens that an item would add to the engine's memory."""
+        shared = item.group != "" and item.group in self.running_groups
+        return item.text_tokens + (0.0 if shared else item.prompt_tokens)
+
+    def has_memory_for(self, item: WaitingItem) -> bool:
+        """Return whether an item's expected tokens fit into the memory.
+
+        An engine that runs nothing takes any item, also one that is larger
+        than its memory.
+        """
+        used = self.tokens_in_use + self.tokens_of(item)
+        return self.in_use == 0 or used <= self.memory_tokens
+
 
 TEXT_WAIT_SECONDS = 1.0
 """Time in seconds since its last run for which a text waits for a free engine
@@ -192,7 +217,8 @@
 ) -> list[tuple[ItemKey, TargetId]]:
     """Assign items, in their order, each to the engine with the lowest cost.
 
-    Updates ``in_use``, ``permitted_runs`` and ``groups`` of the engines.
+    An item waits while its expected tokens fit into no engine's memory.
+    Updates the slots, permits, memory and groups of the engines.
     """
     assigned: list[tuple[ItemKey, TargetId]] = []
     free_slots = sum(max(0, engine.slots - engine.in_use) for engine in engines)
@@ -203,8 +229,15 @@
         if not eligible:
             continue
         preferred = _preferred(eligible, item)
-        best = min(preferred or eligible, key=lambda engine: _cost(engine, item))
+        # An engine that runs out of memory interrupts a text and reads it in
+        # again, which takes longer than to wait for another item's end.
+        roomy = [e for e in preferred or eligible if e.has_memory_for(item)]
+        if not roomy:
+            continue
+        best = min(roomy, key=lambda engine: _cost(engine, item))
         best.in_use += 1
+        best.tokens_in_use += best.tokens_of(item)
+        best.running_groups.add(item.group)
         if best.permitted_runs is not None:
             best.permitted_runs -= 1
         best.groups.add(item.group)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -47,7 +47,12 @@
         {
             "name": "engines",
             "health_path": "/healthz",
-            "engine": {"slots": 8, "models": [{"name": "m1"}, {"name": "m2"}]},
+            "engine": {
+                "slots": 8,
+                "models": [{"name": "m1"}, {"name": "m2"}],
+                "kv_cap_tokens": 32_921,
+                "stride": 16,
+            },
             "autoscale": {
                 "min": 1,
                 "max": 3,
@@ -120,6 +125,8 @@
         assert engines.engine is not None
         assert engines.rental is not None
         self.assertEqual(engines.engine.models, ("m1", "m2"))
+        self.assertEqual(engines.engine.memory_tokens, 32_921)
+        self.assertEqual(engines.engine.tokens_per_event, 16)
         self.assertEqual((engines.rental.least, engines.rental.most), (1, 3))
         self.assertEqual(config.limits.body_bytes, 1000)
         self.assertEqual(config.organisations[0].keys, ("k1", "k2"))
--- a/tests/policy/test_job_schedule.py
+++ b/tests/policy/test_job_schedule.py
@@ -42,6 +42,8 @@
 V1, V2, UNKNOWN = SoftwareVersion("v1"), SoftwareVersion("v2"), SoftwareVersion("")
 TEXT = replace(ITEM, required_software=V1)
 
+LONG = replace(ITEM, prompt_tokens=100.0, text_tokens=400.0)
+
 
 def engine(
     name: str = "e", version: int = 3, in_use: int = 0, **rest: object
@@ -149,6 +151,41 @@
         (engine("a", in_use=1, trust=EngineTrust.ON_TRIAL), engine("b", in_use=3)),
         "b",
     ),
+    Case(
+        "fits_into_the_memory_of_another",
+        (
+            engine("a", in_use=1, memory_tokens=900, tokens_in_use=500),
+            engine("b", in_use=3, memory_tokens=900, tokens_in_use=400),
+        ),
+        "b",
+        LONG,
+    ),
+    Case(
+        "fits_into_no_memory",
+        (engine(in_use=1, memory_tokens=900, tokens_in_use=500),),
+        None,
+        LONG,
+    ),
+    Case(
+        "group_shares_its_prompt",
+        (
+            engine(
+                in_use=1,
+                memory_tokens=900,
+                tokens_in_use=500,
+                running_groups={GroupId("g")},
+            ),
+        ),
+        "e",
+        LONG,
+    ),
+    Case(
+        "engine_that_runs_nothing_takes_any",
+        (engine(memory_tokens=100),),
+        "e",
+        LONG,
+    ),
+    Case("memory_is_not_known", (engine(in_use=3, tokens_in_use=9e9),), "e", LONG),
     Case(
         "other_service",
         (engine(),),
@@ -164,7 +201,14 @@
     @parameterized.expand([(case.name, case) for case in CASES])
     def test_assign(self, _: str, case: Case) -> None:
         # ``assign`` changes the engines, which the table shares.
-        engines = [replace(given, groups=set(given.groups)) for given in case.engines]
+        engines = [
+            replace(
+                given,
+                groups=set(given.groups),
+                running_groups=set(given.running_groups),
+            )
+            for given in case.engines
+        ]
         expected = [] if case.expected is None else [(case.item.key, case.expected)]
         self.assertEqual(assign([case.item], engines), expected)
 
@@ -177,6 +221,22 @@
         self.assertEqual([key.item for key, _ in assigned], list("012345"))
         self.assertEqual(sum(target == "a" for _, target in assigned), 4)
 
+    @parameterized.expand([("one_group", "g", 4), ("several_groups", "", 3)])
+    def test_items_that_start_at_once_fill_the_memory(
+        self, _: str, group: str, expected: int
+    ) -> None:
+        """Guards against a memory that is counted only before a pass.
+
+        An item without a group shares its prompt with none.
+        """
+        items = [
+            replace(LONG, key=ItemKey(JobId("j"), ItemId(str(number))))
+            for number in range(9)
+        ]
+        items = [replace(item, group=GroupId(group)) for item in items]
+        assigned = assign(items, [engine("a", memory_tokens=1700)])
+        self.assertEqual(len(assigned), expected)
+
     @parameterized.expand([("none", 0), ("one", 1), ("more_than_slots", 9)])
     def test_engine_with_a_request_limit_starts_no_more_than_it_accepts(
         self, _: str, permitted_runs: int
