--- a/goldcrestyard/core/calls.py
+++ b/goldcrestyard/core/calls.py
@@ -47,6 +47,8 @@
     repeatable: bool = False
     """Whether the client may send the request again on a new connection when
     a reused one fails, at the risk that the target runs it twice."""
+    urgency: int | None = None
+    """Urgency that the target is told, 0 the highest; None to tell none."""
 
 
 def request_digest(call: TargetCall) -> RequestDigest:
--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -64,6 +64,8 @@
     """Owner of the request's key, None if no key was required."""
     deadline: float
     """Monotonic time in seconds."""
+    urgency: int | None = None
+    """Urgency that targets are told; None to tell none."""
 
     def to_call(self, resume_after: EventNumber | None = None) -> TargetCall:
         """Return the request to a target, resuming a stream after an event."""
@@ -77,6 +79,7 @@
             self.organisation,
             resume_after,
             self.route.repeatable,
+            self.urgency,
         )
 
 
@@ -123,7 +126,19 @@
         seconds = route.timeout_seconds
         if request.seconds_left is not None:
             seconds = min(seconds, request.seconds_left)
-        return AdmittedRequest(request, route, organisation, arrived_at + seconds)
+        return AdmittedRequest(
+            request,
+            route,
+            organisation,
+            arrived_at + seconds,
+            self._sent_urgency(route, organisation),
+        )
+
+    def _sent_urgency(
+        self, route: ServingRoute, organisation: OrganisationId | None
+    ) -> int | None:
+        table = self._serving.table
+        return None if table is None else table.sent_urgency(route, organisation)
 
     def find_route(self, host: str, path: str) -> ServingRoute | Refusal:
         """Return the route of a path, or a refusal if there is none."""
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -140,11 +140,13 @@
     seconds_left: float,
     detector: SlowEngineDetector,
     start_again: Callable[[], None] | None = None,
+    urgency: int | None = None,
 ) -> RunOutcome:
     """Run an item on a target, resuming after its transcript's last event.
 
     With ``start_again`` the target generates the whole text.  It is called
-    when the target has begun to, and discards the earlier text.
+    when the target has begun to, and discards the earlier text.  The target
+    is told ``urgency`` unless it is None.
     """
     call = TargetCall(
         RequestId(item.id),
@@ -156,6 +158,7 @@
         job.organisation,
         transcript.last_event if start_again is None else None,
         repeatable=True,
+        urgency=urgency,
     )
     async with AsyncExitStack() as stack:
         reply = await open_reply_within(
--- a/goldcrestyard/fleet/jobs/running.py
+++ b/goldcrestyard/fleet/jobs/running.py
@@ -126,6 +126,7 @@
                     self._notes.paces, target, self._clock, may_move=may_move
                 ),
                 start_again,
+                self._sent_urgency(pending, job),
             )
         finally:
             self._notes.slots_in_use[target.id] -= 1
@@ -171,6 +172,13 @@
                     return
         await self._handle_outcome(pending, job, target, outcome)
 
+    def _sent_urgency(self, pending: PendingItem, job: Job) -> int | None:
+        table = self._serving.table
+        route = find_route(self._serving, job, pending.item)
+        if table is None or route is None:
+            return None
+        return table.sent_urgency(route, job.organisation)
+
     async def _check_recorded_run(self, target: Target) -> NotRun | None:
         """Return why a text may not go on at an engine, or None if it may.
 
--- a/goldcrestyard/platform/names.py
+++ b/goldcrestyard/platform/names.py
@@ -17,6 +17,8 @@
 WAIT_HEADER = _HEADER_PREFIX + "Wait-Ms"
 MODEL_HEADER = _HEADER_PREFIX + "Model"
 LENGTH_HINT_HEADER = _HEADER_PREFIX + "Length-Hint"
+URGENCY_HEADER = _HEADER_PREFIX + "Sched-Priority"
+"""Header with the urgency of a request, from 0, the highest, to 9."""
 VERSION_HEADER = _HEADER_PREFIX + "Weight-Versions"
 """Header with a single weight version, in spite of the plural.  An event of a
 stream may start with a line of the same name."""
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -50,6 +50,7 @@
     REQUEST_LIMIT_HEADER,
     SIGNATURE_HEADER,
     TARGET_ID_HEADER,
+    URGENCY_HEADER,
     VERSION_HEADER,
 )
 
@@ -92,6 +93,9 @@
 BODILESS_STATUSES = frozenset({204, 304})
 MISDIRECTED_STATUS = 421
 
+LEAST_URGENCY = 9
+"""Largest number that the header for the urgency may have."""
+
 MALFORMED_ANSWER_ERRORS = (aiohttp.ClientResponseError, UnboundedAnswerError)
 """Errors of the HTTP library for an answer whose head is none or too long."""
 
@@ -399,6 +403,8 @@
     headers.popall(ORGANISATION_HEADER, None)
     if call.organisation is not None:
         headers[ORGANISATION_HEADER] = call.organisation
+    if call.urgency is not None:
+        headers[URGENCY_HEADER] = str(max(0, min(call.urgency, LEAST_URGENCY)))
     if call.resume_after is not None:
         headers[LAST_EVENT_HEADER] = str(call.resume_after)
     return headers
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -9,8 +9,10 @@
 
 from goldcrestyard.consensus.control_member import DEFAULT_SHARES
 from goldcrestyard.core.ids import (
+    ConfigVersion,
     DataCentre,
     EventNumber,
+    GroupId,
     JobId,
     Region,
     RequestId,
@@ -249,6 +251,7 @@
         )
         self.text_room = runner._text_room
         self.faults = runner._notes.faults
+        self.paces = runner._notes.paces
         task = asyncio.create_task(runner.run())
         self.addAsyncCleanup(self._stop, task)
         return task
@@ -349,6 +352,74 @@
         called, call = self.client.calls[-2]
         self.assertEqual((called, call.resume_after), (name, resumed_after))
 
+    @parameterized.expand(
+        [
+            ("enough_time", 60.0, "a", None),
+            ("too_little_time", 3.0, "b", None),
+            ("urgency_differs", 60.0, "a", 4),
+        ]
+    )
+    async def test_group_that_starts_first(
+        self, _: str, due_seconds: float, expected: str, urgency: int | None
+    ) -> None:
+        """Guards against an order that the decision does not reach.
+
+        The texts of group a are twice as long, and those of both need 6 s.
+        """
+        own = CONFIG.organisations[0]
+        config = replace(
+            CONFIG,
+            version=ConfigVersion(2),
+            routes=tuple(
+                replace(route, due_seconds=due_seconds) for route in CONFIG.routes
+            ),
+            organisations=(replace(own, priority=urgency),),
+        )
+        apply(self.machine, PutServing(config, b""))
+        plain = scored_job("/jobs/", items=12)
+        items = tuple(
+            replace(
+                item,
+                group=GroupId("ab"[number % 2]),
+                estimated_tokens=2000 - number % 2 * 1000,
+            )
+            for number, item in enumerate(plain.items)
+        )
+        self._start((Streams(3),), engine_count=1)
+        self.paces.observe(TargetId("e0"), 0.1, self.clock().monotonic())
+        submit = SubmitJob(replace(plain, items=items))
+        apply(self.machine, submit, time=self.clock().wall())
+        await self._wait_listed(12)
+        group_by_item = {str(item.id): item.group for item in items}
+        runs = [call for name, call in self.client.calls if name == "e0"]
+        first = {group_by_item[str(call.request)] for call in runs[:6]}
+        self.assertEqual(first, {expected})
+        self.assertEqual({call.urgency for call in runs}, {urgency})
+
+    @parameterized.expand([("not_known", 0, 6), ("two_texts", 4500, 2)])
+    async def test_memory_of_an_engine(
+        self, _: str, memory_tokens: int, expected: int
+    ) -> None:
+        """Guards against an engine that interrupts texts to make room."""
+        services = tuple(
+            replace(
+                service, engine=replace(service.engine, memory_tokens=memory_tokens)
+            )
+            if service.engine is not None
+            else service
+            for service in CONFIG.services
+        )
+        config = replace(CONFIG, version=ConfigVersion(2), services=services)
+        apply(self.machine, PutServing(config, b""))
+        plain = scored_job("/jobs/", items=6)
+        items = tuple(replace(item, estimated_tokens=2000) for item in plain.items)
+        self._start((Streams(3),), engine_count=1)
+        submit = SubmitJob(replace(plain, items=items))
+        apply(self.machine, submit, time=self.clock().wall())
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.client.open_calls, expected)
+        await self._wait_listed(6)
+
     async def test_engine_that_starts_again_under_its_id(self) -> None:
         """Guards against text of a later run with other software.
 
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -431,6 +431,21 @@
         self.assertLessEqual(int(deadline.rpartition(" ")[2]), 1500)
         self.assertFalse(any("forged" in line for line in lines))
 
+    @parameterized.expand(
+        [("none", None, []), ("highest", 0, ["0"]), ("low", 12, ["9"])]
+    )
+    async def test_urgency_sent_to_the_target(
+        self, _: str, urgency: int | None, expected: list[str]
+    ) -> None:
+        """Guards against an urgency that engines do not know."""
+        self.script.append((WHOLE, stay))
+        await self._send(urgency=urgency)
+        (request,) = self.requests
+        lines = request.partition(b"\r\n\r\n")[0].decode().split("\r\n")
+        name = "X-Goldcrestyard-Sched-Priority: "
+        found = [line.removeprefix(name) for line in lines if line.startswith(name)]
+        self.assertEqual(found, expected)
+
     @parameterized.expand([("kept", True, 1), ("one_each", False, 3)])
     async def test_connections(self, _: str, repeatable: bool, expected: int) -> None:
         for _number in range(3):
--- a/tests/policy/test_serving.py
+++ b/tests/policy/test_serving.py
@@ -128,6 +128,36 @@
         assert holder is not None
         self.assertEqual(holder.id, expected)
 
+    @parameterized.expand(
+        [
+            ("equal", (0, 0), None, "x", None),
+            ("of_the_route", (0, 3), None, "x", 3),
+            ("of_the_organisation", (0, 3), 1, "x", 1),
+            ("routes_are_equal", (3, 3), 1, "x", 1),
+            ("of_another_organisation", (3, 3), 1, "z", 3),
+            ("organisation_equals_the_route", (3, 3), 3, "x", None),
+            ("no_organisation", (0, 3), 1, None, 3),
+        ]
+    )
+    def test_sent_urgency(
+        self,
+        _: str,
+        priorities: tuple[int, int],
+        own: int | None,
+        organisation: str | None,
+        expected: int | None,
+    ) -> None:
+        """Guards against an urgency where requests do not differ in it."""
+        first, second = (
+            replace(route(f"r{priority}{n}", f"/{n}/"), priority=priority)
+            for n, priority in enumerate(priorities)
+        )
+        holder = ServedOrganisation(OrganisationId("x"), ("key-x",), own)
+        config = replace(CONFIG, routes=(first, second), organisations=(holder,))
+        table = ServingTable(config)
+        caller = None if organisation is None else OrganisationId(organisation)
+        self.assertEqual(table.sent_urgency(second, caller), expected)
+
     def test_unknown_key_has_no_holder(self) -> None:
         self.assertIsNone(self.table.organisation("key"))
 
