--- a/goldcrestyard/fleet/jobs/listing.py
+++ b/goldcrestyard/fleet/jobs/listing.py
@@ -36,7 +36,7 @@
         rewards: RewardClient,
         metrics: FleetMetrics,
         clock: Clock,
-        on_listed: Callable[[PendingItem], None],
+        on_listed: Callable[[PendingItem, ItemOutcome], None],
     ) -> None:
         """Create a lister that reports each item whose result is committed."""
         self._member = member
@@ -106,4 +106,4 @@
             else None,
             score_seconds=None if score_seconds is None else round(score_seconds, 3),
         )
-        self._on_listed(pending)
+        self._on_listed(pending, ended.outcome)
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -19,6 +19,7 @@
 from goldcrestyard.core.ids import (
     JobId,
 )
+from goldcrestyard.core.jobs import ItemOutcome
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.jobs.choosing import ItemChooser
 from goldcrestyard.fleet.jobs.commands import (
@@ -27,6 +28,7 @@
     SubmitJob,
 )
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes
+from goldcrestyard.fleet.jobs.groups import GroupCounts
 from goldcrestyard.fleet.jobs.listing import ItemLister, errored_item
 from goldcrestyard.fleet.jobs.ordering import JobOrdering
 from goldcrestyard.fleet.jobs.pending import PendingItem, find_route
@@ -114,8 +116,9 @@
         self._clock = clock
         self._wake_event = asyncio.Event()
         self._pending_by_key: dict[ItemKey, PendingItem] = {}
+        self._groups = GroupCounts(metrics)
         self._saver = ProgressSaver(member, self._pending_by_key)
-        self._lister = ItemLister(member, rewards, metrics, clock, self._forget)
+        self._lister = ItemLister(member, rewards, metrics, clock, self._on_listed)
         self._notes = EngineNotes(member.machine.get(TargetsSlice))
         self._item_runner = ItemRunner(
             member.machine,
@@ -161,6 +164,7 @@
                 for pending in list(self._pending_by_key.values()):
                     if pending.key.job == job_id:
                         self._cancel(pending)
+                self._groups.note_job_ended(job_id)
                 self._wake_event.set()
 
     def _note_submission(self, job_id: JobId) -> None:
@@ -172,6 +176,7 @@
         """Run items during one term as leader, until cancelled."""
         for pending in list(self._pending_by_key.values()):
             self._forget(pending)
+        self._groups.clear()
         self._notes.slots_in_use.clear()
         save_task = asyncio.create_task(self._saver.run(), name="save progress")
         try:
@@ -199,6 +204,7 @@
             ]
             if not new_items:
                 continue
+            self._groups.note_items(state.job.id, new_items)
             groups = dict.fromkeys(item.group for item in state.job.items)
             positions_by_group = {
                 group: position for position, group in enumerate(groups)
@@ -263,6 +269,10 @@
                     pending, self._lister.list_result(pending, errored_item(pending))
                 )
 
+    def _on_listed(self, pending: PendingItem, outcome: ItemOutcome) -> None:
+        self._groups.note_listed(pending, outcome, self._clock.monotonic())
+        self._forget(pending)
+
     def _cancel(self, pending: PendingItem) -> None:
         self._forget(pending)
         if pending.task is not None:
@@ -285,6 +295,7 @@
                 loss=run.loss,
             )
             run.pending.engine = run.target.id
+            self._groups.note_start(run.pending, self._clock.monotonic())
             self._ordering.note_start(run.pending, run.job, run.expected_events)
             self._spawn(run.pending, work)
         self._work.record_pass(
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -22,6 +22,10 @@
 ITEM_RUN_SECONDS_BUCKETS = (0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 """Bucket bounds in seconds, from a short item to a long, resumed one."""
 
+GROUP_START_SECONDS_BUCKETS = (0.0, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
+"""Bucket bounds in seconds, from a group that starts when its job is due to
+one whose job has much time left."""
+
 Metric = Counter | Gauge | Histogram
 AnyMetric = TypeVar("AnyMetric", Counter, Gauge, Histogram)
 
@@ -69,26 +73,39 @@
             "Texts of items dropped since no engine could go on with them, by reason.",
             ("reason",),
         )
+        self.groups = self._counter(
+            "groups_ended",
+            "Groups of items that have ended, by whether they were complete when "
+            "their job was due.",
+            ("outcome",),
+        )
+        self.group_start_to_due_seconds = self._histogram(
+            "group_start_to_due_seconds",
+            "Seconds from the start of a group's first item to the time at which its "
+            "job is due; 0 or less counts as late.",
+            GROUP_START_SECONDS_BUCKETS,
+            (),
+        )
         self.waiting_items = self._gauge(
             "items_waiting",
-            "Items that wait for an engine, by urgency; 9 and above count as 9.  "
+            "Items that wait for an engine, by urgency; 9 and above count as 9. "
             "Only the leader's are current.",
             ("urgency",),
         )
         self.waiting_organisations = self._gauge(
             "organisations_waiting",
-            "Organisations with items that wait for an engine.  Only the leader's "
+            "Organisations with items that wait for an engine. Only the leader's "
             "are current.",
         )
         self.most_waiting_items = self._gauge(
             "items_waiting_of_one_organisation",
-            "Items that wait for an engine, of the organisation with the most.  Only "
+            "Items that wait for an engine, of the organisation with the most. Only "
             "the leader's are current.",
         )
         self.short_pools = self._gauge(
             "short_pools",
             "Pairs of service and model whose items start in whole groups, since not "
-            "all can end in time.  Only the leader's are current.",
+            "all can end in time. Only the leader's are current.",
         )
         self.limited_targets = self._gauge(
             "limited_targets", "Targets that name a request limit in their answers."
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -232,6 +232,7 @@
             self.client,
             clock,
         )
+        self.metrics = FleetMetrics(CollectorRegistry())
         runner = JobRunner(
             self.member,  # type: ignore[arg-type]
             tracker,
@@ -240,7 +241,7 @@
             self.client,
             rewards,
             location,
-            FleetMetrics(CollectorRegistry()),
+            self.metrics,
             clock,
             random.Random(1),
             is_leaving=lambda target: target.id in leaving,
@@ -279,6 +280,10 @@
         )
         apply(self.machine, KeepProgress(submitted.id, {submitted.items[0].id: saved}))
 
+    def _groups_ended(self, outcome: str) -> float:
+        name = "goldcrest_fleet_groups_ended_total"
+        return self.metrics.registry.get_sample_value(name, {"outcome": outcome}) or 0.0
+
     def _engine_calls(self) -> list[str]:
         return [name for name in self.client.called_targets if name != "scorer"]
 
@@ -394,6 +399,8 @@
         runs = [call for name, call in self.client.calls if name == "e0"]
         first = {group_by_item[str(call.request)] for call in runs[:6]}
         self.assertEqual(first, {expected})
+        ended = {group: self._groups_ended(group) for group in ("in time", "late")}
+        self.assertEqual(ended, {"in time": 2.0, "late": 0.0})
         self.assertEqual({call.urgency for call in runs}, {urgency})
 
     @parameterized.expand([("not_known", 0, 6), ("two_texts", 4500, 2)])
