--- a/goldcrestyard/core/serving.py
+++ b/goldcrestyard/core/serving.py
@@ -11,6 +11,7 @@
     DataCentre,
     ModelName,
     OrganisationId,
+    Region,
     RouteName,
     ServiceName,
 )
@@ -57,6 +58,8 @@
     """Time from a job's submission by which its items are due."""
     item_seconds: float | None = None
     """Time from a job's submission after which an item may be abandoned."""
+    home_regions: tuple[Region, ...] = ()
+    """Regions in which alone requests are served; empty if there are none."""
 
     @property
     def repeatable(self) -> bool:
@@ -113,6 +116,8 @@
     id: OrganisationId
     keys: tuple[str, ...]
     priority: int | None = None
+    home_regions: tuple[Region, ...] = ()
+    """Regions in which alone it is served; empty if there are none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/directory/apps.py
+++ b/goldcrestyard/fleet/directory/apps.py
@@ -35,7 +35,7 @@
 
     name = "directory"
     after = ("assembly", "entry")
-    requires = ("peers",)
+    requires = ("peers", "serving")
     slices = (DirectorySlice,)
     messages = (*DirectorySlice.commands, Entry, EntriesSnapshot)
 
--- a/goldcrestyard/fleet/directory/directory.py
+++ b/goldcrestyard/fleet/directory/directory.py
@@ -1,10 +1,13 @@
 """Selection of the entries whose addresses a caller receives."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.plugins.addresses.commands import Entry
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
+from goldcrestyard.policy.home_regions import nameable_entries
 
 MIN_NEARBY_ENTRIES = 2
 """Minimum number of entries in the caller's area; if it has fewer, the answer
@@ -30,11 +33,12 @@
     def __init__(self, member: ControlMember) -> None:
         self._member = member
         self._entries = member.machine.get(EntriesSlice)
+        self._serving = member.machine.get(ServingSlice)
 
     def look_up(
-        self, data_centre: str, region: str, max_addresses: int
+        self, data_centre: str, region: str, max_addresses: int, host: str = ""
     ) -> DirectoryAnswer | None:
-        """Return the entries near a caller.
+        """Return the entries near a caller of a host.
 
         None means that this member has no leader or that no entry is
         available.
@@ -48,7 +52,11 @@
         ]
         if not entries:
             return None
-        near = select_nearest_entries(entries, data_centre, region)
+        table = self._serving.table
+        homes = table.homes_of_host(host) if table is not None else None
+        near = select_nearest_entries(
+            nameable_entries(entries, homes, region), data_centre, region
+        )
         return DirectoryAnswer(
             tuple(entry.public_address for entry in near[:max_addresses]),
             ANSWER_TTL_SECONDS,
@@ -56,8 +64,8 @@
 
 
 def select_nearest_entries(
-    entries: list[Entry], data_centre: str, region: str
-) -> list[Entry]:
+    entries: Sequence[Entry], data_centre: str, region: str
+) -> Sequence[Entry]:
     """Return the entries of the smallest area that has enough of them.
 
     The areas are the caller's data centre, its region, and all regions.
--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from goldcrestyard.core.calls import Headers, TargetCall
-from goldcrestyard.core.ids import EventNumber, OrganisationId, RequestId
+from goldcrestyard.core.ids import EventNumber, OrganisationId, Region, RequestId
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.fleet.serving.slices import ServingSlice
@@ -18,6 +18,12 @@
 for a second attempt."""
 
 
+NO_TARGET_AT_HOME = Refusal(
+    RefusalReason.HOME_REGIONS,
+    "no target of the service is in the home regions",
+    retry_after_seconds=RETRY_AFTER_SECONDS,
+)
+
 MAX_START_WAIT_SECONDS = 1.0
 MAX_START_WAIT_SHARE = 0.6
 """Longest wait of a request, in seconds and as a share of its time limit,
@@ -161,6 +167,24 @@
             return True
         return self.authenticate(admitted.request.key) == admitted.organisation
 
+    def allowed_regions(self, admitted: AdmittedRequest) -> frozenset[Region] | None:
+        """Return where a request may be served now; None if everywhere.
+
+        A key on a route that needs none is not checked, but the homes of its
+        organisation count nevertheless.
+        """
+        table = self._serving.table
+        if table is None or not table.has_homes:
+            return None
+        request = admitted.request
+        organisation = admitted.organisation
+        if organisation is None and request.key is not None:
+            holder = table.organisation(request.key)
+            organisation = holder.id if holder is not None else None
+        # The route may have got other homes since the request was admitted.
+        route = table.route(request.host, request.path) or admitted.route
+        return table.allowed_regions(route, organisation)
+
     def _keys_required(self) -> bool:
         table = self._serving.table
         return table is not None and table.needs_keys
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -27,6 +27,7 @@
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.crashes.guard import RequestGuard, WatchedRequest
 from goldcrestyard.fleet.gateway.admission import (
+    NO_TARGET_AT_HOME,
     RETRY_AFTER_SECONDS,
     Admission,
     AdmittedRequest,
@@ -201,7 +202,12 @@
             return None
         if admitted.deadline - self._clock.monotonic() < MIN_ATTEMPT_SECONDS:
             return None
-        return self._router.choose(service, state.tried, hedge=bool(running))
+        return self._router.choose(
+            service,
+            state.tried,
+            hedge=bool(running),
+            regions=self._admission.allowed_regions(admitted),
+        )
 
     async def _attempt(
         self,
@@ -270,7 +276,10 @@
                 "the key could not be checked again before sending",
                 retry_after_seconds=RETRY_AFTER_SECONDS,
             )
-        withheld_seconds = self._router.withheld_seconds(service)
+        regions = self._admission.allowed_regions(admitted)
+        if regions is not None and not self._router.any_ready(service, regions):
+            return NO_TARGET_AT_HOME
+        withheld_seconds = self._router.withheld_seconds(service, regions)
         if withheld_seconds is not None:
             return Refusal(
                 RefusalReason.CAPACITY,
@@ -278,7 +287,7 @@
                 retry_after_seconds=max(RETRY_AFTER_SECONDS, withheld_seconds),
             )
         detail = "no target has a free slot" if state.failures else "no target is ready"
-        if self._router.all_leaving(service):
+        if self._router.all_leaving(service, regions):
             detail = "all targets of the service leave"
         return Refusal(
             RefusalReason.CAPACITY, detail, retry_after_seconds=RETRY_AFTER_SECONDS
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -12,7 +12,7 @@
     Unreached,
     Withheld,
 )
-from goldcrestyard.core.ids import ServiceName, TargetId
+from goldcrestyard.core.ids import Region, ServiceName, TargetId
 from goldcrestyard.core.records import Target
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -22,6 +22,7 @@
     choose_target,
     has_free_slot,
 )
+from goldcrestyard.policy.home_regions import is_allowed
 from goldcrestyard.policy.stream_origins import StreamOrigin
 
 
@@ -63,6 +64,7 @@
         with_free_slot: bool = False,
         hedge: bool = False,
         origin: StreamOrigin | None = None,
+        regions: frozenset[Region] | None = None,
     ) -> Target | None:
         """Return a target for the next attempt, or None if there is none.
 
@@ -70,9 +72,10 @@
         targets to which this process already sends as many calls as they can
         run concurrently.  A ``hedge`` goes to no target with a request limit,
         where it would take the place of another request.  A stream with an
-        ``origin`` goes on only at targets that fit it.
+        ``origin`` goes on only at targets that fit it.  ``regions`` are those
+        in which the request may be served; None excludes no target.
         """
-        candidates = self._staying(service)
+        candidates = self._staying(service, regions)
         if origin is not None:
             candidates = tuple(filter(origin.fits, candidates))
         limited = self._limited(candidates)
@@ -96,13 +99,15 @@
             limited,
         )
 
-    def withheld_seconds(self, service: ServiceName) -> float | None:
+    def withheld_seconds(
+        self, service: ServiceName, regions: frozenset[Region] | None = None
+    ) -> float | None:
         """Return the time until a request limit of a service allows a call.
 
         Returns None if no target of the service has used up its limit.
         """
         now = self._clock.monotonic()
-        candidates = self._staying(service)
+        candidates = self._staying(service, regions)
         limited = self._limited(candidates)
         return min(
             (
@@ -115,9 +120,20 @@
             default=None,
         )
 
-    def all_leaving(self, service: ServiceName) -> bool:
+    def all_leaving(
+        self, service: ServiceName, regions: frozenset[Region] | None = None
+    ) -> bool:
         """Return whether all ready targets have said that they leave."""
-        return bool(self._targets.serving(service)) and not self._staying(service)
+        return self.any_ready(service, regions) and not self._staying(service, regions)
+
+    def any_ready(
+        self, service: ServiceName, regions: frozenset[Region] | None = None
+    ) -> bool:
+        """Return whether a service has a ready target in the regions."""
+        return any(
+            is_allowed(target.region, regions)
+            for target in self._targets.serving(service)
+        )
 
     def software_changed(self, target: Target) -> bool:
         """Return whether another run of a target has other software.
@@ -131,9 +147,13 @@
             and present.software != target.software
         )
 
-    def _staying(self, service: ServiceName) -> tuple[Target, ...]:
+    def _staying(
+        self, service: ServiceName, regions: frozenset[Region] | None
+    ) -> tuple[Target, ...]:
         """Return the ready targets that have not said that they leave."""
         serving = self._targets.serving(service)
+        if regions is not None:
+            serving = tuple(target for target in serving if target.region in regions)
         if self._is_leaving is None:
             return serving
         return tuple(target for target in serving if not self._is_leaving(target))
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -27,6 +27,7 @@
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.crashes.guard import RequestGuard, WatchedRequest
 from goldcrestyard.fleet.gateway.admission import (
+    NO_TARGET_AT_HOME,
     RETRY_AFTER_SECONDS,
     Admission,
     AdmittedRequest,
@@ -156,13 +157,18 @@
         tried: set[TargetId] = set()
         failures: list[AttemptFailure] = []
         sent = 0
+        at_home = True
         while (
             sent < admitted.route.max_attempts
             and watched.refusal() is None
             and self._admission.is_still_authorised(admitted)
         ):
-            target = self._router.choose(service, tried, origin=stream.origin)
+            regions = self._admission.allowed_regions(admitted)
+            target = self._router.choose(
+                service, tried, origin=stream.origin, regions=regions
+            )
             if target is None:
+                at_home = regions is None or self._router.any_ready(service, regions)
                 break
             tried.add(target.id)
             may_repeat = (
@@ -190,7 +196,7 @@
                 break
         if stream.head_sent:
             return StreamEnd.CUT
-        return _refusal(failures)
+        return _refusal(failures) if at_home else _refusal_at_home(failures)
 
     async def _attempt(
         self,
@@ -356,12 +362,23 @@
         A slow stream is better than none: it may be silent until the deadline.
         ``tried`` is None if no other target may be tried.
         """
-        if tried is None or self._router.choose(service, tried, origin=origin) is None:
+        if tried is None:
+            return None
+        regions = self._admission.allowed_regions(admitted)
+        other = self._router.choose(service, tried, origin=origin, regions=regions)
+        if other is None:
             return None
         objective = admitted.route.objective_seconds or 0.0
         return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
 
 
+def _refusal_at_home(failures: list[AttemptFailure]) -> Refusal:
+    """Return the refusal of a stream that no target at home could take."""
+    if overall_verdict(failures) is Verdict.NOT_RUN:
+        return NO_TARGET_AT_HOME
+    return _refusal(failures)
+
+
 def _refusal(failures: list[AttemptFailure]) -> Refusal:
     verdict = overall_verdict(failures)
     if verdict is Verdict.NOT_RUN:
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -13,7 +13,7 @@
 
 from goldcrestyard.core.attempts import AttemptFailure, describe_failure
 from goldcrestyard.core.calls import TargetCall, TargetClient
-from goldcrestyard.core.ids import ServiceName, TargetId
+from goldcrestyard.core.ids import OrganisationId, Region, ServiceName, TargetId
 from goldcrestyard.core.jobs import RewardCall
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.serving import ServingRoute
@@ -89,14 +89,19 @@
         self._slot_queue = SlotWaitQueue()
 
     async def score(
-        self, call: RewardCall, deadline: float, rank: Rank = ()
+        self,
+        call: RewardCall,
+        deadline: float,
+        rank: Rank = (),
+        organisation: OrganisationId | None = None,
     ) -> Scored | NoScore:
         """Return the score, or ``NoScore`` once no further attempt is allowed.
 
         A call without an answer is hedged to a second target, since a
         trainer's step waits for the last of its scores.  Calls that wait for a
         free slot are served by the lowest ``rank``.  ``deadline`` is a
-        monotonic time in seconds.
+        monotonic time in seconds.  The homes of the ``organisation`` count as
+        well as those of the call's route.
         """
         failed = rounds = 0
         tried: set[TargetId] = set()
@@ -112,6 +117,7 @@
                         route,
                         tried | self._recently_called_targets(route, running.values()),
                         hedge=bool(running),
+                        regions=self._allowed_regions(route, organisation),
                     )
                 if target is not None:
                     tried.add(target.id)
@@ -157,8 +163,19 @@
         table = self._serving.table
         return table.route(call.host, call.path) if table is not None else None
 
+    def _allowed_regions(
+        self, route: ServingRoute, organisation: OrganisationId | None
+    ) -> frozenset[Region] | None:
+        table = self._serving.table
+        return None if table is None else table.allowed_regions(route, organisation)
+
     def _choose_target(
-        self, route: ServingRoute, tried: set[TargetId], *, hedge: bool
+        self,
+        route: ServingRoute,
+        tried: set[TargetId],
+        *,
+        hedge: bool,
+        regions: frozenset[Region] | None,
     ) -> Target | None:
         """Return a target with a free slot for a reward call.
 
@@ -170,7 +187,11 @@
         """
         for service in route.services:
             target = self._router.choose(
-                ServiceName(service.name), tried, with_free_slot=True, hedge=hedge
+                ServiceName(service.name),
+                tried,
+                with_free_slot=True,
+                hedge=hedge,
+                regions=regions,
             )
             if target is not None:
                 return target
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -22,6 +22,7 @@
     CorrelationId,
     GroupId,
     JobId,
+    Region,
     ServiceName,
     SoftwareVersion,
     TargetId,
@@ -561,8 +562,15 @@
                 for target, until in pending.avoided_until_by_target.items()
                 if now < until
             ),
+            self._allowed_regions(route, state.job),
         )
 
+    def _allowed_regions(
+        self, route: ServingRoute, job: Job
+    ) -> frozenset[Region] | None:
+        table = self._serving.table
+        return None if table is None else table.allowed_regions(route, job.organisation)
+
     def _available_engines(self) -> list[EngineSlots]:
         engines: list[EngineSlots] = []
         now = self._clock.monotonic()
@@ -591,6 +599,7 @@
                     self._faults.trust(_run_of(target), now),
                     target.software,
                     _run_of(target) in self._refused_at_by_run,
+                    target.region,
                 )
             )
         return engines
@@ -843,7 +852,10 @@
         began = self._clock.monotonic()
         if pending.item.reward is not None:
             match await self._rewards.score(
-                pending.item.reward, pending.expires_at, pending.rank
+                pending.item.reward,
+                pending.expires_at,
+                pending.rank,
+                job.organisation,
             ):
                 case Scored(score=text):
                     score = text
--- a/goldcrestyard/fleet/tracking/settings.py
+++ b/goldcrestyard/fleet/tracking/settings.py
@@ -14,3 +14,8 @@
     regions_by_data_centre: dict[DataCentre, Region] = setting(
         "Region of each data centre."
     )
+
+    @property
+    def regions(self) -> frozenset[Region]:
+        """All regions of the deployment."""
+        return frozenset(self.regions_by_data_centre.values())
--- a/goldcrestyard/platform/callers/apps.py
+++ b/goldcrestyard/platform/callers/apps.py
@@ -10,8 +10,10 @@
 from goldcrestyard.fleet.gateway.admission import Admission
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.streams import StreamRunner
+from goldcrestyard.fleet.jobs.home_regions import JobHomes
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.fleet.tracking.settings import TrackingSettings
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.byte_room import ByteRoom
@@ -64,7 +66,12 @@
             admission,
             app.get(CallRunner),
             app.get(StreamRunner),
-            JobEndpoints(admission, app.get(LeaderLink)),
+            JobEndpoints(
+                admission,
+                app.get(LeaderLink),
+                # Entries do not know where the control members are.
+                JobHomes(serving, app.settings.section(TrackingSettings).regions),
+            ),
             limits,
             app.get(FleetMetrics),
             app.clock,
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -29,6 +29,7 @@
     StageJobPart,
     SubmitJob,
 )
+from goldcrestyard.fleet.jobs.home_regions import JobHomes
 from goldcrestyard.fleet.jobs.result_cache import ResultCache
 from goldcrestyard.fleet.jobs.staging import MAX_PART_BYTES, encode_job, split_job
 from goldcrestyard.membership.leader_link import LeaderLink
@@ -86,8 +87,12 @@
 class JobEndpoints:
     """Decodes trainers' requests and passes them to the leader."""
 
-    def __init__(self, admission: Admission, link: LeaderLink) -> None:
+    def __init__(
+        self, admission: Admission, link: LeaderLink, homes: JobHomes | None = None
+    ) -> None:
+        """Create the endpoints; without ``homes`` all jobs may be stored."""
         self._admission = admission
+        self._homes = homes
         self._link = link
         self._cache = ResultCache()
 
@@ -106,6 +111,10 @@
         if isinstance(job, Refusal):
             logger.warning("job refused", reason=job.detail)
             return refusal_response(job)
+        unstorable = None if self._homes is None else self._homes.refusal(job)
+        if unstorable is not None:
+            logger.warning("job refused", reason=unstorable.detail)
+            return refusal_response(unstorable)
         encoded = encode_job(job)
         refusal = (
             await self._commit(SubmitJob(job), job.id)
--- a/goldcrestyard/platform/control/apps.py
+++ b/goldcrestyard/platform/control/apps.py
@@ -4,6 +4,7 @@
 from goldcrestyard.core.serving import CallerLimits
 from goldcrestyard.fleet.assembly.manager import MembershipManager
 from goldcrestyard.fleet.directory.directory import Directory
+from goldcrestyard.fleet.tracking.settings import TrackingSettings
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -31,6 +32,7 @@
             app.get(MembershipManager),
             app.get(TargetTracker),
             addresses["ctl"],
+            app.settings.section(TrackingSettings).regions,
         )
         directory = DirectoryFront(app.get(Directory))
         for handler, address in (
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -13,7 +13,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.decoding import Count, Malformed, decode_json, is_id
-from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
+from goldcrestyard.core.ids import ModelName, Region, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.assembly.manager import MembershipManager
 from goldcrestyard.fleet.directory.directory import Directory
@@ -70,11 +70,14 @@
         manager: MembershipManager,
         tracker: TargetTracker,
         own_address: str,
+        regions: frozenset[Region] | None = None,
     ) -> None:
+        """Create the front; ``regions`` are those that may be homes."""
         self._member = member
         self._manager = manager
         self._tracker = tracker
         self._own_address = own_address
+        self._regions = regions
         self._serving = member.machine.get(ServingSlice)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -120,7 +123,7 @@
         )
 
     async def _put_config(self, body: bytes) -> web.Response:
-        config = documents.decode(body)
+        config = documents.decode(body, self._regions)
         if isinstance(config, Refusal):
             logger.warning("configuration refused", reason=config.detail)
             return refusal_response(config)
@@ -196,13 +199,14 @@
         self._directory = directory
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Return the entries near the caller."""
+        """Return the entries near the caller of a host."""
         if request.path != DIRECTORY_PATH:
             return refusal_response(UNKNOWN_PATH)
         answer = self._directory.look_up(
             request.query.get("zone", ""),
             request.query.get("region", ""),
             MAX_DIRECTORY_ADDRESSES,
+            request.query.get("name", ""),
         )
         if answer is None:
             return refusal_response(UNCOMMITTED)
--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from collections.abc import Collection
 from typing import Annotated
 
 import msgspec
@@ -22,6 +23,7 @@
     DataCentre,
     ModelName,
     OrganisationId,
+    Region,
     RouteName,
     ServiceName,
 )
@@ -66,6 +68,7 @@
     single_version: bool = False
     due_ms: float | None = None
     item_ttl_s: float | None = None
+    home_regions: list[str] = []
 
 
 class _Model(msgspec.Struct):
@@ -102,6 +105,7 @@
     name: str
     api_keys: list[str] = []
     priority: WholeNumber | None = None
+    home_regions: list[str] = []
 
 
 class _Document(msgspec.Struct):
@@ -112,8 +116,14 @@
     tenants: list[_Tenant] = []
 
 
-def decode(body: bytes) -> ServingConfig | Refusal:
-    """Return the serving configuration, or a refusal if it is invalid."""
+def decode(
+    body: bytes, regions: Collection[Region] | None = None
+) -> ServingConfig | Refusal:
+    """Return the serving configuration, or a refusal if it is invalid.
+
+    ``regions`` are those of the deployment, which alone may be homes; None if
+    they are not known, and homes are then not checked.
+    """
     document = decode_json(body, _Document)
     if isinstance(document, Malformed):
         return Refusal(
@@ -123,7 +133,7 @@
         config = _serving_config(document)
     except ValueError as error:
         return Refusal(RefusalReason.BAD_REQUEST, f"unreadable document: {error}")
-    found = list(faults(config))
+    found = list(faults(config, regions))
     # Requests to targets name the organisation in a header.
     if not all(is_id(organisation.id) for organisation in config.organisations):
         found.append("the name of an organisation is not valid")
@@ -156,7 +166,10 @@
         ),
         tuple(
             ServedOrganisation(
-                OrganisationId(tenant.name), tuple(tenant.api_keys), tenant.priority
+                OrganisationId(tenant.name),
+                tuple(tenant.api_keys),
+                tenant.priority,
+                _regions(tenant.home_regions),
             )
             for tenant in document.tenants
         ),
@@ -188,6 +201,7 @@
         route.single_version,
         _seconds(route.due_ms),
         route.item_ttl_s,
+        _regions(route.home_regions),
     )
 
 
@@ -208,5 +222,9 @@
     return ServedService(ServiceName(service.name), engine, rental)
 
 
+def _regions(names: list[str]) -> tuple[Region, ...]:
+    return tuple(map(Region, names))
+
+
 def _seconds(milliseconds: float | None) -> float | None:
     return None if milliseconds is None else milliseconds / 1000
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -20,11 +20,13 @@
     ItemId,
     JobId,
     ModelName,
+    Region,
     ServiceName,
     SoftwareVersion,
     TargetId,
     WeightVersion,
 )
+from goldcrestyard.policy.home_regions import is_allowed
 from goldcrestyard.policy.item_lengths import DEFAULT_EVENTS
 
 
@@ -66,6 +68,8 @@
     """Expected number of events that its text still lacks."""
     avoided_engines: frozenset[TargetId] = frozenset()
     """Engines that get the item only if no other engine can run it."""
+    regions: frozenset[Region] | None = None
+    """Regions in which it may run; None if it may run everywhere."""
 
 
 @dataclass(slots=True)
@@ -91,12 +95,14 @@
     """Software of the engine's present run; empty if unknown."""
     refuses: bool = False
     """Whether it has lately refused a connection, as one that has ended."""
+    region: Region = Region("")
 
     def serves(self, item: WaitingItem) -> bool:
         """Return whether the engine can run an item once it has a slot."""
         version = self.versions_by_model.get(item.model, WeightVersion(0))
         return (
             self.service == item.service
+            and is_allowed(self.region, item.regions)
             and version >= item.oldest_version
             and item.required_version in (None, version)
             and (
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -10,17 +10,25 @@
 from collections import Counter
 from collections.abc import Collection, Iterator
 
-from goldcrestyard.core.ids import ServiceName
+from goldcrestyard.core.ids import OrganisationId, Region, ServiceName
 from goldcrestyard.core.serving import (
     ServedOrganisation,
     ServedService,
     ServingConfig,
     ServingRoute,
 )
+from goldcrestyard.policy.home_regions import HostHomes, allowed_regions, homes_by_host
 
 
-def faults(config: ServingConfig) -> Iterator[str]:
-    """Yield a description of each error in a configuration."""
+def faults(
+    config: ServingConfig, regions: Collection[Region] | None = None
+) -> Iterator[str]:
+    """Yield a description of each error in a configuration.
+
+    ``regions`` are those of the deployment; None does not check home regions.
+    """
+    if regions is not None:
+        yield from _home_faults(config, regions)
     services = {service.name for service in config.services}
     counts_by_host_and_prefix: Counter[tuple[str, str]] = Counter()
     for route in config.routes:
@@ -47,6 +55,19 @@
         yield "two organisations share a key"
 
 
+def _home_faults(config: ServingConfig, regions: Collection[Region]) -> Iterator[str]:
+    for route in config.routes:
+        for home in route.home_regions:
+            if home not in regions:
+                yield f"route {route.name} has an unknown home region {home}"
+    for organisation in config.organisations:
+        for home in organisation.home_regions:
+            if home not in regions:
+                yield (
+                    f"organisation {organisation.id} has an unknown home region {home}"
+                )
+
+
 def normalize_host(host: str) -> str:
     """Return a host name in lower case and without its port."""
     return host.partition(":")[0].lower()
@@ -78,6 +99,15 @@
             service.name: service for service in config.services
         }
         self.needs_keys = bool(config.organisations)
+        self.homes_by_organisation: dict[OrganisationId, tuple[Region, ...]] = {
+            organisation.id: organisation.home_regions
+            for organisation in config.organisations
+            if organisation.home_regions
+        }
+        self._homes_by_host = homes_by_host(
+            (normalize_host(route.host), route.home_regions) for route in config.routes
+        )
+        self.has_homes = bool(self.homes_by_organisation or self._homes_by_host)
 
     def route(self, host: str, path: str) -> ServingRoute | None:
         """Return a host's route with the longest prefix of a path, or None."""
@@ -93,6 +123,21 @@
         """Return the organisation that holds a key, or None."""
         return self._organisations_by_key.get(key)
 
+    def homes_of_host(self, host: str) -> HostHomes | None:
+        """Return the homes of a host's routes; None if none has any."""
+        return self._homes_by_host.get(normalize_host(host))
+
+    def allowed_regions(
+        self, route: ServingRoute, organisation: OrganisationId | None
+    ) -> frozenset[Region] | None:
+        """Return where a request may be served; None if everywhere."""
+        if not self.has_homes:
+            return None
+        homes: tuple[Region, ...] = ()
+        if organisation is not None:
+            homes = self.homes_by_organisation.get(organisation, ())
+        return allowed_regions(route.home_regions, homes)
+
 
 def moved_routes(
     before: ServingTable, after: ServingTable, moved: Collection[RouteKey]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -8,10 +8,12 @@
 
 from parameterized import parameterized
 
+from goldcrestyard.core.ids import Region
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.serving import RouteKind, ServingConfig
 from goldcrestyard.platform import documents
 
+REGIONS = frozenset({Region("north"), Region("south")})
 DOCUMENT: dict[str, Any] = {
     "version": 7,
     "routes": [
@@ -41,6 +43,7 @@
             "due_ms": 7500,
             "item_ttl_s": 40.5,
             "single_version": True,
+            "home_regions": ["north", "south"],
         },
     ],
     "services": [
@@ -59,13 +62,20 @@
         {"name": "plain", "health_path": "/healthz"},
     ],
     "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 15000},
-    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k1", "k2"],
+            "priority": 1,
+            "home_regions": ["south"],
+        }
+    ],
     "field_of_a_later_release": {"x": 1},
 }
 
 
 def decode(document: dict[str, Any]) -> ServingConfig | Refusal:
-    return documents.decode(json.dumps(document).encode())
+    return documents.decode(json.dumps(document).encode(), REGIONS)
 
 
 def edit(change: Callable[[dict[str, Any]], object]) -> dict[str, Any]:
@@ -91,6 +101,14 @@
     ("huge_slots", lambda d: d["services"][0]["engine"].update(slots=10**400)),
     ("huge_bound", lambda d: d["services"][0]["autoscale"].update(max=10**400)),
     ("organisation_with_line_break", lambda d: d["tenants"][0].update(name="a\nb")),
+    ("home_of_no_region", lambda d: d["routes"][0].update(home_regions=["east"])),
+    (
+        "one_home_of_no_region",
+        lambda d: d["tenants"][0].update(home_regions=["north", "east"]),
+    ),
+    ("home_that_is_no_list", lambda d: d["routes"][0].update(home_regions="north")),
+    ("home_that_is_no_name", lambda d: d["routes"][0].update(home_regions=[["north"]])),
+    ("home_that_is_null", lambda d: d["tenants"][0].update(home_regions=None)),
     # The parser of heads fails on these, on each connection.
     ("huge_header_limit", lambda d: d["limits"].update(max_header_bytes=2**64)),
     ("negative_header_limit", lambda d: d["limits"].update(max_header_bytes=-1)),
@@ -123,6 +141,9 @@
         self.assertEqual((engines.rental.least, engines.rental.most), (1, 3))
         self.assertEqual(config.limits.body_bytes, 1000)
         self.assertEqual(config.organisations[0].keys, ("k1", "k2"))
+        self.assertEqual(config.organisations[0].home_regions, ("south",))
+        self.assertEqual(calls.home_regions, ())
+        self.assertEqual(jobs.home_regions, ("north", "south"))
 
     @parameterized.expand(INVALID)
     def test_invalid(self, _: str, change: Callable[[dict[str, Any]], object]) -> None:
--- a/tests/policy/test_job_schedule.py
+++ b/tests/policy/test_job_schedule.py
@@ -11,6 +11,7 @@
     ItemId,
     JobId,
     ModelName,
+    Region,
     ServiceName,
     SoftwareVersion,
     TargetId,
@@ -39,6 +40,7 @@
 )
 
 
+NORTH, SOUTH = Region("north"), Region("south")
 V1, V2, UNKNOWN = SoftwareVersion("v1"), SoftwareVersion("v2"), SoftwareVersion("")
 TEXT = replace(ITEM, required_software=V1)
 
@@ -124,6 +126,18 @@
         (engine("a", refuses=True), engine("b", in_use=3)),
         "b",
     ),
+    Case(
+        "none_outside_the_home_regions",
+        (engine("a", region=NORTH), engine("b", in_use=3, region=SOUTH)),
+        "b",
+        replace(ITEM, regions=frozenset({SOUTH})),
+    ),
+    Case(
+        "waits_for_an_engine_at_home",
+        (engine("a", region=NORTH), engine("b", region=SOUTH)),
+        None,
+        replace(ITEM, regions=frozenset()),
+    ),
     Case("one_that_has_ended_if_no_other_can", (engine(refuses=True),), "e"),
     Case(
         "avoided_by_all_though_the_others_are_full",
