--- a/goldcrestyard/fleet/directory/apps.py
+++ b/goldcrestyard/fleet/directory/apps.py
@@ -30,7 +30,7 @@
 
     name = "directory"
     after = ("assembly", "entry")
-    requires = ("peers",)
+    requires = ("peers", "serving")
     slices = (DirectorySlice,)
     messages = (*DirectorySlice.commands, Entry, EntriesSnapshot)
 
--- a/goldcrestyard/fleet/jobs/choosing.py
+++ b/goldcrestyard/fleet/jobs/choosing.py
@@ -5,10 +5,16 @@
 
 import structlog
 
-from goldcrestyard.core.ids import ServiceName, SoftwareVersion, TargetId, WeightVersion
+from goldcrestyard.core.ids import (
+    Region,
+    ServiceName,
+    SoftwareVersion,
+    TargetId,
+    WeightVersion,
+)
 from goldcrestyard.core.jobs import Job
 from goldcrestyard.core.records import Target
-from goldcrestyard.core.serving import EngineShape
+from goldcrestyard.core.serving import EngineShape, ServingRoute
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes, run_of
 from goldcrestyard.fleet.jobs.ordering import JobOrdering
@@ -249,8 +255,15 @@
                 if now < until
             ),
             *self._tokens(pending, route.services[0].name),
+            self._allowed_regions(route, state.job),
         )
 
+    def _allowed_regions(
+        self, route: ServingRoute, job: Job
+    ) -> frozenset[Region] | None:
+        table = self._serving.table
+        return None if table is None else table.allowed_regions(route, job.organisation)
+
     def _tokens(
         self, pending: PendingItem, service: ServiceName
     ) -> tuple[float, float]:
@@ -319,6 +332,7 @@
                     self._notes.faults.trust(run_of(target), now),
                     target.software,
                     self._notes.has_refused(target),
+                    region=target.region,
                 )
             )
         self._add_memory(engines)
--- a/goldcrestyard/fleet/jobs/listing.py
+++ b/goldcrestyard/fleet/jobs/listing.py
@@ -59,7 +59,10 @@
         began = self._clock.monotonic()
         if pending.item.reward is not None:
             match await self._rewards.score(
-                pending.item.reward, pending.expires_at, pending.rank
+                pending.item.reward,
+                pending.expires_at,
+                pending.rank,
+                job.organisation,
             ):
                 case Scored(score=text):
                     score = text
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -21,11 +21,13 @@
     ItemId,
     JobId,
     ModelName,
+    Region,
     ServiceName,
     SoftwareVersion,
     TargetId,
     WeightVersion,
 )
+from goldcrestyard.policy.home_regions import is_allowed
 from goldcrestyard.policy.item_lengths import DEFAULT_EVENTS
 
 
@@ -71,6 +73,8 @@
     """Tokens of its prompt, which its group shares at an engine."""
     text_tokens: float = 0.0
     """Expected tokens of its complete text."""
+    regions: frozenset[Region] | None = None
+    """Regions in which it may run; None if it may run everywhere."""
 
 
 @dataclass(slots=True)
@@ -102,12 +106,14 @@
     """Expected tokens of the items that run on it, once they are complete."""
     running_groups: set[GroupId] = field(default_factory=set)
     """Groups of the items that run on it."""
+    region: Region = Region("")
 
     def serves(self, item: WaitingItem) -> bool:
         """Return whether the engine can run an item once it has a slot."""
         version = self.versions_by_model.get(item.model, WeightVersion(0))
         return (
             self.service == item.service
+            and is_allowed(self.region, item.regions)
             and version >= item.oldest_version
             and item.required_version in (None, version)
             and (
