--- a/goldcrestyard/core/states.py
+++ b/goldcrestyard/core/states.py
@@ -36,6 +36,13 @@
     ROLLOUT = "rollout"
 
 
+class EvacuationState(Enum):
+    """State of the latest evacuation of a data centre."""
+
+    IN_FORCE = "in_force"
+    ENDED = "ended"
+
+
 class InstanceState(Enum):
     """Life-cycle state of a daemon process."""
 
--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -2,11 +2,11 @@
 
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.fleet.crashes.guard import RequestGuard
+from goldcrestyard.fleet.evacuations.exclusions import TargetExclusions
 from goldcrestyard.fleet.gateway.admission import Admission
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.gateway.streams import StreamRunner
-from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
@@ -25,7 +25,7 @@
     requires = (
         "crashing_requests",
         "entry",
-        "leaving_targets",
+        "evacuations",
         "metering",
         "request_limits",
         "serving",
@@ -46,7 +46,7 @@
                 CallerLocation(instance.data_centre, instance.region),
                 app.clock,
                 is_limited=app.get(TargetPermits).is_limited,
-                is_leaving=app.get(LeavingTargets).includes,
+                is_leaving=app.get(TargetExclusions).includes,
             ),
         )
         client = app.get(TargetClient)  # type: ignore[type-abstract]
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -279,7 +279,7 @@
             )
         detail = "no target has a free slot" if state.failures else "no target is ready"
         if self._router.all_leaving(service):
-            detail = "all targets of the service leave"
+            detail = "all targets of the service leave or are evacuated"
         return Refusal(
             RefusalReason.CAPACITY, detail, retry_after_seconds=RETRY_AFTER_SECONDS
         )
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -44,8 +44,8 @@
         """Create a router.
 
         ``is_limited`` tells whether a target names a request limit, and
-        ``is_leaving`` whether it has said that it leaves; without them none
-        does.
+        ``is_leaving`` whether it gets no more requests, as it leaves or its
+        data centre is evacuated; without them none does.
         """
         self._is_leaving = is_leaving
         self._is_limited = is_limited
@@ -116,7 +116,7 @@
         )
 
     def all_leaving(self, service: ServiceName) -> bool:
-        """Return whether all ready targets have said that they leave."""
+        """Return whether all ready targets leave or are evacuated."""
         return bool(self._targets.serving(service)) and not self._staying(service)
 
     def software_changed(self, target: Target) -> bool:
@@ -132,7 +132,7 @@
         )
 
     def _staying(self, service: ServiceName) -> tuple[Target, ...]:
-        """Return the ready targets that have not said that they leave."""
+        """Return the ready targets that neither leave nor are evacuated."""
         serving = self._targets.serving(service)
         if self._is_leaving is None:
             return serving
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -5,6 +5,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.core.jobs import EndedItem, ItemResult, Job, JobItem, Progress
+from goldcrestyard.fleet.evacuations.exclusions import TargetExclusions
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.jobs.admission import JobAdmission
 from goldcrestyard.fleet.jobs.commands import (
@@ -23,7 +24,6 @@
 from goldcrestyard.fleet.jobs.runner import JobRunner
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.leadership import while_leading
-from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
@@ -45,7 +45,7 @@
 
     name = "jobs"
     after = ("assembly", "tracking", "versions")
-    requires = ("leaving_targets", "observability", "request_limits", "serving")
+    requires = ("evacuations", "observability", "request_limits", "serving")
     slices = (JobsSlice,)
     messages = (
         *JobsSlice.commands,
@@ -93,13 +93,13 @@
         location = CallerLocation(instance.data_centre, instance.region)
         client = app.get(TargetClient)  # type: ignore[type-abstract]
         permits = app.get(TargetPermits)
-        leaving = app.get(LeavingTargets)
+        exclusions = app.get(TargetExclusions)
         router = CallRouter(
             member.machine.get(TargetsSlice),
             location,
             app.clock,
             is_limited=permits.is_limited,
-            is_leaving=leaving.includes,
+            is_leaving=exclusions.includes,
         )
         rewards = RewardClient(
             member.machine.get(ServingSlice), router, client, app.clock
@@ -115,7 +115,7 @@
             app.get(FleetMetrics),
             app.clock,
             permitted_runs=permits.available,
-            is_leaving=leaving.includes,
+            is_leaving=exclusions.includes,
             shares=control_shares(process_bytes(app.settings)),
             control=app.get(EngineControl),  # type: ignore[type-abstract]
         )
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -193,7 +193,8 @@
 
         ``permitted_runs`` returns how many runs a target's request limit
         allows to start now; without it no target has a limit.  ``is_leaving``
-        tells whether a target has said that it leaves; without it none has.
+        tells whether a target gets no more requests, as it leaves or its data
+        centre is evacuated; without it none does.
         ``shares`` bound what the texts of items take.  ``control`` asks an
         engine which run it is before it goes on with a text; without it the
         recorded run counts.
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -96,6 +96,14 @@
             "rejected_requests",
             "Requests that are rejected because targets crash under them.",
         )
+        self.evacuated_data_centres = self._gauge(
+            "evacuated_data_centres", "Data centres whose evacuation is in force."
+        )
+        self.evacuated_requests = self._gauge(
+            "evacuated_requests",
+            "Requests of this process in progress at targets of evacuated data "
+            "centres.",
+        )
         self.lease = self._gauge(
             "lease_seconds", "Seconds until this entry's lease runs out."
         )
--- a/goldcrestyard/fleet/rentals/apps.py
+++ b/goldcrestyard/fleet/rentals/apps.py
@@ -14,7 +14,7 @@
     """Runs the autoscaler on the leader if the deployment rents targets."""
 
     name = "rental_keeper"
-    requires = ("assembly", "jobs", "serving", "tracking")
+    requires = ("assembly", "evacuations", "jobs", "serving", "tracking")
 
     async def serve(self, app: Application) -> None:
         """Start the autoscaler, which orders targets on the leader."""
--- a/goldcrestyard/fleet/rentals/autoscaler.py
+++ b/goldcrestyard/fleet/rentals/autoscaler.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter, deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Protocol
 
@@ -15,9 +15,10 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.core.ids import DataCentre, ServiceName
-from goldcrestyard.core.serving import ServedService
+from goldcrestyard.core.serving import RentalBounds, ServedService
 from goldcrestyard.core.states import Rental, TargetState
 from goldcrestyard.fleet.duties import Permit, permit_of
+from goldcrestyard.fleet.evacuations.slices import EvacuationsSlice
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
@@ -92,6 +93,7 @@
         self._targets = member.machine.get(TargetsSlice)
         self._serving = member.machine.get(ServingSlice)
         self._jobs = member.machine.get(JobsSlice)
+        self._evacuations = member.machine.get(EvacuationsSlice)
         self._demand_samples: deque[tuple[float, int]] = deque()
         self._ordered_at_by_place: dict[tuple[ServiceName, DataCentre], float] = {}
         self._exhausted_until_by_place: dict[tuple[ServiceName, DataCentre], float] = {}
@@ -125,7 +127,7 @@
         peak_items = max(items for _, items in self._demand_samples)
         counts = spread_targets(
             wanted_targets(peak_items, service.engine.slots),
-            service.rental,
+            self._bounds_outside_evacuations(service.rental),
             present,
             {
                 data_centre
@@ -143,8 +145,22 @@
             self._ordered_at_by_place[key] = now
             await self._send_order(RentalOrder(service.name, data_centre, count), have)
 
+    def _bounds_outside_evacuations(self, bounds: RentalBounds) -> RentalBounds:
+        """Return bounds without the data centres that are evacuated."""
+        return replace(
+            bounds,
+            prices_by_data_centre={
+                data_centre: price
+                for data_centre, price in bounds.prices_by_data_centre.items()
+                if data_centre not in self._evacuations.evacuated
+            },
+        )
+
     async def _send_order(self, order: RentalOrder, have: int) -> None:
-        if not self._member.holds_lease():
+        if (
+            not self._member.holds_lease()
+            or order.data_centre in self._evacuations.evacuated
+        ):
             return
         permit = permit_of(self._member)
         outcome = await self._api.rent(order, permit)
@@ -168,7 +184,11 @@
         counted: Counter[tuple[DataCentre, Rental]] = Counter()
         for homed in self._targets.homed_by_id.values():
             target = homed.target
-            if target.state is TargetState.READY and service in target.serves:
+            if (
+                target.state is TargetState.READY
+                and service in target.serves
+                and target.data_centre not in self._evacuations.evacuated
+            ):
                 counted[target.data_centre, target.rental] += 1
         return {
             data_centre: EngineCounts(
--- a/goldcrestyard/fleet/versions/apps.py
+++ b/goldcrestyard/fleet/versions/apps.py
@@ -4,8 +4,8 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.duties import DutySettings
+from goldcrestyard.fleet.evacuations.exclusions import TargetExclusions
 from goldcrestyard.fleet.leadership import while_leading
-from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.commands import NameVersion, VersionsSnapshot
 from goldcrestyard.fleet.versions.loading import LoadingModels, VersionLoader
@@ -20,6 +20,7 @@
     """Replicates the newest versions; the leader loads them onto engines."""
 
     name = "versions"
+    requires = ("evacuations",)
     after = ("assembly", "tracking")
     slices = (VersionsSlice,)
     messages = (NameVersion, VersionsSnapshot)
@@ -42,7 +43,7 @@
             app.get(JobWork),
             app.settings.section(DutySettings).quiet_seconds,
             app.clock,
-            app.get(LeavingTargets).includes,
+            app.get(TargetExclusions).includes,
         )
         app.supervise(
             partial(while_leading, member, "load versions", loader.run),
--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -110,8 +110,8 @@
     ) -> None:
         """Create a loader.
 
-        ``is_leaving`` tells whether a target has said that it leaves; without
-        it none has.
+        ``is_leaving`` tells whether a target gets no more requests, as it
+        leaves or its data centre is evacuated; without it none does.
         """
         self._is_leaving = is_leaving
         self._member = member
--- a/goldcrestyard/platform/control/apps.py
+++ b/goldcrestyard/platform/control/apps.py
@@ -4,6 +4,7 @@
 from goldcrestyard.core.serving import CallerLimits
 from goldcrestyard.fleet.assembly.manager import MembershipManager
 from goldcrestyard.fleet.directory.directory import Directory
+from goldcrestyard.fleet.evacuations.orders import EvacuationOrders
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -18,7 +19,15 @@
     """Serves operators, trainers, targets and service discovery."""
 
     name = "platform_control"
-    requires = ("assembly", "directory", "memory", "serving", "tracking", "versions")
+    requires = (
+        "assembly",
+        "directory",
+        "evacuations",
+        "memory",
+        "serving",
+        "tracking",
+        "versions",
+    )
 
     def __init__(self) -> None:
         self._listeners: list[HandlerListener] = []
@@ -30,6 +39,7 @@
             app.get(ControlMember),
             app.get(MembershipManager),
             app.get(TargetTracker),
+            app.get(EvacuationOrders),
             addresses["ctl"],
         )
         directory = DirectoryFront(app.get(Directory))
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -13,10 +13,11 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.decoding import Count, Malformed, decode_json, is_id
-from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
+from goldcrestyard.core.ids import DataCentre, ModelName, TargetId, WeightVersion
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.assembly.manager import MembershipManager
 from goldcrestyard.fleet.directory.directory import Directory
+from goldcrestyard.fleet.evacuations.orders import EvacuationOrders
 from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -32,6 +33,7 @@
 from goldcrestyard.platform.names import (
     CONFIG_PATH,
     DIRECTORY_PATH,
+    EVACUATE_PATH,
     HEARTBEAT_PATH,
     RETIRE_PATH,
     VERSION_PATH,
@@ -69,11 +71,13 @@
         member: ControlMember,
         manager: MembershipManager,
         tracker: TargetTracker,
+        evacuations: EvacuationOrders,
         own_address: str,
     ) -> None:
         self._member = member
         self._manager = manager
         self._tracker = tracker
+        self._evacuations = evacuations
         self._own_address = own_address
         self._serving = member.machine.get(ServingSlice)
 
@@ -104,6 +108,9 @@
                 return await self._retire(path.removeprefix(RETIRE_PATH))
             case "GET", path if path.startswith(RETIRE_PATH):
                 return self._retirement_state(path.removeprefix(RETIRE_PATH))
+            case method, path if path.startswith(EVACUATE_PATH):
+                data_centre = DataCentre(path.removeprefix(EVACUATE_PATH))
+                return await self._evacuate(method, data_centre, request.remote or "")
             case _:
                 return refusal_response(UNKNOWN_PATH)
 
@@ -184,6 +191,37 @@
             )
         return json_response({"state": "complete" if retired else "running"})
 
+    async def _evacuate(
+        self, method: str, data_centre: DataCentre, requester: str
+    ) -> web.Response:
+        match method:
+            case "POST":
+                refusal = await self._evacuations.request(data_centre, requester)
+            case "DELETE":
+                refusal = await self._evacuations.end(data_centre, requester)
+            case "GET":
+                return self._evacuation_state(data_centre)
+            case _:
+                refusal = UNKNOWN_PATH
+        return json_response({}) if refusal is None else refusal_response(refusal)
+
+    def _evacuation_state(self, data_centre: DataCentre) -> web.Response:
+        report = self._evacuations.report(data_centre)
+        if isinstance(report, Refusal):
+            return refusal_response(report)
+        evacuation = report.evacuation
+        if evacuation is None:
+            return json_response({"state": "none"})
+        return json_response(
+            {
+                "state": evacuation.state.value,
+                "requester": evacuation.requester,
+                "requested_at": evacuation.requested_at,
+                "ended_at": evacuation.ended_at,
+                "running": report.running,
+            }
+        )
+
     async def _commit(self, command: Command) -> bool:
         result = await self._member.propose(command)
         return isinstance(result, Applied) and not isinstance(result.outcome, Rejected)
--- a/goldcrestyard/platform/targets/apps.py
+++ b/goldcrestyard/platform/targets/apps.py
@@ -2,6 +2,7 @@
 
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.fleet.duties import DutySettings
+from goldcrestyard.fleet.evacuations.exclusions import TargetExclusions
 from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.limits.known import KnownLimits
 from goldcrestyard.fleet.limits.permits import LimitedTargetClient, TargetPermits
@@ -17,7 +18,7 @@
     """Provides the client for requests to targets and orders to engines."""
 
     name = "target_client"
-    requires = ("leaving_targets", "memory", "request_limits")
+    requires = ("evacuations", "leaving_targets", "memory", "request_limits")
 
     def ready(self, app: Application) -> None:
         """Create the clients; connections are opened later."""
@@ -27,6 +28,7 @@
                 app.get(KnownLimits).observe,
                 app.get(LeavingTargets),
                 app.get(ByteRoom),
+                app.get(TargetExclusions),
             ),
         )
         app.provide(
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections import deque
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import AbstractContextManager, asynccontextmanager, nullcontext
 
 import aiohttp
 import structlog
@@ -27,6 +27,7 @@
 from goldcrestyard.core.decoding import is_header, parse_count, parse_decimal
 from goldcrestyard.core.ids import RequestRate, WeightVersion
 from goldcrestyard.core.records import Target
+from goldcrestyard.fleet.evacuations.exclusions import TargetExclusions
 from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.kernel.byte_room import ByteLease, ByteRoom
 from goldcrestyard.kernel.http_client import (
@@ -180,16 +181,19 @@
         on_limit: Callable[[Target, RequestRate | None], None] | None = None,
         leaving: LeavingTargets | None = None,
         room: ByteRoom | None = None,
+        exclusions: TargetExclusions | None = None,
     ) -> None:
         """Create a client that reports the request limit of each answer.
 
         ``on_limit`` gets None as the limit if an answer names none.  A target
         in ``leaving`` gets no more requests, and those that say in an answer
         that they leave are added to it.  The bodies that are being read share
-        ``room``.
+        ``room``.  ``exclusions`` tell which data centres are evacuated, and
+        count the running requests.
         """
         self._on_limit = on_limit
         self._leaving = leaving
+        self._exclusions = exclusions
         self._room = room or ByteRoom(2 * MAX_ANSWER_BYTES)
         self._sessions_by_address: dict[str, aiohttp.ClientSession] = {}
         self._discarded_sessions: deque[aiohttp.ClientSession] = deque()
@@ -244,6 +248,19 @@
         Closing an answer that is not read to its end cancels the work at the
         target.  A repeatable call may be sent twice.
         """
+        with self._count_running(target):
+            async with self._open(target, call, seconds_left) as reply:
+                yield reply
+
+    def _count_running(self, target: Target) -> AbstractContextManager[None]:
+        if self._exclusions is None:
+            return nullcontext()
+        return self._exclusions.running(target)
+
+    @asynccontextmanager
+    async def _open(
+        self, target: Target, call: TargetCall, seconds_left: float
+    ) -> AsyncIterator[TargetReply | AttemptFailure]:
         clock = asyncio.get_running_loop().time
         began = clock()
         answer = await self._send_with_retry(target, call, seconds_left)
@@ -281,6 +298,10 @@
         """Return whether a target has said that it leaves."""
         return self._leaving is not None and self._leaving.includes(target)
 
+    def is_evacuated(self, target: Target) -> bool:
+        """Return whether the data centre of a target is evacuated."""
+        return self._exclusions is not None and self._exclusions.is_evacuated(target)
+
     def note_leaving(
         self,
         target: Target,
@@ -332,6 +353,7 @@
             isinstance(answer, Broken)
             and seconds < DROPPED_CONNECTION_SECONDS
             and not self.is_leaving(target)
+            and not self.is_evacuated(target)
         ):
             logger.info(
                 "connection broke; sending the request again on a new one",
@@ -359,6 +381,8 @@
         # target was chosen.
         if self.is_leaving(target):
             return Withheld("the target has said that it leaves", 0.0)
+        if self.is_evacuated(target):
+            return Withheld("the data centre of the target is evacuated", 0.0)
         try:
             return await session.request(
                 call.method,
--- a/goldcrestyard/platform/targets/engine_control.py
+++ b/goldcrestyard/platform/targets/engine_control.py
@@ -64,6 +64,8 @@
 
     async def report(self, target: Target) -> EngineReport | None:
         """Return the report of an engine, or None if it cannot be obtained."""
+        if self._client.is_evacuated(target):
+            return None
         clock = asyncio.get_running_loop().time
         began = clock()
         try:
@@ -100,7 +102,7 @@
         self, target: Target, order: LoadOrder, permit: Permit
     ) -> OrderOutcome:
         """Send an order to load a weight version once."""
-        if self._client.is_leaving(target):
+        if self._client.is_leaving(target) or self._client.is_evacuated(target):
             return OrderOutcome.NOT_SENT
         clock = asyncio.get_running_loop().time
         began = clock()
--- a/tests/platform/test_engine_control.py
+++ b/tests/platform/test_engine_control.py
@@ -8,12 +8,16 @@
 
 from goldcrestyard.core.ids import InstanceId, ModelName, Term, WeightVersion
 from goldcrestyard.fleet.duties import permit_of
+from goldcrestyard.fleet.evacuations.commands import RequestEvacuation
+from goldcrestyard.fleet.evacuations.exclusions import TargetExclusions
+from goldcrestyard.fleet.evacuations.slices import EvacuationsSlice
 from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.versions.orders import LoadOrder, OrderOutcome
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.platform.targets.client import HttpTargetClient
 from goldcrestyard.platform.targets.engine_control import HttpEngineControl
 from goldcrestyard.plugins.targets.slices import TargetsSlice
+from tests.fakes.member import apply, machine_of
 from tests.fakes.quiet_logs import quiet_logs
 from tests.fakes.targets import target
 from tests.platform.test_permits import FakeLeader
@@ -52,7 +56,11 @@
         port = server.sockets[0].getsockname()[1]
         self.target = replace(target("t"), address=f"127.0.0.1:{port}")
         self.leaving = LeavingTargets(TargetsSlice(), Clock())
-        client = HttpTargetClient(leaving=self.leaving)
+        self.machine = machine_of(EvacuationsSlice)
+        exclusions = TargetExclusions(
+            self.machine.get(EvacuationsSlice), self.leaving.includes
+        )
+        client = HttpTargetClient(leaving=self.leaving, exclusions=exclusions)
         await client.start()
         self.addAsyncCleanup(client.stop)
         self.control = HttpEngineControl(client, InstanceId("store-a"))
@@ -71,6 +79,12 @@
         order = LoadOrder(ModelName("m"), WeightVersion(2), Term(4), 0)
         return await self.control.load(self.target, order, permit_of(FakeLeader()))
 
+    async def test_engine_of_an_evacuated_data_centre_is_not_asked(self) -> None:
+        apply(self.machine, RequestEvacuation(self.target.data_centre, "one"))
+        self.assertIs(OrderOutcome.NOT_SENT, await self._load())
+        self.assertIsNone(await self.control.report(self.target))
+        self.assertEqual([], self.paths)
+
     @parameterized.expand([(case.name, case) for case in CASES])
     async def test_answer(self, _: str, case: Case) -> None:
         self.answer = (
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -126,7 +126,7 @@
         self.targets = machine.get(TargetsSlice)
         member: Any = FakeMember(machine, Clock())
         self.tracker = TargetTracker(member, {}, 1.0, Clock())
-        front = ControlFront(member, None, self.tracker, "127.0.0.1:1")  # type: ignore[arg-type]
+        front = ControlFront(member, None, self.tracker, None, "127.0.0.1:1")  # type: ignore[arg-type]
         self.client = TestClient(RawTestServer(front.handle))
         await self.client.start_server()
         self.addAsyncCleanup(self.client.close)
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -22,6 +22,9 @@
 )
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.duties import permit_of
+from goldcrestyard.fleet.evacuations.commands import EndEvacuation, RequestEvacuation
+from goldcrestyard.fleet.evacuations.exclusions import TargetExclusions
+from goldcrestyard.fleet.evacuations.slices import EvacuationsSlice
 from goldcrestyard.fleet.leaving.known import LeavingTargets
 from goldcrestyard.fleet.versions.orders import LoadOrder, OrderOutcome
 from goldcrestyard.kernel.clock import Clock
@@ -29,6 +32,7 @@
 from goldcrestyard.platform.targets.client import HttpTargetClient
 from goldcrestyard.platform.targets.engine_control import HttpEngineControl
 from goldcrestyard.plugins.targets.slices import TargetsSlice
+from tests.fakes.member import apply, machine_of
 from tests.fakes.targets import target
 
 ID = "9c41d07be2a35f68"
@@ -206,8 +210,13 @@
         self.target: Target = replace(target("t"), address=f"127.0.0.1:{port}")
         self.limits: list[float | None] = []
         self.leaving = LeavingTargets(TargetsSlice(), Clock())
+        self.machine = machine_of(EvacuationsSlice)
         self.client = HttpTargetClient(
-            lambda _, limit: self.limits.append(limit), self.leaving
+            lambda _, limit: self.limits.append(limit),
+            self.leaving,
+            exclusions=TargetExclusions(
+                self.machine.get(EvacuationsSlice), self.leaving.includes
+            ),
         )
         await self.client.start()
         self.addAsyncCleanup(self._stop)
@@ -353,6 +362,29 @@
         self.assertIsInstance(await self._send(repeatable=True), Broken)
         self.assertEqual(len(self.requests), 1)
 
+    async def test_nothing_is_sent_to_an_evacuated_data_centre(self) -> None:
+        """Guards against requests whose target was chosen before."""
+        for repeatable in (False, True):
+            apply(self.machine, RequestEvacuation(self.target.data_centre, "one"))
+            self.assertIsInstance(await self._send(repeatable=repeatable), Withheld)
+            self.assertEqual([], self.requests)
+            apply(self.machine, EndEvacuation(self.target.data_centre))
+        self.script.append((WHOLE, stay))
+        self.assertEqual(b"hello", await self._send())
+
+    async def test_dropped_request_is_not_sent_again_to_an_evacuated_data_centre(
+        self,
+    ) -> None:
+        """Guards against a second sending, and an unproved "not run"."""
+
+        async def evacuate_and_reset(writer: Writer) -> None:
+            apply(self.machine, RequestEvacuation(self.target.data_centre, "one"))
+            await reset(writer)
+
+        self.script += [(b"", evacuate_and_reset), (WHOLE, stay)]
+        self.assertIsInstance(await self._send(repeatable=True), Broken)
+        self.assertEqual(len(self.requests), 1)
+
     async def test_bytes_left_over_are_not_the_next_answer(self) -> None:
         other = WHOLE.replace(b"hello", b"wrong")
         self.script += [(WHOLE + other, stay), (WHOLE, stay), (WHOLE, stay)]
