--- a/goldcrestyard/fleet/limits/permits.py
+++ b/goldcrestyard/fleet/limits/permits.py
@@ -34,6 +34,7 @@
     PermitSchedules,
     Permitted,
     is_usable,
+    limit_pacing,
 )
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 
@@ -68,7 +69,7 @@
         if not self._member.holds_lease():
             return None
         return self._current_schedules().take(
-            target, incarnation, rate, self._clock.monotonic()
+            target, incarnation, limit_pacing(rate), self._clock.monotonic()
         )
 
     def available(self, target: Target, rate: RequestRate) -> int:
@@ -76,7 +77,10 @@
         if not self._member.holds_lease():
             return 0
         return self._current_schedules().available(
-            target.id, target.incarnation, rate, self._clock.monotonic()
+            target.id,
+            target.incarnation,
+            limit_pacing(rate),
+            self._clock.monotonic(),
         )
 
     def _current_schedules(self) -> PermitSchedules:
--- a/goldcrestyard/policy/request_limits.py
+++ b/goldcrestyard/policy/request_limits.py
@@ -35,6 +35,22 @@
 """Time in seconds for which a permit may be used once it is due."""
 
 
+@dataclass(frozen=True, slots=True)
+class Pacing:
+    """How the permits of one target are issued."""
+
+    rate: RequestRate
+    burst_seconds: float
+    """Requests of this time may be sent at once after a pause."""
+    start_seconds: float
+    """Time from the first question about a run until a permit is due."""
+
+
+def limit_pacing(rate: RequestRate) -> Pacing:
+    """Return the pacing for a target that names a request limit."""
+    return Pacing(RequestRate(max(MIN_RATE, rate)), BURST_SECONDS, 0.0)
+
+
 @dataclass(frozen=True, slots=True)
 class Permitted:
     """One request may be sent to the target after a delay."""
@@ -70,34 +86,37 @@
         self._schedules_by_target: dict[TargetId, _Schedule] = {}
 
     def take(
-        self, target: TargetId, incarnation: str, rate: RequestRate, now: float
+        self, target: TargetId, incarnation: str, pacing: Pacing, now: float
     ) -> PermitDecision:
         """Issue a permit for one request if one is due soon."""
-        delay = self._delay_seconds(target, incarnation, now)
+        delay = self._delay_seconds(target, incarnation, pacing, now)
         if delay > MAX_WAIT_SECONDS + ROUNDING_SECONDS:
             return NotPermitted(delay - MAX_WAIT_SECONDS)
         schedule = self._schedules_by_target[target]
-        schedule.next_at = max(schedule.next_at, now) + 1.0 / max(MIN_RATE, rate)
+        schedule.next_at = max(schedule.next_at, now) + 1.0 / pacing.rate
         return Permitted(delay)
 
     def available(
-        self, target: TargetId, incarnation: str, rate: RequestRate, now: float
+        self, target: TargetId, incarnation: str, pacing: Pacing, now: float
     ) -> int:
         """Return the number of permits that could be taken at once."""
-        delay = self._delay_seconds(target, incarnation, now)
+        delay = self._delay_seconds(target, incarnation, pacing, now)
         if delay > MAX_WAIT_SECONDS + ROUNDING_SECONDS:
             return 0
         ahead = max(self._schedules_by_target[target].next_at - now, 0.0)
-        left = BURST_SECONDS + MAX_WAIT_SECONDS - ahead
-        return 1 + int(left * max(MIN_RATE, rate))
+        left = pacing.burst_seconds + MAX_WAIT_SECONDS - ahead
+        return 1 + int(left * pacing.rate)
 
-    def _delay_seconds(self, target: TargetId, incarnation: str, now: float) -> float:
+    def _delay_seconds(
+        self, target: TargetId, incarnation: str, pacing: Pacing, now: float
+    ) -> float:
         schedule = self._schedules_by_target.get(target)
         if schedule is None or schedule.incarnation != incarnation:
             self._discard_unused(now)
-            schedule = _Schedule(incarnation, now + BURST_SECONDS)
+            first_at = now + pacing.start_seconds
+            schedule = _Schedule(incarnation, first_at + pacing.burst_seconds)
             self._schedules_by_target[target] = schedule
-        return max(0.0, schedule.next_at - BURST_SECONDS - now)
+        return max(0.0, schedule.next_at - pacing.burst_seconds - now)
 
     def _discard_unused(self, now: float) -> None:
         """Forget targets that got no permit for long; they may be gone."""
@@ -108,6 +127,8 @@
         }
 
 
-def is_usable(due_at: float, now: float) -> bool:
-    """Return whether a permit is still valid; both times in seconds."""
-    return now <= due_at + PERMIT_SECONDS
+def is_usable(
+    due_at: float, now: float, permit_seconds: float = PERMIT_SECONDS
+) -> bool:
+    """Return whether a permit is still valid; all times in seconds."""
+    return now <= due_at + permit_seconds
--- a/tests/policy/test_request_limits.py
+++ b/tests/policy/test_request_limits.py
@@ -12,6 +12,7 @@
     PermitSchedules,
     Permitted,
     is_usable,
+    limit_pacing,
 )
 
 TARGET = TargetId("t")
@@ -57,7 +58,9 @@
                 now = case.paused_until
             if now - issuer_since >= case.new_issuer_each_seconds:
                 schedules, issuer_since = PermitSchedules(), now
-            match schedules.take(TARGET, "1", RequestRate(case.rate), now):
+            match schedules.take(
+                TARGET, "1", limit_pacing(RequestRate(case.rate)), now
+            ):
                 case Permitted(delay_seconds=delay):
                     used.append(now + delay)
             now += 1.0 / case.asks_per_second
@@ -69,7 +72,7 @@
         self.assertTrue(used)
 
     def test_advice_is_the_time_of_the_next_permit(self) -> None:
-        schedules, rate = PermitSchedules(), RequestRate(2.0)
+        schedules, rate = PermitSchedules(), limit_pacing(RequestRate(2.0))
         self.assertIsInstance(schedules.take(TARGET, "1", rate, 0.0), Permitted)
         decision = schedules.take(TARGET, "1", rate, 0.0)
         assert isinstance(decision, NotPermitted)
@@ -80,14 +83,14 @@
 
     def test_available_permits_can_all_be_taken(self) -> None:
         for rate in (0.5, 1.0, 7.3, 40.0):
-            schedules = PermitSchedules()
-            schedules.take(TARGET, "1", RequestRate(rate), 0.0)
-            for _ in range(schedules.available(TARGET, "1", RequestRate(rate), 9.0)):
-                decision = schedules.take(TARGET, "1", RequestRate(rate), 9.0)
+            schedules, pacing = PermitSchedules(), limit_pacing(RequestRate(rate))
+            schedules.take(TARGET, "1", pacing, 0.0)
+            for _ in range(schedules.available(TARGET, "1", pacing, 9.0)):
+                decision = schedules.take(TARGET, "1", pacing, 9.0)
                 self.assertIsInstance(decision, Permitted)
 
     def test_restarted_target_has_a_schedule_of_its_own(self) -> None:
-        schedules, rate = PermitSchedules(), RequestRate(1.0)
+        schedules, rate = PermitSchedules(), limit_pacing(RequestRate(1.0))
         schedules.take(TARGET, "1", rate, 0.0)
         self.assertIsInstance(schedules.take(TARGET, "2", rate, 0.0), Permitted)
 
