--- a/goldcrestyard/fleet/directory/apps.py
+++ b/goldcrestyard/fleet/directory/apps.py
@@ -1,5 +1,6 @@
 """Plug-in: service discovery of the entries for callers."""
 
+from dataclasses import replace
 from functools import partial
 
 from goldcrestyard.consensus.control_member import ControlMember
@@ -9,6 +10,7 @@
     ListedEntryChannel,
     ListedEntryMerger,
 )
+from goldcrestyard.fleet.directory.settings import DirectorySettings
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -43,7 +45,8 @@
         """Create the directory on control members."""
         member = app.find(ControlMember)
         if member is not None:
-            app.provide(Directory, Directory(member))
+            listed_entries = app.settings.section(DirectorySettings).listed_entries
+            app.provide(Directory, Directory(member, listed_entries))
             app.get(LeaderDigests).add(ListedEntryMerger(member, app.get(Codec)))
 
     async def serve(self, app: Application) -> None:
@@ -54,7 +57,15 @@
             app.get(EntryDigests).add(listing)
             announcer = app.provide(
                 EntryAnnouncer,
-                EntryAnnouncer(own_entry(app), view, app.get(LeaderLink), listing),
+                EntryAnnouncer(
+                    replace(
+                        own_entry(app),
+                        capacity=app.settings.section(DirectorySettings).capacity,
+                    ),
+                    view,
+                    app.get(LeaderLink),
+                    listing,
+                ),
             )
             app.supervise(announcer.run, "announce this entry")
         member = app.find(ControlMember)
--- a/goldcrestyard/fleet/directory/listing.py
+++ b/goldcrestyard/fleet/directory/listing.py
@@ -6,6 +6,9 @@
 """
 
 import hashlib
+from dataclasses import replace
+
+import cbor2
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.core.ids import InstanceId
@@ -16,6 +19,11 @@
 
 CHANNEL_NAME = "listed_entry"
 
+REDUCED_REPLIES = 60
+"""Number of replies after which an entry that the leader lists without its
+capacity announces itself again.  A leader of an earlier release drops the
+capacity each time; replies come twice a second."""
+
 
 class DirectorySlice(EntriesSlice):
     """The entries by instance id, on control members only."""
@@ -32,6 +40,8 @@
         self._codec = codec
         # None before the leader's first reply.
         self._listed: bytes | None = None
+        self._replies = REDUCED_REPLIES
+        """Number of replies since the latest announcement."""
 
     def collect(self) -> bytes:
         """Return an empty digest: the leader knows who asks."""
@@ -40,6 +50,7 @@
     def receive(self, summary: bytes) -> None:
         """Store the digest of the listed entry; empty if there is none."""
         self._listed = summary
+        self._replies += 1
 
     def unanswered(self) -> None:
         """Count as not listed until this entry has announced itself.
@@ -51,11 +62,15 @@
 
     def lists(self, entry: Entry) -> bool:
         """Return whether the list has exactly this entry, or is not known."""
-        return self._listed in (None, digest_of(self._codec, entry))
+        if self._listed in (None, digest_of(self._codec, entry)):
+            return True
+        reduced = digest_of(self._codec, replace(entry, capacity=None))
+        return self._listed == reduced and self._replies < REDUCED_REPLIES
 
     def record(self, entry: Entry) -> None:
         """Record that an entry was committed, until the next reply."""
         self._listed = digest_of(self._codec, entry)
+        self._replies = 0
 
 
 class ListedEntryMerger(DigestMerger):
@@ -77,5 +92,15 @@
 
 
 def digest_of(codec: Codec, entry: Entry) -> bytes:
-    """Return a short digest of an entry."""
-    return hashlib.blake2b(codec.encode(entry), digest_size=8).digest()
+    """Return a short digest of an entry.
+
+    That of an entry without capacity is the same in a release whose entries
+    have none; otherwise they would be announced again and again during an
+    upgrade.
+    """
+    encoded = codec.encode(entry)
+    if entry.capacity is None:
+        tag, fields = cbor2.loads(encoded)
+        del fields["capacity"]
+        encoded = cbor2.dumps([tag, fields])
+    return hashlib.blake2b(encoded, digest_size=8).digest()
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -207,6 +207,7 @@
             request.query.get("region", ""),
             MAX_DIRECTORY_ADDRESSES,
             request.query.get("name", ""),
+            request.remote or "",
         )
         if answer is None:
             return refusal_response(UNCOMMITTED)
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -19,6 +19,7 @@
 )
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
+from goldcrestyard.fleet.directory.settings import DirectorySettings
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.tracking.settings import TrackingSettings
 from goldcrestyard.kernel.checks import Problem, Severity
@@ -65,6 +66,10 @@
 round trip between regions to a member with a slow disk."""
 
 
+MIN_CAPACITY = 0.001
+"""Smallest processor time in cores that counts as one."""
+
+
 class _Losses(msgspec.Struct):
     machines: int = 1
     """Number of machines with a disk that may be lost at the same time."""
@@ -80,6 +85,10 @@
 class _Limits(msgspec.Struct):
     ram_mb: Annotated[float, Meta(gt=0, le=MAX_WHOLE_NUMBER / MEGABYTE)] = 512
     """Memory in MB from which the platform ends the process."""
+    cpu_share: float | None = None
+    """Share of each core that the process may use; None if not stated."""
+    cores: float | None = None
+    """Number of cores of the machine; None if not stated."""
 
 
 class _Cloud(msgspec.Struct):
@@ -173,6 +182,7 @@
             document.heartbeat_ms / 1000,
             regions,
         ),
+        "directory": DirectorySettings(_capacity(document.limits)),
         "duties": DutySettings(
             InstanceId(document.node),
             bounds.lease_ms / 1000 * QUIET_TIME_SHARE,
@@ -193,6 +203,19 @@
     return sections
 
 
+def _capacity(limits: _Limits) -> float | None:
+    """Return a machine's processor time in cores, None if it is not stated.
+
+    A number that can be no capacity is not worth a process that does not
+    start.
+    """
+    if limits.cpu_share is None or limits.cores is None:
+        return None
+    capacity = limits.cpu_share * limits.cores
+    valid = MIN_CAPACITY <= capacity <= MAX_WHOLE_NUMBER
+    return capacity if valid and limits.cores > 0 else None
+
+
 def machine_name(settings: Settings) -> str:
     """Return the machine's name in the settings, which log lines contain."""
     return settings.section(AssemblySettings).machine_name
--- a/goldcrestyard/plugins/addresses/commands.py
+++ b/goldcrestyard/plugins/addresses/commands.py
@@ -16,6 +16,9 @@
     region: Region
     draining: bool = False
     peer_address: str = ""
+    capacity: float | None = None
+    """Processor time in cores; None if it is not known, as in the record of a
+    release that does not announce it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/plugins/addresses/slices.py
+++ b/goldcrestyard/plugins/addresses/slices.py
@@ -20,9 +20,13 @@
 
     def __init__(self) -> None:
         self.entries_by_id: dict[InstanceId, Entry] = {}
+        self.changes = 0
+        """Number of changes in this process, for those who keep what they
+        derive from the entries."""
 
     def apply(self, command: Command, context: CommandContext) -> Outcome:
         """Apply one committed command."""
+        self.changes += 1
         match command:
             case PutEntry(entry=entry):
                 self.entries_by_id[entry.id] = entry
@@ -38,4 +42,5 @@
 
     def load_snapshot(self, snapshot: EntriesSnapshot) -> None:
         """Replace the state by that of a snapshot."""
+        self.changes += 1
         self.entries_by_id = {entry.id: entry for entry in snapshot.entries}
--- a/goldcrestyard/policy/addresses.py
+++ b/goldcrestyard/policy/addresses.py
@@ -1,7 +1,10 @@
-"""The order in which a caller tries the entries, nearest ones first."""
+"""The entries that a caller tries, and their order, nearest ones first."""
 
 import hashlib
-from collections.abc import Iterable
+import heapq
+import math
+import statistics
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
@@ -44,3 +47,40 @@
         )
 
     return [location.id for location in sorted(locations, key=rank)]
+
+
+def known_capacities(
+    capacities: Mapping[InstanceId, float | None],
+) -> dict[InstanceId, float]:
+    """Return capacities in which an unknown one is the median of the rest."""
+    known = [capacity for capacity in capacities.values() if capacity is not None]
+    median = statistics.median(known) if known else 1.0
+    return {
+        entry: median if capacity is None else capacity
+        for entry, capacity in capacities.items()
+    }
+
+
+def entries_by_capacity(
+    capacities: Mapping[InstanceId, float], caller: str, count: int
+) -> list[InstanceId]:
+    """Return the ``count`` entries that a caller should use.
+
+    Weighted rendezvous hashing (Schindelhauer and Schomaker, "Weighted
+    distributed hash tables", SPAA 2005): the entries with the highest
+    ``-capacity / ln(h)``, where ``h`` in (0, 1) is a hash of caller and entry.
+    An entry is first with a probability in proportion to its capacity.  One
+    that is removed moves only its own callers; one that is added moves only
+    those that get it.
+
+    Load: callers that choose at random among their entries, which differ in
+    processor time.
+    """
+
+    def score(entry: InstanceId) -> float:
+        digest = hashlib.blake2b(f"{caller}\0{entry}".encode(), digest_size=7).digest()
+        # With 52 of the 56 bits the quotient is exact, so it is never 0 or 1.
+        numerator = (int.from_bytes(digest) >> 4) + 0.5
+        return -capacities[entry] / math.log(numerator / 2**52)
+
+    return heapq.nlargest(count, capacities, key=score)
--- a/goldcrestyard/policy/home_regions.py
+++ b/goldcrestyard/policy/home_regions.py
@@ -78,7 +78,7 @@
 
 
 def nameable_entries(
-    entries: Sequence[EntryT], homes: HostHomes | None, caller_region: str
+    entries: Sequence[EntryT], homes: HostHomes | None, caller_region: str | None
 ) -> Sequence[EntryT]:
     """Return the entries that the directory may name to a caller of a host.
 
--- a/tests/fleet/test_listing.py
+++ b/tests/fleet/test_listing.py
@@ -5,15 +5,20 @@
 """
 
 import asyncio
-from dataclasses import dataclass, field, replace
+import hashlib
+from dataclasses import asdict, dataclass, field, replace
+
+import cbor2
 
 from goldcrestyard.consensus.results import NotProposed, ProposalResult
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region, Revision
 from goldcrestyard.fleet.directory.apps import DirectoryConfig
 from goldcrestyard.fleet.directory.listing import (
+    REDUCED_REPLIES,
     DirectorySlice,
     ListedEntryChannel,
     ListedEntryMerger,
+    digest_of,
 )
 from goldcrestyard.fleet.member_lists.channel import (
     MemberList,
@@ -51,6 +56,8 @@
     member: FakeMember
     proposed: list[Command] = field(default_factory=list)
     cut: bool = False
+    drops_capacity: bool = False
+    """Whether the leader knows of no capacities, as an earlier release."""
 
     async def propose(
         self, command: Command, timeout: float | None = None
@@ -58,6 +65,9 @@
         if self.cut:
             return NotProposed("no leader")
         self.proposed.append(command)
+        if self.drops_capacity:
+            assert isinstance(command, PutEntry)
+            command = PutEntry(replace(command.entry, capacity=None))
         return await self.member.propose(command)
 
 
@@ -81,14 +91,15 @@
         if applied.fanned_out:
             self.fanned_out.append(applied)
 
-    def start(self, number: int) -> EntryAnnouncer:
+    def start(self, number: int, capacity: float | None = None) -> EntryAnnouncer:
         """Start an entry that announces itself and renews its lease."""
         view = EntryView(StateMachine([ServingSlice()]), self.codec, self.clock())
         view.grant(self.clock().monotonic(), 1000.0)
         channel = ListedEntryChannel(self.codec)
         digests = EntryDigests()
         digests.add(channel)
-        announcer = EntryAnnouncer(entry(number), view, self.link, channel)  # type: ignore[arg-type]
+        announced = replace(entry(number), capacity=capacity)
+        announcer = EntryAnnouncer(announced, view, self.link, channel)  # type: ignore[arg-type]
 
         async def renew() -> None:
             while True:
@@ -142,6 +153,34 @@
         await asyncio.sleep(5.0)
         self.assertTrue(self.listed[entry(1).id].draining)
 
+    async def test_capacity_is_listed(self) -> None:
+        self.start(1, capacity=0.5)
+        await asyncio.sleep(30.0)
+        self.assertEqual(self.listed[entry(1).id].capacity, 0.5)
+        self.assertEqual(len(self.link.proposed), 1)
+
+    async def test_leader_of_an_earlier_release_drops_the_capacity(self) -> None:
+        """Guards against announcements without end during an upgrade."""
+        self.link.drops_capacity = True
+        self.start(1, capacity=0.5)
+        await asyncio.sleep(50.0)
+        self.assertEqual(len(self.link.proposed), 1)
+        self.assertIsNone(self.listed[entry(1).id].capacity)
+        self.link.drops_capacity = False
+        await asyncio.sleep(2.0 * REDUCED_REPLIES)
+        self.assertEqual(self.listed[entry(1).id].capacity, 0.5)
+        self.assertEqual(len(self.link.proposed), 2)
+
+    async def test_digest_is_that_of_a_release_without_capacities(self) -> None:
+        """Guards against entries of that release that are never settled."""
+        known = entry(1)
+        fields = asdict(known)
+        del fields["capacity"]
+        earlier = hashlib.blake2b(cbor2.dumps(["Entry", fields]), digest_size=8)
+        self.assertEqual(digest_of(self.codec, known), earlier.digest())
+        larger = replace(known, capacity=1.0)
+        self.assertNotEqual(digest_of(self.codec, larger), earlier.digest())
+
     async def test_leader_of_an_earlier_release_sends_the_list(self) -> None:
         """Guards against entries that stop at a command they do not keep."""
         view = EntryView(StateMachine([ServingSlice()]), self.codec, self.clock())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,6 +9,7 @@
 from parameterized import parameterized
 
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
+from goldcrestyard.fleet.directory.settings import DirectorySettings
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.platform import settings as platform_settings
@@ -95,6 +96,27 @@
         _, problems = decode(change)
         self.assertEqual(problems, [expected])
 
+    @parameterized.expand(
+        [
+            ("both", {"cpu_share": 0.43, "cores": 3}, 1.29),
+            ("not_stated", {}, None),
+            ("share_only", {"cpu_share": 0.43}, None),
+            ("no_share", {"cpu_share": 0, "cores": 4}, None),
+            ("negative", {"cpu_share": -1, "cores": -1}, None),
+            ("beyond_floats", {"cpu_share": 1e300, "cores": 1e300}, None),
+        ]
+    )
+    def test_capacity(
+        self, _: str, limits: dict[str, float], expected: float | None
+    ) -> None:
+        settings, problems = decode({"limits": {"ram_mb": 330, **limits}})
+        self.assertEqual(problems, [])
+        capacity = settings.section(DirectorySettings).capacity
+        if expected is None:
+            self.assertIsNone(capacity)
+        else:
+            self.assertAlmostEqual(capacity or 0.0, expected)
+
     def test_missing_file(self) -> None:
         _, problems = platform_settings.decode(Path("/nowhere/settings.json"))
         self.assertEqual([problem.id for problem in problems], ["settings_file.E001"])
