--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -223,7 +223,8 @@
 
 
 def _regions(names: list[str]) -> tuple[Region, ...]:
-    return tuple(map(Region, names))
+    # Each request goes through the list, so a name counts once.
+    return tuple(Region(name) for name in dict.fromkeys(names))
 
 
 def _seconds(milliseconds: float | None) -> float | None:
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -287,6 +287,37 @@
         await self._wait_listed(4)
         self.assertEqual({"e1"}, set(self._engine_calls()))
 
+    @parameterized.expand([("scorer_at_home", "home"), ("scorer_elsewhere", "r")])
+    async def test_items_and_their_scores_stay_at_home(
+        self, _: str, scorer_region: str
+    ) -> None:
+        """Guards against items that leave the homes of their organisation."""
+        homes = (Region("home"),)
+        config = replace(
+            CONFIG,
+            version=CONFIG.version + 1,
+            organisations=tuple(
+                replace(each, home_regions=homes) for each in CONFIG.organisations
+            ),
+        )
+        apply(self.machine, PutServing(config, b""))
+        submitted = replace(
+            scored_job("/jobs/", items=4), organisation=CONFIG.organisations[0].id
+        )
+        self._start((Streams(3),))
+        targets = self.machine.get(TargetsSlice)
+        for name, region in (("e1", "home"), ("scorer", scorer_region)):
+            known = targets.find(TargetId(name))
+            assert known is not None
+            announce(targets, replace(known, region=Region(region)))
+        apply(self.machine, SubmitJob(submitted), time=self.clock().wall())
+        await asyncio.sleep(10.0)
+        self.assertEqual({"e1"}, set(self._engine_calls()))
+        scored = "scorer" in self.client.called_targets
+        self.assertEqual(scored, scorer_region == "home")
+        results = self.jobs.jobs_by_id[submitted.id].results
+        self.assertEqual(len(results), 4 if scored else 0)
+
     @parameterized.expand([(case.name, case) for case in CASES])
     async def test_item(self, _: str, case: Case) -> None:
         self._start(case.engines, case.scorers)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -67,7 +67,7 @@
             "name": "t",
             "api_keys": ["k1", "k2"],
             "priority": 1,
-            "home_regions": ["south"],
+            "home_regions": ["south"] * 3,
         }
     ],
     "field_of_a_later_release": {"x": 1},
