--- a/tests/fleet/test_calls.py
+++ b/tests/fleet/test_calls.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from parameterized import parameterized
 
-from goldcrestyard.core.ids import Revision
+from goldcrestyard.core.ids import ConfigVersion, Revision
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.gateway.admission import (
@@ -18,13 +18,15 @@
 from goldcrestyard.fleet.gateway.calls import CallAnswer, CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
+from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
-from tests.fakes.serving import entry_view, request, request_guard
+from tests.fakes.serving import CONFIG, entry_view, request, request_guard
+from tests.fakes.state import apply
 from tests.fakes.targets import (
     DOWN,
     FULL,
@@ -169,6 +171,20 @@
         await asyncio.gather(waiting, return_exceptions=True)
         self.assertEqual(self.client.open_calls, 0)
 
+    @parameterized.expand([("urgent", "/again/", 0), ("less", "/once/", 3)])
+    async def test_urgency_is_passed_on(
+        self, _: str, prefix: str, expected: int
+    ) -> None:
+        """Guards against targets that don't learn which request is urgent."""
+        routes = tuple(
+            replace(route, priority=3 * (route.prefix == "/once/"))
+            for route in CONFIG.routes
+        )
+        config = replace(CONFIG, version=ConfigVersion(2), routes=routes)
+        apply(self.view.machine, PutServing(config, b""))
+        await self._runner((Answers(b"whole"),)).answer(self._admit(prefix))
+        self.assertEqual([call.urgency for _, call in self.client.calls], [expected])
+
     async def test_deadline_is_passed_on_as_it_shrinks(self) -> None:
         runner = self._runner((Answers(seconds=5.0),))
         began = self.clock().monotonic()
--- a/tests/policy/test_item_order.py
+++ b/tests/policy/test_item_order.py
@@ -431,6 +431,27 @@
         after = whole_groups_in_time(seed, by_groups=True, slots=64)
         self.assertEqual((before, after), (24, 24))
 
+    def test_large_organisation_among_small_ones(self) -> None:
+        """Guards against one that gets no more than a small one's part."""
+        small = [
+            open_job(f"s{n}", 50.0, SMALL, organisation=OrganisationId(f"s{n}"))
+            for n in range(30)
+        ]
+        large = open_job(
+            "large",
+            60.0,
+            [(f"g{n}", (10.0, 10.0)) for n in range(12)],
+            organisation=BIG,
+            expires_at=70.0,
+        )
+        served = Served()
+        served.note_jobs([*small, large], 0.0)
+        for job in small:
+            served.note_start(job.organisation, 0, 20.0, 0.0)
+        served.note_start(BIG, 0, 60.0, 0.0)
+        head = in_whole_groups([*small, large], ROOM, served, 0.0)[0]
+        self.assertEqual(head.key.job, large.id)
+
     @parameterized.expand([("urgency", 0, 1), ("organisation", 0, 0)])
     def test_no_kind_starves(self, name: str, first: int, second: int) -> None:
         """Guards against a kind that is served under a quarter as often."""
