--- a/goldcrestyard/policy/item_order.py
+++ b/goldcrestyard/policy/item_order.py
@@ -463,7 +463,10 @@
             capacity = capacity_by_pool.get(pool, NO_CAPACITY)
             of_pool = jobs_by_pool[pool]
             pool_load = load(of_pool, capacity, now)
-            order = next_order(state.order, pool_load, now - state.changed_at)
+            order = state.order
+            if capacity.events_per_second > 0.0:
+                # Engines that load a version all at once are no reason.
+                order = next_order(order, pool_load, now - state.changed_at)
             if order is not state.order:
                 state.order, state.changed_at = order, now
                 changes.append(OrderChange(pool, order, pool_load))
--- a/tests/policy/test_item_order.py
+++ b/tests/policy/test_item_order.py
@@ -318,6 +318,14 @@
         arranged = order.arrange(items, overdue, {POOL: case.capacity})
         self.assertEqual(tuple(item.key.item for item in arranged), case.expected)
 
+    def test_order_stays_while_no_engine_is_known(self) -> None:
+        """Guards against an order that alternates with the engines' loads."""
+        job = open_job(due_at=4.0, groups=THREE)
+        order = ItemOrder()
+        order.update([job], {POOL: ROOM}, 0.0)
+        self.assertEqual(order.update([job], {}, 2.0), [])
+        self.assertEqual(order.orders(), {GROUPS: 1})
+
     def test_interrupted_item_stays_with_its_group(self) -> None:
         """Guards against an item that waits until the next update."""
         job = open_job(due_at=4.0, groups=THREE)
