--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -253,6 +253,7 @@
         self.text_room = runner._text_room
         self.faults = runner._notes.faults
         self.paces = runner._notes.paces
+        self.served = runner._ordering._order.served
         task = asyncio.create_task(runner.run())
         self.addAsyncCleanup(self._stop, task)
         return task
@@ -403,6 +404,14 @@
         self.assertEqual(ended, {"in time": 2.0, "late": 0.0})
         self.assertEqual({call.urgency for call in runs}, {urgency})
 
+    async def test_organisation_is_charged_what_was_generated(self) -> None:
+        """Guards against a use that counts refused runs, or estimates."""
+        self._start((FULL, Streams(3, breaks_after=2), Streams(3)))
+        apply(self.machine, SubmitJob(scored_job("/jobs/")), time=self.clock().wall())
+        await self._wait_listed()
+        (used,) = self.served.use.counts(self.clock().monotonic()).values()
+        self.assertAlmostEqual(used, 3.0, delta=0.2)
+
     @parameterized.expand([("not_known", 0, 6), ("two_texts", 4500, 2)])
     async def test_memory_of_an_engine(
         self, _: str, memory_tokens: int, expected: int
