--- a/goldcrestyard/fleet/memory/apps.py
+++ b/goldcrestyard/fleet/memory/apps.py
@@ -5,12 +5,14 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.kernel.connection_places import ConnectionPlaces
 from goldcrestyard.kernel.default_settings import process_bytes
+from goldcrestyard.plugins.listeners.places import places_for
 from goldcrestyard.policy.memory import control_shares, entry_body_bytes
 
 
 class MemoryConfig(PluginConfig):
-    """Provides the room that listeners and the client of targets share."""
+    """Provides the room for bodies and the places for connections."""
 
     name = "memory"
     requires = ("observability",)
@@ -26,7 +28,12 @@
             else control_shares(available).bodies
         )
         room = app.provide(ByteRoom, ByteRoom(capacity))
+        places = app.provide(ConnectionPlaces, places_for(app.settings))
         metrics = app.get(FleetMetrics)
+        metrics.connections.set_function(lambda: places.open)
+        places.observers.append(
+            lambda reason: metrics.refused_connections.labels(reason.value).inc()
+        )
         metrics.bodies_bytes.set_function(lambda: room.held)
         if member is not None:
             metrics.proposals_bytes.set_function(lambda: member.proposals_bytes)
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -105,6 +105,14 @@
         self.bodies_bytes = self._gauge(
             "bodies_bytes", "Bytes of requests and answers in progress."
         )
+        self.connections = self._gauge(
+            "client_connections", "Open connections from clients, at all listeners."
+        )
+        self.refused_connections = self._counter(
+            "refused_connections",
+            "Connections refused before their request was parsed, by reason.",
+            ("reason",),
+        )
         self.jobs_bytes = self._gauge(
             "jobs_bytes", "Bytes of the jobs that this control member keeps."
         )
--- a/goldcrestyard/kernel/default_settings.py
+++ b/goldcrestyard/kernel/default_settings.py
@@ -28,6 +28,11 @@
         "callers, peers and targets make it keep is bounded accordingly.",
         512_000_000,
     )
+    descriptors: int = setting(
+        "Open descriptors that this process may have; 0 takes the limit of the "
+        "operating system. The number of clients' connections is bounded accordingly.",
+        0,
+    )
 
 
 def process_bytes(settings: Settings) -> int:
--- a/goldcrestyard/platform/callers/apps.py
+++ b/goldcrestyard/platform/callers/apps.py
@@ -15,6 +15,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.kernel.connection_places import ConnectionPlaces
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
@@ -22,7 +23,10 @@
 from goldcrestyard.platform.callers.jobs import JobEndpoints
 from goldcrestyard.platform.listening import ListeningSettings
 from goldcrestyard.platform.names import READY_PATH
-from goldcrestyard.plugins.listeners.connections import ConnectionLimits
+from goldcrestyard.plugins.listeners.connections import (
+    MAX_REQUEST_LINE_BYTES,
+    ConnectionLimits,
+)
 from goldcrestyard.plugins.listeners.server import HandlerListener
 
 NEW_CONNECTIONS_TIME_SHARE = 0.8
@@ -57,7 +61,11 @@
         def connection_limits() -> ConnectionLimits:
             now = limits()
             return ConnectionLimits(
-                now.header_seconds, now.idle_seconds, now.header_bytes, False
+                now.header_seconds,
+                now.idle_seconds,
+                now.header_bytes,
+                False,
+                now.header_bytes + MAX_REQUEST_LINE_BYTES,
             )
 
         self._front = CallerFront(
@@ -70,7 +78,10 @@
             app.clock,
         )
         room = app.get(ByteRoom)
-        self._callers = HandlerListener(self._front.handle, connection_limits, room)
+        places = app.get(ConnectionPlaces)
+        self._callers = HandlerListener(
+            self._front.handle, connection_limits, room, places
+        )
 
         async def readiness(request: web.BaseRequest) -> web.StreamResponse:
             ready = (
@@ -82,7 +93,7 @@
             status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
             return web.Response(status=status)
 
-        self._ready = HandlerListener(readiness, connection_limits, room)
+        self._ready = HandlerListener(readiness, connection_limits, room, places)
 
     async def serve(self, app: Application) -> None:
         """Open the listeners for callers and for the readiness check."""
--- a/goldcrestyard/platform/control/apps.py
+++ b/goldcrestyard/platform/control/apps.py
@@ -8,9 +8,13 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.kernel.connection_places import ConnectionPlaces
 from goldcrestyard.platform.control.front import ControlFront, DirectoryFront
 from goldcrestyard.platform.listening import ListeningSettings
-from goldcrestyard.plugins.listeners.connections import ConnectionLimits
+from goldcrestyard.plugins.listeners.connections import (
+    MAX_REQUEST_LINE_BYTES,
+    ConnectionLimits,
+)
 from goldcrestyard.plugins.listeners.server import HandlerListener
 
 
@@ -37,7 +41,9 @@
             (control.handle, addresses["ctl"]),
             (directory.handle, addresses["dir"]),
         ):
-            listener = HandlerListener(handler, _limits, app.get(ByteRoom))
+            listener = HandlerListener(
+                handler, _limits, app.get(ByteRoom), app.get(ConnectionPlaces)
+            )
             self._listeners.append(listener)
             await listener.open(address)
 
@@ -50,5 +56,8 @@
 def _limits() -> ConnectionLimits:
     limits = CallerLimits()
     return ConnectionLimits(
-        limits.header_seconds, limits.idle_seconds, limits.header_bytes
+        limits.header_seconds,
+        limits.idle_seconds,
+        limits.header_bytes,
+        head_bytes=limits.header_bytes + MAX_REQUEST_LINE_BYTES,
     )
--- a/goldcrestyard/platform/metrics/apps.py
+++ b/goldcrestyard/platform/metrics/apps.py
@@ -8,6 +8,7 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.kernel.connection_places import ConnectionPlaces
 from goldcrestyard.platform.answers import UNKNOWN_PATH, refusal_response
 from goldcrestyard.platform.names import METRICS_PATH, METRICS_PORT
 from goldcrestyard.plugins.listeners.connections import ConnectionLimits
@@ -41,6 +42,7 @@
             scrape,
             lambda: ConnectionLimits(limits.header_seconds, limits.idle_seconds),
             app.get(ByteRoom),
+            app.get(ConnectionPlaces),
         )
         own = app.settings.section(ClusterSettings).peer_address
         await self._listener.open(f"{own.rpartition(':')[0]}:{METRICS_PORT}")
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -80,6 +80,8 @@
 class _Limits(msgspec.Struct):
     ram_mb: Annotated[float, Meta(gt=0, le=MAX_WHOLE_NUMBER / MEGABYTE)] = 512
     """Memory in MB from which the platform ends the process."""
+    max_fds: Annotated[float, Meta(ge=0, le=MAX_WHOLE_NUMBER)] = 0
+    """Descriptors that the process may have open; 0 if none are stated."""
 
 
 class _Cloud(msgspec.Struct):
@@ -153,7 +155,9 @@
             Region(document.region),
             drain_seconds=bounds.grace_s * DRAIN_TIME_SHARE,
         ),
-        "memory": MemorySettings(int(document.limits.ram_mb * MEGABYTE)),
+        "memory": MemorySettings(
+            int(document.limits.ram_mb * MEGABYTE), int(document.limits.max_fds)
+        ),
         "cluster": ClusterSettings(
             "goldcrestyard", "", seeds, peer_address, CONNECT_TIMEOUT_SECONDS
         ),
--- a/goldcrestyard/plugins/listeners/apps.py
+++ b/goldcrestyard/plugins/listeners/apps.py
@@ -5,9 +5,11 @@
 from goldcrestyard.core.states import InstanceState
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.connection_places import ConnectionPlaces
 from goldcrestyard.plugins.listeners import checks
 from goldcrestyard.plugins.listeners.bodies import BodyLimits, json_answer
 from goldcrestyard.plugins.listeners.connections import ConnectionLimits
+from goldcrestyard.plugins.listeners.places import places_for
 from goldcrestyard.plugins.listeners.routes import AdminRoutes, PublicRoutes
 from goldcrestyard.plugins.listeners.server import HttpListener
 from goldcrestyard.plugins.listeners.settings import ListenerSettings
@@ -30,6 +32,7 @@
         settings = app.settings.section(ListenerSettings)
         limits = BodyLimits(settings.max_body_bytes, settings.body_seconds)
         app.provide(PublicRoutes, PublicRoutes(limits))
+        app.provide(ConnectionPlaces, places_for(app.settings))
         admin = app.provide(AdminRoutes, AdminRoutes(limits))
 
         async def healthz(_: web.Request) -> web.StreamResponse:
@@ -46,10 +49,13 @@
     async def serve(self, app: Application) -> None:
         """Open both listeners."""
         settings = app.settings.section(ListenerSettings)
-        limits = ConnectionLimits(settings.header_seconds)
-        self._admin = HttpListener(app.get(AdminRoutes), limits)
+        limits = ConnectionLimits(
+            settings.header_seconds, head_bytes=settings.max_head_bytes
+        )
+        places = app.get(ConnectionPlaces)
+        self._admin = HttpListener(app.get(AdminRoutes), limits, places=places)
         await self._admin.open(settings.admin)
-        self._public = HttpListener(app.get(PublicRoutes), limits)
+        self._public = HttpListener(app.get(PublicRoutes), limits, places=places)
         await self._public.open(settings.public)
 
     async def leave(self, app: Application) -> None:
--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -12,10 +12,12 @@
 
 import structlog
 from aiohttp import StreamReader, web
+from aiohttp.http_parser import RawRequestMessage
 
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.kernel.byte_room import ByteLease, ByteRoom
+from goldcrestyard.kernel.connection_places import Place, RefusedConnection
 from goldcrestyard.kernel.http_client import CHUNK_OVERHEAD_FACTOR, READ_BYTES
 from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, error_body, refuse
 
@@ -24,10 +26,21 @@
 MAX_HEADERS = 100
 MAX_HEADER_BYTES = 8190
 
+MAX_HEAD_BYTES = 64 * 1024
+"""Default of the largest head: the request line and all headers."""
+
+MAX_REQUEST_LINE_BYTES = 8190
+"""Size of a request line that is allowed beside the headers where a limit
+names those only."""
+
 LINGERING_TIMEOUT_SECONDS = 1.0
 """How long the rest of a refused body is read and discarded, so that the
 caller receives the response instead of a connection reset."""
 
+MAX_LINGERING_BYTES = 1024 * 1024
+"""Most bytes that are read and discarded after a head was refused.  Then the
+connection is not read until it is closed."""
+
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 """Largest number of bytes that are read after a request, whole or refused.  It
 exceeds the largest body, so that the caller of a refused one receives the
@@ -48,6 +61,8 @@
     header_bytes: int = MAX_HEADER_BYTES
     decompress: bool = True
     """Whether to decompress request bodies rather than keep them as sent."""
+    head_bytes: int = MAX_HEAD_BYTES
+    """Largest size of the request line and all headers together."""
 
     @property
     def overhead_bytes(self) -> int:
@@ -68,7 +83,11 @@
     """
 
     def __init__(
-        self, manager: web.Server, limits: ConnectionLimits, room: ByteRoom
+        self,
+        manager: web.Server,
+        limits: ConnectionLimits,
+        room: ByteRoom,
+        place: Place | None = None,
     ) -> None:
         super().__init__(
             manager,
@@ -90,7 +109,13 @@
         self._body: StreamReader | None = None
         self._refused_body: StreamReader | None = None
         self._received_bytes = 0
-        self._found_no_room = False
+        self._head_bytes = 0
+        """Bytes that arrived while the parser waited for the next head."""
+        self._refused = False
+        """Whether the head of a request was refused; the rest is dropped."""
+        self._malformed = False
+        """Whether the parser has failed; it is given no further bytes."""
+        self._place = place
         self.lease = room.lease()
         """The memory that the head, the body and the answer of the present
         request take."""
@@ -108,14 +133,61 @@
         """
         self.receiving = not self.active
         self._received_bytes += len(data)
-        if self._found_no_room:
+        if self._refused or self._malformed:
+            self.receiving = False
+            if (
+                self._received_bytes > MAX_LINGERING_BYTES
+                and self.transport is not None
+            ):
+                self.transport.pause_reading()
             return
         if self.receiving and not self._discards() and not self.lease.grow(len(data)):
             self._refuse_for_room()
             return
-        super().data_received(data)
+        if not self._parse(data):
+            return
         if not self.active and self._timer is None:
             self._start_head_timer()
+        self._abort_if_endless()
+
+    def _parse(self, data: bytes) -> bool:
+        """Give bytes to the parser; return False if their head is too long.
+
+        The parser gets no more of a head than the limit.  Bytes behind a head
+        or of a further request before an answer are not counted here.
+        """
+        first = data
+        if self._awaits_request():
+            first = data[: max(0, self._limits.head_bytes - self._head_bytes)]
+            self._head_bytes += len(first)
+        super().data_received(first)
+        self._drop_parser_error()
+        if len(first) < len(data) and not self._malformed:
+            if self._awaits_request():
+                self._refuse_head()
+                return False
+            super().data_received(data[len(first) :])
+            self._drop_parser_error()
+        return True
+
+    def _awaits_request(self) -> bool:
+        """Return whether the parser has no request that is not answered."""
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and not self._messages
+
+    def _drop_parser_error(self) -> None:
+        """Stop parsing after an error, and let go of the data in it.
+
+        Each further call of the parser would add another error.
+        """
+        if not self._messages:
+            return
+        message = self._messages[-1][0]
+        if not isinstance(message, RawRequestMessage):
+            self._malformed = True
+            message.exc.__traceback__ = None
+
+    def _abort_if_endless(self) -> None:
         if self._received_bytes > self._allowed_bytes():
             logger.warning(
                 "caller sends bytes without end; closing the connection",
@@ -130,18 +202,31 @@
         return self._refused_body is not None and not self._refused_body.is_eof()
 
     def _refuse_for_room(self) -> None:
-        """Refuse a request whose head finds no room; close the connection.
+        """Refuse a request whose head finds no room; close the connection."""
+        refusal = Refusal(RefusalReason.NO_ROOM, "no room for the request")
+        self._refuse(RefusedConnection.NO_ROOM, "503 Service Unavailable", refusal)
+
+    def _refuse_head(self) -> None:
+        """Refuse a request whose head is too long; close the connection."""
+        refusal = Refusal(
+            RefusalReason.BAD_REQUEST,
+            f"the request line and headers exceed {self._limits.head_bytes} bytes",
+        )
+        self._refuse(RefusedConnection.HEAD_TOO_LONG, "400 Bad Request", refusal)
+
+    def _refuse(self, reason: RefusedConnection, status: str, refusal: Refusal) -> None:
+        """Answer a head that is not complete, and close the connection.
 
         What still arrives is dropped for a while, since closing a connection
         with unread bytes would reset it before the caller has the refusal.
         """
-        logger.warning("no room for the head of a request; closing the connection")
-        self._found_no_room = True
+        self._refused = True
+        if self._place is not None:
+            self._place.refused(reason)
         self.receiving = False
         self._cancel_head_timer()
         self.lease.release()
-        refusal = Refusal(RefusalReason.NO_ROOM, "no room for the request")
-        self._write_refusal("503 Service Unavailable", refusal)
+        self._write_refusal(status, refusal)
         asyncio.get_running_loop().call_later(
             LINGERING_TIMEOUT_SECONDS, self.force_close
         )
@@ -161,6 +246,8 @@
         """Cancel the time-out and give back the memory."""
         self._cancel_head_timer()
         self.lease.release()
+        if self._place is not None:
+            self._place.release()
         super().connection_lost(exc)
 
     def begin(self, request: web.BaseRequest) -> bool:
@@ -170,6 +257,7 @@
         self._body = request.content
         self._refused_body = None
         self._received_bytes = 0
+        self._head_bytes = 0
         self.receiving = False
         # From here on the request counts by its body, which is read apart.
         self.lease.release()
@@ -257,18 +345,22 @@
 
     def _write_refusal(self, status: str, refusal: Refusal, *headers: str) -> None:
         """Answer a request whose head is not complete."""
-        if self.transport is None:
-            return
-        body = error_body(refusal)
-        head = (
-            f"HTTP/1.1 {status}",
-            "content-type: application/json",
-            f"content-length: {len(body)}",
-            f"{VERDICT_HEADER}: not_run",
-            *headers,
-            "connection: close\r\n\r\n",
-        )
-        self.transport.write("\r\n".join(head).encode() + body)
+        if self.transport is not None:
+            self.transport.write(refusal_bytes(status, refusal, *headers))
+
+
+def refusal_bytes(status: str, refusal: Refusal, *headers: str) -> bytes:
+    """Return an answer that says "not run" and closes the connection."""
+    body = error_body(refusal)
+    head = (
+        f"HTTP/1.1 {status}",
+        "content-type: application/json",
+        f"content-length: {len(body)}",
+        f"{VERDICT_HEADER}: not_run",
+        *headers,
+        "connection: close\r\n\r\n",
+    )
+    return "\r\n".join(head).encode() + body
 
 
 def lease_of(request: web.BaseRequest) -> ByteLease:
--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -1,17 +1,26 @@
 """HTTP listeners that can stop accepting while running requests finish."""
 
 import asyncio
+import os
+import socket
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.kernel.connection_places import (
+    ConnectionPlaces,
+    Place,
+    open_files_limit,
+)
 from goldcrestyard.kernel.default_settings import MemorySettings
 from goldcrestyard.plugins.listeners.connections import (
     CallerConnection,
     ConnectionLimits,
 )
+from goldcrestyard.plugins.listeners.gates import READ_BYTES, HeadGate
 from goldcrestyard.plugins.listeners.routes import Routes
+from goldcrestyard.policy.connections import max_connections
 from goldcrestyard.policy.memory import entry_body_bytes
 from goldcrestyard.wire.client import PeerAddress
 
@@ -20,9 +29,16 @@
 two checks without one, because a request may still be in transit at the
 first."""
 
-ACCEPT_TURNS = 4
-"""Turns of the event loop before a listening socket is closed.  In one of
-them the loop accepts all connections that are waiting."""
+BACKLOG = 512
+"""Connections that may wait in the operating system."""
+
+ACCEPTED_PER_TURN = 64
+"""Most connections that a listener accepts in one turn of the event loop, so
+that those which are accepted and then refused stay within the descriptors."""
+
+ACCEPT_TURNS = BACKLOG // ACCEPTED_PER_TURN + 4
+"""Turns of the event loop before a listening socket is closed.  In them the
+loop accepts all connections that are waiting."""
 
 SHUTDOWN_TIMEOUT_SECONDS = 2.0
 """How long a handler may take to end after its cancellation."""
@@ -41,10 +57,16 @@
         runner: web.BaseRunner,
         limits: Callable[[], ConnectionLimits],
         room: ByteRoom | None = None,
+        places: ConnectionPlaces | None = None,
     ) -> None:
         self._runner = runner
         self._limits = limits
         self._room = room or ByteRoom(DEFAULT_ROOM_BYTES)
+        default = max_connections(MemorySettings().process_bytes, open_files_limit())
+        self._places = (places or ConnectionPlaces(default)).listener()
+        self._gates: dict[HeadGate, float] = {}
+        """Connections whose first head is incomplete, with the time in seconds
+        at which each was accepted."""
         self._server: asyncio.Server | None = None
 
     async def open(self, address: str) -> None:
@@ -53,12 +75,30 @@
         manager = self._runner.server
         assert manager is not None
         parsed = PeerAddress.parse(address)
+        buffer = bytearray(READ_BYTES)
+        limits = self._limits
+
+        def gate() -> HeadGate:
+            now = limits()
+
+            def upgrade(
+                transport: asyncio.Transport, data: bytes, place: Place
+            ) -> None:
+                connection = CallerConnection(manager, now, self._room, place)
+                transport.set_protocol(connection)
+                connection.connection_made(transport)
+                connection.data_received(data)
+
+            return HeadGate(now, self._room, self._places, buffer, self._gates, upgrade)
+
+        # The event loop accepts as many connections in a turn as its backlog
+        # says; that of the operating system is set apart.
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(manager, self._limits(), self._room),
-            parsed.host,
-            parsed.port,
-            backlog=512,
+            gate, parsed.host, parsed.port, backlog=ACCEPTED_PER_TURN
         )
+        for listening in self._server.sockets:
+            with socket.socket(fileno=os.dup(listening.fileno())) as duplicate:
+                duplicate.listen(BACKLOG)
 
     @property
     def socket_address(self) -> tuple[str, int] | None:
@@ -91,10 +131,14 @@
     async def stop(self) -> None:
         """Close all connections; requests that still run are cancelled."""
         await self.close()
+        for gate in tuple(self._gates):
+            gate.close()
         await self._runner.cleanup()
 
     def _busy(self) -> bool:
         manager = self._runner.server
+        if any(gate.busy for gate in self._gates):
+            return True
         return manager is not None and any(
             isinstance(connection, CallerConnection) and connection.busy
             for connection in manager.connections
@@ -105,7 +149,11 @@
     """Serves routes on an address."""
 
     def __init__(
-        self, routes: Routes, limits: ConnectionLimits, room: ByteRoom | None = None
+        self,
+        routes: Routes,
+        limits: ConnectionLimits,
+        room: ByteRoom | None = None,
+        places: ConnectionPlaces | None = None,
     ) -> None:
         runner = web.AppRunner(
             routes.web_application,
@@ -113,7 +161,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
             handler_cancellation=True,
         )
-        super().__init__(runner, lambda: limits, room)
+        super().__init__(runner, lambda: limits, room, places)
 
 
 class HandlerListener(Listener):
@@ -124,6 +172,7 @@
         handler: Handler,
         limits: Callable[[], ConnectionLimits],
         room: ByteRoom | None = None,
+        places: ConnectionPlaces | None = None,
     ) -> None:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             connection = request.protocol
@@ -137,4 +186,4 @@
 
         server = web.Server(handle, handler_cancellation=True)
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS)
-        super().__init__(runner, limits, room)
+        super().__init__(runner, limits, room, places)
--- a/goldcrestyard/plugins/listeners/settings.py
+++ b/goldcrestyard/plugins/listeners/settings.py
@@ -21,6 +21,17 @@
         "Largest request body, in bytes; a larger one is refused with 413.",
         16 * 1024 * 1024,
     )
+    max_head_bytes: int = setting(
+        "Largest request line with all headers, in bytes; a longer one is refused "
+        "with 400.",
+        64 * 1024,
+    )
+    max_connections: int = setting(
+        "Largest number of connections that clients may hold at all listeners of "
+        "this instance together; further ones are refused with 503. 0 computes it "
+        "from memory.process_bytes and memory.descriptors.",
+        0,
+    )
     header_seconds: float = setting(
         "Longest time for a caller to send a request's headers, in seconds.", 10.0
     )
--- a/goldcrestyard/plugins/metrics/metrics.py
+++ b/goldcrestyard/plugins/metrics/metrics.py
@@ -48,6 +48,14 @@
             "requests_in_flight",
             "Requests that this entry has sent to targets and that have not ended.",
         )
+        self.connections = self._gauge(
+            "client_connections", "Open connections from clients, at all listeners."
+        )
+        self.refused_connections = self._counter(
+            "refused_connections",
+            "Connections refused before their request was parsed, by reason.",
+            ("reason",),
+        )
         self.retries = self._counter(
             "retries", "Requests that this entry has sent again to another target."
         )
--- a/goldcrestyard/plugins/metrics/observers.py
+++ b/goldcrestyard/plugins/metrics/observers.py
@@ -5,6 +5,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.connection_places import ConnectionPlaces
 from goldcrestyard.membership.change_feed import ChangeFeed
 from goldcrestyard.membership.entry_sessions import EntrySessions
 from goldcrestyard.membership.leader_link import LeaderLink
@@ -44,6 +45,11 @@
     view = app.get(EntryView)
     metrics.entry_lease.set_function(view.lease_remaining)
     metrics.revision.set_function(lambda: view.revision)
+    places = app.get(ConnectionPlaces)
+    metrics.connections.set_function(lambda: places.open)
+    places.observers.append(
+        lambda reason: metrics.refused_connections.labels(reason.value).inc()
+    )
     scheduler = app.get(Scheduler)
     metrics.in_flight.set_function(lambda: scheduler.in_flight)
     scheduler.observe_retries(metrics.retries.inc)
--- a/tests/platform/test_body_room.py
+++ b/tests/platform/test_body_room.py
@@ -59,7 +59,9 @@
         self.handled = 0
         self.listener = HandlerListener(
             self._handle,
-            lambda: ConnectionLimits(DEADLINE_SECONDS, header_bytes=16384),
+            lambda: ConnectionLimits(
+                DEADLINE_SECONDS, header_bytes=16384, head_bytes=2 * len(HEAD)
+            ),
             self.room,
         )
         await self.listener.open("127.0.0.1:0")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,7 +9,7 @@
 from parameterized import parameterized
 
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
-from goldcrestyard.kernel.default_settings import InstanceSettings
+from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
 from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.platform import settings as platform_settings
 from goldcrestyard.plugins.control.checks import check_timing
@@ -75,6 +75,19 @@
         self.assertEqual(list(check_timing(settings)), [])
         self.assertIsNotNone(settings.find(ControlSettings))
 
+    @parameterized.expand(
+        [
+            ("none_stated", {"ram_mb": 160}, 0),
+            ("whole", {"ram_mb": 160, "max_fds": 4100}, 4100),
+            ("fraction", {"ram_mb": 160, "max_fds": 1638.4}, 1638),
+        ]
+    )
+    def test_descriptors(self, _: str, limits: dict[str, float], expected: int) -> None:
+        """Guards against a process that does not start, or knows no bound."""
+        settings, problems = decode({"limits": limits})
+        self.assertEqual(problems, [])
+        self.assertEqual(settings.section(MemorySettings).descriptors, expected)
+
     @parameterized.expand(
         [
             ("no_name", {"node": None}, "settings_file.E002"),
