--- a/goldcrestyard/plugins/listeners/gates.py
+++ b/goldcrestyard/plugins/listeners/gates.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from goldcrestyard.core.refusals import Refusal, RefusalReason
@@ -235,7 +236,9 @@
         self._places.process.refused(reason)
         self._lingers = self._places.process.begin_lingering()
         if self._lingers:
-            transport.write_eof()
+            # The client may have reset the connection meanwhile.
+            with contextlib.suppress(OSError):
+                transport.write_eof()
             self._timer = asyncio.get_running_loop().call_later(
                 LINGERING_TIMEOUT_SECONDS, self.close
             )
