--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -89,6 +89,8 @@
     """Share of each core that the process may use; None if not stated."""
     cores: float | None = None
     """Number of cores of the machine; None if not stated."""
+    max_fds: Annotated[float, Meta(ge=0, le=MAX_WHOLE_NUMBER)] = 0
+    """Descriptors that the process may have open; 0 if none are stated."""
 
 
 class _Cloud(msgspec.Struct):
@@ -162,7 +164,9 @@
             Region(document.region),
             drain_seconds=bounds.grace_s * DRAIN_TIME_SHARE,
         ),
-        "memory": MemorySettings(int(document.limits.ram_mb * MEGABYTE)),
+        "memory": MemorySettings(
+            int(document.limits.ram_mb * MEGABYTE), int(document.limits.max_fds)
+        ),
         "cluster": ClusterSettings(
             "goldcrestyard", "", seeds, peer_address, CONNECT_TIMEOUT_SECONDS
         ),
