--- a/goldcrestyard/fleet/directory/apps.py
+++ b/goldcrestyard/fleet/directory/apps.py
@@ -1,5 +1,6 @@
 """Plug-in: service discovery of the entries for callers."""
 
+from dataclasses import replace
 from functools import partial
 
 from goldcrestyard.consensus.control_member import ControlMember
@@ -9,6 +10,8 @@
     ListedEntryChannel,
     ListedEntryMerger,
 )
+from goldcrestyard.fleet.directory.pruning import remove_entries_without_contact
+from goldcrestyard.fleet.directory.settings import DirectorySettings
 from goldcrestyard.fleet.leadership import while_leading
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
@@ -19,23 +22,17 @@
 from goldcrestyard.plugins.addresses.announcing import (
     EntryAnnouncer,
     own_entry,
-    remove_lost_entries,
 )
 from goldcrestyard.plugins.addresses.commands import EntriesSnapshot, Entry
 from goldcrestyard.wire.codec import Codec
 
-ENTRY_LOST_SECONDS = 2.0
-"""Time in seconds after which an entry without a lease is removed from the
-list.  A short time is safe, as callers that cannot connect try another entry
-at once."""
-
 
 class DirectoryConfig(PluginConfig):
-    """Registers this entry; the leader removes entries without a lease."""
+    """Registers this entry; the leader removes entries without contact."""
 
     name = "directory"
     after = ("assembly", "entry")
-    requires = ("peers",)
+    requires = ("peers", "serving")
     slices = (DirectorySlice,)
     messages = (*DirectorySlice.commands, Entry, EntriesSnapshot)
 
@@ -43,18 +40,27 @@
         """Create the directory on control members."""
         member = app.find(ControlMember)
         if member is not None:
-            app.provide(Directory, Directory(member))
+            listed_entries = app.settings.section(DirectorySettings).listed_entries
+            app.provide(Directory, Directory(member, listed_entries))
             app.get(LeaderDigests).add(ListedEntryMerger(member, app.get(Codec)))
 
     async def serve(self, app: Application) -> None:
-        """Register this entry; as leader, remove entries without a lease."""
+        """Register this entry; as leader, remove entries without contact."""
         view = app.find(EntryView)
         if view is not None:
             listing = ListedEntryChannel(app.get(Codec))
             app.get(EntryDigests).add(listing)
             announcer = app.provide(
                 EntryAnnouncer,
-                EntryAnnouncer(own_entry(app), view, app.get(LeaderLink), listing),
+                EntryAnnouncer(
+                    replace(
+                        own_entry(app),
+                        capacity=app.settings.section(DirectorySettings).capacity,
+                    ),
+                    view,
+                    app.get(LeaderLink),
+                    listing,
+                ),
             )
             app.supervise(announcer.run, "announce this entry")
         member = app.find(ControlMember)
@@ -62,9 +68,7 @@
             sessions = app.get(EntrySessions)
 
             async def prune() -> None:
-                await remove_lost_entries(
-                    member, sessions, app.clock, ENTRY_LOST_SECONDS
-                )
+                await remove_entries_without_contact(member, sessions, app.clock)
 
             app.supervise(
                 partial(while_leading, member, "prune entries", prune),
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -9,8 +9,10 @@
 
 from goldcrestyard.consensus.control_member import DEFAULT_SHARES
 from goldcrestyard.core.ids import (
+    ConfigVersion,
     DataCentre,
     EventNumber,
+    GroupId,
     JobId,
     Region,
     RequestId,
@@ -230,6 +232,7 @@
             self.client,
             clock,
         )
+        self.metrics = FleetMetrics(CollectorRegistry())
         runner = JobRunner(
             self.member,  # type: ignore[arg-type]
             tracker,
@@ -238,7 +241,7 @@
             self.client,
             rewards,
             location,
-            FleetMetrics(CollectorRegistry()),
+            self.metrics,
             clock,
             random.Random(1),
             is_leaving=lambda target: target.id in leaving,
@@ -248,7 +251,9 @@
             ),
         )
         self.text_room = runner._text_room
-        self.faults = runner._faults
+        self.faults = runner._notes.faults
+        self.paces = runner._notes.paces
+        self.served = runner._ordering._order.served
         task = asyncio.create_task(runner.run())
         self.addAsyncCleanup(self._stop, task)
         return task
@@ -276,6 +281,10 @@
         )
         apply(self.machine, KeepProgress(submitted.id, {submitted.items[0].id: saved}))
 
+    def _groups_ended(self, outcome: str) -> float:
+        name = "goldcrest_fleet_groups_ended_total"
+        return self.metrics.registry.get_sample_value(name, {"outcome": outcome}) or 0.0
+
     def _engine_calls(self) -> list[str]:
         return [name for name in self.client.called_targets if name != "scorer"]
 
@@ -287,6 +296,37 @@
         await self._wait_listed(4)
         self.assertEqual({"e1"}, set(self._engine_calls()))
 
+    @parameterized.expand([("scorer_at_home", "home"), ("scorer_elsewhere", "r")])
+    async def test_items_and_their_scores_stay_at_home(
+        self, _: str, scorer_region: str
+    ) -> None:
+        """Guards against items that leave the homes of their organisation."""
+        homes = (Region("home"),)
+        config = replace(
+            CONFIG,
+            version=CONFIG.version + 1,
+            organisations=tuple(
+                replace(each, home_regions=homes) for each in CONFIG.organisations
+            ),
+        )
+        apply(self.machine, PutServing(config, b""))
+        submitted = replace(
+            scored_job("/jobs/", items=4), organisation=CONFIG.organisations[0].id
+        )
+        self._start((Streams(3),))
+        targets = self.machine.get(TargetsSlice)
+        for name, region in (("e1", "home"), ("scorer", scorer_region)):
+            known = targets.find(TargetId(name))
+            assert known is not None
+            announce(targets, replace(known, region=Region(region)))
+        apply(self.machine, SubmitJob(submitted), time=self.clock().wall())
+        await asyncio.sleep(10.0)
+        self.assertEqual({"e1"}, set(self._engine_calls()))
+        scored = "scorer" in self.client.called_targets
+        self.assertEqual(scored, scorer_region == "home")
+        results = self.jobs.jobs_by_id[submitted.id].results
+        self.assertEqual(len(results), 4 if scored else 0)
+
     @parameterized.expand([(case.name, case) for case in CASES])
     async def test_item(self, _: str, case: Case) -> None:
         self._start(case.engines, case.scorers)
@@ -349,6 +389,84 @@
         called, call = self.client.calls[-2]
         self.assertEqual((called, call.resume_after), (name, resumed_after))
 
+    @parameterized.expand(
+        [
+            ("enough_time", 60.0, "a", None),
+            ("too_little_time", 3.0, "b", None),
+            ("urgency_differs", 60.0, "a", 4),
+        ]
+    )
+    async def test_group_that_starts_first(
+        self, _: str, due_seconds: float, expected: str, urgency: int | None
+    ) -> None:
+        """Guards against an order that the decision does not reach.
+
+        The texts of group a are twice as long, and those of both need 6 s.
+        """
+        own = CONFIG.organisations[0]
+        config = replace(
+            CONFIG,
+            version=ConfigVersion(2),
+            routes=tuple(
+                replace(route, due_seconds=due_seconds) for route in CONFIG.routes
+            ),
+            organisations=(replace(own, priority=urgency),),
+        )
+        apply(self.machine, PutServing(config, b""))
+        plain = scored_job("/jobs/", items=12)
+        items = tuple(
+            replace(
+                item,
+                group=GroupId("ab"[number % 2]),
+                estimated_tokens=2000 - number % 2 * 1000,
+            )
+            for number, item in enumerate(plain.items)
+        )
+        self._start((Streams(3),), engine_count=1)
+        self.paces.observe(TargetId("e0"), 0.1, self.clock().monotonic())
+        submit = SubmitJob(replace(plain, items=items))
+        apply(self.machine, submit, time=self.clock().wall())
+        await self._wait_listed(12)
+        group_by_item = {str(item.id): item.group for item in items}
+        runs = [call for name, call in self.client.calls if name == "e0"]
+        first = {group_by_item[str(call.request)] for call in runs[:6]}
+        self.assertEqual(first, {expected})
+        ended = {group: self._groups_ended(group) for group in ("in time", "late")}
+        self.assertEqual(ended, {"in time": 2.0, "late": 0.0})
+        self.assertEqual({call.urgency for call in runs}, {urgency})
+
+    async def test_organisation_is_charged_what_was_generated(self) -> None:
+        """Guards against a use that counts refused runs, or estimates."""
+        self._start((FULL, Streams(3, breaks_after=2), Streams(3)))
+        apply(self.machine, SubmitJob(scored_job("/jobs/")), time=self.clock().wall())
+        await self._wait_listed()
+        (used,) = self.served.use.counts(self.clock().monotonic()).values()
+        self.assertAlmostEqual(used, 3.0, delta=0.2)
+
+    @parameterized.expand([("not_known", 0, 6), ("two_texts", 4500, 2)])
+    async def test_memory_of_an_engine(
+        self, _: str, memory_tokens: int, expected: int
+    ) -> None:
+        """Guards against an engine that interrupts texts to make room."""
+        services = tuple(
+            replace(
+                service, engine=replace(service.engine, memory_tokens=memory_tokens)
+            )
+            if service.engine is not None
+            else service
+            for service in CONFIG.services
+        )
+        config = replace(CONFIG, version=ConfigVersion(2), services=services)
+        apply(self.machine, PutServing(config, b""))
+        plain = scored_job("/jobs/", items=6)
+        items = tuple(replace(item, estimated_tokens=2000) for item in plain.items)
+        self._start((Streams(3),), engine_count=1)
+        submit = SubmitJob(replace(plain, items=items))
+        apply(self.machine, submit, time=self.clock().wall())
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.client.open_calls, expected)
+        await self._wait_listed(6)
+
     async def test_engine_that_starts_again_under_its_id(self) -> None:
         """Guards against text of a later run with other software.
 
