--- a/goldcrestyard/kernel/http_client.py
+++ b/goldcrestyard/kernel/http_client.py
@@ -14,9 +14,12 @@
 import aiohttp
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
 
 from goldcrestyard.core.attempts import describe_error
 from goldcrestyard.kernel.byte_room import ByteLease
+from goldcrestyard.policy.target_statuses import AnswerKind, kind_of_answer
 
 MAX_OVERHEAD_BYTES = 64 * 1024
 """Largest number of bytes of an answer that are no part of its body, beyond
@@ -46,6 +49,10 @@
     """The server sends more than an answer may have; it may have run it."""
 
 
+class InvalidStatusError(aiohttp.ClientPayloadError):
+    """The answer has a status outside the protocol; it may have run it."""
+
+
 class NoRoomError(aiohttp.ClientPayloadError):
     """The answer finds no room in memory; the server may have run it."""
 
@@ -145,7 +152,9 @@
     """Protocol of a connection that bounds the bytes that are no body.
 
     The parser consumes such bytes as fast as they arrive and reports nothing,
-    so that neither flow control nor a reader of the body could stop them.
+    so that neither flow control nor a reader of the body could stop them.  It
+    also accepts any status, so that the statuses are checked here for all
+    clients of the product.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -159,6 +168,18 @@
         self._earlier_body_bytes = self._body_bytes()
         super().set_response_params(*args, **options)
 
+    async def read(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the next answer, interim ones included.
+
+        Raises ``InvalidStatusError`` if no answer may have its status.  The
+        connection is not used again.
+        """
+        message, payload = await super().read()
+        if kind_of_answer(message.code) is AnswerKind.INVALID:
+            self.close()
+            raise InvalidStatusError(f"answer with the status {message.code:03}")
+        return message, payload
+
     def data_received(self, data: bytes) -> None:
         """Parse data, and end the connection if it exceeds the bound."""
         before = self._payload
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -32,6 +32,7 @@
 from goldcrestyard.kernel.http_client import (
     MAX_ANSWER_BYTES,
     BoundedConnector,
+    InvalidStatusError,
     UnboundedAnswerError,
     read_at_most,
     read_to_end,
@@ -92,8 +93,13 @@
 BODILESS_STATUSES = frozenset({204, 304})
 MISDIRECTED_STATUS = 421
 
-MALFORMED_ANSWER_ERRORS = (aiohttp.ClientResponseError, UnboundedAnswerError)
-"""Errors of the HTTP library for an answer whose head is none or too long."""
+MALFORMED_ANSWER_ERRORS = (
+    aiohttp.ClientResponseError,
+    InvalidStatusError,
+    UnboundedAnswerError,
+)
+"""Errors for an answer whose head is none or too long, or has a status that no
+answer may have."""
 
 SUPPRESSED_DEFAULT_HEADERS = ("accept", "accept-encoding", "user-agent", "content-type")
 """Default headers of the HTTP library that are not added to a request."""
--- a/goldcrestyard/plugins/orders/connection.py
+++ b/goldcrestyard/plugins/orders/connection.py
@@ -7,11 +7,13 @@
 
 from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.policy.orders import OrderAnswer
+from goldcrestyard.policy.target_statuses import AnswerKind, kind_of_answer
 from goldcrestyard.wire.client import PeerAddress
 
 MAX_ANSWER_BYTES = 64 * 1024
 MAX_INTERIM_ANSWERS = 8
 MAX_CHUNK_LINE_BYTES = 64
+STATUS_DIGITS = 3
 
 
 class MalformedAnswerError(Exception):
@@ -132,9 +134,12 @@
         if not protocol.startswith("HTTP/1."):
             raise ValueError(f"unexpected protocol {protocol}")
         status = parse_count(status_text)
-        if status is None:
-            raise ValueError("the status is not a number")
-        if status >= 200:
+        if status is None or len(status_text) != STATUS_DIGITS:
+            raise ValueError("the status is not a number of three digits")
+        kind = kind_of_answer(status)
+        if kind is AnswerKind.INVALID:
+            raise ValueError(f"answer with the status {status_text}")
+        if kind is AnswerKind.FINAL:
             break
     else:
         raise ValueError("too many interim responses")
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -12,23 +12,31 @@
 from goldcrestyard.core.attempts import Broken, TurnedAway, Unreached, Withheld
 from goldcrestyard.core.calls import StreamEvent, TargetCall, TargetReply
 from goldcrestyard.core.ids import (
+    DataCentre,
     EventNumber,
     InstanceId,
     ModelName,
     OrganisationId,
     RequestId,
+    ServiceName,
     Term,
     WeightVersion,
 )
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.duties import permit_of
 from goldcrestyard.fleet.leaving.known import LeavingTargets
+from goldcrestyard.fleet.metering.commands import WindowCounts
+from goldcrestyard.fleet.metering.reporting import ReportOutcome
+from goldcrestyard.fleet.rentals.autoscaler import RentalOrder, RentalOutcome
 from goldcrestyard.fleet.versions.orders import LoadOrder, OrderOutcome
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.platform.duties.client import DutiesClient
 from goldcrestyard.platform.names import VERSION_HEADER
 from goldcrestyard.platform.targets.client import HttpTargetClient
 from goldcrestyard.platform.targets.engine_control import HttpEngineControl
 from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.usage_numbers import WindowNumber
+from tests.fakes.odd_statuses import ODD_INTERIM, STATUS_LINES, StatusLine, answer
 from tests.fakes.targets import target
 
 ID = "9c41d07be2a35f68"
@@ -118,6 +126,12 @@
     ),
     Case("full", FULL, stay, TurnedAway),
     Case("another_target", MISDIRECTED, stay, TurnedAway),
+    *(
+        Case(f"status_{odd.name}", answer(odd.line, ID.encode()), stay, Broken)
+        for odd in STATUS_LINES
+    ),
+    Case("interim_answer_first", b"HTTP/1.1 103 Hint\r\n\r\n" + WHOLE, stay, b"hello"),
+    Case("odd_interim_answer_first", ODD_INTERIM + WHOLE, stay, Broken),
 ]
 
 
@@ -309,6 +323,37 @@
         outcome = await control.load(to, load, permit_of(Leader()))
         self.assertIs(outcome, OrderOutcome.UNKNOWN)
 
+    @parameterized.expand([(odd.name, odd) for odd in STATUS_LINES])
+    async def test_odd_status_of_an_answer(self, _: str, odd: StatusLine) -> None:
+        self.script = [(answer(odd.line, ID.encode()), stay)]
+        outcome = await self._send(repeatable=False)
+        assert isinstance(outcome, Broken)
+        self.assertTrue(outcome.malformed)
+        self.assertEqual(self.connections, 1)
+
+    @parameterized.expand([(odd.name, odd) for odd in STATUS_LINES])
+    async def test_odd_status_after_an_order(self, _: str, odd: StatusLine) -> None:
+        """Guards against an order that counts as refused in vain."""
+        self.script = [(answer(odd.line, ID.encode()), stay)]
+        control = HttpEngineControl(self.client, InstanceId("m"))
+        load = LoadOrder(ModelName("m"), WeightVersion(2), 1, 0)
+        outcome = await control.load(self.target, load, permit_of(Leader()))
+        self.assertIs(outcome, OrderOutcome.UNKNOWN)
+        self.assertEqual(self.connections, 1)
+
+    @parameterized.expand([(odd.name, odd) for odd in STATUS_LINES])
+    async def test_odd_status_after_a_duty(self, _: str, odd: StatusLine) -> None:
+        """Guards against a report or a rental settled by no answer."""
+        self.script = [(answer(odd.line, ID.encode()), stay)] * 2
+        permit = permit_of(Leader())
+        duties = DutiesClient(self.client, self.target.address, InstanceId("m"))
+        counts = WindowCounts(WindowNumber(1), {})
+        rental = RentalOrder(ServiceName("s"), DataCentre("a"), 1)
+        reported = await duties.report(counts, permit)
+        rented = await duties.rent(rental, permit)
+        self.assertIs(reported, ReportOutcome.UNKNOWN)
+        self.assertIs(rented, RentalOutcome.UNKNOWN)
+
     @parameterized.expand(ODD_VERSIONS)
     async def test_odd_version(self, _: str, version: bytes) -> None:
         """Guards against a version that ends the task which reads it."""
--- a/tests/plugins/orders/test_connection.py
+++ b/tests/plugins/orders/test_connection.py
@@ -23,9 +23,12 @@
     NotSent,
     OrderAnswer,
 )
+from tests.fakes.odd_statuses import ODD_INTERIM, STATUS_LINES
 
 BODY = b'{"action": "start"}'
 OK = b"HTTP/1.1 200 OK\r\n"
+END = b"\r\ncontent-length: 0\r\n\r\n"
+ANSWERED = OK[:-2] + END
 
 
 @dataclass(frozen=True)
@@ -60,6 +63,12 @@
     Case("no_length", OK + b"\r\n{}", None),
     Case("long_body", OK + b"content-length: 99999999\r\n\r\n", None),
     Case("negative_length", OK + b"content-length: -1\r\n\r\n", None),
+    *(
+        Case(f"status_{odd.name}", odd.line + END + ANSWERED, None)
+        for odd in STATUS_LINES
+    ),
+    Case("odd_interim_answer_first", ODD_INTERIM + ANSWERED, None),
+    Case("status_of_four_digits", b"HTTP/1.1 0200 OK" + END, None),
     Case("not_http", b"SSH-2.0-x\r\n\r\n", None),
     Case("nothing", b"", None),
 ]
