--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -4,6 +4,7 @@
 from goldcrestyard.fleet.crashes.guard import RequestGuard
 from goldcrestyard.fleet.gateway.admission import Admission
 from goldcrestyard.fleet.gateway.calls import CallRunner
+from goldcrestyard.fleet.gateway.hedging import call_hedging
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.gateway.streams import StreamRunner
 from goldcrestyard.fleet.leaving.known import LeavingTargets
@@ -27,6 +28,7 @@
         "entry",
         "leaving_targets",
         "metering",
+        "observability",
         "request_limits",
         "serving",
         "stream_resumption",
@@ -54,7 +56,15 @@
         guard = app.get(RequestGuard)
         app.provide(
             CallRunner,
-            CallRunner(admission, router, client, guard, meter, app.clock),
+            CallRunner(
+                admission,
+                router,
+                client,
+                guard,
+                meter,
+                app.clock,
+                hedging=call_hedging(app),
+            ),
         )
         app.provide(
             StreamRunner,
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -31,10 +31,16 @@
     Admission,
     AdmittedRequest,
 )
+from goldcrestyard.fleet.gateway.hedging import CallHedging, RouteHedging
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.kernel.clock import Clock
-from goldcrestyard.policy.hedging import hedge_after
+from goldcrestyard.policy.hedging import (
+    HedgeWithheld,
+    SecondAttempt,
+    second_attempt,
+    seconds_to_next_check,
+)
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.serving import pick_service
 
@@ -74,6 +80,20 @@
     """Attempts that count towards the route's ``max_attempts``."""
     unreached: int = 0
     last_answer: CallAnswer | None = None
+    hedged: bool = False
+    """Whether a hedge was due, even if it was withheld."""
+    attempt_failed: bool = False
+    """Whether an attempt has failed since the latest one began."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Running:
+    """An attempt in progress."""
+
+    target: Target
+    began: float
+    """Monotonic time in seconds."""
+    is_hedge: bool
 
 
 class CallRunner:
@@ -88,8 +108,10 @@
         meter: UsageMeter,
         clock: Clock,
         random_source: random.Random | None = None,
+        hedging: CallHedging | None = None,
     ) -> None:
         self._admission = admission
+        self._hedging = hedging or CallHedging(clock)
         self._router = router
         self._client = client
         self._guard = guard
@@ -122,7 +144,7 @@
         rejected = state.watched.refusal()
         if rejected is not None:
             return rejected
-        running: dict[asyncio.Task[CallAnswer | AttemptFailure], Target] = {}
+        running: dict[asyncio.Task[CallAnswer | AttemptFailure], _Running] = {}
         timeout = asyncio.timeout_at(min(admitted.deadline, self._ends_at))
         try:
             async with timeout:
@@ -132,57 +154,123 @@
             return self._timeout_result(state, bool(running))
         finally:
             self._running_timeouts.discard(timeout)
-            for task in running:
+            hedging = self._hedging.of_route(admitted.route)
+            for task, attempt in running.items():
                 task.cancel()
+                # Left out, the losers would shorten the delay again and again.
+                hedging.note_latency(self._clock.monotonic() - attempt.began)
             await asyncio.gather(*running, return_exceptions=True)
 
     async def _run_attempts(
         self,
         admitted: AdmittedRequest,
         state: _CallState,
-        running: dict[asyncio.Task[CallAnswer | AttemptFailure], Target],
+        running: dict[asyncio.Task[CallAnswer | AttemptFailure], _Running],
     ) -> CallAnswer | Refusal:
-        service = pick_service(admitted.route, self._random)
+        route = admitted.route
+        service = pick_service(route, self._random)
+        hedging = self._hedging.of_route(route)
+        hedging.note_request()
         while True:
-            target = self._next_target(admitted, state, service, running)
+            kind = self._due_attempt(admitted, state, hedging, running)
+            target = None
+            if kind is not SecondAttempt.WAIT:
+                target = self._next_target(admitted, state, service, running)
+            if kind is SecondAttempt.HEDGE:
+                state.hedged = True
+                if target is None:
+                    hedging.note_withheld(HedgeWithheld.NO_ROOM)
+                elif not hedging.take():
+                    target = None
             if target is not None:
                 state.tried.add(target.id)
                 state.sent += 1
                 attempt = self._attempt(
-                    admitted, target, state.watched, hedged=bool(running)
+                    admitted, target, state.watched, hedging, hedged=bool(running)
+                )
+                running[asyncio.create_task(attempt)] = _Running(
+                    target, self._clock.monotonic(), kind is SecondAttempt.HEDGE
                 )
-                running[asyncio.create_task(attempt)] = target
             elif not running:
                 return self._refusal(admitted, state, service)
-            hedge_seconds = hedge_after(admitted.route.objective_seconds)
+            state.attempt_failed = False
             done, _ = await asyncio.wait(
                 running,
-                timeout=hedge_seconds if admitted.route.repeatable else None,
+                timeout=self._next_check(admitted, hedging, running),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
-                target = running.pop(task)
-                outcome = task.result()
-                if isinstance(outcome, CallAnswer):
-                    state.last_answer = outcome
-                    if not (outcome.failed and admitted.route.repeatable):
-                        return outcome
-                    continue
-                self._router.note_failure(target, outcome)
-                state.failures.append(outcome)
-                match outcome:
-                    case Unreached():
-                        state.sent -= 1
-                        state.unreached += 1
-                    case Withheld():
-                        state.sent -= 1
+                ended = running.pop(task)
+                answer = self._end_attempt(admitted, state, ended, task.result())
+                if answer is not None:
+                    if ended.is_hedge:
+                        hedging.note_won()
+                    return answer
+
+    def _due_attempt(
+        self,
+        admitted: AdmittedRequest,
+        state: _CallState,
+        hedging: RouteHedging,
+        running: dict[asyncio.Task[CallAnswer | AttemptFailure], _Running],
+    ) -> SecondAttempt:
+        """Return whether another attempt is due; after a failure it is."""
+        if not running or state.attempt_failed:
+            return SecondAttempt.RETRY
+        if not admitted.route.repeatable:
+            return SecondAttempt.WAIT
+        latest = list(running.values())[-1]
+        return second_attempt(
+            hedging.pace(admitted.route.objective_seconds),
+            self._clock.monotonic() - latest.began,
+            target_answers=self._router.has_answered_since(latest.target, latest.began),
+            hedged=state.hedged,
+        )
+
+    def _next_check(
+        self,
+        admitted: AdmittedRequest,
+        hedging: RouteHedging,
+        running: dict[asyncio.Task[CallAnswer | AttemptFailure], _Running],
+    ) -> float | None:
+        """Return the time in seconds until another attempt may be due."""
+        if not admitted.route.repeatable:
+            return None
+        latest = list(running.values())[-1]
+        return seconds_to_next_check(
+            hedging.pace(admitted.route.objective_seconds),
+            self._clock.monotonic() - latest.began,
+        )
+
+    def _end_attempt(
+        self,
+        admitted: AdmittedRequest,
+        state: _CallState,
+        ended: _Running,
+        outcome: CallAnswer | AttemptFailure,
+    ) -> CallAnswer | None:
+        """Return the answer for the caller, or None if the attempt failed."""
+        state.attempt_failed = True
+        if isinstance(outcome, CallAnswer):
+            state.last_answer = outcome
+            failed = outcome.failed and admitted.route.repeatable
+            return None if failed else outcome
+        self._router.note_failure(ended.target, outcome)
+        state.failures.append(outcome)
+        match outcome:
+            case Unreached():
+                state.sent -= 1
+                state.unreached += 1
+            case Withheld():
+                state.sent -= 1
+        return None
 
     def _next_target(
         self,
         admitted: AdmittedRequest,
         state: _CallState,
         service: ServiceName,
-        running: dict[asyncio.Task[CallAnswer | AttemptFailure], Target],
+        running: dict[asyncio.Task[CallAnswer | AttemptFailure], _Running],
     ) -> Target | None:
         """Return the next attempt's target, or None if none is allowed."""
         route = admitted.route
@@ -208,6 +296,7 @@
         admitted: AdmittedRequest,
         target: Target,
         watched: WatchedRequest,
+        hedging: RouteHedging,
         *,
         hedged: bool,
     ) -> CallAnswer | AttemptFailure:
@@ -232,6 +321,7 @@
             if isinstance(outcome, CallAnswer):
                 if not outcome.failed:
                     statistics.record_success(seconds, began + seconds)
+                    hedging.note_latency(seconds)
                     watched.note_answer()
                 self._meter.count(admitted.organisation, request.id, started_at_wall)
         if isinstance(outcome, Broken):
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -21,6 +21,8 @@
     CallStatistics,
     choose_target,
     has_free_slot,
+    may_be_hedged_to,
+    mostly_full,
 )
 from goldcrestyard.policy.stream_origins import StreamOrigin
 
@@ -69,16 +71,23 @@
         Targets in ``tried`` are excluded.  ``with_free_slot`` also excludes
         targets to which this process already sends as many calls as they can
         run concurrently.  A ``hedge`` goes to no target with a request limit,
-        where it would take the place of another request.  A stream with an
-        ``origin`` goes on only at targets that fit it.
+        where it would take the place of another request, and only to one with
+        a free slot and without a recent failure; if most targets are full, to
+        none.  A stream with an ``origin`` goes on only at targets that fit it.
         """
         candidates = self._staying(service)
         if origin is not None:
             candidates = tuple(filter(origin.fits, candidates))
         limited = self._limited(candidates)
-        if hedge and limited:
+        if hedge:
+            if mostly_full(candidates, self.statistics_by_id):
+                return None
+            now = self._clock.monotonic()
             candidates = tuple(
-                target for target in candidates if target.id not in limited
+                target
+                for target in candidates
+                if target.id not in limited
+                and may_be_hedged_to(target, self.statistics_by_id.get(target.id), now)
             )
         if with_free_slot:
             candidates = tuple(
@@ -96,6 +105,11 @@
             limited,
         )
 
+    def has_answered_since(self, target: Target, since: float) -> bool:
+        """Return whether a target has answered a call since a time."""
+        statistics = self.statistics_by_id.get(target.id)
+        return statistics is not None and statistics.answered_at > since
+
     def withheld_seconds(self, service: ServiceName) -> float | None:
         """Return the time until a request limit of a service allows a call.
 
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -5,6 +5,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.core.calls import TargetClient
 from goldcrestyard.core.jobs import EndedItem, ItemResult, Job, JobItem, Progress
+from goldcrestyard.fleet.gateway.hedging import call_hedging
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.jobs.admission import JobAdmission
 from goldcrestyard.fleet.jobs.commands import (
@@ -102,7 +103,11 @@
             is_leaving=leaving.includes,
         )
         rewards = RewardClient(
-            member.machine.get(ServingSlice), router, client, app.clock
+            member.machine.get(ServingSlice),
+            router,
+            client,
+            app.clock,
+            hedging=call_hedging(app),
         )
         runner = JobRunner(
             member,
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
@@ -17,13 +17,20 @@
 from goldcrestyard.core.jobs import RewardCall
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.serving import ServingRoute
+from goldcrestyard.fleet.gateway.hedging import CallHedging, RouteHedging
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.jobs.slot_queue import Rank, SlotWaitQueue
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.backoff import Backoff
 from goldcrestyard.policy.call_routing import CallStatistics
-from goldcrestyard.policy.hedging import UNKNOWN_OBJECTIVE_SECONDS, hedge_after
+from goldcrestyard.policy.hedging import (
+    UNKNOWN_OBJECTIVE_SECONDS,
+    HedgeWithheld,
+    SecondAttempt,
+    second_attempt,
+    seconds_to_next_check,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -66,8 +73,31 @@
 
 @dataclass(frozen=True, slots=True)
 class _Attempt:
-    target: TargetId
+    target: Target
     started_at: float
+    is_hedge: bool
+
+
+@dataclass(slots=True)
+class _CallState:
+    """State of one call over all its attempts."""
+
+    tried: set[TargetId] = field(default_factory=set)
+    running: dict[asyncio.Task[Scored | int | None], _Attempt] = field(
+        default_factory=dict
+    )
+    rounds: int = 0
+    failed: int = 0
+    """Attempts that count towards the route's ``max_attempts``."""
+    hedged: bool = False
+    """Whether a hedge was due, even if it was withheld."""
+    attempt_failed: bool = False
+    """Whether an attempt has failed since the latest one began."""
+
+    @property
+    def latest(self) -> _Attempt:
+        """The attempt in progress that began last."""
+        return list(self.running.values())[-1]
 
 
 class RewardClient:
@@ -80,7 +110,9 @@
         client: TargetClient,
         clock: Clock,
         random_source: random.Random | None = None,
+        hedging: CallHedging | None = None,
     ) -> None:
+        self._hedging = hedging or CallHedging(clock)
         self._serving = serving
         self._router = router
         self._client = client
@@ -98,50 +130,113 @@
         free slot are served by the lowest ``rank``.  ``deadline`` is a
         monotonic time in seconds.
         """
-        failed = rounds = 0
-        tried: set[TargetId] = set()
-        running: dict[asyncio.Task[Scored | int | None], _Attempt] = {}
+        state = _CallState()
+        hedging: RouteHedging | None = None
         try:
             while self._clock.monotonic() < deadline:
                 route = self._find_route(call)
-                if route is None or failed >= route.max_attempts:
+                if route is None or state.failed >= route.max_attempts:
                     return NoScore()
-                target = None
-                if len(running) < MAX_CONCURRENT_ATTEMPTS:
-                    target = self._choose_target(
-                        route,
-                        tried | self._recently_called_targets(route, running.values()),
-                        hedge=bool(running),
-                    )
+                if hedging is None:
+                    hedging = self._hedging.of_route(route)
+                    hedging.note_request()
+                kind = self._due_attempt(state, route)
+                target = self._next_target(state, route, hedging, kind)
                 if target is not None:
-                    tried.add(target.id)
+                    state.tried.add(target.id)
                     task = self._start_attempt(call, route, target)
-                    running[task] = _Attempt(target.id, self._clock.monotonic())
-                    pause = hedge_after(route.objective_seconds)
-                elif not tried and not running:
+                    state.running[task] = _Attempt(
+                        target, self._clock.monotonic(), kind is SecondAttempt.HEDGE
+                    )
+                    pause = self._seconds_to_next_check(route, state.latest)
+                elif kind is SecondAttempt.WAIT:
+                    pause = self._seconds_to_next_check(route, state.latest)
+                elif not state.tried and not state.running:
                     await self._slot_queue.wait(rank, SLOT_WAIT_SECONDS)
                     continue
                 else:
                     # A target that is full now may have a free slot later.
-                    rounds += 1
-                    tried.clear()
-                    pause = RETRY_BACKOFF.delay_seconds(rounds, self._random.random())
-                if not running:
-                    await asyncio.sleep(pause)
-                    continue
-                done, _ = await asyncio.wait(
-                    running, timeout=pause, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
-                    del running[task]
-                    outcome = task.result()
-                    if isinstance(outcome, Scored):
-                        return outcome
-                    failed += outcome == COUNTED_FAILURE_STATUS
+                    state.rounds += 1
+                    state.tried.clear()
+                    pause = RETRY_BACKOFF.delay_seconds(
+                        state.rounds, self._random.random()
+                    )
+                scored = await self._wait(state, hedging, pause)
+                if scored is not None:
+                    return scored
             return NoScore()
         finally:
-            for task in running:
+            for task, attempt in state.running.items():
                 task.cancel()
+                if hedging is not None:
+                    # Left out, the losers would shorten the delay.
+                    elapsed = self._clock.monotonic() - attempt.started_at
+                    hedging.note_latency(elapsed)
+
+    async def _wait(
+        self, state: _CallState, hedging: RouteHedging, seconds: float
+    ) -> Scored | None:
+        """Return the score if an attempt brings it within a time."""
+        if not state.running:
+            await asyncio.sleep(seconds)
+            return None
+        done, _ = await asyncio.wait(
+            state.running, timeout=seconds, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            ended = state.running.pop(task)
+            outcome = task.result()
+            if isinstance(outcome, Scored):
+                hedging.note_latency(self._clock.monotonic() - ended.started_at)
+                if ended.is_hedge:
+                    hedging.note_won()
+                return outcome
+            state.attempt_failed = True
+            state.failed += outcome == COUNTED_FAILURE_STATUS
+        return None
+
+    def _due_attempt(self, state: _CallState, route: ServingRoute) -> SecondAttempt:
+        """Return whether another attempt is due; after a failure it is."""
+        failed, state.attempt_failed = state.attempt_failed, False
+        if not state.running or failed:
+            return SecondAttempt.RETRY
+        latest = state.latest
+        return second_attempt(
+            self._hedging.of_route(route).pace(route.objective_seconds),
+            self._clock.monotonic() - latest.started_at,
+            target_answers=self._router.has_answered_since(
+                latest.target, latest.started_at
+            ),
+            hedged=state.hedged,
+        )
+
+    def _next_target(
+        self,
+        state: _CallState,
+        route: ServingRoute,
+        hedging: RouteHedging,
+        kind: SecondAttempt,
+    ) -> Target | None:
+        """Return the next attempt's target, or None if there is none now."""
+        if kind is SecondAttempt.WAIT or len(state.running) >= MAX_CONCURRENT_ATTEMPTS:
+            return None
+        recently_called = self._recently_called_targets(route, state.running.values())
+        target = self._choose_target(
+            route, state.tried | recently_called, hedge=bool(state.running)
+        )
+        if kind is SecondAttempt.HEDGE:
+            state.hedged = True
+            if target is None:
+                hedging.note_withheld(HedgeWithheld.NO_ROOM)
+            elif not hedging.take():
+                return None
+        return target
+
+    def _seconds_to_next_check(self, route: ServingRoute, latest: _Attempt) -> float:
+        return seconds_to_next_check(
+            self._hedging.of_route(route).pace(route.objective_seconds),
+            self._clock.monotonic() - latest.started_at,
+        )
 
     def _recently_called_targets(
         self, route: ServingRoute, attempts: Iterable[_Attempt]
@@ -150,7 +245,9 @@
         objective = route.objective_seconds or UNKNOWN_OBJECTIVE_SECONDS
         resend_before = self._clock.monotonic() - RESEND_AFTER_OBJECTIVES * objective
         return {
-            attempt.target for attempt in attempts if attempt.started_at > resend_before
+            attempt.target.id
+            for attempt in attempts
+            if attempt.started_at > resend_before
         }
 
     def _find_route(self, call: RewardCall) -> ServingRoute | None:
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -43,6 +43,16 @@
             ANSWER_SECONDS_BUCKETS,
             ("route_kind",),
         )
+        self.hedges = self._counter(
+            "hedges",
+            "Second copies of slow calls, by whether they were sent or won.",
+            ("outcome",),
+        )
+        self.hedges_withheld = self._counter(
+            "hedges_withheld",
+            "Hedges that were due and were not sent, by reason.",
+            ("reason",),
+        )
         self.take_ups = self._counter(
             "stream_take_ups",
             "Streams that callers took up, by what is known of their origin.",
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -20,6 +20,10 @@
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
 from goldcrestyard.fleet.duties import DutySettings
+from goldcrestyard.fleet.gateway.settings import (
+    DEFAULT_HEDGE_SHARE,
+    HedgingSettings,
+)
 from goldcrestyard.fleet.tracking.settings import TrackingSettings
 from goldcrestyard.kernel.checks import Problem, Severity
 from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
@@ -82,6 +86,12 @@
     """Memory in MB from which the platform ends the process."""
 
 
+class _Hedging(msgspec.Struct):
+    share: Annotated[float, Meta(ge=0, le=1)] = DEFAULT_HEDGE_SHARE
+    """Hedges of a route as a share of its requests; 0 turns hedging off.  The
+    platform's files have no such field."""
+
+
 class _Cloud(msgspec.Struct):
     addr: str = ""
     duties: list[str] = []
@@ -112,6 +122,7 @@
     fault_budget: _Losses = msgspec.field(default_factory=_Losses)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     cloud: _Cloud = msgspec.field(default_factory=_Cloud)
+    hedging: _Hedging = msgspec.field(default_factory=_Hedging)
 
 
 def decode(path: Path) -> tuple[Settings, list[Problem]]:
@@ -173,6 +184,7 @@
             document.heartbeat_ms / 1000,
             regions,
         ),
+        "hedging": HedgingSettings(document.hedging.share),
         "duties": DutySettings(
             InstanceId(document.node),
             bounds.lease_ms / 1000 * QUIET_TIME_SHARE,
--- a/goldcrestyard/policy/call_routing.py
+++ b/goldcrestyard/policy/call_routing.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 
@@ -104,6 +104,30 @@
     return statistics is None or statistics.in_flight < max(1, target.max_concurrency)
 
 
+def may_be_hedged_to(
+    target: Target, statistics: CallStatistics | None, now: float
+) -> bool:
+    """Return whether a second copy of a call may go to a target.
+
+    It takes no slot that another call needs, and goes to no target whose
+    latest answer to a call was a failure.
+    """
+    return has_free_slot(target, statistics) and (
+        statistics is None
+        or (statistics.failures_in_a_row == 0 and now >= statistics.ejected_until)
+    )
+
+
+def mostly_full(
+    targets: Sequence[Target], statistics_by_id: Mapping[TargetId, CallStatistics]
+) -> bool:
+    """Return whether most targets have no free slot, as known here."""
+    full = sum(
+        not has_free_slot(target, statistics_by_id.get(target.id)) for target in targets
+    )
+    return 2 * full > len(targets)
+
+
 def choose_target(
     candidates: Iterable[Target],
     statistics_by_id: Mapping[TargetId, CallStatistics],
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,6 +9,7 @@
 from parameterized import parameterized
 
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
+from goldcrestyard.fleet.gateway.settings import HedgingSettings
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.platform import settings as platform_settings
@@ -50,6 +51,22 @@
 class DecodeTests(unittest.TestCase):
     """Guards against wrong identities and timing derived from the file."""
 
+    @parameterized.expand(
+        [
+            ("default", {}, 0.1),
+            ("off", {"hedging": {"share": 0}}, 0.0),
+            ("set", {"hedging": {"share": 0.02}}, 0.02),
+            ("negative", {"hedging": {"share": -0.1}}, None),
+            ("over_one", {"hedging": {"share": 1.5}}, None),
+        ]
+    )
+    def test_hedging(self, _: str, change: dict[str, Any], share: float | None) -> None:
+        settings, problems = decode(change)
+        if share is None:
+            self.assertEqual(problems, ["settings_file.E002"])
+        else:
+            self.assertEqual(settings.section(HedgingSettings).share, share)
+
     def test_instances_are_named_by_their_peer_address(self) -> None:
         settings, problems = decode()
         self.assertEqual(problems, [])
