--- a/goldcrestyard/fleet/jobs/ordering.py
+++ b/goldcrestyard/fleet/jobs/ordering.py
@@ -39,8 +39,8 @@
 
 UPDATE_SECONDS_PER_ITEM = 0.0004
 """Least time in seconds between two computations for each waiting item.  One
-takes 4 microseconds an item, and 10 when short, so 1% to 3% of a core; steps
-of thousands of items take minutes."""
+took 4 or 5 microseconds an item on a busy machine and 11 to 14 when short, so
+1% to 3.5% of a core; steps of thousands of items take minutes."""
 
 LEAST_URGENCY = 9
 """Largest number of an urgency that has a label of its own."""
