--- a/goldcrestyard/core/jobs.py
+++ b/goldcrestyard/core/jobs.py
@@ -53,6 +53,8 @@
     but often far off; 0 if there is none."""
     released_digest: bytes = b""
     """Digest of the request once its content is released; empty before."""
+    prompt_tokens: int = 0
+    """Number of tokens of the prompt; 0 if it is not stated."""
 
     @property
     def request_digest(self) -> bytes:
--- a/goldcrestyard/fleet/jobs/pending.py
+++ b/goldcrestyard/fleet/jobs/pending.py
@@ -67,8 +67,8 @@
 
 
 PROMPT_BYTES_PER_TOKEN = 4
-"""Assumed number of bytes of a request's body for each token of its prompt, of
-which the request states no number."""
+"""Assumed number of bytes of a request's body for each token of its prompt, if
+the request does not state their number."""
 
 
 def group_of(item: JobItem) -> GroupId:
@@ -77,8 +77,8 @@
 
 
 def prompt_tokens(item: JobItem) -> float:
-    """Return the assumed number of tokens of an item's prompt."""
-    return len(item.body) / PROMPT_BYTES_PER_TOKEN
+    """Return the number of tokens of an item's prompt, stated or assumed."""
+    return item.prompt_tokens or len(item.body) / PROMPT_BYTES_PER_TOKEN
 
 
 def find_route(serving: ServingSlice, job: Job, item: JobItem) -> ServingRoute | None:
--- a/goldcrestyard/platform/submissions.py
+++ b/goldcrestyard/platform/submissions.py
@@ -28,7 +28,11 @@
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.jobs.commands import ResultsPage
 from goldcrestyard.platform.hop_headers import end_to_end
-from goldcrestyard.platform.names import LENGTH_HINT_HEADER, MODEL_HEADER
+from goldcrestyard.platform.names import (
+    LENGTH_HINT_HEADER,
+    MODEL_HEADER,
+    TOKEN_COUNT_HEADER,
+)
 
 MAX_LENGTH_HINT = 10**9
 """Number of tokens from which a hint is no number of tokens of an item."""
@@ -135,6 +139,9 @@
         GroupId(item.group),
         reward,
         _number(named.get(LENGTH_HINT_HEADER.lower(), "")),
+        prompt_tokens=_number(
+            named.get(TOKEN_COUNT_HEADER.lower(), "").partition(",")[0]
+        ),
     )
 
 
--- a/tests/platform/test_submissions.py
+++ b/tests/platform/test_submissions.py
@@ -74,6 +74,23 @@
         self.assertEqual((first.reward.request, first.reward.body), ("r1", b"rubric"))
         self.assertEqual((second.model, second.reward), ("m1", None))
 
+    @parameterized.expand(
+        [
+            ("stated", "540,400", 540),
+            ("not_stated", None, 0),
+            ("no_number", "many", 0),
+            ("endless", "9" * 40, 0),
+        ]
+    )
+    def test_tokens_of_the_prompt(
+        self, _: str, value: str | None, expected: int
+    ) -> None:
+        """An engine's memory is overbooked if prompts count as too small."""
+        headers = {} if value is None else {"X-Goldcrestyard-Token-Count": value}
+        job = decode({**LOT, "requests": [{**ITEM, "headers": headers}]})
+        assert isinstance(job, Job)
+        self.assertEqual(job.items[0].prompt_tokens, expected)
+
     @parameterized.expand(
         [
             ("not_an_object", [], "j"),
