--- a/goldcrestyard/fleet/directory/pruning.py
+++ b/goldcrestyard/fleet/directory/pruning.py
@@ -32,6 +32,9 @@
             leading_since = clock.monotonic()
             continue
         for instance in list(entries.entries_by_id):
+            # The process may have been suspended during a proposal.
+            if not member.holds_lease():
+                break
             renewed_at = sessions.renewed_at_by_entry.get(instance)
             record = EntryRecord(renewed_at, sessions.leases_by_entry.get(instance))
             found = contact(record, leading_since, clock.monotonic())
--- a/goldcrestyard/fleet/evacuations/slices.py
+++ b/goldcrestyard/fleet/evacuations/slices.py
@@ -86,6 +86,11 @@
             if evacuation.state is EvacuationState.IN_FORCE
         )
 
+    @property
+    def in_snapshots(self) -> bool:
+        """Whether there has been an evacuation; there is always one since."""
+        return bool(self.evacuations_by_data_centre)
+
     def to_snapshot(self) -> EvacuationsSnapshot:
         """Return all evacuations."""
         return EvacuationsSnapshot(tuple(self.evacuations_by_data_centre.values()))
--- a/goldcrestyard/fleet/jobs/choosing.py
+++ b/goldcrestyard/fleet/jobs/choosing.py
@@ -255,7 +255,7 @@
                 if now < until
             ),
             *self._tokens(pending, route.services[0].name),
-            self._allowed_regions(route, state.job),
+            regions=self._allowed_regions(route, state.job),
         )
 
     def _allowed_regions(
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -185,11 +185,14 @@
                 self._wake_event.clear()
                 self._add_open_items()
                 self._expire_items()
-                self._start_runs()
+                # A leader that was suspended may have been replaced since.
+                if self._member.holds_lease():
+                    self._start_runs()
                 await wait_at_most(SCHEDULING_INTERVAL_SECONDS, self._wake_event.wait())
         finally:
             save_task.cancel()
             self._ordering.clear_metrics()
+            self._groups.clear()
             for pending in list(self._pending_by_key.values()):
                 self._cancel(pending)
 
--- a/goldcrestyard/policy/entry_contact.py
+++ b/goldcrestyard/policy/entry_contact.py
@@ -10,9 +10,10 @@
 
 from goldcrestyard.policy.leases import EntryLease
 
-SILENT_SECONDS = 1.5
+SILENT_SECONDS = 2.0
 """Time in seconds without a renewal after which an entry counts as silent.
-Entries renew every half second, so that two lost renewals are tolerated.  An
+Entries renew every half second and wait 0.6 s for the reply, so that a lost
+renewal and a new connection are tolerated.  An
 entry that is listed again too early costs a log entry; one that is listed too
 long costs each of its callers a time-out."""
 
--- a/goldcrestyard/policy/item_order.py
+++ b/goldcrestyard/policy/item_order.py
@@ -514,8 +514,7 @@
                 state = self._states_by_pool.get(pool, _PoolState())
             key = item.key
             if key in overdue and pool in under_half:
-                # It may not wait for an engine with enough memory either.
-                item = replace(item, prompt_tokens=0.0, text_tokens=0.0)
+                item = replace(item, overdue=True)
                 ranked.append((-1, item))
             elif key not in state.known:
                 ranked.append((0, item))
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -73,6 +73,9 @@
     """Tokens of its prompt, which its group shares at an engine."""
     text_tokens: float = 0.0
     """Expected tokens of its complete text."""
+    overdue: bool = False
+    """Whether it has been without an engine for so long that it may start on
+    one whose memory it exceeds, while the engine is under half full."""
     regions: frozenset[Region] | None = None
     """Regions in which it may run; None if it may run everywhere."""
 
@@ -137,6 +140,11 @@
         shared = item.group != "" and item.group in self.running_groups
         return item.text_tokens + (0.0 if shared else item.prompt_tokens)
 
+    @property
+    def free_tokens(self) -> float:
+        """Tokens of its memory that no running item is expected to take."""
+        return self.memory_tokens - self.tokens_in_use
+
     def has_memory_for(self, item: WaitingItem) -> bool:
         """Return whether an item's expected tokens fit into the memory.
 
@@ -144,7 +152,11 @@
         than its memory.
         """
         used = self.tokens_in_use + self.tokens_of(item)
-        return self.in_use == 0 or used <= self.memory_tokens
+        return (
+            self.in_use == 0
+            or used <= self.memory_tokens
+            or (item.overdue and 2 * self.in_use < self.slots)
+        )
 
 
 TEXT_WAIT_SECONDS = 1.0
@@ -223,15 +235,20 @@
 ) -> list[tuple[ItemKey, TargetId]]:
     """Assign items, in their order, each to the engine with the lowest cost.
 
-    An item waits while its expected tokens fit into no engine's memory.
+    An item waits while its expected tokens fit into no engine's memory.  It
+    keeps the engine with the most free memory from the items behind it, which
+    would otherwise take each part of the memory that becomes free.
     Updates the slots, permits, memory and groups of the engines.
     """
     assigned: list[tuple[ItemKey, TargetId]] = []
     free_slots = sum(max(0, engine.slots - engine.in_use) for engine in engines)
+    reserved: set[TargetId] = set()
     for item in items:
         if free_slots <= 0:
             break
         eligible = _eligible(item, engines)
+        if reserved:
+            eligible = [engine for engine in eligible if engine.id not in reserved]
         if not eligible:
             continue
         preferred = _preferred(eligible, item)
@@ -239,6 +256,9 @@
         # again, which takes longer than to wait for another item's end.
         roomy = [e for e in preferred or eligible if e.has_memory_for(item)]
         if not roomy:
+            held = max(preferred or eligible, key=lambda engine: engine.free_tokens)
+            reserved.add(held.id)
+            free_slots -= max(0, held.slots - held.in_use)
             continue
         best = min(roomy, key=lambda engine: _cost(engine, item))
         best.in_use += 1
--- a/goldcrestyard/state/machine.py
+++ b/goldcrestyard/state/machine.py
@@ -95,7 +95,7 @@
         return {
             name: slice_.to_snapshot()
             for name, slice_ in self._slices_by_name.items()
-            if slice_.fan_out or not fan_out_only
+            if slice_.in_snapshots and (slice_.fan_out or not fan_out_only)
         }
 
     def load_snapshots(
--- a/goldcrestyard/state/slices.py
+++ b/goldcrestyard/state/slices.py
@@ -42,6 +42,15 @@
     ) -> None:
         """Update the state after a command that any slice has applied."""
 
+    @property
+    def in_snapshots(self) -> bool:
+        """Whether snapshots contain the slice.
+
+        A release that does not know a slice cannot read a snapshot with it, so
+        a new slice may leave itself out until it is used.
+        """
+        return True
+
     @abstractmethod
     def to_snapshot(self) -> Any:
         """Return the state as a data class registered with the codec."""
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -106,6 +106,14 @@
             in_force = case.expected is not None and case.expected.state is FORCE
             self.assertEqual(in_force, ZONE in kept.evacuated)
 
+    async def test_snapshots_hold_the_slice_once_it_is_used(self) -> None:
+        """A release without evacuations cannot read a snapshot with them."""
+        machine = machine_of(EvacuationsSlice)
+        self.assertEqual(machine.to_snapshots(), {})
+        apply(machine, REQUEST)
+        apply(machine, END)
+        self.assertEqual(list(machine.to_snapshots()), [EvacuationsSlice.name])
+
     async def test_number_of_data_centres_is_bounded(self) -> None:
         machine = machine_of(EvacuationsSlice)
         outcomes = [
--- a/tests/policy/test_job_schedule.py
+++ b/tests/policy/test_job_schedule.py
@@ -199,6 +199,18 @@
         "e",
         LONG,
     ),
+    Case(
+        "overdue_at_an_engine_under_half_full",
+        (engine(in_use=1, memory_tokens=900, tokens_in_use=1000),),
+        "e",
+        replace(LONG, overdue=True),
+    ),
+    Case(
+        "overdue_at_an_engine_that_is_half_full",
+        (engine(in_use=2, memory_tokens=900, tokens_in_use=500),),
+        None,
+        replace(LONG, overdue=True),
+    ),
     Case("memory_is_not_known", (engine(in_use=3, tokens_in_use=9e9),), "e", LONG),
     Case(
         "other_service",
@@ -251,6 +263,22 @@
         assigned = assign(items, [engine("a", memory_tokens=1700)])
         self.assertEqual(len(assigned), expected)
 
+    def test_large_item_keeps_an_engine_from_the_smaller_ones_behind_it(self) -> None:
+        """Guards against a large item that never starts, though it is first.
+
+        Smaller items would take each part of the memory that becomes free.
+        """
+        small = replace(
+            ITEM, key=ItemKey(JobId("j"), ItemId("small")), text_tokens=100.0
+        )
+        engines = [
+            engine("a", in_use=1, memory_tokens=900, tokens_in_use=500),
+            engine("b", in_use=1, memory_tokens=900, tokens_in_use=700),
+        ]
+        assigned = assign([LONG, small], engines)
+        self.assertEqual(assigned, [(small.key, "b")])
+        self.assertEqual(assign([LONG, small], engines[:1]), [])
+
     @parameterized.expand([("none", 0), ("one", 1), ("more_than_slots", 9)])
     def test_engine_with_a_request_limit_starts_no_more_than_it_accepts(
         self, _: str, permitted_runs: int
