--- a/goldcrestyard/kernel/connection_places.py
+++ b/goldcrestyard/kernel/connection_places.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from goldcrestyard.policy.connections import LISTENER_SHARE
+from goldcrestyard.policy.connections import LISTENER_SHARE, SCARCE_SHARE
 
 logger = structlog.get_logger(__name__)
 
@@ -92,12 +92,23 @@
         self.process = process
         self.open = 0
 
+    @property
+    def _capacity(self) -> int:
+        return max(1, int(LISTENER_SHARE * self.process.capacity))
+
+    @property
+    def scarce(self) -> bool:
+        """Whether connections should end with their answer."""
+        process = self.process
+        return (
+            self.open > SCARCE_SHARE * self._capacity
+            or process.open > SCARCE_SHARE * process.capacity
+        )
+
     def take(self) -> "Place | None":
         """Take a place for a connection; None if there is none."""
         process = self.process
-        if process.open >= process.capacity:
-            return None
-        if self.open >= max(1, int(LISTENER_SHARE * process.capacity)):
+        if process.open >= process.capacity or self.open >= self._capacity:
             return None
         self.open += 1
         process.open += 1
@@ -115,6 +126,11 @@
         if self._listener is not None:
             self._listener.process.refused(reason)
 
+    @property
+    def scarce(self) -> bool:
+        """Whether this connection should end with its answer."""
+        return self._listener is not None and self._listener.scarce
+
     def release(self) -> None:
         """Give the place back; doing so again changes nothing."""
         if self._listener is not None:
--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -270,6 +270,8 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Send a response and mark the request as ended."""
+        if self._place is not None and self._place.scarce and not resp.prepared:
+            resp.force_close()
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
--- a/goldcrestyard/policy/connections.py
+++ b/goldcrestyard/policy/connections.py
@@ -24,6 +24,11 @@
 """Share of a process's connections that one listener may hold, so that a crowd
 at one of them leaves some to health checks and operators."""
 
+SCARCE_SHARE = 0.75
+"""Share of a listener's places from which connections end with their answer.
+Idle ones, which an answered request of any client may leave behind, thus never
+take all places.  Closing them later could cut off a request on its way."""
+
 MIN_CONNECTIONS = 16
 """Connections that a process accepts however low its limits are."""
 
