--- a/tests/fleet/test_pruning.py
+++ b/tests/fleet/test_pruning.py
@@ -47,12 +47,12 @@
         sessions = SimpleNamespace(renewed_at_by_entry={}, leases_by_entry={})
         task = asyncio.create_task(
             remove_entries_without_contact(
-                cast(Any, leader), cast(Any, sessions), self.clock
+                cast(Any, leader), cast(Any, sessions), self.clock()
             )
         )
-        end = self.clock.monotonic() + LONG
-        while self.clock.monotonic() < end and not leader.removed:
-            now = self.clock.monotonic()
+        end = self.clock().monotonic() + LONG
+        while self.clock().monotonic() < end and not leader.removed:
+            now = self.clock().monotonic()
             for name in renewed:
                 sessions.renewed_at_by_entry[name] = now
                 sessions.leases_by_entry[name] = EntryLease(cast(Any, 1), now + 5.0)
