--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -7,8 +7,9 @@
 
 import math
 import random
-from collections import Counter
 from collections.abc import Collection, Iterator
+from dataclasses import dataclass
+from enum import Enum
 
 from goldcrestyard.core.ids import OrganisationId, Region, ServiceName
 from goldcrestyard.core.serving import (
@@ -20,6 +21,31 @@
 from goldcrestyard.policy.home_regions import HostHomes, allowed_regions, homes_by_host
 
 
+class FaultId(Enum):
+    """Kind of an error in a configuration; the values do not change."""
+
+    UNKNOWN_SERVICE = "config.E001"
+    NEGATIVE_WEIGHT = "config.E002"
+    TOTAL_WEIGHT = "config.E003"
+    NO_TIMEOUT = "config.E004"
+    PREFIX = "config.E005"
+    SAME_PREFIX = "config.E006"
+    SHARED_KEY = "config.E007"
+    UNKNOWN_HOME = "config.E008"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """An error for which a configuration is refused.
+
+    ``about`` names the route or organisation, or is ``configuration``.
+    """
+
+    id: FaultId
+    about: str
+    message: str
+
+
 def faults(
     config: ServingConfig, regions: Collection[Region] | None = None
 ) -> Iterator[str]:
@@ -27,45 +53,68 @@
 
     ``regions`` are those of the deployment; None does not check home regions.
     """
+    return (fault.message for fault in located_faults(config, regions))
+
+
+def located_faults(
+    config: ServingConfig, regions: Collection[Region] | None = None
+) -> Iterator[Fault]:
+    """Yield each error in a configuration, as ``faults`` does."""
     if regions is not None:
         yield from _home_faults(config, regions)
     services = {service.name for service in config.services}
-    counts_by_host_and_prefix: Counter[tuple[str, str]] = Counter()
+    routes_by_key: dict[RouteKey, list[ServingRoute]] = {}
     for route in config.routes:
-        counts_by_host_and_prefix[normalize_host(route.host), route.prefix] += 1
-        for service in route.services:
-            if service.name not in services:
-                yield f"route {route.name} names an unknown service {service.name}"
-        if any(service.weight < 0 for service in route.services):
-            yield f"route {route.name} has a negative weight"
-        total = sum(service.weight for service in route.services)
-        if not 0 < total < math.inf:
-            yield f"the weights of route {route.name} add up to {total}"
-        if route.timeout_seconds <= 0:
-            yield f"route {route.name} has no timeout"
-        if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
-            yield f"the prefix of route {route.name} is not between slashes"
-    for (host, prefix), count in counts_by_host_and_prefix.items():
-        if count > 1:
-            yield f"{count} routes share host {host} and prefix {prefix}"
-    keys = Counter(
-        key for organisation in config.organisations for key in set(organisation.keys)
-    )
-    if any(count > 1 for count in keys.values()):
-        yield "two organisations share a key"
-
-
-def _home_faults(config: ServingConfig, regions: Collection[Region]) -> Iterator[str]:
-    for route in config.routes:
-        for home in route.home_regions:
-            if home not in regions:
-                yield f"route {route.name} has an unknown home region {home}"
+        routes_by_key.setdefault(route_key(route), []).append(route)
+        for id_, message in _route_faults(route, services):
+            yield Fault(id_, f"route {route.name}", message)
+    for (host, prefix), routes in routes_by_key.items():
+        if len(routes) > 1:
+            message = f"{len(routes)} routes share host {host} and prefix {prefix}"
+            names = ", ".join(route.name for route in routes)
+            yield Fault(FaultId.SAME_PREFIX, f"routes {names}", message)
+    holders_by_key: dict[str, list[OrganisationId]] = {}
     for organisation in config.organisations:
-        for home in organisation.home_regions:
+        for key in set(organisation.keys):
+            holders_by_key.setdefault(key, []).append(organisation.id)
+    sharing = {id_ for ids in holders_by_key.values() if len(ids) > 1 for id_ in ids}
+    if sharing:
+        about = f"organisations {', '.join(sorted(sharing))}"
+        yield Fault(FaultId.SHARED_KEY, about, "two organisations share a key")
+
+
+def _route_faults(
+    route: ServingRoute, services: Collection[ServiceName]
+) -> Iterator[tuple[FaultId, str]]:
+    name = route.name
+    for service in route.services:
+        if service.name not in services:
+            message = f"route {name} names an unknown service {service.name}"
+            yield FaultId.UNKNOWN_SERVICE, message
+    if any(service.weight < 0 for service in route.services):
+        yield FaultId.NEGATIVE_WEIGHT, f"route {name} has a negative weight"
+    total = sum(service.weight for service in route.services)
+    if not 0 < total < math.inf:
+        yield FaultId.TOTAL_WEIGHT, f"the weights of route {name} add up to {total}"
+    if route.timeout_seconds <= 0:
+        yield FaultId.NO_TIMEOUT, f"route {name} has no timeout"
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        yield FaultId.PREFIX, f"the prefix of route {name} is not between slashes"
+
+
+def _home_faults(config: ServingConfig, regions: Collection[Region]) -> Iterator[Fault]:
+    holders: list[tuple[str, tuple[Region, ...]]] = [
+        *((f"route {route.name}", route.home_regions) for route in config.routes),
+        *(
+            (f"organisation {item.id}", item.home_regions)
+            for item in config.organisations
+        ),
+    ]
+    for about, homes in holders:
+        for home in homes:
             if home not in regions:
-                yield (
-                    f"organisation {organisation.id} has an unknown home region {home}"
-                )
+                message = f"{about} has an unknown home region {home}"
+                yield Fault(FaultId.UNKNOWN_HOME, about, message)
 
 
 def normalize_host(host: str) -> str:
