--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -5,13 +5,14 @@
 """
 
 import zlib
-from collections.abc import Collection
-from typing import Annotated
+from collections.abc import Collection, Iterator
+from typing import Annotated, Any, get_args, get_origin
 
 import msgspec
 from msgspec import Meta
 
 from goldcrestyard.core.decoding import (
+    DECODE_ERRORS,
     Count,
     Malformed,
     WholeNumber,
@@ -144,6 +145,69 @@
     return config
 
 
+def decode_for_review(body: bytes) -> ServingConfig | list[str]:
+    """Return a configuration, faulty or not, or why it cannot be decoded.
+
+    Unlike ``decode``, it names each value that cannot be decoded, one for each
+    field of an entry.
+    """
+    document = decode_json(body, _Document)
+    raw = decode_json(body, dict[str, Any])
+    if isinstance(raw, Malformed):
+        return [raw.detail]
+    found = [*_field_errors(raw, _Document, "$"), *_route_errors(raw.get("routes"))]
+    if isinstance(document, Malformed):
+        return found or [document.detail]
+    return found or _serving_config(document)
+
+
+def _route_errors(routes: Any) -> Iterator[str]:
+    """Yield an error for each route that has its fields but makes no sense."""
+    for number, raw in enumerate(routes if isinstance(routes, list) else ()):
+        try:
+            route = msgspec.convert(raw, _Route)
+        except DECODE_ERRORS:
+            # ``_field_errors`` tells of it.
+            continue
+        try:
+            _route(route)
+        except ValueError as error:
+            yield f"{error} - at `$.routes[{number}]`"
+
+
+def _field_errors(
+    raw: dict[str, Any], expected: type[msgspec.Struct], path: str
+) -> Iterator[str]:
+    for field in msgspec.structs.fields(expected):
+        place = f"{path}.{field.encode_name}"
+        if field.encode_name not in raw:
+            if field.required:
+                yield f"missing required field - at `{place}`"
+            continue
+        value = raw[field.encode_name]
+        structs = [
+            item
+            for item in (field.type, *get_args(field.type))
+            if isinstance(item, type) and issubclass(item, msgspec.Struct)
+        ]
+        # Entries of a list are decoded one by one, as are fields of a struct.
+        is_list = get_origin(field.type) is list
+        if structs and is_list and isinstance(value, list):
+            for number, item in enumerate(value):
+                if isinstance(item, dict):
+                    yield from _field_errors(item, structs[0], f"{place}[{number}]")
+                else:
+                    yield f"expected an object - at `{place}[{number}]`"
+        elif structs and not is_list and isinstance(value, dict):
+            yield from _field_errors(value, structs[0], place)
+        else:
+            try:
+                msgspec.convert(value, field.type)
+            except DECODE_ERRORS as error:
+                detail, _, at = str(error).partition(" - at `$")
+                yield f"{detail} - at `{place}{at.removesuffix('`')}`"
+
+
 def pack(body: bytes) -> bytes:
     """Compress a document without loss."""
     return zlib.compress(body)
--- a/tests/fuzz/decoders.py
+++ b/tests/fuzz/decoders.py
@@ -63,6 +63,7 @@
 )
 from goldcrestyard.core.ids import InstanceId, LogIndex, TargetId, Term
 from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.serving import ServingConfig
 from goldcrestyard.fleet.jobs.apps import JobsConfig
 from goldcrestyard.fleet.jobs.commands import SubmitJob
 from goldcrestyard.fleet.serving.commands import PutServing
@@ -95,6 +96,7 @@
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.plugins.targets.views import Announcement, TargetRequest
 from goldcrestyard.plugins.trainers.questions import parse_question
+from goldcrestyard.policy.configuration_review import review
 from goldcrestyard.policy.hand_out import parse_version
 from goldcrestyard.policy.routing import LoadReport
 from goldcrestyard.policy.serving import ServingTable, pick_service
@@ -411,6 +413,9 @@
 
 
 def _check_configuration(data: bytes) -> None:
+    reviewed = documents.decode_for_review(data)
+    if isinstance(reviewed, ServingConfig):
+        review(reviewed, reviewed)
     config = documents.decode(data)
     if isinstance(config, Refusal):
         return
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -12,6 +12,7 @@
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.serving import RouteKind, ServingConfig
 from goldcrestyard.platform import documents
+from goldcrestyard.policy.configuration_review import errors, undecodable
 
 REGIONS = frozenset({Region("north"), Region("south")})
 DOCUMENT: dict[str, Any] = {
@@ -159,6 +160,18 @@
         self.assertIs(refusal.reason, RefusalReason.BAD_REQUEST)
         self.assertNotIn("k1", refusal.detail)
 
+    @parameterized.expand(INVALID)
+    def test_review(self, _: str, change: Callable[[dict[str, Any]], object]) -> None:
+        """Guards against a check that passes what a control member refuses."""
+        read = documents.decode_for_review(json.dumps(edit(change)).encode())
+        found = (
+            list(errors(read, REGIONS))
+            if isinstance(read, ServingConfig)
+            else undecodable(read)
+        )
+        self.assertTrue(found)
+        self.assertNotIn("k1", repr(found))
+
     @parameterized.expand(
         [
             ("cut_short", json.dumps(DOCUMENT).encode()[:-20]),
@@ -169,6 +182,7 @@
     )
     def test_unreadable(self, _: str, body: bytes) -> None:
         self.assertIsInstance(documents.decode(body), Refusal)
+        self.assertEqual(len(documents.decode_for_review(body)), 1)
 
     def test_document_is_read_back_as_it_came(self) -> None:
         body = json.dumps(DOCUMENT, indent=3).encode()
