--- a/goldcrestyard/cli/base.py
+++ b/goldcrestyard/cli/base.py
@@ -167,7 +167,13 @@
 class ChangeCommand(OperatorCommand):
     """A command that makes a change and reports whether it is in force."""
 
-    exit_codes = tuple(ExitCode)
+    exit_codes = (
+        ExitCode.DONE,
+        ExitCode.REFUSED,
+        ExitCode.USAGE,
+        ExitCode.NOT_YET_IN_FORCE,
+        ExitCode.UNKNOWN,
+    )
 
     def show_change(self, reply: Reply, done: str, data: Mapping[str, Any]) -> int:
         """Print the result of a change and return the exit code.
--- a/tests/cli/test_goldcrest.py
+++ b/tests/cli/test_goldcrest.py
@@ -17,6 +17,7 @@
 
 COMMAND_NAMES = {
     "audit",
+    "config check",
     "confirm",
     "entries list",
     "key grant",
