--- a/goldcrestyard/policy/configuration_review.py
+++ b/goldcrestyard/policy/configuration_review.py
@@ -346,12 +346,9 @@
         case ServedOrganisation(keys=olds), ServedOrganisation(keys=news):
             added, removed = set(news) - set(olds), set(olds) - set(news)
             if added or removed:
-                yield FieldChange(
-                    "keys",
-                    f"{len(set(olds))} keys",
-                    f"{len(set(news))} keys ({len(added)} added, "
-                    f"{len(removed)} removed)",
-                )
+                counted = f"({len(added)} added, {len(removed)} removed)"
+                before_count, after_count = len(set(olds)), len(set(news))
+                yield FieldChange("keys", str(before_count), f"{after_count} {counted}")
 
 
 def _text(value: Any) -> str:
--- a/tests/cli/test_config_check.py
+++ b/tests/cli/test_config_check.py
@@ -125,13 +125,19 @@
 
     @parameterized.expand(
         [
-            ("leader", 200, ExitCode.DONE, "compared with version 7"),
-            ("no_leader", 503, ExitCode.UNKNOWN, "no leader, or no configuration"),
-            ("other_service", 404, ExitCode.UNKNOWN, "status 404"),
+            ("leader", 200, DOCUMENT, ExitCode.DONE, "compared with version 7"),
+            ("no_leader", 503, {}, ExitCode.UNKNOWN, "no leader, or no"),
+            ("other_service", 404, {}, ExitCode.UNKNOWN, "status 404"),
+            ("other_document", 200, {}, ExitCode.UNKNOWN, "cannot be decoded"),
         ]
     )
     async def test_control_member(
-        self, _: str, status: int, expected: ExitCode, text: str
+        self,
+        _: str,
+        status: int,
+        document: dict[str, Any],
+        expected: ExitCode,
+        text: str,
     ) -> None:
         """The member that is asked redirects to the leader."""
 
@@ -140,7 +146,7 @@
             if request.url.port == ports[0]:
                 location = f"http://127.0.0.1:{ports[1]}/v1/config"
                 return web.Response(status=307, headers={"Location": location})
-            return web.json_response(DOCUMENT, status=status)
+            return web.json_response(document, status=status)
 
         ports: list[int] = []
         runner = web.ServerRunner(web.Server(handle))
--- a/tests/policy/test_configuration_review.py
+++ b/tests/policy/test_configuration_review.py
@@ -135,7 +135,7 @@
     (
         "keys_are_counted",
         ROLLED,
-        ["C003 organisation o: keys: 2 keys -> 3 keys (2 added, 1 removed)"],
+        ["C003 organisation o: keys: 2 -> 3 (2 added, 1 removed)"],
     ),
     ("limits", SMALL, ["C003 limits: body_bytes: 33554432 -> 1"]),
 ]
