--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -3,13 +3,15 @@
 from dataclasses import dataclass
 
 from goldcrestyard.core.calls import Headers, TargetCall
-from goldcrestyard.core.ids import EventNumber, OrganisationId, RequestId
+from goldcrestyard.core.ids import EventNumber, OrganisationId, RequestId, ServiceName
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.serving import ServingRoute
+from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.view import EntryView
+from goldcrestyard.policy.return_times import return_seconds
 from goldcrestyard.policy.stream_origins import TakeUp
 
 RETRY_AFTER_SECONDS = 0.3
@@ -64,6 +66,15 @@
     """Owner of the request's key, None if no key was required."""
     deadline: float
     """Monotonic time in seconds."""
+    priority: int = 0
+    """Urgency; 0 is the highest."""
+
+    def waited_share(self, now: float) -> float:
+        """Return the share of the route's time that the caller has used.
+
+        A caller that comes again names the time that it has left.
+        """
+        return 1 - (self.deadline - now) / self.route.timeout_seconds
 
     def to_call(self, resume_after: EventNumber | None = None) -> TargetCall:
         """Return the request to a target, resuming a stream after an event."""
@@ -123,7 +134,13 @@
         seconds = route.timeout_seconds
         if request.seconds_left is not None:
             seconds = min(seconds, request.seconds_left)
-        return AdmittedRequest(request, route, organisation, arrived_at + seconds)
+        return AdmittedRequest(
+            request,
+            route,
+            organisation,
+            arrived_at + seconds,
+            self._priority(route, request.key),
+        )
 
     def find_route(self, host: str, path: str) -> ServingRoute | Refusal:
         """Return the route of a path, or a refusal if there is none."""
@@ -161,6 +178,27 @@
             return True
         return self.authenticate(admitted.request.key) == admitted.organisation
 
+    def _priority(self, route: ServingRoute, key: str | None) -> int:
+        """Return the urgency, that of an organisation before the route's."""
+        table = self._serving.table
+        holder = table.organisation(key) if table is not None and key else None
+        if route.open or holder is None or holder.priority is None:
+            return route.priority
+        return holder.priority
+
     def _keys_required(self) -> bool:
         table = self._serving.table
         return table is not None and table.needs_keys
+
+
+def return_after(
+    router: CallRouter, admitted: AdmittedRequest, service: ServiceName, now: float
+) -> float:
+    """Return the seconds after which a caller may return that no target took.
+
+    ``now`` is a monotonic time in seconds.
+    """
+    full_seconds = router.full_seconds(service)
+    if full_seconds is None:
+        return RETRY_AFTER_SECONDS
+    return return_seconds(full_seconds, admitted.priority, admitted.waited_share(now))
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -30,6 +30,7 @@
     RETRY_AFTER_SECONDS,
     Admission,
     AdmittedRequest,
+    return_after,
 )
 from goldcrestyard.fleet.gateway.hedging import CallHedging, RouteHedging
 from goldcrestyard.fleet.gateway.router import CallRouter
@@ -289,7 +290,9 @@
             return None
         if admitted.deadline - self._clock.monotonic() < MIN_ATTEMPT_SECONDS:
             return None
-        return self._router.choose(service, state.tried, hedge=bool(running))
+        return self._router.choose(
+            service, state.tried, hedge=bool(running), ask_full=may_have_run
+        )
 
     async def _attempt(
         self,
@@ -367,11 +370,16 @@
                 "the request limits of the targets are used up",
                 retry_after_seconds=max(RETRY_AFTER_SECONDS, withheld_seconds),
             )
-        detail = "no target has a free slot" if state.failures else "no target is ready"
+        full = state.failures or self._router.full_seconds(service) is not None
+        detail = "no target has a free slot" if full else "no target is ready"
         if self._router.all_leaving(service):
             detail = "all targets of the service leave"
         return Refusal(
-            RefusalReason.CAPACITY, detail, retry_after_seconds=RETRY_AFTER_SECONDS
+            RefusalReason.CAPACITY,
+            detail,
+            retry_after_seconds=return_after(
+                self._router, admitted, service, self._clock.monotonic()
+            ),
         )
 
     def _timeout_result(self, state: _CallState, running: bool) -> CallAnswer | Refusal:
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -24,6 +24,7 @@
     may_be_hedged_to,
     mostly_full,
 )
+from goldcrestyard.policy.return_times import full_seconds
 from goldcrestyard.policy.stream_origins import StreamOrigin
 
 
@@ -64,6 +65,7 @@
         *,
         with_free_slot: bool = False,
         hedge: bool = False,
+        ask_full: bool = False,
         origin: StreamOrigin | None = None,
     ) -> Target | None:
         """Return a target for the next attempt, or None if there is none.
@@ -74,15 +76,19 @@
         where it would take the place of another request, and only to one with
         a free slot and without a recent failure; if most targets are full, to
         none.  A stream with an ``origin`` goes on only at targets that fit it.
+        Targets that have just said that they are full are left out, unless
+        ``ask_full`` is set by a caller that waits for free slots by itself.
         """
         candidates = self._staying(service)
+        now = self._clock.monotonic()
+        if hedge and mostly_full(candidates, self.statistics_by_id, now):
+            return None
+        if hedge or not ask_full:
+            candidates = tuple(filter(self._may_have_room, candidates))
         if origin is not None:
             candidates = tuple(filter(origin.fits, candidates))
         limited = self._limited(candidates)
         if hedge:
-            if mostly_full(candidates, self.statistics_by_id):
-                return None
-            now = self._clock.monotonic()
             candidates = tuple(
                 target
                 for target in candidates
@@ -100,7 +106,7 @@
             self.statistics_by_id,
             self._location,
             tried,
-            self._clock.monotonic(),
+            now,
             self._random,
             limited,
         )
@@ -110,6 +116,25 @@
         statistics = self.statistics_by_id.get(target.id)
         return statistics is not None and statistics.answered_at > since
 
+    def full_seconds(self, service: ServiceName) -> float | None:
+        """Return the expected time until a target of a service has a slot.
+
+        Returns None unless all its targets have just said that they are full.
+        """
+        staying = self._staying(service)
+        if not staying or any(map(self._may_have_room, staying)):
+            return None
+        now = self._clock.monotonic()
+        return min(self.statistics_by_id[each.id].full_until - now for each in staying)
+
+    def _may_have_room(self, target: Target) -> bool:
+        statistics = self.statistics_by_id.get(target.id)
+        return (
+            statistics is None
+            or statistics.incarnation != target.incarnation
+            or self._clock.monotonic() >= statistics.full_until
+        )
+
     def withheld_seconds(self, service: ServiceName) -> float | None:
         """Return the time until a request limit of a service allows a call.
 
@@ -180,6 +205,10 @@
             case Withheld(retry_after_seconds=seconds):
                 until = self._clock.monotonic() + seconds
                 self._statistics(target).withheld_until = until
+            case TurnedAway(status=503):
+                statistics = self._statistics(target)
+                now = self._clock.monotonic()
+                statistics.full_until = now + full_seconds(target, statistics)
             case TurnedAway():
                 pass
 
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -30,6 +30,7 @@
     RETRY_AFTER_SECONDS,
     Admission,
     AdmittedRequest,
+    return_after,
 )
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
@@ -161,7 +162,13 @@
             and watched.refusal() is None
             and self._admission.is_still_authorised(admitted)
         ):
-            target = self._router.choose(service, tried, origin=stream.origin)
+            target = self._router.choose(
+                service,
+                tried,
+                ask_full=stream.origin is not None
+                or overall_verdict(failures) is not Verdict.NOT_RUN,
+                origin=stream.origin,
+            )
             if target is None:
                 break
             tried.add(target.id)
@@ -190,7 +197,8 @@
                 break
         if stream.head_sent:
             return StreamEnd.CUT
-        return _refusal(failures)
+        now = self._clock.monotonic()
+        return _refusal(failures, return_after(self._router, admitted, service, now))
 
     async def _attempt(
         self,
@@ -356,19 +364,21 @@
         A slow stream is better than none: it may be silent until the deadline.
         ``tried`` is None if no other target may be tried.
         """
-        if tried is None or self._router.choose(service, tried, origin=origin) is None:
+        if tried is None:
+            return None
+        if self._router.choose(service, tried, ask_full=True, origin=origin) is None:
             return None
         objective = admitted.route.objective_seconds or 0.0
         return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
 
 
-def _refusal(failures: list[AttemptFailure]) -> Refusal:
+def _refusal(failures: list[AttemptFailure], retry_after_seconds: float) -> Refusal:
     verdict = overall_verdict(failures)
     if verdict is Verdict.NOT_RUN:
         return Refusal(
             RefusalReason.CAPACITY,
             "no target could take the stream",
-            retry_after_seconds=RETRY_AFTER_SECONDS,
+            retry_after_seconds=retry_after_seconds,
         )
     return Refusal(
         RefusalReason.TARGET_FAILED,
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -267,7 +267,11 @@
         """
         for service in route.services:
             target = self._router.choose(
-                ServiceName(service.name), tried, with_free_slot=True, hedge=hedge
+                ServiceName(service.name),
+                tried,
+                with_free_slot=True,
+                hedge=hedge,
+                ask_full=True,
             )
             if target is not None:
                 return target
--- a/goldcrestyard/policy/call_routing.py
+++ b/goldcrestyard/policy/call_routing.py
@@ -59,10 +59,15 @@
     one, is known to be used up."""
     answered_at: float = float("-inf")
     """Monotonic time of the latest response."""
+    full_until: float = float("-inf")
+    """Monotonic time before which the target, which has said that it is full,
+    is expected to have no free slot."""
 
     def record_success(self, seconds: float, now: float) -> None:
         """Record a response and end the ejection."""
         self.answered_at = now
+        # The slot of this response is free now.
+        self.full_until = float("-inf")
         self.failures_in_a_row = 0
         self.ejected_until = float("-inf")
         if self.mean_seconds is None:
@@ -119,11 +124,16 @@
 
 
 def mostly_full(
-    targets: Sequence[Target], statistics_by_id: Mapping[TargetId, CallStatistics]
+    targets: Sequence[Target],
+    statistics_by_id: Mapping[TargetId, CallStatistics],
+    now: float,
 ) -> bool:
     """Return whether most targets have no free slot, as known here."""
     full = sum(
-        not has_free_slot(target, statistics_by_id.get(target.id)) for target in targets
+        not has_free_slot(target, statistics)
+        or (statistics is not None and now < statistics.full_until)
+        for target in targets
+        for statistics in (statistics_by_id.get(target.id),)
     )
     return 2 * full > len(targets)
 
--- a/tests/fleet/test_calls.py
+++ b/tests/fleet/test_calls.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from parameterized import parameterized
 
-from goldcrestyard.core.ids import Revision
+from goldcrestyard.core.ids import ConfigVersion, Revision
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.gateway.admission import (
@@ -18,13 +18,15 @@
 from goldcrestyard.fleet.gateway.calls import CallAnswer, CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
+from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
 from goldcrestyard.wire.codec import Codec
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
-from tests.fakes.serving import entry_view, request, request_guard
+from tests.fakes.serving import CONFIG, entry_view, request, request_guard
+from tests.fakes.state import apply
 from tests.fakes.targets import (
     DOWN,
     FULL,
@@ -217,6 +219,32 @@
         else:
             self.assertIsNone(expected)
 
+    @parameterized.expand(
+        [
+            ("of_the_route", "key", None, 3),
+            ("of_the_organisation", "key", 7, 7),
+            ("highest_of_the_organisation", "key", 0, 0),
+        ]
+    )
+    async def test_priority(
+        self, _: str, key: str, organisation: int | None, expected: int
+    ) -> None:
+        """Guards against a caller that returns with another one's urgency."""
+        clock = self.clock()
+        view = entry_view(clock, ())
+        config = replace(
+            CONFIG,
+            version=ConfigVersion(2),
+            routes=tuple(replace(route, priority=3) for route in CONFIG.routes),
+            organisations=tuple(
+                replace(each, priority=organisation) for each in CONFIG.organisations
+            ),
+        )
+        apply(view.machine, PutServing(config, b""))
+        admitted = Admission(view, clock).admit(request("/again/", key), 0.0)
+        assert isinstance(admitted, AdmittedRequest)
+        self.assertEqual(admitted.priority, expected)
+
     async def test_lease_that_ends_while_a_request_waits(self) -> None:
         clock = self.clock()
         view = entry_view(clock, ())
