--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -156,10 +156,15 @@
         finally:
             self._running_timeouts.discard(timeout)
             hedging = self._hedging.of_route(admitted.route)
+            objective = admitted.route.objective_seconds
+            hedge_seconds = hedging.pace(objective).hedge_seconds
             for task, attempt in running.items():
                 task.cancel()
                 # Left out, the losers would shorten the delay again and again.
-                hedging.note_latency(self._clock.monotonic() - attempt.began)
+                seconds = self._clock.monotonic() - attempt.began
+                hedging.note_latency(seconds)
+                if seconds >= hedge_seconds:
+                    self._router.note_silence(attempt.target, attempt.began)
             await asyncio.gather(*running, return_exceptions=True)
 
     async def _run_attempts(
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -135,6 +135,14 @@
             or self._clock.monotonic() >= statistics.full_until
         )
 
+    def note_silence(self, target: Target, since: float) -> None:
+        """Record that a call was given up which a target got at a time.
+
+        It counts only if the target has answered no other call since.
+        """
+        if not self.has_answered_since(target, since):
+            self._statistics(target).record_silence(self._clock.monotonic())
+
     def withheld_seconds(self, service: ServiceName) -> float | None:
         """Return the time until a request limit of a service allows a call.
 
--- a/goldcrestyard/policy/call_routing.py
+++ b/goldcrestyard/policy/call_routing.py
@@ -24,6 +24,9 @@
 LATEST_RESPONSE_WEIGHT = 0.2
 """Weight of the latest response in a target's mean response time."""
 
+MIN_SILENCES = 2
+"""Number of calls given up in a row from which a target counts as failing."""
+
 FIRST_EJECTION_SECONDS = 0.5
 MAX_EJECTION_SECONDS = 8.0
 """Shortest and longest time in seconds for which a failing target gets no
@@ -57,6 +60,8 @@
     withheld_until: float = float("-inf")
     """Monotonic time before which the target's request limit, while it names
     one, is known to be used up."""
+    silences_in_a_row: int = 0
+    """Calls that were given up since the latest response."""
     answered_at: float = float("-inf")
     """Monotonic time of the latest response."""
     full_until: float = float("-inf")
@@ -68,13 +73,23 @@
         self.answered_at = now
         # The slot of this response is free now.
         self.full_until = float("-inf")
-        self.failures_in_a_row = 0
+        self.failures_in_a_row = self.silences_in_a_row = 0
         self.ejected_until = float("-inf")
         if self.mean_seconds is None:
             self.mean_seconds = seconds
         else:
             self.mean_seconds += LATEST_RESPONSE_WEIGHT * (seconds - self.mean_seconds)
 
+    def record_silence(self, now: float) -> None:
+        """Record a call given up while another target answered it.
+
+        A sound target is slow twice, with no response between, for one call
+        in several hundred; a frozen one always is.
+        """
+        self.silences_in_a_row += 1
+        if self.silences_in_a_row >= MIN_SILENCES:
+            self.record_failure(now)
+
     def record_failure(self, now: float) -> None:
         """Record a failure and eject the target.
 
--- a/goldcrestyard/policy/hedging.py
+++ b/goldcrestyard/policy/hedging.py
@@ -34,7 +34,7 @@
 """Time in seconds for which a generation of the latencies is collected.  The
 latest two are used."""
 
-SILENCE_FACTOR = 3.0
+SILENCE_FACTOR = 2.0
 """Multiple of the quantile after which a target without an answer counts as
 silent."""
 
--- a/tests/fleet/test_hedging.py
+++ b/tests/fleet/test_hedging.py
@@ -218,3 +218,14 @@
         await self.send(kind)
         self.assertAlmostEqual(self.clock().monotonic() - began, 0.21, 2)
         self.assertEqual((len(self.client.calls), self.hedges()), (2, 0))
+
+    async def test_frozen_target_is_left_out_after_two_silent_calls(self) -> None:
+        """Guards against a frozen target that uses up the budget."""
+        self.start(QUICK)
+        # Slower than a target that is not known yet, which is preferred.
+        usual = Answers(seconds=0.06)
+        self.client.behaviours_by_target = {name: [usual] for name in NAMES}
+        self.client.behaviours_by_target["a"] = [Hangs()]
+        for number in range(9):
+            await self.call(number)
+        self.assertEqual(self.client.called_targets.count("a"), 2)
--- a/tests/policy/test_hedging.py
+++ b/tests/policy/test_hedging.py
@@ -124,8 +124,8 @@
             ("cold", 0.5, None, 0.2, 0.4),
             ("cold_without_an_objective", None, None, 0.4, 0.8),
             ("quick", 0.5, 0.02, 0.08, 0.2),
-            ("usual", 0.5, 0.12, 0.12, 0.36),
-            ("slower_than_the_objective", 0.5, 1.0, 1.0, 3.0),
+            ("usual", 0.5, 0.12, 0.12, 0.24),
+            ("slower_than_the_objective", 0.5, 1.0, 1.0, 2.0),
         ]
     )
     def test_pace(
