--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -3,13 +3,21 @@
 from dataclasses import dataclass
 
 from goldcrestyard.core.calls import Headers, TargetCall
-from goldcrestyard.core.ids import EventNumber, OrganisationId, Region, RequestId
+from goldcrestyard.core.ids import (
+    EventNumber,
+    OrganisationId,
+    Region,
+    RequestId,
+    ServiceName,
+)
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.serving import ServingRoute
+from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.view import EntryView
+from goldcrestyard.policy.return_times import return_seconds
 from goldcrestyard.policy.stream_origins import TakeUp
 
 RETRY_AFTER_SECONDS = 0.3
@@ -72,6 +80,15 @@
     """Monotonic time in seconds."""
     urgency: int | None = None
     """Urgency that targets are told; None to tell none."""
+    priority: int = 0
+    """Urgency; 0 is the highest."""
+
+    def waited_share(self, now: float) -> float:
+        """Return the share of the route's time that the caller has used.
+
+        A caller that comes again names the time that it has left.
+        """
+        return 1 - (self.deadline - now) / self.route.timeout_seconds
 
     def to_call(self, resume_after: EventNumber | None = None) -> TargetCall:
         """Return the request to a target, resuming a stream after an event."""
@@ -138,6 +155,7 @@
             organisation,
             arrived_at + seconds,
             self._sent_urgency(route, organisation),
+            self._priority(route, organisation),
         )
 
     def _sent_urgency(
@@ -146,6 +164,12 @@
         table = self._serving.table
         return None if table is None else table.sent_urgency(route, organisation)
 
+    def _priority(
+        self, route: ServingRoute, organisation: OrganisationId | None
+    ) -> int:
+        table = self._serving.table
+        return route.priority if table is None else table.urgency(route, organisation)
+
     def find_route(self, host: str, path: str) -> ServingRoute | Refusal:
         """Return the route of a path, or a refusal if there is none."""
         table = self._serving.table
@@ -203,3 +227,21 @@
     def _keys_required(self) -> bool:
         table = self._serving.table
         return table is not None and table.needs_keys
+
+
+def return_after(
+    router: CallRouter,
+    admitted: AdmittedRequest,
+    service: ServiceName,
+    now: float,
+    regions: frozenset[Region] | None = None,
+) -> float:
+    """Return the seconds after which a caller may return that no target took.
+
+    ``now`` is a monotonic time in seconds.  ``regions`` are those in which
+    the request may be served; None if it may be served everywhere.
+    """
+    full_seconds = router.full_seconds(service, regions)
+    if full_seconds is None:
+        return RETRY_AFTER_SECONDS
+    return return_seconds(full_seconds, admitted.priority, admitted.waited_share(now))
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -31,6 +31,7 @@
     RETRY_AFTER_SECONDS,
     Admission,
     AdmittedRequest,
+    return_after,
 )
 from goldcrestyard.fleet.gateway.hedging import CallHedging, RouteHedging
 from goldcrestyard.fleet.gateway.router import CallRouter
@@ -156,10 +157,17 @@
         finally:
             self._running_timeouts.discard(timeout)
             hedging = self._hedging.of_route(admitted.route)
+            objective = admitted.route.objective_seconds
+            hedge_seconds = hedging.pace(objective).hedge_seconds
             for task, attempt in running.items():
                 task.cancel()
                 # Left out, the losers would shorten the delay again and again.
-                hedging.note_latency(self._clock.monotonic() - attempt.began)
+                # A loser is only known to be slower than the delay: counted
+                # in full, a frozen target would lengthen it each time.
+                seconds = self._clock.monotonic() - attempt.began
+                hedging.note_latency(min(seconds, hedge_seconds))
+                if seconds >= hedge_seconds:
+                    self._router.note_silence(attempt.target, attempt.began)
             await asyncio.gather(*running, return_exceptions=True)
 
     async def _run_attempts(
@@ -176,7 +184,7 @@
             kind = self._due_attempt(admitted, state, hedging, running)
             target = None
             if kind is not SecondAttempt.WAIT:
-                target = self._next_target(admitted, state, service, running)
+                target = self._next_target(admitted, state, service, running, kind)
             if kind is SecondAttempt.HEDGE:
                 state.hedged = True
                 if target is None:
@@ -272,8 +280,13 @@
         state: _CallState,
         service: ServiceName,
         running: dict[asyncio.Task[CallAnswer | AttemptFailure], _Running],
+        kind: SecondAttempt,
     ) -> Target | None:
-        """Return the next attempt's target, or None if none is allowed."""
+        """Return the next attempt's target, or None if none is allowed.
+
+        While another attempt runs, a retry goes to a target with a free slot
+        and no recent failure if there is one, else to any without a limit.
+        """
         route = admitted.route
         may_have_run = overall_verdict(state.failures) is not Verdict.NOT_RUN
         if not route.repeatable and (running or may_have_run):
@@ -294,6 +307,8 @@
             service,
             state.tried,
             hedge=bool(running),
+            retry=kind is SecondAttempt.RETRY,
+            ask_full=may_have_run,
             regions=self._admission.allowed_regions(admitted),
         )
 
@@ -376,11 +391,16 @@
                 "the request limits of the targets are used up",
                 retry_after_seconds=max(RETRY_AFTER_SECONDS, withheld_seconds),
             )
-        detail = "no target has a free slot" if state.failures else "no target is ready"
+        full = state.failures or self._router.full_seconds(service, regions) is not None
+        detail = "no target has a free slot" if full else "no target is ready"
         if self._router.all_leaving(service, regions):
             detail = "all targets of the service leave or are evacuated"
         return Refusal(
-            RefusalReason.CAPACITY, detail, retry_after_seconds=RETRY_AFTER_SECONDS
+            RefusalReason.CAPACITY,
+            detail,
+            retry_after_seconds=return_after(
+                self._router, admitted, service, self._clock.monotonic(), regions
+            ),
         )
 
     def _timeout_result(self, state: _CallState, running: bool) -> CallAnswer | Refusal:
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -31,6 +31,7 @@
     RETRY_AFTER_SECONDS,
     Admission,
     AdmittedRequest,
+    return_after,
 )
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.metering.meter import UsageMeter
@@ -165,7 +166,12 @@
         ):
             regions = self._admission.allowed_regions(admitted)
             target = self._router.choose(
-                service, tried, origin=stream.origin, regions=regions
+                service,
+                tried,
+                ask_full=stream.origin is not None
+                or overall_verdict(failures) is not Verdict.NOT_RUN,
+                origin=stream.origin,
+                regions=regions,
             )
             if target is None:
                 at_home = regions is None or self._router.any_ready(service, regions)
@@ -196,7 +202,10 @@
                 break
         if stream.head_sent:
             return StreamEnd.CUT
-        return _refusal(failures) if at_home else _refusal_at_home(failures)
+        if not at_home and overall_verdict(failures) is Verdict.NOT_RUN:
+            return NO_TARGET_AT_HOME
+        now = self._clock.monotonic()
+        return _refusal(failures, return_after(self._router, admitted, service, now))
 
     async def _attempt(
         self,
@@ -365,27 +374,22 @@
         if tried is None:
             return None
         regions = self._admission.allowed_regions(admitted)
-        other = self._router.choose(service, tried, origin=origin, regions=regions)
+        other = self._router.choose(
+            service, tried, ask_full=True, origin=origin, regions=regions
+        )
         if other is None:
             return None
         objective = admitted.route.objective_seconds or 0.0
         return max(SILENCE_TIMEOUT_SECONDS, SILENCE_OBJECTIVES * objective)
 
 
-def _refusal_at_home(failures: list[AttemptFailure]) -> Refusal:
-    """Return the refusal of a stream that no target at home could take."""
-    if overall_verdict(failures) is Verdict.NOT_RUN:
-        return NO_TARGET_AT_HOME
-    return _refusal(failures)
-
-
-def _refusal(failures: list[AttemptFailure]) -> Refusal:
+def _refusal(failures: list[AttemptFailure], retry_after_seconds: float) -> Refusal:
     verdict = overall_verdict(failures)
     if verdict is Verdict.NOT_RUN:
         return Refusal(
             RefusalReason.CAPACITY,
             "no target could take the stream",
-            retry_after_seconds=RETRY_AFTER_SECONDS,
+            retry_after_seconds=retry_after_seconds,
         )
     return Refusal(
         RefusalReason.TARGET_FAILED,
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -137,11 +137,13 @@
         """
         state = _CallState()
         hedging: RouteHedging | None = None
+        objective: float | None = None
         try:
             while self._clock.monotonic() < deadline:
                 route = self._find_route(call)
                 if route is None or state.failed >= route.max_attempts:
                     return NoScore()
+                objective = route.objective_seconds
                 if hedging is None:
                     hedging = self._hedging.of_route(route)
                     hedging.note_request()
@@ -180,9 +182,11 @@
             for task, attempt in state.running.items():
                 task.cancel()
                 if hedging is not None:
-                    # Left out, the losers would shorten the delay.
+                    # Left out, the losers would shorten the delay; counted
+                    # in full, those at a frozen target would lengthen it.
                     elapsed = self._clock.monotonic() - attempt.started_at
-                    hedging.note_latency(elapsed)
+                    pace = hedging.pace(objective)
+                    hedging.note_latency(min(elapsed, pace.hedge_seconds))
 
     async def _wait(
         self, state: _CallState, hedging: RouteHedging, seconds: float
@@ -297,6 +301,7 @@
                 tried,
                 with_free_slot=True,
                 hedge=hedge,
+                ask_full=True,
                 regions=regions,
             )
             if target is not None:
--- a/goldcrestyard/policy/call_routing.py
+++ b/goldcrestyard/policy/call_routing.py
@@ -24,6 +24,9 @@
 LATEST_RESPONSE_WEIGHT = 0.2
 """Weight of the latest response in a target's mean response time."""
 
+MIN_SILENCES = 2
+"""Number of calls given up in a row from which a target counts as failing."""
+
 FIRST_EJECTION_SECONDS = 0.5
 MAX_EJECTION_SECONDS = 8.0
 """Shortest and longest time in seconds for which a failing target gets no
@@ -57,19 +60,36 @@
     withheld_until: float = float("-inf")
     """Monotonic time before which the target's request limit, while it names
     one, is known to be used up."""
+    silences_in_a_row: int = 0
+    """Calls that were given up since the latest response."""
     answered_at: float = float("-inf")
     """Monotonic time of the latest response."""
+    full_until: float = float("-inf")
+    """Monotonic time before which the target, which has said that it is full,
+    is expected to have no free slot."""
 
     def record_success(self, seconds: float, now: float) -> None:
         """Record a response and end the ejection."""
         self.answered_at = now
-        self.failures_in_a_row = 0
+        # The slot of this response is free now.
+        self.full_until = float("-inf")
+        self.failures_in_a_row = self.silences_in_a_row = 0
         self.ejected_until = float("-inf")
         if self.mean_seconds is None:
             self.mean_seconds = seconds
         else:
             self.mean_seconds += LATEST_RESPONSE_WEIGHT * (seconds - self.mean_seconds)
 
+    def record_silence(self, now: float) -> None:
+        """Record a call given up while another target answered it.
+
+        A sound target is slow twice, with no response between, for one call
+        in several hundred; a frozen one always is.
+        """
+        self.silences_in_a_row += 1
+        if self.silences_in_a_row >= MIN_SILENCES:
+            self.record_failure(now)
+
     def record_failure(self, now: float) -> None:
         """Record a failure and eject the target.
 
@@ -119,11 +139,16 @@
 
 
 def mostly_full(
-    targets: Sequence[Target], statistics_by_id: Mapping[TargetId, CallStatistics]
+    targets: Sequence[Target],
+    statistics_by_id: Mapping[TargetId, CallStatistics],
+    now: float,
 ) -> bool:
     """Return whether most targets have no free slot, as known here."""
     full = sum(
-        not has_free_slot(target, statistics_by_id.get(target.id)) for target in targets
+        not has_free_slot(target, statistics)
+        or (statistics is not None and now < statistics.full_until)
+        for target in targets
+        for statistics in (statistics_by_id.get(target.id),)
     )
     return 2 * full > len(targets)
 
--- a/tests/fleet/test_calls.py
+++ b/tests/fleet/test_calls.py
@@ -233,6 +233,32 @@
         else:
             self.assertIsNone(expected)
 
+    @parameterized.expand(
+        [
+            ("of_the_route", "key", None, 3),
+            ("of_the_organisation", "key", 7, 7),
+            ("highest_of_the_organisation", "key", 0, 0),
+        ]
+    )
+    async def test_priority(
+        self, _: str, key: str, organisation: int | None, expected: int
+    ) -> None:
+        """Guards against a caller that returns with another one's urgency."""
+        clock = self.clock()
+        view = entry_view(clock, ())
+        config = replace(
+            CONFIG,
+            version=ConfigVersion(2),
+            routes=tuple(replace(route, priority=3) for route in CONFIG.routes),
+            organisations=tuple(
+                replace(each, priority=organisation) for each in CONFIG.organisations
+            ),
+        )
+        apply(view.machine, PutServing(config, b""))
+        admitted = Admission(view, clock).admit(request("/again/", key), 0.0)
+        assert isinstance(admitted, AdmittedRequest)
+        self.assertEqual(admitted.priority, expected)
+
     async def test_lease_that_ends_while_a_request_waits(self) -> None:
         clock = self.clock()
         view = entry_view(clock, ())
