--- a/goldcrestyard/core/serving.py
+++ b/goldcrestyard/core/serving.py
@@ -11,6 +11,7 @@
     DataCentre,
     ModelName,
     OrganisationId,
+    RequestRate,
     RouteName,
     ServiceName,
 )
@@ -94,6 +95,10 @@
     name: ServiceName
     engine: EngineShape | None = None
     rental: RentalBounds | None = None
+    cold_seconds: float = 0.0
+    """Time after its start for which a target is cold."""
+    cold_per_second: RequestRate = RequestRate(0.0)
+    """Requests a second that a cold target takes; 0 if there is no limit."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/limits/messages.py
+++ b/goldcrestyard/fleet/limits/messages.py
@@ -51,7 +51,39 @@
     record: LimitRecord
 
 
+@dataclass(frozen=True, slots=True)
+class ColdRecord:
+    """A run of a target that is cold, and for how long."""
+
+    target: TargetId
+    incarnation: str
+    seconds_left: float
+
+
+@dataclass(frozen=True, slots=True)
+class ColdRecords:
+    """Summary of the leader: the targets that are cold."""
+
+    records: tuple[ColdRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AskColdPermit:
+    """Asks the leader for a permit for one request to a cold target."""
+
+    record: ColdRecord
+
+
+@dataclass(frozen=True, slots=True)
+class NotCold:
+    """Reply to ``AskColdPermit``: the target needs no permit."""
+
+
 MESSAGES = (
+    ColdRecord,
+    ColdRecords,
+    AskColdPermit,
+    NotCold,
     LimitRecord,
     LimitRecords,
     AskPermit,
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -84,6 +84,14 @@
             "Requests to targets with a request limit, by whether they were sent.",
             ("outcome",),
         )
+        self.cold_targets = self._gauge(
+            "cold_targets", "Ready targets that are or may be cold."
+        )
+        self.cold_permits = self._counter(
+            "cold_permits",
+            "Requests to targets that are or may be cold, by whether they were sent.",
+            ("outcome",),
+        )
         self.target_answers = self._counter(
             "target_answers",
             "Answers of targets, by whether they name a request limit.",
--- a/goldcrestyard/fleet/tracking/tracker.py
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -59,7 +59,8 @@
 class TrackedTarget:
     """State that the leader holds in memory for one run of a target.
 
-    ``heard_at`` and ``leaves_at`` are times of the monotonic clock.
+    ``heard_at``, ``leaves_at`` and ``cold_until`` are times of the monotonic
+    clock.
     """
 
     incarnation: str
@@ -67,6 +68,7 @@
     heard_at: float
     leaves_at: float | None = None
     versions_by_model: dict[ModelName, WeightVersion] = field(default_factory=dict)
+    cold_until: float = float("-inf")
 
 
 class TargetTracker:
@@ -156,6 +158,22 @@
             return {}
         return tracked.versions_by_model
 
+    def cold_seconds_left(self, target: Target) -> float | None:
+        """Return for how long a target says that it is cold; 0 if it is not.
+
+        Returns None if this leader has had no heartbeat of its present run: a
+        report to an earlier leader may be out of date.
+        """
+        tracked = self.tracked_by_id.get(target.id)
+        if (
+            tracked is None
+            or tracked.incarnation != target.incarnation
+            or tracked.sequence < 0
+            or tracked.heard_at < self._member.leadership_started_at
+        ):
+            return None
+        return max(0.0, tracked.cold_until - self._clock.monotonic())
+
     def record_version(
         self, target: Target, model: ModelName, version: WeightVersion
     ) -> None:
@@ -258,6 +276,14 @@
         if beat.id not in self.tracked_by_id:
             for gone in self.tracked_by_id.keys() - self._targets.homed_by_id:
                 del self.tracked_by_id[gone]
+        known = self.tracked_by_id.get(beat.id)
+        if beat.cold_seconds_left > 0 and (known is None or known.cold_until <= now):
+            logger.info(
+                "target says that it is cold",
+                target=beat.id,
+                incarnation=beat.started_at_ms,
+                seconds_left=round(beat.cold_seconds_left, 2),
+            )
         if beat.leaves_in_seconds is not None:
             leaves_at = now + beat.leaves_in_seconds
         self.tracked_by_id[beat.id] = TrackedTarget(
@@ -266,6 +292,7 @@
             now,
             leaves_at,
             dict(beat.versions_by_model),
+            now + beat.cold_seconds_left,
         )
 
     async def _commit_heartbeat(
--- a/goldcrestyard/membership/digests.py
+++ b/goldcrestyard/membership/digests.py
@@ -20,8 +20,11 @@
     name: ClassVar[str]
 
     @abstractmethod
-    def collect(self) -> bytes:
-        """Return this entry's digest for its next renewal."""
+    def collect(self) -> bytes | None:
+        """Return this entry's digest for its next renewal.
+
+        None if the renewal needs none and the leader need not summarise.
+        """
 
     @abstractmethod
     def receive(self, summary: bytes) -> None:
@@ -64,7 +67,9 @@
     def collect(self) -> dict[str, bytes]:
         """Return the digests for the next renewal by channel name."""
         return {
-            name: channel.collect() for name, channel in self._channels_by_name.items()
+            name: digest
+            for name, channel in self._channels_by_name.items()
+            if (digest := channel.collect()) is not None
         }
 
     def receive(self, summaries_by_name: Mapping[str, bytes]) -> None:
--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -22,6 +22,7 @@
     DataCentre,
     ModelName,
     OrganisationId,
+    RequestRate,
     RouteName,
     ServiceName,
 )
@@ -89,6 +90,8 @@
     name: str
     engine: _Engine | None = None
     autoscale: _Autoscale | None = None
+    cold_s: Annotated[float, Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -205,7 +208,13 @@
             bounds.spot_price,
             {DataCentre(zone): price for zone, price in bounds.zone_prices.items()},
         )
-    return ServedService(ServiceName(service.name), engine, rental)
+    return ServedService(
+        ServiceName(service.name),
+        engine,
+        rental,
+        service.cold_s,
+        RequestRate(service.cold_per_s),
+    )
 
 
 def _seconds(milliseconds: float | None) -> float | None:
--- a/goldcrestyard/platform/heartbeats.py
+++ b/goldcrestyard/platform/heartbeats.py
@@ -34,6 +34,11 @@
 each target."""
 
 
+MAX_COLD_SECONDS = 600.0
+"""Longest time in seconds for which a heartbeat may keep a target cold.  The
+next one, a second later, names the time anew."""
+
+
 class _Model(msgspec.Struct):
     name: str
     version: Count
@@ -56,6 +61,7 @@
     spot: bool = False
     """Whether the platform may reclaim the target at any time."""
     leaves_ms: float | None = None
+    cold_left_ms: float | None = None
 
 
 def decode(target_id: str, body: bytes) -> Heartbeat | Refusal:
@@ -86,6 +92,7 @@
         {ModelName(m.name): WeightVersion(m.version) for m in beat.models},
         None if beat.leaves_ms is None else beat.leaves_ms / 1000,
         SoftwareVersion(beat.version),
+        min(max(0.0, (beat.cold_left_ms or 0.0) / 1000), MAX_COLD_SECONDS),
     )
 
 
--- a/goldcrestyard/platform/settings.py
+++ b/goldcrestyard/platform/settings.py
@@ -20,6 +20,7 @@
 from goldcrestyard.core.ids import DataCentre, InstanceId, Region
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
 from goldcrestyard.fleet.duties import DutySettings
+from goldcrestyard.fleet.limits.settings import ColdTargetSettings
 from goldcrestyard.fleet.tracking.settings import TrackingSettings
 from goldcrestyard.kernel.checks import Problem, Severity
 from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
@@ -75,6 +76,8 @@
     lease_ms: float = 3000
     grace_s: float = 8
     window_s: float = 5
+    cold_overage: Annotated[float, Meta(ge=0)] = 1.5
+    cold_slack: Annotated[float, Meta(ge=0)] = 5.0
 
 
 class _Limits(msgspec.Struct):
@@ -173,6 +176,7 @@
             document.heartbeat_ms / 1000,
             regions,
         ),
+        "cold_targets": ColdTargetSettings(bounds.cold_overage, bounds.cold_slack),
         "duties": DutySettings(
             InstanceId(document.node),
             bounds.lease_ms / 1000 * QUIET_TIME_SHARE,
--- a/goldcrestyard/platform/targets/apps.py
+++ b/goldcrestyard/platform/targets/apps.py
@@ -4,6 +4,7 @@
 from goldcrestyard.fleet.duties import DutySettings
 from goldcrestyard.fleet.evacuations.exclusions import TargetExclusions
 from goldcrestyard.fleet.leaving.known import LeavingTargets
+from goldcrestyard.fleet.limits.cold import ColdTargets
 from goldcrestyard.fleet.limits.known import KnownLimits
 from goldcrestyard.fleet.limits.permits import LimitedTargetClient, TargetPermits
 from goldcrestyard.fleet.versions.orders import EngineControl
@@ -29,6 +30,7 @@
                 app.get(LeavingTargets),
                 app.get(ByteRoom),
                 app.get(TargetExclusions),
+                app.get(ColdTargets).is_warm,
             ),
         )
         app.provide(
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -182,6 +182,7 @@
         leaving: LeavingTargets | None = None,
         room: ByteRoom | None = None,
         exclusions: TargetExclusions | None = None,
+        may_send_again: Callable[[Target], bool] = lambda _: True,
     ) -> None:
         """Create a client that reports the request limit of each answer.
 
@@ -189,11 +190,13 @@
         in ``leaving`` gets no more requests, and those that say in an answer
         that they leave are added to it.  The bodies that are being read share
         ``room``.  ``exclusions`` tell which data centres are evacuated, and
-        count the running requests.
+        count the running requests.  ``may_send_again`` tells whether a dropped
+        request may be sent to a target once more without a further permit.
         """
         self._on_limit = on_limit
         self._leaving = leaving
         self._exclusions = exclusions
+        self._may_send_again = may_send_again
         self._room = room or ByteRoom(2 * MAX_ANSWER_BYTES)
         self._sessions_by_address: dict[str, aiohttp.ClientSession] = {}
         self._discarded_sessions: deque[aiohttp.ClientSession] = deque()
@@ -354,6 +357,7 @@
             and seconds < DROPPED_CONNECTION_SECONDS
             and not self.is_leaving(target)
             and not self.is_evacuated(target)
+            and self._may_send_again(target)
         ):
             logger.info(
                 "connection broke; sending the request again on a new one",
--- a/goldcrestyard/policy/heartbeats.py
+++ b/goldcrestyard/policy/heartbeats.py
@@ -47,6 +47,8 @@
     leaves_in_seconds: float | None = None
     """Time until the target stops, or None if it stays."""
     software: SoftwareVersion = SoftwareVersion("")
+    cold_seconds_left: float = 0.0
+    """Time until the target takes requests at its usual rate; 0 if it does."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -86,6 +86,8 @@
     events_sent: Counter[str] = field(default_factory=Counter)
     """The number of events sent in all runs of a request, by its id."""
     draining: bool = False
+    cold_left_seconds: float = 0.0
+    """Time for which its heartbeats say that it is cold."""
 
     def __post_init__(self) -> None:
         self.address = ""
@@ -165,7 +167,7 @@
             "version": self.software,
             "slots": 8,
             "state": "draining" if self.draining else "ready",
-            "cold_left_ms": 0,
+            "cold_left_ms": int(self.cold_left_seconds * 1000),
             "models": [{"name": n, "version": v} for n, v in self.models.items()],
             "seq": self._sequence,
             "born": self._started_at_ms,
--- a/tests/fleet/test_limits.py
+++ b/tests/fleet/test_limits.py
@@ -12,9 +12,11 @@
 from goldcrestyard.core.attempts import Withheld
 from goldcrestyard.core.ids import RequestRate
 from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.fleet.evacuations.slices import EvacuationsSlice
 from goldcrestyard.fleet.gateway.admission import Admission, AdmittedRequest
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
+from goldcrestyard.fleet.limits.cold import ColdTargets, HeardFromTargets
 from goldcrestyard.fleet.limits.known import RECORD_SECONDS, KnownLimits
 from goldcrestyard.fleet.limits.messages import LimitRecord
 from goldcrestyard.fleet.limits.permits import (
@@ -23,8 +25,10 @@
     PermitIssuer,
     TargetPermits,
 )
+from goldcrestyard.fleet.limits.settings import ColdTargetSettings
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
+from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
 from goldcrestyard.wire.connection import Handlers, NoAnswer
@@ -63,11 +67,13 @@
 
     async def asyncSetUp(self) -> None:
         quiet_logs(self)
-        self.member = FakeMember(machine_of(TargetsSlice), self.clock())
+        self.machine = machine_of(EvacuationsSlice, ServingSlice, TargetsSlice)
+        self.member = FakeMember(self.machine, self.clock())
         self.leader_known = self.known()
         self.issuer = PermitIssuer(
             self.member,  # type: ignore[arg-type]
             self.leader_known,
+            self.cold(),
             self.clock(),
         )
         handlers = Handlers()
@@ -77,9 +83,14 @@
     def known(self) -> KnownLimits:
         return KnownLimits(FleetMetrics(CollectorRegistry()), self.clock())
 
+    def cold(self) -> ColdTargets:
+        knowledge = HeardFromTargets(lambda _: 0.0)
+        return ColdTargets(self.machine, knowledge, ColdTargetSettings(), self.clock())
+
     def permits(self, known: KnownLimits) -> TargetPermits:
         return TargetPermits(
             known,
+            self.cold(),
             IssuedByLeader(self.link),  # type: ignore[arg-type]
             FleetMetrics(CollectorRegistry()),
             self.clock(),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -48,6 +48,8 @@
             "name": "engines",
             "health_path": "/healthz",
             "engine": {"slots": 8, "models": [{"name": "m1"}, {"name": "m2"}]},
+            "cold_s": 8,
+            "cold_per_s": 12,
             "autoscale": {
                 "min": 1,
                 "max": 3,
@@ -89,6 +91,7 @@
     ("huge_priority", lambda d: d["routes"][0].update(priority=10**400)),
     ("huge_attempts", lambda d: d["routes"][0].update(attempts=10**400)),
     ("huge_slots", lambda d: d["services"][0]["engine"].update(slots=10**400)),
+    ("negative_cold_rate", lambda d: d["services"][0].update(cold_per_s=-1)),
     ("huge_bound", lambda d: d["services"][0]["autoscale"].update(max=10**400)),
     ("organisation_with_line_break", lambda d: d["tenants"][0].update(name="a\nb")),
     # The parser of heads fails on these, on each connection.
@@ -108,6 +111,9 @@
     def test_fields_are_decoded(self) -> None:
         config = decode(DOCUMENT)
         assert isinstance(config, ServingConfig)
+        cold = [(s.cold_seconds, s.cold_per_second) for s in config.services]
+        self.assertEqual((8.0, 12.0), cold[0])
+        self.assertEqual({(0.0, 0.0)}, set(cold[1:]))
         calls, jobs = config.routes
         self.assertEqual(config.version, 7)
         self.assertEqual((calls.timeout_seconds, calls.objective_seconds), (1.2, 0.242))
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -56,6 +56,23 @@
         self.assertIs(beat.state, TargetState.DRAINING)
         self.assertIs(beat.rental, Rental.RECLAIMABLE)
         self.assertEqual(beat.leaves_in_seconds, 2.5)
+        self.assertEqual(beat.cold_seconds_left, 0.0)
+
+    @parameterized.expand(
+        [
+            ("cold", 1500, 1.5),
+            ("warm", 0, 0.0),
+            ("none", None, 0.0),
+            ("negative", -3, 0.0),
+            ("longest", 1e300, heartbeats.MAX_COLD_SECONDS),
+        ]
+    )
+    def test_cold_time(self, _: str, sent: float | None, expected: float) -> None:
+        """Guards against a target that one odd heartbeat keeps cold."""
+        body = json.dumps({**BEAT, "cold_left_ms": sent}).encode()
+        beat = heartbeats.decode("i-1", body)
+        assert isinstance(beat, Heartbeat)
+        self.assertEqual(expected, beat.cold_seconds_left)
 
     @parameterized.expand(
         [
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,6 +9,7 @@
 from parameterized import parameterized
 
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
+from goldcrestyard.fleet.limits.settings import ColdTargetSettings
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.platform import settings as platform_settings
@@ -70,6 +71,21 @@
         lease = settings.section(EntrySettings).lease_seconds
         self.assertLess(lease, 5.0)
 
+    @parameterized.expand(
+        [
+            ("named", {"cold_overage": 2, "cold_slack": 3}, 2.0, 3.0),
+            ("not", {}, 1.5, 5.0),
+        ]
+    )
+    def test_bound_of_cold_targets(
+        self, _: str, bounds: dict[str, float], overage: float, slack: float
+    ) -> None:
+        settings, _problems = decode({"bounds": bounds})
+        cold = settings.section(ColdTargetSettings)
+        self.assertEqual(
+            (overage, slack, 2.0), (cold.overage, cold.slack, cold.silence_seconds)
+        )
+
     def test_timing_of_the_log_passes_its_checks(self) -> None:
         settings, _ = decode()
         self.assertEqual(list(check_timing(settings)), [])
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -217,7 +217,9 @@
             exclusions=TargetExclusions(
                 self.machine.get(EvacuationsSlice), self.leaving.includes
             ),
+            may_send_again=lambda _: self.may_send_again,
         )
+        self.may_send_again = True
         await self.client.start()
         self.addAsyncCleanup(self._stop)
 
@@ -385,6 +387,13 @@
         self.assertIsInstance(await self._send(repeatable=True), Broken)
         self.assertEqual(len(self.requests), 1)
 
+    async def test_dropped_request_is_not_sent_again_without_a_permit(self) -> None:
+        """Guards against two requests to a cold target with one permit."""
+        self.may_send_again = False
+        self.script += [(b"", reset), (WHOLE, stay)]
+        self.assertIsInstance(await self._send(repeatable=True), Broken)
+        self.assertEqual(len(self.requests), 1)
+
     async def test_bytes_left_over_are_not_the_next_answer(self) -> None:
         other = WHOLE.replace(b"hello", b"wrong")
         self.script += [(WHOLE + other, stay), (WHOLE, stay), (WHOLE, stay)]
