--- a/goldcrestyard/platform/documents.py
+++ b/goldcrestyard/platform/documents.py
@@ -25,6 +25,7 @@
     ModelName,
     OrganisationId,
     Region,
+    RequestRate,
     RouteName,
     ServiceName,
 )
@@ -95,6 +96,8 @@
     name: str
     engine: _Engine | None = None
     autoscale: _Autoscale | None = None
+    cold_s: Annotated[float, Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -290,7 +293,13 @@
             bounds.spot_price,
             {DataCentre(zone): price for zone, price in bounds.zone_prices.items()},
         )
-    return ServedService(ServiceName(service.name), engine, rental)
+    return ServedService(
+        ServiceName(service.name),
+        engine,
+        rental,
+        service.cold_s,
+        RequestRate(service.cold_per_s),
+    )
 
 
 def _regions(names: list[str]) -> tuple[Region, ...]:
