--- a/goldcrestyard/core/serving.py
+++ b/goldcrestyard/core/serving.py
@@ -12,6 +12,7 @@
     ModelName,
     OrganisationId,
     Region,
+    RequestRate,
     RouteName,
     ServiceName,
 )
@@ -101,6 +102,10 @@
     name: ServiceName
     engine: EngineShape | None = None
     rental: RentalBounds | None = None
+    cold_seconds: float = 0.0
+    """Time after its start for which a target is cold."""
+    cold_per_second: RequestRate = RequestRate(0.0)
+    """Requests a second that a cold target takes; 0 if there is no limit."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -21,8 +21,11 @@
     CallStatistics,
     choose_target,
     has_free_slot,
+    may_be_hedged_to,
+    mostly_full,
 )
 from goldcrestyard.policy.home_regions import is_allowed
+from goldcrestyard.policy.return_times import full_seconds
 from goldcrestyard.policy.stream_origins import StreamOrigin
 
 
@@ -63,6 +66,8 @@
         *,
         with_free_slot: bool = False,
         hedge: bool = False,
+        retry: bool = False,
+        ask_full: bool = False,
         origin: StreamOrigin | None = None,
         regions: frozenset[Region] | None = None,
     ) -> Target | None:
@@ -71,18 +76,35 @@
         Targets in ``tried`` are excluded.  ``with_free_slot`` also excludes
         targets to which this process already sends as many calls as they can
         run concurrently.  A ``hedge`` goes to no target with a request limit,
-        where it would take the place of another request.  A stream with an
-        ``origin`` goes on only at targets that fit it.  ``regions`` are those
-        in which the request may be served; None excludes no target.
+        where it would take the place of another request, and only to one with
+        a free slot and without a recent failure; if most targets are full, to
+        none.  A ``retry`` beside an attempt that is silent goes to any target
+        without a limit if none fits.  A stream with an ``origin`` goes on only
+        at targets that fit it.  ``regions`` are those in which the request may
+        be served; None excludes no target.  Targets that have just said that
+        they are full are left out, unless ``ask_full`` is set by a caller that
+        waits for free slots by itself.
         """
         candidates = self._staying(service, regions)
+        now = self._clock.monotonic()
+        if hedge and not retry and mostly_full(candidates, self.statistics_by_id, now):
+            return None
+        if hedge or not ask_full:
+            candidates = tuple(filter(self._may_have_room, candidates))
         if origin is not None:
             candidates = tuple(filter(origin.fits, candidates))
         limited = self._limited(candidates)
-        if hedge and limited:
+        if hedge:
             candidates = tuple(
                 target for target in candidates if target.id not in limited
             )
+            fit = tuple(
+                target
+                for target in candidates
+                if may_be_hedged_to(target, self.statistics_by_id.get(target.id), now)
+            )
+            if not retry or any(target.id not in tried for target in fit):
+                candidates = fit
         if with_free_slot:
             candidates = tuple(
                 target
@@ -94,11 +116,45 @@
             self.statistics_by_id,
             self._location,
             tried,
-            self._clock.monotonic(),
+            now,
             self._random,
             limited,
         )
 
+    def has_answered_since(self, target: Target, since: float) -> bool:
+        """Return whether a target has answered a call since a time."""
+        statistics = self.statistics_by_id.get(target.id)
+        return statistics is not None and statistics.answered_at > since
+
+    def full_seconds(
+        self, service: ServiceName, regions: frozenset[Region] | None = None
+    ) -> float | None:
+        """Return the expected time until a target of a service has a slot.
+
+        Returns None unless all its targets have just said that they are full.
+        """
+        staying = self._staying(service, regions)
+        if not staying or any(map(self._may_have_room, staying)):
+            return None
+        now = self._clock.monotonic()
+        return min(self.statistics_by_id[each.id].full_until - now for each in staying)
+
+    def _may_have_room(self, target: Target) -> bool:
+        statistics = self.statistics_by_id.get(target.id)
+        return (
+            statistics is None
+            or statistics.incarnation != target.incarnation
+            or self._clock.monotonic() >= statistics.full_until
+        )
+
+    def note_silence(self, target: Target, since: float) -> None:
+        """Record that a call was given up which a target got at a time.
+
+        It counts only if the target has answered no other call since.
+        """
+        if not self.has_answered_since(target, since):
+            self._statistics(target).record_silence(self._clock.monotonic())
+
     def withheld_seconds(
         self, service: ServiceName, regions: frozenset[Region] | None = None
     ) -> float | None:
@@ -186,6 +242,10 @@
             case Withheld(retry_after_seconds=seconds):
                 until = self._clock.monotonic() + seconds
                 self._statistics(target).withheld_until = until
+            case TurnedAway(status=503):
+                statistics = self._statistics(target)
+                now = self._clock.monotonic()
+                statistics.full_until = now + full_seconds(target, statistics)
             case TurnedAway():
                 pass
 
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -47,6 +47,16 @@
             ANSWER_SECONDS_BUCKETS,
             ("route_kind",),
         )
+        self.hedges = self._counter(
+            "hedges",
+            "Second copies of slow calls, by whether they were sent or won.",
+            ("outcome",),
+        )
+        self.hedges_withheld = self._counter(
+            "hedges_withheld",
+            "Hedges that were due and were not sent, by reason.",
+            ("reason",),
+        )
         self.take_ups = self._counter(
             "stream_take_ups",
             "Streams that callers took up, by what is known of their origin.",
@@ -122,6 +132,14 @@
             "Requests to targets with a request limit, by whether they were sent.",
             ("outcome",),
         )
+        self.cold_targets = self._gauge(
+            "cold_targets", "Ready targets that are or may be cold."
+        )
+        self.cold_permits = self._counter(
+            "cold_permits",
+            "Requests to targets that are or may be cold, by whether they were sent.",
+            ("outcome",),
+        )
         self.target_answers = self._counter(
             "target_answers",
             "Answers of targets, by whether they name a request limit.",
--- a/goldcrestyard/platform/targets/client.py
+++ b/goldcrestyard/platform/targets/client.py
@@ -33,6 +33,7 @@
 from goldcrestyard.kernel.http_client import (
     MAX_ANSWER_BYTES,
     BoundedConnector,
+    InvalidStatusError,
     UnboundedAnswerError,
     read_at_most,
     read_to_end,
@@ -97,8 +98,13 @@
 LEAST_URGENCY = 9
 """Largest number that the header for the urgency may have."""
 
-MALFORMED_ANSWER_ERRORS = (aiohttp.ClientResponseError, UnboundedAnswerError)
-"""Errors of the HTTP library for an answer whose head is none or too long."""
+MALFORMED_ANSWER_ERRORS = (
+    aiohttp.ClientResponseError,
+    InvalidStatusError,
+    UnboundedAnswerError,
+)
+"""Errors for an answer whose head is none or too long, or has a status that no
+answer may have."""
 
 SUPPRESSED_DEFAULT_HEADERS = ("accept", "accept-encoding", "user-agent", "content-type")
 """Default headers of the HTTP library that are not added to a request."""
@@ -186,6 +192,7 @@
         leaving: LeavingTargets | None = None,
         room: ByteRoom | None = None,
         exclusions: TargetExclusions | None = None,
+        may_send_again: Callable[[Target], bool] = lambda _: True,
     ) -> None:
         """Create a client that reports the request limit of each answer.
 
@@ -193,11 +200,13 @@
         in ``leaving`` gets no more requests, and those that say in an answer
         that they leave are added to it.  The bodies that are being read share
         ``room``.  ``exclusions`` tell which data centres are evacuated, and
-        count the running requests.
+        count the running requests.  ``may_send_again`` tells whether a dropped
+        request may be sent to a target once more without a further permit.
         """
         self._on_limit = on_limit
         self._leaving = leaving
         self._exclusions = exclusions
+        self._may_send_again = may_send_again
         self._room = room or ByteRoom(2 * MAX_ANSWER_BYTES)
         self._sessions_by_address: dict[str, aiohttp.ClientSession] = {}
         self._discarded_sessions: deque[aiohttp.ClientSession] = deque()
@@ -358,6 +367,7 @@
             and seconds < DROPPED_CONNECTION_SECONDS
             and not self.is_leaving(target)
             and not self.is_evacuated(target)
+            and self._may_send_again(target)
         ):
             logger.info(
                 "connection broke; sending the request again on a new one",
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,6 +10,8 @@
 
 from goldcrestyard.fleet.assembly.settings import AssemblySettings
 from goldcrestyard.fleet.directory.settings import DirectorySettings
+from goldcrestyard.fleet.gateway.settings import HedgingSettings
+from goldcrestyard.fleet.limits.settings import ColdTargetSettings
 from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
 from goldcrestyard.kernel.settings import Settings
 from goldcrestyard.platform import settings as platform_settings
@@ -51,6 +53,22 @@
 class DecodeTests(unittest.TestCase):
     """Guards against wrong identities and timing derived from the file."""
 
+    @parameterized.expand(
+        [
+            ("default", {}, 0.1),
+            ("off", {"hedging": {"share": 0}}, 0.0),
+            ("set", {"hedging": {"share": 0.02}}, 0.02),
+            ("negative", {"hedging": {"share": -0.1}}, None),
+            ("over_one", {"hedging": {"share": 1.5}}, None),
+        ]
+    )
+    def test_hedging(self, _: str, change: dict[str, Any], share: float | None) -> None:
+        settings, problems = decode(change)
+        if share is None:
+            self.assertEqual(problems, ["settings_file.E002"])
+        else:
+            self.assertEqual(settings.section(HedgingSettings).share, share)
+
     def test_instances_are_named_by_their_peer_address(self) -> None:
         settings, problems = decode()
         self.assertEqual(problems, [])
@@ -71,6 +89,21 @@
         lease = settings.section(EntrySettings).lease_seconds
         self.assertLess(lease, 5.0)
 
+    @parameterized.expand(
+        [
+            ("named", {"cold_overage": 2, "cold_slack": 3}, 2.0, 3.0),
+            ("not", {}, 1.5, 5.0),
+        ]
+    )
+    def test_bound_of_cold_targets(
+        self, _: str, bounds: dict[str, float], overage: float, slack: float
+    ) -> None:
+        settings, _problems = decode({"bounds": bounds})
+        cold = settings.section(ColdTargetSettings)
+        self.assertEqual(
+            (overage, slack, 2.0), (cold.overage, cold.slack, cold.silence_seconds)
+        )
+
     def test_timing_of_the_log_passes_its_checks(self) -> None:
         settings, _ = decode()
         self.assertEqual(list(check_timing(settings)), [])
