--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -33,6 +33,9 @@
 """Size of a request line that is allowed beside the headers where a limit
 names those only."""
 
+OVERHEAD_SLACK_BYTES = 4096
+"""Bytes beside the head's limit for the framing of the first chunks."""
+
 LINGERING_TIMEOUT_SECONDS = 1.0
 """How long the rest of a refused body is read and discarded, so that the
 caller receives the response instead of a connection reset."""
@@ -71,7 +74,7 @@
         The framing of chunks is not included.  The trailers may be as long as
         the head of a request.
         """
-        return MAX_HEADERS * self.header_bytes + 2 * READ_BYTES
+        return self.head_bytes + OVERHEAD_SLACK_BYTES
 
 
 class CallerConnection(web.RequestHandler):
@@ -240,7 +243,9 @@
         if not self.active or self._body is None or self._body.is_eof():
             return MAX_DISCARDED_BYTES
         framed = (1 + CHUNK_OVERHEAD_FACTOR) * self._body.total_bytes
-        return self._limits.overhead_bytes + framed
+        # While the body is not read, the parser holds back up to one read.
+        held_back = READ_BYTES if self._reading_paused else 0
+        return self._limits.overhead_bytes + held_back + framed
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the time-out and give back the memory."""
--- a/tests/plugins/listeners/test_floods.py
+++ b/tests/plugins/listeners/test_floods.py
@@ -106,6 +106,12 @@
             return web.Response(status=REFUSED)
         if request.path == "/slow":
             await asyncio.sleep(0.3)
+        if request.path == "/slow-read":
+            size = 0
+            async for part in request.content.iter_any():
+                size += len(part)
+                await asyncio.sleep(0.02)
+            return web.json_response(size)
         return web.json_response(len(await request.read()))
 
     @parameterized.expand([(flood.name, flood) for flood in FLOODS])
@@ -122,14 +128,33 @@
             return
         self.fail(f"{sent} bytes were read")
 
+    async def test_unfinished_trailers_are_ended(self) -> None:
+        """Guards against trailers beyond the limit of heads in the parser."""
+        self.writer.write(_head("/read", CHUNKED) + b"1\r\na\r\n0\r\n")
+        await self.writer.drain()
+        await asyncio.sleep(0.1)
+        line = b"a: " + b"b" * 8000 + b"\r\n"
+        with self.assertRaises(ConnectionError):
+            self.writer.write(line * 20)
+            async with asyncio.timeout(DEADLINE_SECONDS / 6):
+                await self.reader.readexactly(1)
+
     @parameterized.expand(
         [
-            ("one_byte_chunks", b"1\r\na\r\n" * 500_000, 500_000),
-            ("chunks_with_extensions", b"40;a=b\r\n" + b"a" * 64 + b"\r\n", 64),
+            ("one_byte_chunks", "/read", b"1\r\na\r\n" * 500_000, 500_000),
+            ("read_slowly", "/slow-read", b"1\r\na\r\n" * 500_000, 500_000),
+            (
+                "chunks_with_extensions",
+                "/read",
+                b"40;a=b\r\n" + b"a" * 64 + b"\r\n",
+                64,
+            ),
         ]
     )
-    async def test_sound_body_is_read(self, _: str, chunks: bytes, size: int) -> None:
-        self.writer.write(_head("/read", CHUNKED) + chunks + b"0\r\n\r\n")
+    async def test_sound_body_is_read(
+        self, _: str, path: str, chunks: bytes, size: int
+    ) -> None:
+        self.writer.write(_head(path, CHUNKED) + chunks + b"0\r\n\r\n")
         async with asyncio.timeout(DEADLINE_SECONDS):
             await self.reader.readuntil(b"\r\n\r\n")
             answer = await self.reader.readexactly(len(str(size)))
