--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -224,6 +224,8 @@
         with unread bytes would reset it before the caller has the refusal.
         """
         self._refused = True
+        # No further request starts; the transport stays open for a while.
+        self._force_close = True
         if self._place is not None:
             self._place.refused(reason)
         self.receiving = False
@@ -256,9 +258,11 @@
         super().connection_lost(exc)
 
     def begin(self, request: web.BaseRequest) -> bool:
-        """Mark a request as running; return False if its head timed out."""
+        """Mark a request as running; return False if it was refused."""
         self._cancel_head_timer()
-        self.active = not self._head_timed_out
+        # The handler starts a turn of the event loop after the head was
+        # parsed; the connection may have been refused in between.
+        self.active = not (self._head_timed_out or self._refused)
         self._body = request.content
         self._refused_body = None
         self._received_bytes = 0
@@ -308,6 +312,8 @@
         """Return a refusal for an error of the parser or of a handler."""
         self._cancel_head_timer()
         self.receiving = False
+        if self._refused or self._head_timed_out:
+            raise ConnectionError("the request was refused before it ran")
         if request.writer.output_size > 0:
             raise ConnectionError(
                 "the response has already started; closing the connection"
--- a/goldcrestyard/plugins/listeners/middleware.py
+++ b/goldcrestyard/plugins/listeners/middleware.py
@@ -46,9 +46,7 @@
     """Mark the connection as active while a request is handled."""
     connection = request.protocol
     if isinstance(connection, CallerConnection) and not connection.begin(request):
-        raise ConnectionResetError(
-            "the request line and headers arrived after the time-out"
-        )
+        raise ConnectionResetError("the request was refused before it ran")
     return await handler(request)
 
 
--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -179,9 +179,7 @@
             if isinstance(connection, CallerConnection) and not connection.begin(
                 request
             ):
-                raise ConnectionResetError(
-                    "the request line and headers arrived after the time-out"
-                )
+                raise ConnectionResetError("the request was refused before it ran")
             return await handler(request)
 
         server = web.Server(handle, handler_cancellation=True)
--- /dev/null
+++ b/tests/plugins/listeners/test_refusals.py
@@ -0,0 +1,74 @@
+"""Tests of requests that are refused between their head and their handler.
+
+They guard against "not run" for a request that runs, and against bytes that
+are held without being counted.
+"""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from aiohttp import web
+from parameterized import parameterized
+
+from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.plugins.listeners.connections import (
+    CallerConnection,
+    ConnectionLimits,
+)
+
+HEAD_BYTES = 4096
+ROOM_BYTES = 100_000
+TURNS = 20
+"""Turns of the event loop that a request and its answer need at most."""
+
+GOOD = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+class RefusalTests(unittest.IsolatedAsyncioTestCase):
+    """A connection with a transport that records what is written."""
+
+    async def asyncSetUp(self) -> None:
+        self.handled = 0
+        self.may_end = asyncio.Event()
+        self.room = ByteRoom(ROOM_BYTES)
+        self.transport = mock.MagicMock(spec=asyncio.Transport)
+        self.transport.is_closing.return_value = False
+        self.transport.get_write_buffer_size.return_value = 0
+        server = web.Server(self._handle, handler_cancellation=True)
+        limits = ConnectionLimits(header_seconds=10.0, head_bytes=HEAD_BYTES)
+        self.connection = CallerConnection(server, limits, self.room)
+        self.connection.connection_made(self.transport)
+        self.addCleanup(self.connection.connection_lost, None)
+        await self._turns()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if not self.connection.begin(request):
+            raise ConnectionResetError("refused")
+        self.handled += 1
+        await self.may_end.wait()
+        return web.Response()
+
+    async def _turns(self) -> None:
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+
+    def _written(self) -> bytes:
+        calls = self.transport.write.call_args_list
+        return b"".join(call.args[0] for call in calls)
+
+    @parameterized.expand([("next_request", GOOD), ("part_of_one", GOOD[:9])])
+    async def test_refused_request_does_not_run(self, _: str, more: bytes) -> None:
+        """Guards against bytes without room in the turn before the handler."""
+        self.connection.data_received(GOOD)
+        self.room.lease().add(ROOM_BYTES)
+        self.connection.data_received(more)
+        self.may_end.set()
+        await self._turns()
+        self.assertEqual(self.handled, 0)
+        written = self._written()
+        self.assertTrue(written.startswith(b"HTTP/1.1 503"), written)
+        self.assertIn(b"x-verdict: not_run", written)
+        self.assertEqual(written.count(b"HTTP/1.1"), 1)
+        # Closing at once could reset the connection before the answer arrives.
+        self.transport.close.assert_not_called()
