--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -40,6 +40,10 @@
 """How long the rest of a refused body is read and discarded, so that the
 caller receives the response instead of a connection reset."""
 
+SMALL_READ_BYTES = 16 * 1024
+"""Size of a read while no body is expected, so that what many connections
+send ahead of an answer stays small."""
+
 MAX_LINGERING_BYTES = 1024 * 1024
 """Most bytes that are read and discarded after a head was refused.  Then the
 connection is not read until it is closed."""
@@ -114,6 +118,10 @@
         self._received_bytes = 0
         self._head_bytes = 0
         """Bytes that arrived while the parser waited for the next head."""
+        self._ahead_paused = False
+        """Whether reading waits for the answer of the present request."""
+        self._ahead = room.lease()
+        """The memory for bytes that arrived behind the running request."""
         self._refused = False
         """Whether the head of a request was refused; the rest is dropped."""
         self._malformed = False
@@ -126,6 +134,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time-out for the head of the first request."""
         super().connection_made(transport)
+        self._set_read_bytes(SMALL_READ_BYTES)
         self._start_head_timer()
 
     def data_received(self, data: bytes) -> None:
@@ -147,8 +156,12 @@
         if self.receiving and not self._discards() and not self.lease.grow(len(data)):
             self._refuse_for_room()
             return
+        if self._runs_with_whole_body():
+            self._count_ahead(len(data))
         if not self._parse(data):
             return
+        if self._runs_with_whole_body():
+            self._set_read_bytes(SMALL_READ_BYTES)
         if not self.active and self._timer is None:
             self._start_head_timer()
         self._abort_if_endless()
@@ -173,6 +186,48 @@
             self._drop_parser_error()
         return True
 
+    def _runs_with_whole_body(self) -> bool:
+        """Return whether the bytes that arrive belong to a further request."""
+        return self.active and self._body is not None and self._body.is_eof()
+
+    def _count_ahead(self, size: int) -> None:
+        """Count bytes of further requests; pause reading after a head's size.
+
+        A client may send requests with bodies before an answer, so that the
+        connection stays open and is read again after the answer.
+        """
+        has_room = self._ahead.grow(size)
+        if not has_room:
+            self._ahead.add(size)
+        if not has_room or self._ahead.held > self._limits.head_bytes:
+            self._ahead_paused = True
+            self._pause_transport_reading()
+
+    def _end_ahead(self) -> None:
+        """Read further requests again, after an answer.
+
+        If none of them has a whole head yet, all bytes belong to that head.
+        """
+        if not self._messages:
+            self._head_bytes = self._ahead.held
+            self.lease.add(self._ahead.held)
+        self._ahead.release()
+        if not self._ahead_paused:
+            return
+        self._ahead_paused = False
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Resume reading unless it waits for an answer."""
+        if not self._ahead_paused:
+            super()._resume_transport_reading()
+
+    def _set_read_bytes(self, size: int) -> None:
+        """Set the size of a read, an attribute of socket transports."""
+        if self.transport is not None:
+            cast(Any, self.transport).max_size = size
+
     def _awaits_request(self) -> bool:
         """Return whether the parser has no request that is not answered."""
         waiter = self._waiter
@@ -253,6 +308,7 @@
         """Cancel the time-out and give back the memory."""
         self._cancel_head_timer()
         self.lease.release()
+        self._ahead.release()
         if self._place is not None:
             self._place.release()
         super().connection_lost(exc)
@@ -270,6 +326,8 @@
         self.receiving = False
         # From here on the request counts by its body, which is read apart.
         self.lease.release()
+        if not request.content.is_eof():
+            self._set_read_bytes(READ_BYTES)
         return self.active
 
     async def finish_response(
@@ -289,6 +347,8 @@
             self._body = None
             self._received_bytes = 0
             self.lease.release()
+            self._set_read_bytes(SMALL_READ_BYTES)
+            self._end_ahead()
 
     @property
     def busy(self) -> bool:
--- a/tests/plugins/listeners/test_refusals.py
+++ b/tests/plugins/listeners/test_refusals.py
@@ -23,6 +23,8 @@
 """Turns of the event loop that a request and its answer need at most."""
 
 GOOD = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n"
+LONG_POST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n"
 
 
 class RefusalTests(unittest.IsolatedAsyncioTestCase):
@@ -72,3 +74,67 @@
         self.assertEqual(written.count(b"HTTP/1.1"), 1)
         # Closing at once could reset the connection before the answer arrives.
         self.transport.close.assert_not_called()
+
+    @parameterized.expand(
+        [
+            (
+                "unfinished_head",
+                GOOD + b"GET / HTTP/1.1\r\n",
+                b"a: " + b"b" * 3000 + b"\r\n",
+            ),
+            ("requests", GOOD, GOOD[:-2] + b"a: " + b"b" * 3000 + b"\r\n\r\n"),
+            ("body", GOOD + LONG_POST, b"a" * 3000),
+        ]
+    )
+    async def test_bytes_ahead_are_bounded(
+        self, _: str, first: bytes, more: bytes
+    ) -> None:
+        """Guards against further requests that are held while one runs."""
+        self.connection.data_received(first)
+        await self._turns()
+        held = []
+        while not self.transport.pause_reading.called and len(held) < 10:
+            self.connection.data_received(more)
+            held.append(self.room.held)
+        self.assertTrue(self.transport.pause_reading.called)
+        self.assertGreater(held[-1], HEAD_BYTES)
+        self.assertLess(held[-1], HEAD_BYTES + len(more) + 1)
+        self.transport.abort.assert_not_called()
+        self.transport.resume_reading.assert_not_called()
+        self.may_end.set()
+        await self._turns()
+        self.transport.resume_reading.assert_called()
+
+    async def test_head_ahead_counts_after_the_answer(self) -> None:
+        """Guards against a head that is counted anew after each answer."""
+        line = b"a: " + b"b" * 3000 + b"\r\n"
+        self.may_end.set()
+        self.connection.data_received(POST + b"a" * 9)
+        await self._turns()
+        self.may_end.clear()
+        self.connection.data_received(GOOD)
+        await self._turns()
+        ahead = b"GET / HTTP/1.1\r\n" + line
+        self.connection.data_received(ahead)
+        self.may_end.set()
+        await self._turns()
+        self.assertEqual(self.room.held, len(ahead))
+        self.connection.data_received(line)
+        await self._turns()
+        self.assertEqual(self.handled, 2)
+        self.assertIn(b"HTTP/1.1 400", self._written())
+        self.assertEqual(self.room.held, 0)
+
+    async def test_bytes_ahead_without_room_wait(self) -> None:
+        """Guards against a refusal of a request that runs."""
+        self.connection.data_received(GOOD)
+        await self._turns()
+        full = self.room.lease()
+        full.add(ROOM_BYTES)
+        self.connection.data_received(GOOD)
+        self.transport.pause_reading.assert_called()
+        full.release()
+        self.may_end.set()
+        await self._turns()
+        self.assertEqual(self._written().count(b"HTTP/1.1 200"), 2)
+        self.assertEqual(self.room.held, 0)
