--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -40,6 +40,10 @@
 """How long the rest of a refused body is read and discarded, so that the
 caller receives the response instead of a connection reset."""
 
+HEAD_MEMORY_FACTOR = 3
+"""Memory of a parsed head over its bytes: the parser keeps each header as
+bytes, as text and in a mapping."""
+
 SMALL_READ_BYTES = 16 * 1024
 """Size of a read while no body is expected, so that what many connections
 send ahead of an answer stays small."""
@@ -122,6 +126,9 @@
         """Whether reading waits for the answer of the present request."""
         self._ahead = room.lease()
         """The memory for bytes that arrived behind the running request."""
+        self._head_lease = room.lease()
+        """The memory of the running request's head.  Handlers release
+        ``lease`` for the body and the answer."""
         self._refused = False
         """Whether the head of a request was refused; the rest is dropped."""
         self._malformed = False
@@ -309,6 +316,7 @@
         self._cancel_head_timer()
         self.lease.release()
         self._ahead.release()
+        self._head_lease.release()
         if self._place is not None:
             self._place.release()
         super().connection_lost(exc)
@@ -324,8 +332,12 @@
         self._received_bytes = 0
         self._head_bytes = 0
         self.receiving = False
-        # From here on the request counts by its body, which is read apart.
+        # From here on the body, which is read apart, counts in this lease.
         self.lease.release()
+        if self.active and not self._head_lease.resize(_head_memory_bytes(request)):
+            self.active = False
+            self._refuse_for_room()
+            return False
         if not request.content.is_eof():
             self._set_read_bytes(READ_BYTES)
         return self.active
@@ -347,6 +359,7 @@
             self._body = None
             self._received_bytes = 0
             self.lease.release()
+            self._head_lease.release()
             self._set_read_bytes(SMALL_READ_BYTES)
             self._end_ahead()
 
@@ -436,6 +449,12 @@
     return "\r\n".join(head).encode() + body
 
 
+def _head_memory_bytes(request: web.BaseRequest) -> int:
+    """Return about how much memory a parsed head takes, in bytes."""
+    headers = sum(len(name) + len(text) + 4 for name, text in request.raw_headers)
+    return HEAD_MEMORY_FACTOR * (len(request.raw_path) + headers)
+
+
 def lease_of(request: web.BaseRequest) -> ByteLease:
     """Return the memory that a request takes until it is answered.
 
