--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -57,6 +57,9 @@
 exceeds the largest body, so that the caller of a refused one receives the
 response."""
 
+RETRY_AFTER_SECONDS = 1
+"""When the caller of a process without room or place may come again."""
+
 IDLE_TIMEOUT_SECONDS = 75.0
 """Time after which idle connections are closed.  It is longer than the usual
 client libraries keep theirs, so that the server does not close a connection
@@ -269,7 +272,12 @@
     def _refuse_for_room(self) -> None:
         """Refuse a request whose head finds no room; close the connection."""
         refusal = Refusal(RefusalReason.NO_ROOM, "no room for the request")
-        self._refuse(RefusedConnection.NO_ROOM, "503 Service Unavailable", refusal)
+        self._refuse(
+            RefusedConnection.NO_ROOM,
+            "503 Service Unavailable",
+            refusal,
+            f"retry-after: {RETRY_AFTER_SECONDS}",
+        )
 
     def _refuse_head(self) -> None:
         """Refuse a request whose head is too long; close the connection."""
@@ -279,7 +287,13 @@
         )
         self._refuse(RefusedConnection.HEAD_TOO_LONG, "400 Bad Request", refusal)
 
-    def _refuse(self, reason: RefusedConnection, status: str, refusal: Refusal) -> None:
+    def _refuse(
+        self,
+        reason: RefusedConnection,
+        status: str,
+        refusal: Refusal,
+        *headers: str,
+    ) -> None:
         """Answer a head that is not complete, and close the connection.
 
         What still arrives is dropped for a while, since closing a connection
@@ -293,7 +307,7 @@
         self.receiving = False
         self._cancel_head_timer()
         self.lease.release()
-        self._write_refusal(status, refusal)
+        self._write_refusal(status, refusal, *headers)
         asyncio.get_running_loop().call_later(
             LINGERING_TIMEOUT_SECONDS, self.force_close
         )
--- a/goldcrestyard/plugins/listeners/gates.py
+++ b/goldcrestyard/plugins/listeners/gates.py
@@ -18,6 +18,7 @@
 from goldcrestyard.plugins.listeners.connections import (
     LINGERING_TIMEOUT_SECONDS,
     MAX_LINGERING_BYTES,
+    RETRY_AFTER_SECONDS,
     ConnectionLimits,
     refusal_bytes,
 )
@@ -30,9 +31,6 @@
 """How long the first head of a connection must have been incomplete before a
 new connection may take its place.  Ordinary clients send theirs at once."""
 
-RETRY_AFTER_SECONDS = 1
-"""When the caller of a process without a free place may come again."""
-
 Upgrade = Callable[[asyncio.Transport, bytes, Place], None]
 """Hands a connection over with what was read, the whole first head or more."""
 
@@ -80,12 +78,7 @@
             self._place = self._places.take()
         self._gates[self] = asyncio.get_running_loop().time()
         if self._place is None:
-            self._refuse(
-                RefusedConnection.NO_PLACE,
-                "503 Service Unavailable",
-                Refusal(RefusalReason.NO_ROOM, "no place for another connection"),
-                f"retry-after: {RETRY_AFTER_SECONDS}",
-            )
+            self._refuse_for_place(RefusedConnection.NO_PLACE)
             return
         self._timer = asyncio.get_running_loop().call_later(
             self._limits.header_seconds, self._on_timeout
@@ -173,7 +166,7 @@
 
     def displace(self) -> None:
         """Refuse this connection, since another one needs its place."""
-        self._refuse_for_time(RefusedConnection.DISPLACED)
+        self._refuse_for_place(RefusedConnection.DISPLACED)
 
     def _hand_over(self) -> None:
         transport, place = self._transport, self._place
@@ -192,11 +185,8 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
-        self._refuse_for_time(RefusedConnection.HEAD_TIMEOUT)
-
-    def _refuse_for_time(self, reason: RefusedConnection) -> None:
         self._refuse(
-            reason,
+            RefusedConnection.HEAD_TIMEOUT,
             "408 Request Timeout",
             Refusal(
                 RefusalReason.BAD_REQUEST,
@@ -205,6 +195,14 @@
             "x-should-retry: false",
         )
 
+    def _refuse_for_place(self, reason: RefusedConnection) -> None:
+        self._refuse(
+            reason,
+            "503 Service Unavailable",
+            Refusal(RefusalReason.NO_ROOM, "no place for another connection"),
+            f"retry-after: {RETRY_AFTER_SECONDS}",
+        )
+
     def _refuse_for_room(self) -> None:
         self._refuse(
             RefusedConnection.NO_ROOM,
--- a/tests/plugins/listeners/test_refusals.py
+++ b/tests/plugins/listeners/test_refusals.py
@@ -71,6 +71,7 @@
         written = self._written()
         self.assertTrue(written.startswith(b"HTTP/1.1 503"), written)
         self.assertIn(b"x-verdict: not_run", written)
+        self.assertIn(b"retry-after: 1", written)
         self.assertEqual(written.count(b"HTTP/1.1"), 1)
         # Closing at once could reset the connection before the answer arrives.
         self.transport.close.assert_not_called()
@@ -167,4 +168,5 @@
         written = self._written()
         self.assertTrue(written.startswith(b"HTTP/1.1 503"), written)
         self.assertIn(b"x-verdict: not_run", written)
+        self.assertIn(b"retry-after: 1", written)
         self.assertEqual(written.count(b"HTTP/1.1"), 1)
