--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -33,10 +33,21 @@
 """Size of a request line that is allowed beside the headers where a limit
 names those only."""
 
+OVERHEAD_SLACK_BYTES = 4096
+"""Bytes beside the head's limit for the framing of the first chunks."""
+
 LINGERING_TIMEOUT_SECONDS = 1.0
 """How long the rest of a refused body is read and discarded, so that the
 caller receives the response instead of a connection reset."""
 
+HEAD_MEMORY_FACTOR = 3
+"""Memory of a parsed head over its bytes: the parser keeps each header as
+bytes, as text and in a mapping."""
+
+SMALL_READ_BYTES = 16 * 1024
+"""Size of a read while no body is expected, so that what many connections
+send ahead of an answer stays small."""
+
 MAX_LINGERING_BYTES = 1024 * 1024
 """Most bytes that are read and discarded after a head was refused.  Then the
 connection is not read until it is closed."""
@@ -46,6 +57,9 @@
 exceeds the largest body, so that the caller of a refused one receives the
 response."""
 
+RETRY_AFTER_SECONDS = 1
+"""When the caller of a process without room or place may come again."""
+
 IDLE_TIMEOUT_SECONDS = 75.0
 """Time after which idle connections are closed.  It is longer than the usual
 client libraries keep theirs, so that the server does not close a connection
@@ -71,7 +85,7 @@
         The framing of chunks is not included.  The trailers may be as long as
         the head of a request.
         """
-        return MAX_HEADERS * self.header_bytes + 2 * READ_BYTES
+        return self.head_bytes + OVERHEAD_SLACK_BYTES
 
 
 class CallerConnection(web.RequestHandler):
@@ -111,6 +125,13 @@
         self._received_bytes = 0
         self._head_bytes = 0
         """Bytes that arrived while the parser waited for the next head."""
+        self._ahead_paused = False
+        """Whether reading waits for the answer of the present request."""
+        self._ahead = room.lease()
+        """The memory for bytes that arrived behind the running request."""
+        self._head_lease = room.lease()
+        """The memory of the running request's head.  Handlers release
+        ``lease`` for the body and the answer."""
         self._refused = False
         """Whether the head of a request was refused; the rest is dropped."""
         self._malformed = False
@@ -123,6 +144,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time-out for the head of the first request."""
         super().connection_made(transport)
+        self._set_read_bytes(SMALL_READ_BYTES)
         self._start_head_timer()
 
     def data_received(self, data: bytes) -> None:
@@ -144,8 +166,12 @@
         if self.receiving and not self._discards() and not self.lease.grow(len(data)):
             self._refuse_for_room()
             return
+        if self._runs_with_whole_body():
+            self._count_ahead(len(data))
         if not self._parse(data):
             return
+        if self._runs_with_whole_body():
+            self._set_read_bytes(SMALL_READ_BYTES)
         if not self.active and self._timer is None:
             self._start_head_timer()
         self._abort_if_endless()
@@ -170,6 +196,48 @@
             self._drop_parser_error()
         return True
 
+    def _runs_with_whole_body(self) -> bool:
+        """Return whether the bytes that arrive belong to a further request."""
+        return self.active and self._body is not None and self._body.is_eof()
+
+    def _count_ahead(self, size: int) -> None:
+        """Count bytes of further requests; pause reading after a head's size.
+
+        A client may send requests with bodies before an answer, so that the
+        connection stays open and is read again after the answer.
+        """
+        has_room = self._ahead.grow(size)
+        if not has_room:
+            self._ahead.add(size)
+        if not has_room or self._ahead.held > self._limits.head_bytes:
+            self._ahead_paused = True
+            self._pause_transport_reading()
+
+    def _end_ahead(self) -> None:
+        """Read further requests again, after an answer.
+
+        If none of them has a whole head yet, all bytes belong to that head.
+        """
+        if not self._messages:
+            self._head_bytes = self._ahead.held
+            self.lease.add(self._ahead.held)
+        self._ahead.release()
+        if not self._ahead_paused:
+            return
+        self._ahead_paused = False
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Resume reading unless it waits for an answer."""
+        if not self._ahead_paused:
+            super()._resume_transport_reading()
+
+    def _set_read_bytes(self, size: int) -> None:
+        """Set the size of a read, an attribute of socket transports."""
+        if self.transport is not None:
+            cast(Any, self.transport).max_size = size
+
     def _awaits_request(self) -> bool:
         """Return whether the parser has no request that is not answered."""
         waiter = self._waiter
@@ -204,7 +272,12 @@
     def _refuse_for_room(self) -> None:
         """Refuse a request whose head finds no room; close the connection."""
         refusal = Refusal(RefusalReason.NO_ROOM, "no room for the request")
-        self._refuse(RefusedConnection.NO_ROOM, "503 Service Unavailable", refusal)
+        self._refuse(
+            RefusedConnection.NO_ROOM,
+            "503 Service Unavailable",
+            refusal,
+            f"retry-after: {RETRY_AFTER_SECONDS}",
+        )
 
     def _refuse_head(self) -> None:
         """Refuse a request whose head is too long; close the connection."""
@@ -214,19 +287,27 @@
         )
         self._refuse(RefusedConnection.HEAD_TOO_LONG, "400 Bad Request", refusal)
 
-    def _refuse(self, reason: RefusedConnection, status: str, refusal: Refusal) -> None:
+    def _refuse(
+        self,
+        reason: RefusedConnection,
+        status: str,
+        refusal: Refusal,
+        *headers: str,
+    ) -> None:
         """Answer a head that is not complete, and close the connection.
 
         What still arrives is dropped for a while, since closing a connection
         with unread bytes would reset it before the caller has the refusal.
         """
         self._refused = True
+        # No further request starts; the transport stays open for a while.
+        self._force_close = True
         if self._place is not None:
             self._place.refused(reason)
         self.receiving = False
         self._cancel_head_timer()
         self.lease.release()
-        self._write_refusal(status, refusal)
+        self._write_refusal(status, refusal, *headers)
         asyncio.get_running_loop().call_later(
             LINGERING_TIMEOUT_SECONDS, self.force_close
         )
@@ -240,27 +321,39 @@
         if not self.active or self._body is None or self._body.is_eof():
             return MAX_DISCARDED_BYTES
         framed = (1 + CHUNK_OVERHEAD_FACTOR) * self._body.total_bytes
-        return self._limits.overhead_bytes + framed
+        # While the body is not read, the parser holds back up to one read.
+        held_back = READ_BYTES if self._reading_paused else 0
+        return self._limits.overhead_bytes + held_back + framed
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the time-out and give back the memory."""
         self._cancel_head_timer()
         self.lease.release()
+        self._ahead.release()
+        self._head_lease.release()
         if self._place is not None:
             self._place.release()
         super().connection_lost(exc)
 
     def begin(self, request: web.BaseRequest) -> bool:
-        """Mark a request as running; return False if its head timed out."""
+        """Mark a request as running; return False if it was refused."""
         self._cancel_head_timer()
-        self.active = not self._head_timed_out
+        # The handler starts a turn of the event loop after the head was
+        # parsed; the connection may have been refused in between.
+        self.active = not (self._head_timed_out or self._refused)
         self._body = request.content
         self._refused_body = None
         self._received_bytes = 0
         self._head_bytes = 0
         self.receiving = False
-        # From here on the request counts by its body, which is read apart.
+        # From here on the body, which is read apart, counts in this lease.
         self.lease.release()
+        if self.active and not self._head_lease.resize(_head_memory_bytes(request)):
+            self.active = False
+            self._refuse_for_room()
+            return False
+        if not request.content.is_eof():
+            self._set_read_bytes(READ_BYTES)
         return self.active
 
     async def finish_response(
@@ -280,6 +373,9 @@
             self._body = None
             self._received_bytes = 0
             self.lease.release()
+            self._head_lease.release()
+            self._set_read_bytes(SMALL_READ_BYTES)
+            self._end_ahead()
 
     @property
     def busy(self) -> bool:
@@ -303,6 +399,8 @@
         """Return a refusal for an error of the parser or of a handler."""
         self._cancel_head_timer()
         self.receiving = False
+        if self._refused or self._head_timed_out:
+            raise ConnectionError("the request was refused before it ran")
         if request.writer.output_size > 0:
             raise ConnectionError(
                 "the response has already started; closing the connection"
@@ -365,6 +463,12 @@
     return "\r\n".join(head).encode() + body
 
 
+def _head_memory_bytes(request: web.BaseRequest) -> int:
+    """Return about how much memory a parsed head takes, in bytes."""
+    headers = sum(len(name) + len(text) + 4 for name, text in request.raw_headers)
+    return HEAD_MEMORY_FACTOR * (len(request.raw_path) + headers)
+
+
 def lease_of(request: web.BaseRequest) -> ByteLease:
     """Return the memory that a request takes until it is answered.
 
