--- a/goldcrestyard/kernel/connection_places.py
+++ b/goldcrestyard/kernel/connection_places.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from goldcrestyard.policy.connections import LISTENER_SHARE, SCARCE_SHARE
+from goldcrestyard.policy.connections import SCARCE_SHARE, listener_connections
 
 logger = structlog.get_logger(__name__)
 
@@ -49,13 +49,17 @@
         self.capacity = capacity
         self.open = 0
         self.lingering = 0
+        self.listeners: list[ListenerPlaces] = []
+        """Those for which some places are reserved."""
         self.observers: list[Callable[[RefusedConnection], None]] = []
         self._unlogged: Counter[str] = Counter()
         self._logged_at: float | None = None
 
     def listener(self) -> "ListenerPlaces":
-        """Return the places of one listener."""
-        return ListenerPlaces(self)
+        """Return the places of one listener; reserve some for it."""
+        added = ListenerPlaces(self)
+        self.listeners.append(added)
+        return added
 
     def begin_lingering(self) -> bool:
         """Return whether one more refused connection may be kept open."""
@@ -94,7 +98,15 @@
 
     @property
     def _capacity(self) -> int:
-        return max(1, int(LISTENER_SHARE * self.process.capacity))
+        others = [
+            listener.open for listener in self.process.listeners if listener is not self
+        ]
+        return listener_connections(self.process.capacity, others)
+
+    def close(self) -> None:
+        """Reserve no places any longer; connections keep theirs."""
+        if self in self.process.listeners:
+            self.process.listeners.remove(self)
 
     @property
     def scarce(self) -> bool:
--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -134,6 +134,7 @@
         for gate in tuple(self._gates):
             gate.close()
         await self._runner.cleanup()
+        self._places.close()
 
     def _busy(self) -> bool:
         manager = self._runner.server
--- a/goldcrestyard/policy/connections.py
+++ b/goldcrestyard/policy/connections.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections.abc import Sequence
 from enum import Enum
 
 CONNECTIONS_MEMORY_SHARE = 0.2
@@ -29,6 +30,14 @@
 Idle ones, which an answered request of any client may leave behind, thus never
 take all places.  Closing them later could cut off a request on its way."""
 
+RESERVED_SHARE = 0.05
+MIN_RESERVED = 4
+"""Share and least number of a process's connections that each listener may
+always hold, so that crowds at several others leave some to it."""
+
+MAX_RESERVED_SHARE = 0.5
+"""Largest share of a process's connections that is reserved in all."""
+
 MIN_CONNECTIONS = 16
 """Connections that a process accepts however low its limits are."""
 
@@ -47,6 +56,22 @@
     return max(MIN_CONNECTIONS, int(min(by_memory, by_descriptors)))
 
 
+def reserved_connections(capacity: int, listeners: int) -> int:
+    """Return how many connections each listener may always hold."""
+    reserved = max(MIN_RESERVED, int(RESERVED_SHARE * capacity))
+    return min(reserved, int(MAX_RESERVED_SHARE * capacity / listeners))
+
+
+def listener_connections(capacity: int, others_open: Sequence[int]) -> int:
+    """Return how many connections one listener of a process may hold.
+
+    ``others_open`` are the open connections of each of the other listeners.
+    """
+    reserved = reserved_connections(capacity, len(others_open) + 1)
+    left = capacity - sum(max(reserved, open_) for open_ in others_open)
+    return max(0, min(left, max(1, int(LISTENER_SHARE * capacity))))
+
+
 class HeadState(Enum):
     """What has arrived of a request's head."""
 
--- a/tests/plugins/listeners/test_gates.py
+++ b/tests/plugins/listeners/test_gates.py
@@ -156,6 +156,16 @@
         self.assertEqual(self.refused, [RefusedConnection.NO_PLACE])
         self.assertEqual(self.places.open, PLACES - 1)
 
+    async def test_crowds_at_two_listeners_leave_places_to_a_third(self) -> None:
+        """Guards against crowds that close the listener for health checks."""
+        crowded = [self.places.listener() for _ in range(2)]
+        held = [listener.take() for listener in crowded * PLACES]
+        taken = [place for place in held if place is not None]
+        self.assertGreater(len(taken), PLACES // 2)
+        reader, writer = await self._connect()
+        writer.write(GOOD)
+        self.assertEqual((await self._status(reader))[0], 200)
+
     async def test_idle_connections_leave_places(self) -> None:
         """Guards against answered clients that hold all places."""
         idle = []
--- a/tests/policy/test_connections.py
+++ b/tests/policy/test_connections.py
@@ -10,6 +10,7 @@
     MIN_CONNECTIONS,
     HeadBuffer,
     HeadState,
+    listener_connections,
     max_connections,
 )
 
@@ -75,3 +76,25 @@
     )
     def test_bound(self, _: str, memory: int, descriptors: int, most: int) -> None:
         self.assertEqual(max_connections(memory, descriptors), most)
+
+
+class ListenerConnectionsTests(unittest.TestCase):
+    """Guard against crowds at some listeners that close the others."""
+
+    @parameterized.expand(
+        [
+            ("alone", 100, (), 90),
+            ("others_idle", 100, (0, 0), 90),
+            ("least_number_is_reserved", 40, (0, 0), 32),
+            ("share_is_reserved", 1000, (0, 0, 0, 0), 800),
+            ("one_other_is_full", 100, (90, 0), 5),
+            ("two_others_are_full", 100, (60, 35), 5),
+            ("few_places", 16, (0, 0, 0), 10),
+            ("few_places_and_crowds", 16, (10, 2, 2), 2),
+            ("opened_after_the_crowd", 100, (90, 10), 0),
+        ]
+    )
+    def test_listener_may_hold(
+        self, _: str, capacity: int, others: tuple[int, ...], most: int
+    ) -> None:
+        self.assertEqual(listener_connections(capacity, others), most)
