--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -45,8 +45,8 @@
 bytes, as text and in a mapping."""
 
 SMALL_READ_BYTES = 16 * 1024
-"""Size of a read while no body is expected, so that what many connections
-send ahead of an answer stays small."""
+"""Size of a read while no body of known size is expected, so that the bytes
+that many connections send ahead of an answer stay small."""
 
 MAX_LINGERING_BYTES = 1024 * 1024
 """Most bytes that are read and discarded after a head was refused.  Then the
@@ -121,6 +121,8 @@
         self.receiving = False
         """Whether a part of a request has arrived that is not handled yet."""
         self._body: StreamReader | None = None
+        self._body_bytes = 0
+        """Size of the present body; 0 if it is not known beforehand."""
         self._refused_body: StreamReader | None = None
         self._received_bytes = 0
         self._head_bytes = 0
@@ -144,7 +146,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time-out for the head of the first request."""
         super().connection_made(transport)
-        self._set_read_bytes(SMALL_READ_BYTES)
+        self._set_read_bytes()
         self._start_head_timer()
 
     def data_received(self, data: bytes) -> None:
@@ -170,8 +172,7 @@
             self._count_ahead(len(data))
         if not self._parse(data):
             return
-        if self._runs_with_whole_body():
-            self._set_read_bytes(SMALL_READ_BYTES)
+        self._set_read_bytes()
         if not self.active and self._timer is None:
             self._start_head_timer()
         self._abort_if_endless()
@@ -233,10 +234,19 @@
         if not self._ahead_paused:
             super()._resume_transport_reading()
 
-    def _set_read_bytes(self, size: int) -> None:
-        """Set the size of a read, an attribute of socket transports."""
-        if self.transport is not None:
-            cast(Any, self.transport).max_size = size
+    def _set_read_bytes(self) -> None:
+        """Set the size of the next read, an attribute of socket transports.
+
+        A read that ends a body may hold the start of further requests, so
+        that it is hardly larger than the rest of the body.
+        """
+        if self.transport is None:
+            return
+        rest = 0
+        if self.active and self._body is not None and not self._body.is_eof():
+            rest = self._body_bytes - self._body.total_bytes
+        size = min(READ_BYTES, max(SMALL_READ_BYTES, rest))
+        cast(Any, self.transport).max_size = size
 
     def _awaits_request(self) -> bool:
         """Return whether the parser has no request that is not answered."""
@@ -342,6 +352,7 @@
         # parsed; the connection may have been refused in between.
         self.active = not (self._head_timed_out or self._refused)
         self._body = request.content
+        self._body_bytes = request.content_length or 0
         self._refused_body = None
         self._received_bytes = 0
         self._head_bytes = 0
@@ -352,8 +363,7 @@
             self.active = False
             self._refuse_for_room()
             return False
-        if not request.content.is_eof():
-            self._set_read_bytes(READ_BYTES)
+        self._set_read_bytes()
         return self.active
 
     async def finish_response(
@@ -374,7 +384,7 @@
             self._received_bytes = 0
             self.lease.release()
             self._head_lease.release()
-            self._set_read_bytes(SMALL_READ_BYTES)
+            self._set_read_bytes()
             self._end_ahead()
 
     @property
--- a/tests/plugins/listeners/test_refusals.py
+++ b/tests/plugins/listeners/test_refusals.py
@@ -12,7 +12,9 @@
 from parameterized import parameterized
 
 from goldcrestyard.kernel.byte_room import ByteRoom
+from goldcrestyard.kernel.http_client import READ_BYTES
 from goldcrestyard.plugins.listeners.connections import (
+    SMALL_READ_BYTES,
     CallerConnection,
     ConnectionLimits,
 )
@@ -24,6 +26,7 @@
 
 GOOD = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n"
+CHUNKED = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 LONG_POST = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n"
 
 
@@ -170,3 +173,25 @@
         self.assertIn(b"x-verdict: not_run", written)
         self.assertIn(b"retry-after: 1", written)
         self.assertEqual(written.count(b"HTTP/1.1"), 1)
+
+    @parameterized.expand(
+        [
+            ("without_a_body", GOOD, b"", SMALL_READ_BYTES),
+            ("long_body", LONG_POST, b"", 60_000),
+            ("rest_of_a_body", LONG_POST, b"a" * 20_000, 40_000),
+            ("short_rest", LONG_POST, b"a" * 59_999, SMALL_READ_BYTES),
+            ("whole_body", LONG_POST, b"a" * 60_000, SMALL_READ_BYTES),
+            ("huge_body", LONG_POST.replace(b"60000", b"6000000"), b"", READ_BYTES),
+            ("chunked", CHUNKED, b"1\r\na\r\n", SMALL_READ_BYTES),
+        ]
+    )
+    async def test_reads_end_near_the_body(
+        self, _: str, head: bytes, body: bytes, size: int
+    ) -> None:
+        """Guards against long heads in the read that ends a body."""
+        self.connection.data_received(head)
+        await self._turns()
+        self.connection.data_received(body)
+        self.assertEqual(self.transport.max_size, size)
+        self.may_end.set()
+        await self._turns()
