--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -165,7 +165,10 @@
             ):
                 self.transport.pause_reading()
             return
-        if self.receiving and not self._discards() and not self.lease.grow(len(data)):
+        # Counted before the parser: many heads may be parsed in one turn of
+        # the event loop, before the first of their requests begins.
+        memory = HEAD_MEMORY_FACTOR * len(data)
+        if self.receiving and not self._discards() and not self.lease.grow(memory):
             self._refuse_for_room()
             return
         if self._runs_with_whole_body():
--- a/tests/plugins/listeners/test_refusals.py
+++ b/tests/plugins/listeners/test_refusals.py
@@ -160,11 +160,17 @@
         await self._turns()
         self.assertEqual(self.room.held, 0)
 
-    async def test_head_without_room_does_not_run(self) -> None:
+    @parameterized.expand([("before_the_parser", True), ("before_it_begins", False)])
+    async def test_head_without_room_does_not_run(self, _: str, first: bool) -> None:
         """Guards against a request whose head has room only as bytes."""
         head = GOOD[:-2] + b"a: " + b"b" * 3000 + b"\r\n\r\n"
-        self.room.lease().add(ROOM_BYTES - len(head) - 100)
+        others = self.room.lease()
+        if first:
+            others.add(ROOM_BYTES - len(head) - 100)
         self.connection.data_received(head)
+        self.assertEqual(bool(self._written()), first)
+        if not first:
+            others.add(ROOM_BYTES - len(head) - 100)
         self.may_end.set()
         await self._turns()
         self.assertEqual(self.handled, 0)
