--- a/goldcrestyard/plugins/listeners/server.py
+++ b/goldcrestyard/plugins/listeners/server.py
@@ -134,6 +134,7 @@
         for gate in tuple(self._gates):
             gate.close()
         await self._runner.cleanup()
+        self._places.close()
 
     def _busy(self) -> bool:
         manager = self._runner.server
@@ -179,9 +180,7 @@
             if isinstance(connection, CallerConnection) and not connection.begin(
                 request
             ):
-                raise ConnectionResetError(
-                    "the request line and headers arrived after the time-out"
-                )
+                raise ConnectionResetError("the request was refused before it ran")
             return await handler(request)
 
         server = web.Server(handle, handler_cancellation=True)
