--- a/goldcrestyard/fleet/evacuations/running.py
+++ b/goldcrestyard/fleet/evacuations/running.py
@@ -31,8 +31,10 @@
         self._exclusions = exclusions
         self._codec = codec
 
-    def collect(self) -> bytes:
-        """Return the counts; nothing while none runs there."""
+    def collect(self) -> bytes | None:
+        """Return the counts, empty if none runs; None without evacuations."""
+        if not self._exclusions.count_evacuated():
+            return None
         counts = self._exclusions.running_by_data_centre()
         return self._codec.encode(RunningRequests(counts)) if counts else b""
 
--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -48,7 +48,7 @@
                 CallerLocation(instance.data_centre, instance.region),
                 app.clock,
                 is_limited=app.get(TargetPermits).is_limited,
-                is_leaving=app.get(TargetExclusions).includes,
+                is_excluded=app.get(TargetExclusions).includes,
             ),
         )
         client = app.get(TargetClient)  # type: ignore[type-abstract]
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -43,15 +43,15 @@
         clock: Clock,
         random_source: random.Random | None = None,
         is_limited: Callable[[Target], bool] | None = None,
-        is_leaving: Callable[[Target], bool] | None = None,
+        is_excluded: Callable[[Target], bool] | None = None,
     ) -> None:
         """Create a router.
 
         ``is_limited`` tells whether a target names a request limit, and
-        ``is_leaving`` whether it gets no more requests, as it leaves or its
+        ``is_excluded`` whether it gets no more requests, as it leaves or its
         data centre is evacuated; without them none does.
         """
-        self._is_leaving = is_leaving
+        self._is_excluded = is_excluded
         self._is_limited = is_limited
         self._targets = targets
         self._location = location
@@ -210,9 +210,9 @@
         serving = self._targets.serving(service)
         if regions is not None:
             serving = tuple(target for target in serving if target.region in regions)
-        if self._is_leaving is None:
+        if self._is_excluded is None:
             return serving
-        return tuple(target for target in serving if not self._is_leaving(target))
+        return tuple(target for target in serving if not self._is_excluded(target))
 
     def _limited(self, targets: Iterable[Target]) -> frozenset[TargetId]:
         if self._is_limited is None:
--- a/goldcrestyard/fleet/jobs/apps.py
+++ b/goldcrestyard/fleet/jobs/apps.py
@@ -100,7 +100,7 @@
             location,
             app.clock,
             is_limited=permits.is_limited,
-            is_leaving=exclusions.includes,
+            is_excluded=exclusions.includes,
         )
         rewards = RewardClient(
             member.machine.get(ServingSlice),
@@ -120,7 +120,7 @@
             app.get(FleetMetrics),
             app.clock,
             permitted_runs=permits.available,
-            is_leaving=exclusions.includes,
+            is_excluded=exclusions.includes,
             shares=control_shares(process_bytes(app.settings)),
             control=app.get(EngineControl),  # type: ignore[type-abstract]
         )
--- a/goldcrestyard/fleet/jobs/choosing.py
+++ b/goldcrestyard/fleet/jobs/choosing.py
@@ -85,14 +85,15 @@
         ordering: JobOrdering,
         max_jobs_bytes: int,
         permitted_runs: Callable[[Target], int | None] | None,
-        is_leaving: Callable[[Target], bool] | None,
+        is_excluded: Callable[[Target], bool] | None,
     ) -> None:
         """Create a chooser.
 
         No item starts while the jobs hold more than ``max_jobs_bytes``.
         ``permitted_runs`` returns how many runs a target's request limit
-        allows to start now; without it no target has a limit.  ``is_leaving``
-        tells whether a target has said that it leaves; without it none has.
+        allows to start now; without it no target has a limit.  ``is_excluded``
+        tells whether a target gets no more requests, as it leaves or its data
+        centre is evacuated; without it none does.
         """
         self._jobs = machine.get(JobsSlice)
         self._serving = machine.get(ServingSlice)
@@ -107,7 +108,7 @@
         self._max_jobs_bytes = max_jobs_bytes
         self._had_room = True
         self._permitted_runs = permitted_runs
-        self._is_leaving = is_leaving
+        self._is_excluded = is_excluded
 
     def choose(self) -> Choice:
         """Return the runs that start now, and the items that go on waiting."""
@@ -193,7 +194,7 @@
 
     def _takes_runs(self, target: Target) -> bool:
         return target.state is TargetState.READY and not (
-            self._is_leaving is not None and self._is_leaving(target)
+            self._is_excluded is not None and self._is_excluded(target)
         )
 
     def _has_room_for_texts(self) -> bool:
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -95,14 +95,14 @@
         clock: Clock,
         random_source: random.Random | None = None,
         permitted_runs: Callable[[Target], int | None] | None = None,
-        is_leaving: Callable[[Target], bool] | None = None,
+        is_excluded: Callable[[Target], bool] | None = None,
         shares: ControlShares = DEFAULT_SHARES,
         control: EngineControl | None = None,
     ) -> None:
         """Create a runner.
 
         ``permitted_runs`` returns how many runs a target's request limit
-        allows to start now; without it no target has a limit.  ``is_leaving``
+        allows to start now; without it no target has a limit.  ``is_excluded``
         tells whether a target gets no more requests, as it leaves or its data
         centre is evacuated; without it none does.
         ``shares`` bound what the texts of items take.  ``control`` asks an
@@ -148,7 +148,7 @@
             self._ordering,
             shares.jobs,
             permitted_runs,
-            is_leaving,
+            is_excluded,
         )
         self._seen_at_by_job: dict[JobId, float] = {}
         member.machine.listen(self._on_applied)
--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -106,14 +106,14 @@
         work: JobWork,
         quiet_seconds: float,
         clock: Clock,
-        is_leaving: Callable[[Target], bool] | None = None,
+        is_excluded: Callable[[Target], bool] | None = None,
     ) -> None:
         """Create a loader.
 
-        ``is_leaving`` tells whether a target gets no more requests, as it
+        ``is_excluded`` tells whether a target gets no more requests, as it
         leaves or its data centre is evacuated; without it none does.
         """
-        self._is_leaving = is_leaving
+        self._is_excluded = is_excluded
         self._member = member
         self._targets = member.machine.get(TargetsSlice)
         self._versions = member.machine.get(VersionsSlice)
@@ -205,7 +205,7 @@
             for homed in self._targets.homed_by_id.values()
             if homed.target.state is TargetState.READY
             and self._tracker.versions(homed.target)
-            and not (self._is_leaving and self._is_leaving(homed.target))
+            and not (self._is_excluded and self._is_excluded(homed.target))
         }
 
     def _newest_by_model(
--- a/tests/fleet/test_evacuations.py
+++ b/tests/fleet/test_evacuations.py
@@ -161,7 +161,7 @@
             CallerLocation(ZONE, Region("r")),
             self.clock(),
             random.Random(1),
-            is_leaving=self.exclusions.includes,
+            is_excluded=self.exclusions.includes,
         )
 
     def _chosen(self, case: ChoiceCase) -> set[str]:
--- a/tests/fleet/test_leaving.py
+++ b/tests/fleet/test_leaving.py
@@ -241,7 +241,7 @@
             CallerLocation(target("a").data_centre, target("a").region),
             clock,
             random.Random(1),
-            is_leaving=known.includes,
+            is_excluded=known.includes,
         )
         admitted = admission.admit(request(prefix), clock.monotonic())
         assert isinstance(admitted, AdmittedRequest)
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -244,7 +244,7 @@
             self.metrics,
             clock,
             random.Random(1),
-            is_leaving=lambda target: target.id in leaving,
+            is_excluded=lambda target: target.id in leaving,
             shares=shares,
             control=(
                 None if incarnations is None else FakeControl(incarnations)  # type: ignore[arg-type]
