--- a/goldcrestyard/core/refusals.py
+++ b/goldcrestyard/core/refusals.py
@@ -17,7 +17,7 @@
     DRAINING = "draining"
     ENTRY_LEASE = "entry_lease_expired"
     FORBIDDEN = "forbidden"
-    HOME_REGIONS = "home_regions"
+    RESIDENCY = "residency"
     INCOMPLETE_ANSWER = "incomplete_answer"
     INVALID_KEY = "invalid_key"
     KEY_WITHDRAWN = "key_withdrawn"
--- a/goldcrestyard/core/serving.py
+++ b/goldcrestyard/core/serving.py
@@ -59,7 +59,7 @@
     """Time from a job's submission by which its items are due."""
     item_seconds: float | None = None
     """Time from a job's submission after which an item may be abandoned."""
-    home_regions: tuple[Region, ...] = ()
+    residency: tuple[Region, ...] = ()
     """Regions in which alone requests are served; empty if there are none."""
 
     @property
@@ -125,7 +125,7 @@
     id: OrganisationId
     keys: tuple[str, ...]
     priority: int | None = None
-    home_regions: tuple[Region, ...] = ()
+    residency: tuple[Region, ...] = ()
     """Regions in which alone it is served; empty if there are none."""
 
 
--- a/goldcrestyard/fleet/directory/directory.py
+++ b/goldcrestyard/fleet/directory/directory.py
@@ -10,7 +10,7 @@
 from goldcrestyard.plugins.addresses.commands import Entry
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
 from goldcrestyard.policy.addresses import entries_by_capacity, known_capacities
-from goldcrestyard.policy.home_regions import HostHomes, nameable_entries
+from goldcrestyard.policy.residency import HostHomes, nameable_entries
 from goldcrestyard.policy.serving import ServingTable
 
 MIN_NEARBY_ENTRIES = 2
--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -27,7 +27,7 @@
 
 
 NO_TARGET_AT_HOME = Refusal(
-    RefusalReason.HOME_REGIONS,
+    RefusalReason.RESIDENCY,
     "no target of the service is in the home regions",
     retry_after_seconds=RETRY_AFTER_SECONDS,
 )
--- a/goldcrestyard/fleet/gateway/router.py
+++ b/goldcrestyard/fleet/gateway/router.py
@@ -24,7 +24,7 @@
     may_be_hedged_to,
     mostly_full,
 )
-from goldcrestyard.policy.home_regions import is_allowed
+from goldcrestyard.policy.residency import is_allowed
 from goldcrestyard.policy.return_times import full_seconds
 from goldcrestyard.policy.stream_origins import StreamOrigin
 
--- a/goldcrestyard/fleet/jobs/home_regions.py
+++ b/goldcrestyard/fleet/jobs/residency.py
@@ -4,7 +4,7 @@
 from goldcrestyard.core.jobs import Job
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.serving.slices import ServingSlice
-from goldcrestyard.policy.home_regions import allowed_regions, may_be_stored
+from goldcrestyard.policy.residency import allowed_regions, may_be_stored
 from goldcrestyard.policy.serving import ServingTable
 
 RETRY_SECONDS = 5.0
@@ -34,7 +34,7 @@
         if may_be_stored(_regions_of(table, job), self._member_regions):
             return None
         return Refusal(
-            RefusalReason.HOME_REGIONS,
+            RefusalReason.RESIDENCY,
             "the home regions of the job's routes and organisation do not hold"
             " all regions of the control members, which store jobs",
             retry_after_seconds=RETRY_SECONDS,
@@ -49,7 +49,7 @@
         if item.reward is not None:
             places.add((item.reward.host, item.reward.path))
     homes = {
-        route.home_regions
+        route.residency
         for host, path in places
         if (route := table.route(host, path)) is not None
     }
--- a/goldcrestyard/platform/callers/apps.py
+++ b/goldcrestyard/platform/callers/apps.py
@@ -10,7 +10,7 @@
 from goldcrestyard.fleet.gateway.admission import Admission
 from goldcrestyard.fleet.gateway.calls import CallRunner
 from goldcrestyard.fleet.gateway.streams import StreamRunner
-from goldcrestyard.fleet.jobs.home_regions import JobHomes
+from goldcrestyard.fleet.jobs.residency import JobHomes
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.settings import TrackingSettings
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -29,7 +29,7 @@
     StageJobPart,
     SubmitJob,
 )
-from goldcrestyard.fleet.jobs.home_regions import JobHomes
+from goldcrestyard.fleet.jobs.residency import JobHomes
 from goldcrestyard.fleet.jobs.result_cache import ResultCache
 from goldcrestyard.fleet.jobs.staging import MAX_PART_BYTES, encode_job, split_job
 from goldcrestyard.membership.leader_link import LeaderLink
--- a/goldcrestyard/policy/configuration_review.py
+++ b/goldcrestyard/policy/configuration_review.py
@@ -23,7 +23,7 @@
     ServingConfig,
     ServingRoute,
 )
-from goldcrestyard.policy.home_regions import allowed_regions
+from goldcrestyard.policy.residency import allowed_regions
 from goldcrestyard.policy.serving import FaultId, located_faults
 
 Entry = ServingRoute | ServedService | ServedOrganisation
@@ -222,7 +222,7 @@
         apart = [
             item.id
             for item in config.organisations
-            if allowed_regions(route.home_regions, item.home_regions) == frozenset()
+            if allowed_regions(route.residency, item.residency) == frozenset()
         ]
         if apart:
             yield _warning(
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -27,8 +27,8 @@
     TargetId,
     WeightVersion,
 )
-from goldcrestyard.policy.home_regions import is_allowed
 from goldcrestyard.policy.item_lengths import DEFAULT_EVENTS
+from goldcrestyard.policy.residency import is_allowed
 
 
 class ItemKey(NamedTuple):
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -18,7 +18,7 @@
     ServingConfig,
     ServingRoute,
 )
-from goldcrestyard.policy.home_regions import HostHomes, allowed_regions, homes_by_host
+from goldcrestyard.policy.residency import HostHomes, allowed_regions, homes_by_host
 
 
 class FaultId(Enum):
@@ -104,11 +104,8 @@
 
 def _home_faults(config: ServingConfig, regions: Collection[Region]) -> Iterator[Fault]:
     holders: list[tuple[str, tuple[Region, ...]]] = [
-        *((f"route {route.name}", route.home_regions) for route in config.routes),
-        *(
-            (f"organisation {item.id}", item.home_regions)
-            for item in config.organisations
-        ),
+        *((f"route {route.name}", route.residency) for route in config.routes),
+        *((f"organisation {item.id}", item.residency) for item in config.organisations),
     ]
     for about, homes in holders:
         for home in homes:
@@ -153,12 +150,12 @@
         }
         self.needs_keys = bool(config.organisations)
         self.homes_by_organisation: dict[OrganisationId, tuple[Region, ...]] = {
-            organisation.id: organisation.home_regions
+            organisation.id: organisation.residency
             for organisation in config.organisations
-            if organisation.home_regions
+            if organisation.residency
         }
         self._homes_by_host = homes_by_host(
-            (normalize_host(route.host), route.home_regions) for route in config.routes
+            (normalize_host(route.host), route.residency) for route in config.routes
         )
         self.has_homes = bool(self.homes_by_organisation or self._homes_by_host)
 
@@ -218,7 +215,7 @@
         homes: tuple[Region, ...] = ()
         if organisation is not None:
             homes = self.homes_by_organisation.get(organisation, ())
-        return allowed_regions(route.home_regions, homes)
+        return allowed_regions(route.residency, homes)
 
 
 def _services_of_unequal_urgency(config: ServingConfig) -> set[ServiceName]:
--- a/tests/fleet/test_directory.py
+++ b/tests/fleet/test_directory.py
@@ -128,7 +128,7 @@
         found = self._directory([*north, *south])
         self.assertEqual(len(self._named(found, region="")), LISTED_ENTRIES)
         routes = tuple(
-            replace(route, home_regions=(Region("north"),)) for route in CONFIG.routes
+            replace(route, residency=(Region("north"),)) for route in CONFIG.routes
         )
         apply(self.machine, PutServing(replace(CONFIG, routes=routes), b""))
         self.assertEqual(self._named(found, region=""), ("a0:80",))
--- a/tests/fleet/test_home_regions.py
+++ b/tests/fleet/test_residency.py
@@ -31,7 +31,7 @@
 from goldcrestyard.fleet.gateway.calls import CallAnswer, CallRunner
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.gateway.streams import StreamEnd, StreamRunner
-from goldcrestyard.fleet.jobs.home_regions import JobHomes
+from goldcrestyard.fleet.jobs.residency import JobHomes
 from goldcrestyard.fleet.jobs.rewards import NoScore, RewardClient, Scored
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.serving.commands import PutServing
@@ -76,9 +76,9 @@
     return replace(
         CONFIG,
         version=CONFIG.version + 1,
-        routes=tuple(replace(each, home_regions=route) for each in CONFIG.routes),
+        routes=tuple(replace(each, residency=route) for each in CONFIG.routes),
         organisations=tuple(
-            replace(each, home_regions=organisation) for each in CONFIG.organisations
+            replace(each, residency=organisation) for each in CONFIG.organisations
         ),
     )
 
@@ -103,7 +103,7 @@
 ROUTE, OWNER = with_homes((NORTH,)), with_homes((), (NORTH,))
 NOWHERE = with_homes((SOUTH,), (NORTH,))
 WHOLE, CAPACITY = Answers(), RefusalReason.CAPACITY
-REFUSED = RefusalReason.HOME_REGIONS
+REFUSED = RefusalReason.RESIDENCY
 CASES = [
     Case("answered", "/once/", ROUTE, (WHOLE,), 1),
     Case("homes_of_the_organisation", "/once/", OWNER, (WHOLE,), 1),
@@ -310,7 +310,7 @@
         config = replace(
             with_homes(),
             routes=tuple(
-                replace(each, home_regions=(NORTH,) if each.prefix == prefix else ())
+                replace(each, residency=(NORTH,) if each.prefix == prefix else ())
                 for each in CONFIG.routes
             ),
         )
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -306,7 +306,7 @@
             CONFIG,
             version=CONFIG.version + 1,
             organisations=tuple(
-                replace(each, home_regions=homes) for each in CONFIG.organisations
+                replace(each, residency=homes) for each in CONFIG.organisations
             ),
         )
         apply(self.machine, PutServing(config, b""))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -155,9 +155,9 @@
         self.assertEqual((engines.rental.least, engines.rental.most), (1, 3))
         self.assertEqual(config.limits.body_bytes, 1000)
         self.assertEqual(config.organisations[0].keys, ("k1", "k2"))
-        self.assertEqual(config.organisations[0].home_regions, ("south",))
-        self.assertEqual(calls.home_regions, ())
-        self.assertEqual(jobs.home_regions, ("north", "south"))
+        self.assertEqual(config.organisations[0].residency, ("south",))
+        self.assertEqual(calls.residency, ())
+        self.assertEqual(jobs.residency, ("north", "south"))
 
     @parameterized.expand(INVALID)
     def test_invalid(self, _: str, change: Callable[[dict[str, Any]], object]) -> None:
--- a/tests/platform/test_home_regions.py
+++ b/tests/platform/test_residency.py
@@ -89,12 +89,12 @@
 
         async def is_gone() -> bool:
             _, body, _ = await self.site.ask("/quotes/home", self.south_front)
-            return b"home_regions" in body
+            return b"residency" in body
 
         await self.site.wait(is_gone, "the target in the south to be gone")
         asked = self._asked()
         status, body, headers = await self.site.ask("/quotes/home", self.south_front)
-        self.assertEqual((status, json.loads(body)["error"]), (503, "home_regions"))
+        self.assertEqual((status, json.loads(body)["error"]), (503, "residency"))
         self.assertIn("Retry-After", headers)
         self.assertEqual(self._asked(), asked)
         self.assertEqual(asked[0], 0)
@@ -104,7 +104,7 @@
         for homes in ({"jobs": NORTH}, {"score": SOUTH}):
             await self._put(**homes)
             statuses = [await self._submit(front) for front in site.fronts]
-            self.assertEqual(statuses, [(503, "home_regions")] * len(site.fronts))
+            self.assertEqual(statuses, [(503, "residency")] * len(site.fronts))
         await self._put(jobs=[*SOUTH, *NORTH])
         url = f"http://{site.fronts[0].address('front')}/v1/lots/job"
         headers = {"Host": HOST, "Authorization": f"Bearer {KEY}"}
--- a/tests/policy/test_configuration_review.py
+++ b/tests/policy/test_configuration_review.py
@@ -79,8 +79,8 @@
 WEIGHT_0 = edited(services=(*SPLIT, WeightedService(S, 0)))
 SAME_KEY = organisations(ORG, replace(ORG, id=P))
 KEYLESS = organisations(replace(ORG, keys=()))
-HOMELY = organisations(replace(ORG, home_regions=SOUTH))
-APART = replace(edited(home_regions=NORTH), organisations=HOMELY.organisations)
+HOMELY = organisations(replace(ORG, residency=SOUTH))
+APART = replace(edited(residency=NORTH), organisations=HOMELY.organisations)
 BAD_NAME = organisations(replace(ORG, id=OrganisationId("a\nb")))
 
 FINDINGS: list[tuple[str, ServingConfig, list[str]]] = [
@@ -89,7 +89,7 @@
     ("all_errors", faulty(4), [f"E00{n} route r{r}" for r in range(4) for n in (4, 5)]),
     ("same_host", with_route(name=R2, host="H.example:80"), ["E006 routes r, r2"]),
     ("shared_key", SAME_KEY, ["E007 organisations o, p"]),
-    ("unknown_home", edited(home_regions=EAST), ["E008 route r"]),
+    ("unknown_home", edited(residency=EAST), ["E008 route r"]),
     ("name_that_no_header_can_carry", BAD_NAME, ["E010 organisation 'a\\nb'"]),
     ("service_without_a_route", MORE_SERVICES, ["W001 service z"]),
     ("weight_0", WEIGHT_0, ["W002 route r"]),
--- a/tests/policy/test_home_regions.py
+++ b/tests/policy/test_residency.py
@@ -12,7 +12,7 @@
 from goldcrestyard.core.ids import ConfigVersion, OrganisationId, Region, ServiceName
 from goldcrestyard.core.serving import ServedOrganisation, ServedService, ServingConfig
 from goldcrestyard.policy.addresses import EntryLocation
-from goldcrestyard.policy.home_regions import (
+from goldcrestyard.policy.residency import (
     allowed_regions,
     may_be_stored,
     nameable_entries,
@@ -56,7 +56,7 @@
         ServingConfig(
             ConfigVersion(1),
             tuple(
-                replace(route(prefix, prefix, host), home_regions=homes)
+                replace(route(prefix, prefix, host), residency=homes)
                 for host, prefix, homes in routes
             ),
         )
@@ -74,7 +74,7 @@
 
     @parameterized.expand([(case.name, case) for case in CASES])
     def test_configuration_allows_the_same(self, _: str, case: Case) -> None:
-        served = replace(route("r", "/r/"), home_regions=case.route)
+        served = replace(route("r", "/r/"), residency=case.route)
         config = ServingConfig(
             ConfigVersion(1),
             (served, route("free", "/free/")),
