Look up overlapping routes in an index when a configuration is applied

Cause: moved_routes compared each added route with each route that had moved in the last 120 s, in the event loop of every process and again at each start.

A gauge shows the longest application of a log entry.

--- a/goldcrestyard/fleet/observability/apps.py
+++ b/goldcrestyard/fleet/observability/apps.py
@@ -29,6 +29,9 @@
         if view is not None:
             metrics.lease.set_function(view.lease_remaining)
             metrics.revision.set_function(lambda: view.revision)
+            metrics.longest_apply.set_function(
+                lambda: view.machine.longest_apply_seconds
+            )
         member = app.find(ControlMember)
         if member is not None:
             metrics.leader.set_function(lambda: member.is_leader)
@@ -39,3 +42,6 @@
             )
             metrics.term.set_function(lambda: member.term)
             metrics.revision.set_function(lambda: member.machine.revision)
+            metrics.longest_apply.set_function(
+                lambda: member.machine.longest_apply_seconds
+            )
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -166,6 +166,11 @@
         self.revision = self._gauge(
             "revision", "Revision of the state that this process has applied."
         )
+        self.longest_apply = self._gauge(
+            "longest_apply_seconds",
+            "Longest time in seconds that the application of one log entry took since "
+            "the process started; nothing else runs meanwhile.",
+        )
         self.bodies_bytes = self._gauge(
             "bodies_bytes", "Bytes of requests and answers in progress."
         )
--- a/goldcrestyard/fleet/serving/slices.py
+++ b/goldcrestyard/fleet/serving/slices.py
@@ -1,6 +1,6 @@
 """Replicated state of the serving configuration."""
 
-from goldcrestyard.core.serving import ServingConfig, ServingRoute
+from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.fleet.serving.commands import (
     MovedRoute,
     PutServing,
@@ -56,8 +56,9 @@
         match command:
             case PutServing(config=config, source=source):
                 if self.table is None or config.version > self.table.config.version:
-                    self._record_moves(ServingTable(config), context.time)
-                    self._replace_config(config, source)
+                    table = ServingTable(config)
+                    self._record_moves(table, context.time)
+                    self.table, self.source = table, source
                 return Accepted()
         raise TypeError(f"unexpected command {command!r}")
 
@@ -79,7 +80,8 @@
         if snapshot.config is None:
             self.table, self.source = None, b""
         else:
-            self._replace_config(snapshot.config, snapshot.source)
+            self.table = ServingTable(snapshot.config)
+            self.source = snapshot.source
 
     def _record_moves(self, coming: ServingTable, time: float) -> None:
         if self.table is None:
@@ -97,7 +99,3 @@
         while len(self._moved_at_by_route) > MAX_MOVED:
             oldest = next(iter(self._moved_at_by_route))
             self._moves_known_since = self._moved_at_by_route.pop(oldest)
-
-    def _replace_config(self, config: ServingConfig, source: bytes) -> None:
-        self.table = ServingTable(config)
-        self.source = source
--- a/goldcrestyard/plugins/control/apps.py
+++ b/goldcrestyard/plugins/control/apps.py
@@ -110,7 +110,9 @@
     """
     codec = app.get(Codec)
     handlers = app.get(Handlers)
-    machine = StateMachine(slice_class() for slice_class in app.slice_classes)
+    machine = StateMachine(
+        (slice_class() for slice_class in app.slice_classes), app.clock.monotonic
+    )
     member = app.provide(
         ControlMember,
         ControlMember(
--- a/goldcrestyard/plugins/entry/apps.py
+++ b/goldcrestyard/plugins/entry/apps.py
@@ -30,7 +30,8 @@
         """Create the subscription and the view of fanned-out slices."""
         codec = app.get(Codec)
         machine = StateMachine(
-            slice_class() for slice_class in app.slice_classes if slice_class.fan_out
+            (slice_class() for slice_class in app.slice_classes if slice_class.fan_out),
+            app.clock.monotonic,
         )
         view = app.provide(EntryView, EntryView(machine, codec, app.clock))
         instance = app.settings.section(InstanceSettings).id
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -7,7 +7,8 @@
 
 import math
 import random
-from collections.abc import Collection, Iterator
+from bisect import bisect_left
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -162,9 +163,8 @@
     def route(self, host: str, path: str) -> ServingRoute | None:
         """Return a host's route with the longest prefix of a path, or None."""
         host = normalize_host(host)
-        end = len(path)
-        while (end := path.rfind("/", 0, end)) >= 0:
-            route = self._routes_by_host_and_prefix.get((host, path[: end + 1]))
+        for prefix in _prefixes(path):
+            route = self._routes_by_host_and_prefix.get((host, prefix))
             if route is not None:
                 return route
         return None
@@ -235,6 +235,37 @@
     return {name for name, found in urgencies_by_service.items() if len(found) > 1}
 
 
+def _prefixes(path: str) -> Iterator[str]:
+    """Yield a path's prefixes that end with a slash, the longest first."""
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield path[: end + 1]
+
+
+class RouteKeyIndex:
+    """Keys of routes, searched for one that requests may share with another.
+
+    Prefixes start and end with a slash, so two that share requests are equal,
+    or one of them is a prefix of the other.
+    """
+
+    def __init__(self, keys: Iterable[RouteKey]) -> None:
+        self._keys = set(keys)
+        self._sorted_keys = sorted(self._keys)
+
+    def overlaps(self, key: RouteKey) -> bool:
+        """Return whether a request may match both a route and one of these."""
+        host, prefix = key
+        if any((host, shorter) in self._keys for shorter in _prefixes(prefix)):
+            return True
+        # Keys below this prefix sort directly after it.
+        position = bisect_left(self._sorted_keys, key)
+        if position == len(self._sorted_keys):
+            return False
+        next_host, next_prefix = self._sorted_keys[position]
+        return next_host == host and next_prefix.startswith(prefix)
+
+
 def moved_routes(
     before: ServingTable, after: ServingTable, moved: Collection[RouteKey]
 ) -> set[RouteKey]:
@@ -245,11 +276,12 @@
     one that is added in the place of a route among them has moved.
     """
     found: set[RouteKey] = set()
+    moved_before = RouteKeyIndex(moved)
     for route in (*before.config.routes, *after.config.routes):
         key = route_key(route)
         former, present = before.route(*key), after.route(*key)
         if former is None:
-            if any(_overlap(key, other) for other in moved):
+            if moved_before.overlaps(key):
                 found.add(key)
         elif present is None:
             found.add(key)
@@ -258,12 +290,6 @@
     return found
 
 
-def _overlap(one: RouteKey, other: RouteKey) -> bool:
-    prefixes = one[1], other[1]
-    shorter = min(prefixes, key=len)
-    return one[0] == other[0] and all(prefix.startswith(shorter) for prefix in prefixes)
-
-
 def _services(route: ServingRoute) -> frozenset[ServiceName]:
     return frozenset(service.name for service in route.services)
 
--- a/goldcrestyard/state/machine.py
+++ b/goldcrestyard/state/machine.py
@@ -32,7 +32,17 @@
     that is, a command which is also sent to entries.  It never decreases.
     """
 
-    def __init__(self, slices: Iterable[Slice]) -> None:
+    def __init__(
+        self, slices: Iterable[Slice], monotonic: Callable[[], float] | None = None
+    ) -> None:
+        """Create a machine.
+
+        ``monotonic`` returns a time in seconds; without it the duration of
+        applications is not measured.
+        """
+        self._monotonic = monotonic
+        self.longest_apply_seconds = 0.0
+        """Longest time that one log entry took, for which all else waits."""
         self._slices_by_name = {slice_.name: slice_ for slice_ in slices}
         self._slices_by_command = {
             command: slice_
@@ -71,6 +81,16 @@
         Call it in the order of the log.  Commands that a slice emits are
         applied at the same index, after the entry's own.
         """
+        if self._monotonic is None:
+            return self._apply(index, term, envelope)
+        started_at = self._monotonic()
+        entry = self._apply(index, term, envelope)
+        self.longest_apply_seconds = max(
+            self.longest_apply_seconds, self._monotonic() - started_at
+        )
+        return entry
+
+    def _apply(self, index: LogIndex, term: Term, envelope: Envelope) -> AppliedEntry:
         context = CommandContext(index, term, envelope)
         outcome = self._apply_command(envelope.command, context)
         applied = [envelope.command]
--- a/tests/fleet/test_serving_slice.py
+++ b/tests/fleet/test_serving_slice.py
@@ -1,11 +1,14 @@
 """Tests of the replicated state of the serving configuration."""
 
+import sys
 import unittest
 from dataclasses import replace
+from types import FrameType
+from typing import Any
 
 from parameterized import parameterized
 
-from goldcrestyard.core.ids import ConfigVersion
+from goldcrestyard.core.ids import ConfigVersion, RouteName
 from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from tests.fakes.member import apply, machine_of
@@ -48,3 +51,47 @@
         self.assertIsNone(self.slice.moved_at(route))
         apply(self.machine, PutServing(CONFIG, b""), time=5.0)
         self.assertEqual(self.slice.moved_at(route), 5.0)
+
+
+class LargeConfigurationTests(unittest.TestCase):
+    """Guards against work for each pair of routes when one is applied.
+
+    Configurations that gave many routes other prefixes stopped all processes
+    for seconds.
+    """
+
+    def _calls_per_route(self, routes: int) -> float:
+        """Return the calls per route of a third change of all prefixes."""
+        machine = machine_of(ServingSlice)
+        calls = 0
+
+        def count(frame: FrameType, event: str, argument: Any) -> None:
+            nonlocal calls
+            calls += event in ("call", "c_call")
+
+        for generation in range(3):
+            config = replace(
+                CONFIG,
+                version=ConfigVersion(generation),
+                routes=tuple(
+                    replace(
+                        CONFIG.routes[0],
+                        name=RouteName(f"r-{generation}-{number}"),
+                        prefix=f"/g{generation}x{number}/",
+                    )
+                    for number in range(routes)
+                ),
+            )
+            if generation == 2:
+                sys.setprofile(count)
+            try:
+                apply(machine, PutServing(config, b""), time=float(generation))
+            finally:
+                sys.setprofile(None)
+        return calls / routes
+
+    @parameterized.expand([("700", 700), ("1400", 1400), ("2800", 2800)])
+    def test_work_for_each_route_stays_the_same(self, _: str, routes: int) -> None:
+        self.assertLessEqual(
+            self._calls_per_route(routes), 1.1 * self._calls_per_route(350)
+        )
--- a/tests/policy/test_serving.py
+++ b/tests/policy/test_serving.py
@@ -21,7 +21,13 @@
     ServingRoute,
     WeightedService,
 )
-from goldcrestyard.policy.serving import ServingTable, faults, pick_service
+from goldcrestyard.policy.serving import (
+    RouteKey,
+    ServingTable,
+    faults,
+    moved_routes,
+    pick_service,
+)
 
 
 def route(name: str, prefix: str, host: str = "h.example") -> ServingRoute:
@@ -166,3 +172,39 @@
         random_source = random.Random(1)
         drawn = Counter(pick_service(split, random_source) for _ in range(1000))
         self.assertAlmostEqual(drawn[ServiceName("z")], 100, delta=40)
+
+
+MOVED_BEFORE: tuple[RouteKey, ...] = (
+    ("h.example", "/m/n/"),
+    ("h.example", "/p/"),
+    ("q.example", "/q/r/"),
+)
+"""Keys of routes that moved or went lately."""
+
+
+class AddedRouteTests(unittest.TestCase):
+    """Guards against a route whose streams another service has begun."""
+
+    @parameterized.expand(
+        [
+            ("same", "h.example", "/m/n/", True),
+            ("below", "h.example", "/m/n/o/", True),
+            ("far_below", "h.example", "/p/x/y/z/", True),
+            ("above", "h.example", "/m/", True),
+            ("root", "q.example", "/", True),
+            ("sibling", "h.example", "/m/o/", False),
+            ("sorts_before", "h.example", "/m/a/", False),
+            ("sorts_last", "h.example", "/z/", False),
+            ("longer_name", "h.example", "/m/nn/", False),
+            ("shorter_name", "h.example", "/pp/", False),
+            ("other_host", "o.example", "/m/n/", False),
+            ("last_host", "z.example", "/", False),
+        ]
+    )
+    def test_overlap_with_earlier_moves(
+        self, _: str, host: str, prefix: str, expected: bool
+    ) -> None:
+        before = ServingTable(replace(CONFIG, routes=()))
+        after = ServingTable(replace(CONFIG, routes=(route("new", prefix, host),)))
+        moved = moved_routes(before, after, MOVED_BEFORE)
+        self.assertEqual(moved, {(host, prefix)} if expected else set())
