Load a model's version on another model's engine if it has none of its own

Cause: with fewer engines than models some models were assigned no engine, and only a model's own engines load its versions. The record of the case shows that no order was sent, which rules out refused orders and the choice of items. By reading, engines that never complete a load had the same effect; the new tests show it.

Change: such a model uses the engine that has or loads the version, or the least busy one, and further ones under half full while its items wait. An engine that has not completed a load after 3 s is no longer waited for. Items that need a version that is not named yet no longer hide the others.

--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -94,6 +94,16 @@
     items: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """The first attempt at a load that is not completed."""
+
+    incarnation: str
+    load: VersionLoad
+    began_at: float
+    """Monotonic time in seconds."""
+
+
 class VersionLoader:
     """Orders engines to load versions, in one task per loading engine."""
 
@@ -127,6 +137,8 @@
         self._clock = clock
         self._newest_seen_by_model: dict[ModelName, tuple[WeightVersion, float]] = {}
         self._tasks_by_target: dict[TargetId, asyncio.Task[None]] = {}
+        self._loads_by_target: dict[TargetId, VersionLoad] = {}
+        self._attempts_by_target: dict[TargetId, _Attempt] = {}
         self._assigned_models: dict[TargetId, ModelName] = {}
 
     async def run(self) -> None:
@@ -142,6 +154,8 @@
             for task in self._tasks_by_target.values():
                 task.cancel()
             self._tasks_by_target.clear()
+            self._loads_by_target.clear()
+            self._attempts_by_target.clear()
 
     async def _query_unknown_versions(self) -> None:
         """Poll engines for unknown versions before their next heartbeat.
@@ -178,26 +192,52 @@
             )
             self._assigned_models.update(assigned_models)
             loadable = [
-                LoadableEngine(
-                    target_id,
-                    self._tracker.versions(target),
-                    target_id in self._tasks_by_target,
-                    max(1, target.max_concurrency),
-                    self._work.running(target_id),
-                )
-                for target_id, target in engines_of_service.items()
+                self._loadable(target) for target in engines_of_service.values()
             ]
             newest = self._newest_by_model(demand_by_model, steps)
             max_concurrent = max(
                 MIN_CONCURRENT_LOADS, int(len(loadable) * MAX_LOADING_SHARE)
             )
             for load in next_loads(loadable, assigned_models, newest, max_concurrent):
-                task = asyncio.create_task(
-                    self._load_version(engines[load.target], load),
-                    name=f"load {load.target}",
-                )
-                self._tasks_by_target[load.target] = task
-                task.add_done_callback(partial(self._on_task_done, load.target))
+                self._start_load(engines[load.target], load)
+        for gone in self._attempts_by_target.keys() - engines.keys():
+            del self._attempts_by_target[gone]
+
+    def _loadable(self, target: Target) -> LoadableEngine:
+        load = self._loads_by_target.get(target.id)
+        attempt = self._open_attempt(target)
+        return LoadableEngine(
+            target.id,
+            self._tracker.versions(target),
+            None if load is None else load.model,
+            max(1, target.max_concurrency),
+            self._work.running(target.id),
+            0.0 if attempt is None else self._clock.monotonic() - attempt.began_at,
+        )
+
+    def _open_attempt(self, target: Target) -> _Attempt | None:
+        """Return the attempt that a target's run has not completed, if any."""
+        attempt = self._attempts_by_target.get(target.id)
+        if (
+            attempt is None
+            or attempt.incarnation != target.incarnation
+            or self._has_version(target, attempt.load)
+        ):
+            self._attempts_by_target.pop(target.id, None)
+            return None
+        return attempt
+
+    def _start_load(self, target: Target, load: VersionLoad) -> None:
+        if self._open_attempt(target) is None:
+            self._attempts_by_target[target.id] = _Attempt(
+                target.incarnation, load, self._clock.monotonic()
+            )
+        self._loads_by_target[target.id] = load
+        task = asyncio.create_task(
+            self._load_version(target, load), name=f"load {target.id}"
+        )
+        self._tasks_by_target[target.id] = task
+        task.add_done_callback(partial(self._on_task_done, target, load))
 
     def _ready_engines(self) -> dict[TargetId, Target]:
         return {
@@ -221,15 +261,19 @@
             if seen is None or seen[0] != version:
                 seen = self._newest_seen_by_model[model] = (version, now)
             newest[model] = NewestVersion(
-                version, now - seen[1], self._job_demand(model, steps.get(model))
+                version,
+                now - seen[1],
+                self._job_demand(model, version, steps.get(model)),
             )
         return newest
 
-    def _job_demand(self, model: ModelName, step: _Step | None) -> JobDemand | None:
+    def _job_demand(
+        self, model: ModelName, newest: WeightVersion, step: _Step | None
+    ) -> JobDemand | None:
         """Return the use of a model by the jobs that are kept, if any."""
         if step is None:
             return None
-        waiting = self._work.waiting(model)
+        waiting = self._work.waiting(model, newest)
         return JobDemand(
             step.oldest_version,
             step.items,
@@ -267,13 +311,18 @@
             for model in service_config.engine.models
         }
 
-    def _on_task_done(self, target_id: TargetId, task: asyncio.Task[None]) -> None:
-        self._tasks_by_target.pop(target_id, None)
-        self._loading.end(target_id)
+    def _on_task_done(
+        self, target: Target, load: VersionLoad, task: asyncio.Task[None]
+    ) -> None:
+        self._tasks_by_target.pop(target.id, None)
+        self._loads_by_target.pop(target.id, None)
+        self._loading.end(target.id)
+        if self._has_version(target, load):
+            self._attempts_by_target.pop(target.id, None)
         if not task.cancelled() and task.exception() is not None:
             logger.error(
                 "weight load task raised an exception",
-                target=target_id,
+                target=target.id,
                 exc_info=task.exception(),
             )
 
--- a/goldcrestyard/fleet/versions/work.py
+++ b/goldcrestyard/fleet/versions/work.py
@@ -23,13 +23,20 @@
     """Waiting and running items; the runner writes it, the loader reads it."""
 
     def __init__(self) -> None:
-        self._waiting_by_model: dict[ModelName, WaitingItems] = {}
+        self._waiting_by_model: dict[ModelName, Counter[WeightVersion]] = {}
         self._running_by_target: Mapping[TargetId, int] = {}
         self._mean_seconds_by_model: dict[ModelName, float] = {}
 
-    def waiting(self, model: ModelName) -> WaitingItems:
-        """Return the waiting items of a model."""
-        return self._waiting_by_model.get(model, WaitingItems())
+    def waiting(self, model: ModelName, newest: WeightVersion) -> WaitingItems:
+        """Return the waiting items of a model that a version may generate."""
+        counts = {
+            oldest: count
+            for oldest, count in self._waiting_by_model.get(model, {}).items()
+            if oldest <= newest
+        }
+        if not counts:
+            return WaitingItems()
+        return WaitingItems(sum(counts.values()), max(counts))
 
     def running(self, target_id: TargetId) -> int:
         """Return the number of items that run on an engine."""
@@ -49,14 +56,9 @@
         ``waiting`` holds the model and the oldest allowed version of each
         item that could not be started.
         """
-        counts: Counter[ModelName] = Counter()
-        oldest: dict[ModelName, WeightVersion] = {}
+        self._waiting_by_model = {}
         for model, version in waiting:
-            counts[model] += 1
-            oldest[model] = max(version, oldest.get(model, version))
-        self._waiting_by_model = {
-            model: WaitingItems(count, oldest[model]) for model, count in counts.items()
-        }
+            self._waiting_by_model.setdefault(model, Counter())[version] += 1
         self._running_by_target = running_by_target
 
     def record_run(self, model: ModelName, seconds: float) -> None:
--- a/goldcrestyard/policy/version_loads.py
+++ b/goldcrestyard/policy/version_loads.py
@@ -20,6 +20,10 @@
 """Time in seconds within which engines may clear the waiting items without the
 help of another engine, whose load takes longer."""
 
+STALLED_LOAD_SECONDS = 3.0
+"""Time in seconds after which another engine is used instead of one that has
+not completed a load.  A load takes about one second."""
+
 MAX_VERSION_AGE_SECONDS = 7.0
 """Time in seconds after which a version is loaded even if no item needs it, so
 that all engines have it within nine seconds."""
@@ -40,12 +44,24 @@
 
     id: TargetId
     versions_by_model: Mapping[ModelName, WeightVersion]
-    busy: bool
-    """A load order is in progress or its outcome is unknown."""
+    loading: ModelName | None = None
+    """Model whose load is in progress or has an unknown outcome, if any."""
     slots: int = 1
     """Number of items that it runs at the same time."""
     running: int = 0
     """Number of items that it runs now."""
+    trying_seconds: float = 0.0
+    """Time since the first attempt at a load that is not completed."""
+
+    @property
+    def busy(self) -> bool:
+        """Whether the engine takes no further order now."""
+        return self.loading is not None
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the engine has failed to load for too long."""
+        return self.trying_seconds >= STALLED_LOAD_SECONDS
 
     def version(self, model: ModelName) -> WeightVersion:
         """Return the version of a model, or 0 if it is not known."""
@@ -154,19 +170,22 @@
     At most ``max_concurrent_loads`` engines load at a time, since each load
     takes longer while many are in progress.
     """
-    loads: list[tuple[float, VersionLoad]] = []
+    loads: list[tuple[int, float, VersionLoad]] = []
     for model, newest in newest_by_model.items():
         own = [e for e in engines if models_by_target.get(e.id) == model]
         for position, (engine, reason) in enumerate(
             _model_loads(engines, own, model, newest)
         ):
             load = VersionLoad(engine.id, model, newest.version, reason)
-            # The models take turns.
-            loads.append((position, load))
+            loads.append((position, newest.age_seconds, load))
     order = list(LoadReason)
-    loads.sort(key=lambda entry: (order.index(entry[1].reason), entry[0]))
-    free_loads = max(0, max_concurrent_loads - sum(engine.busy for engine in engines))
-    return [load for _, load in loads[:free_loads]]
+    # The models take turns, those that have waited longest first.
+    loads.sort(key=lambda entry: (order.index(entry[2].reason), entry[0], -entry[1]))
+    in_progress = sum(engine.busy and not engine.stalled for engine in engines)
+    loads_by_target: dict[TargetId, VersionLoad] = {}
+    for _, _, load in loads:
+        loads_by_target.setdefault(load.target, load)
+    return list(loads_by_target.values())[: max(0, max_concurrent_loads - in_progress)]
 
 
 def _model_loads(
@@ -180,23 +199,29 @@
     ``engines`` are all engines of the service and ``own`` those that load the
     versions of this model; any engine runs the items that its version allows.
     """
-    behind = [
-        engine
-        for engine in own
-        if not engine.busy and engine.version(model) < newest.version
-    ]
-    # A load interrupts the items that run on the engine.
-    behind.sort(key=lambda engine: (engine.running, engine.version(model)))
+    borrowed: list[LoadableEngine] = []
+    if all(engine.stalled for engine in own):
+        borrowed = _engines_to_borrow(engines, own, model, newest)
+        own = [*own, *borrowed[:1]]
+    behind = _engines_behind(own, model, newest.version)
     demand = newest.demand
     if demand is None:
         return [(engine, LoadReason.UNUSED_BY_JOBS) for engine in behind]
-    if newest.age_seconds >= MAX_VERSION_AGE_SECONDS:
-        return [(engine, LoadReason.OVERDUE) for engine in behind]
-    loading_slots = sum(engine.slots for engine in own if engine.busy)
+    loading_slots = sum(
+        engine.slots
+        for engine in engines
+        if engine.loading == model and not engine.stalled
+    )
     missing = _missing_slots(engines, model, demand) - loading_slots
-    waited_for = _for_waiting_items(behind, model, newest.version, demand, missing)
-    if waited_for or demand.waiting_items:
-        return [(engine, LoadReason.WAITED_FOR) for engine in waited_for]
+    with_room = [e for e in borrowed[1:] if 2 * e.running < e.slots]
+    candidates = [*behind, *_engines_behind(with_room, model, newest.version)]
+    waited_for = _for_waiting_items(candidates, model, newest.version, demand, missing)
+    loads = [(engine, LoadReason.WAITED_FOR) for engine in waited_for]
+    if newest.age_seconds >= MAX_VERSION_AGE_SECONDS:
+        overdue = [engine for engine in behind if engine not in waited_for]
+        return [*loads, *((engine, LoadReason.OVERDUE) for engine in overdue)]
+    if loads or demand.waiting_items:
+        return loads
     # A trainer names a version for each step, which allows one version more.
     next_oldest = WeightVersion(demand.oldest_version + 1)
     if next_oldest > newest.version:
@@ -211,6 +236,41 @@
     return [(engine, LoadReason.NEXT_STEP) for engine in next_step]
 
 
+def _engines_behind(
+    engines: Iterable[LoadableEngine], model: ModelName, newest: WeightVersion
+) -> list[LoadableEngine]:
+    """Return the engines that could load a version, the best first.
+
+    A load interrupts the items that run on the engine.
+    """
+    behind = [e for e in engines if not e.busy and e.version(model) < newest]
+    behind.sort(key=lambda e: (e.stalled, e.running, e.version(model)))
+    return behind
+
+
+def _engines_to_borrow(
+    engines: Iterable[LoadableEngine],
+    own: Sequence[LoadableEngine],
+    model: ModelName,
+    newest: NewestVersion,
+) -> list[LoadableEngine]:
+    """Return other models' engines in the order in which this one uses them.
+
+    The first one has or loads the newest version already, if any engine does.
+    """
+    others = [e for e in engines if e not in own and not e.stalled]
+    others.sort(
+        key=lambda e: (
+            e.loading != model,
+            e.version(model) < newest.version,
+            e.busy,
+            e.running,
+            e.id,
+        )
+    )
+    return others
+
+
 def _for_waiting_items(
     behind: Sequence[LoadableEngine],
     model: ModelName,
--- a/tests/fleet/test_loading.py
+++ b/tests/fleet/test_loading.py
@@ -1,12 +1,13 @@
 """Tests of the orders to engines to load weight versions."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from parameterized import parameterized
 
-from goldcrestyard.core.ids import Term, WeightVersion
+from goldcrestyard.core.ids import ConfigVersion, ModelName, Term, WeightVersion
 from goldcrestyard.core.records import Target
+from goldcrestyard.core.serving import EngineShape
 from goldcrestyard.core.states import TargetKind
 from goldcrestyard.fleet.duties import Permit
 from goldcrestyard.fleet.jobs.slices import JobsSlice
@@ -219,3 +220,33 @@
         self._publish(4)
         await asyncio.sleep(5.0)
         self.assertEqual(engine.version, 4)
+
+    @parameterized.expand(
+        [
+            ("all_answer", ()),
+            ("first_never_answers", ("e0",)),
+            ("second_never_answers", ("e1",)),
+        ]
+    )
+    async def test_model_without_an_engine_of_its_own(
+        self, _: str, silent: tuple[str, ...]
+    ) -> None:
+        """Guards against versions that no engine loads for want of engines."""
+        shape = EngineShape(8, (MODEL, ModelName("n"), ModelName("o")))
+        config = replace(
+            CONFIG,
+            version=ConfigVersion(2),
+            services=tuple(
+                replace(service, engine=shape) if service.engine else service
+                for service in CONFIG.services
+            ),
+        )
+        apply(self.machine, PutServing(config, b""))
+        control = self._start(2)
+        await asyncio.sleep(QUIET_SECONDS)
+        for name in silent:
+            control.engines[name].report_seconds = 1000.0
+        self._publish(2)
+        await asyncio.sleep(8.0)
+        loaded = [e for e in control.engines.values() if e.version == 2]
+        self.assertEqual([len(engine.orders) for engine in loaded], [1])
--- a/tests/policy/test_version_loads.py
+++ b/tests/policy/test_version_loads.py
@@ -17,7 +17,7 @@
     next_loads,
 )
 
-A, B = ModelName("a"), ModelName("b")
+A, B, C = ModelName("a"), ModelName("b"), ModelName("c")
 
 
 def ids(count: int) -> list[TargetId]:
@@ -168,7 +168,11 @@
     def test_loads(self, _: str, case: Case) -> None:
         engines = [
             LoadableEngine(
-                target, {A: WeightVersion(version)}, busy, slots=SLOTS, running=running
+                target,
+                {A: WeightVersion(version)},
+                A if busy else None,
+                slots=SLOTS,
+                running=running,
             )
             for target, (version, running, busy) in zip(
                 ids(len(case.engines)), case.engines, strict=True
@@ -187,9 +191,7 @@
 
     def test_waiting_items_come_before_other_models(self) -> None:
         engines = [
-            LoadableEngine(
-                target, dict.fromkeys((A, B), WeightVersion(3)), False, slots=SLOTS
-            )
+            LoadableEngine(target, dict.fromkeys((A, B), WeightVersion(3)), slots=SLOTS)
             for target in ids(3)
         ]
         models = dict(zip(ids(3), (A, A, B), strict=True))
@@ -199,3 +201,179 @@
         }
         (load,) = next_loads(engines, models, newest, 1)
         self.assertEqual((load.model, load.reason), (B, WAITED_FOR))
+
+
+def loadable(
+    number: int, versions: dict[ModelName, int], **rest: object
+) -> LoadableEngine:
+    return LoadableEngine(
+        TargetId(f"e{number}"),
+        {model: WeightVersion(versions.get(model, 1)) for model in (A, B, C)},
+        slots=SLOTS,
+        **rest,  # type: ignore[arg-type]
+    )
+
+
+def waiting(version: int, items: int = 8, age_seconds: float = 10.0) -> NewestVersion:
+    """Return a version for which items wait that need it."""
+    return NewestVersion(WeightVersion(version), age_seconds, demand(version, 8, items))
+
+
+UNUSED = NewestVersion(WeightVersion(1))
+
+
+@dataclass(frozen=True)
+class BorrowingCase:
+    """Engines, the models that two of them load, and the loads of a pass."""
+
+    name: str
+    engines: tuple[LoadableEngine, ...]
+    newest: dict[ModelName, NewestVersion]
+    expected: tuple[tuple[int, ModelName], ...]
+    models: tuple[ModelName, ...] = (B, C)
+
+
+BORROWING = [
+    BorrowingCase(
+        "idle_engine",
+        (loadable(0, {}, running=3), loadable(1, {})),
+        {A: waiting(2)},
+        ((1, A),),
+    ),
+    BorrowingCase(
+        "no_engine_is_idle",
+        (loadable(0, {}, running=6), loadable(1, {}, running=5)),
+        {A: waiting(2)},
+        ((1, A),),
+    ),
+    BorrowingCase(
+        "another_model_loads_there",
+        (loadable(0, {}, loading=B), loadable(1, {}, running=8)),
+        {A: waiting(2)},
+        ((1, A),),
+    ),
+    BorrowingCase(
+        "load_in_progress",
+        (loadable(0, {}, loading=A), loadable(1, {})),
+        {A: waiting(2)},
+        (),
+    ),
+    BorrowingCase(
+        "load_that_stalls",
+        (loadable(0, {}, loading=A, trying_seconds=3.0), loadable(1, {})),
+        {A: waiting(2)},
+        ((1, A),),
+    ),
+    BorrowingCase(
+        "engine_that_has_failed",
+        (loadable(0, {}, trying_seconds=3.0), loadable(1, {}, running=2)),
+        {A: waiting(2)},
+        ((1, A),),
+    ),
+    BorrowingCase(
+        "more_items_than_one_engine_takes",
+        (loadable(0, {A: 2}, running=8), loadable(1, {}, running=3)),
+        {A: waiting(2)},
+        ((1, A),),
+    ),
+    BorrowingCase(
+        "engine_that_is_half_full_keeps_its_cache",
+        (loadable(0, {A: 2}, running=8), loadable(1, {}, running=4)),
+        {A: waiting(2)},
+        (),
+    ),
+    BorrowingCase(
+        "nobody_waits_and_one_engine_has_it",
+        (loadable(0, {A: 2}), loadable(1, {})),
+        {A: waiting(2, items=0)},
+        (),
+    ),
+    BorrowingCase(
+        "overdue_on_one_engine",
+        (loadable(0, {}), loadable(1, {})),
+        {A: waiting(2, items=0)},
+        ((0, A),),
+    ),
+    BorrowingCase(
+        "version_that_is_not_named",
+        (loadable(0, {A: 2}), loadable(1, {})),
+        {A: NewestVersion(WeightVersion(2), 1.0, demand(3, 8, 8))},
+        (),
+    ),
+    BorrowingCase(
+        "one_engine_for_all_models_loads_the_oldest_version_first",
+        (loadable(0, {}),),
+        {
+            A: waiting(2, age_seconds=1.0),
+            B: waiting(2, age_seconds=2.0),
+            C: waiting(2, age_seconds=9.0),
+        },
+        ((0, C),),
+        models=(B,),
+    ),
+    BorrowingCase(
+        "own_engine_stalls",
+        (loadable(0, {}, loading=A, trying_seconds=4.0), loadable(1, {})),
+        {A: waiting(2)},
+        ((1, A),),
+        models=(A, B),
+    ),
+    BorrowingCase(
+        "own_engine_is_loading",
+        (loadable(0, {}, loading=A, trying_seconds=2.0), loadable(1, {})),
+        {A: waiting(2)},
+        (),
+        models=(A, B),
+    ),
+    BorrowingCase(
+        "own_engine_suffices",
+        (loadable(0, {}), loadable(1, {})),
+        {A: waiting(2)},
+        ((0, A),),
+        models=(A, B),
+    ),
+]
+
+
+class BorrowedEngineTests(unittest.TestCase):
+    """Guards against a model whose items wait for ever beside idle engines.
+
+    With fewer engines than models, or while a model's own engines answer no
+    order, its new versions were loaded nowhere.
+    """
+
+    @parameterized.expand([(case.name, case) for case in BORROWING])
+    def test_loads(self, _: str, case: BorrowingCase) -> None:
+        models = {
+            engine.id: model
+            for engine, model in zip(case.engines, case.models, strict=False)
+        }
+        newest = {model: case.newest.get(model, UNUSED) for model in (A, B, C)}
+        loads = next_loads(case.engines, models, newest, 2)
+        self.assertEqual(
+            tuple((load.target, load.model) for load in loads),
+            tuple((TargetId(f"e{number}"), model) for number, model in case.expected),
+        )
+
+    @parameterized.expand([("one", 1), ("two", 2), ("five", 5)])
+    def test_each_version_is_loaded_in_the_end(self, _: str, count: int) -> None:
+        """All models' items wait at once; a load ends before the next pass."""
+        versions: dict[TargetId, dict[ModelName, WeightVersion]] = {
+            target: dict.fromkeys((A, B, C), WeightVersion(1)) for target in ids(count)
+        }
+        assigned = assign_models(ids(count), {A: 1.0, B: 1.0, C: 1.0}, {})
+        for _pass in range(4):
+            engines = [
+                LoadableEngine(target, dict(known), slots=SLOTS)
+                for target, known in versions.items()
+            ]
+            held = {m: max(v[m] for v in versions.values()) for m in (A, B, C)}
+            newest = {
+                model: waiting(2, items=8 if held[model] < 2 else 0)
+                for model in (A, B, C)
+            }
+            loads = next_loads(engines, assigned, newest, 2)
+            self.assertEqual(len({load.target for load in loads}), len(loads))
+            for load in loads:
+                versions[load.target][load.model] = load.version
+        self.assertEqual(set(held.values()), {2})
