Keep jobs with the organisation whose key submitted them

Cause: access to a job compared the organisation at its submission with the caller's present one.

An admitted request is no longer refused because keys are not required any more, and its streams are still recognised.

--- a/goldcrestyard/core/jobs.py
+++ b/goldcrestyard/core/jobs.py
@@ -14,6 +14,7 @@
     GroupId,
     ItemId,
     JobId,
+    KeyHash,
     ModelName,
     OrganisationId,
     RequestId,
@@ -102,6 +103,8 @@
     """The oldest weight version that may generate any part of an item."""
     wanted_groups: int
     items: tuple[JobItem, ...]
+    key_hash: KeyHash = KeyHash("")
+    """Hash of the key with which it was submitted; empty if there was none."""
 
 
 class ItemOutcome(Enum):
--- a/goldcrestyard/fleet/gateway/admission.py
+++ b/goldcrestyard/fleet/gateway/admission.py
@@ -10,6 +10,7 @@
     RequestId,
     ServiceName,
 )
+from goldcrestyard.core.keys import hash_secret
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.fleet.gateway.router import CallRouter
@@ -76,6 +77,9 @@
     route: ServingRoute
     organisation: OrganisationId | None
     """Owner of the request's key, None if no key was required."""
+    stream_owner: OrganisationId | None
+    """Organisation by which the caller's streams are known; while no keys are
+    configured, the last holder of the key, if there was one."""
     deadline: float
     """Monotonic time in seconds."""
     urgency: int | None = None
@@ -153,11 +157,19 @@
             request,
             route,
             organisation,
+            organisation or self._last_holder(request, route),
             arrived_at + seconds,
             self._sent_urgency(route, organisation),
             self._priority(route, organisation),
         )
 
+    def _last_holder(
+        self, request: CallerRequest, route: ServingRoute
+    ) -> OrganisationId | None:
+        if route.open or request.key is None:
+            return None
+        return self._serving.key_holder(hash_secret(request.key))
+
     def _sent_urgency(
         self, route: ServingRoute, organisation: OrganisationId | None
     ) -> int | None:
@@ -200,11 +212,23 @@
             return Refusal(RefusalReason.INVALID_KEY, "missing or unknown API key")
         return organisation.id
 
+    def identify(self, key: str | None) -> OrganisationId | Refusal | None:
+        """Return a key's organisation, or a refusal, as ``authenticate`` does.
+
+        While no keys are configured, it is the last holder of the key; None if
+        that is not known.
+        """
+        organisation = self.authenticate(key)
+        if organisation is None and key is not None:
+            return self._serving.key_holder(hash_secret(key))
+        return organisation
+
     def is_still_authorised(self, admitted: AdmittedRequest) -> bool:
-        """Return whether the request's key is still valid."""
+        """Return whether the request's key is still valid, or not needed."""
         if admitted.organisation is None:
             return True
-        return self.authenticate(admitted.request.key) == admitted.organisation
+        holder = self.authenticate(admitted.request.key)
+        return holder is None or holder == admitted.organisation
 
     def allowed_regions(self, admitted: AdmittedRequest) -> frozenset[Region] | None:
         """Return where a request may be served now; None if everywhere.
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -337,7 +337,7 @@
         if self._origins is None:
             return UnknownOrigin()
         return await self._origins.find(
-            admitted.route, admitted.organisation, admitted.request.id, take_up
+            admitted.route, admitted.stream_owner, admitted.request.id, take_up
         )
 
     def _note_origin(
@@ -354,7 +354,7 @@
             origin = StreamOrigin(origin.service, SoftwareVersion(""))
         self._origins.note(
             admitted.route,
-            admitted.organisation,
+            admitted.stream_owner,
             admitted.request.first_attempt,
             origin,
         )
--- a/goldcrestyard/fleet/jobs/commands.py
+++ b/goldcrestyard/fleet/jobs/commands.py
@@ -56,6 +56,7 @@
 
     job: JobId
     organisation: OrganisationId | None
+    """The caller; None if none is configured and the key is not known."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/slices.py
+++ b/goldcrestyard/fleet/jobs/slices.py
@@ -31,6 +31,8 @@
     staging_key,
     to_record,
 )
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.policy.job_access import may_access, owner_of
 from goldcrestyard.policy.job_sizes import (
     item_size,
     job_size,
@@ -44,7 +46,7 @@
     Outcome,
     Rejected,
 )
-from goldcrestyard.state.slices import Slice
+from goldcrestyard.state.slices import Slice, SliceLookup
 
 RESULT_RETENTION_SECONDS = 150.0
 """Time in seconds after its submission at which an ended job is dropped.
@@ -159,6 +161,10 @@
         self.staged_by_key: dict[StagingKey, StagedJob] = {}
         self._last_job_by_item: dict[ItemId, JobId] = {}
 
+    def attach(self, slices: SliceLookup) -> None:
+        """Store the configuration, which tells who owns a job."""
+        self._serving = slices.get(ServingSlice)
+
     def held_bytes(self, time: float) -> int:
         """Return the size of all jobs that are not expired at a wall time.
 
@@ -178,15 +184,26 @@
         """Return the jobs that are not ended, oldest first."""
         return [state for state in self.jobs_by_id.values() if not state.ended]
 
-    def find(
-        self, job_id: JobId, organisation: OrganisationId | None
-    ) -> JobState | None:
-        """Return a job, or None if the organisation has no such job."""
+    def find(self, job_id: JobId, caller: OrganisationId | None) -> JobState | None:
+        """Return a job, or None if the caller may access none of this id."""
         state = self.jobs_by_id.get(job_id)
-        if state is None or state.job.organisation != organisation:
+        if state is None or not may_access(self._owner(state.job), caller):
             return None
         return state
 
+    def _owner(self, job: Job) -> OrganisationId | None:
+        """Return the owner of a job; None if it belongs to all."""
+        table = self._serving.table
+        return owner_of(
+            job.organisation,
+            self._serving.key_holder(job.key_hash) if job.key_hash else None,
+            is_configured=(
+                table is None
+                or not table.needs_keys
+                or (job.organisation is not None and table.names(job.organisation))
+            ),
+        )
+
     def apply(self, command: Command, context: CommandContext) -> Outcome:
         """Apply one committed command."""
         match command:
@@ -200,14 +217,14 @@
             case KeepProgress(job=job_id, progress_by_item=progress_by_item):
                 self._save_progress(job_id, progress_by_item)
                 return Accepted()
-            case EndJob(job=job_id, organisation=organisation):
-                return self._end_job(job_id, organisation)
+            case EndJob(job=job_id, organisation=caller):
+                return self._end_job(job_id, caller)
         raise TypeError(f"unexpected command {command!r}")
 
     def _submit(self, job: Job, time: float) -> Outcome:
         known = self.jobs_by_id.get(job.id)
         if known is not None:
-            if known.job.organisation != job.organisation:
+            if not may_access(self._owner(known.job), self._owner(job)):
                 return Rejected(RefusalReason.CONFLICT, "the id is in use")
             return Accepted()
         self._drop_expired(time)
@@ -222,7 +239,7 @@
         """Add a part of a job; submit the job once it is complete."""
         known = self.jobs_by_id.get(part.job)
         if known is not None:
-            if known.job.organisation != part.organisation:
+            if not may_access(self._owner(known.job), part.organisation):
                 return Rejected(RefusalReason.CONFLICT, "the id is in use")
             return JobHeld()
         self._drop_expired(time)
@@ -256,7 +273,9 @@
         resubmit items whose group was not complete in time.
         """
         earlier = self.jobs_by_id.get(self._last_job_by_item.get(item.id, JobId("")))
-        if earlier is None or earlier.job.organisation != state.job.organisation:
+        if earlier is None or not may_access(
+            self._owner(earlier.job), self._owner(state.job)
+        ):
             return
         earlier_item = earlier.items_by_id.get(item.id)
         if earlier_item is None or earlier_item.request_digest != item.request_digest:
@@ -305,8 +324,8 @@
             if item_id not in state.positions_by_item:
                 state.merge_progress(item_id, progress)
 
-    def _end_job(self, job_id: JobId, organisation: OrganisationId | None) -> Outcome:
-        state = self.find(job_id, organisation)
+    def _end_job(self, job_id: JobId, caller: OrganisationId | None) -> Outcome:
+        state = self.find(job_id, caller)
         if state is None:
             return Rejected(RefusalReason.NOT_FOUND, f"no job {job_id}")
         state.ended = True
--- a/goldcrestyard/fleet/serving/apps.py
+++ b/goldcrestyard/fleet/serving/apps.py
@@ -1,6 +1,11 @@
 """Plug-in that replicates the serving configuration."""
 
-from goldcrestyard.fleet.serving.commands import MovedRoute, PutServing, ServingSnapshot
+from goldcrestyard.fleet.serving.commands import (
+    FormerKey,
+    MovedRoute,
+    PutServing,
+    ServingSnapshot,
+)
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.apps import PluginConfig
 
@@ -10,4 +15,4 @@
 
     name = "serving"
     slices = (ServingSlice,)
-    messages = (PutServing, MovedRoute, ServingSnapshot)
+    messages = (PutServing, MovedRoute, FormerKey, ServingSnapshot)
--- a/goldcrestyard/fleet/serving/commands.py
+++ b/goldcrestyard/fleet/serving/commands.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from goldcrestyard.core.ids import KeyHash, OrganisationId
 from goldcrestyard.core.serving import ServingConfig
 
 
@@ -26,6 +27,15 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class FormerKey:
+    """A key that its organisation held until a Unix time in seconds."""
+
+    key_hash: KeyHash
+    organisation: OrganisationId
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServingSnapshot:
     """Snapshot of the serving configuration; None before the first."""
@@ -36,3 +46,4 @@
     moves_known_since: float | None = None
     """Unix time since which moves of routes are recorded; None in the snapshot
     of a release that does not record them."""
+    former_keys: tuple[FormerKey, ...] = ()
--- a/goldcrestyard/fleet/serving/slices.py
+++ b/goldcrestyard/fleet/serving/slices.py
@@ -1,11 +1,13 @@
 """Replicated state of the serving configuration."""
 
+from goldcrestyard.core.ids import KeyHash, OrganisationId
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.fleet.serving.commands import (
     MovedRoute,
     PutServing,
     ServingSnapshot,
 )
+from goldcrestyard.fleet.serving.former_keys import FormerKeys
 from goldcrestyard.policy.serving import RouteKey, ServingTable, moved_routes, route_key
 from goldcrestyard.state.commands import Accepted, Command, CommandContext, Outcome
 from goldcrestyard.state.slices import Slice
@@ -33,6 +35,7 @@
         """The operator's document, compressed."""
         self._moved_at_by_route: dict[RouteKey, float] = {}
         self._moves_known_since: float | None = 0.0
+        self._former_keys = FormerKeys()
 
     def moved_at(self, route: ServingRoute) -> float | None:
         """Return the Unix time at which a route last led to other services.
@@ -44,6 +47,15 @@
         moved_at = self._moved_at_by_route.get(route_key(route), 0.0)
         return max(moved_at, self._moves_known_since)
 
+    def key_holder(self, key_hash: KeyHash) -> OrganisationId | None:
+        """Return the organisation that holds a key, or held it last.
+
+        Returns None if that is not known.  Use it to tell to whom something
+        belongs, not to authenticate a caller.
+        """
+        present = None if self.table is None else self.table.holder(key_hash)
+        return present or self._former_keys.holder(key_hash)
+
     def observe(
         self, command: Command, outcome: Outcome, context: CommandContext
     ) -> None:
@@ -57,6 +69,8 @@
             case PutServing(config=config, source=source):
                 if self.table is None or config.version > self.table.config.version:
                     table = ServingTable(config)
+                    if self.table is not None:
+                        self._former_keys.update(self.table, table, context.time)
                     self._record_moves(table, context.time)
                     self.table, self.source = table, source
                 return Accepted()
@@ -69,7 +83,13 @@
             MovedRoute(host, prefix, at)
             for (host, prefix), at in self._moved_at_by_route.items()
         )
-        return ServingSnapshot(config, self.source, moved, self._moves_known_since)
+        return ServingSnapshot(
+            config,
+            self.source,
+            moved,
+            self._moves_known_since,
+            self._former_keys.to_snapshot(),
+        )
 
     def load_snapshot(self, snapshot: ServingSnapshot) -> None:
         """Replace the configuration by that of a snapshot."""
@@ -77,6 +97,7 @@
             (moved.host, moved.prefix): moved.at for moved in snapshot.moved
         }
         self._moves_known_since = snapshot.moves_known_since
+        self._former_keys.load_snapshot(snapshot.former_keys)
         if snapshot.config is None:
             self.table, self.source = None, b""
         else:
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -107,6 +107,7 @@
             host_of(request),
             path_of(request),
             body,
+            key_of(request),
         )
         if isinstance(job, Refusal):
             logger.warning("job refused", reason=job.detail)
@@ -138,7 +139,7 @@
 
     async def results(self, request: web.BaseRequest) -> web.Response:
         """Return a page of results, or end the job if the method is DELETE."""
-        organisation = self._admission.authenticate(key_of(request))
+        organisation = self._admission.identify(key_of(request))
         if isinstance(organisation, Refusal):
             return refusal_response(organisation)
         job = JobId(path_of(request).removeprefix(RESULTS_PATH))
@@ -197,7 +198,7 @@
 
     async def item(self, request: web.BaseRequest) -> web.Response:
         """Answer with the body of an item that has no result yet."""
-        organisation = self._admission.authenticate(key_of(request))
+        organisation = self._admission.identify(key_of(request))
         if isinstance(organisation, Refusal):
             return refusal_response(organisation)
         job = JobId(path_of(request).removeprefix(ITEM_PATH))
--- a/goldcrestyard/platform/submissions.py
+++ b/goldcrestyard/platform/submissions.py
@@ -18,6 +18,7 @@
     GroupId,
     ItemId,
     JobId,
+    KeyHash,
     ModelName,
     OrganisationId,
     RequestId,
@@ -25,6 +26,7 @@
     WeightVersion,
 )
 from goldcrestyard.core.jobs import Job, JobItem, RewardCall
+from goldcrestyard.core.keys import hash_secret
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.fleet.jobs.commands import ResultsPage
 from goldcrestyard.platform.hop_headers import end_to_end
@@ -66,7 +68,12 @@
 
 
 def decode(
-    job_id: str, organisation: OrganisationId | None, host: str, path: str, body: bytes
+    job_id: str,
+    organisation: OrganisationId | None,
+    host: str,
+    path: str,
+    body: bytes,
+    key: str | None = None,
 ) -> Job | Refusal:
     """Return the job, or a refusal if the submission is invalid."""
     lot = decode_json(body, _Lot)
@@ -97,6 +104,7 @@
         WeightVersion(lot.least_required),
         lot.group_count,
         items,
+        KeyHash("") if key is None else hash_secret(key),
     )
 
 
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from goldcrestyard.core.ids import OrganisationId, Region, ServiceName
+from goldcrestyard.core.ids import KeyHash, OrganisationId, Region, ServiceName
+from goldcrestyard.core.keys import hash_secret
 from goldcrestyard.core.serving import (
     ServedOrganisation,
     ServedService,
@@ -137,7 +138,7 @@
         self._routes_by_host_and_prefix = {
             route_key(route): route for route in config.routes
         }
-        self._organisations_by_key = {
+        self.holders_by_key = {
             key: organisation
             for organisation in config.organisations
             for key in organisation.keys
@@ -145,6 +146,7 @@
         self._organisations_by_id = {
             organisation.id: organisation for organisation in config.organisations
         }
+        self._holders_by_key_hash: dict[KeyHash, OrganisationId] | None = None
         self._services_of_unequal_urgency = _services_of_unequal_urgency(config)
         self.services_by_name: dict[ServiceName, ServedService] = {
             service.name: service for service in config.services
@@ -171,7 +173,20 @@
 
     def organisation(self, key: str) -> ServedOrganisation | None:
         """Return the organisation that holds a key, or None."""
-        return self._organisations_by_key.get(key)
+        return self.holders_by_key.get(key)
+
+    def holder(self, key_hash: KeyHash) -> OrganisationId | None:
+        """Return the organisation that holds the key with a hash, or None."""
+        if self._holders_by_key_hash is None:
+            self._holders_by_key_hash = {
+                hash_secret(key): organisation.id
+                for key, organisation in self.holders_by_key.items()
+            }
+        return self._holders_by_key_hash.get(key_hash)
+
+    def names(self, organisation: OrganisationId) -> bool:
+        """Return whether the configuration names an organisation."""
+        return organisation in self._organisations_by_id
 
     def urgency(self, route: ServingRoute, organisation: OrganisationId | None) -> int:
         """Return how urgent an organisation's requests on a route are.
--- a/tests/fleet/test_job_memory.py
+++ b/tests/fleet/test_job_memory.py
@@ -42,6 +42,7 @@
     JobState,
 )
 from goldcrestyard.fleet.jobs.staging import STAGING_SECONDS, encode_job, split_job
+from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.job_sizes import job_size
 from goldcrestyard.policy.memory import ADMISSION_SHARE, control_shares
@@ -97,7 +98,7 @@
     """What is held of items that need no further run."""
 
     def setUp(self) -> None:
-        self.machine = machine_of(JobsSlice)
+        self.machine = machine_of(JobsSlice, ServingSlice)
         self.jobs = self.machine.get(JobsSlice)
 
     @parameterized.expand(
@@ -191,7 +192,7 @@
     """Jobs that arrive in parts."""
 
     def setUp(self) -> None:
-        self.machine = machine_of(JobsSlice)
+        self.machine = machine_of(JobsSlice, ServingSlice)
         self.jobs = self.machine.get(JobsSlice)
         self.job = job(body_bytes=300_000)
         self.parts = list(split_job(self.job, encode_job(self.job)))
@@ -267,7 +268,7 @@
 
     def setUp(self) -> None:
         quiet_logs(self)
-        self.machine = machine_of(JobsSlice)
+        self.machine = machine_of(JobsSlice, ServingSlice)
         self.term = Term(1)
         self.now = 0.0
         self.room = 3 * job_size(job()) + 20_000
--- a/tests/fleet/test_jobs_slice.py
+++ b/tests/fleet/test_jobs_slice.py
@@ -23,6 +23,7 @@
     SubmitJob,
 )
 from goldcrestyard.fleet.jobs.slices import RESULT_RETENTION_SECONDS, JobsSlice
+from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.state.commands import Accepted, Rejected
 from tests.fakes.member import apply, machine_of
 from tests.fakes.serving import item_id
@@ -64,7 +65,7 @@
     """Guards against results that are lost, listed twice or moved."""
 
     def setUp(self) -> None:
-        self.machine = machine_of(JobsSlice)
+        self.machine = machine_of(JobsSlice, ServingSlice)
         self.slice = self.machine.get(JobsSlice)
         apply(self.machine, SubmitJob(job()))
 
