Take back a departure once its target shows that it goes on

Cause: a departure names an id and no run, and the state LEFT had no way back. The log names the cause at each report ("this run of target ... has left"), which rules out that they were taken for stale.

Change: a report of a departed run is answered with a redirect that holds a token. Two reports in turn that are repeated with their tokens were begun after the departure, so that it was another run's. A late report has no sender that waits. A gauge counts targets that report and are not used.

--- a/goldcrestyard/core/ids.py
+++ b/goldcrestyard/core/ids.py
@@ -25,6 +25,9 @@
 """Version of a target's software, as the target names it; empty if unknown.
 What two versions generate does not fit together."""
 
+ConfirmationToken = NewType("ConfirmationToken", str)
+"""Repeated by a target to show that it received the answer to its report."""
+
 RequestRate = NewType("RequestRate", float)
 """Requests per second."""
 
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -117,6 +117,11 @@
             "Pairs of service and model whose items start in whole groups, since not "
             "all can end in time. Only the leader's are current.",
         )
+        self.unused_targets = self._gauge(
+            "unused_targets",
+            "Targets that report and get no requests, as their run has left or their "
+            "service is not configured. Only the leader's are current.",
+        )
         self.limited_targets = self._gauge(
             "limited_targets", "Targets that name a request limit in their answers."
         )
--- a/goldcrestyard/fleet/tracking/apps.py
+++ b/goldcrestyard/fleet/tracking/apps.py
@@ -5,6 +5,7 @@
 
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.fleet.leadership import while_leading
+from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.settings import TrackingSettings
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -18,7 +19,7 @@
     """Replicates the targets; the leader tracks their heartbeats."""
 
     name = "tracking"
-    requires = ("serving",)
+    requires = ("observability", "serving")
     after = ("assembly", "entry")
     slices = (TargetsSlice,)
     messages = (*TargetsSlice.commands, HomedTarget, TargetsSnapshot)
@@ -35,7 +36,7 @@
             table = serving.table
             return table.services_by_name.keys() if table is not None else ()
 
-        app.provide(
+        tracker = app.provide(
             TargetTracker,
             TargetTracker(
                 member,
@@ -45,6 +46,7 @@
                 configured_services,
             ),
         )
+        app.get(FleetMetrics).unused_targets.set_function(tracker.unused_count)
 
     async def serve(self, app: Application) -> None:
         """Remove targets without heartbeats while this member leads."""
--- a/goldcrestyard/fleet/tracking/tracker.py
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
@@ -14,6 +15,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
 from goldcrestyard.core.ids import (
+    ConfirmationToken,
     DataCentre,
     InstanceId,
     ModelName,
@@ -33,6 +35,8 @@
     RemoveTarget,
 )
 from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy import departures
+from goldcrestyard.policy.departures import DepartedRun
 from goldcrestyard.policy.heartbeats import (
     LOST_AFTER_HEARTBEATS,
     Arrived,
@@ -54,6 +58,10 @@
 
 SILENCE_CHECK_INTERVAL_SECONDS = 0.25
 
+MAX_DEPARTED_RUNS = 1024
+"""Maximum number of departed or unused targets whose heartbeats are followed;
+beyond it the oldest one is forgotten."""
+
 
 @dataclass(slots=True)
 class TrackedTarget:
@@ -71,6 +79,13 @@
     cold_until: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class Confirm:
+    """Asks the sender of a heartbeat to repeat it with a token."""
+
+    token: ConfirmationToken
+
+
 class TargetTracker:
     """Commits the changes that heartbeats report, and removes silent targets.
 
@@ -98,9 +113,17 @@
         self._clock = clock
         self._configured_services = configured_services
         self.tracked_by_id: dict[TargetId, TrackedTarget] = {}
+        self._departed_by_id: dict[TargetId, DepartedRun] = {}
+        self._tokens_issued = 0
+        self._unused_at_by_id: OrderedDict[TargetId, float] = OrderedDict()
 
-    async def heartbeat(self, beat: Heartbeat) -> Refusal | None:
-        """Process a heartbeat; return a refusal, or None if it is accepted."""
+    async def heartbeat(
+        self, beat: Heartbeat, token: ConfirmationToken | None = None
+    ) -> Refusal | Confirm | None:
+        """Process a heartbeat; return a refusal, or None if it is accepted.
+
+        ``token`` is the one that came with the heartbeat, if any.
+        """
         meaning = interpret(
             beat,
             self._known_target(beat.id),
@@ -116,7 +139,12 @@
                     incarnation=beat.started_at_ms,
                     reason=reason,
                 )
+                if not self._is_used(beat):
+                    self._note_unused(beat.id)
                 return None
+            case Arrived(ended=ended) if self._has_left(beat):
+                self._note_unused(beat.id)
+                return await self._heartbeat_of_departed(beat, ended, token)
             case Renewed():
                 self._record_heartbeat(beat)
                 return None
@@ -128,6 +156,85 @@
                     beat, self._arrival_commands(beat, ended)
                 )
 
+    async def _heartbeat_of_departed(
+        self,
+        beat: Heartbeat,
+        ended: tuple[Target, ...],
+        token: ConfirmationToken | None,
+    ) -> Refusal | Confirm | None:
+        """Process a heartbeat of a run whose departure is recorded.
+
+        The departure may have been that of an earlier run, delayed.
+        """
+        incarnation = str(beat.started_at_ms)
+        run = self._departed_by_id.get(beat.id)
+        if run is None or run.incarnation != incarnation:
+            run = DepartedRun(incarnation)
+        decision = (
+            departures.Wait(run)
+            if beat.state is TargetState.DRAINING
+            else departures.decide(run, beat.sequence, token)
+        )
+        logger.info(
+            "heartbeat of a departed target",
+            target=beat.id,
+            incarnation=incarnation,
+            sequence=beat.sequence,
+            decision=type(decision).__name__,
+        )
+        match decision:
+            case departures.Wait(run=waiting):
+                self._departed_by_id[beat.id] = waiting
+                return None
+            case departures.Ask():
+                self._tokens_issued += 1
+                issued = ConfirmationToken(f"{self._member.term}-{self._tokens_issued}")
+                self._departed_by_id[beat.id] = departures.asked(
+                    run, beat.sequence, issued
+                )
+                self._drop_oldest_departed()
+                return Confirm(issued)
+            case departures.GoesOn():
+                self._departed_by_id.pop(beat.id, None)
+                logger.warning(
+                    "target goes on; its departure was that of an earlier run",
+                    target=beat.id,
+                    incarnation=incarnation,
+                )
+                commands = self._arrival_commands(beat, ended, confirmed=True)
+                return await self._commit_heartbeat(beat, commands)
+
+    def _drop_oldest_departed(self) -> None:
+        while len(self._departed_by_id) > MAX_DEPARTED_RUNS:
+            del self._departed_by_id[next(iter(self._departed_by_id))]
+
+    def _has_left(self, beat: Heartbeat) -> bool:
+        return self._targets.has_left(
+            beat.id,
+            str(beat.started_at_ms),
+            beat.started_at_ms / 1000,
+            self._clock.wall(),
+        )
+
+    def _is_used(self, beat: Heartbeat) -> bool:
+        """Return whether a heartbeat comes from a run that is in use."""
+        target = self._targets.find(beat.id)
+        return target is not None and target.incarnation == str(beat.started_at_ms)
+
+    def _note_unused(self, target_id: TargetId) -> None:
+        self._unused_at_by_id[target_id] = self._clock.monotonic()
+        self._unused_at_by_id.move_to_end(target_id)
+        if len(self._unused_at_by_id) > MAX_DEPARTED_RUNS:
+            self._unused_at_by_id.popitem(last=False)
+
+    def unused_count(self) -> int:
+        """Return how many targets report that are not in use."""
+        heard_after = self._clock.monotonic() - self._lost_seconds
+        return sum(
+            heard_at > heard_after and target_id not in self._targets.homed_by_id
+            for target_id, heard_at in self._unused_at_by_id.items()
+        )
+
     async def leave(self, target_id: TargetId) -> Refusal | None:
         """Record that a target ends; return a refusal, or None on success.
 
@@ -236,7 +343,7 @@
         ]
 
     def _arrival_commands(
-        self, beat: Heartbeat, ended: tuple[Target, ...]
+        self, beat: Heartbeat, ended: tuple[Target, ...], *, confirmed: bool = False
     ) -> list[Command]:
         target = Target(
             beat.id,
@@ -254,7 +361,9 @@
             RemoveTarget(other.id, other.incarnation, TargetState.LOST)
             for other in ended
         ]
-        commands.append(AnnounceTarget(target, LEADER_HOME, beat.started_at_ms / 1000))
+        commands.append(
+            AnnounceTarget(target, LEADER_HOME, beat.started_at_ms / 1000, confirmed)
+        )
         if beat.state is TargetState.DRAINING:
             commands.append(DrainTarget(beat.id, target.incarnation))
         logger.info(
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -14,6 +14,7 @@
 from goldcrestyard.consensus.results import Applied
 from goldcrestyard.core.decoding import Count, Malformed, decode_json, is_id
 from goldcrestyard.core.ids import (
+    ConfirmationToken,
     DataCentre,
     ModelName,
     Region,
@@ -26,7 +27,7 @@
 from goldcrestyard.fleet.evacuations.orders import EvacuationOrders
 from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.fleet.serving.slices import ServingSlice
-from goldcrestyard.fleet.tracking.tracker import TargetTracker
+from goldcrestyard.fleet.tracking.tracker import Confirm, TargetTracker
 from goldcrestyard.fleet.versions.commands import NameVersion
 from goldcrestyard.platform import documents, heartbeats
 from goldcrestyard.platform.answers import (
@@ -42,6 +43,7 @@
     EVACUATE_PATH,
     HEARTBEAT_PATH,
     RETIRE_PATH,
+    TOKEN_PARAMETER,
     VERSION_PATH,
 )
 from goldcrestyard.state.commands import Command, Rejected
@@ -110,7 +112,7 @@
             case "POST", path if path == VERSION_PATH:
                 return await self._name_version(body)
             case "PUT", path if path.startswith(HEARTBEAT_PATH):
-                return await self._heartbeat(path.removeprefix(HEARTBEAT_PATH), body)
+                return await self._heartbeat(request, body)
             case "DELETE", path if path.startswith(HEARTBEAT_PATH):
                 return await self._leave(path.removeprefix(HEARTBEAT_PATH))
             case "POST", path if path.startswith(RETIRE_PATH):
@@ -169,14 +171,25 @@
         logger.info("weight version accepted", model=named.model, version=named.version)
         return json_response({})
 
-    async def _heartbeat(self, target_id: str, body: bytes) -> web.Response:
+    async def _heartbeat(self, request: web.BaseRequest, body: bytes) -> web.Response:
+        target_id = request.path.removeprefix(HEARTBEAT_PATH)
         beat = heartbeats.decode(target_id, body)
         if isinstance(beat, Refusal):
             logger.warning("heartbeat refused", target=target_id, reason=beat.detail)
             return refusal_response(beat)
-        refusal = await self._tracker.heartbeat(beat)
-        if refusal is not None:
-            return refusal_response(refusal)
+        token = request.query.get(TOKEN_PARAMETER)
+        match await self._tracker.heartbeat(
+            beat, None if token is None else ConfirmationToken(token)
+        ):
+            case Refusal() as refusal:
+                return refusal_response(refusal)
+            case Confirm(token=issued):
+                # The sender follows the redirect only if it still waits.
+                location = f"http://{self._own_address}{request.rel_url.raw_path}"
+                return web.Response(
+                    status=HTTPStatus.TEMPORARY_REDIRECT,
+                    headers={"Location": f"{location}?{TOKEN_PARAMETER}={issued}"},
+                )
         return json_response({"beat_addr": self._own_address})
 
     async def _leave(self, target_id: str) -> web.Response:
--- a/goldcrestyard/plugins/targets/commands.py
+++ b/goldcrestyard/plugins/targets/commands.py
@@ -15,6 +15,9 @@
     home: InstanceId
     started_at: float | None = None
     """Start of the run as Unix time in seconds, or None if it is unknown."""
+    confirmed: bool = False
+    """Whether the run has shown that it goes on after its departure was
+    recorded.  The departure was then that of an earlier run."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/plugins/targets/slices.py
+++ b/goldcrestyard/plugins/targets/slices.py
@@ -165,15 +165,20 @@
         if known is not None and known.target.incarnation == target.incarnation:
             state = next_state(known.target.state, TargetEvent.ANNOUNCE)
         elif removed is not None:
-            state = next_state(removed.state, TargetEvent.ANNOUNCE)
+            event = TargetEvent.CONFIRM if command.confirmed else TargetEvent.ANNOUNCE
+            state = next_state(removed.state, event)
             if state is TargetState.READY and removed.draining:
                 state = next_state(state, TargetEvent.DRAIN)
-        elif self._has_departed(command, time):
+        elif not command.confirmed and self._has_departed(
+            target.id, command.started_at, time
+        ):
             state = None
         if state is None:
             detail = f"this run of target {target.id} has left"
             return Rejected(RefusalReason.CONFLICT, detail)
         self._removed_by_run.pop((target.id, target.incarnation), None)
+        if command.confirmed:
+            self._departed_at_by_id.pop(target.id, None)
         self._put(HomedTarget(replace(target, state=state), home), time)
         return Accepted()
 
@@ -226,13 +231,29 @@
         self._departed_at_by_id = {**departures, target_id: time}
         return Accepted()
 
-    def _has_departed(self, command: AnnounceTarget, time: float) -> bool:
+    def has_left(
+        self, target_id: TargetId, incarnation: str, started_at: float, time: float
+    ) -> bool:
+        """Return whether a run's announcement is refused at a time.
+
+        ``started_at`` and ``time`` are Unix times in seconds.
+        """
+        if target_id in self.homed_by_id:
+            return False
+        removed = self._removed_by_run.get((target_id, incarnation))
+        if removed is not None:
+            return removed.state is TargetState.LEFT
+        return self._has_departed(target_id, started_at, time)
+
+    def _has_departed(
+        self, target_id: TargetId, started_at: float | None, time: float
+    ) -> bool:
         """Return whether an unrecorded run started before its target left."""
-        departed_at = self._departed_at_by_id.get(command.target.id)
+        departed_at = self._departed_at_by_id.get(target_id)
         return (
             departed_at is not None
-            and command.started_at is not None
-            and command.started_at <= departed_at
+            and started_at is not None
+            and started_at <= departed_at
             and time - departed_at <= DEPARTURE_SECONDS
         )
 
--- a/goldcrestyard/policy/target_states.py
+++ b/goldcrestyard/policy/target_states.py
@@ -11,6 +11,8 @@
     """A reported event of one run of a target."""
 
     ANNOUNCE = "announce"
+    CONFIRM = "confirm"
+    """The run has shown that it goes on after its departure was recorded."""
     DRAIN = "drain"
     LEAVE = "leave"
     LOSE = "lose"
@@ -23,6 +25,8 @@
     # A lost target that was only unreachable becomes ready again.  A
     # target that has left does not, so its late announcement has no effect.
     (TargetEvent.ANNOUNCE, TargetState.LOST, TargetState.READY),
+    (TargetEvent.CONFIRM, TargetState.LOST, TargetState.READY),
+    (TargetEvent.CONFIRM, TargetState.LEFT, TargetState.READY),
     (TargetEvent.DRAIN, TargetState.READY, TargetState.DRAINING),
     (TargetEvent.DRAIN, TargetState.DRAINING, TargetState.DRAINING),
     (TargetEvent.LEAVE, TargetState.READY, TargetState.LEFT),
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -174,3 +174,22 @@
         self.assertEqual(served, {"i-1", "i-2"})
         known = self.tracker.tracked_by_id
         self.assertEqual(known[TargetId("i-1")].sequence, 3)
+
+    async def test_departed_target_shows_that_it_goes_on(self) -> None:
+        """Guards against a live target ended by its former run's departure."""
+        await self._put("i-1", {**BEAT, **GOOD})
+        async with self.client.delete(f"{HEARTBEAT_PATH}i-1") as response:
+            self.assertEqual(response.status, 200)
+        for seq in (2, 3):
+            self.assertEqual(self.targets.serving("engines"), ())
+            body = json.dumps({**BEAT, **GOOD, "seq": seq}).encode()
+            async with self.client.put(
+                f"{HEARTBEAT_PATH}i-1", data=body, allow_redirects=False
+            ) as response:
+                self.assertEqual(response.status, 307)
+                location = URL(response.headers["Location"])
+            self.assertEqual(location.authority, "127.0.0.1:1")
+            async with self.client.put(location.relative(), data=body) as response:
+                self.assertEqual(response.status, 200)
+        served = [target.id for target in self.targets.serving("engines")]
+        self.assertEqual(served, ["i-1"])
--- a/tests/policy/test_target_states.py
+++ b/tests/policy/test_target_states.py
@@ -23,7 +23,9 @@
     (DRAINING, TargetEvent.DRAIN): DRAINING,
     (DRAINING, TargetEvent.LEAVE): LEFT,
     (DRAINING, TargetEvent.LOSE): LOST,
+    (LEFT, TargetEvent.CONFIRM): READY,
     (LOST, TargetEvent.ANNOUNCE): READY,
+    (LOST, TargetEvent.CONFIRM): READY,
     (LOST, TargetEvent.LEAVE): LEFT,
 }
 
