Divide items and reward calls by the weights of their routes

Cause: items, their start order and reward calls took the first service of a route; only callers' requests had the weights. Requests on the same kind of route followed the change, which rules out a leader with the former configuration. A stream that is taken up had the same fault, shown by a new case of tests.fleet.test_resumption.

Change: policy/splits.py decides for all of them. A service gets its share of each job, rounded up or down, and groups are kept together. Begun text stays with its service while that has any weight, also under another leader. Loads and rented engines count the share of a service.

--- a/goldcrestyard/core/jobs.py
+++ b/goldcrestyard/core/jobs.py
@@ -18,6 +18,7 @@
     ModelName,
     OrganisationId,
     RequestId,
+    ServiceName,
     SoftwareVersion,
     StepNumber,
     WeightVersion,
@@ -130,6 +131,8 @@
     software: SoftwareVersion = SoftwareVersion("")
     """Software of the engine that generated the first event; all others come
     from engines with the same.  Empty in the progress of a former release."""
+    service: ServiceName = ServiceName("")
+    """Service of that engine; empty in the progress of a former release."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/gateway/calls.py
+++ b/goldcrestyard/fleet/gateway/calls.py
@@ -44,7 +44,7 @@
     seconds_to_next_check,
 )
 from goldcrestyard.policy.retries import overall_verdict
-from goldcrestyard.policy.serving import pick_service
+from goldcrestyard.policy.splits import pick_service
 
 logger = structlog.get_logger(__name__)
 
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -39,7 +39,7 @@
 from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.retries import overall_verdict
-from goldcrestyard.policy.serving import pick_service
+from goldcrestyard.policy.splits import pick_service
 from goldcrestyard.policy.stream_origins import (
     KnownOrigin,
     OnlyVersion,
--- a/goldcrestyard/fleet/jobs/choosing.py
+++ b/goldcrestyard/fleet/jobs/choosing.py
@@ -17,6 +17,7 @@
 from goldcrestyard.core.serving import EngineShape, ServingRoute
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes, run_of
+from goldcrestyard.fleet.jobs.item_services import ItemServices
 from goldcrestyard.fleet.jobs.ordering import JobOrdering
 from goldcrestyard.fleet.jobs.pending import (
     PendingItem,
@@ -83,6 +84,7 @@
         notes: EngineNotes,
         pending_by_key: Mapping[ItemKey, PendingItem],
         ordering: JobOrdering,
+        services: ItemServices,
         max_jobs_bytes: int,
         permitted_runs: Callable[[Target], int | None] | None,
         is_excluded: Callable[[Target], bool] | None,
@@ -105,6 +107,7 @@
         self._notes = notes
         self._pending_by_key = pending_by_key
         self._ordering = ordering
+        self._services = services
         self._max_jobs_bytes = max_jobs_bytes
         self._had_room = True
         self._permitted_runs = permitted_runs
@@ -120,7 +123,11 @@
         if waiting and not self._has_room_for_texts():
             engines = []
         losses = self._find_text_losses(waiting, engines)
-        texts = {key: waiting[key] for key in losses}
+        texts = {
+            key: waiting[key]
+            for key, loss in losses.items()
+            if loss is not TextLoss.OTHER_SERVICE
+        }
         for key in losses:
             waiting[key] = self._as_new_start(waiting[key])
         engines_by_id = {engine.id: engine for engine in engines}
@@ -161,6 +168,9 @@
         losses: dict[ItemKey, TextLoss] = {}
         for key, item in waiting.items():
             pending = self._pending_by_key[key]
+            if self._is_of_other_service(pending):
+                losses[key] = TextLoss.OTHER_SERVICE
+                continue
             if is_other_software(self._targets, pending, pending.begun_at):
                 losses[key] = TextLoss.ENGINE_RESTARTED
                 continue
@@ -170,11 +180,25 @@
                 losses[key] = loss
         return losses
 
+    def _is_of_other_service(self, pending: PendingItem) -> bool:
+        state = self._jobs.jobs_by_id.get(pending.key.job)
+        if state is None or pending.transcript.required_software is None:
+            return False
+        route = find_route(self._serving, state.job, pending.item)
+        return route is not None and self._services.must_start_again(pending, route)
+
     def _as_new_start(self, item: WaitingItem) -> WaitingItem:
         """Return a waiting item as it would be without its text."""
         request = self._pending_by_key[item.key].item
+        job = self._jobs.jobs_by_id[item.key.job].job
+        route = find_route(self._serving, job, request)
         return replace(
             item,
+            service=(
+                item.service
+                if route is None
+                else self._services.new_run_service(job, request, route)
+            ),
             required_software=None,
             required_version=None,
             remaining_events=self._notes.lengths.remaining_events(
@@ -237,9 +261,10 @@
         needed_version: WeightVersion | None = None
         if route.single_version and pending.transcript.last_event is not None:
             needed_version = pending.transcript.current_version
+        service = self._services.run_service(state.job, pending, route)
         return WaitingItem(
             pending.key,
-            route.services[0].name,
+            service,
             pending.item.model,
             state.job.oldest_version,
             pending.item.group,
@@ -255,7 +280,7 @@
                 for target, until in pending.avoided_until_by_target.items()
                 if now < until
             ),
-            *self._tokens(pending, route.services[0].name),
+            *self._tokens(pending, service),
             regions=self._allowed_regions(route, state.job),
         )
 
--- a/goldcrestyard/fleet/jobs/item_runs.py
+++ b/goldcrestyard/fleet/jobs/item_runs.py
@@ -17,7 +17,7 @@
     Withheld,
 )
 from goldcrestyard.core.calls import TargetCall, TargetClient, TargetReply
-from goldcrestyard.core.ids import RequestId, WeightVersion
+from goldcrestyard.core.ids import RequestId, ServiceName, WeightVersion
 from goldcrestyard.core.jobs import Job, JobItem
 from goldcrestyard.core.records import Target
 from goldcrestyard.fleet.jobs.transcripts import TextShortage, Transcript
@@ -172,7 +172,9 @@
             return Failed(reply.status)
         if start_again is not None:
             start_again()
-        transcript.begin_run(reply.version, target.software)
+        transcript.begin_run(
+            reply.version, target.software, ServiceName(target.serves[0])
+        )
         return await _read_events(reply, transcript, job.oldest_version, detector)
 
 
--- a/goldcrestyard/fleet/jobs/listing.py
+++ b/goldcrestyard/fleet/jobs/listing.py
@@ -10,6 +10,7 @@
 from goldcrestyard.core.ids import CorrelationId
 from goldcrestyard.core.jobs import EndedItem, ItemOutcome, Job
 from goldcrestyard.fleet.jobs.commands import ListResults
+from goldcrestyard.fleet.jobs.item_services import ItemServices
 from goldcrestyard.fleet.jobs.pending import PendingItem, must_restart
 from goldcrestyard.fleet.jobs.rewards import NoScore, RewardClient, Scored
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
@@ -34,6 +35,7 @@
         self,
         member: ControlMember,
         rewards: RewardClient,
+        services: ItemServices,
         metrics: FleetMetrics,
         clock: Clock,
         on_listed: Callable[[PendingItem, ItemOutcome], None],
@@ -42,6 +44,7 @@
         self._member = member
         self._serving = member.machine.get(ServingSlice)
         self._rewards = rewards
+        self._services = services
         self._metrics = metrics
         self._clock = clock
         self._on_listed = on_listed
@@ -63,6 +66,7 @@
                 pending.expires_at,
                 pending.rank,
                 job.organisation,
+                self._services.reward_point(job, pending.item),
             ):
                 case Scored(score=text):
                     score = text
--- a/goldcrestyard/fleet/jobs/ordering.py
+++ b/goldcrestyard/fleet/jobs/ordering.py
@@ -9,6 +9,7 @@
 from goldcrestyard.core.jobs import ItemOutcome, Job
 from goldcrestyard.core.serving import ServingRoute
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes
+from goldcrestyard.fleet.jobs.item_services import ItemServices
 from goldcrestyard.fleet.jobs.pending import Charge, PendingItem, find_route, group_of
 from goldcrestyard.fleet.jobs.slices import JobsSlice, JobState
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
@@ -54,6 +55,7 @@
         machine: StateMachine,
         notes: EngineNotes,
         pending_by_key: Mapping[ItemKey, PendingItem],
+        services: ItemServices,
         metrics: FleetMetrics,
         clock: Clock,
     ) -> None:
@@ -62,6 +64,7 @@
         self._serving = machine.get(ServingSlice)
         self._notes = notes
         self._pending_by_key = pending_by_key
+        self._services = services
         self._metrics = metrics
         self._clock = clock
         self._order = ItemOrder()
@@ -182,7 +185,8 @@
             route = find_route(self._serving, state.job, item)
             if route is None:
                 continue
-            pool = Pool(route.services[0].name, item.model)
+            service = self._services.run_service(state.job, pending, route)
+            pool = Pool(service, item.model)
             route_by_pool[pool] = route
             items_by_pool.setdefault(pool, []).append(
                 OpenItem(
--- a/goldcrestyard/fleet/jobs/rewards.py
+++ b/goldcrestyard/fleet/jobs/rewards.py
@@ -13,7 +13,7 @@
 
 from goldcrestyard.core.attempts import AttemptFailure, describe_failure
 from goldcrestyard.core.calls import TargetCall, TargetClient
-from goldcrestyard.core.ids import OrganisationId, Region, ServiceName, TargetId
+from goldcrestyard.core.ids import OrganisationId, Region, TargetId
 from goldcrestyard.core.jobs import RewardCall
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.serving import ServingRoute
@@ -31,6 +31,7 @@
     second_attempt,
     seconds_to_next_check,
 )
+from goldcrestyard.policy.splits import service_at, used_services
 
 logger = structlog.get_logger(__name__)
 
@@ -82,6 +83,8 @@
 class _CallState:
     """State of one call over all its attempts."""
 
+    point: float
+    """Point of the route's split."""
     tried: set[TargetId] = field(default_factory=set)
     running: dict[asyncio.Task[Scored | int | None], _Attempt] = field(
         default_factory=dict
@@ -126,6 +129,7 @@
         deadline: float,
         rank: Rank = (),
         organisation: OrganisationId | None = None,
+        point: float = 0.0,
     ) -> Scored | NoScore:
         """Return the score, or ``NoScore`` once no further attempt is allowed.
 
@@ -133,9 +137,10 @@
         trainer's step waits for the last of its scores.  Calls that wait for a
         free slot are served by the lowest ``rank``.  ``deadline`` is a
         monotonic time in seconds.  The homes of the ``organisation`` count as
-        well as those of the call's route.
+        well as those of the call's route.  ``point`` is that of the call in
+        the split of its route.
         """
-        state = _CallState()
+        state = _CallState(point)
         hedging: RouteHedging | None = None
         objective: float | None = None
         try:
@@ -239,6 +244,7 @@
         recently_called = self._recently_called_targets(route, state.running.values())
         target = self._choose_target(
             route,
+            state.point,
             state.tried | recently_called,
             hedge=bool(state.running),
             regions=regions,
@@ -282,6 +288,7 @@
     def _choose_target(
         self,
         route: ServingRoute,
+        point: float,
         tried: set[TargetId],
         *,
         hedge: bool,
@@ -295,18 +302,19 @@
         saves: at 0.85 of the slots, the items lost on a day with a single
         scoring target were worth more than the requests saved.
         """
-        for service in route.services:
-            target = self._router.choose(
-                ServiceName(service.name),
-                tried,
-                with_free_slot=True,
-                hedge=hedge,
-                ask_full=True,
-                regions=regions,
-            )
-            if target is not None:
-                return target
-        return None
+        ready = [
+            name
+            for name in used_services(route)
+            if self._router.any_ready(name, regions)
+        ]
+        return self._router.choose(
+            service_at(route, point, ready),
+            tried,
+            with_free_slot=True,
+            hedge=hedge,
+            ask_full=True,
+            regions=regions,
+        )
 
     def _start_attempt(
         self, call: RewardCall, route: ServingRoute, target: Target
--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -29,6 +29,7 @@
 )
 from goldcrestyard.fleet.jobs.engine_notes import EngineNotes
 from goldcrestyard.fleet.jobs.groups import GroupCounts
+from goldcrestyard.fleet.jobs.item_services import ItemServices
 from goldcrestyard.fleet.jobs.listing import ItemLister, errored_item
 from goldcrestyard.fleet.jobs.ordering import JobOrdering
 from goldcrestyard.fleet.jobs.pending import PendingItem, find_route
@@ -119,7 +120,10 @@
         self._pending_by_key: dict[ItemKey, PendingItem] = {}
         self._groups = GroupCounts(metrics)
         self._saver = ProgressSaver(member, self._pending_by_key)
-        self._lister = ItemLister(member, rewards, metrics, clock, self._on_listed)
+        services = ItemServices(member.machine)
+        self._lister = ItemLister(
+            member, rewards, services, metrics, clock, self._on_listed
+        )
         self._notes = EngineNotes(member.machine.get(TargetsSlice))
         self._item_runner = ItemRunner(
             member.machine,
@@ -135,7 +139,7 @@
             self._on_run_end,
         )
         self._ordering = JobOrdering(
-            member.machine, self._notes, self._pending_by_key, metrics, clock
+            member.machine, self._notes, self._pending_by_key, services, metrics, clock
         )
         self._chooser = ItemChooser(
             member.machine,
@@ -146,6 +150,7 @@
             self._notes,
             self._pending_by_key,
             self._ordering,
+            services,
             shares.jobs,
             permitted_runs,
             is_excluded,
@@ -303,7 +308,10 @@
             self._ordering.note_start(run.pending, run.job, run.expected_events)
             self._spawn(run.pending, work)
         self._work.record_pass(
-            ((item.model, item.oldest_version) for item in choice.waiting),
+            (
+                (item.service, item.model, item.oldest_version)
+                for item in choice.waiting
+            ),
             self._notes.slots_in_use,
         )
 
--- a/goldcrestyard/fleet/jobs/transcripts.py
+++ b/goldcrestyard/fleet/jobs/transcripts.py
@@ -4,7 +4,12 @@
 from enum import Enum
 
 from goldcrestyard.core.calls import StreamEvent
-from goldcrestyard.core.ids import EventNumber, SoftwareVersion, WeightVersion
+from goldcrestyard.core.ids import (
+    EventNumber,
+    ServiceName,
+    SoftwareVersion,
+    WeightVersion,
+)
 from goldcrestyard.core.jobs import Progress
 from goldcrestyard.kernel.byte_room import ByteLease
 from goldcrestyard.policy.job_sizes import EVENT_BYTES, progress_size
@@ -50,6 +55,9 @@
     lease: ByteLease | None = None
     size: int = 0
     """Size of the events in bytes, with an allowance for each."""
+    service: ServiceName = ServiceName("")
+    """Service of the engine that generated the first event; empty if it is
+    unknown or before the first event."""
 
     @classmethod
     def restore(
@@ -71,25 +79,34 @@
             may_be_saved=True,
             lease=lease,
             size=size,
+            service=progress.service,
         )
 
     def begin_run(
-        self, version: WeightVersion | None, software: SoftwareVersion
+        self,
+        version: WeightVersion | None,
+        software: SoftwareVersion,
+        service: ServiceName = ServiceName(""),  # noqa: B008 - immutable
     ) -> None:
         """Set the weight version of the coming events, None if unknown.
 
-        ``software`` is that of the engine; it becomes that of the text unless
-        an earlier run began it.
+        ``software`` and ``service`` are those of the engine; they become those
+        of the text unless an earlier run began it.
         """
         self.current_version = version
         if not self.events:
-            self.software = software
+            self.software, self.service = software, service
 
     @property
     def required_software(self) -> SoftwareVersion | None:
         """The software that may go on; None if there is no text yet."""
         return self.software if self.events else None
 
+    @property
+    def begun_by(self) -> ServiceName | None:
+        """The service that began the text; None if unknown or without text."""
+        return (self.service or None) if self.events else None
+
     def take_room(self, event: StreamEvent) -> TextShortage | None:
         """Take the memory for an event; return why there is none, or None."""
         size = EVENT_BYTES + len(event.data)
@@ -121,7 +138,7 @@
         self.events.clear()
         self.versions.clear()
         self.last_event = None
-        self.software = SoftwareVersion("")
+        self.software, self.service = SoftwareVersion(""), ServiceName("")
         self.current_version = None
         self.saved_count = 0
         self.drops += 1
@@ -156,4 +173,5 @@
             tuple(sorted(self.versions)),
             self.current_version,
             self.software,
+            self.service,
         )
--- a/goldcrestyard/fleet/rentals/autoscaler.py
+++ b/goldcrestyard/fleet/rentals/autoscaler.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections import Counter, deque
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -19,6 +20,7 @@
 from goldcrestyard.core.states import Rental, TargetState
 from goldcrestyard.fleet.duties import Permit, permit_of
 from goldcrestyard.fleet.evacuations.slices import EvacuationsSlice
+from goldcrestyard.fleet.jobs.shares import job_share
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
@@ -94,7 +96,7 @@
         self._serving = member.machine.get(ServingSlice)
         self._jobs = member.machine.get(JobsSlice)
         self._evacuations = member.machine.get(EvacuationsSlice)
-        self._demand_samples: deque[tuple[float, int]] = deque()
+        self._demand_samples: deque[tuple[float, dict[ServiceName, int]]] = deque()
         self._ordered_at_by_place: dict[tuple[ServiceName, DataCentre], float] = {}
         self._exhausted_until_by_place: dict[tuple[ServiceName, DataCentre], float] = {}
 
@@ -114,8 +116,18 @@
 
     def _record_demand(self) -> None:
         now = self._clock.monotonic()
-        items = sum(state.size - len(state.results) for state in self._jobs.open_jobs())
-        self._demand_samples.append((now, items))
+        table = self._serving.table
+        items_by_service = {
+            service.name: math.ceil(
+                sum(
+                    (state.size - len(state.results))
+                    * job_share(self._serving, state.job, service.name)
+                    for state in self._jobs.open_jobs()
+                )
+            )
+            for service in (table.config.services if table is not None else ())
+        }
+        self._demand_samples.append((now, items_by_service))
         while self._demand_samples[0][0] < now - DEMAND_WINDOW_SECONDS:
             self._demand_samples.popleft()
 
@@ -124,7 +136,9 @@
             return
         now = self._clock.monotonic()
         present = self._count_targets(service.name)
-        peak_items = max(items for _, items in self._demand_samples)
+        peak_items = max(
+            items.get(service.name, 0) for _, items in self._demand_samples
+        )
         counts = spread_targets(
             wanted_targets(peak_items, service.engine.slots),
             self._bounds_outside_evacuations(service.rental),
--- a/goldcrestyard/fleet/resumption/entry_side.py
+++ b/goldcrestyard/fleet/resumption/entry_side.py
@@ -30,6 +30,7 @@
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.splits import used_services
 from goldcrestyard.policy.stream_origins import (
     TAKE_UP_SECONDS,
     KnownOrigin,
@@ -176,7 +177,7 @@
         take_up: TakeUp,
     ) -> OriginDecision:
         """Return where a stream that a caller takes up may go on."""
-        services = frozenset(weighted.name for weighted in route.services)
+        services = used_services(route)
         only = None
         if len(services) == 1 and self._view.holds_lease():
             (service,) = services
--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
@@ -17,6 +18,7 @@
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetKind, TargetState
 from goldcrestyard.fleet.duties import permit_of
+from goldcrestyard.fleet.jobs.shares import job_share
 from goldcrestyard.fleet.jobs.slices import JobsSlice
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
@@ -179,8 +181,8 @@
 
     def _order_loads(self) -> None:
         engines = self._ready_engines()
-        steps = self._steps_by_model()
         for service in {ServiceName(e.serves[0]) for e in engines.values()}:
+            steps = self._steps_by_model(service)
             engines_of_service = {
                 target_id: target
                 for target_id, target in engines.items()
@@ -194,7 +196,7 @@
             loadable = [
                 self._loadable(target) for target in engines_of_service.values()
             ]
-            newest = self._newest_by_model(demand_by_model, steps)
+            newest = self._newest_by_model(service, demand_by_model, steps)
             max_concurrent = max(
                 MIN_CONCURRENT_LOADS, int(len(loadable) * MAX_LOADING_SHARE)
             )
@@ -249,7 +251,10 @@
         }
 
     def _newest_by_model(
-        self, models: Iterable[ModelName], steps: Mapping[ModelName, _Step]
+        self,
+        service: ServiceName,
+        models: Iterable[ModelName],
+        steps: Mapping[ModelName, _Step],
     ) -> dict[ModelName, NewestVersion]:
         now = self._clock.monotonic()
         newest: dict[ModelName, NewestVersion] = {}
@@ -263,17 +268,21 @@
             newest[model] = NewestVersion(
                 version,
                 now - seen[1],
-                self._job_demand(model, version, steps.get(model)),
+                self._job_demand(service, model, version, steps.get(model)),
             )
         return newest
 
     def _job_demand(
-        self, model: ModelName, newest: WeightVersion, step: _Step | None
+        self,
+        service: ServiceName,
+        model: ModelName,
+        newest: WeightVersion,
+        step: _Step | None,
     ) -> JobDemand | None:
         """Return the use of a model by the jobs that are kept, if any."""
         if step is None:
             return None
-        waiting = self._work.waiting(model, newest)
+        waiting = self._work.waiting(service, model, newest)
         return JobDemand(
             step.oldest_version,
             step.items,
@@ -282,13 +291,19 @@
             self._work.mean_seconds(model),
         )
 
-    def _steps_by_model(self) -> dict[ModelName, _Step]:
-        """Return the latest and largest of the steps of each trained model."""
+    def _steps_by_model(self, service: ServiceName) -> dict[ModelName, _Step]:
+        """Return the latest and largest of the steps of each trained model.
+
+        Only the share of a step that a service gets counts.
+        """
         steps: dict[ModelName, _Step] = {}
         for state in self._jobs.jobs_by_id.values():
+            share = job_share(self._serving, state.job, service)
+            if share == 0.0:
+                continue
             step = steps.setdefault(state.job.model, _Step())
             step.oldest_version = max(step.oldest_version, state.job.oldest_version)
-            step.items = max(step.items, state.size)
+            step.items = max(step.items, math.ceil(state.size * share))
         return steps
 
     def _demand_by_model(
--- a/goldcrestyard/fleet/versions/work.py
+++ b/goldcrestyard/fleet/versions/work.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
+from goldcrestyard.core.ids import ModelName, ServiceName, TargetId, WeightVersion
 
 LATEST_RUN_WEIGHT = 0.1
 """Weight of the latest run in a model's mean duration of runs."""
@@ -23,15 +23,21 @@
     """Waiting and running items; the runner writes it, the loader reads it."""
 
     def __init__(self) -> None:
-        self._waiting_by_model: dict[ModelName, Counter[WeightVersion]] = {}
+        self._waiting_by_pool: dict[
+            tuple[ServiceName, ModelName], Counter[WeightVersion]
+        ] = {}
         self._running_by_target: Mapping[TargetId, int] = {}
         self._mean_seconds_by_model: dict[ModelName, float] = {}
 
-    def waiting(self, model: ModelName, newest: WeightVersion) -> WaitingItems:
-        """Return the waiting items of a model that a version may generate."""
+    def waiting(
+        self, service: ServiceName, model: ModelName, newest: WeightVersion
+    ) -> WaitingItems:
+        """Return the waiting items that a version of a model may generate."""
         counts = {
             oldest: count
-            for oldest, count in self._waiting_by_model.get(model, {}).items()
+            for oldest, count in self._waiting_by_pool.get(
+                (service, model), Counter()
+            ).items()
             if oldest <= newest
         }
         if not counts:
@@ -48,17 +54,18 @@
 
     def record_pass(
         self,
-        waiting: Iterable[tuple[ModelName, WeightVersion]],
+        waiting: Iterable[tuple[ServiceName, ModelName, WeightVersion]],
         running_by_target: Counter[TargetId],
     ) -> None:
         """Record the state after a scheduling pass.
 
-        ``waiting`` holds the model and the oldest allowed version of each
-        item that could not be started.
+        ``waiting`` holds the service, the model and the oldest allowed version
+        of each item that could not be started.
         """
-        self._waiting_by_model = {}
-        for model, version in waiting:
-            self._waiting_by_model.setdefault(model, Counter())[version] += 1
+        self._waiting_by_pool = {}
+        for service, model, version in waiting:
+            counts = self._waiting_by_pool.setdefault((service, model), Counter())
+            counts[version] += 1
         self._running_by_target = running_by_target
 
     def record_run(self, model: ModelName, seconds: float) -> None:
--- a/goldcrestyard/policy/job_schedule.py
+++ b/goldcrestyard/policy/job_schedule.py
@@ -179,6 +179,8 @@
     """No engine with the software that began it could run it in time."""
     ENGINE_RESTARTED = "engine restarted"
     """Its engine started again with other software around the latest run."""
+    OTHER_SERVICE = "other service"
+    """The service that began the text gets no more items."""
 
 
 def may_continue(text: SoftwareVersion, engine: SoftwareVersion) -> bool:
--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -6,7 +6,6 @@
 """
 
 import math
-import random
 from bisect import bisect_left
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
@@ -21,6 +20,7 @@
     ServingRoute,
 )
 from goldcrestyard.policy.residency import HostHomes, allowed_regions, homes_by_host
+from goldcrestyard.policy.splits import used_services
 
 
 class FaultId(Enum):
@@ -300,19 +300,6 @@
                 found.add(key)
         elif present is None:
             found.add(key)
-        elif _services(former) != _services(present):
+        elif used_services(former) != used_services(present):
             found.add(route_key(present))
     return found
-
-
-def _services(route: ServingRoute) -> frozenset[ServiceName]:
-    return frozenset(service.name for service in route.services)
-
-
-def pick_service(route: ServingRoute, random_source: random.Random) -> ServiceName:
-    """Return one of a route's services at random, by weight."""
-    if len(route.services) == 1:
-        return route.services[0].name
-    names = [service.name for service in route.services]
-    weights = [service.weight for service in route.services]
-    return random_source.choices(names, weights)[0]
--- a/tests/fleet/test_resumption.py
+++ b/tests/fleet/test_resumption.py
@@ -54,6 +54,16 @@
 SPLIT = replace(
     ROUTE, services=(*ROUTE.services, WeightedService(ServiceName("rest"), 1.0))
 )
+UNUSED_REST = replace(
+    ROUTE, services=(*ROUTE.services, WeightedService(ServiceName("rest"), 0.0))
+)
+ONLY_REST = replace(
+    ROUTE,
+    services=(
+        replace(ROUTE.services[0], weight=0.0),
+        WeightedService(ServiceName("rest"), 1.0),
+    ),
+)
 V1, V2 = (
     StreamOrigin(ServiceName("quotes"), SoftwareVersion(version))
     for version in ("v1", "v2")
@@ -107,6 +117,14 @@
         route=SPLIT,
         take_up=TakeUp(None, EVENT),
     ),
+    Case(
+        "other_service_has_weight_0",
+        ONLY,
+        ("v1",),
+        route=UNUSED_REST,
+        take_up=TakeUp(None, EVENT),
+    ),
+    Case("service_has_weight_0", UNKNOWN, route=ONLY_REST),
 ]
 
 
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -184,12 +184,8 @@
     )
 
 
-class RunnerTests(PausedClockTestCase):
-    """Guards against wrong weight versions, lost text and unlisted items.
-
-    Runs can end at any event and change engine and version, so text and
-    versions have to be joined over all runs of an item.
-    """
+class RunnerTestCase(PausedClockTestCase):
+    """Runs the items of jobs on scripted engines."""
 
     async def asyncSetUp(self) -> None:
         quiet_logs(self)
@@ -288,6 +284,14 @@
     def _engine_calls(self) -> list[str]:
         return [name for name in self.client.called_targets if name != "scorer"]
 
+
+class RunnerTests(RunnerTestCase):
+    """Guards against wrong weight versions, lost text and unlisted items.
+
+    Runs can end at any event and change engine and version, so text and
+    versions have to be joined over all runs of an item.
+    """
+
     async def test_engine_that_leaves_gets_no_items(self) -> None:
         """Guards against items for a target that has said that it leaves."""
         self._start((Streams(3),), leaving=frozenset({"e0"}))
--- a/tests/fuzz/decoders.py
+++ b/tests/fuzz/decoders.py
@@ -99,7 +99,8 @@
 from goldcrestyard.policy.configuration_review import review
 from goldcrestyard.policy.hand_out import parse_version
 from goldcrestyard.policy.routing import LoadReport
-from goldcrestyard.policy.serving import ServingTable, pick_service
+from goldcrestyard.policy.serving import ServingTable
+from goldcrestyard.policy.splits import pick_service
 from goldcrestyard.policy.weight_sources import retry_after_seconds
 from goldcrestyard.storage.exceptions import CorruptFileError, CorruptLogError
 from goldcrestyard.storage.log_segments import LogRecord, SegmentedLog
--- a/tests/policy/test_serving.py
+++ b/tests/policy/test_serving.py
@@ -26,8 +26,8 @@
     ServingTable,
     faults,
     moved_routes,
-    pick_service,
 )
+from goldcrestyard.policy.splits import pick_service
 
 
 def route(name: str, prefix: str, host: str = "h.example") -> ServingRoute:
