Let only the leader conclude that one version began a stream

Cause: an entry concluded from its own copy of the targets that a single software version serves, and kept that when the leader knew no record of the stream, or did not answer within 2 s of the last renewal. Records that exist went first in all cases, so they are not the cause.

Change: the leader concludes it under its lease and names it in its answer. Without an answer a stream goes on only if its record is known.

--- a/goldcrestyard/fleet/resumption/apps.py
+++ b/goldcrestyard/fleet/resumption/apps.py
@@ -17,7 +17,6 @@
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.membership.leader_link import LeaderLink
-from goldcrestyard.membership.view import EntryView
 from goldcrestyard.wire.connection import Handlers
 
 
@@ -44,14 +43,14 @@
         metrics = app.get(FleetMetrics)
         member = app.find(ControlMember)
         if member is not None:
-            self._keeper = OriginKeeper(member)
+            self._keeper = OriginKeeper(member, app.clock)
             self._keeper.register(app.get(Handlers))
             kept = member.machine.get(StreamOriginsSlice)
             metrics.recorded_streams.set_function(kept.count)
             return
         app.provide(
             StreamOrigins,
-            StreamOrigins(app.get(EntryView), app.get(LeaderLink), metrics, app.clock),
+            StreamOrigins(app.get(LeaderLink), metrics, app.clock),
         )
 
     async def serve(self, app: Application) -> None:
@@ -60,6 +59,7 @@
             app.supervise(app.get(StreamOrigins).run, "record streams")
             return
         member = app.get(ControlMember)
+        app.supervise(self._keeper.watch_log_time, "watch the log's time")
         app.supervise(
             partial(while_leading, member, "record streams", self._keeper.run),
             "record streams",
--- a/goldcrestyard/fleet/resumption/entry_side.py
+++ b/goldcrestyard/fleet/resumption/entry_side.py
@@ -1,8 +1,7 @@
 """An entry's part: records the origins of streams, and looks them up."""
 
 import asyncio
-import math
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import dataclass
 
 import structlog
@@ -24,12 +23,9 @@
     OriginsRecorded,
     RecordOrigins,
 )
-from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.kernel.clock import Clock
-from goldcrestyard.kernel.waiting import wait_at_most
 from goldcrestyard.membership.leader_link import LeaderLink
-from goldcrestyard.membership.view import EntryView
-from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.serving import route_key
 from goldcrestyard.policy.splits import used_services
 from goldcrestyard.policy.stream_origins import (
     TAKE_UP_SECONDS,
@@ -41,7 +37,6 @@
     UnknownOrigin,
     decide_origin,
     merge_origins,
-    only_origin,
 )
 
 logger = structlog.get_logger(__name__)
@@ -56,13 +51,6 @@
 RETRY_SECONDS = 0.2
 """Delay in seconds before records that were not committed are sent again."""
 
-MAX_LAG_SECONDS = 2.0
-"""Time in seconds since the lease was renewed after which an entry that cannot
-ask the leader may not have heard of a version that has begun to serve."""
-
-SAMPLE_SECONDS = 2.0
-"""Shortest time in seconds between two samples of the log's time."""
-
 MAX_BATCH = 1024
 """Maximum number of streams in one message, about 16 KB."""
 
@@ -86,15 +74,6 @@
     """Monotonic time in seconds."""
 
 
-@dataclass(frozen=True, slots=True)
-class _LogTime:
-    seen_at: float
-    """Monotonic time in seconds."""
-    time: float
-    """The log's time, Unix time in seconds."""
-    commands_seen: int
-
-
 def software_of(decision: OriginDecision) -> SoftwareVersion | None:
     """Return the software version that a stream goes on with, if any."""
     match decision:
@@ -107,19 +86,13 @@
 class StreamOrigins:
     """Records streams that began here, and finds those that began anywhere."""
 
-    def __init__(
-        self, view: EntryView, link: LeaderLink, metrics: FleetMetrics, clock: Clock
-    ) -> None:
-        self._view = view
-        self._targets = view.machine.get(TargetsSlice)
-        self._serving = view.machine.get(ServingSlice)
+    def __init__(self, link: LeaderLink, metrics: FleetMetrics, clock: Clock) -> None:
         self._link = link
         self._metrics = metrics
         self._clock = clock
         self._noted_by_stream: OrderedDict[StreamDigest, _Noted] = OrderedDict()
         self._unrecorded: OrderedDict[StreamDigest, StreamOrigin] = OrderedDict()
         self._noted = asyncio.Event()
-        self._seen: deque[_LogTime] = deque()
 
     def note(
         self,
@@ -129,7 +102,6 @@
         origin: StreamOrigin,
     ) -> None:
         """Record the origin of a stream, by the attempt of its first event."""
-        self._since()
         if not first:
             return
         stream = stream_digest(organisation, route, first)
@@ -145,10 +117,7 @@
     async def run(self) -> None:
         """Send records to the leader until cancelled."""
         while True:
-            self._since()
-            await wait_at_most(SAMPLE_SECONDS, self._noted.wait())
-            if not self._noted.is_set():
-                continue
+            await self._noted.wait()
             self._noted.clear()
             batch = list(self._unrecorded.items())[:MAX_BATCH]
             reply = await self._link.request(
@@ -176,26 +145,23 @@
         request: RequestId,
         take_up: TakeUp,
     ) -> OriginDecision:
-        """Return where a stream that a caller takes up may go on."""
+        """Return where a stream that a caller takes up may go on.
+
+        Only the leader knows whether a single version serves: this entry may
+        lack one that has joined, also while it holds its lease.
+        """
         services = used_services(route)
-        only = None
-        if len(services) == 1 and self._view.holds_lease():
-            (service,) = services
-            since = self._since()
-            moved_at = self._serving.moved_at(route)
-            if moved_at is not None and (moved_at == 0.0 or moved_at < since):
-                software = self._targets.software_since(service, since)
-                only = only_origin(services, software)
-        recorded = None
-        if take_up.first and take_up.after is not None:
+        stream = StreamDigest(b"")
+        only = recorded = None
+        if take_up.first:
             stream = stream_digest(organisation, route, take_up.first)
             recorded = self._remembered(stream)
-            if recorded is None:
-                match await self._ask(stream, again=only is None):
-                    case StreamOrigin() as recorded:
-                        pass
-                    case None if self._view.renewed_seconds_ago() > MAX_LAG_SECONDS:
-                        only = None
+        if recorded is None and take_up.after is not None:
+            match await self._ask(stream, route):
+                case OriginReply(service=service, software=software):
+                    recorded = StreamOrigin(service, software)
+                case OriginNotKnown(only_service=service, only_software=software):
+                    only = StreamOrigin(service, software) if software else None
         decision = decide_origin(take_up, only, recorded, services)
         self._metrics.take_ups.labels(type(decision).__name__).inc()
         logger.info(
@@ -208,31 +174,6 @@
         )
         return decision
 
-    def _since(self) -> float:
-        """Return a log time that was ``TAKE_UP_SECONDS`` ago or earlier.
-
-        The log's time jumps when a leader whose clock is ahead takes over, and
-        stands still after it.  What the log's time was that long ago by the
-        steady clock holds all the same.  A process that has not run so long
-        relies on the leader's clock.
-        """
-        now = self._clock.monotonic()
-        latest = _LogTime(now, self._targets.latest_time, self._targets.commands_seen)
-        seen = self._seen
-        if latest.time == 0.0:
-            # Nothing but a snapshot is known: all recorded departures count.
-            return 0.0
-        if not seen or now - seen[-1].seen_at >= SAMPLE_SECONDS:
-            seen.append(latest)
-        while len(seen) > 1 and now - seen[1].seen_at >= TAKE_UP_SECONDS:
-            seen.popleft()
-        before = seen[0]
-        if now - before.seen_at < TAKE_UP_SECONDS:
-            return before.time + now - before.seen_at - TAKE_UP_SECONDS
-        if before.commands_seen == latest.commands_seen:
-            return math.nextafter(before.time, math.inf)
-        return before.time
-
     def _remembered(self, stream: StreamDigest) -> StreamOrigin | None:
         noted = self._noted_by_stream.get(stream)
         if noted is None or self._clock.monotonic() - noted.at > TAKE_UP_SECONDS:
@@ -240,24 +181,26 @@
         return noted.origin
 
     async def _ask(
-        self, stream: StreamDigest, *, again: bool
-    ) -> StreamOrigin | OriginNotKnown | None:
+        self, stream: StreamDigest, route: ServingRoute
+    ) -> OriginReply | OriginNotKnown | None:
         """Return what the leader knows of a stream; None without its answer.
 
-        ``again`` tells whether to ask once more if it does not know it.
+        It is asked once more if it does not know where the stream began.
         """
+        ask = AskOrigin(stream, *route_key(route))
         answer: OriginNotKnown | None = None
-        for delay_seconds in (0.0, ASK_AGAIN_SECONDS) if again else (0.0,):
+        for delay_seconds in (0.0, ASK_AGAIN_SECONDS):
             await asyncio.sleep(delay_seconds)
             if self._link.leader is None:
                 continue
-            reply = await self._link.request(AskOrigin(stream), ASK_TIMEOUT_SECONDS)
-            match reply:
-                case OriginReply(service=service, software=software):
-                    return StreamOrigin(service, software)
-                case OriginNotKnown():
-                    answer = reply
-                case _:
+            match await self._link.request(ask, ASK_TIMEOUT_SECONDS):
+                case OriginReply() as reply:
+                    return reply
+                case OriginNotKnown() as answer if answer.only_software:
+                    return answer
+                case OriginNotKnown() as answer:
+                    pass
+                case reply:
                     logger.info(
                         "leader named no origin of a stream",
                         reply=type(reply).__name__,
--- a/goldcrestyard/fleet/resumption/leader_side.py
+++ b/goldcrestyard/fleet/resumption/leader_side.py
@@ -22,6 +22,13 @@
     RecordOrigins,
 )
 from goldcrestyard.fleet.resumption.slices import StreamOriginsSlice
+from goldcrestyard.fleet.resumption.take_up_window import SAMPLE_SECONDS, TakeUpWindow
+from goldcrestyard.fleet.serving.slices import ServingSlice
+from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.plugins.targets.slices import TargetsSlice
+from goldcrestyard.policy.serving import RouteKey, route_key
+from goldcrestyard.policy.splits import used_services
+from goldcrestyard.policy.stream_origins import StreamOrigin, only_origin
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import Failure
 
@@ -46,9 +53,12 @@
 class OriginKeeper:
     """Commits the records of all entries in batches, and answers entries."""
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: ControlMember, clock: Clock) -> None:
         self._member = member
         self._kept = member.machine.get(StreamOriginsSlice)
+        self._serving = member.machine.get(ServingSlice)
+        self._targets = member.machine.get(TargetsSlice)
+        self._window = TakeUpWindow(self._targets, clock)
         self._waiting: list[tuple[tuple[OriginGroup, ...], asyncio.Future[bool]]] = []
         self._waiting_bytes = 0
         self._arrived = asyncio.Event()
@@ -58,6 +68,15 @@
         handlers.add(RecordOrigins, self._on_record)
         handlers.add(AskOrigin, self._on_ask)
 
+    async def watch_log_time(self) -> None:
+        """Sample the log's time until cancelled.
+
+        Run it before this member leads as well: its clock may be ahead.
+        """
+        while True:
+            self._window.since()
+            await asyncio.sleep(SAMPLE_SECONDS)
+
     async def run(self) -> None:
         """Commit records until cancelled."""
         while True:
@@ -100,6 +119,29 @@
         if not self._member.holds_lease():
             return self._member.make_not_leader_reply()
         origin = self._kept.find(ask.stream)
-        if origin is None:
+        if origin is not None:
+            return OriginReply(origin.service, origin.software)
+        only = self._only_origin((ask.host, ask.prefix))
+        if only is None:
             return OriginNotKnown()
-        return OriginReply(origin.service, origin.software)
+        return OriginNotKnown(only.service, only.software)
+
+    def _only_origin(self, key: RouteKey) -> StreamOrigin | None:
+        """Return the only possible origin of a route's streams, or None.
+
+        An entry that passed an event on had learned of its target from the
+        log, so this leader knows of the target as well.
+        """
+        table = self._serving.table
+        route = None if table is None else table.route(*key)
+        if route is None or route_key(route) != key:
+            return None
+        services = used_services(route)
+        since = self._window.since()
+        moved_at = self._serving.moved_at(route)
+        if len(services) != 1 or moved_at is None:
+            return None
+        if moved_at > 0.0 and moved_at >= since:
+            return None
+        (service,) = services
+        return only_origin(services, self._targets.software_since(service, since))
--- a/goldcrestyard/fleet/resumption/messages.py
+++ b/goldcrestyard/fleet/resumption/messages.py
@@ -20,9 +20,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AskOrigin:
-    """Asks the leader for the origin of a stream."""
+    """Asks the leader for the origin of a stream.
+
+    ``host`` and ``prefix`` are those of its route.  ``stream`` is empty if the
+    caller does not name the attempt that began it.
+    """
 
     stream: StreamDigest
+    host: str = ""
+    prefix: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +41,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OriginNotKnown:
-    """Reply to ``AskOrigin``: no such stream is recorded."""
+    """Reply to ``AskOrigin``: no such stream is recorded.
+
+    If nothing else can have begun a stream of the route, the service and the
+    software version that did are named.
+    """
+
+    only_service: ServiceName = ServiceName("")
+    only_software: SoftwareVersion = SoftwareVersion("")
 
 
 MESSAGES = (RecordOrigins, OriginsRecorded, AskOrigin, OriginReply, OriginNotKnown)
