Ask a target which run it is before a stream goes on there

Cause: a stream went on at whatever process answered at the recorded address and id of a target. An engine that starts again under its id with other software is not known to a front that is cut off, which joined the texts of both (ORDER). Items asked the engine; streams of callers did not. It is not the front's record of the stream that is wrong: it names the version that began it.

Change: RecordedRuns holds the check for items and streams, for a stream that is taken up and within one answer.

A target that is tried costs one probe more.

--- a/goldcrestyard/fleet/gateway/apps.py
+++ b/goldcrestyard/fleet/gateway/apps.py
@@ -11,6 +11,8 @@
 from goldcrestyard.fleet.limits.permits import TargetPermits
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
+from goldcrestyard.fleet.versions.orders import EngineControl
+from goldcrestyard.fleet.versions.recorded_runs import RecordedRuns
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
 from goldcrestyard.kernel.default_settings import InstanceSettings
@@ -76,5 +78,9 @@
                 meter,
                 app.clock,
                 origins=app.get(StreamOrigins),
+                recorded_runs=RecordedRuns(
+                    view.machine.get(TargetsSlice),
+                    app.get(EngineControl),  # type: ignore[type-abstract]
+                ),
             ),
         )
--- a/goldcrestyard/fleet/gateway/streams.py
+++ b/goldcrestyard/fleet/gateway/streams.py
@@ -37,6 +37,7 @@
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.reply_timeouts import next_event_within, open_reply_within
 from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
+from goldcrestyard.fleet.versions.recorded_runs import RecordedRuns, RunFault
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.policy.retries import overall_verdict
 from goldcrestyard.policy.splits import pick_service
@@ -113,8 +114,12 @@
         clock: Clock,
         random_source: random.Random | None = None,
         origins: StreamOrigins | None = None,
+        recorded_runs: RecordedRuns | None = None,
     ) -> None:
-        """Create a runner; without ``origins`` no stream can be taken up."""
+        """Create a runner; without ``origins`` no stream can be taken up.
+
+        Without ``recorded_runs`` the recorded run of a target counts.
+        """
         self._admission = admission
         self._router = router
         self._client = client
@@ -123,6 +128,7 @@
         self._clock = clock
         self._random = random_source or random.Random()
         self._origins = origins
+        self._recorded_runs = recorded_runs
 
     async def run(
         self, admitted: AdmittedRequest, sink: StreamSink
@@ -177,6 +183,10 @@
                 at_home = regions is None or self._router.any_ready(service, regions)
                 break
             tried.add(target.id)
+            fault = await self._find_run_fault(stream, target)
+            if fault is not None:
+                failures.append(Unreached(fault.detail))
+                continue
             may_repeat = (
                 admitted.route.repeatable and sent + 1 < admitted.route.max_attempts
             )
@@ -331,6 +341,22 @@
                     admitted, origin.service, tried, stream.origin
                 )
 
+    async def _find_run_fault(
+        self, stream: _StreamState, target: Target
+    ) -> RunFault | None:
+        """Return why a stream may not go on at a target, or None if it may."""
+        if stream.origin is None or self._recorded_runs is None:
+            return None
+        fault = await self._recorded_runs.find_fault(target)
+        if fault is not None:
+            logger.info(
+                "stream does not go on at a target",
+                target=target.id,
+                incarnation=target.incarnation,
+                reason=fault.detail,
+            )
+        return fault
+
     async def _find_origin(
         self, admitted: AdmittedRequest, take_up: TakeUp
     ) -> OriginDecision:
--- a/goldcrestyard/fleet/jobs/running.py
+++ b/goldcrestyard/fleet/jobs/running.py
@@ -39,6 +39,7 @@
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.orders import EngineControl
+from goldcrestyard.fleet.versions.recorded_runs import RecordedRuns
 from goldcrestyard.fleet.versions.work import JobWork
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -86,7 +87,7 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random_source
-        self._control = control
+        self._recorded_runs = RecordedRuns(self._targets, control)
         self._on_run_end = on_run_end
 
     async def generate(
@@ -180,22 +181,9 @@
         return table.sent_urgency(route, job.organisation)
 
     async def _check_recorded_run(self, target: Target) -> NotRun | None:
-        """Return why a text may not go on at an engine, or None if it may.
-
-        An engine that starts again under its id may have other software, and
-        accepts requests before its first heartbeat is received.
-        """
-        present = self._targets.find(target.id)
-        if present is None or present.incarnation != target.incarnation:
-            return NotRun("the recorded run has ended", False)
-        if self._control is None:
-            return None
-        report = await self._control.report(target)
-        if report is None:
-            return NotRun("the engine does not tell which run it is", True)
-        if report.incarnation not in ("", target.incarnation):
-            return NotRun("another run than the recorded one", True)
-        return None
+        """Return why a text may not go on at an engine, or None if it may."""
+        fault = await self._recorded_runs.find_fault(target)
+        return None if fault is None else NotRun(fault.detail, fault.target_was_asked)
 
     def _record_trust(
         self,
--- a/tests/fleet/test_runner.py
+++ b/tests/fleet/test_runner.py
@@ -21,7 +21,6 @@
     WeightVersion,
 )
 from goldcrestyard.core.jobs import ItemOutcome, Job, Progress, RewardCall
-from goldcrestyard.core.records import Target
 from goldcrestyard.core.states import TargetKind
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.jobs.commands import EndJob, KeepProgress, SubmitJob
@@ -33,7 +32,6 @@
 from goldcrestyard.fleet.serving.slices import ServingSlice
 from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.loading import LoadingModels
-from goldcrestyard.fleet.versions.orders import EngineReport
 from goldcrestyard.fleet.versions.work import JobWork
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.targets.slices import TargetsSlice
@@ -42,6 +40,7 @@
 from goldcrestyard.policy.job_schedule import EngineTrust
 from goldcrestyard.policy.memory import ControlShares
 from tests.fakes.announcements import announce
+from tests.fakes.engine_control import FakeControl
 from tests.fakes.member import FakeMember, apply, machine_of
 from tests.fakes.paused_clock import EPOCH, PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
@@ -103,17 +102,6 @@
 ]
 
 
-class FakeControl:
-    """Reports the runs of engines; without a run an engine does not answer."""
-
-    def __init__(self, incarnations: dict[str, str]) -> None:
-        self.incarnations = incarnations
-
-    async def report(self, target: Target) -> EngineReport | None:
-        named = self.incarnations.get(target.id)
-        return None if named is None else EngineReport(0, False, {}, named)
-
-
 LISTING_TIMEOUT_SECONDS = 30.0
 SCORED = (Answers(signature="score"),)
 REWARD = RewardCall(RequestId("reward"), HOST, "/score/1", b"")
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -3,21 +3,31 @@
 import asyncio
 import random
 from dataclasses import dataclass, replace
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 from parameterized import parameterized
 
 from goldcrestyard.core.calls import Headers
+from goldcrestyard.core.ids import (
+    EventNumber,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+)
 from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.states import TargetKind
 from goldcrestyard.core.verdicts import Verdict
 from goldcrestyard.fleet.gateway.admission import Admission, AdmittedRequest
 from goldcrestyard.fleet.gateway.router import CallRouter
 from goldcrestyard.fleet.gateway.streams import StreamEnd, StreamRunner
 from goldcrestyard.fleet.metering.meter import UsageMeter
 from goldcrestyard.fleet.resumption.entry_side import StreamOrigins
+from goldcrestyard.fleet.versions.recorded_runs import RecordedRuns
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.call_routing import CallerLocation
+from goldcrestyard.policy.stream_origins import KnownOrigin, StreamOrigin, TakeUp
 from tests.fakes.announcements import announce
+from tests.fakes.engine_control import FakeControl
 from tests.fakes.paused_clock import PausedClockTestCase
 from tests.fakes.quiet_logs import quiet_logs
 from tests.fakes.serving import entry_view, request, request_guard
@@ -228,6 +238,102 @@
             self.assertEqual(len(versions), 1)
 
 
+@dataclass(frozen=True)
+class RunCase:
+    """Runs that targets a and b name, and the targets that are asked to go on.
+
+    A target that is not in ``runs`` does not answer.
+    """
+
+    name: str
+    runs: dict[str, str]
+    asked: frozenset[str]
+    kind: TargetKind = TargetKind.ENGINE
+
+
+A_OR_B, RECORDED, LATER = frozenset("ab"), "1000", "2000"
+RUN_CASES = [
+    RunCase("recorded", {"a": RECORDED, "b": RECORDED}, A_OR_B),
+    RunCase("not_named", {"a": "", "b": ""}, A_OR_B),
+    RunCase("one_has_started_again", {"a": LATER, "b": RECORDED}, frozenset("b")),
+    RunCase("both_have_started_again", {"a": LATER, "b": LATER}, frozenset()),
+    RunCase("one_does_not_answer", {"b": RECORDED}, frozenset("b")),
+    RunCase("none_answers", {}, frozenset()),
+    RunCase("services_without_reports", {}, A_OR_B, TargetKind.SERVICE),
+    RunCase(
+        "services_started_again",
+        {"a": LATER, "b": LATER},
+        frozenset(),
+        TargetKind.SERVICE,
+    ),
+]
+
+
+class RecordedRunTests(PausedClockTestCase):
+    """Guards against a target that has started again with other software.
+
+    An entry that stood still, or is cut off, has not heard of it.
+    """
+
+    def _runner(self, case: RunCase) -> StreamRunner:
+        clock = self.clock()
+        view = entry_view(clock, ())
+        targets = view.machine.get(TargetsSlice)
+        for name in "ab":
+            announce(targets, target(name, kind=case.kind))
+        self.admission = Admission(view, clock)
+        origins = Mock(spec=StreamOrigins)
+        known = StreamOrigin(ServiceName("quotes"), SoftwareVersion("v1"))
+        origins.find = AsyncMock(return_value=KnownOrigin(known))
+        location = CallerLocation(target("a").data_centre, target("a").region)
+        return StreamRunner(
+            self.admission,
+            CallRouter(targets, location, clock, random.Random(1)),
+            self.client,
+            request_guard(view, self.client, clock),
+            UsageMeter(5.0),
+            clock,
+            random.Random(1),
+            origins,
+            RecordedRuns(targets, FakeControl(case.runs)),  # type: ignore[arg-type]
+        )
+
+    def _admit(self, takes_up: TakeUp | None) -> AdmittedRequest:
+        asked = replace(request("/resumed/"), takes_up=takes_up)
+        admitted = self.admission.admit(asked, self.clock().monotonic())
+        assert isinstance(admitted, AdmittedRequest)
+        return admitted
+
+    @parameterized.expand([(case.name, case) for case in RUN_CASES])
+    async def test_taken_up(self, _: str, case: RunCase) -> None:
+        quiet_logs(self)
+        self.client = FakeTargetClient({"a": [Streams(4)], "b": [Streams(4)]})
+        runner = self._runner(case)
+        takes_up = TakeUp(RequestId("first"), EventNumber(2))
+        end = await runner.run(self._admit(takes_up), RecordingSink())
+        called = set(self.client.called_targets)
+        self.assertLessEqual(called, case.asked)
+        self.assertEqual(len(self.client.calls), int(bool(case.asked)))
+        if case.asked:
+            self.assertIs(end, StreamEnd.WHOLE)
+        else:
+            assert isinstance(end, Refusal)
+            self.assertIs(end.verdict, Verdict.NOT_RUN)
+
+    @parameterized.expand([(case.name, case) for case in RUN_CASES])
+    async def test_within_one_answer(self, _: str, case: RunCase) -> None:
+        """A stream breaks off; only then are the targets asked."""
+        quiet_logs(self)
+        shared: list[Behaviour] = [Streams(4, breaks_after=2), Streams(4)]
+        self.client = FakeTargetClient({"a": shared, "b": shared})
+        runner = self._runner(case)
+        end = await runner.run(self._admit(None), RecordingSink())
+        first, *others = self.client.called_targets
+        self.assertLessEqual(set(others), case.asked - {first})
+        goes_on = bool(case.asked - {first})
+        self.assertIs(end, StreamEnd.WHOLE if goes_on else StreamEnd.CUT)
+
+
 class OriginTests(PausedClockTestCase):
     """Guards against a take-up at a version that may not have begun it."""
 
--- a/tests/platform/test_take_ups.py
+++ b/tests/platform/test_take_ups.py
@@ -9,6 +9,7 @@
 import contextlib
 import functools
 import re
+import signal
 import unittest
 from dataclasses import dataclass, field
 from typing import Any
@@ -299,6 +300,34 @@
         await self.go_on(readers, shift=2)
         self.assertTrue(all(reader.whole for reader in readers))
 
+    async def start_again(self, engine: StandInTarget, software: str) -> None:
+        """End an engine and start it again with other software.
+
+        It has the same id and address as before.
+        """
+        await engine.stop()
+        again = self.site.new_target(len(self.site.targets), engine=True, events=EVENTS)
+        again.id, again.host, again.zone = engine.id, engine.host, engine.zone
+        again.software = software
+        self.site.targets.remove(engine)
+        self.site.targets.append(again)
+        await again.listen(int(engine.own_address.rpartition(":")[2]))
+
+    async def test_engines_start_again_while_control_stands_still(self) -> None:
+        """A front that is cut off has not heard of their other software."""
+        await self.start("v1", "v1", fronts=1)
+        readers = await self.begin(4)
+        for process in self.site.controls:
+            process.signal(signal.SIGSTOP)
+        for engine in list(self.site.engines):
+            await self.start_again(engine, "v2")
+        await asyncio.gather(*(self.read(None, reader) for reader in readers))
+        for process in self.site.controls:
+            process.signal(signal.SIGCONT)
+        for reader in readers:
+            reader.check()
+            self.assertEqual(reader.statuses, [200, 503])
+
     async def test_front_killed_at_once(self) -> None:
         """A stream whose record was lost is refused, not joined."""
         await self.start("v1", "v2")
