Look up no prefix that is longer than any route's

Cause: ServingTable.route tried each prefix of a request's path, which takes quadratic time in its slashes: 0.6 ms for 1,000 of them, 34 ms for 16,000, in the event loop of an entry and before the key is checked.

Two new cases of tests.policy.test_serving fail without the bound.

--- a/goldcrestyard/policy/serving.py
+++ b/goldcrestyard/policy/serving.py
@@ -138,6 +138,7 @@
         self._routes_by_host_and_prefix = {
             route_key(route): route for route in config.routes
         }
+        self._longest_prefix = max((len(r.prefix) for r in config.routes), default=0)
         self.holders_by_key = {
             key: organisation
             for organisation in config.organisations
@@ -165,7 +166,8 @@
     def route(self, host: str, path: str) -> ServingRoute | None:
         """Return a host's route with the longest prefix of a path, or None."""
         host = normalize_host(host)
-        for prefix in _prefixes(path):
+        # All prefixes of a path of many slashes take quadratic time.
+        for prefix in _prefixes(path[: self._longest_prefix]):
             route = self._routes_by_host_and_prefix.get((host, prefix))
             if route is not None:
                 return route
--- a/tests/policy/test_serving.py
+++ b/tests/policy/test_serving.py
@@ -1,9 +1,12 @@
 """Tests of the validation and the indexes of a serving configuration."""
 
 import random
+import sys
 import unittest
 from collections import Counter
 from dataclasses import replace
+from types import FrameType
+from typing import Any
 
 from parameterized import parameterized
 
@@ -174,6 +177,38 @@
         self.assertAlmostEqual(drawn[ServiceName("z")], 100, delta=40)
 
 
+class LongPathTests(unittest.TestCase):
+    """Guards against a path that takes an entry's time for all others."""
+
+    def _calls(self, path: str) -> int:
+        calls = 0
+
+        def count(frame: FrameType, event: str, argument: Any) -> None:
+            nonlocal calls
+            calls += event in ("call", "c_call")
+
+        table = ServingTable(CONFIG)
+        sys.setprofile(count)
+        try:
+            table.route("h.example", path)
+        finally:
+            sys.setprofile(None)
+        return calls
+
+    @parameterized.expand([("hundreds", 300), ("thousands", 16_000)])
+    def test_work_does_not_grow_with_the_path(self, _: str, slashes: int) -> None:
+        longest = max(len(route.prefix) for route in CONFIG.routes)
+        self.assertEqual(self._calls("/" * slashes), self._calls("/" * longest))
+
+    @parameterized.expand(
+        [("exact", "/a/b/", "deep"), ("below", "/a/b/" + "c/" * 300, "deep")]
+    )
+    def test_longest_prefix_is_found(self, _: str, path: str, name: str) -> None:
+        found = ServingTable(CONFIG).route("h.example", path)
+        assert found is not None
+        self.assertEqual(found.name, name)
+
+
 MOVED_BEFORE: tuple[RouteKey, ...] = (
     ("h.example", "/m/n/"),
     ("h.example", "/p/"),
