Count an engine as help only for items that may run in its region

Cause: the choice of loads took an engine with the version for help for all waiting items of a model, also for those whose home regions exclude it, and borrowed no engine in their region.

Change: waiting items are kept by the regions that they allow, and the loads of each set are chosen among the engines there.

--- a/goldcrestyard/fleet/jobs/runner.py
+++ b/goldcrestyard/fleet/jobs/runner.py
@@ -307,13 +307,7 @@
             self._groups.note_start(run.pending, self._clock.monotonic())
             self._ordering.note_start(run.pending, run.job, run.expected_events)
             self._spawn(run.pending, work)
-        self._work.record_pass(
-            (
-                (item.service, item.model, item.oldest_version)
-                for item in choice.waiting
-            ),
-            self._notes.slots_in_use,
-        )
+        self._work.record_pass(choice.waiting, self._notes.slots_in_use)
 
     def _on_run_end(self, pending: PendingItem, events: int) -> None:
         self._release_engine(pending, events)
--- a/goldcrestyard/fleet/versions/loading.py
+++ b/goldcrestyard/fleet/versions/loading.py
@@ -214,6 +214,7 @@
             None if load is None else load.model,
             max(1, target.max_concurrency),
             self._work.running(target.id),
+            target.region,
             0.0 if attempt is None else self._clock.monotonic() - attempt.began_at,
         )
 
@@ -282,12 +283,10 @@
         """Return the use of a model by the jobs that are kept, if any."""
         if step is None:
             return None
-        waiting = self._work.waiting(service, model, newest)
         return JobDemand(
             step.oldest_version,
             step.items,
-            waiting.count,
-            waiting.oldest_version,
+            self._work.waiting(service, model, newest),
             self._work.mean_seconds(model),
         )
 
--- a/goldcrestyard/fleet/versions/work.py
+++ b/goldcrestyard/fleet/versions/work.py
@@ -2,47 +2,49 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
-from goldcrestyard.core.ids import ModelName, ServiceName, TargetId, WeightVersion
+from goldcrestyard.core.ids import (
+    ModelName,
+    Region,
+    ServiceName,
+    TargetId,
+    WeightVersion,
+)
+from goldcrestyard.policy.job_schedule import WaitingItem
+from goldcrestyard.policy.version_loads import WaitingItems
 
 LATEST_RUN_WEIGHT = 0.1
 """Weight of the latest run in a model's mean duration of runs."""
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingItems:
-    """Items of a model that no engine could start."""
+Pool = tuple[ServiceName, ModelName]
+"""Items that the same engines may run, apart from their regions."""
 
-    count: int = 0
-    oldest_version: WeightVersion = WeightVersion(0)
-    """Oldest version that all of them allow."""
+Regions = frozenset[Region] | None
 
 
 class JobWork:
     """Waiting and running items; the runner writes it, the loader reads it."""
 
     def __init__(self) -> None:
-        self._waiting_by_pool: dict[
-            tuple[ServiceName, ModelName], Counter[WeightVersion]
-        ] = {}
+        self._waiting_by_pool: dict[Pool, dict[Regions, Counter[WeightVersion]]] = {}
         self._running_by_target: Mapping[TargetId, int] = {}
         self._mean_seconds_by_model: dict[ModelName, float] = {}
 
     def waiting(
         self, service: ServiceName, model: ModelName, newest: WeightVersion
-    ) -> WaitingItems:
-        """Return the waiting items that a version of a model may generate."""
-        counts = {
-            oldest: count
-            for oldest, count in self._waiting_by_pool.get(
-                (service, model), Counter()
-            ).items()
-            if oldest <= newest
-        }
-        if not counts:
-            return WaitingItems()
-        return WaitingItems(sum(counts.values()), max(counts))
+    ) -> tuple[WaitingItems, ...]:
+        """Return the waiting items that a version of a model may generate.
+
+        There is one entry for each set of regions that they allow.
+        """
+        found: list[WaitingItems] = []
+        by_regions = self._waiting_by_pool.get((service, model), {})
+        for regions, counts_by_oldest in by_regions.items():
+            counts = {v: n for v, n in counts_by_oldest.items() if v <= newest}
+            if counts:
+                found.append(WaitingItems(sum(counts.values()), max(counts), regions))
+        return tuple(found)
 
     def running(self, target_id: TargetId) -> int:
         """Return the number of items that run on an engine."""
@@ -53,19 +55,13 @@
         return self._mean_seconds_by_model.get(model)
 
     def record_pass(
-        self,
-        waiting: Iterable[tuple[ServiceName, ModelName, WeightVersion]],
-        running_by_target: Counter[TargetId],
+        self, waiting: Iterable[WaitingItem], running_by_target: Counter[TargetId]
     ) -> None:
-        """Record the state after a scheduling pass.
-
-        ``waiting`` holds the service, the model and the oldest allowed version
-        of each item that could not be started.
-        """
+        """Record the items that a scheduling pass could not start."""
         self._waiting_by_pool = {}
-        for service, model, version in waiting:
-            counts = self._waiting_by_pool.setdefault((service, model), Counter())
-            counts[version] += 1
+        for item in waiting:
+            pool = self._waiting_by_pool.setdefault((item.service, item.model), {})
+            pool.setdefault(item.regions, Counter())[item.oldest_version] += 1
         self._running_by_target = running_by_target
 
     def record_run(self, model: ModelName, seconds: float) -> None:
--- a/goldcrestyard/policy/version_loads.py
+++ b/goldcrestyard/policy/version_loads.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
+from goldcrestyard.core.ids import ModelName, Region, TargetId, WeightVersion
+from goldcrestyard.policy.residency import is_allowed
 
 CLEAR_SECONDS = 0.5
 """Time in seconds within which engines may clear the waiting items without the
@@ -50,6 +51,7 @@
     """Number of items that it runs at the same time."""
     running: int = 0
     """Number of items that it runs now."""
+    region: Region = Region("")
     trying_seconds: float = 0.0
     """Time since the first attempt at a load that is not completed."""
 
@@ -68,6 +70,17 @@
         return self.versions_by_model.get(model, WeightVersion(0))
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingItems:
+    """Items of a model that no engine could start."""
+
+    count: int
+    oldest_version: WeightVersion
+    """Oldest version that all of them allow."""
+    regions: frozenset[Region] | None = None
+    """Regions in which they may run; None if they may run everywhere."""
+
+
 @dataclass(frozen=True, slots=True)
 class JobDemand:
     """Use of a model by jobs, which decides when its versions are needed."""
@@ -76,10 +89,8 @@
     """Oldest version that the latest step allows."""
     step_items: int
     """Number of items of the largest step."""
-    waiting_items: int = 0
-    """Number of items that no engine could start."""
-    oldest_waiting: WeightVersion = WeightVersion(0)
-    """Oldest version that all waiting items allow."""
+    waiting: tuple[WaitingItems, ...] = ()
+    """The items that no engine could start, by the regions that they allow."""
     seconds_per_item: float | None = None
     """Mean duration of an item's run; None if it is not known."""
 
@@ -199,37 +210,33 @@
     ``engines`` are all engines of the service and ``own`` those that load the
     versions of this model; any engine runs the items that its version allows.
     """
-    borrowed: list[LoadableEngine] = []
-    if all(engine.stalled for engine in own):
-        borrowed = _engines_to_borrow(engines, own, model, newest)
-        own = [*own, *borrowed[:1]]
-    behind = _engines_behind(own, model, newest.version)
+    loading = [*own, *_engines_to_borrow(engines, own, model, newest)[:1]]
+    behind = _engines_behind(loading, model, newest.version)
     demand = newest.demand
     if demand is None:
         return [(engine, LoadReason.UNUSED_BY_JOBS) for engine in behind]
-    loading_slots = sum(
-        engine.slots
-        for engine in engines
-        if engine.loading == model and not engine.stalled
-    )
-    missing = _missing_slots(engines, model, demand) - loading_slots
-    with_room = [e for e in borrowed[1:] if 2 * e.running < e.slots]
-    candidates = [*behind, *_engines_behind(with_room, model, newest.version)]
-    waited_for = _for_waiting_items(candidates, model, newest.version, demand, missing)
+    waited_for: list[LoadableEngine] = []
+    for items in demand.waiting:
+        # An engine that other items need as well is loaded once.
+        waited_for += [
+            engine
+            for engine in _for_waiting_items(engines, own, model, newest, items)
+            if engine not in waited_for
+        ]
     loads = [(engine, LoadReason.WAITED_FOR) for engine in waited_for]
     if newest.age_seconds >= MAX_VERSION_AGE_SECONDS:
         overdue = [engine for engine in behind if engine not in waited_for]
         return [*loads, *((engine, LoadReason.OVERDUE) for engine in overdue)]
-    if loads or demand.waiting_items:
+    if loads or demand.waiting:
         return loads
     # A trainer names a version for each step, which allows one version more.
     next_oldest = WeightVersion(demand.oldest_version + 1)
     if next_oldest > newest.version:
         return []
-    missing = demand.step_items - loading_slots
+    missing = demand.step_items - _loading_slots(engines, model)
     missing -= sum(
         max(0, engine.slots - engine.running)
-        for engine in own
+        for engine in loading
         if engine.version(model) >= next_oldest
     )
     next_step = _for_next_step(behind, model, next_oldest, missing)
@@ -256,8 +263,11 @@
 ) -> list[LoadableEngine]:
     """Return other models' engines in the order in which this one uses them.
 
-    The first one has or loads the newest version already, if any engine does.
+    There are none while an engine of its own may load.  The first one has or
+    loads the newest version already, if any engine does.
     """
+    if not all(engine.stalled for engine in own):
+        return []
     others = [e for e in engines if e not in own and not e.stalled]
     others.sort(
         key=lambda e: (
@@ -272,20 +282,31 @@
 
 
 def _for_waiting_items(
-    behind: Sequence[LoadableEngine],
+    engines: Iterable[LoadableEngine],
+    own: Iterable[LoadableEngine],
     model: ModelName,
-    newest: WeightVersion,
-    demand: JobDemand,
-    missing_slots: int,
+    newest: NewestVersion,
+    items: WaitingItems,
 ) -> list[LoadableEngine]:
     """Return the engines to load for items that no engine may start."""
-    if demand.oldest_waiting > newest:
+    if items.oldest_version > newest.version:
         return []
+    allowed = [e for e in engines if is_allowed(e.region, items.regions)]
+    own = [engine for engine in own if engine in allowed]
+    borrowed = _engines_to_borrow(allowed, own, model, newest)
+    with_room = [e for e in borrowed[1:] if 2 * e.running < e.slots]
+    candidates = [
+        *_engines_behind([*own, *borrowed[:1]], model, newest.version),
+        *_engines_behind(with_room, model, newest.version),
+    ]
+    seconds_per_item = newest.demand.seconds_per_item if newest.demand else None
+    missing_slots = _missing_slots(allowed, model, items, seconds_per_item)
+    missing_slots -= _loading_slots(allowed, model)
     chosen: list[LoadableEngine] = []
-    for engine in behind:
+    for engine in candidates:
         if missing_slots <= 0:
             break
-        if engine.version(model) < demand.oldest_waiting:
+        if engine.version(model) < items.oldest_version:
             chosen.append(engine)
             missing_slots -= engine.slots
     return chosen
@@ -309,7 +330,10 @@
 
 
 def _missing_slots(
-    engines: Sequence[LoadableEngine], model: ModelName, demand: JobDemand
+    engines: Sequence[LoadableEngine],
+    model: ModelName,
+    items: WaitingItems,
+    seconds_per_item: float | None,
 ) -> int:
     """Return the number of slots that the waiting items lack.
 
@@ -319,10 +343,15 @@
     usable = sum(
         engine.slots
         for engine in engines
-        if engine.version(model) >= demand.oldest_waiting
+        if engine.version(model) >= items.oldest_version
     )
-    if usable and demand.seconds_per_item is not None:
-        clear_seconds = demand.waiting_items * demand.seconds_per_item / usable
+    if usable and seconds_per_item is not None:
+        clear_seconds = items.count * seconds_per_item / usable
         if clear_seconds <= CLEAR_SECONDS:
             return 0
-    return demand.waiting_items
+    return items.count
+
+
+def _loading_slots(engines: Iterable[LoadableEngine], model: ModelName) -> int:
+    """Return the number of slots of the engines that load a model."""
+    return sum(e.slots for e in engines if e.loading == model and not e.stalled)
--- a/tests/policy/test_version_loads.py
+++ b/tests/policy/test_version_loads.py
@@ -6,13 +6,14 @@
 
 from parameterized import parameterized
 
-from goldcrestyard.core.ids import ModelName, TargetId, WeightVersion
+from goldcrestyard.core.ids import ModelName, Region, TargetId, WeightVersion
 from goldcrestyard.policy.version_loads import (
     JobDemand,
     LoadableEngine,
     LoadReason,
     NewestVersion,
     VersionLoad,
+    WaitingItems,
     assign_models,
     next_loads,
 )
@@ -81,7 +82,8 @@
 ) -> JobDemand:
     """Return the demand of a step whose waiting items allow ``oldest``."""
     version = WeightVersion(oldest)
-    return JobDemand(version, items, waiting, version, seconds)
+    waiting_items = (WaitingItems(waiting, version),) if waiting else ()
+    return JobDemand(version, items, waiting_items, seconds)
 
 
 SLOTS = 8
@@ -219,6 +221,16 @@
     return NewestVersion(WeightVersion(version), age_seconds, demand(version, 8, items))
 
 
+HOME, AWAY = Region("home"), Region("away")
+
+
+def waiting_at_home() -> NewestVersion:
+    """Return a version for which items wait that may run in one region."""
+    version = WeightVersion(2)
+    items = WaitingItems(8, version, frozenset({HOME}))
+    return NewestVersion(version, 1.0, JobDemand(version, 8, (items,), 0.1))
+
+
 UNUSED = NewestVersion(WeightVersion(1))
 
 
@@ -325,6 +337,25 @@
         (),
         models=(A, B),
     ),
+    BorrowingCase(
+        "own_engine_is_in_another_region",
+        (loadable(0, {}, region=AWAY), loadable(1, {}, region=HOME, running=5)),
+        {A: waiting_at_home()},
+        ((1, A),),
+        models=(A, B),
+    ),
+    BorrowingCase(
+        "engine_with_the_version_is_in_another_region",
+        (loadable(0, {A: 2}, region=AWAY), loadable(1, {}, region=HOME)),
+        {A: waiting_at_home()},
+        ((1, A),),
+    ),
+    BorrowingCase(
+        "no_engine_in_their_region",
+        (loadable(0, {A: 2}, region=AWAY), loadable(1, {}, region=AWAY)),
+        {A: waiting_at_home()},
+        (),
+    ),
     BorrowingCase(
         "own_engine_suffices",
         (loadable(0, {}), loadable(1, {})),
