--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -36,7 +36,7 @@
 class _OpenAdmission:
     """Takes all requests as those of one organisation."""
 
-    def authenticate(self, key: str | None) -> Refusal | None:
+    def identify(self, key: str | None) -> Refusal | None:
         return None
 
 
