Forget what a departed run has shown when it departs again

Cause: the tracker kept the first of the two reports that show that a departed run goes on. If the run itself left then, one report on its way was enough to take its true departure back.

Change: each departure starts the count anew, and the announcement of a run that goes on is proposed before anything is awaited, so a departure that arrives meanwhile comes after it in the log. The state of departed and unused targets has a module of its own.

Measured: the new case of tests.fleet.test_departures fails without the change.

--- a/goldcrestyard/fleet/tracking/tracker.py
+++ b/goldcrestyard/fleet/tracking/tracker.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
@@ -27,6 +26,11 @@
 from goldcrestyard.core.records import Target
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import TargetKind, TargetState
+from goldcrestyard.fleet.tracking.departed import (
+    Confirm,
+    DepartedTargets,
+    UnusedTargets,
+)
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.plugins.targets.commands import (
     AnnounceTarget,
@@ -35,8 +39,7 @@
     RemoveTarget,
 )
 from goldcrestyard.plugins.targets.slices import TargetsSlice
-from goldcrestyard.policy import departures
-from goldcrestyard.policy.departures import DepartedRun
+from goldcrestyard.policy.departures import GoesOn, Wait
 from goldcrestyard.policy.heartbeats import (
     LOST_AFTER_HEARTBEATS,
     Arrived,
@@ -58,10 +61,6 @@
 
 SILENCE_CHECK_INTERVAL_SECONDS = 0.25
 
-MAX_DEPARTED_RUNS = 1024
-"""Maximum number of departed or unused targets whose heartbeats are followed;
-beyond it the oldest one is forgotten."""
-
 
 @dataclass(slots=True)
 class TrackedTarget:
@@ -79,13 +78,6 @@
     cold_until: float = float("-inf")
 
 
-@dataclass(frozen=True, slots=True)
-class Confirm:
-    """Asks the sender of a heartbeat to repeat it with a token."""
-
-    token: ConfirmationToken
-
-
 class TargetTracker:
     """Commits the changes that heartbeats report, and removes silent targets.
 
@@ -113,9 +105,8 @@
         self._clock = clock
         self._configured_services = configured_services
         self.tracked_by_id: dict[TargetId, TrackedTarget] = {}
-        self._departed_by_id: dict[TargetId, DepartedRun] = {}
-        self._tokens_issued = 0
-        self._unused_at_by_id: OrderedDict[TargetId, float] = OrderedDict()
+        self._departed = DepartedTargets()
+        self._unused = UnusedTargets(clock)
 
     async def heartbeat(
         self, beat: Heartbeat, token: ConfirmationToken | None = None
@@ -140,10 +131,9 @@
                     reason=reason,
                 )
                 if not self._is_used(beat):
-                    self._note_unused(beat.id)
+                    self._unused.note(beat.id)
                 return None
             case Arrived(ended=ended) if self._has_left(beat):
-                self._note_unused(beat.id)
                 return await self._heartbeat_of_departed(beat, ended, token)
             case Renewed():
                 self._record_heartbeat(beat)
@@ -166,47 +156,23 @@
 
         The departure may have been that of an earlier run, delayed.
         """
-        incarnation = str(beat.started_at_ms)
-        run = self._departed_by_id.get(beat.id)
-        if run is None or run.incarnation != incarnation:
-            run = DepartedRun(incarnation)
-        decision = (
-            departures.Wait(run)
-            if beat.state is TargetState.DRAINING
-            else departures.decide(run, beat.sequence, token)
-        )
-        logger.info(
-            "heartbeat of a departed target",
-            target=beat.id,
-            incarnation=incarnation,
-            sequence=beat.sequence,
-            decision=type(decision).__name__,
-        )
-        match decision:
-            case departures.Wait(run=waiting):
-                self._departed_by_id[beat.id] = waiting
+        self._unused.note(beat.id)
+        match self._departed.decide(beat, token, self._member.term):
+            case Confirm() as confirm:
+                return confirm
+            case Wait():
                 return None
-            case departures.Ask():
-                self._tokens_issued += 1
-                issued = ConfirmationToken(f"{self._member.term}-{self._tokens_issued}")
-                self._departed_by_id[beat.id] = departures.asked(
-                    run, beat.sequence, issued
-                )
-                self._drop_oldest_departed()
-                return Confirm(issued)
-            case departures.GoesOn():
-                self._departed_by_id.pop(beat.id, None)
+            case GoesOn():
                 logger.warning(
                     "target goes on; its departure was that of an earlier run",
                     target=beat.id,
-                    incarnation=incarnation,
+                    incarnation=beat.started_at_ms,
                 )
-                commands = self._arrival_commands(beat, ended, confirmed=True)
-                return await self._commit_heartbeat(beat, commands)
-
-    def _drop_oldest_departed(self) -> None:
-        while len(self._departed_by_id) > MAX_DEPARTED_RUNS:
-            del self._departed_by_id[next(iter(self._departed_by_id))]
+                # Nothing is awaited before this is proposed, so a departure
+                # that arrives meanwhile comes after it in the log.
+                announcement = self._announcement(beat, confirmed=True)
+                removals = self._removals(ended)
+                return await self._commit_heartbeat(beat, [announcement, *removals])
 
     def _has_left(self, beat: Heartbeat) -> bool:
         return self._targets.has_left(
@@ -221,19 +187,9 @@
         target = self._targets.find(beat.id)
         return target is not None and target.incarnation == str(beat.started_at_ms)
 
-    def _note_unused(self, target_id: TargetId) -> None:
-        self._unused_at_by_id[target_id] = self._clock.monotonic()
-        self._unused_at_by_id.move_to_end(target_id)
-        if len(self._unused_at_by_id) > MAX_DEPARTED_RUNS:
-            self._unused_at_by_id.popitem(last=False)
-
     def unused_count(self) -> int:
         """Return how many targets report that are not in use."""
-        heard_after = self._clock.monotonic() - self._lost_seconds
-        return sum(
-            heard_at > heard_after and target_id not in self._targets.homed_by_id
-            for target_id, heard_at in self._unused_at_by_id.items()
-        )
+        return self._unused.count(self._lost_seconds, self._targets.homed_by_id)
 
     async def leave(self, target_id: TargetId) -> Refusal | None:
         """Record that a target ends; return a refusal, or None on success.
@@ -242,6 +198,7 @@
         lost for the moment, or its first heartbeat may still be on its way,
         and neither may bring it back afterwards.
         """
+        self._departed.forget(target_id)
         target = self._targets.find(target_id)
         logger.info(
             "target announced its end; removing it",
@@ -343,8 +300,22 @@
         ]
 
     def _arrival_commands(
-        self, beat: Heartbeat, ended: tuple[Target, ...], *, confirmed: bool = False
+        self, beat: Heartbeat, ended: tuple[Target, ...]
     ) -> list[Command]:
+        commands: list[Command] = [*self._removals(ended), self._announcement(beat)]
+        if beat.state is TargetState.DRAINING:
+            commands.append(DrainTarget(beat.id, str(beat.started_at_ms)))
+        return commands
+
+    def _removals(self, ended: tuple[Target, ...]) -> list[Command]:
+        return [
+            RemoveTarget(other.id, other.incarnation, TargetState.LOST)
+            for other in ended
+        ]
+
+    def _announcement(
+        self, beat: Heartbeat, *, confirmed: bool = False
+    ) -> AnnounceTarget:
         target = Target(
             beat.id,
             TargetKind.ENGINE if beat.versions_by_model else TargetKind.SERVICE,
@@ -357,15 +328,6 @@
             incarnation=str(beat.started_at_ms),
             software=beat.software,
         )
-        commands: list[Command] = [
-            RemoveTarget(other.id, other.incarnation, TargetState.LOST)
-            for other in ended
-        ]
-        commands.append(
-            AnnounceTarget(target, LEADER_HOME, beat.started_at_ms / 1000, confirmed)
-        )
-        if beat.state is TargetState.DRAINING:
-            commands.append(DrainTarget(beat.id, target.incarnation))
         logger.info(
             "heartbeat registers target",
             target=beat.id,
@@ -377,7 +339,7 @@
             software=beat.software,
             state=beat.state.value,
         )
-        return commands
+        return AnnounceTarget(target, LEADER_HOME, beat.started_at_ms / 1000, confirmed)
 
     def _record_heartbeat(self, beat: Heartbeat) -> None:
         leaves_at = None
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -27,7 +27,8 @@
 from goldcrestyard.fleet.evacuations.orders import EvacuationOrders
 from goldcrestyard.fleet.serving.commands import PutServing
 from goldcrestyard.fleet.serving.slices import ServingSlice
-from goldcrestyard.fleet.tracking.tracker import Confirm, TargetTracker
+from goldcrestyard.fleet.tracking.departed import Confirm
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.fleet.versions.commands import NameVersion
 from goldcrestyard.platform import documents, heartbeats
 from goldcrestyard.platform.answers import (
--- a/tests/fleet/test_departures.py
+++ b/tests/fleet/test_departures.py
@@ -9,7 +9,8 @@
 
 from goldcrestyard.core.ids import DataCentre, Region, TargetId
 from goldcrestyard.core.states import TargetState
-from goldcrestyard.fleet.tracking.tracker import Confirm, TargetTracker
+from goldcrestyard.fleet.tracking.departed import Confirm
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.plugins.targets.slices import (
     DEPARTURE_SECONDS,
     MAX_DEPARTURES,
@@ -112,6 +113,9 @@
 ASKED_TWICE = [S.ANSWERED_HEARTBEAT, S.OTHER_LEADER, S.ANSWERED_HEARTBEAT]
 """One report to each of two leaders."""
 
+SHOWN_AND_LEAVES = [S.ANSWERED_HEARTBEAT, S.DEPARTURE, S.ANSWERED_HEARTBEAT]
+"""The run itself leaves between two of its reports."""
+
 DELAYED = [
     Departure("next_run", [*EARLIER_RUN, S.DEPARTURE, *GOES_ON], True),
     Departure("twice", [*EARLIER_RUN, S.DEPARTURE, S.DEPARTURE, *GOES_ON], True),
@@ -158,6 +162,10 @@
         "one_report_repeated",
         [S.HEARTBEAT, S.DEPARTURE, S.ANSWERED_HEARTBEAT, S.ANSWERED_AGAIN],
     ),
+    Departure(
+        "leaves_after_it_was_shown_to_live",
+        [*EARLIER_RUN, S.DEPARTURE, *SHOWN_AND_LEAVES],
+    ),
     Departure(
         "late_reports_without_a_sender",
         [S.HEARTBEAT, S.DEPARTURE, *5 * [S.LATE_HEARTBEAT]],
--- a/tests/fleet/test_tracker.py
+++ b/tests/fleet/test_tracker.py
@@ -12,7 +12,8 @@
     WeightVersion,
 )
 from goldcrestyard.core.states import TargetState
-from goldcrestyard.fleet.tracking.tracker import Confirm, TargetTracker
+from goldcrestyard.fleet.tracking.departed import Confirm
+from goldcrestyard.fleet.tracking.tracker import TargetTracker
 from goldcrestyard.plugins.targets.slices import TargetsSlice
 from goldcrestyard.policy.heartbeats import Heartbeat
 from tests.fakes.member import FakeMember, machine_of
