Log what tells a cluster without a leader from one that is not reached

No line tells whether members could elect nobody, a leader could not commit, a log did not load, or the fronts did not reach the leader, nor which code ran.

Change: each process logs its version and commit first. A member logs how long its log took to load and what was cut off it, or why it does not load; a leader logs why its term ended, and whom it waits for while its first entry is not committed; an entry logs what each control member answered while it finds no leader.

No decision is changed.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -101,7 +101,11 @@
 from goldcrestyard.policy.memory import ControlShares, control_shares
 from goldcrestyard.state.commands import Accepted, Command
 from goldcrestyard.state.machine import StateMachine
-from goldcrestyard.storage.exceptions import DiskError
+from goldcrestyard.storage.exceptions import (
+    CorruptFileError,
+    CorruptLogError,
+    DiskError,
+)
 from goldcrestyard.storage.files import DiskFiles, Files
 from goldcrestyard.storage.folder_lock import FolderLock
 from goldcrestyard.wire.codec import Codec, CodecError
@@ -153,6 +157,16 @@
     """Bootstraps the cluster if all configured members are known by now."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Leadership:
+    """Who leads, as this member knows it; ``ready`` is about this member."""
+
+    term: Term
+    leader: MemberId | None
+    role: Role
+    ready: bool
+
+
 def _single_thread_executor() -> Executor:
     return ThreadPoolExecutor(1, "control")
 
@@ -235,8 +249,8 @@
         self._ready_to_lead = False
         """Whether this member leads and has committed an entry of its term,
         and has therefore applied all entries of earlier terms."""
-        # Term, leader, role, and whether this member is ready to lead.
-        self._last_leadership: tuple[object, ...] = ()
+        # None without a core.
+        self._last_leadership: _Leadership | None = None
         self._leadership_changed = asyncio.Event()
         # Learners that answer, and whether they have caught up: this leader
         # could give them a vote.
@@ -273,6 +287,11 @@
             and self._clock.monotonic() < core.lease_expires_at
         )
 
+    @property
+    def is_ready_to_lead(self) -> bool:
+        """Whether this member leads and has committed an entry of its term."""
+        return self._ready_to_lead
+
     @property
     def leader(self) -> InstanceId | None:
         """The instance of the current leader, or None if it is not known."""
@@ -371,6 +390,7 @@
         ``StorageError`` if the data folder is damaged or in use.
         """
         self._task_failure = asyncio.get_running_loop().create_future()
+        started_at = self._clock.monotonic()
         try:
             saved = await self._run_on_disk(self._load)
         except (DiskError, OSError) as error:
@@ -379,6 +399,13 @@
             self._suspend_after(error)
         else:
             self._start_core(saved)
+            logger.info(
+                "control log loaded",
+                seconds=round(self._clock.monotonic() - started_at, 3),
+                entries=len(saved.entries),
+                snapshot_index=self._state.snapshot_index,
+                cut_bytes=self._disk.cut_bytes,
+            )
         self._spawn("control member", self._run())
 
     async def wait_for_failure(self) -> None:
@@ -414,7 +441,12 @@
         founding = None
         if self._founding_rule is FoundingRule.MAJORITY:
             founding = make_founding(self.instance, self._configured_addresses)
-        return self._disk.load(self.instance, founding)
+        try:
+            return self._disk.load(self.instance, founding)
+        except (CorruptLogError, CorruptFileError) as error:
+            # The process ends, and so does each that is started after it.
+            logger.error("control log cannot be loaded", error=str(error))
+            raise
 
     def _start_core(self, saved: PersistentState) -> None:
         snapshot = saved.snapshot
@@ -936,18 +968,22 @@
     def _update_leadership(self) -> None:
         core = self._core
         self._ready_to_lead = core is not None and core.has_committed_in_term
-        leadership: tuple[object, ...] = ()
+        leadership: _Leadership | None = None
+        last = self._last_leadership
         if core is not None:
-            is_leader = core.role is Role.LEADER
-            leadership = (core.term, core.leader, core.role, core.has_committed_in_term)
-            if not is_leader or (
-                self._last_leadership and self._last_leadership[0] != core.term
+            leadership = _Leadership(
+                core.term, core.leader, core.role, core.has_committed_in_term
+            )
+            if core.role is not Role.LEADER or (
+                last is not None and last.term != core.term
             ):
                 self._proposals.resolve_in_doubt("this member has lost the leadership")
             for member in core.configuration.members:
                 self._links.get_or_create(member.instance, member.address)
-        if leadership == self._last_leadership:
+        if leadership == last:
             return
+        if last is not None and last.role is Role.LEADER:
+            self._log_ended_leadership(last, leadership)
         self._last_leadership = leadership
         if core is not None:
             logger.info(
@@ -960,6 +996,29 @@
         self._leadership_changed.set()
         self._leadership_changed = asyncio.Event()
 
+    def _log_ended_leadership(
+        self, last: _Leadership, present: _Leadership | None
+    ) -> None:
+        """Log why this member no longer leads in the term of ``last``."""
+        report = self.report()
+        if present is None or report is None:
+            cause = self._stop_reason
+        elif present.term > last.term:
+            cause = f"term {present.term} has begun"
+        elif present.role is Role.LEADER:
+            return
+        elif not report.is_member:
+            cause = "removed from the configuration"
+        else:
+            cause = "no quorum has answered in time"
+        logger.info(
+            "leadership ended",
+            cause=cause,
+            term=last.term,
+            was_ready=last.ready,
+            silent_seconds_by_voter=report.rounded_silence() if report else None,
+        )
+
     # Snapshots.
 
     def _start_snapshot_if_due(self) -> None:
--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -67,6 +67,11 @@
         """Whether the disk held no state of a cluster when it was first
         loaded; None before that."""
 
+    @property
+    def cut_bytes(self) -> int:
+        """Size of the torn write that the latest ``load`` has removed."""
+        return self._log.cut_bytes
+
     @property
     def member_id(self) -> MemberId:
         """Id of the member, stored on this disk; empty before ``load``."""
--- a/goldcrestyard/consensus/leader_watch.py
+++ b/goldcrestyard/consensus/leader_watch.py
@@ -27,6 +27,10 @@
 REPEAT_SECONDS = 30.0
 """Interval in seconds at which that line is repeated."""
 
+UNREADY_SECONDS = 2.0
+"""Time for which a leader waits for its first entry before it logs who lacks
+it.  Nothing is served meanwhile.  A commit takes milliseconds."""
+
 
 class LeaderWatch:
     """Logs a member's state at its start, and while it has no leader or disk.
@@ -40,6 +44,7 @@
         self._start_logged = False
         self._leader_known_at = float("-inf")
         self._logged_at = float("-inf")
+        self._unready_logged_at = float("-inf")
 
     async def run(self) -> None:
         """Check the member until cancelled."""
@@ -69,6 +74,7 @@
                 voters=tuple(report.silent_seconds_by_voter),
             )
         now = self._clock.monotonic()
+        self._check_readiness(now)
         if self._member.leader is not None:
             self._leader_known_at = now
             return
@@ -79,6 +85,30 @@
             self._logged_at = now
             self._log_missing_leader(report)
 
+    def _check_readiness(self, now: float) -> None:
+        """Log, at intervals, what a leader waits for before it serves."""
+        facts = self._member.log_facts()
+        waited = now - self._member.leadership_started_at
+        if (
+            facts is None
+            or self._member.is_ready_to_lead
+            or waited < UNREADY_SECONDS
+            or now - self._unready_logged_at < REPEAT_SECONDS
+        ):
+            return
+        self._unready_logged_at = now
+        lacks = {
+            short_id(voter): facts.last_index - facts.matched_by_id.get(voter, 0)
+            for voter in dict.fromkeys(v for group in facts.voter_groups for v in group)
+        }
+        logger.warning(
+            "leader waits for its first entry to be committed",
+            lacking_entries_by_voter=lacks,
+            waited_seconds=round(waited, 1),
+            term=self._member.term,
+            last_index=facts.last_index,
+        )
+
     def _log_missing_leader(self, report: MemberReport) -> None:
         _log_lacking_votes(report, self._clock.monotonic() - self._leader_known_at)
         known_by, state = report.known_by
@@ -105,10 +135,7 @@
     elif report.known_by[1].configuration_index:
         lacks = describe_lacks(report.lacking_groups())
     answers = describe_answers(report.answers)
-    silent_seconds = {
-        voter: round(seconds, 1) if seconds is not None else None
-        for voter, seconds in report.silent_seconds_by_voter.items()
-    }
+    silent_seconds = report.rounded_silence()
     if not report.is_member:
         # Such as one that has been removed: no leader sends it anything.
         logger.info(
--- a/goldcrestyard/consensus/member_report.py
+++ b/goldcrestyard/consensus/member_report.py
@@ -54,6 +54,13 @@
                     known = answer.member, answer.state
         return known
 
+    def rounded_silence(self) -> dict[MemberId, float | None]:
+        """Return ``silent_seconds_by_voter`` as it is logged."""
+        return {
+            voter: round(seconds, 1) if seconds is not None else None
+            for voter, seconds in self.silent_seconds_by_voter.items()
+        }
+
     def lacking_groups(self) -> tuple[LackingGroup | None, ...]:
         """Return, for each group of voters, what keeps it from a majority."""
         groups = self.known_by[1].voter_groups
--- a/goldcrestyard/daemon.py
+++ b/goldcrestyard/daemon.py
@@ -15,9 +15,11 @@
 import msgspec
 import structlog
 
+from goldcrestyard import __version__
 from goldcrestyard.kernel import logs, registry
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.build_info import read_commit
 from goldcrestyard.kernel.checks import Problem, Severity, has_errors, run_checks
 from goldcrestyard.kernel.default_settings import InstanceSettings, MemorySettings
 from goldcrestyard.kernel.settings import Settings, load
@@ -54,6 +56,7 @@
 
 async def run(settings: Settings, plugin_classes: list[type[PluginConfig]]) -> int:
     """Run the application until it is stopped; return the exit code."""
+    logger.info("instance starting", version=__version__, commit=read_commit())
     app = Application(settings, plugin_classes)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/goldcrestyard/membership/subscription.py
+++ b/goldcrestyard/membership/subscription.py
@@ -17,9 +17,10 @@
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.wire.client import PeerDialer, PeerUnavailableError
-from goldcrestyard.wire.connection import Handlers, PeerConnection
+from goldcrestyard.wire.connection import Handlers, NoAnswer, NotSent, PeerConnection
 from goldcrestyard.wire.messages import (
     ChangesPush,
+    Failure,
     NotLeader,
     Renew,
     RenewReply,
@@ -34,6 +35,15 @@
 RENEW_TIMEOUT_SECONDS = 2.0
 RETRY_INTERVAL_SECONDS = 0.2
 
+LEADERLESS_SECONDS = 3.0
+"""Time without a leader after which an entry logs what the control members
+answered.  An election takes about as long, and is no fault."""
+
+REPEAT_SECONDS = 10.0
+"""Interval in seconds at which that line is repeated."""
+
+MAX_FAILURE_CHARACTERS = 40
+
 
 class Subscription:
     """Finds the leader, receives its changes and renews the lease.
@@ -62,6 +72,10 @@
         self._renew_seconds = renew_seconds
         self._renew_timeout_seconds = renew_timeout_seconds
         self.draining = False
+        self._answers_by_instance: dict[InstanceId, str] = {}
+        """What each control member last answered, for the log."""
+        self._left_leader_at = clock.monotonic()
+        self._logged_at = float("-inf")
 
     def register(self, handlers: Handlers) -> None:
         """Register the handlers of the leader's pushes."""
@@ -76,8 +90,33 @@
                 hint = await self._subscribe_to(instance)
                 if hint is not None:
                     break
+            self._log_missing_leader()
             await asyncio.sleep(RETRY_INTERVAL_SECONDS * random.uniform(0.5, 1.5))
 
+    def _log_missing_leader(self) -> None:
+        """Log, at intervals, why no control member has been followed lately.
+
+        The members' addresses, their answers and their silence tell a cluster
+        without a leader from a leader that this entry does not reach.
+        """
+        now = self._clock.monotonic()
+        leaderless = now - self._left_leader_at
+        if (
+            self._link.leader is not None
+            or leaderless < LEADERLESS_SECONDS
+            or now - self._logged_at < REPEAT_SECONDS
+        ):
+            return
+        self._logged_at = now
+        logger.warning(
+            "no leader is found",
+            answers={
+                instance: self._answers_by_instance.get(instance, "not asked yet")
+                for instance in self._addresses
+            },
+            leaderless_seconds=round(leaderless, 1),
+        )
+
     def _candidates(self, hint: InstanceId | None) -> list[InstanceId]:
         """Return the control members to try, with the likely leader first."""
         others = [instance for instance in self._addresses if instance != hint]
@@ -96,6 +135,7 @@
                 reply = await connection.request(
                     Subscribe(self._view.revision), self._renew_timeout_seconds
                 )
+                self._answers_by_instance[instance] = _describe(reply)
                 match reply:
                     case SubscribeReply():
                         return await self._follow(connection)
@@ -106,6 +146,7 @@
                     case _:
                         return None
         except PeerUnavailableError as error:
+            self._answers_by_instance[instance] = "unreachable"
             logger.debug("control member unavailable", peer=instance, error=str(error))
             return None
 
@@ -138,6 +179,7 @@
                 await self._wait_for_next_renewal()
         finally:
             self._link.detach()
+            self._left_leader_at = self._clock.monotonic()
 
     async def _wait_for_next_renewal(self) -> None:
         """Wait for the renewal interval, or until an earlier one is requested.
@@ -156,3 +198,20 @@
     async def _on_snapshot(self, push: SnapshotPush, _: PeerConnection) -> None:
         self._view.load(push)
         self._digests.request_renewal()
+
+
+def _describe(reply: object) -> str:
+    """Return an answer to a subscription in a few words."""
+    match reply:
+        case SubscribeReply():
+            return "leads"
+        case NotLeader(leader=None):
+            return "knows no leader"
+        case NotLeader(leader=leader):
+            return f"names {leader}"
+        case Failure(detail=detail):
+            return detail[:MAX_FAILURE_CHARACTERS]
+        case NoAnswer() | NotSent():
+            return "no answer"
+        case _:
+            return type(reply).__name__
--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -63,6 +63,8 @@
         self._files = files
         self._segment_bytes = segment_bytes
         self._segments: list[_Segment] = []
+        self.cut_bytes = 0
+        """Size of the torn write that ``load`` has removed."""
 
     def load(self) -> list[LogRecord]:
         """Return all records, after truncating a torn record at the end.
@@ -78,7 +80,7 @@
         ]
         for path in paths:
             last = path == paths[-1]
-            found, segment, torn = self._load_segment(path, last)
+            found, segment, torn_bytes = self._load_segment(path, last)
             if records and segment.first_index != records[-1].index + 1:
                 raise CorruptLogError(
                     f"{path}: does not continue the segment before it. Replace "
@@ -86,7 +88,8 @@
                 )
             records.extend(found)
             self._segments.append(segment)
-            if torn:
+            if torn_bytes:
+                self.cut_bytes = torn_bytes
                 self._truncate_file(segment)
         return records
 
@@ -179,7 +182,7 @@
 
     def _load_segment(
         self, path: Path, last: bool
-    ) -> tuple[list[LogRecord], _Segment, bool]:
+    ) -> tuple[list[LogRecord], _Segment, int]:
         data = self._files.read(path) or b""
         records: list[LogRecord] = []
         first_index = parse_count(path.name.removesuffix(SEGMENT_SUFFIX).lstrip("0"))
@@ -195,7 +198,7 @@
                         f"{path}: damaged record at byte {position}, followed by "
                         "intact ones. Replace this member from the others."
                     )
-                return records, segment, True
+                return records, segment, len(data) - position
             if record.index != segment.next_index:
                 raise CorruptLogError(
                     f"{path}: found record {record.index} at byte {position}, "
@@ -205,7 +208,7 @@
             records.append(record)
             segment.end_offsets.append(end)
             position = end
-        return records, segment, False
+        return records, segment, 0
 
 
 def _encode_record(record: LogRecord) -> bytes:
--- a/tests/fleet/test_leader_watch.py
+++ b/tests/fleet/test_leader_watch.py
@@ -9,6 +9,7 @@
 
 from parameterized import parameterized
 
+from goldcrestyard.consensus.configuration import MemberId
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.consensus.leader_watch import (
     CHECK_INTERVAL_SECONDS,
@@ -17,6 +18,8 @@
     LeaderWatch,
 )
 from goldcrestyard.consensus.member_lines import short_id
+from goldcrestyard.consensus.messages import Append, AppendReply
+from goldcrestyard.core.ids import LogIndex, Term
 from tests.fleet.test_assembly import FOUNDERS
 from tests.fleet.test_cluster_health import ClusterTestCase
 
@@ -24,6 +27,9 @@
 OUTSIDE = "process that is no control member knows of no leader"
 CONFIGURATION = "configuration of a member without a leader"
 STARTED = "control member started"
+LOADED = "control log loaded"
+ENDED = "leadership ended"
+UNREADY = "leader waits for its first entry to be committed"
 CHANGED = "leadership changed"
 
 
@@ -117,6 +123,47 @@
             follower = short_id(self.network.running[name].member_id)
             self.assertIn(f"{follower} follows {leader_id}", line["lacks"])
 
+    async def test_leader_that_cannot_commit_names_who_lacks_entries(self) -> None:
+        """Guards against a leader that serves nothing and does not say why."""
+        left = [self.network.running[name] for name in self.followers]
+        for member in left:
+            self.watch(member)
+            self._store_nothing(member)
+        await self.assembly.stop(str(self.leader.instance), lose_disk=True)
+        line = await self.wait_event(UNREADY)
+        for member in left:
+            self.assertIn(short_id(member.member_id), line["lacking_entries_by_voter"])
+        self.assertGreater(max(line["lacking_entries_by_voter"].values()), 0)
+
+    def _store_nothing(self, member: ControlMember) -> None:
+        """Let a member answer that it lacks what it is sent."""
+        core = member._core
+        assert core is not None
+
+        def answer(sender: MemberId, message: Append) -> None:
+            core._send(
+                sender,
+                AppendReply(core.term, False, LogIndex(2), Term(0), message.sent_at),
+            )
+
+        core._handle_append = answer  # type: ignore[method-assign]
+
+    @parameterized.expand([("cut_off",), ("suspended",)])
+    async def test_ended_leadership_tells_its_cause(self, how: str) -> None:
+        """Guards against a term of which no line tells how it ended."""
+        name = str(self.leader.instance)
+        if how == "cut_off":
+            self.network.isolate(name)
+            cause = "no quorum has answered in time"
+        else:
+            files = self.network.files_by_instance[name]
+            files.capacity = files.used
+            cause = "the member's disk failed"
+        term = self.leader.term
+        line = await self.wait_event(ENDED)
+        self.assertEqual(term, line["term"])
+        self.assertIn(cause, line["cause"])
+
     async def test_election_is_not_logged(self) -> None:
         left = self.network.running[self.followers[0]]
         self.watch(left)
@@ -132,6 +179,9 @@
             await self.assembly.stop(name, lose_disk=lose_disk)
             self.watch(await self.assembly.start(name))
             await asyncio.sleep(1.0)
+        loaded, empty = [line["entries"] for line in self.of(LOADED)[-2:]]
+        self.assertGreater(loaded, 1)
+        self.assertEqual(0, empty)
         kept, emptied = self.of(STARTED)
         self.assertEqual((before, False), (kept["member"], kept["disk_was_empty"]))
         self.assertEqual(3, len(kept["voters"]))
--- a/tests/membership/test_subscription.py
+++ b/tests/membership/test_subscription.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import structlog
 from parameterized import parameterized
 
 from goldcrestyard.core.ids import InstanceId, Revision
@@ -120,6 +121,28 @@
             await asyncio.sleep(0.05)
         self.assertEqual(self.link.leader, "b")
 
+    @parameterized.expand(
+        [
+            ("no_leader", None, set(), "knows no leader"),
+            ("gone", "a", {"a"}, "names a"),
+            ("silent", None, {"b"}, "unreachable"),
+        ]
+    )
+    async def test_answers_without_a_leader_are_logged(
+        self, _: str, leader: str | None, silent: set[str], answer: str
+    ) -> None:
+        """Guards against fronts that refuse keys while no line says why."""
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
+        with structlog.testing.capture_logs() as lines:
+            await asyncio.sleep(1.0)
+            self.members.leader = leader
+            self.members.silent |= silent
+            await asyncio.sleep(8.0)
+        found = [line for line in lines if line["event"] == "no leader is found"]
+        self.assertEqual(1, len(found))
+        self.assertEqual(answer, found[0]["answers"]["b"])
+        self.assertGreaterEqual(found[0]["leaderless_seconds"], 3.0)
+
     async def test_lease_ends_without_a_leader(self) -> None:
         await asyncio.sleep(1.0)
         self.members.leader = None
