Make durable what a restarted control member loads

The former tests cut the power only, or loaded after an error of the disk in the same process.

Change: MemberDisk.load syncs the last segment and both folders before it returns, so nothing is answered by state that may vanish. That costs three syncs at each start.

--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -18,7 +18,7 @@
 from goldcrestyard.consensus.messages import Entry, EntryKind, Snapshot
 from goldcrestyard.consensus.persistent_state import Founding, PersistentState
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
-from goldcrestyard.storage.exceptions import CorruptLogError
+from goldcrestyard.storage.exceptions import CorruptLogError, DiskError
 from goldcrestyard.storage.files import Files
 from goldcrestyard.storage.log_segments import (
     SEGMENT_BYTES,
@@ -119,6 +119,7 @@
                 self._write_vote(vote)
             self._vote = vote
             state = self._load_log(vote)
+        self._make_durable()
         self._is_loaded = True
         if self.was_empty is None:
             self.was_empty = not self.cluster
@@ -132,6 +133,14 @@
             state = self.bootstrap(founding.cluster, founding.entry)
         return state
 
+    def _make_durable(self) -> None:
+        """Make durable what was loaded, since the member answers by it."""
+        self._log.make_durable()
+        try:
+            self._files.sync_folder(self._folder)
+        except OSError as error:
+            raise DiskError(f"{self._folder}: {error}") from error
+
     def _load_log(self, vote: VoteRecord) -> PersistentState:
         snapshot = self._read_snapshot()
         records = self._log.load()
--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -93,6 +93,20 @@
                 self._truncate_file(segment)
         return records
 
+    def make_durable(self) -> None:
+        """Make all loaded records durable, and the removal of others.
+
+        A process that was killed may have written them without a sync.  They
+        can be read until the power fails.
+        """
+        try:
+            if self._segments:
+                # A segment is created only once the one before is synced.
+                self._files.sync(self._segments[-1].path)
+            self._files.sync_folder(self._folder)
+        except OSError as error:
+            raise DiskError(f"{self._folder}: {error}") from error
+
     def append(self, records: Sequence[LogRecord]) -> None:
         """Append records with one sync; they are durable on return."""
         if not records:
--- a/tests/storage/test_crashes.py
+++ b/tests/storage/test_crashes.py
@@ -156,6 +156,28 @@
             )
             self._check_usable(files, saved)
 
+    @parameterized.expand(
+        [(f"before_{n}", Fault(n, crash_before=True)) for n in OPERATIONS]
+        + [(f"after_{n}", Fault(n, crash_after=True)) for n in OPERATIONS]
+    )
+    def test_state_loaded_after_a_kill_survives_a_power_failure(
+        self, _: str, fault: Fault
+    ) -> None:
+        """Guards against acknowledging what a killed process did not sync.
+
+        A restarted process reads it from the page cache, answers on the
+        strength of it, and loses it with the power.
+        """
+        for seed in range(3):
+            files = MemoryFiles(fault)
+            with self.assertRaises(Crash):
+                for _step in run_steps(files):
+                    pass
+            files.fault = None
+            saved = open_disk(files).load(INSTANCE)
+            files.crash(random.Random(seed))
+            self.assertEqual(open_disk(files).load(INSTANCE), saved)
+
     def _check_usable(self, files: MemoryFiles, saved: PersistentState) -> None:
         """Check that entries can be appended after the restart."""
         disk = open_disk(files)
