Load a log whose last append lacks sectors in its middle

After a power failure a control member did not start again, nor did any process started after it: CorruptLogError, "damaged record, followed by intact ones". With the machine missing for good, the next loss that the budget allows leaves no majority: fronts know no leader and refuse keys to the end.

Cause: several entries are one write and one sync. A disk may write the sectors of an unsynced append in any order. The log took an intact record behind a damaged one for proof that acknowledged data had decayed.

Change: an append with a sector that reads as zeros is torn and is cut, as one without its end was. Damage without such a sector is an error as before: test_changed_bit_within_a_batch_is_an_error and the former cases of bits that change.

--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -21,6 +21,13 @@
 
 SEGMENT_SUFFIX = ".log"
 
+SECTOR_BYTES = 512
+"""Smallest part of a file that a disk writes as a whole."""
+
+MIN_ZERO_BYTES = 4
+"""Number of zero bytes in the rest of a sector that show that the disk has not
+written it.  Fewer may be part of a checksum."""
+
 
 @dataclass(frozen=True, slots=True)
 class LogRecord:
@@ -51,9 +58,13 @@
 class SegmentedLog:
     """A log in segment files that are named by their first index.
 
-    A torn record at the end, left by a crash during an unacknowledged write,
+    A torn append at the end, left by a crash during an unacknowledged write,
     is truncated on ``load``.  Any other damage is an error, since dropping an
     acknowledged record could lose a committed entry.
+
+    An append is torn if its records are damaged to the end of the log, or if
+    some of its sectors read as zeros.  After a power failure a disk may hold
+    the end of an append without its middle.
     """
 
     def __init__(
@@ -67,7 +78,7 @@
         """Size of the torn write that ``load`` has removed."""
 
     def load(self) -> list[LogRecord]:
-        """Return all records, after truncating a torn record at the end.
+        """Return all records, after truncating a torn append at the end.
 
         Raises ``CorruptLogError`` on any other damage.  Must be called once,
         before other methods, unless the folder holds no segments.
@@ -207,7 +218,7 @@
         while position < len(data):
             record, end = _parse_record(data, position)
             if record is None:
-                if not last or _valid_record_follows(data, position):
+                if not last or not _is_torn_append(data, position):
                     raise CorruptLogError(
                         f"{path}: damaged record at byte {position}, followed by "
                         "intact ones. Replace this member from the others."
@@ -246,13 +257,34 @@
     return LogRecord(Term(term), LogIndex(index), kind, data[start:end]), end
 
 
-def _valid_record_follows(data: bytes, position: int) -> bool:
-    """Return whether an intact record starts anywhere after a damaged one.
+def _is_torn_append(data: bytes, start: int) -> bool:
+    """Return whether the damage at ``start`` is what a power failure leaves.
+
+    What follows an unwritten sector belongs to the same append, since the next
+    one begins only once all sectors are synced.
+    """
+    end = _find_record(data, start + 1)
+    return end is None or _has_unwritten_sector(data, start, end)
+
+
+def _find_record(data: bytes, start: int) -> int | None:
+    """Return where the next intact record begins, or None.
+
+    Every offset is tried, since the length in a damaged record may be wrong.
+    """
+    for position in range(start, len(data) - _HEADER.size + 1):
+        if _parse_record(data, position)[0] is not None:
+            return position
+    return None
+
+
+def _has_unwritten_sector(data: bytes, start: int, end: int) -> bool:
+    """Return whether a sector reads as zeros from ``start`` on.
 
-    If so, the damage is not a torn write.  Every offset is tried, since the
-    length in the damaged record may be wrong.
+    The sector in which the append begins holds synced bytes before it.
     """
-    return any(
-        _parse_record(data, candidate)[0] is not None
-        for candidate in range(position + 1, len(data) - _HEADER.size + 1)
-    )
+    while (sector_end := start - start % SECTOR_BYTES + SECTOR_BYTES) <= end:
+        if sector_end - start >= MIN_ZERO_BYTES and not any(data[start:sector_end]):
+            return True
+        start = sector_end
+    return False
--- a/tests/storage/test_log_segments.py
+++ b/tests/storage/test_log_segments.py
@@ -14,7 +14,7 @@
 from goldcrestyard.core.ids import LogIndex, Term
 from goldcrestyard.storage.exceptions import CorruptLogError
 from goldcrestyard.storage.log_segments import LogRecord, SegmentedLog
-from tests.fakes.files import MemoryFiles
+from tests.fakes.files import SECTOR_BYTES, MemoryFiles
 
 FOLDER = Path("/log")
 RECORDS = [
@@ -62,6 +62,37 @@
 ]
 
 
+BATCH = [
+    LogRecord(Term(1), LogIndex(index), 0, b"%d" % index * 700)
+    for index in range(11, 21)
+]
+"""Records that are appended together, each longer than a sector."""
+
+
+@dataclass(frozen=True)
+class Hole:
+    """Sectors of the last append that did not reach the disk.
+
+    ``first`` counts them from the one in which the append begins.
+    """
+
+    name: str
+    first: int
+    sectors: int
+    records: int
+    """Number of records of the append that are left."""
+
+
+HOLE_CASES = [
+    Hole("one_sector", 3, 1, 1),
+    Hole("one_page", 8, 8, 2),
+    Hole("end_of_the_first_sector", 0, 1, 0),
+    Hole("from_the_first_sector", 0, 6, 0),
+    Hole("sector_before_the_last", 24, 1, 8),
+    Hole("all_but_the_end", 0, 25, 0),
+]
+
+
 @dataclass(frozen=True)
 class BitFlip:
     """A flipped bit: its position, and whether ``load`` must report it."""
@@ -102,6 +133,39 @@
         again = SegmentedLog(FOLDER, files, SEGMENT_BYTES)
         self.assertEqual(again.load(), RECORDS)
 
+    @parameterized.expand([(case.name, case) for case in HOLE_CASES])
+    def test_append_without_its_middle_is_cut(self, _: str, case: Hole) -> None:
+        """Guards against a member that does not start after a power failure.
+
+        A disk may have written the end of an append and not its middle.
+        """
+        files = stored_records()
+        log = SegmentedLog(FOLDER, files, SEGMENT_BYTES)
+        log.load()
+        path = last_segment(files)
+        synced = files.size(path)
+        log.append(BATCH)
+        start = synced // SECTOR_BYTES + case.first
+        files.lose_sectors(path, start, case.sectors, synced)
+        log = SegmentedLog(FOLDER, files, SEGMENT_BYTES)
+        self.assertEqual(log.load(), RECORDS + BATCH[: case.records])
+        log.append(BATCH[case.records :])
+        again = SegmentedLog(FOLDER, files, SEGMENT_BYTES)
+        self.assertEqual(again.load(), RECORDS + BATCH)
+
+    @parameterized.expand([(str(byte), byte) for byte in (30, 600, 1500, 4000)])
+    def test_changed_bit_within_a_batch_is_an_error(self, _: str, byte: int) -> None:
+        """Guards against taking decay of synced records for a torn append."""
+        files = stored_records()
+        log = SegmentedLog(FOLDER, files, SEGMENT_BYTES)
+        log.load()
+        path = last_segment(files)
+        synced = files.size(path)
+        log.append(BATCH)
+        files.flip_bit(path, synced + byte)
+        with self.assertRaisesRegex(CorruptLogError, "Replace this member"):
+            SegmentedLog(FOLDER, files, SEGMENT_BYTES).load()
+
     @parameterized.expand([(case.name, case) for case in BIT_FLIP_CASES])
     def test_damage_before_the_tail_is_an_error(self, _: str, case: BitFlip) -> None:
         files = stored_records()
