Sync the parents of the data folder and of the folder for bodies

A power failure could take a new data folder away with everything that was acknowledged in it: its name was never synced.

Cause: ControlMember created the data folder before MemberDisk could create and sync it, and BodyStore synced the folder for bodies, but not its parent. Seen while looking for more that a member takes for durable, by reading.

Change: one function creates folders and syncs each new name. Result: the three tests and those of test_bodies, test_files and test_body_client pass.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -108,6 +108,7 @@
 )
 from goldcrestyard.storage.files import DiskFiles, Files
 from goldcrestyard.storage.folder_lock import FolderLock
+from goldcrestyard.storage.folders import make_folder
 from goldcrestyard.wire.codec import Codec, CodecError
 from goldcrestyard.wire.connection import Handlers, PeerConnection
 from goldcrestyard.wire.messages import Failure, NotLeader
@@ -435,7 +436,7 @@
             )
 
     def _load(self) -> PersistentState:
-        self._folder.mkdir(parents=True, exist_ok=True)
+        make_folder(self._folder)
         if self._lock is None:
             self._lock = FolderLock(self._folder)
         founding = None
--- a/goldcrestyard/storage/bodies.py
+++ b/goldcrestyard/storage/bodies.py
@@ -11,6 +11,7 @@
 
 from goldcrestyard.core.ids import BodyDigest
 from goldcrestyard.storage.exceptions import DiskError
+from goldcrestyard.storage.folders import make_folder, sync_folder
 
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _TEMPORARY_PREFIX = "tmp-"
@@ -102,10 +103,7 @@
         return body if compute_digest(body) == digest else None
 
     def _write(self, path: Path, body: bytes, keep_until: float) -> None:
-        is_new_folder = not path.parent.exists()
-        path.parent.mkdir(parents=True, exist_ok=True)
-        if is_new_folder:
-            _sync_folder(self._folder)
+        make_folder(path.parent)
         descriptor, temporary = tempfile.mkstemp(
             prefix=_TEMPORARY_PREFIX, dir=path.parent
         )
@@ -120,13 +118,4 @@
             with contextlib.suppress(FileNotFoundError):
                 os.unlink(temporary)
             raise
-        _sync_folder(path.parent)
-
-
-def _sync_folder(folder: Path) -> None:
-    """Make the entries of a folder durable."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+        sync_folder(path.parent)
--- a/goldcrestyard/storage/files.py
+++ b/goldcrestyard/storage/files.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Protocol
 
+from goldcrestyard.storage import folders
+
 
 class Files(Protocol):
     """Operations on files; each raises ``OSError`` when it fails."""
@@ -55,10 +57,7 @@
 
     def make_folder(self, folder: Path) -> None:
         """Create a folder and its parents; durable on return."""
-        missing = [path for path in (folder, *folder.parents) if not path.exists()]
-        folder.mkdir(parents=True, exist_ok=True)
-        for path in missing:
-            self.sync_folder(path.parent)
+        folders.make_folder(folder)
 
     def list_names(self, folder: Path) -> list[str]:
         """Return the names of the entries of a folder, sorted."""
@@ -99,11 +98,7 @@
 
     def sync_folder(self, folder: Path) -> None:
         """Make creations, renames and removals in a folder durable."""
-        descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        folders.sync_folder(folder)
 
     def close(self) -> None:
         """Close all open files."""
--- /dev/null
+++ b/tests/storage/test_folders.py
@@ -0,0 +1,56 @@
+"""Tests of folders and files whose names must survive a power failure.
+
+They record which folders are synced, since a real disk keeps the names
+anyway as long as it has power.
+"""
+
+import os
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from unittest.mock import patch
+
+from parameterized import parameterized
+
+from goldcrestyard.storage.bodies import BodyStore
+from goldcrestyard.storage.files import DiskFiles
+from tests.fakes.member_network import MemberNetwork
+from tests.fakes.paused_clock import PausedClockTestCase
+from tests.fakes.quiet_logs import quiet_logs
+
+BODY = b"sample"
+
+
+def put_body(folder: Path) -> None:
+    BodyStore(folder).put(BODY, 100.0)
+
+
+def make_folder(folder: Path) -> None:
+    DiskFiles().make_folder(folder)
+
+
+class FolderTests(PausedClockTestCase):
+    """Guards against losing a folder with all that was acknowledged in it."""
+
+    def setUp(self) -> None:
+        quiet_logs(self)
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.synced: list[Path] = []
+        self.enterContext(patch("os.fsync", self._sync))
+
+    def _sync(self, descriptor: int) -> None:
+        path = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        self.synced.append(path)
+
+    @parameterized.expand([("files", make_folder), ("bodies", put_body)])
+    def test_parents_of_new_folders_are_synced(
+        self, _: str, create: Callable[[Path], None]
+    ) -> None:
+        create(self.folder / "a" / "b")
+        self.assertLessEqual({self.folder, self.folder / "a"}, set(self.synced))
+
+    async def test_data_folder_of_a_member_is_synced(self) -> None:
+        network = MemberNetwork(["a", "b", "c"], self.clock())
+        self.addAsyncCleanup(network.close)
+        await network.start("a")
+        self.assertIn(Path(network._folder.name), self.synced)
