Sync the name of a body that is already stored before it is acknowledged

A sample that a trainer had been told is stored could be gone after a power failure: a process that was killed between the rename of its file and the sync of the folder left a file that can be read, and the next request for the same body was acknowledged by it.

Two requests for one body at the same time met it as well.

Change: the folder is synced in that case too. The bodies of goldcrestd only; the platform keeps bodies in the log.

--- a/goldcrestyard/storage/bodies.py
+++ b/goldcrestyard/storage/bodies.py
@@ -52,7 +52,10 @@
         try:
             if self._read_verified(path, digest) is None:
                 self._write(path, body, keep_until)
-            elif path.stat().st_mtime < keep_until:
+                return digest
+            # The process that stored it may have been killed before this.
+            sync_folder(path.parent)
+            if path.stat().st_mtime < keep_until:
                 os.utime(path, (keep_until, keep_until))
         except OSError as error:
             raise DiskError(f"{path}: {error}") from error
--- a/tests/storage/test_folders.py
+++ b/tests/storage/test_folders.py
@@ -12,7 +12,7 @@
 
 from parameterized import parameterized
 
-from goldcrestyard.storage.bodies import BodyStore
+from goldcrestyard.storage.bodies import BodyStore, compute_digest
 from goldcrestyard.storage.files import DiskFiles
 from tests.fakes.member_network import MemberNetwork
 from tests.fakes.paused_clock import PausedClockTestCase
@@ -36,10 +36,13 @@
         quiet_logs(self)
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         self.synced: list[Path] = []
+        self.killed_at: Path | None = None
         self.enterContext(patch("os.fsync", self._sync))
 
     def _sync(self, descriptor: int) -> None:
         path = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        if path == self.killed_at:
+            raise KeyboardInterrupt
         self.synced.append(path)
 
     @parameterized.expand([("files", make_folder), ("bodies", put_body)])
@@ -54,3 +57,12 @@
         self.addAsyncCleanup(network.close)
         await network.start("a")
         self.assertIn(Path(network._folder.name), self.synced)
+
+    def test_body_of_a_killed_process_is_synced_when_it_is_stored_again(self) -> None:
+        """Guards against acknowledging a file whose name may vanish."""
+        parent = self.folder / compute_digest(BODY)[:2]
+        self.killed_at = parent
+        self.assertRaises(KeyboardInterrupt, put_body, self.folder)
+        self.killed_at = None
+        put_body(self.folder)
+        self.assertIn(parent, self.synced)
