Cut a torn append whose missing part is smaller than a sector

A member still refused its log if the missing part of its last append did not fill the rest of a sector.

Evidence: three further cases of test_append_without_its_middle_is_cut failed on (40 bytes at the start, 50 of a payload, 40 around a header).

Change: a run of 16 zeros in the damaged part counts as not written, in place of a whole sector. Damage without such a run is an error as before; a record that decays and whose payload holds such a run is now cut as a torn one.

--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -21,12 +21,9 @@
 
 SEGMENT_SUFFIX = ".log"
 
-SECTOR_BYTES = 512
-"""Smallest part of a file that a disk writes as a whole."""
-
-MIN_ZERO_BYTES = 4
-"""Number of zero bytes in the rest of a sector that show that the disk has not
-written it.  Fewer may be part of a checksum."""
+UNWRITTEN_BYTES = bytes(16)
+"""Zeros by which a part of an append counts as not written.  A header holds
+no run of this length, and the texts in payloads hold none as a rule."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,8 +60,8 @@
     acknowledged record could lose a committed entry.
 
     An append is torn if its records are damaged to the end of the log, or if
-    some of its sectors read as zeros.  After a power failure a disk may hold
-    the end of an append without its middle.
+    a part of it reads as zeros.  After a power failure a disk may hold the end
+    of an append without its middle.
     """
 
     def __init__(
@@ -260,11 +257,11 @@
 def _is_torn_append(data: bytes, start: int) -> bool:
     """Return whether the damage at ``start`` is what a power failure leaves.
 
-    What follows an unwritten sector belongs to the same append, since the next
-    one begins only once all sectors are synced.
+    What follows an unwritten part belongs to the same append, since the next
+    one begins only once all of it is synced.
     """
     end = _find_record(data, start + 1)
-    return end is None or _has_unwritten_sector(data, start, end)
+    return end is None or UNWRITTEN_BYTES in data[start:end]
 
 
 def _find_record(data: bytes, start: int) -> int | None:
@@ -276,15 +273,3 @@
         if _parse_record(data, position)[0] is not None:
             return position
     return None
-
-
-def _has_unwritten_sector(data: bytes, start: int, end: int) -> bool:
-    """Return whether a sector reads as zeros from ``start`` on.
-
-    The sector in which the append begins holds synced bytes before it.
-    """
-    while (sector_end := start - start % SECTOR_BYTES + SECTOR_BYTES) <= end:
-        if sector_end - start >= MIN_ZERO_BYTES and not any(data[start:sector_end]):
-            return True
-        start = sector_end
-    return False
