Let the soak lose control members as often as the fault budget allows

The soak waited for the repair of the cluster before the next loss of a control member, and had no final fault, so that it could not show what the users' own processes show. Every result that was read must come again.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -27,6 +27,11 @@
         action="store_true",
         help="engines of several software versions serve side by side",
     )
+    parser.add_argument(
+        "--losses",
+        action="store_true",
+        help="control members are lost as often as the fault budget allows",
+    )
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
     failed_seeds = 0
@@ -41,6 +46,7 @@
                     limits=options.limits,
                     leaving=options.leaving,
                     versions=options.versions,
+                    losses=options.losses,
                 )
             )
         except* GuaranteeViolationError as failures:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,6 +25,7 @@
 )
 from tests.fakes.proxy import FaultProxy
 from tests.soak.faults import Injector
+from tests.soak.losses import Losses
 
 ITEMS_PER_JOB = 6
 EVENTS_PER_RUN = 20
@@ -34,6 +35,9 @@
 CONCURRENT_FAULTS = 2
 """Number of faults that may overlap."""
 
+SECONDS_AFTER_LOSSES = 5.0
+"""Time for which work goes on after the last loss of a member was due."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses of refusals that guarantee that the call has not run."""
 
@@ -72,7 +76,9 @@
         limits: bool = False,
         leaving: bool = False,
         versions: bool = False,
+        losses: bool = False,
     ) -> None:
+        self._losses = losses
         self._versions = versions
         self._limits = limits
         self._leaving = leaving
@@ -87,6 +93,7 @@
         self.events: list[str] = []
         self.statuses: collections.Counter[int] = collections.Counter()
         self.jobs = 0
+        self._results_by_job: dict[str, list[dict[str, Any]]] = {}
         self.mixed_texts = 0
         """Texts that engines of several software versions have generated."""
         self._refused_ids: set[str] = set()
@@ -106,8 +113,12 @@
             injector = Injector(self._site, self._proxies, self._random, self._log)
             deadline = asyncio.get_running_loop().time() + self._seconds
             async with asyncio.TaskGroup() as group:
-                for _ in range(CONCURRENT_FAULTS):
-                    group.create_task(self._inject(injector, deadline))
+                if self._losses:
+                    group.create_task(self._lose_members(deadline))
+                    deadline += SECONDS_AFTER_LOSSES
+                else:
+                    for _ in range(CONCURRENT_FAULTS):
+                        group.create_task(self._inject(injector, deadline))
                 for number in range(2):
                     group.create_task(self._train(f"t{number}", deadline))
                 for _ in range(12 if self._leaving else 3):
@@ -170,6 +181,11 @@
             await asyncio.sleep(self._random.uniform(*FAULT_PAUSE_RANGE_SECONDS))
             await injector.inject(injector.draw())
 
+    async def _lose_members(self, deadline: float) -> None:
+        losses = Losses(self._site, self._random, self._log)
+        await losses.run(deadline)
+        await losses.end()
+
     async def _name_limits(self, deadline: float) -> None:
         """Let services name request limits from time to time.
 
@@ -284,6 +300,7 @@
             await self._site.submit(job, ITEMS_PER_JOB)
             results = await self._site.results(job, ITEMS_PER_JOB)
             self._check_results(job, results)
+            self._results_by_job[job] = results
             self.jobs += 1
             self._log(f"{job} read")
 
@@ -360,6 +377,9 @@
             )
         self._check_leaving(injector)
         await self._check_configuration(injector)
+        for job, results in self._results_by_job.items():
+            if await self._site.results(job, ITEMS_PER_JOB) != results:
+                raise GuaranteeViolationError(f"{job} lists other results than before")
 
     def _check_leaving(self, injector: Injector) -> None:
         """Check that fronts avoid the targets whose notice they passed on.
@@ -409,6 +429,7 @@
     limits: bool = False,
     leaving: bool = False,
     versions: bool = False,
+    losses: bool = False,
 ) -> Soak:
     """Run the soak with a seed and return it with its counts."""
     soak = Soak(
@@ -419,6 +440,7 @@
         limits=limits,
         leaving=leaving,
         versions=versions,
+        losses=losses,
     )
     with contextlib.suppress(asyncio.CancelledError):
         await soak.run()
