--- a/tests/fakes/files.py
+++ b/tests/fakes/files.py
@@ -3,9 +3,11 @@
 It injects crashes and I/O errors, and a crash loses what was not synced.
 """
 
+import copy
 import errno
 import random
 from dataclasses import dataclass, field
+from enum import Enum
 from pathlib import Path
 
 
@@ -23,6 +25,20 @@
 
     content: bytearray = field(default_factory=bytearray)
     durable: bytes = b""
+    unsynced: list[tuple[int, bytes | None]] = field(default_factory=list)
+    """Writes since the last sync: the offset and the data, or None if the file
+    was truncated there."""
+
+
+class Unsynced(Enum):
+    """What a power loss leaves of the writes that were not synced."""
+
+    GONE = "gone"
+    """None of them, and no name whose folder was not synced."""
+    PREFIX = "prefix"
+    """Of each file the first writes, the last one of these perhaps in part."""
+    TORN = "torn"
+    """Of each write all, nothing or any part; zeros take a missing place."""
 
 
 @dataclass(frozen=True)
@@ -50,6 +66,9 @@
         self.operations: list[str] = []
         self._inodes_by_path: dict[Path, _Inode] = {}
         self._durable_by_path: dict[Path, _Inode] = {}
+        # Changes of names that no sync of their folder covers: each gives the
+        # new file of the paths that it concerns, or None if one is removed.
+        self._unsynced_names: list[dict[Path, _Inode | None]] = []
 
     # Fault injection.
 
@@ -62,19 +81,62 @@
             if inode.content.startswith(inode.durable):
                 inode.durable += bytes(unsynced[:kept])
             inode.content = bytearray(inode.durable)
+            inode.unsynced.clear()
+        self._unsynced_names.clear()
         self.fault = None
 
+    def after_kill(self) -> "MemoryFiles":
+        """Return the disk as the next process finds it, with all writes."""
+        files = copy.deepcopy(self)
+        files.fault = None
+        return files
+
+    def after_power_loss(
+        self, random_source: random.Random, unsynced: Unsynced
+    ) -> "MemoryFiles":
+        """Return the disk as the next process finds it.
+
+        Names whose folder was not synced are kept or lost independently, and
+        so are the writes that were not synced; see ``Unsynced``.
+        """
+        files = copy.deepcopy(self)
+        files.fault = None
+        names = files._durable_by_path
+        for change in files._unsynced_names:
+            if unsynced is Unsynced.GONE or random_source.random() < 0.5:
+                continue
+            for path, inode in change.items():
+                if inode is None:
+                    names.pop(path, None)
+                else:
+                    names[path] = inode
+        for inode in {id(inode): inode for inode in names.values()}.values():
+            _lose_unsynced(inode, random_source, unsynced)
+        files._inodes_by_path = dict(names)
+        files._unsynced_names.clear()
+        return files
+
+    def sync_all(self) -> None:
+        """Make all data and names durable, as happens after a while."""
+        for inode in self._inodes_by_path.values():
+            inode.durable = bytes(inode.content)
+            inode.unsynced.clear()
+        self._durable_by_path = dict(self._inodes_by_path)
+        self._unsynced_names.clear()
+
     def flip_bit(self, path: Path, position: int) -> None:
         """Flip one bit of the byte at a position, also in the synced data."""
         inode = self._inodes_by_path[path]
         inode.content[position] ^= 0x10
         inode.durable = bytes(inode.content)
+        inode.unsynced.clear()
 
     def truncate_durable(self, path: Path, size: int) -> None:
         """Shorten a file and its synced data, as a torn write does."""
         inode = self._inodes_by_path[path]
         del inode.content[size:]
         inode.durable = bytes(inode.content)
+        inode.unsynced.clear()
 
     def size(self, path: Path) -> int:
         return len(self._inodes_by_path[path].content)
@@ -102,31 +164,41 @@
     def append(self, path: Path, data: bytes) -> None:
         self._before_operation("append")
         room = len(data) if self.capacity is None else self.capacity - self.used
-        content = self._inodes_by_path.setdefault(path, _Inode()).content
-        content.extend(data[: max(0, room)])
+        if path not in self._inodes_by_path:
+            inode = self._inodes_by_path[path] = _Inode()
+            self._unsynced_names.append({path: inode})
+        inode = self._inodes_by_path[path]
+        written = data[: max(0, room)]
+        inode.unsynced.append((len(inode.content), written))
+        inode.content.extend(written)
         if room < len(data):
             raise OSError(errno.ENOSPC, errno.errorcode[errno.ENOSPC])
         self._after_operation()
 
     def truncate(self, path: Path, size: int) -> None:
         self._before_operation("truncate")
-        del self._inodes_by_path[path].content[size:]
+        inode = self._inodes_by_path[path]
+        inode.unsynced.append((size, None))
+        del inode.content[size:]
         self._after_operation()
 
     def sync(self, path: Path) -> None:
         self._before_operation("sync")
         inode = self._inodes_by_path[path]
         inode.durable = bytes(inode.content)
+        inode.unsynced.clear()
         self._after_operation()
 
     def replace(self, source: Path, destination: Path) -> None:
         self._before_operation("replace")
-        self._inodes_by_path[destination] = self._inodes_by_path.pop(source)
+        inode = self._inodes_by_path[destination] = self._inodes_by_path.pop(source)
+        self._unsynced_names.append({source: None, destination: inode})
         self._after_operation()
 
     def remove(self, path: Path) -> None:
         self._before_operation("remove")
-        self._inodes_by_path.pop(path, None)
+        if self._inodes_by_path.pop(path, None) is not None:
+            self._unsynced_names.append({path: None})
         self._after_operation()
 
     def sync_folder(self, folder: Path) -> None:
@@ -136,6 +208,10 @@
         for path, inode in self._inodes_by_path.items():
             if path.parent == folder:
                 self._durable_by_path[path] = inode
+        for change in self._unsynced_names:
+            for path in [p for p in change if p.parent == folder]:
+                del change[path]
+        self._unsynced_names = [change for change in self._unsynced_names if change]
         self._after_operation()
 
     def close(self) -> None:
@@ -157,3 +233,44 @@
         fault = self.fault
         if fault and fault.crash_after and fault.operation == len(self.operations):
             raise Crash
+
+
+def _lose_unsynced(
+    inode: _Inode, random_source: random.Random, unsynced: Unsynced
+) -> None:
+    """Rebuild a file's content from what was synced and parts of the rest."""
+    content = bytearray(inode.durable)
+    for offset, data in inode.unsynced:
+        if unsynced is Unsynced.GONE:
+            break
+        start, end = _surviving_part(len(data or b""), random_source, unsynced)
+        if data is None:
+            if random_source.random() < 0.5:
+                del content[offset:]
+            elif unsynced is Unsynced.PREFIX:
+                break
+            continue
+        if start < end:
+            content.extend(bytes(max(0, offset + start - len(content))))
+            content[offset + start : offset + end] = data[start:end]
+        if unsynced is Unsynced.PREFIX and end < len(data):
+            break
+    inode.content = content
+    inode.durable = bytes(content)
+    inode.unsynced.clear()
+
+
+def _surviving_part(
+    size: int, random_source: random.Random, unsynced: Unsynced
+) -> tuple[int, int]:
+    """Return the start and the end of the part of a write that is kept."""
+    cut = random_source.randrange(size + 1)
+    match random_source.randrange(4):
+        case 0:
+            return 0, size
+        case 1:
+            return 0, 0
+        case 2 if unsynced is Unsynced.TORN:
+            return cut, size
+        case _:
+            return 0, cut
--- a/tests/fakes/member_network.py
+++ b/tests/fakes/member_network.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from goldcrestyard.consensus.control_member import ControlMember
+from goldcrestyard.consensus.link import Dialer
 from goldcrestyard.consensus.messages import Entry
 from goldcrestyard.consensus.records import LoggedCommand
 from goldcrestyard.consensus.results import ProposalResult
@@ -145,6 +146,12 @@
         self.files_by_instance: dict[str, MemoryFiles] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="goldcrestyard-")
 
+    def make_dialer(self, name: str) -> Dialer:
+        return _Dialer(self, name)  # type: ignore[return-value]
+
+    def make_executor(self, _: str) -> Executor:
+        return InlineExecutor()
+
     async def deliver(
         self, sender: str, receiver: str, size: int = 0, connection: int = 0
     ) -> None:
@@ -153,7 +160,7 @@
         throughput = self.throughput_by_receiver.get(receiver, self.bytes_per_second)
         seconds = self.latency_seconds + size / throughput
         if self.packet_loss:
-            seconds += self._seconds_lost(size)
+            seconds += self._seconds_lost(size, self.packet_loss)
             now = asyncio.get_running_loop().time()
             earliest = self._delivered_at.get((connection, receiver), 0.0)
             seconds = max(seconds, earliest - now)
@@ -162,13 +169,13 @@
         if (sender, receiver) in self.cut_links or receiver not in self.running:
             await asyncio.get_running_loop().create_future()
 
-    def _seconds_lost(self, size: int) -> float:
+    def _seconds_lost(self, size: int, packet_loss: float) -> float:
         """Return the delay of a message by lost packets."""
         seconds = 0.0
         packets = 1 + size // PACKET_BYTES
         while packets > 0:
             in_window = min(packets, WINDOW_PACKETS)
-            while self._packets.random() > (1 - self.packet_loss) ** in_window:
+            while self._packets.random() > (1 - packet_loss) ** in_window:
                 seconds += RETRANSMISSION_SECONDS
                 in_window = 1
             packets -= WINDOW_PACKETS
@@ -209,7 +216,7 @@
             machine,
             codec,
             self.clock,
-            _Dialer(self, name),  # type: ignore[arg-type]
+            self.make_dialer(name),
             {
                 InstanceId(n): f"{n}:1"
                 for n in (
@@ -218,7 +225,7 @@
             },
             own_address=f"{name}:1",
             files=self.files_by_instance.setdefault(name, MemoryFiles()),
-            make_executor=InlineExecutor,
+            make_executor=lambda: self.make_executor(name),
             random_source=random.Random(name),
             **self.options,
         )
