--- a/tests/fleet/losses.py
+++ b/tests/fleet/losses.py
@@ -27,6 +27,7 @@
 from tests.fakes.files import Fault, MemoryFiles, Unsynced
 from tests.fakes.member_network import put_organisation
 from tests.fakes.paused_clock import EPOCH, PausedClockLoop
+from tests.fleet.former_faults import FORMER_FAULTS
 from tests.fleet.machines import Link, Machine, Site
 
 CATCH_UP_SECONDS = 4.8
@@ -40,9 +41,9 @@
 
 RETIREMENT_POLL_SECONDS = 0.2
 PROPOSAL_SECONDS = 5.0
-PROPOSAL_INTERVAL_SECONDS = 0.04
+PROPOSAL_INTERVAL_SECONDS = 0.1
 WATCH_INTERVAL_SECONDS = 0.01
-LARGE_ENTRY_BYTES = 30_000
+LARGE_ENTRY_BYTES = 60_000
 
 
 class Pick(Enum):
@@ -217,7 +218,6 @@
         )
         site = self._site
         site.latency_seconds = scenario.latency_seconds
-        site.bytes_per_second = scenario.bytes_per_second
         site.packet_loss = scenario.packet_loss
         site.settles_kills, site.tears_middles = not known_faults, known_faults
         self._budget = (scenario.voters - 1) // 2
@@ -243,14 +243,17 @@
             for _ in range(self._scenario.spares):
                 await self._begin(next(self._names))
             await self._fill_log()
+            site.bytes_per_second = self._scenario.bytes_per_second
             self._spawn(self._watch())
-            for _ in range(2):
-                self._spawn(self._propose())
+            self._spawn(self._propose())
             await self._sleep(1.0)
             for position, event in enumerate(self._scenario.events):
                 await self._play(event, position in self._scenario.overlaps)
             await self._play_final(self._scenario.final)
             await self._check_end()
+        except ViolationError:
+            self._note_members()
+            raise
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -317,6 +320,7 @@
     # Load.
 
     async def _fill_log(self) -> None:
+        """Store entries on all members, over links at full speed."""
         for _ in range(0, self._scenario.large_entries, 10):
             await asyncio.gather(
                 *(self._put(LARGE_ENTRY_BYTES // 2) for _ in range(10))
@@ -636,6 +640,19 @@
             lambda: len(self._acknowledged) > count, RECOVER_SECONDS, "commit"
         )
 
+    def _note_members(self) -> None:
+        for machine in self._present():
+            core = None if machine.member is None else machine.member._core
+            if core is None:
+                self._note(f"{machine.name}: no member")
+                continue
+            log, groups = core.log, core.configuration.voter_groups
+            self._note(
+                f"{core.id}: {core.role.value} in term {core.term}, log "
+                f"{log.base_index} to {log.last_index}, committed "
+                f"{core.commit_index}, voters {groups}"
+            )
+
     def _note(self, line: str) -> None:
         self.trace.append(f"{self._now:8.3f} {line}")
 
@@ -675,22 +692,26 @@
 def generate(seed: int, voters: int = 3) -> Scenario:
     """Return the scenario of a seed."""
     source = random.Random(seed)
-    large = source.choice((0, 0, 0, 70))
-    events = tuple(_generate_event(source) for _ in range(source.randrange(1, 7)))
+    large = source.choice((0, 0, 100))
+    packet_loss = source.choice((0.0, 0.0, 0.025))
+    throughput = source.choice((600_000.0, float("inf"))) if large else float("inf")
+    events: list[Event] = []
+    for _ in range(source.randrange(1, 6)):
+        events.extend(_generate_events(source))
     return Scenario(
-        events,
+        tuple(events),
         Final(
             tuple(_pick(source) for _ in range((voters - 1) // 2)),
             source.choice((None, None, *Unsynced)),
             _when(source),
         ),
-        frozenset(i for i in range(len(events)) if source.random() < 0.1),
+        frozenset(i for i in range(len(events)) if source.random() < 0.08),
         voters,
         source.choice((0, 0, 1)),
         large,
-        source.choice((10_000, 10_000, 300, 40)),
-        source.choice((float("inf"), 300_000.0)) if large else float("inf"),
-        source.choice((0.0, 0.0, 0.025)),
+        source.choice((10_000, 10_000, 300, 300 if large else 40)),
+        throughput,
+        packet_loss,
         source.choice((0.005, 0.005, 0.03)),
         source.choice((0.0, 0.002)),
         seed,
@@ -703,32 +724,52 @@
 
 def _when(source: random.Random) -> When:
     trigger = source.choice((Trigger.TIME, Trigger.TIME, *Trigger))
-    delay = source.choice((0.0, 0.1, source.uniform(0.0, 3.0)))
+    delay = source.choice((0.0, 0.0, 0.1, source.uniform(0.0, 3.0)))
     return When(round(delay, 3), trigger, source.choice((1, 2, 3, 5, 8, 20)))
 
 
-def _generate_event(source: random.Random) -> Event:
-    pick, when = _pick(source), _when(source)
+def _generate_events(source: random.Random) -> list[Event]:
+    """Return a fault, or an order to empty a machine beside a loss."""
+    if source.random() < 0.75:
+        return [_generate_fault(source, _pick(source))]
+    events: list[Event] = [Empty(_pick(source), _when(source))]
+    match source.randrange(4):
+        case 0 | 1:
+            events.insert(0, Join(_when(source)))
+        case 2:
+            events.insert(0, _generate_loss(source, Pick.NEWEST))
+        case _:
+            events.insert(0, _generate_loss(source, _pick(source)))
+    if source.random() < 0.7:
+        events.append(_generate_loss(source, Pick.RETIRING))
+    return events
+
+
+def _generate_loss(source: random.Random, pick: Pick) -> Event:
+    down = round(source.choice((0.3, 1.0, source.uniform(0.2, 8.0))), 3)
+    if source.random() < 0.5:
+        return Wipe(pick, min(down, 3.0), _when(source))
+    return Succeed(pick, down, _when(source))
+
+
+def _generate_fault(source: random.Random, pick: Pick) -> Event:
+    when = _when(source)
     down = round(source.choice((0.3, 1.0, source.uniform(0.2, 8.0))), 3)
-    match source.choices(range(9), (6, 4, 2, 2, 4, 1.5, 0.5, 2, 1))[0]:
+    match source.choices(range(7), (10, 2, 2, 4, 1.5, 0.5, 1))[0]:
         case 0:
-            return Wipe(pick, min(down, 3.0), when)
+            return _generate_loss(source, pick)
         case 1:
-            return Succeed(pick, down, when)
-        case 2:
             return LosePower(pick, source.choice(tuple(Unsynced)), down, when)
-        case 3:
+        case 2:
             return Kill(pick, min(down, 1.0), when)
-        case 4:
+        case 3:
             return _generate_impairment(source, pick, down, when)
-        case 5:
+        case 4:
             voters_only = source.random() < 0.3
             unsynced = source.choice(tuple(Unsynced))
             return AllLosePower(unsynced, voters_only, min(down, 3.0), when)
-        case 6:
+        case 5:
             return AllKilled(when)
-        case 7:
-            return Empty(pick, when)
         case _:
             return Join(when)
 
@@ -737,7 +778,7 @@
     source: random.Random, pick: Pick, seconds: float, when: When
 ) -> Impair:
     cuts = (Link(True, True), Link(cut_in=True), Link(cut_out=True))
-    slow = Link(bytes_per_second=source.choice((100_000.0, 20_000.0)))
+    slow = Link(bytes_per_second=source.choice((600_000.0, 20_000.0)))
     lossy = Link(packet_loss=source.choice((0.05, 0.3)), latency_seconds=0.05)
     # A trigger by an operation would take the machine's power.
     if when.trigger is not Trigger.CHANGE:
@@ -807,9 +848,13 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--voters", type=int, default=3)
     parser.add_argument("--known-faults", action="store_true")
+    parser.add_argument("--fault", choices=FORMER_FAULTS, help="put a fault back")
+    parser.add_argument("--stop", action="store_true", help="end at the first one")
     parser.add_argument("--trace", action="store_true")
     parser.add_argument("--no-shrink", action="store_true")
     options = parser.parse_args()
+    if options.fault:
+        FORMER_FAULTS[options.fault]().__enter__()
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
     )
@@ -823,7 +868,8 @@
         if found is None:
             continue
         broken += 1
-        print(f"seed {seed}: {found}", flush=True)
+        seconds = time.monotonic() - started_at
+        print(f"seed {seed}, after {seconds:.0f} s: {found}", flush=True)
         if not options.no_shrink:
             smaller = shrink(
                 scenario,
@@ -831,8 +877,12 @@
             )
             found, trace = play_with_trace(smaller, known_faults=options.known_faults)
             print(smaller, found, *trace, sep="\n", flush=True)
+        if options.stop:
+            break
     seconds = time.monotonic() - started_at
-    print(f"{options.seeds} sequences, {broken} broke a rule, {seconds:.0f} s")
+    print(
+        f"{seed - options.first + 1} sequences, {broken} broke a rule, {seconds:.0f} s"
+    )
 
 
 if __name__ == "__main__":
--- a/tests/fleet/machines.py
+++ b/tests/fleet/machines.py
@@ -46,6 +46,9 @@
 """Times at which the first packet of a connection is sent, and at which the
 attempt is given up."""
 
+LARGE_MESSAGE_BYTES = 4096
+"""Size from which messages to a machine follow each other on its link."""
+
 MAX_SEEDS = 3
 
 
@@ -229,6 +232,7 @@
         """Whether a later part of a write may be on the disk without an
         earlier one."""
         self._messages_left: dict[str, int] = {}
+        self._link_free_at: dict[str, float] = {}
         self._earliest: dict[tuple[int, str], float] = {}
         self._random = random.Random(11)
 
@@ -248,9 +252,16 @@
         links = (sender.link, receiver.link)
         throughput = min(self.bytes_per_second, *(k.bytes_per_second for k in links))
         seconds = self.latency_seconds + sum(k.latency_seconds for k in links)
-        seconds += size / throughput
         loss = max(self.packet_loss, *(link.packet_loss for link in links))
         now = asyncio.get_running_loop().time()
+        if size >= LARGE_MESSAGE_BYTES and throughput < float("inf"):
+            # The connections share the link; small messages go in between.
+            free_at = max(now, self._link_free_at.get(receiver.name, 0.0))
+            free_at += size / throughput
+            self._link_free_at[receiver.name] = free_at
+            seconds += free_at - now
+        else:
+            seconds += size / throughput
         if loss:
             seconds += self._seconds_lost(size, loss)
         if connection:
@@ -283,10 +294,10 @@
     async def begin(self, name: str, *, first_start: bool = False) -> None:
         """Start a machine's process; the machine is new unless it is known."""
         machine = self.machines_by_name.setdefault(name, Machine(name))
+        number = machine.number
         if machine.ending is not None:
             await machine.ending
-            machine.ending = None
-        if name in self.running:
+        if name in self.running or machine.number != number:
             return
         machine.has_power = True
         machine.number += 1
@@ -351,10 +362,11 @@
         self._messages_left.pop(machine.name, None)
         machine.member = machine.manager = None
         member = self.running.pop(machine.name, None)
-        if member is not None:
-            tasks = tuple(machine.tasks)
-            machine.tasks.clear()
-            machine.ending = asyncio.create_task(_stop(member, tasks))
+        tasks = tuple(machine.tasks)
+        machine.tasks.clear()
+        if member is not None or tasks:
+            stop = _stop(member, tasks, machine.ending)
+            machine.ending = asyncio.create_task(stop)
 
     def crash_at_operation(
         self, machine: Machine, number: int, *, after: bool, crash: Callable[[], None]
@@ -391,8 +403,15 @@
         await super().close()
 
 
-async def _stop(member: ControlMember, tasks: tuple[asyncio.Task[None], ...]) -> None:
+async def _stop(
+    member: ControlMember | None,
+    tasks: tuple[asyncio.Task[None], ...],
+    earlier: asyncio.Task[None] | None,
+) -> None:
+    if earlier is not None:
+        await earlier
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    await member.stop()
+    if member is not None:
+        await member.stop()
