--- a/tests/fleet/losses.py
+++ b/tests/fleet/losses.py
@@ -556,8 +556,8 @@
             for machine in machines:
                 if machine.name not in self._site.machines_by_name:
                     continue
-                if machine.name not in self._site.running:
-                    continue  # It is down already.
+                if not machine.runs:
+                    continue
                 losses.append((machine, self._begin_loss(machine.name)))
                 if isinstance(event, AllLosePower):
                     self._site.lose_power(machine, event.unsynced)
@@ -714,7 +714,7 @@
         throughput,
         packet_loss,
         source.choice((0.005, 0.005, 0.03)),
-        source.choice((0.0, 0.002)),
+        source.choice((0.0, 0.002, 0.02)),
         seed,
     )
 
@@ -729,6 +729,13 @@
     return When(round(delay, 3), trigger, source.choice((1, 2, 3, 5, 8, 20)))
 
 
+def _during_a_write(source: random.Random, when: When) -> When:
+    if source.random() < 0.4:
+        return when
+    operation = source.choice((Trigger.BEFORE_OPERATION, Trigger.AFTER_OPERATION))
+    return replace(when, trigger=operation)
+
+
 def _generate_events(source: random.Random) -> list[Event]:
     """Return a fault, or an order to empty a machine beside a loss."""
     if source.random() < 0.75:
@@ -760,7 +767,8 @@
         case 0:
             return _generate_loss(source, pick)
         case 1:
-            return LosePower(pick, source.choice(tuple(Unsynced)), down, when)
+            unsynced = source.choice(tuple(Unsynced))
+            return LosePower(pick, unsynced, down, _during_a_write(source, when))
         case 2:
             return Kill(pick, min(down, 1.0), when)
         case 3:
@@ -768,6 +776,7 @@
         case 4:
             voters_only = source.random() < 0.3
             unsynced = source.choice(tuple(Unsynced))
+            when = _during_a_write(source, when)
             return AllLosePower(unsynced, voters_only, min(down, 3.0), when)
         case 5:
             return AllKilled(when)
--- a/tests/fleet/machines.py
+++ b/tests/fleet/machines.py
@@ -9,8 +9,9 @@
 import random
 from collections.abc import AsyncIterator, Callable, Coroutine
 from concurrent.futures import Executor, Future
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import pairwise
 from typing import Any
 
@@ -77,18 +78,21 @@
         future: Future[Any] = Future()
 
         def work() -> None:
-            if future.cancelled() or self._number != self._machine.number:
+            machine = self._machine
+            if future.cancelled() or self._number != machine.number:
                 return
+            machine.disk_work = None
             try:
                 future.set_result(fn(*args, **kwargs))
             except Exception as error:
                 future.set_exception(error)
             except Crash:
-                assert self._machine.on_crash is not None
-                self._machine.on_crash()
+                assert machine.on_crash is not None
+                machine.on_crash()
 
         seconds = self._machine.disk_seconds
         if seconds:
+            self._machine.disk_work = partial(fn, *args, **kwargs)
             asyncio.get_running_loop().call_later(seconds, work)
         else:
             work()
@@ -104,7 +108,11 @@
     number: int = 0
     """Grows with each start and each end of a process."""
     has_power: bool = True
+    runs: bool = False
+    """Whether a process runs or starts."""
     disk_seconds: float = 0.0
+    disk_work: Callable[[], object] | None = None
+    """Work of the disk that has begun and takes ``disk_seconds``."""
     link: Link = Link()
     member: ControlMember | None = None
     manager: MembershipManager | None = None
@@ -113,6 +121,16 @@
     ending: asyncio.Task[None] | None = None
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def interrupt_disk_work(self, random_source: random.Random) -> None:
+        """Do a part of the work that the end of the process interrupts."""
+        work, self.disk_work = self.disk_work, None
+        if work is None:
+            return
+        last = len(self.files.operations) + random_source.randrange(1, 6)
+        self.files.fault = Fault(last, crash_after=True)
+        with suppress(Crash, Exception):
+            work()
+
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(coroutine)
         self.tasks.add(task)
@@ -297,9 +315,9 @@
         number = machine.number
         if machine.ending is not None:
             await machine.ending
-        if name in self.running or machine.number != number:
+        if machine.runs or machine.number != number:
             return
-        machine.has_power = True
+        machine.has_power = machine.runs = True
         machine.number += 1
         machine.started_at = self.clock.monotonic()
         self.files_by_instance[name] = machine.files
@@ -337,6 +355,7 @@
 
     def kill(self, machine: Machine) -> None:
         """End the process; its files stay as they are."""
+        machine.interrupt_disk_work(self._random)
         machine.files = machine.files.after_kill()
         if self.settles_kills:
             machine.files.sync_all()
@@ -346,6 +365,7 @@
         """End the process, and lose what was not synced."""
         if unsynced is Unsynced.TORN and not self.tears_middles:
             unsynced = Unsynced.PREFIX
+        machine.interrupt_disk_work(self._random)
         machine.files = machine.files.after_power_loss(self._random, unsynced)
         machine.has_power = False
         self._end(machine)
@@ -358,12 +378,16 @@
 
     def _end(self, machine: Machine) -> None:
         machine.number += 1
+        machine.runs = False
+        machine.disk_work = None
         machine.on_crash = None
         self._messages_left.pop(machine.name, None)
         machine.member = machine.manager = None
         member = self.running.pop(machine.name, None)
         tasks = tuple(machine.tasks)
         machine.tasks.clear()
+        for task in tasks:
+            task.cancel()
         if member is not None or tasks:
             stop = _stop(member, tasks, machine.ending)
             machine.ending = asyncio.create_task(stop)
@@ -410,8 +434,6 @@
 ) -> None:
     if earlier is not None:
         await earlier
-    for task in tasks:
-        task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     if member is not None:
         await member.stop()
