--- a/tests/fleet/former_faults.py
+++ b/tests/fleet/former_faults.py
@@ -1,6 +1,6 @@
 """Faults of former incidents, put back for a search that has to find them."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from collections.abc import Set as AbstractSet
 from contextlib import AbstractContextManager, ExitStack
 from dataclasses import replace
@@ -17,6 +17,7 @@
     MembershipChange,
     Replace,
     _Facts,
+    has_enough_sound_voters,
     next_membership_change,
 )
 
@@ -28,16 +29,25 @@
     return lambda: mock.patch(name, policy)
 
 
-def _trust_silent_voters(
-    members: Sequence[MemberFacts], *arguments: Any
-) -> MembershipChange | None:
-    trusted = [
+def _with_trusted_voters(members: Iterable[MemberFacts]) -> list[MemberFacts]:
+    return [
         replace(member, caught_up=True)
         if member.voter and member.silent_seconds <= LOST_VOTER_SECONDS
         else member
         for member in members
     ]
-    return next_membership_change(trusted, *arguments)
+
+
+def _trust_silent_voters(
+    members: Sequence[MemberFacts], *arguments: Any
+) -> MembershipChange | None:
+    return next_membership_change(_with_trusted_voters(members), *arguments)
+
+
+def _has_enough_trusted_voters(
+    members: Iterable[MemberFacts], wanted_voters: int
+) -> bool:
+    return has_enough_sound_voters(_with_trusted_voters(members), wanted_voters)
 
 
 def _drop_lost_voter_first(
@@ -77,7 +87,14 @@
     return enter
 
 
-_SILENT_VOTERS_STAY = _patch_policy(_trust_silent_voters)
+_SILENT_VOTERS_STAY = _patch_all(
+    _patch_policy(_trust_silent_voters),
+    partial(
+        mock.patch,
+        "goldcrestyard.fleet.assembly.manager.has_enough_sound_voters",
+        _has_enough_trusted_voters,
+    ),
+)
 _GONE_MACHINES_COUNT: Patch = partial(
     mock.patch.object, MembershipManager, "_remaining_instances", _all_machines
 )
--- a/tests/fleet/test_losses.py
+++ b/tests/fleet/test_losses.py
@@ -49,6 +49,16 @@
     seed=15,
 )
 
+LOST_WHILE_ANOTHER_IS_EMPTIED = Scenario(
+    (
+        Succeed(Pick.NEWEST, 1.0),
+        Empty(Pick.VOTER, When(2.775)),
+        Succeed(Pick.LEADER, 1.0),
+    ),
+    Final((Pick.LEADER,)),
+    seed=15,
+)
+
 DISK_LOST_DURING_A_COPY = Scenario(
     (Wipe(Pick.LEARNER, 1.0),),
     Final((Pick.VOTER,)),
@@ -58,11 +68,12 @@
 )
 
 FORMER_INCIDENTS = [
+    ("silent_voters_stay", LOST_WHILE_ANOTHER_IS_EMPTIED),
     ("retiring_stay_out", EMPTIED_WHILE_WIPED),
     ("lost_voter_is_dropped_first", EMPTIED_WHILE_TWO_ARE_REPLACED),
     ("vote_waits_for_the_copy", DISK_LOST_DURING_A_COPY),
 ]
-"""Sequences that the search found with a former fault put back, shortened."""
+"""Sequences that show a former fault once it is put back, shortened."""
 
 
 class LossesTests(unittest.TestCase):
