--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -447,6 +447,10 @@
 
         Once it has accepted a message, replication is pipelined: sent entries
         count as received until the member rejects them.
+
+        A heartbeat has no entries while others are in flight: during a copy
+        they wait on the link for longer than an election timeout, and the
+        lease starts at the sending.  Its reply lets further ones follow.
         """
         if progress.snapshot is not None:
             return
@@ -455,7 +459,9 @@
         if previous_term is None:
             self._send_snapshot_chunk(now, member_id, progress)
             return
-        entries = progress.next_batch(self.log)
+        entries: tuple[Entry, ...] = ()
+        if not (heartbeat and progress.has_entries_in_flight):
+            entries = progress.next_batch(self.log)
         if not entries and not heartbeat:
             return
         progress.record_sent(entries, now)
--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -185,6 +185,11 @@
         self._unacknowledged.clear()
         self._unacknowledged_bytes = 0
 
+    @property
+    def has_entries_in_flight(self) -> bool:
+        """Whether the member has not answered messages with entries."""
+        return bool(self._unacknowledged) or self._probe is not None
+
     def _is_window_full(self) -> bool:
         return (
             self.next_index - self.match_index > MAX_UNACKNOWLEDGED_ENTRIES
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -53,6 +53,7 @@
     PersistentState,
     select_save_effects,
 )
+from goldcrestyard.consensus.progress import MAX_ENTRIES_BYTES
 from goldcrestyard.consensus.roles import Role
 from goldcrestyard.consensus.timing import Timing
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
@@ -386,6 +387,29 @@
         self.assertEqual(received, b"0123456789")
         self.assertEqual(subject.progress_by_id[C].match_index, 4)
 
+    def test_heartbeat_has_no_entries_during_a_copy(self) -> None:
+        """Guards against heartbeats that wait behind entries on a link.
+
+        A leader that needs the copying member's answers stepped down each
+        time that its entries took longer than an election timeout.
+        """
+        subject = make_member(1)
+        now = elect_leader(subject)
+        acknowledge_log(subject, now, B, now)
+        payload = bytes(MAX_ENTRIES_BYTES)
+        for number in range(3):
+            subject.step(now, Propose(((number, payload),)))
+        stored = AppendReply(subject.term, True, LogIndex(1), Term(0), now)
+        step(subject, now, C, stored)
+        now = subject.next_tick_at
+        counts = [
+            len(effect.message.entries)
+            for effect in subject.step(now, Tick())
+            if isinstance(effect, Send) and effect.receiver == C
+            if isinstance(effect.message, Append)
+        ]
+        self.assertEqual(counts, [0])
+
     def test_snapshot_transfer_goes_on_in_the_next_term_of_its_sender(self) -> None:
         """Guards against a copy that begins again with each election.
 
--- a/tests/fleet/test_losses.py
+++ b/tests/fleet/test_losses.py
@@ -76,6 +76,27 @@
 """Sequences that show a former fault once it is put back, shortened."""
 
 
+COPYING_VOTER_IS_LOST = Scenario(
+    (Succeed(Pick.LEADER, 1.0), Wipe(Pick.RETIRING, 0.3)),
+    Final((Pick.LEARNER,)),
+    large_entries=100,
+    bytes_per_second=600_000.0,
+    packet_loss=0.025,
+    latency_seconds=0.03,
+    disk_seconds=0.02,
+    seed=3006,
+)
+
+FOUND = [
+    # Heartbeats waited behind the entries of a copy, so a leader that needed
+    # the copying voter lost its lease again and again, and the copy stood
+    # still during each election.
+    ("heartbeats_wait_for_a_copy", COPYING_VOTER_IS_LOST),
+    ("heartbeats_wait_for_a_copy_as_found", generate(3028)),
+]
+"""Sequences that the search found, shortened unless the name says so."""
+
+
 class LossesTests(unittest.TestCase):
     """Sequences of losses that end with a leader that has all entries."""
 
@@ -93,6 +114,11 @@
         """Guards against losses within the budget that end the cluster."""
         self.assertIsNone(play(generate(seed, voters)))
 
+    @parameterized.expand(FOUND)
+    def test_found_losses(self, _: str, scenario: Scenario) -> None:
+        """Guards against the return of a fault that the search has found."""
+        self.assertIsNone(play(scenario))
+
     @parameterized.expand(FORMER_INCIDENTS)
     def test_former_incident(self, _: str, scenario: Scenario) -> None:
         """Guards against the return of a former incident."""
