--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -14,6 +14,9 @@
 WEIGHT_LOAD_SECONDS = 0.2
 REQUEST_ID_HEADER = "X-Goldcrestyard-Attempt-Id"
 LEAVING_HEADER = "Server-Leaving"
+MAX_BODY_BYTES = 32 * 1024 * 1024
+"""Largest body that a target takes, as the platform allows it."""
+
 SOFTWARE = "v1"
 """Software version of a target that is given none."""
 
@@ -102,7 +105,7 @@
 
     async def listen(self, port: int = 0) -> None:
         """Listen on a port, by default a free one."""
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
         app.router.add_route("*", "/{path:.*}", self._serve)
