Give up slow request bodies when others find no room

Cause: a body takes its declared size from the room with its first byte and keeps it as long as one byte comes within the idle time-out. A few clients that drip thus keep every ordinary body over 64 kB out for as long as they like, and many small ones every request, whose head finds no room either.

Seen: test_untrusted_bodies, crowds drips and small_drips at front and ctl, 503 to an ordinary body for 40 s.

policy/arrivals.py decides which incomplete bodies end once something finds no room: those that by their recent rate take longest, older than 2 s and not on course to be whole within 20 s. They are refused 503, not run. A slow body in calm stays served. Both front ends read bodies through receive_body now.

Ruled out: memory as the cause of these four; it stays at 58 to 84 of 100 MB.

Remains: bodies that are whole within 20 s, and whole ones that wait at a target, keep their room. A crowd that comes again competes with ordinary callers for each place that becomes free.

--- a/goldcrestyard/fleet/memory/apps.py
+++ b/goldcrestyard/fleet/memory/apps.py
@@ -35,6 +35,7 @@
             lambda reason: metrics.refused_connections.labels(reason.value).inc()
         )
         metrics.bodies_bytes.set_function(lambda: room.held)
+        room.observers.append(metrics.slow_bodies.inc)
         if member is not None:
             metrics.proposals_bytes.set_function(lambda: member.proposals_bytes)
             metrics.log_bytes.set_function(lambda: member.log_bytes)
--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -187,6 +187,11 @@
             "Connections refused before their request was parsed, by reason.",
             ("reason",),
         )
+        self.slow_bodies = self._counter(
+            "slow_bodies",
+            "Request bodies that arrived too slowly and were given up for others.",
+            (),
+        )
         self.jobs_bytes = self._gauge(
             "jobs_bytes", "Bytes of the jobs that this control member keeps."
         )
--- a/goldcrestyard/kernel/byte_room.py
+++ b/goldcrestyard/kernel/byte_room.py
@@ -1,9 +1,21 @@
 """Room in a process's memory for bytes that others send.
 
 Requests and answers in progress share one room, so that many of them, or a
-few large ones, cannot exceed the memory of the process together.
+few large ones, cannot exceed the memory of the process together.  Bodies that
+arrive too slowly give up their bytes once others need them.
 """
 
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import structlog
+
+from goldcrestyard.policy.arrivals import Arrival, bodies_to_end
+
+logger = structlog.get_logger(__name__)
+
 SMALL_BYTES = 64 * 1024
 """Size up to which a body counts as small."""
 
@@ -12,12 +24,61 @@
 do not keep out all others."""
 
 
+LOG_INTERVAL_SECONDS = 10.0
+"""Shortest time between two log lines on bodies that were given up."""
+
+
+@dataclass(frozen=True, slots=True)
+class ArrivingBody:
+    """A body that has not arrived whole, and what ends its arrival."""
+
+    arrival: Arrival
+    end: Callable[[], None]
+
+
 class ByteRoom:
     """Counts the bytes that are held, up to a capacity."""
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
         self.held = 0
+        self.arriving_by_lease: dict[ByteLease, ArrivingBody] = {}
+        """The bodies that may be given up in favour of others."""
+        self.observers: list[Callable[[], None]] = []
+        """Called for each body that was given up."""
+        self._unlogged = 0
+        self._logged_at: float | None = None
+
+    def make_room(self, missing: int, lease: "ByteLease") -> bool:
+        """Give up slow bodies in favour of a lease; return whether it fits."""
+        if not self.arriving_by_lease:
+            return False
+        now = asyncio.get_running_loop().time()
+        arrivals = (
+            (other, body.arrival, other.held)
+            for other, body in self.arriving_by_lease.items()
+        )
+        ended = bodies_to_end(arrivals, missing, lease, now)
+        for other in ended:
+            self.arriving_by_lease.pop(other).end()
+            other.release()
+            for observe in self.observers:
+                observe()
+        if ended:
+            self._log(len(ended), now)
+        return bool(ended)
+
+    def _log(self, count: int, now: float) -> None:
+        self._unlogged += count
+        if self._logged_at is None or now - self._logged_at >= LOG_INTERVAL_SECONDS:
+            self._logged_at = now
+            logger.warning(
+                "slow request bodies given up for others",
+                count=self._unlogged,
+                held_bytes=self.held,
+                max_bytes=self.capacity,
+            )
+            self._unlogged = 0
 
     def lease(self) -> "ByteLease":
         """Return a lease that holds nothing yet."""
@@ -37,7 +98,8 @@
         usable = room.capacity
         if self.held + size > SMALL_BYTES:
             usable -= int(SMALL_BODIES_SHARE * room.capacity)
-        if room.held + size > usable:
+        missing = room.held + size - usable
+        if missing > 0 and not room.make_room(missing, self):
             return False
         self.add(size)
         return True
@@ -54,6 +116,15 @@
         self.held += size
         self._room.held += size
 
+    @contextlib.contextmanager
+    def arriving(self, body: ArrivingBody) -> Iterator[None]:
+        """Let the bytes be given up in favour of others meanwhile."""
+        self._room.arriving_by_lease[self] = body
+        try:
+            yield
+        finally:
+            self._room.arriving_by_lease.pop(self, None)
+
     def release(self) -> None:
         """Give all bytes back; doing so again changes nothing."""
         self._room.held -= self.held
--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -39,7 +39,6 @@
     json_response,
     refusal_response,
 )
-from goldcrestyard.platform.bodies import NO_ROOM
 from goldcrestyard.platform.callers.requests import host_of, key_of, path_of
 from goldcrestyard.platform.names import (
     ITEM_PATH,
@@ -47,6 +46,7 @@
     RESULTS_PATH,
     WAIT_HEADER,
 )
+from goldcrestyard.plugins.listeners.bodies import NO_ROOM
 from goldcrestyard.plugins.listeners.connections import lease_of
 from goldcrestyard.state.commands import Accepted, Command, Rejected
 
--- a/goldcrestyard/plugins/listeners/bodies.py
+++ b/goldcrestyard/plugins/listeners/bodies.py
@@ -9,6 +9,9 @@
 
 from goldcrestyard.core.decoding import Malformed, decode_json
 from goldcrestyard.core.refusals import Refusal, RefusalReason
+from goldcrestyard.kernel.byte_room import ArrivingBody
+from goldcrestyard.plugins.listeners.connections import lease_of
+from goldcrestyard.policy.arrivals import Arrival
 
 T = TypeVar("T")
 
@@ -24,6 +27,86 @@
 BODY_LIMITS = web.AppKey("body_limits", BodyLimits)
 
 
+RETRY_AFTER_SECONDS = 0.3
+"""Advice to a caller whose body found no room."""
+
+NO_ROOM = Refusal(
+    RefusalReason.NO_ROOM,
+    "no room for the body beside those of other requests",
+    retry_after_seconds=RETRY_AFTER_SECONDS,
+)
+
+TOO_SLOW = Refusal(
+    RefusalReason.NO_ROOM,
+    "the body arrived too slowly while others found no room",
+    retry_after_seconds=RETRY_AFTER_SECONDS,
+)
+
+
+async def receive_body(
+    request: web.BaseRequest, max_bytes: int, idle_seconds: float
+) -> bytes | Refusal:
+    """Return the body, or a refusal if it is too large or truncated.
+
+    A body that finds no room is refused: at once if its length is known, else
+    as soon as it has grown too large.  One that arrives slowly is refused once
+    others find no room, and one of which nothing arrives for ``idle_seconds``
+    in any case.
+    """
+    expected = request.content_length or 0
+    if expected > max_bytes:
+        return _too_large(max_bytes)
+    lease = lease_of(request)
+    if not lease.grow(expected):
+        return NO_ROOM
+    loop = asyncio.get_running_loop()
+    arrival = Arrival(loop.time(), expected)
+    is_ended = False
+    body = bytearray()
+    try:
+        async with asyncio.timeout(idle_seconds) as idle:
+
+            def end() -> None:
+                nonlocal is_ended
+                is_ended = True
+                if not idle.expired():
+                    idle.reschedule(loop.time())
+
+            with lease.arriving(ArrivingBody(arrival, end)):
+                while chunk := await _next_chunk(request):
+                    if is_ended:
+                        return TOO_SLOW
+                    body += chunk
+                    if len(body) > max_bytes:
+                        return _too_large(max_bytes)
+                    arrival.add(loop.time(), len(chunk))
+                    excess = len(body) - expected
+                    if excess > 0 and not lease.grow(min(excess, len(chunk))):
+                        return NO_ROOM
+                    idle.reschedule(loop.time() + idle_seconds)
+    except (web.RequestPayloadError, ConnectionError) as error:
+        return Refusal(RefusalReason.BAD_REQUEST, f"the body is incomplete: {error}")
+    except TimeoutError:
+        if is_ended:
+            return TOO_SLOW
+        return Refusal(
+            RefusalReason.BAD_REQUEST, f"nothing of the body came for {idle_seconds} s"
+        )
+    return TOO_SLOW if is_ended else bytes(body)
+
+
+def _too_large(max_bytes: int) -> Refusal:
+    return Refusal(RefusalReason.BODY_TOO_LARGE, f"the body exceeds {max_bytes} bytes")
+
+
+async def _next_chunk(request: web.BaseRequest) -> bytes:
+    """Return the next part of the body; empty at its end."""
+    while not (chunk := await request.content.readany()):
+        if request.content.at_eof():
+            return b""
+    return chunk
+
+
 async def read_body(request: web.Request) -> bytes | Refusal:
     """Return a request's body, or a refusal if it cannot be read.
 
@@ -31,23 +114,14 @@
     "not run" of these refusals is always correct.
     """
     limits = request.app[BODY_LIMITS]
-    too_large = Refusal(
-        RefusalReason.BODY_TOO_LARGE, f"the body exceeds {limits.max_bytes} bytes"
-    )
-    if (request.content_length or 0) > limits.max_bytes:
-        return too_large
     try:
         async with asyncio.timeout(limits.seconds):
-            return await request.read()
+            return await receive_body(request, limits.max_bytes, limits.seconds)
     except TimeoutError:
         return Refusal(
             RefusalReason.BAD_REQUEST,
             f"the body did not arrive within {limits.seconds} s",
         )
-    except web.HTTPRequestEntityTooLarge:
-        return too_large
-    except (web.RequestPayloadError, ConnectionError) as error:
-        return Refusal(RefusalReason.BAD_REQUEST, f"the body is incomplete: {error}")
 
 
 async def read_json(request: web.Request, expected: type[T]) -> T | Refusal:
--- a/tests/platform/test_body_room.py
+++ b/tests/platform/test_body_room.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import dataclass
+from unittest import mock
 
 from aiohttp import web
 from parameterized import parameterized
@@ -14,6 +15,7 @@
 from goldcrestyard.platform.bodies import read_body
 from goldcrestyard.plugins.listeners.connections import ConnectionLimits, lease_of
 from goldcrestyard.plugins.listeners.server import HandlerListener
+from goldcrestyard.policy import arrivals
 from tests.fakes.quiet_logs import quiet_logs
 
 CAPACITY = 2_000_000
@@ -120,6 +122,49 @@
             self.assertIn(b"400", await reader.readline())
         await self._wait(lambda: self.room.held == 0)
 
+    @parameterized.expand(
+        [
+            ("known_length", post(LARGE_BYTES) + b"x" * (LARGE_BYTES - 1)),
+            ("chunks", CHUNKED + LARGE_CHUNK),
+        ]
+    )
+    async def test_slow_bodies_make_room_for_others(self, _: str, slow: bytes) -> None:
+        """Guards against clients that keep the room by a byte now and then."""
+        given_up: list[bool] = []
+        self.room.observers.append(lambda: given_up.append(True))
+        readers = [await self._send(slow) for _ in range(2)]
+        await self._wait(lambda: self.room.held >= 2 * LARGE_BYTES)
+        now = asyncio.get_running_loop().time
+        with mock.patch.multiple(arrivals, GRACE_SECONDS=0.0, WINDOW_SECONDS=0.1):
+            await self._wait(
+                lambda: all(
+                    body.arrival.may_end(now())
+                    for body in self.room.arriving_by_lease.values()
+                )
+            )
+            reader = await self._send(post(LARGE_BYTES, "/") + b"x" * LARGE_BYTES)
+            async with asyncio.timeout(DEADLINE_SECONDS):
+                self.assertIn(b"200 OK", await reader.readline())
+        self.assertEqual(given_up, [True])
+        refused = [reader for reader in readers if await self._is_refused(reader)]
+        self.assertEqual(len(refused), 1)
+        self.assertEqual(self.handled, 1)
+        for writer in self.writers:
+            writer.close()
+        await self._wait(lambda: self.room.held == 0)
+        self.assertFalse(self.room.arriving_by_lease)
+
+    async def test_crowd_that_comes_again_leaves_the_room_empty(self) -> None:
+        """Guards against bytes of a closed connection that stay counted."""
+        for sent in (post(LARGE_BYTES) + b"x", CHUNKED + LARGE_CHUNK, HEAD[:-9]) * 3:
+            for _ in range(4):
+                await self._send(sent)
+            await self._wait(lambda: self.room.held > 0)
+            for writer in self.writers:
+                writer.transport.abort()
+            await self._wait(lambda: self.room.held == 0)
+            self.assertFalse(self.room.arriving_by_lease)
+
     async def test_answer_that_is_not_read_keeps_its_room(self) -> None:
         reader = await self._send(post(0, "/large"))
         await self._wait(lambda: self.handled == 1)
