Count request bodies of goldcrestd in one room

Cause: the listeners of goldcrestd read bodies with request.read(), which takes nothing from any room, and each had a room of a fixed size of its own. Thirty bodies of 3 MB exceed a process of 110 MB.

Seen: test_untrusted_bodies, daemon_public and daemon_admin.

Both listeners now share one room by memory.process_bytes. Metrics: bytes held and slow bodies given up.

With little memory (about 130 MB) a body of the default listeners.max_body_bytes, 16 MiB, no longer finds room; the settings are not checked for that. Answers of goldcrestd are not counted here.

--- a/goldcrestyard/plugins/listeners/apps.py
+++ b/goldcrestyard/plugins/listeners/apps.py
@@ -5,7 +5,9 @@
 from goldcrestyard.core.states import InstanceState
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.kernel.connection_places import ConnectionPlaces
+from goldcrestyard.kernel.default_settings import process_bytes
 from goldcrestyard.plugins.listeners import checks
 from goldcrestyard.plugins.listeners.bodies import BodyLimits, json_answer
 from goldcrestyard.plugins.listeners.connections import ConnectionLimits
@@ -13,6 +15,7 @@
 from goldcrestyard.plugins.listeners.routes import AdminRoutes, PublicRoutes
 from goldcrestyard.plugins.listeners.server import HttpListener
 from goldcrestyard.plugins.listeners.settings import ListenerSettings
+from goldcrestyard.policy.memory import entry_body_bytes
 
 
 class ListenersConfig(PluginConfig):
@@ -33,6 +36,9 @@
         limits = BodyLimits(settings.max_body_bytes, settings.body_seconds)
         app.provide(PublicRoutes, PublicRoutes(limits))
         app.provide(ConnectionPlaces, places_for(app.settings))
+        # Callers, trainers, targets and operators share it.
+        capacity = entry_body_bytes(process_bytes(app.settings))
+        app.provide(ByteRoom, ByteRoom(capacity))
         admin = app.provide(AdminRoutes, AdminRoutes(limits))
 
         async def healthz(_: web.Request) -> web.StreamResponse:
@@ -52,10 +58,11 @@
         limits = ConnectionLimits(
             settings.header_seconds, head_bytes=settings.max_head_bytes
         )
+        room = app.get(ByteRoom)
         places = app.get(ConnectionPlaces)
-        self._admin = HttpListener(app.get(AdminRoutes), limits, places=places)
+        self._admin = HttpListener(app.get(AdminRoutes), limits, room, places)
         await self._admin.open(settings.admin)
-        self._public = HttpListener(app.get(PublicRoutes), limits, places=places)
+        self._public = HttpListener(app.get(PublicRoutes), limits, room, places)
         await self._public.open(settings.public)
 
     async def leave(self, app: Application) -> None:
--- a/goldcrestyard/plugins/metrics/metrics.py
+++ b/goldcrestyard/plugins/metrics/metrics.py
@@ -56,6 +56,13 @@
             "Connections refused before their request was parsed, by reason.",
             ("reason",),
         )
+        self.bodies_bytes = self._gauge(
+            "bodies_bytes", "Bytes of requests in progress."
+        )
+        self.slow_bodies = self._counter(
+            "slow_bodies",
+            "Request bodies that arrived too slowly and were given up for others.",
+        )
         self.retries = self._counter(
             "retries", "Requests that this entry has sent again to another target."
         )
--- a/goldcrestyard/plugins/metrics/observers.py
+++ b/goldcrestyard/plugins/metrics/observers.py
@@ -5,6 +5,7 @@
 from goldcrestyard.consensus.control_member import ControlMember
 from goldcrestyard.core.states import TargetState
 from goldcrestyard.kernel.application import Application
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.kernel.connection_places import ConnectionPlaces
 from goldcrestyard.membership.change_feed import ChangeFeed
 from goldcrestyard.membership.entry_sessions import EntrySessions
@@ -50,6 +51,9 @@
     places.observers.append(
         lambda reason: metrics.refused_connections.labels(reason.value).inc()
     )
+    room = app.get(ByteRoom)
+    metrics.bodies_bytes.set_function(lambda: room.held)
+    room.observers.append(metrics.slow_bodies.inc)
     scheduler = app.get(Scheduler)
     metrics.in_flight.set_function(lambda: scheduler.in_flight)
     scheduler.observe_retries(metrics.retries.inc)
