--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -21,7 +21,10 @@
 
 MAX_PROCESSES = max(1, min(5, (os.cpu_count() or 2) // 2))
 
-RUN_ALONE = ("tests.platform.test_untrusted_clients",)
+RUN_ALONE = (
+    "tests.platform.test_unread_answers",
+    "tests.platform.test_untrusted_clients",
+)
 """Modules beside which no other runs, since their crowds of connections and
 the load of other modules would disturb each other."""
 
