Keep an answer counted until its client has read it

Cause: the transport takes up to 64 KiB of answers before the handler waits, the operating system up to 4 MB more of each connection (2.4 MB were seen), and the library keeps the last response, and a body read by request.read(), until the next request of the connection. None of it was counted, since the lease ends with the response. Found by counting the pages at a front whose clients do not read: room 0 MB, memory 1.6 MB a connection.

Now the next request begins once the operating system has taken the whole answer, the system holds 16 KiB that are not in transit (TCP_NOTSENT_LOWAT, so fast clients are not slowed down), and the body is dropped after the answer.

The three unit tests fail without the change. tests.plugins.listeners and test_body_room pass.

Remains: nothing closes a connection that is never read.

--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, cast
@@ -60,6 +61,11 @@
 RETRY_AFTER_SECONDS = 1
 """When the caller of a process without room or place may come again."""
 
+UNSENT_KERNEL_BYTES = 16 * 1024
+"""Bytes that the operating system may hold for a client that does not read.
+It would take up to 4 MB of each connection, beside the memory of the process.
+Bytes in transit do not count, so that fast clients are not slowed down."""
+
 IDLE_TIMEOUT_SECONDS = 75.0
 """Time after which idle connections are closed.  It is longer than the usual
 client libraries keep theirs, so that the server does not close a connection
@@ -146,6 +152,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time-out for the head of the first request."""
         super().connection_made(transport)
+        assert isinstance(transport, asyncio.Transport)
+        # An answer ends, and the next request begins, once the operating
+        # system has taken all of it, so that its lease covers what waits here.
+        transport.set_write_buffer_limits(high=0)
+        connected = transport.get_extra_info("socket")
+        if connected is not None:
+            connected.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_KERNEL_BYTES
+            )
         self._set_read_bytes()
         self._start_head_timer()
 
@@ -382,6 +397,10 @@
             return await super().finish_response(request, resp, start_time)
         finally:
             self.active = False
+            # The library keeps both until the next request of the connection.
+            if isinstance(resp, web.Response):
+                resp.body = None
+            request._read_bytes = None
             self._refused_body = self._body
             self._body = None
             self._received_bytes = 0
