Refuse pages and configurations that find no room

Cause: a page of results and the configuration were encoded for each reader and counted, if at all, without asking for room. Readers that do not read their answers thus held as many of them as there are connections. They are refused 503 now, which is true: reading changes nothing.

--- a/goldcrestyard/platform/callers/jobs.py
+++ b/goldcrestyard/platform/callers/jobs.py
@@ -150,7 +150,13 @@
             return refusal_response(
                 Refusal(RefusalReason.BAD_REQUEST, "parameter 'after' is not a number")
             )
-        return await self._read(job, organisation, position, _wait_seconds(request))
+        page = await self._read(job, organisation, position, _wait_seconds(request))
+        if isinstance(page, Refusal):
+            return refusal_response(page)
+        body = submissions.encode(page)
+        if not lease_of(request).grow(len(body)):
+            return refusal_response(NO_ROOM)
+        return encoded_json_response(body)
 
     async def _read(
         self,
@@ -158,7 +164,7 @@
         organisation: OrganisationId | None,
         position: int,
         wait: float,
-    ) -> web.Response:
+    ) -> ResultsPage | Refusal:
         """Return cached results, requesting further ones from the leader.
 
         Listed results never change, so cached ones are returned even if the
@@ -175,26 +181,22 @@
                 self._cache.add(job, organisation, first, page)
                 if position < cached_count:
                     return self._cached_page(job, organisation, position)
-                return encoded_json_response(submissions.encode(page))
+                return page
             case NoSuchJob():
-                return refusal_response(UNKNOWN_JOB)
+                return UNKNOWN_JOB
             case reply:
                 logger.info(
                     "leader did not return the results", job=job, reply=str(reply)
                 )
                 if position < cached_count:
                     return self._cached_page(job, organisation, position)
-                return refusal_response(LEADER_UNAVAILABLE)
+                return LEADER_UNAVAILABLE
 
     def _cached_page(
         self, job: JobId, organisation: OrganisationId | None, position: int
-    ) -> web.Response:
+    ) -> ResultsPage | Refusal:
         page = self._cache.page(job, organisation, position)
-        return (
-            refusal_response(LEADER_UNAVAILABLE)
-            if page is None
-            else encoded_json_response(submissions.encode(page))
-        )
+        return LEADER_UNAVAILABLE if page is None else page
 
     async def item(self, request: web.BaseRequest) -> web.Response:
         """Answer with the body of an item that has no result yet."""
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -37,7 +37,7 @@
     json_response,
     refusal_response,
 )
-from goldcrestyard.platform.bodies import read_body
+from goldcrestyard.platform.bodies import NO_ROOM, read_body
 from goldcrestyard.platform.names import (
     CONFIG_PATH,
     DIRECTORY_PATH,
@@ -47,6 +47,7 @@
     TOKEN_PARAMETER,
     VERSION_PATH,
 )
+from goldcrestyard.plugins.listeners.connections import lease_of
 from goldcrestyard.state.commands import Command, Rejected
 
 logger = structlog.get_logger(__name__)
@@ -109,7 +110,7 @@
             case "PUT", path if path == CONFIG_PATH:
                 return await self._put_config(body)
             case "GET", path if path == CONFIG_PATH:
-                return self._get_config()
+                return self._get_config(request)
             case "POST", path if path == VERSION_PATH:
                 return await self._name_version(body)
             case "PUT", path if path.startswith(HEARTBEAT_PATH):
@@ -152,10 +153,13 @@
         logger.info("configuration accepted", version=config.version, held=held)
         return json_response({})
 
-    def _get_config(self) -> web.Response:
+    def _get_config(self, request: web.BaseRequest) -> web.Response:
         if self._serving.table is None or not self._member.holds_lease():
             return refusal_response(UNCOMMITTED)
-        return encoded_json_response(documents.unpack(self._serving.source))
+        document = documents.unpack(self._serving.source)
+        if not lease_of(request).grow(len(document)):
+            return refusal_response(NO_ROOM)
+        return encoded_json_response(document)
 
     async def _name_version(self, body: bytes) -> web.Response:
         named = decode_json(body, _Version)
