Close connections whose clients do not read an answer

Cause: the handler waits for its client without a time-out. A client that reads nothing kept its part of the room, its place, and the slot of an engine for as long as it liked; ordinary readers of the configuration got 503 for 60 s beside 200 such clients.

Progress is that fewer bytes wait, those of the operating system included, so that a slow client that reads is never closed.

Without the abort, test_unread_connection_is_closed fails.

Remains: a client that reads a few bytes every two seconds keeps what it has.

--- a/goldcrestyard/fleet/observability/metrics.py
+++ b/goldcrestyard/fleet/observability/metrics.py
@@ -184,7 +184,8 @@
         )
         self.refused_connections = self._counter(
             "refused_connections",
-            "Connections refused before their request was parsed, by reason.",
+            "Connections refused before their request was parsed, or closed with an "
+            "unread answer, by reason.",
             ("reason",),
         )
         self.jobs_bytes = self._gauge(
--- a/goldcrestyard/kernel/connection_places.py
+++ b/goldcrestyard/kernel/connection_places.py
@@ -25,7 +25,7 @@
 
 
 class RefusedConnection(Enum):
-    """Why a connection was refused before its request was parsed."""
+    """Why a connection was refused, or closed with an unread answer."""
 
     NO_PLACE = "no_place"
     NO_ROOM = "no_room"
@@ -34,6 +34,8 @@
     HEAD_TIMEOUT = "head_timeout"
     DISPLACED = "displaced"
     """Its head was incomplete for long when another needed its place."""
+    UNREAD = "unread"
+    """Its client did not read an answer."""
 
 
 def open_files_limit() -> int:
@@ -81,7 +83,7 @@
         if self._logged_at is None or now - self._logged_at >= LOG_INTERVAL_SECONDS:
             self._logged_at = now
             logger.warning(
-                "connections refused before a request",
+                "connections refused or not read",
                 count_by_reason=dict(self._unlogged),
                 open_connections=self.open,
                 max_connections=self.capacity,
--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, cast
@@ -21,6 +24,11 @@
 from goldcrestyard.kernel.connection_places import Place, RefusedConnection
 from goldcrestyard.kernel.http_client import CHUNK_OVERHEAD_FACTOR, READ_BYTES
 from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, error_body, refuse
+from goldcrestyard.policy.unread_answers import (
+    CHECK_INTERVAL_SECONDS,
+    SCARCE_SHARE,
+    UnreadAnswer,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -145,6 +153,12 @@
         self._malformed = False
         """Whether the parser has failed; it is given no further bytes."""
         self._place = place
+        self._room = room
+        self._written_to: asyncio.Transport | None = None
+        """The transport, also while it is closing."""
+        self._unread: UnreadAnswer | None = None
+        """The answer that waits for the client; None while nothing waits."""
+        self._unread_timer: asyncio.TimerHandle | None = None
         self.lease = room.lease()
         """The memory that the head, the body and the answer of the present
         request take."""
@@ -156,6 +170,7 @@
         # An answer ends, and the next request begins, once the operating
         # system has taken all of it, so that its lease covers what waits here.
         transport.set_write_buffer_limits(high=0)
+        self._written_to = transport
         connected = transport.get_extra_info("socket")
         if connected is not None:
             connected.setsockopt(
@@ -353,9 +368,64 @@
         held_back = READ_BYTES if self._reading_paused else 0
         return self._limits.overhead_bytes + held_back + framed
 
+    def pause_writing(self) -> None:
+        """Watch whether the client reads, since an answer waits for it."""
+        super().pause_writing()
+        now = asyncio.get_running_loop().time()
+        self._unread = UnreadAnswer(self._waiting_bytes(), now)
+        self._watch_unread()
+
+    def resume_writing(self) -> None:
+        """End the watch: nothing waits any more."""
+        self._end_unread()
+        super().resume_writing()
+
+    def _watch_unread(self) -> None:
+        self._unread_timer = asyncio.get_running_loop().call_later(
+            CHECK_INTERVAL_SECONDS, self._check_unread
+        )
+
+    def _end_unread(self) -> None:
+        self._unread = None
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
+    def _check_unread(self) -> None:
+        """Close the connection if its client does not read."""
+        assert self._unread is not None
+        assert self._written_to is not None
+        scarce = self._room.held > SCARCE_SHARE * self._room.capacity or (
+            self._place is not None and self._place.scarce
+        )
+        if self._unread.must_close(
+            self._waiting_bytes(),
+            asyncio.get_running_loop().time(),
+            self._limits.idle_seconds,
+            scarce=scarce,
+        ):
+            self._end_unread()
+            if self._place is not None:
+                self._place.refused(RefusedConnection.UNREAD)
+            self._written_to.abort()
+            return
+        self._watch_unread()
+
+    def _waiting_bytes(self) -> int:
+        """Return how many bytes the client has not received yet."""
+        assert self._written_to is not None
+        waiting = self._written_to.get_write_buffer_size()
+        connected = self._written_to.get_extra_info("socket")
+        if connected is not None and connected.fileno() >= 0:
+            # What the operating system has sent or keeps, not acknowledged.
+            unsent = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4))
+            waiting += struct.unpack("i", unsent)[0]
+        return waiting
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the time-out and give back the memory."""
+        """Cancel the time-outs and give back the memory."""
         self._cancel_head_timer()
+        self._end_unread()
         self.lease.release()
         self._ahead.release()
         self._head_lease.release()
--- a/goldcrestyard/plugins/metrics/metrics.py
+++ b/goldcrestyard/plugins/metrics/metrics.py
@@ -53,7 +53,8 @@
         )
         self.refused_connections = self._counter(
             "refused_connections",
-            "Connections refused before their request was parsed, by reason.",
+            "Connections refused before their request was parsed, or closed with an "
+            "unread answer, by reason.",
             ("reason",),
         )
         self.retries = self._counter(
--- a/tests/plugins/listeners/test_gates.py
+++ b/tests/plugins/listeners/test_gates.py
@@ -209,4 +209,4 @@
                 await asyncio.sleep(0.05)
         self.assertEqual(len(self.refused), 3 * MAX_LINGERING)
         events = [line["event"] for line in self.logs]
-        self.assertEqual(events.count("connections refused before a request"), 1)
+        self.assertEqual(events.count("connections refused or not read"), 1)
--- a/tests/plugins/listeners/test_unread_answers.py
+++ b/tests/plugins/listeners/test_unread_answers.py
@@ -47,9 +47,8 @@
         self.response = web.Response(body=b"a" * ANSWER_BYTES)
         return self.response
 
-    async def _read(self, connection: socket.socket) -> None:
+    async def _read(self, connection: socket.socket, left: int = ANSWER_BYTES) -> None:
         loop = asyncio.get_running_loop()
-        left = ANSWER_BYTES
         while left > 0:
             received = await loop.sock_recv(connection, 100_000)
             self.assertTrue(received, "the connection was closed")
@@ -81,3 +80,21 @@
                 await asyncio.sleep(0.01)
         # The library keeps the response until the next request.
         self.assertTrue(self.response.body is None)
+
+    async def test_unread_connection_is_closed(self) -> None:
+        connection = await self._connect(idle_seconds=0.5)
+        await asyncio.get_running_loop().sock_sendall(connection, REQUEST * 3)
+        async with asyncio.timeout(DEADLINE_SECONDS):
+            while not self.handled or self.room.held:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.handled, 1)
+
+    async def test_slowly_read_connection_is_not_closed(self) -> None:
+        connection = await self._connect(idle_seconds=1.5)
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(connection, REQUEST)
+        received = 0
+        for _ in range(20):
+            received += len(await loop.sock_recv(connection, 20_000))
+            await asyncio.sleep(0.2)
+        await self._read(connection, ANSWER_BYTES - received)
