Bound what the answers of targets take before they are counted

Cause: a connection to a target reads 256 KiB at a time and pauses at 512 KiB, for every call of a crowd in one turn of the event loop; an event was counted only while a part of it was missing, not while it waited for its caller, and up to 128 KiB of a stream wait at the caller's transport.

Reads are 16 KiB now and pause from 16 KiB; a call takes those 32 KiB of the room before it is sent, else it is refused 503; an event counts three times until the operating system has taken it. Events whose memory is below 16 KiB are not counted, so that streams of small events go on without room. Calls of the items of jobs take nothing in advance: the slots of engines bound them.

Tests of the HTTP client, the event stream, the streams and the target client pass. The processor time of large answers was not measured.

--- a/goldcrestyard/kernel/http_client.py
+++ b/goldcrestyard/kernel/http_client.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import Any, cast
 
 import aiohttp
 from aiohttp.abc import AbstractStreamWriter
@@ -34,6 +34,17 @@
 """Largest number of bytes that one read of a socket returns.  The parser may
 hold as many back while a body is read slowly."""
 
+ANSWER_READ_BYTES = 16 * 1024
+"""Largest read of an answer.  All answers that are ready are read in one turn
+of the event loop, before any of them is counted."""
+
+ANSWER_BUFFER_BYTES = 8 * 1024
+"""Half of the bytes of an answer from which reading pauses until the reader of
+the body has taken them."""
+
+MAX_UNCOUNTED_ANSWER_BYTES = 2 * ANSWER_BUFFER_BYTES + ANSWER_READ_BYTES
+"""Most bytes of a body that a connection holds before they are counted."""
+
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 """Largest body of an answer that is passed on to a caller."""
 
@@ -162,8 +173,14 @@
         self._received_bytes = 0
         self._earlier_body_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the size of a read, an attribute of socket transports."""
+        super().connection_made(transport)
+        cast(Any, transport).max_size = ANSWER_READ_BYTES
+
     def set_response_params(self, *args: Any, **options: Any) -> None:
         """Start to count anew for the next request on the connection."""
+        options["read_bufsize"] = ANSWER_BUFFER_BYTES
         self._received_bytes = 0
         self._earlier_body_bytes = self._body_bytes()
         super().set_response_params(*args, **options)
--- a/goldcrestyard/platform/callers/front.py
+++ b/goldcrestyard/platform/callers/front.py
@@ -23,8 +23,9 @@
 from goldcrestyard.fleet.gateway.streams import StreamEnd, StreamRunner
 from goldcrestyard.fleet.observability.metrics import FleetMetrics
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.http_client import MAX_UNCOUNTED_ANSWER_BYTES
 from goldcrestyard.platform.answers import refusal_response, target_response
-from goldcrestyard.platform.bodies import read_body
+from goldcrestyard.platform.bodies import NO_ROOM, read_body
 from goldcrestyard.platform.callers import requests
 from goldcrestyard.platform.callers.jobs import (
     COMMIT_TIMEOUT_SECONDS,
@@ -121,6 +122,8 @@
         self, request: web.BaseRequest, body: bytes, arrived_at: float
     ) -> web.StreamResponse:
         """Answer a request on a route that is not one of trainers."""
+        if not lease_of(request).grow(MAX_UNCOUNTED_ANSWER_BYTES):
+            return refusal_response(NO_ROOM)
         decoded = requests.decode(request, body)
         if isinstance(decoded, Refusal):
             return refusal_response(decoded)
@@ -213,6 +216,8 @@
         """Send a part of the body."""
         assert self._response is not None
         await self._response.write(data)
+        # The next event is read once the operating system has taken this one.
+        await self._request.writer.drain()
 
     async def finish(self, end: StreamEnd) -> web.StreamResponse:
         """End the answer; abort the connection if the stream is incomplete.
--- a/goldcrestyard/platform/event_stream.py
+++ b/goldcrestyard/platform/event_stream.py
@@ -17,6 +17,14 @@
 """Largest number of bytes between two events, such as comments and empty
 lines, that a server may send to keep the connection open."""
 
+EVENT_MEMORY_FACTOR = 3
+"""Memory of a relayed event over its bytes: as it came, its data, and what
+waits for the caller."""
+
+UNCOUNTED_EVENT_BYTES = 16 * 1024
+"""Memory of small events, which each stream may take without asking, so that
+streams of small events go on while there is no room."""
+
 _VERSION_FIELD = VERSION_HEADER.lower().encode()
 
 
@@ -43,6 +51,10 @@
                 without_event = without_event + len(raw) if event is None else 0
                 if without_event > MAX_BYTES_BETWEEN_EVENTS:
                     event = _malformed(f"{without_event} bytes without an event")
+                needed = EVENT_MEMORY_FACTOR * len(raw) + len(pending)
+                if lease is not None and not lease.resize(_counted(needed)):
+                    yield Broken("no room for the event beside those of others")
+                    return
                 if event is not None:
                     yield event
                 if isinstance(event, Broken):
@@ -63,6 +75,10 @@
         yield Broken("stream ended within an event")
 
 
+def _counted(size: int) -> int:
+    return size if size > UNCOUNTED_EVENT_BYTES else 0
+
+
 def _parse(raw: bytes) -> StreamEvent | Broken | None:
     """Return an event; None for a block without data, such as a comment."""
     number: int | None = None
