Write large answers in pieces

Cause: the transport copies what the operating system does not take of an answer, so that each unread one took its size twice, and three times for a moment. Pieces of 64 KiB are written now, the next one after the last.

--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -74,6 +74,10 @@
 It would take up to 4 MB of each connection, beside the memory of the process.
 Bytes in transit do not count, so that fast clients are not slowed down."""
 
+PIECE_BYTES = 64 * 1024
+"""Size of the pieces in which a large answer is written.  The transport copies
+what the operating system does not take at once."""
+
 IDLE_TIMEOUT_SECONDS = 75.0
 """Time after which idle connections are closed.  It is longer than the usual
 client libraries keep theirs, so that the server does not close a connection
@@ -464,6 +468,8 @@
         if self._place is not None and self._place.scarce and not resp.prepared:
             resp.force_close()
         try:
+            if isinstance(resp, web.Response):
+                await _write_in_pieces(request, resp)
             return await super().finish_response(request, resp, start_time)
         finally:
             self.active = False
@@ -565,6 +571,21 @@
     return "\r\n".join(head).encode() + body
 
 
+async def _write_in_pieces(request: web.BaseRequest, response: web.Response) -> None:
+    """Send a large response, so that only one piece of it is copied."""
+    body = response.body
+    if not isinstance(body, bytes) or len(body) <= PIECE_BYTES or response.prepared:
+        return
+    await response.prepare(request)
+    if response._must_be_empty_body:
+        return
+    pieces = memoryview(body)
+    for start in range(0, len(body), PIECE_BYTES):
+        await response.write(pieces[start : start + PIECE_BYTES])
+        await request.writer.drain()
+    response.body = None
+
+
 def _head_memory_bytes(request: web.BaseRequest) -> int:
     """Return about how much memory a parsed head takes, in bytes."""
     headers = sum(len(name) + len(text) + 4 for name, text in request.raw_headers)
--- a/tests/plugins/listeners/test_unread_answers.py
+++ b/tests/plugins/listeners/test_unread_answers.py
@@ -98,3 +98,16 @@
             received += len(await loop.sock_recv(connection, 20_000))
             await asyncio.sleep(0.2)
         await self._read(connection, ANSWER_BYTES - received)
+
+    async def test_large_answer_has_no_body_for_head(self) -> None:
+        connection = await self._connect()
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(
+            connection, b"HEAD / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        )
+        received = b""
+        async with asyncio.timeout(DEADLINE_SECONDS):
+            while data := await loop.sock_recv(connection, 100_000):
+                received += data
+        self.assertTrue(received.endswith(b"\r\n\r\n"), received[-20:])
+        self.assertIn(b"Content-Length: %d" % ANSWER_BYTES, received)
