--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -6,6 +6,10 @@
 """
 
 import asyncio
+import fcntl
+import socket
+import struct
+import termios
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, cast
@@ -20,6 +24,11 @@
 from goldcrestyard.kernel.connection_places import Place, RefusedConnection
 from goldcrestyard.kernel.http_client import CHUNK_OVERHEAD_FACTOR, READ_BYTES
 from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, error_body, refuse
+from goldcrestyard.policy.unread_answers import (
+    CHECK_INTERVAL_SECONDS,
+    SCARCE_SHARE,
+    UnreadAnswer,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -60,6 +69,15 @@
 RETRY_AFTER_SECONDS = 1
 """When the caller of a process without room or place may come again."""
 
+UNSENT_KERNEL_BYTES = 16 * 1024
+"""Bytes that the operating system may hold for a client that does not read.
+It would take up to 4 MB of each connection, beside the memory of the process.
+Bytes in transit do not count, so that fast clients are not slowed down."""
+
+PIECE_BYTES = 64 * 1024
+"""Size of the pieces in which a large answer is written.  The transport copies
+what the operating system does not take at once."""
+
 IDLE_TIMEOUT_SECONDS = 75.0
 """Time after which idle connections are closed.  It is longer than the usual
 client libraries keep theirs, so that the server does not close a connection
@@ -138,6 +156,12 @@
         self._malformed = False
         """Whether the parser has failed; it is given no further bytes."""
         self._place = place
+        self._room = room
+        self._written_to: asyncio.Transport | None = None
+        """The transport, also while it is closing."""
+        self._unread: UnreadAnswer | None = None
+        """The answer that waits for the client; None while nothing waits."""
+        self._unread_timer: asyncio.TimerHandle | None = None
         self.lease = room.lease()
         """The memory that the head, the body and the answer of the present
         request take."""
@@ -145,6 +169,16 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time-out for the head of the first request."""
         super().connection_made(transport)
+        assert isinstance(transport, asyncio.Transport)
+        # An answer ends, and the next request begins, once the operating
+        # system has taken all of it, so that its lease covers what waits here.
+        transport.set_write_buffer_limits(high=0)
+        self._written_to = transport
+        connected = transport.get_extra_info("socket")
+        if connected is not None:
+            connected.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_KERNEL_BYTES
+            )
         self._set_read_bytes()
         self._start_head_timer()
 
@@ -337,9 +371,64 @@
         held_back = READ_BYTES if self._reading_paused else 0
         return self._limits.overhead_bytes + held_back + framed
 
+    def pause_writing(self) -> None:
+        """Watch whether the client reads, since an answer waits for it."""
+        super().pause_writing()
+        now = asyncio.get_running_loop().time()
+        self._unread = UnreadAnswer(self._waiting_bytes(), now)
+        self._watch_unread()
+
+    def resume_writing(self) -> None:
+        """End the watch: nothing waits any more."""
+        self._end_unread()
+        super().resume_writing()
+
+    def _watch_unread(self) -> None:
+        self._unread_timer = asyncio.get_running_loop().call_later(
+            CHECK_INTERVAL_SECONDS, self._check_unread
+        )
+
+    def _end_unread(self) -> None:
+        self._unread = None
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
+    def _check_unread(self) -> None:
+        """Close the connection if its client does not read."""
+        assert self._unread is not None
+        assert self._written_to is not None
+        scarce = self._room.held > SCARCE_SHARE * self._room.capacity or (
+            self._place is not None and self._place.scarce
+        )
+        if self._unread.must_close(
+            self._waiting_bytes(),
+            asyncio.get_running_loop().time(),
+            self._limits.idle_seconds,
+            scarce=scarce,
+        ):
+            self._end_unread()
+            if self._place is not None:
+                self._place.refused(RefusedConnection.UNREAD)
+            self._written_to.abort()
+            return
+        self._watch_unread()
+
+    def _waiting_bytes(self) -> int:
+        """Return how many bytes the client has not received yet."""
+        assert self._written_to is not None
+        waiting = self._written_to.get_write_buffer_size()
+        connected = self._written_to.get_extra_info("socket")
+        if connected is not None and connected.fileno() >= 0:
+            # What the operating system has sent or keeps, not acknowledged.
+            unsent = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4))
+            waiting += struct.unpack("i", unsent)[0]
+        return waiting
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the time-out and give back the memory."""
+        """Cancel the time-outs and give back the memory."""
         self._cancel_head_timer()
+        self._end_unread()
         self.lease.release()
         self._ahead.release()
         self._head_lease.release()
@@ -378,9 +467,15 @@
         if self._place is not None and self._place.scarce and not resp.prepared:
             resp.force_close()
         try:
+            if isinstance(resp, web.Response):
+                await _write_in_pieces(request, resp)
             return await super().finish_response(request, resp, start_time)
         finally:
             self.active = False
+            # The library keeps both until the next request of the connection.
+            if isinstance(resp, web.Response):
+                resp.body = None
+            request._read_bytes = None
             self._refused_body = self._body
             self._body = None
             self._received_bytes = 0
@@ -475,6 +570,21 @@
     return "\r\n".join(head).encode() + body
 
 
+async def _write_in_pieces(request: web.BaseRequest, response: web.Response) -> None:
+    """Send a large response, so that only one piece of it is copied."""
+    body = response.body
+    if not isinstance(body, bytes) or len(body) <= PIECE_BYTES or response.prepared:
+        return
+    await response.prepare(request)
+    if response._must_be_empty_body:
+        return
+    pieces = memoryview(body)
+    for start in range(0, len(body), PIECE_BYTES):
+        await response.write(pieces[start : start + PIECE_BYTES])
+        await request.writer.drain()
+    response.body = None
+
+
 def _head_memory_bytes(request: web.BaseRequest) -> int:
     """Return about how much memory a parsed head takes, in bytes."""
     headers = sum(len(name) + len(text) + 4 for name, text in request.raw_headers)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -22,6 +22,7 @@
 MAX_PROCESSES = max(1, min(5, (os.cpu_count() or 2) // 2))
 
 RUN_ALONE = (
+    "tests.platform.test_unread_answers",
     "tests.platform.test_untrusted_bodies",
     "tests.platform.test_untrusted_clients",
 )
