Go on watching unread answers where the size of a send queue is not told

Where the system refuses TIOCOUTQ for a socket, the check of an unread answer ended with an exception, and its connection was never closed.

Evidence: test_unread_connection_is_closed with a failing ioctl timed out before. Change: the transport's buffer alone decides there. Result: 7 tests pass.

--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import struct
@@ -421,8 +422,10 @@
         connected = self._written_to.get_extra_info("socket")
         if connected is not None and connected.fileno() >= 0:
             # What the operating system has sent or keeps, not acknowledged.
-            unsent = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4))
-            waiting += struct.unpack("i", unsent)[0]
+            # Not every system tells; then the transport's buffer decides.
+            with contextlib.suppress(OSError):
+                unsent = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4))
+                waiting += struct.unpack("i", unsent)[0]
         return waiting
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/tests/plugins/listeners/test_unread_answers.py
+++ b/tests/plugins/listeners/test_unread_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import unittest
+from unittest.mock import patch
 
 from aiohttp import web
 from parameterized import parameterized
@@ -81,7 +82,13 @@
         # The library keeps the response until the next request.
         self.assertTrue(self.response.body is None)
 
-    async def test_unread_connection_is_closed(self) -> None:
+    @parameterized.expand([("known", None), ("unknown", OSError)])
+    async def test_unread_connection_is_closed(
+        self, _: str, failure: type[OSError] | None
+    ) -> None:
+        """Also guards against a check that ends where a size is not known."""
+        if failure is not None:
+            self.enterContext(patch("fcntl.ioctl", side_effect=failure))
         connection = await self._connect(idle_seconds=0.5)
         await asyncio.get_running_loop().sock_sendall(connection, REQUEST * 3)
         async with asyncio.timeout(DEADLINE_SECONDS):
