--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -278,7 +278,11 @@
     def add(self, message: InstallSnapshot) -> int:
         """Add a chunk; return the number of bytes received without a gap."""
         if message.offset > len(self._data):
-            if message.offset <= len(self._data) + MAX_UNACKNOWLEDGED_BYTES:
+            # A heartbeat after a restart names an offset too, without data.
+            if (
+                message.data
+                and message.offset <= len(self._data) + MAX_UNACKNOWLEDGED_BYTES
+            ):
                 self._early_by_offset[message.offset] = message.data
         elif message.offset == len(self._data):
             self._data += message.data
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -53,7 +53,11 @@
     PersistentState,
     select_save_effects,
 )
-from goldcrestyard.consensus.progress import GAP_SECONDS, MAX_ENTRIES_BYTES
+from goldcrestyard.consensus.progress import (
+    GAP_SECONDS,
+    MAX_ENTRIES_BYTES,
+    PartialSnapshot,
+)
 from goldcrestyard.consensus.roles import Role
 from goldcrestyard.consensus.timing import Timing
 from goldcrestyard.core.ids import InstanceId, LogIndex, Term
@@ -416,6 +420,20 @@
         self.assertEqual(follower.log.snapshot.data, b"0123456789")
         self.assertEqual(leader.progress_by_id[C].match_index, 4)
 
+    def test_heartbeat_does_not_replace_a_chunk(self) -> None:
+        """Guards against sending a chunk again that has arrived early."""
+        members = configuration(A, B, C)
+        partial = PartialSnapshot(B, LogIndex(9), b"x")
+        received = [
+            partial.add(
+                InstallSnapshot(
+                    Term(2), LogIndex(9), Term(1), members, offset, 8, data, START, b"x"
+                )
+            )
+            for offset, data in ((4, b"4567"), (4, b""), (0, b"0123"))
+        ]
+        self.assertEqual(received, [0, 0, 8])
+
     def test_snapshot_transfer_goes_on_with_another_sender(self) -> None:
         """Guards against a copy that begins again with each new leader."""
         subject = make_member(1)
