--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -43,7 +43,7 @@
 heartbeats."""
 
 CONNECTIONS = 3
-MAX_CONNECTIONS = 8
+MAX_CONNECTIONS = 7
 EXTRA_CONNECTION_IDLE_SECONDS = 5.0
 """Number of connections of a link, with those during a large transfer, and the
 time in seconds after which one of these closes when it is idle.  TCP delivers
