--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -651,11 +651,16 @@
             self._partial_snapshot = PartialSnapshot(
                 sender, message.index, message.digest
             )
-        received = self._partial_snapshot.add(message)
+        partial = self._partial_snapshot
+        received = partial.add(message)
+        if received == message.total and not partial.is_intact():
+            # It is received again, rather than applied.
+            self._partial_snapshot = None
+            received = 0
         if received < message.total:
             self._send_snapshot_reply(sender, message, received, installed=False)
             return
-        self._install_snapshot(self._partial_snapshot.to_snapshot(message))
+        self._install_snapshot(partial.to_snapshot(message))
         self._send_snapshot_reply(sender, message, received, installed=True)
 
     def _install_snapshot(self, snapshot: Snapshot) -> None:
@@ -677,7 +682,12 @@
         self._send(
             sender,
             SnapshotReply(
-                self.term, message.index, received, installed, message.sent_at
+                self.term,
+                message.index,
+                received,
+                installed,
+                message.sent_at,
+                orders_chunks=True,
             ),
         )
 
--- a/goldcrestyard/consensus/messages.py
+++ b/goldcrestyard/consensus/messages.py
@@ -162,6 +162,9 @@
     received: int
     installed: bool
     sent_at: float
+    orders_chunks: bool = False
+    """Whether the follower puts chunks in order; members of earlier releases
+    drop those that arrive early."""
 
 
 MemberMessage = (
--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -211,6 +211,8 @@
         self.acknowledged = 0
         """Number of bytes that the member has received without a gap."""
         self._chunk_bytes = chunk_bytes
+        # One chunk until the member has told that it puts them in order.
+        self._window_bytes = chunk_bytes
         self._next_offset: int | None = None
         # Sending time of the first heartbeat since the last progress.
         self._stalled_since: float | None = None
@@ -219,7 +221,7 @@
         """Return the offsets of the chunks to send now."""
         if self._next_offset is None:
             return []
-        end = min(len(self.snapshot.data), self.acknowledged + MAX_UNACKNOWLEDGED_BYTES)
+        end = min(len(self.snapshot.data), self.acknowledged + self._window_bytes)
         offsets = list(range(self._next_offset, end, self._chunk_bytes))
         if offsets:
             self._next_offset = offsets[-1] + self._chunk_bytes
@@ -237,6 +239,8 @@
         neither, since it may be a duplicate or have been overtaken.
         """
         received = reply.received
+        if reply.orders_chunks:
+            self._window_bytes = MAX_UNACKNOWLEDGED_BYTES
         if self._next_offset is None or received > self.acknowledged:
             self._next_offset = max(self._next_offset or 0, received)
             self.acknowledged = received
@@ -290,6 +294,10 @@
                 self._data += chunk
         return len(self._data)
 
+    def is_intact(self) -> bool:
+        """Return whether all that was received is the sender's snapshot."""
+        return self.digest in (b"", hashlib.sha256(self._data).digest())
+
     def to_snapshot(self, last: InstallSnapshot) -> Snapshot:
         """Return the snapshot, once its last chunk has been added."""
         return Snapshot(
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -8,6 +8,7 @@
 import random
 import unittest
 from dataclasses import dataclass, replace
+from hashlib import sha256
 
 from parameterized import parameterized
 
@@ -44,6 +45,7 @@
     MemberMessage,
     PreVote,
     PreVoteReply,
+    Snapshot,
     SnapshotReply,
     Vote,
     VoteReply,
@@ -57,6 +59,7 @@
     GAP_SECONDS,
     MAX_ENTRIES_BYTES,
     PartialSnapshot,
+    SnapshotTransfer,
 )
 from goldcrestyard.consensus.roles import Role
 from goldcrestyard.consensus.timing import Timing
@@ -420,6 +423,29 @@
         self.assertEqual(follower.log.snapshot.data, b"0123456789")
         self.assertEqual(leader.progress_by_id[C].match_index, 4)
 
+    def test_member_of_an_earlier_release_gets_one_chunk_at_a_time(self) -> None:
+        """Guards against chunks that such a member drops, as they overtake."""
+        transfer = SnapshotTransfer(
+            Snapshot(LogIndex(4), Term(1), configuration(A), b"0123456789"), 4
+        )
+        offsets = []
+        for received in (0, 4, 4, 8):
+            reply = SnapshotReply(Term(1), LogIndex(4), received, False, START)
+            transfer.record_reply(reply)
+            offsets.append(transfer.take_offsets())
+        self.assertEqual(offsets, [[0], [4], [], [8]])
+
+    def test_snapshot_is_installed_only_if_its_digest_matches(self) -> None:
+        """Guards against a state with chunks of two snapshots."""
+        subject = make_member(1)
+        chunk = InstallSnapshot(
+            Term(2), LogIndex(9), Term(1), configuration(A, B), 0, 4, b"0123", START
+        )
+        for digest, installed in ((b"other", False), (sha256(b"0123").digest(), True)):
+            (reply,) = sent(step(subject, START, B, replace(chunk, digest=digest)))
+            assert isinstance(reply, SnapshotReply)
+            self.assertEqual((reply.installed, reply.received > 0), (installed,) * 2)
+
     def test_heartbeat_does_not_replace_a_chunk(self) -> None:
         """Guards against sending a chunk again that has arrived early."""
         members = configuration(A, B, C)
@@ -455,10 +481,11 @@
             assert isinstance(reply, SnapshotReply)
             return reply.received
 
-        self.assertEqual(receive(B, 0, b"x"), 4)
+        whole = sha256(b"01234567").digest()
+        self.assertEqual(receive(B, 0, whole), 4)
         self.assertEqual(receive(C, 4, b"other"), 0)
-        self.assertEqual(receive(C, 0, b"x"), 4)
-        self.assertEqual(receive(C, 4, b"x"), 8)
+        self.assertEqual(receive(C, 0, whole), 4)
+        self.assertEqual(receive(C, 4, whole), 8)
         self.assertEqual(subject.log.snapshot.data, b"01234567")
 
     def test_heartbeat_has_no_entries_during_a_copy(self) -> None:
