Bound how much of a log is taken for a torn append

Change: several records are written at most 256 KiB at a time, and damage with intact records behind it counts as torn only within so much of the end. A write that lacks the rest of the sector in which it begins counts as torn from 4 zeros on; before, the log was refused if fewer than 16 were left.

test_lost_page_among_synced_writes_is_an_error and test_append_without_the_end_of_its_first_sector_is_cut failed before; the tests of test_log_segments and test_crashes pass. What remains: damage within the last 256 KiB that leaves 16 zeros in a row is taken for torn.

--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -21,9 +21,17 @@
 
 SEGMENT_SUFFIX = ".log"
 
+SECTOR_BYTES = 512
+
 UNWRITTEN_BYTES = bytes(16)
-"""Zeros by which a part of an append counts as not written.  A header holds
-no run of this length, and the texts in payloads hold none as a rule."""
+MIN_UNWRITTEN_BYTES = 4
+"""Zeros by which a part of an append counts as not written, and how many do in
+the rest of the sector in which it begins.  A header holds no run of the former
+length, and the texts in payloads hold none as a rule."""
+
+MAX_WRITE_BYTES = 256 * 1024
+"""Largest size of several records that are written with one sync.  It bounds
+how much is taken for torn where an intact record follows a damaged one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,9 +124,20 @@
             raise DiskError(f"{self._folder}: {error}") from error
 
     def append(self, records: Sequence[LogRecord]) -> None:
-        """Append records with one sync; they are durable on return."""
-        if not records:
-            return
+        """Append records, with one sync unless they are large.
+
+        They are durable on return.
+        """
+        start, size = 0, 0
+        for position, record in enumerate(records):
+            size += _HEADER.size + len(record.payload)
+            if size > MAX_WRITE_BYTES and position > start:
+                self._write(records[start:position])
+                start, size = position, _HEADER.size + len(record.payload)
+        if records:
+            self._write(records[start:])
+
+    def _write(self, records: Sequence[LogRecord]) -> None:
         try:
             segment = self._open_segment(records[0].index)
             data = bytearray()
@@ -257,11 +276,19 @@
 def _is_torn_append(data: bytes, start: int) -> bool:
     """Return whether the damage at ``start`` is what a power failure leaves.
 
-    What follows an unwritten part belongs to the same append, since the next
+    What follows an unwritten part belongs to the same write, since the next
     one begins only once all of it is synced.
     """
     end = _find_record(data, start + 1)
-    return end is None or UNWRITTEN_BYTES in data[start:end]
+    if end is None:
+        return True
+    if len(data) - start > MAX_WRITE_BYTES:
+        return False
+    sector_end = min(end, start - start % SECTOR_BYTES + SECTOR_BYTES)
+    rest = data[start:sector_end]
+    return UNWRITTEN_BYTES in data[start:end] or (
+        len(rest) >= MIN_UNWRITTEN_BYTES and not any(rest)
+    )
 
 
 def _find_record(data: bytes, start: int) -> int | None:
--- a/tests/storage/test_log_segments.py
+++ b/tests/storage/test_log_segments.py
@@ -6,7 +6,7 @@
 
 import random
 import unittest
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from parameterized import parameterized
@@ -162,6 +162,26 @@
         again = SegmentedLog(FOLDER, files, SEGMENT_BYTES)
         self.assertEqual(again.load(), RECORDS + BATCH)
 
+    def test_append_without_the_end_of_its_first_sector_is_cut(self) -> None:
+        """Guards against the same where few bytes of that sector are left."""
+        files = MemoryFiles()
+        log = SegmentedLog(FOLDER, files)
+        first = LogRecord(Term(1), LogIndex(1), 0, b"a" * (SECTOR_BYTES - 25 - 5))
+        log.append([first])
+        log.append([replace(record, index=record.index - 9) for record in BATCH])
+        files.lose_bytes(last_segment(files), SECTOR_BYTES - 5, SECTOR_BYTES)
+        self.assertEqual(SegmentedLog(FOLDER, files).load(), [first])
+
+    def test_lost_page_among_synced_writes_is_an_error(self) -> None:
+        """Guards against cutting what was acknowledged long before."""
+        files = MemoryFiles()
+        log = SegmentedLog(FOLDER, files)
+        for index in range(1, 1001):
+            log.append([LogRecord(Term(1), LogIndex(index), 0, b"%d" % index * 200)])
+        files.lose_bytes(last_segment(files), 4096, 8192)
+        with self.assertRaisesRegex(CorruptLogError, "Replace this member"):
+            SegmentedLog(FOLDER, files).load()
+
     @parameterized.expand([(str(byte), byte) for byte in (30, 600, 1500, 4000)])
     def test_changed_bit_within_a_batch_is_an_error(self, _: str, byte: int) -> None:
         """Guards against taking decay of synced records for a torn append."""
