Hold the answers that test_running_requests_finish counts

Cause: the test asked for requests that may be repeated. The fronts hedge them, the other data centre answers at once, and the attempt in the evacuated one ends 0.4 to 0.5 s after it began. A front reports its running requests twice a second, so both fronts can miss the interval.

Change: the requests are of a type that is not hedged, with a deadline of 20 s, and the target withholds its answers until the report has counted them. The test now also checks that the requests which run in the evacuated data centre finish there; before, the hedged attempts were cancelled. The time of the latest request is 0 if there was none, where max() raised.

--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -324,13 +324,17 @@
         front: Process | None = None,
         key: str | None = KEY,
         request_id: str = "",
+        seconds: float = 2.5,
     ) -> tuple[int, bytes, dict[str, str]]:
-        """Send a caller's request to a front."""
+        """Send a caller's request with a deadline in seconds to a front."""
         front = front or random.choice(self.fronts)
         headers = self._headers(request_id or self.marker(), key)
-        headers["X-Goldcrestyard-Deadline-Ms"] = "2500"
+        headers["X-Goldcrestyard-Deadline-Ms"] = str(round(seconds * 1000))
         url = f"http://{front.address('front')}{path}"
-        return await self.call("POST", url, data=b"body", headers=headers)
+        timeout = aiohttp.ClientTimeout(total=2 * seconds)
+        return await self.call(
+            "POST", url, data=b"body", headers=headers, timeout=timeout
+        )
 
     async def submit(
         self, job: str, items: int, *, body: bytes = b"prompt", **fields: Any
--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -73,6 +73,8 @@
     """Whether every request is answered with status 500."""
     answer_seconds: float = 0.0
     """Time that a plain service works on a request."""
+    answers_allowed: asyncio.Event | None = None
+    """Event until which a plain service withholds its answers."""
     request_limit: float | None = None
     """Requests a second that it names in its answers; None names no limit."""
     deadly_path: str | None = None
@@ -248,6 +250,8 @@
             if self.models:
                 return await self._stream(request, headers, last)
             await asyncio.sleep(self.answer_seconds)
+            if self.answers_allowed is not None:
+                await self.answers_allowed.wait()
             return web.Response(
                 body=f"{self.id} {request.path}".encode(), headers=headers
             )
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -10,13 +10,14 @@
 
 from parameterized import parameterized
 
-from tests.fakes.platform_site import Process, Site
+from tests.fakes.platform_site import KEY, Process, Site, configuration
 
 ZONE = "a"
 EVACUATION_SECONDS = 5.0
 """Time from the answer until nothing more may be sent there."""
 
 MEASURED_SECONDS = 3.0
+LONG_REQUEST_SECONDS = 20
 REQUESTS = 24
 ITEMS = 24
 
@@ -70,11 +71,13 @@
         while True:
             await self.ask_all()
 
-    async def ask_all(self) -> list[tuple[int, bytes, dict[str, str]]]:
+    async def ask_all(
+        self, path: str = "/score/1", *, key: str | None = None, seconds: float = 2.5
+    ) -> list[tuple[int, bytes, dict[str, str]]]:
         return list(
             await asyncio.gather(
                 *(
-                    self.site.ask("/score/1", front, key=None)
+                    self.site.ask(path, front, key=key, seconds=seconds)
                     for front in self.site.fronts
                     for _ in range(REQUESTS // 2)
                 )
@@ -82,13 +85,14 @@
         )
 
     def last_run(self, zone: str = ZONE) -> float:
-        """Return the time of the latest request to a target of a zone."""
-        return max(
+        """Return the time of the latest request to a zone's targets, or 0."""
+        times = (
             run.started_at
             for target in self.site.targets
             if target.zone == zone
             for run in target.runs
         )
+        return max(times, default=0.0)
 
 
 class EnforcementTests(EvacuationTestCase):
@@ -136,11 +140,17 @@
 
     async def test_running_requests_finish(self) -> None:
         site = self.site
-        plain = [target for target in site.services if target.zone == ZONE]
-        for target in plain:
-            target.answer_seconds = 1.5
+        document = configuration(2)
+        for route in document["routes"]:
+            route["timeout_ms"] = LONG_REQUEST_SECONDS * 1000
+        await site.put_configuration(document)
+        (plain,) = [target for target in site.services if target.zone == ZONE]
+        plain.answers_allowed = asyncio.Event()
         before = self.last_run()
-        asked = asyncio.create_task(self.ask_all())
+        # A request that may be repeated would be hedged, and end elsewhere.
+        asked = asyncio.create_task(
+            self.ask_all("/once/1", key=KEY, seconds=LONG_REQUEST_SECONDS)
+        )
 
         async def begun() -> bool:
             return self.last_run() > before
@@ -152,6 +162,7 @@
             return (await self.order("GET"))["running"] > 0
 
         await site.wait(counted, "running requests in the report")
+        plain.answers_allowed.set()
         self.assertEqual({200}, {status for status, _, _ in await asked})
 
         async def over() -> bool:
