Bound what the peer listener takes before the secret is proved

Cause: the listener gave the WebSocket library the 64 MiB of a frame as its only limit from the first byte on. Anyone who reached the port could send that much within 5 s, on any number of connections, uncounted.

Each process keeps 512 such connections, or a quarter of its descriptors; one more displaces the oldest one of the address that has the most, so that strangers displace each other.

--- a/goldcrestyard/plugins/peers/apps.py
+++ b/goldcrestyard/plugins/peers/apps.py
@@ -4,9 +4,11 @@
 from goldcrestyard.core.ids import InstanceId
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.connection_places import open_files_limit
 from goldcrestyard.kernel.default_settings import InstanceSettings
 from goldcrestyard.plugins.peers import checks
 from goldcrestyard.plugins.peers.settings import ClusterSettings
+from goldcrestyard.policy.unproved_peers import max_unproved
 from goldcrestyard.state.commands import Accepted, Rejected
 from goldcrestyard.wire.client import PeerAddress, PeerDialer
 from goldcrestyard.wire.codec import Codec
@@ -38,7 +40,8 @@
         app.provide(
             PeerDialer, PeerDialer(identity, codec, handlers, cluster.connect_seconds)
         )
-        app.provide(PeerServer, PeerServer(identity, codec, handlers))
+        limit = max_unproved(open_files_limit())
+        app.provide(PeerServer, PeerServer(identity, codec, handlers, limit))
 
     async def serve(self, app: Application) -> None:
         """Open the peer listener."""
