Do not trust a second sync of the log after one has failed

Cause: the system drops the pages that it could not write, and then reports success for the next sync of the same file. A member that found unsynced records of a killed process, and whose sync of them failed at its start, loaded them again, synced once more and answered by them. So did a process that was started after one that had met the failure. The next power failure took the records.

Change: at its first load, and after any failed sync of the log, a member writes the last segment to a new file from what it has loaded, and renames it into place. Earlier segments need none of this, since a segment is begun only once the one before is synced. After another failure, such as a full disk, there is no rewrite, which needs room for a segment. The in-memory files of the tests now drop what a failed sync did not write.

--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -63,6 +63,8 @@
         self._vote = VoteRecord("")
         # Whether the log's segments are all known.
         self._is_loaded = False
+        # Whether no sync of the log failed since it was last durable.
+        self._is_log_synced = False
         self.was_empty: bool | None = None
         """Whether the disk held no state of a cluster when it was first
         loaded; None before that."""
@@ -102,6 +104,7 @@
         if self._is_loaded:
             self._log.discard_failed_writes()
         self._is_loaded = False
+        self._is_log_synced = self._is_log_synced and not self._log.sync_failed
         self._log = SegmentedLog(self._folder / "log", self._files, self._segment_bytes)
         self._files.make_folder(self._folder / "log")
         # A partial snapshot may take the room that the vote needs.
@@ -135,7 +138,8 @@
 
     def _make_durable(self) -> None:
         """Make durable what was loaded, since the member answers by it."""
-        self._log.make_durable()
+        self._log.make_durable(rewrite=not self._is_log_synced)
+        self._is_log_synced = True
         try:
             self._files.sync_folder(self._folder)
         except OSError as error:
--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -20,6 +20,8 @@
 segments are removed, once a snapshot covers them."""
 
 SEGMENT_SUFFIX = ".log"
+NEW_SUFFIX = ".new"
+"""Added to the name of a segment while it is written to a new file."""
 
 SECTOR_BYTES = 512
 
@@ -81,6 +83,11 @@
         self._segments: list[_Segment] = []
         self.cut_bytes = 0
         """Size of the torn write that ``load`` has removed."""
+        self.sync_failed = False
+        """Whether a sync failed.  Later ones of the file prove nothing then:
+        the system drops what it could not write and reports success."""
+        self._loaded_tail = b""
+        """Content of the last loaded segment, until it is durable."""
 
     def load(self) -> list[LogRecord]:
         """Return all records, after truncating a torn append at the end.
@@ -109,20 +116,35 @@
                 self._truncate_file(segment)
         return records
 
-    def make_durable(self) -> None:
+    def make_durable(self, rewrite: bool) -> None:
         """Make all loaded records durable, and the removal of others.
 
         A process that was killed may have written them without a sync.  They
-        can be read until the power fails.
+        can be read until the power fails.  ``rewrite`` is for a log whose
+        syncs may have failed, before this process too: the last segment is
+        then written to a new file, from what was loaded.
         """
         try:
+            for name in self._files.list_names(self._folder):
+                if name.endswith(NEW_SUFFIX):
+                    self._files.remove(self._folder / name)
             if self._segments:
                 # A segment is created only once the one before is synced.
-                self._files.sync(self._segments[-1].path)
+                self._make_segment_durable(self._segments[-1], rewrite)
             self._files.sync_folder(self._folder)
         except OSError as error:
             raise DiskError(f"{self._folder}: {error}") from error
 
+    def _make_segment_durable(self, segment: _Segment, rewrite: bool) -> None:
+        content, self._loaded_tail = self._loaded_tail[: segment.size], b""
+        if not rewrite:
+            self._sync(segment.path)
+            return
+        new = segment.path.with_name(segment.path.name + NEW_SUFFIX)
+        self._files.append(new, content)
+        self._sync(new)
+        self._files.replace(new, segment.path)
+
     def append(self, records: Sequence[LogRecord]) -> None:
         """Append records, with one sync unless they are large.
 
@@ -146,7 +168,7 @@
                 data += _encode_record(record)
                 end_offsets.append(segment.size + len(data))
             self._files.append(segment.path, bytes(data))
-            self._files.sync(segment.path)
+            self._sync(segment.path)
             segment.end_offsets.extend(end_offsets)
         except OSError as error:
             raise DiskError(f"{self._folder}: {error}") from error
@@ -207,7 +229,7 @@
             return self._segments[-1]
         path = self._folder / f"{index:020d}{SEGMENT_SUFFIX}"
         self._files.append(path, b"")
-        self._files.sync(path)
+        self._sync(path)
         self._files.sync_folder(self._folder)
         segment = _Segment(path, index, [])
         self._segments.append(segment)
@@ -219,12 +241,20 @@
 
     def _truncate_file(self, segment: _Segment) -> None:
         self._files.truncate(segment.path, segment.size)
-        self._files.sync(segment.path)
+        self._sync(segment.path)
+
+    def _sync(self, path: Path) -> None:
+        try:
+            self._files.sync(path)
+        except OSError:
+            self.sync_failed = True
+            raise
 
     def _load_segment(
         self, path: Path, last: bool
     ) -> tuple[list[LogRecord], _Segment, int]:
         data = self._files.read(path) or b""
+        self._loaded_tail = data if last else b""
         records: list[LogRecord] = []
         first_index = parse_count(path.name.removesuffix(SEGMENT_SUFFIX).lstrip("0"))
         if first_index is None:
--- a/tests/fakes/files.py
+++ b/tests/fakes/files.py
@@ -182,9 +182,24 @@
         self._after_operation()
 
     def sync(self, path: Path) -> None:
-        self._before_operation("sync")
+        """Make writes durable; a sync that fails drops them from the cache.
+
+        They can still be read then, but no later sync writes them.
+        """
         inode = self._inodes_by_path[path]
-        inode.durable = bytes(inode.content)
+        try:
+            self._before_operation("sync")
+        except OSError:
+            inode.unsynced.clear()
+            raise
+        durable = bytearray(inode.durable)
+        for offset, data in inode.unsynced:
+            if data is None:
+                del durable[offset:]
+            else:
+                durable.extend(bytes(max(0, offset - len(durable))))
+                durable[offset : offset + len(data)] = data
+        inode.durable = bytes(durable)
         inode.unsynced.clear()
         self._after_operation()
 
--- a/tests/storage/test_crashes.py
+++ b/tests/storage/test_crashes.py
@@ -178,6 +178,39 @@
             files.crash(random.Random(seed))
             self.assertEqual(open_disk(files).load(INSTANCE), saved)
 
+    @parameterized.expand(
+        [
+            (f"{name}_{n}", Fault(n, crash_before=True), restarted)
+            for n in OPERATIONS
+            for name, restarted in (("loaded_again", False), ("restarted", True))
+        ]
+    )
+    def test_state_loaded_after_a_failed_sync_survives_a_power_failure(
+        self, _: str, kill: Fault, restarted: bool
+    ) -> None:
+        """Guards against the trust in a second sync after one has failed.
+
+        The system drops what it could not write, so that a second sync of the
+        same file succeeds although the data is not on the disk.
+        """
+        killed = MemoryFiles(kill)
+        with self.assertRaises(Crash):
+            for _step in run_steps(killed):
+                pass
+        intact = killed.after_kill()
+        first = len(intact.operations)
+        open_disk(intact).load(INSTANCE)
+        for operation in range(first + 1, len(intact.operations) + 1):
+            files = killed.after_kill()
+            files.fault = Fault(operation, error=errno.EIO)
+            disk = open_disk(files)
+            with self.assertRaises((DiskError, OSError)):
+                disk.load(INSTANCE)
+            disk = open_disk(files) if restarted else disk
+            saved = disk.load(INSTANCE)
+            files.crash(random.Random(operation))
+            self.assertEqual(open_disk(files).load(INSTANCE), saved)
+
     def _check_usable(self, files: MemoryFiles, saved: PersistentState) -> None:
         """Check that entries can be appended after the restart."""
         disk = open_disk(files)
