Sync the names of folders that an earlier process created

Cause: make_folder synced the parents of the folders that it created, and no others. A process that was killed between the creation and the sync left folders whose names were not durable, and the next process stored the log, the vote or bodies in them and acknowledged these.

--- a/goldcrestyard/storage/bodies.py
+++ b/goldcrestyard/storage/bodies.py
@@ -40,6 +40,8 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._next_folder = 0
+        self._durable_folders: set[Path] = set()
+        """Folders whose names this process has made durable."""
 
     def put(self, body: bytes, keep_until: float) -> BodyDigest:
         """Store a body and return its digest; it is durable on return.
@@ -50,6 +52,7 @@
         digest = compute_digest(body)
         path = self._path(digest)
         try:
+            self._make_folder(path.parent)
             if self._read_verified(path, digest) is None:
                 self._write(path, body, keep_until)
                 return digest
@@ -97,6 +100,12 @@
     def _path(self, digest: BodyDigest) -> Path:
         return self._folder / digest[:2] / digest
 
+    def _make_folder(self, folder: Path) -> None:
+        if folder in self._durable_folders and folder.is_dir():
+            return
+        make_folder(folder)
+        self._durable_folders.add(folder)
+
     @staticmethod
     def _read_verified(path: Path, digest: BodyDigest) -> bytes | None:
         try:
@@ -106,7 +115,6 @@
         return body if compute_digest(body) == digest else None
 
     def _write(self, path: Path, body: bytes, keep_until: float) -> None:
-        make_folder(path.parent)
         descriptor, temporary = tempfile.mkstemp(
             prefix=_TEMPORARY_PREFIX, dir=path.parent
         )
