--- a/goldcrestyard/consensus/member.py
+++ b/goldcrestyard/consensus/member.py
@@ -644,6 +644,8 @@
         if message.index <= self.commit_index:
             self._send_snapshot_reply(sender, message, message.total, installed=True)
             return
+        if self._partial_snapshot and self._partial_snapshot.is_overtaken(message):
+            return
         if (
             self._partial_snapshot is None
             or not self._partial_snapshot.matches_transfer(sender, message)
--- a/goldcrestyard/consensus/progress.py
+++ b/goldcrestyard/consensus/progress.py
@@ -13,7 +13,7 @@
     Snapshot,
     SnapshotReply,
 )
-from goldcrestyard.core.ids import LogIndex
+from goldcrestyard.core.ids import LogIndex, Term
 
 NEVER = float("-inf")
 """Time of an event that has not happened yet."""
@@ -262,6 +262,8 @@
     sender: MemberId
     index: LogIndex
     digest: bytes
+    _latest: tuple[Term, float] = (Term(0), NEVER)
+    """Term and sending time of the latest chunk."""
     _data: bytearray = field(default_factory=bytearray)
     _early_by_offset: dict[int, bytes] = field(default_factory=dict)
     """Chunks that have arrived before those that they follow."""
@@ -279,8 +281,21 @@
             return self.digest == message.digest
         return self.sender == sender
 
+    def is_overtaken(self, message: InstallSnapshot) -> bool:
+        """Return whether an older snapshot's chunk was sent before this one.
+
+        A leader that begins a newer one does not return to it in its term.
+        """
+        term, sent_at = self._latest
+        return (
+            message.index < self.index
+            and message.term == term
+            and message.sent_at < sent_at
+        )
+
     def add(self, message: InstallSnapshot) -> int:
         """Add a chunk; return the number of bytes received without a gap."""
+        self._latest = max(self._latest, (message.term, message.sent_at))
         if message.offset > len(self._data):
             # A heartbeat after a restart names an offset too, without data.
             if (
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -534,6 +534,40 @@
         self.assertEqual(receive(4, 9, 4, b"4567"), 8)
         self.assertEqual(subject.log.snapshot.data, b"01234567")
 
+    @parameterized.expand(
+        [
+            ("late", 3, 4.0, [], [8]),
+            ("sent_after_it", 3, 6.0, [4], [0]),
+            ("next_term", 4, 1.0, [4], [0]),
+        ]
+    )
+    def test_chunk_of_an_older_snapshot(
+        self, _: str, term: int, sent_at: float, of_older: list[int], then: list[int]
+    ) -> None:
+        """Guards against a late chunk that discards a newer partial copy.
+
+        Chunks travel on several connections, and may overtake each other.
+        """
+        subject = make_member(1)
+
+        def receive(term: int, index: int, offset: int, sent_at: float) -> list[int]:
+            chunk = InstallSnapshot(
+                Term(term),
+                LogIndex(index),
+                Term(1),
+                configuration(A, B, C),
+                offset,
+                12,
+                b"%04d" % index,
+                sent_at,
+            )
+            replies = sent(step(subject, START, B, chunk))
+            return [r.received for r in replies if isinstance(r, SnapshotReply)]
+
+        self.assertEqual([4], receive(3, 10, 0, 5.0))
+        self.assertEqual(of_older, receive(term, 9, 0, sent_at))
+        self.assertEqual(then, receive(term, 10, 4, 7.0))
+
 
 LEARNER = MemberRecord(D, InstanceId("d"), "", False)
 
