--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -231,6 +231,8 @@
         self._barriers: list[_Barrier] = []
         # Replies to a member are collected here while its batch is processed.
         self._replies_by_member: dict[MemberId, list[bytes]] = {}
+        # Term and index of the snapshot transfer last logged for each member.
+        self._logged_transfers: dict[MemberId, tuple[Term, LogIndex]] = {}
         self._vote_refused_at: dict[MemberId, float] = {}
         self._links = MemberLinks(
             instance,
@@ -454,6 +456,7 @@
         if snapshot is not None and snapshot.index > self._state.index:
             self._state.restore(snapshot)
         self._early_entries = EarlyEntries()
+        self._logged_transfers.clear()
         self._core = Member(
             self._disk.member_id,
             saved,
@@ -1084,15 +1087,8 @@
         self._spawn(f"link to {link.instance}", link.run())
 
     def _send(self, receiver: MemberId, message: MemberMessage) -> None:
-        if isinstance(message, InstallSnapshot) and message.offset == 0 < len(
-            message.data
-        ):
-            logger.info(
-                "snapshot transfer started",
-                member=receiver,
-                index=message.index,
-                size=message.total,
-            )
+        if isinstance(message, InstallSnapshot):
+            self._log_transfer(receiver, message)
         replies = self._replies_by_member.get(receiver)
         if replies is not None:
             replies.append(self._codec.encode(message))
@@ -1106,6 +1102,19 @@
                 make_transfer_key(message),
             )
 
+    def _log_transfer(self, receiver: MemberId, message: InstallSnapshot) -> None:
+        """Log the first chunk of a transfer, but none that is sent again."""
+        transfer = (message.term, message.index)
+        if message.data and self._logged_transfers.get(receiver) != transfer:
+            self._logged_transfers[receiver] = transfer
+            logger.info(
+                "snapshot transfer started",
+                member=receiver,
+                index=message.index,
+                offset=message.offset,
+                size=message.total,
+            )
+
     def _on_identity(self) -> None:
         if not self._disk.cluster:
             self._queue.put_nowait(_BootstrapCheck())
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -11,11 +11,17 @@
 from dataclasses import replace
 
 import cbor2
+import structlog
 from parameterized import parameterized
 
-from goldcrestyard.consensus.configuration import MemberId
+from goldcrestyard.consensus.configuration import Configuration, MemberId
 from goldcrestyard.consensus.control_member import ControlMember
-from goldcrestyard.consensus.messages import Append, Entry, EntryKind
+from goldcrestyard.consensus.messages import (
+    Append,
+    Entry,
+    EntryKind,
+    InstallSnapshot,
+)
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
 from goldcrestyard.consensus.roles import Role
 from goldcrestyard.core.ids import InstanceId, LogIndex, Revision, Term
@@ -63,6 +69,43 @@
         await asyncio.sleep(seconds)
 
 
+class TransferLogTests(NetworkTestCase):
+    """Log lines on the transfer of a snapshot."""
+
+    @parameterized.expand(
+        [
+            ("sent_again", [(2, 9, 0), (2, 9, 4), (2, 9, 0), (2, 9, 0)], [(9, 0)]),
+            ("goes_on_from_another_leader", [(2, 9, 4), (2, 9, 8)], [(9, 4)]),
+            ("newer_snapshot", [(2, 9, 0), (2, 12, 0), (2, 12, 4)], [(9, 0), (12, 0)]),
+            ("next_term", [(2, 9, 0), (4, 9, 4), (4, 9, 0)], [(9, 0), (9, 4)]),
+        ]
+    )
+    async def test_start_of_a_transfer_is_logged_once(
+        self,
+        _: str,
+        chunks: list[tuple[int, int, int]],
+        expected: list[tuple[int, int]],
+    ) -> None:
+        """Guards against lines that look like several transfers."""
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
+        with structlog.testing.capture_logs() as lines:
+            for term, index, offset in chunks:
+                for data in (b"data", b""):
+                    message = InstallSnapshot(
+                        Term(term),
+                        LogIndex(index),
+                        Term(1),
+                        Configuration(()),
+                        offset,
+                        12,
+                        data,
+                        0.0,
+                    )
+                    self.leader._send(MemberId("b#1"), message)
+        started = [x for x in lines if x["event"] == "snapshot transfer started"]
+        self.assertEqual(expected, [(x["index"], x["offset"]) for x in started])
+
+
 class ProposalTests(NetworkTestCase):
     """Results of proposals."""
 
