Warn when a torn write was cut from the log

Cause: the size of a cut end of the log was a field of "control log loaded", which is an info line, and was not told of a load after a failure of the disk.

Change: a warning of its own, "torn write cut from the control log", at each load that cuts one; the info line has no such field any more.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -407,7 +407,6 @@
                 seconds=round(self._clock.monotonic() - started_at, 3),
                 entries=len(saved.entries),
                 snapshot_index=self._state.snapshot_index,
-                cut_bytes=self._disk.cut_bytes,
             )
         self._spawn("control member", self._run())
 
@@ -452,6 +451,10 @@
             raise
 
     def _start_core(self, saved: PersistentState) -> None:
+        if self._disk.cut_bytes:
+            logger.warning(
+                "torn write cut from the control log", cut_bytes=self._disk.cut_bytes
+            )
         snapshot = saved.snapshot
         if snapshot is not None and snapshot.index > self._state.index:
             self._state.restore(snapshot)
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -106,6 +106,26 @@
         self.assertEqual(expected, [(x["index"], x["offset"]) for x in started])
 
 
+class TornWriteTests(NetworkTestCase):
+    """Start of a member after a power failure during a write."""
+
+    @parameterized.expand([("torn", b"0123456", [7]), ("whole", b"", [])])
+    async def test_cut_of_the_log_is_a_warning(
+        self, _: str, torn: bytes, expected: list[int]
+    ) -> None:
+        """Guards against a lost write that no line above ``info`` tells of."""
+        name = self.followers[0].instance
+        await self.network.stop(name)
+        files = self.network.files_by_instance[name]
+        log = [path for path in files.paths() if path.suffix == ".log"]
+        files.append(log[-1], torn)
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
+        with structlog.testing.capture_logs() as lines:
+            await self.network.start(name)
+        warned = [line for line in lines if line["log_level"] == "warning"]
+        self.assertEqual(expected, [line.get("cut_bytes") for line in warned])
+
+
 class ProposalTests(NetworkTestCase):
     """Results of proposals."""
 
