Tell how long ago each member answered when no leader is found

Cause: "no leader is found" told the latest outcome of each member, but not whether one that is unreachable answered seconds ago or never.

Change: the field answered_seconds, by member, counts from the latest answer to a subscription or a renewal; none without one.

The test runs 5 s longer of simulated time, with a member that never answers.

--- a/goldcrestyard/membership/subscription.py
+++ b/goldcrestyard/membership/subscription.py
@@ -74,6 +74,8 @@
         self.draining = False
         self._answers_by_instance: dict[InstanceId, str] = {}
         """What each control member last answered, for the log."""
+        self._answered_at_by_instance: dict[InstanceId, float] = {}
+        """When each control member last answered a request at all."""
         self._left_leader_at = clock.monotonic()
         self._logged_at = float("-inf")
 
@@ -114,6 +116,11 @@
                 instance: self._answers_by_instance.get(instance, "not asked yet")
                 for instance in self._addresses
             },
+            answered_seconds={
+                instance: round(now - at, 1) if at is not None else None
+                for instance in self._addresses
+                for at in [self._answered_at_by_instance.get(instance)]
+            },
             leaderless_seconds=round(leaderless, 1),
         )
 
@@ -136,6 +143,7 @@
                     Subscribe(self._view.revision), self._renew_timeout_seconds
                 )
                 self._answers_by_instance[instance] = _describe(reply)
+                self._record_answer(instance, reply)
                 match reply:
                     case SubscribeReply():
                         return await self._follow(connection)
@@ -164,6 +172,7 @@
                     self._view.revision, self.draining, self._digests.collect()
                 )
                 reply = await connection.request(renew, self._renew_timeout_seconds)
+                self._record_answer(connection.peer, reply)
                 match reply:
                     case RenewReply(lease_seconds=lease_seconds):
                         self._view.grant(sent_at, lease_seconds)
@@ -181,6 +190,10 @@
             self._link.detach()
             self._left_leader_at = self._clock.monotonic()
 
+    def _record_answer(self, instance: InstanceId, reply: object) -> None:
+        if not isinstance(reply, NoAnswer | NotSent):
+            self._answered_at_by_instance[instance] = self._clock.monotonic()
+
     async def _wait_for_next_renewal(self) -> None:
         """Wait for the renewal interval, or until an earlier one is requested.
 
--- a/tests/membership/test_subscription.py
+++ b/tests/membership/test_subscription.py
@@ -123,18 +123,27 @@
 
     @parameterized.expand(
         [
-            ("no_leader", None, set(), "knows no leader"),
-            ("gone", "a", {"a"}, "names a"),
-            ("silent", None, {"b"}, "unreachable"),
+            ("no_leader", None, set(), "knows no leader", (0.0, 2.0)),
+            ("gone", "a", {"a"}, "names a", (0.0, 2.0)),
+            ("silent", None, {"b"}, "unreachable", (8.0, 12.0)),
+            ("leader_silent", "b", {"b"}, "unreachable", (3.0, 5.0)),
         ]
     )
     async def test_answers_without_a_leader_are_logged(
-        self, _: str, leader: str | None, silent: set[str], answer: str
+        self,
+        _: str,
+        leader: str | None,
+        silent: set[str],
+        answer: str,
+        answered: tuple[float, float],
     ) -> None:
         """Guards against fronts that refuse keys while no line says why."""
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
         with structlog.testing.capture_logs() as lines:
-            await asyncio.sleep(1.0)
+            self.addresses.learn_leader(NotLeader(InstanceId("d"), "d:1"))
+            self.members.silent.add("d")
+            self.members.leader = leader or "a"
+            await asyncio.sleep(6.0)
             self.members.leader = leader
             self.members.silent |= silent
             await asyncio.sleep(8.0)
@@ -142,6 +151,9 @@
         self.assertEqual(1, len(found))
         self.assertEqual(answer, found[0]["answers"]["b"])
         self.assertGreaterEqual(found[0]["leaderless_seconds"], 3.0)
+        ages = found[0]["answered_seconds"]
+        self.assertIsNone(ages["d"])
+        self.assertTrue(answered[0] <= ages["b"] <= answered[1], ages)
 
     async def test_lease_ends_without_a_leader(self) -> None:
         await asyncio.sleep(1.0)
