--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -11,11 +11,17 @@
 from dataclasses import replace
 
 import cbor2
+import structlog
 from parameterized import parameterized
 
-from goldcrestyard.consensus.configuration import MemberId
+from goldcrestyard.consensus.configuration import Configuration, MemberId
 from goldcrestyard.consensus.control_member import ControlMember
-from goldcrestyard.consensus.messages import Append, Entry, EntryKind
+from goldcrestyard.consensus.messages import (
+    Append,
+    Entry,
+    EntryKind,
+    InstallSnapshot,
+)
 from goldcrestyard.consensus.results import Applied, InDoubt, NotProposed
 from goldcrestyard.consensus.roles import Role
 from goldcrestyard.core.ids import InstanceId, LogIndex, Revision, Term
@@ -63,6 +69,63 @@
         await asyncio.sleep(seconds)
 
 
+class TransferLogTests(NetworkTestCase):
+    """Log lines on the transfer of a snapshot."""
+
+    @parameterized.expand(
+        [
+            ("sent_again", [(2, 9, 0), (2, 9, 4), (2, 9, 0), (2, 9, 0)], [(9, 0)]),
+            ("goes_on_from_another_leader", [(2, 9, 4), (2, 9, 8)], [(9, 4)]),
+            ("newer_snapshot", [(2, 9, 0), (2, 12, 0), (2, 12, 4)], [(9, 0), (12, 0)]),
+            ("next_term", [(2, 9, 0), (4, 9, 4), (4, 9, 0)], [(9, 0), (9, 4)]),
+        ]
+    )
+    async def test_start_of_a_transfer_is_logged_once(
+        self,
+        _: str,
+        chunks: list[tuple[int, int, int]],
+        expected: list[tuple[int, int]],
+    ) -> None:
+        """Guards against lines that look like several transfers."""
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
+        with structlog.testing.capture_logs() as lines:
+            for term, index, offset in chunks:
+                for data in (b"data", b""):
+                    message = InstallSnapshot(
+                        Term(term),
+                        LogIndex(index),
+                        Term(1),
+                        Configuration(()),
+                        offset,
+                        12,
+                        data,
+                        0.0,
+                    )
+                    self.leader._send(MemberId("b#1"), message)
+        started = [x for x in lines if x["event"] == "snapshot transfer started"]
+        self.assertEqual(expected, [(x["index"], x["offset"]) for x in started])
+
+
+class TornWriteTests(NetworkTestCase):
+    """Start of a member after a power failure during a write."""
+
+    @parameterized.expand([("torn", b"0123456", [7]), ("whole", b"", [])])
+    async def test_cut_of_the_log_is_a_warning(
+        self, _: str, torn: bytes, expected: list[int]
+    ) -> None:
+        """Guards against a lost write that no line above ``info`` tells of."""
+        name = self.followers[0].instance
+        await self.network.stop(name)
+        files = self.network.files_by_instance[name]
+        log = [path for path in files.paths() if path.suffix == ".log"]
+        files.append(log[-1], torn)
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(0))
+        with structlog.testing.capture_logs() as lines:
+            await self.network.start(name)
+        warned = [line for line in lines if line["log_level"] == "warning"]
+        self.assertEqual(expected, [line.get("cut_bytes") for line in warned])
+
+
 class ProposalTests(NetworkTestCase):
     """Results of proposals."""
 
