Read all pages of a job's results in the tests

`Site.results` read the page at position 0 only. A page has at most 900 kB of text, so a test with two items of 721 kB and 458 kB saw one of 28 results until its time-out. Each read still begins at the first result and compares all that is listed with what was seen before; it now goes on from `next`, and checks that `next` is where the page ends.

--- a/tests/fakes/platform_site.py
+++ b/tests/fakes/platform_site.py
@@ -391,18 +391,30 @@
         seen: list[dict[str, Any]] = []
 
         async def read() -> bool:
-            page = await self.page(job)
-            if page is not None:
-                listed = page["results"]
-                assert listed[: len(seen)] == seen[: len(listed)], (
-                    "the order of the results changed"
-                )
-                seen.extend(listed[len(seen) :])
+            listed = await self._listed(job, count)
+            assert listed[: len(seen)] == seen[: len(listed)], (
+                "the order of the results changed"
+            )
+            seen.extend(listed[len(seen) :])
             return len(seen) >= count
 
         await self.wait(read, f"{count} results of {job}")
         return seen
 
+    async def _listed(self, job: str, count: int) -> list[dict[str, Any]]:
+        """Return the listed results, up to a page that reaches ``count``.
+
+        Large texts take several pages, since the size of a page is limited.
+        """
+        listed: list[dict[str, Any]] = []
+        while len(listed) < count:
+            page = await self.page(job, len(listed))
+            if page is None or not page["results"]:
+                break
+            listed += page["results"]
+            assert page["next"] == len(listed), "a page does not end at its next"
+        return listed
+
     def _headers(self, request_id: str, key: str | None = KEY) -> dict[str, str]:
         headers = {"Host": HOST, "X-Goldcrestyard-Attempt-Id": request_id}
         if key is not None:
