Do not decompress bodies in the stand-in targets

In test_untrusted_bodies.test_front_10_compressed the front passes deflated bodies on, and the stand-in target decompressed them in the test process: up to 207 MB for each request, 4.3 GB in one run, for 36 of them at once 7.5 GB. The processes of the product stayed at 70 MB.

--- a/tests/fakes/platform_targets.py
+++ b/tests/fakes/platform_targets.py
@@ -109,9 +109,13 @@
         app.router.add_get("/v1/report", self._report)
         app.router.add_post("/v1/order", self._order)
         app.router.add_route("*", "/{path:.*}", self._serve)
-        # Like a crash, a stop does not wait for requests in progress.
+        # Like a crash, a stop does not wait for requests in progress.  A body
+        # is not decompressed: a small one may take 200 MB.
         self._runner = web.AppRunner(
-            app, handler_cancellation=True, shutdown_timeout=0.01
+            app,
+            handler_cancellation=True,
+            shutdown_timeout=0.01,
+            auto_decompress=False,
         )
         await self._runner.setup()
         site = web.TCPSite(self._runner, self.host, port, reuse_address=True)
