Start on a full disk without writing the log's last segment anew

Cause: since the first load of a process writes the last segment to a new file, which needs room for up to 8 MB. A member whose disk had less started as suspended; a cluster whose disks were all that full after a power failure would have had no leader to free room.

Change: without room for it the segment is synced as before. After a failed sync of the same process it is still written anew, whatever that takes. A segment that the load itself has begun is not written twice.

--- a/goldcrestyard/consensus/control_member.py
+++ b/goldcrestyard/consensus/control_member.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import errno
 import random
 import secrets
 from collections.abc import Callable, Mapping
@@ -102,6 +101,7 @@
 from goldcrestyard.state.commands import Accepted, Command
 from goldcrestyard.state.machine import StateMachine
 from goldcrestyard.storage.exceptions import (
+    DISK_FULL_ERRNOS,
     CorruptFileError,
     CorruptLogError,
     DiskError,
@@ -130,8 +130,6 @@
 
 MEMBER_CHANGE_POLL_SECONDS = 0.1
 
-DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
-
 MIN_DISK_RETRY_SECONDS = 0.25
 MAX_DISK_RETRY_SECONDS = 0.5
 """Bounds in seconds of the delay between two tests of a failed disk.  A member
--- a/goldcrestyard/consensus/disk.py
+++ b/goldcrestyard/consensus/disk.py
@@ -23,6 +23,7 @@
 from goldcrestyard.storage.log_segments import (
     SEGMENT_BYTES,
     LogRecord,
+    Rewrite,
     SegmentedLog,
 )
 from goldcrestyard.storage.snapshots import SnapshotFile, SnapshotRecord
@@ -63,8 +64,7 @@
         self._vote = VoteRecord("")
         # Whether the log's segments are all known.
         self._is_loaded = False
-        # Whether no sync of the log failed since it was last durable.
-        self._is_log_synced = False
+        self._rewrite = Rewrite.IF_ROOM
         self.was_empty: bool | None = None
         """Whether the disk held no state of a cluster when it was first
         loaded; None before that."""
@@ -104,7 +104,8 @@
         if self._is_loaded:
             self._log.discard_failed_writes()
         self._is_loaded = False
-        self._is_log_synced = self._is_log_synced and not self._log.sync_failed
+        if self._log.sync_failed:
+            self._rewrite = Rewrite.ALWAYS
         self._log = SegmentedLog(self._folder / "log", self._files, self._segment_bytes)
         self._files.make_folder(self._folder / "log")
         # A partial snapshot may take the room that the vote needs.
@@ -138,8 +139,8 @@
 
     def _make_durable(self) -> None:
         """Make durable what was loaded, since the member answers by it."""
-        self._log.make_durable(rewrite=not self._is_log_synced)
-        self._is_log_synced = True
+        self._log.make_durable(self._rewrite)
+        self._rewrite = Rewrite.NONE
         try:
             self._files.sync_folder(self._folder)
         except OSError as error:
--- a/goldcrestyard/storage/exceptions.py
+++ b/goldcrestyard/storage/exceptions.py
@@ -1,5 +1,9 @@
 """Exceptions of the storage layer, with the action that each requires."""
 
+import errno
+
+DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
+
 
 class StorageError(Exception):
     """Base class of the storage layer's exceptions."""
--- a/goldcrestyard/storage/log_segments.py
+++ b/goldcrestyard/storage/log_segments.py
@@ -4,11 +4,16 @@
 import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum, auto
 from pathlib import Path
 
 from goldcrestyard.core.decoding import parse_count
 from goldcrestyard.core.ids import LogIndex, Term
-from goldcrestyard.storage.exceptions import CorruptLogError, DiskError
+from goldcrestyard.storage.exceptions import (
+    DISK_FULL_ERRNOS,
+    CorruptLogError,
+    DiskError,
+)
 from goldcrestyard.storage.files import Files
 
 _HEADER = struct.Struct("<IIQQB")
@@ -36,6 +41,18 @@
 how much is taken for torn where an intact record follows a damaged one."""
 
 
+class Rewrite(Enum):
+    """Whether the last segment is written anew when it is made durable."""
+
+    NONE = auto()
+    IF_ROOM = auto()
+    """Before the first sync of a process, since one of an earlier process may
+    have failed.  A disk without room for it is synced only, so that the member
+    can start and free room."""
+    ALWAYS = auto()
+    """After a failed sync of this process."""
+
+
 @dataclass(frozen=True, slots=True)
 class LogRecord:
     """One entry of the log as stored."""
@@ -86,8 +103,9 @@
         self.sync_failed = False
         """Whether a sync failed.  Later ones of the file prove nothing then:
         the system drops what it could not write and reports success."""
-        self._loaded_tail = b""
-        """Content of the last loaded segment, until it is durable."""
+        self._loaded_segment: _Segment | None = None
+        """The last segment that was loaded, until it is durable."""
+        self._loaded_content = b""
 
     def load(self) -> list[LogRecord]:
         """Return all records, after truncating a torn append at the end.
@@ -111,23 +129,22 @@
                 )
             records.extend(found)
             self._segments.append(segment)
+            self._loaded_segment = segment
             if torn_bytes:
                 self.cut_bytes = torn_bytes
                 self._truncate_file(segment)
         return records
 
-    def make_durable(self, rewrite: bool) -> None:
+    def make_durable(self, rewrite: Rewrite) -> None:
         """Make all loaded records durable, and the removal of others.
 
         A process that was killed may have written them without a sync.  They
-        can be read until the power fails.  ``rewrite`` is for a log whose
-        syncs may have failed, before this process too: the last segment is
-        then written to a new file, from what was loaded.
+        can be read until the power fails.  A rewrite is for a log whose syncs
+        may have failed: the last segment is then written to a new file, from
+        what was loaded.
         """
         try:
-            for name in self._files.list_names(self._folder):
-                if name.endswith(NEW_SUFFIX):
-                    self._files.remove(self._folder / name)
+            self._remove_rewrites()
             if self._segments:
                 # A segment is created only once the one before is synced.
                 self._make_segment_durable(self._segments[-1], rewrite)
@@ -135,15 +152,31 @@
         except OSError as error:
             raise DiskError(f"{self._folder}: {error}") from error
 
-    def _make_segment_durable(self, segment: _Segment, rewrite: bool) -> None:
-        content, self._loaded_tail = self._loaded_tail[: segment.size], b""
-        if not rewrite:
-            self._sync(segment.path)
-            return
-        new = segment.path.with_name(segment.path.name + NEW_SUFFIX)
+    def _make_segment_durable(self, segment: _Segment, rewrite: Rewrite) -> None:
+        is_loaded = segment is self._loaded_segment
+        content = self._loaded_content[: segment.size]
+        self._loaded_segment, self._loaded_content = None, b""
+        if is_loaded and rewrite is not Rewrite.NONE:
+            try:
+                self._rewrite(segment.path, content)
+                return
+            except OSError as error:
+                if rewrite is Rewrite.ALWAYS or error.errno not in DISK_FULL_ERRNOS:
+                    raise
+                self._remove_rewrites()
+        self._sync(segment.path)
+
+    def _rewrite(self, path: Path, content: bytes) -> None:
+        new = path.with_name(path.name + NEW_SUFFIX)
         self._files.append(new, content)
-        self._sync(new)
-        self._files.replace(new, segment.path)
+        self._files.sync(new)
+        self._files.replace(new, path)
+
+    def _remove_rewrites(self) -> None:
+        """Remove the files of rewrites that did not end."""
+        for name in self._files.list_names(self._folder):
+            if name.endswith(NEW_SUFFIX):
+                self._files.remove(self._folder / name)
 
     def append(self, records: Sequence[LogRecord]) -> None:
         """Append records, with one sync unless they are large.
@@ -254,7 +287,8 @@
         self, path: Path, last: bool
     ) -> tuple[list[LogRecord], _Segment, int]:
         data = self._files.read(path) or b""
-        self._loaded_tail = data if last else b""
+        if last:
+            self._loaded_content = data
         records: list[LogRecord] = []
         first_index = parse_count(path.name.removesuffix(SEGMENT_SUFFIX).lstrip("0"))
         if first_index is None:
--- a/tests/storage/test_crashes.py
+++ b/tests/storage/test_crashes.py
@@ -211,6 +211,21 @@
             files.crash(random.Random(operation))
             self.assertEqual(open_disk(files).load(INSTANCE), saved)
 
+    @parameterized.expand([("no_room", 0), ("too_little_room", 10)])
+    def test_state_is_loaded_from_a_full_disk(self, _: str, room: int) -> None:
+        """Guards against a member that needs room for its log to start.
+
+        If all disks of a cluster are full, none could free any.
+        """
+        files = MemoryFiles()
+        for _step in run_steps(files):
+            pass
+        saved = open_disk(files).load(INSTANCE)
+        paths = files.paths()
+        files.capacity = files.used + room
+        self.assertEqual(open_disk(files).load(INSTANCE), saved)
+        self.assertEqual(files.paths(), paths)
+
     def _check_usable(self, files: MemoryFiles, saved: PersistentState) -> None:
         """Check that entries can be appended after the restart."""
         disk = open_disk(files)
