--- a/goldcrestyard/policy/unproved_peers.py
+++ b/goldcrestyard/policy/unproved_peers.py
@@ -9,8 +9,8 @@
 
 MAX_UNPROVED_BYTES = 16 * 1024
 """Most bytes that are taken from a peer before it has proved the secret, with
-the head of the opening request.  The messages of the handshake take some 600
-bytes beside the names of the cluster and of the instance."""
+the head of the opening request.  With short names 377 bytes were measured up
+to the last message of the handshake, which has some 60."""
 
 MAX_UNPROVED_CONNECTIONS = 512
 """Most connections without the proof.  All 370 instances of the design size
@@ -31,10 +31,11 @@
     """The open connections without the proof, oldest first, by address.
 
     A connection beyond the limit displaces the oldest one of the address that
-    has the most.  Strangers thus displace each other: to displace a peer they
-    need as many connections from one address as it has, and must open as many
-    as the limit while it proves the secret.  Refusing new connections instead
-    would let strangers that hold all places keep peers out.
+    has the most.  Strangers at one address thus displace each other.  A crowd
+    of many addresses, or at the peer's own, displaces a peer only if as many
+    connections as the limit come while it proves the secret; of several from
+    one peer, the older ones go first.  Refusing new connections instead would
+    let strangers that hold all places keep peers out.
     """
 
     def __init__(self, limit: int) -> None:
