Admit jobs in parts by the memory that their items take

A control member admitted a job that comes in parts by its encoded size. One request with 160,000 items of 30 bytes (4.9 MB) took two members of 296 MB to 321 and 316 MB. Each part now also names the size of the job once it is held, which a former release ignores and does not send.

The test fails on the former code: the job of 2,000 tiny items is admitted, and 33,613 of 213,733 bytes are counted of a staged one.

--- a/goldcrestyard/fleet/jobs/admission.py
+++ b/goldcrestyard/fleet/jobs/admission.py
@@ -43,12 +43,11 @@
         match command:
             case SubmitJob(job=job):
                 return self._admit(_key(job), job_size(job), self._shares.admitted_jobs)
-            case StageJobPart(size=size):
+            case StageJobPart(size=size, held_bytes=held_bytes):
                 key = staging_key(command)
-                known = key in self._jobs.staged_by_key
-                return (
-                    None if known else self._admit(key, size, self._shares.large_jobs)
-                )
+                if key in self._jobs.staged_by_key:
+                    return None
+                return self._admit(key, max(size, held_bytes), self._shares.large_jobs)
             case _:
                 return None
 
--- a/goldcrestyard/fleet/jobs/commands.py
+++ b/goldcrestyard/fleet/jobs/commands.py
@@ -19,6 +19,8 @@
 
     Adding a part again changes nothing.  ``digest`` is that of the whole
     encoded job and ``size`` its size; ``offset`` is that of ``data`` in it.
+    ``held_bytes`` is the size of the job once it is held, which exceeds that
+    of an encoded job of many small items; 0 in a part of a former release.
     """
 
     job: JobId
@@ -27,6 +29,7 @@
     size: int
     offset: int
     data: bytes
+    held_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +87,7 @@
     size: int
     updated_at: float
     parts: tuple[tuple[int, bytes], ...]
+    held_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcrestyard/fleet/jobs/slices.py
+++ b/goldcrestyard/fleet/jobs/slices.py
@@ -175,7 +175,7 @@
             for state in self.jobs_by_id.values()
             if not _is_expired(state, time)
         ) + sum(
-            staged.size
+            max(staged.size, staged.held_bytes)
             for staged in self.staged_by_key.values()
             if time - staged.updated_at <= STAGING_SECONDS
         )
@@ -249,7 +249,8 @@
             if part.offset > 0:
                 # The parts before it were dropped.
                 return Rejected(RefusalReason.NO_ROOM, "the first part is missing")
-            staged = self.staged_by_key[key] = StagedJob(part.size, time)
+            staged = StagedJob(part.size, time, part.held_bytes)
+            self.staged_by_key[key] = staged
         if not staged.add(part, time):
             return Rejected(RefusalReason.BAD_REQUEST, "a part is not in the job")
         job = staged.assemble(key)
--- a/goldcrestyard/fleet/jobs/staging.py
+++ b/goldcrestyard/fleet/jobs/staging.py
@@ -12,6 +12,7 @@
 from goldcrestyard.core.ids import JobId, OrganisationId
 from goldcrestyard.core.jobs import Job, JobItem, RewardCall
 from goldcrestyard.fleet.jobs.commands import StagedJobRecord, StageJobPart
+from goldcrestyard.policy.job_sizes import job_size
 from goldcrestyard.wire.codec import Codec, CodecError
 
 MAX_PART_BYTES = 256 * 1024
@@ -37,6 +38,7 @@
 def split_job(job: Job, encoded: bytes) -> Iterator[StageJobPart]:
     """Yield the parts of an encoded job, in order."""
     digest = _digest(encoded)
+    held_bytes = job_size(job)
     for offset in range(0, len(encoded), MAX_PART_BYTES):
         yield StageJobPart(
             job.id,
@@ -45,6 +47,7 @@
             len(encoded),
             offset,
             encoded[offset : offset + MAX_PART_BYTES],
+            held_bytes,
         )
 
 
@@ -56,6 +59,8 @@
     """Size of the whole encoded job, in bytes."""
     updated_at: float
     """Time of the latest part, the leader's wall time in seconds."""
+    held_bytes: int = 0
+    """Size of the whole job once it is held; 0 if a former release sent it."""
     parts_by_offset: dict[int, bytes] = field(default_factory=dict)
 
     def add(self, part: StageJobPart, time: float) -> bool:
@@ -94,14 +99,20 @@
 def to_record(key: StagingKey, staged: StagedJob) -> StagedJobRecord:
     """Return a staged job as it is stored in a snapshot."""
     return StagedJobRecord(
-        *key, staged.size, staged.updated_at, tuple(staged.parts_by_offset.items())
+        *key,
+        staged.size,
+        staged.updated_at,
+        tuple(staged.parts_by_offset.items()),
+        staged.held_bytes,
     )
 
 
 def from_record(record: StagedJobRecord) -> tuple[StagingKey, StagedJob]:
     """Return the key and the state of a staged job in a snapshot."""
     key = (record.job, record.organisation, record.digest)
-    return key, StagedJob(record.size, record.updated_at, dict(record.parts))
+    return key, StagedJob(
+        record.size, record.updated_at, record.held_bytes, dict(record.parts)
+    )
 
 
 def _digest(encoded: bytes) -> bytes:
--- a/tests/fleet/test_job_memory.py
+++ b/tests/fleet/test_job_memory.py
@@ -322,6 +322,29 @@
             admitted += self.admission.check(part) is None
         self.assertEqual(admitted, 3)
 
+    @parameterized.expand([("fits", 200, True), ("too_many_items", 2_000, False)])
+    def test_parts_count_by_the_items_of_their_job(
+        self, _: str, count: int, admitted: bool
+    ) -> None:
+        """Guards against tiny items that exceed the memory of the members."""
+        items = tuple(
+            replace(job(body_bytes=0).items[0], id=item_id(number))
+            for number in range(count)
+        )
+        tiny = replace(job("tiny"), items=items)
+        encoded = encode_job(tiny)
+        self.assertLess(len(encoded), self.room / 2)
+        part = next(split_job(tiny, encoded))
+        self.assertEqual(self.admission.check(part) is None, admitted)
+        if admitted:
+            part = replace(part, size=part.size + 1)
+            apply(self.machine, part)
+            jobs = self.machine.get(JobsSlice)
+            copy = JobsSlice()
+            copy.load_snapshot(jobs.to_snapshot())
+            for held in (jobs, copy):
+                self.assertEqual(held.held_bytes(0.0), job_size(tiny))
+
     def test_a_job_that_has_begun_may_end(self) -> None:
         parts = list(split_job(job("begun"), encode_job(job("begun"))))
         self.assertGreater(len(parts), 1)
