Keep room that becomes free for addresses that hold less

Whoever asked next got what slow bodies gave up, and a crowd asks more often than one ordinary client.

--- a/goldcrestyard/kernel/byte_room.py
+++ b/goldcrestyard/kernel/byte_room.py
@@ -2,7 +2,8 @@
 
 Requests and answers in progress share one room, so that many of them, or a
 few large ones, cannot exceed the memory of the process together.  Bodies that
-arrive too slowly give up their bytes once others need them.
+arrive too slowly give up their bytes once others need them, and what becomes
+free goes first to client addresses that hold less.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 import structlog
 
 from goldcrestyard.policy.arrivals import Arrival, bodies_to_end
+from goldcrestyard.policy.room_order import RoomOrder
 
 logger = structlog.get_logger(__name__)
 
@@ -46,6 +48,7 @@
         """The bodies that may be given up in favour of others."""
         self.observers: list[Callable[[], None]] = []
         """Called for each body that was given up."""
+        self.order = RoomOrder()
         self._unlogged = 0
         self._logged_at: float | None = None
 
@@ -80,22 +83,41 @@
             )
             self._unlogged = 0
 
-    def lease(self) -> "ByteLease":
-        """Return a lease that holds nothing yet."""
-        return ByteLease(self)
+    def lease(self, source: str = "") -> "ByteLease":
+        """Return a lease that holds nothing yet.
+
+        ``source`` is the address of the client that makes it grow, if any.
+        """
+        return ByteLease(self, source)
 
 
 class ByteLease:
     """The bytes that one request or one answer holds of a room."""
 
-    def __init__(self, room: ByteRoom) -> None:
+    def __init__(self, room: ByteRoom, source: str = "") -> None:
         self._room = room
+        self.source = source
         self.held = 0
 
     def grow(self, size: int) -> bool:
         """Take more bytes; return False, taking none, if there is no room."""
+        if self.held + size > SMALL_BYTES and self.source:
+            return self._grow_in_order(size)
+        return self._grow(size, 0)
+
+    def _grow_in_order(self, size: int) -> bool:
+        """Take bytes of a large body unless they are kept for others."""
+        order = self._room.order
+        now = asyncio.get_running_loop().time()
+        if not self._grow(size, order.reserved(self.source, now)):
+            order.refused(self.source, size, now)
+            return False
+        order.served(self.source)
+        return True
+
+    def _grow(self, size: int, reserved: int) -> bool:
         room = self._room
-        usable = room.capacity
+        usable = room.capacity - reserved
         if self.held + size > SMALL_BYTES:
             usable -= int(SMALL_BODIES_SHARE * room.capacity)
         missing = room.held + size - usable
@@ -115,6 +137,8 @@
         """Count bytes that are held already, whether or not there is room."""
         self.held += size
         self._room.held += size
+        if self.source:
+            self._room.order.add(self.source, size)
 
     @contextlib.contextmanager
     def arriving(self, body: ArrivingBody) -> Iterator[None]:
@@ -127,5 +151,4 @@
 
     def release(self) -> None:
         """Give all bytes back; doing so again changes nothing."""
-        self._room.held -= self.held
-        self.held = 0
+        self.add(-self.held)
--- a/goldcrestyard/plugins/listeners/connections.py
+++ b/goldcrestyard/plugins/listeners/connections.py
@@ -175,6 +175,9 @@
         # system has taken all of it, so that its lease covers what waits here.
         transport.set_write_buffer_limits(high=0)
         self._written_to = transport
+        address = transport.get_extra_info("peername")
+        if address:
+            self.lease.source = str(address[0])
         connected = transport.get_extra_info("socket")
         if connected is not None:
             connected.setsockopt(
