Count decoded configurations at a control member

A manifest of 2 MB keeps 7 to 16 MB until it is committed, and only its bytes counted in the room. It now counts 80 bytes for each object and comma, half of it, and at most half of the room, so that a single one of any shape still fits.

--- a/goldcrestyard/kernel/byte_room.py
+++ b/goldcrestyard/kernel/byte_room.py
@@ -99,6 +99,11 @@
         self.source = source
         self.held = 0
 
+    @property
+    def capacity(self) -> int:
+        """The capacity of the room, in bytes."""
+        return self._room.capacity
+
     def grow(self, size: int) -> bool:
         """Take more bytes; return False, taking none, if there is no room."""
         if self.held + size > SMALL_BYTES and self.source:
--- a/goldcrestyard/platform/control/front.py
+++ b/goldcrestyard/platform/control/front.py
@@ -49,6 +49,7 @@
 )
 from goldcrestyard.plugins.listeners.bodies import NO_ROOM
 from goldcrestyard.plugins.listeners.connections import lease_of
+from goldcrestyard.policy.memory import decoded_config_bytes
 from goldcrestyard.state.commands import Command, Rejected
 
 logger = structlog.get_logger(__name__)
@@ -109,7 +110,7 @@
             return refusal_response(body)
         match request.method, request.path:
             case "PUT", path if path == CONFIG_PATH:
-                return await self._put_config(body)
+                return await self._put_config(request, body)
             case "GET", path if path == CONFIG_PATH:
                 return self._get_config(request)
             case "POST", path if path == VERSION_PATH:
@@ -140,7 +141,12 @@
             status=HTTPStatus.TEMPORARY_REDIRECT, headers={"Location": location}
         )
 
-    async def _put_config(self, body: bytes) -> web.Response:
+    async def _put_config(self, request: web.BaseRequest, body: bytes) -> web.Response:
+        # The decoded configuration is kept until it is committed.
+        lease = lease_of(request)
+        if not lease.grow(decoded_config_bytes(body, lease.capacity)):
+            logger.warning("configuration refused", reason=NO_ROOM.detail)
+            return refusal_response(NO_ROOM)
         config = documents.decode(body, self._regions)
         if isinstance(config, Refusal):
             logger.warning("configuration refused", reason=config.detail)
--- a/goldcrestyard/policy/memory.py
+++ b/goldcrestyard/policy/memory.py
@@ -54,6 +54,14 @@
 """Memory of a decoded string, object and array without their content, and of a
 place for a value, with a number in it."""
 
+CONFIG_MARK_BYTES = 80
+"""Memory of a decoded configuration for each object and each comma.  Measured:
+33 to 76 bytes for 2 MB of routes, services, tenants, keys or splits."""
+
+MAX_CONFIG_SHARE = 0.5
+"""Share of the room that a decoded configuration counts at most, so that a
+single one of the largest size always fits beside its bytes."""
+
 JOB_OBJECT_BYTES = 100
 JOB_FIELD_BYTES = 256
 """Memory for each object and each field of a submitted job, decoded and
@@ -117,6 +125,12 @@
     return int(DECODED_SHARE * memory)
 
 
+def decoded_config_bytes(body: bytes, room_bytes: int) -> int:
+    """Return what a decoded configuration counts beside its bytes."""
+    memory = CONFIG_MARK_BYTES * (body.count(b"{") + body.count(b","))
+    return int(min(DECODED_SHARE * memory, MAX_CONFIG_SHARE * room_bytes))
+
+
 def decoded_job_bytes(body: bytes) -> int:
     """Return what a submitted job counts, decoded, beside its bytes."""
     memory = JOB_OBJECT_BYTES * body.count(b"{") + JOB_FIELD_BYTES * body.count(b":")
--- a/tests/policy/test_memory.py
+++ b/tests/policy/test_memory.py
@@ -9,13 +9,16 @@
 from parameterized import parameterized
 
 from goldcrestyard.core.decoding import decode_json
+from goldcrestyard.core.serving import ServingConfig
 from goldcrestyard.fleet.jobs.staging import encode_job
-from goldcrestyard.platform import submissions
+from goldcrestyard.platform import documents, submissions
 from goldcrestyard.policy.memory import (
     DECODED_SHARE,
     decoded_bytes,
+    decoded_config_bytes,
     decoded_job_bytes,
 )
+from tests.fakes.platform_site import configuration
 
 COUNT = 10_000
 ENCODINGS = 4
@@ -41,6 +44,20 @@
     "keys": {f"{number:x}": [] for number in range(COUNT)},
     "keys_of_numbers": {f"{number:x}": 1000 + number for number in range(COUNT)},
 }
+ROUTE = configuration()["routes"][0]
+CONFIGS_BY_SHAPE: dict[str, Callable[[int], dict[str, Any]]] = {
+    "routes": lambda count: {
+        "routes": [{**ROUTE, "path_prefix": f"/{n:x}/"} for n in range(count)]
+    },
+    "keys": lambda count: {
+        "tenants": [{"name": "t", "api_keys": [f"{n:x}" for n in range(count)]}]
+    },
+    "tenants": lambda count: {"tenants": [{"name": f"{n:x}"} for n in range(count)]},
+    "services": lambda count: {
+        "services": [{"name": f"s{n:x}"} for n in range(count)],
+        "routes": [],
+    },
+}
 
 
 def peak_of(action: Callable[[], object]) -> int:
@@ -76,6 +93,21 @@
         counted = decoded_job_bytes(body) / DECODED_SHARE + ENCODINGS * len(body)
         self.assertLessEqual(peak_of(accept), counted)
 
+    @parameterized.expand(CONFIGS_BY_SHAPE.items())
+    def test_config(self, _: str, shape: Callable[[int], dict[str, Any]]) -> None:
+        document = {**configuration(), **shape(COUNT)}
+        body = json.dumps(document, separators=(",", ":")).encode()
+        tracemalloc.start()
+        try:
+            config = documents.decode(body)
+            kept = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        self.assertIsInstance(config, ServingConfig)
+        counted = decoded_config_bytes(body, 100 * len(body)) / DECODED_SHARE
+        self.assertLessEqual(kept, counted + len(body))
+        self.assertEqual(decoded_config_bytes(body, len(body)), len(body) // 2)
+
     @parameterized.expand(DOCUMENTS_BY_SHAPE.items())
     def test_document(self, _: str, document: object) -> None:
         body = json.dumps({"a": document}, separators=(",", ":")).encode()
