Revert "Count an ask for room only as far as it leaves addresses even"

What was for remains, and is milder than it said: an address with nothing that asks for much in vain makes others take turns, one body at a time, until so much is free; an address that holds nothing leaves room for none, so that a dispatcher is never kept out altogether. By reading, not played.

--- a/goldcrestyard/kernel/byte_room.py
+++ b/goldcrestyard/kernel/byte_room.py
@@ -114,7 +114,7 @@
         """Take bytes of a large body unless they are kept for others."""
         order = self._room.order
         now = asyncio.get_running_loop().time()
-        if not self._grow(size, order.reserved(self.source, size, now)):
+        if not self._grow(size, order.reserved(self.source, now)):
             order.refused(self.source, size, now)
             return False
         order.served(self.source)
--- a/goldcrestyard/policy/room_order.py
+++ b/goldcrestyard/policy/room_order.py
@@ -26,10 +26,8 @@
 class RoomOrder:
     """Keeps what becomes free for those addresses that hold least.
 
-    An ask counts only as far as its address would then hold no more than the
-    one that leaves room for it, so that a small holder cannot keep out others
-    by large asks.  An address without anything leaves room for no other, so
-    that the asks of many cannot keep it out.
+    An address without anything leaves room for no other, so that the asks of
+    many cannot keep it out.
     """
 
     def __init__(self) -> None:
@@ -42,15 +40,13 @@
         if self._held_by_source[source] <= 0:
             del self._held_by_source[source]
 
-    def reserved(self, source: str, size: int, now: float) -> int:
-        """Return what an address that asks for ``size`` leaves to others."""
+    def reserved(self, source: str, now: float) -> int:
+        """Return the bytes that an address has to leave to others."""
         held = self._held_by_source[source]
         return sum(
             ask.size
             for other, ask in self._asks_by_source.items()
-            if now < ask.until
-            and (other_held := self._held_by_source[other]) < held
-            and other_held + ask.size <= held + size
+            if now < ask.until and self._held_by_source[other] < held
         )
 
     def refused(self, source: str, size: int, now: float) -> None:
--- a/tests/policy/test_room_order.py
+++ b/tests/policy/test_room_order.py
@@ -18,7 +18,6 @@
     refused_holds: int
     asking_holds: int
     reserved: int
-    size: int = ASKED_BYTES
     age: float = ASK_SECONDS / 2
     served: bool = False
     later_asks: int = 0
@@ -38,8 +37,6 @@
                 Ask("both_hold_nothing", 0, 0, 0),
                 Ask("refused_holds_as_much", 5, 5, 0),
                 Ask("refused_holds_more", 6, 5, 0),
-                Ask("would_hold_as_much", 3, 53, ASKED_BYTES, size=50),
-                Ask("would_hold_more", 3, 52, 0, size=50),
                 Ask("asked_long_ago", 0, 1, 0, age=ASK_SECONDS),
                 Ask("served_since", 0, 1, 0, served=True),
                 Ask("many_asked_since", 0, 1, MAX_ASKS, later_asks=MAX_ASKS),
@@ -55,7 +52,7 @@
             order.served("refused")
         for number in range(case.later_asks):
             order.refused(f"other-{number}", 1, 0.0)
-        self.assertEqual(order.reserved("asking", case.size, case.age), case.reserved)
+        self.assertEqual(order.reserved("asking", case.age), case.reserved)
 
 
 if __name__ == "__main__":
