Give up no slow body for room that is only reserved

Cause: a lease that has to leave room for others counted this room as missing, and slow bodies were given up for it although that much was free.

Change: a lease that does not fit beside what is reserved is refused; the others, which hold less, have slow bodies given up when they come again.

Measured: test_reserved_room_ends_no_slow_body failed before and passes now; tests.kernel.test_byte_room and tests.platform.test_body_room pass, 17 tests.

--- a/goldcrestyard/kernel/byte_room.py
+++ b/goldcrestyard/kernel/byte_room.py
@@ -121,11 +121,17 @@
         return True
 
     def _grow(self, size: int, reserved: int) -> bool:
+        """Take bytes beside those that are reserved for others.
+
+        Slow bodies are not given up for what is reserved: the others, who hold
+        less, have them given up when they come again.
+        """
         room = self._room
-        usable = room.capacity - reserved
+        missing = room.held + size - room.capacity
         if self.held + size > SMALL_BYTES:
-            usable -= int(SMALL_BODIES_SHARE * room.capacity)
-        missing = room.held + size - usable
+            missing += int(SMALL_BODIES_SHARE * room.capacity)
+        if reserved > 0 and missing + reserved > 0:
+            return False
         if missing > 0 and not room.make_room(missing, self):
             return False
         self.add(size)
--- a/tests/kernel/test_byte_room.py
+++ b/tests/kernel/test_byte_room.py
@@ -64,6 +64,22 @@
             await asyncio.gather(*crowd, return_exceptions=True)
         self.assertEqual(room.held, 0)
 
+    async def test_reserved_room_ends_no_slow_body(self) -> None:
+        """Guards against slow bodies that are given up while room is free."""
+        room = ByteRoom(CAPACITY)
+        now = asyncio.get_running_loop().time
+        slow, larger, leaving = (room.lease(name) for name in ("a", "b", "c"))
+        ended = asyncio.Event()
+        slow.add(500_000)
+        larger.add(400_000)
+        leaving.add(600_000)
+        with slow.arriving(ArrivingBody(Arrival(now(), 10**9), ended.set)):
+            await asyncio.sleep(GRACE_SECONDS)
+            self.assertFalse(room.lease("d").grow(900_000))
+            leaving.release()
+            self.assertFalse(larger.grow(100_000))
+        self.assertFalse(ended.is_set())
+
     async def _seconds_until_served(self, room: ByteRoom, holds: int) -> float:
         now = asyncio.get_running_loop().time
         began_at = now()
