--- a/tests/platform/test_unread_answers.py
+++ b/tests/platform/test_unread_answers.py
@@ -60,6 +60,15 @@
 
 JOB = "job"
 
+SERVICE = "desk"
+SERVICE_ROUTES = [
+    {"prefix": "/public", "open": True, "idempotent": True},
+    {"prefix": "/book", "idempotent": False},
+]
+SERVICE_ANSWER_BYTES = 900_000
+SERVICE_REQUESTS = 4
+"""Number of requests of a client for an answer of a plain service."""
+
 
 class Kind(Enum):
     """What each client of a crowd asks for, again and again."""
@@ -73,6 +82,8 @@
     CONFIGURATION = auto()
     ADDRESSES = auto()
     METRICS = auto()
+    SERVICE_ANSWER = auto()
+    CLAIMED_ANSWER = auto()
 
 
 @dataclass(frozen=True)
@@ -107,6 +118,8 @@
 DAEMON_CROWDS = [
     Crowd("public", (Kind.UNKNOWN_PATH,)),
     Crowd("admin", (Kind.METRICS,)),
+    Crowd("public", (Kind.SERVICE_ANSWER,)),
+    Crowd("public", (Kind.CLAIMED_ANSWER,)),
 ]
 
 
@@ -208,13 +221,19 @@
         instance = deployment.instances[0]
         assert instance.process is not None
         address = instance.public if case.listener == "public" else instance.admin
+        key, path = KEY, "/healthz"
+        if case.kinds[0] in (Kind.SERVICE_ANSWER, Kind.CLAIMED_ANSWER):
+            key = await deployment.add_organisation("tejo")
+            await deployment.put_service(SERVICE, SERVICE_ROUTES)
+            await deployment.start_service("desk-0", SERVICE, instance)
+            path = f"/services/{SERVICE}/public/hours"
 
         async def ask() -> int:
-            url = f"http://{address}/healthz"
+            url = f"http://{address}{path}"
             async with aiohttp.ClientSession() as session, session.get(url) as got:
                 return got.status
 
-        await self._withstand(instance.process, address, case, ask)
+        await self._withstand(instance.process, address, case, ask, key)
 
     async def _withstand(
         self,
@@ -222,6 +241,7 @@
         address: str,
         case: Crowd,
         ask: Callable[[], Awaitable[int]],
+        key: str = KEY,
     ) -> None:
         """Send the crowds; ask an ordinary request beside and after them."""
         peak = Peak(process)
@@ -230,7 +250,9 @@
         statuses = []
         for _ in range(case.crowds):
             clients = [
-                asyncio.create_task(_client(address, case.kinds[n % len(case.kinds)]))
+                asyncio.create_task(
+                    _client(address, case.kinds[n % len(case.kinds)], key=key)
+                )
                 for n in range(CROWD)
             ]
             await asyncio.sleep(CROWD_SECONDS)
@@ -313,11 +335,16 @@
     return status
 
 
-async def _client(address: str, kind: Kind, *, again: bool = True) -> None:
+async def _client(
+    address: str, kind: Kind, *, again: bool = True, key: str = KEY
+) -> None:
     """Send requests on one connection; once closed, on another."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    request = _request(kind)
+    request = _request(kind, key)
+    count = max(1, SENT_BYTES // len(request))
+    if kind in (Kind.SERVICE_ANSWER, Kind.CLAIMED_ANSWER):
+        count = SERVICE_REQUESTS
     sent = False
     while again or not sent:
         sent = True
@@ -330,15 +357,19 @@
             )
             connection.setblocking(False)
             await loop.sock_connect(connection, (host, int(port)))
-            await loop.sock_sendall(
-                connection, request * max(1, SENT_BYTES // len(request))
-            )
+            await loop.sock_sendall(connection, request * count)
             await asyncio.sleep(HOLD_SECONDS)
         await asyncio.sleep(0.5)
 
 
-def _request(kind: Kind) -> bytes:
+def _request(kind: Kind, key: str) -> bytes:
     match kind:
+        case Kind.SERVICE_ANSWER:
+            query = f"answer_bytes={SERVICE_ANSWER_BYTES}"
+            return _call("GET", f"/services/{SERVICE}/public/x?{query}")
+        case Kind.CLAIMED_ANSWER:
+            query = f"answer_bytes={SERVICE_ANSWER_BYTES}"
+            return _call("POST", f"/services/{SERVICE}/book?{query}", key)
         case Kind.LATE_ANSWER:
             return _call("POST", "/quotes/late")
         case Kind.SMALL_ANSWER:
@@ -359,11 +390,11 @@
             return b"GET /x HTTP/1.1\r\nhost: x\r\n\r\n"
 
 
-def _call(method: str, path: str) -> bytes:
+def _call(method: str, path: str, key: str = KEY) -> bytes:
     lines = (
         f"{method} {path} HTTP/1.1",
         f"host: {HOST}",
-        f"authorization: Bearer {KEY}",
+        f"authorization: Bearer {key}",
         "x-goldcrestyard-attempt-id: a",
         "x-goldcrestyard-model: m1",
         "content-length: 0\r\n\r\n",
