--- a/goldcrestyard/plugins/claims/manager.py
+++ b/goldcrestyard/plugins/claims/manager.py
@@ -23,6 +23,7 @@
 )
 from goldcrestyard.core.refusals import Refusal
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.byte_room import ByteLease
 from goldcrestyard.kernel.clock import Clock
 from goldcrestyard.membership.leader_link import LeaderLink
 from goldcrestyard.membership.view import EntryView
@@ -87,14 +88,19 @@
         call: ClaimedCall,
         send: Callable[[], Awaitable[CallResult]],
         recheck: Callable[[], Refusal | None],
+        lease: ByteLease,
     ) -> CallResult:
         """Return the outcome of a call, and send it if it was not sent yet.
 
         ``recheck`` is called once the claim is confirmed, which may be long
         after the request arrived.  If it returns a refusal, the call is not
-        sent and the claim is released.
+        sent and the claim is released.  ``lease`` holds the memory of the
+        answer; it is released once the call has ended, which may be after the
+        caller's connection has closed.
         """
-        return await asyncio.shield(self._spawn(self._run(call, send, recheck)))
+        return await asyncio.shield(
+            self._spawn(self._run_counted(call, send, recheck, lease))
+        )
 
     async def drain(self) -> None:
         """Wait until the running calls have ended and are settled."""
@@ -119,6 +125,18 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    async def _run_counted(
+        self,
+        call: ClaimedCall,
+        send: Callable[[], Awaitable[CallResult]],
+        recheck: Callable[[], Refusal | None],
+        lease: ByteLease,
+    ) -> CallResult:
+        try:
+            return await self._run(call, send, recheck)
+        finally:
+            lease.release()
+
     async def _run(
         self,
         call: ClaimedCall,
@@ -131,7 +149,9 @@
             case claims.Send():
                 refusal = recheck()
                 result = await send() if refusal is None else _not_run(refusal)
-                settlement = self._spawn(self._end_claim(call, attempt, result))
+                settlement = self._spawn(
+                    self._end_claim(call, attempt, _to_store(result))
+                )
                 await asyncio.wait([settlement], timeout=MAX_RESPONSE_DELAY_SECONDS)
                 return result
             case claims.AnswerStored(outcome=outcome):
@@ -194,8 +214,7 @@
             case Refusal():
                 command = SettleClaim(call.organisation, call.request, attempt, None)
             case StoredOutcome():
-                stored = claims.without_large_body(result)
-                command = SettleClaim(call.organisation, call.request, attempt, stored)
+                command = SettleClaim(call.organisation, call.request, attempt, result)
         deadline = self._clock.monotonic() + SETTLE_TIMEOUT_SECONDS
         while self._clock.monotonic() < deadline:
             proposal = await self._link.propose(
@@ -209,6 +228,18 @@
         )
 
 
+def _to_store(result: CallResult) -> CallResult:
+    """Return the result without a body that is too large to store.
+
+    The settlement may take minutes, in which it would keep the body.
+    """
+    match result:
+        case StoredOutcome():
+            return claims.without_large_body(result)
+        case Refusal():
+            return result
+
+
 def _not_run(refusal: Refusal) -> Refusal:
     """Return the refusal with the verdict that the call has not run."""
     return replace(refusal, verdict=Verdict.NOT_RUN)
--- a/goldcrestyard/plugins/services/apps.py
+++ b/goldcrestyard/plugins/services/apps.py
@@ -4,6 +4,7 @@
 
 from goldcrestyard.kernel.application import Application
 from goldcrestyard.kernel.apps import PluginConfig
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.claims.manager import ClaimManager
@@ -65,7 +66,12 @@
             settings,
         )
         views = ServiceViews(
-            view, app.get(Authenticator), dispatcher, app.get(ClaimManager), settings
+            view,
+            app.get(Authenticator),
+            dispatcher,
+            app.get(ClaimManager),
+            settings,
+            app.get(ByteRoom),
         )
         routes = app.get(PublicRoutes)
         routes.add("*", "/services/{service}", views.forward)
--- a/goldcrestyard/plugins/services/dispatch.py
+++ b/goldcrestyard/plugins/services/dispatch.py
@@ -9,14 +9,21 @@
     OrganisationId,
 )
 from goldcrestyard.core.records import Organisation
-from goldcrestyard.core.refusals import Refusal
+from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.states import Priority
+from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.byte_room import ByteLease
 from goldcrestyard.kernel.clock import Clock
+from goldcrestyard.kernel.http_client import MAX_UNCOUNTED_ANSWER_BYTES
 from goldcrestyard.plugins.scheduling.attempts import AttemptPolicy, Attempts
 from goldcrestyard.plugins.scheduling.scheduler import Scheduler, WorkRequest
 from goldcrestyard.plugins.services.requests import ServiceRequest
 from goldcrestyard.plugins.services.settings import ServiceSettings
-from goldcrestyard.plugins.services.upstream import ServiceAnswer, ServiceClient
+from goldcrestyard.plugins.services.upstream import (
+    NoRoomForAnswer,
+    ServiceAnswer,
+    ServiceClient,
+)
 from goldcrestyard.policy.routing import RequestNeeds
 
 NO_TOKENS = TokenCount(0, 0)
@@ -28,6 +35,18 @@
 ANONYMOUS_ORGANISATION = Organisation(OrganisationId("(open)"))
 """All callers of open routes are queued as one organisation."""
 
+NO_ROOM = Refusal(
+    RefusalReason.NO_ROOM,
+    "no room for the answer beside those of other requests",
+    retry_after_seconds=1.0,
+)
+
+ANSWER_WITHOUT_ROOM = Refusal(
+    RefusalReason.INCOMPLETE_ANSWER,
+    "no room for the target's answer beside those of other requests",
+    Verdict.MAY_HAVE_RUN,
+)
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
@@ -37,6 +56,8 @@
     organisation: OrganisationId | None
     idempotent: bool
     correlation_id: CorrelationId
+    lease: ByteLease
+    """The memory of the answer.  Whoever creates the call releases it."""
 
 
 class ServiceDispatcher:
@@ -60,7 +81,11 @@
         self._policy = AttemptPolicy(clock, scheduler, settings.max_attempts)
 
     async def answer(self, call: ServiceCall) -> ServiceAnswer | Refusal:
-        """Return a target's complete answer, or a refusal."""
+        """Return a target's complete answer, or a refusal.
+
+        An answer that finds no room is not asked for again: the target would
+        run the request once more for an answer that finds no room either.
+        """
         attempts = Attempts.begin(
             self._policy, self._settings.request_seconds, idempotent=call.idempotent
         )
@@ -69,6 +94,9 @@
             async with self._scheduler.acquire(work) as granted:
                 if isinstance(granted, Refusal):
                     return attempts.refusal_without_target(granted)
+                # Counted only now, since queued calls have no connection.
+                if not call.lease.grow(MAX_UNCOUNTED_ANSWER_BYTES):
+                    return attempts.refusal_without_target(NO_ROOM)
                 outcome = await self._client.send(
                     granted.target,
                     call.request,
@@ -76,11 +104,18 @@
                     granted.attempt,
                     call.correlation_id,
                     attempts.seconds_left,
+                    call.lease,
                 )
-                if isinstance(outcome, ServiceAnswer):
-                    granted.finish(Answered(outcome.status, "", b""), NO_TOKENS)
-                    return outcome
+                match outcome:
+                    case ServiceAnswer(status=status):
+                        granted.finish(Answered(status, "", b""), NO_TOKENS)
+                        return outcome
+                    case NoRoomForAnswer(status=status):
+                        # The lack is here, so it is no failure of the target.
+                        granted.finish(Answered(status, "", b""), NO_TOKENS)
+                        return ANSWER_WITHOUT_ROOM
                 granted.finish(outcome)
+            call.lease.release()
             refusal = await attempts.handle_failure(granted, outcome)
             if refusal is not None:
                 return refusal
--- a/goldcrestyard/plugins/services/upstream.py
+++ b/goldcrestyard/plugins/services/upstream.py
@@ -16,7 +16,12 @@
 from goldcrestyard.core.headers import CORRELATION_HEADER, REQUEST_ID_HEADER
 from goldcrestyard.core.ids import AttemptId, CorrelationId, OrganisationId
 from goldcrestyard.core.records import Target
-from goldcrestyard.kernel.http_client import without_retries
+from goldcrestyard.kernel.byte_room import ByteLease
+from goldcrestyard.kernel.http_client import (
+    NoRoomError,
+    read_at_most,
+    without_retries,
+)
 from goldcrestyard.plugins.services.requests import (
     FORWARDED_RESPONSE_HEADERS,
     ServiceRequest,
@@ -36,6 +41,13 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class NoRoomForAnswer:
+    """The target answered, but this process has no room for the answer."""
+
+    status: int
+
+
 class ServiceClient:
     """Sends attempts to targets of plain services.
 
@@ -56,8 +68,12 @@
         attempt: AttemptId,
         correlation_id: CorrelationId,
         seconds_left: float,
-    ) -> ServiceAnswer | AttemptFailure:
-        """Send a request; return the complete answer or the failure."""
+        lease: ByteLease,
+    ) -> ServiceAnswer | NoRoomForAnswer | AttemptFailure:
+        """Send a request; return the complete answer or the failure.
+
+        ``lease`` holds the bytes of the answer that have arrived.
+        """
         headers = [
             *request.headers,
             (REQUEST_ID_HEADER, attempt),
@@ -80,15 +96,15 @@
                 allow_redirects=False,
                 middlewares=(without_retries,),
             ) as response:
-                return await self._read(response, attempt)
+                return await self._read(response, attempt, lease)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Unreached(describe_error(error))
         except (aiohttp.ClientError, TimeoutError) as error:
             return Broken(f"connection failed: {describe_error(error)}")
 
     async def _read(
-        self, response: aiohttp.ClientResponse, attempt: AttemptId
-    ) -> ServiceAnswer | AttemptFailure:
+        self, response: aiohttp.ClientResponse, attempt: AttemptId, lease: ByteLease
+    ) -> ServiceAnswer | NoRoomForAnswer | AttemptFailure:
         # Plain services need not return the request id, but a different id
         # shows that the answer belongs to another request.
         if response.headers.get(REQUEST_ID_HEADER, attempt) != attempt:
@@ -98,13 +114,12 @@
                 response.status,
                 f"target answered {response.status} and did not run the request",
             )
-        body = bytearray()
-        async for chunk in response.content.iter_any():
-            body += chunk
-            if len(body) > self._settings.max_answer_bytes:
-                return Broken("answer is too long")
+        try:
+            body = await read_at_most(response, self._settings.max_answer_bytes, lease)
+        except NoRoomError:
+            return NoRoomForAnswer(response.status)
         return ServiceAnswer(
             response.status,
             select_headers(response.headers.items(), FORWARDED_RESPONSE_HEADERS),
-            bytes(body),
+            body,
         )
--- a/goldcrestyard/plugins/services/views.py
+++ b/goldcrestyard/plugins/services/views.py
@@ -15,6 +15,7 @@
 from goldcrestyard.core.records import Service, ServiceRoute
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.claims.manager import (
     ClaimedCall,
@@ -22,6 +23,7 @@
     fingerprint,
 )
 from goldcrestyard.plugins.listeners.bodies import read_body
+from goldcrestyard.plugins.listeners.connections import lease_of
 from goldcrestyard.plugins.listeners.errors import VERDICT_HEADER, refuse
 from goldcrestyard.plugins.listeners.middleware import correlation_id_of
 from goldcrestyard.plugins.organisations.authentication import (
@@ -64,12 +66,14 @@
         dispatcher: ServiceDispatcher,
         claims: ClaimManager,
         settings: ServiceSettings,
+        room: ByteRoom,
     ) -> None:
         self._services = view.machine.get(ServicesSlice)
         self._authenticator = authenticator
         self._dispatcher = dispatcher
         self._claims = claims
         self._settings = settings
+        self._room = room
 
     async def forward(self, request: web.Request) -> web.StreamResponse:
         """Forward a request to a target of its service."""
@@ -103,8 +107,18 @@
         prepared = await _build_request(request, name)
         if isinstance(prepared, Refusal):
             return refuse(prepared)
-        call = ServiceCall(prepared, None, route.idempotent, correlation_id_of(request))
-        return _to_response(await self._dispatcher.answer(call))
+        call = ServiceCall(
+            prepared,
+            None,
+            route.idempotent,
+            correlation_id_of(request),
+            self._room.lease(),
+        )
+        try:
+            response = _to_response(await self._dispatcher.answer(call))
+        finally:
+            call.lease.release()
+        return _counted(request, response)
 
     async def _forward_with_key(
         self,
@@ -124,12 +138,16 @@
             principal.organisation,
             route.idempotent,
             correlation_id_of(request),
+            self._room.lease(),
         )
         result: ServiceAnswer | StoredOutcome | Refusal | None = None
         claimed = self._claimed_call(call, request_id)
         async with self._authenticator.guard(principal) as guard:
             if route.idempotent:
-                result = await self._dispatcher.answer(call)
+                try:
+                    result = await self._dispatcher.answer(call)
+                finally:
+                    call.lease.release()
             else:
                 # The call continues if this handler is cancelled, but it is
                 # not sent if the key has become invalid by then.
@@ -137,11 +155,12 @@
                     claimed,
                     lambda: self._answer_once(call),
                     lambda: guard.refusal or self._authenticator.invalidity(principal),
+                    call.lease,
                 )
         response = _to_response(guard.refusal or result)
         if not route.idempotent:
             response.headers[REQUEST_ID_HEADER] = claimed.request
-        return response
+        return _counted(request, response)
 
     def _claimed_call(
         self, call: ServiceCall, request_id: RequestId | None
@@ -210,6 +229,15 @@
     return refusal
 
 
+def _counted(request: web.Request, response: web.Response) -> web.Response:
+    """Count a response in place of its request, until it has been read."""
+    lease = lease_of(request)
+    lease.release()
+    if isinstance(response.body, bytes):
+        lease.add(len(response.body))
+    return response
+
+
 def _to_response(
     result: ServiceAnswer | StoredOutcome | Refusal | None,
 ) -> web.Response:
--- a/tests/plugins/claims/test_keeper.py
+++ b/tests/plugins/claims/test_keeper.py
@@ -1,8 +1,9 @@
 """Tests of the claim manager.
 
 They guard against a call that is sent without a confirmed claim, against a
-claim that is not released although its call has not run, and against the loss
-of an outcome when the caller's connection closes.
+claim that is not released although its call has not run, against the loss of
+an outcome when the caller's connection closes, and against an answer that does
+not count in memory for as long as its call runs, or counts for longer.
 """
 
 import asyncio
@@ -30,6 +31,7 @@
 )
 from goldcrestyard.core.refusals import Refusal, RefusalReason
 from goldcrestyard.core.verdicts import Verdict
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.membership.view import EntryView
 from goldcrestyard.plugins.addresses.commands import Entry, PutEntry
 from goldcrestyard.plugins.addresses.slices import EntriesSlice
@@ -113,11 +115,15 @@
         self.link = FakeLink(StateMachine([self.slice]), clock.wall)
         self.claims = ClaimManager(ENTRY, view, self.link, clock)  # type: ignore[arg-type]
         self.sent = 0
+        self.room = ByteRoom(1_000_000)
         self.recheck_refusal: Refusal | None = None
 
     async def run_call(self, call: ClaimedCall | None = None) -> CallResult:
         return await self.claims.run(
-            call or call_of(), self.send, lambda: self.recheck_refusal
+            call or call_of(),
+            self.send,
+            lambda: self.recheck_refusal,
+            self.room.lease(),
         )
 
     async def send(self) -> CallResult:
@@ -183,7 +189,9 @@
             await asyncio.sleep(CALL_SECONDS - 1.0)
             return OUTCOME
 
-        first = asyncio.create_task(self.claims.run(call_of(), slow, lambda: None))
+        first = asyncio.create_task(
+            self.claims.run(call_of(), slow, lambda: None, self.room.lease())
+        )
         await asyncio.sleep(0.1)
         earlier_proposals = len(self.link.proposed)
         self.assertEqual(await self.run_call(), OUTCOME)
@@ -200,6 +208,29 @@
         self.assertEqual(await self.run_call(), OUTCOME)
         self.assertEqual(self.sent, 1)
 
+    @parameterized.expand([("caller_stays", False), ("caller_leaves", True)])
+    async def test_answer_counts_until_the_call_has_ended(
+        self, _: str, leaves: bool
+    ) -> None:
+        lease = self.room.lease()
+
+        async def answer() -> CallResult:
+            await asyncio.sleep(1.0)
+            lease.add(1_000)
+            await asyncio.sleep(1.0)
+            return OUTCOME
+
+        run = self.claims.run(call_of(), answer, lambda: None, lease)
+        caller = asyncio.create_task(run)
+        await asyncio.sleep(0.5)
+        if leaves:
+            caller.cancel()
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.room.held, 1_000)
+        await asyncio.gather(caller, return_exceptions=True)
+        await self.claims.drain()
+        self.assertEqual(self.room.held, 0)
+
     @parameterized.expand(
         [
             ("not_run", Verdict.NOT_RUN, ReleaseClaim),
@@ -214,7 +245,8 @@
         async def fail() -> CallResult:
             return refusal
 
-        self.assertEqual(await self.claims.run(call_of(), fail, lambda: None), refusal)
+        result = await self.claims.run(call_of(), fail, lambda: None, self.room.lease())
+        self.assertEqual(result, refusal)
         await self.claims.drain()
         self.assertIsInstance(self.link.proposed[-1], ending)
         resent = await self.run_call()
--- a/tests/plugins/test_odd_statuses.py
+++ b/tests/plugins/test_odd_statuses.py
@@ -10,6 +10,7 @@
 from goldcrestyard.core.attempts import Broken
 from goldcrestyard.core.headers import REQUEST_ID_HEADER
 from goldcrestyard.core.ids import AttemptId, CorrelationId, ModelName, ServiceName
+from goldcrestyard.kernel.byte_room import ByteRoom
 from goldcrestyard.kernel.http_client import BoundedConnector
 from goldcrestyard.plugins.engines.requests import InferenceFields, InferenceRequest
 from goldcrestyard.plugins.engines.settings import EngineSettings
@@ -74,7 +75,13 @@
         client = ServiceClient(self.session, ServiceSettings())
         self.sent = self._answer(odd.line, b"text/plain", b"bytes of the target")
         outcome = await client.send(
-            self.target, SERVICE_REQUEST, None, ATTEMPT, CORRELATION, 5.0
+            self.target,
+            SERVICE_REQUEST,
+            None,
+            ATTEMPT,
+            CORRELATION,
+            5.0,
+            ByteRoom(1_000_000).lease(),
         )
         self.assertIsInstance(outcome, Broken)
         self.assertEqual(self.requests, 1)
