--- a/goldcrestyard/consensus/outbox.py
+++ b/goldcrestyard/consensus/outbox.py
@@ -44,16 +44,21 @@
 
 INITIAL_SECONDS_PER_BYTE_AHEAD = 1e-6
 """Assumption about all connections together, until it is measured: they share
-1 MB/s.  A first queue on a slower link then stays shorter than the lease."""
+1 MB/s.  A first queue on a link of 400 kB/s then stays shorter than the lease;
+on slower ones it may not."""
 
 QUEUE_SECONDS = 0.15
-"""Delay by transfers in flight up to which more are sent.  With one more batch
-it stays shorter than the lease, since heartbeats wait behind them."""
+"""Delay by transfers in flight up to which more are sent.  Heartbeats wait
+behind them, so with one more batch it has to stay shorter than the lease."""
 
 MIN_WINDOW_BYTES = 2 * MIN_BATCH_BYTES
 """Bytes of transfers that may always be in flight.  While one batch waits for
 a lost packet, the next one shows whether the link has become faster."""
 
+WEIGHT_IF_ALONE = 0.5
+"""Weight of the time of a batch with nothing ahead of it.  There are few of
+these, and what they do not show would count as the delay of a queue."""
+
 WEIGHT_IF_FASTER = 0.5
 WEIGHT_IF_SLOWER = 0.125
 """Weights of the latest acknowledgement in the smoothed times.  One that
@@ -135,7 +140,11 @@
                 self._round_trip = _smooth(self._round_trip, seconds)
             return
         per_byte = max(0.0, seconds - self._round_trip) / size
-        if not batch.ahead or per_byte < self._seconds_per_byte:
+        if not batch.ahead:
+            self._seconds_per_byte += WEIGHT_IF_ALONE * (
+                per_byte - self._seconds_per_byte
+            )
+        elif per_byte < self._seconds_per_byte:
             self._seconds_per_byte = _smooth(self._seconds_per_byte, per_byte)
         if 2 * size > self.batch_bytes and seconds < QUICK_SECONDS:
             self.batch_bytes = min(MAX_BATCH_BYTES, self.batch_bytes + MIN_BATCH_BYTES)
