--- a/goldcrestyard/consensus/link.py
+++ b/goldcrestyard/consensus/link.py
@@ -43,13 +43,12 @@
 heartbeats."""
 
 CONNECTIONS = 3
-MAX_CONNECTIONS = 12
+MAX_CONNECTIONS = 7
 EXTRA_CONNECTION_IDLE_SECONDS = 5.0
 """Number of connections of a link, with those during a large transfer, and the
 time in seconds after which one of these closes when it is idle.  TCP delivers
 in order, so a lost packet stops its connection for 0.2 s or more; the others
-go on meanwhile.  With 5% of the packets lost, many wait at any time.  How many
-carry transfers follows the link's measured pace."""
+go on meanwhile.  With 5% of the packets lost, many wait at any time."""
 
 MIN_WAIT_SECONDS = 0.001
 """Time that is not waited for.  A timer may fire early by a rounding error,
@@ -337,9 +336,7 @@
 
     def _take_batch(self) -> Batch | None:
         batch = self._outbox.take()
-        if self._outbox.has_large_transfer:
-            self._large_transfer.set()
-        else:
+        if not self._outbox.has_large_transfer:
             self._large_transfer.clear()
         if self._outbox.has_batch:
             self._wake_connection()
@@ -394,7 +391,7 @@
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         late = loop.call_later(
-            self._outbox.pace.resend_seconds(batch), self._resend, batch, attempt
+            self._outbox.pace.resend_seconds(size), self._resend, batch, attempt
         )
         try:
             reply = await connection.request(message, timeout)
--- a/goldcrestyard/consensus/outbox.py
+++ b/goldcrestyard/consensus/outbox.py
@@ -42,23 +42,6 @@
 """Assumptions about a link before its first acknowledgements: a connection
 between two regions carries 2.5 MB/s."""
 
-INITIAL_SECONDS_PER_BYTE_AHEAD = 1e-6
-"""Assumption about all connections together, until it is measured: they share
-1 MB/s.  A first queue on a link of 400 kB/s then stays shorter than the lease;
-on slower ones it may not."""
-
-QUEUE_SECONDS = 0.15
-"""Delay by transfers in flight up to which more are sent.  Heartbeats wait
-behind them, so with one more batch it has to stay shorter than the lease."""
-
-MIN_WINDOW_BYTES = 2 * MIN_BATCH_BYTES
-"""Bytes of transfers that may always be in flight.  While one batch waits for
-a lost packet, the next one shows whether the link has become faster."""
-
-WEIGHT_IF_ALONE = 0.5
-"""Weight of the time of a batch with nothing ahead of it.  There are few of
-these, and what they do not show would count as the delay of a queue."""
-
 WEIGHT_IF_FASTER = 0.5
 WEIGHT_IF_SLOWER = 0.125
 """Weights of the latest acknowledgement in the smoothed times.  One that
@@ -74,8 +57,6 @@
     keys: frozenset[TransferKey] = frozenset()
     """Keys of the transfers among the messages."""
     attempts: int = 1
-    ahead: int = 0
-    """Bytes of transfers that were in flight when it was first sent."""
     late: bool = False
     """Whether it was not acknowledged in the expected time."""
     settled: bool = False
@@ -88,86 +69,34 @@
 
 
 class LinkPace:
-    """Round trip time and throughput of a link by its acknowledgements.
-
-    The connections may share the link, or each have its own throughput.  Which
-    holds is measured, as the time by which bytes in flight on the others delay
-    a batch.
-    """
+    """Round trip time and throughput of a link by its acknowledgements."""
 
     def __init__(self) -> None:
         self.batch_bytes = MIN_BATCH_BYTES
         self._round_trip = INITIAL_ROUND_TRIP_SECONDS
         self._seconds_per_byte = INITIAL_SECONDS_PER_BYTE
-        self._seconds_per_byte_ahead = INITIAL_SECONDS_PER_BYTE_AHEAD
-
-    def has_room(self, in_flight: int) -> bool:
-        """Return whether more transfers may be sent beside those in flight."""
-        return (
-            in_flight < MIN_WINDOW_BYTES
-            or in_flight * self._seconds_per_byte_ahead < QUEUE_SECONDS
-        )
-
-    def resend_seconds(self, batch: Batch) -> float:
-        """Return the time after which a batch is sent once more.
 
-        Messages without transfers are small, so they need not wait for those
-        ahead of them.
-        """
-        expected = self._seconds_alone(batch.size)
-        if batch.keys:
-            expected += batch.ahead * self._seconds_per_byte_ahead
+    def resend_seconds(self, size: int) -> float:
+        """Return the time after which a batch of a size is sent once more."""
+        expected = self._round_trip + size * self._seconds_per_byte
         return max(2 * expected, MIN_RESEND_SECONDS)
 
-    def _seconds_alone(self, size: int) -> float:
-        return self._round_trip + size * self._seconds_per_byte
-
-    def record_idle(self) -> None:
-        """Record that nothing is in flight.
-
-        The link may have become slower since it was measured.
-        """
-        self._seconds_per_byte_ahead = max(
-            self._seconds_per_byte_ahead, INITIAL_SECONDS_PER_BYTE_AHEAD
-        )
-
-    def record_acknowledged(self, batch: Batch, seconds: float) -> None:
+    def record_acknowledged(self, size: int, seconds: float) -> None:
         """Record how long the first sending of a batch took."""
-        size = batch.size
-        self._record_delay(batch, seconds)
         if size < SMALL_BATCH_BYTES:
-            if not batch.ahead or seconds < self._round_trip:
-                self._round_trip = _smooth(self._round_trip, seconds)
+            self._round_trip = _smooth(self._round_trip, seconds)
             return
         per_byte = max(0.0, seconds - self._round_trip) / size
-        if not batch.ahead:
-            self._seconds_per_byte += WEIGHT_IF_ALONE * (
-                per_byte - self._seconds_per_byte
-            )
-        elif per_byte < self._seconds_per_byte:
-            self._seconds_per_byte = _smooth(self._seconds_per_byte, per_byte)
+        self._seconds_per_byte = _smooth(self._seconds_per_byte, per_byte)
         if 2 * size > self.batch_bytes and seconds < QUICK_SECONDS:
             self.batch_bytes = min(MAX_BATCH_BYTES, self.batch_bytes + MIN_BATCH_BYTES)
 
-    def record_late(self, batch: Batch) -> None:
+    def record_late(self, size: int) -> None:
         """Record that a batch was not acknowledged in the expected time."""
-        if batch.size >= SMALL_BATCH_BYTES:
-            self._record_delay(batch, self.resend_seconds(batch))
-            smaller = min(batch.size, self.batch_bytes) // 2
+        if size >= SMALL_BATCH_BYTES:
+            smaller = min(size, self.batch_bytes) // 2
             self.batch_bytes = max(MIN_BATCH_BYTES, smaller)
 
-    def _record_delay(self, batch: Batch, seconds: float) -> None:
-        """Record by how much the bytes ahead of a batch have delayed it.
-
-        A queue delays all batches, a lost packet one of them; the smoothed
-        time follows the quick ones.
-        """
-        if batch.size >= SMALL_BATCH_BYTES and batch.ahead >= SMALL_BATCH_BYTES:
-            delay = max(0.0, seconds - self._seconds_alone(batch.size))
-            self._seconds_per_byte_ahead = _smooth(
-                self._seconds_per_byte_ahead, delay / batch.ahead
-            )
-
 
 def _smooth(smoothed: float, latest: float) -> float:
     weight = WEIGHT_IF_FASTER if latest < smoothed else WEIGHT_IF_SLOWER
@@ -190,9 +119,6 @@
         """Whether the receiver puts entries in order that arrive early.  Until
         this is known, one batch of transfers is on its way at a time."""
         self._transfer_attempts = 0
-        # Attempts with transfers that have not passed the link by what is
-        # known, in the order in which they were sent.
-        self._on_link: list[tuple[Batch, int]] = []
         self._messages: deque[tuple[MemberId, bytes]] = deque(
             maxlen=MAX_QUEUED_MESSAGES
         )
@@ -224,11 +150,7 @@
     @property
     def has_large_transfer(self) -> bool:
         """Whether so much is queued that more connections shorten it."""
-        return (
-            self.parallel
-            and self._queued_transfer_bytes() >= LARGE_TRANSFER_BYTES
-            and self.pace.has_room(self._bytes_in_flight())
-        )
+        return self.parallel and self._queued_transfer_bytes() >= LARGE_TRANSFER_BYTES
 
     @property
     def has_batch(self) -> bool:
@@ -255,19 +177,10 @@
         elif self._messages:
             receiver = self._messages[0][0]
             batch = Batch(receiver, self._take_messages(receiver))
-        if batch is not None:
-            if batch.attempts == 1:
-                batch.ahead = self._bytes_in_flight()
-            if batch.keys:
-                if not self._on_link:
-                    self.pace.record_idle()
-                self._transfer_attempts += 1
-                self._on_link.append((batch, batch.attempts))
+        if batch is not None and batch.keys:
+            self._transfer_attempts += 1
         return batch
 
-    def _bytes_in_flight(self) -> int:
-        return sum(batch.size for batch, _ in self._on_link)
-
     def _next_resend(self) -> Batch | None:
         return next(
             (
@@ -280,8 +193,7 @@
 
     @property
     def _may_send_transfers(self) -> bool:
-        has_connection = self._transfer_attempts < max(1, self.connections - 1)
-        return has_connection and self.pace.has_room(self._bytes_in_flight())
+        return self._transfer_attempts < max(1, self.connections - 1)
 
     def _is_transfer_due(self) -> bool:
         """Return whether to send the next transfers.
@@ -331,30 +243,17 @@
         return tuple(taken)
 
     def record_acknowledged(self, batch: Batch, attempt: int, seconds: float) -> None:
-        """Record that a batch was acknowledged after one of its attempts.
-
-        What was sent before it has passed the link too, and waits for a lost
-        packet.
-        """
-        if (batch, attempt) in self._on_link and batch.size >= SMALL_BATCH_BYTES:
-            del self._on_link[: self._on_link.index((batch, attempt))]
-        self._end_attempt(batch, attempt)
+        """Record that a batch was acknowledged after one of its attempts."""
+        self._end_attempt(batch)
         if not batch.settled and attempt == 1:
-            self.pace.record_acknowledged(batch, seconds)
+            self.pace.record_acknowledged(batch.size, seconds)
         self._settle(batch)
 
     def record_late(self, batch: Batch, attempt: int) -> None:
-        """Send an unacknowledged batch again; its first attempt goes on.
-
-        Its bytes still count as in flight, since a queue may be the reason,
-        except those of a large message, whose connection may take many seconds
-        to fail.
-        """
-        if batch.size > MAX_BATCH_BYTES:
-            self._remove_from_link(batch, attempt)
+        """Send an unacknowledged batch again; its first attempt goes on."""
         if attempt == 1 and not batch.settled:
             batch.late = True
-            self.pace.record_late(batch)
+            self.pace.record_late(batch.size)
             self._resends.append(batch)
 
     def record_failed(self, batch: Batch, attempt: int) -> None:
@@ -363,7 +262,7 @@
         Transfers are sent again.  Other messages are not: newer ones follow,
         and a late one was sent twice.
         """
-        self._end_attempt(batch, attempt)
+        self._end_attempt(batch)
         if batch.settled or batch in self._resends or attempt < batch.attempts:
             return
         if batch.keys and batch.attempts < MAX_ATTEMPTS:
@@ -390,15 +289,10 @@
         for batch in (*self._in_flight, *self._resends):
             self._settle(batch)
 
-    def _end_attempt(self, batch: Batch, attempt: int) -> None:
-        self._remove_from_link(batch, attempt)
+    def _end_attempt(self, batch: Batch) -> None:
         if batch.keys:
             self._transfer_attempts -= 1
 
-    def _remove_from_link(self, batch: Batch, attempt: int) -> None:
-        if (batch, attempt) in self._on_link:
-            self._on_link.remove((batch, attempt))
-
     def _settle(self, batch: Batch) -> None:
         batch.settled = True
         if batch in self._resends:
